--- /dev/null
+++ b/snowthread/__main__.py
@@ -0,0 +1,7 @@
+"""``python -m snowthread``."""
+
+import sys
+
+from snowthread.cli import main
+
+sys.exit(main())
--- /dev/null
+++ b/snowthread/config.py
@@ -0,0 +1,96 @@
+"""What a node is told at its start: the environment and a JSON file, checked."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from clovertack.decide import Controller
+from clovertack.interface import Settings
+from clovertack.settings import settings_from
+from snowthread.net.address import Address
+
+SOCKETS = 1024  # where the file sets no limit
+
+
+class ConfigError(Exception):
+    """Why the configuration can't be used, in one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """A checked configuration."""
+
+    name: str
+    listen: Address
+    runtime: Address
+    roster: Address
+    index: Address
+    seed: int
+    stop_ms: float
+    sockets: int
+    settings: Settings
+    meters: tuple[str, ...]
+
+
+def load(environment: Mapping[str, str]) -> Config:
+    """Read what NODE_CONFIG names; NODE_NAME and NODE_LISTEN, where set, go before the file."""
+    path = environment.get("NODE_CONFIG")
+    if not path:
+        raise ConfigError("NODE_CONFIG is not set: it names the configuration file")
+    try:
+        fields = orjson.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"{path}: not JSON: {error}") from None
+    if not isinstance(fields, dict):
+        raise ConfigError(f"{path}: not a JSON object")
+    for name, variable in (("name", "NODE_NAME"), ("listen", "NODE_LISTEN")):
+        if environment.get(variable):
+            fields[name] = environment[variable]
+    try:
+        return parse(fields)
+    except ConfigError as error:
+        raise ConfigError(f"{path}: {error}") from None
+
+
+def parse(fields: Mapping[str, Any]) -> Config:
+    """Check the fields one by one."""
+    name = fields.get("name")
+    if not isinstance(name, str) or not name or any(c.isspace() for c in name):
+        raise ConfigError("name: a word is wanted")
+    addresses = {}
+    for field in ("listen", "runtime", "roster", "index"):
+        try:
+            addresses[field] = Address.parse(str(fields.get(field, "")))
+        except ValueError as error:
+            raise ConfigError(f"{field}: {error}") from None
+    stop = fields.get("stop_ms", 3000.0)
+    if isinstance(stop, bool) or not isinstance(stop, int | float) or not 0.0 < stop < math.inf:
+        raise ConfigError("stop_ms: a number of milliseconds above 0 is wanted")
+    limits = fields.get("limits") or {}
+    sockets = limits.get("sockets", SOCKETS) if isinstance(limits, dict) else None
+    if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < 64:
+        raise ConfigError("limits: sockets: a whole number of at least 64 is wanted")
+    try:
+        seed = int(str(fields.get("seed", "0")), 16)
+    except ValueError:
+        raise ConfigError("seed: hex digits are wanted") from None
+    facts = fields.get("settings")
+    if not isinstance(facts, dict):
+        raise ConfigError("settings: an object is wanted")
+    try:
+        settings = settings_from(facts)
+        Controller(settings, seed)
+        meters = tuple(str(m) for m in (facts.get("domain") or {}).get("meters") or ())
+    except (ValueError, TypeError, KeyError, AttributeError, ZeroDivisionError) as error:
+        raise ConfigError(f"settings can't be used: {type(error).__name__}: {error}") from None
+    return Config(name=name, seed=seed, stop_ms=float(stop), sockets=sockets, settings=settings,
+                  meters=meters, listen=addresses["listen"], runtime=addresses["runtime"],
+                  roster=addresses["roster"], index=addresses["index"])
--- /dev/null
+++ b/snowthread/core/events.py
@@ -0,0 +1,127 @@
+"""What can happen to a node. No protocol's names: each peer's codec translates into these.
+
+Times are Unix milliseconds as floats.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from clovertack.interface import Outcome
+
+Ticket = tuple[int, int]
+"""Where an answer goes: a connection's number and the number of the message on it."""
+
+
+@dataclass(frozen=True, slots=True)
+class RequestRead:
+    """A whole request was read and checked."""
+
+    ticket: Ticket
+    uid: str
+    class_name: str
+    body: bytes
+    at: float
+    wait: float
+    caller: int
+    kb: float
+    rank: float
+    once: str | None = None
+    key: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLeft:
+    """Nobody waits for this answer any more: told so, or the connection is gone."""
+
+    ticket: Ticket
+
+
+@dataclass(frozen=True, slots=True)
+class HealthAsked:
+    """A health check was read."""
+
+    ticket: Ticket
+
+
+@dataclass(frozen=True, slots=True)
+class RuntimeUp:
+    """The link to the runtime stands. Cold: it started so; ``age``: so long ago."""
+
+    cold: bool
+    age: float
+
+
+@dataclass(frozen=True, slots=True)
+class RuntimeLost:
+    """The link broke; of ``unsent`` commands not one byte was written."""
+
+    unsent: tuple[object, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class RunOver:
+    """The runtime says how a run ended."""
+
+    uid: str
+    outcome: Outcome
+    took: float
+    result: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class CommandRefused:
+    """The runtime did not carry out a command about this run; ``starting``: it was the one to start it."""
+
+    uid: str
+    starting: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CallWanted:
+    """A run waits for a call with this body; ``pos`` names the notice that said so."""
+
+    uid: str
+    pos: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class GaugesRead:
+    """The runtime's gauges, in the order of the settings."""
+
+    tag: str
+    values: tuple[float, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CallBack:
+    """A call to the index came to its end."""
+
+    uid: str
+    outcome: Outcome
+    took: float
+    reply: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class TimerDue:
+    """A timer of the decisions is due."""
+
+    label: int
+
+
+@dataclass(frozen=True, slots=True)
+class GaugesDue:
+    """Gauges should be asked for, ahead of a timer."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveAsked:
+    """The process will be killed this many milliseconds from now."""
+
+    left: float
+
+
+Message = (RequestRead | CallerLeft | HealthAsked | RuntimeUp | RuntimeLost | RunOver | CommandRefused
+           | CallWanted | GaugesRead | CallBack | TimerDue | GaugesDue | LeaveAsked)
--- /dev/null
+++ b/snowthread/core/reducer.py
@@ -0,0 +1,374 @@
+"""The one place where a node's state changes: a message in, the effects it asks for out.
+
+Every message becomes events of the decision module, every action of the module becomes effects. What is
+turned away, run or stopped is decided there, never here.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from clovertack import interface as api
+from clovertack.decide import Controller
+from clovertack.interface import Effect as Repeat
+from clovertack.interface import Outcome
+from snowthread.core import effects as fx
+from snowthread.core import events as ev
+from snowthread.core.state import Place, Request, State
+
+GAUGES_LEAD_MS = 20.0  # gauges are asked for so long before the timer they are for
+GAUGES_RECENT_MS = 200.0  # timers nearer to each other than this share gauges
+GAUGES_OLD_MS = 1000.0  # older ones are passed on as not measured
+LEAST_MS = 1.0  # time left of a request that was read past its due time: none would mean 'not told'
+SYNC_TAG = "sync-"
+
+_METER = {"core_use": "core_use", "on_cores": "on_cores", "heap_share": "memory_share",
+          "links": "connections"}
+
+
+def reduce(state: State, message: ev.Message, now: float) -> list[fx.Effect]:
+    """Take one message at this time and return what is to be done, in order."""
+    turn = _Turn(state, now)
+    turn.take(message)
+    return turn.out
+
+
+class _Turn:
+    """One message's way through the state."""
+
+    def __init__(self, state: State, now: float) -> None:
+        self.s, self.now = state, now
+        self.out: list[fx.Effect] = []
+        self._events: deque[api.Event] = deque()
+        self._busy = False
+
+    def take(self, message: ev.Message) -> None:
+        _ON[type(message)](self, message)
+
+    # The decision module.
+
+    def tell(self, *events: api.Event) -> None:
+        """Hand events to the module, in order, and carry out what it wants after each."""
+        self._events.extend(events)
+        if self._busy:
+            return
+        self._busy = True
+        controller = self.controller()
+        while self._events:
+            for action in controller.handle(self.s.time.at(self.now), self._events.popleft()):
+                _DO[type(action)](self, action)
+        self._busy = False
+
+    def controller(self, age: float = 0.0) -> Controller:
+        """The controller; the first who asks starts it, as of so long ago."""
+        s = self.s
+        if s.controller is None:
+            s.controller = Controller(s.settings, s.seed)
+            for action in s.controller.handle(s.time.at(self.now - age), api.Started()):
+                _DO[type(action)](self, action)
+        return s.controller
+
+    # Requests.
+
+    def request_read(self, m: ev.RequestRead) -> None:
+        s = self.s
+        self.controller()
+        s.number += 1
+        at = min(m.at, self.now)
+        kind = next((c for c in s.settings.classes if c.name == m.class_name), None)
+        keyed = kind is not None and kind.effect is Repeat.KEYED
+        once = m.once if keyed else None
+        if kind is None or m.uid in s.by_uid or (keyed and not once):
+            # Unknown to the settings, or the same try while its run still goes on: nothing can be promised.
+            self.out.append(fx.Answer(m.ticket, fx.Failed(), s.say))
+            return
+        prior = s.keys.holder(once, at) if once else None
+        q = Request(s.number, m.uid, m.class_name, m.body, m.ticket, once, prior, self.now)
+        s.requests[q.number] = s.by_uid[q.uid] = s.by_ticket[m.ticket] = q
+        left = max(LEAST_MS, at + m.wait - self.now)
+        self.tell(api.Arrival(
+            request=q.number, class_name=q.class_name, held_kb=m.kb, key=m.key, left_s=s.time.span(left),
+            rank=m.rank, caller=m.caller, backlog_s=s.time.span(self.now - at), prior=prior))
+
+    def caller_left(self, m: ev.CallerLeft) -> None:
+        q = self.s.by_ticket.pop(m.ticket, None)
+        if q is None:
+            return
+        q.ticket = None
+        self.drop_call(q)
+        self.tell(api.CallerGone(q.number))
+        self.rest(q)
+
+    def health_asked(self, m: ev.HealthAsked) -> None:
+        self.out.append(fx.Answer(m.ticket, fx.Healthy(self.s.healthy and not self.s.leaving), self.s.say))
+
+    def answer(self, q: Request, answer: fx.Served | fx.Refused | fx.Failed) -> None:
+        """The final answer, unless there was one or nobody waits: a late result is no second answer."""
+        if q.ticket is not None:
+            self.out.append(fx.Answer(q.ticket, answer, self.s.say))
+            self.s.by_ticket.pop(q.ticket, None)
+            q.ticket = None
+
+    def rest(self, q: Request) -> None:
+        """Answered or left: what does not run is over; a run goes on to its end."""
+        if q.place is not Place.RUNNING:
+            self.over(q, None)
+        elif q.link and q.link < self.s.link:
+            self.settle(q)
+
+    def over(self, q: Request, result: bytes | None) -> None:
+        """The request leaves the node; its repeats get what became of it."""
+        s = self.s
+        if s.requests.pop(q.number, None) is None:
+            return
+        if s.by_uid.get(q.uid) is q:
+            del s.by_uid[q.uid]
+        self.drop_call(q)
+        first = s.requests.get(q.prior) if q.prior is not None else None
+        if first is not None and q.number in first.followers:
+            first.followers.remove(q.number)
+        self.resolve(q, result)
+
+    def resolve(self, q: Request, result: bytes | None) -> None:
+        followers, q.followers = q.followers, []
+        for number in followers:
+            follower = self.s.requests.get(number)
+            if follower is not None:
+                self.attached_over(follower, result)
+
+    def attached_over(self, q: Request, result: bytes | None) -> None:
+        self.answer(q, fx.Failed() if result is None else fx.Served(result))
+        q.place = Place.HELD
+        self.over(q, None)
+        self.tell(api.RunEnded(q.number, Outcome.FAILURE if result is None else Outcome.SUCCESS,
+                               self.s.time.span(self.now - q.read_at)))
+
+    # Runs.
+
+    def command(self, command: fx.Command) -> None:
+        """To the runtime, or into the line while there is no link."""
+        if self.s.linked:
+            if isinstance(command, fx.StartRun):
+                self.s.by_uid[command.uid].link = self.s.link
+            self.out.append(command)
+        else:
+            self.s.waiting.append(command)
+
+    def run_over(self, m: ev.RunOver) -> None:
+        s = self.s
+        q = s.by_uid.get(m.uid)
+        done = m.result if m.outcome is Outcome.SUCCESS else None
+        if m.outcome is not Outcome.VOID:
+            s.keys.finish(m.uid, done)
+        if q is None or q.place is not Place.RUNNING:
+            return
+        self.drop_call(q)
+        q.wants, q.stopping, q.link = None, False, 0
+        if m.outcome is Outcome.WITHDRAWN and q.ticket is not None:
+            # Stopped with an answer still owed. A keyed try is stopped for good, so its repeats fail.
+            q.place = Place.HELD
+            if q.once:
+                self.resolve(q, None)
+        else:
+            self.answer(q, fx.Failed() if done is None else fx.Served(done))
+            self.over(q, done)
+        self.tell(api.RunEnded(q.number, m.outcome, s.time.span(m.took)))
+
+    def command_refused(self, m: ev.CommandRefused) -> None:
+        q = self.s.by_uid.get(m.uid)
+        if q is not None and q.place is Place.RUNNING and (m.starting or q.stopping):
+            self.run_over(ev.RunOver(m.uid, Outcome.FAILURE, 0.0, b""))
+
+    def runtime_up(self, m: ev.RuntimeUp) -> None:
+        s = self.s
+        if s.controller is None:
+            if m.cold and not s.settings.cold:
+                s.settings = replace(s.settings, cold=True)
+            self.controller(m.age)
+        s.link += 1
+        s.linked = True
+        waiting, s.waiting = s.waiting, []
+        for command in waiting:
+            if command.uid in s.by_uid:
+                self.command(command)
+        self.out.append(fx.AskGauges(f"{SYNC_TAG}{s.link}"))
+
+    def runtime_lost(self, m: ev.RuntimeLost) -> None:
+        self.s.linked = False
+        unsent: list[fx.Command] = [c for c in m.unsent if isinstance(c, fx.Command)]
+        for command in unsent:
+            if isinstance(command, fx.StartRun) and command.uid in self.s.by_uid:
+                self.s.by_uid[command.uid].link = 0
+        self.s.waiting = unsent + self.s.waiting
+
+    def synced(self) -> None:
+        """All notices missed are read. A run begun on an earlier link and not reported over goes on, or its
+        start was lost. Where repeats are safe the start is sent again: nothing happens if it runs. A keyed
+        one never is: if it ended just now it would run twice. Its due time ends it if nothing else does."""
+        for q in list(self.s.requests.values()):
+            if q.place is Place.RUNNING and 0 < q.link < self.s.link:
+                if q.ticket is None or q.stopping:
+                    self.settle(q)
+                elif not q.once and q.wants is None:
+                    q.link = self.s.link
+                    self.out.append(fx.StartRun(q.uid, q.class_name, q.body))
+
+    def settle(self, q: Request) -> None:
+        """Stop a run whose fate the break left open and take it for over: nobody waits for it, and no notice
+        may ever come. Without this it would count as running for good."""
+        self.command(fx.StopRun(q.uid))
+        self.run_over(ev.RunOver(q.uid, Outcome.WITHDRAWN, 0.0, b""))
+
+    # Calls.
+
+    def call_wanted(self, m: ev.CallWanted) -> None:
+        q = self.s.by_uid.get(m.uid)
+        if q is not None and q.place is Place.RUNNING:
+            q.wants, q.call = m.pos, m.body
+            self.tell(api.AtCall(q.number))
+
+    def call_back(self, m: ev.CallBack) -> None:
+        q = self.s.by_uid.get(m.uid)
+        if q is None or not q.calling:
+            return
+        q.calling = False
+        if m.outcome is Outcome.SUCCESS:
+            q.wants = None
+            self.command(fx.GiveReply(q.uid, m.reply))
+        self.tell(api.CallEnded(q.number, m.outcome, self.s.time.span(m.took)))
+
+    def drop_call(self, q: Request) -> None:
+        if q.calling:
+            q.calling = False
+            self.out.append(fx.DropCall(q.uid))
+
+    # Gauges and timers.
+
+    def gauges_read(self, m: ev.GaugesRead) -> None:
+        s = self.s
+        s.gauges, s.gauges_at = m.values, self.now
+        if m.tag == f"{SYNC_TAG}{s.link}":
+            self.synced()
+
+    def gauges_due(self, _: ev.GaugesDue) -> None:
+        if self.s.linked:
+            self.s.asked += 1
+            self.out.append(fx.AskGauges(str(self.s.asked)))
+
+    def timer_due(self, m: ev.TimerDue) -> None:
+        s = self.s
+        found: dict[str, float] = {}
+        if self.now - s.gauges_at <= GAUGES_OLD_MS:
+            found = {_METER[name]: value for name, value in zip(s.meters, s.gauges, strict=False)
+                     if name in _METER}
+        self.tell(api.TimerFired(m.label, **found))
+
+    def leave_asked(self, m: ev.LeaveAsked) -> None:
+        if not self.s.leaving:
+            self.s.leaving = True
+            self.out.append(fx.Announce(False))
+            self.tell(api.LeaveNotice(self.s.time.span(m.left)))
+
+    # The module's actions.
+
+    def do_run(self, a: api.Run) -> None:
+        q = self.s.requests.get(a.request)
+        if q is not None and q.place is Place.HELD:
+            q.place = Place.RUNNING
+            self.command(fx.StartRun(q.uid, q.class_name, q.body))
+
+    def do_final(self, a: api.Refuse | api.Fail) -> None:
+        q = self.s.requests.get(a.request)
+        if q is None:
+            return
+        if isinstance(a, api.Refuse):
+            self.answer(q, fx.Refused(self.s.time.ms(a.hold_off_s), a.last))
+        else:
+            self.answer(q, fx.Failed())
+        self.drop_call(q)
+        self.rest(q)
+
+    def do_preempt(self, a: api.Preempt) -> None:
+        q = self.s.requests.get(a.request)
+        if q is None or q.place is not Place.RUNNING or q.stopping:
+            return
+        q.stopping = True
+        if not q.link:  # its start still waits for a link: it never ran
+            self.s.waiting = [c for c in self.s.waiting if c.uid != q.uid]
+            self.run_over(ev.RunOver(q.uid, Outcome.WITHDRAWN, 0.0, b""))
+        else:
+            self.command(fx.StopRun(q.uid))
+
+    def do_attach(self, a: api.Attach) -> None:
+        q = self.s.requests.get(a.request)
+        if q is None or q.prior is None:
+            return
+        first = self.s.requests.get(q.prior)
+        entry = self.s.keys.get(q.prior)
+        if entry is not None and entry.over:
+            self.attached_over(q, entry.result)
+        elif first is None:
+            self.attached_over(q, None)
+        else:
+            q.place = Place.ATTACHED
+            first.followers.append(q.number)
+
+    def do_keep(self, a: api.KeepKey) -> None:
+        q = self.s.requests.get(a.request)
+        if q is not None and q.once:
+            self.s.keys.keep(q.once, q.number, q.uid, self.now + self.s.time.ms(a.lifetime_s), self.now)
+
+    def do_forget(self, a: api.ForgetKey) -> None:
+        self.s.keys.forget(a.request)
+
+    def do_call(self, a: api.Call) -> None:
+        q = self.s.requests.get(a.request)
+        if q is not None and q.wants is not None and not q.calling:
+            q.calling = True
+            kind = next(c for c in self.s.settings.classes if c.name == q.class_name)
+            self.out.append(fx.MakeCall(q.uid, q.call, self.s.time.ms(a.give_up_s or kind.deadline_s)))
+
+    def do_skip(self, a: api.SkipCall) -> None:
+        q = self.s.requests.get(a.request)
+        if q is not None and q.wants is not None:
+            self.command(fx.OmitCall(q.uid, q.wants))
+            q.wants = None
+
+    def do_timer(self, a: api.SetTimer) -> None:
+        s = self.s
+        at = self.now + s.time.ms(a.after_s)
+        if at - s.gauges_for >= GAUGES_RECENT_MS:
+            s.gauges_for = at
+            self.out.append(fx.WakeAt(max(self.now, at - GAUGES_LEAD_MS), ev.GaugesDue()))
+        self.out.append(fx.WakeAt(at, ev.TimerDue(a.label)))
+
+    def do_health(self, a: api.SetHealth) -> None:
+        self.s.healthy = a.good
+        self.out.append(fx.Announce(a.good and not self.s.leaving))
+
+    def do_publish(self, a: api.Publish) -> None:
+        self.s.say = a.value
+
+    def do_idle(self, a: api.CloseIdle) -> None:
+        self.out.append(fx.CloseIdleAfter(self.s.time.ms(a.after_s or self.s.settings.idle_s)))
+
+    def do_note(self, a: api.Report) -> None:
+        self.out.append(fx.Note(a.text))
+
+
+_ON: dict[type, Callable[[_Turn, Any], None]] = {
+    ev.RequestRead: _Turn.request_read, ev.CallerLeft: _Turn.caller_left, ev.HealthAsked: _Turn.health_asked,
+    ev.RuntimeUp: _Turn.runtime_up, ev.RuntimeLost: _Turn.runtime_lost, ev.RunOver: _Turn.run_over,
+    ev.CommandRefused: _Turn.command_refused, ev.CallWanted: _Turn.call_wanted,
+    ev.GaugesRead: _Turn.gauges_read, ev.CallBack: _Turn.call_back, ev.TimerDue: _Turn.timer_due,
+    ev.GaugesDue: _Turn.gauges_due, ev.LeaveAsked: _Turn.leave_asked}
+
+_DO: dict[type, Callable[[_Turn, Any], None]] = {
+    api.Run: _Turn.do_run, api.Refuse: _Turn.do_final, api.Fail: _Turn.do_final,
+    api.Preempt: _Turn.do_preempt, api.Attach: _Turn.do_attach, api.KeepKey: _Turn.do_keep,
+    api.ForgetKey: _Turn.do_forget, api.Call: _Turn.do_call, api.SkipCall: _Turn.do_skip, api.SetTimer: _Turn.do_timer,
+    api.SetHealth: _Turn.do_health, api.Publish: _Turn.do_publish, api.CloseIdle: _Turn.do_idle,
+    api.Report: _Turn.do_note}
--- /dev/null
+++ b/snowthread/core/state.py
@@ -0,0 +1,89 @@
+"""All that a node knows; only the reducer changes it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from clovertack.decide import Controller
+from clovertack.interface import Settings
+from snowthread.core.effects import Command
+from snowthread.core.events import Ticket
+from snowthread.core.keys import KeyTable
+
+
+class Place(Enum):
+    """Where a request stands."""
+
+    HELD = 0
+    RUNNING = 1
+    ATTACHED = 2
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """One try that was read. ``ticket`` is None once it is answered or nobody waits."""
+
+    number: int
+    uid: str
+    class_name: str
+    body: bytes
+    ticket: Ticket | None
+    once: str | None
+    prior: int | None
+    read_at: float
+    place: Place = Place.HELD
+    link: int = 0  # the runtime link on which its start was sent; 0: not sent yet
+    wants: int | None = None  # the notice of the call it waits for
+    call: bytes = b""
+    calling: bool = False
+    stopping: bool = False
+    followers: list[int] = field(default_factory=list)  # repeats that wait for its result
+
+
+class ModuleTime:
+    """The one place where milliseconds become the module's seconds and back. Its zero lies a second before
+    the start: the module takes a time of 0 for none."""
+
+    def __init__(self, start: float) -> None:
+        self._zero = start - 1000.0
+
+    def at(self, now: float) -> float:
+        """A time as the module's clock has it."""
+        return max(0.001, (now - self._zero) / 1000.0)
+
+    @staticmethod
+    def span(ms: float) -> float:
+        """A length of time in the module's seconds."""
+        return ms / 1000.0
+
+    @staticmethod
+    def ms(seconds: float) -> float:
+        """A length of time of the module in milliseconds."""
+        return seconds * 1000.0
+
+
+@dataclass(slots=True)
+class State:
+    """A node. The controller comes into being when the runtime is there, or with the first request."""
+
+    settings: Settings
+    seed: int
+    meters: tuple[str, ...]
+    time: ModuleTime
+    controller: Controller | None = None
+    keys: KeyTable = field(default_factory=KeyTable)
+    requests: dict[int, Request] = field(default_factory=dict)
+    by_uid: dict[str, Request] = field(default_factory=dict)
+    by_ticket: dict[Ticket, Request] = field(default_factory=dict)
+    number: int = 0
+    link: int = 0  # links to the runtime so far
+    linked: bool = False
+    waiting: list[Command] = field(default_factory=list)  # commands that wait for a link
+    gauges: tuple[float, ...] = ()
+    gauges_at: float = float("-inf")
+    gauges_for: float = float("-inf")  # the latest timer that gauges were or will be asked for
+    asked: int = 0
+    say: float | None = None
+    healthy: bool = True
+    leaving: bool = False
--- /dev/null
+++ b/snowthread/net/clock.py
@@ -0,0 +1,23 @@
+"""The one source of time: Unix milliseconds as a float."""
+
+from __future__ import annotations
+
+import time
+
+
+class Clock:
+    """The system's Unix clock, in which peers state their times too."""
+
+    def now(self) -> float:
+        """Milliseconds since the epoch."""
+        return time.time() * 1000.0
+
+
+class SetClock(Clock):
+    """A clock that stands where a test puts it."""
+
+    def __init__(self, now: float) -> None:
+        self.time = now
+
+    def now(self) -> float:
+        return self.time
--- /dev/null
+++ b/snowthread/net/loop.py
@@ -0,0 +1,170 @@
+"""One epoll loop: generators as coroutines, and timers in a heap.
+
+A coroutine yields a :class:`Wait` and is resumed with the epoll mask that came, or with 0 when its time is
+up or somebody woke it. An exception ends the coroutine it came from and nothing else.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+import select
+import socket
+from collections import deque
+from collections.abc import Callable, Generator
+from dataclasses import dataclass
+
+from loguru import logger
+
+from snowthread.net.clock import Clock
+
+POLL_MAX_S = 3600.0  # longest sleep: epoll takes no endless times
+
+IN, OUT, BROKEN = select.EPOLLIN, select.EPOLLOUT, select.EPOLLHUP | select.EPOLLERR
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """What a coroutine waits for: a file descriptor to be ready, a time, or to be woken."""
+
+    fd: int = -1
+    mask: int = 0
+    until: float = math.inf
+
+
+Steps = Generator[Wait, int, None]
+Timer = list[Callable[[], None]]  # empty once it fired or was taken back
+
+
+class Task:
+    """A running coroutine."""
+
+    __slots__ = ("begun", "fd", "mask", "steps", "timer", "woken")
+
+    def __init__(self, steps: Steps) -> None:
+        self.steps: Steps | None = steps
+        self.fd, self.mask = -1, 0
+        self.timer: Timer | None = None
+        self.begun = self.woken = False
+
+
+class Loop:
+    """Runs tasks and timers until stopped."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self._epoll = select.epoll()
+        self._by_fd: dict[int, Task] = {}
+        self._ready: deque[Task] = deque()
+        self._timers: list[tuple[float, int, Timer]] = []
+        self._order = itertools.count()
+        self._stopped = False
+
+    def spawn(self, steps: Steps) -> Task:
+        """Start a coroutine; its first step runs in the loop's next round."""
+        task = Task(steps)
+        self.wake(task)
+        return task
+
+    def wake(self, task: Task) -> None:
+        """Resume a task with 0 soon, whatever it waits for."""
+        if not task.woken and task.steps is not None:
+            task.woken = True
+            self._ready.append(task)
+
+    def call_at(self, when: float, call: Callable[[], None]) -> Timer:
+        """Call at a time; the timer can be cancelled."""
+        timer: Timer = [call]
+        heapq.heappush(self._timers, (when, next(self._order), timer))
+        return timer
+
+    @staticmethod
+    def cancel(timer: Timer | None) -> None:
+        """Take a timer back; one that fired already is left alone."""
+        if timer:
+            timer.clear()
+
+    def close(self, sock: socket.socket) -> None:
+        """Close a socket. Its number may be another's at once, so nothing may still be watched under it."""
+        fd = sock.fileno()
+        task = self._by_fd.pop(fd, None)
+        if task is not None:
+            task.fd = -1
+            self._epoll.unregister(fd)
+        sock.close()
+
+    def stop(self) -> None:
+        """Return from :meth:`run` at the end of this round."""
+        self._stopped = True
+
+    def run(self) -> None:
+        """Run until stopped."""
+        while not self._stopped:
+            self.round(POLL_MAX_S)
+        self._epoll.close()
+
+    def round(self, longest_s: float) -> None:
+        """One round: what is ready, what came, what is due."""
+        for _ in range(len(self._ready)):
+            task = self._ready.popleft()
+            task.woken = False
+            self._resume(task, 0)
+        while self._timers and not self._timers[0][2]:
+            heapq.heappop(self._timers)
+        wait = longest_s
+        if self._ready:
+            wait = 0.0
+        elif self._timers:
+            wait = min(wait, max(0.0, (self._timers[0][0] - self.clock.now()) / 1000.0))
+        for fd, mask in self._epoll.poll(wait):
+            watcher = self._by_fd.get(fd)
+            if watcher is not None:
+                self._resume(watcher, mask)
+        now = self.clock.now()
+        while self._timers and self._timers[0][0] <= now:
+            timer = heapq.heappop(self._timers)[2]
+            if timer:
+                try:
+                    timer.pop()()
+                except Exception:
+                    logger.exception("a timer failed")
+
+    def _resume(self, task: Task, mask: int) -> None:
+        if task.steps is None:
+            return
+        self.cancel(task.timer)
+        task.timer = None
+        try:
+            wait = task.steps.send(mask) if task.begun else next(task.steps)
+            task.begun = True
+        except StopIteration:
+            self._end(task)
+        except Exception:  # exceptions stop here: one connection's trouble is not another's
+            logger.exception("a coroutine failed")
+            self._end(task)
+        else:
+            self._park(task, wait)
+
+    def _park(self, task: Task, wait: Wait) -> None:
+        if wait.fd != task.fd:
+            self._unwatch(task)
+            if wait.fd >= 0:
+                self._epoll.register(wait.fd, wait.mask)
+                self._by_fd[wait.fd] = task
+            task.fd, task.mask = wait.fd, wait.mask
+        elif wait.fd >= 0 and wait.mask != task.mask:
+            self._epoll.modify(wait.fd, wait.mask)
+            task.mask = wait.mask
+        if wait.until < math.inf:
+            task.timer = self.call_at(wait.until, lambda: self.wake(task))
+
+    def _unwatch(self, task: Task) -> None:
+        if task.fd >= 0 and self._by_fd.get(task.fd) is task:
+            del self._by_fd[task.fd]
+            self._epoll.unregister(task.fd)
+        task.fd = -1
+
+    def _end(self, task: Task) -> None:
+        self._unwatch(task)
+        task.steps = None
--- /dev/null
+++ b/snowthread/net/node.py
@@ -0,0 +1,115 @@
+"""A node: the peers, the reducer between them, and its way from start to exit."""
+
+from __future__ import annotations
+
+import os
+import resource
+import signal
+import socket
+from collections import deque
+
+from loguru import logger
+
+from snowthread.config import Config
+from snowthread.core import effects as fx
+from snowthread.core import events as ev
+from snowthread.core.reducer import reduce
+from snowthread.core.state import ModuleTime, State
+from snowthread.net.balancers import Balancers
+from snowthread.net.clock import Clock
+from snowthread.net.index import Index
+from snowthread.net.loop import IN, Loop, Steps, Wait
+from snowthread.net.roster import Roster
+from snowthread.net.runtime import Runtime
+
+SPARE = 32  # descriptors kept for the runtime, the roster, the loop and files
+INDEX_PART = 8  # a part of the descriptors, one in so many, is the index's
+DOOR_MS = 450.0  # before the kill: no more connections; what came is answered by then or shortly after
+EXIT_MS = 120.0  # before the kill: out, whatever is left
+QUIET_MS = 10.0  # between two looks whether all is written
+
+
+class Node:
+    """One formula node."""
+
+    def __init__(self, config: Config, clock: Clock) -> None:
+        self.config, self.clock = config, clock
+        self.loop = Loop(clock)
+        self.state = State(config.settings, config.seed, config.meters, ModuleTime(clock.now()))
+        limit = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        calls = max(4, limit // INDEX_PART)
+        self._messages: deque[ev.Message] = deque()
+        self._posting = False
+        self.balancers = Balancers(self.loop, config.listen, max(8, limit - calls - SPARE), self.post)
+        self.runtime = Runtime(self.loop, config.runtime, self.post)
+        self.index = Index(self.loop, config.index, calls, self.post)
+        self.roster = Roster(self.loop, config.roster, config.name)
+
+    def post(self, message: ev.Message) -> None:
+        """Hand a message to the reducer and carry out what it asks for. What an effect brings about at once
+        waits its turn behind the effects that stand before it."""
+        self._messages.append(message)
+        if self._posting:
+            return
+        self._posting = True
+        try:
+            while self._messages:
+                for effect in reduce(self.state, self._messages.popleft(), self.clock.now()):
+                    self._do(effect)
+        finally:
+            self._posting = False
+
+    def _do(self, effect: fx.Effect) -> None:
+        match effect:
+            case fx.Answer():
+                self.balancers.answer(effect)
+            case fx.StartRun() | fx.StopRun() | fx.GiveReply() | fx.OmitCall() | fx.AskGauges():
+                self.runtime.send(effect)
+            case fx.MakeCall():
+                self.index.call(effect)
+            case fx.DropCall():
+                self.index.drop(effect.uid)
+            case fx.WakeAt():
+                self.loop.call_at(effect.at, lambda: self.post(effect.message))
+            case fx.CloseIdleAfter():
+                self.balancers.close_idle_after(effect.after)
+            case fx.Announce():
+                self.roster.announce(effect.taking)
+            case fx.Note():
+                logger.info("{}", effect.text)
+
+    # From start to exit.
+
+    def serve(self) -> None:
+        """Serve until told to leave; return when all is answered."""
+        here, there = socket.socketpair()
+        for end in (here, there):
+            end.setblocking(False)
+        signal.set_wakeup_fd(there.fileno())
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: None)
+        self.loop.spawn(self._signals(here))
+        logger.info("{} pid {} listens on {}:{}", self.config.name, os.getpid(), *self.config.listen)
+        self.loop.run()
+
+    def _signals(self, source: socket.socket) -> Steps:
+        told = False
+        while not told:
+            yield Wait(source.fileno(), IN)
+            told = any(n in (signal.SIGTERM, signal.SIGINT) for n in source.recv(64))
+        yield from self._leave()
+
+    def _leave(self) -> Steps:
+        """Serve on until shortly before the kill, then close the door, answer what came and go."""
+        kill = self.clock.now() + self.config.stop_ms
+        logger.info("told to leave, {} ms left", self.config.stop_ms)
+        self.post(ev.LeaveAsked(self.config.stop_ms))
+        self.balancers.leave()
+        yield Wait(until=kill - DOOR_MS)
+        self.balancers.stop_accepting()
+        quiet = 0
+        while self.clock.now() < kill - EXIT_MS and quiet < 2:
+            yield Wait(until=self.clock.now() + QUIET_MS)
+            quiet = 0 if self.balancers.unsent else quiet + 1
+        logger.info("left")
+        self.loop.stop()
--- /dev/null
+++ b/snowthread/net/runtime.py
@@ -0,0 +1,184 @@
+"""The runtime: one link, a JSON object a line both ways."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import socket
+from collections import deque
+from collections.abc import Callable, Generator
+from typing import Any
+
+import orjson
+from loguru import logger
+
+from clovertack.interface import Outcome
+from snowthread.core import effects as fx
+from snowthread.core import events as ev
+from snowthread.net.address import Address, Connecting
+from snowthread.net.loop import BROKEN, IN, OUT, Loop, Steps, Wait
+
+LINE_MAX = 256 * 1024  # a longer line is no notice
+READ_BYTES = 64 * 1024
+CONNECT_MS = 1000.0
+BACKOFF_MS = 20.0, 500.0  # first and longest time between two attempts to link
+
+_END = {"done": Outcome.SUCCESS, "crashed": Outcome.FAILURE, "aborted": Outcome.WITHDRAWN,
+        "stale": Outcome.VOID}
+
+
+def _pack(content: bytes) -> str:
+    return base64.b64encode(content).decode()
+
+
+def _unpack(fields: dict[str, Any]) -> bytes:
+    return base64.b64decode(fields.get("content") or "", validate=True)
+
+
+def encode(command: fx.Command | fx.AskGauges) -> bytes:
+    """A command as a line."""
+    fields: dict[str, Any]
+    match command:
+        case fx.StartRun():
+            fields = {"action": "start", "uid": command.uid, "lane": command.class_name,
+                      "content": _pack(command.body)}
+        case fx.StopRun():
+            fields = {"action": "stop", "uid": command.uid}
+        case fx.GiveReply():
+            fields = {"action": "give", "uid": command.uid, "content": _pack(command.reply)}
+        case fx.OmitCall():
+            fields = {"action": "omit", "uid": command.uid, "pos": command.pos}
+        case fx.AskGauges():
+            fields = {"action": "gauges", "echo": command.tag}
+    return orjson.dumps(fields) + b"\n"
+
+
+def decode(line: bytes) -> tuple[int | None, ev.Message | None]:
+    """A notice's number, if it has one, and what it means; ValueError where it is none."""
+    fields = orjson.loads(line)
+    if not isinstance(fields, dict):
+        raise ValueError("not an object")
+    pos = fields.get("pos")
+    if pos is not None and (not isinstance(pos, int) or pos < 0):
+        raise ValueError("pos is not a number")
+    try:
+        return pos, _message(fields)
+    except (KeyError, TypeError, binascii.Error) as error:
+        raise ValueError(f"{fields.get('action')!r}: {error!r}") from None
+
+
+def _message(f: dict[str, Any]) -> ev.Message | None:
+    match f.get("action"):
+        case "ready":
+            return ev.RuntimeUp(f["code"] == "fresh", max(0.0, float(f.get("wall_ms") or 0.0)))
+        case "end":
+            return ev.RunOver(str(f["uid"]), _END[f["code"]], float(f.get("wall_ms") or 0.0), _unpack(f))
+        case "wants":
+            return ev.CallWanted(str(f["uid"]), f["pos"], _unpack(f))
+        case "load":
+            return ev.GaugesRead(str(f["echo"]), tuple(float(value) for value in f["meters"]))
+        case "nack":
+            return ev.CommandRefused(str(f.get("uid") or ""), f["code"] == "start")
+    return None
+
+
+class Runtime:
+    """Keeps the link, sends commands in order and passes each notice on once."""
+
+    def __init__(self, loop: Loop, address: Address, post: Callable[[ev.Message], None]) -> None:
+        self._loop, self._address, self._post = loop, address, post
+        self._sock: socket.socket | None = None
+        self._ready = False
+        self._lines: deque[tuple[object, bytes]] = deque()
+        self._sent = 0  # bytes of the first line that are written
+        self._pos = 0  # the last notice read
+        self._task = loop.spawn(self._steps())
+
+    def send(self, command: fx.Command | fx.AskGauges) -> None:
+        """Write a command, or as much of it as goes."""
+        if self._sock is not None:
+            self._lines.append((command, encode(command)))
+            if len(self._lines) == 1 and not self._flush():
+                self._loop.wake(self._task)
+
+    def _flush(self) -> bool:
+        """Write what goes; False where something is left or the link is broken (the task finds out which)."""
+        while self._lines and self._sock is not None:
+            line = self._lines[0][1]
+            try:
+                self._sent += self._sock.send(line[self._sent:] if self._sent else line)
+            except BlockingIOError:
+                return False
+            except OSError:
+                return False
+            if self._sent < len(line):
+                return False
+            self._lines.popleft()
+            self._sent = 0
+        return True
+
+    def _steps(self) -> Steps:
+        pause = BACKOFF_MS[0]
+        while True:
+            attempt = Connecting(self._address, self._loop, self._loop.clock.now() + CONNECT_MS)
+            yield from attempt.steps()
+            if attempt.sock is not None:
+                self._sock = attempt.sock
+                reason = yield from self._linked(attempt.sock)
+                if self._ready:
+                    pause = BACKOFF_MS[0]
+                    logger.warning("runtime: link lost: {}", reason)
+                self._lost()
+            yield Wait(until=self._loop.clock.now() + pause)
+            pause = min(BACKOFF_MS[1], pause * 2.0)
+
+    def _lost(self) -> None:
+        """Say which commands were not begun: they may go on the next link; of others nothing is known."""
+        sock, self._sock = self._sock, None
+        if sock is not None:
+            self._loop.close(sock)
+        lines = list(self._lines)[1 if self._sent else 0:]
+        self._lines.clear()
+        self._sent = 0
+        if self._ready:
+            self._ready = False
+            self._post(ev.RuntimeLost(tuple(command for command, _ in lines)))
+
+    def _linked(self, sock: socket.socket) -> Generator[Wait, int, str]:
+        self._lines.append((None, orjson.dumps({"action": "sync", "pos": self._pos}) + b"\n"))
+        rest = b""
+        while True:
+            self._flush()
+            got = yield Wait(sock.fileno(), IN | OUT if self._lines else IN)
+            if not got & (IN | BROKEN):
+                continue
+            try:
+                data = sock.recv(READ_BYTES)
+            except BlockingIOError:
+                continue
+            except OSError as error:
+                return str(error)
+            if not data:
+                return "closed by the runtime"
+            *lines, rest = (rest + data).split(b"\n")
+            if len(rest) > LINE_MAX:
+                return "a line without end"
+            for line in lines:
+                if line.strip():
+                    try:
+                        pos, message = decode(line)
+                    except ValueError as error:
+                        logger.warning("runtime: not a notice: {}", error)
+                        continue
+                    self._take(pos, message)
+
+    def _take(self, pos: int | None, message: ev.Message | None) -> None:
+        """Pass a notice on. After a new link those not known to be read come again: each counts once."""
+        if pos is not None:
+            if pos <= self._pos:
+                return
+            self._pos = pos
+        if isinstance(message, ev.RuntimeUp):
+            self._ready = True
+        if message is not None:
+            self._post(message)
