--- a/snowthread/core/reducer.py
+++ b/snowthread/core/reducer.py
@@ -370,5 +370,5 @@
     api.Run: _Turn.do_run, api.Refuse: _Turn.do_final, api.Fail: _Turn.do_final,
     api.Preempt: _Turn.do_preempt, api.Attach: _Turn.do_attach, api.KeepKey: _Turn.do_keep,
     api.ForgetKey: _Turn.do_forget, api.Call: _Turn.do_call, api.SkipCall: _Turn.do_skip,
-    api.SetTimer: _Turn.do_timer, api.SetHealth: _Turn.do_health, api.Publish: _Turn.do_publish, api.CloseIdle: _Turn.do_idle,
-    api.Report: _Turn.do_note}
+    api.SetTimer: _Turn.do_timer, api.SetHealth: _Turn.do_health, api.Publish: _Turn.do_publish,
+    api.CloseIdle: _Turn.do_idle, api.Report: _Turn.do_note}
--- a/snowthread/net/balancers.py
+++ b/snowthread/net/balancers.py
@@ -20,8 +20,10 @@
 from snowthread.net.loop import BROKEN, IN, OUT, Loop, Steps, Timer, Wait
 
 READ_BYTES = 64 * 1024
-MESSAGE_MAX = 64 * 1024  # bytes of one message; a body is a small part of that
+MESSAGE_MAX = 16 * 1024  # bytes of one message: a body, fields and room to spare
 BODY_MAX = 2 * 1024
+WORD_MAX = 256  # characters of a key: each is kept for its window
+TIME_MAX_MS = 600_000.0  # a wait or an age beyond this is a mistake; ages are learned from
 OPEN_MAX = 32  # requests open on one connection
 UNSENT_PAUSE, UNSENT_MAX = 32 * 1024, 512 * 1024  # bytes not taken by a peer: read no more; give it up
 BACKLOG = 1024
@@ -94,16 +96,18 @@
     return Asked(number, method, body, fields)
 
 
-def request(asked: Asked, ticket: ev.Ticket) -> ev.RequestRead | Bad:
+def request(asked: Asked, ticket: ev.Ticket, now: float) -> ev.RequestRead | Bad:
     """The fields' meaning, or which of them is wrong."""
     f = asked.fields
     try:
         uid = f["id"]
-        if not _ID.fullmatch(uid):
-            raise ValueError("id")
+        if not _ID.fullmatch(uid) or any(len(f.get(name, "")) > WORD_MAX for name in ("once", "key")):
+            raise ValueError("id, once or key is no such word")
         at, wait, kb, rank = (_figure(f, name) for name in ("at", "wait", "kb", "rank"))
-        if not (wait >= 0.0 and 0.0 < kb < 2000.0 and 0.0 <= rank < 1.0):
+        if not (0.0 <= wait <= TIME_MAX_MS and 0.0 < kb < 2000.0 and 0.0 <= rank < 1.0):
             raise ValueError("wait, kb or rank out of range")
+        if at < now - TIME_MAX_MS:
+            raise ValueError("at lies too far back")
         caller = int(f["from"])
     except (KeyError, ValueError) as error:
         return Bad(asked.number, f"field {error}")
@@ -170,7 +174,7 @@
         self.out = bytearray()
         self.parting = False  # farewell was said
         self.broken = False
-        self.ending = False  # nothing that comes is read any more
+        self.ending = False  # what comes means nothing any more; what is open is answered, then it closes
         self._unpacker = self._new_unpacker()
         self._begun = b""  # what is there of the message that is being read
         self._read_to = 0  # bytes of the stream read as whole messages
@@ -178,7 +182,10 @@
 
     @staticmethod
     def _new_unpacker() -> msgpack.Unpacker:
-        return msgpack.Unpacker(max_buffer_size=MESSAGE_MAX + READ_BYTES, unicode_errors="surrogateescape")
+        # Bytes that are no text must not end the stream: they only spoil their own message. The small first
+        # buffer is one of hundreds.
+        return msgpack.Unpacker(max_buffer_size=MESSAGE_MAX + READ_BYTES, read_size=4096,
+                                unicode_errors="surrogateescape")
 
     @property
     def idle(self) -> bool:
@@ -220,10 +227,8 @@
 
     def _steps(self) -> Steps:
         try:
-            while not self.broken:
-                if self.ending and not self.out:
-                    return
-                reads = len(self.out) < UNSENT_PAUSE and not self.ending
+            while not (self.broken or (self.ending and self.idle)):
+                reads = len(self.out) < UNSENT_PAUSE
                 mask = (IN if reads else 0) | (OUT if self.out else 0)
                 got = yield Wait(self.sock.fileno(), mask)
                 if got & (OUT | BROKEN) and self.out:
@@ -290,7 +295,7 @@
             if len(self.open) >= OPEN_MAX:
                 read = Bad(read.number, "too many requests open on one connection")
             else:
-                made = request(read, (self.number, read.number))
+                made = request(read, (self.number, read.number), hub.loop.clock.now())
                 if isinstance(made, ev.RequestRead):
                     self.open.add(read.number)
                     hub.touched(self)
@@ -301,7 +306,7 @@
             self.open.add(read.number)
             hub.post(ev.HealthAsked((self.number, read.number)))
         elif isinstance(read, Bad):
-            logger.warning("balancer connection {}: {}", self.number, read.reason)
+            logger.debug("balancer connection {}: {}", self.number, read.reason)
             if read.number is None:
                 self.ending = True
             elif read.number not in self.open:
@@ -325,6 +330,14 @@
         self._leaving = False
         self._acceptor = loop.spawn(self._accept())
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where it listens."""
+        if self._listener is None:
+            raise ValueError("it listens no more")
+        host, port = self._listener.getsockname()[:2]
+        return host, port
+
     # Accepting.
 
     def _accept(self) -> Steps:
@@ -377,6 +390,8 @@
         connection.write(encode(number, effect.answer, effect.say))
         if self._leaving and not connection.open:
             connection.say_farewell()
+        if connection.ending:
+            self.loop.wake(connection.task)  # it may have waited for just this answer to close
         self.touched(connection)
 
     # Idle connections.
--- a/snowthread/net/node.py
+++ b/snowthread/net/node.py
@@ -24,9 +24,11 @@
 
 SPARE = 32  # descriptors kept for the runtime, the roster, the loop and files
 INDEX_PART = 8  # a part of the descriptors, one in so many, is the index's
-DOOR_MS = 450.0  # before the kill: no more connections; what came is answered by then or shortly after
+DOOR_MS = 500.0  # before the kill: no more connections; what came is answered by then or shortly after
 EXIT_MS = 120.0  # before the kill: out, whatever is left
-QUIET_MS = 10.0  # between two looks whether all is written
+LOOK_MS = 10.0  # between two looks whether all is written
+QUIET_MS = 100.0  # so long nothing may be open before it goes: what crosses a farewell takes up to 50 ms
+IDLE_FACTOR = 2.0  # times the callers' own idle time after which a connection they forgot is closed
 
 
 class Node:
@@ -41,6 +43,8 @@
         self._messages: deque[ev.Message] = deque()
         self._posting = False
         self.balancers = Balancers(self.loop, config.listen, max(8, limit - calls - SPARE), self.post)
+        if config.settings.idle_s:
+            self.balancers.close_idle_after(IDLE_FACTOR * ModuleTime.ms(config.settings.idle_s))
         self.runtime = Runtime(self.loop, config.runtime, self.post)
         self.index = Index(self.loop, config.index, calls, self.post)
         self.roster = Roster(self.loop, config.roster, config.name)
@@ -54,8 +58,12 @@
         self._posting = True
         try:
             while self._messages:
-                for effect in reduce(self.state, self._messages.popleft(), self.clock.now()):
-                    self._do(effect)
+                message = self._messages.popleft()
+                try:
+                    for effect in reduce(self.state, message, self.clock.now()):
+                        self._do(effect)
+                except Exception:  # one message's trouble must not end the link or timer that brought it
+                    logger.exception("{} failed", type(message).__name__)
         finally:
             self._posting = False
 
@@ -107,9 +115,10 @@
         self.balancers.leave()
         yield Wait(until=kill - DOOR_MS)
         self.balancers.stop_accepting()
-        quiet = 0
-        while self.clock.now() < kill - EXIT_MS and quiet < 2:
-            yield Wait(until=self.clock.now() + QUIET_MS)
-            quiet = 0 if self.balancers.unsent else quiet + 1
+        busy_at = self.clock.now()
+        while self.clock.now() < min(kill - EXIT_MS, busy_at + QUIET_MS):
+            yield Wait(until=self.clock.now() + LOOK_MS)
+            if self.balancers.unsent:
+                busy_at = self.clock.now()
         logger.info("left")
         self.loop.stop()
--- a/snowthread/net/runtime.py
+++ b/snowthread/net/runtime.py
@@ -20,6 +20,7 @@
 
 LINE_MAX = 256 * 1024  # a longer line is no notice
 READ_BYTES = 64 * 1024
+QUEUE_MAX = 64  # commands unsent from which gauges are not asked for
 CONNECT_MS = 1000.0
 BACKOFF_MS = 20.0, 500.0  # first and longest time between two attempts to link
 
@@ -74,6 +75,8 @@
         case "end":
             return ev.RunOver(str(f["uid"]), _END[f["code"]], float(f.get("wall_ms") or 0.0), _unpack(f))
         case "wants":
+            if not isinstance(f["pos"], int):
+                raise TypeError("a call without a number could never be left out")
             return ev.CallWanted(str(f["uid"]), f["pos"], _unpack(f))
         case "load":
             return ev.GaugesRead(str(f["echo"]), tuple(float(value) for value in f["meters"]))
@@ -97,6 +100,8 @@
     def send(self, command: fx.Command | fx.AskGauges) -> None:
         """Write a command, or as much of it as goes."""
         if self._sock is not None:
+            if isinstance(command, fx.AskGauges) and len(self._lines) >= QUEUE_MAX:
+                return  # a runtime that does not read now needs no more questions
             self._lines.append((command, encode(command)))
             if len(self._lines) == 1 and not self._flush():
                 self._loop.wake(self._task)
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,134 @@
+"""The program as it is started, with the toy site beside it, spoken to over sockets."""
+
+from __future__ import annotations
+
+import json
+import os
+import resource
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+from exchange import EXAMPLE, address, loopback
+
+ROOT = Path(__file__).parent.parent
+sys.path.insert(0, str(ROOT / "examples"))
+from ask import ask  # noqa: E402
+
+PATIENCE_S = 30.0
+
+
+def configuration(folder: Path, **changes: Any) -> Path:
+    """The example's configuration on free ports."""
+    with ExitStack() as stack:
+        ports = {name: address(stack.enter_context(loopback(kind))) for name, kind in (
+            ("listen", socket.SOCK_STREAM), ("runtime", socket.SOCK_STREAM), ("index", socket.SOCK_STREAM),
+            ("roster", socket.SOCK_DGRAM))}
+    path = folder / "node.json"
+    path.write_text(json.dumps(json.loads(EXAMPLE.read_bytes()) | ports | changes))
+    return path
+
+
+@contextmanager
+def started(*command: str, **more: Any) -> Iterator[subprocess.Popen[str]]:
+    process = subprocess.Popen([sys.executable, *command], cwd=ROOT, text=True, stderr=subprocess.PIPE,
+                               stdout=subprocess.PIPE, **more)
+    try:
+        yield process
+    finally:
+        process.kill()
+        process.communicate()
+
+
+def environment(path: Path) -> dict[str, str]:
+    return os.environ | {"NODE_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
+
+
+@contextmanager
+def node(path: Path, *command: str, **more: Any) -> Iterator[subprocess.Popen[str]]:
+    with started("-m", "snowthread", *command, env=environment(path), **more) as process:
+        assert process.stderr is not None
+        assert "listens on" in process.stderr.readline()
+        yield process
+
+
+@contextmanager
+def site(path: Path) -> Iterator[subprocess.Popen[str]]:
+    with started("examples/toy_site.py", str(path), env=environment(path)) as process:
+        assert process.stdout is not None
+        assert "ready" in process.stdout.readline()
+        yield process
+
+
+def at(path: Path) -> tuple[str, int]:
+    host, port = json.loads(path.read_text())["listen"].split(":")
+    return host, int(port)
+
+
+def test_the_example_serves_and_leaves(tmp_path: Path) -> None:
+    path = configuration(tmp_path, stop_ms=1000)
+    with site(path), node(path) as process:  # bare: it serves
+        assert ask(at(path), "match", b"grey") == [1, 1, None, [b"GREY", {}]]
+        first = ask(at(path), "dispense", b"grey", "k1")
+        assert first == [1, 1, None, [b"dispensed known", {}]]
+        assert ask(at(path), "dispense", b"grey", "k1") == first
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(PATIENCE_S) == 0
+
+
+def test_what_lies_unread_in_the_sockets_at_the_notice_is_answered(tmp_path: Path) -> None:
+    path = configuration(tmp_path, stop_ms=1500)
+    with site(path), node(path) as process:
+        assert ask(at(path), "match", b"grey") == [1, 1, None, [b"GREY", {}]]
+        process.send_signal(signal.SIGSTOP)
+        process.send_signal(signal.SIGTERM)
+        with socket.create_connection(at(path)) as sock:
+            sock.sendall(b"\x94\x00\x07\xa6health\x91\x80")
+            sock.settimeout(PATIENCE_S)
+            process.send_signal(signal.SIGCONT)
+            got = b""
+            while more := sock.recv(4096):
+                got += more
+        assert b"\x94\x01\x07\xc0\x92\xc2" in got and b"farewell" in got
+        assert process.wait(PATIENCE_S) == 0
+
+
+def test_a_full_table_of_descriptors_does_not_end_the_node(tmp_path: Path) -> None:
+    path = configuration(tmp_path)
+
+    def few() -> None:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64))
+
+    with site(path), node(path, "serve", preexec_fn=few) as process:
+        crowd = [socket.create_connection(at(path)) for _ in range(100)]
+        for sock in crowd:
+            sock.close()
+        assert ask(at(path), "match", b"grey") == [1, 1, None, [b"GREY", {}]]
+        assert process.poll() is None
+
+
+@pytest.mark.parametrize(("changes", "word"), [
+    ({"runtime": "nowhere:1"}, "runtime"), ({"listen": "127.0.0.1"}, "listen"),
+    ({"stop_ms": "soon"}, "stop_ms"), ({"settings": {"classes": []}}, "settings"),
+    ({"settings": None}, "settings"), ({"seed": "xyz"}, "seed"),
+    ({"limits": {"sockets": 0}}, "sockets"), ({"name": ""}, "name")])
+def test_a_bad_configuration_ends_with_one_plain_line(tmp_path: Path, changes: Any, word: str) -> None:
+    path = configuration(tmp_path, **changes)
+    done = subprocess.run([sys.executable, "-m", "snowthread"], cwd=ROOT, env=environment(path), text=True,
+                          capture_output=True, timeout=PATIENCE_S)
+    assert done.returncode == 2
+    assert word in done.stderr and done.stderr.count("\n") == 1
+
+
+def test_sub_commands(tmp_path: Path) -> None:
+    path = configuration(tmp_path)
+    for command, word in (("version", "snowthread 0."), ("check", "n1: listens on")):
+        done = subprocess.run([sys.executable, "-m", "snowthread", command], cwd=ROOT, env=environment(path),
+                              text=True, capture_output=True, timeout=PATIENCE_S)
+        assert done.returncode == 0 and done.stdout.startswith(word)
