Test replies of the index, hopeless and held requests, and a peer that won't read

One fault: a gauges answer handled after the link was lost would have asked for a start with no link (reducer.gauges_read); it can't come in that order over the socket, but is guarded now.

Checked: decide.py holds no answer back: _refuse is called where a request is found hopeless (_arrival, _look_at), and exchanges/hopeless.txt shows the refusal going out at the same instant.

--- a/snowthread/core/reducer.py
+++ b/snowthread/core/reducer.py
@@ -250,7 +250,7 @@
     def gauges_read(self, m: ev.GaugesRead) -> None:
         s = self.s
         s.gauges, s.gauges_at = m.values, self.now
-        if m.tag == f"{SYNC_TAG}{s.link}":
+        if s.linked and m.tag == f"{SYNC_TAG}{s.link}":
             self.synced()
 
     def gauges_due(self, _: ev.GaugesDue) -> None:
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -7,6 +7,7 @@
     3 >* COUNT BYTES          sent so many times
     3 close, 3 closed         the peer closes; the node has closed
     runtime accept, index accept, roster < BYTES
+    index refuse              it is down: connections are refused
     clock +250                milliseconds go by
     NAME silent               nothing more came; also checked for all at the end
     leave                     the notice to leave
@@ -113,6 +114,8 @@
             self.settle()
         elif what == "<":
             assert self.came(who, len(data)) == data
+        elif what == "refuse":
+            self.listeners[who].close()
         elif what == "close":
             self.peers.pop(who).close()
             self.settle()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -113,6 +113,27 @@
         assert process.poll() is None
 
 
+def test_a_peer_that_reads_nothing_is_waited_for_and_others_are_served(tmp_path: Path) -> None:
+    path = configuration(tmp_path)
+    with site(path), node(path):
+        with socket.socket() as sock:
+            for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+                sock.setsockopt(socket.SOL_SOCKET, option, 4096)
+            sock.connect(at(path))
+            sock.setblocking(False)
+            sent, checks = 0, b"\x94\x00\x01\xa6health\x91\x80" * 1_000_000
+            with pytest.raises(BlockingIOError):  # the node reads no more, and the buffers between are full
+                while sent < len(checks):
+                    sent += sock.send(checks[sent:sent + 65536])
+                    ask(at(path), "health", b"")
+            assert ask(at(path), "match", b"grey") == [1, 1, None, [b"GREY", {}]]
+            sock.settimeout(PATIENCE_S)
+            answer, got = b"\x94\x01\x01\xc0\x92\xc3\x80", 0
+            while got < sent // 12 * len(answer):
+                got += len(sock.recv(65536))
+            assert got == sent // 12 * len(answer)
+
+
 @pytest.mark.parametrize(("changes", "word"), [
     ({"runtime": "nowhere:1"}, "runtime"), ({"listen": "127.0.0.1"}, "listen"),
     ({"stop_ms": "soon"}, "stop_ms"), ({"settings": {"classes": []}}, "settings"),
