Limit calls in hand by how long they take; make spoilt ones again; doubt lost runs

Checked: Controller._make_calls reserved for each call its longest stay (give-up up to a quarter of the cap) and nothing else, so calls without an answer held the whole budget, while calls that came back kept several times the dependency's slots in hand, where it slows down for all. _call_ended left the call out at the first failure of any kind. reducer.synced let a keyed run whose start was lost with the link hold a place on the cores until its due time, and never made good a reply or an omission that was lost. Ruled out: the module's memory books (most_memory 0.17 to 0.57 of its limit).

Changed: the calls in hand follow their length over that in good times, from this server's part of the slots (a fifth of the share that it survives) upwards; what cannot be skipped goes first, what can waits a quarter of its time at most and is given up after six usual lengths. BROKEN and UNREACHABLE calls of safe requests are made again. RunDoubted tells the module of runs whose last command may be lost.

--- a/clovertack/decide.py
+++ b/clovertack/decide.py
@@ -16,7 +16,7 @@
 from clovertack.interface import (
     Action, Arrival, AtCall, Attach, Below, Call, CallEnded, CallerGone, CloseIdle, Effect, Event, Fail,
     ForgetKey, KeepKey, LeaveNotice, Outcome, Preempt, Preemption, Publish, Refuse, Report, RequestClass,
-    Run, RunEnded, SetHealth, SetTimer, Settings, Signal, SkipCall, Started, TimerFired,
+    Run, RunDoubted, RunEnded, SetHealth, SetTimer, Settings, Signal, SkipCall, Started, TimerFired,
 )
 
 # Estimates and blocking.
@@ -42,6 +42,7 @@
 HOLD_SHARE = 0.7  # share of the time left that the wait ahead may take before a newcomer is turned away
 RUN_MEDIAN = 0.75  # a run's median over its mean, for skewed run times: past it a start is hopeless
 RUN_HINTED = 1.25  # the same where the size is told: what is large here may go on to a faster server
+DOUBT_RUNS = 4.0  # times its usual length after which a run that nothing is heard of is taken for lost
 PROBE_S = 1.0  # seconds without an ended run of a class after which its run time is put to the test
 LAST_SHARE = 0.25  # of a run: with less time left no other server, however quick, could serve it either
 REUSED = 0.7, 3.0  # requests of one caller expected while a connection idles: closed early, at most, kept
@@ -64,6 +65,11 @@
 CALL_RATE, CALL_SAVED = 0.55, 0.35  # of the share: mean use, saved up at most; under 1 in all
 CALL_PARTS = 4.0  # calls that can be skipped fit this often into what is saved, others half as often
 CALL_PATIENCE = 0.6  # share of the time left that a call may take where it can be skipped afterwards
+CALL_LONG = 6.0  # times its usual length after which a call that can be skipped is given up
+CALL_SLOTS = 5.0  # the share told is what the dependency survives: so many times what it has slots for
+CALL_SLOW, CALL_GROW, CALL_CUT = 2.0, 1.15, 0.8  # calls in hand: how slow says crowded; factors a period
+CALL_TAU = 8.0  # calls over which their length is averaged
+CALL_WAIT = 0.25  # share of the time to its aim that a call may wait for its turn before it is skipped
 
 SOON_S = 1e-6  # seconds: times nearer than this are the same, everywhere, or a timer re-arms for ever
 
@@ -79,6 +85,7 @@
     CALLING = 3
     PAUSED = 4
     ATTACHED = 5
+    DOUBTED = 6  # begun, if its start came through
 
 
 @dataclass(slots=True, eq=False)
@@ -135,6 +142,8 @@
         # Mean hint and core time of a class; moments of their logarithms (the slope: how true hints are)
         self.hints = [(0.0, 0.0)] * classes
         self.hint_xx, self.hint_xy = HINT_START, HINT_START / 2.0
+        self.call_s, self.call_base_s, self.call_at = [0.0] * classes, [0.0] * classes, [0.0] * classes
+        self.slow = 1.0  # how long calls take, over how long they do in good times
         self.aim_s = sum(c.goal_s for c in settings.classes) / len(settings.classes)
 
     def work(self, cls: int, hint: float | None) -> float:
@@ -177,6 +186,21 @@
         tau = BASE_TAU / 10.0 if core_s < base / 4.0 else BASE_TAU
         self.base_s[q.cls] = base + (min(core_s, 2.0 * base) - base) / tau if base > 0.0 else core_s
 
+    def call_ended(self, cls: int, now: float, took_s: float) -> None:
+        """A call came back or was given up. Its base follows ordinary ones; of slow ones, that may last, it
+        only learns with time."""
+        base, at = self.call_base_s[cls], self.call_at[cls]
+        self.call_at[cls] = now
+        if base <= 0.0:
+            self.call_s[cls] = self.call_base_s[cls] = max(took_s, SOON_S)
+            return
+        self.call_s[cls] += (took_s - self.call_s[cls]) / CALL_TAU
+        self.slow += (min(10.0, took_s / base) - self.slow) / CALL_TAU
+        if took_s < CALL_SLOW * base:
+            self.call_base_s[cls] += (took_s - base) / BASE_TAU
+        else:
+            self.call_base_s[cls] += base * min(1.0, (now - at) / BEST_TAU_S)
+
     def unlearn_speed(self) -> None:
         """What slowed this server may be over, and what it learned of it too."""
         self._full_done = self._full_read = self._full_s = 0.0
@@ -229,6 +253,8 @@
         self._call_cap = CALL_SAVED * settings.calls_share * settings.calls_over_s
         self._call_budget = self._call_cap
         self._reserved = 0.0
+        self._call_floor = max(1.0, settings.calls_share / CALL_SLOTS)  # this server's part of the slots
+        self._call_limit, self._call_waits = self._call_floor, False
         self._notice_at = self._stop_at = self._back_at = math.inf
         self._closing, self._still, self._most_links = False, 0, 0.0  # idle connections, closed early or not
         self._idle_s = settings.idle_s  # as last told to the host
@@ -243,7 +269,7 @@
         self._on: dict[type, Callable[[float, Any], None]] = {
             Arrival: self._arrival, RunEnded: self._run_ended, TimerFired: self._timer, AtCall: self._at_call,
             CallEnded: self._call_ended, CallerGone: self._caller_gone, LeaveNotice: self._leave,
-            Started: self._started}
+            Started: self._started, RunDoubted: self._run_doubted}
 
     @staticmethod
     def _check(s: Settings) -> None:
@@ -396,6 +422,7 @@
             self._publish(elapsed, beta, room)
             self._connections(e.connections or 0.0, use)
             self._sick(now)
+            self._limit_calls()
             # The gauge looks back over two periods: both must have had every core asked for, or a lull that
             # is just over would pass for idle cores. Where as many wait for a core as there are cores the
             # server stands still: more runs would only make all of them late, so the limit sinks again.
@@ -567,7 +594,7 @@
             if not q.ran:
                 self._forget(q)
             self._drop(q)
-        elif q.state is State.RUNNING and self.s.preemption is not Preemption.NONE:
+        elif q.state in (State.RUNNING, State.DOUBTED) and self.s.preemption is not Preemption.NONE:
             self._out.append(Preempt(q.id))
 
     def _drop(self, q: Record) -> None:
@@ -615,6 +642,20 @@
                 # Stopped or failed work took its part of the cores too, so it must not drag the rate.
                 self.est.done += min(q.work, q.core_s / self.est.core_s[q.cls])
 
+    def _run_doubted(self, now: float, e: RunDoubted) -> None:
+        """Without this a run that never began holds a place on the cores until its caller gives up. It takes
+        none until something is heard of it; what can go on without the reply that got lost is told to."""
+        q = self._reqs.get(e.request)
+        if q is None or q.state is not State.RUNNING or q.answered:
+            return
+        if e.at_call and q.kind.skip_worth > 0.0:
+            self._out.append(SkipCall(q.id))
+            return
+        self._step_off(q)
+        q.state = State.DOUBTED
+        q.retry_at = now + DOUBT_RUNS * max(PERIOD_S, self._run_s(q.cls, q.work))
+        self._watch(q, q.retry_at + DUE_MARGIN_S)
+
     def _caller_gone(self, now: float, e: CallerGone) -> None:
         if e.request in self._reqs:
             self._answered(self._reqs[e.request])
@@ -632,14 +673,37 @@
         q.retry_at = now
         self._stalled[q.id] = q
 
+    def _limit_calls(self) -> None:
+        """The calls in hand, like the runs: fewer while calls take long, more while some wait and they do
+        not. A crowded dependency gets less done for all who share it; the floor is this server's part."""
+        if self.est.slow > CALL_SLOW:
+            self._call_limit *= CALL_CUT
+        elif self._call_waits:
+            self._call_limit *= CALL_GROW
+        self._call_limit = max(self._call_floor, min(self._call_limit, self.s.calls_share))
+        self._call_waits = False
+
     def _make_calls(self, now: float) -> None:
-        """Make, skip or put off the calls that runs stand at."""
-        for q in list(self._stalled.values()):
+        """Make, skip or put off the calls that runs stand at: first those that can't be skipped."""
+        if not self._stalled:
+            return
+        ahead = 0
+        for q in sorted(self._stalled.values(), key=lambda r: (r.kind.skip_worth > 0.0, r.aim)):
             if q.answered or q.retry_at > now + SOON_S:
                 continue
             left = q.end - now
             skips = q.kind.skip_worth > 0.0
+            usual = self.est.call_s[q.cls]
+            if self.s.below is Below.SHARED and self._calling >= self._call_limit:
+                self._call_waits = True
+                ahead += 1
+                patience = CALL_WAIT * (q.aim - q.retry_at)
+                if skips and max(now - q.retry_at, ahead * usual / self._call_limit) > patience:
+                    self._skip(q)
+                continue
             give_up = left * CALL_PATIENCE if skips else left
+            if skips and usual > 0.0:
+                give_up = min(give_up, CALL_LONG * usual)
             if self.s.below is Below.SHARED:
                 give_up = min(give_up, self._call_cap / CALL_PARTS * (1.0 if skips else 2.0))
             give_up = max(0.05, give_up)
@@ -680,16 +744,19 @@
             return
         lingers = e.outcome in (Outcome.TIMED_OUT, Outcome.BROKEN)
         self._call_off(now, q, lingers)
+        if e.outcome in (Outcome.SUCCESS, Outcome.TIMED_OUT):
+            self.est.call_ended(q.cls, now, now - q.called)
         if e.outcome is Outcome.SUCCESS:
             self._step_on(q)
             return
         q.state = State.STALLED
         self._stalled[q.id] = q
         again = e.outcome.never_ran or q.kind.effect is Effect.SAFE
-        if q.kind.skip_worth > 0.0:
-            self._skip(q)
-        elif q.answered:
+        spoilt = e.outcome in (Outcome.BROKEN, Outcome.UNREACHABLE)
+        if q.answered:
             return
+        if q.kind.skip_worth > 0.0 and not (spoilt and again and q.calls < CALL_TRIES):
+            self._skip(q)
         elif again and q.calls < CALL_TRIES:
             q.retry_at = now + CALL_BACKOFF_S * 2.0 ** (q.calls - 1)
             self._watch(q, q.retry_at)
@@ -756,6 +823,8 @@
         elif q.state is State.RUNNING and q.aim <= soon and not q.kind.late_value and self._hold:
             # Its answer would be worth nothing while others wait for its core.
             self._refuse(now, q)
+        elif q.state is State.DOUBTED and q.retry_at <= now + SOON_S:
+            self._fail(q)
         elif q.state is State.STALLED and q.retry_at > now + SOON_S:
             self._watch(q, q.retry_at + DUE_MARGIN_S)
         else:
--- a/clovertack/interface.py
+++ b/clovertack/interface.py
@@ -190,6 +190,14 @@
     connections: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class RunDoubted:
+    """The host lost sight of a run: its start, or the reply to its call, may never have come through."""
+
+    request: int
+    at_call: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class LeaveNotice:
     """The worker will be stopped this long from now."""
@@ -197,7 +205,7 @@
     left_s: float
 
 
-Event = Started | Arrival | CallerGone | AtCall | CallEnded | RunEnded | TimerFired | LeaveNotice
+Event = Started | Arrival | CallerGone | AtCall | CallEnded | RunEnded | TimerFired | RunDoubted | LeaveNotice
 
 
 # Actions
--- a/snowthread/core/reducer.py
+++ b/snowthread/core/reducer.py
@@ -23,6 +23,7 @@
 GAUGES_LEAD_MS = 20.0  # gauges are asked for so long before the timer they are for
 GAUGES_RECENT_MS = 200.0  # timers nearer to each other than this share gauges
 GAUGES_OLD_MS = 1000.0  # older ones are passed on as not measured
+LOST_MS = 150.0  # commands given so long before a link broke may be lost with it; the rest came through
 LEAST_MS = 1.0  # time left of a request that was read past its due time: none would mean 'not told'
 SYNC_TAG = "sync-"
 
@@ -161,8 +162,11 @@
     def command(self, command: fx.Command) -> None:
         """To the runtime, or into the line while there is no link."""
         if self.s.linked:
-            if isinstance(command, fx.StartRun):
-                self.s.by_uid[command.uid].link = self.s.link
+            q = self.s.by_uid.get(command.uid)
+            if q is not None and not isinstance(command, fx.StopRun):
+                q.told, q.told_at = command, self.now
+                if isinstance(command, fx.StartRun):
+                    q.link = self.s.link
             self.out.append(command)
         else:
             self.s.waiting.append(command)
@@ -210,6 +214,7 @@
 
     def runtime_lost(self, m: ev.RuntimeLost) -> None:
         self.s.linked = False
+        self.s.lost_at = self.now
         unsent: list[fx.Command] = [c for c in m.unsent if isinstance(c, fx.Command)]
         for command in unsent:
             if isinstance(command, fx.StartRun) and command.uid in self.s.by_uid:
@@ -217,16 +222,29 @@
         self.s.waiting = unsent + self.s.waiting
 
     def synced(self) -> None:
-        """All notices missed are read. A run begun on an earlier link and not reported over goes on, or its
-        start was lost. Where repeats are safe the start is sent again: nothing happens if it runs. A keyed
-        one never is: if it ended just now it would run twice. Its due time ends it if nothing else does."""
+        """All notices missed are read, so what was told in good time before the break came through. Of what
+        was told last nothing is known. A start that is safe to repeat, or leave to go on without a call, is
+        given again: nothing happens where it had come through. A keyed start never is, for if its run ended
+        just now it would run twice, nor a reply, which the run might take for that to its next call: these
+        are the decisions' to give up."""
         for q in list(self.s.requests.values()):
-            if q.place is Place.RUNNING and 0 < q.link < self.s.link:
-                if q.ticket is None or q.stopping:
-                    self.settle(q)
-                elif not q.once and q.wants is None:
-                    q.link = self.s.link
-                    self.out.append(fx.StartRun(q.uid, q.class_name, q.body))
+            if q.place is not Place.RUNNING or not 0 < q.link < self.s.link:
+                continue
+            if q.ticket is None or q.stopping:
+                self.settle(q)
+            elif q.doubted:
+                pass  # by an earlier break: only a notice can change that
+            elif q.wants is not None or q.told is None or q.told_at < self.s.lost_at - LOST_MS:
+                q.link = self.s.link
+            elif isinstance(q.told, fx.OmitCall) or (isinstance(q.told, fx.StartRun) and not q.once):
+                q.link = self.s.link
+                self.command(q.told)
+            else:
+                at_call = isinstance(q.told, fx.GiveReply)
+                q.doubted = True
+                if at_call:
+                    q.wants = q.asked
+                self.tell(api.RunDoubted(q.number, at_call))
 
     def settle(self, q: Request) -> None:
         """Stop a run whose fate the break left open and take it for over: nobody waits for it, and no notice
@@ -239,6 +257,8 @@
     def call_wanted(self, m: ev.CallWanted) -> None:
         q = self.s.by_uid.get(m.uid)
         if q is not None and q.place is Place.RUNNING:
+            if q.doubted:
+                q.doubted, q.link = False, self.s.link
             q.wants, q.call = m.pos, m.body
             self.tell(api.AtCall(q.number))
 
@@ -248,7 +268,7 @@
             return
         q.calling = False
         if m.outcome is Outcome.SUCCESS:
-            q.wants = None
+            q.asked, q.wants = q.wants or 0, None
             self.command(fx.GiveReply(q.uid, m.reply))
         self.tell(api.CallEnded(q.number, m.outcome, self.s.time.span(m.took)))
 
--- a/snowthread/core/state.py
+++ b/snowthread/core/state.py
@@ -38,6 +38,10 @@
     wants: int | None = None  # the notice of the call it waits for
     call: bytes = b""
     calling: bool = False
+    told: Command | None = None  # the last command that lets it go on, and when it was given
+    told_at: float = 0.0
+    asked: int = 0  # the notice of the call that was answered last
+    doubted: bool = False  # nothing was heard of it since a link broke that its last command went over
     stopping: bool = False
     followers: list[int] = field(default_factory=list)  # repeats that wait for its result
 
@@ -80,6 +84,7 @@
     number: int = 0
     link: int = 0  # links to the runtime so far
     linked: bool = False
+    lost_at: float = 0.0  # when a link broke last
     waiting: list[Command] = field(default_factory=list)  # commands that wait for a link
     gauges: tuple[float, ...] = ()
     gauges_at: float = float("-inf")
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -31,6 +31,7 @@
     Refuse,
     RequestClass,
     Run,
+    RunDoubted,
     RunEnded,
     SetHealth,
     SetTimer,
@@ -163,13 +164,77 @@
     c = start(below=Below.SHARED, calls_share=1.0, calls_over_s=5.0, cores=20, memory_kb=1e6)
     made = skipped = 0
     for n in range(1, 16):
-        arrive(c, 0.1 * n, n, "ask")
-        actions = c.handle(0.1 * n, AtCall(n))
+        actions = arrive(c, 0.1 * n, n, "ask") + list(c.handle(0.1 * n, AtCall(n)))
         made += len(of(actions, Call))
         skipped += len(of(actions, SkipCall))
     assert skipped > 0 and made * 1.0 < 10
 
 
+def calling(c: Controller, now: float, request: int, kind: str = "ask") -> list[object]:
+    """A request that runs and comes to its call."""
+    assert of(arrive(c, now, request, kind), Run) == [request]
+    return list(c.handle(now, AtCall(request)))
+
+
+def test_a_slow_dependency_has_fewer_calls_in_hand_and_what_cannot_be_skipped_goes_first() -> None:
+    c = start(below=Below.SHARED, calls_share=20.0, calls_over_s=5.0, cores=40, memory_kb=1e6)
+
+    def in_hand(now: float, took: float) -> int:
+        """Twenty requests come to their calls at once; all calls made take so long."""
+        actions: list[object] = []
+        for n in range(20):
+            actions += calling(c, now + n * 1e-4, round(now * 1000) + n)
+        at_once = len(of(actions, Call))
+        for step in range(1, 200):
+            calls, skipped, actions = of(actions, Call), of(actions, SkipCall), []
+            for request in calls:
+                actions += c.handle(now + took * step, CallEnded(request, Outcome.SUCCESS))
+            for request in calls + skipped:
+                actions += c.handle(now + took * step, RunEnded(request, Outcome.SUCCESS))
+            actions += c.handle(now + took * step, TimerFired(TICK))
+            if not (of(actions, Call) or of(actions, SkipCall)):
+                break
+        return at_once
+
+    quick = [in_hand(10.0 * n, 0.01) for n in range(1, 9)]
+    slow = [in_hand(100.0 + n, 0.1) for n in range(1, 13)]
+    assert quick[-1] > quick[0] == 4  # the floor: a fifth of the share
+    assert slow[-1] == 4
+    assert of(calling(c, 200.0, 1), Call) == [1]
+    waits = [request for request in (2, 3, 4, 5) if not of(calling(c, 200.0, request), Call)]
+    assert waits == [5] and not of(calling(c, 200.0, 6, "once"), Call)
+    assert of(list(c.handle(200.01, CallEnded(1, Outcome.SUCCESS))), Call) == [6]
+    assert of(list(c.handle(200.5, TimerFired(ALARM))), SkipCall) == [5]  # a quarter of its time is over
+
+
+def test_a_spoilt_call_that_may_be_repeated_is_made_again_before_it_is_left_out() -> None:
+    c = start(below=Below.SHARED, calls_share=20.0, calls_over_s=5.0)
+    assert of(calling(c, 0.1, 1), Call) == [1]
+    assert not of(list(c.handle(0.2, CallEnded(1, Outcome.BROKEN))), SkipCall)
+    assert of(list(c.handle(0.3, TimerFired(ALARM))), Call) == [1]
+    assert of(list(c.handle(0.4, CallEnded(1, Outcome.TIMED_OUT))), SkipCall) == [1]  # slow, not spoilt
+
+
+def test_a_run_that_nothing_is_heard_of_frees_its_place_and_fails_before_its_time() -> None:
+    c = start()
+    arrive(c, 0.1, 1, "keyed")
+    arrive(c, 0.1, 2)
+    assert not of(arrive(c, 0.2, 3), Run)
+    assert of(list(c.handle(0.3, RunDoubted(1))), Run) == [3]
+    assert not of(list(c.handle(0.9, TimerFired(ALARM))), Fail)
+    actions = list(c.handle(1.4, TimerFired(ALARM)))
+    assert of(actions, Fail) == [1] and of(actions, Refuse) == []
+    arrive(c, 1.5, 4, "ask")
+    assert of(list(c.handle(1.6, RunEnded(2, Outcome.SUCCESS))), Run) == [4]
+    assert of(list(c.handle(1.7, RunDoubted(4, at_call=True))), SkipCall) == [4]
+
+
+def test_a_key_is_free_again_where_nothing_was_begun() -> None:
+    c = start()
+    assert of(arrive(c, 0.1, 1, "keyed"), KeepKey) == [1]
+    assert of(list(c.handle(0.2, RunEnded(1, Outcome.VOID))), ForgetKey) == [1]
+
+
 def test_nothing_runs_that_came_after_the_grace() -> None:
     c = start()
     actions = c.handle(1.0, LeaveNotice(5.0))
