Give up calls that hang, and cut the cost per request: hold, calls, fields, effects

Checked: a hung call of a keyed request was waited for to its deadline and counted as in hand, so a few of them took all slots, runs piled up at their calls (23 in the mean by the profile) and, as these count for the crowd, nothing else was started. The profile named _make_calls, _fill and _too_late for 3.4 s of 9.1 s.

Changed: a call beyond six of its usual lengths no longer counts as in hand; after twenty it is given up, also where it can't be skipped, and its request fails at once. One that timed out while others do not take long is made again where that is safe. The hold is put in order every 20 ms; waiting calls are looked at when something changed. Effects go by a table, figures are checked by one pattern, and the collector leaves alone what is loaded at the start.

--- a/clovertack/decide.py
+++ b/clovertack/decide.py
@@ -33,14 +33,14 @@
 SHARE_MAX = 0.95  # never publish more than this: a few requests must come through to learn from
 HINT_START, HINT_RUNS = 4.0, 200.0  # weight of the first guess that hints are half true; runs remembered
 BASE_TAU = 30.0  # runs over which a class's base follows upwards (it follows down ten times as fast)
-RUN_TAU = 15.0  # runs over which run times are averaged
+RUN_TAU, CALL_TAU = 15.0, 8.0  # runs and calls over which their times are averaged
 # Run limit.
 GROW, CUT = 1.25, 0.7  # factors: a period while cores sit free and work waits; latency far above its base
 FAR_ABOVE = 4.0  # times its base from which a run's latency is far above it
 CROWD_MARGIN = 0.8  # share of the crowd the server survives that is used at most
 # Hold.
 HOLD_SHARE = 0.7  # share of the time left that the wait ahead may take before a newcomer is turned away
-KEY_OLD_S = 0.02  # seconds for which a place in the hold may stand when the wait ahead is counted
+KEY_OLD_S = 0.02  # seconds for which places in the hold, and calls that wait, stand as they are
 RUN_MEDIAN = 0.75  # a run's median over its mean, for skewed run times: past it a start is hopeless
 RUN_HINTED = 1.25  # the same where the size is told: what is large here may go on to a faster server
 DOUBT_RUNS = 4.0  # times its usual length after which a run that nothing is heard of is taken for lost
@@ -66,10 +66,10 @@
 CALL_RATE, CALL_SAVED = 0.55, 0.35  # of the share: mean use, saved up at most; under 1 in all
 CALL_PARTS = 4.0  # calls that can be skipped fit this often into what is saved, others half as often
 CALL_PATIENCE = 0.6  # share of the time left that a call may take where it can be skipped afterwards
-CALL_LONG = 6.0  # times its usual length after which a call that can be skipped is given up
+CALL_LONG, CALL_HUNG = 6.0, 20.0  # times its usual length: given up, where it can be skipped or not
+CALL_LEAST_S = 0.05, 0.25  # seconds that it is given at least
 CALL_SLOTS = 5.0  # the share told is what the dependency survives: so many times what it has slots for
 CALL_SLOW, CALL_GROW, CALL_CUT = 2.0, 1.15, 0.8  # calls in hand: how slow says crowded; factors a period
-CALL_TAU = 8.0  # calls over which their length is averaged
 CALL_WAIT = 0.25  # share of the time to its aim that a call may wait for its turn before it is skipped
 
 SOON_S = 1e-6  # seconds: times nearer than this are the same, everywhere, or a timer re-arms for ever
@@ -116,8 +116,7 @@
     retry_at: float = 0.0
     called: float = 0.0
     stay: float = 0.0  # call-seconds set aside for its call
-    key: float = 0.0  # its place in the hold as of keyed_at
-    keyed_at: float = -math.inf
+    key: float = 0.0  # its place in the hold
 
 
 def target_load(lam: float, mu: float, beta: float) -> float:
@@ -190,8 +189,7 @@
         self.base_s[q.cls] = base + (min(core_s, 2.0 * base) - base) / tau if base > 0.0 else core_s
 
     def call_ended(self, cls: int, now: float, took_s: float) -> None:
-        """A call came back or was given up. Its base follows ordinary ones; of slow ones, that may last, it
-        only learns with time."""
+        """A call came back or was given up. Its base follows ordinary ones, and slow ones only with time."""
         base, at = self.call_base_s[cls], self.call_at[cls]
         self.call_at[cls] = now
         if base <= 0.0:
@@ -245,7 +243,7 @@
         self._hold: dict[int, Record] = {}
         self._stalled: dict[int, Record] = {}
         self._keys: dict[int, float] = {}  # kept request -> end of its entry
-        self._oncore = self._calling = 0
+        self._oncore, self._calls = 0, dict[int, Record]()  # runs on the cores, runs whose call is made
         self._memory = 0.0
         self._core_clock = 0.0  # core time that each run on the cores has had so far
         self._full_s = 0.0
@@ -258,6 +256,7 @@
         self._reserved = 0.0
         self._call_floor = max(1.0, settings.calls_share / CALL_SLOTS)  # this server's part of the slots
         self._call_limit, self._call_waits = self._call_floor, False
+        self._calls_at = self._ordered_at = 0.0  # when to look at the calls that wait; the hold's last order
         self._notice_at = self._stop_at = self._back_at = math.inf
         self._closing, self._still, self._most_links = False, 0, 0.0  # idle connections, closed early or not
         self._idle_s = settings.idle_s  # as last told to the host
@@ -333,6 +332,7 @@
         value = worth if self.s.value_by_work else worth / work
         q = Record(e.request, cls, kind, arrived, due, aim, end, e.held_kb, work, value, e.work_hint_s,
                    tenant, prior=e.prior)
+        q.key = self._key(now, q)
         self._reqs[q.id] = self._hold[q.id] = q
         self._memory += q.kb
         if e.prior is not None and (kind.effect is Effect.KEYED or self.s.fresh_s > 0.0):
@@ -409,13 +409,8 @@
         room = HOLD_SHARE * (q.aim - now - self._run_s(q.cls, q.work)) * rate
         if sum([o.work for o in self._hold.values()]) - q.work <= room:
             return False
-        mine, ahead, old = self._key(now, q), 0.0, now - KEY_OLD_S
-        for o in self._hold.values():
-            if o.keyed_at <= old:  # all keys of a long hold anew for each newcomer cost more than all else
-                o.key, o.keyed_at = self._key(now, o), now
-            if o.key >= mine and o is not q:
-                ahead += o.work
-        return ahead > room
+        self._order(now)
+        return sum([o.work for o in self._hold.values() if o.key >= q.key and o is not q]) > room
 
     def _tick(self, now: float, e: TimerFired) -> None:
         """Once a period: learn, then set b and the published share, then the run limit."""
@@ -523,6 +518,13 @@
         chance = 1.0 - math.exp(-max(0.0, left) / run) if run > 0.0 else 1.0
         return value * chance / (max(0.0, left) + run + 0.05)
 
+    def _order(self, now: float) -> None:
+        """Places in a long hold anew for each newcomer and each start would cost more than all else."""
+        if now >= self._ordered_at + KEY_OLD_S:
+            self._ordered_at = now
+            for q in self._hold.values():
+                q.key = self._key(now, q)
+
     def _may_start(self, q: Record) -> bool:
         """Rules 2 and 3: nothing runs twice where that has effects, nothing that came after the grace, and
         nothing just before the stop: what lay unread until then would be held past it."""
@@ -537,12 +539,13 @@
         """Start the best of what waits while the limit, the crowd and the memory allow."""
         while self._hold and self._oncore < int(self.limit):
             # Runs on the cores and at calls together: all of the latter may come back at once.
-            if self._oncore + self._calling + len(self._stalled) >= self._ceiling(now):
+            if self._oncore + len(self._calls) + len(self._stalled) >= self._ceiling(now):
                 return
             waiting = [q for q in self._hold.values() if self._may_start(q)]
             if not waiting:
                 return
-            q = max(waiting, key=lambda r: (self._key(now, r), -r.id))
+            self._order(now)
+            q = max(waiting, key=lambda r: (r.key, -r.id))
             extra = q.kb * (self.s.run_factor - 1.0) if q.state is State.HELD else 0.0
             if self._memory + extra > MEMORY_SHARE * self.s.memory_kb:
                 return
@@ -682,6 +685,7 @@
         q.calls = 0
         q.retry_at = now
         self._stalled[q.id] = q
+        self._calls_at = now
 
     def _limit_calls(self) -> None:
         """The calls in hand, like the runs: fewer while calls take long, more while some wait and they do
@@ -695,16 +699,20 @@
 
     def _make_calls(self, now: float) -> None:
         """Make, skip or put off the calls that runs stand at: first those that can't be skipped."""
-        if not self._stalled:
+        if not self._stalled or now < self._calls_at:
             return
+        self._calls_at = now + KEY_OLD_S
+        # One far beyond its usual length hangs: it uses nothing below, and must not keep others waiting here.
+        usual_s = self.est.call_s
+        inhand = sum(now - q.called <= CALL_LONG * (usual_s[q.cls] or q.end) for q in self._calls.values())
         ahead = 0
         for q in sorted(self._stalled.values(), key=lambda r: (r.kind.skip_worth > 0.0, r.aim)):
             if q.answered or q.retry_at > now + SOON_S:
                 continue
             left = q.end - now
             skips = q.kind.skip_worth > 0.0
-            usual = self.est.call_s[q.cls]
-            if self.s.below is Below.SHARED and self._calling >= self._call_limit:
+            usual = usual_s[q.cls]
+            if self.s.below is Below.SHARED and inhand >= self._call_limit:
                 self._call_waits = True
                 ahead += 1
                 patience = CALL_WAIT * (q.aim - q.retry_at)
@@ -712,8 +720,8 @@
                     self._skip(q)
                 continue
             give_up = left * CALL_PATIENCE if skips else left
-            if skips and usual > 0.0:
-                give_up = min(give_up, CALL_LONG * usual)
+            if usual > 0.0:
+                give_up = min(give_up, max(CALL_LEAST_S[not skips], (CALL_HUNG, CALL_LONG)[skips] * usual))
             if self.s.below is Below.SHARED:
                 give_up = min(give_up, self._call_cap / CALL_PARTS * (1.0 if skips else 2.0))
             give_up = max(0.05, give_up)
@@ -728,11 +736,11 @@
                 q.stay = stay
                 self._reserved += stay
                 self._call_budget -= stay
-            q.called = now
-            q.calls += 1
+            q.called, q.calls = now, q.calls + 1
             q.state = State.CALLING
             del self._stalled[q.id]
-            self._calling += 1
+            self._calls[q.id] = q
+            inhand += 1
             self._out.append(Call(q.id, give_up))
 
     def _skip(self, q: Record) -> None:
@@ -742,7 +750,8 @@
 
     def _call_off(self, now: float, q: Record, lingers: bool) -> None:
         """A call is over: give back what it did not use."""
-        self._calling -= 1
+        del self._calls[q.id]
+        self._calls_at = now
         used = now - q.called + (self.s.linger_s if lingers else 0.0)
         self._reserved -= q.stay
         self._call_budget += q.stay - used  # less than nothing where a share is under one call's stay
@@ -762,7 +771,8 @@
         q.state = State.STALLED
         self._stalled[q.id] = q
         again = e.outcome.never_ran or q.kind.effect is Effect.SAFE
-        spoilt = e.outcome in (Outcome.BROKEN, Outcome.UNREACHABLE)
+        spoilt = e.outcome in (Outcome.BROKEN, Outcome.UNREACHABLE) or (
+            e.outcome is Outcome.TIMED_OUT and self.est.slow < CALL_SLOW / 1.5)
         if q.answered:
             return
         if q.kind.skip_worth > 0.0 and not (spoilt and again and q.calls < CALL_TRIES):
@@ -819,6 +829,7 @@
             return  # set before an earlier one was: re-arming for it too would make a second chain of alarms
         else:
             self._alarm_at = math.inf
+        self._calls_at = now
         while self._heap and self._heap[0][0] <= now + SOON_S:
             q = self._reqs.get(heapq.heappop(self._heap)[1])
             if q is not None and not q.answered:
--- a/snowthread/cli.py
+++ b/snowthread/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import gc
 import os
 import sys
 from collections.abc import Sequence
@@ -14,6 +15,9 @@
 from snowthread.net.node import Node
 
 
+COLLECT_AFTER = 10_000  # objects made between two rounds of the collector: the node makes few cycles
+
+
 def main(arguments: Sequence[str] | None = None) -> int:
     """Entry point; without a sub-command it serves."""
     parser = argparse.ArgumentParser(prog="snowthread", description="A formula node on real sockets.")
@@ -37,6 +41,9 @@
     logger.add(sys.stderr, level=os.environ.get("NODE_LOG", "INFO"), backtrace=False, diagnose=False,
                format="{time:HH:mm:ss.SSS} {level} {message}")
     settings = config.load(os.environ)
+    # What is loaded by now stays: looked through at each of the collector's rounds it cost a stall each.
+    gc.freeze()
+    gc.set_threshold(COLLECT_AFTER, 20, 20)
     try:
         node = Node(settings, Clock())
     except OSError as error:
--- a/snowthread/net/balancers.py
+++ b/snowthread/net/balancers.py
@@ -42,8 +42,8 @@
           0xd4: 2, 0xd5: 3, 0xd6: 5, 0xd7: 9, 0xd8: 17}
 
 _ID = re.compile(r"[0-9a-f]{16}")
-_WHOLE = re.compile(r"[0-9]{1,18}")
-_FIGURE = re.compile(r"[0-9]{1,18}(?:\.[0-9]{1,18})?")
+# at, wait, kb, rank and from in plain digits: Python's own reading takes 'nan', '1_0' and other scripts'.
+_FIGURES = re.compile(r"(?:[0-9]{1,18}(?:\.[0-9]{1,18})?,){4}[0-9]{1,18}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,9 +103,8 @@
     fields, body = arguments
     if not isinstance(body, bytes) or len(body) > BODY_MAX:
         return Bad(number, "the body is no binary or too long")
-    if not isinstance(fields, dict) or not all(
-            isinstance(k, str) and isinstance(v, str) for k, v in fields.items()):
-        return Bad(number, "the fields are not a map of strings")
+    if not isinstance(fields, dict):
+        return Bad(number, "the fields are not a map")
     return Asked(number, method, body, fields)
 
 
@@ -113,33 +112,29 @@
     """The fields' meaning, or which of them is wrong."""
     f = asked.fields
     try:
-        uid = f["id"]
-        if not _ID.fullmatch(uid) or any(len(f.get(name, "")) > WORD_MAX for name in ("once", "key")):
+        uid, once, key = f["id"], f.get("once"), f.get("key", "")
+        if not _ID.fullmatch(uid) or len(once or "") > WORD_MAX or len(key) > WORD_MAX:
             raise ValueError("id, once or key is no such word")
-        at, wait, kb, rank = (_figure(f, name, _FIGURE) for name in ("at", "wait", "kb", "rank"))
+        figures = ",".join((f["at"], f["wait"], f["kb"], f["rank"], f["from"]))
+        if not _FIGURES.fullmatch(figures):
+            raise ValueError("at, wait, kb, rank or from is no figure")
+        at, wait, kb, rank, caller = map(float, figures.split(","))
         if not (0.0 <= wait <= TIME_MAX_MS and 0.0 < kb < 2000.0 and 0.0 <= rank < 1.0):
             raise ValueError("wait, kb or rank out of range")
         if not now - TIME_MAX_MS <= at <= now + AHEAD_MAX_MS:
             raise ValueError("at lies too far off")
-        caller = int(_figure(f, "from", _WHOLE))
-    except (KeyError, ValueError) as error:
+        if type(key) is not str or not (once is None or type(once) is str):
+            raise TypeError("once or key is no word")
+    except (KeyError, ValueError, TypeError, AttributeError) as error:
         return Bad(asked.number, f"field {error}")
     return ev.RequestRead(ticket=ticket, uid=uid, class_name=asked.class_name, body=asked.body, at=at,
-                          wait=wait, caller=caller, kb=kb, rank=rank, once=f.get("once"),
-                          key=f.get("key", ""))
+                          wait=wait, caller=int(caller), kb=kb, rank=rank, once=once, key=key)
 
 
 def _is_number(value: object) -> bool:
     return isinstance(value, int) and not isinstance(value, bool) and 0 <= value < 2**32
 
 
-def _figure(fields: Mapping[str, str], name: str, form: re.Pattern[str]) -> float:
-    """A figure in plain digits: Python's own reading takes 'nan', '1_0', ' 1' and other scripts' digits."""
-    if not form.fullmatch(fields[name]):
-        raise ValueError(name)
-    return float(fields[name])
-
-
 def encode(number: int, answer: fx.Served | fx.Refused | fx.Failed | fx.Healthy, say: float | None) -> bytes:
     """An answer's bytes."""
     fields: dict[str, str] = {} if say is None else {"say": f"{say:.6g}"}
--- a/snowthread/net/node.py
+++ b/snowthread/net/node.py
@@ -7,6 +7,8 @@
 import signal
 import socket
 from collections import deque
+from collections.abc import Callable
+from typing import Any
 
 from loguru import logger
 
@@ -45,6 +47,8 @@
         limit = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         calls = max(4, limit // INDEX_PART)
         self._messages: deque[ev.Message] = deque()
+        # By type: a chain of cases for each of thousands of effects a second costs more than most effects.
+        self._carry_out: dict[type, Callable[[Any], None]] = {}
         self._posting = self._gone = False
         self.balancers = Balancers(self.loop, config.listen, max(8, limit - calls - SPARE), self.post)
         if config.settings.idle_s:
@@ -52,6 +56,13 @@
         self.runtime = Runtime(self.loop, config.runtime, self.post)
         self.index = Index(self.loop, config.index, calls, self.post)
         self.roster = Roster(self.loop, config.roster, config.name)
+        self._carry_out |= dict.fromkeys(
+            (fx.StartRun, fx.StopRun, fx.GiveReply, fx.OmitCall, fx.AskGauges), self.runtime.send)
+        self._carry_out |= {
+            fx.Answer: self.balancers.answer, fx.MakeCall: self.index.call, fx.WakeAt: self._wake_at,
+            fx.DropCall: lambda effect: self.index.drop(effect.uid), fx.Note: self._note,
+            fx.CloseIdleAfter: lambda effect: self.balancers.close_idle_after(effect.after),
+            fx.Announce: lambda effect: self.roster.announce(effect.taking)}
 
     def post(self, message: ev.Message) -> None:
         """Hand a message to the reducer and carry out what it asks for. What an effect brings about at once
@@ -67,30 +78,18 @@
                 message = self._messages.popleft()
                 try:
                     for effect in reduce(self.state, message, self.clock.now()):
-                        self._do(effect)
+                        self._carry_out[type(effect)](effect)
                 except Exception:  # one message's trouble must not end the link or timer that brought it
                     logger.exception("{} failed", type(message).__name__)
         finally:
             self._posting = False
 
-    def _do(self, effect: fx.Effect) -> None:
-        match effect:
-            case fx.Answer():
-                self.balancers.answer(effect)
-            case fx.StartRun() | fx.StopRun() | fx.GiveReply() | fx.OmitCall() | fx.AskGauges():
-                self.runtime.send(effect)
-            case fx.MakeCall():
-                self.index.call(effect)
-            case fx.DropCall():
-                self.index.drop(effect.uid)
-            case fx.WakeAt():
-                self.loop.call_at(effect.at, lambda: self.post(effect.message))
-            case fx.CloseIdleAfter():
-                self.balancers.close_idle_after(effect.after)
-            case fx.Announce():
-                self.roster.announce(effect.taking)
-            case fx.Note():
-                logger.info("{}", effect.text)
+    def _wake_at(self, effect: fx.WakeAt) -> None:
+        self.loop.call_at(effect.at, lambda: self.post(effect.message))
+
+    @staticmethod
+    def _note(effect: fx.Note) -> None:
+        logger.info("{}", effect.text)
 
     def move(self, config: Config) -> None:
         """Go on with a new configuration: peers where it says. What decides or listens stays."""
