Tell calls that hang from a crowd below; bound what waits unsent in all

A probe that logged the beliefs of each node once a second showed base lengths of 18 ms for calls, 5% of them given up, the mean ratio to the base between 1.3 and 4.1, the limit on calls swinging between 2.2 and 7.5, and one second with no run on the cores, 45 runs at their calls and 4 calls in hand that hung: the usual length of a dispense's call had grown to 0.29 s, so six of it were 1.7 s. Ruled out: the age of the gauges (20 ms at most ticks, 0.3 s at a link's start, 0.5 s at the start), runs believed on the cores against the gauge (12 to 19 for 7 to 18), memory (0.25 to 0.81), CPU (0.3 of 0.85). At fault: Estimates.call_ended, which took each hung call's whole length into call_s and slow.

Changed: slow is the share of calls that take twice their base; three in ten say crowd. A single call moves the usual length by three of it at most. Beside that, answers that no peer takes are bounded in all (limits.unsent_max): twelve peers under their own bound held four times what all may now.

--- a/clovertack/decide.py
+++ b/clovertack/decide.py
@@ -65,12 +65,12 @@
 CALL_BACKOFF_S = 0.05  # seconds before the second try, doubled for each further one
 CALL_RATE, CALL_SAVED = 0.55, 0.35  # of the share: mean use, saved up at most; under 1 in all
 CALL_PARTS = 4.0  # calls that can be skipped fit this often into what is saved, others half as often
-CALL_PATIENCE = 0.6  # share of the time left that a call may take where it can be skipped afterwards
+CALL_PATIENCE, CALL_WAIT = 0.6, 0.25  # of the time left: a call that can be skipped, its wait for a turn
 CALL_LONG, CALL_HUNG = 6.0, 20.0  # times its usual length: given up, where it can be skipped or not
 CALL_LEAST_S = 0.05, 0.25  # seconds that it is given at least
 CALL_SLOTS = 5.0  # the share told is what the dependency survives: so many times what it has slots for
-CALL_SLOW, CALL_GROW, CALL_CUT = 2.0, 1.15, 0.8  # calls in hand: how slow says crowded; factors a period
-CALL_WAIT = 0.25  # share of the time to its aim that a call may wait for its turn before it is skipped
+CALL_SLOW, CALL_CROWDED = 2.0, 0.3  # times its base from which a call is slow; share of such ones in a crowd
+CALL_GROW, CALL_CUT = 1.15, 0.8  # calls in hand: factors a period
 
 SOON_S = 1e-6  # seconds: times nearer than this are the same, everywhere, or a timer re-arms for ever
 
@@ -145,7 +145,7 @@
         self.hints = [(0.0, 0.0)] * classes
         self.hint_xx, self.hint_xy = HINT_START, HINT_START / 2.0
         self.call_s, self.call_base_s, self.call_at = [0.0] * classes, [0.0] * classes, [0.0] * classes
-        self.slow = 1.0  # how long calls take, over how long they do in good times
+        self.slow = 0.0  # share of calls that take far longer than in good times
         self.aim_s = sum(c.goal_s for c in settings.classes) / len(settings.classes)
 
     def work(self, cls: int, hint: float | None) -> float:
@@ -189,14 +189,14 @@
         self.base_s[q.cls] = base + (min(core_s, 2.0 * base) - base) / tau if base > 0.0 else core_s
 
     def call_ended(self, cls: int, now: float, took_s: float) -> None:
-        """A call came back or was given up. Its base follows ordinary ones, and slow ones only with time."""
+        """A call came back or was given up. A few that hang among quick ones must not pass for a crowd."""
         base, at = self.call_base_s[cls], self.call_at[cls]
         self.call_at[cls] = now
         if base <= 0.0:
             self.call_s[cls] = self.call_base_s[cls] = max(took_s, SOON_S)
             return
-        self.call_s[cls] += (took_s - self.call_s[cls]) / CALL_TAU
-        self.slow += (min(10.0, took_s / base) - self.slow) / CALL_TAU
+        self.call_s[cls] += (min(took_s, 4.0 * self.call_s[cls]) - self.call_s[cls]) / CALL_TAU
+        self.slow += ((took_s >= CALL_SLOW * base) - self.slow) / CALL_TAU
         if took_s < CALL_SLOW * base:
             self.call_base_s[cls] += (took_s - base) / BASE_TAU
         else:
@@ -690,7 +690,7 @@
     def _limit_calls(self) -> None:
         """The calls in hand, like the runs: fewer while calls take long, more while some wait and they do
         not. A crowded dependency gets less done for all who share it; the floor is this server's part."""
-        if self.est.slow > CALL_SLOW:
+        if self.est.slow > CALL_CROWDED:
             self._call_limit *= CALL_CUT
         elif self._call_waits:
             self._call_limit *= CALL_GROW
@@ -772,7 +772,7 @@
         self._stalled[q.id] = q
         again = e.outcome.never_ran or q.kind.effect is Effect.SAFE
         spoilt = e.outcome in (Outcome.BROKEN, Outcome.UNREACHABLE) or (
-            e.outcome is Outcome.TIMED_OUT and self.est.slow < CALL_SLOW / 1.5)
+            e.outcome is Outcome.TIMED_OUT and self.est.slow < CALL_CROWDED)
         if q.answered:
             return
         if q.kind.skip_worth > 0.0 and not (spoilt and again and q.calls < CALL_TRIES):
--- a/snowthread/net/balancers.py
+++ b/snowthread/net/balancers.py
@@ -398,8 +398,9 @@
 class Balancers:
     """Accepts connections, answers on them and parts with them."""
 
-    def __init__(self, loop: Loop, address: Address, most: int, post: Callable[[ev.Message], None]) -> None:
-        self.loop, self.post, self._most = loop, post, most
+    def __init__(self, loop: Loop, address: Address, most: int, unsent_most: int,
+                 post: Callable[[ev.Message], None]) -> None:
+        self.loop, self.post, self._most, self._unsent_most = loop, post, most, unsent_most
         self._listener: socket.socket | None = address.open(socket.SOCK_STREAM)
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._listener.bind(address)
@@ -520,6 +521,7 @@
                     connection.end()
                 elif connection.parted_at + PART_MS <= now and connection.idle and not self._leaving:
                     connection.end()
+            self._shed_unsent()
             crowded = len(self._idle) - self._idle_most
             for number, since in list(self._idle.items()):
                 connection, idle = self._connections[number], now - since
@@ -531,6 +533,16 @@
                 elif idle < NEW_MS:
                     break
 
+    def _shed_unsent(self) -> None:
+        """End those that have taken least, where too much waits in all: many peers that read nothing would
+        fill the memory, though none of them has much waiting."""
+        waiting = sorted((c for c in self._connections.values() if c.out), key=lambda c: len(c.out))
+        unsent = sum(len(c.out) for c in waiting)
+        while unsent > self._unsent_most:
+            connection = waiting.pop()
+            unsent -= len(connection.out)
+            connection.end()
+
     # Leaving.
 
     def leave(self) -> None:
--- a/snowthread/net/limits.py
+++ b/snowthread/net/limits.py
@@ -17,6 +17,7 @@
 
 
 RESULTS_SHARE = 8  # one part in so many of the memory is for results kept for repeats
+UNSENT_SHARE = 16  # and one for answers that peers have not taken yet
 
 
 def results_max(memory_mb: float) -> int:
@@ -24,6 +25,11 @@
     return int(memory_mb * 2**20) // RESULTS_SHARE
 
 
+def unsent_max(memory_mb: float) -> int:
+    """Bytes that may wait for all peers together."""
+    return int(memory_mb * 2**20) // UNSENT_SHARE
+
+
 def overdue(now: float, waits_since: float, stuck_since: float) -> bool:
     """Has a peer kept the node waiting too long? Silent connections and messages without end would else
     hold their descriptors for good."""
--- a/snowthread/net/node.py
+++ b/snowthread/net/node.py
@@ -21,7 +21,7 @@
 from snowthread.net.balancers import Balancers
 from snowthread.net.clock import Clock
 from snowthread.net.index import Index
-from snowthread.net.limits import results_max
+from snowthread.net.limits import results_max, unsent_max
 from snowthread.net.loop import IN, Loop, Steps, Wait
 from snowthread.net.reload import reload
 from snowthread.net.roster import Roster
@@ -50,7 +50,8 @@
         # By type: a chain of cases for each of thousands of effects a second costs more than most effects.
         self._carry_out: dict[type, Callable[[Any], None]] = {}
         self._posting = self._gone = False
-        self.balancers = Balancers(self.loop, config.listen, max(8, limit - calls - SPARE), self.post)
+        self.balancers = Balancers(self.loop, config.listen, max(8, limit - calls - SPARE),
+                                   unsent_max(config.memory_mb), self.post)
         if config.settings.idle_s:
             self.balancers.close_idle_after(IDLE_FACTOR * ModuleTime.ms(config.settings.idle_s))
         self.runtime = Runtime(self.loop, config.runtime, self.post)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -218,6 +218,24 @@
     assert of(list(c.handle(0.4, CallEnded(1, Outcome.OVERLOADED))), SkipCall) == [1]  # not spoilt
 
 
+def test_a_few_calls_that_hang_do_not_pass_for_a_crowd() -> None:
+    c = start(below=Below.SHARED, calls_share=20.0, calls_over_s=5.0, cores=40, memory_kb=1e6)
+    now = 1.0
+    for n in range(1, 200):  # one in ten hangs and is given up; the others are quick
+        now += 1.0
+        calling(c, now, n, "once")
+        hung = n % 10 == 0
+        c.handle(now + (0.4 if hung else 0.02), CallEnded(n, Outcome.TIMED_OUT if hung else Outcome.SUCCESS))
+        c.handle(now + 0.45, RunEnded(n, Outcome.WITHDRAWN if hung else Outcome.SUCCESS))
+        c.handle(now + 0.5, TimerFired(TICK))
+    assert c.est.call_s[2] < 0.06 and c.est.slow < 0.5
+    made = [list(calling(c, 300.0, n, "once")) for n in range(301, 306)]
+    assert sum(len(of(actions, Call)) for actions in made) == 4  # the floor, and none less
+    for n in range(301, 305):
+        c.handle(300.02, CallEnded(n, Outcome.SUCCESS))
+    assert c._call_limit >= 4.0
+
+
 def test_calls_that_hang_keep_no_others_waiting_and_are_given_up() -> None:
     c = start(below=Below.SHARED, calls_share=20.0, calls_over_s=5.0, cores=40, memory_kb=1e6)
     for n in range(1, 6):  # how long a call takes is known by now
