Say with refusals when to come back, also where a share is published

At fault: Controller._hold_off, which gave none wherever a share is published. Where there is one, a refused caller is now told to keep away for one mean gap between its requests; the share says the rest.

--- a/clovertack/decide.py
+++ b/clovertack/decide.py
@@ -590,11 +590,11 @@
         return 1.0 - (1.0 - there) * (1.0 - self._heard)
 
     def _hold_off(self) -> float:
-        """Where no value can be published, b is said by how long a caller is to keep away: so long that it
-        sends 1 - b of what it did. Guards against callers that take quick refusals for an idle server."""
-        if self.s.signal is not Signal.NONE or not self.s.retry_after or not self.b * self.est.lam_heads:
+        """How long to keep away: one turn; where no value says b, so long that a caller sends 1 - b."""
+        if not self.s.retry_after or not self.b * self.est.lam_heads:
             return 0.0
-        return round(min(self.s.max_retry_after_s, self._gap_s() / (1.0 - self.b)), 3)
+        passing = 1.0 - self.b if self.s.signal is Signal.NONE else 1.0
+        return round(min(self.s.max_retry_after_s, self._gap_s() / passing), 3)
 
     def _fail(self, q: Record) -> None:
         self._out.append(Fail(q.id))
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -400,14 +400,14 @@
     assert c._run_s(0, c.est.work(0, None)) < 5.0
 
 
-def test_refusals_say_b_as_hold_off_where_nothing_is_published() -> None:
-    for signal, said in ((decide.Signal.NONE, True), (decide.Signal.LEVEL, False)):
+def test_refusals_say_when_to_come_back_and_say_b_where_nothing_is_published() -> None:
+    for signal, said in ((decide.Signal.NONE, 1.0), (decide.Signal.LEVEL, 0.2)):
         c = start(retry_after=True, max_retry_after_s=1.0, upstreams=4, signal=signal)
         for n in (1, 2, 3):
             arrive(c, 0.1, n)
         c.b, c.est.lam_heads = 1.0 - 1e-9, 20.0
         (refusal,) = [a for a in arrive(c, 0.2, 4) if isinstance(a, Refuse)]
-        assert (refusal.hold_off_s > 0.0) is said and refusal.hold_off_s <= 1.0
+        assert refusal.hold_off_s == said
 
 
 def test_published_share_settles_instead_of_running_on() -> None:
