--- a/snowthread/net/node.py
+++ b/snowthread/net/node.py
@@ -94,10 +94,10 @@
 
     def move(self, config: Config) -> None:
         """Go on with a new configuration: peers where it says. What decides or listens stays."""
-        self.config = config
+        self.roster.move(config.roster)  # first: it opens a socket, which can fail; nothing has moved then
         self.runtime.move(config.runtime)
         self.index.move(config.index)
-        self.roster.move(config.roster)
+        self.config = config
 
     # From start to exit.
 
--- a/snowthread/net/reload.py
+++ b/snowthread/net/reload.py
@@ -31,5 +31,9 @@
         logger.error("configuration not taken up, the old one stays: {}", error)
         return
     kept = [field for field in STAYS if getattr(config, field) != getattr(node.config, field)]
+    try:
+        node.move(config)
+    except OSError as error:  # no descriptor left: it must not end the task that listens for signals
+        logger.error("configuration not taken up, the old one stays: {}", error)
+        return
     logger.info("configuration read anew{}", f"; {', '.join(kept)} only at the next start" if kept else "")
-    node.move(config)
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import errno
+import json
 import socket
 from pathlib import Path
 
 import pytest
 from exchange import Player
 
+from snowthread.net.address import Address
+from snowthread.net.reload import reload
+
 RECORDED = sorted((Path(__file__).parent / "exchanges").glob("*.txt"))
 
 
@@ -43,3 +48,19 @@
     assert 0 < ended < len(crowd)
     for sock in crowd:
         sock.close()
+
+
+def test_a_move_that_fails_leaves_all_as_it_was(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    player = Player()
+    before, path = player.node.config, tmp_path / "node.json"
+    path.write_text(json.dumps(player.fields | {"roster": "127.0.0.1:9", "index": "127.0.0.1:9"}))
+
+    def no_descriptor(*_: object) -> socket.socket:
+        raise OSError(errno.EMFILE, "too many open files")
+
+    with monkeypatch.context() as patched:
+        patched.setattr(Address, "open", no_descriptor)
+        reload(player.node, {"NODE_CONFIG": str(path)})
+    assert player.node.config is before
+    reload(player.node, {"NODE_CONFIG": str(path)})
+    assert player.node.config.index == ("127.0.0.1", 9)
