Hold SIGHUP back until the node listens for it

Seen in review: a SIGHUP before Node.serve installs its handlers ended the program (status -1), as a test that holds the program at reading its configuration showed. Ignoring it there would lose the new file. Changed: cli.serve blocks the signal, Node.serve lets it through once the handlers stand; one that came meanwhile has the file read anew then.

--- a/snowthread/cli.py
+++ b/snowthread/cli.py
@@ -5,6 +5,7 @@
 import argparse
 import gc
 import os
+import signal
 import sys
 from collections.abc import Sequence
 
@@ -37,6 +38,8 @@
 
 def serve() -> int:
     """Serve as the environment says."""
+    # Held back until the node listens for it: it would end the program, and one ignored would be lost.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     logger.remove()
     logger.add(sys.stderr, level=os.environ.get("NODE_LOG", "INFO"), backtrace=False, diagnose=False,
                format="{time:HH:mm:ss.SSS} {level} {message}")
--- a/snowthread/net/node.py
+++ b/snowthread/net/node.py
@@ -109,6 +109,7 @@
         signal.set_wakeup_fd(there.fileno())
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(number, lambda *_: None)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         self.loop.spawn(self._signals(here))
         logger.info("{} pid {} listens on {}:{}", self.config.name, os.getpid(), *self.config.listen)
         self.loop.run()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -170,6 +170,20 @@
         assert process.wait(PATIENCE_S) == 0
 
 
+def test_a_new_configuration_while_the_first_is_read_is_not_lost(tmp_path: Path) -> None:
+    path = configuration(tmp_path)
+    first, slow = path.read_bytes(), tmp_path / "slow.json"
+    os.mkfifo(slow)
+    with started("-m", "snowthread", env=environment(slow)) as process:
+        with slow.open("wb") as writing:  # opens once the program reads
+            path.replace(slow)
+            process.send_signal(signal.SIGHUP)
+            writing.write(first)
+        assert process.stderr is not None
+        assert "listens on" in process.stderr.readline()
+        assert "read anew" in process.stderr.readline()
+
+
 @pytest.mark.parametrize(("changes", "word"), [
     ({"runtime": "nowhere:1"}, "runtime"), ({"listen": "127.0.0.1"}, "listen"),
     ({"stop_ms": "soon"}, "stop_ms"), ({"settings": {"classes": []}}, "settings"),
