Let the set of tenants change while the decision module runs

A directory tells tenants after the start and changes them later; the module knew only those of its settings, by their places in a list.

--- a/clovertack/decide.py
+++ b/clovertack/decide.py
@@ -1,7 +1,6 @@
 """Every decision of clovertack. Its interface, the types of settings, events and actions: interface.py.
 
-Constants, one request's record, estimates, then the controller in the order of a request's way.
-"""
+Constants, a request's record, estimates, then the controller in the order of a request's way."""
 
 from __future__ import annotations
 
@@ -16,7 +15,8 @@
 from clovertack.interface import (
     Action, Arrival, AtCall, Attach, Below, Call, CallEnded, CallerGone, CloseIdle, Effect, Event, Fail,
     ForgetKey, KeepKey, LeaveNotice, Outcome, Preempt, Preemption, Publish, Refuse, Report, RequestClass,
-    Run, RunDoubted, RunEnded, SetHealth, SetTimer, Settings, Signal, SkipCall, Started, TimerFired,
+    Run, RunDoubted, RunEnded, SetHealth, SetTimer, Settings, Signal, SkipCall, Started, TenantsChanged,
+    TimerFired,
 )
 
 # Estimates and blocking.
@@ -104,7 +104,7 @@
     work: float
     value: float  # worth for its work, or for itself where the site counts by work
     hint: float | None = None
-    tenant: int | None = None
+    tenant: str = ""
     state: State = State.HELD
     ran: bool = False
     answered: bool = False  # or no answer owed
@@ -244,16 +244,13 @@
         self._stalled: dict[int, Record] = {}
         self._keys: dict[int, float] = {}  # kept request -> end of its entry
         self._oncore, self._calls = 0, dict[int, Record]()  # runs on the cores, runs whose call is made
-        self._memory = 0.0
         self._core_clock = 0.0  # core time that each run on the cores has had so far
-        self._full_s = 0.0
-        self._now = self._ticked = self._born = 0.0
+        self._memory = self._full_s = self._now = self._ticked = self._born = 0.0
         self._heap: list[tuple[float, int]] = []
         self._alarm_at = math.inf
         # Call-seconds: what may be saved up, what is free, what calls in hand may still use.
         self._call_cap = CALL_SAVED * settings.calls_share * settings.calls_over_s
-        self._call_budget = self._call_cap
-        self._reserved = 0.0
+        self._call_budget, self._reserved = self._call_cap, 0.0
         self._call_floor = max(1.0, settings.calls_share / CALL_SLOTS)  # this server's part of the slots
         self._call_limit, self._call_waits = self._call_floor, False
         self._calls_at = self._ordered_at = 0.0  # when to look at the calls that wait; the hold's last order
@@ -261,17 +258,15 @@
         self._closing, self._still, self._most_links = False, 0, 0.0  # idle connections, closed early or not
         self._idle_s = settings.idle_s  # as last told to the host
         self._unread = self._again = 0.0  # mean time unread and share of further tries of what is read
-        self._served = [(0.0, 0.0)] * len(settings.tenants)  # runs of each lately, and when last
-        # Seconds between two requests here within each tenant's share; 0: it has no quota.
-        self._share_s = [max(1, settings.peers) / t.quota_per_s if t.quota_per_s > 0.0 else 0.0
-                         for t in settings.tenants]
+        self._tenants = {t.name: t for t in settings.tenants}
+        self._served = dict[str, tuple[float, float]]()  # runs of each tenant lately, and when last
+        self._over_worth = settings.over_share_worth
         self._value = self._debt = 0.0  # mean worth for work; refusals passed on and not yet met, in work
-        self._tenant = {t.name: n for n, t in enumerate(settings.tenants)}
         self._out: list[Action] = []
         self._on: dict[type, Callable[[float, Any], None]] = {
             Arrival: self._arrival, RunEnded: self._run_ended, TimerFired: self._timer, AtCall: self._at_call,
             CallEnded: self._call_ended, CallerGone: self._caller_gone, LeaveNotice: self._leave,
-            Started: self._started, RunDoubted: self._run_doubted}
+            Started: self._started, RunDoubted: self._run_doubted, TenantsChanged: self._tenants_changed}
 
     @staticmethod
     def _check(s: Settings) -> None:
@@ -314,24 +309,19 @@
         if cls is None:
             self._out.append(Refuse(e.request))
             return
-        kind = self.s.classes[cls]
-        arrived = now - e.backlog_s
-        if self.s.passes_deadline and e.left_s:
-            due = now + e.left_s
-        else:
-            due = max(now, arrived + kind.deadline_s)
+        kind, arrived = self.s.classes[cls], now - e.backlog_s
+        due = now + e.left_s if self.s.passes_deadline and e.left_s else max(now, arrived + kind.deadline_s)
         work = self.est.work(cls, e.work_hint_s)
         stretch = kind.aim_stretch * self._run_s(cls, work) if kind.aim_stretch else 0.0
         aim = min(due, arrived + kind.goal_s + stretch)
         end = due if kind.late_value > 0.0 else aim
-        tenant = self._tenant.get(e.tenant)
         # A first try is known to be fresh; the aim of a further one may be over, its answer worth nothing.
         # Guards against cores full of work that is late, in storms above all. Harm: callers that try again
         # at once are served after others.
-        worth = kind.worth * self._in_share(now, tenant) * (AGED if e.is_retry else 1.0)
+        worth = kind.worth * self._in_share(now, e.tenant) * (AGED if e.is_retry else 1.0)
         value = worth if self.s.value_by_work else worth / work
         q = Record(e.request, cls, kind, arrived, due, aim, end, e.held_kb, work, value, e.work_hint_s,
-                   tenant, prior=e.prior)
+                   e.tenant, prior=e.prior)
         q.key = self._key(now, q)
         self._reqs[q.id] = self._hold[q.id] = q
         self._memory += q.kb
@@ -347,7 +337,8 @@
         self.est.arrived += work * (1.0 + e.backlog_s / STANDING_S)
         free = self._oncore < int(self.limit) and len(self._hold) == 1  # itself
         key_kb = self.s.key_kb if kind.effect is Effect.KEYED else 0.0
-        if not self._may_start(q) or self._memory + key_kb > MEMORY_SHARE * self.s.memory_kb:
+        full = self._memory + key_kb > MEMORY_SHARE * self.s.memory_kb
+        if full or not self._may_start(q) or not self._lets(q):
             self._refuse(now, q)
         elif not free and (self._blocked(q) or self._too_late(now, q)):
             self._refuse(now, q)
@@ -367,25 +358,42 @@
             return True
         return False
 
-    def _in_share(self, now: float, tenant: int | None) -> float:
+    def _in_share(self, now: float, tenant: str) -> float:
         """What one more request of this tenant is worth: 1 while what of it ran here lately stays under this
         worker's part of the quota, falling to what traffic over it is worth. What is turned away uses up
         nothing, so a tenant that sends thrice its share has its share served, and no more before the others'.
         Harm: where callers keep to few servers, a part of the quota lies idle elsewhere."""
-        if tenant is None or not self._share_s[tenant]:
-            return 1.0
-        used = self._ran_lately(now, tenant) / (SPAN / 2.0)
-        part = min(1.0, max(0.0, (OVER - used) / (OVER - 1.0)))
-        return part + (1.0 - part) * self.s.over_share_worth
-
-    def _ran_lately(self, now: float, tenant: int) -> float:
-        """Its requests run here, each counting for less as half a span of requests in share goes by."""
-        count, at = self._served[tenant]
-        return count * math.exp((at - now) / (SPAN / 2.0 * self._share_s[tenant]))
-
-    def _count_served(self, now: float, tenant: int | None) -> None:
-        if tenant is not None and self._share_s[tenant]:
-            self._served[tenant] = (self._ran_lately(now, tenant) + 1.0, now)
+        part = min(1.0, max(0.0, (OVER - self._used(now, tenant)) / (OVER - 1.0)))
+        return part + (1.0 - part) * self._over_worth
+
+    def _used(self, now: float, tenant: str, more: float = 0.0) -> float:
+        """How much of its share a tenant's runs here took lately, each counting for less as half a span of
+        requests in share goes by; ``more`` start now. 0: it has no quota."""
+        known = self._tenants.get(tenant) if self._tenants else None
+        if known is None or known.quota_per_s <= 0.0:
+            return 0.0
+        count, at = self._served.get(tenant, (0.0, 0.0))
+        count = count * math.exp((at - now) * known.quota_per_s / (SPAN / 2.0 * max(1, self.s.peers))) + more
+        if more:
+            self._served[tenant] = (count, now)
+        return count / (SPAN / 2.0)
+
+    def _lets(self, q: Record) -> bool:
+        """Is its tenant one whose requests of this class are taken?"""
+        known = self._tenants.get(q.tenant) if self._tenants else None
+        return known is None or not (known.barred or (known.classes and q.kind.name not in known.classes))
+
+    def _tenants_changed(self, now: float, e: TenantsChanged) -> None:
+        """Other tenants. What is held for one that has gone or is barred now is turned away at once; what has
+        run, or waits for what ran, goes on to its end, for it can't be undone (rule 2)."""
+        self._tenants.update((t.name, t) for t in e.changed)
+        for name in e.removed:
+            self._tenants.pop(name, None)
+            self._served.pop(name, None)
+        self._over_worth = self._over_worth if e.over_share_worth is None else e.over_share_worth
+        for q in [q for q in self._hold.values() if q.tenant in e.removed or not self._lets(q)]:
+            if not q.ran:
+                self._refuse(now, q)
 
     def _blocked(self, q: Record) -> bool:
         """The draw of b. A request worth more for its work than the mean passes its refusal to the next one
@@ -414,8 +422,7 @@
 
     def _tick(self, now: float, e: TimerFired) -> None:
         """Once a period: learn, then set b and the published share, then the run limit."""
-        elapsed = now - self._ticked
-        self._ticked = now
+        elapsed, self._ticked = now - self._ticked, now
         use = e.core_use if e.core_use is not None else self._full_s / elapsed if elapsed > 0.0 else 0.0
         if elapsed > 0.0:
             est = self.est
@@ -456,8 +463,7 @@
         share = self.published + (wanted - self.published) * (1.0 - math.exp(-elapsed / tau))
         share = min(SHARE_MAX, max(0.0, share))
         if abs(share - self.published) > 1e-9:
-            self.published = share
-            passing = 1.0 - share
+            self.published, passing = share, 1.0 - share
             if self.s.signal is Signal.CREDIT:
                 passing *= max(1.0, 2.0 * self.limit / max(1, self.s.upstreams))
             self._out.append(Publish(round(share if self.s.signal is Signal.LEVEL else passing, 4)))
@@ -552,16 +558,14 @@
             self._memory += extra
             del self._hold[q.id]
             if not q.ran:
-                self._count_served(now, q.tenant)
-            q.ran = True
-            q.started = now
+                self._used(now, q.tenant, 1.0)
+            q.ran, q.started = True, now
             self._step_on(q)
             self._out.append(Run(q.id))
             self._watch(q, min(q.due, q.aim))
 
     def _step_on(self, q: Record) -> None:
-        q.state = State.RUNNING
-        q.mark = self._core_clock
+        q.state, q.mark = State.RUNNING, self._core_clock
         self._oncore += 1
 
     def _step_off(self, q: Record) -> None:
@@ -681,9 +685,7 @@
             return
         if q.state is State.RUNNING:
             self._step_off(q)
-        q.state = State.STALLED
-        q.calls = 0
-        q.retry_at = now
+        q.state, q.calls, q.retry_at = State.STALLED, 0, now
         self._stalled[q.id] = q
         self._calls_at = now
 
@@ -736,8 +738,7 @@
                 q.stay = stay
                 self._reserved += stay
                 self._call_budget -= stay
-            q.called, q.calls = now, q.calls + 1
-            q.state = State.CALLING
+            q.state, q.called, q.calls = State.CALLING, now, q.calls + 1
             del self._stalled[q.id]
             self._calls[q.id] = q
             inhand += 1
@@ -801,8 +802,7 @@
     def _attach(self, q: Record) -> None:
         """A repeat never runs by itself: it takes the result of the try it repeats."""
         del self._hold[q.id]
-        q.state = State.ATTACHED
-        q.ran = True
+        q.state, q.ran = State.ATTACHED, True
         self._out.append(Attach(q.id))
         self._watch(q, q.due)
 
--- a/clovertack/interface.py
+++ b/clovertack/interface.py
@@ -79,10 +79,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Tenant:
-    """A tenant and the request rate, over the whole fleet, inside its share (0: no quota)."""
+    """A tenant and the request rate, over the whole fleet, inside its share (0: no quota). Barred: its new
+    requests are turned away; ``classes``: only these are taken, where any are named."""
 
     name: str
     quota_per_s: float = 0.0
+    barred: bool = False
+    classes: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -205,7 +208,18 @@
     left_s: float
 
 
-Event = Started | Arrival | CallerGone | AtCall | CallEnded | RunEnded | TimerFired | RunDoubted | LeaveNotice
+@dataclass(frozen=True, slots=True)
+class TenantsChanged:
+    """Other tenants than before: those added or changed, the names of those removed, and what traffic over a
+    share is worth from now on (None: as before)."""
+
+    changed: tuple[Tenant, ...] = ()
+    removed: frozenset[str] = frozenset()
+    over_share_worth: float | None = None
+
+
+Event = (Started | Arrival | CallerGone | AtCall | CallEnded | RunEnded | TimerFired | RunDoubted
+         | LeaveNotice | TenantsChanged)
 
 
 # Actions
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -560,11 +560,11 @@
         now, seen = 0.0, []
         for n in range(200):
             now += 0.25
-            seen.append(c._in_share(now, 0))
+            seen.append(c._in_share(now, "t"))
             if n % every == 0:
-                c._count_served(now, 0)
+                c._used(now, "t", 1.0)
         assert low <= sum(seen[100:]) / 100 <= high
-        assert c._in_share(now, 1) == 1.0 and c._in_share(now, None) == 1.0
+        assert c._in_share(now, "none") == 1.0 and c._in_share(now, "nobody") == 1.0
 
 
 def test_a_first_try_goes_before_a_further_one_whose_age_is_not_told() -> None:
