--- /dev/null
+++ b/snowthread/ldap/client.py
@@ -0,0 +1,166 @@
+"""One connection to a directory server, as coroutines on the loop: connect, TLS, bind, then messages.
+
+Thin on purpose: the protocol's state is ``session``'s, what to do about an end is ``health``'s.
+"""
+
+from __future__ import annotations
+
+import ssl
+from collections.abc import Generator
+from dataclasses import dataclass, field
+
+from snowthread.ldap import messages as m
+from snowthread.ldap.ber import Bounds
+from snowthread.ldap.health import Reaction, reaction
+from snowthread.ldap.session import Broken, Session, State
+from snowthread.ldap.url import LdapUrl
+from snowthread.net.attempt import Failure, Progress
+from snowthread.net.connecting import Connecting
+from snowthread.net.loop import Loop, Wait
+from snowthread.net.stream import Stream
+
+
+@dataclass(frozen=True, slots=True)
+class Trouble:
+    """A connection or operation that failed: how far it had come, why, and what that asks for."""
+
+    progress: Progress
+    reason: str
+    reaction: Reaction = Reaction.ELSEWHERE
+
+
+@dataclass(frozen=True, slots=True)
+class Access:
+    """How to get in. ``context`` None: no TLS; ``start_tls``: over the plain port. Times in milliseconds."""
+
+    bind: m.Bind | m.BindExternal | None
+    context: ssl.SSLContext | None = None
+    start_tls: bool = False
+    server_name: str = ""  # that the certificate must prove; the host's own number where it is empty
+    connect_ms: float = 2_000.0
+    bind_ms: float = 3_000.0
+    bounds: Bounds = field(default_factory=Bounds)
+
+
+class Link:
+    """One connection. ``open`` first; ``send`` and ``receive`` until a Trouble; ``close`` in any case."""
+
+    def __init__(self, loop: Loop, url: LdapUrl, access: Access) -> None:
+        self.url, self.server = url, url.server
+        self._loop, self._access = loop, access
+        self._session = Session(access.bounds)
+        self._stream: Stream | None = None
+        self._secure = False
+        self.bytes_read = 0
+
+    def open(self) -> Generator[Wait, int, Trouble | None]:
+        """Connect, secure and bind, each under its deadline."""
+        clock, access = self._loop.clock, self._access
+        attempt = Connecting(self.url.address, self._loop, clock.now() + access.connect_ms)
+        yield from attempt.steps()
+        if attempt.sock is None:
+            return Trouble(attempt.failure.progress, f"connect: {attempt.failure.reason}")
+        self._stream = Stream(self._loop, attempt.sock)
+        trouble: Trouble | None = None
+        if self.url.scheme == "ldaps":
+            trouble = yield from self._tls()
+        elif access.start_tls:
+            trouble = yield from self._start_tls()
+        if trouble is None and access.bind is not None:
+            trouble = yield from self._bind(access.bind)
+        return trouble
+
+    def send(self, request: m.Request) -> int:
+        """Send a request; its number."""
+        if self._stream is None:
+            raise RuntimeError("the link is not open")
+        number, data = self._session.send(request)
+        self._stream.write(data)
+        return number
+
+    def receive(self, until: float) -> Generator[Wait, int, list[m.Message] | Trouble]:
+        """Messages that came; none where time is up or the task was woken."""
+        if self._stream is None:
+            raise RuntimeError("the link is not open")
+        if self._session.state is State.CLOSED:
+            return self._broken
+        data = yield from self._stream.read(until)
+        if isinstance(data, Failure):
+            return Trouble(data.progress, data.reason)
+        self.bytes_read += len(data)
+        out: list[m.Message] = []
+        for got in self._session.receive(data):
+            if isinstance(got, Broken):
+                # What came whole before it stands; the next call finds the session closed.
+                self._broken = self._of(got)
+                return out or self._broken
+            out.append(got)
+        return out
+
+    _broken = Trouble(Progress.REPLY_BEGUN, "closed")
+
+    @property
+    def operations(self) -> bool:
+        """May operations be sent?"""
+        return self._stream is not None and self._session.state is State.FRESH
+
+    def close(self) -> None:
+        """Say goodbye where that can be done, and close."""
+        stream, self._stream = self._stream, None
+        if stream is not None:
+            if self._session.state is State.FRESH:
+                stream.write(self._session.send(m.Unbind())[1])
+            stream.close()
+
+    def _tls(self) -> Generator[Wait, int, Trouble | None]:
+        context, stream = self._access.context, self._stream
+        if context is None or stream is None:
+            return Trouble(Progress.SENT, "TLS: no context is set", Reaction.OPERATOR)
+        name = self._access.server_name or self.url.host
+        failure = yield from stream.secure(context, name, self._loop.clock.now() + self._access.bind_ms)
+        if failure is not None:
+            bad = failure.reason.startswith("certificate")
+            return Trouble(failure.progress, failure.reason, Reaction.OPERATOR if bad else Reaction.ELSEWHERE)
+        self._secure = True
+        return None
+
+    def _start_tls(self) -> Generator[Wait, int, Trouble | None]:
+        number = self.send(m.Extended(m.START_TLS_OID))
+        got = yield from self._answer(number, self._loop.clock.now() + self._access.bind_ms, "StartTLS")
+        if isinstance(got, Trouble):
+            return got
+        if not isinstance(got, m.ExtendedDone) or got.result.code != 0:
+            code = got.result.code if isinstance(got, m.ExtendedDone) else -1
+            return Trouble(Progress.REPLY_BEGUN, f"StartTLS: code {code}", Reaction.OPERATOR)
+        trouble = yield from self._tls()
+        if trouble is None:
+            self._session.secured()
+        return trouble
+
+    def _bind(self, bind: m.Bind | m.BindExternal) -> Generator[Wait, int, Trouble | None]:
+        number = self.send(bind)
+        got = yield from self._answer(number, self._loop.clock.now() + self._access.bind_ms, "bind")
+        if isinstance(got, Trouble):
+            return got
+        if not isinstance(got, m.BindDone) or got.result.code != 0:
+            code = got.result.code if isinstance(got, m.BindDone) else -1
+            return Trouble(Progress.REPLY_BEGUN, f"bind: code {code}", reaction(code))
+        return None
+
+    def _answer(self, number: int, until: float, what: str) -> Generator[Wait, int, m.Response | Trouble]:
+        """The one answer to what was just sent."""
+        while self._loop.clock.now() < until:
+            got = yield from self.receive(until)
+            if isinstance(got, Trouble):
+                return Trouble(got.progress, f"{what}: {got.reason}", got.reaction)
+            for message in got:
+                if message.id == number:
+                    return message.op
+        return Trouble(Progress.SENT, f"{what}: no answer in time")
+
+    @staticmethod
+    def _of(broken: Broken) -> Trouble:
+        code = broken.notice.code if broken.notice is not None else None
+        # A notice is a server on its way out, whatever its code; one that forbids us needs people.
+        what = Reaction.OPERATOR if code in (8, 13) else Reaction.ELSEWHERE
+        return Trouble(Progress.REPLY_BEGUN, broken.reason, what)
--- /dev/null
+++ b/snowthread/ldap/filters.py
@@ -0,0 +1,125 @@
+"""Search filters as text (RFC 4515), parsed by lark into what ``schema`` encodes."""
+
+from __future__ import annotations
+
+import re
+from functools import cache
+from itertools import pairwise
+from typing import Any
+
+from lark import Lark, Transformer
+from lark.exceptions import LarkError, UnexpectedInput, VisitError
+
+from snowthread.ldap.messages import FilterTree
+
+TEXT_MAX, DEPTH_MAX = 16 * 1024, 16
+
+_GRAMMAR = r"""
+start: filter
+?filter: "(" _inside ")"
+_inside: all | any | negated | test | extensible
+all: "&" filter*
+any: "|" filter*
+negated: "!" filter
+test: HEAD (VALUE | STAR)*
+extensible: MATCHING VALUE?
+HEAD: /[A-Za-z0-9][A-Za-z0-9.\-;]*(?:~=|>=|<=|=)/
+MATCHING: /(?:[A-Za-z0-9][A-Za-z0-9.\-;]*)?(?::[Dd][Nn])?(?::[A-Za-z0-9.\-]+)?:=/
+STAR: "*"
+VALUE: /(?:[^()*\\\x00]|\\[0-9A-Fa-f]{2})+/
+"""
+_ESCAPED = re.compile(rb"\\([0-9A-Fa-f]{2})")
+_KIND = {"~=": "approxMatch", ">=": "greaterOrEqual", "<=": "lessOrEqual", "=": "equalityMatch"}
+
+
+class FilterError(ValueError):
+    """A text that is no filter."""
+
+
+def parse(text: str) -> FilterTree:
+    """A filter as the tree that a search carries; FilterError says where the text goes wrong."""
+    if len(text) > TEXT_MAX:
+        raise FilterError(f"longer than {TEXT_MAX} characters")
+    depth = deepest = 0
+    for c in text:
+        depth += (c == "(") - (c == ")")
+        deepest = max(deepest, depth)
+    if deepest > DEPTH_MAX:
+        raise FilterError(f"nested deeper than {DEPTH_MAX}")
+    try:
+        tree: FilterTree = _Build().transform(_parser().parse(text))
+    except UnexpectedInput as error:
+        raise FilterError(f"can't be read at character {error.column}") from None
+    except VisitError as error:
+        raise FilterError(str(error.orig_exc)) from None
+    except LarkError as error:
+        raise FilterError(str(error)) from None
+    return tree
+
+
+def escape(value: bytes | str) -> str:
+    """A value as it stands in a filter's text (RFC 4515, section 3)."""
+    octets = value.encode() if isinstance(value, str) else value
+    return "".join(chr(o) if 0x20 < o < 0x7F and o not in b"*()\\" else f"\\{o:02x}" for o in octets)
+
+
+def equal(attribute: str, value: str) -> FilterTree:
+    """The filter that finds this value."""
+    return "equalityMatch", {"attribute": attribute.encode(), "value": value.encode()}
+
+
+@cache
+def _parser() -> Lark:
+    return Lark(_GRAMMAR, parser="lalr", lexer="contextual")
+
+
+def _unescape(text: str) -> bytes:
+    return _ESCAPED.sub(lambda m: bytes([int(m[1], 16)]), text.encode())
+
+
+class _Build(Transformer[Any, FilterTree]):
+    def start(self, parts: list[Any]) -> FilterTree:
+        found: FilterTree = parts[0]
+        return found
+
+    def all(self, parts: list[Any]) -> FilterTree:
+        return "and", parts
+
+    def any(self, parts: list[Any]) -> FilterTree:
+        return "or", parts
+
+    def negated(self, parts: list[Any]) -> FilterTree:
+        return "not", parts[0]
+
+    def test(self, parts: list[Any]) -> FilterTree:
+        head, rest = str(parts[0]), parts[1:]
+        sign = head[-2:] if head[-2:] in _KIND else "="
+        attribute = head[:-len(sign)].encode()
+        stars = [n for n, token in enumerate(rest) if token.type == "STAR"]
+        if not stars:
+            value = _unescape("".join(rest))
+            return _KIND[sign], {"attribute": attribute, "value": value}
+        if sign != "=":
+            raise FilterError(f"a star behind {sign}")
+        if len(rest) == 1:
+            return "present", attribute
+        if any(b - a == 1 for a, b in pairwise(stars)):
+            raise FilterError("two stars with nothing between them")
+        pieces = [("initial" if n < stars[0] else "final" if n > stars[-1] else "any", _unescape(token))
+                  for n, token in enumerate(rest) if token.type == "VALUE"]
+        return "substrings", {"type": attribute, "parts": pieces}
+
+    def extensible(self, parts: list[Any]) -> FilterTree:
+        words = str(parts[0])[:-2].split(":")
+        matching: dict[str, Any] = {"value": _unescape(str(parts[1])) if len(parts) > 1 else b""}
+        if words[0]:
+            matching["type"] = words[0].encode()
+        rest = words[1:]
+        if rest and rest[0].lower() == "dn":
+            matching["dnAttributes"] = True
+            rest = rest[1:]
+        if rest:
+            matching["rule"] = rest[0].encode()
+        if "type" not in matching and "rule" not in matching:
+            raise FilterError("neither an attribute nor a rule")
+        return "extensibleMatch", matching
