Tenants from a directory: operator's file, click, JSON logs, state, follower and gate

A pure state holds tenants, networks in a prefix trie, removals under a guard, a ladder of staleness and bounded questions about unknown callers; one coroutine keeps up with the directory by RFC 4533 or pages.

--- a/snowthread/__main__.py
+++ b/snowthread/__main__.py
@@ -1,7 +1,12 @@
-"""``python -m snowthread``."""
+"""``python -m snowthread``. With no arguments it serves, and loads no command line for it."""
 
 import sys
 
-from snowthread.cli import main
+if len(sys.argv) == 1:
+    from snowthread.serve import main
 
-sys.exit(main())
+    sys.exit(main())
+
+from snowthread.cli import main as command_line
+
+sys.exit(command_line())
--- a/snowthread/cli.py
+++ b/snowthread/cli.py
@@ -1,69 +1,77 @@
-"""The command line."""
+"""The command line. A bare ``python -m snowthread`` serves without it (see ``serve.py``)."""
 
 from __future__ import annotations
 
-import argparse
-import gc
 import os
-import signal
 import sys
 from collections.abc import Sequence
+from pathlib import Path
 
-from loguru import logger
+import click
 
 from snowthread import __version__, config
-from snowthread.net.clock import Clock
-from snowthread.node import Node
+from snowthread.tenants.cli import tenants
 
-COLLECT_AFTER = 10_000  # objects made between two rounds of the collector: the node makes few cycles
+WITH = click.option("--with", "operator_file", metavar="FILE",
+                    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+                    help="The operator's own file (HCL), one block a feature; see deploy/tenants.hcl.")
 
 
-def main(arguments: Sequence[str] | None = None) -> int:
-    """Entry point; without a sub-command it serves."""
-    parser = argparse.ArgumentParser(prog="snowthread", description="A formula node on real sockets.")
-    parser.set_defaults(run=serve)
-    commands = parser.add_subparsers(metavar="COMMAND")
-    for name, run, text in (("serve", serve, "serve until SIGTERM (the default)"),
-                            ("check", check, "read the configuration, say whether it can be used, and exit"),
-                            ("version", version, "print the version")):
-        commands.add_parser(name, help=text, description=text).set_defaults(run=run)
-    try:
-        code: int = parser.parse_args(arguments).run()
-    except config.ConfigError as error:
-        print(f"snowthread: {error}", file=sys.stderr)
-        return 2
-    return code
+@click.group(invoke_without_command=True, context_settings={"help_option_names": ["-h", "--help"]},
+             epilog="NODE_CONFIG names the node's configuration (JSON, see examples/node.json); NODE_LOG is "
+                    "the least level logged; NODE_LOG_FORMAT=json logs one JSON object a line.")
+@click.version_option(__version__, prog_name="snowthread")
+@click.pass_context
+def cli(context: click.Context) -> None:
+    """snowthread: a formula node. It reads requests from balancers, runs, holds or refuses each, and answers
+    it exactly once. Without a command it serves."""
+    if context.invoked_subcommand is None:
+        context.invoke(serve)
 
 
-def serve() -> int:
-    """Serve as the environment says."""
-    # Held back until the node listens for it: it would end the program, and one ignored would be lost.
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
-    logger.remove()
-    logger.add(sys.stderr, level=os.environ.get("NODE_LOG", "INFO"), backtrace=False, diagnose=False,
-               format="{time:HH:mm:ss.SSS} {level} {message}")
-    settings = config.load(os.environ)
-    # What is loaded by now stays: looked through at each of the collector's rounds it cost a stall each.
-    gc.freeze()
-    gc.set_threshold(COLLECT_AFTER, 20, 20)
-    try:
-        node = Node(settings, Clock())
-    except OSError as error:
-        host, port = settings.listen
-        raise config.ConfigError(f"can't listen on {host}:{port}: {error.strerror}") from None
-    node.serve()
-    return 0
+@cli.command()
+@WITH
+def serve(operator_file: Path | None) -> None:
+    """Serve until SIGTERM, answer what was read, and exit. SIGHUP reads all files anew."""
+    from snowthread.serve import serve as run
 
+    run(operator_file)
 
-def check() -> int:
-    """Say whether the configuration can be used."""
+
+@cli.command()
+@WITH
+def check(operator_file: Path | None) -> None:
+    """Read the configuration, say whether it can be used, and exit (status 2 where it can't)."""
     settings = config.load(os.environ)
-    print(f"{settings.name}: listens on {settings.listen.host}:{settings.listen.port}, "
-          f"{len(settings.settings.classes)} classes, {settings.settings.cores} cores")
-    return 0
+    if operator_file is not None:
+        from snowthread.operator.features import Features
+
+        for line in Features.load(operator_file, settings).lines():
+            click.echo(line)
+    click.echo(f"{settings.name}: listens on {settings.listen.host}:{settings.listen.port}, "
+               f"{len(settings.settings.classes)} classes, {settings.settings.cores} cores")
 
 
-def version() -> int:
+@cli.command()
+def version() -> None:
     """Print the version."""
-    print(f"snowthread {__version__}")
-    return 0
+    click.echo(f"snowthread {__version__}")
+
+
+cli.add_command(tenants)
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Entry point: the exit status."""
+    try:
+        code = cli.main(args=None if arguments is None else list(arguments), prog_name="snowthread",
+                        standalone_mode=False)
+    except click.ClickException as error:
+        error.show()
+        return error.exit_code
+    except click.Abort:
+        return 130
+    except config.ConfigError as error:
+        print(f"snowthread: {error}", file=sys.stderr)
+        return 2
+    return code if isinstance(code, int) else 0
--- a/snowthread/core/events.py
+++ b/snowthread/core/events.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 
-from clovertack.interface import Outcome
+from clovertack.interface import Outcome, Tenant
 
 Ticket = tuple[int, int]
 """Where an answer goes: a connection's number and the number of the message on it."""
@@ -28,6 +28,7 @@
     rank: float
     once: str | None = None
     key: str = ""
+    tenant: str = ""  # whose request it is, where tenants are told apart
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,5 +124,15 @@
     left: float
 
 
+@dataclass(frozen=True, slots=True)
+class SharesChanged:
+    """Tenants were added, changed or removed; ``over_share_worth`` of traffic over a share, or None."""
+
+    changed: tuple[Tenant, ...] = ()
+    removed: frozenset[str] = frozenset()
+    over_share_worth: float | None = None
+
+
 Message = (RequestRead | CallerLeft | HealthAsked | RuntimeUp | RuntimeLost | RunOver | CommandRefused
-           | CallWanted | GaugesRead | CallBack | TimerDue | GaugesDue | LeaveAsked)
+           | CallWanted | GaugesRead | CallBack | TimerDue | GaugesDue | LeaveAsked
+           | SharesChanged)
--- a/snowthread/core/reducer.py
+++ b/snowthread/core/reducer.py
@@ -76,6 +76,9 @@
             s.controller = Controller(s.settings, s.seed)
             for action in s.controller.handle(s.time.at(self.now - age), api.Started()):
                 _DO[type(action)](self, action)
+            if s.shares is not None:  # nothing is held yet, so nothing comes of it
+                s.controller.handle(s.time.at(self.now), s.shares)
+                s.shares = None
         return s.controller
 
     # Requests.
@@ -102,7 +105,7 @@
         left = max(LEAST_MS, at + m.wait - self.now)
         self.tell(api.Arrival(
             request=q.number, class_name=q.class_name, held_kb=m.kb, key=m.key, left_s=s.time.span(left),
-            rank=m.rank, caller=m.caller, backlog_s=s.time.span(self.now - at), prior=prior))
+            rank=m.rank, caller=m.caller, tenant=m.tenant, backlog_s=s.time.span(self.now - at), prior=prior))
 
     def caller_left(self, m: ev.CallerLeft) -> None:
         q = self.s.by_ticket.pop(m.ticket, None)
@@ -304,6 +307,17 @@
             self.out.append(fx.Announce(False))
             self.tell(api.LeaveNotice(self.s.time.span(m.left)))
 
+    def shares_changed(self, m: ev.SharesChanged) -> None:
+        """Other tenants. Before there is a controller they wait: it starts with the runtime, cold or not."""
+        old = self.s.shares
+        if self.s.controller is not None:
+            self.tell(api.TenantsChanged(m.changed, m.removed, m.over_share_worth))
+            return
+        kept = {t.name: t for t in (old.changed if old else ()) if t.name not in m.removed}
+        kept.update((t.name, t) for t in m.changed)
+        worth = m.over_share_worth if old is None or m.over_share_worth is not None else old.over_share_worth
+        self.s.shares = api.TenantsChanged(tuple(kept.values()), frozenset(), worth)
+
     # The module's actions.
 
     def do_run(self, a: api.Run) -> None:
@@ -398,7 +412,8 @@
     ev.RuntimeUp: _Turn.runtime_up, ev.RuntimeLost: _Turn.runtime_lost, ev.RunOver: _Turn.run_over,
     ev.CommandRefused: _Turn.command_refused, ev.CallWanted: _Turn.call_wanted,
     ev.GaugesRead: _Turn.gauges_read, ev.CallBack: _Turn.call_back, ev.TimerDue: _Turn.timer_due,
-    ev.GaugesDue: _Turn.gauges_due, ev.LeaveAsked: _Turn.leave_asked}
+    ev.GaugesDue: _Turn.gauges_due, ev.LeaveAsked: _Turn.leave_asked,
+    ev.SharesChanged: _Turn.shares_changed}
 
 _DO: dict[type, Callable[[_Turn, Any], None]] = {
     api.Run: _Turn.do_run, api.Refuse: _Turn.do_final, api.Fail: _Turn.do_final,
--- a/snowthread/core/state.py
+++ b/snowthread/core/state.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from clovertack import interface as api
 from clovertack.decide import Controller
 from clovertack.interface import Settings
 from snowthread.core.effects import Command
@@ -77,6 +78,7 @@
     meters: tuple[str, ...]
     time: ModuleTime
     controller: Controller | None = None
+    shares: api.TenantsChanged | None = None  # told before there was a controller
     keys: KeyTable = field(default_factory=KeyTable)
     requests: dict[int, Request] = field(default_factory=dict)
     by_uid: dict[str, Request] = field(default_factory=dict)
--- a/snowthread/fronts/balancers/hub.py
+++ b/snowthread/fronts/balancers/hub.py
@@ -51,6 +51,14 @@
         host, port = self._listener.getsockname()[:2]
         return host, port
 
+    def origin(self, place: int) -> str:
+        """The address that a connection comes from; empty where it is gone."""
+        connection = self._connections.get(place)
+        try:
+            return "" if connection is None else str(connection.sock.getpeername()[0])
+        except OSError:
+            return ""
+
     # Accepting.
 
     def _accept(self) -> Steps:
--- /dev/null
+++ b/snowthread/log.py
@@ -0,0 +1,46 @@
+"""Logs: lines for people, or one JSON object a line where NODE_LOG_FORMAT asks for it.
+
+Field names are stable: ``time``, ``level``, ``event``, ``message`` and whatever the line binds (``peer``,
+``tenant``, ``ms``...). A line that binds no event has the event ``note``.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+if TYPE_CHECKING:
+    from loguru import Message
+
+PLAIN = "{time:HH:mm:ss.SSS} {level} {message}"
+
+
+def set_up(environment: Mapping[str, str]) -> None:
+    """Log to standard error: NODE_LOG is the least level, NODE_LOG_FORMAT ``json`` or ``plain``."""
+    logger.remove()
+    level = environment.get("NODE_LOG", "INFO")
+    if environment.get("NODE_LOG_FORMAT", "plain") == "json":
+        logger.add(_write, level=level, backtrace=False, diagnose=False)
+    else:
+        logger.add(sys.stderr, level=level, backtrace=False, diagnose=False, format=PLAIN)
+
+
+def _write(message: Message) -> None:
+    sys.stderr.write(as_json(message).decode() + "\n")
+    sys.stderr.flush()
+
+
+def as_json(message: Message) -> bytes:
+    """One record as one JSON object; what JSON has no form for is written as text."""
+    import orjson
+
+    record = message.record
+    fields: dict[str, object] = {"time": record["time"].isoformat(timespec="milliseconds"),
+                                 "level": record["level"].name, "event": "note",
+                                 "message": record["message"]} | record["extra"]
+    if record["exception"] is not None:
+        fields["exception"] = str(message)
+    return orjson.dumps(fields, default=str, option=orjson.OPT_NON_STR_KEYS)
--- a/snowthread/node.py
+++ b/snowthread/node.py
@@ -8,7 +8,8 @@
 import socket
 from collections import deque
 from collections.abc import Callable
-from typing import Any
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any
 
 from loguru import logger
 
@@ -27,6 +28,10 @@
 from snowthread.peers.runtime import Runtime
 from snowthread.reload import reload
 
+if TYPE_CHECKING:
+    from snowthread.operator.features import Features
+    from snowthread.tenants.gate import Gate
+
 SPARE = 32  # descriptors kept for the runtime, the roster, the loop and files
 INDEX_PART = 8  # a part of the descriptors, one in so many, is the index's
 DOOR_MS = 500.0  # before the kill: no more connections; what came is answered by then or shortly after
@@ -39,8 +44,8 @@
 class Node:
     """One formula node."""
 
-    def __init__(self, config: Config, clock: Clock) -> None:
-        self.config, self.clock = config, clock
+    def __init__(self, config: Config, clock: Clock, features: Features | None = None) -> None:
+        self.config, self.clock, self.features = config, clock, features
         self.loop = Loop(clock)
         self.state = State(config.settings, config.seed, config.meters, ModuleTime(clock.now()),
                            keys=KeyTable(results_max(config.memory_mb)))
@@ -50,8 +55,17 @@
         # By type: a chain of cases for each of thousands of effects a second costs more than most effects.
         self._carry_out: dict[type, Callable[[Any], None]] = {}
         self._posting = self._gone = False
+        # Who asks, where tenants are told apart: between the front and the reducer, and nowhere else.
+        self.gate: Gate | None = None
+        front_post = self.post
+        if features is not None and features.tenants is not None:
+            from snowthread.tenants.gate import Gate
+
+            self.state.settings = replace(config.settings, tenants=())
+            self.gate = Gate(self.loop, features.tenants, config.seed, self.post)
+            front_post = self.gate.read
         self.balancers = Balancers(self.loop, config.listen, max(8, limit - calls - SPARE),
-                                   unsent_max(config.memory_mb), self.post)
+                                   unsent_max(config.memory_mb), front_post)
         if config.settings.idle_s:
             self.balancers.close_idle_after(IDLE_FACTOR * ModuleTime.ms(config.settings.idle_s))
         self.runtime = Runtime(self.loop, config.runtime, self.post)
@@ -64,6 +78,8 @@
             fx.DropCall: lambda effect: self.index.drop(effect.uid), fx.Note: self._note,
             fx.CloseIdleAfter: lambda effect: self.balancers.close_idle_after(effect.after),
             fx.Announce: lambda effect: self.roster.announce(effect.taking)}
+        if self.gate is not None:
+            self.gate.start(self.balancers.origin)
 
     def post(self, message: ev.Message) -> None:
         """Hand a message to the reducer and carry out what it asks for. What an effect brings about at once
@@ -90,14 +106,16 @@
 
     @staticmethod
     def _note(effect: fx.Note) -> None:
-        logger.info("{}", effect.text)
+        logger.bind(event="decision.note").info("{}", effect.text)
 
-    def move(self, config: Config) -> None:
+    def move(self, config: Config, features: Features | None = None) -> None:
         """Go on with a new configuration: peers where it says. What decides or listens stays."""
         self.roster.move(config.roster)  # first: it opens a socket, which can fail; nothing has moved then
         self.runtime.move(config.runtime)
         self.index.move(config.index)
-        self.config = config
+        if self.gate is not None and features is not None and features.tenants is not None:
+            self.gate.move(features.tenants)
+        self.config, self.features = config, features
 
     # From start to exit.
 
@@ -123,7 +141,7 @@
                 reload(self)
             if not told and (signal.SIGTERM in came or signal.SIGINT in came):
                 told = True
-                logger.info("told to leave, {} ms left", self.config.stop_ms)
+                logger.bind(event="node.leaving").info("told to leave, {} ms left", self.config.stop_ms)
                 self.post(ev.LeaveAsked(self.config.stop_ms))
                 self.balancers.leave()
                 self.loop.spawn(self._leave())
@@ -138,6 +156,6 @@
             yield Wait(until=self.clock.now() + LOOK_MS)
             if self.balancers.unsent:
                 busy_at = self.clock.now()
-        logger.info("left")
+        logger.bind(event="node.left").info("left")
         self._gone = True  # what ends now, ends with the process
         self.loop.stop()
--- /dev/null
+++ b/snowthread/operator/features.py
@@ -0,0 +1,39 @@
+"""The features that an operator's file turns on: read and checked as a whole, before anything is taken up."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from snowthread.config import Config
+from snowthread.operator import hcl
+
+if TYPE_CHECKING:
+    from snowthread.tenants.settings import TenantSettings
+
+
+@dataclass(frozen=True, slots=True)
+class Features:
+    """What the file turns on; None: its block is absent."""
+
+    path: Path
+    tenants: TenantSettings | None
+
+    @classmethod
+    def load(cls, path: Path, config: Config) -> Features:
+        """Read the whole file; ConfigError says what can't be used. Secrets and certificates are read too,
+        so that a reload which needs them can still be given up as a whole."""
+        file = hcl.read(path)
+        block = file.block("tenants")
+        tenants = None
+        if block is not None:
+            from snowthread.tenants.settings import TenantSettings
+
+            tenants = TenantSettings.read(block, config)
+        file.done()
+        return cls(path, tenants)
+
+    def lines(self) -> list[str]:
+        """For people: what is on."""
+        return [self.tenants.line()] if self.tenants is not None else [f"{self.path}: no feature is on"]
--- a/snowthread/peers/roster.py
+++ b/snowthread/peers/roster.py
@@ -32,7 +32,7 @@
         """Be listed as taking work or not."""
         if taking != self._taking:
             self._taking = taking
-            logger.info("roster: {}", "on" if taking else "off")
+            logger.bind(event="roster.told", peer="roster").info("roster: {}", "on" if taking else "off")
             self._say_again()
 
     def move(self, address: Address) -> None:
--- a/snowthread/peers/runtime.py
+++ b/snowthread/peers/runtime.py
@@ -155,13 +155,15 @@
                 self._sock = attempt.sock
                 failure = yield from self._linked(attempt.sock)
                 if failure is None:
-                    logger.info("runtime: moves to {}:{}", *self._address)
+                    logger.bind(event="link.moved", peer="runtime").info(
+                        "runtime: moves to {}:{}", *self._address)
                     self._fence, self._moving, pause = "", True, BACKOFF_MS[0]
                     self._close()
                     continue
                 if failure.progress is Progress.REPLY_BEGUN:
                     pause = BACKOFF_MS[0]
-                    logger.warning("runtime: link lost: {}", failure.reason)
+                    logger.bind(event="link.lost", peer="runtime").warning(
+                        "runtime: link lost: {}", failure.reason)
                 self._lost()
             yield Wait(until=self._loop.clock.now() + pause)
             pause = min(BACKOFF_MS[1], pause * 2.0)
@@ -214,7 +216,8 @@
                     try:
                         pos, message = decode(line)
                     except ValueError as error:
-                        logger.warning("runtime: not a notice: {}", error)
+                        logger.bind(event="peer.nonsense", peer="runtime").warning(
+                            "runtime: not a notice: {}", error)
                         continue
                     self._take(pos, message)
                     if self._fence and isinstance(message, ev.GaugesRead) and message.tag == self._fence:
--- a/snowthread/reload.py
+++ b/snowthread/reload.py
@@ -4,12 +4,15 @@
 
 import os
 from collections.abc import Mapping
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from loguru import logger
 
 from snowthread.config import Config, ConfigError, load
 
+if TYPE_CHECKING:
+    from snowthread.operator.features import Features
+
 STAYS = "name", "listen", "settings", "sockets", "memory_mb"  # these take a new start
 
 
@@ -17,8 +20,9 @@
     """Who can go on with a new configuration."""
 
     config: Config
+    features: Features | None
 
-    def move(self, config: Config) -> None:
+    def move(self, config: Config, features: Features | None) -> None:
         """Take it up."""
 
 
@@ -26,14 +30,17 @@
     """Take up the configuration as it stands now. A file that can't be used changes nothing: whoever replaced
     it can put it right, and a node that ended over it would take its runs along."""
     try:
-        config = load(environment)
+        config, features = load(environment), node.features
+        if features is not None:  # the operator's file goes with it: both are taken up, or neither
+            features = features.load(features.path, config)
     except ConfigError as error:
-        logger.error("configuration not taken up, the old one stays: {}", error)
+        logger.bind(event="config.refused").error("configuration not taken up, the old one stays: {}", error)
         return
     kept = [field for field in STAYS if getattr(config, field) != getattr(node.config, field)]
     try:
-        node.move(config)
+        node.move(config, features)
     except OSError as error:  # no descriptor left: it must not end the task that listens for signals
-        logger.error("configuration not taken up, the old one stays: {}", error)
+        logger.bind(event="config.refused").error("configuration not taken up, the old one stays: {}", error)
         return
-    logger.info("configuration read anew{}", f"; {', '.join(kept)} only at the next start" if kept else "")
+    logger.bind(event="config.read").info(
+        "configuration read anew{}", f"; {', '.join(kept)} only at the next start" if kept else "")
--- /dev/null
+++ b/snowthread/tenants/command.py
@@ -0,0 +1,111 @@
+"""What ``snowthread tenants`` does: read a directory or a snapshot once, and say what is there."""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+from collections.abc import Iterator
+from pathlib import Path
+
+from loguru import logger
+
+from snowthread import config
+from snowthread.net.clock import Clock
+from snowthread.net.loop import Loop
+from snowthread.operator.features import Features
+from snowthread.tenants import disk
+from snowthread.tenants.follow import Follower
+from snowthread.tenants.model import How
+from snowthread.tenants.settings import TenantSettings
+from snowthread.tenants.tenancy import News, Tenancy
+
+ROUND_S = 0.05
+
+
+class Fetched:
+    """What was read, and the lines that came with it."""
+
+    def __init__(self, tenancy: Tenancy, lines: list[str], source: str) -> None:
+        self.tenancy, self.lines, self.source = tenancy, lines, source
+
+
+def fetch(operator_file: Path, snapshot: Path | None) -> Fetched:
+    """All tenants, from the snapshot where one is named, else from the directory; ConfigError where that
+    can't be had."""
+    settings = _settings(operator_file)
+    tenancy, lines = Tenancy(settings.rules), list[str]()
+    now = Clock().now()
+    if snapshot is not None:
+        try:
+            found = disk.read(snapshot, settings.source)
+        except disk.SnapshotError as error:
+            raise config.ConfigError(f"{snapshot}: {error}") from None
+        news = tenancy.restored(found.tenants, found.agreed_at, found.home, now)
+        lines += [text for event, text in news.lines if event == "tenants.conflict"]
+        return Fetched(tenancy, lines, f"{snapshot}, {max(0.0, now - found.agreed_at) / 1000.0:.0f} s old")
+    return _ask(settings, tenancy, lines)
+
+
+def _settings(operator_file: Path) -> TenantSettings:
+    # Looking at tenants needs no node: where NODE_CONFIG is not set the example's settings stand in.
+    environment = dict(os.environ)
+    if not environment.get("NODE_CONFIG"):
+        environment["NODE_CONFIG"] = str(Path(__file__).parents[2] / "examples" / "node.json")
+    tenants = Features.load(operator_file, config.load(environment)).tenants
+    if tenants is None:
+        raise config.ConfigError(f"{operator_file}: it has no block 'tenants'")
+    return tenants
+
+
+def _ask(settings: TenantSettings, tenancy: Tenancy, lines: list[str]) -> Fetched:
+    logger.remove()
+    troubles: list[str] = []
+    logger.add(lambda message: troubles.append(message.record["message"]), level="WARNING")
+    loop = Loop(Clock())
+
+    def tell(news: News) -> None:
+        lines.extend(text for event, text in news.lines if event in ("tenants.conflict", "tenants.bad_entry"))
+
+    follower = Follower(loop, settings, tenancy, random.Random(), tell)
+    clock = loop.clock
+    until = clock.now() + settings.access.connect_ms + settings.access.bind_ms + settings.refresh_ms
+    tries = len(settings.servers) * settings.patience.failures
+    while not tenancy.counts["refreshes"] and clock.now() < until and follower.link_failures < tries:
+        loop.round(ROUND_S)
+    if not tenancy.counts["refreshes"]:
+        raise config.ConfigError(troubles[-1] if troubles else "the directory does not answer")
+    return Fetched(tenancy, lines, follower.sync.cookie_server or settings.servers[0].server)
+
+
+def show(fetched: Fetched) -> Iterator[str]:
+    """A table of the tenants, by name."""
+    tenants = sorted(fetched.tenancy.table.tenants.values(), key=lambda t: (t.name.casefold(), t.id))
+    yield f"{len(tenants)} tenants, {fetched.tenancy.table.networks} networks, from {fetched.source}"
+    for t in tenants:
+        networks = ", ".join(map(str, t.networks[:4])) + (f" and {len(t.networks) - 4} more"
+                                                          if len(t.networks) > 4 else "")
+        balancers = ", ".join(f"{a}" if a == b else f"{a}-{b}" for a, b in t.balancers) or "-"
+        quota = f"{t.quota_per_s:g}/s" if t.quota_per_s else "no quota"
+        classes = ", ".join(sorted(t.classes)) or "all classes"
+        yield "  ".join((t.name, t.status.value, quota, networks or "-", f"balancers {balancers}", classes,
+                         t.id))
+
+
+def whois(fetched: Fetched, address: str, balancer: int | None) -> tuple[bool, str]:
+    """Whether somebody's, and the line that says whose and why."""
+    who = fetched.tenancy.table.whois(address, balancer)
+    if who.how is How.UNKNOWN:
+        return False, f"{address}: nobody's, so the default tenant's"
+    tenant = fetched.tenancy.table.tenants[who.id]
+    by = f"network {who.network}" if who.how is How.NETWORK else f"balancer {balancer}"
+    return True, f"{address}: {tenant.name} ({tenant.status.value}, {tenant.id}), by {by}"
+
+
+def check(fetched: Fetched) -> list[str]:
+    """What can't be used or contradicts itself."""
+    out = list(dict.fromkeys(fetched.lines))
+    for tenant in fetched.tenancy.table.tenants.values():
+        if not tenant.networks and not tenant.balancers:
+            out.append(f"{json.dumps(tenant.name)} has neither a network nor a balancer, so no callers")
+    return out
--- /dev/null
+++ b/snowthread/tenants/table.py
@@ -0,0 +1,207 @@
+"""Who owns a caller: all tenants, their networks in a prefix trie, their balancers' numbers.
+
+The result depends on the set of tenants alone, never on the order in which they came, so all nodes agree:
+the longest prefix wins; where several tenants claim the same network, or the same number, the one with the
+least id has it and the others don't, until it lets go. An address alone decides, but for balancers in
+networks the operator trusts: only from those is the number in a request believed.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_right, insort
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from ipaddress import ip_address
+
+from pytricia import PyTricia
+
+from snowthread.tenants.model import UNKNOWN, How, Identity, Network, Tenant
+
+CACHE_MAX = 8192  # callers whose answer is kept until the table changes
+CONFLICTS_MAX = 1000  # contradictions that are remembered for people
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """Two tenants claim the same; ``holder`` has it."""
+
+    what: str
+    holder: str
+    other: str
+
+    def line(self) -> str:
+        """For the log."""
+        return f"{self.what} is claimed by {self.holder}, who has it, and by {self.other}"
+
+
+@dataclass(slots=True)
+class Applied:
+    """What a change made of the table."""
+
+    changed: list[Tenant] = field(default_factory=list)
+    removed: list[Tenant] = field(default_factory=list)
+    conflicts: list[Conflict] = field(default_factory=list)  # that are new
+
+    def __bool__(self) -> bool:
+        return bool(self.changed or self.removed)
+
+
+class TenantTable:
+    """All tenants that are known. ``version`` counts the changes."""
+
+    def __init__(self, trusted: Iterable[Network] = ()) -> None:
+        self.tenants: dict[str, Tenant] = {}
+        self.version = 0
+        self.networks = 0  # claims in all
+        self._claims: dict[str, list[str]] = {}  # network -> ids that claim it, the least first
+        self._v4, self._v6 = PyTricia(32), PyTricia(128)
+        self._trusted4, self._trusted6 = PyTricia(32), PyTricia(128)
+        self._ranges: list[tuple[int, int, str]] = []  # first number, last number, id; sorted
+        self._widest = 0  # of the ranges
+        self._cache: OrderedDict[tuple[str, int], Identity] = OrderedDict()
+        self._conflicts: OrderedDict[Conflict, None] = OrderedDict()
+        self.trust(trusted)
+
+    def trust(self, networks: Iterable[Network]) -> None:
+        """Believe balancers' numbers from these networks."""
+        self._trusted4, self._trusted6 = PyTricia(32), PyTricia(128)
+        for network in networks:
+            (self._trusted4 if network.version == 4 else self._trusted6)[str(network)] = True
+        self._cache.clear()
+
+    def __len__(self) -> int:
+        return len(self.tenants)
+
+    @property
+    def conflicts(self) -> list[Conflict]:
+        """The contradictions that stand, as far as they are remembered."""
+        return list(self._conflicts)
+
+    # Looking up.
+
+    def whois(self, address: str, number: int | None = None) -> Identity:
+        """Whose caller it is. ``address`` as a socket gives it, ``number`` as the request says."""
+        key = (address, -1 if number is None else number)
+        found = self._cache.get(key)
+        if found is None:
+            found = self._cache[key] = self._find(address, number)
+            if len(self._cache) > CACHE_MAX:
+                self._cache.popitem(last=False)
+        return found
+
+    def _find(self, address: str, number: int | None) -> Identity:
+        try:
+            ip = ip_address(address.partition("%")[0])
+        except ValueError:
+            return UNKNOWN
+        mapped = getattr(ip, "ipv4_mapped", None)
+        if mapped is not None:  # one caller, one identity, whichever socket it came over
+            ip = mapped
+        text = str(ip)
+        if number is not None and text in (self._trusted4 if ip.version == 4 else self._trusted6):
+            owner = self._by_number(number)
+            if owner is not None:
+                return Identity(owner, How.BALANCER)
+        trie = self._v4 if ip.version == 4 else self._v6
+        network = trie.get_key(text)
+        if network is None:
+            return UNKNOWN
+        return Identity(trie[network], How.NETWORK, network)
+
+    def _by_number(self, number: int) -> str | None:
+        """The least id among the tenants whose ranges hold the number."""
+        end = bisect_right(self._ranges, (number, float("inf"), ""))
+        start = bisect_right(self._ranges, (number - self._widest, -1, ""))
+        owners = [owner for _first, last, owner in self._ranges[start:end] if number <= last]
+        return min(owners) if owners else None
+
+    # Changing.
+
+    def apply(self, upserts: Iterable[Tenant], gone: Iterable[str] = ()) -> Applied:
+        """Take up new and changed tenants and let go of others, as one step."""
+        out = Applied()
+        for tenant_id in gone:
+            old = self.tenants.pop(tenant_id, None)
+            if old is not None:
+                self._release(old, frozenset(old.networks))
+                self._unrange(old)
+                out.removed.append(old)
+        for new in upserts:
+            old = self.tenants.get(new.id)
+            if old == new:
+                continue
+            had = frozenset(old.networks) if old is not None else frozenset()
+            wants = frozenset(new.networks)
+            if old is not None:
+                self._release(old, had - wants)
+                if old.balancers != new.balancers:
+                    self._unrange(old)
+            self.tenants[new.id] = new
+            self._claim(new, wants - had, out)
+            if old is None or old.balancers != new.balancers:
+                self._range(new, out)
+            out.changed.append(new)
+        if out:
+            self.version += 1
+            self._cache.clear()
+        return out
+
+    def _claim(self, tenant: Tenant, networks: Iterable[Network], out: Applied) -> None:
+        for network in networks:
+            key = str(network)
+            claims = self._claims.setdefault(key, [])
+            insort(claims, tenant.id)
+            self.networks += 1
+            self._hold(network, key, claims[0])
+            if len(claims) > 1:
+                for other in claims[1:] if claims[0] == tenant.id else [tenant.id]:
+                    self._contradict(Conflict(f"network {key}", claims[0], other), out)
+
+    def _release(self, tenant: Tenant, networks: Iterable[Network]) -> None:
+        for network in networks:
+            key = str(network)
+            claims = self._claims[key]
+            claims.remove(tenant.id)
+            self.networks -= 1
+            if claims:
+                self._hold(network, key, claims[0])
+            else:
+                del self._claims[key]
+                (self._v4 if network.version == 4 else self._v6).delete(key)
+            self._settle(f"network {key}", tenant.id)
+
+    def _hold(self, network: Network, key: str, owner: str) -> None:
+        (self._v4 if network.version == 4 else self._v6)[key] = owner
+
+    def _range(self, tenant: Tenant, out: Applied) -> None:
+        for first, last in tenant.balancers:
+            for number in {first, last}:
+                other = self._by_number(number)
+                if other is not None and other != tenant.id:
+                    pair = sorted((other, tenant.id))
+                    self._contradict(Conflict(f"balancer {number}", *pair), out)
+            insort(self._ranges, (first, last, tenant.id))
+            self._widest = max(self._widest, last - first)
+
+    def _unrange(self, tenant: Tenant) -> None:
+        if tenant.balancers:
+            self._ranges = [r for r in self._ranges if r[2] != tenant.id]
+            self._widest = max((last - first for first, last, _ in self._ranges), default=0)
+            for first, last in tenant.balancers:
+                for number in {first, last}:
+                    self._settle(f"balancer {number}", tenant.id)
+
+    def _contradict(self, conflict: Conflict, out: Applied) -> None:
+        if conflict not in self._conflicts:
+            out.conflicts.append(conflict)
+            self._conflicts[conflict] = None
+            while len(self._conflicts) > CONFLICTS_MAX:
+                self._conflicts.popitem(last=False)
+
+    def _settle(self, what: str, tenant_id: str) -> None:
+        """A claim is let go: contradictions that it made are over."""
+        if self._conflicts:
+            over = [c for c in self._conflicts if c.what == what and tenant_id in (c.holder, c.other)]
+            for conflict in over:
+                del self._conflicts[conflict]
--- /dev/null
+++ b/snowthread/tenants/tenancy.py
@@ -0,0 +1,198 @@
+"""All that a node knows of tenants, as one state free of I/O: what the directory says goes in, who a caller
+is comes out, and with each change what the decisions and the people on call are to be told.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass, field
+
+from clovertack.interface import Tenant as Share
+from snowthread.tenants.entry import BadEntry
+from snowthread.tenants.guard import RemovalGuard, RemovalRules, Verdict
+from snowthread.tenants.ladder import Ladder, LadderRules, Stage
+from snowthread.tenants.model import DEFAULT_ID, UNKNOWN, How, Identity, Network, Status, Tenant
+from snowthread.tenants.sync import Changed, Refreshed
+from snowthread.tenants.table import Applied, TenantTable
+from snowthread.tenants.unknown import UnknownRules, Unknowns
+
+LINES_MAX = 20  # a change says no more than so many lines, and how many it left out
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """What the operator sets."""
+
+    removal: RemovalRules = field(default_factory=RemovalRules)
+    ladder: LadderRules = field(default_factory=LadderRules)
+    unknown: UnknownRules = field(default_factory=UnknownRules)
+    default_quota_per_s: float = 0.0
+    default_refused: bool = False  # callers nobody knows are turned away
+    trusted: tuple[Network, ...] = ()
+
+
+@dataclass(slots=True)
+class News:
+    """What a step changed: shares for the decisions, and lines for people (event, text)."""
+
+    shares: list[Share] = field(default_factory=list)
+    removed: list[str] = field(default_factory=list)
+    lines: list[tuple[str, str]] = field(default_factory=list)
+
+    def say(self, event: str, text: str) -> None:
+        """A line, while there are not too many."""
+        if len(self.lines) < LINES_MAX:
+            self.lines.append((event, text))
+        elif len(self.lines) == LINES_MAX:
+            self.lines.append(("tenants.more", "and more of the kind"))
+
+
+class Tenancy:
+    """Tenants, who calls, and how far that is to be believed."""
+
+    def __init__(self, rules: Rules) -> None:
+        self.rules = rules
+        self.table = TenantTable(rules.trusted)
+        self.guard = RemovalGuard(rules.removal)
+        self.ladder = Ladder(rules.ladder)
+        self.unknowns = Unknowns(rules.unknown)
+        self.counts: Counter[str] = Counter()
+
+    def default_share(self) -> Share:
+        """The share of callers that nobody knows."""
+        return Share(DEFAULT_ID, self.rules.default_quota_per_s, self.rules.default_refused)
+
+    # Who calls.
+
+    def whois(self, address: str, number: int | None, now: float) -> Identity:
+        """Whose request it is, as far as may be acted on now."""
+        who = self.table.whois(address, number)
+        if who.how is How.UNKNOWN:
+            self.counts["unknown"] += 1
+            return who
+        self.counts["known"] += 1
+        if self.rules.ladder.default_when_old and self.ladder.stage(now) is Stage.OLD:
+            tenant = self.table.tenants[who.id]
+            return who if tenant.status is Status.SUSPENDED else UNKNOWN
+        return who
+
+    # What the directory says.
+
+    def refreshed(self, step: Refreshed, server: str, now: float) -> News:
+        """A refresh went through."""
+        news = News()
+        self.counts["refreshes"] += 1
+        seen = step.present | step.upserts.keys()
+        if step.whole:
+            missing = self.table.tenants.keys() - seen
+            verdict = self.guard.whole(missing, len(self.table), server, now)
+        else:
+            self.guard.returned(seen)
+            verdict = self.guard.named(step.gone & self.table.tenants.keys(), len(self.table), server, now)
+        self._bad(step.bad, news)
+        self._take(step.upserts.values(), verdict, news)
+        self.ladder.agreed(now)
+        return news
+
+    def changed(self, step: Changed, server: str, now: float) -> News:
+        """Something changed while following."""
+        news = News()
+        self.counts["changes"] += 1
+        self.guard.returned(step.upserts.keys())
+        verdict = Verdict(frozenset(), None)
+        gone = step.gone & self.table.tenants.keys()
+        if gone:
+            verdict = self.guard.named(gone, len(self.table), server, now)
+        self._bad(step.bad, news)
+        self._take(step.upserts.values(), verdict, news)
+        self.ladder.agreed(now)
+        return news
+
+    def found(self, address: str, tenants: Collection[Tenant], bad: Iterable[BadEntry], now: float) -> News:
+        """The answer to a question about an unknown caller. It only ever adds."""
+        news = News()
+        self._bad(bad, news)
+        # Spoilt contents of a known tenant stay what a refresh made of them: this answer is but one entry.
+        self._take([t for t in tenants if t.id not in self.table.tenants], Verdict(frozenset(), None), news)
+        known = self.table.whois(address).how is not How.UNKNOWN
+        self.unknowns.answered(address, known, now)
+        self.counts["found" if known else "nobodys"] += 1
+        return news
+
+    def restored(self, tenants: Iterable[Tenant], agreed_at: float, home: str, now: float) -> News:
+        """A snapshot was read; it is as old as it says, and never fresher than now."""
+        news = News()
+        self._take(tenants, Verdict(frozenset(), None), news)
+        self.ladder.agreed(min(agreed_at, now))
+        self.guard.home = home
+        return news
+
+    def move(self, rules: Rules) -> News:
+        """The operator sets other rules."""
+        news = News()
+        if rules.trusted != self.rules.trusted:
+            self.table.trust(rules.trusted)
+        self.rules = rules
+        self.guard.rules, self.ladder.rules, self.unknowns.rules = rules.removal, rules.ladder, rules.unknown
+        accepted = self.guard.accepted(self.table.tenants)
+        if accepted:
+            self._take((), Verdict(accepted, None), news)
+        news.shares.append(self.default_share())
+        return news
+
+    def aged(self, now: float) -> News:
+        """Time goes by: does the knowledge stand on another step?"""
+        news = News()
+        stage = self.ladder.news(now)
+        if stage is not None:
+            age = "" if stage is Stage.NONE else f", {self.ladder.age(now) / 1000.0:.0f} s old"
+            news.say("tenants.age", f"what is known of tenants is {stage.value}{age}")
+        return news
+
+    # Within.
+
+    def _take(self, upserts: Iterable[Tenant], verdict: Verdict, news: News) -> None:
+        fresh = []
+        for tenant in upserts:
+            old = self.table.tenants.get(tenant.id)
+            if old is not None and old.stamp and tenant.stamp and tenant.stamp < old.stamp:
+                self.counts["older"] += 1  # a server with older contents
+                continue
+            fresh.append(tenant)
+        before = {t.id: self.table.tenants.get(t.id) for t in fresh}
+        applied = self.table.apply(fresh, verdict.remove)
+        self._tell(applied, before, news)
+        if verdict.news and verdict.held is not None:
+            held = verdict.held
+            self.counts["held"] += 1
+            news.say("tenants.removal_held", f"{len(held.ids)} tenants are missing and stay for now "
+                     f"({held.why}); removal {held.digest}")
+        if applied:
+            self.unknowns.changed()
+
+    def _tell(self, applied: Applied, before: Mapping[str, Tenant | None], news: News) -> None:
+        for tenant in applied.changed:
+            old = before.get(tenant.id)
+            if old is None or _share(old) != _share(tenant):
+                news.shares.append(_share(tenant))
+            if old is not None and old.status is not tenant.status:
+                news.say("tenants.status", f"{tenant.name} ({tenant.id}) is {tenant.status.value} now")
+            if old is not None and old.name != tenant.name:
+                news.say("tenants.renamed", f"{old.name} is called {tenant.name} now ({tenant.id})")
+        for tenant in applied.removed:
+            news.removed.append(tenant.id)
+            news.say("tenants.removed", f"{tenant.name} ({tenant.id}) is no tenant any more")
+        for conflict in applied.conflicts:
+            self.counts["conflicts"] += 1
+            news.say("tenants.conflict", conflict.line())
+
+    def _bad(self, bad: Iterable[BadEntry], news: News) -> None:
+        for entry in bad:
+            self.counts["bad_entries"] += 1
+            news.say("tenants.bad_entry", f"{entry.dn!r} can't be used: {entry.reason}")
+
+
+def _share(tenant: Tenant) -> Share:
+    return Share(tenant.id, tenant.quota_per_s, tenant.status is Status.SUSPENDED,
+                 tuple(sorted(tenant.classes)))
--- /dev/null
+++ b/standins/site.py
@@ -0,0 +1,213 @@
+"""The runtime, the index and the roster on loopback, scripted: how long runs take, who calls, what fails.
+
+A runtime has cores: of the work given to it, so many pieces go on at a time and the rest wait in line, so a
+load near capacity means something. The ledger of runs lets a test see a doubled run instead of inferring it.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+import socket
+from collections import Counter, deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from snowthread.address import Address
+from snowthread.net.loop import IN, Loop, Steps, Wait
+
+
+@dataclass(slots=True)
+class Script:
+    """What the site does; may be changed while it plays."""
+
+    run_ms: Mapping[str, float] = field(default_factory=dict)  # by class, of core time
+    other_ms: float = 200.0  # for classes not named
+    calls: frozenset[str] = frozenset({"dispense"})  # classes whose runs make one call, half way
+    cores: int = 64
+    index_ms: float = 0.0  # how long the index takes
+    index_silent: bool = False  # it takes calls and never answers
+    tell: Callable[[str], None] = lambda line: None
+
+
+def listen(address: Address) -> socket.socket:
+    """A listening socket that may take over an address at once."""
+    sock = address.open(socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(address)
+    sock.listen(256)
+    return sock
+
+
+def accept(loop: Loop, listener: socket.socket, serve: Callable[[socket.socket], Steps]) -> Steps:
+    """Serve each connection with a coroutine of its own."""
+    while True:
+        yield Wait(listener.fileno(), IN)
+        peer, _ = listener.accept()
+        peer.setblocking(False)
+        loop.spawn(serve(peer))
+
+
+class Runtime:
+    """Does the work of one node. The result is the body in capitals, or what the index said."""
+
+    def __init__(self, loop: Loop, address: Address, script: Script) -> None:
+        self.loop, self.script = loop, script
+        self.runs: Counter[bytes] = Counter()  # begun, by body: the ledger
+        self._notices = list[dict[str, Any]]()
+        self._peer: socket.socket | None = None
+        self._busy = 0
+        self._line: deque[tuple[float, Callable[[], None]]] = deque()
+        self._used = self._measured = 0.0  # core-milliseconds and when the gauges were last read
+        self._live: set[str] = set()
+        loop.spawn(accept(loop, listen(address), self._serve))
+
+    def _serve(self, peer: socket.socket) -> Steps:
+        rest = b""
+        try:
+            while True:
+                yield Wait(peer.fileno(), IN)
+                try:
+                    data = peer.recv(65536)
+                except BlockingIOError:
+                    continue
+                if not data:
+                    return
+                *lines, rest = (rest + data).split(b"\n")
+                for line in lines:
+                    self._take(peer, json.loads(line))
+        finally:
+            self.loop.close(peer)
+
+    def _take(self, peer: socket.socket, command: dict[str, Any]) -> None:
+        uid = command.get("uid", "")
+        match command["action"]:
+            case "sync":
+                self._peer = peer
+                self._write({"action": "ready", "code": "seasoned", "wall_ms": 0})
+                for notice in self._notices[command["pos"]:]:
+                    self._write(notice)
+            case "gauges":
+                now = self.loop.clock.now()
+                span = max(1.0, now - self._measured) * self.script.cores
+                use = min(1.0, self._used / span) if self._measured else 0.1
+                self._used, self._measured = 0.0, now
+                waiting = self._busy + len(self._line)
+                self._write({"action": "load", "echo": command["echo"], "meters": [use, waiting, 0.1, 2]})
+            case "start":
+                if uid not in self._live:
+                    self._start(uid, command["lane"], base64.b64decode(command["content"]))
+            case "give":
+                said = base64.b64decode(command["content"])
+                self._work(uid, 0.0, lambda: self._end(uid, "done", b"dispensed " + said))
+            case "omit":
+                self._work(uid, 0.0, lambda: self._end(uid, "done", b"dispensed without a look"))
+            case "stop":
+                if uid in self._live:
+                    self._end(uid, "aborted", b"")
+
+    def _start(self, uid: str, lane: str, body: bytes) -> None:
+        self.script.tell(f"runtime: {lane} {uid} starts")
+        self._live.add(uid)
+        self.runs[body] += 1
+        took = self.script.run_ms.get(lane, self.script.other_ms)
+
+        def over() -> None:
+            if lane in self.script.calls:
+                self._note({"action": "wants", "uid": uid, "content": base64.b64encode(body).decode()})
+            else:
+                self._end(uid, "done", body.upper())
+
+        self._work(uid, took, over)
+
+    def _work(self, uid: str, took: float, over: Callable[[], None]) -> None:
+        """Have a core for so long, now or when one is free."""
+        def done() -> None:
+            self._busy -= 1
+            self._used += took
+            if uid in self._live:
+                over()
+            self._next()
+
+        def begin() -> None:
+            self._busy += 1
+            self.loop.call_at(self.loop.clock.now() + took, done)
+
+        self._line.append((took, begin))
+        self._next()
+
+    def _next(self) -> None:
+        while self._line and self._busy < self.script.cores:
+            self._line.popleft()[1]()
+
+    def _end(self, uid: str, code: str, result: bytes) -> None:
+        self._live.discard(uid)
+        self._note({"action": "end", "uid": uid, "code": code, "wall_ms": 1.0,
+                    "content": base64.b64encode(result).decode()})
+
+    def _note(self, notice: dict[str, Any]) -> None:
+        self._notices.append(notice | {"pos": len(self._notices) + 1})
+        self._write(self._notices[-1])
+
+    def _write(self, message: dict[str, Any]) -> None:
+        if self._peer is not None and self._peer.fileno() >= 0:
+            try:
+                self._peer.send(json.dumps(message).encode() + b"\n")
+            except OSError:
+                self._peer = None  # the next link hears of it
+
+
+class Index:
+    """Answers every call; whole calls come in one piece on loopback."""
+
+    def __init__(self, loop: Loop, address: Address, script: Script) -> None:
+        self.loop, self.script = loop, script
+        loop.spawn(accept(loop, listen(address), self._serve))
+
+    def _serve(self, peer: socket.socket) -> Steps:
+        try:
+            while True:
+                yield Wait(peer.fileno(), IN)
+                data = peer.recv(65536)
+                if not data:
+                    return
+                self.script.tell(f"index: {data.split(chr(13).encode())[0].decode()}")
+                if self.script.index_silent:
+                    continue
+                if self.script.index_ms:
+                    yield Wait(until=self.loop.clock.now() + self.script.index_ms)
+                peer.send(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nknown")
+        except OSError:
+            pass
+        finally:
+            self.loop.close(peer)
+
+
+class Roster:
+    """Takes reports and tells what changes."""
+
+    def __init__(self, loop: Loop, address: Address, script: Script) -> None:
+        self._script = script
+        self._sock = address.open(socket.SOCK_DGRAM)
+        self._sock.bind(address)
+        loop.spawn(self._steps())
+
+    def _steps(self) -> Steps:
+        last = b""
+        while True:
+            yield Wait(self._sock.fileno(), IN)
+            word = self._sock.recv(1024)
+            if word != last:
+                self._script.tell(f"roster: {word.decode(errors='replace')}")
+            last = word
+
+
+class Site:
+    """All three, at the addresses of a node's configuration."""
+
+    def __init__(self, loop: Loop, fields: Mapping[str, Any], script: Script) -> None:
+        self.script = script
+        self.runtime = Runtime(loop, Address.parse(fields["runtime"]), script)
+        self.index = Index(loop, Address.parse(fields["index"]), script)
+        self.roster = Roster(loop, Address.parse(fields["roster"]), script)
