--- a/snowthread/ldap/schema.py
+++ b/snowthread/ldap/schema.py
@@ -11,6 +11,9 @@
 LDAP = """
 Ldap DEFINITIONS IMPLICIT TAGS ::= BEGIN
 
+-- An ENUMERATED whose unknown numbers are kept, since servers send codes from later documents.
+Enum ::= [UNIVERSAL 10] INTEGER
+
 Message ::= SEQUENCE {
     id INTEGER (0..2147483647),
     op CHOICE {
@@ -29,11 +32,11 @@
     authentication CHOICE { simple [0] OCTET STRING, sasl [3] SaslCredentials } }
 SaslCredentials ::= SEQUENCE { mechanism OCTET STRING, credentials OCTET STRING OPTIONAL }
 BindResponse ::= [APPLICATION 1] SEQUENCE {
-    code ENUMERATED { success(0), ... }, matched OCTET STRING, text OCTET STRING,
+    code Enum, matched OCTET STRING, text OCTET STRING,
     referral [3] Referral OPTIONAL, serverSaslCreds [7] OCTET STRING OPTIONAL }
 UnbindRequest ::= [APPLICATION 2] NULL
 SearchRequest ::= [APPLICATION 3] SEQUENCE {
-    base OCTET STRING, scope INTEGER, deref INTEGER, sizeLimit INTEGER, timeLimit INTEGER,
+    base OCTET STRING, scope Enum, deref Enum, sizeLimit INTEGER, timeLimit INTEGER,
     typesOnly BOOLEAN, filter Filter, attributes SEQUENCE OF OCTET STRING }
 Filter ::= CHOICE {
     and [0] SET OF Filter, or [1] SET OF Filter, not [2] EXPLICIT Filter,
@@ -53,12 +56,12 @@
 SearchResultReference ::= [APPLICATION 19] SEQUENCE OF OCTET STRING
 ExtendedRequest ::= [APPLICATION 23] SEQUENCE { name [0] OCTET STRING, value [1] OCTET STRING OPTIONAL }
 ExtendedResponse ::= [APPLICATION 24] SEQUENCE {
-    code ENUMERATED { success(0), ... }, matched OCTET STRING, text OCTET STRING,
+    code Enum, matched OCTET STRING, text OCTET STRING,
     referral [3] Referral OPTIONAL, name [10] OCTET STRING OPTIONAL, value [11] OCTET STRING OPTIONAL }
 IntermediateResponse ::= [APPLICATION 25] SEQUENCE {
     name [0] OCTET STRING OPTIONAL, value [1] OCTET STRING OPTIONAL }
 Result ::= SEQUENCE {
-    code ENUMERATED { success(0), ... }, matched OCTET STRING, text OCTET STRING,
+    code Enum, matched OCTET STRING, text OCTET STRING,
     referral [3] Referral OPTIONAL }
 Referral ::= SEQUENCE OF OCTET STRING
 
@@ -79,4 +82,4 @@
 END
 """
 
-MODULE = asn1tools.compile_string(LDAP.replace("ENUMERATED { success(0), ... }", "INTEGER"), "ber")
+MODULE = asn1tools.compile_string(LDAP, "ber")
