--- a/snowthread/tenants/gate.py
+++ b/snowthread/tenants/gate.py
@@ -114,6 +114,9 @@
         path = self.settings.snapshot
         if path is None:
             return
+        if not path.exists():
+            logger.bind(event="tenants.no_snapshot").info("tenants: no snapshot at {} yet", path)
+            return
         try:
             snapshot = disk.read(path, self.settings.source)
         except disk.SnapshotError as error:
--- a/snowthread/tenants/table.py
+++ b/snowthread/tenants/table.py
@@ -60,7 +60,7 @@
         self._ranges: list[tuple[int, int, str]] = []  # first number, last number, id; sorted
         self._widest = 0  # of the ranges
         self._cache: OrderedDict[tuple[str, int], Identity] = OrderedDict()
-        self._conflicts: OrderedDict[Conflict, None] = OrderedDict()
+        self._conflicts: dict[str, tuple[Conflict, ...]] = {}  # by what is claimed
         self.trust(trusted)
 
     def trust(self, networks: Iterable[Network]) -> None:
@@ -76,7 +76,7 @@
     @property
     def conflicts(self) -> list[Conflict]:
         """The contradictions that stand, as far as they are remembered."""
-        return list(self._conflicts)
+        return [conflict for group in self._conflicts.values() for conflict in group]
 
     # Looking up.
 
@@ -100,21 +100,20 @@
             ip = mapped
         text = str(ip)
         if number is not None and text in (self._trusted4 if ip.version == 4 else self._trusted6):
-            owner = self._by_number(number)
-            if owner is not None:
-                return Identity(owner, How.BALANCER)
+            owners = self._owners(number)
+            if owners:
+                return Identity(owners[0], How.BALANCER)
         trie = self._v4 if ip.version == 4 else self._v6
         network = trie.get_key(text)
         if network is None:
             return UNKNOWN
         return Identity(trie[network], How.NETWORK, network)
 
-    def _by_number(self, number: int) -> str | None:
-        """The least id among the tenants whose ranges hold the number."""
+    def _owners(self, number: int) -> list[str]:
+        """The tenants whose ranges hold the number, the least id first."""
         end = bisect_right(self._ranges, (number, float("inf"), ""))
         start = bisect_right(self._ranges, (number - self._widest, -1, ""))
-        owners = [owner for _first, last, owner in self._ranges[start:end] if number <= last]
-        return min(owners) if owners else None
+        return sorted({owner for _first, last, owner in self._ranges[start:end] if number <= last})
 
     # Changing.
 
@@ -124,8 +123,8 @@
         for tenant_id in gone:
             old = self.tenants.pop(tenant_id, None)
             if old is not None:
-                self._release(old, frozenset(old.networks))
-                self._unrange(old)
+                self._release(old, frozenset(old.networks), out)
+                self._unrange(old, out)
                 out.removed.append(old)
         for new in upserts:
             old = self.tenants.get(new.id)
@@ -134,9 +133,9 @@
             had = frozenset(old.networks) if old is not None else frozenset()
             wants = frozenset(new.networks)
             if old is not None:
-                self._release(old, had - wants)
+                self._release(old, had - wants, out)
                 if old.balancers != new.balancers:
-                    self._unrange(old)
+                    self._unrange(old, out)
             self.tenants[new.id] = new
             self._claim(new, wants - had, out)
             if old is None or old.balancers != new.balancers:
@@ -155,10 +154,9 @@
             self.networks += 1
             self._hold(network, key, claims[0])
             if len(claims) > 1:
-                for other in claims[1:] if claims[0] == tenant.id else [tenant.id]:
-                    self._contradict(Conflict(f"network {key}", claims[0], other), out)
+                self._review(f"network {key}", claims, out)
 
-    def _release(self, tenant: Tenant, networks: Iterable[Network]) -> None:
+    def _release(self, tenant: Tenant, networks: Iterable[Network], out: Applied) -> None:
         for network in networks:
             key = str(network)
             claims = self._claims[key]
@@ -166,42 +164,36 @@
             self.networks -= 1
             if claims:
                 self._hold(network, key, claims[0])
+                self._review(f"network {key}", claims, out)
             else:
                 del self._claims[key]
                 (self._v4 if network.version == 4 else self._v6).delete(key)
-            self._settle(f"network {key}", tenant.id)
 
     def _hold(self, network: Network, key: str, owner: str) -> None:
         (self._v4 if network.version == 4 else self._v6)[key] = owner
 
     def _range(self, tenant: Tenant, out: Applied) -> None:
         for first, last in tenant.balancers:
-            for number in {first, last}:
-                other = self._by_number(number)
-                if other is not None and other != tenant.id:
-                    pair = sorted((other, tenant.id))
-                    self._contradict(Conflict(f"balancer {number}", *pair), out)
             insort(self._ranges, (first, last, tenant.id))
             self._widest = max(self._widest, last - first)
+        self._review_numbers(tenant, out)
 
-    def _unrange(self, tenant: Tenant) -> None:
+    def _unrange(self, tenant: Tenant, out: Applied) -> None:
         if tenant.balancers:
             self._ranges = [r for r in self._ranges if r[2] != tenant.id]
             self._widest = max((last - first for first, last, _ in self._ranges), default=0)
-            for first, last in tenant.balancers:
-                for number in {first, last}:
-                    self._settle(f"balancer {number}", tenant.id)
-
-    def _contradict(self, conflict: Conflict, out: Applied) -> None:
-        if conflict not in self._conflicts:
-            out.conflicts.append(conflict)
-            self._conflicts[conflict] = None
-            while len(self._conflicts) > CONFLICTS_MAX:
-                self._conflicts.popitem(last=False)
-
-    def _settle(self, what: str, tenant_id: str) -> None:
-        """A claim is let go: contradictions that it made are over."""
-        if self._conflicts:
-            over = [c for c in self._conflicts if c.what == what and tenant_id in (c.holder, c.other)]
-            for conflict in over:
-                del self._conflicts[conflict]
+            self._review_numbers(tenant, out)
+
+    def _review_numbers(self, tenant: Tenant, out: Applied) -> None:
+        """Contradictions of ranges are told at the ends of the one that changed."""
+        for number in {n for ends in tenant.balancers for n in ends}:
+            self._review(f"balancer {number}", self._owners(number), out)
+
+    def _review(self, what: str, claims: list[str], out: Applied) -> None:
+        """Who contradicts whom about this now; what stood already is not told again."""
+        old = self._conflicts.pop(what, ())
+        new = tuple(Conflict(what, claims[0], other) for other in claims[1:])
+        if new:
+            out.conflicts += [c for c in new if c not in old]
+            if len(self._conflicts) < CONFLICTS_MAX:
+                self._conflicts[what] = new
--- a/standins/directory.py
+++ b/standins/directory.py
@@ -273,6 +273,7 @@
                 sock.close()
                 continue
             sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.connections += 1
             self.opened_at.append(self.loop.clock.now())
             self.peers.append(Peer(self, sock))
@@ -350,6 +351,7 @@
         try:
             if directory.habits.ldaps:
                 yield from self._handshake()
+                yield from self._take(b"")  # what came along with the handshake's end
             while not (self.ending and not self._out):
                 self._flush()
                 faults = directory.faults
@@ -409,6 +411,8 @@
             decoder = asn1.Decoder()
             decoder.start(frame)
             if (yield from self._request(read_nodes(decoder)[0][2])):
+                self._in.clear()  # what came in clear text behind StartTLS is nobody's
+                yield from self._take(b"")
                 return
         if len(self._in) > REQUEST_MAX:
             raise ValueError("a request without end")
--- /dev/null
+++ b/tests/tenants/test_table.py
@@ -0,0 +1,115 @@
+"""Who owns a caller: the longest prefix, the least id, and the same at every node whatever came first."""
+
+from __future__ import annotations
+
+from ipaddress import ip_network
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from snowthread.ldap import dn
+from snowthread.tenants.entry import BadEntry, Names, read
+from snowthread.tenants.model import How, Status, Tenant
+from snowthread.tenants.table import TenantTable
+
+BASE = dn.parse("ou=tenants,dc=example")
+
+
+def tenant(tenant_id: str, *networks: str, balancers: tuple[tuple[int, int], ...] = (),
+           quota: float = 0.0) -> Tenant:
+    return Tenant(tenant_id, tenant_id.upper(), quota_per_s=quota, balancers=balancers,
+                  networks=tuple(ip_network(n) for n in networks))
+
+
+def test_the_longest_prefix_wins_in_both_families() -> None:
+    table = TenantTable()
+    table.apply([tenant("a", "10.0.0.0/8", "2001:db8::/32"), tenant("b", "10.1.0.0/16", "2001:db8:1::/48"),
+                 tenant("c", "10.1.2.3/32")])
+    for address, owner in (("10.9.9.9", "a"), ("10.1.9.9", "b"), ("10.1.2.3", "c"), ("2001:db8::1", "a"),
+                           ("2001:db8:1::1", "b"), ("::ffff:10.1.2.3", "c"), ("2001:db8:1::1%eth0", "b"),
+                           ("11.0.0.1", "default"), ("nonsense", "default"), ("", "default")):
+        assert table.whois(address).id == owner, address
+
+
+def test_a_number_is_believed_from_trusted_networks_only() -> None:
+    table = TenantTable([ip_network("10.7.0.0/16")])
+    table.apply([tenant("a", "10.0.0.0/8"), tenant("b", balancers=((3, 5), (100, 100)))])
+    assert table.whois("10.7.0.1", 4).id == "b" and table.whois("10.7.0.1", 4).how is How.BALANCER
+    assert table.whois("10.7.0.1", 6).id == "a" and table.whois("10.7.0.1", 100).id == "b"
+    assert table.whois("10.8.0.1", 4).id == "a"  # anybody could write a 4
+    assert table.whois("12.0.0.1", 4).id == "default"
+    table.trust([])
+    assert table.whois("10.7.0.1", 4).id == "a"
+
+
+def test_a_network_claimed_twice_is_the_least_ids_until_it_lets_go() -> None:
+    table = TenantTable()
+    first = table.apply([tenant("b", "10.0.0.0/8")])
+    assert not first.conflicts
+    second = table.apply([tenant("a", "10.0.0.0/8")])
+    assert [x.line() for x in second.conflicts] == [
+        "network 10.0.0.0/8 is claimed by a, who has it, and by b"]
+    assert table.whois("10.0.0.1").id == "a" and len(table.conflicts) == 1
+    assert not table.apply([tenant("b", "10.0.0.0/8", quota=2.0)]).conflicts  # said once
+    table.apply([tenant("a", "11.0.0.0/8")])
+    assert table.whois("10.0.0.1").id == "b" and not table.conflicts
+    table.apply([], ["b"])
+    assert table.whois("10.0.0.1").id == "default" and table.networks == 1
+
+
+NETWORKS = st.sampled_from(["10.0.0.0/8", "10.0.0.0/9", "10.128.0.0/9", "10.0.0.0/24", "10.0.0.1/32",
+                            "2001:db8::/32", "2001:db8::/64"])
+TENANTS = st.builds(lambda i, n, b: tenant(i, *n, balancers=tuple(b)), st.sampled_from("abcd"),
+                    st.lists(NETWORKS, max_size=4, unique=True),
+                    st.lists(st.sampled_from([(1, 1), (1, 4), (3, 9)]), max_size=2, unique=True))
+PROBES = [("10.0.0.1", 1), ("10.0.0.7", 3), ("10.1.0.1", 4), ("10.200.0.1", 9), ("2001:db8::1", 2),
+          ("2001:db8:f::1", None)]
+
+
+@given(st.lists(st.one_of(TENANTS, st.sampled_from("abcd"))))
+@settings(max_examples=300, deadline=None)
+def test_the_table_depends_on_what_is_there_not_on_how_it_came(steps: list[Tenant | str]) -> None:
+    trusted, want = [ip_network("10.0.0.0/25")], dict[str, Tenant]()
+    table = TenantTable(trusted)
+    for step in steps:
+        if isinstance(step, str):
+            table.apply([], [step])
+            want.pop(step, None)
+        else:
+            table.apply([step])
+            want[step.id] = step
+    fresh = TenantTable(trusted)
+    fresh.apply(sorted(want.values(), key=lambda t: t.id, reverse=True))
+    for address, number in PROBES:
+        assert table.whois(address, number) == fresh.whois(address, number)
+    assert table.networks == fresh.networks == sum(len(t.networks) for t in want.values())
+    told = [{c for c in each.conflicts if c.what.startswith("network")} for each in (table, fresh)]
+    assert told[0] == told[1]
+
+
+def test_the_cache_of_callers_is_bounded_and_never_stale() -> None:
+    table = TenantTable()
+    table.apply([tenant("a", "0.0.0.0/0")])
+    for n in range(20_000):
+        table.whois(f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}")
+    assert len(table._cache) <= 8192
+    table.apply([tenant("b", "10.0.0.0/24")])
+    assert table.whois("10.0.0.5").id == "b"
+
+
+def test_entries_are_read_strictly() -> None:
+    good = {"cn": (b"Farbhof",), "snowthreadquota": (b"12.5",), "snowthreadstatus": (b"Suspended",),
+            "snowthreadnetwork": (b"10.1.2.3/16", b"2001:db8::/32"), "snowthreadbalancer": (b"7", b"3-5"),
+            "snowthreadclass": (b"match",), "entryuuid": (b"10B6A61E-4736-524c-bf1f-0a63779c2252",)}
+    name = "cn=Farbhof,ou=Tenants,dc=example"
+    got = read(name, good, Names(), BASE)
+    assert got == Tenant("10b6a61e4736524cbf1f0a63779c2252", "Farbhof", Status.SUSPENDED, 12.5,
+                         (ip_network("10.1.0.0/16"), ip_network("2001:db8::/32")), ((3, 5), (7, 7)),
+                         frozenset({"match"}))
+    for change in ({"snowthreadquota": (b"-1",)}, {"snowthreadquota": (b"nan",)},
+                   {"snowthreadquota": (b"1", b"2")}, {"snowthreadnetwork": (b"10.0.0.0/40",)},
+                   {"snowthreadstatus": (b"maybe",)}, {"snowthreadbalancer": (b"9-3",)}, {"cn": ()},
+                   {"cn": (b"\xff\xfe",)}, {"cn": (b"a\nb",)}, {"snowthreadbalancer": (b"-4",)}):
+        assert isinstance(read(name, good | change, Names(), BASE), BadEntry), change
+    assert isinstance(read("cn=x,ou=elsewhere,dc=example", good, Names(), BASE), BadEntry)
+    assert isinstance(read("not a name", good, Names(), BASE), BadEntry)
