Records: what a node did, framed, rotated, written by a child and read back

The block 'records' turns on a stream of typed records: an observer beside the reducer counts each request's end a class and tenant, a second at a time, with the decisions' figures; frames carry a CRC32C; a child process writes, so a slow, full or unwritable disk never stops the node, and what was lost is told. Reading merges any number of files in bounded memory; a cut or flipped byte costs its own record only, tested at every byte.

--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -73,6 +73,11 @@
     return (int(words[11]) + int(words[12])) / os.sysconf("SC_CLK_TCK")
 
 
+def children(pid: int) -> list[int]:
+    """The processes that it has started."""
+    return [int(word) for word in Path(f"/proc/{pid}/task/{pid}/children").read_text().split()]
+
+
 def memory_mb(pid: int) -> float:
     """Its memory now."""
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
--- a/snowthread/cli.py
+++ b/snowthread/cli.py
@@ -10,6 +10,7 @@
 import click
 
 from snowthread import __version__, config
+from snowthread.records.cli import records
 from snowthread.tenants.cli import tenants
 
 WITH = click.option("--with", "operator_file", metavar="FILE",
@@ -58,6 +59,7 @@
     click.echo(f"snowthread {__version__}")
 
 
+cli.add_command(records)
 cli.add_command(tenants)
 
 
--- a/snowthread/fronts/balancers/hub.py
+++ b/snowthread/fronts/balancers/hub.py
@@ -51,6 +51,10 @@
         host, port = self._listener.getsockname()[:2]
         return host, port
 
+    def count(self) -> int:
+        """How many connections are open."""
+        return len(self._connections)
+
     def origin(self, place: int) -> str:
         """The address that a connection comes from; empty where it is gone."""
         connection = self._connections.get(place)
--- a/snowthread/node.py
+++ b/snowthread/node.py
@@ -30,6 +30,7 @@
 
 if TYPE_CHECKING:
     from snowthread.operator.features import Features
+    from snowthread.records.recorder import Recorder
     from snowthread.tenants.gate import Gate
 
 SPARE = 32  # descriptors kept for the runtime, the roster, the loop and files
@@ -55,6 +56,14 @@
         # By type: a chain of cases for each of thousands of effects a second costs more than most effects.
         self._carry_out: dict[type, Callable[[Any], None]] = {}
         self._posting = self._gone = False
+        # What takes a message to its effects; with records on, something that looks at each step besides.
+        self._reduce = reduce
+        self.recorder: Recorder | None = None
+        if features is not None and features.records is not None:
+            from snowthread.records.recorder import Recorder
+
+            self.recorder = Recorder(self.loop, features.records, config, self.state)
+            self._reduce = self.recorder.reduce
         # Who asks, where tenants are told apart: between the front and the reducer, and nowhere else.
         self.gate: Gate | None = None
         front_post = self.post
@@ -80,6 +89,8 @@
             fx.Announce: lambda effect: self.roster.announce(effect.taking)}
         if self.gate is not None:
             self.gate.start(self.balancers.origin)
+        if self.recorder is not None:
+            self.recorder.start(self.balancers.count)
 
     def post(self, message: ev.Message) -> None:
         """Hand a message to the reducer and carry out what it asks for. What an effect brings about at once
@@ -94,7 +105,7 @@
             while self._messages:
                 message = self._messages.popleft()
                 try:
-                    for effect in reduce(self.state, message, self.clock.now()):
+                    for effect in self._reduce(self.state, message, self.clock.now()):
                         self._carry_out[type(effect)](effect)
                 except Exception:  # one message's trouble must not end the link or timer that brought it
                     logger.exception("{} failed", type(message).__name__)
@@ -158,4 +169,6 @@
                 busy_at = self.clock.now()
         logger.bind(event="node.left").info("left")
         self._gone = True  # what ends now, ends with the process
+        if self.recorder is not None:
+            self.recorder.close("left")
         self.loop.stop()
--- a/snowthread/operator/features.py
+++ b/snowthread/operator/features.py
@@ -10,6 +10,7 @@
 from snowthread.operator import hcl
 
 if TYPE_CHECKING:
+    from snowthread.records.recorder import RecordSettings
     from snowthread.tenants.settings import TenantSettings
 
 
@@ -19,6 +20,7 @@
 
     path: Path
     tenants: TenantSettings | None
+    records: RecordSettings | None = None
 
     @classmethod
     def load(cls, path: Path, config: Config) -> Features:
@@ -31,9 +33,15 @@
             from snowthread.tenants.settings import TenantSettings
 
             tenants = TenantSettings.read(block, config)
+        records = None
+        if (block := file.block("records")) is not None:
+            from snowthread.records.settings import read
+
+            records = read(block)
         file.done()
-        return cls(path, tenants)
+        return cls(path, tenants, records)
 
     def lines(self) -> list[str]:
         """For people: what is on."""
-        return [self.tenants.line()] if self.tenants is not None else [f"{self.path}: no feature is on"]
+        on = [feature.line() for feature in (self.tenants, self.records) if feature is not None]
+        return on or [f"{self.path}: no feature is on"]
--- /dev/null
+++ b/snowthread/records/observe.py
@@ -0,0 +1,221 @@
+"""From what the reducer takes and asks for to records: free of I/O; nothing is counted that did not happen.
+
+It looks at messages and effects only, never decides, and holds one small entry for each request that is open.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from clovertack.interface import Settings
+from snowthread.core import effects as fx
+from snowthread.core import events as ev
+from snowthread.core.state import Place, State
+from snowthread.records.model import Fields, Totals
+
+LENGTH_MAX = 3_600_000  # ms: longer runs and calls count as so long
+TENANTS_MOST = 200  # of a second's tenants; what goes beyond is counted under one name
+OTHERS = "(others)"
+RUNS_MOST = 4096  # runs whose end is waited for
+FLOORS_MOST = 16  # balancers whose youngest request is told a second
+
+
+@dataclass(slots=True)
+class _Open:
+    """A request that is not answered yet."""
+
+    uid: str
+    class_name: str
+    tenant: str
+    came: float  # when it came to the machine
+    read: float
+    started: bool = False
+    calling: bool = False
+
+
+@dataclass(slots=True)
+class _Second:
+    """What was counted since the last record."""
+
+    began: float
+    totals: dict[tuple[str, str], Totals] = field(default_factory=dict)
+    lengths: dict[tuple[str, str], HdrHistogram] = field(default_factory=dict)
+    floors: dict[int, float] = field(default_factory=dict)
+
+
+class Observer:
+    """Counts for one node."""
+
+    def __init__(self, settings: Settings, now: float) -> None:
+        self._aims = {c.name: c.goal_s * 1000.0 for c in settings.classes}
+        self._open: dict[ev.Ticket, _Open] = {}
+        self._by_uid: dict[str, _Open] = {}
+        self._second = _Second(now)
+        self._linked = False
+        self._runs: dict[str, str] = {}  # uid of a run -> its class; its caller may be gone already
+        self._fresh: _Open | None = None  # read in this very step
+        self._on: dict[type, Callable[[Any, list[tuple[str, Fields]], float], None]] = {
+            ev.RequestRead: self._read, ev.RunOver: self._run_over, ev.CallBack: self._call_back,
+            ev.CallerLeft: self._caller_left, ev.RuntimeUp: self._link, ev.RuntimeLost: self._link,
+            ev.LeaveAsked: self._leave}
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def see(self, message: ev.Message, effects: Sequence[fx.Effect], state: State,
+            now: float) -> list[tuple[str, Fields]]:
+        """One step of the reducer; the records it makes at once."""
+        out: list[tuple[str, Fields]] = []
+        self._fresh = None
+        look = self._on.get(type(message))
+        if look is not None:
+            look(message, out, now)
+        for effect in effects:
+            what = type(effect)
+            if what is fx.Answer:
+                self._answered(effect, state, now)  # type: ignore[arg-type]
+            elif what is fx.StartRun:
+                self._started(effect)  # type: ignore[arg-type]
+            elif what is fx.MakeCall:
+                at_call = self._by_uid.get(effect.uid)  # type: ignore[union-attr]
+                if at_call is not None:
+                    at_call.calling = True
+            elif what is fx.Announce:
+                out.append(("list", {"taking": effect.taking}))  # type: ignore[union-attr]
+        return out
+
+    # Messages.
+
+    def _run_over(self, m: ev.RunOver, out: list[tuple[str, Fields]], now: float) -> None:
+        class_name = self._runs.pop(m.uid, None)
+        if class_name is not None:
+            self._length("runs", class_name, m.took)
+
+    def _call_back(self, m: ev.CallBack, out: list[tuple[str, Fields]], now: float) -> None:
+        self._length("calls", m.outcome.value, m.took)
+        waiting = self._by_uid.get(m.uid)
+        if waiting is not None:
+            waiting.calling = False
+
+    def _caller_left(self, m: ev.CallerLeft, out: list[tuple[str, Fields]], now: float) -> None:
+        gone = self._drop(m.ticket)
+        if gone is not None:
+            self._of(gone).left += 1
+
+    def _link(self, m: ev.RuntimeUp | ev.RuntimeLost, out: list[tuple[str, Fields]], now: float) -> None:
+        up = isinstance(m, ev.RuntimeUp)
+        if up or self._linked:
+            out.append(("link", {"peer": "runtime", "up": up}))
+        self._linked = up
+
+    def _leave(self, m: ev.LeaveAsked, out: list[tuple[str, Fields]], now: float) -> None:
+        out.append(("drain", {"left_ms": m.left}))
+
+    def second(self, state: State, now: float) -> Fields:
+        """What was counted since the last time, with the figures as they stand."""
+        s, self._second = self._second, _Second(now)
+        fields: Fields = {"ms": round(now - s.began, 1),
+                          "totals": [[name, tenant, t.plain()] for (name, tenant), t in s.totals.items()]}
+        for what in ("runs", "calls"):
+            lengths = {name: _summary(h) for (kind, name), h in s.lengths.items() if kind == what}
+            if lengths:
+                fields[what] = lengths
+        if s.floors:
+            fields["floors"] = s.floors
+        controller = state.controller
+        if controller is not None:
+            fields |= {"b": round(controller.b, 4), "limit": round(controller.limit, 2),
+                       "mu": round(controller.est.mu, 3), "lambda": round(controller.est.lam, 3)}
+        places = [q.place for q in state.requests.values()]
+        calling = sum(q.calling for q in state.requests.values())
+        fields |= {"held": places.count(Place.HELD), "running": places.count(Place.RUNNING),
+                   "calls_in_hand": calling, "keys": len(state.keys),
+                   "gauges": dict(zip(state.meters, state.gauges, strict=False))}
+        if state.say is not None:
+            fields["say"] = state.say
+        return fields
+
+    # Counting.
+
+    def _read(self, m: ev.RequestRead, out: list[tuple[str, Fields]], now: float) -> None:
+        # A class that the settings don't name is a caller's word: it gets no row of its own.
+        name = m.class_name if m.class_name in self._aims else ""
+        made = _Open(m.uid, name, m.tenant, min(m.at, now), now)
+        self._open[m.ticket] = self._by_uid[m.uid] = made
+        self._of(made).read += 1
+        floors = self._second.floors
+        age = now - m.at
+        if m.caller in floors:
+            floors[m.caller] = min(floors[m.caller], age)
+        elif len(floors) < FLOORS_MOST:
+            floors[m.caller] = age
+        self._fresh = made
+
+    def _started(self, effect: fx.StartRun) -> None:
+        made = self._by_uid.get(effect.uid)
+        if made is not None and not made.started:
+            made.started = True
+            self._of(made).runs += 1
+        self._runs[effect.uid] = effect.class_name
+        if len(self._runs) > RUNS_MOST:  # runs that a broken link took along never end here
+            del self._runs[next(iter(self._runs))]
+
+    def _answered(self, effect: fx.Answer, state: State, now: float) -> None:
+        made = self._drop(effect.ticket)
+        if made is None:
+            return  # a health check
+        totals = self._of(made)
+        match effect.answer:
+            case fx.Served():
+                aim = self._aims.get(made.class_name, 0.0)
+                if now - made.came <= aim:
+                    totals.served += 1
+                else:
+                    totals.late += 1
+                totals.attached += not made.started
+            case fx.Refused():
+                if state.leaving:
+                    totals.refused_leaving += 1
+                elif made is self._fresh:
+                    totals.refused += 1
+                else:
+                    totals.refused_held += 1
+            case fx.Failed():
+                if made.calling:
+                    totals.failed_calling += 1
+                elif made.started:
+                    totals.failed_running += 1
+                else:
+                    totals.failed += 1
+
+    def _drop(self, ticket: ev.Ticket) -> _Open | None:
+        made = self._open.pop(ticket, None)
+        if made is not None and self._by_uid.get(made.uid) is made:
+            del self._by_uid[made.uid]
+        return made
+
+    def _of(self, made: _Open) -> Totals:
+        rows = self._second.totals
+        key = (made.class_name, made.tenant)
+        if key not in rows and len(rows) >= TENANTS_MOST:
+            key = (made.class_name, OTHERS)
+        row = rows.get(key)
+        if row is None:
+            row = rows[key] = Totals()
+        return row
+
+    def _length(self, kind: str, name: str, ms: float) -> None:
+        histogram = self._second.lengths.get((kind, name))
+        if histogram is None:
+            histogram = self._second.lengths[kind, name] = HdrHistogram(1, LENGTH_MAX, 2)
+        histogram.record_value(max(1, min(LENGTH_MAX, round(ms))))
+
+
+def _summary(h: HdrHistogram) -> list[int]:
+    """Count, median, 99th of 100, longest; the last three in ms."""
+    return [h.get_total_count(), int(h.get_value_at_percentile(50.0)), int(h.get_value_at_percentile(99.0)),
+            int(h.get_max_value())]
