--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -26,10 +26,14 @@
 
 
 def free_address(kind: socket.SocketKind = socket.SOCK_STREAM) -> str:
-    """A loopback address with a free port."""
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return "{}:{}".format(*sock.getsockname())
+    """A loopback address with a free port, below those that the load's own connections are given."""
+    while True:
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind(("0.0.0.0", random.randrange(20_000, 32_000)))
+            except OSError:
+                continue
+            return f"127.0.0.1:{sock.getsockname()[1]}"
 
 
 def configuration(folder: Path, cores: int, **changes: Any) -> Path:
@@ -56,11 +60,13 @@
     try:
         stream = made.stdout if where == "stdout" else made.stderr
         assert stream is not None
+        lines = []
         for line in iter(stream.readline, ""):
+            lines.append(line)
             if ready in line:
                 break
         else:
-            raise RuntimeError(f"{command} did not start")
+            raise RuntimeError(f"{command} did not start: {lines}")
         yield made
     finally:
         made.kill()
--- a/snowthread/records/model.py
+++ b/snowthread/records/model.py
@@ -75,6 +75,7 @@
                "lambda": "the arrival rate learned", "calls_in_hand": "calls being made",
                "held": "requests held", "running": "requests running", "gauges": "the runtime's own figures",
                "say": "the free value told to balancers", "connections": "open ones", "keys": "kept",
-               "memory_mb": "of the process", "floors": "of each balancer: the least age, ms, of its requests"},
+               "memory_mb": "of the process",
+               "floors": "of each balancer: the least age in ms of its requests"},
     "gap": {"lost": "records that could not be written", "why": "no space, or the writer is behind"},
 }
