--- a/snowthread/cli.py
+++ b/snowthread/cli.py
@@ -10,6 +10,7 @@
 import click
 
 from snowthread import __version__, config
+from snowthread.console.cli import console
 from snowthread.incident.cli import report
 from snowthread.records.cli import records
 from snowthread.tenants.cli import tenants
@@ -60,6 +61,7 @@
     click.echo(f"snowthread {__version__}")
 
 
+cli.add_command(console)
 cli.add_command(records)
 cli.add_command(report)
 cli.add_command(tenants)
