--- a/snowthread/operator/features.py
+++ b/snowthread/operator/features.py
@@ -41,6 +41,11 @@
         file.done()
         return cls(path, tenants, records)
 
+    def new_start(self, old: Features) -> list[str]:
+        """What differs from the features as they run and is taken up only by a new start."""
+        out = [] if (self.tenants is None) == (old.tenants is None) else ["tenants"]
+        return out + ([] if self.records == old.records else ["records"])
+
     def lines(self) -> list[str]:
         """For people: what is on."""
         on = [feature.line() for feature in (self.tenants, self.records) if feature is not None]
--- a/snowthread/records/observe.py
+++ b/snowthread/records/observe.py
@@ -17,24 +17,26 @@
 from snowthread.core.state import Place, State
 from snowthread.records.model import Fields, Totals
 
+STEP_FROM = 1000.0  # ms: from here on lengths are counted in steps of 10
 LENGTH_MAX = 3_600_000  # ms: longer runs and calls count as so long
 TENANTS_MOST = 200  # of a second's tenants; what goes beyond is counted under one name
 OTHERS = "(others)"
+_NOTHING: tuple[tuple[str, Fields], ...] = ()
 RUNS_MOST = 4096  # runs whose end is waited for
 FLOORS_MOST = 16  # balancers whose youngest request is told a second
 
 
-@dataclass(slots=True)
 class _Open:
-    """A request that is not answered yet."""
+    """A request that is not answered yet. No dataclass: one is made for each request."""
+
+    __slots__ = ("calling", "came", "class_name", "row", "second", "started", "tenant", "uid")
 
-    uid: str
-    class_name: str
-    tenant: str
-    came: float  # when it came to the machine
-    read: float
-    started: bool = False
-    calling: bool = False
+    def __init__(self, uid: str, class_name: str, tenant: str, came: float) -> None:
+        self.uid, self.class_name, self.tenant = uid, class_name, tenant
+        self.came = came  # when it came to the machine
+        self.started = self.calling = False
+        self.row: Totals | None = None  # where it is counted in that second
+        self.second: _Second | None = None
 
 
 @dataclass(slots=True)
@@ -43,7 +45,7 @@
 
     began: float
     totals: dict[tuple[str, str], Totals] = field(default_factory=dict)
-    lengths: dict[tuple[str, str], HdrHistogram] = field(default_factory=dict)
+    lengths: dict[tuple[str, str], dict[int, int]] = field(default_factory=dict)  # ms -> how often
     floors: dict[int, float] = field(default_factory=dict)
 
 
@@ -67,15 +69,19 @@
         return len(self._open)
 
     def see(self, message: ev.Message, effects: Sequence[fx.Effect], state: State,
-            now: float) -> list[tuple[str, Fields]]:
+            now: float) -> Sequence[tuple[str, Fields]]:
         """One step of the reducer; the records it makes at once."""
+        look = self._on.get(type(message))
+        if look is None and not effects:
+            return _NOTHING
         out: list[tuple[str, Fields]] = []
         self._fresh = None
-        look = self._on.get(type(message))
         if look is not None:
             look(message, out, now)
         for effect in effects:
             what = type(effect)
+            if what is fx.WakeAt or what is fx.AskGauges:
+                continue
             if what is fx.Answer:
                 self._answered(effect, state, now)  # type: ignore[arg-type]
             elif what is fx.StartRun:
@@ -144,16 +150,17 @@
     def _read(self, m: ev.RequestRead, out: list[tuple[str, Fields]], now: float) -> None:
         # A class that the settings don't name is a caller's word: it gets no row of its own.
         name = m.class_name if m.class_name in self._aims else ""
-        made = _Open(m.uid, name, m.tenant, min(m.at, now), now)
-        self._open[m.ticket] = self._by_uid[m.uid] = made
+        at = m.at
+        made = _Open(m.uid, name, m.tenant, at if at < now else now)
+        self._open[m.ticket] = self._by_uid[m.uid] = self._fresh = made
         self._of(made).read += 1
-        floors = self._second.floors
-        age = now - m.at
-        if m.caller in floors:
-            floors[m.caller] = min(floors[m.caller], age)
-        elif len(floors) < FLOORS_MOST:
-            floors[m.caller] = age
-        self._fresh = made
+        floors, caller = self._second.floors, m.caller
+        floor = floors.get(caller)
+        if floor is None:
+            if len(floors) < FLOORS_MOST:
+                floors[caller] = now - at
+        elif now - at < floor:
+            floors[caller] = now - at
 
     def _started(self, effect: fx.StartRun) -> None:
         made = self._by_uid.get(effect.uid)
@@ -199,23 +206,32 @@
         return made
 
     def _of(self, made: _Open) -> Totals:
-        rows = self._second.totals
+        second = self._second
+        if made.second is second and made.row is not None:
+            return made.row
+        rows = second.totals
         key = (made.class_name, made.tenant)
         if key not in rows and len(rows) >= TENANTS_MOST:
             key = (made.class_name, OTHERS)
         row = rows.get(key)
         if row is None:
             row = rows[key] = Totals()
+        made.second, made.row = second, row
         return row
 
     def _length(self, kind: str, name: str, ms: float) -> None:
-        histogram = self._second.lengths.get((kind, name))
-        if histogram is None:
-            histogram = self._second.lengths[kind, name] = HdrHistogram(1, LENGTH_MAX, 2)
-        histogram.record_value(max(1, min(LENGTH_MAX, round(ms))))
+        # Counted plainly here, put into a histogram once a second: that takes ten times as long.
+        counts = self._second.lengths.get((kind, name))
+        if counts is None:
+            counts = self._second.lengths[kind, name] = {}
+        value = int(ms) if ms < STEP_FROM else int(ms / 10.0) * 10
+        counts[value] = counts.get(value, 0) + 1
 
 
-def _summary(h: HdrHistogram) -> list[int]:
+def _summary(counts: dict[int, int]) -> list[int]:
     """Count, median, 99th of 100, longest; the last three in ms."""
+    h = HdrHistogram(1, LENGTH_MAX, 2)
+    for value, count in counts.items():
+        h.record_value(max(1, min(LENGTH_MAX, value)), count)
     return [h.get_total_count(), int(h.get_value_at_percentile(50.0)), int(h.get_value_at_percentile(99.0)),
             int(h.get_max_value())]
--- a/snowthread/reload.py
+++ b/snowthread/reload.py
@@ -37,6 +37,8 @@
         logger.bind(event="config.refused").error("configuration not taken up, the old one stays: {}", error)
         return
     kept = [field for field in STAYS if getattr(config, field) != getattr(node.config, field)]
+    if features is not None and node.features is not None:
+        kept += features.new_start(node.features)
     try:
         node.move(config, features)
     except OSError as error:  # no descriptor left: it must not end the task that listens for signals
--- a/standins/site.py
+++ b/standins/site.py
@@ -214,7 +214,8 @@
 
 
 def main() -> None:
-    """A quiet site: ``python -m standins.site NODE_JSON [CORES [RUN_MS]]``; stops with its standard input."""
+    """A quiet site: ``python -m standins.site NODE_JSON [CORES [RUN_MS]]``. It stops with its standard input,
+    on which a line ``index MS`` says how long the index takes from then on."""
     import sys
     from pathlib import Path
 
@@ -222,16 +223,20 @@
 
     loop = Loop(Clock())
     cores, run_ms = (int(sys.argv[2]) if len(sys.argv) > 2 else 64), float((sys.argv + ["200"] * 4)[3])
-    Site(loop, json.loads(Path(sys.argv[1]).read_text()), Script(other_ms=run_ms, cores=cores))
+    script = Script(other_ms=run_ms, cores=cores)
+    Site(loop, json.loads(Path(sys.argv[1]).read_text()), script)
     print("site: ready", flush=True)
 
-    def parent_gone() -> Steps:
+    def told() -> Steps:
         while True:
             yield Wait(sys.stdin.fileno(), IN)
-            if not sys.stdin.read(1):
+            line = sys.stdin.readline()
+            if not line:
                 loop.stop()
+            elif line.startswith("index "):
+                script.index_ms = float(line.split()[1])
 
-    loop.spawn(parent_gone())
+    loop.spawn(told())
     loop.run()
 
 
--- a/tests/operator/test_hcl.py
+++ b/tests/operator/test_hcl.py
@@ -94,3 +94,12 @@
 def test_settings_compare_so_that_a_reload_sees_what_changed() -> None:
     assert settings(["ldap://127.0.0.1:1"]) == settings(["ldap://127.0.0.1:1"])
     assert settings(["ldap://127.0.0.1:1"]) != settings(["ldap://127.0.0.1:2"])
+
+
+def test_what_takes_a_new_start_is_told(tmp_path: Path) -> None:
+    tenants, records = f"tenants {{\n {GOOD} }}\n", f'records {{\n folder = "{tmp_path}"\n }}\n'
+    both = load(tmp_path, tenants + records)
+    assert load(tmp_path, tenants + records).new_start(both) == []
+    assert load(tmp_path, tenants.replace("3389", "3390") + records).new_start(both) == []
+    assert load(tmp_path, records).new_start(both) == ["tenants"]
+    assert load(tmp_path, tenants).new_start(both) == ["records"]
