--- a/snowthread/incident/report.py
+++ b/snowthread/incident/report.py
@@ -100,7 +100,8 @@
     step = max(1, -(-(last - first + 1) // POINTS_MOST))
     starts = list(range(first, last + 1, step))
     chart = pygal.Line(
-        title=title, height=260, width=900, js=[], show_dots=False, show_minor_x_labels=False, truncate_label=-1,
+        title=title, height=260, width=900, js=[], show_dots=False, truncate_label=-1,
+        show_minor_x_labels=False,
         x_label_rotation=0,
         legend_at_bottom=True, disable_xml_declaration=True, include_x_axis=True, pretty_print=False,
         style=Style(background="transparent", plot_background="transparent", foreground="currentColor",
