--- a/snowthread/demo.py
+++ b/snowthread/demo.py
@@ -1,8 +1,9 @@
 """``snowthread demo``: a small fleet on loopback, a scripted rough minute, and the report of it.
 
 Three nodes with stand-ins round them serve modest traffic. Then the index becomes slow, later a rolling
-deploy replaces the nodes one by one, and one is killed. What the console shows and the report tells comes
-from the nodes' records alone. Everything is on loopback and ends by itself.
+deploy replaces the nodes one by one, and one is killed; their clocks are up to a second apart. What the
+console shows and the report tells comes from the nodes' records alone. Everything is on loopback and ends
+by itself.
 """
 
 from __future__ import annotations
@@ -31,6 +32,7 @@
 
 ROOT = Path(__file__).parent.parent
 NODES, CORES, RUN_MS, PER_NODE = 3, 4, 20.0, 60.0
+SKEWS_S = 0.4, -0.6, 0.0  # the nodes' machines have their clocks so far off
 INDEX_MS, SLOW_MS = 15.0, 150.0
 # What happens when, as parts of the whole time.
 CALM, SLOW_UNTIL, DEPLOY, KILL = 0.25, 0.45, 0.6, 0.85
@@ -70,7 +72,7 @@
         return made
 
     def _serve(self, n: int) -> subprocess.Popen[str]:
-        return self._start("snowthread", "serve", "--with", str(self.file),
+        return self._start("standins.skewed", str(SKEWS_S[n]), "serve", "--with", str(self.file),
                            NODE_CONFIG=str(self.configs[n]))
 
     def node(self, n: int) -> subprocess.Popen[str]:
--- a/snowthread/incident/cli.py
+++ b/snowthread/incident/cli.py
@@ -16,7 +16,7 @@
     from snowthread.incident.report import Report
 
     click.echo("reading the records...", err=True)
-    made = Report(places)
+    made = Report(places, lambda count: click.echo(f"{count} records...", err=True))
     output.write_text(made.html(), encoding="utf-8")
     beside = output.with_suffix(".json")
     beside.write_bytes(made.json())
--- a/snowthread/incident/report.py
+++ b/snowthread/incident/report.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import asdict
 from datetime import UTC, datetime
 from pathlib import Path
@@ -25,6 +25,7 @@
 from snowthread.records.read import Findings, merge
 
 POINTS_MOST = 240  # of a chart: longer stretches are averaged
+TELL_EVERY = 100_000  # records between two words on the progress
 NODES_MOST = 40  # with a chart of their own
 COLORS = ("#2b6cb0", "#c05621", "#2f855a", "#b83280", "#6b46c1", "#b7791f")
 
@@ -32,11 +33,13 @@
 class Report:
     """What is told, and what it was made of."""
 
-    def __init__(self, places: Iterable[Path]) -> None:
+    def __init__(self, places: Iterable[Path], progress: Callable[[int], None] = lambda count: None) -> None:
         paths = list(places)
         self.clocks, self.findings = Clocks(), Findings()
-        for record in merge(paths, Findings()):
+        for count, record in enumerate(merge(paths, Findings()), 1):
             self.clocks.take(record)
+            if count % TELL_EVERY == 0:
+                progress(count)
         self.clocks.fit()
         self.series: Series = build(merge(paths, self.findings), self.clocks)
         self.story: Story = tell(self.series, self.clocks)
@@ -73,6 +76,7 @@
         environment.filters["clock"] = _clock
         plain = self.plain()
         charts = [_fleet(self.series)] if self.series.rows else []
+        charts += [_class(name, rows) for name, rows in sorted(self.series.classes.items())]
         panels = [(node, _node(node, rows)) for node, rows in sorted(self.series.rows.items())[:NODES_MOST]]
         return environment.get_template("report.html.j2").render(
             r=plain, story=self.story, charts=charts, panels=panels, clocks=self.clocks.offsets,
@@ -135,6 +139,12 @@
     return _chart("All nodes: requests a second", first, last, lines)
 
 
+def _class(name: str, rows: dict[int, list[int]]) -> str:
+    lines = {title: {s: float(row[n]) for s, row in rows.items()}
+             for n, title in enumerate(("read", "served in aim", "turned away"))}
+    return _chart(f"{name}: requests a second", min(rows), max(rows), lines)
+
+
 def _node(node: str, rows: dict[int, Any]) -> str:
     lines = {"read": {s: float(r.read) for s, r in rows.items()},
              "served in aim": {s: float(r.good) for s, r in rows.items()},
--- a/snowthread/incident/series.py
+++ b/snowthread/incident/series.py
@@ -11,6 +11,8 @@
 Key = tuple[str, str, int]
 DAY_S = 86_400
 EVENTS_MOST = 50_000
+CLASSES_MOST = 50
+AWAY = ("late", "refused", "refused_held", "refused_leaving", "failed", "failed_running", "failed_calling")
 
 
 @dataclass(slots=True)
@@ -47,6 +49,7 @@
     """All of it. ``rows``: of each node, by second; ``lost``: records that are known to be missing."""
 
     rows: dict[str, dict[int, Row]] = field(default_factory=dict)
+    classes: dict[str, dict[int, list[int]]] = field(default_factory=dict)  # read, in aim, turned away
     events: list[Event] = field(default_factory=list)
     aims: dict[str, float] = field(default_factory=dict)
     boots: dict[tuple[str, str], list[float]] = field(default_factory=dict)  # first and last true time
@@ -75,7 +78,9 @@
             out.lasts[boot] = record.key
         if record.kind == "second":
             # A second's record stands at its end.
-            out.rows.setdefault(record.node, {})[int((at - 1.0) // 1000.0)] = _row(record)
+            second = int((at - 1.0) // 1000.0)
+            out.rows.setdefault(record.node, {})[second] = _row(record)
+            _classes(out.classes, second, record)
             continue
         if record.kind == "start":
             out.starts[boot] = record.key
@@ -91,6 +96,15 @@
     return out
 
 
+def _classes(classes: dict[str, dict[int, list[int]]], second: int, record: Record) -> None:
+    for name, _tenant, counts in record.fields.get("totals", ()):
+        if name in classes or (name and len(classes) < CLASSES_MOST):
+            row = classes.setdefault(name, {}).setdefault(second, [0, 0, 0])
+            row[0] += counts.get("read", 0)
+            row[1] += counts.get("served", 0)
+            row[2] += sum(counts.get(k, 0) for k in AWAY)
+
+
 def _row(record: Record) -> Row:
     f = record.fields
     row = Row(record.key, b=float(f.get("b", 0.0)), memory_mb=float(f.get("memory_mb", 0.0)))
--- a/snowthread/records/writer.py
+++ b/snowthread/records/writer.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import os
+import re
 import signal
 import socket
 import time
@@ -19,6 +20,7 @@
 
 BATCH_MAX = 64 * 1024  # bytes of one message between the two
 SUFFIX = ".records"
+LABEL_MAX = 100  # characters of a node's name in a file's
 RETRY_S = 1.0  # between two tries to open a file where the disk refuses
 
 
@@ -27,6 +29,9 @@
 
     def __init__(self, folder: Path, node: str, boot: str, rules: Retention) -> None:
         self._folder, self._node, self._boot, self._rules = folder, node, boot, rules
+        # A name may hold what a path must not, and one node's name may begin another's.
+        self._label = re.sub(r"[^A-Za-z0-9._-]|^\.+", "_", node)[:LABEL_MAX]
+        self._mine = re.compile(re.escape(self._label) + r"-[0-9]+-[0-9a-f]+-[0-9]+" + re.escape(SUFFIX))
         self._fd, self._name, self._size, self._began = -1, "", 0, 0.0
         self._count = self._gaps = 0
         self._lost, self._why, self._torn = 0, "", False
@@ -66,7 +71,7 @@
 
     def _open(self, now: float) -> None:
         self._count += 1
-        name = f"{self._node}-{int(now)}-{self._boot}-{self._count:06d}{SUFFIX}"
+        name = f"{self._label}-{int(now)}-{self._boot}-{self._count:06d}{SUFFIX}"
         self._folder.mkdir(parents=True, exist_ok=True)
         self._fd = os.open(self._folder / name, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o640)
         self._name, self._size, self._began = name, 0, now
@@ -82,7 +87,9 @@
     def _tidy(self, now: float) -> None:
         """Delete what the rules don't keep; other nodes' files in the folder are theirs."""
         segments = []
-        for path in self._folder.glob(f"{self._node}-*{SUFFIX}"):
+        for path in self._folder.iterdir():
+            if not self._mine.fullmatch(path.name):
+                continue
             try:
                 stat = path.stat()
             except OSError:
--- a/snowthread/tenants/disk.py
+++ b/snowthread/tenants/disk.py
@@ -22,6 +22,7 @@
 from snowthread.tenants.model import Status, Tenant
 
 MAGIC, VERSION = b"snowthread-tenants", 1
+CLOSED_TO = 4096  # descriptors that the child closes
 FILE_MAX = 512 * 1024 * 1024
 
 
@@ -138,6 +139,8 @@
             return
         code = 1
         try:
+            # A disk that hangs must not keep the node's sockets bound after the node is gone.
+            os.closerange(3, CLOSED_TO)
             write(self.path, encode(Snapshot(tuple(tenants), agreed_at, source, home, cookie)))
             code = 0
         except OSError as error:
--- a/tests/incident/test_incident.py
+++ b/tests/incident/test_incident.py
@@ -194,7 +194,7 @@
     page, plain = out.read_text(), json.loads(out.with_suffix(".json").read_text())
     links = re.findall(r'https?://[^"\s<>)]+', page)
     assert all(link.startswith(("http://www.w3.org/",)) for link in links), links
-    assert page.count("<svg") == 5 and "prefers-color-scheme" in page and "@media print" in page
+    assert page.count("<svg") == 6 and "prefers-color-scheme" in page and "@media print" in page
     texts = [s["text"] for s in plain["sentences"]]
     assert texts and all(text.replace("&", "&amp;") in page for text in texts)
     assert all(s["cites"] for s in plain["sentences"])
--- a/tests/records/test_frame.py
+++ b/tests/records/test_frame.py
@@ -79,6 +79,12 @@
         encode(record(1, text="x" * PAYLOAD_MAX))
 
 
+def test_older_and_newer_formats_are_read_as_far_as_they_are_known(monkeypatch: pytest.MonkeyPatch) -> None:
+    for version in (0, 7):
+        monkeypatch.setattr("snowthread.records.frame.FORMAT", version)
+        assert read(encode(THREE[1])) == ([THREE[1]], [])
+
+
 def write(folder: Path, name: str, *records: Record) -> Path:
     path = folder / f"{name}{SUFFIX}"
     path.write_bytes(b"".join(encode(r) for r in records))
@@ -141,6 +147,22 @@
     assert numbers == list(range(numbers[0], 200)) and len(findings.holes) == 1
 
 
+def test_names_that_begin_alike_or_hold_a_path_stay_apart(tmp_path: Path) -> None:
+    theirs = Files(tmp_path, "n1-5", "ab", replace(RULES, keep_ms=1e15))
+    theirs.append(encode(record(1, "n1-5", "ab", text="x" * 900)), 1, T)
+    theirs.close()
+    for n in range(1, 60):
+        mine = Files(tmp_path, "n1", "cd", RULES)
+        mine.append(encode(record(n, boot="cd", text="x" * 900)), 1, T + n)
+        mine.close()
+    kept = [r for r in merge([tmp_path], Findings()) if r.node == "n1-5"]
+    assert len(kept) == 1
+    away = Files(tmp_path / "in", "../../out", "ef", Retention(keep_ms=1e15))
+    away.append(encode(record(1, "../../out", "ef")), 1, T)
+    away.close()
+    assert [p.parent.name for p in tmp_path.rglob(f"*out*{SUFFIX}")] == ["in"]
+
+
 def test_a_full_disk_is_told_once_there_is_space_again(tmp_path: Path,
                                                        monkeypatch: pytest.MonkeyPatch) -> None:
     files, real = Files(tmp_path, "n1", "b0", Retention(keep_ms=1e15)), os.write  # files' own times are real
