--- a/standins/skewed.py
+++ b/standins/skewed.py
@@ -1,6 +1,5 @@
-"""A node on a machine whose clock is wrong: ``python -m standins.skewed SECONDS ARGUMENT...`` runs the program
-with its one clock so far off.
-"""
+"""A node on a machine whose clock is wrong: ``python -m standins.skewed SECONDS ARGUMENT...`` runs the
+program with its one clock so far off."""
 
 from __future__ import annotations
 
