Operators' address: ready, drain and resume; take over a listening socket passed on

Nothing listened at admin_addr, and NODE_FD was not read, so the second process failed to bind. The drained flag joins what makes a health check bad; all that comes is served as before.

--- a/snowthread/config.py
+++ b/snowthread/config.py
@@ -37,10 +37,12 @@
     memory_mb: float
     settings: Settings
     meters: tuple[str, ...]
+    admin: Address | None = None  # where the operators call
+    door: int | None = None  # the descriptor of a listening socket that was passed on
 
 
 def load(environment: Mapping[str, str]) -> Config:
-    """Read what NODE_CONFIG names; NODE_NAME and NODE_LISTEN, where set, go before the file."""
+    """Read what NODE_CONFIG names; NODE_NAME, NODE_LISTEN and NODE_ADMIN_ADDR, where set, go before it."""
     path = environment.get("NODE_CONFIG")
     if not path:
         raise ConfigError("NODE_CONFIG is not set: it names the configuration file")
@@ -52,17 +54,21 @@
         raise ConfigError(f"{path}: not JSON: {error}") from None
     if not isinstance(fields, dict):
         raise ConfigError(f"{path}: not a JSON object")
-    for name, variable in (("name", "NODE_NAME"), ("listen", "NODE_LISTEN")):
+    for name, variable in (("name", "NODE_NAME"), ("listen", "NODE_LISTEN"),
+                           ("admin_addr", "NODE_ADMIN_ADDR")):
         if environment.get(variable):
             fields[name] = environment[variable]
+    number = environment.get("NODE_FD") or None
+    if number is not None and not (number.isascii() and number.isdigit()):
+        raise ConfigError(f"NODE_FD: {number!r} is not a descriptor's number")
     try:
-        return parse(fields)
+        return parse(fields, None if number is None else int(number))
     except ConfigError as error:
         raise ConfigError(f"{path}: {error}") from None
 
 
-def parse(fields: Mapping[str, Any]) -> Config:
-    """Check the fields one by one."""
+def parse(fields: Mapping[str, Any], door: int | None = None) -> Config:
+    """Check the fields one by one; ``door`` is the listening socket that was passed on, if one was."""
     name = fields.get("name")
     if not isinstance(name, str) or not name or any(c.isspace() for c in name):
         raise ConfigError("name: a word is wanted")
@@ -72,6 +78,12 @@
             addresses[field] = Address.parse(str(fields.get(field, "")))
         except ValueError as error:
             raise ConfigError(f"{field}: {error}") from None
+    admin = None
+    if fields.get("admin_addr") is not None:
+        try:
+            admin = Address.parse(str(fields["admin_addr"]))
+        except ValueError as error:
+            raise ConfigError(f"admin_addr: {error}") from None
     stop = fields.get("stop_ms", 3000.0)
     if isinstance(stop, bool) or not isinstance(stop, int | float) or not 0.0 < stop < math.inf:
         raise ConfigError("stop_ms: a number of milliseconds above 0 is wanted")
@@ -97,4 +109,5 @@
         raise ConfigError(f"settings can't be used: {type(error).__name__}: {error}") from None
     return Config(name=name, seed=seed, stop_ms=float(stop), sockets=sockets,
                   memory_mb=float(memory), settings=settings, meters=meters, listen=addresses["listen"],
-                  runtime=addresses["runtime"], roster=addresses["roster"], index=addresses["index"])
+                  runtime=addresses["runtime"], roster=addresses["roster"], index=addresses["index"],
+                  admin=admin, door=door)
--- a/snowthread/core/events.py
+++ b/snowthread/core/events.py
@@ -130,6 +130,13 @@
     left: float
 
 
+@dataclass(frozen=True, slots=True)
+class DrainAsked:
+    """The operators want the node off the list, or back on it. It serves all that comes, either way."""
+
+    drain: bool
+
+
 @dataclass(frozen=True, slots=True)
 class SharesChanged:
     """Tenants were added, changed or removed; ``over_share_worth`` of traffic over a share, or None."""
@@ -141,4 +148,4 @@
 
 Message = (RequestRead | CallerLeft | HealthAsked | RuntimeUp | RuntimeLost | RunOver | CommandRefused
            | CallWanted | GaugesRead | CallBack | TimerDue | GaugesDue | LeaveAsked
-           | SharesChanged)
+           | DrainAsked | SharesChanged)
--- a/snowthread/core/reducer.py
+++ b/snowthread/core/reducer.py
@@ -117,7 +117,7 @@
         self.rest(q)
 
     def health_asked(self, m: ev.HealthAsked) -> None:
-        self.out.append(fx.Answer(m.ticket, fx.Healthy(self.s.healthy and not self.s.leaving), self.s.say))
+        self.out.append(fx.Answer(m.ticket, fx.Healthy(self.s.taking), self.s.say))
 
     def answer(self, q: Request, answer: fx.Served | fx.Refused | fx.Failed) -> None:
         """The final answer, unless there was one or nobody waits: a late result is no second answer."""
@@ -307,6 +307,11 @@
             self.out.append(fx.Announce(False))
             self.tell(api.LeaveNotice(self.s.time.span(m.left)))
 
+    def drain_asked(self, m: ev.DrainAsked) -> None:
+        """Only the word on health changes: balancers learn late, and what still comes is owed its answer."""
+        self.s.drained = m.drain
+        self.out.append(fx.Announce(self.s.taking))
+
     def shares_changed(self, m: ev.SharesChanged) -> None:
         """Other tenants. Before there is a controller they wait: it starts with the runtime, cold or not."""
         old = self.s.shares
@@ -395,7 +400,7 @@
 
     def do_health(self, a: api.SetHealth) -> None:
         self.s.healthy = a.good
-        self.out.append(fx.Announce(a.good and not self.s.leaving))
+        self.out.append(fx.Announce(self.s.taking))
 
     def do_publish(self, a: api.Publish) -> None:
         self.s.say = a.value
@@ -413,7 +418,7 @@
     ev.CommandRefused: _Turn.command_refused, ev.CallWanted: _Turn.call_wanted,
     ev.GaugesRead: _Turn.gauges_read, ev.CallBack: _Turn.call_back, ev.TimerDue: _Turn.timer_due,
     ev.GaugesDue: _Turn.gauges_due, ev.LeaveAsked: _Turn.leave_asked,
-    ev.SharesChanged: _Turn.shares_changed}
+    ev.DrainAsked: _Turn.drain_asked, ev.SharesChanged: _Turn.shares_changed}
 
 _DO: dict[type, Callable[[_Turn, Any], None]] = {
     api.Run: _Turn.do_run, api.Refuse: _Turn.do_final, api.Fail: _Turn.do_final,
--- a/snowthread/core/state.py
+++ b/snowthread/core/state.py
@@ -95,3 +95,9 @@
     say: float | None = None
     healthy: bool = True
     leaving: bool = False
+    drained: bool = False  # by the operators, until they take it back
+
+    @property
+    def taking(self) -> bool:
+        """Should the node be on the list?"""
+        return self.healthy and not self.leaving and not self.drained
--- a/snowthread/fronts/balancers/hub.py
+++ b/snowthread/fronts/balancers/hub.py
@@ -24,16 +24,33 @@
 PART_MS = 1000.0  # a peer that does not close so long after its farewell is closed
 
 
+def listener(address: Address) -> socket.socket:
+    """A socket of our own that listens."""
+    made = address.open(socket.SOCK_STREAM)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    made.bind(address)
+    made.listen(BACKLOG)
+    return made
+
+
+def inherited(door: int) -> socket.socket:
+    """The socket that was passed on; OSError where the descriptor is none that listens. It is only ever
+    closed, never shut down: others listen on it too."""
+    passed = socket.socket(fileno=door)
+    if not passed.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        raise OSError(errno.EINVAL, f"descriptor {door} does not listen")
+    passed.setblocking(False)
+    return passed
+
+
 class Balancers:
     """Accepts connections, answers on them and parts with them."""
 
     def __init__(self, loop: Loop, address: Address, most: int, unsent_most: int,
-                 post: Callable[[ev.Message], None]) -> None:
+                 post: Callable[[ev.Message], None], door: int | None = None) -> None:
+        """``door``: a socket that listens at this address already and was passed on as a descriptor."""
         self.loop, self.post, self._most, self._unsent_most = loop, post, most, unsent_most
-        self._listener: socket.socket | None = address.open(socket.SOCK_STREAM)
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind(address)
-        self._listener.listen(BACKLOG)
+        self._listener: socket.socket | None = listener(address) if door is None else inherited(door)
         self._connections: dict[int, Connection] = {}
         self._idle: OrderedDict[int, float] = OrderedDict()  # since when, the longest first
         self._idle_most = int(most * IDLE_SHARE)
@@ -51,6 +68,11 @@
         host, port = self._listener.getsockname()[:2]
         return host, port
 
+    @property
+    def accepting(self) -> bool:
+        """Are new connections taken?"""
+        return self._listener is not None and not self._leaving
+
     def count(self) -> int:
         """How many connections are open."""
         return len(self._connections)
--- a/snowthread/node.py
+++ b/snowthread/node.py
@@ -9,6 +9,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
 from loguru import logger
@@ -20,6 +21,7 @@
 from snowthread.core.reducer import reduce
 from snowthread.core.state import ModuleTime, State
 from snowthread.fronts.balancers.hub import Balancers
+from snowthread.fronts.operators.hub import Operators
 from snowthread.net.clock import Clock
 from snowthread.net.limits import results_max, unsent_max
 from snowthread.net.loop import IN, Loop, Steps, Wait
@@ -74,12 +76,15 @@
             self.gate = Gate(self.loop, features.tenants, config.seed, self.post)
             front_post = self.gate.read
         self.balancers = Balancers(self.loop, config.listen, max(8, limit - calls - SPARE),
-                                   unsent_max(config.memory_mb), front_post)
+                                   unsent_max(config.memory_mb), front_post, config.door)
         if config.settings.idle_s:
             self.balancers.close_idle_after(IDLE_FACTOR * ModuleTime.ms(config.settings.idle_s))
         self.runtime = Runtime(self.loop, config.runtime, self.post)
         self.index = Index(self.loop, config.index, calls, self.post)
         self.roster = Roster(self.loop, config.roster, config.name)
+        self.operators = None if config.admin is None else Operators(self.loop, config.admin, {
+            "/-/ready": ("GET", self._ready), "/-/drain": ("POST", lambda: self._drain(True)),
+            "/-/resume": ("POST", lambda: self._drain(False))})
         self._carry_out |= dict.fromkeys(
             (fx.StartRun, fx.StopRun, fx.GiveReply, fx.OmitCall, fx.AskGauges), self.runtime.send)
         self._carry_out |= {
@@ -119,6 +124,23 @@
     def _note(effect: fx.Note) -> None:
         logger.bind(event="decision.note").info("{}", effect.text)
 
+    # What operators call.
+
+    def _ready(self) -> tuple[HTTPStatus, str]:
+        """Does this process take clients?"""
+        if self.balancers.accepting:
+            return HTTPStatus.OK, "ready"
+        return HTTPStatus.SERVICE_UNAVAILABLE, "leaving: takes no more clients"
+
+    def _drain(self, drain: bool) -> tuple[HTTPStatus, str]:
+        """Off the list, or back on it."""
+        if self.state.leaving and not drain:
+            return HTTPStatus.CONFLICT, "this process has been told to leave: it can't go back to work"
+        if drain != self.state.drained:
+            logger.bind(event="node.drain").info("operators: {}", "drain" if drain else "back to work")
+        self.post(ev.DrainAsked(drain))
+        return HTTPStatus.OK, "draining" if drain else "back to work"
+
     def move(self, config: Config, features: Features | None = None) -> None:
         """Go on with a new configuration: peers where it says. What decides or listens stays."""
         self.roster.move(config.roster)  # first: it opens a socket, which can fail; nothing has moved then
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -3,6 +3,7 @@
 A text file has one step a line: who, what, and bytes with Python's escapes.
 
     3 connect                 a balancer's connection named 3
+    9 call                    an operator's connection named 9
     3 > BYTES, 3 < BYTES      sent to the node; sent by the node, to the byte
     3 >* COUNT BYTES          sent so many times; 3 <* COUNT BYTES likewise
     3 close, 3 closed         the peer closes; the node has closed
@@ -59,7 +60,7 @@
         fields: dict[str, Any] = json.loads(EXAMPLE.read_bytes())
         fields |= {name: address(sock) for name, sock in (self.listeners | self.peers).items()}
         self.clock = SetClock(START)
-        self.fields = fields | {"listen": "127.0.0.1:0"} | changes
+        self.fields = fields | {"listen": "127.0.0.1:0", "admin_addr": "127.0.0.1:0"} | changes
         self.node = Node(config.parse(self.fields), self.clock)
         self.index = fields["index"].encode()
 
@@ -110,6 +111,10 @@
             self.node.balancers.close_idle_after(float(what))
         elif what == "connect":
             self.peers[who] = socket.create_connection(self.node.balancers.address)
+        elif what == "call":
+            assert self.node.operators is not None
+            self.peers[who] = socket.create_connection(self.node.operators.address)
+            self.settle()
         elif what == "accept":
             self.settle()
             self.listeners[who].settimeout(PATIENCE_S)
