Replace the process under load: keys judged by the older one, clients by farewell

Ruled out: requests lost at the door (0 ended there) and memory (37 of 80 MB for both). At fault: each process had its own key table, and the notice to leave was taken for a drain (node._signals, reducer.leave_asked). Now both speak over a Unix socket in the shared folder.

--- a/snowthread/config.py
+++ b/snowthread/config.py
@@ -4,7 +4,7 @@
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -39,6 +39,7 @@
     meters: tuple[str, ...]
     admin: Address | None = None  # where the operators call
     door: int | None = None  # the descriptor of a listening socket that was passed on
+    folder: str | None = None  # where processes that share it find each other
 
 
 def load(environment: Mapping[str, str]) -> Config:
@@ -62,13 +63,16 @@
     if number is not None and not (number.isascii() and number.isdigit()):
         raise ConfigError(f"NODE_FD: {number!r} is not a descriptor's number")
     try:
-        return parse(fields, None if number is None else int(number))
+        config = parse(fields)
+        if number is not None:
+            config = replace(config, door=int(number), folder=environment.get("TMPDIR"))
+        return config
     except ConfigError as error:
         raise ConfigError(f"{path}: {error}") from None
 
 
-def parse(fields: Mapping[str, Any], door: int | None = None) -> Config:
-    """Check the fields one by one; ``door`` is the listening socket that was passed on, if one was."""
+def parse(fields: Mapping[str, Any]) -> Config:
+    """Check the fields one by one."""
     name = fields.get("name")
     if not isinstance(name, str) or not name or any(c.isspace() for c in name):
         raise ConfigError("name: a word is wanted")
@@ -110,4 +114,4 @@
     return Config(name=name, seed=seed, stop_ms=float(stop), sockets=sockets,
                   memory_mb=float(memory), settings=settings, meters=meters, listen=addresses["listen"],
                   runtime=addresses["runtime"], roster=addresses["roster"], index=addresses["index"],
-                  admin=admin, door=door)
+                  admin=admin)
--- a/snowthread/core/effects.py
+++ b/snowthread/core/effects.py
@@ -4,7 +4,18 @@
 
 from dataclasses import dataclass
 
-from snowthread.core.events import GaugesDue, Ticket, TimerDue
+from snowthread.core.events import (
+    DrainAsked,
+    GaugesDue,
+    KeyAsked,
+    KeyFreed,
+    KeyJudged,
+    KeyLate,
+    KeyOver,
+    Ticket,
+    TimerDue,
+)
+from snowthread.core.keys import Key
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,7 +115,7 @@
     """Send the message back at this time."""
 
     at: float
-    message: TimerDue | GaugesDue
+    message: TimerDue | GaugesDue | KeyLate
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,6 +132,26 @@
     taking: bool
 
 
+@dataclass(frozen=True, slots=True)
+class TellBeside:
+    """Tell the other process of this node. A key is told as it stands when its turn comes, so that thousands
+    of them wait as references, not as bytes."""
+
+    word: Key | KeyOver | KeyFreed | KeyAsked | KeyJudged | DrainAsked
+
+
+@dataclass(frozen=True, slots=True)
+class AllTold:
+    """All keys were told: the other process may begin."""
+
+
+@dataclass(frozen=True, slots=True)
+class Door:
+    """Take new connections, or leave them to the other process and part with those there are."""
+
+    open: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Note:
     """A line for the people on call."""
@@ -129,4 +160,5 @@
 
 
 Command = StartRun | StopRun | GiveReply | OmitCall
-Effect = (Answer | Command | AskGauges | MakeCall | DropCall | WakeAt | CloseIdleAfter | Announce | Note)
+Effect = (Answer | Command | AskGauges | MakeCall | DropCall | WakeAt | CloseIdleAfter | Announce | Note
+          | TellBeside | AllTold | Door)
--- a/snowthread/core/events.py
+++ b/snowthread/core/events.py
@@ -137,6 +137,76 @@
     drain: bool
 
 
+@dataclass(frozen=True, slots=True)
+class BesideUp:
+    """Another process of this node is there. ``judge``: this one is the older and decides who has a key."""
+
+    judge: bool
+
+
+@dataclass(frozen=True, slots=True)
+class BesideTakes:
+    """The newer process takes the clients from now on."""
+
+
+@dataclass(frozen=True, slots=True)
+class BesideGone:
+    """The other process is gone, with all it said read."""
+
+
+@dataclass(frozen=True, slots=True)
+class KeyTold:
+    """The other process holds a key, or holds it until another time."""
+
+    once: str
+    uid: str
+    until: float
+    content: bytes
+    over: bool
+    result: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class KeyOver:
+    """The run of the other process's try is over, with a result or without."""
+
+    uid: str
+    result: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class KeyFreed:
+    """The other process's try holds its key no more: it never ran."""
+
+    uid: str
+
+
+@dataclass(frozen=True, slots=True)
+class KeyAsked:
+    """The newer process wants a key for a try that came ``at``."""
+
+    once: str
+    uid: str
+    at: float
+    content: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class KeyJudged:
+    """The older process's word on that."""
+
+    once: str
+    uid: str
+    granted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class KeyLate:
+    """So long a request has waited for that word, and no longer."""
+
+    ticket: Ticket
+
+
 @dataclass(frozen=True, slots=True)
 class SharesChanged:
     """Tenants were added, changed or removed; ``over_share_worth`` of traffic over a share, or None."""
@@ -148,4 +218,5 @@
 
 Message = (RequestRead | CallerLeft | HealthAsked | RuntimeUp | RuntimeLost | RunOver | CommandRefused
            | CallWanted | GaugesRead | CallBack | TimerDue | GaugesDue | LeaveAsked
-           | DrainAsked | SharesChanged)
+           | DrainAsked | SharesChanged | BesideUp | BesideTakes | BesideGone | KeyTold | KeyOver | KeyFreed
+           | KeyAsked | KeyJudged | KeyLate)
--- a/snowthread/core/keys.py
+++ b/snowthread/core/keys.py
@@ -4,7 +4,7 @@
 
 import heapq
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 RESULTS_MAX = 24 * 2**20  # bytes of results kept; past it the oldest go first and their repeats fail
 READ_LATE_MS = 8_000.0  # a repeat that came within the window may be read so much later
@@ -21,6 +21,8 @@
     content: bytes  # a digest of what was asked: another body under the same key is no repeat
     over: bool = False
     result: bytes | None = None
+    away: bool = False  # held by the process beside this one, not by a request here
+    followers: list[int] = field(default_factory=list)  # repeats here that wait for what becomes of it there
 
 
 class KeyTable:
@@ -39,16 +41,18 @@
     def __len__(self) -> int:
         return len(self._by_number)
 
-    def keep(self, once: str, number: int, uid: str, until: float, now: float, content: bytes = b"") -> None:
+    def keep(self, once: str, number: int, uid: str, until: float, now: float, content: bytes = b"",
+             away: bool = False) -> Key:
         """Remember the key from now on; a newer try takes the entry over."""
         self._purge(now)
         old = self._by_once.get(once)
         if old is not None and old.number != number:
             self._remove(old)
-        entry = self._by_number.get(number) or Key(once, number, uid, until, content)
+        entry = self._by_number.get(number) or Key(once, number, uid, until, content, away=away)
         entry.until = until
         self._by_once[once] = self._by_number[number] = self._by_uid[uid] = entry
         heapq.heappush(self._ends, (until + READ_LATE_MS, number))
+        return entry
 
     def contradicts(self, once: str, content: bytes) -> bool:
         """Is something else known under this key? Its result must not go to who asked for another thing."""
@@ -81,6 +85,14 @@
                 self._bytes -= size
                 self._by_number[number].result = None
 
+    def of(self, uid: str) -> Key | None:
+        """The entry that the try of this id holds."""
+        return self._by_uid.get(uid)
+
+    def all(self) -> list[Key]:
+        """Every entry."""
+        return list(self._by_number.values())
+
     def get(self, number: int) -> Key | None:
         """The entry that this try holds."""
         return self._by_number.get(number)
--- a/snowthread/core/reducer.py
+++ b/snowthread/core/reducer.py
@@ -18,7 +18,8 @@
 from clovertack.interface import Outcome
 from snowthread.core import effects as fx
 from snowthread.core import events as ev
-from snowthread.core.state import Place, Request, State
+from snowthread.core.keys import Key
+from snowthread.core.state import Place, Request, Side, State
 
 GAUGES_LEAD_MS = 20.0  # gauges are asked for so long before the timer they are for
 GAUGES_RECENT_MS = 200.0  # timers nearer to each other than this share gauges
@@ -26,6 +27,8 @@
 LOST_MS = 150.0  # commands given so long before a link broke may be lost with it; the rest came through
 LEAST_MS = 1.0  # time left of a request that was read past its due time: none would mean 'not told'
 SYNC_TAG = "sync-"
+ASK_MS = 400.0  # the longest wait for the older process's word on a key; no more than half of the time left
+ASKING_MOST = 256  # keys that may be asked for at once
 
 _METER = {"core_use": "core_use", "on_cores": "on_cores", "heap_share": "memory_share",
           "links": "connections"}
@@ -51,6 +54,7 @@
         self.out: list[fx.Effect] = []
         self._events: deque[api.Event] = deque()
         self._busy = False
+        self._judged: bool | None = None  # the word on the key of the request that is read just now
 
     def take(self, message: ev.Message) -> None:
         _ON[type(message)](self, message)
@@ -100,16 +104,22 @@
             self.out.append(fx.Answer(m.ticket, fx.Failed(), s.say))
             return
         prior = s.keys.holder(once, at) if once else None
+        if once and prior is None and s.side is Side.ASKER and not self._judged:
+            self.ask(m, once, at, content)
+            return
         q = Request(s.number, m.uid, m.class_name, m.body, m.ticket, once, prior, self.now, content)
         s.requests[q.number] = s.by_uid[q.uid] = s.by_ticket[m.ticket] = q
         left = max(LEAST_MS, at + m.wait - self.now)
         self.tell(api.Arrival(
             request=q.number, class_name=q.class_name, held_kb=m.kb, key=m.key, left_s=s.time.span(left),
             rank=m.rank, caller=m.caller, tenant=m.tenant, backlog_s=s.time.span(self.now - at), prior=prior))
+        if self._judged and s.side is Side.ASKER and s.keys.of(m.uid) is None:
+            self.out.append(fx.TellBeside(ev.KeyFreed(m.uid)))  # turned away: the key is wanted no more
 
     def caller_left(self, m: ev.CallerLeft) -> None:
         q = self.s.by_ticket.pop(m.ticket, None)
         if q is None:
+            self.asks_no_more(m.ticket)
             return
         q.ticket = None
         self.drop_call(q)
@@ -141,12 +151,13 @@
         if s.by_uid.get(q.uid) is q:
             del s.by_uid[q.uid]
         self.drop_call(q)
-        first = s.requests.get(q.prior) if q.prior is not None else None
-        if first is not None and q.number in first.followers:
-            first.followers.remove(q.number)
+        if q.prior is not None:
+            first = s.requests.get(q.prior) or s.keys.get(q.prior)
+            if first is not None and q.number in first.followers:
+                first.followers.remove(q.number)
         self.resolve(q, result)
 
-    def resolve(self, q: Request, result: bytes | None) -> None:
+    def resolve(self, q: Request | Key, result: bytes | None) -> None:
         followers, q.followers = q.followers, []
         for number in followers:
             follower = self.s.requests.get(number)
@@ -180,6 +191,9 @@
         done = m.result if m.outcome is Outcome.SUCCESS else None
         if m.outcome is not Outcome.VOID:
             s.keys.finish(m.uid, done)
+            entry = s.keys.of(m.uid) if s.side is not Side.ALONE else None
+            if entry is not None and not entry.away:
+                self.out.append(fx.TellBeside(ev.KeyOver(m.uid, done)))
         if q is None or q.place is not Place.RUNNING:
             return
         self.drop_call(q)
@@ -304,14 +318,119 @@
     def leave_asked(self, m: ev.LeaveAsked) -> None:
         if not self.s.leaving:
             self.s.leaving = True
-            self.out.append(fx.Announce(False))
+            self.out.append(fx.Announce(self.s.taking))
             self.tell(api.LeaveNotice(self.s.time.span(m.left)))
 
     def drain_asked(self, m: ev.DrainAsked) -> None:
         """Only the word on health changes: balancers learn late, and what still comes is owed its answer."""
+        if m.drain != self.s.drained and self.s.side is not Side.ALONE:
+            self.out.append(fx.TellBeside(m))
         self.s.drained = m.drain
         self.out.append(fx.Announce(self.s.taking))
 
+    # The process beside this one, while one replaces the other: what it holds is known here, and no key is
+    # taken without the older one's word, so a request that comes to both runs in one of them at most.
+
+    def ask(self, m: ev.RequestRead, once: str, at: float, content: bytes) -> None:
+        """Hold a request before anybody knows of it until the older process has judged its key."""
+        s = self.s
+        if self._judged is False:  # another's, and yet unknown here: nothing can be promised
+            self.out.append(fx.Answer(m.ticket, fx.Failed(), s.say))
+        elif once not in s.asking and len(s.asking) >= ASKING_MOST:
+            self.out.append(fx.Answer(m.ticket, fx.Refused(), s.say))
+        else:
+            if once not in s.asking:
+                s.asking[once] = m.uid, []
+                self.out.append(fx.TellBeside(ev.KeyAsked(once, m.uid, at, content)))
+            s.asking[once][1].append(m)
+            wait = min(ASK_MS, max(0.0, at + m.wait - self.now) / 2.0)
+            self.out.append(fx.WakeAt(self.now + wait, ev.KeyLate(m.ticket)))
+
+    def asks_no_more(self, ticket: ev.Ticket) -> bool:
+        """Take a request back that waits for the word on its key; False where none does."""
+        for _, waiting in self.s.asking.values():
+            for m in waiting:
+                if m.ticket == ticket:
+                    waiting.remove(m)
+                    return True
+        return False
+
+    def key_late(self, m: ev.KeyLate) -> None:
+        if self.asks_no_more(m.ticket):
+            self.out.append(fx.Answer(m.ticket, fx.Refused(), self.s.say))
+
+    def key_asked(self, m: ev.KeyAsked) -> None:
+        """Judge: a key is the newer process's from now on, unless it is somebody's. How long it holds it, it
+        says once it takes the request; should it never, no run of it may be far off."""
+        s = self.s
+        granted = s.keys.holder(m.once, m.at) is None and not s.keys.contradicts(m.once, m.content)
+        if granted:
+            s.number += 1
+            window = max((c.window_s for c in s.settings.classes), default=0.0)
+            until = self.now + s.time.ms(window)
+            s.keys.keep(m.once, s.number, m.uid, until, self.now, m.content, away=True)
+        self.out.append(fx.TellBeside(ev.KeyJudged(m.once, m.uid, granted)))
+
+    def key_judged(self, m: ev.KeyJudged) -> None:
+        uid, waiting = self.s.asking.pop(m.once, ("", []))
+        mine = m.granted and bool(waiting) and waiting[0].uid == uid
+        if m.granted and not mine:  # who asked has left meanwhile; others ask anew
+            self.out.append(fx.TellBeside(ev.KeyFreed(m.uid)))
+        for n, request in enumerate(waiting):
+            self._judged = (n == 0 or None) if mine else None if m.granted else False
+            self.request_read(request)
+        self._judged = None
+
+    def key_told(self, m: ev.KeyTold) -> None:
+        s = self.s
+        entry = s.keys.of(m.uid)
+        if entry is not None and not entry.away:
+            return
+        s.number += 1
+        number = s.number if entry is None else entry.number
+        s.keys.keep(m.once, number, m.uid, m.until, self.now, m.content, away=True)
+        if m.over:
+            self.key_over(ev.KeyOver(m.uid, m.result))
+
+    def key_over(self, m: ev.KeyOver) -> None:
+        entry = self.s.keys.of(m.uid)
+        if entry is not None and entry.away:
+            self.s.keys.finish(m.uid, m.result)
+            self.resolve(entry, m.result)
+
+    def key_freed(self, m: ev.KeyFreed) -> None:
+        entry = self.s.keys.of(m.uid)
+        if entry is not None and entry.away:
+            self.s.keys.forget(entry.number)
+            self.resolve(entry, None)
+
+    def beside_up(self, m: ev.BesideUp) -> None:
+        """Judge: tell all that is known, with the word that it was all."""
+        s = self.s
+        s.side = Side.JUDGE if m.judge else Side.ASKER
+        if m.judge:
+            self.out += [fx.TellBeside(entry) for entry in s.keys.all()]
+            self.out += [fx.TellBeside(ev.DrainAsked(s.drained)), fx.AllTold()]
+
+    def beside_takes(self, _: ev.BesideTakes) -> None:
+        """The newer process speaks for the node: what this one would say of its load says nothing now."""
+        self.s.succeeded, self.s.say = True, None
+        self.out += [fx.Announce(self.s.taking), fx.Door(False)]
+
+    def beside_gone(self, _: ev.BesideGone) -> None:
+        """Alone again. What went on there will not be heard of: repeats of it fail, nothing runs again."""
+        s = self.s
+        s.side, s.succeeded = Side.ALONE, False
+        for entry in s.keys.all():
+            if entry.away and not entry.over:
+                entry.over = True
+                self.resolve(entry, None)
+        asking, s.asking = s.asking, {}
+        for _uid, waiting in asking.values():
+            for request in waiting:
+                self.request_read(request)
+        self.out += [fx.Announce(s.taking), fx.Door(True)]
+
     def shares_changed(self, m: ev.SharesChanged) -> None:
         """Other tenants. Before there is a controller they wait: it starts with the runtime, cold or not."""
         old = self.s.shares
@@ -361,6 +480,9 @@
         entry = self.s.keys.get(q.prior)
         if entry is not None and entry.over:
             self.attached_over(q, entry.result)
+        elif entry is not None and entry.away:
+            q.place = Place.ATTACHED
+            entry.followers.append(q.number)
         elif first is None:
             self.attached_over(q, None)
         else:
@@ -370,11 +492,16 @@
     def do_keep(self, a: api.KeepKey) -> None:
         q = self.s.requests.get(a.request)
         if q is not None and q.once:
-            self.s.keys.keep(q.once, q.number, q.uid, self.now + self.s.time.ms(a.lifetime_s), self.now,
-                             q.content)
+            until = self.now + self.s.time.ms(a.lifetime_s)
+            entry = self.s.keys.keep(q.once, q.number, q.uid, until, self.now, q.content)
+            if self.s.side is not Side.ALONE:
+                self.out.append(fx.TellBeside(entry))
 
     def do_forget(self, a: api.ForgetKey) -> None:
+        entry = self.s.keys.get(a.request)
         self.s.keys.forget(a.request)
+        if entry is not None and self.s.side is not Side.ALONE:
+            self.out.append(fx.TellBeside(ev.KeyFreed(entry.uid)))
 
     def do_call(self, a: api.Call) -> None:
         q = self.s.requests.get(a.request)
@@ -399,11 +526,13 @@
         self.out.append(fx.WakeAt(at, ev.TimerDue(a.label)))
 
     def do_health(self, a: api.SetHealth) -> None:
-        self.s.healthy = a.good
+        if not self.s.leaving:  # from then on the module speaks of this process, not of the node
+            self.s.healthy = a.good
         self.out.append(fx.Announce(self.s.taking))
 
     def do_publish(self, a: api.Publish) -> None:
-        self.s.say = a.value
+        if not self.s.succeeded:
+            self.s.say = a.value
 
     def do_idle(self, a: api.CloseIdle) -> None:
         self.out.append(fx.CloseIdleAfter(self.s.time.ms(a.after_s or self.s.settings.idle_s)))
@@ -418,6 +547,9 @@
     ev.CommandRefused: _Turn.command_refused, ev.CallWanted: _Turn.call_wanted,
     ev.GaugesRead: _Turn.gauges_read, ev.CallBack: _Turn.call_back, ev.TimerDue: _Turn.timer_due,
     ev.GaugesDue: _Turn.gauges_due, ev.LeaveAsked: _Turn.leave_asked,
+    ev.BesideUp: _Turn.beside_up, ev.BesideTakes: _Turn.beside_takes, ev.BesideGone: _Turn.beside_gone,
+    ev.KeyTold: _Turn.key_told, ev.KeyOver: _Turn.key_over, ev.KeyFreed: _Turn.key_freed,
+    ev.KeyAsked: _Turn.key_asked, ev.KeyJudged: _Turn.key_judged, ev.KeyLate: _Turn.key_late,
     ev.DrainAsked: _Turn.drain_asked, ev.SharesChanged: _Turn.shares_changed}
 
 _DO: dict[type, Callable[[_Turn, Any], None]] = {
--- a/snowthread/core/state.py
+++ b/snowthread/core/state.py
@@ -9,7 +9,7 @@
 from clovertack.decide import Controller
 from clovertack.interface import Settings
 from snowthread.core.effects import Command
-from snowthread.core.events import Ticket
+from snowthread.core.events import RequestRead, Ticket
 from snowthread.core.keys import KeyTable
 
 
@@ -21,6 +21,14 @@
     ATTACHED = 2
 
 
+class Side(Enum):
+    """Who else is this node."""
+
+    ALONE = 0
+    JUDGE = 1  # the older of two processes: decides who has a key
+    ASKER = 2  # the newer one: asks before it takes a key
+
+
 @dataclass(slots=True, eq=False)
 class Request:
     """One try that was read. ``ticket`` is None once it is answered or nobody waits."""
@@ -96,8 +104,12 @@
     healthy: bool = True
     leaving: bool = False
     drained: bool = False  # by the operators, until they take it back
+    side: Side = Side.ALONE
+    succeeded: bool = False  # the newer process takes the clients
+    # The key that was asked for: for which try, and the requests that wait for the word
+    asking: dict[str, tuple[str, list[RequestRead]]] = field(default_factory=dict)
 
     @property
     def taking(self) -> bool:
-        """Should the node be on the list?"""
-        return self.healthy and not self.leaving and not self.drained
+        """Should the node be on the list? A process that leaves does not take it off while another stays."""
+        return self.healthy and not self.drained and (self.succeeded or not self.leaving)
--- a/snowthread/fronts/balancers/connection.py
+++ b/snowthread/fronts/balancers/connection.py
@@ -63,6 +63,11 @@
         """Nothing is open and nothing unsent."""
         return not self.open and not self.out
 
+    @property
+    def begun(self) -> bool:
+        """Is a message there in part?"""
+        return bool(self._begun)
+
     def write(self, data: bytes) -> None:
         """Send what goes and keep the rest."""
         if self.broken:
--- a/snowthread/fronts/balancers/hub.py
+++ b/snowthread/fronts/balancers/hub.py
@@ -56,7 +56,7 @@
         self._idle_most = int(most * IDLE_SHARE)
         self._idle_after = math.inf
         self._count = 0
-        self._leaving = False
+        self._leaving = self._shut = False
         self._acceptor = loop.spawn(self._accept())
         loop.spawn(self._sweep())
 
@@ -71,7 +71,7 @@
     @property
     def accepting(self) -> bool:
         """Are new connections taken?"""
-        return self._listener is not None and not self._leaving
+        return self._listener is not None and not self._leaving and not self._shut
 
     def count(self) -> int:
         """How many connections are open."""
@@ -89,8 +89,8 @@
 
     def _accept(self) -> Steps:
         while self._listener is not None:
-            yield Wait(self._listener.fileno(), IN)
-            if self._listener is not None and not self.accept_all(ACCEPT_MAX):
+            got = yield Wait() if self._shut else Wait(self._listener.fileno(), IN)
+            if got and self._listener is not None and not self.accept_all(ACCEPT_MAX):
                 yield Wait(until=self.loop.clock.now() + FULL_PAUSE_MS)
 
     def accept_all(self, most: int) -> bool:
@@ -214,6 +214,22 @@
         for connection in list(self._connections.values()):
             connection.say_farewell()
 
+    def shut(self) -> None:
+        """Accept nothing for now: what waits at the door is another process's."""
+        self._shut = True
+        self.loop.wake(self._acceptor)
+
+    def reopen(self) -> None:
+        """Accept again, and keep connections again."""
+        self._shut = self._leaving = False
+        self.loop.wake(self._acceptor)
+
+    def owing(self) -> bool:
+        """May anything still come or be owed on a connection? After a farewell, one that is idle for a while
+        carries nothing more."""
+        now = self.loop.clock.now()
+        return any(not c.idle or c.begun or now - c.parted_at < PART_MS for c in self._connections.values())
+
     def stop_accepting(self) -> None:
         """Take what waits to be accepted, then refuse connections: those prove that nothing ran."""
         self._most = max(self._most, len(self._connections) + BACKLOG)
--- a/snowthread/node.py
+++ b/snowthread/node.py
@@ -25,6 +25,7 @@
 from snowthread.net.clock import Clock
 from snowthread.net.limits import results_max, unsent_max
 from snowthread.net.loop import IN, Loop, Steps, Wait
+from snowthread.peers.beside import Beside
 from snowthread.peers.index import Index
 from snowthread.peers.roster import Roster
 from snowthread.peers.runtime import Runtime
@@ -41,6 +42,7 @@
 EXIT_MS = 120.0  # before the kill: out, whatever is left
 LOOK_MS = 10.0  # between two looks whether all is written
 QUIET_MS = 100.0  # so long nothing may be open before it goes: what crosses a farewell takes up to 50 ms
+PASSED_ON_MS, PASSED_ON_DEADLINE_MS = 700.0, 3000.0  # with a successor: so long beyond the longest deadline
 IDLE_FACTOR = 2.0  # times the callers' own idle time after which a connection they forgot is closed
 
 
@@ -77,6 +79,13 @@
             front_post = self.gate.read
         self.balancers = Balancers(self.loop, config.listen, max(8, limit - calls - SPARE),
                                    unsent_max(config.memory_mb), front_post, config.door)
+        # Another process of this node may serve already, or come to replace this one.
+        self.beside: Beside | None = None
+        if config.door is not None and config.folder is not None:
+            self.balancers.shut()
+            self.beside = Beside(self.loop, config.folder, self.post, self._open_door)
+            self._carry_out |= {fx.TellBeside: self.beside.tell, fx.AllTold: self.beside.all_told,
+                                fx.Door: self._door}
         if config.settings.idle_s:
             self.balancers.close_idle_after(IDLE_FACTOR * ModuleTime.ms(config.settings.idle_s))
         self.runtime = Runtime(self.loop, config.runtime, self.post)
@@ -124,13 +133,27 @@
     def _note(effect: fx.Note) -> None:
         logger.bind(event="decision.note").info("{}", effect.text)
 
+    # Two processes of one node.
+
+    def _open_door(self) -> None:
+        """Take clients, unless told to leave."""
+        if not self.state.leaving and not self.state.succeeded:
+            self.balancers.reopen()
+
+    def _door(self, effect: fx.Door) -> None:
+        if effect.open:
+            self._open_door()
+        else:
+            self.balancers.shut()
+            self.balancers.leave()
+
     # What operators call.
 
     def _ready(self) -> tuple[HTTPStatus, str]:
         """Does this process take clients?"""
-        if self.balancers.accepting:
+        if self.balancers.accepting and (self.beside is None or self.beside.settled):
             return HTTPStatus.OK, "ready"
-        return HTTPStatus.SERVICE_UNAVAILABLE, "leaving: takes no more clients"
+        return HTTPStatus.SERVICE_UNAVAILABLE, "takes no clients"
 
     def _drain(self, drain: bool) -> tuple[HTTPStatus, str]:
         """Off the list, or back on it."""
@@ -174,14 +197,31 @@
                 reload(self)
             if not told and (signal.SIGTERM in came or signal.SIGINT in came):
                 told = True
-                logger.bind(event="node.leaving").info("told to leave, {} ms left", self.config.stop_ms)
-                self.post(ev.LeaveAsked(self.config.stop_ms))
+                left = self.config.stop_ms
+                if self.state.succeeded:
+                    left = min(left, PASSED_ON_MS + min(PASSED_ON_DEADLINE_MS, 1000.0 * max(
+                        c.deadline_s for c in self.config.settings.classes)))
+                logger.bind(event="node.leaving").info("told to leave, {} ms left", left)
+                self.post(ev.LeaveAsked(left))
                 self.balancers.leave()
-                self.loop.spawn(self._leave())
-
-    def _leave(self) -> Steps:
+                kill = self.clock.now() + left
+                steps = self._leave(kill) if self.beside is None else self._pass_on(kill, self.beside)
+                self.loop.spawn(steps)
+
+    def _pass_on(self, kill: float, beside: Beside) -> Steps:
+        """Where others listen at the same door, nobody is turned away by closing it. Leave what comes to the
+        process that takes clients now, and go once all is answered; where there is none, serve until shortly
+        before the kill."""
+        busy_at = self.clock.now()
+        while (now := self.clock.now()) < min(kill - EXIT_MS, busy_at + QUIET_MS):
+            if not self.state.succeeded or self.balancers.owing() or self.state.requests:
+                busy_at = now
+            yield Wait(until=now + LOOK_MS)
+        beside.leave()
+        self._end()
+
+    def _leave(self, kill: float) -> Steps:
         """Serve on until shortly before the kill, then close the door, answer what came and go."""
-        kill = self.clock.now() + self.config.stop_ms
         yield Wait(until=kill - DOOR_MS)
         self.balancers.stop_accepting()
         busy_at = self.clock.now()
@@ -189,6 +229,9 @@
             yield Wait(until=self.clock.now() + LOOK_MS)
             if self.balancers.unsent:
                 busy_at = self.clock.now()
+        self._end()
+
+    def _end(self) -> None:
         logger.bind(event="node.left").info("left")
         self._gone = True  # what ends now, ends with the process
         if self.recorder is not None:
--- a/snowthread/peers/beside.py
+++ b/snowthread/peers/beside.py
@@ -29,7 +29,7 @@
 JOIN_MS = 300.0  # so long a socket that refuses is tried again: its owner may just be making it anew
 RETRY_MS = 20.0
 
-HELLO, ALL, TAKES = "hello", "all", "takes"
+HELLO, ALL, TAKES, YOURS = "hello", "all", "takes", "yours"
 Word = ev.Message | str
 
 
@@ -63,7 +63,7 @@
 _WANTED: dict[str, tuple[Any, ...]] = {
     "key": (str, str, float, bytes, bool, bytes | None), "over": (str, bytes | None), "freed": (str,),
     "asked": (str, str, float, bytes), "judged": (str, str, bool), "drain": (bool,),
-    HELLO: (int,), ALL: (int,), TAKES: (int,)}
+    HELLO: (int,), ALL: (int,), TAKES: (int,), YOURS: (int,)}
 
 
 def decode(message: object) -> Word:
@@ -101,13 +101,14 @@
         self._listener: socket.socket | None = None
         self._words: deque[Key | ev.Message | str] = deque()
         self._out = b""
-        self._gone = False
+        self._gone = self._settled = False
         loop.spawn(self._join())
 
     @property
-    def linked(self) -> bool:
-        """Is another process there?"""
-        return self._sock is not None
+    def settled(self) -> bool:
+        """Are the clients this process's, as far as the other one knows? Until then a notice to leave would
+        make the other one take the node off the list."""
+        return self._settled
 
     # Words out.
 
@@ -156,6 +157,7 @@
                 break
             if code == errno.ENOENT or self._loop.clock.now() >= until:
                 self._listen()
+                self._settled = True
                 self._found()
                 return
             yield Wait(until=self._loop.clock.now() + RETRY_MS)
@@ -245,6 +247,7 @@
             if not self._gone:
                 logger.bind(event="beside.gone", peer="beside").info("the other process is gone")
                 self._post(ev.BesideGone())
+                self._settled = True
                 self._found()
                 if self._listener is None:
                     self._listen()
@@ -257,6 +260,9 @@
             self._say(TAKES)
         elif word == TAKES:
             self._post(ev.BesideTakes())
+            self._say(YOURS)
+        elif word == YOURS:
+            self._settled = True
         elif not isinstance(word, str):
             self._post(word)
 
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -24,6 +24,7 @@
 import json
 import socket
 import time
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -54,14 +55,14 @@
 class Player:
     """A node and the peers round it."""
 
-    def __init__(self, **changes: Any) -> None:
+    def __init__(self, door: int | None = None, folder: str | None = None, **changes: Any) -> None:
         self.listeners = {"runtime": loopback(socket.SOCK_STREAM), "index": loopback(socket.SOCK_STREAM)}
         self.peers: dict[str, socket.socket] = {"roster": loopback(socket.SOCK_DGRAM)}
         fields: dict[str, Any] = json.loads(EXAMPLE.read_bytes())
         fields |= {name: address(sock) for name, sock in (self.listeners | self.peers).items()}
         self.clock = SetClock(START)
         self.fields = fields | {"listen": "127.0.0.1:0", "admin_addr": "127.0.0.1:0"} | changes
-        self.node = Node(config.parse(self.fields), self.clock)
+        self.node = Node(replace(config.parse(self.fields), door=door, folder=folder), self.clock)
         self.index = fields["index"].encode()
 
     def settle(self) -> None:
--- /dev/null
+++ b/tests/test_beside.py
@@ -0,0 +1,408 @@
+"""One process replaces another: keys of both, clients, the list, and either of them ending in the middle."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import ExitStack
+from http.client import HTTPConnection
+from pathlib import Path
+from typing import Any
+
+import msgpack
+import pytest
+from exchange import START, Player, address, loopback
+from test_program import PATIENCE_S, ROOT, configuration, environment, site
+
+from snowthread.core import events as ev
+from snowthread.core.reducer import ASK_MS, ASKING_MOST
+from snowthread.core.state import Side
+from snowthread.peers import beside
+
+FAREWELL = msgpack.packb([2, "farewell", []])
+
+
+class Pair:
+    """Two processes' nodes at one door, the older first; each with a runtime and a roster of its own."""
+
+    def __init__(self, folder: Path) -> None:
+        self.door, self.folder = loopback(socket.SOCK_STREAM), str(folder)
+        self.old = self.more()
+        self.settle()
+
+    def more(self) -> Player:
+        return Player(door=os.dup(self.door.fileno()), folder=self.folder)
+
+    def start_new(self) -> None:
+        self.new = self.more()
+        self.settle()
+        self.link(self.new)
+
+    def settle(self, rounds: int = 4) -> None:
+        for _ in range(rounds):
+            for player in self.players:
+                player.settle()
+
+    @property
+    def players(self) -> list[Player]:
+        return [p for p in (self.__dict__.get("old"), self.__dict__.get("new")) if p is not None]
+
+    def clock(self, ms: float) -> None:
+        for player in self.players:
+            player.clock.time += ms
+        self.settle()
+
+    def link(self, player: Player) -> None:
+        """Its runtime is there."""
+        player.step("runtime", "accept", "")
+        self.say(player, {"action": "ready", "code": "seasoned", "wall_ms": 0})
+
+    def say(self, player: Player, *notices: dict[str, Any]) -> None:
+        for notice in notices:
+            player.peers["runtime"].sendall(json.dumps(notice).encode() + b"\n")
+        self.settle()
+
+    def done(self, player: Player, pos: int, uid: str, content: str = "cg==") -> None:
+        self.say(player, {"action": "end", "pos": pos, "uid": uid, "code": "done", "wall_ms": 9,
+                          "content": content})
+
+    def starts(self, player: Player) -> list[str]:
+        """Which runs it has asked its runtime for, since last looked."""
+        try:
+            lines = player.peers["runtime"].recv(65536).splitlines()
+        except BlockingIOError:
+            return []
+        return [fields["uid"] for fields in map(json.loads, lines) if fields["action"] == "start"]
+
+    def connect(self, player: Player) -> socket.socket:
+        """A balancer's connection that this process, and not the other, takes."""
+        before = player.node.balancers.count()
+        sock = socket.create_connection(self.door.getsockname())
+        for _ in range(5):
+            player.settle()
+        assert player.node.balancers.count() == before + 1
+        sock.setblocking(False)
+        return sock
+
+    def ask(self, sock: socket.socket, number: int, uid: str, once: str = "k1", body: bytes = b"p",
+            age: float = 0.0) -> None:
+        at = self.old.clock.time - age
+        fields = {"id": uid, "at": f"{at:.0f}", "from": "4", "wait": "5000", "kb": "20", "rank": "0.5",
+                  "once": once}
+        sock.sendall(msgpack.packb([0, number, "dispense", [fields, body]]))
+        self.settle()
+
+    def end(self, player: Player) -> None:
+        """As a kill does it: nothing more is said."""
+        assert player.node.beside is not None
+        player.node._gone = player.node.beside._gone = True
+        player.node.loop._close_tasks()
+        if player is self.old:
+            del self.old
+        else:
+            del self.new
+
+    def close(self) -> None:
+        for player in self.players:
+            player.node._gone = True
+            if player.node.beside is not None:
+                player.node.beside.leave()
+            player.node.loop._close_tasks()
+            for sock in (*player.peers.values(), *player.listeners.values()):
+                sock.close()
+        self.door.close()
+
+
+def answers(sock: socket.socket) -> list[Any]:
+    """What came: number, error, result; farewells left out."""
+    unpacker = msgpack.Unpacker()
+    try:
+        unpacker.feed(sock.recv(65536))
+    except BlockingIOError:
+        pass
+    return [[m[1], m[2] and m[2][0], m[3] and m[3][0]] for m in unpacker if m[0] == 1]
+
+
+@pytest.fixture
+def pair(tmp_path: Path) -> Iterator[Pair]:
+    made = Pair(tmp_path)
+    made.link(made.old)
+    try:
+        yield made
+    finally:
+        made.close()
+
+
+A, B, C = "00000000000000a1", "00000000000000b1", "00000000000000c1"
+
+
+def test_what_ran_before_is_known_to_the_newer_one_with_its_result(pair: Pair) -> None:
+    first = pair.connect(pair.old)
+    pair.ask(first, 1, A)
+    assert pair.starts(pair.old) == [A]
+    pair.done(pair.old, 1, A)
+    assert answers(first) == [[1, None, b"r"]]
+    pair.start_new()
+    second = pair.connect(pair.new)
+    pair.ask(second, 1, B)
+    assert answers(second) == [[1, None, b"r"]]
+    pair.ask(second, 2, C, body=b"another thing")  # not a repeat of it
+    assert answers(second) == [[2, "Failed", None]]
+    assert pair.starts(pair.new) == []
+
+
+def test_a_repeat_waits_for_the_run_in_the_other_process_either_way(pair: Pair) -> None:
+    first = pair.connect(pair.old)
+    pair.ask(first, 1, A)
+    pair.start_new()
+    second = pair.connect(pair.new)
+    pair.ask(second, 1, B)
+    assert answers(second) == []
+    pair.done(pair.old, 1, A)
+    assert answers(second) == [[1, None, b"r"]] and pair.starts(pair.new) == []
+    pair.ask(second, 2, B, once="k2")
+    assert pair.starts(pair.new) == [B]
+    pair.ask(first, 2, C, once="k2")  # it was on the way when the farewell went out
+    pair.done(pair.new, 1, B, "cjI=")
+    assert answers(first)[-1] == [2, None, b"r2"] and pair.starts(pair.old) == [A]
+
+
+def test_of_two_tries_read_at_once_one_runs(pair: Pair) -> None:
+    first = pair.connect(pair.old)
+    pair.start_new()
+    second = pair.connect(pair.new)
+    for n in range(20):  # whoever reads first
+        fields = {"at": f"{START:.0f}", "from": "4", "wait": "5000", "kb": "20", "rank": "0.5",
+                  "once": f"x{n}"}
+        for sock, half in ((first, "a"), (second, "b")):
+            sock.sendall(msgpack.packb([0, n + 1, "dispense", [fields | {"id": f"{half * 8}{n:08x}"}, b"p"]]))
+        for player in pair.players if n % 2 else reversed(pair.players):
+            player.node.loop.round(0.0)
+            player.node.loop.round(0.0)
+    pair.settle()
+    ran = [uid[8:] for player in pair.players for uid in pair.starts(player)]
+    assert ran and len(ran) == len(set(ran))
+
+
+def test_a_killed_older_one_leaves_its_runs_unknown_and_none_is_run_again(pair: Pair) -> None:
+    first = pair.connect(pair.old)
+    pair.ask(first, 1, A)
+    pair.start_new()
+    second = pair.connect(pair.new)
+    pair.ask(second, 1, B)
+    pair.end(pair.old)
+    pair.settle()
+    assert answers(second) == [[1, "Failed", None]]
+    fields = {"id": C, "at": f"{START:.0f}", "from": "4", "wait": "5000", "kb": "20", "rank": "0.5"}
+    for number, once, wanted in ((2, "k1", [[2, "Failed", None]]), (3, "k9", [])):
+        second.sendall(msgpack.packb([0, number, "dispense", [fields | {"once": once}, b"p"]]))
+        pair.settle()
+        assert answers(second) == wanted
+    assert pair.starts(pair.new) == [C] and pair.new.node.state.side is Side.ALONE
+
+
+def test_a_newer_one_that_dies_gives_the_clients_back(pair: Pair) -> None:
+    pair.start_new()
+    second = pair.connect(pair.new)
+    pair.ask(second, 1, A)
+    assert pair.starts(pair.new) == [A]
+    assert not pair.old.node.balancers.accepting
+    pair.end(pair.new)
+    pair.settle()
+    third = pair.connect(pair.old)
+    pair.ask(third, 1, B)
+    assert answers(third) == [[1, "Failed", None]]  # nobody can tell what became of its run
+    pair.ask(third, 2, C, once="k2")
+    assert pair.starts(pair.old) == [C]
+    pair.start_new()  # and the next one is let in
+    assert pair.new.node.state.side is Side.ASKER and pair.new.node.balancers.accepting
+
+
+def test_what_the_newer_one_turns_away_leaves_its_key_free(pair: Pair) -> None:
+    first = pair.connect(pair.old)
+    pair.start_new()
+    second = pair.connect(pair.new)
+    pair.ask(second, 1, A, age=5100.0)  # read past its due time: turned away as read
+    assert [error for _, error, _ in answers(second)] == ["Throttled"]
+    pair.ask(first, 1, B)
+    assert pair.starts(pair.old) == [B]
+
+
+def test_no_word_on_a_key_in_time_turns_the_request_away_and_a_late_one_is_given_back(pair: Pair) -> None:
+    pair.start_new()
+    second = pair.connect(pair.new)
+    old, pair.old = pair.old, pair.new  # the older one stands still
+    del pair.new
+    pair.ask(second, 1, A)
+    assert answers(second) == []
+    pair.clock(ASK_MS)
+    assert answers(second) == [[1, "Throttled", None]] and pair.starts(pair.old) == []
+    pair.new, pair.old = pair.old, old
+    pair.settle()
+    assert old.node.state.keys.of(A) is None
+    pair.ask(second, 2, B)
+    assert pair.starts(pair.new) == [B]
+
+
+def test_who_leaves_while_the_key_is_judged_is_not_run(pair: Pair) -> None:
+    pair.start_new()
+    second = pair.connect(pair.new)
+    old, pair.old = pair.old, pair.new
+    del pair.new
+    pair.ask(second, 1, A)
+    second.sendall(msgpack.packb([2, "cancel", [1]]))
+    for n in range(ASKING_MOST + 1):
+        third = second if n % 32 else pair.connect(pair.old)
+        second = third
+        pair.ask(third, 2 + n, f"{n:016x}", once=f"y{n}")
+    assert [error for _, error, _ in answers(third)] == ["Throttled"]  # so many wait, and no more
+    pair.new, pair.old = pair.old, old
+    pair.settle()
+    assert A not in pair.starts(pair.new) and old.node.state.keys.of(A) is None
+
+
+def test_the_list_hears_no_off_and_the_drain_is_taken_over(pair: Pair) -> None:
+    first = pair.connect(pair.old)
+    pair.ask(first, 1, A)
+    assert pair.old.node.operators is not None
+    pair.old.node._drain(True)
+    pair.start_new()
+    assert pair.new.node.state.drained
+    pair.new.node._drain(False)
+    pair.settle()
+    assert not pair.old.node.state.drained
+    while True:
+        try:
+            pair.old.peers["roster"].recv(100)
+        except BlockingIOError:
+            break
+    pair.old.node.post(ev.LeaveAsked(3700.0))
+    pair.clock(2500.0)  # beyond the grace of a drain
+    assert pair.old.peers["roster"].recv(100) == b"HERE n1 on"
+    first.sendall(msgpack.packb([0, 2, "health", [{}]]))
+    pair.settle()
+    pair.done(pair.old, 1, A)
+    assert answers(first) == [[2, None, True], [1, None, b"r"]]
+    second = pair.connect(pair.new)
+    pair.ask(second, 1, B)
+    assert answers(second) == [[1, None, b"r"]]
+
+
+@pytest.mark.parametrize("message", [
+    None, [], ["no"], ["freed", 7], ["key", "k", "u", 1.0, b"", True], ["hello", 99], ["over", "u", "text"]])
+def test_nonsense_from_beside_is_told_apart(message: object) -> None:
+    with pytest.raises(ValueError):
+        beside.decode(message)
+
+
+def call(port: int, method: str, path: str) -> int:
+    connection = HTTPConnection("127.0.0.1", port, timeout=5.0)
+    try:
+        connection.request(method, path)
+        return connection.getresponse().status
+    except OSError:
+        return 0
+    finally:
+        connection.close()
+
+
+class Balancer(threading.Thread):
+    """Asks one thing after another, with a new connection where it was told to go."""
+
+    def __init__(self, door: socket.socket) -> None:
+        super().__init__(daemon=True)
+        self.door, self.over = door.getsockname(), threading.Event()
+        self.served = self.other = 0
+
+    def run(self) -> None:
+        while not self.over.is_set():
+            with socket.create_connection(self.door) as sock:
+                sock.settimeout(PATIENCE_S)
+                unpacker, number, told = msgpack.Unpacker(), 0, False
+                while not told and not self.over.is_set():
+                    number += 1
+                    uid = os.urandom(8).hex()
+                    fields = {"id": uid, "at": f"{time.time() * 1000:.0f}", "from": "4", "wait": "9000",
+                              "kb": "20", "rank": "0.5", "once": uid}
+                    sock.sendall(msgpack.packb([0, number, "dispense", [fields, uid.encode()]]))
+                    answer = None
+                    while answer is None:
+                        data = sock.recv(4096)
+                        if not data:
+                            self.other += 1
+                            return
+                        unpacker.feed(data)
+                        for message in unpacker:
+                            told = told or message[0] == 2
+                            answer = message if message[0] == 1 else answer
+                    good = answer[1:] == [number, None, [b"dispensed known", answer[3] and answer[3][1]]]
+                    self.served += good
+                    self.other += not good
+
+
+def test_a_program_is_replaced_under_load_and_nobody_notices(tmp_path: Path) -> None:
+    folders = [tmp_path / name for name in ("a", "b", "shared")]
+    for folder in folders:
+        folder.mkdir()
+    with ExitStack() as stack:
+        door = stack.enter_context(loopback(socket.SOCK_STREAM))
+        door.listen(128)
+        paths = [configuration(folder, listen=address(door), stop_ms=5000) for folder in folders[:2]]
+        with loopback(socket.SOCK_STREAM) as one, loopback(socket.SOCK_STREAM) as two:
+            admins = [sock.getsockname()[1] for sock in (one, two)]
+
+        def start(n: int) -> subprocess.Popen[str]:
+            stack.enter_context(site(paths[n]))
+            more = {"NODE_FD": str(door.fileno()), "TMPDIR": str(folders[2]),
+                    "NODE_ADMIN_ADDR": f"127.0.0.1:{admins[n]}"}
+            process = subprocess.Popen([sys.executable, "-m", "snowthread"], cwd=ROOT, text=True,
+                                       env=environment(paths[n]) | more, stderr=subprocess.PIPE,
+                                       pass_fds=(door.fileno(),))
+            stack.callback(process.communicate)
+            stack.callback(process.kill)
+            end = time.monotonic() + PATIENCE_S
+            while call(admins[n], "GET", "/-/ready") != 200:
+                assert time.monotonic() < end, "never ready"
+                time.sleep(0.02)
+            return process
+
+        old = start(0)
+        with socket.create_connection(door.getsockname()) as sock:
+            first = ask_on(sock, "k1")
+        balancers = [Balancer(door) for _ in range(6)]
+        for balancer in balancers:
+            balancer.start()
+        new = start(1)
+        assert call(admins[0], "GET", "/-/ready") == 503
+        old.send_signal(signal.SIGTERM)
+        _, log = old.communicate(timeout=PATIENCE_S)
+        assert old.returncode == 0 and "roster: off" not in log and "Traceback" not in log
+        with socket.create_connection(door.getsockname()) as sock:
+            assert ask_on(sock, "k1") == first  # with the result that the other process had
+        before = sum(b.served for b in balancers)
+        end = time.monotonic() + PATIENCE_S
+        while sum(b.served for b in balancers) < before + 12:
+            assert time.monotonic() < end
+            time.sleep(0.02)
+        for balancer in balancers:
+            balancer.over.set()
+        for balancer in balancers:
+            balancer.join(PATIENCE_S)
+        assert sum(b.other for b in balancers) == 0 and new.poll() is None
+
+
+def ask_on(sock: socket.socket, once: str) -> Any:
+    fields = {"id": os.urandom(8).hex(), "at": f"{time.time() * 1000:.0f}", "from": "4", "wait": "9000",
+              "kb": "20", "rank": "0.5", "once": once}
+    sock.sendall(msgpack.packb([0, 1, "dispense", [fields, b"grey"]]))
+    sock.settimeout(PATIENCE_S)
+    answer = msgpack.unpackb(sock.recv(4096))
+    assert answer[2] is None
+    return answer[3][0]
