Take up other settings at SIGHUP, classes added and dropped; turn a file with gaps down whole

At fault: settings stood among what takes a new start (reload.STAYS), and the module had no event for them.

--- a/clovertack/decide.py
+++ b/clovertack/decide.py
@@ -7,7 +7,7 @@
 import heapq
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -15,8 +15,8 @@
 from clovertack.interface import (
     Action, Arrival, AtCall, Attach, Below, Call, CallEnded, CallerGone, CloseIdle, Effect, Event, Fail,
     ForgetKey, KeepKey, LeaveNotice, Outcome, Preempt, Preemption, Publish, Refuse, Report, RequestClass,
-    Run, RunDoubted, RunEnded, SetHealth, SetTimer, Settings, Signal, SkipCall, Started, TenantsChanged,
-    TimerFired,
+    Run, RunDoubted, RunEnded, SetHealth, SetTimer, Settings, SettingsChanged, Signal, SkipCall, Started,
+    TenantsChanged, TimerFired,
 )
 
 # Estimates and blocking.
@@ -133,20 +133,28 @@
     """What is learned: arrival rate, service rate, core time and latency of each class; in units of work."""
 
     def __init__(self, settings: Settings) -> None:
-        self.cores, classes = settings.cores, len(settings.classes)
-        self.lam = self.lam_heads = self.mu = 0.0
+        self.lam = self.lam_heads = self.mu = 0.0  # arrivals of work and of requests, service rate
         self.read, self.arrived, self.done = 0, 0.0, 0.0  # since the last update: requests, work
         self._full_done = self._full_read = self._full_s = self._seen_s = 0.0
         self.speed = self.best_speed = 0.0  # work per second at full cores, reading included
-        self.core_s = [0.0] * classes  # core time per unit of work
-        self.wall_s = [0.0] * classes  # start to end, calls included, likewise
-        self.base_s = [0.0] * classes  # core time of a run in good times
+        self.core_s, self.wall_s = list[float](), list[float]()  # per unit of work: core time; with its calls
+        self.base_s, self.learned_at = list[float](), list[float]()  # of a run in good times; last end of one
         # Mean hint and core time of a class; moments of their logarithms (the slope: how true hints are)
-        self.hints = [(0.0, 0.0)] * classes
+        self.hints = list[tuple[float, float]]()
         self.hint_xx, self.hint_xy = HINT_START, HINT_START / 2.0
-        self.call_s, self.call_base_s, self.call_at = [0.0] * classes, [0.0] * classes, [0.0] * classes
+        self.call_s, self.call_base_s, self.call_at = list[float](), list[float](), list[float]()
         self.slow = 0.0  # share of calls that take far longer than in good times
-        self.aim_s = sum(c.goal_s for c in settings.classes) / len(settings.classes)
+        self.take_up(settings, range(len(settings.classes)))
+
+    def take_up(self, settings: Settings, fresh: Sequence[int]) -> None:
+        """Go on with these settings; nothing is known of the classes in fresh places."""
+        self.cores, classes = settings.cores, settings.classes
+        self.aim_s = sum(c.goal_s for c in classes) / len(classes)
+        for n in fresh:
+            for table in (self.core_s, self.wall_s, self.base_s, self.learned_at, self.call_s,
+                          self.call_base_s, self.call_at):
+                table[n:n + 1] = [0.0]
+            self.hints[n:n + 1] = [(0.0, 0.0)]
 
     def work(self, cls: int, hint: float | None) -> float:
         """The size of a request: its hint, else its class's base over the mean of the known bases."""
@@ -230,15 +238,13 @@
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self._check(settings)
-        self.s = settings
+        self._take_up(settings)
         self._rng = random.Random(seed)
-        self._class = {c.name: n for n, c in enumerate(settings.classes)}
         self.est = Estimates(settings)
         self.b = 0.0  # the blocking probability, held between updates
         self.published = 0.0  # share of the asked-for work that callers are told to keep back
         self._heard = 0.0  # the share that what comes in has passed
         self.limit, self._limit_cut_at, self._asked = float(settings.cores), -math.inf, False
-        self._learned_at = [0.0] * len(settings.classes)
         self._reqs: dict[int, Record] = {}
         self._hold: dict[int, Record] = {}
         self._stalled: dict[int, Record] = {}
@@ -248,25 +254,36 @@
         self._memory = self._full_s = self._now = self._ticked = self._born = 0.0
         self._heap: list[tuple[float, int]] = []
         self._alarm_at = math.inf
-        # Call-seconds: what may be saved up, what is free, what calls in hand may still use.
-        self._call_cap = CALL_SAVED * settings.calls_share * settings.calls_over_s
-        self._call_budget, self._reserved = self._call_cap, 0.0
-        self._call_floor = max(1.0, settings.calls_share / CALL_SLOTS)  # this server's part of the slots
+        self._call_budget, self._reserved = self._call_cap, 0.0  # call-seconds free, and of calls in hand
         self._call_limit, self._call_waits = self._call_floor, False
         self._calls_at = self._ordered_at = 0.0  # when to look at the calls that wait; the hold's last order
         self._notice_at = self._stop_at = self._back_at = math.inf
         self._closing, self._still, self._most_links = False, 0, 0.0  # idle connections, closed early or not
         self._idle_s = settings.idle_s  # as last told to the host
-        self._unread = self._again = 0.0  # mean time unread and share of further tries of what is read
         self._tenants = {t.name: t for t in settings.tenants}
         self._served = dict[str, tuple[float, float]]()  # runs of each tenant lately, and when last
         self._over_worth = settings.over_share_worth
-        self._value = self._debt = 0.0  # mean worth for work; refusals passed on and not yet met, in work
+        self._unread = self._again = 0.0  # mean time unread and share of further tries of what is read
+        self._value = self._debt = 0.0  # mean worth for work; refusals passed on, not yet met, in work
         self._out: list[Action] = []
         self._on: dict[type, Callable[[float, Any], None]] = {
             Arrival: self._arrival, RunEnded: self._run_ended, TimerFired: self._timer, AtCall: self._at_call,
             CallEnded: self._call_ended, CallerGone: self._caller_gone, LeaveNotice: self._leave,
-            Started: self._started, RunDoubted: self._run_doubted, TenantsChanged: self._tenants_changed}
+            Started: self._started, RunDoubted: self._run_doubted, TenantsChanged: self._tenants_changed,
+            SettingsChanged: self._settings_changed}
+
+    def _take_up(self, settings: Settings) -> None:
+        self.s, self._class = settings, {c.name: n for n, c in enumerate(settings.classes)}
+        self._call_cap = CALL_SAVED * settings.calls_share * settings.calls_over_s  # saved up at most
+        self._call_floor = max(1.0, settings.calls_share / CALL_SLOTS)  # this server's part of the slots
+
+    def _settings_changed(self, now: float, e: SettingsChanged) -> None:
+        """What is open keeps its class as it was; what was learned stays with a class in its place."""
+        old = self.s.classes
+        fresh = [n for n, c in enumerate(e.settings.classes) if n >= len(old) or old[n].name != c.name]
+        self._take_up(e.settings)
+        self.est.take_up(e.settings, fresh)
+        self._memory = sum(map(self._booked, self._reqs.values())) + self.s.key_kb * len(self._keys)
 
     @staticmethod
     def _check(s: Settings) -> None:
@@ -338,12 +355,10 @@
         free = self._oncore < int(self.limit) and len(self._hold) == 1  # itself
         key_kb = self.s.key_kb if kind.effect is Effect.KEYED else 0.0
         full = self._memory + key_kb > MEMORY_SHARE * self.s.memory_kb
-        if full or not self._may_start(q) or not self._lets(q):
-            self._refuse(now, q)
-        elif not free and (self._blocked(q) or self._too_late(now, q)):
-            self._refuse(now, q)
-        elif now >= self._hopeless_at(q) and not self._probe(now, q):
-            # What lay unread until its time was nearly up would only keep the cores from reading the next.
+        # What lay unread until its time was nearly up would only keep the cores from reading the next.
+        if full or not self._may_start(q) or not self._lets(q) or (
+                not free and (self._blocked(q) or self._too_late(now, q))) or (
+                now >= self._hopeless_at(q) and not self._probe(now, q)):
             self._refuse(now, q)
         else:
             if kind.effect is Effect.KEYED:
@@ -353,16 +368,15 @@
     def _probe(self, now: float, q: Record) -> bool:
         """Take one hopeless request where no run of its class ended for a while: run times learned too long
         would else never be unlearned, and the server refuse all for good."""
-        if now < q.aim and not self._oncore and now - self._learned_at[q.cls] >= PROBE_S:
-            self._learned_at[q.cls] = now
+        if now < q.aim and not self._oncore and now - self.est.learned_at[q.cls] >= PROBE_S:
+            self.est.learned_at[q.cls] = now
             return True
         return False
 
     def _in_share(self, now: float, tenant: str) -> float:
-        """What one more request of this tenant is worth: 1 while what of it ran here lately stays under this
-        worker's part of the quota, falling to what traffic over it is worth. What is turned away uses up
-        nothing, so a tenant that sends thrice its share has its share served, and no more before the others'.
-        Harm: where callers keep to few servers, a part of the quota lies idle elsewhere."""
+        """What one more request of this tenant is worth: 1 while its runs here stay under this worker's part
+        of the quota, falling to what traffic over it is worth. What is turned away uses up nothing: one that
+        sends thrice its share has its share. Harm: where callers keep to few servers, a part lies idle."""
         part = min(1.0, max(0.0, (OVER - self._used(now, tenant)) / (OVER - 1.0)))
         return part + (1.0 - part) * self._over_worth
 
@@ -384,8 +398,7 @@
         return known is None or not (known.barred or (known.classes and q.kind.name not in known.classes))
 
     def _tenants_changed(self, now: float, e: TenantsChanged) -> None:
-        """Other tenants. What is held for one that has gone or is barred now is turned away at once; what has
-        run, or waits for what ran, goes on to its end, for it can't be undone (rule 2)."""
+        """Other tenants. What is held for one gone or barred is turned away; what ran goes on (rule 2)."""
         self._tenants.update((t.name, t) for t in e.changed)
         for name in e.removed:
             self._tenants.pop(name, None)
@@ -396,9 +409,8 @@
                 self._refuse(now, q)
 
     def _blocked(self, q: Record) -> bool:
-        """The draw of b. A request worth more for its work than the mean passes its refusal to the next one
-        worth less: b says how many are turned away, worth says which. Guards against the dear being lost as
-        often as the cheap. Harm: where the cheap try again and the dear do not; the debt is bounded."""
+        """The draw of b. A request worth more for its work than the mean passes its refusal, in bounds, to
+        the next one worth less: b says how many, worth says which. Harm: where only the cheap try again."""
         self._value += ((q.value - self._value) / SPAN) if self._value else q.value
         blocked = self._rng.random() < self.b
         if blocked and q.value > self._value and self._debt < DEBT * self.s.cores * q.work:
@@ -435,9 +447,8 @@
             self._connections(e.connections or 0.0, use)
             self._sick(now)
             self._limit_calls()
-            # The gauge looks back over two periods: both must have had every core asked for, or a lull that
-            # is just over would pass for idle cores. Where as many wait for a core as there are cores the
-            # server stands still: more runs would only make all of them late, so the limit sinks again.
+            # The gauge looks back two periods: both must have had every core asked for, or a lull just over
+            # would pass for idle cores. Where as many wait as there are cores, more runs make all late.
             asked, self._asked = self._asked, self._full_s >= 0.9 * elapsed
             wait = self.s.cores if e.on_cores is None and use >= FULL_USE else e.on_cores or 0.0
             if wait >= self.s.cores:
@@ -449,8 +460,7 @@
         self._out.append(SetTimer(PERIOD_S, TICK))
 
     def _publish(self, elapsed: float, beta: float, room: float) -> None:
-        """Say b to the callers: of the whole, (1 - heard) times mu rho / lambda may come. Heard is what those
-        who came within the time they keep a value were told, as late as lambda shows it."""
+        """Say b: of the whole, (1 - heard) times mu rho / lambda may come; heard is what they were told."""
         if self.s.signal is Signal.NONE or self._stop_at < math.inf:
             return
         est = self.est
@@ -473,12 +483,11 @@
         return max(1, self.s.upstreams) / max(self.est.lam_heads, 1e-9)
 
     def _connections(self, links: float, use: float) -> None:
-        """Close idle connections early where a caller hardly comes back before they would close anyway, or
-        seldom does while their number stands still at its most: a full table costs core time and leaves
-        newcomers without a connection. While requests lie unread the idle time grows again: the full table is
-        the one door that costs nothing, where tries would open a connection each and be read to be turned
-        away; it opens the slower the more of what is read are further tries. Guards against storms of every
-        origin. Harm: a handshake more for some; after a storm newcomers find the table full for seconds."""
+        """Close idle connections early where a caller hardly comes back in time, or seldom does while their
+        number stands at its most: a full table costs core time and keeps out newcomers. While requests lie
+        unread the idle time grows again: a full table is the one door that costs nothing, where tries would
+        each connect and be read; it opens the slower the more further tries there are. Guards against storms.
+        Harm: a handshake more for some; after a storm the table stays full for seconds."""
         back = self.s.idle_s / self._gap_s()
         self._still = self._still + 1 if 0.98 * self._most_links <= links <= self._most_links else 0
         self._most_links = max(self._most_links, links)
@@ -511,8 +520,7 @@
 
     def _hopeless_at(self, q: Record) -> float:
         """From when on a start can't be expected to end in time."""
-        part = RUN_HINTED if q.hint else RUN_MEDIAN
-        return q.end - part * self._run_s(q.cls, q.work)
+        return q.end - (RUN_HINTED if q.hint else RUN_MEDIAN) * self._run_s(q.cls, q.work)
 
     def _key(self, now: float, q: Record) -> float:
         """Worth for each unit of work, times the chance to end in time if started now, taken as
@@ -584,9 +592,8 @@
         self._answered(q)
 
     def _full(self, now: float) -> float:
-        """How full the fleet seems: the chance that a refusal asks not to be tried elsewhere. A warm server
-        takes its best rate for what others do with as many arrivals: so much is turned away there too, and
-        each walk is read again. A server that is sick, or busy with reading, is no measure of the others."""
+        """How full the fleet seems: the chance that a refusal asks not to be tried elsewhere. A warm server's
+        best rate stands for what others do with as many arrivals; a sick one's is no measure of them."""
         if not self.b or (self.s.cold and now - self._born < self.s.ramp_s):
             return 0.0
         mu = self.est.best_speed - READ_WORK * self.est.lam_heads
@@ -614,14 +621,16 @@
         elif q.state in (State.RUNNING, State.DOUBTED) and self.s.preemption is not Preemption.NONE:
             self._out.append(Preempt(q.id))
 
+    def _booked(self, q: Record) -> float:
+        return q.kb * (1.0 if q.state in (State.HELD, State.ATTACHED) else self.s.run_factor)
+
     def _drop(self, q: Record) -> None:
         """The request is over: free what it holds."""
         if q.state is State.RUNNING:
             self._step_off(q)
         elif q.state is State.CALLING:
             self._call_off(self._now, q, lingers=True)
-        factor = 1.0 if q.state in (State.HELD, State.ATTACHED) else self.s.run_factor
-        self._memory -= q.kb * factor
+        self._memory -= self._booked(q)
         self._hold.pop(q.id, None)
         self._stalled.pop(q.id, None)
         self._reqs.pop(q.id, None)
@@ -649,7 +658,7 @@
             on_core = q.state is State.RUNNING
             self._drop(q)
             if e.outcome is Outcome.SUCCESS and on_core:
-                self._learned_at[q.cls] = now
+                self.est.learned_at[q.cls] = now
                 self.est.run_ended(q, q.core_s, now - q.started)
                 far = now - q.started > FAR_ABOVE * max(q.core_s, self.est.base_s[q.cls])
                 if far and not q.calls and now - self._limit_cut_at >= PERIOD_S:
@@ -660,8 +669,7 @@
                 self.est.done += min(q.work, q.core_s / self.est.core_s[q.cls])
 
     def _run_doubted(self, now: float, e: RunDoubted) -> None:
-        """Without this a run that never began holds a place on the cores until its caller gives up. It takes
-        none until something is heard of it; what can go on without the reply that got lost is told to."""
+        """A run that may never have begun holds no core until something is heard; what can go on does."""
         q = self._reqs.get(e.request)
         if q is None or q.state is not State.RUNNING or q.answered:
             return
@@ -840,12 +848,9 @@
     def _look_at(self, now: float, q: Record) -> None:
         """A request's time has come: answer what is due, turn away what is hopeless, stop what is late."""
         soon = now + DUE_MARGIN_S + SOON_S
-        if q.due <= soon:
-            self._refuse(now, q)
-        elif q.state is State.HELD and self._hopeless_at(q) <= soon:
-            self._refuse(now, q)
-        elif q.state is State.RUNNING and q.aim <= soon and not q.kind.late_value and self._hold:
-            # Its answer would be worth nothing while others wait for its core.
+        # An answer worth nothing, while others wait for its core.
+        late = q.state is State.RUNNING and q.aim <= soon and not q.kind.late_value and self._hold
+        if q.due <= soon or late or (q.state is State.HELD and self._hopeless_at(q) <= soon):
             self._refuse(now, q)
         elif q.state is State.DOUBTED and q.retry_at <= now + SOON_S:
             self._fail(q)
@@ -873,9 +878,8 @@
         heapq.heappush(self._heap, (max(now, self._stop_at - STOP_MARGIN_S), -1))
 
     def _sick(self, now: float) -> None:
-        """A server far slower than it was reads what it cannot serve: it takes itself out of the list for a
-        while, then learns its rate anew. Guards against sick machines of every kind; reading counts as work
-        done, or a storm of retries would pass for one. Harm: where all are as slow, their rest is missed."""
+        """A server far slower than it was leaves the list for a while, then learns its rate anew. Guards
+        against sick machines; reading is work, or a storm would pass for one. Harm: all may be as slow."""
         sick = self._back_at == math.inf and self.est.speed < SICK * self.est.best_speed
         if self._stop_at == math.inf and (sick or now >= self._back_at):
             self._back_at = now + REST_S if sick else math.inf
--- a/clovertack/interface.py
+++ b/clovertack/interface.py
@@ -218,8 +218,16 @@
     over_share_worth: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class SettingsChanged:
+    """Other settings, tenants apart. A class has its place among them as long as anything of it may be open;
+    only then may another take it."""
+
+    settings: Settings
+
+
 Event = (Started | Arrival | CallerGone | AtCall | CallEnded | RunEnded | TimerFired | RunDoubted
-         | LeaveNotice | TenantsChanged)
+         | LeaveNotice | TenantsChanged | SettingsChanged)
 
 
 # Actions
--- a/snowthread/config.py
+++ b/snowthread/config.py
@@ -4,7 +4,7 @@
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -22,6 +22,36 @@
     """Why the configuration can't be used, in one line."""
 
 
+Shape = dict[str, Any]
+"""The keys of an object, each with the shape of what it holds; of a list of objects, what all have."""
+
+
+def shape_of(value: object) -> Shape:
+    """The keys in a value, however deep."""
+    if isinstance(value, dict):
+        return {key: shape_of(held) for key, held in value.items()}
+    if isinstance(value, list) and value and all(isinstance(item, dict) for item in value):
+        common = set.intersection(*(set(item) for item in value))
+        return {key: shape_of(value[0][key]) for key in sorted(common)}
+    return {}
+
+
+def lacking(value: object, shape: Shape, place: str = "") -> str | None:
+    """The first key of the shape that is not in the value, with where it should stand. One that is there and
+    empty is there: what it may hold is another check's."""
+    if isinstance(value, list):
+        return next(filter(None, (lacking(item, shape, place) for item in value)), None)
+    if not isinstance(value, dict):
+        return None
+    for key, inner in shape.items():
+        if key not in value:
+            return place + key
+        found = lacking(value[key], inner, f"{place}{key}: ")
+        if found is not None:
+            return found
+    return None
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """A checked configuration."""
@@ -40,10 +70,12 @@
     admin: Address | None = None  # where the operators call
     door: int | None = None  # the descriptor of a listening socket that was passed on
     folder: str | None = None  # where processes that share it find each other
+    shape: Shape = field(default_factory=dict, compare=False)  # the keys of the file
 
 
-def load(environment: Mapping[str, str]) -> Config:
-    """Read what NODE_CONFIG names; NODE_NAME, NODE_LISTEN and NODE_ADMIN_ADDR, where set, go before it."""
+def load(environment: Mapping[str, str], old: Config | None = None) -> Config:
+    """Read what NODE_CONFIG names; NODE_NAME, NODE_LISTEN and NODE_ADMIN_ADDR, where set, go before it. It
+    may lack no key that the ``old`` one had: half a file would else pass for one that leaves things out."""
     path = environment.get("NODE_CONFIG")
     if not path:
         raise ConfigError("NODE_CONFIG is not set: it names the configuration file")
@@ -55,6 +87,10 @@
         raise ConfigError(f"{path}: not JSON: {error}") from None
     if not isinstance(fields, dict):
         raise ConfigError(f"{path}: not a JSON object")
+    shape = shape_of(fields)
+    lacks = lacking(fields, old.shape) if old is not None else None
+    if lacks is not None:
+        raise ConfigError(f"{path}: {lacks}: is missing, the configuration in force has it")
     for name, variable in (("name", "NODE_NAME"), ("listen", "NODE_LISTEN"),
                            ("admin_addr", "NODE_ADMIN_ADDR")):
         if environment.get(variable):
@@ -63,7 +99,7 @@
     if number is not None and not (number.isascii() and number.isdigit()):
         raise ConfigError(f"NODE_FD: {number!r} is not a descriptor's number")
     try:
-        config = parse(fields)
+        config = replace(parse(fields), shape=shape)
         if number is not None:
             config = replace(config, door=int(number), folder=environment.get("TMPDIR"))
         return config
@@ -77,11 +113,11 @@
     if not isinstance(name, str) or not name or any(c.isspace() for c in name):
         raise ConfigError("name: a word is wanted")
     addresses = {}
-    for field in ("listen", "runtime", "roster", "index"):
+    for peer in ("listen", "runtime", "roster", "index"):
         try:
-            addresses[field] = Address.parse(str(fields.get(field, "")))
+            addresses[peer] = Address.parse(str(fields.get(peer, "")))
         except ValueError as error:
-            raise ConfigError(f"{field}: {error}") from None
+            raise ConfigError(f"{peer}: {error}") from None
     admin = None
     if fields.get("admin_addr") is not None:
         try:
@@ -106,10 +142,18 @@
     if not isinstance(facts, dict):
         raise ConfigError("settings: an object is wanted")
     try:
+        for n, kind in enumerate(facts.get("classes") or ()):
+            for key in ("goal_time_s", "deadline_s"):
+                value = kind[key]
+                if type(value) not in (int, float) or not 0.0 < value < math.inf:
+                    raise ValueError(f"classes: {n}: {key}: a number of seconds above 0 is wanted")
         settings = settings_from(facts)
+        names = [c.name for c in settings.classes]
+        if not all(isinstance(name, str) and name for name in names) or len(set(names)) < len(names):
+            raise ValueError("classes: each wants a name of its own")
         Controller(settings, seed)
         meters = tuple(str(m) for m in (facts.get("domain") or {}).get("meters") or ())
-    except (ValueError, TypeError, KeyError, AttributeError, ZeroDivisionError) as error:
+    except (ValueError, TypeError, KeyError, AttributeError, ArithmeticError) as error:
         raise ConfigError(f"settings can't be used: {type(error).__name__}: {error}") from None
     return Config(name=name, seed=seed, stop_ms=float(stop), sockets=sockets,
                   memory_mb=float(memory), settings=settings, meters=meters, listen=addresses["listen"],
--- a/snowthread/core/events.py
+++ b/snowthread/core/events.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 
-from clovertack.interface import Outcome, Tenant
+from clovertack.interface import Outcome, Settings, Tenant
 
 Ticket = tuple[int, int]
 """Where an answer goes: a connection's number and the number of the message on it."""
@@ -137,6 +137,14 @@
     drain: bool
 
 
+@dataclass(frozen=True, slots=True)
+class SettingsRead:
+    """Other settings, and the gauges' names in their order."""
+
+    settings: Settings
+    meters: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class BesideUp:
     """Another process of this node is there. ``judge``: this one is the older and decides who has a key."""
@@ -217,6 +225,6 @@
 
 
 Message = (RequestRead | CallerLeft | HealthAsked | RuntimeUp | RuntimeLost | RunOver | CommandRefused
-           | CallWanted | GaugesRead | CallBack | TimerDue | GaugesDue | LeaveAsked
-           | DrainAsked | SharesChanged | BesideUp | BesideTakes | BesideGone | KeyTold | KeyOver | KeyFreed
-           | KeyAsked | KeyJudged | KeyLate)
+           | CallWanted | GaugesRead | CallBack | TimerDue | GaugesDue | LeaveAsked | DrainAsked
+           | SharesChanged | SettingsRead | BesideUp | BesideTakes | BesideGone | KeyTold | KeyOver
+           | KeyFreed | KeyAsked | KeyJudged | KeyLate)
--- a/snowthread/core/reducer.py
+++ b/snowthread/core/reducer.py
@@ -19,6 +19,7 @@
 from snowthread.core import effects as fx
 from snowthread.core import events as ev
 from snowthread.core.keys import Key
+from snowthread.core.retune import merged
 from snowthread.core.state import Place, Request, Side, State
 
 GAUGES_LEAD_MS = 20.0  # gauges are asked for so long before the timer they are for
@@ -93,6 +94,8 @@
         s.number += 1
         at = min(m.at, self.now)
         kind = next((c for c in s.settings.classes if c.name == m.class_name), None)
+        if kind is not None and s.gone and s.gone.get(kind.name, self.now) < self.now:
+            kind = None
         keyed = kind is not None and kind.effect is Repeat.KEYED
         once = m.once if keyed else None
         if kind is None or m.uid in s.by_uid or (keyed and not once):
@@ -107,7 +110,7 @@
         if once and prior is None and s.side is Side.ASKER and not self._judged:
             self.ask(m, once, at, content)
             return
-        q = Request(s.number, m.uid, m.class_name, m.body, m.ticket, once, prior, self.now, content)
+        q = Request(s.number, m.uid, m.class_name, m.body, m.ticket, once, prior, self.now, kind, content)
         s.requests[q.number] = s.by_uid[q.uid] = s.by_ticket[m.ticket] = q
         left = max(LEAST_MS, at + m.wait - self.now)
         self.tell(api.Arrival(
@@ -328,6 +331,18 @@
         self.s.drained = m.drain
         self.out.append(fx.Announce(self.s.taking))
 
+    def settings_read(self, m: ev.SettingsRead) -> None:
+        """Other settings, from now on: what is open keeps its class as it was."""
+        s = self.s
+        old, s.settings, s.meters = s.settings, merged(s.settings, m.settings, s.gone, self.now), m.meters
+        if s.controller is not None:
+            self.tell(api.SettingsChanged(s.settings))
+        theirs = {t.name: t for t in m.settings.tenants}
+        if old.tenants != m.settings.tenants or old.over_share_worth != m.settings.over_share_worth:
+            self.shares_changed(ev.SharesChanged(
+                m.settings.tenants, frozenset(t.name for t in old.tenants if t.name not in theirs),
+                m.settings.over_share_worth))
+
     # The process beside this one, while one replaces the other: what it holds is known here, and no key is
     # taken without the older one's word, so a request that comes to both runs in one of them at most.
 
@@ -507,9 +522,8 @@
         q = self.s.requests.get(a.request)
         if q is not None and q.wants is not None and not q.calling:
             q.calling = True
-            kind = next(c for c in self.s.settings.classes if c.name == q.class_name)
-            self.out.append(fx.MakeCall(q.uid, q.call, self.s.time.ms(a.give_up_s or kind.deadline_s),
-                                        kind.effect is Repeat.SAFE))
+            self.out.append(fx.MakeCall(q.uid, q.call, self.s.time.ms(a.give_up_s or q.kind.deadline_s),
+                                        q.kind.effect is Repeat.SAFE))
 
     def do_skip(self, a: api.SkipCall) -> None:
         q = self.s.requests.get(a.request)
@@ -550,7 +564,8 @@
     ev.BesideUp: _Turn.beside_up, ev.BesideTakes: _Turn.beside_takes, ev.BesideGone: _Turn.beside_gone,
     ev.KeyTold: _Turn.key_told, ev.KeyOver: _Turn.key_over, ev.KeyFreed: _Turn.key_freed,
     ev.KeyAsked: _Turn.key_asked, ev.KeyJudged: _Turn.key_judged, ev.KeyLate: _Turn.key_late,
-    ev.DrainAsked: _Turn.drain_asked, ev.SharesChanged: _Turn.shares_changed}
+    ev.SettingsRead: _Turn.settings_read, ev.DrainAsked: _Turn.drain_asked,
+    ev.SharesChanged: _Turn.shares_changed}
 
 _DO: dict[type, Callable[[_Turn, Any], None]] = {
     api.Run: _Turn.do_run, api.Refuse: _Turn.do_final, api.Fail: _Turn.do_final,
--- /dev/null
+++ b/snowthread/core/retune.py
@@ -0,0 +1,40 @@
+"""Other settings while serving: which classes there are from now on, and where each has its place."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from clovertack.interface import RequestClass, Settings
+
+S_MS = 1000.0
+
+
+def lasts_ms(kind: RequestClass) -> float:
+    """How long after a class is dropped a try of what was begun under it may still come."""
+    return max(kind.deadline_s, kind.window_s) * S_MS
+
+
+def merged(old: Settings, new: Settings, gone: dict[str, float], now: float) -> Settings:
+    """The new settings with the classes in the places that they have in the old ones. A class that the new
+    ones lack stays where it is, for balancers learn late and what is open keeps its class; ``gone`` says
+    until when (ms) it is taken, and is brought up to date. Its place is another's once that time is over, so that
+    the list does not grow with each file. Whether the runtime started cold is no matter of the file."""
+    wanted = {c.name: c for c in new.classes}
+    for name in [name for name in gone if name in wanted]:
+        del gone[name]
+    places = [wanted.get(c.name, c) for c in old.classes]
+    for kind in old.classes:
+        if kind.name not in wanted:
+            gone.setdefault(kind.name, now + lasts_ms(kind))
+    known = {c.name for c in places}
+    free = [n for n, c in enumerate(places) if gone.get(c.name, now) < now]
+    for kind in new.classes:
+        if kind.name in known:
+            continue
+        if free:
+            n = free.pop(0)
+            del gone[places[n].name]
+            places[n] = kind
+        else:
+            places.append(kind)
+    return replace(new, classes=tuple(places), cold=old.cold)
--- a/snowthread/core/state.py
+++ b/snowthread/core/state.py
@@ -7,7 +7,7 @@
 
 from clovertack import interface as api
 from clovertack.decide import Controller
-from clovertack.interface import Settings
+from clovertack.interface import RequestClass, Settings
 from snowthread.core.effects import Command
 from snowthread.core.events import RequestRead, Ticket
 from snowthread.core.keys import KeyTable
@@ -41,6 +41,7 @@
     once: str | None
     prior: int | None
     read_at: float
+    kind: RequestClass  # as it was then
     content: bytes = b""  # a digest of class and body, where it is keyed
     place: Place = Place.HELD
     link: int = 0  # the runtime link on which its start was sent; 0: not sent yet
@@ -103,6 +104,7 @@
     say: float | None = None
     healthy: bool = True
     leaving: bool = False
+    gone: dict[str, float] = field(default_factory=dict)  # classes dropped: until when they are still taken
     drained: bool = False  # by the operators, until they take it back
     side: Side = Side.ALONE
     succeeded: bool = False  # the newer process takes the clients
--- a/snowthread/node.py
+++ b/snowthread/node.py
@@ -165,10 +165,18 @@
         return HTTPStatus.OK, "draining" if drain else "back to work"
 
     def move(self, config: Config, features: Features | None = None) -> None:
-        """Go on with a new configuration: peers where it says. What decides or listens stays."""
+        """Go on with a new configuration: peers where it says, decisions by its settings."""
         self.roster.move(config.roster)  # first: it opens a socket, which can fail; nothing has moved then
         self.runtime.move(config.runtime)
         self.index.move(config.index)
+        told = (config.settings, config.meters)
+        if told != (self.config.settings, self.config.meters):
+            # Where tenants are told apart the gate says which there are, not the file.
+            settings = config.settings if self.gate is None else replace(
+                config.settings, tenants=(), over_share_worth=self.state.settings.over_share_worth)
+            self.post(ev.SettingsRead(settings, config.meters))
+            if self.recorder is not None:
+                self.recorder.retune(config.settings)
         if self.gate is not None and features is not None and features.tenants is not None:
             self.gate.move(features.tenants)
         self.config, self.features = config, features
@@ -194,7 +202,10 @@
             yield Wait(source.fileno(), IN)
             came = source.recv(64)
             if signal.SIGHUP in came:  # also on the way out: what still runs must be heard of
-                reload(self)
+                try:
+                    reload(self)
+                except Exception:  # whatever is wrong with a file, this task must go on listening
+                    logger.exception("configuration not taken up")
             if not told and (signal.SIGTERM in came or signal.SIGINT in came):
                 told = True
                 left = self.config.stop_ms
--- a/snowthread/records/observe.py
+++ b/snowthread/records/observe.py
@@ -53,7 +53,8 @@
     """Counts for one node."""
 
     def __init__(self, settings: Settings, now: float) -> None:
-        self._aims = {c.name: c.goal_s * 1000.0 for c in settings.classes}
+        self._aims: dict[str, float] = {}
+        self.retune(settings)
         self._open: dict[ev.Ticket, _Open] = {}
         self._by_uid: dict[str, _Open] = {}
         self._second = _Second(now)
@@ -68,6 +69,10 @@
     def __len__(self) -> int:
         return len(self._open)
 
+    def retune(self, settings: Settings) -> None:
+        """The classes there are from now on, and their aims."""
+        self._aims = {c.name: c.goal_s * 1000.0 for c in settings.classes}
+
     def see(self, message: ev.Message, effects: Sequence[fx.Effect], state: State,
             now: float) -> Sequence[tuple[str, Fields]]:
         """One step of the reducer; the records it makes at once."""
--- a/snowthread/records/recorder.py
+++ b/snowthread/records/recorder.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from snowthread import __version__
+from clovertack.interface import Settings
 from snowthread.core import effects as fx
 from snowthread.core import events as ev
 from snowthread.core.reducer import reduce
@@ -73,6 +74,10 @@
         """The front is there: how many connections it has."""
         self._connections = connections
 
+    def retune(self, settings: Settings) -> None:
+        """Other classes are counted from now on."""
+        self._observer.retune(settings)
+
     def reduce(self, state: State, message: ev.Message, now: float) -> list[fx.Effect]:
         """The reducer's step, looked at."""
         effects = reduce(state, message, now)
--- a/snowthread/reload.py
+++ b/snowthread/reload.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from snowthread.operator.features import Features
 
-STAYS = "name", "listen", "settings", "sockets", "memory_mb"  # these take a new start
+STAYS = "name", "listen", "admin", "sockets", "memory_mb"  # these take a new start
 
 
 class Moves(Protocol):
@@ -30,7 +30,7 @@
     """Take up the configuration as it stands now. A file that can't be used changes nothing: whoever replaced
     it can put it right, and a node that ended over it would take its runs along."""
     try:
-        config, features = load(environment), node.features
+        config, features = load(environment, node.config), node.features
         if features is not None:  # the operator's file goes with it: both are taken up, or neither
             features = features.load(features.path, config)
     except ConfigError as error:
