--- a/snowthread/core/retune.py
+++ b/snowthread/core/retune.py
@@ -17,7 +17,7 @@
 def merged(old: Settings, new: Settings, gone: dict[str, float], now: float) -> Settings:
     """The new settings with the classes in the places that they have in the old ones. A class that the new
     ones lack stays where it is, for balancers learn late and what is open keeps its class; ``gone`` says
-    until when (ms) it is taken, and is brought up to date. Its place is another's once that time is over, so that
+    until when (ms) it is taken, and is brought up to date. Its place is another's once that is over, so that
     the list does not grow with each file. Whether the runtime started cold is no matter of the file."""
     wanted = {c.name: c for c in new.classes}
     for name in [name for name in gone if name in wanted]:
