Two processes share the runtime's memory, crowd and calls, and the descriptors

Measured as a guess first: with 14,400 of 15,906 KB booked by the older process the newer one started runs at once, so both together would have gone over the memory that ends the runtime (test_what_both_hold_...).

--- a/snowthread/core/effects.py
+++ b/snowthread/core/effects.py
@@ -12,6 +12,7 @@
     KeyJudged,
     KeyLate,
     KeyOver,
+    LoadTold,
     Ticket,
     TimerDue,
 )
@@ -137,7 +138,7 @@
     """Tell the other process of this node. A key is told as it stands when its turn comes, so that thousands
     of them wait as references, not as bytes."""
 
-    word: Key | KeyOver | KeyFreed | KeyAsked | KeyJudged | DrainAsked
+    word: Key | KeyOver | KeyFreed | KeyAsked | KeyJudged | DrainAsked | LoadTold
 
 
 @dataclass(frozen=True, slots=True)
@@ -145,6 +146,13 @@
     """All keys were told: the other process may begin."""
 
 
+@dataclass(frozen=True, slots=True)
+class Room:
+    """So many of the descriptors are the other process's."""
+
+    taken: int
+
+
 @dataclass(frozen=True, slots=True)
 class Door:
     """Take new connections, or leave them to the other process and part with those there are."""
@@ -161,4 +169,4 @@
 
 Command = StartRun | StopRun | GiveReply | OmitCall
 Effect = (Answer | Command | AskGauges | MakeCall | DropCall | WakeAt | CloseIdleAfter | Announce | Note
-          | TellBeside | AllTold | Door)
+          | TellBeside | AllTold | Door | Room)
--- a/snowthread/core/events.py
+++ b/snowthread/core/events.py
@@ -152,6 +152,16 @@
     judge: bool
 
 
+@dataclass(frozen=True, slots=True)
+class LoadTold:
+    """What the other process has of what both share: runs, memory booked (KB), calls made, descriptors."""
+
+    runs: int
+    memory_kb: float
+    calls: int
+    descriptors: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class BesideTakes:
     """The newer process takes the clients from now on."""
@@ -226,5 +236,5 @@
 
 Message = (RequestRead | CallerLeft | HealthAsked | RuntimeUp | RuntimeLost | RunOver | CommandRefused
            | CallWanted | GaugesRead | CallBack | TimerDue | GaugesDue | LeaveAsked | DrainAsked
-           | SharesChanged | SettingsRead | BesideUp | BesideTakes | BesideGone | KeyTold | KeyOver
-           | KeyFreed | KeyAsked | KeyJudged | KeyLate)
+           | SharesChanged | SettingsRead | BesideUp | LoadTold | BesideTakes | BesideGone | KeyTold
+           | KeyOver | KeyFreed | KeyAsked | KeyJudged | KeyLate)
--- a/snowthread/core/reducer.py
+++ b/snowthread/core/reducer.py
@@ -13,13 +13,13 @@
 from typing import Any
 
 from clovertack import interface as api
-from clovertack.decide import Controller
+from clovertack.decide import TICK, Controller
 from clovertack.interface import Effect as Repeat
 from clovertack.interface import Outcome
 from snowthread.core import effects as fx
 from snowthread.core import events as ev
 from snowthread.core.keys import Key
-from snowthread.core.retune import merged
+from snowthread.core.retune import merged, shared
 from snowthread.core.state import Place, Request, Side, State
 
 GAUGES_LEAD_MS = 20.0  # gauges are asked for so long before the timer they are for
@@ -81,6 +81,10 @@
             s.controller = Controller(s.settings, s.seed)
             for action in s.controller.handle(s.time.at(self.now - age), api.Started()):
                 _DO[type(action)](self, action)
+            if s.beside is not None:
+                m = s.beside
+                s.controller.handle(s.time.at(self.now), api.SettingsChanged(
+                    shared(s.settings, m.runs, m.memory_kb, m.calls)))
             if s.shares is not None:  # nothing is held yet, so nothing comes of it
                 s.controller.handle(s.time.at(self.now), s.shares)
                 s.shares = None
@@ -110,7 +114,8 @@
         if once and prior is None and s.side is Side.ASKER and not self._judged:
             self.ask(m, once, at, content)
             return
-        q = Request(s.number, m.uid, m.class_name, m.body, m.ticket, once, prior, self.now, kind, content)
+        q = Request(s.number, m.uid, m.class_name, m.body, m.ticket, once, prior, self.now, kind, m.kb,
+                    content)
         s.requests[q.number] = s.by_uid[q.uid] = s.by_ticket[m.ticket] = q
         left = max(LEAST_MS, at + m.wait - self.now)
         self.tell(api.Arrival(
@@ -317,6 +322,8 @@
             found = {_METER[name]: value for name, value in zip(s.meters, s.gauges, strict=False)
                      if name in _METER}
         self.tell(api.TimerFired(m.label, **found))
+        if s.side is not Side.ALONE and m.label == TICK:
+            self.tell_load()
 
     def leave_asked(self, m: ev.LeaveAsked) -> None:
         if not self.s.leaving:
@@ -335,8 +342,7 @@
         """Other settings, from now on: what is open keeps its class as it was."""
         s = self.s
         old, s.settings, s.meters = s.settings, merged(s.settings, m.settings, s.gone, self.now), m.meters
-        if s.controller is not None:
-            self.tell(api.SettingsChanged(s.settings))
+        self.tell_limits()
         theirs = {t.name: t for t in m.settings.tenants}
         if old.tenants != m.settings.tenants or old.over_share_worth != m.settings.over_share_worth:
             self.shares_changed(ev.SharesChanged(
@@ -425,7 +431,30 @@
         s.side = Side.JUDGE if m.judge else Side.ASKER
         if m.judge:
             self.out += [fx.TellBeside(entry) for entry in s.keys.all()]
-            self.out += [fx.TellBeside(ev.DrainAsked(s.drained)), fx.AllTold()]
+            self.out.append(fx.TellBeside(ev.DrainAsked(s.drained)))
+            self.tell_load()
+            self.out.append(fx.AllTold())
+
+    def tell_load(self) -> None:
+        """What this process has of what both share."""
+        s = self.s
+        runs = [q for q in s.requests.values() if q.place is Place.RUNNING]
+        held = sum(q.kb for q in s.requests.values() if q.place is not Place.RUNNING)
+        self.out.append(fx.TellBeside(ev.LoadTold(
+            len(runs), float(held + s.settings.run_factor * sum(q.kb for q in runs)),
+            sum(q.calling for q in runs))))
+
+    def load_told(self, m: ev.LoadTold) -> None:
+        self.s.beside = m
+        self.tell_limits()
+        self.out.append(fx.Room(m.descriptors))
+
+    def tell_limits(self) -> None:
+        """The settings to the module, less what the other process has of them."""
+        s, m = self.s, self.s.beside
+        if s.controller is not None:
+            settings = s.settings if m is None else shared(s.settings, m.runs, m.memory_kb, m.calls)
+            self.tell(api.SettingsChanged(settings))
 
     def beside_takes(self, _: ev.BesideTakes) -> None:
         """The newer process speaks for the node: what this one would say of its load says nothing now."""
@@ -435,7 +464,8 @@
     def beside_gone(self, _: ev.BesideGone) -> None:
         """Alone again. What went on there will not be heard of: repeats of it fail, nothing runs again."""
         s = self.s
-        s.side, s.succeeded = Side.ALONE, False
+        s.side, s.succeeded, s.beside = Side.ALONE, False, None
+        self.tell_limits()
         for entry in s.keys.all():
             if entry.away and not entry.over:
                 entry.over = True
@@ -444,7 +474,7 @@
         for _uid, waiting in asking.values():
             for request in waiting:
                 self.request_read(request)
-        self.out += [fx.Announce(s.taking), fx.Door(True)]
+        self.out += [fx.Announce(s.taking), fx.Door(True), fx.Room(0)]
 
     def shares_changed(self, m: ev.SharesChanged) -> None:
         """Other tenants. Before there is a controller they wait: it starts with the runtime, cold or not."""
@@ -561,7 +591,8 @@
     ev.CommandRefused: _Turn.command_refused, ev.CallWanted: _Turn.call_wanted,
     ev.GaugesRead: _Turn.gauges_read, ev.CallBack: _Turn.call_back, ev.TimerDue: _Turn.timer_due,
     ev.GaugesDue: _Turn.gauges_due, ev.LeaveAsked: _Turn.leave_asked,
-    ev.BesideUp: _Turn.beside_up, ev.BesideTakes: _Turn.beside_takes, ev.BesideGone: _Turn.beside_gone,
+    ev.BesideUp: _Turn.beside_up, ev.LoadTold: _Turn.load_told, ev.BesideTakes: _Turn.beside_takes,
+    ev.BesideGone: _Turn.beside_gone,
     ev.KeyTold: _Turn.key_told, ev.KeyOver: _Turn.key_over, ev.KeyFreed: _Turn.key_freed,
     ev.KeyAsked: _Turn.key_asked, ev.KeyJudged: _Turn.key_judged, ev.KeyLate: _Turn.key_late,
     ev.SettingsRead: _Turn.settings_read, ev.DrainAsked: _Turn.drain_asked,
--- a/snowthread/core/retune.py
+++ b/snowthread/core/retune.py
@@ -7,6 +7,7 @@
 from clovertack.interface import RequestClass, Settings
 
 S_MS = 1000.0
+LEAST = 0.01  # of a limit that is left at least: none at all would pass for no limit
 
 
 def lasts_ms(kind: RequestClass) -> float:
@@ -14,6 +15,15 @@
     return max(kind.deadline_s, kind.window_s) * S_MS
 
 
+def shared(settings: Settings, runs: int, memory_kb: float, calls: int) -> Settings:
+    """What is left of the runtime's limits while another process has so much of it: the crowd on the cores,
+    the memory and the calls below are one for both, and either would else fill them alone."""
+    return replace(
+        settings, memory_kb=max(settings.memory_kb * LEAST, settings.memory_kb - memory_kb),
+        fall_multiple=max(1.0, settings.fall_multiple - runs / settings.cores),
+        calls_share=max(settings.calls_share * LEAST, settings.calls_share - calls))
+
+
 def merged(old: Settings, new: Settings, gone: dict[str, float], now: float) -> Settings:
     """The new settings with the classes in the places that they have in the old ones. A class that the new
     ones lack stays where it is, for balancers learn late and what is open keeps its class; ``gone`` says
--- a/snowthread/core/state.py
+++ b/snowthread/core/state.py
@@ -9,7 +9,7 @@
 from clovertack.decide import Controller
 from clovertack.interface import RequestClass, Settings
 from snowthread.core.effects import Command
-from snowthread.core.events import RequestRead, Ticket
+from snowthread.core.events import LoadTold, RequestRead, Ticket
 from snowthread.core.keys import KeyTable
 
 
@@ -42,6 +42,7 @@
     prior: int | None
     read_at: float
     kind: RequestClass  # as it was then
+    kb: float  # booked while it is held, and the run factor times that while it runs
     content: bytes = b""  # a digest of class and body, where it is keyed
     place: Place = Place.HELD
     link: int = 0  # the runtime link on which its start was sent; 0: not sent yet
@@ -107,6 +108,7 @@
     gone: dict[str, float] = field(default_factory=dict)  # classes dropped: until when they are still taken
     drained: bool = False  # by the operators, until they take it back
     side: Side = Side.ALONE
+    beside: LoadTold | None = None  # what the other process has of what both share
     succeeded: bool = False  # the newer process takes the clients
     # The key that was asked for: for which try, and the requests that wait for the word
     asking: dict[str, tuple[str, list[RequestRead]]] = field(default_factory=dict)
--- a/snowthread/fronts/balancers/hub.py
+++ b/snowthread/fronts/balancers/hub.py
@@ -19,6 +19,7 @@
 from snowthread.net.loop import IN, Loop, Steps, Wait
 
 BACKLOG = 1024
+PLACES_LEAST = 8  # connections held at most, whatever else is said
 ACCEPT_MAX = 64  # connections accepted in a turn of the loop
 FULL_PAUSE_MS = 50.0  # how long accepting rests when no descriptor is left
 PART_MS = 1000.0  # a peer that does not close so long after its farewell is closed
@@ -49,11 +50,11 @@
     def __init__(self, loop: Loop, address: Address, most: int, unsent_most: int,
                  post: Callable[[ev.Message], None], door: int | None = None) -> None:
         """``door``: a socket that listens at this address already and was passed on as a descriptor."""
-        self.loop, self.post, self._most, self._unsent_most = loop, post, most, unsent_most
+        self.loop, self.post, self._unsent_most = loop, post, unsent_most
+        self.hold_at_most(most)
         self._listener: socket.socket | None = listener(address) if door is None else inherited(door)
         self._connections: dict[int, Connection] = {}
         self._idle: OrderedDict[int, float] = OrderedDict()  # since when, the longest first
-        self._idle_most = int(most * IDLE_SHARE)
         self._idle_after = math.inf
         self._count = 0
         self._leaving = self._shut = False
@@ -182,7 +183,8 @@
             for connection in list(self._connections.values()):
                 if overdue(now, connection.waits_since(), connection.stuck_at):
                     connection.end()
-                elif connection.parted_at + PART_MS <= now and connection.idle and not self._leaving:
+                elif connection.parted_at + PART_MS <= now and connection.idle and (
+                        self._shut or not self._leaving):
                     connection.end()
             self._shed_unsent()
             crowded = len(self._idle) - self._idle_most
@@ -214,6 +216,12 @@
         for connection in list(self._connections.values()):
             connection.say_farewell()
 
+    def hold_at_most(self, most: int) -> None:
+        """The size of the table from now on. Where there are more, the idle ones go first, as a table that is
+        full does it."""
+        self._most = max(PLACES_LEAST, most)
+        self._idle_most = int(self._most * IDLE_SHARE)
+
     def shut(self) -> None:
         """Accept nothing for now: what waits at the door is another process's."""
         self._shut = True
--- a/snowthread/node.py
+++ b/snowthread/node.py
@@ -37,6 +37,7 @@
     from snowthread.tenants.gate import Gate
 
 SPARE = 32  # descriptors kept for the runtime, the roster, the loop and files
+FIXED = 16  # those that a process has whatever comes
 INDEX_PART = 8  # a part of the descriptors, one in so many, is the index's
 DOOR_MS = 500.0  # before the kill: no more connections; what came is answered by then or shortly after
 EXIT_MS = 120.0  # before the kill: out, whatever is left
@@ -77,15 +78,16 @@
             self.state.settings = replace(config.settings, tenants=())
             self.gate = Gate(self.loop, features.tenants, config.seed, self.post)
             front_post = self.gate.read
-        self.balancers = Balancers(self.loop, config.listen, max(8, limit - calls - SPARE),
+        self._places = max(8, limit - calls - SPARE)
+        self.balancers = Balancers(self.loop, config.listen, self._places,
                                    unsent_max(config.memory_mb), front_post, config.door)
         # Another process of this node may serve already, or come to replace this one.
         self.beside: Beside | None = None
         if config.door is not None and config.folder is not None:
             self.balancers.shut()
             self.beside = Beside(self.loop, config.folder, self.post, self._open_door)
-            self._carry_out |= {fx.TellBeside: self.beside.tell, fx.AllTold: self.beside.all_told,
-                                fx.Door: self._door}
+            self._carry_out |= {fx.TellBeside: self._tell_beside, fx.AllTold: self.beside.all_told,
+                                fx.Door: self._door, fx.Room: self._room}
         if config.settings.idle_s:
             self.balancers.close_idle_after(IDLE_FACTOR * ModuleTime.ms(config.settings.idle_s))
         self.runtime = Runtime(self.loop, config.runtime, self.post)
@@ -140,6 +142,18 @@
         if not self.state.leaving and not self.state.succeeded:
             self.balancers.reopen()
 
+    def _tell_beside(self, effect: fx.TellBeside) -> None:
+        word = effect.word
+        if isinstance(word, ev.LoadTold):
+            used = self.balancers.count() + self.index.count() + FIXED
+            effect = fx.TellBeside(replace(word, descriptors=used))
+        if self.beside is not None:
+            self.beside.tell(effect)
+
+    def _room(self, effect: fx.Room) -> None:
+        """Descriptors are counted for both together."""
+        self.balancers.hold_at_most(self._places - max(0, effect.taken - (SPARE - FIXED)))
+
     def _door(self, effect: fx.Door) -> None:
         if effect.open:
             self._open_door()
--- a/snowthread/peers/beside.py
+++ b/snowthread/peers/beside.py
@@ -47,6 +47,8 @@
             fields = ["asked", word.once, word.uid, word.at, word.content]
         case ev.KeyJudged():
             fields = ["judged", word.once, word.uid, word.granted]
+        case ev.LoadTold():
+            fields = ["load", word.runs, word.memory_kb, word.calls, word.descriptors]
         case ev.DrainAsked():
             fields = ["drain", word.drain]
         case str():
@@ -59,10 +61,12 @@
 
 _READ: dict[str, Callable[..., ev.Message]] = {
     "key": ev.KeyTold, "over": ev.KeyOver, "freed": ev.KeyFreed, "asked": ev.KeyAsked,
-    "judged": ev.KeyJudged, "drain": ev.DrainAsked}
+    "judged": ev.KeyJudged, "drain": ev.DrainAsked,
+    "load": ev.LoadTold}
 _WANTED: dict[str, tuple[Any, ...]] = {
     "key": (str, str, float, bytes, bool, bytes | None), "over": (str, bytes | None), "freed": (str,),
     "asked": (str, str, float, bytes), "judged": (str, str, bool), "drain": (bool,),
+    "load": (int, float, int, int),
     HELLO: (int,), ALL: (int,), TAKES: (int,), YOURS: (int,)}
 
 
--- a/snowthread/peers/index.py
+++ b/snowthread/peers/index.py
@@ -139,6 +139,10 @@
         self._calls: dict[str, _Link] = {}
         self._links = 0
 
+    def count(self) -> int:
+        """How many connections there are."""
+        return self._links
+
     def move(self, address: Address) -> None:
         """Make new calls at a new address; those in hand end where they are."""
         if address != self._address:
--- a/tests/test_beside.py
+++ b/tests/test_beside.py
@@ -92,10 +92,9 @@
         return sock
 
     def ask(self, sock: socket.socket, number: int, uid: str, once: str = "k1", body: bytes = b"p",
-            age: float = 0.0) -> None:
-        at = self.old.clock.time - age
-        fields = {"id": uid, "at": f"{at:.0f}", "from": "4", "wait": "5000", "kb": "20", "rank": "0.5",
-                  "once": once}
+            kb: str = "20") -> None:
+        fields = {"id": uid, "at": f"{self.old.clock.time:.0f}", "from": "4", "wait": "5000", "kb": kb,
+                  "rank": "0.5", "once": once}
         sock.sendall(msgpack.packb([0, number, "dispense", [fields, body]]))
         self.settle()
 
@@ -191,6 +190,31 @@
     assert ran and len(ran) == len(set(ran))
 
 
+@pytest.mark.parametrize("older_first", [True, False])
+def test_words_that_cross_on_the_way_let_one_run(pair: Pair, older_first: bool) -> None:
+    """Each reads its try before it has read what the other said."""
+    pair.start_new()
+    order = [(pair.old, A), (pair.new, B)]
+    for player, uid in order if older_first else reversed(order):
+        player.node.post(ev.RequestRead((99, 1), uid, "dispense", b"p", START, 5000.0, 4, 20.0, 0.5, "k1"))
+    pair.settle()
+    assert (pair.starts(pair.old), pair.starts(pair.new)) == ([A], [])
+
+
+def test_ready_waits_until_the_older_one_has_let_go(pair: Pair) -> None:
+    """A notice to leave that came before that would take the node off the list."""
+    first = pair.connect(pair.old)
+    pair.new = pair.more()
+    while not pair.new.node.balancers.accepting:
+        pair.new.node.loop.round(0.0)
+        if pair.new.node.state.side is Side.ASKER and not pair.new.node.balancers.accepting:
+            pair.old.settle()
+    assert pair.old.node.balancers.accepting and pair.new.node._ready()[0] == 503
+    pair.settle()
+    assert pair.new.node._ready()[0] == 200 and pair.old.node._ready()[0] == 503
+    assert first.recv(100) == FAREWELL
+
+
 def test_a_killed_older_one_leaves_its_runs_unknown_and_none_is_run_again(pair: Pair) -> None:
     first = pair.connect(pair.old)
     pair.ask(first, 1, A)
@@ -229,7 +253,8 @@
     first = pair.connect(pair.old)
     pair.start_new()
     second = pair.connect(pair.new)
-    pair.ask(second, 1, A, age=5100.0)  # read past its due time: turned away as read
+    pair.new.node.post(ev.LoadTold(0, 15_900.0, 0))
+    pair.ask(second, 1, A, kb="100")  # no memory is left for it: turned away as read
     assert [error for _, error, _ in answers(second)] == ["Throttled"]
     pair.ask(first, 1, B)
     assert pair.starts(pair.old) == [B]
@@ -295,6 +320,53 @@
     assert answers(second) == [[1, None, b"r"]]
 
 
+def flood(pair: Pair, sock: socket.socket, half: str, count: int, kb: str) -> None:
+    for n in range(count):
+        fields = {"id": f"{half * 8}{n:08x}", "at": f"{pair.old.clock.time:.0f}", "from": "4", "wait": "9000",
+                  "kb": kb, "rank": "0.5"}
+        sock.sendall(msgpack.packb([0, n + 1, "match", [fields, b"p"]]))
+    pair.settle()
+
+
+def test_what_both_hold_stays_within_the_runtimes_memory(pair: Pair) -> None:
+    """Settings of the example: 15,906 KB, 2 cores, four times the figure for a run."""
+    first = pair.connect(pair.old)
+    flood(pair, first, "a", 2, "1800")
+    assert len(pair.starts(pair.old)) == 2  # 14,400 KB: nearly all that may be used
+    pair.start_new()
+    second = pair.connect(pair.new)
+    flood(pair, second, "b", 2, "600")
+    assert pair.starts(pair.new) == []  # alone it would run them
+    for n in range(2):
+        pair.done(pair.old, n + 1, f"{'a' * 8}{n:08x}")
+    pair.clock(300.0)  # the next word on load
+    flood(pair, second, "c", 2, "600")
+    assert len(pair.starts(pair.new)) == 2
+
+
+def test_what_both_run_stays_under_the_crowd_that_the_runtime_survives(pair: Pair) -> None:
+    pair.start_new()
+    controller = pair.new.node.state.controller
+    assert controller is not None
+    before = controller._ceiling(controller._now)
+    pair.new.node.post(ev.LoadTold(5, 0.0, 0))
+    assert controller._ceiling(controller._now) == pytest.approx(before - 0.8 * 5)
+    pair.end(pair.old)
+    pair.settle()
+    assert controller._ceiling(controller._now) == before and controller.s.memory_kb == 15906.0
+
+
+def test_descriptors_are_counted_for_both(pair: Pair) -> None:
+    crowd = [pair.connect(pair.old) for _ in range(40)]
+    places = pair.old.node.balancers._most
+    pair.start_new()
+    assert pair.new.node.balancers._most == places - 40
+    for sock in crowd:
+        sock.close()
+    pair.clock(300.0)
+    assert pair.new.node.balancers._most == places
+
+
 @pytest.mark.parametrize("message", [
     None, [], ["no"], ["freed", 7], ["key", "k", "u", 1.0, b"", True], ["hello", 99], ["over", "u", "text"]])
 def test_nonsense_from_beside_is_told_apart(message: object) -> None:
