--- a/standins/callers.py
+++ b/standins/callers.py
@@ -23,6 +23,8 @@
     at: float
     source: str
     answers: list[tuple[float, str]] = field(default_factory=list)
+    uid: str = ""
+    once: str = ""
 
 
 class Load:
@@ -105,7 +107,8 @@
             self._connect()
         self._number += 1
         now = time.time() * 1000.0
-        fields = {"id": f"{random.getrandbits(64):016x}", "at": str(int(now)),
+        asked.uid, asked.once = f"{random.getrandbits(64):016x}", once
+        fields = {"id": asked.uid, "at": str(int(now)),
                   "from": str(self._load.caller), "rank": "0.5",
                   "wait": str(int(self._load.wait_ms)), "kb": "20"}
         if once:
