--- a/benchmarks/replace.py
+++ b/benchmarks/replace.py
@@ -1,8 +1,8 @@
 """A node's process replaced twice under load, against the same load with no replacement in the same run.
 
-Balancers keep their connections until they are told to go; a third of the keyed requests is tried again shortly
-after, on whichever process it reaches. Counted: what is served, lost, answered twice or late; keys that ran
-twice; what the roster hears; how soon the new process is ready; memory of both together.
+Balancers keep their connections until they are told to go; a third of the keyed requests is tried again soon
+after, on whichever process it reaches. Counted: what is served, lost, answered twice or late; keys that were
+run twice; what the roster hears; how soon the new process is ready; memory of both together.
 
     python -m benchmarks.replace [--seed N] [--short]
 """
