Read a request that is written over 2 s; among a crowd, who sends in pieces keeps its place

At fault: a message begun was closed after 1.8 s (limits.WAITED_MS), and a full table parted with whoever had carried no whole message longest, slow writers with the rest (hub._make_room). A begun message now has 3 s, and each piece of it counts as a sign of life; silence before the first byte still ends after 1.8 s.

--- a/snowthread/fronts/balancers/connection.py
+++ b/snowthread/fronts/balancers/connection.py
@@ -179,6 +179,9 @@
         if read or not self._begun:
             self.begun_at = self.hub.loop.clock.now()
         self._begun = data[read:] if read else data
+        if self._begun and not self.open:
+            # Its request comes in pieces: among a crowd that says nothing it is not the one to make room.
+            self.hub.touched(self)
 
     def waits_since(self) -> float:
         """Since when the rest of a message, or the first one, is missing."""
--- a/snowthread/fronts/balancers/hub.py
+++ b/snowthread/fronts/balancers/hub.py
@@ -181,7 +181,7 @@
             yield Wait(until=self.loop.clock.now() + SWEEP_MS)
             now = self.loop.clock.now()
             for connection in list(self._connections.values()):
-                if overdue(now, connection.waits_since(), connection.stuck_at):
+                if overdue(now, connection.waits_since(), connection.stuck_at, connection.begun):
                     connection.end()
                 elif connection.parted_at + PART_MS <= now and connection.idle and (
                         self._shut or not self._leaving):
--- a/snowthread/net/limits.py
+++ b/snowthread/net/limits.py
@@ -8,7 +8,8 @@
 from dataclasses import dataclass
 
 SWEEP_MS = 250.0  # between two looks over all connections
-WAITED_MS = 1800.0  # the longest wait for the first message, or for the rest of one that is begun
+WAITED_MS = 1800.0  # the longest wait for the first byte of a message
+BEGUN_MS = 3000.0  # and for the rest of one that is begun: slow peers write one over 2 s
 STUCK_MS = 3000.0  # the longest time in which a peer may take nothing of what it is owed
 ONCE_MS = 3000.0  # a connection that carried one message is parted with after idling so long
 NEW_MS = 250.0  # a connection idle for less may have a request on its way: it is not closed for room
@@ -30,10 +31,10 @@
     return int(memory_mb * 2**20) // UNSENT_SHARE
 
 
-def overdue(now: float, waits_since: float, stuck_since: float) -> bool:
+def overdue(now: float, waits_since: float, stuck_since: float, begun: bool = False) -> bool:
     """Has a peer kept the node waiting too long? Silent connections and messages without end would else
     hold their descriptors for good."""
-    return now - waits_since >= WAITED_MS or now - stuck_since >= STUCK_MS
+    return now - waits_since >= (BEGUN_MS if begun else WAITED_MS) or now - stuck_since >= STUCK_MS
 
 
 @dataclass(slots=True)
