A broken link is not the other process's end: keys stay the older one's to judge

Seen in a test that cuts the link at each word in turn: both processes, alive, took the other for dead, and k1 and k2 ran twice; two releases that speak different versions would have done so at each upgrade. At fault: link._linked took the stream's end for the process's. The newer one now connects anew and is alone only where nobody listens; the older one watches the process itself (pidfd, so a number used again is no danger). A third process, closed at the door, would have served alone; it waits now.

--- a/benchmarks/replace.py
+++ b/benchmarks/upgrade.py
@@ -4,7 +4,7 @@
 after, on whichever process it reaches. Counted: what is served, lost, answered twice or late; keys that were
 run twice; what the roster hears; how soon the new process is ready; memory of both together.
 
-    python -m benchmarks.replace [--seed N] [--short]
+    python -m benchmarks.upgrade [--seed N] [--short]
 """
 
 from __future__ import annotations
--- a/snowthread/core/reducer.py
+++ b/snowthread/core/reducer.py
@@ -434,6 +434,13 @@
             self.out.append(fx.TellBeside(ev.DrainAsked(s.drained)))
             self.tell_load()
             self.out.append(fx.AllTold())
+            return
+        # A second time where the link broke: what was said over it may be lost, either way.
+        self.out += [fx.TellBeside(entry) for entry in s.keys.all() if not entry.away]
+        asking, s.asking = s.asking, {}
+        for _uid, waiting in asking.values():
+            for request in waiting:
+                self.request_read(request)
 
     def tell_load(self) -> None:
         """What this process has of what both share."""
--- a/snowthread/fronts/operators/codec.py
+++ b/snowthread/fronts/admin/codec.py
@@ -69,7 +69,7 @@
         if name.lower() == b"expect" and value.lower() == b"100-continue":
             self.expects = True
         elif name.lower() == b"content-length" and int(value) > BODY_MAX:
-            self._end(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long")
+            self._end(HTTPStatus.BAD_REQUEST, "the body is too long")
 
     def on_headers_complete(self) -> None:
         self._headed = True
@@ -77,7 +77,7 @@
     def on_body(self, body: bytes) -> None:
         self._body += len(body)
         if self._body > BODY_MAX:
-            self._end(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is too long")
+            self._end(HTTPStatus.BAD_REQUEST, "the body is too long")
 
     def on_message_complete(self) -> None:
         if self.result is not None:
--- a/snowthread/fronts/operators/hub.py
+++ b/snowthread/fronts/admin/hub.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from snowthread.address import Address
-from snowthread.fronts.operators.codec import CONTINUE, Call, Fault, Reading, encode
+from snowthread.fronts.admin.codec import CONTINUE, Call, Fault, Reading, encode
 from snowthread.net.loop import IN, OUT, Loop, Steps, Task, Wait
 
 CALLERS_MOST = 12  # at once, within the descriptors set aside; past it who has waited longest makes room
@@ -33,7 +33,7 @@
         self.task: Task | None = None
 
 
-class Operators:
+class Admin:
     """Answers calls, each known by its path and its method."""
 
     def __init__(self, loop: Loop, address: Address, calls: Mapping[str, tuple[str, Answer]]) -> None:
@@ -41,7 +41,11 @@
         self._loop, self._calls = loop, calls
         self._listener = address.open(socket.SOCK_STREAM)
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind(address)
+        try:
+            self._listener.bind(address)
+        except OSError as error:  # told apart from the balancers' own address
+            self._listener.close()
+            raise OSError(error.errno, error.strerror, f"{address.host}:{address.port}") from None
         self._listener.listen(BACKLOG)
         self._callers: dict[_Caller, None] = {}  # who has waited longest first
         loop.spawn(self._accept())
--- a/snowthread/net/loop.py
+++ b/snowthread/net/loop.py
@@ -95,12 +95,15 @@
 
     def close(self, sock: socket.socket) -> None:
         """Close a socket. Its number may be another's at once, so nothing may still be watched under it."""
-        fd = sock.fileno()
+        self.forget(sock.fileno())
+        sock.close()
+
+    def forget(self, fd: int) -> None:
+        """Watch a descriptor no more; to be called before it is closed."""
         task = self._by_fd.pop(fd, None)
         if task is not None:
             task.fd = -1
             self._epoll.unregister(fd)
-        sock.close()
 
     def stop(self) -> None:
         """Return from :meth:`run` at the end of this round."""
--- a/snowthread/node.py
+++ b/snowthread/node.py
@@ -21,11 +21,11 @@
 from snowthread.core.reducer import reduce
 from snowthread.core.state import ModuleTime, State
 from snowthread.fronts.balancers.hub import Balancers
-from snowthread.fronts.operators.hub import Operators
+from snowthread.fronts.admin.hub import Admin
 from snowthread.net.clock import Clock
 from snowthread.net.limits import results_max, unsent_max
 from snowthread.net.loop import IN, Loop, Steps, Wait
-from snowthread.peers.beside import Beside
+from snowthread.upgrade.link import Beside
 from snowthread.peers.index import Index
 from snowthread.peers.roster import Roster
 from snowthread.peers.runtime import Runtime
@@ -93,7 +93,7 @@
         self.runtime = Runtime(self.loop, config.runtime, self.post)
         self.index = Index(self.loop, config.index, calls, self.post)
         self.roster = Roster(self.loop, config.roster, config.name)
-        self.operators = None if config.admin is None else Operators(self.loop, config.admin, {
+        self.admin = None if config.admin is None else Admin(self.loop, config.admin, {
             "/-/ready": ("GET", self._ready), "/-/drain": ("POST", lambda: self._drain(True)),
             "/-/resume": ("POST", lambda: self._drain(False))})
         self._carry_out |= dict.fromkeys(
--- a/snowthread/serve.py
+++ b/snowthread/serve.py
@@ -42,6 +42,6 @@
     try:
         node = Node(settings, Clock(), features)
     except OSError as error:
-        host, port = settings.listen
-        raise config.ConfigError(f"can't listen on {host}:{port}: {error.strerror}") from None
+        place = error.filename or "{}:{}".format(*settings.listen)
+        raise config.ConfigError(f"can't listen on {place}: {error.strerror}") from None
     node.serve()
--- a/snowthread/peers/beside.py
+++ b/snowthread/upgrade/link.py
@@ -1,4 +1,4 @@
-"""The other process of this node while one replaces the other: MessagePack over a Unix socket.
+"""The other process of this node while one replaces the other, over a Unix socket.
 
 The older one listens, in the folder that both have. The newer one connects, hears all that is known of keys,
 takes the clients and says so. A process that finds nobody is alone, and listens for the one to replace it.
@@ -9,9 +9,9 @@
 import errno
 import os
 import socket
+import struct
 from collections import deque
 from collections.abc import Callable
-from typing import Any
 
 import msgpack
 from loguru import logger
@@ -20,71 +20,14 @@
 from snowthread.core import events as ev
 from snowthread.core.keys import Key
 from snowthread.net.loop import BROKEN, IN, OUT, Loop, Steps, Task, Wait
+from snowthread.upgrade.words import ALL, HELLO, TAKES, YOURS, Word, decode, encode, unpacker
 
 SOCKET = "beside"  # its name in the folder
-VERSION = 1
 READ_BYTES = 64 * 1024
 PIECE_BYTES = 64 * 1024  # encoded ahead of what the other has read
-MESSAGE_MAX = 64 * 1024  # a key with its result, and room to spare
 JOIN_MS = 300.0  # so long a socket that refuses is tried again: its owner may just be making it anew
 RETRY_MS = 20.0
 
-HELLO, ALL, TAKES, YOURS = "hello", "all", "takes", "yours"
-Word = ev.Message | str
-
-
-def encode(word: Key | ev.Message | str) -> bytes:
-    """One message: an array, its name first."""
-    fields: list[Any]
-    match word:
-        case Key():
-            fields = ["key", word.once, word.uid, word.until, word.content, word.over, word.result]
-        case ev.KeyOver():
-            fields = ["over", word.uid, word.result]
-        case ev.KeyFreed():
-            fields = ["freed", word.uid]
-        case ev.KeyAsked():
-            fields = ["asked", word.once, word.uid, word.at, word.content]
-        case ev.KeyJudged():
-            fields = ["judged", word.once, word.uid, word.granted]
-        case ev.LoadTold():
-            fields = ["load", word.runs, word.memory_kb, word.calls, word.descriptors]
-        case ev.DrainAsked():
-            fields = ["drain", word.drain]
-        case str():
-            fields = [word, VERSION]
-        case _:
-            raise TypeError(type(word).__name__)
-    packed: bytes = msgpack.packb(fields, unicode_errors="surrogateescape")
-    return packed
-
-
-_READ: dict[str, Callable[..., ev.Message]] = {
-    "key": ev.KeyTold, "over": ev.KeyOver, "freed": ev.KeyFreed, "asked": ev.KeyAsked,
-    "judged": ev.KeyJudged, "drain": ev.DrainAsked,
-    "load": ev.LoadTold}
-_WANTED: dict[str, tuple[Any, ...]] = {
-    "key": (str, str, float, bytes, bool, bytes | None), "over": (str, bytes | None), "freed": (str,),
-    "asked": (str, str, float, bytes), "judged": (str, str, bool), "drain": (bool,),
-    "load": (int, float, int, int),
-    HELLO: (int,), ALL: (int,), TAKES: (int,), YOURS: (int,)}
-
-
-def decode(message: object) -> Word:
-    """What a message says; ValueError where it says nothing that is known."""
-    if not isinstance(message, list) or not message or message[0] not in _WANTED:
-        raise ValueError(f"not a message: {str(message)[:80]}")
-    name, fields = message[0], message[1:]
-    wanted = _WANTED[name]
-    if len(fields) != len(wanted) or not all(map(isinstance, fields, wanted)):
-        raise ValueError(f"{name}: not its fields")
-    if name in _READ:
-        return _READ[name](*fields)
-    if fields[0] != VERSION:
-        raise ValueError(f"{name}: version {fields[0]}, not {VERSION}")
-    return str(name)
-
-
 def path_in(folder: str) -> tuple[str, int]:
     """The socket's path and a descriptor to close behind its use: a path may be 107 bytes long, a folder's
     own may be longer."""
@@ -92,6 +35,16 @@
     return f"/proc/self/fd/{fd}/{SOCKET}", fd
 
 
+def process_of(sock: socket.socket) -> tuple[int, int] | None:
+    """Who is at the other end of a Unix socket: its number, and a descriptor that is readable once it has
+    ended, whoever may bear that number then. None where it can't be told: a link's end then counts as its."""
+    try:
+        number = struct.unpack("3i", sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, 12))[0]
+        return number, os.pidfd_open(number)
+    except OSError:
+        return None
+
+
 class Beside:
     """Finds the other process, keeps the link and passes on what it says."""
 
@@ -106,7 +59,8 @@
         self._words: deque[Key | ev.Message | str] = deque()
         self._out = b""
         self._gone = self._settled = False
-        loop.spawn(self._join())
+        self._links = self._peer = 0  # links from newer processes so far; the process that the last came from
+        self._joining = loop.spawn(self._join())
 
     @property
     def settled(self) -> bool:
@@ -153,25 +107,41 @@
     # The newer process.
 
     def _join(self) -> Steps:
-        """Find the older process, or find that there is none."""
-        until = self._loop.clock.now() + JOIN_MS
+        """Find the older process, or find that there is none. Where the link to it breaks while it lives,
+        keys are still its to judge: alone is only who finds nobody listening."""
+        until, joined = self._loop.clock.now() + JOIN_MS, False
         while True:
             code, sock = self._connect()
             if sock is not None:
+                if not joined:
+                    logger.bind(event="beside.joined", peer="beside").info(
+                        "another process serves: takes over from it")
+                joined = True
+                self._begin(sock, self._joining)
+                self._post(ev.BesideUp(judge=False))
+                self._say(HELLO)
+                yield from self._talk(sock)
+                if self._gone:
+                    return
+                until = self._loop.clock.now()  # it listened a moment ago: nobody there means that it ended
+            elif code == errno.ENOENT or (code == errno.ECONNREFUSED and self._loop.clock.now() >= until):
                 break
-            if code == errno.ENOENT or self._loop.clock.now() >= until:
-                self._listen()
-                self._settled = True
-                self._found()
-                return
             yield Wait(until=self._loop.clock.now() + RETRY_MS)
-        logger.bind(event="beside.joined", peer="beside").info("another process serves: takes over from it")
-        self._post(ev.BesideUp(judge=False))
-        self._begin(sock, self._loop.spawn(self._linked(sock)))
-        self._say(HELLO)
+        if joined:
+            self._over()
+        self._settled = True
+        self._listen()
+        self._found()
+
+    def _over(self) -> None:
+        logger.bind(event="beside.gone", peer="beside").info("the other process is gone")
+        self._post(ev.BesideGone())
 
     def _connect(self) -> tuple[int, socket.socket | None]:
-        path, fd = path_in(self._folder)
+        try:
+            path, fd = path_in(self._folder)
+        except OSError as error:
+            return error.errno or errno.ENOENT, None
         sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         sock.setblocking(False)
         try:
@@ -187,22 +157,23 @@
 
     def _listen(self) -> None:
         """Be found by the next one. Moved into place whole: one that looks meanwhile must not find nobody."""
-        path, fd = path_in(self._folder)
         made = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         try:
-            new = f"{path}.{os.getpid()}"
-            if os.path.exists(new):
-                os.unlink(new)
-            made.bind(new)
-            made.listen(4)
-            os.rename(new, path)
+            path, fd = path_in(self._folder)
+            try:
+                new = f"{path}.{os.getpid()}"
+                if os.path.exists(new):
+                    os.unlink(new)
+                made.bind(new)
+                made.listen(4)
+                os.rename(new, path)
+            finally:
+                os.close(fd)
         except OSError as error:  # it serves on all the same, only nobody can take over from it
             logger.bind(event="beside.failed", peer="beside").error(
                 "can't be found by another process: {}", error)
             made.close()
             return
-        finally:
-            os.close(fd)
         made.setblocking(False)
         self._listener = made
         self._loop.spawn(self._accept(made))
@@ -214,11 +185,32 @@
                 sock, _ = listener.accept()
             except OSError:
                 continue
-            if self._sock is not None:  # two at once are one too many: it tries again, or is alone in the end
-                sock.close()
+            process = process_of(sock)
+            if self._sock is not None or (self._peer and process is not None and process[0] != self._peer):
+                sock.close()  # a third one: it tries again until there is room for it
+                if process is not None:
+                    os.close(process[1])
                 continue
             sock.setblocking(False)
-            self._begin(sock, self._loop.spawn(self._linked(sock)))
+            self._links += 1
+            self._peer = process[0] if process is not None else 0
+            self._begin(sock, self._loop.spawn(self._serve(sock, process, self._links)))
+
+    def _serve(self, sock: socket.socket, process: tuple[int, int] | None, link: int) -> Steps:
+        """One link from the newer process, and that process to its end. A broken link is not its end: it
+        takes no key without a word from here, so nothing is lost by waiting until it connects anew."""
+        try:
+            yield from self._talk(sock)
+            if process is not None and not self._gone:
+                yield Wait(process[1], IN)
+        finally:
+            if process is not None:
+                self._loop.forget(process[1])
+                os.close(process[1])
+        if link == self._links and not self._gone:
+            self._peer = 0
+            self._over()
+            self._found()
 
     # The link.
 
@@ -226,9 +218,9 @@
         self._sock, self._task, self._out = sock, task, b""
         self._words.clear()
 
-    def _linked(self, sock: socket.socket) -> Steps:
-        unpacker = msgpack.Unpacker(max_buffer_size=MESSAGE_MAX + READ_BYTES,
-                                    unicode_errors="surrogateescape")
+    def _talk(self, sock: socket.socket) -> Steps:
+        """All that is said over a link, until it breaks."""
+        coming = unpacker()
         try:
             while True:
                 self._flush()
@@ -240,21 +232,14 @@
                         continue
                     if not data:
                         return
-                    unpacker.feed(data)
-                    for message in unpacker:
+                    coming.feed(data)
+                    for message in coming:
                         self._take(decode(message))
         except (OSError, ValueError, msgpack.UnpackException) as error:
             logger.bind(event="beside.nonsense", peer="beside").warning("the other process: {}", error)
         finally:
             self._loop.close(sock)
             self._sock = None
-            if not self._gone:
-                logger.bind(event="beside.gone", peer="beside").info("the other process is gone")
-                self._post(ev.BesideGone())
-                self._settled = True
-                self._found()
-                if self._listener is None:
-                    self._listen()
 
     def _take(self, word: Word) -> None:
         if word == HELLO:
--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -113,8 +113,8 @@
         elif what == "connect":
             self.peers[who] = socket.create_connection(self.node.balancers.address)
         elif what == "call":
-            assert self.node.operators is not None
-            self.peers[who] = socket.create_connection(self.node.operators.address)
+            assert self.node.admin is not None
+            self.peers[who] = socket.create_connection(self.node.admin.address)
             self.settle()
         elif what == "accept":
             self.settle()
--- a/tests/test_operators.py
+++ b/tests/test_admin.py
@@ -12,8 +12,8 @@
 from snowthread.address import Address
 from snowthread.config import ConfigError, load
 from snowthread.fronts.balancers.hub import inherited, listener
-from snowthread.fronts.operators.codec import BODY_MAX, HEAD_MAX, Call, Fault, Reading
-from snowthread.fronts.operators.hub import CALL_MS, CALLERS_MOST
+from snowthread.fronts.admin.codec import BODY_MAX, HEAD_MAX, Call, Fault, Reading
+from snowthread.fronts.admin.hub import CALL_MS, CALLERS_MOST
 
 READY = b"GET /-/ready HTTP/1.1\r\n\r\n"
 
@@ -25,7 +25,7 @@
     (b"\x94\x00\x01\xa6health\x91\x80", HTTPStatus.BAD_REQUEST),
     (b"GET /-/ready HTTP/1.1\r\nContent-Length: x\r\n\r\n", HTTPStatus.BAD_REQUEST),
     (b"GET / HTTP/1.1\r\nA: " + b"a" * HEAD_MAX, HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE),
-    (b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (BODY_MAX + 1), HTTPStatus.REQUEST_ENTITY_TOO_LARGE),
+    (b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (BODY_MAX + 1), HTTPStatus.BAD_REQUEST),
 ])
 @pytest.mark.parametrize("piece", [1, 7, 10**6])
 def test_calls_are_read_in_pieces_of_any_size(data: bytes, result: object, piece: int) -> None:
@@ -39,8 +39,8 @@
 def test_callers_that_stop_half_way_keep_out_nobody_and_hold_no_descriptors() -> None:
     player = Player()
     try:
-        assert player.node.operators is not None
-        stalled = [socket.create_connection(player.node.operators.address) for _ in range(3 * CALLERS_MOST)]
+        assert player.node.admin is not None
+        stalled = [socket.create_connection(player.node.admin.address) for _ in range(3 * CALLERS_MOST)]
         for caller in stalled:
             caller.sendall(READY[:9])
         for _ in range(10):
@@ -49,10 +49,10 @@
         player.step("9", ">", "GET /-/ready HTTP/1.1\\r\\n\\r\\n")
         assert player.came("9", 15) == b"HTTP/1.1 200 OK"
         player.step("9", "close", "")
-        assert len(player.node.operators._callers) <= CALLERS_MOST
+        assert len(player.node.admin._callers) <= CALLERS_MOST
         player.step("clock", str(CALL_MS), "")
         player.settle()
-        assert not player.node.operators._callers
+        assert not player.node.admin._callers
         for caller in stalled:
             caller.close()
     finally:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -197,6 +197,20 @@
     assert word in done.stderr and done.stderr.count("\n") == 1
 
 
+@pytest.mark.parametrize("what", ["admin taken", "door no number", "door not open", "door does not listen"])
+def test_an_address_or_a_door_that_cannot_be_used_ends_with_one_plain_line(tmp_path: Path, what: str) -> None:
+    path = configuration(tmp_path)
+    with loopback(socket.SOCK_STREAM) as taken, loopback(socket.SOCK_DGRAM) as deaf:
+        more, word = {"admin taken": ({"NODE_ADMIN_ADDR": address(taken)}, address(taken)),
+                      "door no number": ({"NODE_FD": "x"}, "NODE_FD"),
+                      "door not open": ({"NODE_FD": "77"}, "can't listen"),
+                      "door does not listen": ({"NODE_FD": str(deaf.fileno())}, "does not listen")}[what]
+        done = subprocess.run([sys.executable, "-m", "snowthread"], cwd=ROOT, env=environment(path) | more,
+                              text=True, capture_output=True, timeout=PATIENCE_S, pass_fds=(deaf.fileno(),))
+    assert done.returncode == 2
+    assert word in done.stderr and done.stderr.count("\n") == 1
+
+
 def test_sub_commands(tmp_path: Path) -> None:
     path = configuration(tmp_path)
     for command, word in (("version", "snowthread 0."), ("check", "n1: listens on")):
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -213,13 +213,15 @@
             load({"NODE_CONFIG": str(tmp_path / "node.json")}, old)
 
 
-@pytest.mark.parametrize("cut", [0, 1, 200, -1])
-def test_a_file_that_is_empty_or_cut_short_is_turned_down(tmp_path: Path, cut: int) -> None:
-    with pytest.raises(ConfigError, match="not JSON"):
-        loaded(tmp_path / "node.json", EXAMPLE.read_bytes().rstrip()[:cut])
+def test_a_file_that_is_empty_or_cut_short_at_any_byte_is_turned_down(tmp_path: Path) -> None:
+    whole = EXAMPLE.read_bytes().rstrip()
+    assert len(whole) > 1000 and loaded(tmp_path / "node.json", whole)
+    for cut in range(len(whole)):
+        with pytest.raises(ConfigError, match="not JSON"):
+            loaded(tmp_path / "node.json", whole[:cut])
 
 
-@pytest.mark.parametrize("value", [0, -5, "5", "", None, True, [], {}, b"1e999"])
+@pytest.mark.parametrize("value", [0, -5, "5", "", None, True, [], {}, b"1e999", b"NaN"])
 @pytest.mark.parametrize("key", ["deadline_s", "goal_time_s"])
 def test_a_deadline_that_is_no_number_above_0_is_turned_down(tmp_path: Path, key: str, value: Any) -> None:
     fields = json.loads(EXAMPLE.read_bytes())
--- a/tests/test_beside.py
+++ b/tests/test_upgrade.py
@@ -24,7 +24,16 @@
 from snowthread.core import events as ev
 from snowthread.core.reducer import ASK_MS, ASKING_MOST
 from snowthread.core.state import Side
-from snowthread.peers import beside
+from snowthread.upgrade import link, words
+
+ALIVE: list[tuple[int, int]] = []  # of each process here, a pipe whose writing end is open while it lives
+
+
+@pytest.fixture(autouse=True)
+def processes(monkeypatch: pytest.MonkeyPatch) -> None:
+    """One process plays all here: who comes is the one that was made last, and ends when its pipe closes."""
+    monkeypatch.setattr(link, "process_of", lambda sock: (len(ALIVE), os.dup(ALIVE[-1][0])))
+
 
 FAREWELL = msgpack.packb([2, "farewell", []])
 
@@ -34,18 +43,24 @@
 
     def __init__(self, folder: Path) -> None:
         self.door, self.folder = loopback(socket.SOCK_STREAM), str(folder)
+        self.all: list[Player] = []
         self.old = self.more()
         self.settle()
 
     def more(self) -> Player:
-        return Player(door=os.dup(self.door.fileno()), folder=self.folder)
+        ALIVE.append(os.pipe())
+        player = Player(door=os.dup(self.door.fileno()), folder=self.folder)
+        self.all.append(player)
+        self.life = getattr(self, "life", {}) | {id(player): ALIVE[-1][1]}
+        return player
 
     def start_new(self) -> None:
         self.new = self.more()
         self.settle()
-        self.link(self.new)
+        if "new" in self.__dict__:  # it may have been ended meanwhile
+            self.link(self.new)
 
-    def settle(self, rounds: int = 4) -> None:
+    def settle(self, rounds: int = 2) -> None:
         for _ in range(rounds):
             for player in self.players:
                 player.settle()
@@ -75,6 +90,8 @@
 
     def starts(self, player: Player) -> list[str]:
         """Which runs it has asked its runtime for, since last looked."""
+        if "runtime" not in player.peers:
+            return []
         try:
             lines = player.peers["runtime"].recv(65536).splitlines()
         except BlockingIOError:
@@ -92,21 +109,39 @@
         return sock
 
     def ask(self, sock: socket.socket, number: int, uid: str, once: str = "k1", body: bytes = b"p",
-            kb: str = "20") -> None:
+            kb: str = "20", settle: bool = True) -> None:
         fields = {"id": uid, "at": f"{self.old.clock.time:.0f}", "from": "4", "wait": "5000", "kb": kb,
                   "rank": "0.5", "once": once}
         sock.sendall(msgpack.packb([0, number, "dispense", [fields, body]]))
-        self.settle()
+        if settle:
+            self.settle()
 
     def end(self, player: Player) -> None:
         """As a kill does it: nothing more is said."""
         assert player.node.beside is not None
         player.node._gone = player.node.beside._gone = True
+        for listening in (player.node.beside._listener, player.node.balancers._listener):
+            if listening is not None:
+                player.node.loop.close(listening)
         player.node.loop._close_tasks()
+        os.close(self.life.pop(id(player)))
         if player is self.old:
             del self.old
         else:
             del self.new
+        self.settle()
+        self.clock(link.RETRY_MS)
+
+    def kill(self, who: str) -> None:
+        """End a process in the middle of its step: what it was about to do is not done."""
+        player = self.__dict__.pop(who)
+        assert player.node.beside is not None and player.node.beside._sock is not None
+        player.node._gone = player.node.beside._gone = True
+        player.node.beside._sock.shutdown(socket.SHUT_RDWR)
+        for listening in (player.node.beside._listener, player.node.balancers._listener):
+            if listening is not None:
+                player.node.loop.close(listening)
+        os.close(self.life.pop(id(player)))
 
     def close(self) -> None:
         for player in self.players:
@@ -286,7 +321,7 @@
     for n in range(ASKING_MOST + 1):
         third = second if n % 32 else pair.connect(pair.old)
         second = third
-        pair.ask(third, 2 + n, f"{n:016x}", once=f"y{n}")
+        pair.ask(third, 2 + n, f"{n:016x}", once=f"y{n}", settle=n % 32 == 31 or n == ASKING_MOST)
     assert [error for _, error, _ in answers(third)] == ["Throttled"]  # so many wait, and no more
     pair.new, pair.old = pair.old, old
     pair.settle()
@@ -296,7 +331,7 @@
 def test_the_list_hears_no_off_and_the_drain_is_taken_over(pair: Pair) -> None:
     first = pair.connect(pair.old)
     pair.ask(first, 1, A)
-    assert pair.old.node.operators is not None
+    assert pair.old.node.admin is not None
     pair.old.node._drain(True)
     pair.start_new()
     assert pair.new.node.state.drained
@@ -367,11 +402,111 @@
     assert pair.new.node.balancers._most == places
 
 
+def once_of(uid: str) -> str:
+    """Which key a try of the scenario has."""
+    return "k1" if uid.endswith("d1") else f"k{int(uid[-4:]) + 1}"
+
+
+class KilledError(Exception):
+    """A process ends in the middle of a step."""
+
+
+def scenario(pair: Pair) -> None:
+    """A hand-over with keyed requests before, during and after it, whose tries reach both processes."""
+    def ask(sock: socket.socket | None, number: int, uid: str, once: str) -> None:
+        if sock is not None:
+            fields = {"id": uid, "at": f"{START:.0f}", "from": "4", "wait": "5000", "kb": "20", "rank": "0.5",
+                      "once": once}
+            sock.sendall(msgpack.packb([0, number, "dispense", [fields, b"p"]]))
+            pair.settle()
+
+    first = pair.connect(pair.old)
+    ask(first, 1, "00000000000000d1", "k1")
+    pair.start_new()
+    new = pair.__dict__.get("new")
+    second = pair.connect(new) if new is not None and new.node.balancers.accepting else None
+    for n, once in enumerate(("k1", "k2", "k3", "k4")):
+        ask(second, 1 + n, f"00000000000e{n:04}", once)
+        ask(first if "old" in pair.__dict__ else None, 2 + n, f"00000000000f{n:04}", once)
+
+
+@pytest.mark.parametrize("side", ["old", "new"])
+@pytest.mark.parametrize("fate", ["dropped", "killed", "cut"])
+@pytest.mark.parametrize("step", range(8))
+def test_whatever_word_is_lost_and_whoever_dies_no_key_runs_twice(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, side: str, fate: str, step: int) -> None:
+    """Each word of either side in turn: lost, the last before a kill, or the last before the link breaks."""
+    said = {"old": 0, "new": 0}
+    pair = Pair(tmp_path)
+    pair.link(pair.old)
+    older, real = pair.old.node.beside, link.Beside._say
+
+    def say(beside: link.Beside, word: Any) -> None:
+        who = "old" if beside is older else "new"
+        if beside._sock is None:
+            return
+        said[who] += 1
+        if who != side or said[who] != step + 1:
+            real(beside, word)
+        elif fate == "cut":
+            beside._sock.shutdown(socket.SHUT_RDWR)
+        elif fate == "killed":
+            pair.kill(who)
+            raise KilledError
+
+    monkeypatch.setattr(link.Beside, "_say", say)
+    try:
+        scenario(pair)
+        runs = [once_of(uid) for player in pair.all for uid in pair.starts(player)]
+        assert "k1" in runs
+        assert len(runs) == len(set(runs)), runs
+        pair.clock(link.RETRY_MS)
+        pair.clock(5050.0)  # past every due time: nothing is left open
+        for player in pair.players:
+            assert not player.node.state.by_ticket
+            assert not any(waiting for _, waiting in player.node.state.asking.values())
+    finally:
+        pair.close()
+
+
+def test_a_stale_socket_file_is_no_process(tmp_path: Path) -> None:
+    with socket.socket(socket.AF_UNIX) as made:
+        made.bind(str(tmp_path / link.SOCKET))
+    pair = Pair(tmp_path)
+    try:
+        assert not pair.old.node.balancers.accepting  # somebody may just be making it anew
+        pair.clock(link.JOIN_MS + link.RETRY_MS)
+        pair.clock(link.RETRY_MS)
+        assert pair.old.node.balancers.accepting and pair.old.node._ready()[0] == 200
+        pair.link(pair.old)
+        pair.start_new()
+        assert pair.new.node.state.side is Side.ASKER
+    finally:
+        pair.close()
+
+
+def test_an_older_one_that_stands_still_lets_no_keyed_work_start_beside_it(pair: Pair) -> None:
+    pair.new = pair.more()
+    for _ in range(10):
+        pair.new.settle()
+    assert pair.new.node._ready()[0] == 503 and not pair.new.node.balancers.accepting
+    assert pair.old.node.balancers.accepting  # it serves on as if nothing had been
+
+
+def test_sighup_leaves_a_drain_as_it_is_and_sigterm_ends_it(pair: Pair) -> None:
+    node = pair.old.node
+    node._drain(True)
+    node.move(node.config)
+    assert node.state.drained and not node.state.taking
+    node.post(ev.LeaveAsked(3200.0))
+    assert node._drain(False)[0] == 409 and node._drain(True)[0] == 200 and not node.state.taking
+
+
 @pytest.mark.parametrize("message", [
     None, [], ["no"], ["freed", 7], ["key", "k", "u", 1.0, b"", True], ["hello", 99], ["over", "u", "text"]])
 def test_nonsense_from_beside_is_told_apart(message: object) -> None:
     with pytest.raises(ValueError):
-        beside.decode(message)
+        words.decode(message)
 
 
 def call(port: int, method: str, path: str) -> int:
