Bound the words that wait for a process of the upgrade that stands still

Cause: link.Beside._words had no bound; an older process would keep every word for a newer one that reads nothing. Past 20,000 the link is cut; the newer one connects anew and is told all from the start.

--- a/snowthread/records/recorder.py
+++ b/snowthread/records/recorder.py
@@ -12,8 +12,8 @@
 
 from loguru import logger
 
-from snowthread import __version__
 from clovertack.interface import Settings
+from snowthread import __version__
 from snowthread.core import effects as fx
 from snowthread.core import events as ev
 from snowthread.core.reducer import reduce
--- a/snowthread/upgrade/link.py
+++ b/snowthread/upgrade/link.py
@@ -27,6 +27,8 @@
 PIECE_BYTES = 64 * 1024  # encoded ahead of what the other has read
 JOIN_MS = 300.0  # so long a socket that refuses is tried again: its owner may just be making it anew
 RETRY_MS = 20.0
+WORDS_MOST = 20_000  # that wait for the other to read; one that stands still must not fill the memory
+
 
 def path_in(folder: str) -> tuple[str, int]:
     """The socket's path and a descriptor to close behind its use: a path may be 107 bytes long, a folder's
@@ -81,6 +83,11 @@
     def _say(self, word: Key | ev.Message | str) -> None:
         if self._sock is None:
             return
+        if len(self._words) >= WORDS_MOST:  # it connects anew, if it lives, and is told all from the start
+            logger.bind(event="beside.stuck", peer="beside").warning("the other process is stuck: link cut")
+            self._words.clear()
+            self._sock.shutdown(socket.SHUT_RDWR)
+            return
         self._words.append(word)
         if len(self._words) == 1 and not self._out:
             self._flush()
