Fault relay of the lab: delay, jitter, bandwidth, partition and cut on our loop

Tests on loopback: 300 kB pass unchanged; 150 ms of delay makes a round trip of 300 ms or more; 200 kB/s paces 100 kB; a partition refuses new connections and holds old ones; a cut closes what was open and the link lives on.

--- /dev/null
+++ b/snowthread/lab/relay.py
@@ -0,0 +1,158 @@
+"""A TCP relay of the lab on the project's loop: listens at one address, forwards to another, through faults.
+
+One coroutine a direction of a connection; what is read waits in a bounded queue until :mod:`faults` lets it
+go. Where the queue is full, reading stops, so a slow link pushes back as a real one does. A cut closes both
+sides; a partition holds the bytes and refuses new connections.
+"""
+
+from __future__ import annotations
+
+import random
+import socket
+from collections import deque
+
+from snowthread.address import Address
+from snowthread.lab.faults import LinkFaults, Pace, admits, cut, release_ms
+from snowthread.net.loop import BROKEN, IN, OUT, Loop, Steps, Wait
+
+QUEUE_BYTES = 1 << 20  # held a direction at the most
+CHUNK = 65536
+CHECK_MS = 50.0  # how often a held direction looks at the faults again
+
+
+class Relay:
+    """One link: ``listen`` -> ``target``; its faults are changed from outside while it plays."""
+
+    def __init__(self, loop: Loop, listen: Address, target: Address, draw: random.Random,
+                 name: str = "") -> None:
+        self.loop, self.target, self.draw, self.name = loop, target, draw, name
+        self.faults = LinkFaults()
+        self.opened = self.refused = 0
+        self.bytes = 0
+        self._socket = listen.open(socket.SOCK_STREAM)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind(listen)
+        self._socket.listen(512)
+        self.address = Address(*self._socket.getsockname()[:2])
+        self._task = loop.spawn(self._accept())
+
+    def close(self) -> None:
+        self.loop.end(self._task)
+
+    def _accept(self) -> Steps:
+        try:
+            while True:
+                yield Wait(self._socket.fileno(), IN)
+                try:
+                    near, _ = self._socket.accept()
+                except BlockingIOError:
+                    continue
+                if not admits(self.faults):
+                    self.refused += 1
+                    near.close()
+                    continue
+                near.setblocking(False)
+                self.opened += 1
+                self.loop.spawn(self._connection(near))
+        finally:
+            self.loop.close(self._socket)
+
+    def _connection(self, near: socket.socket) -> Steps:
+        far = self.target.open(socket.SOCK_STREAM)
+        try:
+            far.connect(self.target)
+        except BlockingIOError:
+            yield Wait(far.fileno(), OUT | BROKEN, self.loop.clock.now() + 3000.0)
+            self.loop.forget(far.fileno())
+        except OSError:
+            pass
+        if far.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) or not _connected(far):
+            self.refused += 1  # nobody on the other side: the caller finds the door closed, as without us
+            near.close()
+            far.close()
+            return
+        for sock in (near, far):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        pair = Pair()
+        # Each direction has its own descriptors (dup), since the loop watches a descriptor for one task.
+        self.loop.spawn(self._pump(near, far.dup(), pair))
+        self.loop.spawn(self._pump(far, near.dup(), pair))
+
+    def _pump(self, source: socket.socket, sink: socket.socket, pair: Pair) -> Steps:
+        """Read from ``source``, hold, write to ``sink``; a cut, a reset or both ends close all."""
+        pace = Pace(self.faults.cuts)
+        held: deque[tuple[float, bytes]] = deque()
+        size, ended = 0, False
+        try:
+            while not (ended and not held):
+                if cut(self.faults, pace) or pair.broken:
+                    return
+                now = self.loop.clock.now()
+                if held and not self.faults.partitioned and held[0][0] <= now:
+                    at, chunk = held.popleft()
+                    size -= len(chunk)
+                    try:
+                        sent = sink.send(chunk)
+                    except BlockingIOError:
+                        sent = 0
+                    self.bytes += sent
+                    if sent < len(chunk):
+                        held.appendleft((at, chunk[sent:]))
+                        size += len(chunk) - sent
+                        yield Wait(sink.fileno(), OUT | BROKEN, now + CHECK_MS)
+                    continue
+                due = held[0][0] if held and not self.faults.partitioned else now + CHECK_MS
+                if ended or size >= QUEUE_BYTES:
+                    yield Wait(until=min(due, now + CHECK_MS))
+                    continue
+                mask = yield Wait(source.fileno(), IN, min(due, now + CHECK_MS))
+                if not mask:
+                    continue
+                try:
+                    data = source.recv(CHUNK)
+                except BlockingIOError:
+                    continue
+                if not data:
+                    ended = True
+                    continue
+                leaves = release_ms(self.faults, pace, self.loop.clock.now(), len(data), self.draw)
+                held.append((leaves, data))
+                size += len(data)
+            sink.shutdown(socket.SHUT_WR)  # this side ended: so does what the other reads
+            pair.ended += 1
+            while pair.ended < 2 and not pair.broken and not cut(self.faults, pace):
+                yield Wait(until=self.loop.clock.now() + CHECK_MS)  # the other direction still speaks
+        except OSError:
+            pair.broken = True
+        finally:
+            if cut(self.faults, pace):
+                pair.broken = True
+            if pair.broken:
+                _reset(source)
+            self.loop.close(source)
+            self.loop.close(sink)
+
+
+class Pair:
+    """What the two directions of one connection know of each other."""
+
+    __slots__ = ("broken", "ended")
+
+    def __init__(self) -> None:
+        self.broken, self.ended = False, 0
+
+
+def _connected(sock: socket.socket) -> bool:
+    try:
+        sock.getpeername()
+    except OSError:
+        return False
+    return True
+
+
+def _reset(sock: socket.socket) -> None:
+    """Close with a reset, as a cut link or a dead peer's kernel would."""
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
+    except OSError:
+        pass
--- /dev/null
+++ b/tests/lab/test_relay.py
@@ -0,0 +1,137 @@
+"""The lab's relay on loopback: bytes pass, and delay, bandwidth, partition and cut do what they say."""
+
+from __future__ import annotations
+
+import random
+import socket
+from collections.abc import Iterator
+
+import pytest
+
+from snowthread.address import Address
+from snowthread.lab.faults import LinkFaults, Pace, release_ms
+from snowthread.lab.relay import Relay
+from snowthread.net.clock import Clock
+from snowthread.net.loop import IN, Loop, Steps, Wait
+
+
+class Echo:
+    """A server that writes back what it reads."""
+
+    def __init__(self, loop: Loop) -> None:
+        self.loop = loop
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.sock.setblocking(False)
+        self.address = Address(*self.sock.getsockname()[:2])
+        loop.spawn(self._accept())
+
+    def _accept(self) -> Steps:
+        while True:
+            yield Wait(self.sock.fileno(), IN)
+            peer, _ = self.sock.accept()
+            peer.setblocking(False)
+            self.loop.spawn(self._echo(peer))
+
+    def _echo(self, peer: socket.socket) -> Steps:
+        try:
+            while True:
+                yield Wait(peer.fileno(), IN)
+                data = peer.recv(65536)
+                if not data:
+                    return
+                peer.sendall(data)
+        except OSError:
+            return
+        finally:
+            self.loop.close(peer)
+
+
+@pytest.fixture
+def link() -> Iterator[tuple[Loop, Relay]]:
+    loop = Loop(Clock())
+    echo = Echo(loop)
+    relay = Relay(loop, Address("127.0.0.1", 0), echo.address, random.Random(1))
+    yield loop, relay
+    loop._close_tasks()
+
+
+def exchange(loop: Loop, relay: Relay, data: bytes, patience_ms: float = 3000.0) -> tuple[bytes, float]:
+    """Send, read back what comes within the patience; the bytes and how long it took, in ms."""
+    client = socket.create_connection(relay.address)
+    client.setblocking(False)
+    begin = loop.clock.now()
+    client.sendall(data)
+    got = b""
+    while len(got) < len(data) and loop.clock.now() - begin < patience_ms:
+        loop.round(0.005)
+        try:
+            more = client.recv(65536)
+        except BlockingIOError:
+            continue
+        except ConnectionResetError:
+            break
+        if not more:
+            break
+        got += more
+    took = loop.clock.now() - begin
+    client.close()
+    return got, took
+
+
+def test_bytes_pass_unchanged(link: tuple[Loop, Relay]) -> None:
+    loop, relay = link
+    data = random.Random(2).randbytes(300_000)
+    assert exchange(loop, relay, data)[0] == data
+
+
+def test_delay_holds_each_chunk(link: tuple[Loop, Relay]) -> None:
+    loop, relay = link
+    relay.faults.delay_ms = 150.0
+    got, took = exchange(loop, relay, b"ping")
+    assert got == b"ping" and took >= 300.0  # there and back
+
+
+def test_bandwidth_paces_a_large_write(link: tuple[Loop, Relay]) -> None:
+    loop, relay = link
+    relay.faults.bytes_per_s = 200_000.0
+    got, took = exchange(loop, relay, b"x" * 100_000)
+    assert len(got) == 100_000 and took >= 500.0  # 0.5 s each way, the two in part at once
+
+
+def test_a_partition_holds_what_is_open_and_refuses_what_comes(link: tuple[Loop, Relay]) -> None:
+    loop, relay = link
+    relay.faults.partitioned = True
+    got, _ = exchange(loop, relay, b"ping", patience_ms=400.0)
+    assert got == b"" and relay.refused == 1
+    relay.faults.partitioned = False
+    assert exchange(loop, relay, b"ping")[0] == b"ping"
+
+
+def test_a_cut_closes_connections_opened_before_it(link: tuple[Loop, Relay]) -> None:
+    loop, relay = link
+    client = socket.create_connection(relay.address)
+    client.setblocking(False)
+    client.sendall(b"one")
+    for _ in range(40):
+        loop.round(0.005)
+    assert client.recv(10) == b"one"
+    relay.faults.cuts += 1
+    ended = False
+    for _ in range(200):
+        loop.round(0.005)
+        try:
+            ended = client.recv(10) == b""
+        except BlockingIOError:
+            continue
+        except ConnectionResetError:
+            ended = True
+        if ended:
+            break
+    assert ended
+    assert exchange(loop, relay, b"two")[0] == b"two"  # the link itself lives on
+
+
+def test_jitter_keeps_order_within_a_connection() -> None:
+    faults, pace, draw = LinkFaults(delay_ms=10.0, jitter_ms=100.0), Pace(0), random.Random(3)
+    times = [release_ms(faults, pace, float(at), 10, draw) for at in range(0, 100, 5)]
+    assert times == sorted(times) and len(set(times)) > 5
