Fleet lab: scenarios in HCL, a plan from the seed, a runner of processes, a report

A scenario names nodes, load (share of the fleet's capacity, keyed share, repeats), the shared database and timed steps: kill, term, stop, wipe, tear, age, partition, delay, cut, slow. The runner starts standins.fleet (a runtime a node, the shared database with a capacity, the roster) and a python -m snowthread a node with its own state folder, puts a TCP relay between each node and the database and a datagram relay before the roster, plays the plan and Poisson load on one loop, and counts each request: served, refused, lost, or gone with a killed node; the ledger counts keyed runs begun more than once.

--- a/snowthread/cli.py
+++ b/snowthread/cli.py
@@ -13,6 +13,7 @@
 from snowthread.console.cli import console
 from snowthread.demo import demo
 from snowthread.incident.cli import report
+from snowthread.lab.cli import lab
 from snowthread.records.cli import records
 from snowthread.tenants.cli import tenants
 
@@ -64,6 +65,7 @@
 
 cli.add_command(console)
 cli.add_command(demo)
+cli.add_command(lab)
 cli.add_command(records)
 cli.add_command(report)
 cli.add_command(tenants)
--- a/snowthread/lab/relay.py
+++ b/snowthread/lab/relay.py
@@ -156,3 +156,40 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
     except OSError:
         pass
+
+
+class DatagramRelay:
+    """One node's reports to the roster: forwarded as they come, or dropped while the link is partitioned."""
+
+    def __init__(self, loop: Loop, target: Address, name: str = "") -> None:
+        self.loop, self.target, self.name = loop, target, name
+        self.faults = LinkFaults()
+        self.passed = self.dropped = 0
+        self._in = Address("127.0.0.1", 0).open(socket.SOCK_DGRAM)
+        self._in.bind(("127.0.0.1", 0))
+        self._out = target.open(socket.SOCK_DGRAM)
+        self.address = Address(*self._in.getsockname()[:2])
+        self._task = loop.spawn(self._steps())
+
+    def close(self) -> None:
+        self.loop.end(self._task)
+
+    def _steps(self) -> Steps:
+        try:
+            while True:
+                yield Wait(self._in.fileno(), IN)
+                try:
+                    word = self._in.recv(65536)
+                except BlockingIOError:
+                    continue
+                if self.faults.partitioned:
+                    self.dropped += 1
+                    continue
+                try:
+                    self._out.sendto(word, self.target)
+                    self.passed += 1
+                except OSError:
+                    self.dropped += 1  # the roster is not there: a datagram is lost, as on a network
+        finally:
+            self.loop.close(self._in)
+            self._out.close()
--- a/snowthread/operator/hcl.py
+++ b/snowthread/operator/hcl.py
@@ -135,6 +135,18 @@
             raise self.wrong(key, f"the block stands {len(value)} times, once is wanted")
         return Block(self.file, name, value[0])
 
+    def blocks(self, key: str, most: int) -> list[Block]:
+        """A nested block that may stand any number of times up to ``most``, in the order written."""
+        value = self._body.pop(key, None)
+        if value is None:
+            return []
+        if not isinstance(value, list) or not all(isinstance(b, dict) and "__is_block__" in b for b in value):
+            raise self.wrong(key, "a block is wanted")
+        if len(value) > most:
+            raise self.wrong(key, f"the block stands {len(value)} times, at most {most} are read")
+        name = f"{self.name}.{key}" if self.name else key
+        return [Block(self.file, f"{name}[{at}]", body) for at, body in enumerate(value)]
+
     def part(self, key: str) -> Block:
         """A nested block whose absence means that each of its keys has its default."""
         return self.block(key) or Block(self.file, f"{self.name}.{key}" if self.name else key, {})
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -34,6 +34,7 @@
                  caller: int = 0) -> None:
         self.loop, self.wait_ms, self.caller = loop or Loop(Clock()), wait_ms, caller
         self.paused = False  # what is due goes to one of the others meanwhile
+        self.keyed_bodies = False  # a keyed request's body names its key, so a ledger can count its runs
         self.others: list[Load] = []
         host, _, port = address.rpartition(":")
         self._to = ("127.0.0.1" if host == "0.0.0.0" else host, int(port))
@@ -115,7 +116,8 @@
             fields["once"] = once
         self._open[self._number] = asked
         assert self._sock is not None
-        self._sock.sendall(msgpack.packb([0, self._number, class_name, [fields, b"a warm grey"]]))
+        body = b"key:" + once.encode() if once and self._load.keyed_bodies else b"a warm grey"
+        self._sock.sendall(msgpack.packb([0, self._number, class_name, [fields, body]]))
 
     def _connect(self) -> None:
         sock = socket.socket()
