A node starts with nothing below it and takes requests that tell no deadline

Ruled out: the decisions (no request reached them), the runtime's link (stood).

Lines at fault: config.parse asked for an index whatever the settings say of what lies below; codec.request asked for f["wait"]. The module knew both cases all along (Below.NONE, Arrival.left_s None).

Now: index may be empty or absent where domain.below is silent, and is wanted else, with a line that says so. A call without an address comes back as never run. Without wait the class's deadline holds; a wait that is there and no figure is still failed.

--- a/snowthread/config.py
+++ b/snowthread/config.py
@@ -11,7 +11,7 @@
 import orjson
 
 from clovertack.decide import Controller
-from clovertack.interface import Settings
+from clovertack.interface import Below, Settings
 from clovertack.settings import settings_from
 from snowthread.address import Address
 
@@ -60,7 +60,7 @@
     listen: Address
     runtime: Address
     roster: Address
-    index: Address
+    index: Address | None  # none where the settings say that nothing lies below
     seed: int
     stop_ms: float
     sockets: int
@@ -113,7 +113,7 @@
     if not isinstance(name, str) or not name or any(c.isspace() for c in name):
         raise ConfigError("name: a word is wanted")
     addresses = {}
-    for peer in ("listen", "runtime", "roster", "index"):
+    for peer in ("listen", "runtime", "roster", *(["index"] if fields.get("index") else [])):
         try:
             addresses[peer] = Address.parse(str(fields.get(peer, "")))
         except ValueError as error:
@@ -155,7 +155,9 @@
         meters = tuple(str(m) for m in (facts.get("domain") or {}).get("meters") or ())
     except (ValueError, TypeError, KeyError, AttributeError, ArithmeticError) as error:
         raise ConfigError(f"settings can't be used: {type(error).__name__}: {error}") from None
+    if "index" not in addresses and settings.below is not Below.NONE:
+        raise ConfigError("index: an address is wanted, the settings say that calls are made below")
     return Config(name=name, seed=seed, stop_ms=float(stop), sockets=sockets,
                   memory_mb=float(memory), settings=settings, meters=meters, listen=addresses["listen"],
-                  runtime=addresses["runtime"], roster=addresses["roster"], index=addresses["index"],
+                  runtime=addresses["runtime"], roster=addresses["roster"], index=addresses.get("index"),
                   admin=admin)
--- a/snowthread/core/events.py
+++ b/snowthread/core/events.py
@@ -23,7 +23,7 @@
     class_name: str
     body: bytes
     at: float
-    wait: float
+    wait: float | None  # from ``at``; None where the site tells no deadlines: the class's holds then
     caller: int
     kb: float
     rank: float
--- a/snowthread/core/reducer.py
+++ b/snowthread/core/reducer.py
@@ -117,14 +117,14 @@
             return
         prior = s.keys.holder(once, at) if once else None
         if once and prior is None and s.side is Side.ASKER and not self._judged:
-            self.ask(m, once, at, content)
+            self.ask(m, once, at, content, kind)
             return
         q = Request(s.number, m.uid, m.class_name, m.body, m.ticket, once, prior, self.now, kind, m.kb,
                     content)
         s.requests[q.number] = s.by_uid[q.uid] = s.by_ticket[m.ticket] = q
-        left = max(LEAST_MS, at + m.wait - self.now)
+        left = None if m.wait is None else s.time.span(max(LEAST_MS, at + m.wait - self.now))
         self.tell(api.Arrival(
-            request=q.number, class_name=q.class_name, held_kb=m.kb, key=m.key, left_s=s.time.span(left),
+            request=q.number, class_name=q.class_name, held_kb=m.kb, key=m.key, left_s=left,
             rank=m.rank, caller=m.caller, tenant=m.tenant, backlog_s=s.time.span(self.now - at), prior=prior))
         if self._judged and s.side is Side.ASKER and s.keys.of(m.uid) is None:
             self.out.append(fx.TellBeside(ev.KeyFreed(m.uid)))  # turned away: the key is wanted no more
@@ -357,7 +357,7 @@
     # The process beside this one, while one replaces the other: what it holds is known here, and no key is
     # taken without the older one's word, so a request that comes to both runs in one of them at most.
 
-    def ask(self, m: ev.RequestRead, once: str, at: float, content: bytes) -> None:
+    def ask(self, m: ev.RequestRead, once: str, at: float, content: bytes, kind: api.RequestClass) -> None:
         """Hold a request before anybody knows of it until the older process has judged its key."""
         s = self.s
         if self._judged is False:  # another's, and yet unknown here: nothing can be promised
@@ -369,7 +369,8 @@
                 s.asking[once] = m.uid, []
                 self.out.append(fx.TellBeside(ev.KeyAsked(once, m.uid, at, content)))
             s.asking[once][1].append(m)
-            wait = min(ASK_MS, max(0.0, at + m.wait - self.now) / 2.0)
+            due = at + (s.time.ms(kind.deadline_s) if m.wait is None else m.wait)
+            wait = min(ASK_MS, max(0.0, due - self.now) / 2.0)
             self.out.append(fx.WakeAt(self.now + wait, ev.KeyLate(m.ticket)))
 
     def asks_no_more(self, ticket: ev.Ticket) -> bool:
--- a/snowthread/fronts/balancers/codec.py
+++ b/snowthread/fronts/balancers/codec.py
@@ -101,7 +101,8 @@
         uid, once, key = f["id"], f.get("once"), f.get("key", "")
         if not _ID.fullmatch(uid) or len(once or "") > WORD_MAX or len(key) > WORD_MAX:
             raise ValueError("id, once or key is no such word")
-        figures = ",".join((f["at"], f["wait"], f["kb"], f["rank"], f["from"]))
+        told = f.get("wait")  # absent where the settings say that deadlines are not passed on
+        figures = ",".join((f["at"], "0" if told is None else told, f["kb"], f["rank"], f["from"]))
         if not _FIGURES.fullmatch(figures):
             raise ValueError("at, wait, kb, rank or from is no figure")
         at, wait, kb, rank, caller = map(float, figures.split(","))
@@ -114,7 +115,8 @@
     except (KeyError, ValueError, TypeError, AttributeError) as error:
         return Bad(asked.number, f"field {error}")
     return ev.RequestRead(ticket=ticket, uid=uid, class_name=asked.class_name, body=asked.body, at=at,
-                          wait=wait, caller=int(caller), kb=kb, rank=rank, once=once, key=key)
+                          wait=None if told is None else wait, caller=int(caller), kb=kb, rank=rank,
+                          once=once, key=key)
 
 
 def _is_number(value: object) -> bool:
--- a/snowthread/peers/index.py
+++ b/snowthread/peers/index.py
@@ -131,9 +131,11 @@
 
 
 class Index:
-    """Makes calls for runs; each that is not dropped comes back exactly once."""
+    """Makes calls for runs; each that is not dropped comes back exactly once. Without an address there is
+    nobody to call: no call can be made, and each comes back as never run."""
 
-    def __init__(self, loop: Loop, address: Address, most: int, post: Callable[[ev.Message], None]) -> None:
+    def __init__(self, loop: Loop, address: Address | None, most: int,
+                 post: Callable[[ev.Message], None]) -> None:
         self._loop, self._address, self._most, self._post = loop, address, most, post
         self._idle: OrderedDict[_Link, None] = OrderedDict()  # the longest idle first
         self._calls: dict[str, _Link] = {}
@@ -143,7 +145,7 @@
         """How many connections there are."""
         return self._links
 
-    def move(self, address: Address) -> None:
+    def move(self, address: Address | None) -> None:
         """Make new calls at a new address; those in hand end where they are."""
         if address != self._address:
             self._address = address
@@ -156,6 +158,9 @@
         """Make a call on a connection that is free, else on a new one. One that may not be made again never
         goes over a used connection: a reset there would leave open whether it ran."""
         self.drop(call.uid)
+        if self._address is None:
+            self._post(ev.CallBack(call.uid, Outcome.UNREACHABLE, 0.0))
+            return
         link = self._free() if call.again else None
         if link is None and self._links >= self._most:
             if not self._idle:
@@ -235,6 +240,8 @@
     def _exchange(self, link: _Link, call: fx.MakeCall) -> Generator[Wait, int, tuple[Reply | Failure, bool]]:
         """One call: how it ended, and whether its connection may be used again."""
         clock, until, address = self._loop.clock, link.began + call.budget, self._address
+        if address is None:  # taken away between the call and its first step
+            return Failure(Progress.NOT_CONNECTED, "no address"), False
         used = link.sock is not None
         if link.sock is None:
             attempt = Connecting(address, self._loop, until)
