Front: nothing read or unread is lost where a connection is closed

Ruled out: say_farewell inside a walk (it only wakes), a table entry that is gone (walks take a copy).

Lines at fault: hub._sweep, hub._make_room, hub._drop (a generator never begun runs no finally), connection._linger (only where nothing was unsent, after forsake), connection._refuse (end), connection._steps (return at the end of the stream), accept_all (room before anybody waits), Trust (nothing earns it back).

A served or refused request earns back what a cancel costs.

--- a/snowthread/fronts/balancers/connection.py
+++ b/snowthread/fronts/balancers/connection.py
@@ -91,7 +91,7 @@
 
     def say_farewell(self) -> None:
         """Ask the peer to send nothing new here and to close."""
-        if self.parted_at == math.inf:
+        if self.parted_at == math.inf and not self.ending:
             self.parted_at = self.hub.loop.clock.now()
             self.write(FAREWELL)
 
@@ -100,6 +100,22 @@
         self.broken = True
         self.hub.loop.wake(self.task)
 
+    def end_soon(self) -> None:
+        """Read nothing more and close, with what is open failed and what is written sent."""
+        self.ending = True
+        self.hub.loop.wake(self.task)
+
+    def look(self) -> None:
+        """Take in what lies unread, before it is judged whether to close. Where the loop was late a request
+        may lie there whole: it is the node's since its last byte was written, and a close would lose it."""
+        try:
+            if not self.broken and not self.ending and not self._read():
+                self.ending = True
+        except OSError:
+            self.broken = True
+        if self.broken or self.ending:
+            self.hub.loop.wake(self.task)
+
     def _steps(self) -> Steps:
         try:
             while not self.broken and not self.ending:
@@ -110,8 +126,8 @@
                     self._flush()
                     if not self.out:
                         self.hub.touched(self)
-                if got & (IN | BROKEN) and not self.broken and not self._read():
-                    return
+                if got & (IN | BROKEN) and not self.broken and not self.ending and not self._read():
+                    self.ending = True
             yield from self._linger()
         except OSError as error:
             logger.debug("balancer connection: {}", error)
@@ -120,22 +136,30 @@
             self.hub.closed(self)
 
     def _linger(self) -> Steps:
-        """Close in the open: what lies unread at a close would reset the connection and take along the answer
-        that says why. Only so much is read for that."""
+        """Close in the open: what is open is failed, for the connection's end must not leave it without an
+        answer; what is written goes out whole; and what lies unread is read, for it would reset the
+        connection and take the answers along. Only so much is read, and waited, for that."""
+        clock, sock = self.hub.loop.clock, self.sock
+        for number in sorted(self.open):
+            self.write(encode(number, fx.Failed(), None))
         self.hub.forsake(self)
-        until, left = self.hub.loop.clock.now() + LINGER_MS, LINGER_BYTES
-        if self.ending and not self.broken and not self.out:
-            self.sock.shutdown(socket.SHUT_WR)
-            while left > 0 and not self.broken and self.hub.loop.clock.now() < until:
-                if not (yield Wait(self.sock.fileno(), IN, until)):
-                    break
+        until, left, shut, told = clock.now() + LINGER_MS, LINGER_BYTES, False, True
+        while not self.broken and (self.out or (told and left > 0)):
+            if not self.out and not shut:
+                shut = True
+                sock.shutdown(socket.SHUT_WR)
+            reads = told and left > 0
+            got = yield Wait(sock.fileno(), (IN if reads else 0) | (OUT if self.out else 0), until)
+            if not got and clock.now() >= until:
+                return
+            if got & (OUT | BROKEN) and self.out:
+                self._flush()
+            if got & (IN | BROKEN) and reads:
                 try:
-                    got = len(self.sock.recv(READ_BYTES))
+                    size = len(sock.recv(READ_BYTES))
                 except BlockingIOError:
                     continue
-                if not got:
-                    break
-                left -= got
+                told, left = size > 0, left - size
 
     def _flush(self) -> None:
         try:
@@ -168,6 +192,7 @@
                 self.whole += 1
                 self._take(decode(message))
                 if self.broken or self.ending:
+                    self._begun = b""
                     return
             if len(data) - read > MESSAGE_MAX or (read < len(data) and too_long(data[read:])):
                 raise ValueError("a message without end")
@@ -191,7 +216,7 @@
         hub = self.hub
         if isinstance(read, Asked):
             if read.number in self.open:
-                read = Bad(None, "a number that is open already")
+                read = self._twice(read.number)
             elif len(self.open) >= OPEN_MAX:
                 self._refuse(Bad(read.number, "too many requests open on one connection"))
                 self.ending = True
@@ -212,9 +237,15 @@
                 self.open.add(read.number)
                 hub.post(ev.HealthAsked((self.number, read.number)))
                 return
-            read = Bad(None, "a number that is open already")
+            read = self._twice(read.number)
         self._refuse(read)
 
+    def _twice(self, number: int) -> Bad:
+        """One number for two requests: an answer under it would be taken for either's, so none is given."""
+        self.open.discard(number)
+        self.hub.post(ev.CallerLeft((self.number, number)))
+        return Bad(None, "a number that is open already")
+
     def _take_back(self, number: int) -> None:
         """Nobody waits any more. A short word ends it all the same: a client that takes back whatever it asks
         would else never hear anything. It is told to leave where it does nothing but that."""
@@ -227,10 +258,10 @@
 
     def _refuse(self, bad: Bad) -> None:
         """Answer where the number is known, else close: a stream whose requests can't be told apart is of no
-        use to anybody, and what is open on it must not be served to who can't keep to the protocol."""
+        use to anybody, and what is open on it is failed, not served to who can't keep to the protocol."""
         logger.debug("balancer connection {}: {}", self.number, bad.reason)
-        if bad.number is None or bad.number in self.open:
-            self.end()
+        if bad.number is None:
+            self.ending = True
         else:
             self.write(encode(bad.number, fx.Failed(), None))
             self._spend()
--- a/snowthread/fronts/balancers/hub.py
+++ b/snowthread/fronts/balancers/hub.py
@@ -4,9 +4,10 @@
 
 import errno
 import math
+import select
 import socket
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from loguru import logger
 
@@ -100,8 +101,11 @@
         for _ in range(most):
             if self._listener is None:
                 break
-            if len(self._connections) >= self._most and not self._make_room():
-                return False
+            if len(self._connections) >= self._most:
+                if not self._knocks():
+                    return True  # nobody waits: nobody has to go
+                if not self._make_room():
+                    return False
             try:
                 sock, _address = self._listener.accept()
             except BlockingIOError:
@@ -119,22 +123,49 @@
             self.touched(connection)
         return True
 
+    def _knocks(self) -> bool:
+        """Does a connection wait to be accepted?"""
+        look = select.poll()
+        if self._listener is not None:
+            look.register(self._listener.fileno(), select.POLLIN)
+        return bool(look.poll(0))
+
     def _make_room(self) -> bool:
-        """End the longest idle connection, but none so new that its first request may be on the way."""
-        for number, since in self._idle.items():
-            if self.loop.clock.now() - since < NEW_MS:
-                break
-            connection = self._connections[number]
-            connection.say_farewell()
-            del self._idle[number]
-            self._drop(connection)
-            return True
+        """End the longest idle connection, but none on which a request lies unread."""
+        for connection in self._idlest():
+            begun = connection.begun
+            connection.look()
+            if connection.idle and connection.begun == begun:
+                connection.say_farewell()
+                self._drop(connection)
+                return True
         return False
 
+    def _idlest(self) -> Iterator[Connection]:
+        """Whom nothing keeps, the longest idle first, but none so new that its request may be on the way;
+        then who was told farewell; one on which a request comes in pieces only where there is no other."""
+        now, begun = self.loop.clock.now(), list[Connection]()
+        for number, since in list(self._idle.items()):
+            if now - since < NEW_MS:
+                break
+            connection = self._connections.get(number)
+            if connection is None:
+                continue
+            if connection.begun:
+                begun.append(connection)
+            else:
+                yield connection
+        parted = [c for c in self._connections.values() if c.idle and not c.begun and c.parted_at < math.inf]
+        yield from [c for c in parted if c.parted_at + NEW_MS <= now]
+        if not parted:
+            yield from begun
+
     def _drop(self, connection: Connection) -> None:
         """Close at once, within this turn: its descriptor is wanted."""
         connection.broken = True
         self.loop.end(connection.task)
+        if connection.number in self._connections:  # its task had not begun: nothing of it ran on the way out
+            self.closed(connection)
 
     def closed(self, connection: Connection) -> None:
         """A connection is over: nobody waits for what was open on it."""
@@ -158,6 +189,8 @@
         if connection is None or number not in connection.open:
             return
         connection.open.discard(number)
+        if isinstance(effect.answer, fx.Served | fx.Refused):
+            connection.trust.earn()
         connection.write(encode(number, effect.answer, effect.say))
         if self._leaving and not connection.open:
             connection.say_farewell()
@@ -181,15 +214,18 @@
             yield Wait(until=self.loop.clock.now() + SWEEP_MS)
             now = self.loop.clock.now()
             for connection in list(self._connections.values()):
-                if overdue(now, connection.waits_since(), connection.stuck_at, connection.begun):
-                    connection.end()
-                elif connection.parted_at + PART_MS <= now and connection.idle and (
-                        self._shut or not self._leaving):
-                    connection.end()
+                if self._is_over(connection, now):
+                    connection.look()
+                    if self._is_over(connection, now) and connection.open and not connection.out:
+                        connection.end_soon()
+                    elif self._is_over(connection, now):
+                        connection.end()
             self._shed_unsent()
             crowded = len(self._idle) - self._idle_most
             for number, since in list(self._idle.items()):
                 connection, idle = self._connections[number], now - since
+                if connection.begun:
+                    continue  # what comes in pieces is a request on its way
                 if idle >= self._idle_after or (connection.whole == 1 and idle >= ONCE_MS) or (
                         crowded > 0 and idle >= NEW_MS):
                     crowded -= 1
@@ -198,6 +234,13 @@
                 elif idle < NEW_MS:
                     break
 
+    def _is_over(self, connection: Connection, now: float) -> bool:
+        """Has it kept the node waiting too long, or carried nothing for a while since its farewell?"""
+        if overdue(now, connection.waits_since(), connection.stuck_at, connection.begun):
+            return True
+        return (connection.parted_at + PART_MS <= now and connection.idle and not connection.begun
+                and (self._shut or not self._leaving))
+
     def _shed_unsent(self) -> None:
         """End those that have taken least, where too much waits in all: many peers that read nothing would
         fill the memory, though none of them has much waiting."""
@@ -247,7 +290,12 @@
             self._listener = None
         self.leave()
 
+    def look(self) -> None:
+        """Take in what lies unread on any connection: before the exit, where the loop may have been late."""
+        for connection in list(self._connections.values()):
+            connection.look()
+
     @property
     def unsent(self) -> bool:
-        """Is anything open or unwritten?"""
-        return any(not c.idle for c in self._connections.values())
+        """Is anything open, unwritten or begun?"""
+        return any(not c.idle or c.begun for c in self._connections.values())
--- a/snowthread/net/limits.py
+++ b/snowthread/net/limits.py
@@ -45,6 +45,11 @@
     filled_at: float
     left: float = TRUST_MOST
 
+    def earn(self) -> None:
+        """A request was served or refused: whoever asks in earnest may take back as many. Balancers that
+        send copies, or wait briefly, lawfully cancel more than a fixed rate allows."""
+        self.left = min(TRUST_MOST, self.left + 1.0)
+
     def spend(self, now: float) -> bool:
         """Take one; False where nothing is left."""
         self.left = min(TRUST_MOST, self.left + max(0.0, now - self.filled_at) / 1000.0 * TRUST_PER_S) - 1.0
