A runtime link that goes silent is made anew, and what went into it is not taken for read

Seen (tests/test_crossings.py on the program before): a link that stands and says nothing more was kept for good, and so was one that accepts after a break and never says ready; starts into it were taken for read 150 ms later, so runs that never began held their places for good. A move with 64 commands unread dropped its own question and then waited 400 ms for the echo of it. A reply, or an echo, that lay whole in the kernel when its time was up was thrown away. After a reload gauges asked for in the old order were read in the new one, and keys kept the window of before. Ruled out: due times (the module answers them whatever the link does), growth of waiting, _later and queued lines (runs are limited by the module, questions by QUEUE_MAX), assignment of a call in the turn of the keep time (either order ends with the call made once).

Lines at fault: runtime._linked (until only for the fence), runtime.move (send drops questions), reducer.runtime_lost (lost_at = now for a link that had been dead for long), index._exchange (time before the read), reducer.settings_read.

Now: once a link has been ready, 4 s of silence lead to a question and 1 s without a word to another link; before the first ready silence is lawful as before. What was told since the runtime was heard last counts as unknown: safe starts are given again, keyed ones never.

--- a/clovertack/decide.py
+++ b/clovertack/decide.py
@@ -869,7 +869,7 @@
             self._out.append(SetHealth(True, shallow=True))
 
     def _leave(self, now: float, e: LeaveNotice) -> None:
-        self._notice_at = min(self._notice_at, now)
+        self._notice_at = min(self._notice_at, now - e.since_s)
         self._stop_at = now + e.left_s
         self._out.append(Report("leaving: answering what is held, taking nothing new after the grace"))
         self._out.append(SetHealth(False, shallow=True))
--- a/clovertack/interface.py
+++ b/clovertack/interface.py
@@ -203,9 +203,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaveNotice:
-    """The worker will be stopped this long from now."""
+    """The worker will be stopped this long from now. The notice itself came ``since_s`` ago."""
 
     left_s: float
+    since_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/snowthread/core/events.py
+++ b/snowthread/core/events.py
@@ -62,9 +62,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RuntimeLost:
-    """The link broke; of ``unsent`` commands not one byte was written."""
+    """The link broke; of ``unsent`` commands not one byte was written. ``heard``: when the runtime was heard
+    last (ms), where the link was given up for its silence: it may have been broken since then."""
 
     unsent: tuple[object, ...] = ()
+    heard: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,9 +128,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaveAsked:
-    """The process will be killed this many milliseconds from now."""
+    """The process will be killed this many milliseconds from now; the notice came ``since`` ms ago."""
 
     left: float
+    since: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/snowthread/core/keys.py
+++ b/snowthread/core/keys.py
@@ -28,6 +28,7 @@
     over: bool = False
     result: bytes | None = None
     away: bool = False  # held by the process beside this one, not by a request here
+    class_name: str = ""  # empty where it is held elsewhere and not known
     followers: list[int] = field(default_factory=list)  # repeats here that wait for what becomes of it there
 
 
@@ -64,18 +65,26 @@
         return len(self._by_number)
 
     def keep(self, once: str, number: int, uid: str, until: float, now: float, content: bytes = b"",
-             away: bool = False) -> Key:
+             away: bool = False, class_name: str = "") -> Key:
         """Remember the key from now on; a newer try takes the entry over."""
         self._purge(now)
         old = self._by_once.get(once)
         if old is not None and old.number != number:
             self._remove(old)
-        entry = self._by_number.get(number) or Key(once, number, uid, until, content, away=away)
+        entry = self._by_number.get(number) or Key(once, number, uid, until, content, away=away,
+                                                   class_name=class_name)
         entry.until = until
         self._by_once[once] = self._by_number[number] = self._by_uid[uid] = entry
         heapq.heappush(self._ends, (until + READ_LATE_MS, number))
         return entry
 
+    def lengthen(self, class_name: str, more: float) -> None:
+        """The window of a class is longer by so much from now on, for what is kept already too."""
+        for entry in self._by_number.values():
+            if entry.class_name in (class_name, ""):
+                entry.until += more
+                heapq.heappush(self._ends, (entry.until + READ_LATE_MS, entry.number))
+
     def contradicts(self, once: str, content: bytes) -> bool:
         """Is something else known under this key? Its result must not go to who asked for another thing."""
         entry = self._by_once.get(once)
--- a/snowthread/core/reducer.py
+++ b/snowthread/core/reducer.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
@@ -244,7 +245,7 @@
 
     def runtime_lost(self, m: ev.RuntimeLost) -> None:
         self.s.linked = False
-        self.s.lost_at = self.now
+        self.s.lost_at = self.now if m.heard is None else m.heard
         unsent: list[fx.Command] = [c for c in m.unsent if isinstance(c, fx.Command)]
         for command in unsent:
             if isinstance(command, fx.StartRun) and command.uid in self.s.by_uid:
@@ -311,7 +312,8 @@
 
     def gauges_read(self, m: ev.GaugesRead) -> None:
         s = self.s
-        s.gauges, s.gauges_at = m.values, self.now
+        if not (s.gauges_old and m.tag.isdecimal() and len(m.tag) < 19 and int(m.tag) <= s.gauges_old):
+            s.gauges, s.gauges_at = m.values, self.now
         if s.linked and m.tag == f"{SYNC_TAG}{s.link}":
             self.synced()
 
@@ -334,7 +336,7 @@
         if not self.s.leaving:
             self.s.leaving = True
             self.out.append(fx.Announce(self.s.taking))
-            self.tell(api.LeaveNotice(self.s.time.span(m.left)))
+            self.tell(api.LeaveNotice(self.s.time.span(m.left), self.s.time.span(m.since)))
 
     def drain_asked(self, m: ev.DrainAsked) -> None:
         """Only the word on health changes: balancers learn late, and what still comes is owed its answer."""
@@ -346,7 +348,10 @@
     def settings_read(self, m: ev.SettingsRead) -> None:
         """Other settings, from now on: what is open keeps its class as it was."""
         s = self.s
-        old, s.settings, s.meters = s.settings, merged(s.settings, m.settings, s.gone, self.now), m.meters
+        old, s.settings = s.settings, merged(s.settings, m.settings, s.gone, self.now)
+        if m.meters != s.meters:  # what was read, or asked for, stands in the order of before
+            s.meters, s.gauges_at, s.gauges_old = m.meters, -math.inf, s.asked
+        self.longer_windows(old.classes)
         self.tell_limits()
         theirs = {t.name: t for t in m.settings.tenants}
         if old.tenants != m.settings.tenants or old.over_share_worth != m.settings.over_share_worth:
@@ -354,6 +359,15 @@
                 m.settings.tenants, frozenset(t.name for t in old.tenants if t.name not in theirs),
                 m.settings.over_share_worth))
 
+    def longer_windows(self, old: tuple[api.RequestClass, ...]) -> None:
+        """A key is kept for its class's window as it is now, where that is the longer one: repeats come
+        within what callers were told last."""
+        before = {c.name: c.window_s for c in old}
+        for kind in self.s.settings.classes:
+            more = self.s.time.ms(kind.window_s - before.get(kind.name, kind.window_s))
+            if more > 0.0:
+                self.s.keys.lengthen(kind.name, more)
+
     # The process beside this one, while one replaces the other: what it holds is known here, and no key is
     # taken without the older one's word, so a request that comes to both runs in one of them at most.
 
@@ -566,7 +580,8 @@
         q = self.s.requests.get(a.request)
         if q is not None and q.once:
             until = self.now + self.s.time.ms(a.lifetime_s)
-            entry = self.s.keys.keep(q.once, q.number, q.uid, until, self.now, q.content)
+            entry = self.s.keys.keep(q.once, q.number, q.uid, until, self.now, q.content,
+                                     class_name=q.class_name)
             if self.s.side is not Side.ALONE:
                 self.out.append(fx.TellBeside(entry))
 
--- a/snowthread/core/state.py
+++ b/snowthread/core/state.py
@@ -102,6 +102,7 @@
     gauges_at: float = float("-inf")
     gauges_for: float = float("-inf")  # the latest timer that gauges were or will be asked for
     asked: int = 0
+    gauges_old: int = 0  # questions up to this one were asked when the gauges had another order
     say: float | None = None
     healthy: bool = True
     leaving: bool = False
--- a/snowthread/peers/index.py
+++ b/snowthread/peers/index.py
@@ -253,9 +253,9 @@
         out = encode(call, f"{address.host}:{address.port}", until - clock.now())
         # Idle connections are at times forgotten and reset at the next call, which then never ran.
         progress = Progress.NOT_CONNECTED if used else Progress.SENT
+        if clock.now() >= until:
+            return Failure(Progress.SENT, "out of time", timed_out=True), False
         while link.call is call:
-            if clock.now() >= until:
-                return Failure(Progress.SENT, "out of time", timed_out=True), False
             try:
                 if out:
                     out = out[sock.send(out):]
@@ -264,11 +264,14 @@
             except OSError as error:
                 return Failure(progress, str(error)), False
             got = yield Wait(sock.fileno(), IN | OUT if out else IN, until)
-            if not got & (IN | BROKEN):
+            timed_out = clock.now() >= until
+            if link.call is not call or not (got & (IN | BROKEN) or timed_out):
                 continue
             try:
-                data = sock.recv(READ_BYTES)
+                data = sock.recv(READ_BYTES)  # also when time is up: the loop may be late, the reply there
             except BlockingIOError:
+                if timed_out:
+                    return Failure(Progress.SENT, "out of time", timed_out=True), False
                 continue
             except OSError as error:
                 return Failure(progress, str(error)), False
--- a/snowthread/peers/runtime.py
+++ b/snowthread/peers/runtime.py
@@ -26,6 +26,8 @@
 QUEUE_MAX = 64  # commands unsent from which gauges are not asked for
 CONNECT_MS = 1000.0
 BACKOFF_MS = 20.0, 500.0  # first and longest time between two attempts to link
+SILENT_MS, ALIVE_MS = 4000.0, 1000.0  # a runtime silent for so long is asked; the wait for its word
+ALIVE_TAG = "alive"
 FENCE_MS = 400.0  # the longest wait for the word that all commands were read, before the link moves
 
 _END = {"done": Outcome.SUCCESS, "crashed": Outcome.FAILURE, "aborted": Outcome.WITHDRAWN,
@@ -101,6 +103,9 @@
         self._lines: deque[tuple[object, bytes]] = deque()
         self._sent = 0  # bytes of the first line that are written
         self._pos = 0  # the last notice read
+        self._stood = False  # has any link been ready? Before that a silent runtime has not started
+        self._heard = 0.0  # when anything came from it last
+        self._asked = 0.0  # when it was asked whether it is there; 0: not since it was heard
         self._fences = 0
         self._fence = ""  # what the gauges will echo once all commands on the old link were read
         self._moving = False  # between two links of which the first had nothing left unread
@@ -115,9 +120,12 @@
         elif self._sock is not None:
             if isinstance(command, fx.AskGauges) and len(self._lines) >= QUEUE_MAX:
                 return  # a runtime that does not read now needs no more questions
-            self._lines.append((command, encode(command)))
-            if len(self._lines) == 1 and not self._flush():
-                self._loop.wake(self._task)
+            self._put(command)
+
+    def _put(self, command: fx.Command | fx.AskGauges) -> None:
+        self._lines.append((command, encode(command)))
+        if len(self._lines) == 1 and not self._flush():
+            self._loop.wake(self._task)
 
     def move(self, address: Address) -> None:
         """Link to a new address. What was written is known to have been read first: a start that got lost
@@ -128,7 +136,7 @@
         if self._sock is not None and not self._fence:
             self._fences += 1
             fence = f"move-{self._fences}"
-            self.send(fx.AskGauges(fence))
+            self._put(fx.AskGauges(fence))  # whatever waits: its echo says what was read
             self._fence = fence
         self._loop.wake(self._task)
 
@@ -166,19 +174,21 @@
                     pause = BACKOFF_MS[0]
                     logger.bind(event="link.lost", peer="runtime").warning(
                         "runtime: link lost: {}", failure.reason)
-                self._lost()
+                self._lost(failure.timed_out)
             yield Wait(until=self._loop.clock.now() + (self._pause() if self._pause is not None else pause))
             pause = min(BACKOFF_MS[1], pause * 2.0)
 
-    def _lost(self) -> None:
-        """Say which commands were not begun: they may go on the next link; of others nothing is known."""
+    def _lost(self, timed_out: bool) -> None:
+        """Say which commands were not begun: they may go on the next link; of others nothing is known. Where
+        the link was given up for its silence, that is true of all that went since something was heard."""
         lines = list(self._lines)[1 if self._sent else 0:] + self._later
         self._later = []
         self._close()
         self._fence = ""
         if self._ready or self._moving:
             self._ready = self._moving = False
-            self._post(ev.RuntimeLost(tuple(command for command, _ in lines)))
+            self._post(ev.RuntimeLost(tuple(command for command, _ in lines),
+                                      self._heard if timed_out else None))
 
     def _close(self) -> None:
         sock, self._sock = self._sock, None
@@ -192,24 +202,36 @@
         self._lines.append((None, orjson.dumps({"action": "sync", "pos": self._pos}) + b"\n"))
         self._lines.extend(self._later)
         self._later = []
-        rest, until = b"", math.inf
+        rest, moves_at, clock = b"", math.inf, self._loop.clock
+        quiet_since, self._asked = clock.now(), 0.0
         while True:
             self._flush()
-            if self._fence and until == math.inf:
-                until = self._loop.clock.now() + FENCE_MS
+            if self._fence and moves_at == math.inf:
+                moves_at = clock.now() + FENCE_MS
+            # A link whose other end is gone without a word stands for ever. A runtime once started owes an
+            # echo to each question.
+            asks_at = self._asked + ALIVE_MS if self._asked else quiet_since + SILENT_MS
+            until = min(moves_at, asks_at if self._stood else math.inf)
             got = yield Wait(sock.fileno(), IN | OUT if self._lines else IN, until)
-            if self._loop.clock.now() >= until:
-                return self._failure("moved on, though not all may have been read")
-            if not got & (IN | BROKEN):
+            due = clock.now() >= until
+            if not got & (IN | BROKEN) and not due:
                 continue
             try:
                 data = sock.recv(READ_BYTES)
             except BlockingIOError:
+                if clock.now() >= moves_at:
+                    return self._failure("moved on, though not all may have been read", timed_out=True)
+                if due and self._asked:
+                    return self._failure("silent", timed_out=True)
+                if due:
+                    self._asked = clock.now()
+                    self._put(fx.AskGauges(ALIVE_TAG))
                 continue
             except OSError as error:
                 return self._failure(str(error))
             if not data:
                 return self._failure("closed by the runtime")
+            self._heard, quiet_since, self._asked = clock.now(), clock.now(), 0.0
             *lines, rest = (rest + data).split(b"\n")
             if len(rest) > LINE_MAX:
                 return self._failure("a line without end")
@@ -225,8 +247,8 @@
                     if self._fence and isinstance(message, ev.GaugesRead) and message.tag == self._fence:
                         return None
 
-    def _failure(self, reason: str) -> Failure:
-        return Failure(Progress.REPLY_BEGUN if self._ready else Progress.SENT, reason)
+    def _failure(self, reason: str, timed_out: bool = False) -> Failure:
+        return Failure(Progress.REPLY_BEGUN if self._ready else Progress.SENT, reason, timed_out)
 
     def _take(self, pos: int | None, message: ev.Message | None) -> None:
         """Pass a notice on. After a new link those not known to be read come again: each counts once."""
@@ -235,7 +257,7 @@
                 return
             self._pos = pos
         if isinstance(message, ev.RuntimeUp):
-            self._ready = True
+            self._ready = self._stood = True
             if self._moving:  # nothing was lost on the way: to the node it is the same link
                 self._moving = False
                 return
