The grace and the kill count from the signal; the exit looks once more at what lies unread

Seen (tests/test_crossings.py on the program before): SIGTERM read 300 ms late let a request run that came 2.01 s after the signal: the rule on draining, whose slack is 50 ms. With the loop late by 100 ms at the exit a message written in that time was lost. A new idle_s of a reload reached connections only with traffic.

Lines at fault: node._signals (the notice's time is that of the read), node._leave and _pass_on (100 ms by the clock are no quiet where the loop did not look), serve (SIGTERM between the listening and its handler ended the process).

Now: the handler takes the time, between two bytecodes and not at the loop's turn; what is left and what is lawful count from there. Before the exit each connection is read once more, and what came puts it off. SIGTERM is held back until the node can hear it.

--- a/snowthread/node.py
+++ b/snowthread/node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 import resource
 import signal
@@ -45,6 +46,7 @@
 LOOK_MS = 10.0  # between two looks whether all is written
 QUIET_MS = 100.0  # so long nothing may be open before it goes: what crosses a farewell takes up to 50 ms
 PASSED_ON_MS, PASSED_ON_DEADLINE_MS = 700.0, 3000.0  # with a successor: so long beyond the longest deadline
+HELD_BACK = {signal.SIGHUP, signal.SIGTERM, signal.SIGINT}  # signals, from the start on
 IDLE_FACTOR = 2.0  # times the callers' own idle time after which a connection they forgot is closed
 
 
@@ -62,6 +64,7 @@
         # By type: a chain of cases for each of thousands of effects a second costs more than most effects.
         self._carry_out: dict[type, Callable[[Any], None]] = {}
         self._posting = self._gone = False
+        self._told_at = math.inf  # when the first signal to leave came
         # What takes a message to its effects; with records on, something that looks at each step besides.
         self._reduce = reduce
         self.recorder: Recorder | None = None
@@ -205,6 +208,9 @@
         self.roster.move(config.roster)  # first: it opens a socket, which can fail; nothing has moved then
         self.runtime.move(config.runtime)
         self.index.move(config.index)
+        idle_s = config.settings.idle_s
+        if idle_s != self.config.settings.idle_s:  # callers keep idle connections for as long as they say now
+            self.balancers.close_idle_after(IDLE_FACTOR * ModuleTime.ms(idle_s) if idle_s else math.inf)
         told = (config.settings, config.meters)
         if told != (self.config.settings, self.config.meters):
             # Where tenants are told apart the gate says which there are, not the file.
@@ -221,16 +227,27 @@
 
     def serve(self) -> None:
         """Serve until told to leave; return when all is answered. SIGHUP has the configuration read anew."""
+        self.hear()
+        logger.info("{} pid {} listens on {}:{}", self.config.name, os.getpid(), *self.config.listen)
+        self.loop.run()
+
+    def hear(self) -> None:
+        """Listen for signals from now on."""
         here, there = socket.socketpair()
         for end in (here, there):
             end.setblocking(False)
+        self._ears = here, there  # open as long as the node
         signal.set_wakeup_fd(there.fileno())
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            signal.signal(number, lambda *_: None)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+        signal.signal(signal.SIGHUP, lambda *_: None)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._told)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HELD_BACK)
         self.loop.spawn(self._signals(here))
-        logger.info("{} pid {} listens on {}:{}", self.config.name, os.getpid(), *self.config.listen)
-        self.loop.run()
+
+    def _told(self, *_: object) -> None:
+        """A signal to leave has come. Its time is taken here: the loop may be late to read of it, and the
+        time of grace and that of the kill count from the notice, not from when it was read."""
+        self._told_at = min(self._told_at, self.clock.now())
 
     def _signals(self, source: socket.socket) -> Steps:
         told = False
@@ -245,13 +262,14 @@
             if not told and (signal.SIGTERM in came or signal.SIGINT in came):
                 told = True
                 left = self.config.stop_ms
+                since = max(0.0, self.clock.now() - self._told_at)
                 if self.state.succeeded:
                     left = min(left, PASSED_ON_MS + min(PASSED_ON_DEADLINE_MS, 1000.0 * max(
                         c.deadline_s for c in self.config.settings.classes)))
                 logger.bind(event="node.leaving").info("told to leave, {} ms left", left)
-                self.post(ev.LeaveAsked(left))
+                self.post(ev.LeaveAsked(left - since, since))
                 self.balancers.leave()
-                kill = self.clock.now() + left
+                kill = self.clock.now() + left - since
                 steps = self._leave(kill) if self.beside is None else self._pass_on(kill, self.beside)
                 self.loop.spawn(steps)
 
@@ -260,9 +278,14 @@
         process that takes clients now, and go once all is answered; where there is none, serve until shortly
         before the kill."""
         busy_at = self.clock.now()
-        while (now := self.clock.now()) < min(kill - EXIT_MS, busy_at + QUIET_MS):
+        while (now := self.clock.now()) < kill - EXIT_MS:
             if not self.state.succeeded or self.balancers.owing() or self.state.requests:
                 busy_at = now
+            elif now >= busy_at + QUIET_MS:
+                self.balancers.look()  # where the loop was late, the quiet may be its own
+                if not self.balancers.unsent:
+                    break
+                busy_at = now
             yield Wait(until=now + LOOK_MS)
         beside.leave()
         self._end()
@@ -272,10 +295,14 @@
         yield Wait(until=kill - DOOR_MS)
         self.balancers.stop_accepting()
         busy_at = self.clock.now()
-        while self.clock.now() < min(kill - EXIT_MS, busy_at + QUIET_MS):
-            yield Wait(until=self.clock.now() + LOOK_MS)
+        while (now := self.clock.now()) < kill - EXIT_MS:
+            if now >= busy_at + QUIET_MS:
+                self.balancers.look()  # where the loop was late, the quiet may be its own
+                if not self.balancers.unsent:
+                    break
             if self.balancers.unsent:
-                busy_at = self.clock.now()
+                busy_at = now
+            yield Wait(until=now + LOOK_MS)
         self._end()
 
     def _end(self) -> None:
