--- a/tests/exchange.py
+++ b/tests/exchange.py
@@ -74,10 +74,10 @@
         self.ended = False
         peer, data, end = self.peers[who], b"", time.monotonic() + PATIENCE_S
         while len(data) < size and time.monotonic() < end:
-            self.node.loop.round(0.0005)
             try:
                 more = peer.recv(size - len(data))
             except BlockingIOError:
+                self.node.loop.round(0.0005)
                 continue
             if not more:
                 self.ended = True
--- a/tests/playing.py
+++ b/tests/playing.py
@@ -42,7 +42,9 @@
     """The next answer that the peer gets."""
     unpacker = msgpack.Unpacker()
     while True:
-        unpacker.feed(player.came(who, 1))
+        more = player.came(who, 1)
+        assert more, "no answer came"
+        unpacker.feed(more)
         for found in unpacker:
             return list(found)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -400,11 +400,15 @@
     listener = loopback(socket.SOCK_STREAM)
     player.node.move(config.parse(player.fields | {"runtime": address(listener)}))
     player.settle()
-    got = b""
+    got, rounds = b"", 0
     while b"move-1" not in got:
-        more = player.came("runtime", 1 << 16)
-        assert more, f"{got.count(b'give')} of {sent} read, and no word that it moves"
-        got += more
+        player.node.loop.round(0.0)
+        rounds += 1
+        assert rounds < 50_000, f"{got.count(b'give')} of {sent} read, and no word that it moves"
+        try:
+            got += link.recv(1 << 16)
+        except BlockingIOError:
+            continue
     assert got.count(b'"give"') == sent
     notice(player, "load", echo="move-1", meters=[0.1, 0, 0.1, 1])
     player.settle()
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
+import ast
+import re
+import tomllib
+from pathlib import Path
+
 import pytest
 from exchange import START, Player
 from playing import answer, command, done, message, notice, ready, settings, uid
@@ -60,3 +65,40 @@
     for wrong in ("", "soon", "-1"):
         player.peers["1"].sendall(message(2, "recalc", wait=wrong))
         assert answer(player, "1")[:3] == [1, 2, ["Failed", {}]]
+
+
+ROOT = Path(__file__).parent.parent
+PLAYED = {"lab", "demo.py"}  # these play the example's site beside the program; `run` and `sim` load neither
+ELSEWHERE = {"krakow-main", "krakow-room-1", "cardiff-quiz", "kigali-quotes", "fetch-question", "save-answer",
+             "question-bank", "round-front", "std-6c"}
+
+
+def names() -> set[str]:
+    """Classes, tenants, zones, tiers and sites of each deployment here, and of those heard of."""
+    found = set(ELSEWHERE)
+    for path in sorted((ROOT / "deploy/sites").glob("*/*.toml")):
+        site = tomllib.loads(path.read_text())
+        found |= {site["name"], *site["net"]["zones"]}
+        for kind in ("class", "tenant", "tier"):
+            found |= {part["name"] for part in site.get(kind, [])}
+    return found | {c["name"] for c in settings()["classes"]}
+
+
+def named(text: str, known: set[str]) -> set[str]:
+    """Which of the names stand in a program as a string, or as a word of one that holds no other."""
+    strings = {node.value for node in ast.walk(ast.parse(text))
+               if isinstance(node, ast.Constant) and isinstance(node.value, str)}
+    return {name for name in known for s in strings
+            if s == name or ("-" in name and re.search(rf"\b{re.escape(name)}\b", s))}
+
+
+def test_no_deployment_s_names_stand_in_the_program_or_its_deploy_file() -> None:
+    known = names()
+    assert {"match", "recalc", "dispense", "lodz-labels", "charge", "swansea-tickets"} <= known
+    assert named("a = 'dispense'", known) == {"dispense"}  # the check can fail
+    for folder in ("snowthread", "clovertack"):
+        for path in sorted((ROOT / folder).rglob("*.py")):
+            if not PLAYED & set(path.relative_to(ROOT / folder).parts):
+                assert not named(path.read_text(), known), path
+    deploy = (ROOT / "deploy/balancer.toml").read_text()
+    assert not [name for name in known if re.search(rf"\b{re.escape(name)}\b", deploy)]
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -9,6 +9,7 @@
 import socket
 import subprocess
 import sys
+import tomllib
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 from pathlib import Path
@@ -184,6 +185,33 @@
         assert "read anew" in process.stderr.readline()
 
 
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+def test_a_signal_while_the_modules_are_loaded_is_no_crash(tmp_path: Path, number: signal.Signals) -> None:
+    """Started as the platform does it. The interpreter is held before the program's first line."""
+    path, loading, going = configuration(tmp_path), tmp_path / "loading", tmp_path / "going"
+    for fifo in (loading, going):
+        os.mkfifo(fifo)
+    (tmp_path / "sitecustomize.py").write_text(
+        f"open({str(loading)!r}, 'w').close()\nopen({str(going)!r}).close()\n")
+    run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"].replace(
+        ".venv/bin/python", sys.executable)
+    with subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, text=True, stderr=subprocess.PIPE,
+                          env=environment(path) | {"PYTHONPATH": f"{tmp_path}:{ROOT}"}) as process:
+        try:
+            loading.open().close()
+            process.send_signal(number)
+            if number is signal.SIGTERM:  # it listens nowhere yet: nothing can be lost with it
+                assert process.wait(PATIENCE_S) == -number
+                return
+            going.open("w").close()
+            assert process.stderr is not None
+            assert "listens on" in process.stderr.readline()
+            process.send_signal(signal.SIGHUP)
+            assert "read anew" in process.stderr.readline()
+        finally:
+            process.kill()
+
+
 @pytest.mark.parametrize(("changes", "word"), [
     ({"runtime": "nowhere:1"}, "runtime"), ({"listen": "127.0.0.1"}, "listen"),
     ({"stop_ms": "soon"}, "stop_ms"), ({"settings": {"classes": []}}, "settings"),
