--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -183,11 +183,11 @@
     connection, = player.node.balancers._connections.values()
     connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     sent = 0
-    while not connection.out and sent < most:
+    while len(connection.out) < 16_000 and sent < most:  # under 32 KiB it is still read from
         sock.sendall(checks * 100)
         sent += 100
         player.settle()
-    assert connection.out
+    assert len(connection.out) >= 16_000
     sock.sendall(b"\xa5hello")
     player.settle()
     sock.setblocking(False)
@@ -296,14 +296,13 @@
         player.settle()
     roster = loopback(socket.SOCK_DGRAM)
     player.node.move(config.parse(player.fields | {"roster": address(roster)}))
-    player.node._drain(True)
-    assert player.node._drain(False)[0] == 409
-    roster.setblocking(True)
     roster.settimeout(5.0)
-    for _ in range(8):
+    for n in range(6):  # until its door closes
         player.step("clock", "400", "")
         assert roster.recv(100) == b"HERE n1 off"
-    assert player.clock.time < START + 3200.0 + 8 * 400.0
+        if n == 3:
+            player.node._drain(True)
+            assert player.node._drain(False)[0] == 409
     roster.close()
 
 
@@ -501,9 +500,9 @@
 def test_an_idle_time_that_is_told_anew_is_kept_from_then_on() -> None:
     player = started()
     connected(player, "1")
-    player.peers["1"].sendall(message(1, "match") + message(2, "match"))
-    for pos in (1, 2):
-        served(player, "1", pos, pos)
+    for number in (1, 2):  # checks only: with requests the decisions would say it too, sooner or later
+        player.peers["1"].sendall(msgpack.packb([0, number, "health", [{}]]))
+        assert answer(player, "1")[:2] == [1, number]
     player.node.move(config.parse(player.fields | {"settings": settings(idle_s=0.5)}))
     player.step("clock", "1300", "")
     assert answer(player, "1") == FAREWELL
