--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -461,6 +461,20 @@
     assert told == {"action": "give", "uid": uid(1), "content": "cg=="}
 
 
+def test_a_repeat_whose_result_had_to_go_fails_and_never_runs_again() -> None:
+    player = started(limits={"memory_mb": 0.05, "sockets": 512})  # room for one result of 4 KiB
+    connected(player, "1")
+    for n in (1, 2):
+        player.peers["1"].sendall(message(n, "dispense", once=f"k{n}"))
+        assert command(player)["action"] == "start"
+        done(player, n, n, b"r" * 4000)
+        assert answer(player, "1")[:3] == [1, n, None]
+    for n, failed in ((1, True), (2, False)):
+        player.peers["1"].sendall(message(10 + n, "dispense", once=f"k{n}"))
+        assert (answer(player, "1")[2] is not None) == failed
+    player.silent("runtime")
+
+
 # Settings taken up.
 
 def test_gauges_asked_for_in_the_order_of_before_are_not_read_in_the_new_one() -> None:
