A repeat of a keyed request that ran is failed where there is no room for it, not refused

"No rejection after the run" is what the operators ask for requests with effects, and a balancer that walks on after a refusal takes the request to another node, where it would run again. Ruled out: repeats that wait for a result (they were failed at their due time all along), results that had to go. Line at fault: Controller._arrival (a repeat counted as never run until it was attached). Now it counts as run unless what it repeats is held here and has not begun.

--- a/clovertack/decide.py
+++ b/clovertack/decide.py
@@ -343,6 +343,7 @@
         self._reqs[q.id] = self._hold[q.id] = q
         self._memory += q.kb
         if e.prior is not None and (kind.effect is Effect.KEYED or self.s.fresh_s > 0.0):
+            q.ran = getattr(self._reqs.get(e.prior), "ran", True)  # else a request that ran would be refused
             if self._stops(now) or self._memory > MEMORY_SHARE * self.s.memory_kb:
                 self._refuse(now, q)
             else:
--- a/snowthread/peers/index.py
+++ b/snowthread/peers/index.py
@@ -177,8 +177,8 @@
             self._loop.wake(link.task)
 
     def _end_idle(self) -> None:
-        """Have the connection that has rested longest closed, in the loop's next round: it may be the one whose
-        call has just ended and whose task brought us here, and a task can't be ended from within."""
+        """Have the connection that has rested longest closed, in the loop's next round: it may be the one
+        whose call has just ended and whose task brought us here, and a task can't be ended from within."""
         oldest, _ = self._idle.popitem(last=False)
         if oldest.task is not None:
             self._loop.wake(oldest.task)
