A used connection that breaks after its class got another effect: forced, no fault found

The request was safe when it was read, so its call is made once more; one read since the change never goes over a used connection, though one rests. No program code changed.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -568,6 +568,52 @@
         player.listeners["index"].accept()
 
 
+def test_a_used_connection_that_breaks_after_a_class_got_another_effect() -> None:
+    """What was read as safe is called once more; what is read since never goes over a used connection."""
+    player = started(settings=settings(cores=6, calls_out=200.0))
+    connected(player, "1")
+    reply = b"HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\nr"
+
+    def asks(number: int, pos: int) -> None:
+        player.peers["1"].sendall(message(number, "match", wait="11000"))
+        told = command(player)
+        while told["action"] in ("gauges", "give"):
+            told = command(player)
+        assert told["action"] == "start"
+        notice(player, "wants", pos=pos, uid=uid(number), content=b"?")
+        player.settle()
+
+    def called(number: int) -> None:
+        head = b""
+        while not head.endswith(b"\r\n\r\n?"):
+            more = player.came("index", 1)
+            assert more, head
+            head += more
+        assert f"X-Parent-Id: {uid(number)}".encode() in head
+
+    asks(1, 1)
+    player.step("index", "accept", "")
+    called(1)
+    player.peers["index"].sendall(reply)
+    player.settle()
+    player.step("clock", "40", "")
+    asks(2, 2)
+    called(2)  # over the same connection
+    changed = settings(cores=6, calls_out=200.0)
+    changed["classes"][0]["effect"] = "non_idempotent"
+    player.node.move(config.parse(player.fields | {"settings": changed}))
+    player.step("index", "close", "")
+    player.step("clock", "60", "")
+    player.step("index", "accept", "")
+    called(2)
+    player.peers["index"].sendall(reply)
+    player.settle()
+    player.step("clock", "40", "")
+    asks(3, 3)
+    player.step("index", "accept", "")  # though one rests
+    called(3)
+
+
 def test_a_call_that_ends_makes_room_for_the_next_one_where_no_other_connection_rests() -> None:
     player = started(settings=settings(calls_out=200.0, cores=6, memory_kb=60000.0),
                      limits={"memory_mb": 64, "sockets": 64})
