Exit with a request still open: tested; the test of a restart looks at the log too

Guards were taken out one by one on a scratch copy. Seven of nine tests failed as they should (rest that is over, a write that fails in a walk, answers while leaving, a runtime that moves while leaving, SO_REUSEADDR, refused repeats, results that had to go). Two did not: a notice for nobody that ends in an error is only logged, so tests/test_restart.py holds now that the log has no traceback; and a node that goes 100 ms after its door closed, whatever is open, passed test_crossings.py, test_program.py and test_exchanges.py. The program waits, and a test holds it: a keyed run that ends later is served. Both seen to fail with the guard out.

No program code changed.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -29,6 +29,7 @@
 from snowthread.peers.runtime import ALIVE_MS, FENCE_MS, QUEUE_MAX, SILENT_MS
 
 FAREWELL = [2, "farewell", []]
+REPLY = b"HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\nr"  # to a call
 
 
 def late(player: Player, ms: float) -> None:
@@ -269,6 +270,27 @@
     assert node._gone
 
 
+def test_a_run_that_ends_once_the_door_is_closed_and_all_was_quiet_is_served() -> None:
+    player = started()
+    connected(player, "1")
+    player.peers["1"].sendall(message(1, "dispense", once="k1", wait="9000"))
+    assert command(player)["action"] == "start"
+    player.step("leave", "", "")
+    node = player.node
+    node.loop.spawn(node._leave(START + 3200.0))
+    player.settle()
+    player.step("clock", str(3200.0 - DOOR_MS), "")
+    for _ in range(2):  # nothing comes or goes, and the request is open
+        player.step("clock", str(0.75 * QUIET_MS), "")
+    assert not node._gone
+    done(player, 1, 1)
+    assert answer(player, "1") == FAREWELL
+    assert answer(player, "1")[:3] == [1, 1, None]
+    for _ in range(3):
+        player.step("clock", str(0.5 * QUIET_MS), "")
+    assert node._gone
+
+
 @pytest.fixture
 def signals() -> Iterator[None]:
     """The handlers as they were."""
@@ -541,7 +563,7 @@
     assert link.call is not None
     assert b"POST /lookup" in player.came("index", 20)
     late(player, link.call.budget)
-    player.peers["index"].sendall(b"HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\nr")
+    player.peers["index"].sendall(REPLY)
     told = command(player)
     while told["action"] == "gauges":
         told = command(player)
@@ -555,7 +577,7 @@
     index.call(call)
     player.step("index", "accept", "")
     assert player.came("index", 30).startswith(b"POST")
-    player.peers["index"].sendall(b"HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\nr")
+    player.peers["index"].sendall(REPLY)
     player.settle()
     late(player, KEEP_MS)  # its task is woken to end
     index.call(replace(call, uid=uid(2)))
@@ -572,7 +594,6 @@
     """What was read as safe is called once more; what is read since never goes over a used connection."""
     player = started(settings=settings(cores=6, calls_out=200.0))
     connected(player, "1")
-    reply = b"HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\nr"
 
     def asks(number: int, pos: int) -> None:
         player.peers["1"].sendall(message(number, "match", wait="11000"))
@@ -591,12 +612,16 @@
             head += more
         assert f"X-Parent-Id: {uid(number)}".encode() in head
 
+    def rested() -> None:
+        """The call is replied to, and its connection may carry the next one."""
+        player.peers["index"].sendall(REPLY)
+        player.settle()
+        player.step("clock", "40", "")
+
     asks(1, 1)
     player.step("index", "accept", "")
     called(1)
-    player.peers["index"].sendall(reply)
-    player.settle()
-    player.step("clock", "40", "")
+    rested()
     asks(2, 2)
     called(2)  # over the same connection
     changed = settings(cores=6, calls_out=200.0)
@@ -606,9 +631,7 @@
     player.step("clock", "60", "")
     player.step("index", "accept", "")
     called(2)
-    player.peers["index"].sendall(reply)
-    player.settle()
-    player.step("clock", "40", "")
+    rested()
     asks(3, 3)
     player.step("index", "accept", "")  # though one rests
     called(3)
@@ -630,7 +653,7 @@
     door.settimeout(5.0)
     ends_now, *rest = [door.accept()[0] for _ in range(most)]
     player.clock.time += 60.0  # its next try is due, but what lies unread is looked at before the timers are
-    ends_now.sendall(b"HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\nr")
+    ends_now.sendall(REPLY)
     told = command(player)
     while told["action"] == "gauges":
         told = command(player)
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -104,4 +104,6 @@
             assert answer(again)[:2] == [1, 2]
             while roster.recv(100) != b"HERE n1 off":  # each life has said that it takes work before
                 pass
-            assert process.wait(PATIENCE_S) == 0
+            log = process.communicate(timeout=PATIENCE_S)[1]
+            assert process.returncode == 0 and "left" in log
+            assert "Traceback" not in log  # a notice for nobody is no error, which would only be logged
