Admission decisions pinned by recorded traces of four seeded scenarios

Cause: the decision module is about to be renamed and split, and the tests there check properties of it, not that each decision stays the same.

Change: a small seeded model of the host (tests/support/admission_host.py) feeds events of every kind to a controller and reacts to its actions, on four sets of settings: a shared dependency with a published level, a small share of one with nothing published, a tier with credit and a cold start, and no signal that becomes a weight. Each event and all fields of its actions are compared with a recorded line, in words that do not depend on names in the code. A second test asserts that the recordings hold every kind of event and action.

Floats are compared exactly, so a platform with another math library may need a recording of its own.

--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that several tests share."""
--- /dev/null
+++ b/tests/support/decision_trace.py
@@ -0,0 +1,130 @@
+"""Traces of a controller's decisions in words of their own, which outlive the names in the code.
+
+``PYTHONPATH=tests python -m support.decision_trace tests/admission/data``, at the root, records the traces of
+all scenarios anew: only for an intended change of what is decided.
+"""
+
+from __future__ import annotations
+
+import gzip
+import json
+import sys
+from pathlib import Path
+from typing import assert_never
+
+from clovertack.interface import (
+    Action, Arrival, AtCall, Attach, Call, CallEnded, CallerGone, CloseIdle, Event, Fail, ForgetKey, KeepKey,
+    LeaveNotice, Preempt, Publish, Refuse, Report, Run, RunDoubted, RunEnded, SetHealth, SetTimer,
+    SettingsChanged, SkipCall, Started, TenantsChanged, TimerFired,
+)
+from support.admission_host import Host, Step
+from support.admission_scenarios import SCENARIOS, Scenario
+
+Words = dict[str, str | int | float | bool]
+
+EVENT_KINDS = frozenset({
+    "started", "arrival", "caller-gone", "at-call", "call-ended", "run-ended", "timer", "run-doubted",
+    "leave-notice", "tenants-changed", "settings-changed"})
+ACTION_KINDS = frozenset({
+    "run", "keep-key", "forget-key", "reject", "fail", "call", "skip-call", "preempt", "attach", "publish",
+    "close-idle", "set-timer", "set-health", "report"})
+
+
+def event_words(event: Event) -> Words:
+    """The kind of an event and the request it is about."""
+    if isinstance(event, Started):
+        return {"event": "started"}
+    if isinstance(event, Arrival):
+        return {"event": "arrival", "request": event.request}
+    if isinstance(event, CallerGone):
+        return {"event": "caller-gone", "request": event.request}
+    if isinstance(event, AtCall):
+        return {"event": "at-call", "request": event.request}
+    if isinstance(event, CallEnded):
+        return {"event": "call-ended", "request": event.request}
+    if isinstance(event, RunEnded):
+        return {"event": "run-ended", "request": event.request}
+    if isinstance(event, TimerFired):
+        return {"event": "timer", "timer": event.label}
+    if isinstance(event, RunDoubted):
+        return {"event": "run-doubted", "request": event.request}
+    if isinstance(event, LeaveNotice):
+        return {"event": "leave-notice"}
+    if isinstance(event, TenantsChanged):
+        return {"event": "tenants-changed"}
+    if isinstance(event, SettingsChanged):
+        return {"event": "settings-changed"}
+    assert_never(event)
+
+
+def action_words(action: Action) -> Words:
+    """An action with all its fields."""
+    if isinstance(action, Run):
+        return {"action": "run", "request": action.request}
+    if isinstance(action, KeepKey):
+        return {"action": "keep-key", "request": action.request, "lifetime": action.lifetime_s}
+    if isinstance(action, ForgetKey):
+        return {"action": "forget-key", "request": action.request}
+    if isinstance(action, Refuse):
+        return {"action": "reject", "request": action.request, "retry-after": action.hold_off_s,
+                "last": action.last}
+    if isinstance(action, Fail):
+        return {"action": "fail", "request": action.request}
+    if isinstance(action, Call):
+        return {"action": "call", "request": action.request, "timeout": action.give_up_s}
+    if isinstance(action, SkipCall):
+        return {"action": "skip-call", "request": action.request}
+    if isinstance(action, Preempt):
+        return {"action": "preempt", "request": action.request}
+    if isinstance(action, Attach):
+        return {"action": "attach", "request": action.request}
+    if isinstance(action, Publish):
+        return {"action": "publish", "value": action.value}
+    if isinstance(action, CloseIdle):
+        return {"action": "close-idle", "after": action.after_s}
+    if isinstance(action, SetTimer):
+        return {"action": "set-timer", "after": action.after_s, "timer": action.label}
+    if isinstance(action, SetHealth):
+        return {"action": "set-health", "good": action.good, "shallow": action.shallow}
+    if isinstance(action, Report):
+        return {"action": "report", "text": action.text}
+    assert_never(action)
+
+
+def step_line(step: Step) -> str:
+    """One step as a line of JSON; floats are written so that they read back exactly."""
+    actions = [action_words(action) for action in step.actions]
+    return json.dumps({"time": step.time_s, **event_words(step.event), "actions": actions})
+
+
+def play(scenario: Scenario) -> list[str]:
+    """The lines of a scenario's trace."""
+    return [step_line(step) for step in Host(scenario).play()]
+
+
+def trace_path(directory: Path, scenario: Scenario) -> Path:
+    """Where a scenario's recorded trace is kept."""
+    return directory / f"decisions-{scenario.name}.jsonl.gz"
+
+
+def read_trace(path: Path) -> list[str]:
+    """The lines of a recorded trace."""
+    return gzip.decompress(path.read_bytes()).decode().splitlines()
+
+
+def write_trace(path: Path, lines: list[str]) -> None:
+    """Record a trace; the same lines always give the same file."""
+    text = "".join(f"{line}\n" for line in lines)
+    path.write_bytes(gzip.compress(text.encode(), mtime=0))
+
+
+def main(arguments: list[str]) -> None:
+    """Record all traces into the directory named."""
+    if len(arguments) != 1:
+        sys.exit("usage: python -m support.decision_trace DIRECTORY")
+    for scenario in SCENARIOS:
+        write_trace(trace_path(Path(arguments[0]), scenario), play(scenario))
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
