--- a/benchmarks/upgrade.py
+++ b/benchmarks/hot_restart.py
@@ -4,7 +4,7 @@
 after, on whichever process it reaches. Counted: what is served, lost, answered twice or late; keys that were
 run twice; what the roster hears; how soon the new process is ready; memory of both together.
 
-    python -m benchmarks.upgrade [--seed N] [--short]
+    python -m benchmarks.hot_restart [--seed N] [--short]
 """
 
 from __future__ import annotations
@@ -29,7 +29,7 @@
 from snowthread.address import Address
 from snowthread.net.clock import Clock
 from snowthread.net.loop import Loop, Steps, Wait
-from standins.site import Runtime, Script, Site
+from emulators.site import Runtime, Script, Site
 
 CORES, RUN_MS, USE = 8, 100.0, 0.7
 MIX = {"match": 0.5, "recalc": 0.3, "dispense": 0.2}
--- a/benchmarks/records.py
+++ b/benchmarks/records.py
@@ -25,7 +25,7 @@
 from benchmarks import rig
 from snowthread.records.frame import encode
 from snowthread.records.model import Record
-from snowthread.records.read import Findings, merge
+from snowthread.records.reader import Findings, merge
 from snowthread.records.writer import SUFFIX
 
 SOURCES = [f"127.0.{n}.9" for n in range(5)]
@@ -33,7 +33,7 @@
 
 def node(stack: ExitStack, folder: Path, records: bool) -> tuple[Any, str]:
     config = rig.configuration(folder, 64)
-    stack.enter_context(rig.process("-m", "standins.site", str(config), "64", "1.0", ready="ready"))
+    stack.enter_context(rig.process("-m", "emulators.site", str(config), "64", "1.0", ready="ready"))
     words = ["-m", "snowthread"]
     if records:
         file = folder / "records.hcl"
--- a/benchmarks/restart.py
+++ b/benchmarks/recovery.py
@@ -1,7 +1,7 @@
 """Time to full service after a mass restart: four of five nodes killed at once and back within a second,
 under load at 90 % of the fleet's capacity, with coming back and, in the same run, as they are in service.
 
-    .venv/bin/python -m benchmarks.restart [--seed N] [--short]
+    .venv/bin/python -m benchmarks.recovery [--seed N] [--short]
 
 Plays of the fleet lab, several beside each other. Variants: state kept; all state folders wiped; half of them
 torn; snapshots of an older generation of the fleet; the database slow by five times while they come back; two
--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import Any
 
-from standins.callers import FAILED, REFUSED, SERVED, Asked, Load
+from emulators.load_generator import FAILED, REFUSED, SERVED, Asked, Load
 
 __all__ = ["FAILED", "REFUSED", "SERVED", "Asked", "Load"]
 
--- a/benchmarks/tenants.py
+++ b/benchmarks/tenants.py
@@ -34,12 +34,12 @@
 from snowthread.net.clock import Clock
 from snowthread.net.loop import Loop
 from snowthread.operator.features import Features
-from snowthread.tenants.follow import Follower
-from snowthread.tenants.gate import Gate
+from snowthread.tenants.replication import Follower
+from snowthread.tenants.identification import Gate
 from snowthread.tenants.model import Tenant
 from snowthread.tenants.table import TenantTable
-from snowthread.tenants.tenancy import Tenancy
-from standins import directory as other
+from snowthread.tenants.state import Tenancy
+from emulators import directory as other
 
 BEFORE = "1037c89"  # the last version without tenants from a directory
 CORES, RUN_MS, LOAD = 4, 20.0, 0.85  # capacity 200 requests a second, and the share of it that is asked for
@@ -68,14 +68,14 @@
                  cwd: Path = rig.ROOT) -> None:
         config = rig.configuration(folder, cores)
         fields = json.loads(config.read_text())
-        stack.enter_context(rig.process("-m", "standins.site", str(config), str(cores), str(run_ms),
+        stack.enter_context(rig.process("-m", "emulators.site", str(config), str(cores), str(run_ms),
                                         ready="ready"))
         words = ["-m", "snowthread"]
         self.directory: subprocess.Popen[str] | None = None
         if tenants:
             where = rig.free_address()
             self.directory = stack.enter_context(
-                rig.process("-m", "standins.directory", where, ready="5 tenants"))
+                rig.process("-m", "emulators.directory", where, ready="5 tenants"))
             words += ["serve", "--with", str(operator_file(folder, where))]
         self.node = stack.enter_context(rig.process(
             *words, ready="refreshed in" if tenants else "listens on", where="stderr", cwd=cwd,
@@ -173,7 +173,7 @@
     where = rig.free_address()
     with ExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
-        stack.enter_context(rig.process("-m", "standins.directory", where, str(tenants),
+        stack.enter_context(rig.process("-m", "emulators.directory", where, str(tenants),
                                         str(networks // tenants), ready=f"{tenants} tenants"))
         node = config.load({"NODE_CONFIG": str(rig.ROOT / "examples" / "node.json")})
         made = Features.load(operator_file(folder, where), node).tenants
--- a/benchmarks/story.py
+++ b/benchmarks/timeline.py
@@ -1,6 +1,6 @@
 """The story against scripted days: what is told, in which order, how far off, and how fast.
 
-    python benchmarks/story.py [--seed N] [--short]
+    python benchmarks/timeline.py [--seed N] [--short]
 
 Days with one to three troubles, which may overlap, are drawn from seeds, with clocks up to 3 s apart and
 drifts up to 200 ppm. Seeds below 25 were looked at while the engine was made; those from 1000 on were not,
@@ -26,10 +26,10 @@
 from snowthread.incident.episodes import CAUSES, Episode
 from snowthread.incident.report import Report
 from snowthread.incident.series import build
-from snowthread.incident.story import before, tell
+from snowthread.incident.timeline import before, tell
 from snowthread.records.frame import encode
 from snowthread.records.writer import SUFFIX
-from standins.incident import BEGIN, Day, Trouble, draw, play
+from emulators.recorded_incidents import BEGIN, Day, Trouble, draw, play
 
 
 def told(day: Day, fitted: bool) -> tuple[list[Episode], Clocks]:
--- a/standins/balancers.py
+++ b/emulators/balancers.py
@@ -1,7 +1,7 @@
 """The balancers of a fleet lab as one process: seeded traffic in the brief's classes, with the brief's
 habits.
 
-``python -m standins.balancers PLAN_JSON`` where the file holds ``nodes`` (name to address), ``roster``,
+``python -m emulators.balancers PLAN_JSON`` where the file holds ``nodes`` (name to address), ``roster``,
 ``seed``, ``per_s``, ``seconds``, ``keyed`` (share), ``repeats`` (share of keyed requests tried again) and
 ``classes``. It prints ``balancers: ready``, begins at a line ``go`` and takes ``down NAME`` (killed, stopped
 or cut off: what was open there is no answer lost), ``report`` (one JSON line) and the end of its input.
@@ -27,9 +27,9 @@
 from snowthread.address import Address
 from snowthread.net.clock import Clock
 from snowthread.net.loop import IN, Loop, Steps, Wait
-from standins.callers import BROKEN_OFF, REFUSED, SERVED, Asked, Load
-from standins.told import listen_to
-from standins.machine import WITHOUT
+from emulators.load_generator import BROKEN_OFF, REFUSED, SERVED, Asked, Load
+from emulators.stdin_commands import listen_to
+from emulators.machine import WITHOUT
 
 SOURCES = 3  # balancers: each an address of its own
 LIST_MS, AGAIN_MS = 300.0, 250.0
--- a/standins/fleet.py
+++ b/emulators/fleet_services.py
@@ -1,6 +1,6 @@
 """A fleet's outside as one process of the lab: a machine a node, one shared formula database, one roster.
 
-``python -m standins.fleet PLAN_JSON`` where the file holds ``runtimes`` (addresses), ``database``,
+``python -m emulators.fleet_services PLAN_JSON`` where the file holds ``runtimes`` (addresses), ``database``,
 ``roster``, ``cores``, ``run_ms`` (by class), ``call_ms``, ``slots``, ``seed`` and ``warmth``. It prints
 ``fleet: ready`` and then takes lines on standard input:
 
@@ -29,9 +29,9 @@
 from snowthread.address import Address
 from snowthread.net.clock import Clock
 from snowthread.net.loop import IN, Loop, Steps, Wait
-from standins.told import listen_to
-from standins.machine import Machine, Warmth
-from standins.site import Script, accept, listen
+from emulators.stdin_commands import listen_to
+from emulators.machine import Machine, Warmth
+from emulators.site import Script, accept, listen
 
 WAITING_MAX = 10_000  # calls that wait for the database at the most; more are answered 503 at once
 THRASH, THRASH_MOST = 0.5, 4.0  # longer by so much for each ``slots`` that wait; times as long at the most
--- a/standins/machine.py
+++ b/emulators/machine.py
@@ -17,7 +17,7 @@
 
 from snowthread.address import Address
 from snowthread.net.loop import Loop
-from standins.site import Runtime, Script
+from emulators.site import Runtime, Script
 
 CROWD_MS, SAMPLE_MS = 2000.0, 100.0
 KNOWN, WITHOUT = b" known", b" without"  # what a result ends with: made with its calls, or a call left out
--- a/standins/site.py
+++ b/emulators/site.py
@@ -237,8 +237,8 @@
 
 
 def main() -> None:
-    """A quiet site: ``python -m standins.site NODE_JSON [CORES [RUN_MS]]``. It stops with its standard input,
-    on which a line ``index MS`` says how long the index takes from then on."""
+    """A quiet site: ``python -m emulators.site NODE_JSON [CORES [RUN_MS]]``. It stops with its
+    standard input, on which a line ``index MS`` says how long the database takes from then on."""
     import sys
     from pathlib import Path
 
--- a/standins/skewed.py
+++ b/emulators/skewed_clock.py
@@ -1,4 +1,4 @@
-"""A node on a machine whose clock is wrong: ``python -m standins.skewed SECONDS ARGUMENT...`` runs the
+"""A node on a machine whose clock is wrong: ``python -m emulators.skewed_clock SECONDS ARGUMENT...`` runs the
 program with its one clock so far off."""
 
 from __future__ import annotations
--- a/examples/toy_site.py
+++ b/examples/toy_site.py
@@ -1,7 +1,7 @@
 """A toy of everything a formula node talks to, for trying one out by hand. Not a load rig.
 
 Run it from the repository's root beside a node (README.md says how). It plays the runtime, the index and the
-roster of standins/site.py at the addresses of a configuration: a run takes a fifth of a second, every
+roster of emulators/site.py at the addresses of a configuration: a run takes a fifth of a second, every
 dispense makes one call to the index, and what comes by is printed.
 """
 
@@ -15,7 +15,7 @@
 
 from snowthread.net.clock import Clock
 from snowthread.net.loop import Loop
-from standins.site import Script, Site
+from emulators.site import Script, Site
 
 
 def main(path: str) -> None:
--- a/snowthread/__init__.py
+++ b/snowthread/__init__.py
@@ -1,3 +1,3 @@
-"""snowthread: a formula node on real sockets round the decision module clovertack."""
+"""snowthread: a formula node that admits, queues or rejects the requests of load balancers."""
 
 __version__ = "0.1.0"
--- a/clovertack/decide.py
+++ b/snowthread/admission/controller.py
@@ -12,7 +12,7 @@
 from enum import Enum
 from typing import Any
 
-from clovertack.interface import (
+from snowthread.admission.interface import (
     Action, Arrival, AtCall, Attach, Below, Call, CallEnded, CallerGone, CloseIdle, Effect, Event, Fail,
     ForgetKey, KeepKey, LeaveNotice, Outcome, Preempt, Preemption, Publish, Refuse, Report, RequestClass,
     Run, RunDoubted, RunEnded, SetHealth, SetTimer, Settings, SettingsChanged, Signal, SkipCall, Started,
--- a/clovertack/interface.py
+++ b/snowthread/admission/interface.py
@@ -1,7 +1,8 @@
 """What goes into and comes out of a controller: settings, events and actions.
 
-Types only; every rule and every number that decides something is in :mod:`clovertack.decide`. Times are
-seconds, memory is kilobytes, request ids are integers that the host chooses and never uses twice.
+Types only; every rule and every number that decides something is in
+:mod:`snowthread.admission.controller`. Times are seconds, memory is kilobytes, request ids are integers that
+the host chooses and never uses twice.
 """
 
 from __future__ import annotations
--- a/clovertack/recall.py
+++ b/snowthread/admission/learned_state.py
@@ -15,7 +15,7 @@
 
 from dataclasses import dataclass
 
-from clovertack.decide import Controller
+from snowthread.admission.controller import Controller
 
 
 @dataclass(frozen=True, slots=True)
--- a/clovertack/settings.py
+++ b/snowthread/admission/settings_parser.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from clovertack import interface as api
+from snowthread.admission import interface as api
 
 Fields = dict[str, Any]
 
--- a/clovertack/drill.py
+++ b/snowthread/admission/simulator_adapter.py
@@ -9,13 +9,13 @@
 
 import orjson
 
-from clovertack import interface as api
-from clovertack.decide import Controller
-from clovertack.settings import Fields, settings_from
+from snowthread.admission import interface as api
+from snowthread.admission.controller import Controller
+from snowthread.admission.settings_parser import Fields, settings_from
 
 __all__ = ["Drill", "main", "serve", "settings_from"]
 
-log = logging.getLogger("clovertack.drill")
+log = logging.getLogger("snowthread.admission.simulator_adapter")
 
 
 def _arrival(f: Fields) -> api.Event:
--- a/snowthread/cli.py
+++ b/snowthread/cli.py
@@ -16,7 +16,7 @@
 from snowthread.lab.cli import lab
 from snowthread.records.cli import records
 from snowthread.tenants.cli import tenants
-from snowthread.warm.cli import warm
+from snowthread.recovery.cli import warm
 
 WITH = click.option("--with", "operator_file", metavar="FILE",
                     type=click.Path(exists=True, dir_okay=False, path_type=Path),
--- a/snowthread/peers/index.py
+++ b/snowthread/clients/database.py
@@ -9,12 +9,12 @@
 
 import httptools
 
-from clovertack.interface import Outcome
+from snowthread.admission.interface import Outcome
 from snowthread.address import Address
 from snowthread.core import effects as fx
 from snowthread.core import events as ev
 from snowthread.net.attempt import Failure, Progress
-from snowthread.net.connecting import Connecting
+from snowthread.net.connect import Connecting
 from snowthread.net.loop import BROKEN, IN, OUT, Loop, Steps, Task, Wait
 
 KEEP_MS = 7000.0  # the index closes what was idle for 10 s; a call must not cross that
--- a/snowthread/peers/runtime.py
+++ b/snowthread/clients/runtime.py
@@ -13,12 +13,12 @@
 import orjson
 from loguru import logger
 
-from clovertack.interface import Outcome
+from snowthread.admission.interface import Outcome
 from snowthread.address import Address
 from snowthread.core import effects as fx
 from snowthread.core import events as ev
 from snowthread.net.attempt import Failure, Progress
-from snowthread.net.connecting import Connecting
+from snowthread.net.connect import Connecting
 from snowthread.net.loop import BROKEN, IN, OUT, Loop, Steps, Wait
 
 LINE_MAX = 256 * 1024  # a longer line is no notice
--- a/snowthread/config.py
+++ b/snowthread/config.py
@@ -10,9 +10,9 @@
 
 import orjson
 
-from clovertack.decide import Controller
-from clovertack.interface import Below, Settings
-from clovertack.settings import settings_from
+from snowthread.admission.controller import Controller
+from snowthread.admission.interface import Below, Settings
+from snowthread.admission.settings_parser import settings_from
 from snowthread.address import Address
 
 SOCKETS, MEMORY_MB = 1024, 192.0  # where the file sets no limit
--- a/snowthread/console/cli.py
+++ b/snowthread/console/cli.py
@@ -29,7 +29,7 @@
     """Show a fleet from its nodes' records: state, service, refusals, calls, and the course of things."""
     from snowthread.console.model import Fleet
     from snowthread.console.screen import Look, text
-    from snowthread.records.read import Findings, merge
+    from snowthread.records.reader import Findings, merge
 
     fleet, look = Fleet(), Look(sort, only)
     if once or not sys.stdout.isatty():
@@ -47,7 +47,7 @@
     from snowthread.console.model import Fleet
     from snowthread.console.screen import Look, draw
     from snowthread.console.tail import Tail
-    from snowthread.records.read import Findings, merge
+    from snowthread.records.reader import Findings, merge
 
     assert isinstance(fleet, Fleet) and isinstance(look, Look)
     screen, tail = Console(), Tail(places)
--- a/snowthread/console/tail.py
+++ b/snowthread/console/tail.py
@@ -7,7 +7,7 @@
 
 from snowthread.records.frame import Reader
 from snowthread.records.model import Record
-from snowthread.records.read import find
+from snowthread.records.reader import find
 
 CHUNK = 256 * 1024  # bytes of one file in one look
 
--- a/snowthread/core/effects.py
+++ b/snowthread/core/effects.py
@@ -16,7 +16,7 @@
     Ticket,
     TimerDue,
 )
-from snowthread.core.keys import Key
+from snowthread.core.idempotency import Key
 
 
 @dataclass(frozen=True, slots=True)
--- a/snowthread/core/events.py
+++ b/snowthread/core/events.py
@@ -7,8 +7,8 @@
 
 from dataclasses import dataclass
 
-from clovertack import recall
-from clovertack.interface import Outcome, Settings, Tenant
+from snowthread.admission import learned_state as recall
+from snowthread.admission.interface import Outcome, Settings, Tenant
 
 Ticket = tuple[int, int]
 """Where an answer goes: a connection's number and the number of the message on it."""
--- a/snowthread/core/retune.py
+++ b/snowthread/core/reconfiguration.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from clovertack.interface import RequestClass, Settings
+from snowthread.admission.interface import RequestClass, Settings
 
 S_MS = 1000.0
 LEAST = 0.01  # of a limit that is left at least: none at all would pass for no limit
--- a/snowthread/core/reducer.py
+++ b/snowthread/core/reducer.py
@@ -13,15 +13,15 @@
 from hashlib import blake2b
 from typing import Any
 
-from clovertack import interface as api
-from clovertack import recall
-from clovertack.decide import TICK, Controller
-from clovertack.interface import Effect as Repeat
-from clovertack.interface import Outcome
+from snowthread.admission import interface as api
+from snowthread.admission import learned_state as recall
+from snowthread.admission.controller import TICK, Controller
+from snowthread.admission.interface import Effect as Repeat
+from snowthread.admission.interface import Outcome
 from snowthread.core import effects as fx
 from snowthread.core import events as ev
-from snowthread.core.keys import Key
-from snowthread.core.retune import merged, shared
+from snowthread.core.idempotency import Key
+from snowthread.core.reconfiguration import merged, shared
 from snowthread.core.state import Place, Request, Side, State
 
 GAUGES_LEAD_MS = 20.0  # gauges are asked for so long before the timer they are for
--- a/snowthread/core/state.py
+++ b/snowthread/core/state.py
@@ -5,12 +5,12 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from clovertack import interface as api
-from clovertack.decide import Controller
-from clovertack.interface import RequestClass, Settings
+from snowthread.admission import interface as api
+from snowthread.admission.controller import Controller
+from snowthread.admission.interface import RequestClass, Settings
 from snowthread.core.effects import Command
 from snowthread.core.events import LoadTold, Paced, Recalled, RequestRead, Ticket
-from snowthread.core.keys import KeyTable, Unknown
+from snowthread.core.idempotency import KeyTable, Unknown
 
 
 class Place(Enum):
--- a/snowthread/demo.py
+++ b/snowthread/demo.py
@@ -28,7 +28,7 @@
 from snowthread.net.loop import Steps, Wait
 
 if TYPE_CHECKING:
-    from standins.callers import Load
+    from emulators.load_generator import Load
 
 ROOT = Path(__file__).parent.parent
 NODES, CORES, RUN_MS, PER_NODE = 3, 4, 20.0, 60.0
@@ -48,7 +48,7 @@
         self.file = folder / "demo.hcl"
         self.file.write_text(f'records {{\n  folder = "{self.records}"\n}}\n')
         self.configs = [self._config(n) for n in range(NODES)]
-        self.sites = [self._start("standins.site", str(c), str(CORES), str(RUN_MS)) for c in self.configs]
+        self.sites = [self._start("emulators.site", str(c), str(CORES), str(RUN_MS)) for c in self.configs]
         for made in self.sites:
             assert made.stdout is not None
             made.stdout.readline()
@@ -72,7 +72,7 @@
         return made
 
     def _serve(self, n: int) -> subprocess.Popen[str]:
-        return self._start("standins.skewed", str(SKEWS_S[n]), "serve", "--with", str(self.file),
+        return self._start("emulators.skewed_clock", str(SKEWS_S[n]), "serve", "--with", str(self.file),
                            NODE_CONFIG=str(self.configs[n]))
 
     def node(self, n: int) -> subprocess.Popen[str]:
@@ -174,12 +174,12 @@
               help="Keep the records in this folder.")
 def demo(output: Path, seconds: float, keep: Path | None) -> None:
     """Run a fleet of three on loopback through a slow index, a rolling deploy and a crash; report on it."""
-    if not (ROOT / "standins").is_dir():
+    if not (ROOT / "emulators").is_dir():
         raise ConfigError("the demo needs the repository round it: run it from a clone")
     from snowthread.incident.report import Report
     from snowthread.net.clock import Clock
     from snowthread.net.loop import Loop
-    from standins.callers import Load
+    from emulators.load_generator import Load
 
     with ExitStack() as stack:
         folder = keep or Path(stack.enter_context(tempfile.TemporaryDirectory()))
--- a/snowthread/fronts/admin/hub.py
+++ b/snowthread/frontends/admin/server.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from snowthread.address import Address
-from snowthread.fronts.admin.codec import CONTINUE, Call, Fault, Reading, encode
+from snowthread.frontends.admin.codec import CONTINUE, Call, Fault, Reading, encode
 from snowthread.net.loop import IN, OUT, Loop, Steps, Task, Wait
 
 CALLERS_MOST = 12  # at once, within the descriptors set aside; past it who has waited longest makes room
--- a/snowthread/fronts/balancers/connection.py
+++ b/snowthread/frontends/balancers/connection.py
@@ -11,7 +11,7 @@
 
 from snowthread.core import effects as fx
 from snowthread.core import events as ev
-from snowthread.fronts.balancers.codec import (
+from snowthread.frontends.balancers.codec import (
     FAREWELL,
     MESSAGE_MAX,
     READ_BYTES,
@@ -31,7 +31,7 @@
 from snowthread.net.loop import BROKEN, IN, OUT, Steps, Wait
 
 if TYPE_CHECKING:
-    from snowthread.fronts.balancers.hub import Balancers
+    from snowthread.frontends.balancers.server import Balancers
 
 OPEN_MAX = 32  # requests open on one connection
 UNSENT_PAUSE, UNSENT_MAX = 32 * 1024, 256 * 1024  # bytes not taken by a peer: read no more; give it up
--- a/snowthread/fronts/balancers/hub.py
+++ b/snowthread/frontends/balancers/server.py
@@ -14,8 +14,8 @@
 from snowthread.address import Address
 from snowthread.core import effects as fx
 from snowthread.core import events as ev
-from snowthread.fronts.balancers.codec import encode
-from snowthread.fronts.balancers.connection import Connection
+from snowthread.frontends.balancers.codec import encode
+from snowthread.frontends.balancers.connection import Connection
 from snowthread.net.limits import IDLE_SHARE, NEW_MS, ONCE_MS, SWEEP_MS, overdue
 from snowthread.net.loop import IN, Loop, Steps, Wait
 
--- a/snowthread/upgrade/link.py
+++ b/snowthread/hot_restart/channel.py
@@ -18,9 +18,9 @@
 
 from snowthread.core import effects as fx
 from snowthread.core import events as ev
-from snowthread.core.keys import Key
+from snowthread.core.idempotency import Key
 from snowthread.net.loop import BROKEN, IN, OUT, Loop, Steps, Task, Wait
-from snowthread.upgrade.words import ALL, HELLO, TAKES, YOURS, Word, decode, encode, unpacker
+from snowthread.hot_restart.messages import ALL, HELLO, TAKES, YOURS, Word, decode, encode, unpacker
 
 SOCKET = "beside"  # its name in the folder
 READ_BYTES = 64 * 1024
--- a/snowthread/upgrade/words.py
+++ b/snowthread/hot_restart/messages.py
@@ -8,7 +8,7 @@
 import msgpack
 
 from snowthread.core import events as ev
-from snowthread.core.keys import Key
+from snowthread.core.idempotency import Key
 
 VERSION = 1
 MESSAGE_MAX = 64 * 1024  # a key with its result, and room to spare
--- a/snowthread/incident/report.py
+++ b/snowthread/incident/report.py
@@ -21,8 +21,8 @@
 from snowthread import __version__
 from snowthread.incident.clocks import Clocks
 from snowthread.incident.series import Series, build
-from snowthread.incident.story import Story, tell
-from snowthread.records.read import Findings, merge
+from snowthread.incident.timeline import Story, tell
+from snowthread.records.reader import Findings, merge
 
 POINTS_MOST = 240  # of a chart: longer stretches are averaged
 TELL_EVERY = 100_000  # records between two words on the progress
--- a/snowthread/lab/plan.py
+++ b/snowthread/lab/plan.py
@@ -59,7 +59,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Machine:
-    """How a node's machine gets warm: see ``standins/machine.py``."""
+    """How a node's machine gets warm: see ``emulators/machine.py``."""
 
     cold_share: float = 0.23
     warm_calls: float = 0.5
--- a/snowthread/lab/runner.py
+++ b/snowthread/lab/runner.py
@@ -1,8 +1,8 @@
 """The lab's runner: starts the processes of a scenario, plays its plan, and sums up. It never decides for a
 node.
 
-Processes: a ``python -m snowthread`` a node, each with its own state folder; one ``standins.fleet`` (a
-machine a node, the shared formula database, the roster); one ``standins.balancers`` (all the traffic).
+Processes: a ``python -m snowthread`` a node, each with its own state folder; one ``emulators.fleet_services``
+(a machine a node, the shared formula database, the roster); one ``emulators.balancers`` (all the traffic).
 Between each node and the balancers, the database and the roster stands a relay of ours, driven by the plan.
 The runner itself is one loop: relays and the plan's timers. Nodes have cores of their own where there are
 enough; the lab and its stand-ins share the others, and what they used is in the summary.
@@ -25,10 +25,10 @@
 from typing import IO, Any
 
 from snowthread.address import Address
-from snowthread.lab.account import summary, told
+from snowthread.lab.summary import summary, told
 from snowthread.lab.plan import Scenario, Step, lines
 from snowthread.lab.relay import DatagramRelay, Relay
-from snowthread.lab.site import (
+from snowthread.lab.deployment import (
     CLASSES,
     OTHERS,
     OWN,
@@ -40,8 +40,8 @@
 )
 from snowthread.net.clock import Clock
 from snowthread.net.loop import Loop
-from snowthread.records.read import Findings, merge
-from snowthread.warm import disk
+from snowthread.records.reader import Findings, merge
+from snowthread.recovery import storage as disk
 
 ROOT = Path(__file__).parent.parent.parent
 START_PATIENCE_S = 30.0
@@ -152,7 +152,7 @@
             "warmth": asdict(scenario.machine) | {"over_ms": over_ms(scenario)},
             "calls": [kind.name for kind in CLASSES if kind.calls]}))
         self.cores = sorted(os.sched_getaffinity(0))
-        self.fleet = StandIn("standins.fleet", fleet)
+        self.fleet = StandIn("emulators.fleet_services", fleet)
         draws = random.Random(scenario.seed)
         self.links: dict[str, dict[str, Relay | DatagramRelay]] = {}
         self.fronts: dict[str, Relay] = {}
@@ -176,7 +176,7 @@
             "keyed": scenario.load.keyed, "repeats": scenario.load.repeats,
             "foreign": scenario.load.foreign, "own_number": OWN, "others_number": OTHERS,
             **balancer_classes(scenario)}))
-        self.balancers = StandIn("standins.balancers", traffic)
+        self.balancers = StandIn("emulators.balancers", traffic)
 
     def _node(self, name: str, number: int, listen: Address, runtime: Address, database: Address,
               roster: Address) -> Node:
--- a/snowthread/ldap/client.py
+++ b/snowthread/ldap/client.py
@@ -15,9 +15,9 @@
 from snowthread.ldap.session import Broken, Session, State
 from snowthread.ldap.url import LdapUrl
 from snowthread.net.attempt import Failure, Progress
-from snowthread.net.connecting import Connecting
+from snowthread.net.connect import Connecting
 from snowthread.net.loop import Loop, Wait
-from snowthread.net.stream import Stream
+from snowthread.net.tls_stream import Stream
 
 
 @dataclass(frozen=True, slots=True)
--- a/snowthread/node.py
+++ b/snowthread/node.py
@@ -18,25 +18,25 @@
 from snowthread.config import Config
 from snowthread.core import effects as fx
 from snowthread.core import events as ev
-from snowthread.core.keys import KeyTable
+from snowthread.core.idempotency import KeyTable
 from snowthread.core.reducer import reduce
 from snowthread.core.state import ModuleTime, State
-from snowthread.fronts.balancers.hub import Balancers
-from snowthread.fronts.admin.hub import Admin
+from snowthread.frontends.balancers.server import Balancers
+from snowthread.frontends.admin.server import Admin
 from snowthread.net.clock import Clock
 from snowthread.net.limits import results_max, unsent_max
 from snowthread.net.loop import IN, Loop, Steps, Wait
-from snowthread.upgrade.link import Beside
-from snowthread.peers.index import Index
-from snowthread.peers.roster import Roster
-from snowthread.peers.runtime import Runtime
+from snowthread.hot_restart.channel import Beside
+from snowthread.clients.database import Index
+from snowthread.clients.registry import Roster
+from snowthread.clients.runtime import Runtime
 from snowthread.reload import reload
 
 if TYPE_CHECKING:
     from snowthread.operator.features import Features
     from snowthread.records.recorder import Recorder
-    from snowthread.tenants.gate import Gate
-    from snowthread.warm.keeper import Keeper
+    from snowthread.tenants.identification import Gate
+    from snowthread.recovery.manager import Keeper
 
 SPARE = 32  # descriptors kept for the runtime, the roster, the loop and files
 FIXED = 16  # those that a process has whatever comes
@@ -76,20 +76,20 @@
         # A node that comes back: what it recalls, whom it waits for, and how it paces what it lets in.
         self.keeper: Keeper | None = None
         if features is not None and features.comeback is not None:
-            from snowthread.warm.keeper import Keeper
+            from snowthread.recovery.manager import Keeper
 
             self.keeper = Keeper(self.loop, features.comeback, config, self.state, self.post, self._reduce)
             self._reduce = self.keeper.reduce
         # Requests of other sites' clients are judged before all else.
         if features is not None and features.site is not None:
-            from snowthread.fleet.edge import Edge
+            from snowthread.sites.client_filter import Edge
 
             self._reduce = Edge(self.loop, features.site, self._reduce).reduce
         # Who asks, where tenants are told apart: between the front and the reducer, and nowhere else.
         self.gate: Gate | None = None
         front_post = self.post
         if features is not None and features.tenants is not None:
-            from snowthread.tenants.gate import Gate
+            from snowthread.tenants.identification import Gate
 
             self.state.settings = replace(config.settings, tenants=())
             self.gate = Gate(self.loop, features.tenants, config.seed, self.post)
--- a/snowthread/operator/features.py
+++ b/snowthread/operator/features.py
@@ -10,10 +10,10 @@
 from snowthread.operator import hcl
 
 if TYPE_CHECKING:
-    from snowthread.fleet.settings import SiteSettings
+    from snowthread.sites.settings import SiteSettings
     from snowthread.records.recorder import RecordSettings
     from snowthread.tenants.settings import TenantSettings
-    from snowthread.warm.settings import ComebackSettings
+    from snowthread.recovery.settings import ComebackSettings
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,12 +44,12 @@
             records = read(block)
         comeback = None
         if (block := file.block("comeback")) is not None:
-            from snowthread.warm.settings import read as read_comeback
+            from snowthread.recovery.settings import read as read_comeback
 
             comeback = read_comeback(block)
         site = None
         if (block := file.block("site")) is not None:
-            from snowthread.fleet.settings import read as read_site
+            from snowthread.sites.settings import read as read_site
 
             site = read_site(block)
         file.done()
--- a/snowthread/records/cli.py
+++ b/snowthread/records/cli.py
@@ -25,7 +25,7 @@
     """Print records in the order of time."""
     import orjson
 
-    from snowthread.records.read import Findings, merge
+    from snowthread.records.reader import Findings, merge
 
     for record in merge(places, Findings()):
         if (kind and record.kind not in kind) or (node and record.node not in node):
@@ -44,7 +44,7 @@
 @PLACES
 def verify(places: tuple[Path, ...]) -> None:
     """Say what is missing or spoilt (status 1 where anything is)."""
-    from snowthread.records.read import Findings, merge
+    from snowthread.records.reader import Findings, merge
 
     findings = Findings()
     for _ in merge(places, findings):
@@ -70,7 +70,7 @@
     """Say what is there: each node's boots, when, how they ended, and how many records of each kind."""
     from collections import Counter
 
-    from snowthread.records.read import Findings, merge
+    from snowthread.records.reader import Findings, merge
 
     boots: dict[tuple[str, str], list[float]] = {}
     kinds: dict[tuple[str, str], Counter[str]] = {}
--- a/snowthread/records/observe.py
+++ b/snowthread/records/observer.py
@@ -11,8 +11,8 @@
 
 from hdrh.histogram import HdrHistogram
 
-from clovertack.recall import oldest_s
-from clovertack.interface import Settings
+from snowthread.admission.learned_state import oldest_s
+from snowthread.admission.interface import Settings
 from snowthread.core import effects as fx
 from snowthread.core import events as ev
 from snowthread.core.state import Place, State
--- a/snowthread/records/recorder.py
+++ b/snowthread/records/recorder.py
@@ -12,7 +12,7 @@
 
 from loguru import logger
 
-from clovertack.interface import Settings
+from snowthread.admission.interface import Settings
 from snowthread import __version__
 from snowthread.core import effects as fx
 from snowthread.core import events as ev
@@ -22,7 +22,7 @@
 from snowthread.records import writer
 from snowthread.records.frame import encode
 from snowthread.records.model import FORMAT, Fields, Record
-from snowthread.records.observe import Observer
+from snowthread.records.observer import Observer
 from snowthread.records.outbox import Outbox
 from snowthread.records.retention import Retention
 
--- a/snowthread/warm/cli.py
+++ b/snowthread/recovery/cli.py
@@ -20,7 +20,7 @@
 def init(folder: Path) -> None:
     """Say that no earlier life of this node ran keyed requests: for a new machine, and only then."""
     from snowthread.config import ConfigError
-    from snowthread.warm import disk
+    from snowthread.recovery import storage as disk
 
     if disk.read(folder, disk.RING):
         raise ConfigError(f"{folder}: has a ring of keys; where it is torn the node has to be blind")
@@ -35,8 +35,8 @@
 @click.option("--fresh-for", default=60.0, show_default=True, help="Seconds for which a snapshot is trusted.")
 def show(folder: Path, fresh_for: float) -> None:
     """What a start now would find."""
-    from snowthread.warm import disk, ring
-    from snowthread.warm.snapshot import decode, judge
+    from snowthread.recovery import storage as disk, key_log as ring
+    from snowthread.recovery.snapshot import decode, judge
 
     now = time.time() * 1000.0
     data = disk.read(folder)
--- a/snowthread/warm/keeper.py
+++ b/snowthread/recovery/manager.py
@@ -1,9 +1,11 @@
 """A node's way back, wired: state on disk, the roster's answers, and the pace of calls and runs.
 
-Takes the place of ``reduce``: what comes in is looked at, what comes out passes here. It decides nothing:
-trust is :mod:`snapshot`'s and :mod:`ring`'s, membership :mod:`members`', the pace
-``clovertack/comeback.py``'s, and what is recalled or forgotten ``clovertack/recall.py``'s. A keyed start goes
-out only when its key is in the ring; a call that has to wait is held here until its turn. """
+It wraps ``reduce``: it sees each event before the reducer and each effect after it. It decides nothing
+itself: :mod:`snapshot` and :mod:`key_log` say what may be trusted, :mod:`membership` who is in the fleet,
+:mod:`snowthread.admission.recovery_pacing` how fast, and :mod:`snowthread.admission.learned_state` what is
+restored. A keyed start leaves the node only once its key is in the key log; a call that has to wait is held
+here until it may go.
+"""
 
 from __future__ import annotations
 
@@ -13,19 +15,19 @@
 
 from loguru import logger
 
-from clovertack import recall
-from clovertack.comeback import BURST_S, FLEET_SHARE, Backoff, ColdBudget, Ramp, Return, Word
-from clovertack.decide import TICK
-from clovertack.interface import Outcome, RequestClass
+from snowthread.admission import learned_state as recall
+from snowthread.admission.recovery_pacing import BURST_S, FLEET_SHARE, Backoff, ColdBudget, Ramp, Return, Word
+from snowthread.admission.controller import TICK
+from snowthread.admission.interface import Outcome, RequestClass
 from snowthread.core import effects as fx
 from snowthread.core import events as ev
-from snowthread.core.keys import Unknown, key_digest
+from snowthread.core.idempotency import Unknown, key_digest
 from snowthread.core.state import Place, State
 from snowthread.net.loop import Loop, Steps, Timer, Wait
-from snowthread.warm import disk, ring
-from snowthread.warm.members import Members, Standing
-from snowthread.warm.settings import ComebackSettings
-from snowthread.warm.snapshot import Judged, Learned, Snapshot, Verdict, encode, judge
+from snowthread.recovery import storage as disk, key_log as ring
+from snowthread.recovery.membership import Members, Standing
+from snowthread.recovery.settings import ComebackSettings
+from snowthread.recovery.snapshot import Judged, Learned, Snapshot, Verdict, encode, judge
 
 if TYPE_CHECKING:
     from snowthread.config import Config
--- a/snowthread/warm/snapshot.py
+++ b/snowthread/recovery/snapshot.py
@@ -23,7 +23,7 @@
 | stale     | older than ``fresh_for_ms``                              | priors, counted      |
 | future    | written after ``now`` beyond ``slack_ms``                | priors, counted      |
 
-Keys are not in a snapshot: they change with each request, and have :mod:`snowthread.warm.ring`.
+Keys are not in a snapshot: they change with each request, and have :mod:`snowthread.recovery.key_log`.
 """
 
 from __future__ import annotations
--- a/snowthread/warm/disk.py
+++ b/snowthread/recovery/storage.py
@@ -13,7 +13,7 @@
 import os
 from pathlib import Path
 
-from snowthread.warm import ring
+from snowthread.recovery import key_log as ring
 
 NAME = "warm.snap"
 RING = "keys.ring"
--- a/snowthread/fleet/edge.py
+++ b/snowthread/sites/client_filter.py
@@ -11,13 +11,13 @@
 
 from loguru import logger
 
-from clovertack.interface import Effect as Repeat
-from clovertack.interface import RequestClass
+from snowthread.admission.interface import Effect as Repeat
+from snowthread.admission.interface import RequestClass
 from snowthread.core import effects as fx
 from snowthread.core import events as ev
 from snowthread.core.state import Place, Request, State
-from snowthread.fleet.order import Load, Verdict, judge, places
-from snowthread.fleet.settings import SiteSettings
+from snowthread.sites.shedding import Load, Verdict, judge, places
+from snowthread.sites.settings import SiteSettings
 from snowthread.net.loop import Loop, Steps, Wait
 
 TELL_MS = 10_000.0  # between two words on what came from other sites
--- a/snowthread/fleet/settings.py
+++ b/snowthread/sites/settings.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from snowthread.fleet.order import Homes
+from snowthread.sites.shedding import Homes
 from snowthread.operator.hcl import Block
 
 HOMES_MAX = 64
--- a/snowthread/tenants/cli.py
+++ b/snowthread/tenants/cli.py
@@ -25,7 +25,7 @@
 @SOURCE
 def tenants_show(operator_file: Path, snapshot: Path | None) -> None:
     """List the tenants: status, quota, networks, balancers, classes."""
-    from snowthread.tenants.command import fetch, show
+    from snowthread.tenants.inspection import fetch, show
 
     for line in show(fetch(operator_file, snapshot)):
         click.echo(line)
@@ -38,7 +38,7 @@
 @click.argument("address")
 def tenants_whois(operator_file: Path, snapshot: Path | None, balancer: int | None, address: str) -> None:
     """Say whose requests from ADDRESS are, and by which rule (status 1: nobody's)."""
-    from snowthread.tenants.command import fetch, whois
+    from snowthread.tenants.inspection import fetch, whois
 
     known, line = whois(fetch(operator_file, snapshot), address, balancer)
     click.echo(line)
@@ -51,8 +51,8 @@
 @SOURCE
 def tenants_check(operator_file: Path, snapshot: Path | None) -> None:
     """Say what in the directory can't be used or contradicts itself (status 1 where anything does)."""
-    from snowthread.tenants.command import check as look
-    from snowthread.tenants.command import fetch
+    from snowthread.tenants.inspection import check as look
+    from snowthread.tenants.inspection import fetch
 
     faults = look(fetch(operator_file, snapshot))
     for line in faults:
--- a/snowthread/tenants/gate.py
+++ b/snowthread/tenants/identification.py
@@ -14,11 +14,11 @@
 
 from snowthread.core import events as ev
 from snowthread.net.loop import Loop, Steps, Wait
-from snowthread.tenants import disk
-from snowthread.tenants.follow import Follower
+from snowthread.tenants import snapshot as disk
+from snowthread.tenants.replication import Follower
 from snowthread.tenants.model import How
 from snowthread.tenants.settings import TenantSettings
-from snowthread.tenants.tenancy import News, Tenancy
+from snowthread.tenants.state import News, Tenancy
 
 CHANGED_MS = 1000.0  # the least time between two snapshots
 LOOK_MS = 500.0  # between two looks at age, snapshot and counters
--- a/snowthread/tenants/command.py
+++ b/snowthread/tenants/inspection.py
@@ -14,11 +14,11 @@
 from snowthread.net.clock import Clock
 from snowthread.net.loop import Loop
 from snowthread.operator.features import Features
-from snowthread.tenants import disk
-from snowthread.tenants.follow import Follower
+from snowthread.tenants import snapshot as disk
+from snowthread.tenants.replication import Follower
 from snowthread.tenants.model import How
 from snowthread.tenants.settings import TenantSettings
-from snowthread.tenants.tenancy import News, Tenancy
+from snowthread.tenants.state import News, Tenancy
 
 ROUND_S = 0.05
 
--- a/snowthread/tenants/follow.py
+++ b/snowthread/tenants/replication.py
@@ -22,8 +22,8 @@
 from snowthread.tenants.entry import BadEntry, read
 from snowthread.tenants.model import Tenant
 from snowthread.tenants.settings import TenantSettings
-from snowthread.tenants.tenancy import News, Tenancy
-from snowthread.tenants.unknown import question
+from snowthread.tenants.state import News, Tenancy
+from snowthread.tenants.unknown_clients import question
 
 ANEW_MOST = 4  # searches begun anew on one link because the server wants another way
 ANEW = Reaction.RESTART, Reaction.WITHOUT, Reaction.SMALLER
--- a/snowthread/tenants/settings.py
+++ b/snowthread/tenants/settings.py
@@ -18,12 +18,12 @@
 from snowthread.ldap.health import Patience
 from snowthread.operator.hcl import Block
 from snowthread.tenants.entry import Names
-from snowthread.tenants.guard import RemovalRules
-from snowthread.tenants.ladder import LadderRules
+from snowthread.tenants.removal_guard import RemovalRules
+from snowthread.tenants.staleness import LadderRules
 from snowthread.tenants.model import Network
 from snowthread.tenants.sync import Mode, Question
-from snowthread.tenants.tenancy import Rules
-from snowthread.tenants.unknown import UnknownRules
+from snowthread.tenants.state import Rules
+from snowthread.tenants.unknown_clients import UnknownRules
 
 T = TypeVar("T")
 V = TypeVar("V")
--- a/snowthread/tenants/tenancy.py
+++ b/snowthread/tenants/state.py
@@ -8,14 +8,14 @@
 from collections.abc import Collection, Generator, Iterable, Mapping
 from dataclasses import dataclass, field
 
-from clovertack.interface import Tenant as Share
+from snowthread.admission.interface import Tenant as Share
 from snowthread.tenants.entry import BadEntry
-from snowthread.tenants.guard import RemovalGuard, RemovalRules, Verdict
-from snowthread.tenants.ladder import Ladder, LadderRules, Stage
+from snowthread.tenants.removal_guard import RemovalGuard, RemovalRules, Verdict
+from snowthread.tenants.staleness import Ladder, LadderRules, Stage
 from snowthread.tenants.model import DEFAULT_ID, UNKNOWN, How, Identity, Network, Status, Tenant
 from snowthread.tenants.sync import Changed, Refreshed
 from snowthread.tenants.table import Applied, TenantTable
-from snowthread.tenants.unknown import UnknownRules, Unknowns
+from snowthread.tenants.unknown_clients import UnknownRules, Unknowns
 
 SLICE = 300  # tenants and networks taken up in one turn: one or two milliseconds
 LINES_MAX = 20  # a change says no more than so many lines, and how many it left out
--- a/tests/test_guards.py
+++ b/tests/admission/test_guards.py
@@ -11,9 +11,9 @@
 
 import pytest
 
-from clovertack import decide
-from clovertack.decide import ALARM, TICK, Controller, blocking, target_load
-from clovertack.interface import (
+from snowthread.admission import controller as decide
+from snowthread.admission.controller import ALARM, TICK, Controller, blocking, target_load
+from snowthread.admission.interface import (
     Arrival,
     AtCall,
     Attach,
@@ -374,7 +374,7 @@
         names += [node.module or ""] if isinstance(node, ast.ImportFrom) else []
         for name in names:
             root = name.split(".")[0]
-            assert name == "clovertack.interface" or root in sys.stdlib_module_names
+            assert name == "snowthread.admission.interface" or root in sys.stdlib_module_names
 
 
 def test_retry_timer_that_fires_a_hair_early_does_not_spin() -> None:
--- a/tests/test_recall.py
+++ b/tests/admission/test_learned_state.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from clovertack import recall
-from clovertack.decide import Controller
-from clovertack.interface import Arrival, Outcome, RequestClass, RunEnded, Settings, Started
+from snowthread.admission import learned_state as recall
+from snowthread.admission.controller import Controller
+from snowthread.admission.interface import Arrival, Outcome, RequestClass, RunEnded, Settings, Started
 
 CLASSES = (RequestClass("match", goal_s=3.0, deadline_s=9.0),
            RequestClass("recalc", goal_s=2.0, deadline_s=6.0))
--- a/tests/test_properties.py
+++ b/tests/admission/test_properties.py
@@ -8,8 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from clovertack.decide import Controller
-from clovertack.interface import (
+from snowthread.admission.controller import Controller
+from snowthread.admission.interface import (
     Arrival,
     AtCall,
     Attach,
--- a/tests/test_comeback.py
+++ b/tests/admission/test_recovery_pacing.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from clovertack.comeback import WAITING_MOST, Backoff, ColdBudget, Ramp, Return, Word
+from snowthread.admission.recovery_pacing import WAITING_MOST, Backoff, ColdBudget, Ramp, Return, Word
 
 
 def test_the_ramp_starts_at_one_and_doubles_a_round_on_success() -> None:
--- a/tests/test_drill.py
+++ b/tests/admission/test_simulator_adapter.py
@@ -9,9 +9,9 @@
 
 import pytest
 
-from clovertack.decide import Controller
-from clovertack.drill import Drill, settings_from
-from clovertack.interface import Effect, Preemption, Signal
+from snowthread.admission.controller import Controller
+from snowthread.admission.simulator_adapter import Drill, settings_from
+from snowthread.admission.interface import Effect, Preemption, Signal
 
 FACTS: dict[str, Any] = {
     "classes": [{"name": "a", "goal_time_s": 1.0, "deadline_s": 3.0, "effect": "read_like",
@@ -65,6 +65,7 @@
 
 
 def test_end_of_input_exits_cleanly() -> None:
-    done = subprocess.run([sys.executable, "-m", "clovertack.drill"], input=b'{"now_s":1,"events":[]}\n',
+    done = subprocess.run([sys.executable, "-m", "snowthread.admission.simulator_adapter"],
+                          input=b'{"now_s":1,"events":[]}\n',
                           capture_output=True, timeout=60, check=False)
     assert done.returncode == 0 and done.stdout == b'{"out":[]}\n'
--- a/tests/console/test_console.py
+++ b/tests/console/test_console.py
@@ -14,7 +14,7 @@
 from snowthread.records.frame import encode
 from snowthread.records.model import Record
 from snowthread.records.writer import SUFFIX
-from standins.incident import Trouble, play
+from emulators.recorded_incidents import Trouble, play
 
 ROOT = Path(__file__).parents[2]
 T = 1_800_000_000_000.0
--- a/tests/test_retune.py
+++ b/tests/core/test_reconfiguration.py
@@ -10,10 +10,10 @@
 
 import orjson
 import pytest
-from exchange import EXAMPLE, START, Player
+from support.exchange import EXAMPLE, START, Player
 
-from clovertack.decide import TICK, Controller
-from clovertack.interface import (
+from snowthread.admission.controller import TICK, Controller
+from snowthread.admission.interface import (
     Arrival,
     Effect,
     Outcome,
@@ -29,8 +29,8 @@
 from snowthread.config import ConfigError, lacking, load, parse, shape_of
 from snowthread.core import effects as fx
 from snowthread.core import events as ev
-from snowthread.core.retune import lasts_ms, merged
-from snowthread.records.observe import Observer
+from snowthread.core.reconfiguration import lasts_ms, merged
+from snowthread.records.observer import Observer
 
 A = RequestClass("a", goal_s=1.0, deadline_s=3.0)
 B = RequestClass("b", goal_s=2.0, deadline_s=4.0, effect=Effect.KEYED, window_s=9.0)
--- a/tests/test_admin.py
+++ b/tests/frontends/test_admin.py
@@ -7,13 +7,13 @@
 from http import HTTPStatus
 
 import pytest
-from exchange import EXAMPLE, Player, loopback
+from support.exchange import EXAMPLE, Player, loopback
 
 from snowthread.address import Address
 from snowthread.config import ConfigError, load
-from snowthread.fronts.balancers.hub import inherited, listener
-from snowthread.fronts.admin.codec import BODY_MAX, HEAD_MAX, Call, Fault, Reading
-from snowthread.fronts.admin.hub import CALL_MS, CALLERS_MOST
+from snowthread.frontends.balancers.server import inherited, listener
+from snowthread.frontends.admin.codec import BODY_MAX, HEAD_MAX, Call, Fault, Reading
+from snowthread.frontends.admin.server import CALL_MS, CALLERS_MOST
 
 READY = b"GET /-/ready HTTP/1.1\r\n\r\n"
 
--- a/tests/test_crowd.py
+++ b/tests/frontends/test_crowd.py
@@ -6,7 +6,7 @@
 
 import msgpack
 import pytest
-from exchange import START, Player
+from support.exchange import START, Player
 
 from snowthread.net.limits import BEGUN_MS, WAITED_MS
 
--- a/tests/test_upgrade.py
+++ b/tests/hot_restart/test_hot_restart.py
@@ -18,13 +18,13 @@
 
 import msgpack
 import pytest
-from exchange import START, Player, address, loopback
+from support.exchange import START, Player, address, loopback
 from test_program import PATIENCE_S, ROOT, configuration, environment, site
 
 from snowthread.core import events as ev
 from snowthread.core.reducer import ASK_MS, ASKING_MOST
 from snowthread.core.state import Side
-from snowthread.upgrade import link, words
+from snowthread.hot_restart import channel as link, messages as words
 
 ALIVE: list[tuple[int, int]] = []  # of each process here, a pipe whose writing end is open while it lives
 
--- a/tests/incident/test_incident.py
+++ b/tests/incident/test_incident.py
@@ -16,12 +16,12 @@
 from snowthread.incident.episodes import CAUSES, TURNED_AWAY, Episode
 from snowthread.incident.report import Report
 from snowthread.incident.series import build
-from snowthread.incident.story import Story, before, causes, tell
+from snowthread.incident.timeline import Story, before, causes, tell
 from snowthread.records.frame import encode
 from snowthread.records.model import Record
-from snowthread.records.read import Findings, merge
+from snowthread.records.reader import Findings, merge
 from snowthread.records.writer import SUFFIX
-from standins.incident import BEGIN, Day, Trouble, draw, play
+from emulators.recorded_incidents import BEGIN, Day, Trouble, draw, play
 
 ROOT = Path(__file__).parents[2]
 
--- a/tests/ldap/test_codec.py
+++ b/tests/ldap/test_codec.py
@@ -12,7 +12,7 @@
 from snowthread.ldap import messages as m
 from snowthread.ldap.ber import Bounds, MalformedError, check, frame_length
 from snowthread.ldap.session import Broken, Session, State, StateError
-from standins import directory as other
+from emulators import directory as other
 
 BOUNDS = Bounds()
 WORDS = st.text(max_size=12)
--- a/tests/ldap/test_standin.py
+++ b/tests/ldap/test_standin.py
@@ -10,7 +10,7 @@
 
 import ldap3
 import pytest
-from exchange import address, loopback
+from support.exchange import address, loopback
 
 ROOT = Path(__file__).parents[2]
 BASE = "ou=tenants,dc=example"
@@ -20,7 +20,7 @@
 def client() -> Iterator[ldap3.Connection]:
     with loopback(socket.SOCK_STREAM) as sock:
         where = address(sock)
-    process = subprocess.Popen([sys.executable, "-m", "standins.directory", where], cwd=ROOT, text=True,
+    process = subprocess.Popen([sys.executable, "-m", "emulators.directory", where], cwd=ROOT, text=True,
                                stdin=subprocess.PIPE, stdout=subprocess.PIPE)
     try:
         assert process.stdout is not None and "5 tenants" in process.stdout.readline()
--- a/tests/ldap/test_tls.py
+++ b/tests/ldap/test_tls.py
@@ -8,9 +8,9 @@
 
 import pytest
 import trustme
-from world import World
+from support.directory_world import World
 
-from standins.directory import Habits
+from emulators.directory import Habits
 
 PASSWORD = "hunter2"
 
--- a/tests/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -17,16 +17,16 @@
 
 import msgpack
 import pytest
-from exchange import START, Player, address, loopback
-from playing import answer, command, done, ends, message, notice, ready, settings, uid
+from support.exchange import START, Player, address, loopback
+from support.playing import answer, command, done, ends, message, notice, ready, settings, uid
 
 from snowthread import config
 from snowthread.core import effects as fx
-from snowthread.fronts.balancers.hub import PART_MS, PLACES_LEAST
+from snowthread.frontends.balancers.server import PART_MS, PLACES_LEAST
 from snowthread.net.limits import NEW_MS, SWEEP_MS, WAITED_MS
 from snowthread.node import DOOR_MS, HELD_BACK, QUIET_MS
-from snowthread.peers.index import KEEP_MS
-from snowthread.peers.runtime import ALIVE_MS, FENCE_MS, QUEUE_MAX, SILENT_MS
+from snowthread.clients.database import KEEP_MS
+from snowthread.clients.runtime import ALIVE_MS, FENCE_MS, QUEUE_MAX, SILENT_MS
 
 FAREWELL = [2, "farewell", []]
 REPLY = b"HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\nr"  # to a call
--- a/tests/test_customers.py
+++ b/tests/node/test_customers.py
@@ -8,8 +8,8 @@
 from pathlib import Path
 
 import pytest
-from exchange import START, Player
-from playing import answer, command, done, message, notice, ready, settings, uid
+from support.exchange import START, Player
+from support.playing import answer, command, done, message, notice, ready, settings, uid
 
 from snowthread import config
 
@@ -67,7 +67,7 @@
         assert answer(player, "1")[:3] == [1, 2, ["Failed", {}]]
 
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parents[2]
 PLAYED = {"lab", "demo.py"}  # these play the example's site beside the program; `run` and `sim` load neither
 ELSEWHERE = {"krakow-main", "krakow-room-1", "cardiff-quiz", "kigali-quotes", "fetch-question", "save-answer",
              "question-bank", "round-front", "std-6c"}
@@ -96,7 +96,7 @@
     known = names()
     assert {"match", "recalc", "dispense", "lodz-labels", "charge", "swansea-tickets"} <= known
     assert named("a = 'dispense'", known) == {"dispense"}  # the check can fail
-    for folder in ("snowthread", "clovertack"):
+    for folder in ("snowthread",):
         for path in sorted((ROOT / folder).rglob("*.py")):
             if not PLAYED & set(path.relative_to(ROOT / folder).parts):
                 assert not named(path.read_text(), known), path
--- a/tests/test_restart.py
+++ b/tests/node/test_restart.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 import msgpack
-from exchange import address, loopback
+from support.exchange import address, loopback
 from test_program import PATIENCE_S, at, configuration, node
 
 
--- a/tests/records/test_frame.py
+++ b/tests/records/test_frame.py
@@ -14,7 +14,7 @@
 from snowthread.records.frame import PAYLOAD_MAX, Bad, Reader, encode
 from snowthread.records.model import Record
 from snowthread.records.outbox import Outbox
-from snowthread.records.read import Findings, merge
+from snowthread.records.reader import Findings, merge
 from snowthread.records.retention import Retention, Segment, full, surplus
 from snowthread.records.writer import SUFFIX, Files
 
--- a/tests/records/test_recorder.py
+++ b/tests/records/test_recorder.py
@@ -14,15 +14,15 @@
 from ask import ask
 from test_program import PATIENCE_S, at, configuration, environment, site, started
 
-from clovertack.interface import Outcome
+from snowthread.admission.interface import Outcome
 from snowthread import config
 from snowthread.core import effects as fx
 from snowthread.core import events as ev
 from snowthread.core.reducer import reduce
 from snowthread.core.state import ModuleTime, State
 from snowthread.records.model import KINDS, MEANING, Record, Totals
-from snowthread.records.observe import OTHERS, TENANTS_MOST, Observer
-from snowthread.records.read import Findings, merge
+from snowthread.records.observer import OTHERS, TENANTS_MOST, Observer
+from snowthread.records.reader import Findings, merge
 
 START = 1_800_000_000_000.0
 ROOT = Path(__file__).parents[2]
--- a/tests/warm/test_ring.py
+++ b/tests/recovery/test_key_log.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from snowthread.core.keys import Unknown, key_digest
-from snowthread.warm import disk, ring
-from snowthread.warm.ring import SLOT_BYTES, Ring, Verdict, empty, judge, size
+from snowthread.core.idempotency import Unknown, key_digest
+from snowthread.recovery import storage as disk, key_log as ring
+from snowthread.recovery.key_log import SLOT_BYTES, Ring, Verdict, empty, judge, size
 
 NOW = 1_800_000_000_000.0
 
--- a/tests/warm/test_keeper.py
+++ b/tests/recovery/test_manager.py
@@ -13,10 +13,10 @@
 from snowthread.core.state import ModuleTime, State
 from snowthread.net.clock import Clock
 from snowthread.net.loop import Loop
-from snowthread.warm import disk, ring
-from snowthread.warm.keeper import Keeper
-from snowthread.warm.members import SILENT_MS, View
-from snowthread.warm.settings import ComebackSettings
+from snowthread.recovery import storage as disk, key_log as ring
+from snowthread.recovery.manager import Keeper
+from snowthread.recovery.membership import SILENT_MS, View
+from snowthread.recovery.settings import ComebackSettings
 
 EXAMPLE = Path(__file__).parent.parent.parent / "examples" / "node.json"
 
--- a/tests/warm/test_members.py
+++ b/tests/recovery/test_membership.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from snowthread.warm.members import Members, Standing
+from snowthread.recovery.membership import Members, Standing
 
 
 def test_before_any_word_all_nodes_are_taken_for_cold() -> None:
--- a/tests/warm/test_snapshot.py
+++ b/tests/recovery/test_snapshot.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from snowthread.warm import disk
-from snowthread.warm.snapshot import (
+from snowthread.recovery import storage as disk
+from snowthread.recovery.snapshot import (
     HEADER,
     PRIORS,
     Learned,
--- a/tests/fleet/test_order.py
+++ b/tests/sites/test_shedding.py
@@ -8,9 +8,9 @@
 import pytest
 
 from snowthread.config import ConfigError
-from snowthread.fleet.order import CAP, MOST, Homes, Load, Verdict, judge, places, pressure
-from snowthread.fleet.settings import SiteSettings
-from snowthread.fleet.settings import read as read_site
+from snowthread.sites.shedding import CAP, MOST, Homes, Load, Verdict, judge, places, pressure
+from snowthread.sites.settings import SiteSettings
+from snowthread.sites.settings import read as read_site
 from snowthread.operator import hcl
 
 
--- a/tests/fleet/test_sites.py
+++ b/tests/sites/test_sites.py
@@ -9,9 +9,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from snowthread.fleet.giveback import STEP, Giveback, Health
-from snowthread.fleet.members import Beat, Move, Rules, Sites, Standing
-from snowthread.fleet.spill import CAP, Taker, deal
+from snowthread.sites.recovery_ramp import STEP, Giveback, Health
+from snowthread.sites.membership import Beat, Move, Rules, Sites, Standing
+from snowthread.sites.spillover import CAP, Taker, deal
 
 RULES = Rules(every_ms=250.0, lost_after_ms=2000.0, up_after_ms=3000.0)
 WELL = Health(1.0, 0.5)
--- a/tests/stored/test_hot_restart_messages.py
+++ b/tests/stored/test_hot_restart_messages.py
@@ -16,12 +16,12 @@
 
 import msgpack
 import pytest
-from exchange import START, Player, loopback
+from support.exchange import START, Player, loopback
 
 from snowthread.core import events
-from snowthread.core.keys import Key
+from snowthread.core.idempotency import Key
 from snowthread.core.state import Side
-from snowthread.upgrade.words import ALL, HELLO, TAKES, YOURS, Word, decode, encode, unpacker
+from snowthread.hot_restart.messages import ALL, HELLO, TAKES, YOURS, Word, decode, encode, unpacker
 
 STORED = Path(__file__).parents[1] / "data" / "stored" / "hot_restart"
 PATIENCE_S = 10.0
--- a/tests/stored/test_stored_formats.py
+++ b/tests/stored/test_stored_formats.py
@@ -15,27 +15,27 @@
 
 import pytest
 
-from clovertack.interface import Outcome
+from snowthread.admission.interface import Outcome
 from snowthread import config
 from snowthread.core import events
-from snowthread.core.keys import key_digest
+from snowthread.core.idempotency import key_digest
 from snowthread.core.reducer import reduce
 from snowthread.core.state import ModuleTime, State
-from snowthread.peers.roster import report
+from snowthread.clients.registry import report
 from snowthread.records.frame import Bad, Reader, encode
 from snowthread.records.model import KINDS, Fields, Record, Totals
-from snowthread.records.observe import Observer
-from snowthread.records.read import Findings, Hole, merge
+from snowthread.records.observer import Observer
+from snowthread.records.reader import Findings, Hole, merge
 from snowthread.records.retention import Retention
 from snowthread.records.writer import Files
-from snowthread.tenants import disk as tenant_disk
+from snowthread.tenants import snapshot as tenant_disk
 from snowthread.tenants.model import Status, Tenant
-from snowthread.warm import disk as warm_disk
-from snowthread.warm import ring
-from snowthread.warm.members import Members, Standing, View
-from snowthread.warm.snapshot import Learned, Snapshot, Verdict, judge
-from snowthread.warm.snapshot import decode as decode_warm
-from snowthread.warm.snapshot import encode as encode_warm
+from snowthread.recovery import storage as warm_disk
+from snowthread.recovery import key_log as ring
+from snowthread.recovery.membership import Members, Standing, View
+from snowthread.recovery.snapshot import Learned, Snapshot, Verdict, judge
+from snowthread.recovery.snapshot import decode as decode_warm
+from snowthread.recovery.snapshot import encode as encode_warm
 
 ROOT = Path(__file__).parents[2]
 STORED = ROOT / "tests" / "data" / "stored"
--- a/tests/support/admission_host.py
+++ b/tests/support/admission_host.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass, field
 from functools import partial
 
-from clovertack.decide import Controller
-from clovertack.interface import (
+from snowthread.admission.controller import Controller
+from snowthread.admission.interface import (
     Action, Arrival, AtCall, Attach, Call, CallEnded, CallerGone, Effect, Event, Fail, LeaveNotice, Outcome,
     Preempt, Refuse, RequestClass, Run, RunDoubted, RunEnded, SetTimer, Settings, SettingsChanged, SkipCall,
     Started, TenantsChanged, TimerFired,
--- a/tests/support/admission_scenarios.py
+++ b/tests/support/admission_scenarios.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from clovertack.interface import (
+from snowthread.admission.interface import (
     Below, Effect, LeaveNotice, Preemption, RequestClass, Settings, SettingsChanged, Signal, Tenant,
     TenantsChanged,
 )
--- a/tests/support/decision_trace.py
+++ b/tests/support/decision_trace.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import assert_never
 
-from clovertack.interface import (
+from snowthread.admission.interface import (
     Action, Arrival, AtCall, Attach, Call, CallEnded, CallerGone, CloseIdle, Event, Fail, ForgetKey, KeepKey,
     LeaveNotice, Preempt, Publish, Refuse, Report, Run, RunDoubted, RunEnded, SetHealth, SetTimer,
     SettingsChanged, SkipCall, Started, TenantsChanged, TimerFired,
--- a/tests/world.py
+++ b/tests/support/directory_world.py
@@ -11,13 +11,13 @@
 from snowthread.net.clock import SetClock
 from snowthread.net.loop import Loop
 from snowthread.operator import hcl
-from snowthread.tenants.follow import Follower
+from snowthread.tenants.replication import Follower
 from snowthread.tenants.settings import TenantSettings
-from snowthread.tenants.tenancy import News, Tenancy
-from standins.directory import Directory, Habits
+from snowthread.tenants.state import News, Tenancy
+from emulators.directory import Directory, Habits
 
 START = 1_800_000_000_000.0
-EXAMPLE = Path(__file__).parent.parent / "examples" / "node.json"
+EXAMPLE = Path(__file__).parents[2] / "examples" / "node.json"
 
 
 def settings(servers: list[str], more: str = "", folder: Path | None = None) -> TenantSettings:
--- a/tests/exchange.py
+++ b/tests/support/exchange.py
@@ -34,7 +34,7 @@
 from snowthread.node import Node
 
 START = 1764576000000.0
-EXAMPLE = Path(__file__).parent.parent / "examples" / "node.json"
+EXAMPLE = Path(__file__).parents[2] / "examples" / "node.json"
 PATIENCE_S = 10.0  # until a step that does not come counts as failed
 
 
--- a/tests/playing.py
+++ b/tests/support/playing.py
@@ -8,9 +8,9 @@
 from typing import Any
 
 import msgpack
-from exchange import EXAMPLE, START, Player
+from support.exchange import EXAMPLE, START, Player
 
-from snowthread.fronts.balancers.codec import FAREWELL
+from snowthread.frontends.balancers.codec import FAREWELL
 
 
 def settings(**domain: Any) -> dict[str, Any]:
--- a/tests/tenants/test_disk.py
+++ b/tests/tenants/test_disk.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from snowthread.tenants import disk
+from snowthread.tenants import snapshot as disk
 from snowthread.tenants.model import Status, Tenant
 
 NETWORKS = ip_network("10.0.0.0/8"), ip_network("2001:db8::/32")
--- a/tests/tenants/test_follow.py
+++ b/tests/tenants/test_follow.py
@@ -9,14 +9,14 @@
 from random import Random
 
 import pytest
-from world import World, settings
+from support.directory_world import World, settings
 
 from snowthread.ldap.health import Circuit
-from snowthread.tenants.follow import Follower
-from snowthread.tenants.ladder import Stage
+from snowthread.tenants.replication import Follower
+from snowthread.tenants.staleness import Stage
 from snowthread.tenants.sync import Mode, State
-from snowthread.tenants.tenancy import Tenancy
-from standins.directory import Habits
+from snowthread.tenants.state import Tenancy
+from emulators.directory import Habits
 
 ALL = {f"t{n}" for n in range(10)}
 QUICK = 'operation = "2s"\n probe = "1s"\n poll = "5s"\n'
--- a/tests/tenants/test_guard.py
+++ b/tests/tenants/test_guard.py
@@ -5,12 +5,12 @@
 from dataclasses import replace
 from ipaddress import ip_network
 
-from snowthread.tenants.guard import RemovalGuard, RemovalRules
-from snowthread.tenants.ladder import Ladder, LadderRules, Stage
+from snowthread.tenants.removal_guard import RemovalGuard, RemovalRules
+from snowthread.tenants.staleness import Ladder, LadderRules, Stage
 from snowthread.tenants.model import DEFAULT_ID, Status, Tenant
 from snowthread.tenants.sync import Changed, Refreshed
-from snowthread.tenants.tenancy import Rules, Tenancy
-from snowthread.tenants.unknown import UnknownRules, Unknowns, question
+from snowthread.tenants.state import Rules, Tenancy
+from snowthread.tenants.unknown_clients import UnknownRules, Unknowns, question
 
 RULES = RemovalRules(share=0.1, least=2, confirm_after_ms=60_000.0)
 
--- a/tests/tenants/test_states.py
+++ b/tests/tenants/test_states.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from clovertack.interface import Outcome, Tenant
+from snowthread.admission.interface import Outcome, Tenant
 from snowthread import config
 from snowthread.core import effects as fx
 from snowthread.core import events as ev
--- a/tests/tenants/test_whole.py
+++ b/tests/tenants/test_whole.py
@@ -16,7 +16,7 @@
 
 import pytest
 from ask import ask
-from exchange import address, loopback
+from support.exchange import address, loopback
 from test_program import PATIENCE_S, ROOT, at, configuration, environment, site, started
 
 REFUSED = "Throttled"
@@ -50,7 +50,7 @@
 
     def begin(self) -> None:
         self.directory = self.stack.enter_context(started(
-            "-m", "standins.directory", self.where, env=environment(self.config), stdin=subprocess.PIPE))
+            "-m", "emulators.directory", self.where, env=environment(self.config), stdin=subprocess.PIPE))
         assert self.directory.stdout is not None
         assert "5 tenants" in self.directory.stdout.readline()
 
@@ -213,9 +213,10 @@
 def test_a_bare_start_loads_nothing_of_it() -> None:
     code = """
 import sys, snowthread.serve
-tops = {"click", "hcl2", "lark", "asn1tools", "pytricia", "standins"}
+tops = {"click", "hcl2", "lark", "asn1tools", "pytricia", "emulators"}
 ours = ("snowthread.ldap", "snowthread.tenants", "snowthread.operator", "snowthread.cli")
-print([m for m in sys.modules if m.split(".")[0] in tops or m.startswith(ours)])
+print([m for m in sys.modules
+       if m.split(".")[0] in tops or any(m == our or m.startswith(our + ".") for our in ours)])
 """
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, text=True, capture_output=True,
                           env=os.environ | {"PYTHONPATH": str(ROOT)}, timeout=PATIENCE_S)
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 import pytest
-from exchange import Player
+from support.exchange import Player
 
 from snowthread.address import Address
 from snowthread.reload import reload
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -16,7 +16,7 @@
 from typing import Any
 
 import pytest
-from exchange import EXAMPLE, address, loopback
+from support.exchange import EXAMPLE, address, loopback
 
 ROOT = Path(__file__).parent.parent
 sys.path.insert(0, str(ROOT / "examples"))
@@ -249,7 +249,8 @@
 
 def test_a_bare_start_loads_nothing_of_the_features() -> None:
     code = ("import sys, snowthread.serve; "
-            "print([m for m in sys.modules if m.startswith(('snowthread.warm', 'snowthread.lab', "
-            "'snowthread.records', 'snowthread.operator', 'clovertack.comeback', 'click'))])")
+            "print([m for m in sys.modules if m.startswith(('snowthread.recovery', 'snowthread.lab', "
+            "'snowthread.records', 'snowthread.operator', "
+            "'snowthread.admission.recovery_pacing', 'click'))])")
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
