--- a/benchmarks/hot_restart.py
+++ b/benchmarks/hot_restart.py
@@ -28,8 +28,8 @@
 from benchmarks.rig import ROOT, SERVED, Load, broken_rules, free_address
 from snowthread.address import Address
 from snowthread.net.clock import Clock
-from snowthread.net.loop import Loop, Steps, Wait
-from emulators.site import Runtime, Script, Site
+from snowthread.net.loop import EventLoop, TaskSteps, Wait
+from emulators.site import RuntimeEmulator, SiteScript, SiteEmulator
 
 CORES, RUN_MS, USE = 8, 100.0, 0.7
 MIX = {"match": 0.5, "recalc": 0.3, "dispense": 0.2}
@@ -41,7 +41,7 @@
     """One stretch of load on one node, whichever process it is."""
 
     def __init__(self, folder: Path, seed: int, seconds: float, replace_at: list[float]) -> None:
-        self.loop, self.folder, self.rng = Loop(Clock()), folder, random.Random(seed)
+        self.loop, self.folder, self.rng = EventLoop(Clock()), folder, random.Random(seed)
         self.seconds, self.replace_at = seconds, replace_at
         self.started: list[str] = []
         self.offs = 0
@@ -53,9 +53,9 @@
         self.fields |= {"roster": free_address(socket.SOCK_DGRAM),
                         "listen": "{}:{}".format(*self.door.getsockname())}
         self.fields["settings"]["domain"]["cores"] = CORES
-        script = Script(other_ms=RUN_MS, cores=CORES, tell=self._tell)
+        script = SiteScript(other_ms=RUN_MS, cores=CORES, tell=self._tell)
         self.script = script
-        Site(self.loop, self.fields, script)
+        SiteEmulator(self.loop, self.fields, script)
         self.processes = [self._start(self.fields["runtime"])]
 
     def _tell(self, line: str) -> None:
@@ -74,7 +74,7 @@
                                     "TMPDIR": str(self.folder), "PYTHONPATH": str(ROOT)})
         return made, admin
 
-    def _ready(self, admin: str) -> Steps:
+    def _ready(self, admin: str) -> TaskSteps:
         """Ask until it says yes. The call blocks this loop for a millisecond at most: it is on loopback."""
         address = Address.parse(admin)
         while True:
@@ -89,9 +89,9 @@
                 connection.close()
             yield Wait(until=self.loop.clock.now() + 20.0)
 
-    def _replace(self) -> Steps:
+    def _replace(self) -> TaskSteps:
         runtime = free_address()
-        Runtime(self.loop, Address.parse(runtime), self.script)
+        RuntimeEmulator(self.loop, Address.parse(runtime), self.script)
         (old, _), began = self.processes[-1], self.loop.clock.now()
         new, admin = self._start(runtime)
         self.processes.append((new, admin))
@@ -111,7 +111,7 @@
         """Load, with the replacements at their times; what came of it."""
         first = self.loop.spawn(self._ready(self.processes[0][1]))
         while first.steps is not None:
-            self.loop.round(0.02)
+            self.loop.run_once(0.02)
         load = Load(self.fields["listen"], [f"127.0.0.{n}" for n in range(2, 10)], WAIT_MS, self.loop)
         begin, at = self.loop.clock.now(), 0.0
         while at < self.seconds * 1000.0:
--- a/benchmarks/tenants.py
+++ b/benchmarks/tenants.py
@@ -27,18 +27,18 @@
 
 from benchmarks import rig
 from snowthread import config
-from snowthread.core import events as ev
+from snowthread.core import events
 from snowthread.ldap import filters
 from snowthread.ldap import messages as m
 from snowthread.ldap.session import Session
 from snowthread.net.clock import Clock
-from snowthread.net.loop import Loop
+from snowthread.net.loop import EventLoop
 from snowthread.operator.features import Features
-from snowthread.tenants.replication import Follower
-from snowthread.tenants.identification import Gate
+from snowthread.tenants.replication import DirectoryReplicator
+from snowthread.tenants.identification import TenantIdentification
 from snowthread.tenants.model import Tenant
 from snowthread.tenants.table import TenantTable
-from snowthread.tenants.state import Tenancy
+from snowthread.tenants.state import TenantState
 from emulators import directory as other
 
 BEFORE = "1037c89"  # the last version without tenants from a directory
@@ -121,7 +121,7 @@
             while load.loop.clock.now() < began + 5_000.0:
                 asked = load.ask("127.0.4.9")
                 while not asked.answers and load.loop.clock.now() < asked.at + 1000.0:
-                    load.loop.round(0.001)
+                    load.loop.run_once(0.001)
                 if asked.answers and asked.answers[0][1] == rig.REFUSED:
                     took.append(asked.at - began)
                     break
@@ -169,7 +169,7 @@
 
 def full_sync(tenants: int, networks: int) -> dict[str, float]:
     """A whole refresh of so many from a directory in another process, and how long the loop stood still."""
-    loop = Loop(Clock())
+    loop = EventLoop(Clock())
     where = rig.free_address()
     with ExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
@@ -178,12 +178,12 @@
         node = config.load({"NODE_CONFIG": str(rig.ROOT / "examples" / "node.json")})
         made = Features.load(operator_file(folder, where), node).tenants
         assert made is not None
-        tenancy = Tenancy(made.rules)
-        Follower(loop, made, tenancy, random.Random(1), lambda news: None)
+        tenancy = TenantState(made.rules)
+        DirectoryReplicator(loop, made, tenancy, random.Random(1), lambda news: None)
         began, cpu, turns = time.perf_counter(), time.process_time(), list[float]()
         while not tenancy.counts["refreshes"] or not len(tenancy.table):
             turn = time.process_time()
-            loop.round(0.01)
+            loop.run_once(0.01)
             turns.append((time.process_time() - turn) * 1e3)
             if time.perf_counter() - began > 90.0:
                 break
@@ -198,16 +198,16 @@
     with tempfile.TemporaryDirectory() as folder:
         made = Features.load(operator_file(Path(folder), "127.0.0.1:1"), node).tenants
     assert made is not None
-    passed: list[ev.Message] = []
-    gate = Gate(Loop(Clock()), made, 1, passed.append)
-    gate.tenancy.table.apply(many(1_000, 10_000))
+    passed: list[events.Event] = []
+    gate = TenantIdentification(EventLoop(Clock()), made, 1, passed.append)
+    gate.tenants.table.apply(many(1_000, 10_000))
     addresses = [f"10.{rng.randrange(10)}.{rng.randrange(256)}.1" for _ in range(500)]
     gate._origin = lambda place: addresses[place]
-    messages = [ev.RequestRead((n % 500, n), "0" * 16, "match", b"grey", 1.0, 1.0, 3, 20.0, 0.5)
+    messages = [events.RequestReceived((n % 500, n), "0" * 16, "match", b"grey", 1.0, 1.0, 3, 20.0, 0.5)
                 for n in range(looks)]
     began = time.perf_counter()
     for message in messages:
-        gate.read(message)
+        gate.handle(message)
     with_it = time.perf_counter() - began
     began = time.perf_counter()
     for message in messages:
--- a/benchmarks/timeline.py
+++ b/benchmarks/timeline.py
@@ -26,7 +26,7 @@
 from snowthread.incident.episodes import CAUSES, Episode
 from snowthread.incident.report import Report
 from snowthread.incident.series import build
-from snowthread.incident.timeline import before, tell
+from snowthread.incident.timeline import before, build_timeline
 from snowthread.records.frame import encode
 from snowthread.records.writer import SUFFIX
 from emulators.recorded_incidents import BEGIN, Day, Trouble, draw, play
@@ -39,7 +39,9 @@
         for record in records:
             clocks.take(record)
         clocks.fit()
-    return [s.episode for s in tell(build(records, clocks), clocks).sentences if s.kind in CAUSES], clocks
+    return [
+        s.episode for s in build_timeline(build(records, clocks), clocks).sentences if s.kind in CAUSES
+    ], clocks
 
 
 def score(seeds: range, fitted: bool) -> dict[str, float]:
--- a/emulators/balancers.py
+++ b/emulators/balancers.py
@@ -26,7 +26,7 @@
 
 from snowthread.address import Address
 from snowthread.net.clock import Clock
-from snowthread.net.loop import IN, Loop, Steps, Wait
+from snowthread.net.loop import READABLE, EventLoop, TaskSteps, Wait
 from emulators.load_generator import BROKEN_OFF, REFUSED, SERVED, Asked, Load
 from emulators.stdin_commands import listen_to
 from emulators.machine import WITHOUT
@@ -57,7 +57,7 @@
 class Balancers:
     """Plays the traffic and keeps the accounts."""
 
-    def __init__(self, loop: Loop, plan: dict[str, Any]) -> None:
+    def __init__(self, loop: EventLoop, plan: dict[str, Any]) -> None:
         self.loop, self.plan = loop, plan
         self.draw = random.Random(plan["seed"])
         host = plan["sources"]
@@ -84,11 +84,11 @@
         load.heard = partial(self.heard, name)
         return load
 
-    def _lists(self, roster: Address) -> Steps:
+    def _lists(self, roster: Address) -> TaskSteps:
         while True:
             try:
                 self._sock.sendto(b"LIST", roster)
-                yield Wait(self._sock.fileno(), IN, self.loop.clock.now() + LIST_MS)
+                yield Wait(self._sock.fileno(), READABLE, self.loop.clock.now() + LIST_MS)
                 names = self._sock.recv(65536).decode().split()[1:]
                 if names:  # with an empty list there is nobody better to ask than those known
                     self.listed = [name for name in names if name in self.loads]
@@ -258,7 +258,7 @@
 
 
 def main(path: str) -> None:
-    loop = Loop(Clock())
+    loop = EventLoop(Clock())
     balancers = Balancers(loop, json.loads(Path(path).read_text()))
     print("balancers: ready", flush=True)
 
--- a/emulators/directory.py
+++ b/emulators/directory.py
@@ -19,7 +19,7 @@
 import asn1
 
 from snowthread.address import Address
-from snowthread.net.loop import BROKEN, IN, OUT, Loop, Steps, Task, Wait
+from snowthread.net.loop import HANGUP, READABLE, WRITABLE, EventLoop, TaskSteps, Task, Wait
 
 UNIVERSAL, APPLICATION, CONTEXT = (asn1.Classes.Universal, asn1.Classes.Application, asn1.Classes.Context)
 INTEGER, BOOLEAN, OCTETS, ENUM, SEQ, SET = 2, 1, 4, 10, 16, 17
@@ -185,7 +185,7 @@
 class Directory:
     """The contents and all connections."""
 
-    def __init__(self, loop: Loop, address: Address, base: str = "ou=tenants,dc=example",
+    def __init__(self, loop: EventLoop, address: Address, base: str = "ou=tenants,dc=example",
                  habits: Habits | None = None) -> None:
         self.loop, self.base, self.habits, self.faults = loop, base, habits or Habits(), Faults()
         self.items: dict[str, Item] = {}
@@ -209,10 +209,10 @@
 
     def close(self) -> None:
         """Stop listening and drop all connections."""
-        self.loop.end(self._task)
+        self.loop.end_task(self._task)
         self._listener.close()
         for peer in list(self.peers):
-            self.loop.end(peer.task)
+            self.loop.end_task(peer.task)
 
     # Contents.
 
@@ -277,9 +277,9 @@
         """What is known now."""
         return f"n={self.number}".encode()
 
-    def _accept(self) -> Steps:
+    def _accept(self) -> TaskSteps:
         while True:
-            yield Wait(self._listener.fileno(), IN)
+            yield Wait(self._listener.fileno(), READABLE)
             sock, _ = self._listener.accept()
             if self.faults.refuse:
                 sock.close()
@@ -359,7 +359,7 @@
 
     # Receiving.
 
-    def _steps(self) -> Steps:
+    def _steps(self) -> TaskSteps:
         loop, directory = self.directory.loop, self.directory
         try:
             if directory.habits.ldaps:
@@ -370,10 +370,10 @@
                 faults = directory.faults
                 blocked = faults.stall or not self._out or (
                     faults.stall_at is not None and self._sent >= faults.stall_at)
-                mask = (0 if faults.stall else IN) | (0 if blocked or faults.drip_ms else OUT)
+                mask = (0 if faults.stall else READABLE) | (0 if blocked or faults.drip_ms else WRITABLE)
                 until = loop.clock.now() + (faults.drip_ms if faults.drip_ms and self._out else 1e12)
                 got = yield Wait(self.sock.fileno(), mask, until)
-                if got & (IN | BROKEN) and not faults.stall:
+                if got & (READABLE | HANGUP) and not faults.stall:
                     data = self.sock.recv(65536)
                     if not data:
                         return
@@ -401,7 +401,7 @@
             if done:
                 self._tls = tls
                 return
-            got = yield Wait(self.sock.fileno(), IN)
+            got = yield Wait(self.sock.fileno(), READABLE)
             if got:
                 data = self.sock.recv(65536)
                 if not data:
@@ -552,7 +552,7 @@
 
     from snowthread.net.clock import Clock
 
-    loop = Loop(Clock())
+    loop = EventLoop(Clock())
     directory = Directory(loop, Address.parse(sys.argv[1] if len(sys.argv) > 1 else "127.0.0.1:3389"))
     count, each = (int(word) for word in [*sys.argv[2:], "0", "0"][:2])
     for n in range(count):
@@ -562,9 +562,9 @@
         directory.put(name, snowthreadNetwork=[f"127.0.{n}.0/24"], snowthreadQuota=20 + 10 * n)
     print(f"directory: ldap://{directory.address} with {len(directory.items)} tenants; type help", flush=True)
 
-    def typed() -> Steps:
+    def typed() -> TaskSteps:
         while True:
-            yield Wait(sys.stdin.fileno(), IN)
+            yield Wait(sys.stdin.fileno(), READABLE)
             line = sys.stdin.readline()
             if not line:
                 return
--- a/emulators/fleet_services.py
+++ b/emulators/fleet_services.py
@@ -28,10 +28,10 @@
 
 from snowthread.address import Address
 from snowthread.net.clock import Clock
-from snowthread.net.loop import IN, Loop, Steps, Wait
+from snowthread.net.loop import READABLE, EventLoop, TaskSteps, Wait
 from emulators.stdin_commands import listen_to
-from emulators.machine import Machine, Warmth
-from emulators.site import Script, accept, listen
+from emulators.machine import Machine, WarmupModel
+from emulators.site import SiteScript, accept, listen
 
 WAITING_MAX = 10_000  # calls that wait for the database at the most; more are answered 503 at once
 THRASH, THRASH_MOST = 0.5, 4.0  # longer by so much for each ``slots`` that wait; times as long at the most
@@ -41,7 +41,7 @@
 class Database:
     """The shared formula database: HTTP/1.1 on loopback, a call a request, slower under a crowd."""
 
-    def __init__(self, loop: Loop, address: Address, call_ms: float, slots: int) -> None:
+    def __init__(self, loop: EventLoop, address: Address, call_ms: float, slots: int) -> None:
         self.loop, self.call_ms, self.slots, self.factor = loop, call_ms, slots, 1.0
         self.by_second: Counter[int] = Counter()  # calls that came
         self.done_by_second: Counter[int] = Counter()
@@ -50,10 +50,10 @@
         self.waiting: deque[socket.socket] = deque()
         loop.spawn(accept(loop, listen(address), self._serve))
 
-    def _serve(self, peer: socket.socket) -> Steps:
+    def _serve(self, peer: socket.socket) -> TaskSteps:
         try:
             while True:
-                yield Wait(peer.fileno(), IN)
+                yield Wait(peer.fileno(), READABLE)
                 data = peer.recv(65536)
                 if not data:
                     return
@@ -90,12 +90,12 @@
         self._next()
 
 
-class FleetRoster:
+class FleetRegistry:
     """Who is there. ``HERE name on|off`` is a report; with two words more, an incarnation and
     ``cold|warm``, it is answered ``FLEET generation listed cold highest-incarnation``. ``LIST`` is
     answered with the names on."""
 
-    def __init__(self, loop: Loop, address: Address) -> None:
+    def __init__(self, loop: EventLoop, address: Address) -> None:
         self.loop, self.generation = loop, 1
         self.nodes: dict[str, tuple[float, bool, bool]] = {}  # when, listed, cold
         self.lives: dict[str, int] = {}
@@ -109,9 +109,9 @@
         now = self.loop.clock.now()
         return {name: cold for name, (at, on, cold) in self.nodes.items() if on and now - at < LAPSES_MS}
 
-    def _steps(self) -> Steps:
+    def _steps(self) -> TaskSteps:
         while True:
-            yield Wait(self._sock.fileno(), IN)
+            yield Wait(self._sock.fileno(), READABLE)
             data, sender = self._sock.recvfrom(1024)
             words = data.decode(errors="replace").split()
             reply = ""
@@ -148,12 +148,12 @@
 
 def main(path: str) -> None:
     plan: dict[str, Any] = json.loads(Path(path).read_text())
-    loop, draw = Loop(Clock()), random.Random(plan["seed"])
-    script = Script(run_ms=plan["run_ms"], cores=int(plan["cores"]), calls=frozenset(plan["calls"]))
-    machines = [Machine(loop, Address.parse(where), script, Warmth(**plan["warmth"]),
+    loop, draw = EventLoop(Clock()), random.Random(plan["seed"])
+    script = SiteScript(run_ms=plan["run_ms"], cores=int(plan["cores"]), calls=frozenset(plan["calls"]))
+    machines = [Machine(loop, Address.parse(where), script, WarmupModel(**plan["warmth"]),
                         random.Random(draw.getrandbits(32))) for where in plan["runtimes"]]
     database = Database(loop, Address.parse(plan["database"]), float(plan["call_ms"]), int(plan["slots"]))
-    roster = FleetRoster(loop, Address.parse(plan["roster"]))
+    roster = FleetRegistry(loop, Address.parse(plan["roster"]))
     warmth: dict[int, float] = {}  # of the machines in the mean, by second
 
     def sample() -> None:
--- a/emulators/load_generator.py
+++ b/emulators/load_generator.py
@@ -13,7 +13,7 @@
 import msgpack
 
 from snowthread.net.clock import Clock
-from snowthread.net.loop import BROKEN, IN, OUT, Loop, Steps, Wait
+from snowthread.net.loop import HANGUP, READABLE, WRITABLE, EventLoop, TaskSteps, Wait
 
 SERVED, REFUSED, FAILED = "served", "Throttled", "Failed"
 BROKEN_OFF = "broken"  # the connection ended before an answer
@@ -33,9 +33,15 @@
 class Load:
     """Open-loop requests from several addresses; each is counted by itself."""
 
-    def __init__(self, address: str, sources: list[str], wait_ms: float = 3000.0, loop: Loop | None = None,
-                 caller: int = 0) -> None:
-        self.loop, self.wait_ms, self.caller = loop or Loop(Clock()), wait_ms, caller
+    def __init__(
+        self,
+        address: str,
+        sources: list[str],
+        wait_ms: float = 3000.0,
+        loop: EventLoop | None = None,
+        caller: int = 0,
+    ) -> None:
+        self.loop, self.wait_ms, self.caller = loop or EventLoop(Clock()), wait_ms, caller
         self.paused = False  # what is due goes to one of the others meanwhile
         self.keyed_bodies = False  # a keyed request's body names its key, so a ledger can count its runs
         # Told of each answer with its whole message, and of each request whose connection broke
@@ -92,7 +98,7 @@
     def run_until(self, at: float) -> None:
         """Let the loop run to this time."""
         while self.loop.clock.now() < at:
-            self.loop.round(min(0.05, max(0.0, (at - self.loop.clock.now()) / 1000.0)))
+            self.loop.run_once(min(0.05, max(0.0, (at - self.loop.clock.now()) / 1000.0)))
 
     def close(self) -> None:
         """Close all connections."""
@@ -133,12 +139,12 @@
         self._sock, self._number, self._open = sock, 0, {}
         self._load.loop.spawn(self._read(sock, self._open))
 
-    def _read(self, sock: socket.socket, waiting: dict[int, Asked]) -> Steps:
+    def _read(self, sock: socket.socket, waiting: dict[int, Asked]) -> TaskSteps:
         unpacker = msgpack.Unpacker()
         try:
             while True:
-                got = yield Wait(sock.fileno(), IN)
-                if got & (IN | BROKEN | OUT):
+                got = yield Wait(sock.fileno(), READABLE)
+                if got & (READABLE | HANGUP | WRITABLE):
                     data = sock.recv(65536)
                     if not data:
                         return
--- a/emulators/machine.py
+++ b/emulators/machine.py
@@ -16,15 +16,15 @@
 from typing import Any
 
 from snowthread.address import Address
-from snowthread.net.loop import Loop
-from emulators.site import Runtime, Script
+from snowthread.net.loop import EventLoop
+from emulators.site import RuntimeEmulator, SiteScript
 
 CROWD_MS, SAMPLE_MS = 2000.0, 100.0
 KNOWN, WITHOUT = b" known", b" without"  # what a result ends with: made with its calls, or a call left out
 
 
 @dataclass(frozen=True, slots=True)
-class Warmth:
+class WarmupModel:
     """How a machine gets warm."""
 
     cold_share: float = 0.23
@@ -35,10 +35,10 @@
     over_ms: Mapping[str, float] = field(default_factory=dict)  # by class: a request is over after so long
 
 
-class Machine(Runtime):
+class Machine(RuntimeEmulator):
     """One node's runtime in the lab; ``restart`` is a power cycle of the machine."""
 
-    def __init__(self, loop: Loop, address: Address, script: Script, warmth: Warmth,
+    def __init__(self, loop: EventLoop, address: Address, script: SiteScript, warmth: WarmupModel,
                  draw: random.Random) -> None:
         self.warmth, self.draw = warmth, draw
         self.replies = warmth.warm_replies  # the fleet has been at work for long when a play begins
--- a/emulators/site.py
+++ b/emulators/site.py
@@ -15,11 +15,11 @@
 from typing import Any
 
 from snowthread.address import Address
-from snowthread.net.loop import IN, Loop, Steps, Wait
+from snowthread.net.loop import READABLE, EventLoop, TaskSteps, Wait
 
 
 @dataclass(slots=True)
-class Script:
+class SiteScript:
     """What the site does; may be changed while it plays."""
 
     run_ms: Mapping[str, float] = field(default_factory=dict)  # by class, of core time
@@ -40,19 +40,21 @@
     return sock
 
 
-def accept(loop: Loop, listener: socket.socket, serve: Callable[[socket.socket], Steps]) -> Steps:
+def accept(
+    loop: EventLoop, listener: socket.socket, serve: Callable[[socket.socket], TaskSteps]
+) -> TaskSteps:
     """Serve each connection with a coroutine of its own."""
     while True:
-        yield Wait(listener.fileno(), IN)
+        yield Wait(listener.fileno(), READABLE)
         peer, _ = listener.accept()
         peer.setblocking(False)
         loop.spawn(serve(peer))
 
 
-class Runtime:
+class RuntimeEmulator:
     """Does the work of one node. The result is the body in capitals, or what the index said."""
 
-    def __init__(self, loop: Loop, address: Address, script: Script) -> None:
+    def __init__(self, loop: EventLoop, address: Address, script: SiteScript) -> None:
         self.loop, self.script = loop, script
         self.runs: Counter[bytes] = Counter()  # begun, by body: the ledger
         self._notices = list[dict[str, Any]]()
@@ -65,11 +67,11 @@
         self._life, self._born = 1, 0.0  # power cycles, and when the last was (0: long before)
         loop.spawn(accept(loop, listen(address), self._serve))
 
-    def _serve(self, peer: socket.socket) -> Steps:
+    def _serve(self, peer: socket.socket) -> TaskSteps:
         rest = b""
         try:
             while True:
-                yield Wait(peer.fileno(), IN)
+                yield Wait(peer.fileno(), READABLE)
                 try:
                     data = peer.recv(65536)
                 except BlockingIOError:
@@ -181,17 +183,17 @@
                 self._peer = None  # the next link hears of it
 
 
-class Index:
+class DatabaseEmulator:
     """Answers every call; whole calls come in one piece on loopback."""
 
-    def __init__(self, loop: Loop, address: Address, script: Script) -> None:
+    def __init__(self, loop: EventLoop, address: Address, script: SiteScript) -> None:
         self.loop, self.script = loop, script
         loop.spawn(accept(loop, listen(address), self._serve))
 
-    def _serve(self, peer: socket.socket) -> Steps:
+    def _serve(self, peer: socket.socket) -> TaskSteps:
         try:
             while True:
-                yield Wait(peer.fileno(), IN)
+                yield Wait(peer.fileno(), READABLE)
                 data = peer.recv(65536)
                 if not data:
                     return
@@ -207,33 +209,33 @@
             self.loop.close(peer)
 
 
-class Roster:
+class RegistryEmulator:
     """Takes reports and tells what changes."""
 
-    def __init__(self, loop: Loop, address: Address, script: Script) -> None:
+    def __init__(self, loop: EventLoop, address: Address, script: SiteScript) -> None:
         self._script = script
         self._sock = address.open(socket.SOCK_DGRAM)
         self._sock.bind(address)
         loop.spawn(self._steps())
 
-    def _steps(self) -> Steps:
+    def _steps(self) -> TaskSteps:
         last = b""
         while True:
-            yield Wait(self._sock.fileno(), IN)
+            yield Wait(self._sock.fileno(), READABLE)
             word = self._sock.recv(1024)
             if word != last:
                 self._script.tell(f"roster: {word.decode(errors='replace')}")
             last = word
 
 
-class Site:
+class SiteEmulator:
     """All three, at the addresses of a node's configuration."""
 
-    def __init__(self, loop: Loop, fields: Mapping[str, Any], script: Script) -> None:
+    def __init__(self, loop: EventLoop, fields: Mapping[str, Any], script: SiteScript) -> None:
         self.script = script
-        self.runtime = Runtime(loop, Address.parse(fields["runtime"]), script)
-        self.index = Index(loop, Address.parse(fields["index"]), script)
-        self.roster = Roster(loop, Address.parse(fields["roster"]), script)
+        self.runtime = RuntimeEmulator(loop, Address.parse(fields["runtime"]), script)
+        self.database = DatabaseEmulator(loop, Address.parse(fields["index"]), script)
+        self.registry = RegistryEmulator(loop, Address.parse(fields["roster"]), script)
 
 
 def main() -> None:
@@ -244,15 +246,15 @@
 
     from snowthread.net.clock import Clock
 
-    loop = Loop(Clock())
+    loop = EventLoop(Clock())
     cores, run_ms = (int(sys.argv[2]) if len(sys.argv) > 2 else 64), float((sys.argv + ["200"] * 4)[3])
-    script = Script(other_ms=run_ms, cores=cores)
-    Site(loop, json.loads(Path(sys.argv[1]).read_text()), script)
+    script = SiteScript(other_ms=run_ms, cores=cores)
+    SiteEmulator(loop, json.loads(Path(sys.argv[1]).read_text()), script)
     print("site: ready", flush=True)
 
-    def told() -> Steps:
+    def told() -> TaskSteps:
         while True:
-            yield Wait(sys.stdin.fileno(), IN)
+            yield Wait(sys.stdin.fileno(), READABLE)
             line = sys.stdin.readline()
             if not line:
                 loop.stop()
--- a/emulators/stdin_commands.py
+++ b/emulators/stdin_commands.py
@@ -8,19 +8,19 @@
 
 from loguru import logger
 
-from snowthread.net.loop import IN, Loop, Steps, Wait
+from snowthread.net.loop import READABLE, EventLoop, TaskSteps, Wait
 
 
-def listen_to(loop: Loop, take: Callable[[str, str], None]) -> None:
+def listen_to(loop: EventLoop, take: Callable[[str, str], None]) -> None:
     """Call ``take(word, rest)`` for each line that comes. Read raw: several lines may come at once, and
     what a buffered reader holds back no epoll ever tells of."""
     fd = sys.stdin.fileno()
     os.set_blocking(fd, False)
 
-    def steps() -> Steps:
+    def steps() -> TaskSteps:
         rest = b""
         while True:
-            yield Wait(fd, IN)
+            yield Wait(fd, READABLE)
             data = os.read(fd, 65536)
             if not data:
                 os._exit(0)  # nothing to put away: who started it has ended the play
--- a/examples/toy_site.py
+++ b/examples/toy_site.py
@@ -14,14 +14,16 @@
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 from snowthread.net.clock import Clock
-from snowthread.net.loop import Loop
-from emulators.site import Script, Site
+from snowthread.net.loop import EventLoop
+from emulators.site import SiteScript, SiteEmulator
 
 
 def main(path: str) -> None:
     """Play all three until stopped."""
-    loop = Loop(Clock())
-    Site(loop, json.loads(Path(path).read_text()), Script(tell=lambda line: print(line, flush=True)))
+    loop = EventLoop(Clock())
+    SiteEmulator(
+        loop, json.loads(Path(path).read_text()), SiteScript(tell=lambda line: print(line, flush=True))
+    )
     print("toy site: ready", flush=True)
     loop.run()
 
--- a/snowthread/admission/recovery_pacing.py
+++ b/snowthread/admission/recovery_pacing.py
@@ -50,46 +50,48 @@
 
 
 @dataclass(slots=True)
-class Ramp:
+class SlowStart:
     """How many runs a cold node lets in at a time."""
 
-    ceiling: float  # the run limit the node would have warm
-    start: float = 1.0
-    cut: float = 0.5
+    max_window: float  # the run limit the node would have warm
+    min_window: float = 1.0
+    backoff_factor: float = 0.5
     settle_ms: float = 2000.0
     window: float = 0.0
     ssthresh: float = math.inf
     at_ceiling_since: float | None = None
-    full: bool = False
-    hold: bool = False  # not full yet, whatever the window: the machine is known to be cold still
-    losses: int = 0
+    complete: bool = False
+    held_open: bool = False  # not full yet, whatever the window: the machine is known to be cold still
+    loss_count: int = 0
 
     def __post_init__(self) -> None:
-        if not 0 < self.cut < 1 or self.start < 1 or self.ceiling < self.start:
-            raise ValueError(f"a ramp of start {self.start}, ceiling {self.ceiling}, cut {self.cut}")
-        self.window = max(self.window, self.start)
+        if not 0 < self.backoff_factor < 1 or self.min_window < 1 or self.max_window < self.min_window:
+            raise ValueError(
+                f"a ramp of start {self.min_window}, ceiling {self.max_window}, cut {self.backoff_factor}"
+            )
+        self.window = max(self.window, self.min_window)
 
     def admits(self, in_flight: int) -> bool:
         """Whether one more run may start now, with ``in_flight`` going on."""
-        return self.full or in_flight < math.floor(self.window)
+        return self.complete or in_flight < math.floor(self.window)
 
     def success(self, now_ms: float) -> None:
         """A run ended within its goal time."""
-        if self.full:
+        if self.complete:
             return
         step = 1.0 if self.window < self.ssthresh else 1.0 / self.window
-        self.window = min(self.ceiling, self.window + step)
-        if self.window >= self.ceiling:
+        self.window = min(self.max_window, self.window + step)
+        if self.window >= self.max_window:
             if self.at_ceiling_since is None:
                 self.at_ceiling_since = now_ms
-            elif now_ms - self.at_ceiling_since >= self.settle_ms and not self.hold:
-                self.full = True
+            elif now_ms - self.at_ceiling_since >= self.settle_ms and not self.held_open:
+                self.complete = True
 
     def loss(self, now_ms: float) -> None:
         """The runtime refused, or a run was late or timed out: too much was let in."""
-        self.losses += 1
-        self.full = False
-        self.window = max(self.start, self.window * self.cut)
+        self.loss_count += 1
+        self.complete = False
+        self.window = max(self.min_window, self.window * self.backoff_factor)
         self.ssthresh = self.window
         self.at_ceiling_since = None
 
@@ -100,30 +102,30 @@
 
     base_ms: float = 50.0
     cap_ms: float = 5000.0
-    sleep_ms: float = 0.0
+    delay_ms: float = 0.0
 
     def __post_init__(self) -> None:
         if not 0 < self.base_ms <= self.cap_ms:
             raise ValueError(f"a backoff of base {self.base_ms} ms and cap {self.cap_ms} ms")
-        self.sleep_ms = self.sleep_ms or self.base_ms
+        self.delay_ms = self.delay_ms or self.base_ms
 
-    def failed(self, draw: random.Random) -> float:
+    def next_delay_ms(self, draw: random.Random) -> float:
         """A try failed: how long to wait before the next, in ms."""
-        self.sleep_ms = min(self.cap_ms, draw.uniform(self.base_ms, 3.0 * self.sleep_ms))
-        return self.sleep_ms
+        self.delay_ms = min(self.cap_ms, draw.uniform(self.base_ms, 3.0 * self.delay_ms))
+        return self.delay_ms
 
     def reset(self) -> None:
-        self.sleep_ms = self.base_ms
+        self.delay_ms = self.base_ms
 
 
 @dataclass(slots=True)
-class ColdBudget:
+class CallBudget:
     """Cold calls to the shared formula database that this node may make."""
 
     fleet_per_s: float  # what the database bears of cold calls from the whole fleet
     prior_ms: float  # its latency when well
     slow_factor: float = 3.0
-    cold_nodes: int = 1  # that share the budget
+    sharing_nodes: int = 1  # that share the budget
     burst_s: float = 1.0
     share: float = 1.0  # of the fair rate, cut on slowness
     tokens: float = 0.0
@@ -133,11 +135,11 @@
 
     def rate(self) -> float:
         """Calls a second allowed now."""
-        return self.fleet_per_s * self.share / max(1, self.cold_nodes)
+        return self.fleet_per_s * self.share / max(1, self.sharing_nodes)
 
-    def told(self, cold_nodes: int) -> None:
+    def set_sharing_nodes(self, cold_nodes: int) -> None:
         """The roster's count of nodes that share the budget, this one included."""
-        self.cold_nodes = max(1, cold_nodes)
+        self.sharing_nodes = max(1, cold_nodes)
 
     def _refill(self, now_ms: float) -> None:
         if self.at_ms is None:
@@ -148,11 +150,11 @@
         self.share = min(1.0, self.share + 0.1 * elapsed_s)
         self.tokens = min(max(1.0, self.rate() * self.burst_s), self.tokens + self.rate() * elapsed_s)
 
-    def next_ms(self, now_ms: float) -> float:
+    def next_token_at_ms(self, now_ms: float) -> float:
         """When the next call's token is there, at this rate."""
         return now_ms + max(0.0, 1.0 - self.tokens) * 1000.0 / self.rate()
 
-    def take(self, now_ms: float, more: float = 0.0) -> bool:
+    def try_acquire(self, now_ms: float, more: float = 0.0) -> bool:
         """Whether one cold call may go now, leaving ``more`` calls' room; it is counted where it may not."""
         self._refill(now_ms)
         if self.tokens >= 1.0 + more:
@@ -161,7 +163,7 @@
         self.refused += 1
         return False
 
-    def latency(self, now_ms: float, took_ms: float) -> None:
+    def record_latency(self, now_ms: float, took_ms: float) -> None:
         """A call's time: over ``slow_factor`` times the prior halves the share, once for calls made before
         the last cut; a quick one lets it grow, so that it is whole some calls after a trouble is over."""
         self._refill(now_ms)
@@ -173,132 +175,141 @@
             self.tokens = min(self.tokens, max(1.0, self.rate()))
 
 
-class Word(Enum):
+class CallPermission(Enum):
     """What is to be done about a call that a run wants to make."""
 
-    GO = "go"
-    WAIT = "wait"
-    DENY = "deny"
+    GRANTED = "go"
+    QUEUED = "wait"
+    DENIED = "deny"
 
 
 @dataclass(slots=True)
-class Turn:
+class QueuedCall:
     """A call that waits for its turn."""
 
-    uid: str
-    made: int  # calls that its run has had
-    until_ms: float  # then it is given up
+    attempt_id: str
+    calls_made: int  # calls that its run has had
+    expires_at_ms: float  # then it is given up
 
 
 @dataclass(slots=True)
-class Return:
+class RecoveryPacer:
     """A node's return to full service, by what it measures and what the roster tells."""
 
-    ramp: Ramp
-    budget: ColdBudget
+    slow_start: SlowStart
+    budget: CallBudget
     backoff: Backoff
-    slots: float  # calls that the database works on at a time
-    draw: random.Random
-    sharing: int = 1  # nodes that share the budget
-    others_cold: int = 0
-    waiting: list[Turn] = field(default_factory=list)
-    out: dict[str, float] = field(default_factory=dict)  # calls in hand at the database, and since when
-    lingering: list[float] = field(default_factory=list)  # until when calls given up are worked on
-    usual_ms: float = 0.0  # a call's time lately
-    closed_until: float = 0.0  # the database took no connection: nobody tries before
-    loss_at: float = -math.inf
-    denied: int = 0
+    database_slots: float  # calls that the database works on at a time
+    random: random.Random
+    sharing_nodes: int = 1  # nodes that share the budget
+    other_cold_nodes: int = 0
+    queued_calls: list[QueuedCall] = field(default_factory=list)
+    calls_in_flight: dict[str, float] = field(
+        default_factory=dict
+    )  # calls in hand at the database, and since when
+    abandoned_until_ms: list[float] = field(default_factory=list)  # until when calls given up are worked on
+    usual_call_ms: float = 0.0  # a call's time lately
+    unreachable_until_ms: float = 0.0  # the database took no connection: nobody tries before
+    last_loss_at_ms: float = -math.inf
+    denied_calls: int = 0
 
     @property
     def cold(self) -> bool:
         """Is this node on its way back?"""
-        return not self.ramp.full
+        return not self.slow_start.complete
 
     @property
-    def paces(self) -> bool:
+    def is_pacing(self) -> bool:
         """Are calls held within the budget?"""
-        return self.cold or self.others_cold > 0
+        return self.cold or self.other_cold_nodes > 0
 
-    def told(self, listed: int, cold: int) -> None:
+    def update_fleet(self, listed: int, cold: int) -> None:
         """The roster's word on the fleet; this node counts among the listed once it is heard of."""
-        self.sharing = max(1, listed)
-        self.others_cold = max(0, cold - self.cold)
-        self.budget.told(self.sharing)
+        self.sharing_nodes = max(1, listed)
+        self.other_cold_nodes = max(0, cold - self.cold)
+        self.budget.set_sharing_nodes(self.sharing_nodes)
 
     def _room(self, now_ms: float) -> bool:
         """May one more be in hand? Each node has its part of the slots; a part of one is had so often."""
-        self.lingering = [until for until in self.lingering if until > now_ms]
-        part = max(1.0, self.slots / self.sharing)
-        most = int(part) + (self.draw.random() < part % 1.0)
-        return len(self.out) + len(self.lingering) < most and now_ms >= self.closed_until
-
-    def idle(self, now_ms: float) -> bool:
+        self.abandoned_until_ms = [until for until in self.abandoned_until_ms if until > now_ms]
+        part = max(1.0, self.database_slots / self.sharing_nodes)
+        most = int(part) + (self.random.random() < part % 1.0)
+        return (
+            len(self.calls_in_flight) + len(self.abandoned_until_ms) < most
+            and now_ms >= self.unreachable_until_ms
+        )
+
+    def has_idle_budget(self, now_ms: float) -> bool:
         """Does the node's part of the budget lie idle, while it is cold? Then what warms it goes first."""
         budget = self.budget
         budget._refill(now_ms)
         return self.cold and budget.tokens >= IDLE * max(1.0, budget.rate() * budget.burst_s)
 
-    def call(self, now_ms: float, uid: str, made: int, skippable: bool, until_ms: float) -> Word:
+    def request_call(
+        self, now_ms: float, uid: str, made: int, skippable: bool, until_ms: float
+    ) -> CallPermission:
         """A run wants to make a call; one that may not go now waits until this time at the most."""
-        if not self.paces:
-            self.out[uid] = now_ms
-            return Word.GO
+        if not self.is_pacing:
+            self.calls_in_flight[uid] = now_ms
+            return CallPermission.GRANTED
         # What makes a cold machine warm goes before what a warm one can do without.
-        free = not self.waiting and (self.cold or not skippable) and self._room(now_ms)
-        if free and self.budget.take(now_ms, SPARE if skippable else 0.0):
-            self.out[uid] = now_ms
-            return Word.GO
-        if skippable or len(self.waiting) >= WAITING_MOST:
-            self.denied += 1
-            return Word.DENY
-        self.waiting.append(Turn(uid, made, until_ms))
-        return Word.WAIT
-
-    def turns(self, now_ms: float) -> tuple[list[str], list[str]]:
+        free = not self.queued_calls and (self.cold or not skippable) and self._room(now_ms)
+        if free and self.budget.try_acquire(now_ms, SPARE if skippable else 0.0):
+            self.calls_in_flight[uid] = now_ms
+            return CallPermission.GRANTED
+        if skippable or len(self.queued_calls) >= WAITING_MOST:
+            self.denied_calls += 1
+            return CallPermission.DENIED
+        self.queued_calls.append(QueuedCall(uid, made, until_ms))
+        return CallPermission.QUEUED
+
+    def release_calls(self, now_ms: float) -> tuple[list[str], list[str]]:
         """Whose turn it is now, and who has waited too long."""
-        late = [turn.uid for turn in self.waiting if turn.until_ms <= now_ms]
-        self.waiting = [turn for turn in self.waiting if turn.until_ms > now_ms]
-        self.denied += len(late)
+        late = [turn.attempt_id for turn in self.queued_calls if turn.expires_at_ms <= now_ms]
+        self.queued_calls = [turn for turn in self.queued_calls if turn.expires_at_ms > now_ms]
+        self.denied_calls += len(late)
         go: list[str] = []
-        self.waiting.sort(key=lambda turn: (-turn.made, turn.until_ms))
-        while self.waiting and (not self.paces or (self._room(now_ms) and self.budget.take(now_ms))):
-            uid = self.waiting.pop(0).uid
-            self.out[uid] = now_ms
+        self.queued_calls.sort(key=lambda turn: (-turn.calls_made, turn.expires_at_ms))
+        while self.queued_calls and (
+            not self.is_pacing or (self._room(now_ms) and self.budget.try_acquire(now_ms))
+        ):
+            uid = self.queued_calls.pop(0).attempt_id
+            self.calls_in_flight[uid] = now_ms
             go.append(uid)
         return go, late
 
-    def look_ms(self, now_ms: float) -> float:
+    def next_release_at_ms(self, now_ms: float) -> float:
         """When to look for turns again, while some wait."""
-        return max(now_ms + 5.0, min(self.budget.next_ms(now_ms), now_ms + 50.0))
+        return max(now_ms + 5.0, min(self.budget.next_token_at_ms(now_ms), now_ms + 50.0))
 
-    def dropped(self, now_ms: float, uid: str) -> None:
+    def call_cancelled(self, now_ms: float, uid: str) -> None:
         """A call was given up. What is at the database goes on there for as long as a call usually takes."""
-        self.waiting = [turn for turn in self.waiting if turn.uid != uid]
-        since = self.out.pop(uid, None)
+        self.queued_calls = [turn for turn in self.queued_calls if turn.attempt_id != uid]
+        since = self.calls_in_flight.pop(uid, None)
         if since is not None:
             # A warm node asks for no room, so nothing else would ever take the old ones out.
-            self.lingering = [until for until in self.lingering if until > now_ms]
-            self.lingering.append(max(now_ms, since + (self.usual_ms or self.budget.prior_ms)))
+            self.abandoned_until_ms = [until for until in self.abandoned_until_ms if until > now_ms]
+            self.abandoned_until_ms.append(max(now_ms, since + (self.usual_call_ms or self.budget.prior_ms)))
 
     def call_ended(self, now_ms: float, uid: str, reached: bool, answered: bool) -> None:
         """A call came back: whether a connection stood, and whether its time tells of the database."""
-        since = self.out.pop(uid, None)
+        since = self.calls_in_flight.pop(uid, None)
         if since is None:
             return
         if not reached:
-            self.closed_until = now_ms + self.backoff.failed(self.draw)
+            self.unreachable_until_ms = now_ms + self.backoff.next_delay_ms(self.random)
             return
         self.backoff.reset()
         if answered:
             took = now_ms - since
-            self.usual_ms += (took - self.usual_ms) / 8.0 if self.usual_ms else took
-            self.budget.latency(now_ms, took)
+            self.usual_call_ms += (took - self.usual_call_ms) / 8.0 if self.usual_call_ms else took
+            self.budget.record_latency(now_ms, took)
 
     def run_ended(self, now_ms: float, in_aim: bool, aim_ms: float) -> None:
         """A run went through, in time or not. Losses of one moment count once: runs begun before the last cut
         tell nothing of the window since."""
         if in_aim:
-            self.ramp.success(now_ms)
-        elif now_ms - self.loss_at >= aim_ms:
-            self.loss_at = now_ms
-            self.ramp.loss(now_ms)
+            self.slow_start.success(now_ms)
+        elif now_ms - self.last_loss_at_ms >= aim_ms:
+            self.last_loss_at_ms = now_ms
+            self.slow_start.loss(now_ms)
--- a/snowthread/admission/simulator_adapter.py
+++ b/snowthread/admission/simulator_adapter.py
@@ -9,62 +9,89 @@
 
 import orjson
 
-from snowthread.admission import interface as api
+from snowthread.admission.actions import (
+    AwaitOriginal,
+    Fail,
+    ForgetKey,
+    LogNote,
+    PublishLoad,
+    Reject,
+    RememberKey,
+    SetHealth,
+    SetIdleTimeout,
+    SetTimer,
+    SkipCall,
+    StartCall,
+    StartRun,
+    StopRun,
+)
+from snowthread.admission.events import (
+    CallFinished,
+    CallNeeded,
+    Event,
+    RequestAbandoned,
+    RequestArrived,
+    RunFinished,
+    ShutdownNotice,
+    Started,
+    TimerFired,
+)
+from snowthread.admission.settings import Outcome
 from snowthread.admission.controller import Controller
-from snowthread.admission.settings_parser import Fields, settings_from
+from snowthread.admission.settings_parser import Fields, parse_settings
 
-__all__ = ["Drill", "main", "serve", "settings_from"]
+__all__ = ["SimulatorAdapter", "main", "parse_settings", "serve"]
 
 log = logging.getLogger("snowthread.admission.simulator_adapter")
 
 
-def _arrival(f: Fields) -> api.Event:
+def _arrival(f: Fields) -> Event:
     tenant = f.get("tenant") or ""
-    return api.Arrival(
-        request=f["op_id"], class_name=f["category"], held_kb=f.get("held_kb", 0.0), tenant=tenant,
-        key=f.get("partition_key") or "", left_s=f.get("left_s") or None,
+    return RequestArrived(
+        request_id=f["op_id"], class_name=f["category"], memory_kb=f.get("held_kb", 0.0), tenant=tenant,
+        partition_key=f.get("partition_key") or "", time_left_s=f.get("left_s") or None,
         work_hint_s=f.get("work_hint_s") or None, rank=f.get("precedence"),
-        is_retry=bool(f.get("is_retry")), caller=f.get("src", 0), backlog_s=f.get("backlog_time_s", 0.0),
-        prior=f.get("prior") or None)
+        is_retry=bool(f.get("is_retry")), caller_id=f.get("src", 0), unread_s=f.get("backlog_time_s", 0.0),
+        original_id=f.get("prior") or None)
 
 
-def _timer(f: Fields) -> api.Event:
+def _timer(f: Fields) -> Event:
     usage = f.get("usage") or {}
-    return api.TimerFired(label=f.get("label", 0), core_use=usage.get("core_use"),
-                          on_cores=usage.get("on_cores"), memory_share=usage.get("heap_share"),
+    return TimerFired(label=f.get("label", 0), core_utilization=usage.get("core_use"),
+                          core_demand=usage.get("on_cores"), memory_utilization=usage.get("heap_share"),
                           connections=usage.get("links"))
 
 
-_EVENT: dict[str, Callable[[Fields], api.Event]] = {
+_EVENT: dict[str, Callable[[Fields], Event]] = {
     "accept": _arrival,
     "tick_due": _timer,
-    "expired": lambda f: api.CallerGone(f["op_id"]),
-    "ready_to_call": lambda f: api.AtCall(f["op_id"]),
-    "run_over": lambda f: api.RunEnded(f["op_id"], api.Outcome(f["rc"]), f.get("wait_time_s", 0.0)),
-    "came_back": lambda f: api.CallEnded(f["op_id"], api.Outcome(f["rc"]), f.get("wait_time_s", 0.0)),
-    "retire_soon": lambda f: api.LeaveNotice(f.get("left_s", 0.0)),
+    "expired": lambda f: RequestAbandoned(f["op_id"]),
+    "ready_to_call": lambda f: CallNeeded(f["op_id"]),
+    "run_over": lambda f: RunFinished(f["op_id"], Outcome(f["rc"]), f.get("wait_time_s", 0.0)),
+    "came_back": lambda f: CallFinished(f["op_id"], Outcome(f["rc"]), f.get("wait_time_s", 0.0)),
+    "retire_soon": lambda f: ShutdownNotice(f.get("left_s", 0.0)),
 }
 
 _ACTION: dict[type, Callable[[str, Any], Fields]] = {
-    api.Run: lambda i, a: {"run": {"i": i, "op_id": a.request}},
-    api.KeepKey: lambda i, a: {"record_key": {"i": i, "op_id": a.request, "lifetime_s": a.lifetime_s}},
-    api.ForgetKey: lambda i, a: {"forget": {"i": i, "op_id": a.request}},
-    api.Refuse: lambda i, a: {"say_no": {"i": i, "op_id": a.request, "hold_off_s": a.hold_off_s,
-                                         "last": a.last}},
-    api.Fail: lambda i, a: {"lose": {"i": i, "op_id": a.request}},
-    api.Call: lambda i, a: {"ask_below": {"i": i, "op_id": a.request, "give_up_after_s": a.give_up_s}},
-    api.SkipCall: lambda i, a: {"go_on": {"i": i, "op_id": a.request}},
-    api.Preempt: lambda i, a: {"preempt": {"i": i, "op_id": a.request}},
-    api.Attach: lambda i, a: {"attach": {"i": i, "op_id": a.request}},
-    api.Publish: lambda i, a: {"publish": {"i": i, "value": a.value}},
-    api.CloseIdle: lambda i, a: {"reap_after": {"i": i, "lifetime_s": a.after_s}},
-    api.SetTimer: lambda i, a: {"wake_me": {"i": i, "offset_s": a.after_s, "label": a.label}},
-    api.SetHealth: lambda i, a: {"health": {"i": i, "enable": a.good, "shallow": a.shallow}},
-    api.Report: lambda i, a: {"remark": {"i": i, "words": a.text}},
+    StartRun: lambda i, a: {"run": {"i": i, "op_id": a.request_id}},
+    RememberKey: lambda i, a: {"record_key": {"i": i, "op_id": a.request_id, "lifetime_s": a.lifetime_s}},
+    ForgetKey: lambda i, a: {"forget": {"i": i, "op_id": a.request_id}},
+    Reject: lambda i, a: {"say_no": {"i": i, "op_id": a.request_id, "hold_off_s": a.retry_after_s,
+                                         "last": a.do_not_retry}},
+    Fail: lambda i, a: {"lose": {"i": i, "op_id": a.request_id}},
+    StartCall: lambda i, a: {"ask_below": {"i": i, "op_id": a.request_id, "give_up_after_s": a.timeout_s}},
+    SkipCall: lambda i, a: {"go_on": {"i": i, "op_id": a.request_id}},
+    StopRun: lambda i, a: {"preempt": {"i": i, "op_id": a.request_id}},
+    AwaitOriginal: lambda i, a: {"attach": {"i": i, "op_id": a.request_id}},
+    PublishLoad: lambda i, a: {"publish": {"i": i, "value": a.value}},
+    SetIdleTimeout: lambda i, a: {"reap_after": {"i": i, "lifetime_s": a.timeout_s}},
+    SetTimer: lambda i, a: {"wake_me": {"i": i, "offset_s": a.delay_s, "label": a.label}},
+    SetHealth: lambda i, a: {"health": {"i": i, "enable": a.healthy, "shallow": a.shallow}},
+    LogNote: lambda i, a: {"remark": {"i": i, "words": a.text}},
 }
 
 
-class Drill:
+class SimulatorAdapter:
     """The instances of one process, each a controller of its own."""
 
     def __init__(self) -> None:
@@ -88,9 +115,9 @@
 
     def _one(self, now: float, kind: str, name: str, fields: Fields) -> list[Fields]:
         if kind == "boot":
-            controller = Controller(settings_from(fields["facts"]), fields.get("prng", 0))
+            controller = Controller(parse_settings(fields["facts"]), fields.get("prng", 0))
             self.instances[name] = controller
-            actions = controller.handle(now, api.Started())
+            actions = controller.handle(now, Started())
         elif kind == "down":
             self.instances.pop(name, None)
             return []
@@ -105,7 +132,7 @@
 
 def serve(source: BinaryIO, sink: BinaryIO) -> None:
     """Answer batches until the input ends."""
-    drill = Drill()
+    drill = SimulatorAdapter()
     for line in source:
         if line.strip():
             sink.write(drill.answer(line) + b"\n")
--- a/snowthread/clients/database.py
+++ b/snowthread/clients/database.py
@@ -9,13 +9,13 @@
 
 import httptools
 
-from snowthread.admission.interface import Outcome
+from snowthread.admission.settings import Outcome
 from snowthread.address import Address
-from snowthread.core import effects as fx
-from snowthread.core import events as ev
+from snowthread.core import effects
+from snowthread.core import events
 from snowthread.net.attempt import Failure, Progress
-from snowthread.net.connect import Connecting
-from snowthread.net.loop import BROKEN, IN, OUT, Loop, Steps, Task, Wait
+from snowthread.net.connect import ConnectAttempt
+from snowthread.net.loop import HANGUP, READABLE, WRITABLE, EventLoop, TaskSteps, Task, Wait
 
 KEEP_MS = 7000.0  # the index closes what was idle for 10 s; a call must not cross that
 IDLE_MOST = 12  # connections that rest
@@ -26,40 +26,40 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Reply:
+class DatabaseReply:
     """A whole reply."""
 
     status: int
-    shed: bool
+    overloaded: bool
     body: bytes
 
 
-def outcome_of(result: Reply | Failure) -> Outcome:
+def outcome_of(result: DatabaseReply | Failure) -> Outcome:
     """What a call's end means. Only what proves that nothing ran may be called so."""
     if isinstance(result, Failure):
         if result.progress is Progress.NOT_CONNECTED:
             return Outcome.UNREACHABLE
-        return Outcome.TIMED_OUT if result.timed_out else Outcome.BROKEN
+        return Outcome.TIMED_OUT if result.timed_out else Outcome.DISCONNECTED
     if result.status == 200:
         return Outcome.SUCCESS
-    if result.shed and result.status in (503, 409):
-        return Outcome.OVERLOADED if result.status == 503 else Outcome.VOID
+    if result.overloaded and result.status in (503, 409):
+        return Outcome.OVERLOADED if result.status == 503 else Outcome.NOT_STARTED
     return Outcome.TIMED_OUT if result.status == 504 else Outcome.FAILURE
 
 
-def encode(call: fx.MakeCall, host: str, budget: float) -> bytes:
+def encode(call: effects.StartCall, host: str, budget: float) -> bytes:
     """A call's bytes."""
-    return (f"POST /lookup HTTP/1.1\r\nHost: {host}\r\nX-Parent-Id: {call.uid}\r\n"
+    return (f"POST /lookup HTTP/1.1\r\nHost: {host}\r\nX-Parent-Id: {call.attempt_id}\r\n"
             f"X-Budget-Ms: {max(1, round(budget))}\r\nContent-Length: {len(call.body)}\r\n\r\n"
             ).encode() + call.body
 
 
-class Reading:
+class ResponseReader:
     """Takes in one reply, whatever comes. A reply that is whole stands; what follows it only spoils the
     connection, for it would else be read as the reply to the next call."""
 
     def __init__(self) -> None:
-        self.reply: Reply | None = None
+        self.reply: DatabaseReply | None = None
         self.failure: str | None = None
         self.surplus = False
         self.closes = False
@@ -114,7 +114,7 @@
 
     def on_message_complete(self) -> None:
         if self.reply is None and self.failure is None and self._status >= 200:  # 1xx only go before it
-            self.reply = Reply(self._status, self._shed, bytes(self._body))
+            self.reply = DatabaseReply(self._status, self._shed, bytes(self._body))
 
 
 class _Link:
@@ -123,29 +123,29 @@
     __slots__ = ("began", "call", "rested_at", "sock", "task")
 
     def __init__(self) -> None:
-        self.call: fx.MakeCall | None = None
+        self.call: effects.StartCall | None = None
         self.began = 0.0
         self.rested_at = 0.0  # when its last call was over
         self.sock: socket.socket | None = None
         self.task: Task | None = None
 
 
-class Index:
+class DatabaseClient:
     """Makes calls for runs; each that is not dropped comes back exactly once. Without an address there is
     nobody to call: no call can be made, and each comes back as never run."""
 
-    def __init__(self, loop: Loop, address: Address | None, most: int,
-                 post: Callable[[ev.Message], None]) -> None:
+    def __init__(self, loop: EventLoop, address: Address | None, most: int,
+                 post: Callable[[events.Event], None]) -> None:
         self._loop, self._address, self._most, self._post = loop, address, most, post
         self._idle: OrderedDict[_Link, None] = OrderedDict()  # the longest idle first
         self._calls: dict[str, _Link] = {}
         self._links = 0
 
-    def count(self) -> int:
+    def connection_count(self) -> int:
         """How many connections there are."""
         return self._links
 
-    def move(self, address: Address | None) -> None:
+    def set_address(self, address: Address | None) -> None:
         """Make new calls at a new address; those in hand end where they are."""
         if address != self._address:
             self._address = address
@@ -154,22 +154,22 @@
                     self._loop.wake(link.task)
             self._idle.clear()
 
-    def call(self, call: fx.MakeCall) -> None:
+    def start_call(self, call: effects.StartCall) -> None:
         """Make a call on a connection that is free, else on a new one. One that may not be made again never
         goes over a used connection: a reset there would leave open whether it ran."""
-        self.drop(call.uid)
+        self.cancel_call(call.attempt_id)
         if self._address is None:
-            self._post(ev.CallBack(call.uid, Outcome.UNREACHABLE, 0.0))
+            self._post(events.CallCompleted(call.attempt_id, Outcome.UNREACHABLE, 0.0))
             return
-        link = self._free() if call.again else None
+        link = self._free() if call.retryable else None
         if link is None and self._links >= self._most:
             if not self._idle:
-                self._post(ev.CallBack(call.uid, Outcome.UNREACHABLE, 0.0))
+                self._post(events.CallCompleted(call.attempt_id, Outcome.UNREACHABLE, 0.0))
                 return
             self._end_idle()
         link = link or _Link()
         link.call, link.began = call, self._loop.clock.now()
-        self._calls[call.uid] = link
+        self._calls[call.attempt_id] = link
         if link.task is None:
             self._links += 1
             link.task = self._loop.spawn(self._steps(link))
@@ -201,14 +201,14 @@
                 pass
         return None
 
-    def drop(self, uid: str) -> None:
+    def cancel_call(self, uid: str) -> None:
         """Give a call up: its connection closes, and nothing comes back."""
         link = self._calls.pop(uid, None)
         if link is not None and link.task is not None:
             link.call = None
             self._loop.wake(link.task)
 
-    def _steps(self, link: _Link) -> Steps:
+    def _steps(self, link: _Link) -> TaskSteps:
         try:
             while link.call is not None:
                 call = link.call
@@ -216,41 +216,47 @@
                 if link.call is not call:
                     return  # given up meanwhile
                 link.call = None
-                del self._calls[call.uid]
+                del self._calls[call.attempt_id]
                 now = self._loop.clock.now()
                 if keeps:
                     link.rested_at = now
                     self._idle[link] = None
                     if len(self._idle) > IDLE_MOST:
                         self._end_idle()
-                body = result.body if isinstance(result, Reply) else b""
-                self._post(ev.CallBack(call.uid, outcome_of(result), now - link.began, body))
+                body = result.body if isinstance(result, DatabaseReply) else b""
+                self._post(events.CallCompleted(call.attempt_id, outcome_of(result), now - link.began, body))
                 if not keeps or link.sock is None:
                     return
                 if link.call is None:  # wait for the next call, for its end or for its time
-                    yield Wait(link.sock.fileno(), IN, now + KEEP_MS)
+                    yield Wait(link.sock.fileno(), READABLE, now + KEEP_MS)
         finally:
             self._idle.pop(link, None)
             if link.call is not None:  # ended by a fault of ours: the run must not wait for ever
-                self._calls.pop(link.call.uid, None)
-                self._post(ev.CallBack(link.call.uid, Outcome.BROKEN, self._loop.clock.now() - link.began))
+                self._calls.pop(link.call.attempt_id, None)
+                self._post(
+                    events.CallCompleted(
+                        link.call.attempt_id, Outcome.DISCONNECTED, self._loop.clock.now() - link.began
+                    )
+                )
             if link.sock is not None:
                 self._loop.close(link.sock)
             self._links -= 1
 
-    def _exchange(self, link: _Link, call: fx.MakeCall) -> Generator[Wait, int, tuple[Reply | Failure, bool]]:
+    def _exchange(
+        self, link: _Link, call: effects.StartCall
+    ) -> Generator[Wait, int, tuple[DatabaseReply | Failure, bool]]:
         """One call: how it ended, and whether its connection may be used again."""
-        clock, until, address = self._loop.clock, link.began + call.budget, self._address
+        clock, until, address = self._loop.clock, link.began + call.timeout_ms, self._address
         if address is None:  # taken away between the call and its first step
             return Failure(Progress.NOT_CONNECTED, "no address"), False
         used = link.sock is not None
         if link.sock is None:
-            attempt = Connecting(address, self._loop, until)
+            attempt = ConnectAttempt(address, self._loop, until)
             yield from attempt.steps()
             if attempt.sock is None:
                 return attempt.failure, False
             link.sock = attempt.sock
-        sock, reading = link.sock, Reading()
+        sock, reading = link.sock, ResponseReader()
         out = encode(call, f"{address.host}:{address.port}", until - clock.now())
         # Idle connections are at times forgotten and reset at the next call, which then never ran.
         progress = Progress.NOT_CONNECTED if used else Progress.SENT
@@ -264,9 +270,9 @@
                 pass
             except OSError as error:
                 return Failure(progress, str(error)), False
-            got = yield Wait(sock.fileno(), IN | OUT if out else IN, until)
+            got = yield Wait(sock.fileno(), READABLE | WRITABLE if out else READABLE, until)
             timed_out = clock.now() >= until
-            if link.call is not call or not (got & (IN | BROKEN) or timed_out):
+            if link.call is not call or not (got & (READABLE | HANGUP) or timed_out):
                 continue
             try:
                 data = sock.recv(READ_BYTES)  # also when time is up: the loop may be late, the reply there
--- a/snowthread/clients/runtime.py
+++ b/snowthread/clients/runtime.py
@@ -13,13 +13,13 @@
 import orjson
 from loguru import logger
 
-from snowthread.admission.interface import Outcome
+from snowthread.admission.settings import Outcome
 from snowthread.address import Address
-from snowthread.core import effects as fx
-from snowthread.core import events as ev
+from snowthread.core import effects
+from snowthread.core import events
 from snowthread.net.attempt import Failure, Progress
-from snowthread.net.connect import Connecting
-from snowthread.net.loop import BROKEN, IN, OUT, Loop, Steps, Wait
+from snowthread.net.connect import ConnectAttempt
+from snowthread.net.loop import HANGUP, READABLE, WRITABLE, EventLoop, TaskSteps, Wait
 
 LINE_MAX = 256 * 1024  # a longer line is no notice
 READ_BYTES = 64 * 1024
@@ -30,8 +30,8 @@
 ALIVE_TAG = "alive"
 FENCE_MS = 400.0  # the longest wait for the word that all commands were read, before the link moves
 
-_END = {"done": Outcome.SUCCESS, "crashed": Outcome.FAILURE, "aborted": Outcome.WITHDRAWN,
-        "stale": Outcome.VOID}
+_END = {"done": Outcome.SUCCESS, "crashed": Outcome.FAILURE, "aborted": Outcome.CANCELLED,
+        "stale": Outcome.NOT_STARTED}
 
 
 def _pack(content: bytes) -> str:
@@ -42,25 +42,25 @@
     return base64.b64decode(fields.get("content") or "", validate=True)
 
 
-def encode(command: fx.Command | fx.AskGauges) -> bytes:
+def encode(command: effects.Command | effects.RequestLoadSample) -> bytes:
     """A command as a line."""
     fields: dict[str, Any]
     match command:
-        case fx.StartRun():
-            fields = {"action": "start", "uid": command.uid, "lane": command.class_name,
+        case effects.StartRun():
+            fields = {"action": "start", "uid": command.attempt_id, "lane": command.class_name,
                       "content": _pack(command.body)}
-        case fx.StopRun():
-            fields = {"action": "stop", "uid": command.uid}
-        case fx.GiveReply():
-            fields = {"action": "give", "uid": command.uid, "content": _pack(command.reply)}
-        case fx.OmitCall():
-            fields = {"action": "omit", "uid": command.uid, "pos": command.pos}
-        case fx.AskGauges():
+        case effects.StopRun():
+            fields = {"action": "stop", "uid": command.attempt_id}
+        case effects.DeliverReply():
+            fields = {"action": "give", "uid": command.attempt_id, "content": _pack(command.reply)}
+        case effects.SkipCall():
+            fields = {"action": "omit", "uid": command.attempt_id, "pos": command.notice_number}
+        case effects.RequestLoadSample():
             fields = {"action": "gauges", "echo": command.tag}
     return orjson.dumps(fields) + b"\n"
 
 
-def decode(line: bytes) -> tuple[int | None, ev.Message | None]:
+def decode(line: bytes) -> tuple[int | None, events.Event | None]:
     """A notice's number, if it has one, and what it means; ValueError where it is none."""
     fields = orjson.loads(line)
     if not isinstance(fields, dict):
@@ -74,27 +74,29 @@
         raise ValueError(f"{fields.get('action')!r}: {error!r}") from None
 
 
-def _message(f: dict[str, Any]) -> ev.Message | None:
+def _message(f: dict[str, Any]) -> events.Event | None:
     match f.get("action"):
         case "ready":
-            return ev.RuntimeUp(f["code"] == "fresh", max(0.0, float(f.get("wall_ms") or 0.0)))
+            return events.RuntimeConnected(f["code"] == "fresh", max(0.0, float(f.get("wall_ms") or 0.0)))
         case "end":
-            return ev.RunOver(str(f["uid"]), _END[f["code"]], float(f.get("wall_ms") or 0.0), _unpack(f))
+            return events.RunCompleted(
+                str(f["uid"]), _END[f["code"]], float(f.get("wall_ms") or 0.0), _unpack(f)
+            )
         case "wants":
             if not isinstance(f["pos"], int):
                 raise TypeError("a call without a number could never be left out")
-            return ev.CallWanted(str(f["uid"]), f["pos"], _unpack(f))
+            return events.CallRequested(str(f["uid"]), f["pos"], _unpack(f))
         case "load":
-            return ev.GaugesRead(str(f["echo"]), tuple(float(value) for value in f["meters"]))
+            return events.LoadSampleReceived(str(f["echo"]), tuple(float(value) for value in f["meters"]))
         case "nack":
-            return ev.CommandRefused(str(f.get("uid") or ""), f["code"] == "start")
+            return events.CommandRejected(str(f.get("uid") or ""), f["code"] == "start")
     return None
 
 
-class Runtime:
+class RuntimeClient:
     """Keeps the link, sends commands in order and passes each notice on once."""
 
-    def __init__(self, loop: Loop, address: Address, post: Callable[[ev.Message], None],
+    def __init__(self, loop: EventLoop, address: Address, post: Callable[[events.Event], None],
                  pause: Callable[[], float] | None = None) -> None:
         self._pause = pause  # how long to wait before the next attempt to link, where not as usual
         self._loop, self._address, self._post = loop, address, post
@@ -112,22 +114,22 @@
         self._later: list[tuple[object, bytes]] = []  # commands for the link to come
         self._task = loop.spawn(self._steps())
 
-    def send(self, command: fx.Command | fx.AskGauges) -> None:
+    def send(self, command: effects.Command | effects.RequestLoadSample) -> None:
         """Write a command, or as much of it as goes."""
         if self._fence or (self._moving and self._sock is None):
-            if not isinstance(command, fx.AskGauges):
+            if not isinstance(command, effects.RequestLoadSample):
                 self._later.append((command, encode(command)))
         elif self._sock is not None:
-            if isinstance(command, fx.AskGauges) and len(self._lines) >= QUEUE_MAX:
+            if isinstance(command, effects.RequestLoadSample) and len(self._lines) >= QUEUE_MAX:
                 return  # a runtime that does not read now needs no more questions
             self._put(command)
 
-    def _put(self, command: fx.Command | fx.AskGauges) -> None:
+    def _put(self, command: effects.Command | effects.RequestLoadSample) -> None:
         self._lines.append((command, encode(command)))
         if len(self._lines) == 1 and not self._flush():
             self._loop.wake(self._task)
 
-    def move(self, address: Address) -> None:
+    def set_address(self, address: Address) -> None:
         """Link to a new address. What was written is known to have been read first: a start that got lost
         between two links could not be sent again, and its caller would wait in vain."""
         if address == self._address:
@@ -136,7 +138,7 @@
         if self._sock is not None and not self._fence:
             self._fences += 1
             fence = f"move-{self._fences}"
-            self._put(fx.AskGauges(fence))  # whatever waits: its echo says what was read
+            self._put(effects.RequestLoadSample(fence))  # whatever waits: its echo says what was read
             self._fence = fence
         self._loop.wake(self._task)
 
@@ -156,10 +158,10 @@
             self._sent = 0
         return True
 
-    def _steps(self) -> Steps:
+    def _steps(self) -> TaskSteps:
         pause = BACKOFF_MS[0]
         while True:
-            attempt = Connecting(self._address, self._loop, self._loop.clock.now() + CONNECT_MS)
+            attempt = ConnectAttempt(self._address, self._loop, self._loop.clock.now() + CONNECT_MS)
             yield from attempt.steps()
             if attempt.sock is not None:
                 self._sock = attempt.sock
@@ -187,7 +189,7 @@
         self._fence = ""
         if self._ready or self._moving:
             self._ready = self._moving = False
-            self._post(ev.RuntimeLost(tuple(command for command, _ in lines),
+            self._post(events.RuntimeDisconnected(tuple(command for command, _ in lines),
                                       self._heard if timed_out else None))
 
     def _close(self) -> None:
@@ -212,9 +214,9 @@
             # echo to each question.
             asks_at = self._asked + ALIVE_MS if self._asked else quiet_since + SILENT_MS
             until = min(moves_at, asks_at if self._stood else math.inf)
-            got = yield Wait(sock.fileno(), IN | OUT if self._lines else IN, until)
+            got = yield Wait(sock.fileno(), READABLE | WRITABLE if self._lines else READABLE, until)
             due = clock.now() >= until
-            if not got & (IN | BROKEN) and not due:
+            if not got & (READABLE | HANGUP) and not due:
                 continue
             try:
                 data = sock.recv(READ_BYTES)
@@ -225,7 +227,7 @@
                     return self._failure("silent", timed_out=True)
                 if due:
                     self._asked = clock.now()
-                    self._put(fx.AskGauges(ALIVE_TAG))
+                    self._put(effects.RequestLoadSample(ALIVE_TAG))
                 continue
             except OSError as error:
                 return self._failure(str(error))
@@ -244,19 +246,23 @@
                             "runtime: not a notice: {}", error)
                         continue
                     self._take(pos, message)
-                    if self._fence and isinstance(message, ev.GaugesRead) and message.tag == self._fence:
+                    if (
+                        self._fence
+                        and isinstance(message, events.LoadSampleReceived)
+                        and message.tag == self._fence
+                    ):
                         return None
 
     def _failure(self, reason: str, timed_out: bool = False) -> Failure:
         return Failure(Progress.REPLY_BEGUN if self._ready else Progress.SENT, reason, timed_out)
 
-    def _take(self, pos: int | None, message: ev.Message | None) -> None:
+    def _take(self, pos: int | None, message: events.Event | None) -> None:
         """Pass a notice on. After a new link those not known to be read come again: each counts once."""
         if pos is not None:
             if pos <= self._pos:
                 return
             self._pos = pos
-        if isinstance(message, ev.RuntimeUp):
+        if isinstance(message, events.RuntimeConnected):
             self._ready = self._stood = True
             if self._moving:  # nothing was lost on the way: to the node it is the same link
                 self._moving = False
--- a/snowthread/config.py
+++ b/snowthread/config.py
@@ -11,8 +11,8 @@
 import orjson
 
 from snowthread.admission.controller import Controller
-from snowthread.admission.interface import Below, Settings
-from snowthread.admission.settings_parser import settings_from
+from snowthread.admission.settings import Dependency, Settings
+from snowthread.admission.settings_parser import parse_settings
 from snowthread.address import Address
 
 SOCKETS, MEMORY_MB = 1024, 192.0  # where the file sets no limit
@@ -36,17 +36,17 @@
     return {}
 
 
-def lacking(value: object, shape: Shape, place: str = "") -> str | None:
+def missing_key(value: object, shape: Shape, place: str = "") -> str | None:
     """The first key of the shape that is not in the value, with where it should stand. One that is there and
     empty is there: what it may hold is another check's."""
     if isinstance(value, list):
-        return next(filter(None, (lacking(item, shape, place) for item in value)), None)
+        return next(filter(None, (missing_key(item, shape, place) for item in value)), None)
     if not isinstance(value, dict):
         return None
     for key, inner in shape.items():
         if key not in value:
             return place + key
-        found = lacking(value[key], inner, f"{place}{key}: ")
+        found = missing_key(value[key], inner, f"{place}{key}: ")
         if found is not None:
             return found
     return None
@@ -59,17 +59,17 @@
     name: str
     listen: Address
     runtime: Address
-    roster: Address
-    index: Address | None  # none where the settings say that nothing lies below
+    registry: Address
+    database: Address | None  # none where the settings say that nothing lies below
     seed: int
     stop_ms: float
     sockets: int
     memory_mb: float
     settings: Settings
-    meters: tuple[str, ...]
+    gauge_names: tuple[str, ...]
     admin: Address | None = None  # where the operators call
-    door: int | None = None  # the descriptor of a listening socket that was passed on
-    folder: str | None = None  # where processes that share it find each other
+    listen_descriptor: int | None = None  # the descriptor of a listening socket that was passed on
+    handover_directory: str | None = None  # where processes that share it find each other
     shape: Shape = field(default_factory=dict, compare=False)  # the keys of the file
 
 
@@ -88,7 +88,7 @@
     if not isinstance(fields, dict):
         raise ConfigError(f"{path}: not a JSON object")
     shape = shape_of(fields)
-    lacks = lacking(fields, old.shape) if old is not None else None
+    lacks = missing_key(fields, old.shape) if old is not None else None
     if lacks is not None:
         raise ConfigError(f"{path}: {lacks}: is missing, the configuration in force has it")
     for name, variable in (("name", "NODE_NAME"), ("listen", "NODE_LISTEN"),
@@ -101,7 +101,9 @@
     try:
         config = replace(parse(fields), shape=shape)
         if number is not None:
-            config = replace(config, door=int(number), folder=environment.get("TMPDIR"))
+            config = replace(
+                config, listen_descriptor=int(number), handover_directory=environment.get("TMPDIR")
+            )
         return config
     except ConfigError as error:
         raise ConfigError(f"{path}: {error}") from None
@@ -147,7 +149,7 @@
                 value = kind[key]
                 if type(value) not in (int, float) or not 0.0 < value < math.inf:
                     raise ValueError(f"classes: {n}: {key}: a number of seconds above 0 is wanted")
-        settings = settings_from(facts)
+        settings = parse_settings(facts)
         names = [c.name for c in settings.classes]
         if not all(isinstance(name, str) and name for name in names) or len(set(names)) < len(names):
             raise ValueError("classes: each wants a name of its own")
@@ -155,9 +157,9 @@
         meters = tuple(str(m) for m in (facts.get("domain") or {}).get("meters") or ())
     except (ValueError, TypeError, KeyError, AttributeError, ArithmeticError) as error:
         raise ConfigError(f"settings can't be used: {type(error).__name__}: {error}") from None
-    if "index" not in addresses and settings.below is not Below.NONE:
+    if "index" not in addresses and settings.dependency is not Dependency.NONE:
         raise ConfigError("index: an address is wanted, the settings say that calls are made below")
     return Config(name=name, seed=seed, stop_ms=float(stop), sockets=sockets,
-                  memory_mb=float(memory), settings=settings, meters=meters, listen=addresses["listen"],
-                  runtime=addresses["runtime"], roster=addresses["roster"], index=addresses.get("index"),
+                  memory_mb=float(memory), settings=settings, gauge_names=meters, listen=addresses["listen"],
+                  runtime=addresses["runtime"], registry=addresses["roster"], database=addresses.get("index"),
                   admin=admin)
--- a/snowthread/core/effects.py
+++ b/snowthread/core/effects.py
@@ -5,18 +5,18 @@
 from dataclasses import dataclass
 
 from snowthread.core.events import (
-    DrainAsked,
-    GaugesDue,
-    KeyAsked,
-    KeyFreed,
-    KeyJudged,
-    KeyLate,
-    KeyOver,
-    LoadTold,
-    Ticket,
-    TimerDue,
+    DrainRequested,
+    LoadSampleDue,
+    KeyClaimRequested,
+    KeyReleased,
+    KeyClaimDecided,
+    KeyClaimTimedOut,
+    KeyRunCompleted,
+    PeerLoadReported,
+    ResponseAddress,
+    TimerExpired,
 )
-from snowthread.core.idempotency import Key
+from snowthread.core.idempotency import IdempotencyRecord
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,11 +27,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Refused:
+class Rejected:
     """Turned away: this try never ran."""
 
-    after: float = 0.0
-    last: bool = False
+    retry_after_ms: float = 0.0
+    do_not_retry: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,26 +40,26 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Healthy:
+class HealthStatus:
     """The answer of a health check."""
 
-    good: bool
+    healthy: bool
 
 
 @dataclass(frozen=True, slots=True)
-class Answer:
+class SendResponse:
     """The one final answer to what was read; ``say`` is the free value, None before there is one."""
 
-    ticket: Ticket
-    answer: Served | Refused | Failed | Healthy
-    say: float | None
+    response_address: ResponseAddress
+    response: Served | Rejected | Failed | HealthStatus
+    load_report: float | None
 
 
 @dataclass(frozen=True, slots=True)
 class StartRun:
     """Have the runtime run a request."""
 
-    uid: str
+    attempt_id: str
     class_name: str
     body: bytes
 
@@ -68,105 +68,126 @@
 class StopRun:
     """Have the runtime stop a run."""
 
-    uid: str
+    attempt_id: str
 
 
 @dataclass(frozen=True, slots=True)
-class GiveReply:
+class DeliverReply:
     """Hand a run the reply to its call."""
 
-    uid: str
+    attempt_id: str
     reply: bytes
 
 
 @dataclass(frozen=True, slots=True)
-class OmitCall:
+class SkipCall:
     """Let a run go on without the call that notice ``pos`` asked for."""
 
-    uid: str
-    pos: int
+    attempt_id: str
+    notice_number: int
 
 
 @dataclass(frozen=True, slots=True)
-class AskGauges:
+class RequestLoadSample:
     """Ask the runtime for its gauges."""
 
     tag: str
 
 
 @dataclass(frozen=True, slots=True)
-class MakeCall:
+class StartCall:
     """Make a call to the index for a run; give it up after ``budget``. ``again``: it may be made again."""
 
-    uid: str
+    attempt_id: str
     body: bytes
-    budget: float
-    again: bool = False
+    timeout_ms: float
+    retryable: bool = False
 
 
 @dataclass(frozen=True, slots=True)
-class DropCall:
+class CancelCall:
     """Give up the call made for a run; its end is of no interest."""
 
-    uid: str
+    attempt_id: str
 
 
 @dataclass(frozen=True, slots=True)
-class WakeAt:
+class ScheduleTimer:
     """Send the message back at this time."""
 
-    at: float
-    message: TimerDue | GaugesDue | KeyLate
+    at_ms: float
+    event: TimerExpired | LoadSampleDue | KeyClaimTimedOut
 
 
 @dataclass(frozen=True, slots=True)
-class CloseIdleAfter:
+class SetIdleTimeout:
     """Part with connections that carried nothing for so long."""
 
-    after: float
+    timeout_ms: float
 
 
 @dataclass(frozen=True, slots=True)
-class Announce:
+class SetRegistration:
     """Be listed as taking work, or as taking none."""
 
-    taking: bool
+    accepts_work: bool
 
 
 @dataclass(frozen=True, slots=True)
-class TellBeside:
+class SendToPeerProcess:
     """Tell the other process of this node. A key is told as it stands when its turn comes, so that thousands
     of them wait as references, not as bytes."""
 
-    word: Key | KeyOver | KeyFreed | KeyAsked | KeyJudged | DrainAsked | LoadTold
+    message: (
+        IdempotencyRecord
+        | KeyRunCompleted
+        | KeyReleased
+        | KeyClaimRequested
+        | KeyClaimDecided
+        | DrainRequested
+        | PeerLoadReported
+    )
 
 
 @dataclass(frozen=True, slots=True)
-class AllTold:
+class SendHandoverComplete:
     """All keys were told: the other process may begin."""
 
 
 @dataclass(frozen=True, slots=True)
-class Room:
+class ReserveDescriptors:
     """So many of the descriptors are the other process's."""
 
-    taken: int
+    count: int
 
 
 @dataclass(frozen=True, slots=True)
-class Door:
+class SetAccepting:
     """Take new connections, or leave them to the other process and part with those there are."""
 
-    open: bool
+    accepting: bool
 
 
 @dataclass(frozen=True, slots=True)
-class Note:
+class LogNote:
     """A line for the people on call."""
 
     text: str
 
 
-Command = StartRun | StopRun | GiveReply | OmitCall
-Effect = (Answer | Command | AskGauges | MakeCall | DropCall | WakeAt | CloseIdleAfter | Announce | Note
-          | TellBeside | AllTold | Door | Room)
+Command = StartRun | StopRun | DeliverReply | SkipCall
+Effect = (
+    SendResponse
+    | Command
+    | RequestLoadSample
+    | StartCall
+    | CancelCall
+    | ScheduleTimer
+    | SetIdleTimeout
+    | SetRegistration
+    | LogNote
+    | SendToPeerProcess
+    | SendHandoverComplete
+    | SetAccepting
+    | ReserveDescriptors
+)
--- a/snowthread/core/events.py
+++ b/snowthread/core/events.py
@@ -7,97 +7,109 @@
 
 from dataclasses import dataclass
 
-from snowthread.admission import learned_state as recall
-from snowthread.admission.interface import Outcome, Settings, Tenant
+from snowthread.admission.learned_state import LearnedState
+from snowthread.admission.settings import Outcome, Settings, Tenant
 
-Ticket = tuple[int, int]
+ResponseAddress = tuple[int, int]
 """Where an answer goes: a connection's number and the number of the message on it."""
 
 
 @dataclass(frozen=True, slots=True)
-class RequestRead:
+class RequestReceived:
     """A whole request was read and checked."""
 
-    ticket: Ticket
-    uid: str
+    response_address: ResponseAddress
+    attempt_id: str
     class_name: str
     body: bytes
-    at: float
-    wait: float | None  # from ``at``; None where the site tells no deadlines: the class's holds then
-    caller: int
-    kb: float
+    sent_at_ms: float
+    timeout_ms: float | None  # from ``at``; None where the site tells no deadlines: the class's holds then
+    caller_id: int
+    memory_kb: float
     rank: float
-    once: str | None = None
-    key: str = ""
+    idempotency_key: str | None = None
+    partition_key: str = ""
     tenant: str = ""  # whose request it is, where tenants are told apart
 
 
-def of_tenant(m: RequestRead, tenant: str) -> RequestRead:
+def with_tenant(m: RequestReceived, tenant: str) -> RequestReceived:
     """The same request as this tenant's. Written out: dataclasses.replace takes three times as long."""
-    return RequestRead(m.ticket, m.uid, m.class_name, m.body, m.at, m.wait, m.caller, m.kb, m.rank, m.once,
-                       m.key, tenant)
+    return RequestReceived(
+        m.response_address,
+        m.attempt_id,
+        m.class_name,
+        m.body,
+        m.sent_at_ms,
+        m.timeout_ms,
+        m.caller_id,
+        m.memory_kb,
+        m.rank,
+        m.idempotency_key,
+        m.partition_key,
+        tenant,
+    )
 
 
 @dataclass(frozen=True, slots=True)
-class CallerLeft:
+class RequestCancelled:
     """Nobody waits for this answer any more: told so, or the connection is gone."""
 
-    ticket: Ticket
+    response_address: ResponseAddress
 
 
 @dataclass(frozen=True, slots=True)
-class HealthAsked:
+class HealthCheckReceived:
     """A health check was read."""
 
-    ticket: Ticket
+    response_address: ResponseAddress
 
 
 @dataclass(frozen=True, slots=True)
-class RuntimeUp:
+class RuntimeConnected:
     """The link to the runtime stands. Cold: it started so; ``age``: so long ago."""
 
-    cold: bool
-    age: float
+    starts_cold: bool
+    age_ms: float
 
 
 @dataclass(frozen=True, slots=True)
-class RuntimeLost:
+class RuntimeDisconnected:
     """The link broke; of ``unsent`` commands not one byte was written. ``heard``: when the runtime was heard
     last (ms), where the link was given up for its silence: it may have been broken since then."""
 
-    unsent: tuple[object, ...] = ()
-    heard: float | None = None
+    unsent_commands: tuple[object, ...] = ()
+    last_heard_at_ms: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
-class RunOver:
+class RunCompleted:
     """The runtime says how a run ended."""
 
-    uid: str
+    attempt_id: str
     outcome: Outcome
-    took: float
+    duration_ms: float
     result: bytes
 
 
 @dataclass(frozen=True, slots=True)
-class CommandRefused:
+class CommandRejected:
     """The runtime did not carry out a command about this run; ``starting``: it was the one to start it."""
 
-    uid: str
-    starting: bool
+    attempt_id: str
+    is_start: bool
 
 
 @dataclass(frozen=True, slots=True)
-class CallWanted:
+class CallRequested:
     """A run waits for a call with this body; ``pos`` names the notice that said so."""
 
-    uid: str
-    pos: int
+    attempt_id: str
+    notice_number: int
     body: bytes
 
 
 @dataclass(frozen=True, slots=True)
-class GaugesRead:
+class LoadSampleReceived:
     """The runtime's gauges, in the order of the settings."""
 
     tag: str
@@ -105,59 +117,59 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CallBack:
+class CallCompleted:
     """A call to the index came to its end."""
 
-    uid: str
+    attempt_id: str
     outcome: Outcome
-    took: float
+    duration_ms: float
     reply: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
-class TimerDue:
+class TimerExpired:
     """A timer of the decisions is due."""
 
     label: int
 
 
 @dataclass(frozen=True, slots=True)
-class GaugesDue:
+class LoadSampleDue:
     """Gauges should be asked for, ahead of a timer."""
 
 
 @dataclass(frozen=True, slots=True)
-class LeaveAsked:
+class ShutdownRequested:
     """The process will be killed this many milliseconds from now; the notice came ``since`` ms ago."""
 
-    left: float
-    since: float = 0.0
+    time_left_ms: float
+    received_ago_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
-class DrainAsked:
+class DrainRequested:
     """The operators want the node off the list, or back on it. It serves all that comes, either way."""
 
     drain: bool
 
 
 @dataclass(frozen=True, slots=True)
-class SettingsRead:
+class SettingsReloaded:
     """Other settings, and the gauges' names in their order."""
 
     settings: Settings
-    meters: tuple[str, ...]
+    gauge_names: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class BesideUp:
+class PeerProcessConnected:
     """Another process of this node is there. ``judge``: this one is the older and decides who has a key."""
 
-    judge: bool
+    is_predecessor: bool
 
 
 @dataclass(frozen=True, slots=True)
-class LoadTold:
+class PeerLoadReported:
     """What the other process has of what both share: runs, memory booked (KB), calls made, descriptors."""
 
     runs: int
@@ -167,94 +179,120 @@
 
 
 @dataclass(frozen=True, slots=True)
-class BesideTakes:
+class SuccessorReady:
     """The newer process takes the clients from now on."""
 
 
 @dataclass(frozen=True, slots=True)
-class BesideGone:
+class PeerProcessExited:
     """The other process is gone, with all it said read."""
 
 
 @dataclass(frozen=True, slots=True)
-class KeyTold:
+class KeyReplicated:
     """The other process holds a key, or holds it until another time."""
 
-    once: str
-    uid: str
-    until: float
-    content: bytes
-    over: bool
+    idempotency_key: str
+    attempt_id: str
+    expires_at_ms: float
+    body_digest: bytes
+    completed: bool
     result: bytes | None
 
 
 @dataclass(frozen=True, slots=True)
-class KeyOver:
+class KeyRunCompleted:
     """The run of the other process's try is over, with a result or without."""
 
-    uid: str
+    attempt_id: str
     result: bytes | None
 
 
 @dataclass(frozen=True, slots=True)
-class KeyFreed:
+class KeyReleased:
     """The other process's try holds its key no more: it never ran."""
 
-    uid: str
+    attempt_id: str
 
 
 @dataclass(frozen=True, slots=True)
-class KeyAsked:
+class KeyClaimRequested:
     """The newer process wants a key for a try that came ``at``."""
 
-    once: str
-    uid: str
-    at: float
-    content: bytes
+    idempotency_key: str
+    attempt_id: str
+    sent_at_ms: float
+    body_digest: bytes
 
 
 @dataclass(frozen=True, slots=True)
-class KeyJudged:
+class KeyClaimDecided:
     """The older process's word on that."""
 
-    once: str
-    uid: str
+    idempotency_key: str
+    attempt_id: str
     granted: bool
 
 
 @dataclass(frozen=True, slots=True)
-class KeyLate:
+class KeyClaimTimedOut:
     """So long a request has waited for that word, and no longer."""
 
-    ticket: Ticket
+    response_address: ResponseAddress
 
 
 @dataclass(frozen=True, slots=True)
-class SharesChanged:
+class TenantQuotasChanged:
     """Tenants were added, changed or removed; ``over_share_worth`` of traffic over a share, or None."""
 
     changed: tuple[Tenant, ...] = ()
     removed: frozenset[str] = frozenset()
-    over_share_worth: float | None = None
+    over_quota_weight: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
-class Paced:
+class CallPacingChanged:
     """A node on its way back: the module may have so many calls in hand from now on, some of which wait for
     their turn outside of it. 0: as the settings say."""
 
-    calls: float = 0.0
+    concurrent_calls: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
-class Recalled:
+class LearnedStateRestored:
     """What an earlier life of this node learned may be trusted: decisions begin with it."""
 
-    learned: recall.Recalled
-    speed: float  # of the machine, of its warm speed
-
-
-Message = (RequestRead | CallerLeft | HealthAsked | RuntimeUp | RuntimeLost | RunOver | CommandRefused
-           | CallWanted | GaugesRead | CallBack | TimerDue | GaugesDue | LeaveAsked | DrainAsked
-           | SharesChanged | SettingsRead | BesideUp | LoadTold | BesideTakes | BesideGone | KeyTold
-           | KeyOver | KeyFreed | KeyAsked | KeyJudged | KeyLate | Paced | Recalled)
+    learned_state: LearnedState
+    relative_speed: float  # of the machine, of its warm speed
+
+
+Event = (
+    RequestReceived
+    | RequestCancelled
+    | HealthCheckReceived
+    | RuntimeConnected
+    | RuntimeDisconnected
+    | RunCompleted
+    | CommandRejected
+    | CallRequested
+    | LoadSampleReceived
+    | CallCompleted
+    | TimerExpired
+    | LoadSampleDue
+    | ShutdownRequested
+    | DrainRequested
+    | TenantQuotasChanged
+    | SettingsReloaded
+    | PeerProcessConnected
+    | PeerLoadReported
+    | SuccessorReady
+    | PeerProcessExited
+    | KeyReplicated
+    | KeyRunCompleted
+    | KeyReleased
+    | KeyClaimRequested
+    | KeyClaimDecided
+    | KeyClaimTimedOut
+    | CallPacingChanged
+    | LearnedStateRestored
+)
--- a/snowthread/core/reconfiguration.py
+++ b/snowthread/core/reconfiguration.py
@@ -4,27 +4,27 @@
 
 from dataclasses import replace
 
-from snowthread.admission.interface import RequestClass, Settings
+from snowthread.admission.settings import RequestClass, Settings
 
 S_MS = 1000.0
 LEAST = 0.01  # of a limit that is left at least: none at all would pass for no limit
 
 
-def lasts_ms(kind: RequestClass) -> float:
+def retention_ms(kind: RequestClass) -> float:
     """How long after a class is dropped a try of what was begun under it may still come."""
-    return max(kind.deadline_s, kind.window_s) * S_MS
+    return max(kind.deadline_s, kind.idempotency_window_s) * S_MS
 
 
-def shared(settings: Settings, runs: int, memory_kb: float, calls: int) -> Settings:
+def remaining_limits(settings: Settings, runs: int, memory_kb: float, calls: int) -> Settings:
     """What is left of the runtime's limits while another process has so much of it: the crowd on the cores,
     the memory and the calls below are one for both, and either would else fill them alone."""
     return replace(
         settings, memory_kb=max(settings.memory_kb * LEAST, settings.memory_kb - memory_kb),
-        fall_multiple=max(1.0, settings.fall_multiple - runs / settings.cores),
-        calls_share=max(settings.calls_share * LEAST, settings.calls_share - calls))
+        collapse_multiple=max(1.0, settings.collapse_multiple - runs / settings.cores),
+        call_quota=max(settings.call_quota * LEAST, settings.call_quota - calls))
 
 
-def merged(old: Settings, new: Settings, gone: dict[str, float], now: float) -> Settings:
+def merge_settings(old: Settings, new: Settings, gone: dict[str, float], now: float) -> Settings:
     """The new settings with the classes in the places that they have in the old ones. A class that the new
     ones lack stays where it is, for balancers learn late and what is open keeps its class; ``gone`` says
     until when (ms) it is taken, and is brought up to date. Its place is another's once that is over, so that
@@ -35,7 +35,7 @@
     places = [wanted.get(c.name, c) for c in old.classes]
     for kind in old.classes:
         if kind.name not in wanted:
-            gone.setdefault(kind.name, now + lasts_ms(kind))
+            gone.setdefault(kind.name, now + retention_ms(kind))
     known = {c.name for c in places}
     free = [n for n, c in enumerate(places) if gone.get(c.name, now) < now]
     for kind in new.classes:
@@ -47,4 +47,4 @@
             places[n] = kind
         else:
             places.append(kind)
-    return replace(new, classes=tuple(places), cold=old.cold)
+    return replace(new, classes=tuple(places), starts_cold=old.starts_cold)
--- a/snowthread/demo.py
+++ b/snowthread/demo.py
@@ -25,7 +25,7 @@
 import click
 
 from snowthread.config import ConfigError
-from snowthread.net.loop import Steps, Wait
+from snowthread.net.loop import TaskSteps, Wait
 
 if TYPE_CHECKING:
     from emulators.load_generator import Load
@@ -84,7 +84,7 @@
             time.sleep(0.05)
         return made
 
-    def again(self, n: int, load: Load) -> Steps:
+    def again(self, n: int, load: Load) -> TaskSteps:
         """Start a node's successor once it is gone, and send it requests once it listens."""
         clock = load.loop.clock
         while self.nodes[n].poll() is None:
@@ -178,7 +178,7 @@
         raise ConfigError("the demo needs the repository round it: run it from a clone")
     from snowthread.incident.report import Report
     from snowthread.net.clock import Clock
-    from snowthread.net.loop import Loop
+    from snowthread.net.loop import EventLoop
     from emulators.load_generator import Load
 
     with ExitStack() as stack:
@@ -186,7 +186,7 @@
         folder.mkdir(parents=True, exist_ok=True)
         click.echo("starting three nodes and what stands round them...", err=True)
         fleet = Fleet(stack, folder)
-        loop, rng = Loop(Clock()), random.Random(1)
+        loop, rng = EventLoop(Clock()), random.Random(1)
         loads = [Load(fleet.address(n), ["127.0.0.1", "127.0.0.2"], loop=loop, caller=10)
                  for n in range(NODES)]
         for load in loads:
@@ -230,7 +230,7 @@
     try:
         looked = 0.0
         while (now := (loop.clock.now() - begin) / 1000.0) < seconds:
-            loop.round(0.02)
+            loop.run_once(0.02)
             while plan and plan[0][0] <= now:
                 _, words, action = plan.pop(0)
                 if live is None:
--- a/snowthread/frontends/admin/codec.py
+++ b/snowthread/frontends/admin/codec.py
@@ -14,7 +14,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Call:
+class AdminRequest:
     """A whole call: its method and its path, without a query."""
 
     method: str
@@ -22,19 +22,19 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Fault:
+class RequestError:
     """What came is no call; the status says why."""
 
     status: HTTPStatus
     reason: str
 
 
-class Reading:
+class RequestReader:
     """Takes in one call. ``result`` is there once it is whole or can't become so; what follows is not
     read."""
 
     def __init__(self) -> None:
-        self.result: Call | Fault | None = None
+        self.result: AdminRequest | RequestError | None = None
         self.expects = False  # the caller waits for a word before it sends the body
         self._parser = httptools.HttpRequestParser(self)
         self._url = b""
@@ -58,7 +58,7 @@
 
     def _end(self, status: HTTPStatus, reason: str) -> None:
         if self.result is None:
-            self.result = Fault(status, reason)
+            self.result = RequestError(status, reason)
 
     # What the parser calls.
 
@@ -87,7 +87,7 @@
         except (httptools.HttpParserError, UnicodeDecodeError):
             self._end(HTTPStatus.BAD_REQUEST, "not a target")
         else:
-            self.result = Call(self._parser.get_method().decode("ascii"), path)
+            self.result = AdminRequest(self._parser.get_method().decode("ascii"), path)
 
 
 def encode(status: HTTPStatus, text: str, headers: tuple[tuple[str, str], ...] = ()) -> bytes:
--- a/snowthread/frontends/admin/server.py
+++ b/snowthread/frontends/admin/server.py
@@ -9,8 +9,8 @@
 from loguru import logger
 
 from snowthread.address import Address
-from snowthread.frontends.admin.codec import CONTINUE, Call, Fault, Reading, encode
-from snowthread.net.loop import IN, OUT, Loop, Steps, Task, Wait
+from snowthread.frontends.admin.codec import CONTINUE, AdminRequest, RequestError, RequestReader, encode
+from snowthread.net.loop import READABLE, WRITABLE, EventLoop, TaskSteps, Task, Wait
 
 CALLERS_MOST = 12  # at once, within the descriptors set aside; past it who has waited longest makes room
 CALL_MS = 10_000.0  # the longest wait for the rest of a call: some stop for seconds and go on
@@ -33,10 +33,10 @@
         self.task: Task | None = None
 
 
-class Admin:
+class AdminServer:
     """Answers calls, each known by its path and its method."""
 
-    def __init__(self, loop: Loop, address: Address, calls: Mapping[str, tuple[str, Answer]]) -> None:
+    def __init__(self, loop: EventLoop, address: Address, calls: Mapping[str, tuple[str, Answer]]) -> None:
         """``calls``: the method wanted and what answers, by path."""
         self._loop, self._calls = loop, calls
         self._listener = address.open(socket.SOCK_STREAM)
@@ -56,9 +56,9 @@
         host, port = self._listener.getsockname()[:2]
         return host, port
 
-    def _accept(self) -> Steps:
+    def _accept(self) -> TaskSteps:
         while True:
-            yield Wait(self._listener.fileno(), IN)
+            yield Wait(self._listener.fileno(), READABLE)
             try:
                 sock, _address = self._listener.accept()
             except OSError as error:  # that caller is gone already, or no descriptor is left for now
@@ -78,9 +78,9 @@
             del self._callers[caller]
             self._loop.close(caller.sock)
             if caller.task is not None:
-                self._loop.end(caller.task)
+                self._loop.end_task(caller.task)
 
-    def _steps(self, caller: _Caller) -> Steps:
+    def _steps(self, caller: _Caller) -> TaskSteps:
         try:
             yield from self._call(caller.sock)
         except OSError as error:
@@ -90,11 +90,11 @@
                 del self._callers[caller]
                 self._loop.close(caller.sock)
 
-    def _call(self, sock: socket.socket) -> Steps:
+    def _call(self, sock: socket.socket) -> TaskSteps:
         """One call, from its first byte to the caller's close."""
-        reading, until, told = Reading(), self._loop.clock.now() + CALL_MS, False
+        reading, until, told = RequestReader(), self._loop.clock.now() + CALL_MS, False
         while reading.result is None:
-            if not (yield Wait(sock.fileno(), IN, until)):
+            if not (yield Wait(sock.fileno(), READABLE, until)):
                 return
             try:
                 data = sock.recv(READ_BYTES)
@@ -111,15 +111,15 @@
             try:
                 out = out[sock.send(out):]
             except BlockingIOError:
-                if not (yield Wait(sock.fileno(), OUT, until)):
+                if not (yield Wait(sock.fileno(), WRITABLE, until)):
                     return
         # Closed in the open: bytes left unread at a close would reset the connection, and the reply with it.
         sock.shutdown(socket.SHUT_WR)
-        while (yield Wait(sock.fileno(), IN, until)) and sock.recv(READ_BYTES):
+        while (yield Wait(sock.fileno(), READABLE, until)) and sock.recv(READ_BYTES):
             pass
 
-    def _answer(self, result: Call | Fault) -> bytes:
-        if isinstance(result, Fault):
+    def _answer(self, result: AdminRequest | RequestError) -> bytes:
+        if isinstance(result, RequestError):
             return encode(result.status, result.reason)
         known = self._calls.get(result.path)
         if known is None:
--- a/snowthread/frontends/balancers/codec.py
+++ b/snowthread/frontends/balancers/codec.py
@@ -10,8 +10,8 @@
 
 import msgpack
 
-from snowthread.core import effects as fx
-from snowthread.core import events as ev
+from snowthread.core import effects
+from snowthread.core import events
 
 READ_BYTES = 8 * 1024  # taken from one connection in a turn of the loop: a flood gets no more than others
 MESSAGE_MAX = 16 * 1024  # bytes of one message: a body, fields and room to spare
@@ -33,7 +33,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Bad:
+class InvalidMessage:
     """A message that can't be served; answered where its number could be read."""
 
     number: int | None
@@ -41,21 +41,21 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Cancel:
+class CancelMessage:
     """The peer stopped waiting for this message."""
 
     number: int
 
 
 @dataclass(frozen=True, slots=True)
-class Check:
+class HealthCheckMessage:
     """A health check."""
 
     number: int
 
 
 @dataclass(frozen=True, slots=True)
-class Asked:
+class RequestMessage:
     """A request whose fields were read and checked."""
 
     number: int
@@ -64,37 +64,39 @@
     fields: Mapping[str, str]
 
 
-Read = Bad | Cancel | Check | Asked
+DecodedMessage = InvalidMessage | CancelMessage | HealthCheckMessage | RequestMessage
 
 
-def decode(message: object) -> Read:
+def decode(message: object) -> DecodedMessage:
     """What a message says."""
     if not isinstance(message, list | tuple) or len(message) < 2:
-        return Bad(None, "not a message")
+        return InvalidMessage(None, "not a message")
     if message[0] == 2 and len(message) == 3 and message[1] == "cancel":
         numbers = message[2]
         if isinstance(numbers, list) and len(numbers) == 1 and _is_number(numbers[0]):
-            return Cancel(numbers[0])
-        return Bad(None, "cancel of what?")
+            return CancelMessage(numbers[0])
+        return InvalidMessage(None, "cancel of what?")
     if message[0] != 0 or not _is_number(message[1]):
-        return Bad(None, "neither a request nor a cancel")
+        return InvalidMessage(None, "neither a request nor a cancel")
     number = int(message[1])
     if len(message) != 4 or not isinstance(message[2], str) or not isinstance(message[3], list):
-        return Bad(number, "a request has a number, a method and its arguments")
+        return InvalidMessage(number, "a request has a number, a method and its arguments")
     method, arguments = message[2], message[3]
     if method == "health":
-        return Check(number)
+        return HealthCheckMessage(number)
     if len(arguments) != 2:
-        return Bad(number, "fields and a body are wanted")
+        return InvalidMessage(number, "fields and a body are wanted")
     fields, body = arguments
     if not isinstance(body, bytes) or len(body) > BODY_MAX:
-        return Bad(number, "the body is no binary or too long")
+        return InvalidMessage(number, "the body is no binary or too long")
     if not isinstance(fields, dict):
-        return Bad(number, "the fields are not a map")
-    return Asked(number, method, body, fields)
+        return InvalidMessage(number, "the fields are not a map")
+    return RequestMessage(number, method, body, fields)
 
 
-def request(asked: Asked, ticket: ev.Ticket, now: float) -> ev.RequestRead | Bad:
+def parse_request(
+    asked: RequestMessage, ticket: events.ResponseAddress, now: float
+) -> events.RequestReceived | InvalidMessage:
     """The fields' meaning, or which of them is wrong."""
     f = asked.fields
     try:
@@ -113,33 +115,47 @@
         if type(key) is not str or not (once is None or type(once) is str):
             raise TypeError("once or key is no word")
     except (KeyError, ValueError, TypeError, AttributeError) as error:
-        return Bad(asked.number, f"field {error}")
-    return ev.RequestRead(ticket=ticket, uid=uid, class_name=asked.class_name, body=asked.body, at=at,
-                          wait=None if told is None else wait, caller=int(caller), kb=kb, rank=rank,
-                          once=once, key=key)
+        return InvalidMessage(asked.number, f"field {error}")
+    return events.RequestReceived(
+        response_address=ticket,
+        attempt_id=uid,
+        class_name=asked.class_name,
+        body=asked.body,
+        sent_at_ms=at,
+        timeout_ms=None if told is None else wait,
+        caller_id=int(caller),
+        memory_kb=kb,
+        rank=rank,
+        idempotency_key=once,
+        partition_key=key,
+    )
 
 
 def _is_number(value: object) -> bool:
     return isinstance(value, int) and not isinstance(value, bool) and 0 <= value < 2**32
 
 
-def encode(number: int, answer: fx.Served | fx.Refused | fx.Failed | fx.Healthy, say: float | None) -> bytes:
+def encode(
+    number: int,
+    answer: effects.Served | effects.Rejected | effects.Failed | effects.HealthStatus,
+    say: float | None,
+) -> bytes:
     """An answer's bytes."""
     fields: dict[str, str] = {} if say is None else {"say": f"{say:.6g}"}
     error: list[Any] | None = None
     result: list[Any] | None = None
     match answer:
-        case fx.Served():
+        case effects.Served():
             result = [answer.result, fields]
-        case fx.Healthy():
-            result = [answer.good, fields]
-        case fx.Refused():
-            if answer.after > 0.0:
-                fields["after"] = str(math.ceil(answer.after))
-            if answer.last:
+        case effects.HealthStatus():
+            result = [answer.healthy, fields]
+        case effects.Rejected():
+            if answer.retry_after_ms > 0.0:
+                fields["after"] = str(math.ceil(answer.retry_after_ms))
+            if answer.do_not_retry:
                 fields["last"] = "1"
             error = ["Throttled", fields]
-        case fx.Failed():
+        case effects.Failed():
             error = ["Failed", fields]
     packed: bytes = msgpack.packb([1, number, error, result])
     return packed
--- a/snowthread/hot_restart/channel.py
+++ b/snowthread/hot_restart/channel.py
@@ -16,11 +16,20 @@
 import msgpack
 from loguru import logger
 
-from snowthread.core import effects as fx
-from snowthread.core import events as ev
-from snowthread.core.idempotency import Key
-from snowthread.net.loop import BROKEN, IN, OUT, Loop, Steps, Task, Wait
-from snowthread.hot_restart.messages import ALL, HELLO, TAKES, YOURS, Word, decode, encode, unpacker
+from snowthread.core import effects
+from snowthread.core import events
+from snowthread.core.idempotency import IdempotencyRecord
+from snowthread.net.loop import HANGUP, READABLE, WRITABLE, EventLoop, TaskSteps, Task, Wait
+from snowthread.hot_restart.messages import (
+    HANDOVER_COMPLETE,
+    HELLO,
+    TAKING_CLIENTS,
+    CLIENTS_RELEASED,
+    PeerMessage,
+    decode,
+    encode,
+    unpacker,
+)
 
 SOCKET = "beside"  # its name in the folder
 READ_BYTES = 64 * 1024
@@ -47,10 +56,10 @@
         return None
 
 
-class Beside:
+class HotRestartChannel:
     """Finds the other process, keeps the link and passes on what it says."""
 
-    def __init__(self, loop: Loop, folder: str, post: Callable[[ev.Message], None],
+    def __init__(self, loop: EventLoop, folder: str, post: Callable[[events.Event], None],
                  found: Callable[[], None]) -> None:
         """``found`` is called once it is known that nobody is there, or all that the other knows is known
         here: the process may take clients from then on."""
@@ -58,7 +67,7 @@
         self._sock: socket.socket | None = None
         self._task: Task | None = None
         self._listener: socket.socket | None = None
-        self._words: deque[Key | ev.Message | str] = deque()
+        self._words: deque[IdempotencyRecord | events.Event | str] = deque()
         self._out = b""
         self._gone = self._settled = False
         self._links = self._peer = 0  # links from newer processes so far; the process that the last came from
@@ -72,15 +81,15 @@
 
     # Words out.
 
-    def tell(self, effect: fx.TellBeside) -> None:
+    def send(self, effect: effects.SendToPeerProcess) -> None:
         """Say it, as much of it as goes."""
-        self._say(effect.word)
+        self._say(effect.message)
 
-    def all_told(self, _: fx.AllTold) -> None:
+    def send_handover_complete(self, _: effects.SendHandoverComplete) -> None:
         """Say that all keys were told."""
-        self._say(ALL)
+        self._say(HANDOVER_COMPLETE)
 
-    def _say(self, word: Key | ev.Message | str) -> None:
+    def _say(self, word: IdempotencyRecord | events.Event | str) -> None:
         if self._sock is None:
             return
         if len(self._words) >= WORDS_MOST:  # it connects anew, if it lives, and is told all from the start
@@ -113,7 +122,7 @@
 
     # The newer process.
 
-    def _join(self) -> Steps:
+    def _join(self) -> TaskSteps:
         """Find the older process, or find that there is none. Where the link to it breaks while it lives,
         keys are still its to judge: alone is only who finds nobody listening."""
         until, joined = self._loop.clock.now() + JOIN_MS, False
@@ -125,7 +134,7 @@
                         "another process serves: takes over from it")
                 joined = True
                 self._begin(sock, self._joining)
-                self._post(ev.BesideUp(judge=False))
+                self._post(events.PeerProcessConnected(is_predecessor=False))
                 self._say(HELLO)
                 yield from self._talk(sock)
                 if self._gone:
@@ -142,7 +151,7 @@
 
     def _over(self) -> None:
         logger.bind(event="beside.gone", peer="beside").info("the other process is gone")
-        self._post(ev.BesideGone())
+        self._post(events.PeerProcessExited())
 
     def _connect(self) -> tuple[int, socket.socket | None]:
         try:
@@ -185,9 +194,9 @@
         self._listener = made
         self._loop.spawn(self._accept(made))
 
-    def _accept(self, listener: socket.socket) -> Steps:
+    def _accept(self, listener: socket.socket) -> TaskSteps:
         while True:
-            yield Wait(listener.fileno(), IN)
+            yield Wait(listener.fileno(), READABLE)
             try:
                 sock, _ = listener.accept()
             except OSError:
@@ -203,16 +212,16 @@
             self._peer = process[0] if process is not None else 0
             self._begin(sock, self._loop.spawn(self._serve(sock, process, self._links)))
 
-    def _serve(self, sock: socket.socket, process: tuple[int, int] | None, link: int) -> Steps:
+    def _serve(self, sock: socket.socket, process: tuple[int, int] | None, link: int) -> TaskSteps:
         """One link from the newer process, and that process to its end. A broken link is not its end: it
         takes no key without a word from here, so nothing is lost by waiting until it connects anew."""
         try:
             yield from self._talk(sock)
             if process is not None and not self._gone:
-                yield Wait(process[1], IN)
+                yield Wait(process[1], READABLE)
         finally:
             if process is not None:
-                self._loop.forget(process[1])
+                self._loop.unwatch(process[1])
                 os.close(process[1])
         if link == self._links and not self._gone:
             self._peer = 0
@@ -225,14 +234,14 @@
         self._sock, self._task, self._out = sock, task, b""
         self._words.clear()
 
-    def _talk(self, sock: socket.socket) -> Steps:
+    def _talk(self, sock: socket.socket) -> TaskSteps:
         """All that is said over a link, until it breaks."""
         coming = unpacker()
         try:
             while True:
                 self._flush()
-                got = yield Wait(sock.fileno(), IN | OUT if self._out or self._words else IN)
-                if got & (IN | BROKEN):
+                got = yield Wait(sock.fileno(), READABLE | WRITABLE if self._out or self._words else READABLE)
+                if got & (READABLE | HANGUP):
                     try:
                         data = sock.recv(READ_BYTES)
                     except BlockingIOError:
@@ -248,21 +257,21 @@
             self._loop.close(sock)
             self._sock = None
 
-    def _take(self, word: Word) -> None:
+    def _take(self, word: PeerMessage) -> None:
         if word == HELLO:
-            self._post(ev.BesideUp(judge=True))
-        elif word == ALL:
+            self._post(events.PeerProcessConnected(is_predecessor=True))
+        elif word == HANDOVER_COMPLETE:
             self._found()
-            self._say(TAKES)
-        elif word == TAKES:
-            self._post(ev.BesideTakes())
-            self._say(YOURS)
-        elif word == YOURS:
+            self._say(TAKING_CLIENTS)
+        elif word == TAKING_CLIENTS:
+            self._post(events.SuccessorReady())
+            self._say(CLIENTS_RELEASED)
+        elif word == CLIENTS_RELEASED:
             self._settled = True
         elif not isinstance(word, str):
             self._post(word)
 
-    def leave(self) -> None:
+    def close(self) -> None:
         """The process goes: what was said is said, and its end is no news."""
         self._gone = True
         self._flush()
--- a/snowthread/hot_restart/messages.py
+++ b/snowthread/hot_restart/messages.py
@@ -7,33 +7,41 @@
 
 import msgpack
 
-from snowthread.core import events as ev
-from snowthread.core.idempotency import Key
+from snowthread.core import events
+from snowthread.core.idempotency import IdempotencyRecord
 
 VERSION = 1
 MESSAGE_MAX = 64 * 1024  # a key with its result, and room to spare
 
-HELLO, ALL, TAKES, YOURS = "hello", "all", "takes", "yours"
-Word = ev.Message | str
+HELLO, HANDOVER_COMPLETE, TAKING_CLIENTS, CLIENTS_RELEASED = "hello", "all", "takes", "yours"
+PeerMessage = events.Event | str
 
 
-def encode(word: Key | ev.Message | str) -> bytes:
+def encode(word: IdempotencyRecord | events.Event | str) -> bytes:
     """One message: an array, its name first."""
     fields: list[Any]
     match word:
-        case Key():
-            fields = ["key", word.once, word.uid, word.until, word.content, word.over, word.result]
-        case ev.KeyOver():
-            fields = ["over", word.uid, word.result]
-        case ev.KeyFreed():
-            fields = ["freed", word.uid]
-        case ev.KeyAsked():
-            fields = ["asked", word.once, word.uid, word.at, word.content]
-        case ev.KeyJudged():
-            fields = ["judged", word.once, word.uid, word.granted]
-        case ev.LoadTold():
+        case IdempotencyRecord():
+            fields = [
+                "key",
+                word.idempotency_key,
+                word.attempt_id,
+                word.expires_at_ms,
+                word.body_digest,
+                word.completed,
+                word.result,
+            ]
+        case events.KeyRunCompleted():
+            fields = ["over", word.attempt_id, word.result]
+        case events.KeyReleased():
+            fields = ["freed", word.attempt_id]
+        case events.KeyClaimRequested():
+            fields = ["asked", word.idempotency_key, word.attempt_id, word.sent_at_ms, word.body_digest]
+        case events.KeyClaimDecided():
+            fields = ["judged", word.idempotency_key, word.attempt_id, word.granted]
+        case events.PeerLoadReported():
             fields = ["load", word.runs, word.memory_kb, word.calls, word.descriptors]
-        case ev.DrainAsked():
+        case events.DrainRequested():
             fields = ["drain", word.drain]
         case str():
             fields = [word, VERSION]
@@ -43,18 +51,23 @@
     return packed
 
 
-_READ: dict[str, Callable[..., ev.Message]] = {
-    "key": ev.KeyTold, "over": ev.KeyOver, "freed": ev.KeyFreed, "asked": ev.KeyAsked,
-    "judged": ev.KeyJudged, "drain": ev.DrainAsked,
-    "load": ev.LoadTold}
+_READ: dict[str, Callable[..., events.Event]] = {
+    "key": events.KeyReplicated,
+    "over": events.KeyRunCompleted,
+    "freed": events.KeyReleased,
+    "asked": events.KeyClaimRequested,
+    "judged": events.KeyClaimDecided,
+    "drain": events.DrainRequested,
+    "load": events.PeerLoadReported,
+}
 _WANTED: dict[str, tuple[Any, ...]] = {
     "key": (str, str, float, bytes, bool, bytes | None), "over": (str, bytes | None), "freed": (str,),
     "asked": (str, str, float, bytes), "judged": (str, str, bool), "drain": (bool,),
     "load": (int, float, int, int),
-    HELLO: (int,), ALL: (int,), TAKES: (int,), YOURS: (int,)}
+    HELLO: (int,), HANDOVER_COMPLETE: (int,), TAKING_CLIENTS: (int,), CLIENTS_RELEASED: (int,)}
 
 
-def decode(message: object) -> Word:
+def decode(message: object) -> PeerMessage:
     """What a message says; ValueError where it says nothing that is known."""
     if not isinstance(message, list) or not message or message[0] not in _WANTED:
         raise ValueError(f"not a message: {str(message)[:80]}")
--- a/snowthread/incident/report.py
+++ b/snowthread/incident/report.py
@@ -21,7 +21,7 @@
 from snowthread import __version__
 from snowthread.incident.clocks import Clocks
 from snowthread.incident.series import Series, build
-from snowthread.incident.timeline import Story, tell
+from snowthread.incident.timeline import Timeline, build_timeline
 from snowthread.records.reader import Findings, merge
 
 POINTS_MOST = 240  # of a chart: longer stretches are averaged
@@ -42,7 +42,7 @@
                 progress(count)
         self.clocks.fit()
         self.series: Series = build(merge(paths, self.findings), self.clocks)
-        self.story: Story = tell(self.series, self.clocks)
+        self.story: Timeline = build_timeline(self.series, self.clocks)
 
     def plain(self) -> dict[str, Any]:
         """For programs: the story with its citations, the offsets, the gaps, and each node's totals."""
@@ -59,7 +59,7 @@
             "findings": {"records": self.findings.records, "files": self.findings.files,
                          "copies": self.findings.copies, "unreadable": self.findings.unreadable,
                          "holes": [[h.node, h.boot, h.after, h.count] for h in self.findings.holes],
-                         "spoilt": [[str(s.path.name), s.bad.offset, s.bad.size, s.bad.why]
+                         "spoilt": [[str(s.path.name), s.frame.offset, s.frame.size, s.frame.reason]
                                     for s in self.findings.spoilt]},
             "nodes": [{"node": node, **_totals(rows.values())}
                       for node, rows in sorted(self.series.rows.items())],
--- a/snowthread/incident/timeline.py
+++ b/snowthread/incident/timeline.py
@@ -34,7 +34,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Story:
+class Timeline:
     """All there is to say, in order, and what is not known."""
 
     sentences: tuple[Sentence, ...]
@@ -55,13 +55,16 @@
             and (e.end is None or e.end + AFTER_MS + e.bound >= effect.start)]
 
 
-def tell(series: Series, clocks: Clocks) -> Story:
+def build_timeline(series: Series, clocks: Clocks) -> Timeline:
     """The story of these records."""
     episodes = find(series)
     sentences = tuple(Sentence(e.start, _text(e, episodes), _cites(e, episodes), _confidence(e), e.kind, e)
                       for e in episodes)
-    return Story(sentences, tuple(_unknown(series, clocks)), not any(e.kind in CAUSES or e.kind == TURNED_AWAY
-                                                                    for e in episodes))
+    return Timeline(
+        sentences,
+        tuple(_unknown(series, clocks)),
+        not any(e.kind in CAUSES or e.kind == TURNED_AWAY for e in episodes),
+    )
 
 
 def _cites(e: Episode, episodes: Sequence[Episode]) -> tuple[Key, ...]:
--- a/snowthread/lab/relay.py
+++ b/snowthread/lab/relay.py
@@ -13,7 +13,7 @@
 
 from snowthread.address import Address
 from snowthread.lab.faults import LinkFaults, Pace, admits, cut, release_ms
-from snowthread.net.loop import BROKEN, IN, OUT, Loop, Steps, Task, Wait
+from snowthread.net.loop import HANGUP, READABLE, WRITABLE, EventLoop, TaskSteps, Task, Wait
 
 QUEUE_BYTES = 1 << 20  # held a direction at the most
 CHUNK = 65536
@@ -23,7 +23,7 @@
 class Relay:
     """One link: ``listen`` -> ``target``; its faults are changed from outside while it plays."""
 
-    def __init__(self, loop: Loop, listen: Address, target: Address, draw: random.Random,
+    def __init__(self, loop: EventLoop, listen: Address, target: Address, draw: random.Random,
                  name: str = "") -> None:
         self.loop, self.target, self.draw, self.name = loop, target, draw, name
         self.faults = LinkFaults()
@@ -47,15 +47,15 @@
     def close(self) -> None:
         """Listen no more: callers are refused, as where the process behind is dead. Open connections stay."""
         if self._task is not None:
-            self.loop.end(self._task)
+            self.loop.end_task(self._task)
             self._task = None
             if self._listener.fileno() >= 0:  # a task that never ran closes nothing
                 self._listener.close()
 
-    def _accept(self, listener: socket.socket) -> Steps:
+    def _accept(self, listener: socket.socket) -> TaskSteps:
         try:
             while True:
-                yield Wait(listener.fileno(), IN)
+                yield Wait(listener.fileno(), READABLE)
                 try:
                     near, _ = listener.accept()
                 except BlockingIOError:
@@ -70,13 +70,13 @@
         finally:
             self.loop.close(listener)
 
-    def _connection(self, near: socket.socket) -> Steps:
+    def _connection(self, near: socket.socket) -> TaskSteps:
         far = self.target.open(socket.SOCK_STREAM)
         try:
             far.connect(self.target)
         except BlockingIOError:
-            yield Wait(far.fileno(), OUT | BROKEN, self.loop.clock.now() + 3000.0)
-            self.loop.forget(far.fileno())
+            yield Wait(far.fileno(), WRITABLE | HANGUP, self.loop.clock.now() + 3000.0)
+            self.loop.unwatch(far.fileno())
         except OSError:
             pass
         if far.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) or not _connected(far):
@@ -91,7 +91,7 @@
         self.loop.spawn(self._pump(near, far.dup(), pair))
         self.loop.spawn(self._pump(far, near.dup(), pair))
 
-    def _pump(self, source: socket.socket, sink: socket.socket, pair: Pair) -> Steps:
+    def _pump(self, source: socket.socket, sink: socket.socket, pair: Pair) -> TaskSteps:
         """Read from ``source``, hold, write to ``sink``; a cut, a reset or both ends close all."""
         pace = Pace(self.faults.cuts)
         held: deque[tuple[float, bytes]] = deque()
@@ -112,13 +112,13 @@
                     if sent < len(chunk):
                         held.appendleft((at, chunk[sent:]))
                         size += len(chunk) - sent
-                        yield Wait(sink.fileno(), OUT | BROKEN, now + CHECK_MS)
+                        yield Wait(sink.fileno(), WRITABLE | HANGUP, now + CHECK_MS)
                     continue
                 due = held[0][0] if held and not self.faults.partitioned else now + CHECK_MS
                 if ended or size >= QUEUE_BYTES:
                     yield Wait(until=min(due, now + CHECK_MS))
                     continue
-                mask = yield Wait(source.fileno(), IN, min(due, now + CHECK_MS))
+                mask = yield Wait(source.fileno(), READABLE, min(due, now + CHECK_MS))
                 if not mask:
                     continue
                 try:
@@ -175,7 +175,7 @@
     """One node's link with the roster: reports and their answers, passed on as they come, or dropped
     while the link is partitioned."""
 
-    def __init__(self, loop: Loop, target: Address, name: str = "") -> None:
+    def __init__(self, loop: EventLoop, target: Address, name: str = "") -> None:
         self.loop, self.target, self.name = loop, target, name
         self.faults = LinkFaults()
         self.passed = self.dropped = 0
@@ -189,17 +189,17 @@
 
     def close(self) -> None:
         for task in self._tasks:
-            self.loop.end(task)
+            self.loop.end_task(task)
 
     def _passes(self) -> bool:
         self.dropped += self.faults.partitioned
         self.passed += not self.faults.partitioned
         return not self.faults.partitioned
 
-    def _out(self) -> Steps:
+    def _out(self) -> TaskSteps:
         try:
             while True:
-                yield Wait(self._near.fileno(), IN)
+                yield Wait(self._near.fileno(), READABLE)
                 try:
                     word, self._caller = self._near.recvfrom(65536)
                     if self._passes():
@@ -209,10 +209,10 @@
         finally:
             self.loop.close(self._near)
 
-    def _back(self) -> Steps:
+    def _back(self) -> TaskSteps:
         try:
             while True:
-                yield Wait(self._far.fileno(), IN)
+                yield Wait(self._far.fileno(), READABLE)
                 try:
                     word = self._far.recv(65536)
                     if self._caller is not None and self._passes():
--- a/snowthread/lab/report.py
+++ b/snowthread/lab/report.py
@@ -39,8 +39,11 @@
                     f"{html.escape(' '.join(event['nodes']))} {html.escape(event['link'])}</li>"
                     for event in summary["events"])
     title = html.escape(f"lab: {summary['scenario']}, seed {summary['seed']}, {summary['nodes']} nodes")
-    return (f"<!doctype html><html><head><meta charset=utf-8><title>{title}</title>"
-            "<style>body{font-family:sans-serif;max-width:960px;margin:auto}th{text-align:left;padding-right:1em}"
-            "</style></head>"
-            f"<body><h1>{title}</h1><table>{rows}</table><h2>Steps</h2><ol>{steps}</ol>"
-            + "".join(f"<figure>{chart}</figure>" for chart in charts) + "</body></html>")
+    return (
+        f"<!doctype html><html><head><meta charset=utf-8><title>{title}</title>"
+        "<style>body{font-family:sans-serif;max-width:960px;margin:auto}th{text-align:left;padding-right:1em}"
+        "</style></head>"
+        f"<body><h1>{title}</h1><table>{rows}</table><h2>Steps</h2><ol>{steps}</ol>"
+        + "".join(f"<figure>{chart}</figure>" for chart in charts)
+        + "</body></html>"
+    )
--- a/snowthread/lab/runner.py
+++ b/snowthread/lab/runner.py
@@ -39,9 +39,9 @@
     run_ms,
 )
 from snowthread.net.clock import Clock
-from snowthread.net.loop import Loop
+from snowthread.net.loop import EventLoop
 from snowthread.records.reader import Findings, merge
-from snowthread.recovery import storage as disk
+from snowthread.recovery import storage
 
 ROOT = Path(__file__).parent.parent.parent
 START_PATIENCE_S = 30.0
@@ -90,7 +90,7 @@
         return self.process is not None and not self.killed and self.process.poll() is None
 
 
-class StandIn:
+class EmulatorProcess:
     """A stand-in process that takes lines and answers ``report`` with one JSON line."""
 
     def __init__(self, module: str, plan: Path) -> None:
@@ -133,7 +133,7 @@
 
     def __init__(self, scenario: Scenario, folder: Path, lab_cores: int = LAB_CORES) -> None:
         self.scenario, self.folder, self.lab_cores = scenario, folder, lab_cores
-        self.loop = Loop(Clock())
+        self.loop = EventLoop(Clock())
         self.generation = 1
         self.alive_by_s: list[int] = []
         self.events: list[dict[str, Any]] = []
@@ -152,7 +152,7 @@
             "warmth": asdict(scenario.machine) | {"over_ms": over_ms(scenario)},
             "calls": [kind.name for kind in CLASSES if kind.calls]}))
         self.cores = sorted(os.sched_getaffinity(0))
-        self.fleet = StandIn("emulators.fleet_services", fleet)
+        self.fleet = EmulatorProcess("emulators.fleet_services", fleet)
         draws = random.Random(scenario.seed)
         self.links: dict[str, dict[str, Relay | DatagramRelay]] = {}
         self.fronts: dict[str, Relay] = {}
@@ -176,7 +176,7 @@
             "keyed": scenario.load.keyed, "repeats": scenario.load.repeats,
             "foreign": scenario.load.foreign, "own_number": OWN, "others_number": OTHERS,
             **balancer_classes(scenario)}))
-        self.balancers = StandIn("emulators.balancers", traffic)
+        self.balancers = EmulatorProcess("emulators.balancers", traffic)
 
     def _node(self, name: str, number: int, listen: Address, runtime: Address, database: Address,
               roster: Address) -> Node:
@@ -230,14 +230,14 @@
                 os.sched_setaffinity(pid, self.cores[-self.lab_cores:])
         for node in self.nodes.values():
             if self.scenario.comeback:  # what an operator does for a new machine: no earlier life ran keys
-                disk.init(node.state)
+                storage.init(node.state)
             self.start(node)
         until = time.monotonic() + START_PATIENCE_S
         while any(node.gone for node in self.nodes.values()):
             dead = [node for node in self.nodes.values() if not node.alive()]
             if dead or time.monotonic() > until:
                 raise RuntimeError(f"{[n.name for n in dead] or 'some'} did not start; see {self.folder}")
-            self.loop.round(0.02)
+            self.loop.run_once(0.02)
 
     def stop_all(self) -> None:
         for node in self.nodes.values():
@@ -337,7 +337,7 @@
                 self.loop.call_at(begin + step.at_ms, partial(self.act, step))
             end, next_sample = begin + self.scenario.duration_ms + TAIL_MS, begin
             while (now := self.loop.clock.now()) < end:
-                self.loop.round(0.02)
+                self.loop.run_once(0.02)
                 if now >= next_sample:
                     self.alive_by_s.append(sum(n.alive() and not n.gone for n in self.nodes.values()))
                     next_sample += 1000.0
--- a/snowthread/ldap/client.py
+++ b/snowthread/ldap/client.py
@@ -15,13 +15,13 @@
 from snowthread.ldap.session import Broken, Session, State
 from snowthread.ldap.url import LdapUrl
 from snowthread.net.attempt import Failure, Progress
-from snowthread.net.connect import Connecting
-from snowthread.net.loop import Loop, Wait
+from snowthread.net.connect import ConnectAttempt
+from snowthread.net.loop import EventLoop, Wait
 from snowthread.net.tls_stream import Stream
 
 
 @dataclass(frozen=True, slots=True)
-class Trouble:
+class LinkFailure:
     """A connection or operation that failed: how far it had come, why, and what that asks for."""
 
     progress: Progress
@@ -45,21 +45,21 @@
 class Link:
     """One connection. ``open`` first; ``send`` and ``receive`` until a Trouble; ``close`` in any case."""
 
-    def __init__(self, loop: Loop, url: LdapUrl, access: Access) -> None:
+    def __init__(self, loop: EventLoop, url: LdapUrl, access: Access) -> None:
         self.url, self.server = url, url.server
         self._loop, self._access = loop, access
         self._session = Session(access.bounds)
         self._stream: Stream | None = None
 
-    def open(self) -> Generator[Wait, int, Trouble | None]:
+    def open(self) -> Generator[Wait, int, LinkFailure | None]:
         """Connect, secure and bind, each under its deadline."""
         clock, access = self._loop.clock, self._access
-        attempt = Connecting(self.url.address, self._loop, clock.now() + access.connect_ms)
+        attempt = ConnectAttempt(self.url.address, self._loop, clock.now() + access.connect_ms)
         yield from attempt.steps()
         if attempt.sock is None:
-            return Trouble(attempt.failure.progress, f"connect: {attempt.failure.reason}")
+            return LinkFailure(attempt.failure.progress, f"connect: {attempt.failure.reason}")
         self._stream = Stream(self._loop, attempt.sock)
-        trouble: Trouble | None = None
+        trouble: LinkFailure | None = None
         if self.url.scheme == "ldaps":
             trouble = yield from self._tls()
         elif access.start_tls:
@@ -76,7 +76,7 @@
         self._stream.write(data)
         return number
 
-    def receive(self, until: float) -> Generator[Wait, int, list[m.Message] | Trouble]:
+    def receive(self, until: float) -> Generator[Wait, int, list[m.Message] | LinkFailure]:
         """Messages that came; none where time is up or the task was woken."""
         if self._stream is None:
             raise RuntimeError("the link is not open")
@@ -84,7 +84,7 @@
             return self._broken
         data = yield from self._stream.read(until)
         if isinstance(data, Failure):
-            return Trouble(data.progress, data.reason)
+            return LinkFailure(data.progress, data.reason)
         out: list[m.Message] = []
         for got in self._session.receive(data):
             if isinstance(got, Broken):
@@ -94,7 +94,7 @@
             out.append(got)
         return out
 
-    _broken = Trouble(Progress.REPLY_BEGUN, "closed")
+    _broken = LinkFailure(Progress.REPLY_BEGUN, "closed")
 
     def close(self) -> None:
         """Say goodbye where that can be done, and close."""
@@ -104,54 +104,56 @@
                 stream.write(self._session.send(m.Unbind())[1])
             stream.close()
 
-    def _tls(self) -> Generator[Wait, int, Trouble | None]:
+    def _tls(self) -> Generator[Wait, int, LinkFailure | None]:
         context, stream = self._access.context, self._stream
         if context is None or stream is None:
-            return Trouble(Progress.SENT, "TLS: no context is set", Reaction.OPERATOR)
+            return LinkFailure(Progress.SENT, "TLS: no context is set", Reaction.OPERATOR)
         name = self._access.server_name or self.url.host
         failure = yield from stream.secure(context, name, self._loop.clock.now() + self._access.bind_ms)
         if failure is not None:
             bad = failure.reason.startswith("certificate")
-            return Trouble(failure.progress, failure.reason, Reaction.OPERATOR if bad else Reaction.ELSEWHERE)
+            return LinkFailure(
+                failure.progress, failure.reason, Reaction.OPERATOR if bad else Reaction.ELSEWHERE
+            )
         return None
 
-    def _start_tls(self) -> Generator[Wait, int, Trouble | None]:
+    def _start_tls(self) -> Generator[Wait, int, LinkFailure | None]:
         number = self.send(m.Extended(m.START_TLS_OID))
         got = yield from self._answer(number, self._loop.clock.now() + self._access.bind_ms, "StartTLS")
-        if isinstance(got, Trouble):
+        if isinstance(got, LinkFailure):
             return got
         if not isinstance(got, m.ExtendedDone) or got.result.code != 0:
             code = got.result.code if isinstance(got, m.ExtendedDone) else -1
-            return Trouble(Progress.REPLY_BEGUN, f"StartTLS: code {code}", Reaction.OPERATOR)
+            return LinkFailure(Progress.REPLY_BEGUN, f"StartTLS: code {code}", Reaction.OPERATOR)
         trouble = yield from self._tls()
         if trouble is None:
             self._session.secured()
         return trouble
 
-    def _bind(self, bind: m.Bind | m.BindExternal) -> Generator[Wait, int, Trouble | None]:
+    def _bind(self, bind: m.Bind | m.BindExternal) -> Generator[Wait, int, LinkFailure | None]:
         number = self.send(bind)
         got = yield from self._answer(number, self._loop.clock.now() + self._access.bind_ms, "bind")
-        if isinstance(got, Trouble):
+        if isinstance(got, LinkFailure):
             return got
         if not isinstance(got, m.BindDone) or got.result.code != 0:
             code = got.result.code if isinstance(got, m.BindDone) else -1
-            return Trouble(Progress.REPLY_BEGUN, f"bind: code {code}", reaction(code))
+            return LinkFailure(Progress.REPLY_BEGUN, f"bind: code {code}", reaction(code))
         return None
 
-    def _answer(self, number: int, until: float, what: str) -> Generator[Wait, int, m.Response | Trouble]:
+    def _answer(self, number: int, until: float, what: str) -> Generator[Wait, int, m.Response | LinkFailure]:
         """The one answer to what was just sent."""
         while self._loop.clock.now() < until:
             got = yield from self.receive(until)
-            if isinstance(got, Trouble):
-                return Trouble(got.progress, f"{what}: {got.reason}", got.reaction)
+            if isinstance(got, LinkFailure):
+                return LinkFailure(got.progress, f"{what}: {got.reason}", got.reaction)
             for message in got:
                 if message.id == number:
                     return message.op
-        return Trouble(Progress.SENT, f"{what}: no answer in time")
+        return LinkFailure(Progress.SENT, f"{what}: no answer in time")
 
     @staticmethod
-    def _of(broken: Broken) -> Trouble:
+    def _of(broken: Broken) -> LinkFailure:
         code = broken.notice.code if broken.notice is not None else None
         # A notice is a server on its way out, whatever its code; one that forbids us needs people.
         what = Reaction.OPERATOR if code in (8, 13) else Reaction.ELSEWHERE
-        return Trouble(Progress.REPLY_BEGUN, broken.reason, what)
+        return LinkFailure(Progress.REPLY_BEGUN, broken.reason, what)
--- a/snowthread/ldap/health.py
+++ b/snowthread/ldap/health.py
@@ -59,7 +59,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Patience:
+class RetryPolicy:
     """How often and how soon things are tried again. Times are milliseconds."""
 
     pause_ms: float = 200.0  # before the first repeat, doubled for each further one
@@ -72,7 +72,7 @@
     open_most_ms: float = 120_000.0
 
 
-def pause(attempt: int, patience: Patience, rng: random.Random) -> float:
+def backoff_ms(attempt: int, patience: RetryPolicy, rng: random.Random) -> float:
     """Milliseconds before repeat number ``attempt`` (from 1): full jitter, uniform from 0 to the cap."""
     cap = min(patience.pause_most_ms, patience.pause_ms * 2.0 ** min(attempt - 1, 32))
     return rng.uniform(0.0, cap)
@@ -81,7 +81,7 @@
 class Budget:
     """Repeats as a share of first tries, with a floor in time."""
 
-    def __init__(self, patience: Patience, now: float) -> None:
+    def __init__(self, patience: RetryPolicy, now: float) -> None:
         self._p, self._at = patience, now
         self.left = patience.budget_saved
         self.refused = 0  # repeats that had to wait
@@ -116,7 +116,7 @@
 class Breaker:
     """One server's breaker."""
 
-    patience: Patience
+    patience: RetryPolicy
     failures: int = 0
     opened: int = 0  # times in a row that it opened
     until: float = -math.inf
@@ -157,7 +157,7 @@
 class Servers:
     """The servers in their order: whom to ask now."""
 
-    def __init__(self, names: tuple[str, ...], patience: Patience, now: float) -> None:
+    def __init__(self, names: tuple[str, ...], patience: RetryPolicy, now: float) -> None:
         self.names = names
         self.patience = patience
         self.budget = Budget(patience, now)
@@ -184,7 +184,7 @@
 
     def wait(self, now: float, rng: random.Random) -> float:
         """Milliseconds until the next try after a failure: jitter, budget and breakers together."""
-        ms = pause(max(1, self._attempt), self.patience, rng)
+        ms = backoff_ms(max(1, self._attempt), self.patience, rng)
         ms = max(ms, min(self.budget.again(now), self.patience.pause_most_ms))
         if not any(b.lets(now + ms) for b in self.breakers):
             ms = max(ms, min(b.until for b in self.breakers) - now)
--- a/snowthread/net/clock.py
+++ b/snowthread/net/clock.py
@@ -13,11 +13,11 @@
         return time.time() * 1000.0
 
 
-class SetClock(Clock):
+class ManualClock(Clock):
     """A clock that stands where a test puts it."""
 
     def __init__(self, now: float) -> None:
-        self.time = now
+        self.now_ms = now
 
     def now(self) -> float:
-        return self.time
+        return self.now_ms
--- a/snowthread/net/connect.py
+++ b/snowthread/net/connect.py
@@ -8,19 +8,19 @@
 
 from snowthread.address import Address
 from snowthread.net.attempt import Failure, Progress
-from snowthread.net.loop import OUT, Loop, Steps, Wait
+from snowthread.net.loop import WRITABLE, EventLoop, TaskSteps, Wait
 
 
-class Connecting:
+class ConnectAttempt:
     """One attempt to connect; after ``steps`` either ``sock`` or ``failure`` is there. Waking the task that
     waits for it gives the attempt up."""
 
-    def __init__(self, address: Address, loop: Loop, until: float) -> None:
-        self.address, self.loop, self.until = address, loop, until
+    def __init__(self, address: Address, loop: EventLoop, until: float) -> None:
+        self.address, self.loop, self.deadline_ms = address, loop, until
         self.sock: socket.socket | None = None
         self.failure = Failure(Progress.NOT_CONNECTED, "not tried")
 
-    def steps(self) -> Steps:
+    def steps(self) -> TaskSteps:
         """Connect or say why not."""
         try:
             sock = self.address.open(socket.SOCK_STREAM)
@@ -29,7 +29,7 @@
             return
         code = sock.connect_ex(self.address)
         if code == errno.EINPROGRESS:
-            ready = yield Wait(sock.fileno(), OUT, self.until)
+            ready = yield Wait(sock.fileno(), WRITABLE, self.deadline_ms)
             code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) if ready else errno.ETIMEDOUT
         if code:
             self.failure = Failure(Progress.NOT_CONNECTED, os.strerror(code), code == errno.ETIMEDOUT)
--- a/snowthread/net/loop.py
+++ b/snowthread/net/loop.py
@@ -22,7 +22,7 @@
 CANCELLED_MAX = 256  # timers taken back that may lie in the heap whatever its size
 POLL_MAX_S = 3600.0  # longest sleep: epoll takes no endless times
 
-IN, OUT, BROKEN = select.EPOLLIN, select.EPOLLOUT, select.EPOLLHUP | select.EPOLLERR
+READABLE, WRITABLE, HANGUP = select.EPOLLIN, select.EPOLLOUT, select.EPOLLHUP | select.EPOLLERR
 
 
 class Wait(NamedTuple):
@@ -33,7 +33,7 @@
     until: float = math.inf
 
 
-Steps = Generator[Wait, int, None]
+TaskSteps = Generator[Wait, int, None]
 Timer = list[Callable[[], None]]  # empty once it fired or was taken back
 
 
@@ -42,14 +42,14 @@
 
     __slots__ = ("begun", "fd", "mask", "steps", "timer", "woken")
 
-    def __init__(self, steps: Steps) -> None:
-        self.steps: Steps | None = steps
+    def __init__(self, steps: TaskSteps) -> None:
+        self.steps: TaskSteps | None = steps
         self.fd, self.mask = -1, 0
         self.timer: Timer | None = None
         self.begun = self.woken = False
 
 
-class Loop:
+class EventLoop:
     """Runs tasks and timers until stopped."""
 
     def __init__(self, clock: Clock) -> None:
@@ -63,7 +63,7 @@
         self._order = itertools.count()
         self._stopped = False
 
-    def spawn(self, steps: Steps) -> Task:
+    def spawn(self, steps: TaskSteps) -> Task:
         """Start a coroutine; its first step runs in the loop's next round."""
         task = Task(steps)
         self._tasks[task] = None
@@ -95,10 +95,10 @@
 
     def close(self, sock: socket.socket) -> None:
         """Close a socket. Its number may be another's at once, so nothing may still be watched under it."""
-        self.forget(sock.fileno())
+        self.unwatch(sock.fileno())
         sock.close()
 
-    def forget(self, fd: int) -> None:
+    def unwatch(self, fd: int) -> None:
         """Watch a descriptor no more; to be called before it is closed."""
         task = self._by_fd.pop(fd, None)
         if task is not None:
@@ -112,17 +112,17 @@
     def run(self) -> None:
         """Run until stopped."""
         while not self._stopped:
-            self.round(POLL_MAX_S)
+            self.run_once(POLL_MAX_S)
         self._close_tasks()
 
     def _close_tasks(self) -> None:
         """End what still waits while its descriptors can be put away: left to the interpreter's exit, the
         coroutines would find the loop gone and fail one by one."""
         for task in list(self._tasks):
-            self.end(task)
+            self.end_task(task)
         self._epoll.close()
 
-    def round(self, longest_s: float) -> None:
+    def run_once(self, longest_s: float) -> None:
         """One round: what is ready, what came, what is due."""
         for _ in range(len(self._ready)):
             task = self._ready.popleft()
@@ -186,7 +186,7 @@
             self._epoll.unregister(task.fd)
         task.fd = -1
 
-    def end(self, task: Task) -> None:
+    def end_task(self, task: Task) -> None:
         """End a task now; it runs what it has to run on its way out."""
         if task.steps is not None:
             task.steps.close()
--- a/snowthread/net/tls_stream.py
+++ b/snowthread/net/tls_stream.py
@@ -11,7 +11,7 @@
 from collections.abc import Generator
 
 from snowthread.net.attempt import Failure, Progress
-from snowthread.net.loop import BROKEN, IN, OUT, Loop, Wait
+from snowthread.net.loop import HANGUP, READABLE, WRITABLE, EventLoop, Wait
 
 READ_BYTES = 16 * 1024  # taken in one turn, so that a peer that floods gets no more than others
 OUT_MAX = 256 * 1024  # bytes unsent from which the peer counts as gone
@@ -20,7 +20,7 @@
 class Stream:
     """One connected socket."""
 
-    def __init__(self, loop: Loop, sock: socket.socket) -> None:
+    def __init__(self, loop: EventLoop, sock: socket.socket) -> None:
         self._loop, self._sock = loop, sock
         self._out = bytearray()
         self._tls: ssl.SSLObject | None = None
@@ -42,10 +42,10 @@
                 return data
         if len(self._out) > OUT_MAX:
             return Failure(Progress.SENT, "the peer reads nothing")
-        got = yield Wait(self._sock.fileno(), IN | OUT if self._out else IN, until)
-        if got & OUT:
+        got = yield Wait(self._sock.fileno(), READABLE | WRITABLE if self._out else READABLE, until)
+        if got & WRITABLE:
             self._flush()
-        if not got & (IN | BROKEN):
+        if not got & (READABLE | HANGUP):
             return b""
         raw = self._receive()
         if isinstance(raw, Failure) or self._tls is None:
@@ -76,8 +76,8 @@
             self._flush()
             if self._loop.clock.now() >= until:
                 return Failure(Progress.SENT, "TLS: no time left", timed_out=True)
-            got = yield Wait(self._sock.fileno(), IN | OUT if self._out else IN, until)
-            if got & (IN | BROKEN):
+            got = yield Wait(self._sock.fileno(), READABLE | WRITABLE if self._out else READABLE, until)
+            if got & (READABLE | HANGUP):
                 raw = self._receive()
                 if isinstance(raw, Failure):
                     return raw
--- a/snowthread/operator/features.py
+++ b/snowthread/operator/features.py
@@ -13,7 +13,7 @@
     from snowthread.sites.settings import SiteSettings
     from snowthread.records.recorder import RecordSettings
     from snowthread.tenants.settings import TenantSettings
-    from snowthread.recovery.settings import ComebackSettings
+    from snowthread.recovery.settings import RecoverySettings
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,7 +23,7 @@
     path: Path
     tenants: TenantSettings | None
     records: RecordSettings | None = None
-    comeback: ComebackSettings | None = None
+    comeback: RecoverySettings | None = None
     site: SiteSettings | None = None
 
     @classmethod
@@ -65,5 +65,5 @@
     def lines(self) -> list[str]:
         """For people: what is on."""
         features = (self.tenants, self.records, self.comeback, self.site)
-        on = [feature.line() for feature in features if feature is not None]
+        on = [feature.summary() for feature in features if feature is not None]
         return on or [f"{self.path}: no feature is on"]
--- a/snowthread/records/cli.py
+++ b/snowthread/records/cli.py
@@ -52,7 +52,9 @@
     for line in findings.unreadable:
         click.echo(line)
     for spoilt in findings.spoilt:
-        click.echo(f"{spoilt.path}: {spoilt.bad.size} bytes from {spoilt.bad.offset}: {spoilt.bad.why}")
+        click.echo(
+            f"{spoilt.path}: {spoilt.frame.size} bytes from {spoilt.frame.offset}: {spoilt.frame.reason}"
+        )
     for hole in findings.holes:
         click.echo(f"{hole.node} {hole.boot}: {hole.count} records missing after number {hole.after}")
     if findings.more:
--- a/snowthread/records/frame.py
+++ b/snowthread/records/frame.py
@@ -23,12 +23,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Bad:
+class InvalidFrame:
     """Bytes that are no frame: where they start and how many."""
 
     offset: int
     size: int
-    why: str
+    reason: str
 
 
 def encode(record: Record) -> bytes:
@@ -63,17 +63,17 @@
         self._skipped = 0  # bytes passed over before it
         self._why = ""
 
-    def feed(self, data: bytes) -> list[Record | Bad]:
+    def feed(self, data: bytes) -> list[Record | InvalidFrame]:
         """What can be read now."""
         self._data += data
-        out: list[Record | Bad] = []
+        out: list[Record | InvalidFrame] = []
         while self._step(out, last=False):
             pass
         return out
 
-    def end(self) -> list[Record | Bad]:
+    def end(self) -> list[Record | InvalidFrame]:
         """The file is over: what is left is cut."""
-        out: list[Record | Bad] = []
+        out: list[Record | InvalidFrame] = []
         while self._step(out, last=True):
             pass
         if self._data:
@@ -81,7 +81,7 @@
         self._tell(out)
         return out
 
-    def _step(self, out: list[Record | Bad], last: bool) -> bool:
+    def _step(self, out: list[Record | InvalidFrame], last: bool) -> bool:
         """One frame, or bytes that are none; False where more has to come first."""
         data = self._data
         if not data:
@@ -125,7 +125,7 @@
         self._skipped += size
         self._why = self._why or why
 
-    def _tell(self, out: list[Record | Bad]) -> None:
+    def _tell(self, out: list[Record | InvalidFrame]) -> None:
         if self._skipped:
-            out.append(Bad(self._offset - self._skipped, self._skipped, self._why))
+            out.append(InvalidFrame(self._offset - self._skipped, self._skipped, self._why))
             self._skipped, self._why = 0, ""
--- a/snowthread/records/observer.py
+++ b/snowthread/records/observer.py
@@ -11,11 +11,11 @@
 
 from hdrh.histogram import HdrHistogram
 
-from snowthread.admission.learned_state import oldest_s
-from snowthread.admission.interface import Settings
-from snowthread.core import effects as fx
-from snowthread.core import events as ev
-from snowthread.core.state import Place, State
+from snowthread.admission.learned_state import confirmation_ages_s
+from snowthread.admission.settings import Settings
+from snowthread.core import effects
+from snowthread.core import events
+from snowthread.core.state import RequestPhase, State
 from snowthread.records.model import Fields, Totals
 
 STEP_FROM = 1000.0  # ms: from here on lengths are counted in steps of 10
@@ -55,79 +55,89 @@
 
     def __init__(self, settings: Settings, now: float) -> None:
         self._aims: dict[str, float] = {}
-        self.retune(settings)
-        self._open: dict[ev.Ticket, _Open] = {}
+        self.apply_settings(settings)
+        self._open: dict[events.ResponseAddress, _Open] = {}
         self._by_uid: dict[str, _Open] = {}
         self._second = _Second(now)
         self._linked = False
         self._runs: dict[str, str] = {}  # uid of a run -> its class; its caller may be gone already
         self._fresh: _Open | None = None  # read in this very step
         self._on: dict[type, Callable[[Any, list[tuple[str, Fields]], float], None]] = {
-            ev.RequestRead: self._read, ev.RunOver: self._run_over, ev.CallBack: self._call_back,
-            ev.CallerLeft: self._caller_left, ev.RuntimeUp: self._link, ev.RuntimeLost: self._link,
-            ev.LeaveAsked: self._leave}
+            events.RequestReceived: self._read,
+            events.RunCompleted: self._run_over,
+            events.CallCompleted: self._call_back,
+            events.RequestCancelled: self._caller_left,
+            events.RuntimeConnected: self._link,
+            events.RuntimeDisconnected: self._link,
+            events.ShutdownRequested: self._leave,
+        }
 
     def __len__(self) -> int:
         return len(self._open)
 
-    def retune(self, settings: Settings) -> None:
+    def apply_settings(self, settings: Settings) -> None:
         """The classes there are from now on, and their aims."""
-        self._aims = {c.name: c.goal_s * 1000.0 for c in settings.classes}
+        self._aims = {c.name: c.latency_objective_s * 1000.0 for c in settings.classes}
 
-    def see(self, message: ev.Message, effects: Sequence[fx.Effect], state: State,
+    def observe(self, message: events.Event, produced: Sequence[effects.Effect], state: State,
             now: float) -> Sequence[tuple[str, Fields]]:
         """One step of the reducer; the records it makes at once."""
         look = self._on.get(type(message))
-        if look is None and not effects:
+        if look is None and not produced:
             return _NOTHING
         out: list[tuple[str, Fields]] = []
         self._fresh = None
         if look is not None:
             look(message, out, now)
-        for effect in effects:
+        for effect in produced:
             what = type(effect)
-            if what is fx.WakeAt or what is fx.AskGauges:
+            if what is effects.ScheduleTimer or what is effects.RequestLoadSample:
                 continue
-            if what is fx.Answer:
+            if what is effects.SendResponse:
                 self._answered(effect, state, now)  # type: ignore[arg-type]
-            elif what is fx.StartRun:
+            elif what is effects.StartRun:
                 self._started(effect)  # type: ignore[arg-type]
-            elif what is fx.MakeCall:
-                at_call = self._by_uid.get(effect.uid)  # type: ignore[union-attr]
+            elif what is effects.StartCall:
+                at_call = self._by_uid.get(effect.attempt_id)  # type: ignore[union-attr]
                 if at_call is not None:
                     at_call.calling = True
-            elif what is fx.Announce:
-                out.append(("list", {"taking": effect.taking}))  # type: ignore[union-attr]
+            elif what is effects.SetRegistration:
+                out.append(("list", {"taking": effect.accepts_work}))  # type: ignore[union-attr]
         return out
 
     # Messages.
 
-    def _run_over(self, m: ev.RunOver, out: list[tuple[str, Fields]], now: float) -> None:
-        class_name = self._runs.pop(m.uid, None)
+    def _run_over(self, m: events.RunCompleted, out: list[tuple[str, Fields]], now: float) -> None:
+        class_name = self._runs.pop(m.attempt_id, None)
         if class_name is not None:
-            self._length("runs", class_name, m.took)
+            self._length("runs", class_name, m.duration_ms)
 
-    def _call_back(self, m: ev.CallBack, out: list[tuple[str, Fields]], now: float) -> None:
-        self._length("calls", m.outcome.value, m.took)
-        waiting = self._by_uid.get(m.uid)
+    def _call_back(self, m: events.CallCompleted, out: list[tuple[str, Fields]], now: float) -> None:
+        self._length("calls", m.outcome.value, m.duration_ms)
+        waiting = self._by_uid.get(m.attempt_id)
         if waiting is not None:
             waiting.calling = False
 
-    def _caller_left(self, m: ev.CallerLeft, out: list[tuple[str, Fields]], now: float) -> None:
-        gone = self._drop(m.ticket)
+    def _caller_left(self, m: events.RequestCancelled, out: list[tuple[str, Fields]], now: float) -> None:
+        gone = self._drop(m.response_address)
         if gone is not None:
             self._of(gone).left += 1
 
-    def _link(self, m: ev.RuntimeUp | ev.RuntimeLost, out: list[tuple[str, Fields]], now: float) -> None:
-        up = isinstance(m, ev.RuntimeUp)
+    def _link(
+        self,
+        m: events.RuntimeConnected | events.RuntimeDisconnected,
+        out: list[tuple[str, Fields]],
+        now: float,
+    ) -> None:
+        up = isinstance(m, events.RuntimeConnected)
         if up or self._linked:
             out.append(("link", {"peer": "runtime", "up": up}))
         self._linked = up
 
-    def _leave(self, m: ev.LeaveAsked, out: list[tuple[str, Fields]], now: float) -> None:
-        out.append(("drain", {"left_ms": m.left}))
+    def _leave(self, m: events.ShutdownRequested, out: list[tuple[str, Fields]], now: float) -> None:
+        out.append(("drain", {"left_ms": m.time_left_ms}))
 
-    def second(self, state: State, now: float) -> Fields:
+    def take_totals(self, state: State, now: float) -> Fields:
         """What was counted since the last time, with the figures as they stand."""
         s, self._second = self._second, _Second(now)
         fields: Fields = {"ms": round(now - s.began, 1),
@@ -140,29 +150,37 @@
             fields["floors"] = s.floors
         controller = state.controller
         if controller is not None:
-            fields |= {"b": round(controller.b, 4), "limit": round(controller.limit, 2),
-                       "mu": round(controller.est.mu, 3), "lambda": round(controller.est.lam, 3),
-                       "run_ages_s": {name: round(age, 2) for name, age in oldest_s(
-                           controller, state.time.at(now)).items()}}
-        places = [q.place for q in state.requests.values()]
-        calling = sum(q.calling for q in state.requests.values())
-        fields |= {"held": places.count(Place.HELD), "running": places.count(Place.RUNNING),
-                   "calls_in_hand": calling, "keys": len(state.keys),
-                   "gauges": dict(zip(state.meters, state.gauges, strict=False))}
-        if state.say is not None:
-            fields["say"] = state.say
+            fields |= {
+                "b": round(controller.blocking_probability, 4),
+                "limit": round(controller.concurrency_limit, 2),
+                "mu": round(controller.estimates.service_rate, 3),
+                "lambda": round(controller.estimates.arrival_rate, 3),
+                "run_ages_s": {
+                    name: round(age, 2)
+                    for name, age in confirmation_ages_s(
+                        controller, state.admission_clock.timestamp_s(now)
+                    ).items()
+                },
+            }
+        places = [q.phase for q in state.requests.values()]
+        calling = sum(q.call_in_flight for q in state.requests.values())
+        fields |= {"held": places.count(RequestPhase.QUEUED), "running": places.count(RequestPhase.RUNNING),
+                   "calls_in_hand": calling, "keys": len(state.idempotency_table),
+                   "gauges": dict(zip(state.gauge_names, state.load_sample, strict=False))}
+        if state.load_report is not None:
+            fields["say"] = state.load_report
         return fields
 
     # Counting.
 
-    def _read(self, m: ev.RequestRead, out: list[tuple[str, Fields]], now: float) -> None:
+    def _read(self, m: events.RequestReceived, out: list[tuple[str, Fields]], now: float) -> None:
         # A class that the settings don't name is a caller's word: it gets no row of its own.
         name = m.class_name if m.class_name in self._aims else ""
-        at = m.at
-        made = _Open(m.uid, name, m.tenant, at if at < now else now)
-        self._open[m.ticket] = self._by_uid[m.uid] = self._fresh = made
+        at = m.sent_at_ms
+        made = _Open(m.attempt_id, name, m.tenant, at if at < now else now)
+        self._open[m.response_address] = self._by_uid[m.attempt_id] = self._fresh = made
         self._of(made).read += 1
-        floors, caller = self._second.floors, m.caller
+        floors, caller = self._second.floors, m.caller_id
         floor = floors.get(caller)
         if floor is None:
             if len(floors) < FLOORS_MOST:
@@ -170,36 +188,36 @@
         elif now - at < floor:
             floors[caller] = now - at
 
-    def _started(self, effect: fx.StartRun) -> None:
-        made = self._by_uid.get(effect.uid)
+    def _started(self, effect: effects.StartRun) -> None:
+        made = self._by_uid.get(effect.attempt_id)
         if made is not None and not made.started:
             made.started = True
             self._of(made).runs += 1
-        self._runs[effect.uid] = effect.class_name
+        self._runs[effect.attempt_id] = effect.class_name
         if len(self._runs) > RUNS_MOST:  # runs that a broken link took along never end here
             del self._runs[next(iter(self._runs))]
 
-    def _answered(self, effect: fx.Answer, state: State, now: float) -> None:
-        made = self._drop(effect.ticket)
+    def _answered(self, effect: effects.SendResponse, state: State, now: float) -> None:
+        made = self._drop(effect.response_address)
         if made is None:
             return  # a health check
         totals = self._of(made)
-        match effect.answer:
-            case fx.Served():
+        match effect.response:
+            case effects.Served():
                 aim = self._aims.get(made.class_name, 0.0)
                 if now - made.came <= aim:
                     totals.served += 1
                 else:
                     totals.late += 1
                 totals.attached += not made.started
-            case fx.Refused():
-                if state.leaving:
+            case effects.Rejected():
+                if state.shutting_down:
                     totals.refused_leaving += 1
                 elif made is self._fresh:
                     totals.refused += 1
                 else:
                     totals.refused_held += 1
-            case fx.Failed():
+            case effects.Failed():
                 if made.calling:
                     totals.failed_calling += 1
                 elif made.started:
@@ -207,7 +225,7 @@
                 else:
                     totals.failed += 1
 
-    def _drop(self, ticket: ev.Ticket) -> _Open | None:
+    def _drop(self, ticket: events.ResponseAddress) -> _Open | None:
         made = self._open.pop(ticket, None)
         if made is not None and self._by_uid.get(made.uid) is made:
             del self._by_uid[made.uid]
--- a/snowthread/records/reader.py
+++ b/snowthread/records/reader.py
@@ -14,7 +14,7 @@
 from operator import itemgetter
 from pathlib import Path
 
-from snowthread.records.frame import Bad, Reader
+from snowthread.records.frame import InvalidFrame, Reader
 from snowthread.records.model import Record
 from snowthread.records.writer import SUFFIX
 
@@ -24,7 +24,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Hole:
+class Gap:
     """Records of a boot that are not there."""
 
     node: str
@@ -35,19 +35,19 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Spoilt:
+class CorruptFrame:
     """A stretch of a file that can't be read."""
 
     path: Path
-    bad: Bad
+    frame: InvalidFrame
 
 
 @dataclass(slots=True)
 class Findings:
     """What was wrong with what was read."""
 
-    holes: list[Hole] = field(default_factory=list)
-    spoilt: list[Spoilt] = field(default_factory=list)
+    holes: list[Gap] = field(default_factory=list)
+    spoilt: list[CorruptFrame] = field(default_factory=list)
     copies: int = 0
     unreadable: list[str] = field(default_factory=list)
     records: int = 0
@@ -56,11 +56,11 @@
 
     MOST = 1000
 
-    def keep(self, found: Hole | Spoilt) -> None:
+    def keep(self, found: Gap | CorruptFrame) -> None:
         """Note it down, as far as there is room."""
         if len(self.holes) + len(self.spoilt) >= self.MOST:
             self.more += 1
-        elif isinstance(found, Hole):
+        elif isinstance(found, Gap):
             self.holes.append(found)
         else:
             self.spoilt.append(found)
@@ -88,10 +88,10 @@
     yield from _records(path, reader.end(), findings)
 
 
-def _records(path: Path, got: Iterable[Record | Bad], findings: Findings) -> Iterator[Record]:
+def _records(path: Path, got: Iterable[Record | InvalidFrame], findings: Findings) -> Iterator[Record]:
     for item in got:
-        if isinstance(item, Bad):
-            findings.keep(Spoilt(path, item))
+        if isinstance(item, InvalidFrame):
+            findings.keep(CorruptFrame(path, item))
         else:
             yield item
 
@@ -121,9 +121,9 @@
         if len(seen) > SEEN_MOST:
             seen.popitem(last=False)
         if record.number > number + 1 and boot in last:
-            findings.keep(Hole(*boot, number, record.number - number - 1, record.at))
+            findings.keep(Gap(*boot, number, record.number - number - 1, record.at))
         elif record.number > 1 and boot not in last:
-            findings.keep(Hole(*boot, 0, record.number - 1, record.at))
+            findings.keep(Gap(*boot, 0, record.number - 1, record.at))
         last[boot] = max(number, record.number), seen
         findings.records += 1
         yield record
--- a/snowthread/records/recorder.py
+++ b/snowthread/records/recorder.py
@@ -12,13 +12,13 @@
 
 from loguru import logger
 
-from snowthread.admission.interface import Settings
+from snowthread.admission.settings import Settings
 from snowthread import __version__
-from snowthread.core import effects as fx
-from snowthread.core import events as ev
+from snowthread.core import effects
+from snowthread.core import events
 from snowthread.core.reducer import reduce
 from snowthread.core.state import State
-from snowthread.net.loop import Loop, Steps, Wait
+from snowthread.net.loop import EventLoop, TaskSteps, Wait
 from snowthread.records import writer
 from snowthread.records.frame import encode
 from snowthread.records.model import FORMAT, Fields, Record
@@ -44,7 +44,7 @@
     retention: Retention
     waiting_bytes: int
 
-    def line(self) -> str:
+    def summary(self) -> str:
         """For people: what is on."""
         return f"records in {self.folder}, at most {self.retention.total_bytes // 2**20} MB"
 
@@ -52,7 +52,7 @@
 class Recorder:
     """Records what a node does. Takes the place of ``reduce``: the same effects come out."""
 
-    def __init__(self, loop: Loop, settings: RecordSettings, config: Config, state: State) -> None:
+    def __init__(self, loop: EventLoop, settings: RecordSettings, config: Config, state: State) -> None:
         self._loop, self._state = loop, state
         self._node, self._boot, self._number = config.name, secrets.token_hex(6), 0
         self._observer = Observer(config.settings, loop.clock.now())
@@ -64,9 +64,19 @@
         self._socket: socket.socket | None
         self._socket, self._child = writer.start(settings.folder, config.name, self._boot, settings.retention)
         self._page = os.sysconf("SC_PAGE_SIZE")
-        self.record("start", {
-            "version": __version__, "pid": os.getpid(), "format": FORMAT, "cores": config.settings.cores,
-            "classes": [[c.name, c.goal_s * 1000.0, c.deadline_s * 1000.0] for c in config.settings.classes]})
+        self.record(
+            "start",
+            {
+                "version": __version__,
+                "pid": os.getpid(),
+                "format": FORMAT,
+                "cores": config.settings.cores,
+                "classes": [
+                    [c.name, c.latency_objective_s * 1000.0, c.deadline_s * 1000.0]
+                    for c in config.settings.classes
+                ],
+            },
+        )
         self._sink = logger.add(self._log, level="INFO", format="{message}", backtrace=False, diagnose=False)
         loop.spawn(self._steps())
 
@@ -74,16 +84,16 @@
         """The front is there: how many connections it has."""
         self._connections = connections
 
-    def retune(self, settings: Settings) -> None:
+    def apply_settings(self, settings: Settings) -> None:
         """Other classes are counted from now on."""
-        self._observer.retune(settings)
+        self._observer.apply_settings(settings)
 
-    def reduce(self, state: State, message: ev.Message, now: float) -> list[fx.Effect]:
+    def reduce(self, state: State, message: events.Event, now: float) -> list[effects.Effect]:
         """The reducer's step, looked at."""
-        effects = reduce(state, message, now)
-        for kind, fields in self._observer.see(message, effects, state, now):
+        produced = reduce(state, message, now)
+        for kind, fields in self._observer.observe(message, produced, state, now):
             self.record(kind, fields)
-        return effects
+        return produced
 
     def record(self, kind: str, fields: Fields) -> None:
         """Put a record into the batch that goes out next."""
@@ -122,7 +132,7 @@
 
     # Now and then.
 
-    def _steps(self) -> Steps:
+    def _steps(self) -> TaskSteps:
         while True:
             now = self._loop.clock.now()
             yield Wait(until=now + SECOND_MS - now % SECOND_MS)  # so that nodes' seconds meet
@@ -132,7 +142,7 @@
             self._send()
 
     def _second(self, now: float) -> Fields:
-        fields = self._observer.second(self._state, now)
+        fields = self._observer.take_totals(self._state, now)
         fields["connections"] = self._connections()
         try:
             with open("/proc/self/statm", "rb") as file:
--- a/snowthread/recovery/cli.py
+++ b/snowthread/recovery/cli.py
@@ -20,11 +20,11 @@
 def init(folder: Path) -> None:
     """Say that no earlier life of this node ran keyed requests: for a new machine, and only then."""
     from snowthread.config import ConfigError
-    from snowthread.recovery import storage as disk
+    from snowthread.recovery import storage
 
-    if disk.read(folder, disk.RING):
+    if storage.read(folder, storage.KEY_LOG_FILE):
         raise ConfigError(f"{folder}: has a ring of keys; where it is torn the node has to be blind")
-    failed = disk.init(folder)
+    failed = storage.init(folder)
     if failed is not None:
         raise ConfigError(f"{folder}: {failed}")
     click.echo(f"{folder}: an empty ring of keys; the node's first start trusts it")
@@ -35,26 +35,28 @@
 @click.option("--fresh-for", default=60.0, show_default=True, help="Seconds for which a snapshot is trusted.")
 def show(folder: Path, fresh_for: float) -> None:
     """What a start now would find."""
-    from snowthread.recovery import storage as disk, key_log as ring
-    from snowthread.recovery.snapshot import decode, judge
+    from snowthread.recovery import storage, key_log
+    from snowthread.recovery.snapshot import decode, assess
 
     now = time.time() * 1000.0
-    data = disk.read(folder)
+    data = storage.read(folder)
     snapshot = decode(data)[2]
     generation = snapshot.generation if snapshot is not None else 0
-    judged = judge(data, generation=generation, now_ms=now, fresh_for_ms=fresh_for * 1000.0)
-    click.echo(f"incarnation {disk.incarnation(folder)}")
-    click.echo(f"snapshot: {judged.verdict.value}{': ' if judged.why else ''}{judged.why}")
+    judged = assess(data, generation=generation, now_ms=now, fresh_for_ms=fresh_for * 1000.0)
+    click.echo(f"incarnation {storage.read_incarnation(folder)}")
+    click.echo(f"snapshot: {judged.verdict.value}{': ' if judged.reason else ''}{judged.reason}")
     if snapshot is not None:
         age_s = (now - snapshot.written_ms) / 1000.0
         click.echo(f"  generation {snapshot.generation}, written {age_s:.1f} s ago, "
                    f"{snapshot.learned.read_per_s:.1f} requests a second")
-        for name, core in snapshot.learned.core_s.items():
+        for name, core in snapshot.learned.core_time_s.items():
             click.echo(f"  {name}: {core * 1000.0:.0f} ms on a core, "
-                       f"{snapshot.learned.wall_s.get(name, 0.0) * 1000.0:.0f} ms in all, "
-                       f"{snapshot.learned.call_s.get(name, 0.0) * 1000.0:.0f} ms a call")
-    found = ring.judge(disk.read(folder, disk.RING, ring.size(ring.SLOTS_MAX)))
+                       f"{snapshot.learned.run_time_s.get(name, 0.0) * 1000.0:.0f} ms in all, "
+                       f"{snapshot.learned.call_time_s.get(name, 0.0) * 1000.0:.0f} ms a call")
+    found = key_log.read_key_log(
+        storage.read(folder, storage.KEY_LOG_FILE, key_log.key_log_size(key_log.SLOTS_MAX))
+    )
     left = sum(until > now for until in found.keys.values())
-    blind = f", blind for {(found.blind_until - now) / 1000.0:.1f} s" if found.blind_until > now else ""
-    click.echo(f"ring of keys: {found.verdict.value}{': ' if found.why else ''}{found.why}; "
+    blind = f", blind for {(found.any_until_ms - now) / 1000.0:.1f} s" if found.any_until_ms > now else ""
+    click.echo(f"ring of keys: {found.verdict.value}{': ' if found.reason else ''}{found.reason}; "
                f"{left} with an open window{blind}")
--- a/snowthread/recovery/key_log.py
+++ b/snowthread/recovery/key_log.py
@@ -44,13 +44,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Found:
+class KeyLogContents:
     """What a start finds: ``keys`` by digest with the end of their windows, the newest ``sequence``."""
 
     verdict: Verdict
-    why: str = ""
+    reason: str = ""
     keys: dict[bytes, float] = field(default_factory=dict)
-    blind_until: float = 0.0
+    any_until_ms: float = 0.0
     sequence: int = 0
 
 
@@ -59,31 +59,31 @@
     return body + CRC.pack(zlib.crc32(body))
 
 
-def size(slots: int) -> int:
+def key_log_size(slots: int) -> int:
     """Bytes of a ring."""
     return HEADER_BYTES + slots * SLOT_BYTES
 
 
-def empty(blind_until: float = 0.0, slots: int = SLOTS) -> bytes:
+def new_key_log(blind_until: float = 0.0, slots: int = SLOTS) -> bytes:
     """A new ring."""
     head = HEADER.pack(MAGIC, FORMAT_VERSION, slots, blind_until)
     return (head + CRC.pack(zlib.crc32(head))).ljust(HEADER_BYTES, b"\0") + bytes(slots * SLOT_BYTES)
 
 
-def judge(data: bytes) -> Found:
+def read_key_log(data: bytes) -> KeyLogContents:
     """Read a ring back."""
     if not data:
-        return Found(Verdict.MISSING, "no ring")
+        return KeyLogContents(Verdict.MISSING, "no ring")
     if len(data) < HEADER_BYTES:
-        return Found(Verdict.TORN, f"{len(data)} bytes")
+        return KeyLogContents(Verdict.TORN, f"{len(data)} bytes")
     magic, version, slots, blind_until = HEADER.unpack_from(data)
     if magic != MAGIC or version != FORMAT_VERSION:
         known = f"format {version}, known {FORMAT_VERSION}"
-        return Found(Verdict.FOREIGN, known if magic == MAGIC else "not a ring")
+        return KeyLogContents(Verdict.FOREIGN, known if magic == MAGIC else "not a ring")
     if CRC.unpack_from(data, HEADER.size)[0] != zlib.crc32(data[:HEADER.size]):
-        return Found(Verdict.TORN, "the header does not check")
-    if not 0 < slots <= SLOTS_MAX or len(data) != size(slots):
-        return Found(Verdict.TORN, f"{len(data)} bytes, {slots} slots")
+        return KeyLogContents(Verdict.TORN, "the header does not check")
+    if not 0 < slots <= SLOTS_MAX or len(data) != key_log_size(slots):
+        return KeyLogContents(Verdict.TORN, f"{len(data)} bytes, {slots} slots")
     keys: dict[bytes, float] = {}
     newest = 0
     for n in range(slots):
@@ -93,25 +93,25 @@
             continue
         sequence, until, digest = SLOT.unpack(body)
         if CRC.unpack_from(data, at + SLOT.size)[0] != zlib.crc32(body) or sequence % slots != n:
-            return Found(Verdict.TORN, f"slot {n} does not check")
+            return KeyLogContents(Verdict.TORN, f"slot {n} does not check")
         keys[digest] = max(until, keys.get(digest, 0.0))
         newest = max(newest, sequence)
-    return Found(Verdict.WHOLE, "", keys, blind_until, newest)
+    return KeyLogContents(Verdict.WHOLE, "", keys, blind_until, newest)
 
 
-class Ring:
+class KeyLog:
     """Writes keys into a buffer that outlives the process."""
 
     def __init__(self, buffer: memoryview, sequence: int) -> None:
         self._buffer, self._sequence = buffer, sequence
         self._slots = (len(buffer) - HEADER_BYTES) // SLOT_BYTES
-        self.full = 0  # keys that found no place
+        self.rejected_appends = 0  # keys that found no place
 
-    def put(self, digest: bytes, until_ms: float, now_ms: float) -> bool:
+    def append(self, digest: bytes, until_ms: float, now_ms: float) -> bool:
         """Write a key down; False where its place is another's whose window is still open."""
         at = HEADER_BYTES + (self._sequence + 1) % self._slots * SLOT_BYTES
         if SLOT.unpack_from(self._buffer, at)[1] > now_ms:
-            self.full += 1
+            self.rejected_appends += 1
             return False
         self._sequence += 1
         self._buffer[at:at + SLOT.size + CRC.size] = _slot(self._sequence, until_ms, digest)
--- a/snowthread/recovery/membership.py
+++ b/snowthread/recovery/membership.py
@@ -24,14 +24,14 @@
 INCARNATION_MAX = 2**31
 
 
-class Standing(Enum):
+class MemberStatus(Enum):
     UNHEARD = "unheard"
     MEMBER = "member"
     REPLACED = "replaced"
 
 
 @dataclass(frozen=True, slots=True)
-class View:
+class FleetView:
     """The fleet as the roster told it last."""
 
     generation: int
@@ -41,49 +41,49 @@
 
 
 @dataclass(slots=True)
-class Members:
+class Membership:
     """One node's place in the fleet. ``incarnation`` 0: no count was kept, the roster may know one. Told as
     it is, for a count begun anew would pass for the earlier life's."""
 
     incarnation: int
     peers: int  # nodes of the fleet by the settings: all taken for cold until the roster is heard
-    standing: Standing = Standing.UNHEARD
-    view: View | None = None
-    nonsense: int = 0
+    status: MemberStatus = MemberStatus.UNHEARD
+    view: FleetView | None = None
+    invalid_answers: int = 0
 
-    def words(self, cold: bool) -> str:
+    def report_suffix(self, cold: bool) -> str:
         """What a report says besides."""
         return f"{self.incarnation} {'cold' if cold else 'warm'}"
 
-    def heard(self, data: bytes, now_ms: float) -> bool:
+    def handle_answer(self, data: bytes, now_ms: float) -> bool:
         """Take an answer; True where it is one and this node's standing or view may have changed."""
         words = data.split()
         try:
             generation, listed, cold, highest = (int(word) for word in words[1:])
         except ValueError:
-            self.nonsense += 1
+            self.invalid_answers += 1
             return False
         before = self.view.generation if self.view is not None else 0
         if words[0] != b"FLEET" or min(listed, cold, highest) < 0 or cold > listed or (
                 generation < before or highest > INCARNATION_MAX):
-            self.nonsense += 1
+            self.invalid_answers += 1
             return False
-        self.view = View(generation, listed, cold, now_ms)
+        self.view = FleetView(generation, listed, cold, now_ms)
         if highest > self.incarnation or not self.incarnation:
-            if self.standing is Standing.UNHEARD:
+            if self.status is MemberStatus.UNHEARD:
                 self.incarnation = highest + 1
             else:
-                self.standing = Standing.REPLACED
-        if self.standing is Standing.UNHEARD:
-            self.standing = Standing.MEMBER
+                self.status = MemberStatus.REPLACED
+        if self.status is MemberStatus.UNHEARD:
+            self.status = MemberStatus.MEMBER
         return True
 
-    def fleet(self) -> tuple[int, int]:
+    def fleet_size(self) -> tuple[int, int]:
         """Nodes listed and cold, as last told; before any word all are cold."""
         if self.view is None:
             return self.peers, self.peers
         return max(1, self.view.listed), self.view.cold
 
-    def silent(self, now_ms: float) -> bool:
+    def is_silent(self, now_ms: float) -> bool:
         """Has the roster not answered for long?"""
         return self.view is None or now_ms - self.view.at_ms > SILENT_MS
--- a/snowthread/recovery/snapshot.py
+++ b/snowthread/recovery/snapshot.py
@@ -54,16 +54,18 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Learned:
+class LearnedTimes:
     """What a node learned, by class name in seconds, and the requests it read a second."""
 
-    core_s: Mapping[str, float] = field(default_factory=dict)  # of a run on a core, in good times
-    wall_s: Mapping[str, float] = field(default_factory=dict)  # of a run with its calls
-    call_s: Mapping[str, float] = field(default_factory=dict)  # of a call, in good times
+    core_time_s: Mapping[str, float] = field(default_factory=dict)  # of a run on a core, in good times
+    run_time_s: Mapping[str, float] = field(default_factory=dict)  # of a run with its calls
+    call_time_s: Mapping[str, float] = field(default_factory=dict)  # of a call, in good times
     read_per_s: float = 0.0
 
 
-PRIORS = Learned()  # a cold node knows nothing: its decisions learn, and its ramp lets a few runs in at first
+PRIORS = (
+    LearnedTimes()
+)  # a cold node knows nothing: its decisions learn, and its ramp lets a few runs in at first
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,26 +73,33 @@
     generation: int
     incarnation: int
     written_ms: float
-    learned: Learned
+    learned: LearnedTimes
 
 
 @dataclass(frozen=True, slots=True)
-class Judged:
+class SnapshotAssessment:
     """The verdict, why, and what to start from: the snapshot's learning where fresh, else the priors."""
 
     verdict: Verdict
-    why: str
-    start: Learned
+    reason: str
+    initial_state: LearnedTimes
     snapshot: Snapshot | None = None  # what was read, where it could be read at all
 
 
 def encode(snapshot: Snapshot) -> bytes:
     """The bytes of a snapshot. Raises ``ValueError`` for a body over :data:`BODY_MAX` or values no number."""
     learned = snapshot.learned
-    body = json.dumps({
-        "core_s": dict(learned.core_s), "wall_s": dict(learned.wall_s), "call_s": dict(learned.call_s),
-        "read_per_s": learned.read_per_s,
-    }, allow_nan=False, separators=(",", ":"), sort_keys=True).encode()
+    body = json.dumps(
+        {
+            "core_s": dict(learned.core_time_s),
+            "wall_s": dict(learned.run_time_s),
+            "call_s": dict(learned.call_time_s),
+            "read_per_s": learned.read_per_s,
+        },
+        allow_nan=False,
+        separators=(",", ":"),
+        sort_keys=True,
+    ).encode()
     if len(body) > BODY_MAX:
         raise ValueError(f"a snapshot's body of {len(body)} bytes is over {BODY_MAX}")
     head = HEADER.pack(MAGIC, FORMAT_VERSION, snapshot.generation, snapshot.incarnation, snapshot.written_ms,
@@ -109,7 +118,7 @@
     return out
 
 
-def _learned(body: bytes) -> Learned | None:
+def _learned(body: bytes) -> LearnedTimes | None:
     try:
         raw = json.loads(body)
     except (ValueError, UnicodeDecodeError):
@@ -122,7 +131,7 @@
             math.isfinite(read) and read >= 0.0):
         return None
     core, wall, call = (table or {} for table in tables)
-    return Learned(core, wall, call, float(read))
+    return LearnedTimes(core, wall, call, float(read))
 
 
 def decode(data: bytes) -> tuple[Verdict, str, Snapshot | None]:
@@ -150,8 +159,8 @@
     return Verdict.FRESH, "", Snapshot(generation, incarnation, written_ms, learned)
 
 
-def judge(data: bytes, *, generation: int, now_ms: float, fresh_for_ms: float,
-          slack_ms: float = 2000.0) -> Judged:
+def assess(data: bytes, *, generation: int, now_ms: float, fresh_for_ms: float,
+          slack_ms: float = 2000.0) -> SnapshotAssessment:
     """Whether the bytes found at a start may be trusted, by the fleet's ``generation`` and wall ms."""
     verdict, why, snapshot = decode(data)
     if snapshot is not None:
@@ -163,4 +172,4 @@
         elif age > fresh_for_ms:
             verdict, why = Verdict.STALE, f"{age:.0f} ms old, fresh for {fresh_for_ms:.0f}"
     start = snapshot.learned if verdict is Verdict.FRESH and snapshot is not None else PRIORS
-    return Judged(verdict, why, start, snapshot)
+    return SnapshotAssessment(verdict, why, start, snapshot)
--- a/snowthread/recovery/storage.py
+++ b/snowthread/recovery/storage.py
@@ -13,15 +13,15 @@
 import os
 from pathlib import Path
 
-from snowthread.recovery import key_log as ring
+from snowthread.recovery import key_log
 
-NAME = "warm.snap"
-RING = "keys.ring"
-LIFE = "incarnation"
+SNAPSHOT_FILE = "warm.snap"
+KEY_LOG_FILE = "keys.ring"
+INCARNATION_FILE = "incarnation"
 READ_MAX = 2 << 20  # more than any snapshot; a larger file is read only so far and so is torn
 
 
-def write(folder: Path, data: bytes, name: str = NAME, sync: bool = True) -> str | None:
+def write(folder: Path, data: bytes, name: str = SNAPSHOT_FILE, sync: bool = True) -> str | None:
     """Put ``data`` in place; None where it is there, else the step that failed and why. Without ``sync`` it
     outlives the process and costs the caller no wait; what a power failure leaves is the judge's to tell."""
     step = "open"
@@ -53,7 +53,7 @@
     return None
 
 
-def read(folder: Path, name: str = NAME, most: int = READ_MAX) -> bytes:
+def read(folder: Path, name: str = SNAPSHOT_FILE, most: int = READ_MAX) -> bytes:
     """The bytes of the snapshot, empty where there is none or it can't be read."""
     try:
         with open(folder / name, "rb") as file:
@@ -62,39 +62,41 @@
         return b""
 
 
-def incarnation(folder: Path) -> int:
+def read_incarnation(folder: Path) -> int:
     """The last incarnation written down here; 0 where there is none or it can't be read."""
     try:
-        return max(0, int(read(folder, LIFE, 32) or b"0"))
+        return max(0, int(read(folder, INCARNATION_FILE, 32) or b"0"))
     except ValueError:
         return 0
 
 
-def keep_incarnation(folder: Path, number: int) -> str | None:
+def write_incarnation(folder: Path, number: int) -> str | None:
     """Write an incarnation down; None, or what failed: the roster knows it too, so a start goes on."""
-    return write(folder, b"%d\n" % number, LIFE)
+    return write(folder, b"%d\n" % number, INCARNATION_FILE)
 
 
 def init(folder: Path) -> str | None:
     """An empty ring: the operator's word that no earlier life of this node ran keys. None, or what failed."""
-    return write(folder, ring.empty(), RING)
+    return write(folder, key_log.new_key_log(), KEY_LOG_FILE)
 
 
-def open_ring(folder: Path, blind_until: float) -> tuple[ring.Found, ring.Ring | None, str]:
+def open_key_log(
+    folder: Path, blind_until: float
+) -> tuple[key_log.KeyLogContents, key_log.KeyLog | None, str]:
     """What a start finds, and the ring to write into. One that is not whole is made anew, blind until this
     time, so that a start after the next does not take it for a whole one. No ring: it can't be written, and
     why."""
-    found = ring.judge(read(folder, RING, ring.size(ring.SLOTS_MAX) + 1))
-    if found.verdict is not ring.Verdict.WHOLE:
-        failed = write(folder, ring.empty(blind_until), RING)
+    found = key_log.read_key_log(read(folder, KEY_LOG_FILE, key_log.key_log_size(key_log.SLOTS_MAX) + 1))
+    if found.verdict is not key_log.Verdict.WHOLE:
+        failed = write(folder, key_log.new_key_log(blind_until), KEY_LOG_FILE)
         if failed is not None:
             return found, None, failed
     try:
-        fd = os.open(folder / RING, os.O_RDWR)
+        fd = os.open(folder / KEY_LOG_FILE, os.O_RDWR)
         try:
             mapped = mmap.mmap(fd, 0)  # shared: what is written outlives the process without a call
         finally:
             os.close(fd)
     except (OSError, ValueError) as error:
         return found, None, str(error)
-    return found, ring.Ring(memoryview(mapped), found.sequence), ""
+    return found, key_log.KeyLog(memoryview(mapped), found.sequence), ""
--- a/snowthread/reload.py
+++ b/snowthread/reload.py
@@ -13,20 +13,20 @@
 if TYPE_CHECKING:
     from snowthread.operator.features import Features
 
-STAYS = "name", "listen", "admin", "sockets", "memory_mb"  # these take a new start
+RESTART_ONLY_FIELDS = "name", "listen", "admin", "sockets", "memory_mb"  # these take a new start
 
 
-class Moves(Protocol):
+class Reconfigurable(Protocol):
     """Who can go on with a new configuration."""
 
     config: Config
     features: Features | None
 
-    def move(self, config: Config, features: Features | None) -> None:
+    def apply_configuration(self, config: Config, features: Features | None) -> None:
         """Take it up."""
 
 
-def reload(node: Moves, environment: Mapping[str, str] = os.environ) -> None:
+def reload(node: Reconfigurable, environment: Mapping[str, str] = os.environ) -> None:
     """Take up the configuration as it stands now. A file that can't be used changes nothing: whoever replaced
     it can put it right, and a node that ended over it would take its runs along."""
     try:
@@ -36,11 +36,11 @@
     except ConfigError as error:
         logger.bind(event="config.refused").error("configuration not taken up, the old one stays: {}", error)
         return
-    kept = [field for field in STAYS if getattr(config, field) != getattr(node.config, field)]
+    kept = [field for field in RESTART_ONLY_FIELDS if getattr(config, field) != getattr(node.config, field)]
     if features is not None and node.features is not None:
         kept += features.new_start(node.features)
     try:
-        node.move(config, features)
+        node.apply_configuration(config, features)
     except OSError as error:  # no descriptor left: it must not end the task that listens for signals
         logger.bind(event="config.refused").error("configuration not taken up, the old one stays: {}", error)
         return
--- a/snowthread/serve.py
+++ b/snowthread/serve.py
@@ -10,7 +10,7 @@
 
 from snowthread import config, log
 from snowthread.net.clock import Clock
-from snowthread.node import HELD_BACK, Node
+from snowthread.node import BLOCKED_SIGNALS, Node
 
 COLLECT_AFTER = 10_000  # objects made between two rounds of the collector: the node makes few cycles
 
@@ -28,7 +28,7 @@
 def serve(operator_file: Path | None) -> None:
     """Serve as the environment says, with the features of an operator's file where one is named."""
     # Held back until the node listens for them: they would end the program, some with clients at its door.
-    signal.pthread_sigmask(signal.SIG_BLOCK, HELD_BACK)
+    signal.pthread_sigmask(signal.SIG_BLOCK, BLOCKED_SIGNALS)
     log.set_up(os.environ)
     settings = config.load(os.environ)
     features = None
--- a/snowthread/sites/client_filter.py
+++ b/snowthread/sites/client_filter.py
@@ -11,69 +11,79 @@
 
 from loguru import logger
 
-from snowthread.admission.interface import Effect as Repeat
-from snowthread.admission.interface import RequestClass
-from snowthread.core import effects as fx
-from snowthread.core import events as ev
-from snowthread.core.state import Place, Request, State
-from snowthread.sites.shedding import Load, Verdict, judge, places
+from snowthread.admission.settings import Idempotency as Repeat
+from snowthread.admission.settings import RequestClass
+from snowthread.core import effects
+from snowthread.core import events
+from snowthread.core.state import RequestPhase, Request, State
+from snowthread.sites.shedding import NodeLoad, Verdict, decide, shedding_order
 from snowthread.sites.settings import SiteSettings
-from snowthread.net.loop import Loop, Steps, Wait
+from snowthread.net.loop import EventLoop, TaskSteps, Wait
 
 TELL_MS = 10_000.0  # between two words on what came from other sites
 
-Reduce = Callable[[State, ev.Message, float], list[fx.Effect]]
+Reduce = Callable[[State, events.Event, float], list[effects.Effect]]
 
 
-class Edge:
+class ClientFilter:
     """Judges what comes from other sites' clients."""
 
-    def __init__(self, loop: Loop, settings: SiteSettings, inner: Reduce) -> None:
+    def __init__(self, loop: EventLoop, settings: SiteSettings, inner: Reduce) -> None:
         self._loop, self._homes, self._inner = loop, settings.homes, inner
         self._foreign: dict[str, None] = {}  # tries of other sites in flight
         self.counts: Counter[str] = Counter()  # by home and verdict, since they were last told
         loop.spawn(self._tell())
 
-    def _tell(self) -> Steps:
+    def _tell(self) -> TaskSteps:
         while True:
             yield Wait(until=self._loop.clock.now() + TELL_MS)
             if self.counts:
                 counts, self.counts = self.counts, Counter()
                 logger.bind(event="site.edge", **counts).info("other sites' clients: {}", dict(counts))
 
-    def reduce(self, state: State, message: ev.Message, now: float) -> list[fx.Effect]:
+    def reduce(self, state: State, message: events.Event, now: float) -> list[effects.Effect]:
         """The step within; requests of other sites' clients pass only as they may."""
-        if type(message) is not ev.RequestRead:
+        if type(message) is not events.RequestReceived:
             return self._inner(state, message, now)
-        home = self._homes.home(message.caller)
-        if home == self._homes.me:
+        home = self._homes.site_of(message.caller_id)
+        if home == self._homes.own_site:
             return self._inner(state, message, now)
         kind = next((c for c in state.settings.classes if c.name == message.class_name), None)
         verdict = Verdict.FAIL if kind is None else self._judge(state, message, kind)
         self.counts[f"{home} {verdict.value}"] += 1
         if verdict is Verdict.FAIL:
-            return [fx.Answer(message.ticket, fx.Failed(), state.say)]
+            return [effects.SendResponse(message.response_address, effects.Failed(), state.load_report)]
         if verdict is Verdict.REFUSE:
             settings, after = state.settings, 0.0
-            if kind is not None and settings.retry_after:
-                after = min(settings.max_retry_after_s, kind.goal_s / 2.0)
-            return [fx.Answer(message.ticket, fx.Refused(1000.0 * after), state.say)]
-        self._foreign[message.uid] = None
+            if kind is not None and settings.supports_retry_after:
+                after = min(settings.max_retry_after_s, kind.latency_objective_s / 2.0)
+            return [
+                effects.SendResponse(
+                    message.response_address, effects.Rejected(1000.0 * after), state.load_report
+                )
+            ]
+        self._foreign[message.attempt_id] = None
         return self._inner(state, message, now)
 
-    def _judge(self, state: State, m: ev.RequestRead, kind: RequestClass) -> Verdict:
-        self._foreign = {uid: None for uid in self._foreign if uid in state.by_uid}
+    def _judge(self, state: State, m: events.RequestReceived, kind: RequestClass) -> Verdict:
+        self._foreign = {uid: None for uid in self._foreign if uid in state.by_attempt_id}
         controller = state.controller
         classes = state.settings.classes
-        runs = {c.name: controller.est.base_s[n] if controller is not None else 0.0
+        runs = {c.name: controller.estimates.base_core_time_s[n] if controller is not None else 0.0
                 for n, c in enumerate(classes)}
-        order = places({c.name: c.worth / (runs[c.name] or 1.0) for c in classes})
+        order = shedding_order({c.name: c.priority_weight / (runs[c.name] or 1.0) for c in classes})
         held = sum(_held(q) for q in state.requests.values())
-        load = Load(controller.b if controller is not None else 0.0, held, state.settings.cores,
-                    controller.limit if controller is not None else float(state.settings.cores),
-                    len(self._foreign))
-        return judge(False, kind.effect is Repeat.SAFE, order[kind.name], len(classes), m.rank, load)
+        load = NodeLoad(
+            controller.blocking_probability if controller is not None else 0.0,
+            held,
+            state.settings.cores,
+            controller.concurrency_limit if controller is not None else float(state.settings.cores),
+            len(self._foreign),
+        )
+        return decide(
+            False, kind.idempotency is Repeat.IDEMPOTENT, order[kind.name], len(classes), m.rank, load
+        )
 
 
 def _held(q: Request) -> bool:
-    return q.place is Place.HELD
+    return q.phase is RequestPhase.QUEUED
