--- a/snowthread/sites/membership.py
+++ b/snowthread/sites/membership.py
@@ -26,7 +26,7 @@
 SITES_MAX = 64
 
 
-class Standing(Enum):
+class SiteStatus(Enum):
     UP = "up"
     SUSPECT = "suspect"
     LOST = "lost"
@@ -34,124 +34,128 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Beat:
+class Heartbeat:
     """One beat of a site: its life, how much it can spare (requests a second), and whom it hears."""
 
     site: str
     generation: int
     incarnation: int
-    spare_per_s: float
+    spare_capacity_per_s: float
     hears: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
-class Move:
+class StatusChange:
     """A site's standing has changed."""
 
     site: str
-    before: Standing
-    now: Standing
+    previous: SiteStatus
+    current: SiteStatus
 
 
 @dataclass(slots=True)
-class Peer:
+class PeerSite:
     """What one site knows of another."""
 
-    standing: Standing
+    status: SiteStatus
     since_ms: float
     heard_ms: float
     gap_ms: float
     deviation_ms: float
-    beat: Beat | None = None
+    last_heartbeat: Heartbeat | None = None
 
 
 @dataclass(frozen=True, slots=True)
-class Rules:
-    every_ms: float = 250.0  # between two beats
+class MembershipRules:
+    heartbeat_interval_ms: float = 250.0  # between two beats
     lost_after_ms: float = 2000.0  # of suspicion
     up_after_ms: float = 3000.0  # of beats, for one that is back
 
 
 @dataclass(slots=True)
-class Sites:
+class SiteMembership:
     """One site's view of the others."""
 
     me: str
-    rules: Rules
-    peers: dict[str, Peer] = field(default_factory=dict)
-    old: int = 0  # beats of earlier lives
-    strangers: int = 0  # beats of sites that nobody named
+    rules: MembershipRules
+    peers: dict[str, PeerSite] = field(default_factory=dict)
+    outdated_heartbeats: int = 0  # beats of earlier lives
+    unknown_heartbeats: int = 0  # beats of sites that nobody named
 
     @classmethod
-    def begin(cls, me: str, others: Iterable[str], rules: Rules, now_ms: float) -> Sites:
+    def create(cls, me: str, others: Iterable[str], rules: MembershipRules, now_ms: float) -> SiteMembership:
         """Nobody is heard yet: all are suspect, so nothing moves for a site that has just started."""
         names = sorted(set(others) - {me})
         if len(names) >= SITES_MAX:
             raise ValueError(f"{len(names) + 1} sites, at most {SITES_MAX}")
-        gap = rules.every_ms
-        return cls(me, rules, {name: Peer(Standing.SUSPECT, now_ms, now_ms, gap, 0.0) for name in names})
+        gap = rules.heartbeat_interval_ms
+        return cls(
+            me, rules, {name: PeerSite(SiteStatus.SUSPECT, now_ms, now_ms, gap, 0.0) for name in names}
+        )
 
-    def bound_ms(self, name: str) -> float:
+    def suspicion_timeout_ms(self, name: str) -> float:
         """Silent for longer, a site is suspect."""
         peer = self.peers[name]
-        return max(GAPS_LEAST * self.rules.every_ms, peer.gap_ms + DEVIATIONS * peer.deviation_ms)
+        return max(
+            GAPS_LEAST * self.rules.heartbeat_interval_ms, peer.gap_ms + DEVIATIONS * peer.deviation_ms
+        )
 
-    def heard(self, beat: Beat, now_ms: float) -> list[Move]:
+    def receive(self, beat: Heartbeat, now_ms: float) -> list[StatusChange]:
         """A beat has come."""
         peer = self.peers.get(beat.site)
         if peer is None:
-            self.strangers += 1
+            self.unknown_heartbeats += 1
             return []
-        last = peer.beat
+        last = peer.last_heartbeat
         if last is not None and (beat.generation, beat.incarnation) < (last.generation, last.incarnation):
-            self.old += 1
+            self.outdated_heartbeats += 1
             return []
         same = last is not None and last.incarnation == beat.incarnation
-        if same and peer.standing in (Standing.UP, Standing.SUSPECT):
+        if same and peer.status in (SiteStatus.UP, SiteStatus.SUSPECT):
             gap = now_ms - peer.heard_ms
             peer.deviation_ms += (abs(gap - peer.gap_ms) - peer.deviation_ms) / 4.0
             peer.gap_ms += (gap - peer.gap_ms) / 8.0
         else:  # what its beats were like before a loss or in another life says nothing of these
-            peer.gap_ms, peer.deviation_ms = self.rules.every_ms, 0.0
-        peer.beat, peer.heard_ms = beat, now_ms
-        if peer.standing is Standing.SUSPECT:
+            peer.gap_ms, peer.deviation_ms = self.rules.heartbeat_interval_ms, 0.0
+        peer.last_heartbeat, peer.heard_ms = beat, now_ms
+        if peer.status is SiteStatus.SUSPECT:
             # Another life than the one that was up: what it had is gone, whether or not it was missed.
-            return self._move(beat.site, Standing.UP if same or last is None else Standing.BACK, now_ms)
-        if peer.standing is Standing.LOST or (peer.standing is Standing.UP and not same):
-            return self._move(beat.site, Standing.BACK, now_ms)
+            return self._move(beat.site, SiteStatus.UP if same or last is None else SiteStatus.BACK, now_ms)
+        if peer.status is SiteStatus.LOST or (peer.status is SiteStatus.UP and not same):
+            return self._move(beat.site, SiteStatus.BACK, now_ms)
         return []
 
-    def tick(self, now_ms: float) -> list[Move]:
+    def tick(self, now_ms: float) -> list[StatusChange]:
         """Look at the clock; to be called a few times a nominal gap."""
-        moves: list[Move] = []
+        moves: list[StatusChange] = []
         for name, peer in self.peers.items():
-            silent = now_ms - peer.heard_ms > self.bound_ms(name)
-            if peer.standing is Standing.UP and silent:
-                moves += self._move(name, Standing.SUSPECT, now_ms)
-            elif peer.standing is Standing.BACK and silent:
-                moves += self._move(name, Standing.LOST, now_ms)
-            elif peer.standing is Standing.BACK and now_ms - peer.since_ms >= self.rules.up_after_ms:
-                moves += self._move(name, Standing.UP, now_ms)
+            silent = now_ms - peer.heard_ms > self.suspicion_timeout_ms(name)
+            if peer.status is SiteStatus.UP and silent:
+                moves += self._move(name, SiteStatus.SUSPECT, now_ms)
+            elif peer.status is SiteStatus.BACK and silent:
+                moves += self._move(name, SiteStatus.LOST, now_ms)
+            elif peer.status is SiteStatus.BACK and now_ms - peer.since_ms >= self.rules.up_after_ms:
+                moves += self._move(name, SiteStatus.UP, now_ms)
         for name, peer in self.peers.items():
-            late = peer.standing is Standing.SUSPECT and now_ms - peer.since_ms >= self.rules.lost_after_ms
-            if late and not self.alone() and not self._heard_elsewhere(name):
-                moves += self._move(name, Standing.LOST, now_ms)
+            late = peer.status is SiteStatus.SUSPECT and now_ms - peer.since_ms >= self.rules.lost_after_ms
+            if late and not self.is_isolated() and not self._heard_elsewhere(name):
+                moves += self._move(name, SiteStatus.LOST, now_ms)
         return moves
 
-    def alone(self) -> bool:
+    def is_isolated(self) -> bool:
         """Does this site hear none of the others? Then it can't tell their loss from its own."""
-        return all(peer.standing in (Standing.SUSPECT, Standing.LOST) for peer in self.peers.values())
+        return all(peer.status in (SiteStatus.SUSPECT, SiteStatus.LOST) for peer in self.peers.values())
 
     def hears(self) -> frozenset[str]:
         """Whom this site's own beats say it hears."""
         return frozenset(name for name, peer in self.peers.items()
-                         if peer.standing in (Standing.UP, Standing.BACK))
+                         if peer.status in (SiteStatus.UP, SiteStatus.BACK))
 
     def _heard_elsewhere(self, name: str) -> bool:
-        return any(name in peer.beat.hears for other, peer in self.peers.items()
-                   if other != name and peer.beat is not None and peer.standing is Standing.UP)
+        return any(name in peer.last_heartbeat.hears for other, peer in self.peers.items()
+                   if other != name and peer.last_heartbeat is not None and peer.status is SiteStatus.UP)
 
-    def _move(self, name: str, now: Standing, now_ms: float) -> list[Move]:
+    def _move(self, name: str, now: SiteStatus, now_ms: float) -> list[StatusChange]:
         peer = self.peers[name]
-        before, peer.standing, peer.since_ms = peer.standing, now, now_ms
-        return [Move(name, before, now)] if before is not now else []
+        before, peer.status, peer.since_ms = peer.status, now, now_ms
+        return [StatusChange(name, before, now)] if before is not now else []
--- a/snowthread/sites/recovery_ramp.py
+++ b/snowthread/sites/recovery_ramp.py
@@ -24,25 +24,25 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Health:
+class SiteHealth:
     """A period's measure of the site that is back."""
 
-    served: float  # worth in aim over worth asked, over the same before its loss
-    database: float  # calls held over its slots
+    served_ratio: float  # worth in aim over worth asked, over the same before its loss
+    database_load: float  # calls held over its slots
 
 
 @dataclass(slots=True)
-class Giveback:
+class RecoveryRamp:
     """One site's return, as the others pace it."""
 
     period_ms: float = 1000.0
     first_wait_ms: float = 2000.0
-    wait_most_ms: float = 300_000.0
-    calm_ms: float = 60_000.0
+    max_wait_ms: float = 300_000.0
+    stable_after_ms: float = 60_000.0
     share: float = 1.0
     wait_ms: float = 0.0
-    back_ms: float | None = None  # since when it is back
-    stepped_ms: float = 0.0
+    back_since_ms: float | None = None  # since when it is back
+    last_step_ms: float = 0.0
     losses: int = 0
 
     def __post_init__(self) -> None:
@@ -50,27 +50,27 @@
 
     def lost(self, now_ms: float) -> None:
         """It is gone: all of its load is others' at once."""
-        if self.losses and self.back_ms is not None:
-            short = now_ms - self.back_ms < self.calm_ms
-            self.wait_ms = min(self.wait_most_ms, 2.0 * self.wait_ms) if short else self.first_wait_ms
+        if self.losses and self.back_since_ms is not None:
+            short = now_ms - self.back_since_ms < self.stable_after_ms
+            self.wait_ms = min(self.max_wait_ms, 2.0 * self.wait_ms) if short else self.first_wait_ms
         self.losses += 1
-        self.share, self.back_ms = 0.0, None
+        self.share, self.back_since_ms = 0.0, None
 
     def back(self, now_ms: float) -> None:
         """It is there again; it gets nothing before its wait is over."""
-        if self.back_ms is None:
-            self.back_ms, self.stepped_ms = now_ms, now_ms
+        if self.back_since_ms is None:
+            self.back_since_ms, self.last_step_ms = now_ms, now_ms
 
-    def tick(self, now_ms: float, health: Health | None) -> float:
+    def tick(self, now_ms: float, health: SiteHealth | None) -> float:
         """Once in a while: the share of its load that it gets now. No health: nothing measured, no step."""
-        if self.back_ms is None or self.share >= 1.0:
+        if self.back_since_ms is None or self.share >= 1.0:
             return self.share
         if self.share == 0.0:
-            if now_ms - self.back_ms >= self.wait_ms:
-                self.share, self.stepped_ms = STEP, now_ms
-        elif health is not None and now_ms - self.stepped_ms >= self.period_ms:
-            self.stepped_ms = now_ms
-            if health.served >= WELL_SERVED and health.database <= WELL_DATABASE:
+            if now_ms - self.back_since_ms >= self.wait_ms:
+                self.share, self.last_step_ms = STEP, now_ms
+        elif health is not None and now_ms - self.last_step_ms >= self.period_ms:
+            self.last_step_ms = now_ms
+            if health.served_ratio >= WELL_SERVED and health.database_load <= WELL_DATABASE:
                 self.share = min(1.0, self.share + (STEP if self.share < 0.5 else 2.0 * STEP))
             else:
                 self.share = max(STEP, self.share / 2.0)
--- a/snowthread/sites/settings.py
+++ b/snowthread/sites/settings.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from snowthread.sites.shedding import Homes
+from snowthread.sites.shedding import SiteRanges
 from snowthread.operator.hcl import Block
 
 HOMES_MAX = 64
@@ -14,11 +14,12 @@
 class SiteSettings:
     """Which site this node is of, and whose clients the balancers' numbers stand for."""
 
-    homes: Homes
+    homes: SiteRanges
 
-    def line(self) -> str:
+    def summary(self) -> str:
         """For people: what is on."""
-        return f"site {self.homes.me}: clients of {', '.join(self.homes.ranges)} are told by their balancers"
+        others = ", ".join(self.homes.ranges)
+        return f"site {self.homes.own_site}: clients of {others} are told by their balancers"
 
 
 def _number(block: Block, text: str) -> int:
@@ -49,4 +50,4 @@
     block.done()
     if me not in ranges:
         raise block.wrong("name", f"no block 'home' has the balancers of {me!r}")
-    return SiteSettings(Homes(me, ranges))
+    return SiteSettings(SiteRanges(me, ranges))
--- a/snowthread/sites/shedding.py
+++ b/snowthread/sites/shedding.py
@@ -32,48 +32,48 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Homes:
+class SiteRanges:
     """Whose clients a balancer's number stands for: ranges, both ends included, by site."""
 
-    me: str
+    own_site: str
     ranges: Mapping[str, Sequence[tuple[int, int]]]
 
-    def home(self, caller: int) -> str:
+    def site_of(self, caller: int) -> str:
         """The site, or this one where no range has the number: nobody else's clients are its own."""
         for site, ranges in self.ranges.items():
             if any(low <= caller <= high for low, high in ranges):
                 return site
-        return self.me
+        return self.own_site
 
 
 @dataclass(frozen=True, slots=True)
-class Load:
+class NodeLoad:
     """A node as it stands."""
 
-    blocking: float  # the module's b
-    held: int
+    blocking_probability: float  # the module's b
+    queued: int
     cores: int
-    limit: float  # the module's run limit
-    foreign: int  # requests of other sites in flight
+    concurrency_limit: float  # the module's run limit
+    foreign_in_flight: int  # requests of other sites in flight
 
 
-def places(worth_for_work: Mapping[str, float]) -> dict[str, int]:
+def shedding_order(worth_for_work: Mapping[str, float]) -> dict[str, int]:
     """Classes in the order in which they are refused: the least worth for its work first."""
     return {name: n for n, (name, _) in enumerate(sorted(worth_for_work.items(), key=lambda item: item[1]))}
 
 
-def pressure(load: Load) -> float:
+def pressure(load: NodeLoad) -> float:
     """How little room there is, 0 to 1."""
-    return max(load.blocking, min(1.0, load.held / (HOLD_FULL * max(1, load.cores))))
+    return max(load.blocking_probability, min(1.0, load.queued / (HOLD_FULL * max(1, load.cores))))
 
 
-def judge(own: bool, safe: bool, place: int, classes: int, rank: float, load: Load) -> Verdict:
+def decide(own: bool, safe: bool, place: int, classes: int, rank: float, load: NodeLoad) -> Verdict:
     """What becomes of a request as it is read."""
     if own:
         return Verdict.OWN
     if not safe:
         return Verdict.FAIL
-    if load.foreign >= max(1.0, CAP * load.limit):
+    if load.foreign_in_flight >= max(1.0, CAP * load.concurrency_limit):
         return Verdict.REFUSE
     allowed = MOST * (place + min(1.0, max(0.0, rank))) / max(1, classes)
     felt = pressure(load)
--- a/snowthread/sites/spillover.py
+++ b/snowthread/sites/spillover.py
@@ -15,26 +15,26 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Taker:
+class SpilloverTarget:
     """A site that is up: requests a second that it can spare, and the way there and back."""
 
-    spare_per_s: float
+    spare_capacity_per_s: float
     delay_ms: float
 
 
 @dataclass(frozen=True, slots=True)
-class Deal:
+class Allocation:
     """Requests a second to each taker, and what is left over."""
 
-    parts: Mapping[str, float]
-    left_over: float
+    rates_per_s: Mapping[str, float]
+    unallocated_per_s: float
 
 
-def deal(load_per_s: float, takers: Mapping[str, Taker], aim_ms: float) -> Deal:
+def allocate(load_per_s: float, takers: Mapping[str, SpilloverTarget], aim_ms: float) -> Allocation:
     """Deal a load of requests whose aim is this. Sites whose way takes half of the aim take nothing: an
     answer from there comes too late to be worth the work."""
-    room = {name: CAP * max(0.0, taker.spare_per_s) for name, taker in takers.items()
-            if taker.delay_ms < aim_ms / 2.0 and taker.spare_per_s > 0.0}
+    room = {name: CAP * max(0.0, taker.spare_capacity_per_s) for name, taker in takers.items()
+            if taker.delay_ms < aim_ms / 2.0 and taker.spare_capacity_per_s > 0.0}
     weight = {name: room[name] / (1.0 + takers[name].delay_ms / aim_ms) for name in room}
     parts, left = dict.fromkeys(room, 0.0), max(0.0, load_per_s)
     open_ = set(room)
@@ -49,4 +49,4 @@
         if not full:
             left = 0.0
         open_ -= full
-    return Deal(parts, max(0.0, left))
+    return Allocation(parts, max(0.0, left))
--- a/snowthread/tenants/identification.py
+++ b/snowthread/tenants/identification.py
@@ -12,105 +12,111 @@
 
 from loguru import logger
 
-from snowthread.core import events as ev
-from snowthread.net.loop import Loop, Steps, Wait
-from snowthread.tenants import snapshot as disk
-from snowthread.tenants.replication import Follower
-from snowthread.tenants.model import How
+from snowthread.core import events
+from snowthread.net.loop import EventLoop, TaskSteps, Wait
+from snowthread.tenants import snapshot as tenant_snapshot
+from snowthread.tenants.replication import DirectoryReplicator
+from snowthread.tenants.model import IdentifiedBy
 from snowthread.tenants.settings import TenantSettings
-from snowthread.tenants.state import News, Tenancy
+from snowthread.tenants.state import TenantChanges, TenantState
 
 CHANGED_MS = 1000.0  # the least time between two snapshots
 LOOK_MS = 500.0  # between two looks at age, snapshot and counters
 _WARNINGS = frozenset({"tenants.conflict", "tenants.bad_entry", "tenants.removal_held"})
 
 
-class Gate:
+class TenantIdentification:
     """One node's tenants."""
 
-    def __init__(self, loop: Loop, settings: TenantSettings, seed: int,
-                 post: Callable[[ev.Message], None]) -> None:
+    def __init__(self, loop: EventLoop, settings: TenantSettings, seed: int,
+                 post: Callable[[events.Event], None]) -> None:
         self._loop, self.settings, self._post = loop, settings, post
         self._origin: Callable[[int], str] = lambda place: ""
-        self.tenancy = Tenancy(settings.rules)
+        self.tenants = TenantState(settings.rules)
         # The node's seed is new with each start and each node: what is drawn from it is spread over a fleet.
         self._rng = random.Random(seed ^ 0x7E4A47)
-        self.follower: Follower | None = None
-        self._writer: disk.Writer | None = None
+        self.replicator: DirectoryReplicator | None = None
+        self._writer: tenant_snapshot.Writer | None = None
         self._written_at, self._written_version = loop.clock.now(), 0
 
     def start(self, origin: Callable[[int], str]) -> None:
         """Begin: what was known at the last life first, then the directory."""
         self._origin = origin
-        self._post(ev.SharesChanged((self.tenancy.default_share(),),
-                                    over_share_worth=self.settings.over_share_worth))
-        self.follower = Follower(self._loop, self.settings, self.tenancy, self._rng, self.tell)
+        self._post(events.TenantQuotasChanged((self.tenants.default_share(),),
+                                    over_quota_weight=self.settings.over_share_worth))
+        self.replicator = DirectoryReplicator(
+            self._loop, self.settings, self.tenants, self._rng, self.publish
+        )
         if self.settings.snapshot is not None:
-            self._restore(self.follower)
-            self._writer = disk.Writer(self.settings.snapshot)
+            self._restore(self.replicator)
+            self._writer = tenant_snapshot.Writer(self.settings.snapshot)
         self._loop.spawn(self._look())
 
-    def read(self, message: ev.Message) -> None:
+    def handle(self, message: events.Event) -> None:
         """A front's message on its way to the reducer."""
-        if type(message) is ev.RequestRead:
+        if type(message) is events.RequestReceived:
             now = self._loop.clock.now()
-            address = self._origin(message.ticket[0])
-            who = self.tenancy.whois(address, message.caller, now)
-            if who.how is How.UNKNOWN and self.tenancy.unknowns.seen(address, now) and self.follower:
-                self.follower.wake()
-            message = ev.of_tenant(message, who.id)
+            address = self._origin(message.response_address[0])
+            who = self.tenants.whois(address, message.caller_id, now)
+            if (
+                who.identified_by is IdentifiedBy.UNKNOWN
+                and self.tenants.unknown_clients.seen(address, now)
+                and self.replicator
+            ):
+                self.replicator.wake()
+            message = events.with_tenant(message, who.id)
         self._post(message)
 
-    def tell(self, news: News) -> None:
+    def publish(self, news: TenantChanges) -> None:
         """Hand on what a step changed."""
         for event, text in news.lines:
             line = logger.bind(event=event, peer="directory")
             (line.warning if event in _WARNINGS else line.info)("tenants: {}", text)
         if news.shares or news.removed:
-            self._post(ev.SharesChanged(tuple(news.shares), frozenset(news.removed)))
+            self._post(events.TenantQuotasChanged(tuple(news.shares), frozenset(news.removed)))
 
-    def move(self, settings: TenantSettings) -> None:
+    def apply_settings(self, settings: TenantSettings) -> None:
         """Take up other settings; those of the snapshot's place too."""
         old, self.settings = self.settings, settings
-        self.tell(self.tenancy.move(settings.rules))
-        self._post(ev.SharesChanged(over_share_worth=settings.over_share_worth))
+        self.publish(self.tenants.apply_rules(settings.rules))
+        self._post(events.TenantQuotasChanged(over_quota_weight=settings.over_share_worth))
         if settings.snapshot != old.snapshot:
-            self._writer = None if settings.snapshot is None else disk.Writer(settings.snapshot)
+            self._writer = None if settings.snapshot is None else tenant_snapshot.Writer(settings.snapshot)
         same = replace(settings, rules=old.rules, snapshot=old.snapshot, snapshot_ms=old.snapshot_ms,
                        report_ms=old.report_ms, over_share_worth=old.over_share_worth) == old
-        if self.follower is not None and not same:
-            self.follower.move(settings)
+        if self.replicator is not None and not same:
+            self.replicator.apply_settings(settings)
 
     # Now and then.
 
-    def _look(self) -> Steps:
+    def _look(self) -> TaskSteps:
         report_at = self._loop.clock.now() + self.settings.report_ms
         while True:
             yield Wait(until=self._loop.clock.now() + LOOK_MS)
             now = self._loop.clock.now()
-            self.tell(self.tenancy.aged(now))
+            self.publish(self.tenants.aged(now))
             self._snapshot(now)
             if now >= report_at:
                 report_at = now + self.settings.report_ms
                 self._report(now)
 
     def _report(self, now: float) -> None:
-        tenancy, follower = self.tenancy, self.follower
-        stage = tenancy.ladder.stage(now).value
-        age = tenancy.ladder.age(now) / 1000.0
+        tenancy, follower = self.tenants, self.replicator
+        stage = tenancy.staleness.stage(now).value
+        age = tenancy.staleness.age(now) / 1000.0
         logger.bind(event="tenants.state", peer="directory", stage=stage, tenants=len(tenancy.table),
                     networks=tenancy.table.networks, server=follower.server if follower else "",
                     fail_overs=follower.servers.fail_overs if follower else 0,
                     link_failures=follower.link_failures if follower else 0,
-                    age_s=round(age, 1) if age < 1e9 else None, unknown_waiting=len(tenancy.unknowns),
-                    nobodys=tenancy.unknowns.remembered, held=len(tenancy.guard.held.ids)
+                    age_s=round(age, 1) if age < 1e9 else None, unknown_waiting=len(tenancy.unknown_clients),
+                    nobodys=tenancy.unknown_clients.remembered, held=len(tenancy.guard.held.ids)
                     if tenancy.guard.held else 0, **tenancy.counts).info(
             "tenants: {} known, {}, {} requests of known callers, {} of unknown ones", len(tenancy.table),
             stage, tenancy.counts["known"], tenancy.counts["unknown"])
 
     # The snapshot.
 
-    def _restore(self, follower: Follower) -> None:
+    def _restore(self, follower: DirectoryReplicator) -> None:
         path = self.settings.snapshot
         if path is None:
             return
@@ -118,21 +124,21 @@
             logger.bind(event="tenants.no_snapshot").info("tenants: no snapshot at {} yet", path)
             return
         try:
-            snapshot = disk.read(path, self.settings.source)
-        except disk.SnapshotError as error:
+            snapshot = tenant_snapshot.read(path, self.settings.source)
+        except tenant_snapshot.SnapshotError as error:
             logger.bind(event="tenants.no_snapshot").warning(
                 "tenants: snapshot {} not used: {}; the directory alone will tell", path, error)
             return
         now = self._loop.clock.now()
-        self.tell(self.tenancy.restored(snapshot.tenants, snapshot.agreed_at, snapshot.home, now))
+        self.publish(self.tenants.restored(snapshot.tenants, snapshot.agreed_at, snapshot.home, now))
         follower.sync.cookie, follower.sync.cookie_server = snapshot.cookie, snapshot.home
         logger.bind(event="tenants.restored", tenants=len(snapshot.tenants)).info(
             "tenants: {} from the snapshot, {:.0f} s old", len(snapshot.tenants),
-            self.tenancy.ladder.age(now) / 1000.0)
+            self.tenants.staleness.age(now) / 1000.0)
 
     def _snapshot(self, now: float) -> None:
-        writer, tenancy = self._writer, self.tenancy
-        if writer is None or self.follower is None:
+        writer, tenancy = self._writer, self.tenants
+        if writer is None or self.replicator is None:
             return
         error = writer.finished()
         if error:
@@ -146,8 +152,8 @@
         if not due and not (changed and now - self._written_at >= CHANGED_MS):
             return
         self._written_at, self._written_version = now, tenancy.table.version
-        sync = self.follower.sync
+        sync = self.replicator.sync
         # A held removal is not in the file: from the cookie on it would never be told again.
         resumes = tenancy.guard.held is None and sync.cookie_server == tenancy.guard.home
-        writer.start(tenancy.table.tenants.values(), tenancy.ladder.agreed_at, self.settings.source,
+        writer.start(tenancy.table.tenants.values(), tenancy.staleness.confirmed_at_ms, self.settings.source,
                      tenancy.guard.home, sync.cookie if resumes else None)
--- a/snowthread/tenants/inspection.py
+++ b/snowthread/tenants/inspection.py
@@ -12,38 +12,40 @@
 
 from snowthread import config
 from snowthread.net.clock import Clock
-from snowthread.net.loop import Loop
+from snowthread.net.loop import EventLoop
 from snowthread.operator.features import Features
-from snowthread.tenants import snapshot as disk
-from snowthread.tenants.replication import Follower
-from snowthread.tenants.model import How
+from snowthread.tenants import snapshot as tenant_snapshot
+from snowthread.tenants.replication import DirectoryReplicator
+from snowthread.tenants.model import IdentifiedBy
 from snowthread.tenants.settings import TenantSettings
-from snowthread.tenants.state import News, Tenancy
+from snowthread.tenants.state import TenantChanges, TenantState
 
 ROUND_S = 0.05
 
 
-class Fetched:
+class InspectionResult:
     """What was read, and the lines that came with it."""
 
-    def __init__(self, tenancy: Tenancy, lines: list[str], source: str) -> None:
+    def __init__(self, tenancy: TenantState, lines: list[str], source: str) -> None:
         self.tenancy, self.lines, self.source = tenancy, lines, source
 
 
-def fetch(operator_file: Path, snapshot: Path | None) -> Fetched:
+def fetch(operator_file: Path, snapshot: Path | None) -> InspectionResult:
     """All tenants, from the snapshot where one is named, else from the directory; ConfigError where that
     can't be had."""
     settings = _settings(operator_file)
-    tenancy, lines = Tenancy(settings.rules), list[str]()
+    tenancy, lines = TenantState(settings.rules), list[str]()
     now = Clock().now()
     if snapshot is not None:
         try:
-            found = disk.read(snapshot, settings.source)
-        except disk.SnapshotError as error:
+            found = tenant_snapshot.read(snapshot, settings.source)
+        except tenant_snapshot.SnapshotError as error:
             raise config.ConfigError(f"{snapshot}: {error}") from None
         news = tenancy.restored(found.tenants, found.agreed_at, found.home, now)
         lines += [text for event, text in news.lines if event == "tenants.conflict"]
-        return Fetched(tenancy, lines, f"{snapshot}, {max(0.0, now - found.agreed_at) / 1000.0:.0f} s old")
+        return InspectionResult(
+            tenancy, lines, f"{snapshot}, {max(0.0, now - found.agreed_at) / 1000.0:.0f} s old"
+        )
     return _ask(settings, tenancy, lines)
 
 
@@ -58,27 +60,27 @@
     return tenants
 
 
-def _ask(settings: TenantSettings, tenancy: Tenancy, lines: list[str]) -> Fetched:
+def _ask(settings: TenantSettings, tenancy: TenantState, lines: list[str]) -> InspectionResult:
     logger.remove()
     troubles: list[str] = []
     logger.add(lambda message: troubles.append(message.record["message"]), level="WARNING")
-    loop = Loop(Clock())
+    loop = EventLoop(Clock())
 
-    def tell(news: News) -> None:
+    def tell(news: TenantChanges) -> None:
         lines.extend(text for event, text in news.lines if event in ("tenants.conflict", "tenants.bad_entry"))
 
-    follower = Follower(loop, settings, tenancy, random.Random(), tell)
+    follower = DirectoryReplicator(loop, settings, tenancy, random.Random(), tell)
     clock = loop.clock
     until = clock.now() + settings.access.connect_ms + settings.access.bind_ms + settings.refresh_ms
     tries = len(settings.servers) * settings.patience.failures
     while not tenancy.counts["refreshes"] and clock.now() < until and follower.link_failures < tries:
-        loop.round(ROUND_S)
+        loop.run_once(ROUND_S)
     if not tenancy.counts["refreshes"]:
         raise config.ConfigError(troubles[-1] if troubles else "the directory does not answer")
-    return Fetched(tenancy, lines, follower.sync.cookie_server or settings.servers[0].server)
+    return InspectionResult(tenancy, lines, follower.sync.cookie_server or settings.servers[0].server)
 
 
-def show(fetched: Fetched) -> Iterator[str]:
+def show(fetched: InspectionResult) -> Iterator[str]:
     """A table of the tenants, by name."""
     tenants = sorted(fetched.tenancy.table.tenants.values(), key=lambda t: (t.name.casefold(), t.id))
     yield f"{len(tenants)} tenants, {fetched.tenancy.table.networks} networks, from {fetched.source}"
@@ -92,17 +94,17 @@
                          t.id))
 
 
-def whois(fetched: Fetched, address: str, balancer: int | None) -> tuple[bool, str]:
+def whois(fetched: InspectionResult, address: str, balancer: int | None) -> tuple[bool, str]:
     """Whether somebody's, and the line that says whose and why."""
     who = fetched.tenancy.table.whois(address, balancer)
-    if who.how is How.UNKNOWN:
+    if who.identified_by is IdentifiedBy.UNKNOWN:
         return False, f"{address}: nobody's, so the default tenant's"
     tenant = fetched.tenancy.table.tenants[who.id]
-    by = f"network {who.network}" if who.how is How.NETWORK else f"balancer {balancer}"
+    by = f"network {who.network}" if who.identified_by is IdentifiedBy.NETWORK else f"balancer {balancer}"
     return True, f"{address}: {tenant.name} ({tenant.status.value}, {tenant.id}), by {by}"
 
 
-def check(fetched: Fetched) -> list[str]:
+def check(fetched: InspectionResult) -> list[str]:
     """What can't be used or contradicts itself."""
     out = list(dict.fromkeys(fetched.lines))
     for tenant in fetched.tenancy.table.tenants.values():
--- a/snowthread/tenants/model.py
+++ b/snowthread/tenants/model.py
@@ -33,7 +33,7 @@
     stamp: str = ""
 
 
-class How(Enum):
+class IdentifiedBy(Enum):
     """By which rule a caller was told."""
 
     BALANCER = "the balancer's number"
@@ -46,8 +46,8 @@
     """Whose caller it is, and how that is known."""
 
     id: str
-    how: How
+    identified_by: IdentifiedBy
     network: str = ""
 
 
-UNKNOWN = Identity(DEFAULT_ID, How.UNKNOWN)
+UNKNOWN = Identity(DEFAULT_ID, IdentifiedBy.UNKNOWN)
--- a/snowthread/tenants/replication.py
+++ b/snowthread/tenants/replication.py
@@ -14,15 +14,15 @@
 from loguru import logger
 
 from snowthread.ldap import messages as m
-from snowthread.ldap.client import Link, Trouble
+from snowthread.ldap.client import Link, LinkFailure
 from snowthread.ldap.health import Reaction, Servers, reaction
 from snowthread.net.attempt import Progress
-from snowthread.net.loop import Loop, Steps, Wait
+from snowthread.net.loop import EventLoop, TaskSteps, Wait
 from snowthread.tenants import sync as s
 from snowthread.tenants.entry import BadEntry, read
 from snowthread.tenants.model import Tenant
 from snowthread.tenants.settings import TenantSettings
-from snowthread.tenants.state import News, Tenancy
+from snowthread.tenants.state import TenantChanges, TenantState
 from snowthread.tenants.unknown_clients import question
 
 ANEW_MOST = 4  # searches begun anew on one link because the server wants another way
@@ -41,11 +41,11 @@
     bad: list[BadEntry] = field(default_factory=list)
 
 
-class Follower:
+class DirectoryReplicator:
     """Follows the directory for one node."""
 
-    def __init__(self, loop: Loop, settings: TenantSettings, tenancy: Tenancy, rng: random.Random,
-                 tell: Callable[[News], None]) -> None:
+    def __init__(self, loop: EventLoop, settings: TenantSettings, tenancy: TenantState, rng: random.Random,
+                 tell: Callable[[TenantChanges], None]) -> None:
         self._loop, self.settings, self._tenancy, self._rng, self._tell = loop, settings, tenancy, rng, tell
         self.sync = s.Sync(settings.question)
         self.servers = self._servers()
@@ -63,19 +63,19 @@
         if self._asking:
             self._loop.wake(self._task)
 
-    def move(self, settings: TenantSettings) -> None:
+    def apply_settings(self, settings: TenantSettings) -> None:
         """Other servers, credentials or another question: what goes on ends, nothing that is known does."""
-        self._loop.end(self._task)
+        self._loop.end_task(self._task)
         self.settings = settings
         self.sync.move(settings.question)
-        self._tenancy.unknowns.unanswered()
+        self._tenancy.unknown_clients.unanswered()
         self.servers = self._servers()
         self._task = self._loop.spawn(self._steps(0.0))
 
     def _now(self) -> float:
         return self._loop.clock.now()
 
-    def _steps(self, spread_ms: float) -> Steps:
+    def _steps(self, spread_ms: float) -> TaskSteps:
         # Nodes that start at once would else all ask the directory in the same instant.
         yield Wait(until=self._now() + self._rng.uniform(0.0, spread_ms))
         while True:
@@ -92,7 +92,7 @@
             while self._now() < until:  # a question that wakes it does not make it try sooner
                 yield Wait(until=until)
 
-    def _session(self, n: int) -> Generator[Wait, int, Trouble]:
+    def _session(self, n: int) -> Generator[Wait, int, LinkFailure]:
         link = Link(self._loop, self.settings.servers[n], self.settings.access)
         try:
             trouble = yield from link.open()
@@ -103,10 +103,10 @@
         finally:
             self.server, self._asking = "", False
             self.sync.cut()
-            self._tenancy.unknowns.unanswered()
+            self._tenancy.unknown_clients.unanswered()
             link.close()
 
-    def _follow(self, link: Link, n: int) -> Generator[Wait, int, Trouble]:
+    def _follow(self, link: Link, n: int) -> Generator[Wait, int, LinkFailure]:
         """One session's work, until it fails."""
         settings, tenancy, sync = self.settings, self._tenancy, self.sync
         questions: dict[int, _Question] = {}
@@ -118,10 +118,10 @@
             # What is due.
             if sync.state is s.State.REFRESHING:
                 if now - heard >= settings.operation_ms or now - began >= settings.refresh_ms:
-                    return Trouble(Progress.REPLY_BEGUN, "the refresh stalls")
+                    return LinkFailure(Progress.REPLY_BEGUN, "the refresh stalls")
             else:
                 if now >= probe_until:
-                    return Trouble(Progress.REPLY_BEGUN, "a probe is not answered")
+                    return LinkFailure(Progress.REPLY_BEGUN, "a probe is not answered")
                 if now >= poll_at or self._whole_due():
                     if sync.state is s.State.FOLLOWING:
                         link.send(m.Abandon(search))
@@ -135,7 +135,7 @@
             self._ask(link, questions, now)
             until = self._until(heard, began, probe, probe_until, poll_at, questions)
             got = yield from link.receive(until)
-            if isinstance(got, Trouble):
+            if isinstance(got, LinkFailure):
                 return got
             now = self._now()
             for message in got:
@@ -147,10 +147,13 @@
                     if isinstance(op, m.SearchDone):
                         probe, probe_until = 0, math.inf
                         if reaction(op.result.code) is not Reaction.DONE:
-                            return Trouble(Progress.REPLY_BEGUN, f"a probe ends with code {op.result.code}",
-                                           reaction(op.result.code))
+                            return LinkFailure(
+                                Progress.REPLY_BEGUN,
+                                f"a probe ends with code {op.result.code}",
+                                reaction(op.result.code),
+                            )
                         if sync.state is s.State.FOLLOWING:
-                            tenancy.ladder.agreed(now)
+                            tenancy.staleness.confirm(now)
                 elif message.id == search:
                     for step in sync.take(op):
                         match step:
@@ -167,7 +170,7 @@
                             case s.Over():
                                 anew += 1
                                 if step.reaction not in ANEW or anew > ANEW_MOST:
-                                    return Trouble(Progress.REPLY_BEGUN, step.reason, step.reaction)
+                                    return LinkFailure(Progress.REPLY_BEGUN, step.reason, step.reaction)
                                 logger.bind(event="tenants.other_way", peer="directory").info(
                                     "directory {}: {}; asked anew: {}", link.server, step.reason,
                                     step.reaction.value)
@@ -190,11 +193,11 @@
             look = self._tenancy.guard.look_again_at()
             until = min(until, poll_at, look if look is not None else math.inf,
                         probe_until if probe else heard + settings.probe_ms)
-            if self._tenancy.unknowns.waiting:
+            if self._tenancy.unknown_clients.waiting:
                 until = min(until, self._now() + TOKEN_MS)
         return until
 
-    def _refreshed(self, step: s.Refreshed, server: str, now: float, took: float) -> Steps:
+    def _refreshed(self, step: s.Refreshed, server: str, now: float, took: float) -> TaskSteps:
         steps, news = self._tenancy.refreshing(step, server, now), None
         try:
             while news is None:
@@ -218,7 +221,7 @@
     # Questions about callers nobody knows.
 
     def _ask(self, link: Link, questions: dict[int, _Question], now: float) -> None:
-        unknowns, q = self._tenancy.unknowns, self.settings.question
+        unknowns, q = self._tenancy.unknown_clients, self.settings.question
         for number, asked in list(questions.items()):
             if now >= asked.until:
                 del questions[number]
--- a/snowthread/tenants/settings.py
+++ b/snowthread/tenants/settings.py
@@ -15,15 +15,15 @@
 from snowthread.ldap import messages as m
 from snowthread.ldap.ber import Bounds
 from snowthread.ldap.client import Access
-from snowthread.ldap.health import Patience
+from snowthread.ldap.health import RetryPolicy
 from snowthread.operator.hcl import Block
 from snowthread.tenants.entry import Names
 from snowthread.tenants.removal_guard import RemovalRules
-from snowthread.tenants.staleness import LadderRules
+from snowthread.tenants.staleness import StalenessRules
 from snowthread.tenants.model import Network
 from snowthread.tenants.sync import Mode, Question
-from snowthread.tenants.state import Rules
-from snowthread.tenants.unknown_clients import UnknownRules
+from snowthread.tenants.state import TenantRules
+from snowthread.tenants.unknown_clients import UnknownClientRules
 
 T = TypeVar("T")
 V = TypeVar("V")
@@ -40,8 +40,8 @@
     access: Access
     question: Question
     source: str
-    patience: Patience
-    rules: Rules
+    patience: RetryPolicy
+    rules: TenantRules
     over_share_worth: float
     operation_ms: float
     refresh_ms: float
@@ -52,7 +52,7 @@
     snapshot: Path | None
     snapshot_ms: float
 
-    def line(self) -> str:
+    def summary(self) -> str:
         """For people: what is on."""
         names = ", ".join(server.server for server in self.servers)
         return f"tenants from {names} below {self.question.base!r}"
@@ -172,8 +172,8 @@
     return m.Bind(name, m.Secret(password))
 
 
-def _patience(block: Block) -> Patience:
-    out = Patience(
+def _patience(block: Block) -> RetryPolicy:
+    out = RetryPolicy(
         pause_ms=block.time("pause", "200ms"), pause_most_ms=block.time("pause_most", "30s"),
         budget_share=block.number("budget_share", 0.2, 0.0, 1.0),
         budget_floor_per_s=block.number("budget_floor_per_s", 0.1, 0.001, 100.0),
@@ -184,19 +184,19 @@
     return out
 
 
-def _rules(block: Block) -> tuple[Rules, float]:
+def _rules(block: Block) -> tuple[TenantRules, float]:
     removal, stale = block.part("removal"), block.part("staleness")
     unknown, default = block.part("unknown"), block.part("default")
     trusted: tuple[Network, ...] = tuple(
         _of(block, "trust_numbers_from", ip_network, text) for text in block.texts("trust_numbers_from", ()))
-    rules = Rules(
+    rules = TenantRules(
         removal=RemovalRules(
             removal.number("share", 0.1, 0.0, 1.0), removal.count("least", 2),
             removal.choice("confirm", ("second_refresh", "operator"), "second_refresh") == "second_refresh",
             removal.time("confirm_after", "1m"), removal.text("accept", "")),
-        ladder=LadderRules(stale.time("stale_after", "1m"), stale.time("old_after", "24h"),
+        staleness=StalenessRules(stale.time("stale_after", "1m"), stale.time("old_after", "24h"),
                            stale.choice("when_old", ("serve", "default"), "serve") == "default"),
-        unknown=UnknownRules(
+        unknown_clients=UnknownClientRules(
             unknown.flag("ask", True), unknown.time("remember", "1m"),
             unknown.count("remembered", 10_000, 1), unknown.count("waiting", 256, 1),
             unknown.count("open", 8, 1, 32), unknown.number("per_s", 20.0, 0.1, 10_000.0)),
--- a/snowthread/tenants/staleness.py
+++ b/snowthread/tenants/staleness.py
@@ -28,7 +28,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LadderRules:
+class StalenessRules:
     """The steps' lengths in milliseconds."""
 
     stale_ms: float = 60_000.0
@@ -36,32 +36,32 @@
     default_when_old: bool = False
 
 
-class Ladder:
+class StalenessTracker:
     """One node's knowledge of the directory."""
 
-    def __init__(self, rules: LadderRules) -> None:
+    def __init__(self, rules: StalenessRules) -> None:
         self.rules = rules
-        self.agreed_at = -math.inf
+        self.confirmed_at_ms = -math.inf
         self._told = Stage.NONE
 
-    def agreed(self, now: float) -> None:
+    def confirm(self, now: float) -> None:
         """What is known here is what the directory has: a refresh ended, or following goes on."""
-        self.agreed_at = max(self.agreed_at, now)
+        self.confirmed_at_ms = max(self.confirmed_at_ms, now)
 
     def age(self, now: float) -> float:
         """Milliseconds since then; a clock set back counts as no time."""
-        return max(0.0, now - self.agreed_at)
+        return max(0.0, now - self.confirmed_at_ms)
 
     def stage(self, now: float) -> Stage:
         """The step it stands on."""
-        if self.agreed_at == -math.inf:
+        if self.confirmed_at_ms == -math.inf:
             return Stage.NONE
         age = self.age(now)
         if age <= self.rules.stale_ms:
             return Stage.FRESH
         return Stage.STALE if age <= self.rules.old_ms else Stage.OLD
 
-    def news(self, now: float) -> Stage | None:
+    def changed_stage(self, now: float) -> Stage | None:
         """The step, where it is another than last time."""
         stage = self.stage(now)
         if stage is self._told:
--- a/snowthread/tenants/state.py
+++ b/snowthread/tenants/state.py
@@ -8,40 +8,40 @@
 from collections.abc import Collection, Generator, Iterable, Mapping
 from dataclasses import dataclass, field
 
-from snowthread.admission.interface import Tenant as Share
+from snowthread.admission.settings import Tenant as Share
 from snowthread.tenants.entry import BadEntry
 from snowthread.tenants.removal_guard import RemovalGuard, RemovalRules, Verdict
-from snowthread.tenants.staleness import Ladder, LadderRules, Stage
-from snowthread.tenants.model import DEFAULT_ID, UNKNOWN, How, Identity, Network, Status, Tenant
+from snowthread.tenants.staleness import StalenessTracker, StalenessRules, Stage
+from snowthread.tenants.model import DEFAULT_ID, UNKNOWN, IdentifiedBy, Identity, Network, Status, Tenant
 from snowthread.tenants.sync import Changed, Refreshed
 from snowthread.tenants.table import Applied, TenantTable
-from snowthread.tenants.unknown_clients import UnknownRules, Unknowns
+from snowthread.tenants.unknown_clients import UnknownClientRules, UnknownClients
 
 SLICE = 300  # tenants and networks taken up in one turn: one or two milliseconds
 LINES_MAX = 20  # a change says no more than so many lines, and how many it left out
 
 
 @dataclass(frozen=True, slots=True)
-class Rules:
+class TenantRules:
     """What the operator sets."""
 
     removal: RemovalRules = field(default_factory=RemovalRules)
-    ladder: LadderRules = field(default_factory=LadderRules)
-    unknown: UnknownRules = field(default_factory=UnknownRules)
+    staleness: StalenessRules = field(default_factory=StalenessRules)
+    unknown_clients: UnknownClientRules = field(default_factory=UnknownClientRules)
     default_quota_per_s: float = 0.0
     default_refused: bool = False  # callers nobody knows are turned away
     trusted: tuple[Network, ...] = ()
 
 
 @dataclass(slots=True)
-class News:
+class TenantChanges:
     """What a step changed: shares for the decisions, and lines for people (event, text)."""
 
     shares: list[Share] = field(default_factory=list)
     removed: list[str] = field(default_factory=list)
     lines: list[tuple[str, str]] = field(default_factory=list)
 
-    def say(self, event: str, text: str) -> None:
+    def add_line(self, event: str, text: str) -> None:
         """A line, while there are not too many."""
         if len(self.lines) < LINES_MAX:
             self.lines.append((event, text))
@@ -49,15 +49,15 @@
             self.lines.append(("tenants.more", "and more of the kind"))
 
 
-class Tenancy:
+class TenantState:
     """Tenants, who calls, and how far that is to be believed."""
 
-    def __init__(self, rules: Rules) -> None:
+    def __init__(self, rules: TenantRules) -> None:
         self.rules = rules
         self.table = TenantTable(rules.trusted)
         self.guard = RemovalGuard(rules.removal)
-        self.ladder = Ladder(rules.ladder)
-        self.unknowns = Unknowns(rules.unknown)
+        self.staleness = StalenessTracker(rules.staleness)
+        self.unknown_clients = UnknownClients(rules.unknown_clients)
         self.counts: Counter[str] = Counter()
 
     def default_share(self) -> Share:
@@ -69,32 +69,32 @@
     def whois(self, address: str, number: int | None, now: float) -> Identity:
         """Whose request it is, as far as may be acted on now."""
         who = self.table.whois(address, number)
-        if who.how is How.UNKNOWN:
+        if who.identified_by is IdentifiedBy.UNKNOWN:
             self.counts["unknown"] += 1
             return who
         self.counts["known"] += 1
-        if self.rules.ladder.default_when_old and self.ladder.stage(now) is Stage.OLD:
+        if self.rules.staleness.default_when_old and self.staleness.stage(now) is Stage.OLD:
             tenant = self.table.tenants[who.id]
             return who if tenant.status is Status.SUSPENDED else UNKNOWN
         return who
 
     # What the directory says.
 
-    def refreshed(self, step: Refreshed, server: str, now: float) -> News:
+    def refreshed(self, step: Refreshed, server: str, now: float) -> TenantChanges:
         """A refresh went through; all of it in one go."""
         steps = self.refreshing(step, server, now)
         while True:
             try:
                 next(steps)
             except StopIteration as stop:
-                news: News = stop.value
+                news: TenantChanges = stop.value
                 return news
 
-    def refreshing(self, step: Refreshed, server: str, now: float) -> Generator[None, None, News]:
+    def refreshing(self, step: Refreshed, server: str, now: float) -> Generator[None, None, TenantChanges]:
         """The same in slices: it yields where others may have a turn, and takes the whole up in the last one.
         A table of a hundred thousand networks takes most of a second to build, and callers must not wait for
         that. Nothing else may be taken in meanwhile; what is given up half way has changed nothing here."""
-        news = News()
+        news = TenantChanges()
         self.counts["refreshes"] += 1
         seen = step.present | step.upserts.keys()
         if step.whole:
@@ -127,13 +127,13 @@
             self.table = table
             self._tell(applied, old, news)
             self._held(verdict, news)
-            self.unknowns.changed()
-        self.ladder.agreed(now)
+            self.unknown_clients.changed()
+        self.staleness.confirm(now)
         return news
 
-    def changed(self, step: Changed, server: str, now: float) -> News:
+    def changed(self, step: Changed, server: str, now: float) -> TenantChanges:
         """Something changed while following."""
-        news = News()
+        news = TenantChanges()
         self.counts["changes"] += 1
         self.guard.returned(step.upserts.keys())
         verdict = Verdict(frozenset(), None)
@@ -142,48 +142,54 @@
             verdict = self.guard.named(gone, len(self.table), server, now)
         self._bad(step.bad, news)
         self._take(step.upserts.values(), verdict, news)
-        self.ladder.agreed(now)
+        self.staleness.confirm(now)
         return news
 
-    def found(self, address: str, tenants: Collection[Tenant], bad: Iterable[BadEntry], now: float) -> News:
+    def found(
+        self, address: str, tenants: Collection[Tenant], bad: Iterable[BadEntry], now: float
+    ) -> TenantChanges:
         """The answer to a question about an unknown caller. It only ever adds."""
-        news = News()
+        news = TenantChanges()
         self._bad(bad, news)
         # Spoilt contents of a known tenant stay what a refresh made of them: this answer is but one entry.
         self._take([t for t in tenants if t.id not in self.table.tenants], Verdict(frozenset(), None), news)
-        known = self.table.whois(address).how is not How.UNKNOWN
-        self.unknowns.answered(address, known, now)
+        known = self.table.whois(address).identified_by is not IdentifiedBy.UNKNOWN
+        self.unknown_clients.answered(address, known, now)
         self.counts["found" if known else "nobodys"] += 1
         return news
 
-    def restored(self, tenants: Iterable[Tenant], agreed_at: float, home: str, now: float) -> News:
+    def restored(self, tenants: Iterable[Tenant], agreed_at: float, home: str, now: float) -> TenantChanges:
         """A snapshot was read; it is as old as it says, and never fresher than now."""
-        news = News()
+        news = TenantChanges()
         self._take(tenants, Verdict(frozenset(), None), news)
-        self.ladder.agreed(min(agreed_at, now))
+        self.staleness.confirm(min(agreed_at, now))
         self.guard.home = home
         return news
 
-    def move(self, rules: Rules) -> News:
+    def apply_rules(self, rules: TenantRules) -> TenantChanges:
         """The operator sets other rules."""
-        news = News()
+        news = TenantChanges()
         if rules.trusted != self.rules.trusted:
             self.table.trust(rules.trusted)
         self.rules = rules
-        self.guard.rules, self.ladder.rules, self.unknowns.rules = rules.removal, rules.ladder, rules.unknown
+        self.guard.rules, self.staleness.rules, self.unknown_clients.rules = (
+            rules.removal,
+            rules.staleness,
+            rules.unknown_clients,
+        )
         accepted = self.guard.accepted(self.table.tenants)
         if accepted:
             self._take((), Verdict(accepted, None), news)
         news.shares.append(self.default_share())
         return news
 
-    def aged(self, now: float) -> News:
+    def aged(self, now: float) -> TenantChanges:
         """Time goes by: does the knowledge stand on another step?"""
-        news = News()
-        stage = self.ladder.news(now)
+        news = TenantChanges()
+        stage = self.staleness.changed_stage(now)
         if stage is not None:
-            age = "" if stage is Stage.NONE else f", {self.ladder.age(now) / 1000.0:.0f} s old"
-            news.say("tenants.age", f"what is known of tenants is {stage.value}{age}")
+            age = "" if stage is Stage.NONE else f", {self.staleness.age(now) / 1000.0:.0f} s old"
+            news.add_line("tenants.age", f"what is known of tenants is {stage.value}{age}")
         return news
 
     # Within.
@@ -198,43 +204,43 @@
             fresh.append(tenant)
         return fresh
 
-    def _take(self, upserts: Iterable[Tenant], verdict: Verdict, news: News) -> None:
+    def _take(self, upserts: Iterable[Tenant], verdict: Verdict, news: TenantChanges) -> None:
         fresh = self._newer(upserts)
         before = {t.id: self.table.tenants.get(t.id) for t in fresh}
         applied = self.table.apply(fresh, verdict.remove)
         self._tell(applied, before, news)
         self._held(verdict, news)
         if applied:
-            self.unknowns.changed()
+            self.unknown_clients.changed()
 
-    def _held(self, verdict: Verdict, news: News) -> None:
+    def _held(self, verdict: Verdict, news: TenantChanges) -> None:
         if verdict.news and verdict.held is not None:
             held = verdict.held
             self.counts["held"] += 1
-            news.say("tenants.removal_held", f"{len(held.ids)} tenants are missing and stay for now "
+            news.add_line("tenants.removal_held", f"{len(held.ids)} tenants are missing and stay for now "
                      f"({held.why}); removal {held.digest}")
 
     def _tell(self, applied: Applied, before: Mapping[str, Tenant | None] | Mapping[str, Tenant],
-              news: News) -> None:
+              news: TenantChanges) -> None:
         for tenant in applied.changed:
             old = before.get(tenant.id)
             if old is None or _share(old) != _share(tenant):
                 news.shares.append(_share(tenant))
             if old is not None and old.status is not tenant.status:
-                news.say("tenants.status", f"{tenant.name} ({tenant.id}) is {tenant.status.value} now")
+                news.add_line("tenants.status", f"{tenant.name} ({tenant.id}) is {tenant.status.value} now")
             if old is not None and old.name != tenant.name:
-                news.say("tenants.renamed", f"{old.name} is called {tenant.name} now ({tenant.id})")
+                news.add_line("tenants.renamed", f"{old.name} is called {tenant.name} now ({tenant.id})")
         for tenant in applied.removed:
             news.removed.append(tenant.id)
-            news.say("tenants.removed", f"{tenant.name} ({tenant.id}) is no tenant any more")
+            news.add_line("tenants.removed", f"{tenant.name} ({tenant.id}) is no tenant any more")
         for conflict in applied.conflicts:
             self.counts["conflicts"] += 1
-            news.say("tenants.conflict", conflict.line())
+            news.add_line("tenants.conflict", conflict.line())
 
-    def _bad(self, bad: Iterable[BadEntry], news: News) -> None:
+    def _bad(self, bad: Iterable[BadEntry], news: TenantChanges) -> None:
         for entry in bad:
             self.counts["bad_entries"] += 1
-            news.say("tenants.bad_entry", f"{entry.dn!r} can't be used: {entry.reason}")
+            news.add_line("tenants.bad_entry", f"{entry.dn!r} can't be used: {entry.reason}")
 
 
 def _share(tenant: Tenant) -> Share:
--- a/snowthread/tenants/table.py
+++ b/snowthread/tenants/table.py
@@ -16,7 +16,7 @@
 
 from pytricia import PyTricia
 
-from snowthread.tenants.model import UNKNOWN, How, Identity, Network, Tenant
+from snowthread.tenants.model import UNKNOWN, IdentifiedBy, Identity, Network, Tenant
 
 CACHE_MAX = 8192  # callers whose answer is kept until the table changes
 CONFLICTS_MAX = 1000  # contradictions that are remembered for people
@@ -102,12 +102,12 @@
         if number is not None and text in (self._trusted4 if ip.version == 4 else self._trusted6):
             owners = self._owners(number)
             if owners:
-                return Identity(owners[0], How.BALANCER)
+                return Identity(owners[0], IdentifiedBy.BALANCER)
         trie = self._v4 if ip.version == 4 else self._v6
         network = trie.get_key(text)
         if network is None:
             return UNKNOWN
-        return Identity(trie[network], How.NETWORK, network)
+        return Identity(trie[network], IdentifiedBy.NETWORK, network)
 
     def _owners(self, number: int) -> list[str]:
         """The tenants whose ranges hold the number, the least id first."""
--- a/snowthread/tenants/unknown_clients.py
+++ b/snowthread/tenants/unknown_clients.py
@@ -16,7 +16,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class UnknownRules:
+class UnknownClientRules:
     """Whether to ask, how long a "nobody's" holds, and the bounds."""
 
     ask: bool = True
@@ -29,10 +29,10 @@
     prefixes6: tuple[int, ...] = (32, 40, 44, 48, 52, 56, 60, 64, 128)
 
 
-class Unknowns:
+class UnknownClients:
     """Who waits for a question, who is asked about, and whom the directory does not know."""
 
-    def __init__(self, rules: UnknownRules) -> None:
+    def __init__(self, rules: UnknownClientRules) -> None:
         self.rules = rules
         self.asked = self.dropped = 0
         self._waiting: OrderedDict[str, None] = OrderedDict()
@@ -99,7 +99,7 @@
         self._nobodys.clear()
 
 
-def question(address: str, attribute: str, rules: UnknownRules) -> FilterTree | None:
+def question(address: str, attribute: str, rules: UnknownClientRules) -> FilterTree | None:
     """The filter that finds who has a network round this address: each prefix the operator uses, in full."""
     try:
         ip = ip_address(address.partition("%")[0])
--- a/tests/admission/test_properties.py
+++ b/tests/admission/test_properties.py
@@ -9,41 +9,50 @@
 from hypothesis import strategies as st
 
 from snowthread.admission.controller import Controller
-from snowthread.admission.interface import (
-    Arrival,
-    AtCall,
-    Attach,
-    Below,
-    Call,
-    CallEnded,
-    CallerGone,
-    Effect,
-    Event,
+from snowthread.admission.actions import (
+    AwaitOriginal,
     Fail,
     ForgetKey,
-    KeepKey,
-    LeaveNotice,
+    Reject,
+    RememberKey,
+    SetTimer,
+    SkipCall,
+    StartCall,
+    StartRun,
+    StopRun,
+)
+from snowthread.admission.events import (
+    CallFinished,
+    CallNeeded,
+    Event,
+    RequestAbandoned,
+    RequestArrived,
+    RunFinished,
+    ShutdownNotice,
+    Started,
+    TimerFired,
+)
+from snowthread.admission.settings import (
+    Dependency,
+    Idempotency,
+    LoadReportKind,
     Outcome,
-    Preempt,
     Preemption,
-    Refuse,
     RequestClass,
-    Run,
-    RunEnded,
-    SetTimer,
     Settings,
-    Signal,
-    SkipCall,
-    Started,
     Tenant,
-    TimerFired,
 )
 
 CLASSES = (
     RequestClass("read", 1.0, 3.0),
-    RequestClass("keyed", 0.6, 2.0, effect=Effect.KEYED, worth=3.0, window_s=8.0),
-    RequestClass("once", 0.8, 2.5, effect=Effect.UNSAFE, worth=2.0, may_call=True),
-    RequestClass("ask", 1.5, 4.0, may_call=True, skip_worth=0.5, late_value=0.2))
+    RequestClass(
+        "keyed", 0.6, 2.0, idempotency=Idempotency.KEYED, priority_weight=3.0, idempotency_window_s=8.0
+    ),
+    RequestClass(
+        "once", 0.8, 2.5, idempotency=Idempotency.NON_IDEMPOTENT, priority_weight=2.0, may_call=True
+    ),
+    RequestClass("ask", 1.5, 4.0, may_call=True, skipped_call_weight=0.5, late_weight_factor=0.2),
+)
 SLACK = 0.06
 
 
@@ -53,7 +62,7 @@
     def __init__(self, s: Settings, seed: int) -> None:
         self.s, self.c, self.now = s, Controller(s, seed), 0.0
         self.where: dict[int, str] = {}  # held, running, at call, calling, paused, attached
-        self.arrival: dict[int, tuple[Arrival, float, float]] = {}  # event, came to the machine, due
+        self.arrival: dict[int, tuple[RequestArrived, float, float]] = {}  # event, came to the machine, due
         self.owed: set[int] = set()
         self.ran: set[int] = set()
         self.keys: dict[int, float] = {}
@@ -68,57 +77,57 @@
             self.do(action)
         self.check()
 
-    def effect(self, request: int) -> Effect:
-        return next(c for c in self.s.classes if c.name == self.arrival[request][0].class_name).effect
+    def effect(self, request: int) -> Idempotency:
+        return next(c for c in self.s.classes if c.name == self.arrival[request][0].class_name).idempotency
 
     def do(self, a: Any) -> None:
         if isinstance(a, SetTimer):
-            heapq.heappush(self.timers, (self.now + max(a.after_s, 1e-4), a.label))
-        if isinstance(a, KeepKey):
-            self.keys[a.request] = self.now + a.lifetime_s
+            heapq.heappush(self.timers, (self.now + max(a.delay_s, 1e-4), a.label))
+        if isinstance(a, RememberKey):
+            self.keys[a.request_id] = self.now + a.lifetime_s
         if isinstance(a, ForgetKey):
-            self.keys.pop(a.request, None)
-        r = getattr(a, "request", None)
+            self.keys.pop(a.request_id, None)
+        r = getattr(a, "request_id", None)
         if r is None or r not in self.where:
             return
-        if isinstance(a, Run) and self.where[r] in ("held", "paused"):
+        if isinstance(a, StartRun) and self.where[r] in ("held", "paused"):
             again = self.where[r] == "paused"
-            assert again or r not in self.ran or self.effect(r) is Effect.SAFE, "duplicate"
-            assert self.arrival[r][0].prior is None, "duplicate: a repeat runs by itself"
+            assert again or r not in self.ran or self.effect(r) is Idempotency.IDEMPOTENT, "duplicate"
+            assert self.arrival[r][0].original_id is None, "duplicate: a repeat runs by itself"
             assert self.arrival[r][1] <= self.notice + self.s.drain_grace_s + 1e-6, "drain"
             self.ran.add(r)
             self.where[r] = "running"
-        elif isinstance(a, Attach):
+        elif isinstance(a, AwaitOriginal):
             self.where[r] = "attached"
-        elif isinstance(a, Refuse | Fail):
+        elif isinstance(a, Reject | Fail):
             assert r in self.owed, "two answers"
-            if isinstance(a, Refuse) and r in self.ran:
-                assert self.effect(r) is Effect.SAFE, "refused, but ran"
+            if isinstance(a, Reject) and r in self.ran:
+                assert self.effect(r) is Idempotency.IDEMPOTENT, "refused, but ran"
             self.owed.discard(r)
             if self.where[r] in ("held", "paused", "attached"):
                 del self.where[r]
             elif self.where[r] in ("at call", "calling"):
-                self.over(r, Outcome.WITHDRAWN)
-        elif isinstance(a, Preempt) and self.where[r] == "running":
-            self.over(r, Outcome.WITHDRAWN)
-        elif isinstance(a, Call) and self.where[r] == "at call":
+                self.over(r, Outcome.CANCELLED)
+        elif isinstance(a, StopRun) and self.where[r] == "running":
+            self.over(r, Outcome.CANCELLED)
+        elif isinstance(a, StartCall) and self.where[r] == "at call":
             self.where[r], self.since[r] = "calling", self.now
-            heapq.heappush(self.timers, (self.now + a.give_up_s, -r))
+            heapq.heappush(self.timers, (self.now + a.timeout_s, -r))
         elif isinstance(a, SkipCall) and self.where[r] == "at call":
             self.where[r] = "running"
 
     def call_over(self, r: int, lingers: bool) -> None:
         if r in self.since:
-            self.in_hand.append((self.since.pop(r), self.now + (self.s.linger_s if lingers else 0.0)))
+            self.in_hand.append((self.since.pop(r), self.now + (self.s.abandoned_call_s if lingers else 0.0)))
 
     def over(self, r: int, outcome: Outcome) -> None:
         self.call_over(r, lingers=True)
-        if outcome is Outcome.WITHDRAWN and r in self.owed:
+        if outcome is Outcome.CANCELLED and r in self.owed:
             self.where[r] = "paused" if self.s.preemption is Preemption.PAUSE else "held"
         else:
             del self.where[r]
             self.owed.discard(r)
-        self.send(RunEnded(r, outcome, 0.1))
+        self.send(RunFinished(r, outcome, 0.1))
 
     def advance(self, dt: float) -> None:
         end = self.now + dt
@@ -128,7 +137,7 @@
                 if self.where.get(-label) == "calling" and -label in self.since:
                     self.call_over(-label, lingers=True)
                     self.where[-label] = "at call"
-                    self.send(CallEnded(-label, Outcome.TIMED_OUT, 0.1))
+                    self.send(CallFinished(-label, Outcome.TIMED_OUT, 0.1))
                 continue
             running = sum(w == "running" for w in self.where.values())
             use = min(1.0, running / self.s.cores)
@@ -140,21 +149,26 @@
         for r in self.owed:
             assert self.now <= self.arrival[r][2] + SLACK, "lost"
             if self.where[r] == "held":  # what may no longer be started has its answer
-                assert r not in self.ran or self.effect(r) is Effect.SAFE, "waits, may not run again"
+                assert r not in self.ran or self.effect(r) is Idempotency.IDEMPOTENT, (
+                    "waits, may not run again"
+                )
                 grace = self.notice + self.s.drain_grace_s + 1e-6
                 assert self.arrival[r][1] <= grace, "waits, came too late"
         assert not (self.owed and self.now >= self.stop), "drain: unanswered at the stop"
         weight = {"held": 1.0, "attached": 1.0}
         self.keys = {k: end for k, end in self.keys.items() if end > self.now}
-        kb = sum(self.arrival[r][0].held_kb * weight.get(w, self.s.run_factor) for r, w in self.where.items())
-        assert kb + len(self.keys) * self.s.key_kb <= self.s.memory_kb, "fall-over: memory"
+        kb = sum(
+            self.arrival[r][0].memory_kb * weight.get(w, self.s.running_memory_factor)
+            for r, w in self.where.items()
+        )
+        assert kb + len(self.keys) * self.s.key_memory_kb <= self.s.memory_kb, "fall-over: memory"
         running = sum(w == "running" for w in self.where.values())
-        assert running <= self.s.cores * self.s.fall_multiple, "fall-over: cores"
-        start = self.now - self.s.calls_over_s
+        assert running <= self.s.cores * self.s.collapse_multiple, "fall-over: cores"
+        start = self.now - self.s.call_quota_window_s
         used = sum(max(0.0, min(b, self.now) - max(a, start)) for a, b in self.in_hand)
         used += sum(self.now - max(a, start) for a in self.since.values())
-        if self.s.below is Below.SHARED:
-            assert used <= self.s.calls_share * self.s.calls_over_s + 1e-6, "fall-over: dependency"
+        if self.s.dependency is Dependency.SHARED:
+            assert used <= self.s.call_quota * self.s.call_quota_window_s + 1e-6, "fall-over: dependency"
 
     def pick(self, state: str, n: int) -> int | None:
         some = sorted(r for r, w in self.where.items() if w == state)
@@ -167,17 +181,26 @@
         kind = CLASSES[n % 4]
         backlog = (0.0, 0.0, 0.3, 1.5)[n // 4 % 4]
         left = (kind.deadline_s, 0.3)[n // 16 % 2]
-        due = h.now + left if h.s.passes_deadline else max(h.now, h.now - backlog + kind.deadline_s)
+        due = h.now + left if h.s.propagates_deadline else max(h.now, h.now - backlog + kind.deadline_s)
         known = [k for k in h.keys if k in h.where or k in h.ran]
-        prior = max(known) if kind.effect is Effect.KEYED and n // 32 % 2 and known else None
-        event = Arrival(request, kind.name, float(5 + n % 40), ("a", "")[n % 2], left_s=left, caller=n,
-                        work_hint_s=(None, 0.01, 5.0)[n % 3], backlog_s=backlog, prior=prior)
+        prior = max(known) if kind.idempotency is Idempotency.KEYED and n // 32 % 2 and known else None
+        event = RequestArrived(
+            request,
+            kind.name,
+            float(5 + n % 40),
+            ("a", "")[n % 2],
+            time_left_s=left,
+            caller_id=n,
+            work_hint_s=(None, 0.01, 5.0)[n % 3],
+            unread_s=backlog,
+            original_id=prior,
+        )
         h.arrival[request], h.where[request] = (event, h.now - backlog, due), "held"
         h.owed.add(request)
         h.send(event)
     elif op == "leave" and h.notice == float("inf"):
         h.notice, h.stop = h.now, h.now + 3.5
-        h.send(LeaveNotice(3.5))
+        h.send(ShutdownNotice(3.5))
     elif op == "gone" and h.owed:
         r = sorted(h.owed)[n % len(h.owed)]
         h.owed.discard(r)
@@ -186,33 +209,51 @@
         elif h.where[r] in ("at call", "calling"):
             h.call_over(r, lingers=True)
             del h.where[r]
-        h.send(CallerGone(r))
+        h.send(RequestAbandoned(r))
     if op in ("running", "attached") and (r := h.pick(op, n)) is not None:
         h.over(r, (Outcome.SUCCESS, Outcome.FAILURE)[n % 2])
     if op == "needs" and (r := h.pick("running", n)) is not None and r in h.owed:
-        if h.arrival[r][0].class_name in ("once", "ask") and h.s.below is not Below.NONE:
+        if h.arrival[r][0].class_name in ("once", "ask") and h.s.dependency is not Dependency.NONE:
             h.where[r] = "at call"
-            h.send(AtCall(r))
+            h.send(CallNeeded(r))
     if op == "called" and (r := h.pick("calling", n)) is not None:
         outcome = (Outcome.SUCCESS, Outcome.TIMED_OUT, Outcome.OVERLOADED, Outcome.FAILURE)[n % 4]
         h.call_over(r, lingers=outcome is Outcome.TIMED_OUT)
         h.where[r] = "running" if outcome is Outcome.SUCCESS else "at call"
-        h.send(CallEnded(r, outcome, 0.1))
+        h.send(CallFinished(r, outcome, 0.1))
 
 
 OPS = ("arrive", "arrive", "arrive", "arrive", "running", "attached", "needs", "needs", "needs", "called",
        "gone")
 SITES = st.builds(
-    Settings, st.just(CLASSES), cores=st.sampled_from((1, 2, 6)), memory_kb=st.sampled_from((600.0, 4000.0)),
+    Settings,
+    st.just(CLASSES),
+    cores=st.sampled_from((1, 2, 6)),
+    memory_kb=st.sampled_from((600.0, 4000.0)),
     tenants=st.sampled_from(((), (Tenant("a", 3.0), Tenant("b", 0.0)))),
-    run_factor=st.sampled_from((1.0, 8.0)),
-    key_kb=st.sampled_from((0.0, 20.0)), cold=st.booleans(), cold_share=st.just(0.3), ramp_s=st.just(5.0),
-    fall_multiple=st.sampled_from((2.0, 6.0)), preemption=st.sampled_from(Preemption),
-    passes_deadline=st.booleans(), signal=st.sampled_from(Signal), signal_heard_s=st.sampled_from((0.0, 1.0)),
-    upstreams=st.sampled_from((0, 3, 1000)), peers=st.sampled_from((0, 300)), below=st.sampled_from(Below),
-    calls_share=st.sampled_from((0.0, 0.3, 2.0)), calls_over_s=st.just(5.0), linger_s=st.just(0.2),
-    retry_after=st.booleans(), max_retry_after_s=st.just(1.0), idle_s=st.sampled_from((0.0, 30.0)),
-    value_by_work=st.booleans(), over_share_worth=st.just(0.1), deep_checks=st.booleans())
+    running_memory_factor=st.sampled_from((1.0, 8.0)),
+    key_memory_kb=st.sampled_from((0.0, 20.0)),
+    starts_cold=st.booleans(),
+    cold_speed=st.just(0.3),
+    warmup_s=st.just(5.0),
+    collapse_multiple=st.sampled_from((2.0, 6.0)),
+    preemption=st.sampled_from(Preemption),
+    propagates_deadline=st.booleans(),
+    load_report_kind=st.sampled_from(LoadReportKind),
+    load_report_ttl_s=st.sampled_from((0.0, 1.0)),
+    caller_count=st.sampled_from((0, 3, 1000)),
+    node_count=st.sampled_from((0, 300)),
+    dependency=st.sampled_from(Dependency),
+    call_quota=st.sampled_from((0.0, 0.3, 2.0)),
+    call_quota_window_s=st.just(5.0),
+    abandoned_call_s=st.just(0.2),
+    supports_retry_after=st.booleans(),
+    max_retry_after_s=st.just(1.0),
+    idle_timeout_s=st.sampled_from((0.0, 30.0)),
+    weighs_by_work=st.booleans(),
+    over_quota_weight=st.just(0.1),
+    deep_health_checks=st.booleans(),
+)
 
 
 @settings(max_examples=150, derandomize=True, deadline=None)
--- a/tests/admission/test_simulator_adapter.py
+++ b/tests/admission/test_simulator_adapter.py
@@ -10,8 +10,8 @@
 import pytest
 
 from snowthread.admission.controller import Controller
-from snowthread.admission.simulator_adapter import Drill, settings_from
-from snowthread.admission.interface import Effect, Preemption, Signal
+from snowthread.admission.simulator_adapter import SimulatorAdapter, parse_settings
+from snowthread.admission.settings import Idempotency, LoadReportKind, Preemption
 
 FACTS: dict[str, Any] = {
     "classes": [{"name": "a", "goal_time_s": 1.0, "deadline_s": 3.0, "effect": "read_like",
@@ -22,7 +22,7 @@
 
 
 def play(*batches: list[dict[str, Any]]) -> list[list[dict[str, Any]]]:
-    drill = Drill()
+    drill = SimulatorAdapter()
     return [json.loads(drill.answer(json.dumps({"now_s": 1.0 + n, "events": b}).encode()))["out"]
             for n, b in enumerate(batches)]
 
@@ -40,7 +40,7 @@
 
 
 def test_malformed_line_and_bad_settings_become_the_fault_message() -> None:
-    assert "bug" in json.loads(Drill().answer(b"{"))["out"][0]
+    assert "bug" in json.loads(SimulatorAdapter().answer(b"{"))["out"][0]
     bad = {"boot": {"i": "worker/1", "prng": 1, "facts": {**FACTS, "classes": []}}}
     (out,) = play([bad])
     assert "classes" in out[0]["bug"]["words"]
@@ -53,15 +53,18 @@
     projects = [{"name": "t"}, {"name": "u", "quota_per_s": 3}]
     facts = {"classes": classes, "domain": domain, "projects": projects,
              "telemetry": {"how": "piggyback", "fields": ["tps"]}, "callers": {"marks_retry": True}}
-    s = settings_from(facts)
-    assert s.signal is Signal.WEIGHT and s.preemption is Preemption.NONE and s.marks_retry
-    assert s.classes[0].effect is Effect.UNSAFE and [t.quota_per_s for t in s.tenants] == [0.0, 3]
-    assert s.signal_heard_s == 0.0
-    odd = settings_from({**facts, "domain": {**domain, "say": "whisper", "preemption": "ask"}})
-    assert odd.signal is Signal.NONE and odd.preemption is Preemption.NONE
+    s = parse_settings(facts)
+    assert s.load_report_kind is LoadReportKind.WEIGHT and s.preemption is Preemption.NONE and s.marks_retries
+    assert s.classes[0].idempotency is Idempotency.NON_IDEMPOTENT and [t.quota_per_s for t in s.tenants] == [
+        0.0,
+        3,
+    ]
+    assert s.load_report_ttl_s == 0.0
+    odd = parse_settings({**facts, "domain": {**domain, "say": "whisper", "preemption": "ask"}})
+    assert odd.load_report_kind is LoadReportKind.NONE and odd.preemption is Preemption.NONE
     Controller(odd, seed=1)
     with pytest.raises(KeyError, match="goal_time_s"):
-        settings_from({**facts, "classes": [{"name": "a", "deadline_s": 3.0}]})
+        parse_settings({**facts, "classes": [{"name": "a", "deadline_s": 3.0}]})
 
 
 def test_end_of_input_exits_cleanly() -> None:
--- a/tests/frontends/test_admin.py
+++ b/tests/frontends/test_admin.py
@@ -12,15 +12,15 @@
 from snowthread.address import Address
 from snowthread.config import ConfigError, load
 from snowthread.frontends.balancers.server import inherited, listener
-from snowthread.frontends.admin.codec import BODY_MAX, HEAD_MAX, Call, Fault, Reading
+from snowthread.frontends.admin.codec import BODY_MAX, HEAD_MAX, AdminRequest, RequestError, RequestReader
 from snowthread.frontends.admin.server import CALL_MS, CALLERS_MOST
 
 READY = b"GET /-/ready HTTP/1.1\r\n\r\n"
 
 
 @pytest.mark.parametrize(("data", "result"), [
-    (b"POST /-/drain?now=1 HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", Call("POST", "/-/drain")),
-    (b"GET http://n1:9/-/ready HTTP/1.1\r\nHost: n1\r\n\r\n", Call("GET", "/-/ready")),
+    (b"POST /-/drain?now=1 HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", AdminRequest("POST", "/-/drain")),
+    (b"GET http://n1:9/-/ready HTTP/1.1\r\nHost: n1\r\n\r\n", AdminRequest("GET", "/-/ready")),
     (b"POST /-/drain HTTP/1.1\r\nContent-Length: 2\r\n\r\n{", None),
     (b"\x94\x00\x01\xa6health\x91\x80", HTTPStatus.BAD_REQUEST),
     (b"GET /-/ready HTTP/1.1\r\nContent-Length: x\r\n\r\n", HTTPStatus.BAD_REQUEST),
@@ -29,11 +29,11 @@
 ])
 @pytest.mark.parametrize("piece", [1, 7, 10**6])
 def test_calls_are_read_in_pieces_of_any_size(data: bytes, result: object, piece: int) -> None:
-    reading = Reading()
+    reading = RequestReader()
     for n in range(0, len(data), piece):
         reading.feed(data[n:n + piece])
     got = reading.result
-    assert (got.status if isinstance(got, Fault) else got) == result
+    assert (got.status if isinstance(got, RequestError) else got) == result
 
 
 def test_callers_that_stop_half_way_keep_out_nobody_and_hold_no_descriptors() -> None:
@@ -68,7 +68,7 @@
         player.step("9", "call", "")
         player.peers["9"].sendall(READY)
         for _ in range(3):  # rounds, not seconds: what others send must not stand before it
-            player.node.loop.round(0.0)
+            player.node.loop.run_once(0.0)
         assert player.peers["9"].recv(15) == b"HTTP/1.1 200 OK"
     finally:
         for peer in flood:
@@ -95,4 +95,4 @@
     with pytest.raises(ConfigError, match=word):
         load({"NODE_CONFIG": str(EXAMPLE)} | more)
     config = load({"NODE_CONFIG": str(EXAMPLE), "NODE_FD": "3", "NODE_ADMIN_ADDR": "127.0.0.1:9"})
-    assert config.door == 3 and config.admin == ("127.0.0.1", 9)
+    assert config.listen_descriptor == 3 and config.admin == ("127.0.0.1", 9)
--- a/tests/frontends/test_crowd.py
+++ b/tests/frontends/test_crowd.py
@@ -8,7 +8,7 @@
 import pytest
 from support.exchange import START, Player
 
-from snowthread.net.limits import BEGUN_MS, WAITED_MS
+from snowthread.net.limits import PARTIAL_MESSAGE_TIMEOUT_MS, FIRST_BYTE_TIMEOUT_MS
 
 FIELDS = {"id": "00000000000000a1", "at": f"{START:.0f}", "from": "4", "wait": "9000", "kb": "20",
           "rank": "0.5"}
@@ -34,7 +34,7 @@
         step = 2000.0 / (len(pieces) - 1)
         for n, piece in enumerate(pieces):
             if n:
-                player.clock.time += step
+                player.clock.now_ms += step
             slow.send(piece)
             player.settle()
             for _ in range(places // 2):  # the whole table anew with every second piece
@@ -57,12 +57,12 @@
     try:
         half.send(REQUEST[:20])
         player.settle()
-        player.step("clock", str(WAITED_MS), "")
+        player.step("clock", str(FIRST_BYTE_TIMEOUT_MS), "")
         player.step("clock", "0", "")
         assert player.node.balancers.count() == 1 and silent.recv(10) == b""
         for _ in range(5):
             half.send(REQUEST[20:21])  # a byte now and then buys no more time
-            player.step("clock", str((BEGUN_MS - WAITED_MS) / 5.0 + 60.0), "")
+            player.step("clock", str((PARTIAL_MESSAGE_TIMEOUT_MS - FIRST_BYTE_TIMEOUT_MS) / 5.0 + 60.0), "")
         assert player.node.balancers.count() == 0
     finally:
         for sock in (silent, half):
--- a/tests/hot_restart/test_hot_restart.py
+++ b/tests/hot_restart/test_hot_restart.py
@@ -21,10 +21,10 @@
 from support.exchange import START, Player, address, loopback
 from test_program import PATIENCE_S, ROOT, configuration, environment, site
 
-from snowthread.core import events as ev
+from snowthread.core import events
 from snowthread.core.reducer import ASK_MS, ASKING_MOST
-from snowthread.core.state import Side
-from snowthread.hot_restart import channel as link, messages as words
+from snowthread.core.state import HandoverRole
+from snowthread.hot_restart import channel, messages
 
 ALIVE: list[tuple[int, int]] = []  # of each process here, a pipe whose writing end is open while it lives
 
@@ -32,7 +32,7 @@
 @pytest.fixture(autouse=True)
 def processes(monkeypatch: pytest.MonkeyPatch) -> None:
     """One process plays all here: who comes is the one that was made last, and ends when its pipe closes."""
-    monkeypatch.setattr(link, "process_of", lambda sock: (len(ALIVE), os.dup(ALIVE[-1][0])))
+    monkeypatch.setattr(channel, "process_of", lambda sock: (len(ALIVE), os.dup(ALIVE[-1][0])))
 
 
 FAREWELL = msgpack.packb([2, "farewell", []])
@@ -71,7 +71,7 @@
 
     def clock(self, ms: float) -> None:
         for player in self.players:
-            player.clock.time += ms
+            player.clock.now_ms += ms
         self.settle()
 
     def link(self, player: Player) -> None:
@@ -110,7 +110,7 @@
 
     def ask(self, sock: socket.socket, number: int, uid: str, once: str = "k1", body: bytes = b"p",
             kb: str = "20", settle: bool = True) -> None:
-        fields = {"id": uid, "at": f"{self.old.clock.time:.0f}", "from": "4", "wait": "5000", "kb": kb,
+        fields = {"id": uid, "at": f"{self.old.clock.now_ms:.0f}", "from": "4", "wait": "5000", "kb": kb,
                   "rank": "0.5", "once": once}
         sock.sendall(msgpack.packb([0, number, "dispense", [fields, body]]))
         if settle:
@@ -118,9 +118,9 @@
 
     def end(self, player: Player) -> None:
         """As a kill does it: nothing more is said."""
-        assert player.node.beside is not None
-        player.node._gone = player.node.beside._gone = True
-        for listening in (player.node.beside._listener, player.node.balancers._listener):
+        assert player.node.hot_restart is not None
+        player.node._gone = player.node.hot_restart._gone = True
+        for listening in (player.node.hot_restart._listener, player.node.balancers._listener):
             if listening is not None:
                 player.node.loop.close(listening)
         player.node.loop._close_tasks()
@@ -130,7 +130,7 @@
         else:
             del self.new
         self.settle()
-        self.clock(link.RETRY_MS)
+        self.clock(channel.RETRY_MS)
 
     def kill(self, who: str) -> None:
         """End a process in the middle of its step: what it was about to do is not done."""
@@ -146,8 +146,8 @@
     def close(self) -> None:
         for player in self.players:
             player.node._gone = True
-            if player.node.beside is not None:
-                player.node.beside.leave()
+            if player.node.hot_restart is not None:
+                player.node.hot_restart.close()
             player.node.loop._close_tasks()
             for sock in (*player.peers.values(), *player.listeners.values()):
                 sock.close()
@@ -209,17 +209,19 @@
 
 
 def test_words_for_one_that_stands_still_are_bounded(pair: Pair, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(link, "WORDS_MOST", 50)
+    monkeypatch.setattr(channel, "WORDS_MOST", 50)
     pair.start_new()
-    beside = pair.old.node.beside
+    beside = pair.old.node.hot_restart
     assert beside is not None
     for n in range(20_000):  # more than the sockets between them hold
-        pair.old.node.post(ev.KeyAsked(f"s{n}", f"{n:016x}", START, b"x" * 200))
+        pair.old.node.post(events.KeyClaimRequested(f"s{n}", f"{n:016x}", START, b"x" * 200))
         assert len(beside._words) <= 50
     for _ in range(3):
-        pair.clock(link.RETRY_MS)
+        pair.clock(channel.RETRY_MS)
     pair.settle(40)
-    assert pair.new.node._ready()[0] == 200 and pair.new.node.state.side is Side.ASKER  # it came anew
+    assert (
+        pair.new.node._ready()[0] == 200 and pair.new.node.state.handover_role is HandoverRole.SUCCESSOR
+    )  # it came anew
 
 
 @pytest.mark.parametrize("older_first", [True, False])
@@ -228,7 +230,9 @@
     pair.start_new()
     order = [(pair.old, A), (pair.new, B)]
     for player, uid in order if older_first else reversed(order):
-        player.node.post(ev.RequestRead((99, 1), uid, "dispense", b"p", START, 5000.0, 4, 20.0, 0.5, "k1"))
+        player.node.post(
+            events.RequestReceived((99, 1), uid, "dispense", b"p", START, 5000.0, 4, 20.0, 0.5, "k1")
+        )
     pair.settle()
     assert (pair.starts(pair.old), pair.starts(pair.new)) == ([A], [])
 
@@ -238,8 +242,11 @@
     first = pair.connect(pair.old)
     pair.new = pair.more()
     while not pair.new.node.balancers.accepting:
-        pair.new.node.loop.round(0.0)
-        if pair.new.node.state.side is Side.ASKER and not pair.new.node.balancers.accepting:
+        pair.new.node.loop.run_once(0.0)
+        if (
+            pair.new.node.state.handover_role is HandoverRole.SUCCESSOR
+            and not pair.new.node.balancers.accepting
+        ):
             pair.old.settle()
     assert pair.old.node.balancers.accepting and pair.new.node._ready()[0] == 503
     pair.settle()
@@ -261,7 +268,7 @@
         second.sendall(msgpack.packb([0, number, "dispense", [fields | {"once": once}, b"p"]]))
         pair.settle()
         assert answers(second) == wanted
-    assert pair.starts(pair.new) == [C] and pair.new.node.state.side is Side.ALONE
+    assert pair.starts(pair.new) == [C] and pair.new.node.state.handover_role is HandoverRole.STANDALONE
 
 
 def test_a_newer_one_that_dies_gives_the_clients_back(pair: Pair) -> None:
@@ -278,14 +285,14 @@
     pair.ask(third, 2, C, once="k2")
     assert pair.starts(pair.old) == [C]
     pair.start_new()  # and the next one is let in
-    assert pair.new.node.state.side is Side.ASKER and pair.new.node.balancers.accepting
+    assert pair.new.node.state.handover_role is HandoverRole.SUCCESSOR and pair.new.node.balancers.accepting
 
 
 def test_what_the_newer_one_turns_away_leaves_its_key_free(pair: Pair) -> None:
     first = pair.connect(pair.old)
     pair.start_new()
     second = pair.connect(pair.new)
-    pair.new.node.post(ev.LoadTold(0, 15_900.0, 0))
+    pair.new.node.post(events.PeerLoadReported(0, 15_900.0, 0))
     pair.ask(second, 1, A, kb="100")  # no memory is left for it: turned away as read
     assert [error for _, error, _ in answers(second)] == ["Throttled"]
     pair.ask(first, 1, B)
@@ -303,7 +310,7 @@
     assert answers(second) == [[1, "Throttled", None]] and pair.starts(pair.old) == []
     pair.new, pair.old = pair.old, old
     pair.settle()
-    assert old.node.state.keys.of(A) is None
+    assert old.node.state.idempotency_table.find_by_attempt(A) is None
     pair.ask(second, 2, B)
     assert pair.starts(pair.new) == [B]
 
@@ -322,7 +329,7 @@
     assert [error for _, error, _ in answers(third)] == ["Throttled"]  # so many wait, and no more
     pair.new, pair.old = pair.old, old
     pair.settle()
-    assert A not in pair.starts(pair.new) and old.node.state.keys.of(A) is None
+    assert A not in pair.starts(pair.new) and old.node.state.idempotency_table.find_by_attempt(A) is None
 
 
 def test_the_list_hears_no_off_and_the_drain_is_taken_over(pair: Pair) -> None:
@@ -340,7 +347,7 @@
             pair.old.peers["roster"].recv(100)
         except BlockingIOError:
             break
-    pair.old.node.post(ev.LeaveAsked(3700.0))
+    pair.old.node.post(events.ShutdownRequested(3700.0))
     pair.clock(2500.0)  # beyond the grace of a drain
     assert pair.old.peers["roster"].recv(100) == b"HERE n1 on"
     first.sendall(msgpack.packb([0, 2, "health", [{}]]))
@@ -354,8 +361,14 @@
 
 def flood(pair: Pair, sock: socket.socket, half: str, count: int, kb: str) -> None:
     for n in range(count):
-        fields = {"id": f"{half * 8}{n:08x}", "at": f"{pair.old.clock.time:.0f}", "from": "4", "wait": "9000",
-                  "kb": kb, "rank": "0.5"}
+        fields = {
+            "id": f"{half * 8}{n:08x}",
+            "at": f"{pair.old.clock.now_ms:.0f}",
+            "from": "4",
+            "wait": "9000",
+            "kb": kb,
+            "rank": "0.5",
+        }
         sock.sendall(msgpack.packb([0, n + 1, "match", [fields, b"p"]]))
     pair.settle()
 
@@ -381,11 +394,11 @@
     controller = pair.new.node.state.controller
     assert controller is not None
     before = controller._ceiling(controller._now)
-    pair.new.node.post(ev.LoadTold(5, 0.0, 0))
+    pair.new.node.post(events.PeerLoadReported(5, 0.0, 0))
     assert controller._ceiling(controller._now) == pytest.approx(before - 0.8 * 5)
     pair.end(pair.old)
     pair.settle()
-    assert controller._ceiling(controller._now) == before and controller.s.memory_kb == 15906.0
+    assert controller._ceiling(controller._now) == before and controller.settings.memory_kb == 15906.0
 
 
 def test_descriptors_are_counted_for_both(pair: Pair) -> None:
@@ -436,9 +449,9 @@
     said = {"old": 0, "new": 0}
     pair = Pair(tmp_path)
     pair.link(pair.old)
-    older, real = pair.old.node.beside, link.Beside._say
+    older, real = pair.old.node.hot_restart, channel.HotRestartChannel._say
 
-    def say(beside: link.Beside, word: Any) -> None:
+    def say(beside: channel.HotRestartChannel, word: Any) -> None:
         who = "old" if beside is older else "new"
         if beside._sock is None:
             return
@@ -451,33 +464,33 @@
             pair.kill(who)
             raise KilledError
 
-    monkeypatch.setattr(link.Beside, "_say", say)
+    monkeypatch.setattr(channel.HotRestartChannel, "_say", say)
     try:
         scenario(pair)
         runs = [once_of(uid) for player in pair.all for uid in pair.starts(player)]
         assert "k1" in runs
         assert len(runs) == len(set(runs)), runs
-        pair.clock(link.RETRY_MS)
+        pair.clock(channel.RETRY_MS)
         pair.clock(5050.0)  # past every due time: nothing is left open
         for player in pair.players:
-            assert not player.node.state.by_ticket
-            assert not any(waiting for _, waiting in player.node.state.asking.values())
+            assert not player.node.state.by_response_address
+            assert not any(waiting for _, waiting in player.node.state.pending_claims.values())
     finally:
         pair.close()
 
 
 def test_a_stale_socket_file_is_no_process(tmp_path: Path) -> None:
     with socket.socket(socket.AF_UNIX) as made:
-        made.bind(str(tmp_path / link.SOCKET))
+        made.bind(str(tmp_path / channel.SOCKET))
     pair = Pair(tmp_path)
     try:
         assert not pair.old.node.balancers.accepting  # somebody may just be making it anew
-        pair.clock(link.JOIN_MS + link.RETRY_MS)
-        pair.clock(link.RETRY_MS)
+        pair.clock(channel.JOIN_MS + channel.RETRY_MS)
+        pair.clock(channel.RETRY_MS)
         assert pair.old.node.balancers.accepting and pair.old.node._ready()[0] == 200
         pair.link(pair.old)
         pair.start_new()
-        assert pair.new.node.state.side is Side.ASKER
+        assert pair.new.node.state.handover_role is HandoverRole.SUCCESSOR
     finally:
         pair.close()
 
@@ -493,17 +506,17 @@
 def test_sighup_leaves_a_drain_as_it_is_and_sigterm_ends_it(pair: Pair) -> None:
     node = pair.old.node
     node._drain(True)
-    node.move(node.config)
-    assert node.state.drained and not node.state.taking
-    node.post(ev.LeaveAsked(3200.0))
-    assert node._drain(False)[0] == 409 and node._drain(True)[0] == 200 and not node.state.taking
+    node.apply_configuration(node.config)
+    assert node.state.drained and not node.state.accepts_work
+    node.post(events.ShutdownRequested(3200.0))
+    assert node._drain(False)[0] == 409 and node._drain(True)[0] == 200 and not node.state.accepts_work
 
 
 @pytest.mark.parametrize("message", [
     None, [], ["no"], ["freed", 7], ["key", "k", "u", 1.0, b"", True], ["hello", 99], ["over", "u", "text"]])
 def test_nonsense_from_beside_is_told_apart(message: object) -> None:
     with pytest.raises(ValueError):
-        words.decode(message)
+        messages.decode(message)
 
 
 def call(port: int, method: str, path: str) -> int:
--- a/tests/incident/test_incident.py
+++ b/tests/incident/test_incident.py
@@ -16,7 +16,7 @@
 from snowthread.incident.episodes import CAUSES, TURNED_AWAY, Episode
 from snowthread.incident.report import Report
 from snowthread.incident.series import build
-from snowthread.incident.timeline import Story, before, causes, tell
+from snowthread.incident.timeline import Timeline, before, causes, build_timeline
 from snowthread.records.frame import encode
 from snowthread.records.model import Record
 from snowthread.records.reader import Findings, merge
@@ -26,16 +26,18 @@
 ROOT = Path(__file__).parents[2]
 
 
-def story(day: Day) -> tuple[Story, Clocks]:
+def story(day: Day) -> tuple[Timeline, Clocks]:
     clocks = Clocks()
     for records in day.records.values():
         for record in records:
             clocks.take(record)
     clocks.fit()
-    return tell(build((r for records in day.records.values() for r in records), clocks), clocks), clocks
+    return build_timeline(
+        build((r for records in day.records.values() for r in records), clocks), clocks
+    ), clocks
 
 
-def named(told: Story) -> list[Episode]:
+def named(told: Timeline) -> list[Episode]:
     return [s.episode for s in told.sentences if s.kind in CAUSES]
 
 
--- a/tests/lab/test_relay.py
+++ b/tests/lab/test_relay.py
@@ -12,30 +12,30 @@
 from snowthread.lab.faults import LinkFaults, Pace, release_ms
 from snowthread.lab.relay import Relay
 from snowthread.net.clock import Clock
-from snowthread.net.loop import IN, Loop, Steps, Wait
+from snowthread.net.loop import READABLE, EventLoop, TaskSteps, Wait
 
 
 class Echo:
     """A server that writes back what it reads."""
 
-    def __init__(self, loop: Loop) -> None:
+    def __init__(self, loop: EventLoop) -> None:
         self.loop = loop
         self.sock = socket.create_server(("127.0.0.1", 0))
         self.sock.setblocking(False)
         self.address = Address(*self.sock.getsockname()[:2])
         loop.spawn(self._accept())
 
-    def _accept(self) -> Steps:
+    def _accept(self) -> TaskSteps:
         while True:
-            yield Wait(self.sock.fileno(), IN)
+            yield Wait(self.sock.fileno(), READABLE)
             peer, _ = self.sock.accept()
             peer.setblocking(False)
             self.loop.spawn(self._echo(peer))
 
-    def _echo(self, peer: socket.socket) -> Steps:
+    def _echo(self, peer: socket.socket) -> TaskSteps:
         try:
             while True:
-                yield Wait(peer.fileno(), IN)
+                yield Wait(peer.fileno(), READABLE)
                 data = peer.recv(65536)
                 if not data:
                     return
@@ -47,15 +47,15 @@
 
 
 @pytest.fixture
-def link() -> Iterator[tuple[Loop, Relay]]:
-    loop = Loop(Clock())
+def link() -> Iterator[tuple[EventLoop, Relay]]:
+    loop = EventLoop(Clock())
     echo = Echo(loop)
     relay = Relay(loop, Address("127.0.0.1", 0), echo.address, random.Random(1))
     yield loop, relay
     loop._close_tasks()
 
 
-def exchange(loop: Loop, relay: Relay, data: bytes, patience_ms: float = 3000.0) -> tuple[bytes, float]:
+def exchange(loop: EventLoop, relay: Relay, data: bytes, patience_ms: float = 3000.0) -> tuple[bytes, float]:
     """Send, read back what comes within the patience; the bytes and how long it took, in ms."""
     client = socket.create_connection(relay.address)
     client.setblocking(False)
@@ -63,7 +63,7 @@
     client.sendall(data)
     got = b""
     while len(got) < len(data) and loop.clock.now() - begin < patience_ms:
-        loop.round(0.005)
+        loop.run_once(0.005)
         try:
             more = client.recv(65536)
         except BlockingIOError:
@@ -78,27 +78,27 @@
     return got, took
 
 
-def test_bytes_pass_unchanged(link: tuple[Loop, Relay]) -> None:
+def test_bytes_pass_unchanged(link: tuple[EventLoop, Relay]) -> None:
     loop, relay = link
     data = random.Random(2).randbytes(300_000)
     assert exchange(loop, relay, data)[0] == data
 
 
-def test_delay_holds_each_chunk(link: tuple[Loop, Relay]) -> None:
+def test_delay_holds_each_chunk(link: tuple[EventLoop, Relay]) -> None:
     loop, relay = link
     relay.faults.delay_ms = 150.0
     got, took = exchange(loop, relay, b"ping")
     assert got == b"ping" and took >= 300.0  # there and back
 
 
-def test_bandwidth_paces_a_large_write(link: tuple[Loop, Relay]) -> None:
+def test_bandwidth_paces_a_large_write(link: tuple[EventLoop, Relay]) -> None:
     loop, relay = link
     relay.faults.bytes_per_s = 200_000.0
     got, took = exchange(loop, relay, b"x" * 100_000)
     assert len(got) == 100_000 and took >= 500.0  # 0.5 s each way, the two in part at once
 
 
-def test_a_partition_holds_what_is_open_and_refuses_what_comes(link: tuple[Loop, Relay]) -> None:
+def test_a_partition_holds_what_is_open_and_refuses_what_comes(link: tuple[EventLoop, Relay]) -> None:
     loop, relay = link
     relay.faults.partitioned = True
     got, _ = exchange(loop, relay, b"ping", patience_ms=400.0)
@@ -107,18 +107,18 @@
     assert exchange(loop, relay, b"ping")[0] == b"ping"
 
 
-def test_a_cut_closes_connections_opened_before_it(link: tuple[Loop, Relay]) -> None:
+def test_a_cut_closes_connections_opened_before_it(link: tuple[EventLoop, Relay]) -> None:
     loop, relay = link
     client = socket.create_connection(relay.address)
     client.setblocking(False)
     client.sendall(b"one")
     for _ in range(40):
-        loop.round(0.005)
+        loop.run_once(0.005)
     assert client.recv(10) == b"one"
     relay.faults.cuts += 1
     ended = False
     for _ in range(200):
-        loop.round(0.005)
+        loop.run_once(0.005)
         try:
             ended = client.recv(10) == b""
         except BlockingIOError:
@@ -137,7 +137,7 @@
     assert times == sorted(times) and len(set(times)) > 5
 
 
-def test_a_closed_relay_refuses_and_opens_at_the_same_address(link: tuple[Loop, Relay]) -> None:
+def test_a_closed_relay_refuses_and_opens_at_the_same_address(link: tuple[EventLoop, Relay]) -> None:
     loop, relay = link
     relay.close()
     with pytest.raises(ConnectionRefusedError):
--- a/tests/ldap/test_health.py
+++ b/tests/ldap/test_health.py
@@ -6,9 +6,18 @@
 
 import pytest
 
-from snowthread.ldap.health import Breaker, Budget, Circuit, Patience, Reaction, Servers, pause, reaction
-
-P = Patience(pause_ms=100.0, pause_most_ms=10_000.0, budget_share=0.2, budget_floor_per_s=0.1,
+from snowthread.ldap.health import (
+    Breaker,
+    Budget,
+    Circuit,
+    RetryPolicy,
+    Reaction,
+    Servers,
+    backoff_ms,
+    reaction,
+)
+
+P = RetryPolicy(pause_ms=100.0, pause_most_ms=10_000.0, budget_share=0.2, budget_floor_per_s=0.1,
              budget_saved=5.0, failures=3, open_ms=1000.0, open_most_ms=8000.0)
 
 
@@ -40,7 +49,7 @@
 def test_jitter_is_full_and_capped() -> None:
     rng = random.Random(3)
     for attempt, cap in ((1, 100.0), (4, 800.0), (30, 10_000.0), (10_000, 10_000.0)):
-        seen = [pause(attempt, P, rng) for _ in range(400)]
+        seen = [backoff_ms(attempt, P, rng) for _ in range(400)]
         assert min(seen) < cap * 0.05 and cap * 0.95 < max(seen) <= cap
 
 
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -21,10 +21,10 @@
 from support.playing import answer, command, done, ends, message, notice, ready, settings, uid
 
 from snowthread import config
-from snowthread.core import effects as fx
+from snowthread.core import effects
 from snowthread.frontends.balancers.server import PART_MS, PLACES_LEAST
-from snowthread.net.limits import NEW_MS, SWEEP_MS, WAITED_MS
-from snowthread.node import DOOR_MS, HELD_BACK, QUIET_MS
+from snowthread.net.limits import FRESH_IDLE_MS, SWEEP_INTERVAL_MS, FIRST_BYTE_TIMEOUT_MS
+from snowthread.node import DOOR_MS, BLOCKED_SIGNALS, QUIET_MS
 from snowthread.clients.database import KEEP_MS
 from snowthread.clients.runtime import ALIVE_MS, FENCE_MS, QUEUE_MAX, SILENT_MS
 
@@ -34,8 +34,8 @@
 
 def late(player: Player, ms: float) -> None:
     """Time goes by and the loop sees no more than that."""
-    player.clock.time += ms
-    player.node.loop.round(0.0)
+    player.clock.now_ms += ms
+    player.node.loop.run_once(0.0)
 
 
 def started(**changes: Any) -> Player:
@@ -66,8 +66,8 @@
 def test_a_request_unread_when_the_farewell_s_time_is_up_is_served() -> None:
     player = started()
     connected(player, "1")
-    player.node.balancers.close_idle_after(100.0)
-    player.step("clock", str(SWEEP_MS), "")
+    player.node.balancers.set_idle_timeout(100.0)
+    player.step("clock", str(SWEEP_INTERVAL_MS), "")
     assert answer(player, "1") == FAREWELL
     late(player, PART_MS)
     player.peers["1"].sendall(message(1, "match"))
@@ -77,39 +77,39 @@
 def test_a_first_request_unread_when_the_wait_for_it_is_over_is_served() -> None:
     player = started()
     connected(player, "1")
-    late(player, WAITED_MS)
+    late(player, FIRST_BYTE_TIMEOUT_MS)
     player.peers["1"].sendall(message(1, "match"))
     served(player, "1", 1, 1)
 
 
 def test_a_request_unread_on_the_connection_that_would_make_room_is_served() -> None:
     player = started()
-    player.node.balancers.hold_at_most(PLACES_LEAST)
+    player.node.balancers.set_max_connections(PLACES_LEAST)
     connected(player, *(str(n) for n in range(PLACES_LEAST)))
-    player.clock.time += NEW_MS
+    player.clock.now_ms += FRESH_IDLE_MS
     new = socket.create_connection(player.node.balancers.address)  # at the door before the request is sent
     player.peers["0"].sendall(message(1, "match"))
     served(player, "0", 1, 1)
     assert player.node.balancers.count() == PLACES_LEAST  # another made room, and only one
-    assert player.node.balancers.origin(PLACES_LEAST + 1) and player.node.balancers.origin(1)
+    assert player.node.balancers.peer_address(PLACES_LEAST + 1) and player.node.balancers.peer_address(1)
     new.close()
 
 
 def test_a_request_in_pieces_is_neither_parted_with_nor_makes_room() -> None:
     player = started()
-    player.node.balancers.hold_at_most(PLACES_LEAST)
+    player.node.balancers.set_max_connections(PLACES_LEAST)
     connected(player, *(str(n) for n in range(PLACES_LEAST)))
     whole = message(1, "match")
     player.peers["0"].sendall(whole[:40])
     player.settle()
-    player.node.balancers.close_idle_after(100.0)
-    player.step("clock", str(SWEEP_MS + 1.0), "")
+    player.node.balancers.set_idle_timeout(100.0)
+    player.step("clock", str(SWEEP_INTERVAL_MS + 1.0), "")
     for n in range(1, PLACES_LEAST):
         assert answer(player, str(n)) == FAREWELL
     player.silent("0")
     new = socket.create_connection(player.node.balancers.address)
     player.settle()
-    player.step("clock", str(PART_MS + SWEEP_MS), "")
+    player.step("clock", str(PART_MS + SWEEP_INTERVAL_MS), "")
     player.peers["0"].sendall(whole[40:])
     served(player, "0", 1, 1)
     new.close()
@@ -119,12 +119,12 @@
     player = started()
     connected(player, "1")
     whole = message(1, "match")
-    player.node.balancers.close_idle_after(100.0)
-    player.step("clock", str(SWEEP_MS), "")
+    player.node.balancers.set_idle_timeout(100.0)
+    player.step("clock", str(SWEEP_INTERVAL_MS), "")
     assert answer(player, "1") == FAREWELL
     player.peers["1"].sendall(whole[:-1])  # it crossed; its last byte comes when time is up
     player.settle()
-    player.step("clock", str(PART_MS + SWEEP_MS), "")
+    player.step("clock", str(PART_MS + SWEEP_INTERVAL_MS), "")
     player.peers["1"].sendall(whole[-1:])
     served(player, "1", 1, 1)
 
@@ -133,7 +133,7 @@
     """Where the machine stands still while it accepts, one accepted in this turn is old enough to go."""
     player = started()
     hub = player.node.balancers
-    hub.hold_at_most(PLACES_LEAST)
+    hub.set_max_connections(PLACES_LEAST)
     busy = [str(n) for n in range(PLACES_LEAST - 1)]
     connected(player, *busy)
     for n, name in enumerate(busy):
@@ -141,7 +141,7 @@
     player.settle()
     first, second = (socket.create_connection(hub.address) for _ in range(2))
     assert hub.accept_all(1)
-    player.clock.time += NEW_MS
+    player.clock.now_ms += FRESH_IDLE_MS
     assert hub.accept_all(1)
     assert hub.count() == PLACES_LEAST
     unpacker = msgpack.Unpacker()
@@ -158,7 +158,7 @@
     connected(player, "1", "2", "3")
     player.peers["2"].setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     player.peers.pop("2").close()  # a reset that the node has not looked at yet
-    player.node.balancers.leave()
+    player.node.balancers.say_farewell_to_all()
     player.settle()
     assert answer(player, "1") == answer(player, "3") == FAREWELL
     assert player.node.balancers.count() == 2
@@ -182,7 +182,7 @@
     player.peers["1"].sendall(message(1, "match") + message(2, "match")[:30])
     player.settle()
     for _ in range(14):
-        player.step("clock", str(SWEEP_MS), "")
+        player.step("clock", str(SWEEP_INTERVAL_MS), "")
     assert answer(player, "1")[:3] == [1, 1, ["Failed", {}]]
     assert ends(player, "1")
 
@@ -198,17 +198,17 @@
     connection, = player.node.balancers._connections.values()
     connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     sent = 0
-    while len(connection.out) < 16_000 and sent < most:  # under 32 KiB it is still read from
+    while len(connection.unsent_bytes) < 16_000 and sent < most:  # under 32 KiB it is still read from
         sock.sendall(checks * 100)
         sent += 100
         player.settle()
-    assert len(connection.out) >= 16_000
+    assert len(connection.unsent_bytes) >= 16_000
     sock.sendall(b"\xa5hello")
     player.settle()
     sock.setblocking(False)
     got, idle = b"", 0
     while idle < 2000:
-        player.node.loop.round(0.0005)
+        player.node.loop.run_once(0.0005)
         try:
             more = sock.recv(65536)
         except BlockingIOError:
@@ -258,7 +258,7 @@
     player = started()
     connected(player, "1")
     node = player.node
-    node.loop.spawn(node._leave(player.clock.time + 1000.0))
+    node.loop.spawn(node._leave(player.clock.now_ms + 1000.0))
     player.settle()
     player.step("clock", str(1000.0 - DOOR_MS), "")
     assert answer(player, "1") == FAREWELL
@@ -294,7 +294,7 @@
 @pytest.fixture
 def signals() -> Iterator[None]:
     """The handlers as they were."""
-    kept = {number: signal.getsignal(number) for number in HELD_BACK}
+    kept = {number: signal.getsignal(number) for number in BLOCKED_SIGNALS}
     waker = signal.set_wakeup_fd(-1)
     yield
     signal.set_wakeup_fd(waker)
@@ -307,14 +307,14 @@
 def test_the_grace_counts_from_the_signal_not_from_when_it_is_read(after: float, runs: bool) -> None:
     player = started()
     connected(player, "1")
-    player.node.hear()
+    player.node.listen_for_signals()
     player.settle()
     os.kill(os.getpid(), signal.SIGTERM)
-    player.clock.time += 300.0  # the loop is held up
+    player.clock.now_ms += 300.0  # the loop is held up
     player.settle()
-    assert player.node.state.leaving
+    assert player.node.state.shutting_down
     assert answer(player, "1") == FAREWELL
-    player.clock.time = START + after
+    player.clock.now_ms = START + after
     player.peers["1"].sendall(message(1, "match", at=START + after))
     if runs:
         served(player, "1", 1, 1)
@@ -325,13 +325,13 @@
 @pytest.mark.usefixtures("signals")
 def test_off_stays_off_whatever_comes_while_leaving() -> None:
     player = started()
-    player.node.hear()
+    player.node.listen_for_signals()
     player.settle()
     for number in (signal.SIGTERM, signal.SIGTERM):
         os.kill(os.getpid(), number)
         player.settle()
     roster = loopback(socket.SOCK_DGRAM)
-    player.node.move(config.parse(player.fields | {"roster": address(roster)}))
+    player.node.apply_configuration(config.parse(player.fields | {"roster": address(roster)}))
     roster.settimeout(5.0)
     for n in range(6):  # until its door closes
         player.step("clock", "400", "")
@@ -347,17 +347,17 @@
 def test_a_run_that_ends_in_the_turn_of_the_signal_is_served_once(first: str) -> None:
     player = started()
     connected(player, "1")
-    player.node.hear()
+    player.node.listen_for_signals()
     player.peers["1"].sendall(message(1, "dispense", once="k1"))
     assert command(player)["action"] == "start"
     if first == "end":
         done(player, 1, 1)
     os.kill(os.getpid(), signal.SIGTERM)
     if first == "signal":
-        player.node.loop.round(0.0)
+        player.node.loop.run_once(0.0)
         done(player, 1, 1)
     player.settle()
-    player.clock.time = START + 3200.0 - DOOR_MS
+    player.clock.now_ms = START + 3200.0 - DOOR_MS
     player.settle()
     player.step("clock", str(QUIET_MS), "")
     player.settle()
@@ -379,7 +379,7 @@
         if what == "leave":
             player.step("leave", "", "")
         else:
-            player.node.move(moved)
+            player.node.apply_configuration(moved)
     assert answer(player, "1") == FAREWELL
     assert command(player) == {"action": "gauges", "echo": "move-1"}
     notice(player, "load", echo="move-1", meters=[0.1, 0, 0.1, 1])
@@ -494,7 +494,7 @@
     late(player, ALIVE_MS)
     notice(player, "load", echo="alive", meters=[0.1, 0, 0.1, 1])
     player.settle()
-    assert player.node.state.linked and player.node.state.link == 1
+    assert player.node.state.runtime_connected and player.node.state.link_number == 1
 
 
 def test_a_link_with_many_commands_unread_moves_on_their_echo_and_loses_none() -> None:
@@ -502,15 +502,15 @@
     link = player.peers["runtime"]
     sent = 0
     while len(player.node.runtime._lines) < QUEUE_MAX:
-        player.node.runtime.send(fx.GiveReply(uid(sent), b"r" * 4000))
+        player.node.runtime.send(effects.DeliverReply(uid(sent), b"r" * 4000))
         sent += 1
         assert sent < 5000
     listener = loopback(socket.SOCK_STREAM)
-    player.node.move(config.parse(player.fields | {"runtime": address(listener)}))
+    player.node.apply_configuration(config.parse(player.fields | {"runtime": address(listener)}))
     player.settle()
     got, rounds = b"", 0
     while b"move-1" not in got:
-        player.node.loop.round(0.0)
+        player.node.loop.run_once(0.0)
         rounds += 1
         assert rounds < 50_000, f"{got.count(b'give')} of {sent} read, and no word that it moves"
         try:
@@ -531,7 +531,7 @@
     player = started()
     connected(player, "1")
     listener = loopback(socket.SOCK_STREAM)
-    player.node.move(config.parse(player.fields | {"runtime": address(listener)}))
+    player.node.apply_configuration(config.parse(player.fields | {"runtime": address(listener)}))
     assert command(player) == {"action": "gauges", "echo": "move-1"}
     notice(player, "load", echo="move-1", meters=[0.1, 0, 0.1, 1])
     player.settle()
@@ -539,10 +539,10 @@
     player.step("runtime", "accept", "")
     player.peers["1"].sendall(message(1, "match", wait="11000"))
     player.settle()
-    player.clock.time += 1000.0  # all that went has long had time to come through
+    player.clock.now_ms += 1000.0  # all that went has long had time to come through
     player.settle()
     back = loopback(socket.SOCK_STREAM)
-    player.node.move(config.parse(player.fields | {"runtime": address(back)}))
+    player.node.apply_configuration(config.parse(player.fields | {"runtime": address(back)}))
     player.settle()
     player.step("clock", str(FENCE_MS), "")
     player.listeners["runtime"] = back
@@ -559,10 +559,10 @@
     assert command(player)["action"] == "start"
     notice(player, "wants", pos=1, uid=uid(1), content=b"?")
     player.step("index", "accept", "")
-    link, = player.node.index._calls.values()
+    link, = player.node.database._calls.values()
     assert link.call is not None
     assert b"POST /lookup" in player.came("index", 20)
-    late(player, link.call.budget)
+    late(player, link.call.timeout_ms)
     player.peers["index"].sendall(REPLY)
     told = command(player)
     while told["action"] == "gauges":
@@ -572,17 +572,17 @@
 
 def test_a_call_assigned_as_a_connection_s_time_to_rest_is_over_is_made_once() -> None:
     player = started()
-    index = player.node.index
-    call = fx.MakeCall(uid(1), b"?", 9000.0, True)
-    index.call(call)
+    index = player.node.database
+    call = effects.StartCall(uid(1), b"?", 9000.0, True)
+    index.start_call(call)
     player.step("index", "accept", "")
     assert player.came("index", 30).startswith(b"POST")
     player.peers["index"].sendall(REPLY)
     player.settle()
     late(player, KEEP_MS)  # its task is woken to end
-    index.call(replace(call, uid=uid(2)))
+    index.start_call(replace(call, attempt_id=uid(2)))
     player.settle()
-    assert index.count() == 1
+    assert index.connection_count() == 1
     assert f"X-Parent-Id: {uid(2)}".encode() in player.peers["index"].recv(500)
     player.silent("index")
     player.listeners["index"].setblocking(False)
@@ -626,7 +626,7 @@
     called(2)  # over the same connection
     changed = settings(cores=6, calls_out=200.0)
     changed["classes"][0]["effect"] = "non_idempotent"
-    player.node.move(config.parse(player.fields | {"settings": changed}))
+    player.node.apply_configuration(config.parse(player.fields | {"settings": changed}))
     player.step("index", "close", "")
     player.step("clock", "60", "")
     player.step("index", "accept", "")
@@ -641,18 +641,20 @@
     player = started(settings=settings(calls_out=200.0, cores=6, memory_kb=60000.0),
                      limits={"memory_mb": 64, "sockets": 64})
     connected(player, "1")
-    index = player.node.index
+    index = player.node.database
     most = index._most
     for n in range(1, most + 2):
         player.peers["1"].sendall(message(n, "match", wait="11000"))
         assert command(player)["action"] == "start"
         notice(player, "wants", pos=n, uid=uid(n), content=b"?")
         player.settle()
-    assert index.count() == len(index._calls) == most  # one waits: there is no connection for it
+    assert index.connection_count() == len(index._calls) == most  # one waits: there is no connection for it
     door = player.listeners["index"]
     door.settimeout(5.0)
     ends_now, *rest = [door.accept()[0] for _ in range(most)]
-    player.clock.time += 60.0  # its next try is due, but what lies unread is looked at before the timers are
+    player.clock.now_ms += (
+        60.0  # its next try is due, but what lies unread is looked at before the timers are
+    )
     ends_now.sendall(REPLY)
     told = command(player)
     while told["action"] == "gauges":
@@ -662,7 +664,7 @@
     last = door.accept()[0]
     last.settimeout(5.0)
     assert f"X-Parent-Id: {uid(most + 1)}".encode() in last.recv(1000)
-    assert index.count() == len(index._calls) == most
+    assert index.connection_count() == len(index._calls) == most
     for sock in (ends_now, *rest, last):
         sock.close()
 
@@ -705,17 +707,17 @@
     player.step("clock", "250", "")
     assert command(player) == {"action": "gauges", "echo": "1"}
     turned = settings(meters=["links", "heap_share", "on_cores", "core_use"])
-    player.node.move(config.parse(player.fields | {"settings": turned}))
+    player.node.apply_configuration(config.parse(player.fields | {"settings": turned}))
     state = player.node.state
-    assert player.clock.time - state.gauges_at > 1000.0  # none is known
+    assert player.clock.now_ms - state.load_sample_at_ms > 1000.0  # none is known
     notice(player, "load", echo="1", meters=[0.9, 7, 0.1, 1])
     player.settle()
-    assert player.clock.time - state.gauges_at > 1000.0
+    assert player.clock.now_ms - state.load_sample_at_ms > 1000.0
     player.step("clock", "250", "")
     assert command(player) == {"action": "gauges", "echo": "2"}
     notice(player, "load", echo="2", meters=[1, 0.1, 7, 0.9])
     player.settle()
-    assert state.gauges == (1, 0.1, 7, 0.9) and state.gauges_at == player.clock.time
+    assert state.load_sample == (1, 0.1, 7, 0.9) and state.load_sample_at_ms == player.clock.now_ms
 
 
 def test_a_longer_window_holds_for_keys_that_ran_before_it_was_told() -> None:
@@ -725,7 +727,7 @@
     served(player, "1", 1, 1)
     longer = settings()
     longer["classes"][2]["window_s"] = 25.0
-    player.node.move(config.parse(player.fields | {"settings": longer}))
+    player.node.apply_configuration(config.parse(player.fields | {"settings": longer}))
     player.step("clock", "20000", "")
     connected(player, "2")
     player.peers["2"].sendall(message(2, "dispense", at=START + 20_000.0, once="k1"))
@@ -739,6 +741,6 @@
     for number in (1, 2):  # checks only: with requests the decisions would say it too, sooner or later
         player.peers["1"].sendall(msgpack.packb([0, number, "health", [{}]]))
         assert answer(player, "1")[:2] == [1, number]
-    player.node.move(config.parse(player.fields | {"settings": settings(idle_s=0.5)}))
+    player.node.apply_configuration(config.parse(player.fields | {"settings": settings(idle_s=0.5)}))
     player.step("clock", "1300", "")
     assert answer(player, "1") == FAREWELL
--- a/tests/node/test_customers.py
+++ b/tests/node/test_customers.py
@@ -16,10 +16,10 @@
 @pytest.mark.parametrize("below", ["shared", "tier", "silent"])
 def test_an_index_is_wanted_where_calls_are_made_below_and_only_there(below: str) -> None:
     fields = Player(settings=settings(below=below)).fields
-    assert config.parse(fields).index is not None
+    assert config.parse(fields).database is not None
     for absent in ("", None):
         if below == "silent":
-            assert config.parse(fields | {"index": absent}).index is None
+            assert config.parse(fields | {"index": absent}).database is None
         else:
             with pytest.raises(config.ConfigError, match="index: an address is wanted"):
                 config.parse(fields | {"index": absent})
@@ -36,9 +36,9 @@
     notice(player, "wants", pos=1, uid=uid(1), content=b"?")
     player.settle()
     for _ in range(40):  # the tries end by the rules of the decisions; no connection is opened for any
-        player.clock.time += 50.0
+        player.clock.now_ms += 50.0
         player.settle()
-    assert player.node.index.count() == 0
+    assert player.node.database.connection_count() == 0
     told = command(player)
     while told["action"] == "gauges":
         told = command(player)
@@ -55,11 +55,11 @@
     player.peers["1"].sendall(message(1, "recalc", wait=None))
     assert command(player)["lane"] == "recalc"
     deadline = 5300.0  # of the class, in the example
-    while player.clock.time < START + deadline - 100.0:
-        player.clock.time += 50.0
+    while player.clock.now_ms < START + deadline - 100.0:
+        player.clock.now_ms += 50.0
         player.settle()
     player.silent("1")
-    player.clock.time = START + deadline
+    player.clock.now_ms = START + deadline
     kind, number, error, result = answer(player, "1")
     assert (kind, number, error[0], result) == (1, 1, "Throttled", None)
     for wrong in ("", "soon", "-1"):
--- a/tests/records/test_frame.py
+++ b/tests/records/test_frame.py
@@ -11,7 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from snowthread.records.frame import PAYLOAD_MAX, Bad, Reader, encode
+from snowthread.records.frame import PAYLOAD_MAX, InvalidFrame, Reader, encode
 from snowthread.records.model import Record
 from snowthread.records.outbox import Outbox
 from snowthread.records.reader import Findings, merge
@@ -30,10 +30,10 @@
 WIRE = b"".join(encode(r) for r in THREE)
 
 
-def read(data: bytes) -> tuple[list[Record], list[Bad]]:
+def read(data: bytes) -> tuple[list[Record], list[InvalidFrame]]:
     reader = Reader()
     got = reader.feed(data) + reader.end()
-    return [r for r in got if isinstance(r, Record)], [b for b in got if isinstance(b, Bad)]
+    return [r for r in got if isinstance(r, Record)], [b for b in got if isinstance(b, InvalidFrame)]
 
 
 def test_records_come_back_as_they_were() -> None:
@@ -69,7 +69,7 @@
         got += reader.feed(data[a:b])
     got += reader.end()
     assert [r for r in got if isinstance(r, Record)] == THREE[:2]
-    assert sum(b.size for b in got if isinstance(b, Bad)) == len(noise)
+    assert sum(b.size for b in got if isinstance(b, InvalidFrame)) == len(noise)
 
 
 def test_a_length_that_claims_too_much_is_not_waited_for() -> None:
--- a/tests/records/test_recorder.py
+++ b/tests/records/test_recorder.py
@@ -14,12 +14,12 @@
 from ask import ask
 from test_program import PATIENCE_S, at, configuration, environment, site, started
 
-from snowthread.admission.interface import Outcome
+from snowthread.admission.settings import Outcome
 from snowthread import config
-from snowthread.core import effects as fx
-from snowthread.core import events as ev
+from snowthread.core import effects
+from snowthread.core import events
 from snowthread.core.reducer import reduce
-from snowthread.core.state import ModuleTime, State
+from snowthread.core.state import AdmissionClock, State
 from snowthread.records.model import KINDS, MEANING, Record, Totals
 from snowthread.records.observer import OTHERS, TENANTS_MOST, Observer
 from snowthread.records.reader import Findings, merge
@@ -34,27 +34,30 @@
 
     def __init__(self) -> None:
         self.now = START
-        self.state = State(SETTINGS, 7, ("core_use",), ModuleTime(START))
+        self.state = State(SETTINGS, 7, ("core_use",), AdmissionClock(START))
         self.observer = Observer(SETTINGS, START)
         self.made: list[tuple[str, Any]] = []
-        self.post(ev.RuntimeUp(False, 0.0))
+        self.post(events.RuntimeConnected(False, 0.0))
 
-    def post(self, message: ev.Message) -> None:
-        effects = reduce(self.state, message, self.now)
-        self.made += self.observer.see(message, effects, self.state, self.now)
+    def post(self, message: events.Event) -> None:
+        produced = reduce(self.state, message, self.now)
+        self.made += self.observer.observe(message, produced, self.state, self.now)
 
     def ask(self, n: int, kind: str = "match", tenant: str = "", once: str | None = None) -> str:
         uid = f"{n:016x}"
-        self.post(ev.RequestRead((1, n), uid, kind, b"b", self.now - 5.0, 5000.0, n % 3, 20.0, 0.5, once,
-                                 tenant=tenant))
+        self.post(
+            events.RequestReceived(
+                (1, n), uid, kind, b"b", self.now - 5.0, 5000.0, n % 3, 20.0, 0.5, once, tenant=tenant
+            )
+        )
         return uid
 
     def end(self, uid: str, took: float, outcome: Outcome = Outcome.SUCCESS) -> None:
         self.now += took
-        self.post(ev.RunOver(uid, outcome, took, b"r"))
+        self.post(events.RunCompleted(uid, outcome, took, b"r"))
 
     def totals(self) -> dict[tuple[str, str], dict[str, int]]:
-        fields = self.observer.second(self.state, self.now)
+        fields = self.observer.take_totals(self.state, self.now)
         return {(name, tenant): counts for name, tenant, counts in fields["totals"]}
 
 
@@ -67,11 +70,11 @@
     w.end(first, 50.0)
     w.end(w.ask(5), 50.0, Outcome.FAILURE)
     calling = w.ask(6, "dispense", once="k6")
-    w.post(ev.CallWanted(calling, 1, b""))
+    w.post(events.CallRequested(calling, 1, b""))
     w.end(calling, 10.0, Outcome.FAILURE)
     w.ask(7, "nonsense")
     gone = w.ask(8)
-    w.post(ev.CallerLeft((1, 8)))
+    w.post(events.RequestCancelled((1, 8)))
     w.end(gone, 10.0)
     assert w.totals() == {
         ("match", "a"): {"read": 1, "served": 1, "runs": 1},
@@ -86,14 +89,14 @@
     for n in range(1, 6):
         w.ask(n)
     assert w.state.controller is not None
-    w.state.controller.b = 1.0
+    w.state.controller.blocking_probability = 1.0
     for n in range(10, 40):
         w.ask(n)
     counts = w.totals()["match", ""]
     assert counts["refused"] >= 20 and counts["read"] == 35
-    w.post(ev.LeaveAsked(3000.0))
+    w.post(events.ShutdownRequested(3000.0))
     w.now += 2900.0
-    w.post(ev.TimerDue(2))
+    w.post(events.TimerExpired(2))
     assert w.totals()["match", ""].get("refused_leaving", 0) >= 1
     assert ("drain", {"left_ms": 3000.0}) in w.made and ("list", {"taking": False}) in w.made
 
@@ -111,9 +114,9 @@
         elif step < 0.9 and live:
             w.end(live.pop(rng.randrange(len(live))), 5.0, rng.choice([Outcome.SUCCESS, Outcome.FAILURE]))
         elif step < 0.95:
-            w.post(ev.CallerLeft((1, rng.randrange(1, n + 1))))
+            w.post(events.RequestCancelled((1, rng.randrange(1, n + 1))))
         else:
-            w.post(ev.TimerDue(rng.choice([1, 2])))
+            w.post(events.TimerExpired(rng.choice([1, 2])))
         for counts in w.totals().values():
             for name, value in counts.items():
                 setattr(all_, name, getattr(all_, name) + value)
@@ -135,8 +138,8 @@
     w = Watched()
     for n, took in enumerate((100.0, 200.0, 1000.0), 1):
         w.end(w.ask(n), took)
-    w.post(ev.CallBack("x", Outcome.TIMED_OUT, 80.0))
-    fields = w.observer.second(w.state, w.now)
+    w.post(events.CallCompleted("x", Outcome.TIMED_OUT, 80.0))
+    fields = w.observer.take_totals(w.state, w.now)
     count, middle, high, longest = fields["runs"]["match"]
     assert count == 3 and abs(middle - 200) <= 4 and abs(high - 1000) <= 10 and abs(longest - 1000) <= 10
     assert fields["calls"]["timed_out"][0] == 1 and set(fields) <= set(MEANING["second"])
@@ -259,11 +262,11 @@
 
 
 def test_effects_come_out_unchanged() -> None:
-    quiet, watched = State(SETTINGS, 7, (), ModuleTime(START)), Watched()
-    watched.state.meters = ()
-    reduce(quiet, ev.RuntimeUp(False, 0.0), START)
+    quiet, watched = State(SETTINGS, 7, (), AdmissionClock(START)), Watched()
+    watched.state.gauge_names = ()
+    reduce(quiet, events.RuntimeConnected(False, 0.0), START)
     for n in range(1, 30):
-        m = ev.RequestRead((1, n), f"{n:016x}", "match", b"b", START, 5000.0, 1, 20.0, 0.5)
+        m = events.RequestReceived((1, n), f"{n:016x}", "match", b"b", START, 5000.0, 1, 20.0, 0.5)
         a, b = reduce(quiet, m, START), reduce(watched.state, m, START)
-        watched.observer.see(m, b, watched.state, START)
-        assert a == b and all(isinstance(e, fx.Effect) for e in b)  # type: ignore[arg-type]
+        watched.observer.observe(m, b, watched.state, START)
+        assert a == b and all(isinstance(e, effects.Effect) for e in b)  # type: ignore[arg-type]
--- a/tests/recovery/test_key_log.py
+++ b/tests/recovery/test_key_log.py
@@ -8,23 +8,23 @@
 
 import pytest
 
-from snowthread.core.idempotency import Unknown, key_digest
-from snowthread.recovery import storage as disk, key_log as ring
-from snowthread.recovery.key_log import SLOT_BYTES, Ring, Verdict, empty, judge, size
+from snowthread.core.idempotency import IndeterminateKeys, key_digest
+from snowthread.recovery import storage, key_log
+from snowthread.recovery.key_log import SLOT_BYTES, KeyLog, Verdict, new_key_log, read_key_log, key_log_size
 
 NOW = 1_800_000_000_000.0
 
 
 def filled(slots: int = 8, keys: int = 3) -> bytearray:
-    data = bytearray(empty(slots=slots))
-    made = Ring(memoryview(data), 0)
+    data = bytearray(new_key_log(slots=slots))
+    made = KeyLog(memoryview(data), 0)
     for n in range(keys):
-        assert made.put(key_digest(f"key{n}"), NOW + 1000.0 + n, NOW)
+        assert made.append(key_digest(f"key{n}"), NOW + 1000.0 + n, NOW)
     return data
 
 
 def test_keys_written_are_found_with_their_windows() -> None:
-    found = judge(bytes(filled()))
+    found = read_key_log(bytes(filled()))
     assert found.verdict is Verdict.WHOLE and found.sequence == 3
     assert found.keys == {key_digest(f"key{n}"): NOW + 1000.0 + n for n in range(3)}
 
@@ -32,47 +32,47 @@
 def test_every_cut_and_every_flipped_byte_that_matters_is_told() -> None:
     data = bytes(filled())
     for length in range(1, len(data)):
-        assert judge(data[:length]).verdict is not Verdict.WHOLE, length
-    written = range(ring.HEADER_BYTES + SLOT_BYTES, ring.HEADER_BYTES + 4 * SLOT_BYTES)
+        assert read_key_log(data[:length]).verdict is not Verdict.WHOLE, length
+    written = range(key_log.HEADER_BYTES + SLOT_BYTES, key_log.HEADER_BYTES + 4 * SLOT_BYTES)
     for at in [*range(22), *written]:
         spoilt = data[:at] + bytes([data[at] ^ 0x10]) + data[at + 1:]
-        slot_pad = at in written and (at - ring.HEADER_BYTES) % SLOT_BYTES >= 36
-        assert (judge(spoilt).verdict is Verdict.WHOLE) == slot_pad, at
-    assert judge(b"").verdict is Verdict.MISSING
-    assert judge(b"x" * size(8)).verdict is Verdict.FOREIGN
+        slot_pad = at in written and (at - key_log.HEADER_BYTES) % SLOT_BYTES >= 36
+        assert (read_key_log(spoilt).verdict is Verdict.WHOLE) == slot_pad, at
+    assert read_key_log(b"").verdict is Verdict.MISSING
+    assert read_key_log(b"x" * key_log_size(8)).verdict is Verdict.FOREIGN
 
 
 def test_a_full_ring_takes_no_key_rather_than_forget_an_open_one() -> None:
     data = filled(slots=4, keys=4)
-    made = Ring(memoryview(data), 4)
-    assert not made.put(key_digest("one more"), NOW + 5000.0, NOW) and made.full == 1
-    assert made.put(key_digest("one more"), NOW + 5000.0, NOW + 1002.0)  # the oldest window is over
-    kept = judge(bytes(data)).keys
+    made = KeyLog(memoryview(data), 4)
+    assert not made.append(key_digest("one more"), NOW + 5000.0, NOW) and made.rejected_appends == 1
+    assert made.append(key_digest("one more"), NOW + 5000.0, NOW + 1002.0)  # the oldest window is over
+    kept = read_key_log(bytes(data)).keys
     assert len(kept) == 4 and key_digest("one more") in kept and key_digest("key1") in kept
 
 
 def test_a_wiped_or_torn_folder_is_blind_and_stays_so_over_a_second_start(tmp_path: Path) -> None:
-    found, made, why = disk.open_ring(tmp_path, NOW + 16_000.0)
+    found, made, why = storage.open_key_log(tmp_path, NOW + 16_000.0)
     assert found.verdict is Verdict.MISSING and made is not None and not why
-    made.put(key_digest("k"), NOW + 9000.0, NOW)
-    again, _, _ = disk.open_ring(tmp_path, NOW + 99_000.0)  # restarted inside its window
-    assert again.verdict is Verdict.WHOLE and again.blind_until == NOW + 16_000.0
+    made.append(key_digest("k"), NOW + 9000.0, NOW)
+    again, _, _ = storage.open_key_log(tmp_path, NOW + 99_000.0)  # restarted inside its window
+    assert again.verdict is Verdict.WHOLE and again.any_until_ms == NOW + 16_000.0
     assert again.keys == {key_digest("k"): NOW + 9000.0}
-    path = tmp_path / disk.RING
+    path = tmp_path / storage.KEY_LOG_FILE
     path.write_bytes(path.read_bytes()[: path.stat().st_size // 2])
-    torn, _, _ = disk.open_ring(tmp_path, NOW + 50_000.0)
+    torn, _, _ = storage.open_key_log(tmp_path, NOW + 50_000.0)
     assert torn.verdict is Verdict.TORN
-    assert disk.open_ring(tmp_path, 0.0)[0].blind_until == NOW + 50_000.0
+    assert storage.open_key_log(tmp_path, 0.0)[0].any_until_ms == NOW + 50_000.0
 
 
 def test_an_operators_word_makes_a_new_machine_trusted(tmp_path: Path) -> None:
-    assert disk.init(tmp_path) is None
-    found, made, _ = disk.open_ring(tmp_path, NOW + 16_000.0)
-    assert found.verdict is Verdict.WHOLE and found.blind_until == 0.0 and made is not None
+    assert storage.init(tmp_path) is None
+    found, made, _ = storage.open_key_log(tmp_path, NOW + 16_000.0)
+    assert found.verdict is Verdict.WHOLE and found.any_until_ms == 0.0 and made is not None
 
 
 def test_no_folder_no_ring(tmp_path: Path) -> None:
-    _, made, why = disk.open_ring(tmp_path / "gone", NOW)
+    _, made, why = storage.open_key_log(tmp_path / "gone", NOW)
     assert made is None and why
 
 
@@ -80,8 +80,8 @@
     ("ran", NOW + 99.0, True), ("ran", NOW + 100.0, False), ("other", NOW + 9.0, True),
     ("other", NOW + 10.0, False), ("ran", NOW + 10.0, True)])
 def test_unknown_keys_end_with_their_windows(once: str, at: float, held: bool) -> None:
-    unknown = Unknown({key_digest("ran"): NOW + 100.0}, blind_until=NOW + 10.0)
-    assert unknown.holds(once, at) is held
+    unknown = IndeterminateKeys({key_digest("ran"): NOW + 100.0}, blind_until=NOW + 10.0)
+    assert unknown.may_have_run(once, at) is held
 
 
 def test_operators_make_a_ring_once_and_see_what_a_start_would_find(tmp_path: Path) -> None:
--- a/tests/recovery/test_membership.py
+++ b/tests/recovery/test_membership.py
@@ -4,51 +4,51 @@
 
 import pytest
 
-from snowthread.recovery.membership import Members, Standing
+from snowthread.recovery.membership import Membership, MemberStatus
 
 
 def test_before_any_word_all_nodes_are_taken_for_cold() -> None:
-    members = Members(1, peers=12)
-    assert members.fleet() == (12, 12) and members.silent(0.0)
-    assert members.heard(b"FLEET 3 10 4 1", 100.0)
-    assert members.fleet() == (10, 4) and members.standing is Standing.MEMBER
-    assert not members.silent(3000.0) and members.silent(3200.0)
+    members = Membership(1, peers=12)
+    assert members.fleet_size() == (12, 12) and members.is_silent(0.0)
+    assert members.handle_answer(b"FLEET 3 10 4 1", 100.0)
+    assert members.fleet_size() == (10, 4) and members.status is MemberStatus.MEMBER
+    assert not members.is_silent(3000.0) and members.is_silent(3200.0)
 
 
 def test_a_lost_count_goes_on_above_the_one_that_the_roster_knows() -> None:
-    members = Members(1, peers=3)
-    members.heard(b"FLEET 1 3 1 41", 0.0)
-    assert members.incarnation == 42 and members.standing is Standing.MEMBER
-    assert members.words(True) == "42 cold"
+    members = Membership(1, peers=3)
+    members.handle_answer(b"FLEET 1 3 1 41", 0.0)
+    assert members.incarnation == 42 and members.status is MemberStatus.MEMBER
+    assert members.report_suffix(True) == "42 cold"
 
 
 def test_a_lost_count_is_never_taken_for_the_life_of_the_same_number() -> None:
-    first, second = Members(0, peers=3), Members(0, peers=3)
-    first.heard(b"FLEET 1 3 1 0", 0.0)
+    first, second = Membership(0, peers=3), Membership(0, peers=3)
+    first.handle_answer(b"FLEET 1 3 1 0", 0.0)
     assert first.incarnation == 1
-    second.heard(b"FLEET 1 3 1 1", 9.0)
-    assert second.incarnation == 2 and second.standing is Standing.MEMBER
+    second.handle_answer(b"FLEET 1 3 1 1", 9.0)
+    assert second.incarnation == 2 and second.status is MemberStatus.MEMBER
 
 
 def test_a_member_that_hears_of_a_later_life_has_been_replaced_for_good() -> None:
-    members = Members(5, peers=3)
-    members.heard(b"FLEET 1 3 1 5", 0.0)
-    members.heard(b"FLEET 1 3 1 6", 10.0)
-    assert members.standing is Standing.REPLACED and members.incarnation == 5
-    members.heard(b"FLEET 1 3 1 5", 20.0)
-    assert members.standing is Standing.REPLACED
+    members = Membership(5, peers=3)
+    members.handle_answer(b"FLEET 1 3 1 5", 0.0)
+    members.handle_answer(b"FLEET 1 3 1 6", 10.0)
+    assert members.status is MemberStatus.REPLACED and members.incarnation == 5
+    members.handle_answer(b"FLEET 1 3 1 5", 20.0)
+    assert members.status is MemberStatus.REPLACED
 
 
 @pytest.mark.parametrize("answer", [
     b"", b"FLEET", b"FLEET 1 2 3", b"FLEET 1 2 3 1", b"FLEET x 2 1 1", b"NAMES 1 2 1 1", b"FLEET 1 -2 -3 1",
     b"FLEET 1 2 1 99999999999", b"FLEET 1 2 1 1 1", b"\xff\xfe 1 2 1 1"])
 def test_what_is_no_answer_changes_nothing_and_is_counted(answer: bytes) -> None:
-    members = Members(1, peers=4)
-    assert not members.heard(answer, 0.0)
-    assert members.nonsense == 1 and members.view is None and members.fleet() == (4, 4)
+    members = Membership(1, peers=4)
+    assert not members.handle_answer(answer, 0.0)
+    assert members.invalid_answers == 1 and members.view is None and members.fleet_size() == (4, 4)
 
 
 def test_an_older_generation_is_an_old_answer() -> None:
-    members = Members(1, peers=4)
-    members.heard(b"FLEET 7 4 0 1", 0.0)
-    assert not members.heard(b"FLEET 6 4 4 1", 10.0) and members.fleet() == (4, 0)
+    members = Membership(1, peers=4)
+    members.handle_answer(b"FLEET 7 4 0 1", 0.0)
+    assert not members.handle_answer(b"FLEET 6 4 4 1", 10.0) and members.fleet_size() == (4, 0)
--- a/tests/recovery/test_snapshot.py
+++ b/tests/recovery/test_snapshot.py
@@ -6,30 +6,30 @@
 
 import pytest
 
-from snowthread.recovery import storage as disk
+from snowthread.recovery import storage
 from snowthread.recovery.snapshot import (
     HEADER,
     PRIORS,
-    Learned,
+    LearnedTimes,
     Snapshot,
     Verdict,
     decode,
     encode,
-    judge,
+    assess,
 )
 
 NOW = 1_800_000_000_000.0
-LEARNED = Learned({"match": 0.4}, {"match": 0.5}, {"match": 0.08}, read_per_s=40.0)
+LEARNED = LearnedTimes({"match": 0.4}, {"match": 0.5}, {"match": 0.08}, read_per_s=40.0)
 SNAP = Snapshot(generation=7, incarnation=3, written_ms=NOW - 1000.0, learned=LEARNED)
 
 
 def judged(data: bytes, generation: int = 7, fresh_for_ms: float = 30_000.0) -> Verdict:
-    return judge(data, generation=generation, now_ms=NOW, fresh_for_ms=fresh_for_ms).verdict
+    return assess(data, generation=generation, now_ms=NOW, fresh_for_ms=fresh_for_ms).verdict
 
 
 def test_a_whole_young_snapshot_of_this_generation_is_used() -> None:
-    result = judge(encode(SNAP), generation=7, now_ms=NOW, fresh_for_ms=30_000.0)
-    assert result.verdict is Verdict.FRESH and result.start == LEARNED
+    result = assess(encode(SNAP), generation=7, now_ms=NOW, fresh_for_ms=30_000.0)
+    assert result.verdict is Verdict.FRESH and result.initial_state == LEARNED
 
 
 @pytest.mark.parametrize(("changed", "verdict"), [
@@ -40,8 +40,8 @@
 def test_a_snapshot_of_another_time_is_not_trusted(changed: dict[str, float], verdict: Verdict) -> None:
     fields = {"generation": 7, "incarnation": 3, "written_ms": NOW - 1000.0} | changed
     data = encode(Snapshot(int(fields["generation"]), 3, float(fields["written_ms"]), LEARNED))
-    result = judge(data, generation=7, now_ms=NOW, fresh_for_ms=30_000.0)
-    assert result.verdict is verdict and result.start == PRIORS and result.why
+    result = assess(data, generation=7, now_ms=NOW, fresh_for_ms=30_000.0)
+    assert result.verdict is verdict and result.initial_state == PRIORS and result.reason
 
 
 def test_every_cut_of_a_snapshot_is_torn_or_foreign_never_fresh() -> None:
@@ -78,26 +78,28 @@
 
 
 def test_written_snapshots_read_back_and_a_crash_before_the_rename_leaves_the_old(tmp_path: Path) -> None:
-    assert disk.read(tmp_path) == b""
+    assert storage.read(tmp_path) == b""
     first = encode(SNAP)
-    assert disk.write(tmp_path, first) is None
-    assert disk.read(tmp_path) == first
-    (tmp_path / (disk.NAME + ".tmp")).write_bytes(first[:20])  # a write that never came to its rename
-    assert disk.read(tmp_path) == first
-    assert disk.write(tmp_path / "gone", first) is not None  # no folder: the step, not a raise
+    assert storage.write(tmp_path, first) is None
+    assert storage.read(tmp_path) == first
+    (tmp_path / (storage.SNAPSHOT_FILE + ".tmp")).write_bytes(
+        first[:20]
+    )  # a write that never came to its rename
+    assert storage.read(tmp_path) == first
+    assert storage.write(tmp_path / "gone", first) is not None  # no folder: the step, not a raise
 
 
 def test_a_torn_file_in_place_is_told(tmp_path: Path) -> None:
     data = encode(SNAP)
-    (tmp_path / disk.NAME).write_bytes(data[: len(data) // 2])
-    assert judged(disk.read(tmp_path)) is Verdict.TORN
+    (tmp_path / storage.SNAPSHOT_FILE).write_bytes(data[: len(data) // 2])
+    assert judged(storage.read(tmp_path)) is Verdict.TORN
 
 
 def test_an_incarnation_is_kept_and_a_lost_one_is_none(tmp_path: Path) -> None:
-    assert disk.incarnation(tmp_path) == 0
-    assert disk.keep_incarnation(tmp_path, 7) is None and disk.incarnation(tmp_path) == 7
-    (tmp_path / disk.LIFE).write_bytes(b"spoilt")
-    assert disk.incarnation(tmp_path) == 0
+    assert storage.read_incarnation(tmp_path) == 0
+    assert storage.write_incarnation(tmp_path, 7) is None and storage.read_incarnation(tmp_path) == 7
+    (tmp_path / storage.INCARNATION_FILE).write_bytes(b"spoilt")
+    assert storage.read_incarnation(tmp_path) == 0
 
 
 def test_decode_gives_back_what_was_encoded() -> None:
--- a/tests/sites/test_shedding.py
+++ b/tests/sites/test_shedding.py
@@ -8,43 +8,52 @@
 import pytest
 
 from snowthread.config import ConfigError
-from snowthread.sites.shedding import CAP, MOST, Homes, Load, Verdict, judge, places, pressure
+from snowthread.sites.shedding import (
+    CAP,
+    MOST,
+    SiteRanges,
+    NodeLoad,
+    Verdict,
+    decide,
+    shedding_order,
+    pressure,
+)
 from snowthread.sites.settings import SiteSettings
 from snowthread.sites.settings import read as read_site
 from snowthread.operator import hcl
 
 
-def load(blocking: float = 0.0, held: int = 0, foreign: int = 0) -> Load:
-    return Load(blocking, held, 4, 8.0, foreign)
+def load(blocking: float = 0.0, held: int = 0, foreign: int = 0) -> NodeLoad:
+    return NodeLoad(blocking, held, 4, 8.0, foreign)
 
 
 def test_a_cheaper_request_is_refused_before_a_worthier_one_at_every_pressure() -> None:
-    order = places({"match": 0.8, "recalc": 2.2, "dispense": 9.0})
+    order = shedding_order({"match": 0.8, "recalc": 2.2, "dispense": 9.0})
     assert order == {"match": 0, "recalc": 1, "dispense": 2}
     wants = [(place, rank / 10.0) for place in range(3) for rank in range(10)]
     for step in range(60):
         felt = load(step / 100.0)
-        served = [judge(False, True, place, 3, rank, felt) is Verdict.OWN for place, rank in wants]
+        served = [decide(False, True, place, 3, rank, felt) is Verdict.OWN for place, rank in wants]
         for low, high in itertools.combinations(range(len(wants)), 2):
             assert not (served[low] and not served[high])  # wants are in order
-    assert not any(judge(False, True, 2, 3, 0.99, load(MOST)) is Verdict.OWN for _ in range(3))
+    assert not any(decide(False, True, 2, 3, 0.99, load(MOST)) is Verdict.OWN for _ in range(3))
 
 
 def test_with_room_all_that_is_safe_is_taken_up_to_the_cap() -> None:
-    assert judge(False, True, 0, 3, 0.0, load()) is Verdict.OWN
-    assert judge(False, True, 2, 3, 0.9, load(foreign=int(CAP * 8))) is Verdict.REFUSE
+    assert decide(False, True, 0, 3, 0.0, load()) is Verdict.OWN
+    assert decide(False, True, 2, 3, 0.9, load(foreign=int(CAP * 8))) is Verdict.REFUSE
     assert pressure(load(held=8)) == 0.5 and pressure(load(0.7, 8)) == 0.7
 
 
 def test_own_requests_are_the_modules_and_anothers_keys_are_failed_whatever_the_load() -> None:
     for felt in (0.0, 0.5, 1.0):
-        assert judge(True, False, 0, 3, 0.0, load(felt)) is Verdict.OWN
-        assert judge(False, False, 2, 3, 0.9, load(felt)) is Verdict.FAIL
+        assert decide(True, False, 0, 3, 0.0, load(felt)) is Verdict.OWN
+        assert decide(False, False, 2, 3, 0.9, load(felt)) is Verdict.FAIL
 
 
 def test_a_number_that_no_range_has_is_this_sites_own() -> None:
-    homes = Homes("a", {"a": [(0, 9)], "b": [(10, 19), (30, 30)]})
-    assert [homes.home(n) for n in (0, 9, 10, 19, 20, 30, 31)] == ["a", "a", "b", "b", "a", "b", "a"]
+    homes = SiteRanges("a", {"a": [(0, 9)], "b": [(10, 19), (30, 30)]})
+    assert [homes.site_of(n) for n in (0, 9, 10, 19, 20, 30, 31)] == ["a", "a", "b", "b", "a", "b", "a"]
 
 
 def block(tmp_path: Path, text: str) -> SiteSettings:
@@ -62,7 +71,7 @@
 
 def test_the_block_names_each_sites_balancers(tmp_path: Path) -> None:
     read = block(tmp_path, 'name = "a"\n' + home("a", "0-9", "12") + home("b", "10-11"))
-    assert read.homes.ranges == {"a": [(0, 9), (12, 12)], "b": [(10, 11)]} and "site a" in read.line()
+    assert read.homes.ranges == {"a": [(0, 9), (12, 12)], "b": [(10, 11)]} and "site a" in read.summary()
 
 
 @pytest.mark.parametrize(("text", "says"), [
--- a/tests/stored/test_hot_restart_messages.py
+++ b/tests/stored/test_hot_restart_messages.py
@@ -19,9 +19,18 @@
 from support.exchange import START, Player, loopback
 
 from snowthread.core import events
-from snowthread.core.idempotency import Key
-from snowthread.core.state import Side
-from snowthread.hot_restart.messages import ALL, HELLO, TAKES, YOURS, Word, decode, encode, unpacker
+from snowthread.core.idempotency import IdempotencyRecord
+from snowthread.core.state import HandoverRole
+from snowthread.hot_restart.messages import (
+    HANDOVER_COMPLETE,
+    HELLO,
+    TAKING_CLIENTS,
+    CLIENTS_RELEASED,
+    PeerMessage,
+    decode,
+    encode,
+    unpacker,
+)
 
 STORED = Path(__file__).parents[1] / "data" / "stored" / "hot_restart"
 PATIENCE_S = 10.0
@@ -33,42 +42,51 @@
     "a1", "a2", "a3", "b1", "b2", "b3"))
 
 # Each message as it is decoded; a key's own message is encoded from a Key.
-OLDER_TO_NEWER: tuple[Word, ...] = (
-    events.KeyTold("key-running", RUNNING, UNTIL, CONTENT, False, None),
-    events.KeyTold("key-done", DONE, UNTIL + 0.5, CONTENT, True, b"\x00result\xff"),
-    events.KeyTold("key-failed", FREED, UNTIL, b"", True, None),
-    events.DrainAsked(False),
-    events.LoadTold(0, 0.0, 0, 16),
-    ALL,
-    YOURS,
-    events.KeyOver(RUNNING, b"late result"),
-    events.KeyFreed(FREED),
-    events.KeyJudged("key-requested", REQUESTED, True),
-    events.KeyJudged("key-done", HELD, False),
-    events.KeyOver(RUNNING, None),
-    events.LoadTold(3, 61_440.5, 2, 40),
-    events.DrainAsked(True),
+OLDER_TO_NEWER: tuple[PeerMessage, ...] = (
+    events.KeyReplicated("key-running", RUNNING, UNTIL, CONTENT, False, None),
+    events.KeyReplicated("key-done", DONE, UNTIL + 0.5, CONTENT, True, b"\x00result\xff"),
+    events.KeyReplicated("key-failed", FREED, UNTIL, b"", True, None),
+    events.DrainRequested(False),
+    events.PeerLoadReported(0, 0.0, 0, 16),
+    HANDOVER_COMPLETE,
+    CLIENTS_RELEASED,
+    events.KeyRunCompleted(RUNNING, b"late result"),
+    events.KeyReleased(FREED),
+    events.KeyClaimDecided("key-requested", REQUESTED, True),
+    events.KeyClaimDecided("key-done", HELD, False),
+    events.KeyRunCompleted(RUNNING, None),
+    events.PeerLoadReported(3, 61_440.5, 2, 40),
+    events.DrainRequested(True),
 )
-NEWER_TO_OLDER: tuple[Word, ...] = (
+NEWER_TO_OLDER: tuple[PeerMessage, ...] = (
     HELLO,
-    TAKES,
-    events.KeyAsked("key-requested", REQUESTED, START, REQUESTED_CONTENT),
-    events.KeyAsked("key-done", HELD, START + 0.25, CONTENT),
-    events.KeyTold("key-requested", REQUESTED, UNTIL + 250.0, REQUESTED_CONTENT, False, None),
-    events.KeyOver(REQUESTED, b"its result"),
-    events.KeyTold("key-n\udce9w", NEW, UNTIL, CONTENT, True, b"r"),
-    events.KeyFreed(NEW),
-    events.LoadTold(1, 20_480.0, 1, 18),
-    events.DrainAsked(True),
+    TAKING_CLIENTS,
+    events.KeyClaimRequested("key-requested", REQUESTED, START, REQUESTED_CONTENT),
+    events.KeyClaimRequested("key-done", HELD, START + 0.25, CONTENT),
+    events.KeyReplicated("key-requested", REQUESTED, UNTIL + 250.0, REQUESTED_CONTENT, False, None),
+    events.KeyRunCompleted(REQUESTED, b"its result"),
+    events.KeyReplicated("key-n\udce9w", NEW, UNTIL, CONTENT, True, b"r"),
+    events.KeyReleased(NEW),
+    events.PeerLoadReported(1, 20_480.0, 1, 18),
+    events.DrainRequested(True),
 )
 STREAMS = {"older_to_newer.msgpack": OLDER_TO_NEWER, "newer_to_older.msgpack": NEWER_TO_OLDER}
 
 
-def encoded(message: Word) -> bytes:
+def encoded(message: PeerMessage) -> bytes:
     """The bytes of a message; a key's is made from the entry that its sender has."""
-    if isinstance(message, events.KeyTold):
-        return encode(Key(message.once, 1, message.uid, message.until, message.content, message.over,
-                          message.result))
+    if isinstance(message, events.KeyReplicated):
+        return encode(
+            IdempotencyRecord(
+                message.idempotency_key,
+                1,
+                message.attempt_id,
+                message.expires_at_ms,
+                message.body_digest,
+                message.completed,
+                message.result,
+            )
+        )
     return encode(message)
 
 
@@ -84,7 +102,7 @@
     return messages
 
 
-def decoded(data: bytes) -> Word:
+def decoded(data: bytes) -> PeerMessage:
     """One message."""
     stream = unpacker()
     stream.feed(data)
@@ -140,10 +158,10 @@
         self.player.settle()
         return self.player
 
-    def role(self) -> Side:
+    def role(self) -> HandoverRole:
         """The node's role."""
         assert self.player is not None
-        return self.player.node.state.side
+        return self.player.node.state.handover_role
 
     def listen(self) -> None:
         """Be the older process."""
@@ -197,8 +215,8 @@
     def close(self) -> None:
         """End the node and close every socket."""
         if self.player is not None:
-            if self.player.node.beside is not None:
-                self.player.node.beside.leave()
+            if self.player.node.hot_restart is not None:
+                self.player.node.hot_restart.close()
             self.player.node.loop.stop()
             self.player.node.loop.run()
             for sock in (*self.player.peers.values(), *self.player.listeners.values()):
@@ -216,9 +234,9 @@
         made.close()
 
 
-def request(key: str, attempt: str) -> events.RequestRead:
+def request(key: str, attempt: str) -> events.RequestReceived:
     """A request with a key, as a balancer's connection gives it to the node."""
-    return events.RequestRead((99, 1), attempt, "dispense", b"p", START, 5000.0, 4, 20.0, 0.5, key)
+    return events.RequestReceived((99, 1), attempt, "dispense", b"p", START, 5000.0, 4, 20.0, 0.5, key)
 
 
 def test_a_newer_node_takes_over_from_an_older_process(session: Session) -> None:
@@ -226,36 +244,42 @@
     session.listen()
     player = session.start_node()
     session.accept()
-    node, beside = player.node, player.node.beside
+    node, beside = player.node, player.node.hot_restart
     assert beside is not None
     session.expect(ours[:1])  # hello
-    assert session.role() is Side.ASKER and not node.balancers.accepting
+    assert session.role() is HandoverRole.SUCCESSOR and not node.balancers.accepting
 
     session.play(theirs[:6])  # three keys, drain, load, and that these are all
     session.expect(ours[1:2])  # takes
     assert node.balancers.accepting and not beside.settled
-    running, done, failed = (node.state.keys.of(attempt) for attempt in (RUNNING, DONE, FREED))
+    running, done, failed = (
+        node.state.idempotency_table.find_by_attempt(attempt) for attempt in (RUNNING, DONE, FREED)
+    )
     assert running is not None and done is not None and failed is not None
-    assert (running.once, running.until, running.content) == ("key-running", 1_764_576_060_000.0, CONTENT)
-    assert running.away and not running.over and running.result is None
-    assert done.until == 1_764_576_060_000.5 and done.over and done.result == b"\x00result\xff"
-    assert failed.over and failed.result is None
-    assert node.state.beside == events.LoadTold(0, 0.0, 0, 16) and not node.state.drained
+    assert (running.idempotency_key, running.expires_at_ms, running.body_digest) == (
+        "key-running",
+        1_764_576_060_000.0,
+        CONTENT,
+    )
+    assert running.remote and not running.completed and running.result is None
+    assert done.expires_at_ms == 1_764_576_060_000.5 and done.completed and done.result == b"\x00result\xff"
+    assert failed.completed and failed.result is None
+    assert node.state.peer_load == events.PeerLoadReported(0, 0.0, 0, 16) and not node.state.drained
 
     session.play(theirs[6:7])  # yours
     assert beside.settled
     node.post(request("key-requested", REQUESTED))
     session.expect(ours[2:3])  # asked
-    assert "key-requested" in node.state.asking
+    assert "key-requested" in node.state.pending_claims
 
     session.play(theirs[7:9])  # the result of one key, another is free
-    assert running.over and running.result == b"late result"
-    assert node.state.keys.of(FREED) is None
+    assert running.completed and running.result == b"late result"
+    assert node.state.idempotency_table.find_by_attempt(FREED) is None
     session.play(theirs[9:10])  # judged: granted
-    assert node.state.asking == {}
+    assert node.state.pending_claims == {}
     session.play(theirs[11:14])
     assert running.result == b"late result"  # a result stays
-    assert node.state.beside == events.LoadTold(3, 61_440.5, 2, 40) and node.state.drained
+    assert node.state.peer_load == events.PeerLoadReported(3, 61_440.5, 2, 40) and node.state.drained
 
 
 def test_a_newer_node_is_alone_with_the_keys_once_the_older_process_has_ended(session: Session) -> None:
@@ -267,43 +291,43 @@
     session.expect(stored_messages("newer_to_older.msgpack")[1:2])
     session.end_other()
     player.settle()
-    player.clock.time += 1000.0  # it tries again before it takes the other for gone
+    player.clock.now_ms += 1000.0  # it tries again before it takes the other for gone
     player.settle()
-    assert session.role() is Side.ALONE
-    done = player.node.state.keys.of(DONE)
+    assert session.role() is HandoverRole.STANDALONE
+    done = player.node.state.idempotency_table.find_by_attempt(DONE)
     assert done is not None and done.result == b"\x00result\xff"
 
 
 def test_an_older_node_hands_over_to_a_newer_process(session: Session) -> None:
     ours, theirs = stored_messages("older_to_newer.msgpack"), stored_messages("newer_to_older.msgpack")
     player = session.start_node()
-    node, beside = player.node, player.node.beside
+    node, beside = player.node, player.node.hot_restart
     assert beside is not None and beside.settled
-    assert session.role() is Side.ALONE and node.balancers.accepting
+    assert session.role() is HandoverRole.STANDALONE and node.balancers.accepting
     for message in OLDER_TO_NEWER[:3]:
-        assert isinstance(message, events.KeyTold)
+        assert isinstance(message, events.KeyReplicated)
         node.post(message)
 
     session.connect()
     session.play(theirs[:1])  # hello
     session.expect(ours[:6])  # three keys, drain, load, all
-    assert session.role() is Side.JUDGE and node.balancers.accepting
+    assert session.role() is HandoverRole.PREDECESSOR and node.balancers.accepting
 
     session.play(theirs[1:2])  # takes
     session.expect(ours[6:7])  # yours
-    assert node.state.succeeded and not node.balancers.accepting
+    assert node.state.superseded and not node.balancers.accepting
 
     session.play(theirs[2:4])  # asks for a free key and for one that is held
     session.expect(ours[9:11])  # judged: granted, not granted
-    requested = node.state.keys.of(REQUESTED)
-    assert requested is not None and requested.away and requested.content == REQUESTED_CONTENT
+    requested = node.state.idempotency_table.find_by_attempt(REQUESTED)
+    assert requested is not None and requested.remote and requested.body_digest == REQUESTED_CONTENT
 
     session.play(theirs[4:7])  # the key's window, its result, and a key whose name is no text
-    assert requested.until == 1_764_576_060_250.0
-    assert requested.over and requested.result == b"its result"
-    other = node.state.keys.of(NEW)
-    assert other is not None and other.once == "key-n\udce9w" and other.result == b"r"
+    assert requested.expires_at_ms == 1_764_576_060_250.0
+    assert requested.completed and requested.result == b"its result"
+    other = node.state.idempotency_table.find_by_attempt(NEW)
+    assert other is not None and other.idempotency_key == "key-n\udce9w" and other.result == b"r"
 
     session.play(theirs[7:])
-    assert node.state.keys.of(NEW) is None
-    assert node.state.beside == events.LoadTold(1, 20_480.0, 1, 18) and node.state.drained
+    assert node.state.idempotency_table.find_by_attempt(NEW) is None
+    assert node.state.peer_load == events.PeerLoadReported(1, 20_480.0, 1, 18) and node.state.drained
--- a/tests/stored/test_stored_formats.py
+++ b/tests/stored/test_stored_formats.py
@@ -15,25 +15,25 @@
 
 import pytest
 
-from snowthread.admission.interface import Outcome
+from snowthread.admission.settings import Outcome
 from snowthread import config
 from snowthread.core import events
 from snowthread.core.idempotency import key_digest
 from snowthread.core.reducer import reduce
-from snowthread.core.state import ModuleTime, State
-from snowthread.clients.registry import report
-from snowthread.records.frame import Bad, Reader, encode
+from snowthread.core.state import AdmissionClock, State
+from snowthread.clients.registry import encode_report
+from snowthread.records.frame import InvalidFrame, Reader, encode
 from snowthread.records.model import KINDS, Fields, Record, Totals
 from snowthread.records.observer import Observer
-from snowthread.records.reader import Findings, Hole, merge
+from snowthread.records.reader import Findings, Gap, merge
 from snowthread.records.retention import Retention
 from snowthread.records.writer import Files
 from snowthread.tenants import snapshot as tenant_disk
 from snowthread.tenants.model import Status, Tenant
 from snowthread.recovery import storage as warm_disk
-from snowthread.recovery import key_log as ring
-from snowthread.recovery.membership import Members, Standing, View
-from snowthread.recovery.snapshot import Learned, Snapshot, Verdict, judge
+from snowthread.recovery import key_log
+from snowthread.recovery.membership import Membership, MemberStatus, FleetView
+from snowthread.recovery.snapshot import LearnedTimes, Snapshot, Verdict, assess
 from snowthread.recovery.snapshot import decode as decode_warm
 from snowthread.recovery.snapshot import encode as encode_warm
 
@@ -104,31 +104,44 @@
     """The fields of a ``second`` record: one request served, one late, two open with keys."""
     settings = config.parse(json.loads((ROOT / "examples" / "node.json").read_bytes())).settings
     now = START
-    state = State(settings, 7, ("core_use",), ModuleTime(now))
+    state = State(settings, 7, ("core_use",), AdmissionClock(now))
     observer = Observer(settings, now)
 
-    def post(message: events.Message) -> None:
-        observer.see(message, reduce(state, message, now), state, now)
+    def post(message: events.Event) -> None:
+        observer.observe(message, reduce(state, message, now), state, now)
 
     def request(number: int, class_name: str, key: str | None) -> str:
         attempt = f"{number:016x}"
-        post(events.RequestRead((1, number), attempt, class_name, b"b", now - 5.0, 5000.0, number % 3, 20.0,
-                                0.5, key, tenant="a"))
+        post(
+            events.RequestReceived(
+                (1, number),
+                attempt,
+                class_name,
+                b"b",
+                now - 5.0,
+                5000.0,
+                number % 3,
+                20.0,
+                0.5,
+                key,
+                tenant="a",
+            )
+        )
         return attempt
 
-    post(events.RuntimeUp(False, 0.0))
+    post(events.RuntimeConnected(False, 0.0))
     served = request(1, "match", None)
     now += 100.0
-    post(events.RunOver(served, Outcome.SUCCESS, 100.0, b"r"))
+    post(events.RunCompleted(served, Outcome.SUCCESS, 100.0, b"r"))
     late = request(2, "match", None)
     now += 3300.0
-    post(events.RunOver(late, Outcome.SUCCESS, 3300.0, b"r"))
+    post(events.RunCompleted(late, Outcome.SUCCESS, 3300.0, b"r"))
     calling = request(3, "dispense", "key-3")
-    post(events.CallWanted(calling, 1, b"call"))
+    post(events.CallRequested(calling, 1, b"call"))
     now += 40.0
-    post(events.CallBack(calling, Outcome.SUCCESS, 40.0, b"reply"))
+    post(events.CallCompleted(calling, Outcome.SUCCESS, 40.0, b"reply"))
     request(4, "dispense", "key-4")
-    return observer.second(state, now)
+    return observer.take_totals(state, now)
 
 
 def read_record_files(folder: Path) -> tuple[list[Record], Findings]:
@@ -152,7 +165,7 @@
 def test_stored_records_lack_the_two_that_the_writer_lost() -> None:
     _, findings = read_record_files(STORED / "records")
     assert (findings.files, findings.records, findings.copies) == (2, 10, 0)
-    assert findings.holes == [Hole("node/a", "5e0c71d2", 6, 2, START + 5000.0)]
+    assert findings.holes == [Gap("node/a", "5e0c71d2", 6, 2, START + 5000.0)]
     assert findings.spoilt == [] and findings.unreadable == []
 
 
@@ -189,13 +202,17 @@
         altered[offset] ^= 0x01
         reader = Reader()
         found = reader.feed(bytes(altered)) + reader.end()
-        assert any(isinstance(item, Bad) for item in found), offset
+        assert any(isinstance(item, InvalidFrame) for item in found), offset
 
 
 # Warm snapshot, incarnation and membership.
 
-LEARNED = Learned(core_s={"dispense": 0.125, "match": 0.3}, wall_s={"dispense": 0.5, "match": 1.75},
-                  call_s={"dispense": 0.25}, read_per_s=42.5)
+LEARNED = LearnedTimes(
+    core_time_s={"dispense": 0.125, "match": 0.3},
+    run_time_s={"dispense": 0.5, "match": 1.75},
+    call_time_s={"dispense": 0.25},
+    read_per_s=42.5,
+)
 WARM = Snapshot(9, 5, START, LEARNED)
 
 
@@ -205,18 +222,18 @@
     assert (verdict, why) == (Verdict.FRESH, "") and snapshot is not None
     assert snapshot.generation == 9 and snapshot.incarnation == 5
     assert snapshot.written_ms == 1_764_576_000_000.0
-    assert snapshot.learned.core_s == {"dispense": 0.125, "match": 0.3}
-    assert snapshot.learned.wall_s == {"dispense": 0.5, "match": 1.75}
-    assert snapshot.learned.call_s == {"dispense": 0.25}
+    assert snapshot.learned.core_time_s == {"dispense": 0.125, "match": 0.3}
+    assert snapshot.learned.run_time_s == {"dispense": 0.5, "match": 1.75}
+    assert snapshot.learned.call_time_s == {"dispense": 0.25}
     assert snapshot.learned.read_per_s == 42.5
 
 
 def test_the_stored_warm_snapshot_is_judged_fresh_stale_or_older() -> None:
     data = warm_disk.read(STORED / "warm")
-    fresh = judge(data, generation=9, now_ms=START + 1000.0, fresh_for_ms=60_000.0)
-    assert fresh.verdict is Verdict.FRESH and fresh.start == LEARNED
-    assert judge(data, generation=9, now_ms=START + 60_001.0, fresh_for_ms=60_000.0).verdict is Verdict.STALE
-    assert judge(data, generation=10, now_ms=START, fresh_for_ms=60_000.0).verdict is Verdict.OLDER
+    fresh = assess(data, generation=9, now_ms=START + 1000.0, fresh_for_ms=60_000.0)
+    assert fresh.verdict is Verdict.FRESH and fresh.initial_state == LEARNED
+    assert assess(data, generation=9, now_ms=START + 60_001.0, fresh_for_ms=60_000.0).verdict is Verdict.STALE
+    assert assess(data, generation=10, now_ms=START, fresh_for_ms=60_000.0).verdict is Verdict.OLDER
 
 
 def test_a_warm_snapshot_written_anew_has_the_stored_name_and_bytes(tmp_path: Path) -> None:
@@ -233,16 +250,19 @@
 
 
 def test_the_stored_incarnation_is_read_and_written_alike(tmp_path: Path) -> None:
-    assert warm_disk.incarnation(STORED / "warm") == 5
-    assert warm_disk.keep_incarnation(tmp_path, 5) is None
+    assert warm_disk.read_incarnation(STORED / "warm") == 5
+    assert warm_disk.write_incarnation(tmp_path, 5) is None
     assert (tmp_path / "incarnation").read_bytes() == (STORED / "warm" / "incarnation").read_bytes() == b"5\n"
 
 
 def member_reports() -> list[bytes]:
     """Report datagrams: a member that keeps no count yet, a cold and a warm one, and a node of no fleet."""
-    return [report("node-a", True, Members(0, 3).words(True)),
-            report("node-a", True, Members(5, 3).words(True)),
-            report("node-a", False, Members(5, 3).words(False)), report("node-b", True)]
+    return [
+        encode_report("node-a", True, Membership(0, 3).report_suffix(True)),
+        encode_report("node-a", True, Membership(5, 3).report_suffix(True)),
+        encode_report("node-a", False, Membership(5, 3).report_suffix(False)),
+        encode_report("node-b", True),
+    ]
 
 
 def test_membership_reports_have_the_stored_bytes() -> None:
@@ -253,11 +273,11 @@
 
 
 def test_the_answer_to_a_membership_report_is_read() -> None:
-    members = Members(0, 3)
-    assert members.heard(b"FLEET 9 3 1 4", START)
-    assert members.view == View(generation=9, listed=3, cold=1, at_ms=START)
-    assert members.incarnation == 5 and members.standing is Standing.MEMBER
-    assert not members.heard(b"FLOTE 9 3 1 4", START) and members.nonsense == 1
+    members = Membership(0, 3)
+    assert members.handle_answer(b"FLEET 9 3 1 4", START)
+    assert members.view == FleetView(generation=9, listed=3, cold=1, at_ms=START)
+    assert members.incarnation == 5 and members.status is MemberStatus.MEMBER
+    assert not members.handle_answer(b"FLOTE 9 3 1 4", START) and members.invalid_answers == 1
 
 
 # Key ring.
@@ -269,21 +289,21 @@
 
 def make_ring() -> bytes:
     """A small ring that holds three keys."""
-    buffer = bytearray(ring.empty(RING_BLIND_UNTIL, RING_SLOTS))
-    keys = ring.Ring(memoryview(buffer), 0)
+    buffer = bytearray(key_log.new_key_log(RING_BLIND_UNTIL, RING_SLOTS))
+    keys = key_log.KeyLog(memoryview(buffer), 0)
     for key, until in RING_KEYS:
-        assert keys.put(key_digest(key), until, START)
+        assert keys.append(key_digest(key), until, START)
     return bytes(buffer)
 
 
 def test_the_stored_key_ring_holds_its_keys_until_their_times() -> None:
-    found = ring.judge((STORED / "warm" / "keys.ring").read_bytes())
-    assert found.verdict is ring.Verdict.WHOLE and found.why == ""
+    found = key_log.read_key_log((STORED / "warm" / "keys.ring").read_bytes())
+    assert found.verdict is key_log.Verdict.WHOLE and found.reason == ""
     assert found.keys == {
         key_digest("key-1"): 1_764_576_001_000.0,
         key_digest("key-2"): 1_764_576_002_000.5,
         key_digest("schlüssel-3"): 1_764_576_003_000.0}
-    assert found.sequence == 3 and found.blind_until == 1_764_575_940_000.0
+    assert found.sequence == 3 and found.any_until_ms == 1_764_575_940_000.0
 
 
 def test_key_digests_are_those_of_the_stored_ring() -> None:
@@ -297,22 +317,22 @@
 
 def test_the_stored_key_ring_is_opened_and_gets_the_next_key(tmp_path: Path) -> None:
     (tmp_path / "keys.ring").write_bytes((STORED / "warm" / "keys.ring").read_bytes())
-    found, opened, why = warm_disk.open_ring(tmp_path, 0.0)
-    assert found.verdict is ring.Verdict.WHOLE and opened is not None and why == ""
-    assert opened.put(key_digest("key-4"), START + 4000.0, START)
-    again = ring.judge((tmp_path / "keys.ring").read_bytes())
+    found, opened, why = warm_disk.open_key_log(tmp_path, 0.0)
+    assert found.verdict is key_log.Verdict.WHOLE and opened is not None and why == ""
+    assert opened.append(key_digest("key-4"), START + 4000.0, START)
+    again = key_log.read_key_log((tmp_path / "keys.ring").read_bytes())
     assert again.sequence == 4 and again.keys[key_digest("key-4")] == START + 4000.0 and len(again.keys) == 4
 
 
 def test_any_altered_byte_of_the_stored_key_ring_is_told() -> None:
     data = (STORED / "warm" / "keys.ring").read_bytes()
-    whole = ring.judge(data)
+    whole = key_log.read_key_log(data)
     header = set(range(24))  # without its padding, which is not read
     slots = {32 + 40 * slot + offset for slot in (1, 2, 3) for offset in range(36)}
     for offset in sorted(header | slots):
         altered = bytearray(data)
         altered[offset] ^= 0x01
-        assert ring.judge(bytes(altered)) != whole, offset
+        assert key_log.read_key_log(bytes(altered)) != whole, offset
 
 
 # Tenant snapshot.
--- a/tests/support/admission_host.py
+++ b/tests/support/admission_host.py
@@ -12,19 +12,46 @@
 from functools import partial
 
 from snowthread.admission.controller import Controller
-from snowthread.admission.interface import (
-    Action, Arrival, AtCall, Attach, Call, CallEnded, CallerGone, Effect, Event, Fail, LeaveNotice, Outcome,
-    Preempt, Refuse, RequestClass, Run, RunDoubted, RunEnded, SetTimer, Settings, SettingsChanged, SkipCall,
-    Started, TenantsChanged, TimerFired,
+from snowthread.admission.actions import (
+    Action,
+    AwaitOriginal,
+    Fail,
+    Reject,
+    SetTimer,
+    SkipCall,
+    StartCall,
+    StartRun,
+    StopRun,
 )
+from snowthread.admission.events import (
+    CallFinished,
+    CallNeeded,
+    Event,
+    RequestAbandoned,
+    RequestArrived,
+    RunFinished,
+    RunIndeterminate,
+    SettingsChanged,
+    ShutdownNotice,
+    Started,
+    TenantsChanged,
+    TimerFired,
+)
+from snowthread.admission.settings import Idempotency, Outcome, RequestClass, Settings
 from support.admission_scenarios import END_S, LEAVE_S, SETTINGS_CHANGE_S, TENANTS_CHANGE_S, Scenario
 
 START_S = 100.0  # clock at the start: a controller must not take it for zero
 MEAN_WORK_S = 0.22
 BURST_RATE, USUAL_RATE, LULL_RATE = 38.0, 14.0, 4.0  # arrivals a second
 TENANT_NAMES = ("", "gold", "gold", "bronze", "blocked", "reader", "unknown")
-RUN_FAILURES = (Outcome.FAILURE, Outcome.TIMED_OUT, Outcome.BROKEN, Outcome.OVERLOADED, Outcome.UNREACHABLE)
-CALL_FAILURES = (*RUN_FAILURES, Outcome.VOID, Outcome.WITHDRAWN)
+RUN_FAILURES = (
+    Outcome.FAILURE,
+    Outcome.TIMED_OUT,
+    Outcome.DISCONNECTED,
+    Outcome.OVERLOADED,
+    Outcome.UNREACHABLE,
+)
+CALL_FAILURES = (*RUN_FAILURES, Outcome.NOT_STARTED, Outcome.CANCELLED)
 
 PlannedEvent = Callable[[], Event | None]  # called when its time has come; None: overtaken by others
 
@@ -42,7 +69,7 @@
 class HostedRequest:
     """What the host knows of a request it has handed to the controller."""
 
-    arrival: Arrival
+    arrival: RequestArrived
     request_class: RequestClass
     work_s: float
     attempts: int = 1
@@ -112,7 +139,7 @@
         return change
 
     def _leave(self) -> Event:
-        notice: LeaveNotice = self.scenario.leave
+        notice: ShutdownNotice = self.scenario.leave
         return notice
 
     def _arrival_rate(self) -> float:
@@ -150,21 +177,21 @@
         work_s = self._random.lognormvariate(0.0, 0.6) * MEAN_WORK_S
         request = len(self._requests) + 1
         unread = 0.6 if self._arrival_rate() == BURST_RATE else 0.2
-        arrival = Arrival(
-            request=request, class_name=name, held_kb=self._random.uniform(5.0, 60.0),
+        arrival = RequestArrived(
+            request_id=request, class_name=name, memory_kb=self._random.uniform(5.0, 60.0),
             tenant=self._random.choice(TENANT_NAMES),
-            key=f"key-{request}" if request_class.effect is Effect.KEYED else "",
-            left_s=self._random.uniform(0.3, request_class.deadline_s) if self._chance(0.5) else None,
+            partition_key=f"key-{request}" if request_class.idempotency is Idempotency.KEYED else "",
+            time_left_s=self._random.uniform(0.3, request_class.deadline_s) if self._chance(0.5) else None,
             work_hint_s=work_s * self._random.uniform(0.6, 1.6) if self._sends_hint() else None,
-            is_retry=self._chance(0.05), caller=self._random.randrange(8),
-            backlog_s=self._random.uniform(0.0, 0.8) if self._chance(unread) else 0.0)
+            is_retry=self._chance(0.05), caller_id=self._random.randrange(8),
+            unread_s=self._random.uniform(0.0, 0.8) if self._chance(unread) else 0.0)
         return self._receive(HostedRequest(arrival=arrival, request_class=request_class, work_s=work_s))
 
     def _sends_hint(self) -> bool:
         return self.scenario.sends_hints and self._chance(0.7)
 
     def _receive(self, hosted: HostedRequest) -> Event:
-        request = hosted.arrival.request
+        request = hosted.arrival.request_id
         self._requests[request] = hosted
         if self._chance(0.04):
             self._plan(self._random.uniform(0.02, 2.0), partial(self._caller_leaves, request))
@@ -174,11 +201,18 @@
 
     def _try_again(self, request: int, prior: int | None) -> Event:
         first = self._requests[request]
-        arrival = Arrival(
-            request=len(self._requests) + 1, class_name=first.arrival.class_name,
-            held_kb=first.arrival.held_kb, tenant=first.arrival.tenant, key=first.arrival.key,
-            left_s=first.arrival.left_s, work_hint_s=first.arrival.work_hint_s, is_retry=True,
-            caller=first.arrival.caller, prior=prior)
+        arrival = RequestArrived(
+            request_id=len(self._requests) + 1,
+            class_name=first.arrival.class_name,
+            memory_kb=first.arrival.memory_kb,
+            tenant=first.arrival.tenant,
+            partition_key=first.arrival.partition_key,
+            time_left_s=first.arrival.time_left_s,
+            work_hint_s=first.arrival.work_hint_s,
+            is_retry=True,
+            caller_id=first.arrival.caller_id,
+            original_id=prior,
+        )
         return self._receive(HostedRequest(arrival=arrival, request_class=first.request_class,
                                            work_s=first.work_s, attempts=first.attempts + 1))
 
@@ -187,34 +221,38 @@
         if hosted.answered:
             return None
         self._settle(request)
-        return CallerGone(request=request)
+        return RequestAbandoned(request_id=request)
 
     def _settle(self, request: int) -> None:
         """No answer is owed any more: a run that stands at its call is stopped there."""
         hosted = self._requests[request]
         hosted.answered = True
         if hosted.at_call:
-            self._end_after(request, self._random.uniform(0.05, 0.4), Outcome.WITHDRAWN)
+            self._end_after(request, self._random.uniform(0.05, 0.4), Outcome.CANCELLED)
 
     # What the controller's actions bring about.
 
     def _carry_out(self, action: Action) -> None:
-        if isinstance(action, Run):
-            self._run(action.request)
+        if isinstance(action, StartRun):
+            self._run(action.request_id)
         elif isinstance(action, SetTimer):
-            self._plan(action.after_s, partial(self._fire_timer, action.label))
-        elif isinstance(action, Refuse):
-            self._answer(action.request, None if not action.last else action.request, action.hold_off_s)
+            self._plan(action.delay_s, partial(self._fire_timer, action.label))
+        elif isinstance(action, Reject):
+            self._answer(
+                action.request_id,
+                None if not action.do_not_retry else action.request_id,
+                action.retry_after_s,
+            )
         elif isinstance(action, Fail):
-            self._answer(action.request, action.request, 0.0)
-        elif isinstance(action, Call):
-            self._call(action.request, action.give_up_s)
+            self._answer(action.request_id, action.request_id, 0.0)
+        elif isinstance(action, StartCall):
+            self._call(action.request_id, action.timeout_s)
         elif isinstance(action, SkipCall):
-            self._continue(action.request)
-        elif isinstance(action, Preempt):
-            self._end_after(action.request, 0.01, Outcome.WITHDRAWN)
-        elif isinstance(action, Attach):
-            self._end_after(action.request, self._random.uniform(0.1, 1.0), Outcome.SUCCESS)
+            self._continue(action.request_id)
+        elif isinstance(action, StopRun):
+            self._end_after(action.request_id, 0.01, Outcome.CANCELLED)
+        elif isinstance(action, AwaitOriginal):
+            self._end_after(action.request_id, self._random.uniform(0.1, 1.0), Outcome.SUCCESS)
 
     def _answer(self, request: int, prior: int | None, wait_s: float) -> None:
         self._settle(request)
@@ -230,8 +268,8 @@
         cores = self.settings.cores
         use = min(1.0, running / cores * self._random.uniform(0.9, 1.05))
         on_cores = running * self._random.uniform(0.7, 1.1) if self._chance(0.8) else None
-        return TimerFired(label=label, core_use=use, on_cores=on_cores,
-                          memory_share=self._random.uniform(0.2, 0.9),
+        return TimerFired(label=label, core_utilization=use, core_demand=on_cores,
+                          memory_utilization=self._random.uniform(0.2, 0.9),
                           connections=float(min(35, 20 + int(self._elapsed_s()))))
 
     def _run(self, request: int) -> None:
@@ -241,9 +279,9 @@
         run_s = hosted.work_s * self._slowdown()
         calls = hosted.request_class.may_call and not hosted.has_called
         if self._chance(0.02):
-            self._end_after(request, 0.005, Outcome.VOID)
+            self._end_after(request, 0.005, Outcome.NOT_STARTED)
         elif self._chance(0.03):
-            self._end_after(request, run_s / 2.0, Outcome.WITHDRAWN)
+            self._end_after(request, run_s / 2.0, Outcome.CANCELLED)
         elif self._chance(0.03):
             self._plan(0.2, partial(self._doubt, request, hosted.version, False))
         elif calls and self._chance(0.6):
@@ -262,8 +300,8 @@
         if hosted.version != version:
             return None
         hosted.on_core = hosted.at_call = False
-        hosted.answered = hosted.answered or outcome is not Outcome.WITHDRAWN
-        return RunEnded(request=request, outcome=outcome, took_s=took_s)
+        hosted.answered = hosted.answered or outcome is not Outcome.CANCELLED
+        return RunFinished(request_id=request, outcome=outcome, duration_s=took_s)
 
     def _doubt(self, request: int, version: int, at_call: bool) -> Event | None:
         hosted = self._requests[request]
@@ -273,8 +311,8 @@
         if self._chance(0.5):
             self._end_after(request, self._random.uniform(0.2, 2.0), Outcome.SUCCESS)
         else:
-            self._end_after(request, self._random.uniform(2.0, 8.0), Outcome.VOID)
-        return RunDoubted(request=request, at_call=at_call)
+            self._end_after(request, self._random.uniform(2.0, 8.0), Outcome.NOT_STARTED)
+        return RunIndeterminate(request_id=request, at_call=at_call)
 
     def _stand_at_call(self, request: int, version: int) -> Event | None:
         hosted = self._requests[request]
@@ -282,7 +320,7 @@
             return None
         hosted.on_core = False
         hosted.has_called = hosted.at_call = True
-        return AtCall(request=request)
+        return CallNeeded(request_id=request)
 
     def _call(self, request: int, give_up_s: float) -> None:
         hosted = self._requests[request]
@@ -308,7 +346,7 @@
             return None
         if outcome is Outcome.SUCCESS:
             self._continue(request)
-        return CallEnded(request=request, outcome=outcome, took_s=took_s)
+        return CallFinished(request_id=request, outcome=outcome, duration_s=took_s)
 
     def _continue(self, request: int) -> None:
         """The run goes on past its call; now and then the host loses sight of it there."""
--- a/tests/support/admission_scenarios.py
+++ b/tests/support/admission_scenarios.py
@@ -4,9 +4,15 @@
 
 from dataclasses import dataclass
 
-from snowthread.admission.interface import (
-    Below, Effect, LeaveNotice, Preemption, RequestClass, Settings, SettingsChanged, Signal, Tenant,
-    TenantsChanged,
+from snowthread.admission.events import SettingsChanged, ShutdownNotice, TenantsChanged
+from snowthread.admission.settings import (
+    Dependency,
+    Idempotency,
+    LoadReportKind,
+    Preemption,
+    RequestClass,
+    Settings,
+    Tenant,
 )
 
 
@@ -19,7 +25,7 @@
     settings: Settings
     changed_settings: SettingsChanged
     changed_tenants: TenantsChanged
-    leave: LeaveNotice
+    leave: ShutdownNotice
     sends_hints: bool
     first_call_s: float = 0.002  # how long the first calls take: what the usual length is learned from
 
@@ -32,30 +38,69 @@
 TENANTS = (
     Tenant(name="gold", quota_per_s=16.0),
     Tenant(name="bronze", quota_per_s=4.0),
-    Tenant(name="blocked", barred=True),
-    Tenant(name="reader", classes=("search", "report")),
+    Tenant(name="blocked", suspended=True),
+    Tenant(name="reader", allowed_classes=("search", "report")),
 )
 TENANT_CHANGE = TenantsChanged(
-    changed=(Tenant(name="blocked", quota_per_s=2.0), Tenant(name="gold", barred=True)),
+    changed=(Tenant(name="blocked", quota_per_s=2.0), Tenant(name="gold", suspended=True)),
     removed=frozenset({"bronze"}),
-    over_share_worth=0.4,
+    over_quota_weight=0.4,
 )
 
-SEARCH = RequestClass(name="search", goal_s=1.5, deadline_s=3.0, effect=Effect.SAFE, late_value=0.3,
-                      may_call=True, skip_worth=0.6)
-PAY = RequestClass(name="pay", goal_s=2.0, deadline_s=4.0, effect=Effect.KEYED, worth=3.0, window_s=5.0,
-                   may_call=True)
-BOOK = RequestClass(name="book", goal_s=2.5, deadline_s=3.5, effect=Effect.UNSAFE, worth=2.0, may_call=True,
-                    skip_worth=0.5)
-REPORT = RequestClass(name="report", goal_s=4.0, deadline_s=8.0, effect=Effect.SAFE, worth=0.5,
-                      aim_stretch=2.0)
+SEARCH = RequestClass(
+    name="search",
+    latency_objective_s=1.5,
+    deadline_s=3.0,
+    idempotency=Idempotency.IDEMPOTENT,
+    late_weight_factor=0.3,
+    may_call=True,
+    skipped_call_weight=0.6,
+)
+PAY = RequestClass(
+    name="pay",
+    latency_objective_s=2.0,
+    deadline_s=4.0,
+    idempotency=Idempotency.KEYED,
+    priority_weight=3.0,
+    idempotency_window_s=5.0,
+    may_call=True,
+)
+BOOK = RequestClass(
+    name="book",
+    latency_objective_s=2.5,
+    deadline_s=3.5,
+    idempotency=Idempotency.NON_IDEMPOTENT,
+    priority_weight=2.0,
+    may_call=True,
+    skipped_call_weight=0.5,
+)
+REPORT = RequestClass(
+    name="report",
+    latency_objective_s=4.0,
+    deadline_s=8.0,
+    idempotency=Idempotency.IDEMPOTENT,
+    priority_weight=0.5,
+    objective_stretch=2.0,
+)
 CLASSES = (SEARCH, PAY, BOOK, REPORT)
 # The third class's place goes to another class, the first one's goal moves.
 CHANGED_CLASSES = (
-    RequestClass(name="search", goal_s=1.0, deadline_s=2.5, effect=Effect.SAFE, may_call=True,
-                 skip_worth=0.6),
+    RequestClass(
+        name="search",
+        latency_objective_s=1.0,
+        deadline_s=2.5,
+        idempotency=Idempotency.IDEMPOTENT,
+        may_call=True,
+        skipped_call_weight=0.6,
+    ),
     PAY,
-    RequestClass(name="quote", goal_s=2.0, deadline_s=3.0, effect=Effect.SAFE, worth=1.5),
+    RequestClass(
+        name="quote",
+        latency_objective_s=2.0,
+        deadline_s=3.0,
+        idempotency=Idempotency.IDEMPOTENT,
+        priority_weight=1.5,
+    ),
     REPORT,
 )
 
@@ -63,59 +108,146 @@
 def shared_dependency(classes: tuple[RequestClass, ...], cores: int) -> Settings:
     """A limited share of a dependency, a published level, work that can only be dropped."""
     return Settings(
-        classes=classes, cores=cores, memory_kb=4_000.0, tenants=TENANTS, run_factor=2.0, key_kb=4.0,
-        preemption=Preemption.DROP, passes_deadline=True, marks_retry=True, signal=Signal.LEVEL,
-        signal_heard_s=5.0, upstreams=8, peers=4, below=Below.SHARED, calls_share=7.0, calls_over_s=2.0,
-        linger_s=0.2, retry_after=True, max_retry_after_s=4.0, idle_s=10.0, over_share_worth=0.2,
-        deep_checks=True)
+        classes=classes,
+        cores=cores,
+        memory_kb=4_000.0,
+        tenants=TENANTS,
+        running_memory_factor=2.0,
+        key_memory_kb=4.0,
+        preemption=Preemption.DROP,
+        propagates_deadline=True,
+        marks_retries=True,
+        load_report_kind=LoadReportKind.LEVEL,
+        load_report_ttl_s=5.0,
+        caller_count=8,
+        node_count=4,
+        dependency=Dependency.SHARED,
+        call_quota=7.0,
+        call_quota_window_s=2.0,
+        abandoned_call_s=0.2,
+        supports_retry_after=True,
+        max_retry_after_s=4.0,
+        idle_timeout_s=10.0,
+        over_quota_weight=0.2,
+        deep_health_checks=True,
+    )
 
 
 def narrow_share(classes: tuple[RequestClass, ...], cores: int) -> Settings:
     """A small share of a dependency for what the cores could use of it; nothing published."""
     return Settings(
-        classes=classes, cores=cores, memory_kb=4_000.0, tenants=TENANTS, run_factor=1.3, key_kb=4.0,
-        preemption=Preemption.PAUSE, upstreams=8, below=Below.SHARED, calls_share=3.0, calls_over_s=6.0,
-        linger_s=0.1, idle_s=10.0, deep_checks=True)
+        classes=classes,
+        cores=cores,
+        memory_kb=4_000.0,
+        tenants=TENANTS,
+        running_memory_factor=1.3,
+        key_memory_kb=4.0,
+        preemption=Preemption.PAUSE,
+        caller_count=8,
+        dependency=Dependency.SHARED,
+        call_quota=3.0,
+        call_quota_window_s=6.0,
+        abandoned_call_s=0.1,
+        idle_timeout_s=10.0,
+        deep_health_checks=True,
+    )
 
 
 def tier_credit(classes: tuple[RequestClass, ...], cores: int) -> Settings:
     """A cold start, a tier of its own below, published credit, work that can be paused."""
     return Settings(
-        classes=classes, cores=cores, memory_kb=8_000.0, tenants=TENANTS, run_factor=1.5, key_kb=2.0,
-        cold=True, cold_share=0.3, ramp_s=15.0, fall_multiple=8.0, drain_grace_s=0.5,
-        preemption=Preemption.PAUSE, signal=Signal.CREDIT, upstreams=6, peers=2, below=Below.TIER,
-        fresh_s=1.0, idle_s=4.0, value_by_work=True, over_share_worth=0.5)
+        classes=classes,
+        cores=cores,
+        memory_kb=8_000.0,
+        tenants=TENANTS,
+        running_memory_factor=1.5,
+        key_memory_kb=2.0,
+        starts_cold=True,
+        cold_speed=0.3,
+        warmup_s=15.0,
+        collapse_multiple=8.0,
+        drain_grace_s=0.5,
+        preemption=Preemption.PAUSE,
+        load_report_kind=LoadReportKind.CREDIT,
+        caller_count=6,
+        node_count=2,
+        dependency=Dependency.TIER,
+        shared_result_ttl_s=1.0,
+        idle_timeout_s=4.0,
+        weighs_by_work=True,
+        over_quota_weight=0.5,
+    )
 
 
 def unsignalled(classes: tuple[RequestClass, ...], cores: int) -> Settings:
     """Nothing below, nothing published, work that cannot be stopped, keep-away times."""
     return Settings(
-        classes=classes, cores=cores, memory_kb=600.0, tenants=TENANTS, run_factor=1.2, key_kb=1.0,
-        retry_after=True, max_retry_after_s=3.0, upstreams=40, peers=3, idle_s=3.0)
+        classes=classes,
+        cores=cores,
+        memory_kb=600.0,
+        tenants=TENANTS,
+        running_memory_factor=1.2,
+        key_memory_kb=1.0,
+        supports_retry_after=True,
+        max_retry_after_s=3.0,
+        caller_count=40,
+        node_count=3,
+        idle_timeout_s=3.0,
+    )
 
 
 def weighted(classes: tuple[RequestClass, ...], cores: int) -> Settings:
     """A published weight and deadlines passed on; work that cannot be stopped."""
     return Settings(
-        classes=classes, cores=cores, memory_kb=3_000.0, tenants=TENANTS, passes_deadline=True,
-        marks_retry=True, signal=Signal.WEIGHT, upstreams=40, idle_s=8.0, signal_heard_s=2.0)
+        classes=classes,
+        cores=cores,
+        memory_kb=3_000.0,
+        tenants=TENANTS,
+        propagates_deadline=True,
+        marks_retries=True,
+        load_report_kind=LoadReportKind.WEIGHT,
+        caller_count=40,
+        idle_timeout_s=8.0,
+        load_report_ttl_s=2.0,
+    )
 
 
 SCENARIOS = (
     Scenario(
-        name="shared-dependency", seed=11, settings=shared_dependency(CLASSES, 4),
+        name="shared-dependency",
+        seed=11,
+        settings=shared_dependency(CLASSES, 4),
         changed_settings=SettingsChanged(settings=shared_dependency(CHANGED_CLASSES, 5)),
-        changed_tenants=TENANT_CHANGE, leave=LeaveNotice(left_s=4.0), sends_hints=False),
+        changed_tenants=TENANT_CHANGE,
+        leave=ShutdownNotice(time_left_s=4.0),
+        sends_hints=False,
+    ),
     Scenario(
-        name="narrow-share", seed=14, settings=narrow_share(CLASSES, 8),
+        name="narrow-share",
+        seed=14,
+        settings=narrow_share(CLASSES, 8),
         changed_settings=SettingsChanged(settings=narrow_share(CHANGED_CLASSES, 6)),
-        changed_tenants=TENANT_CHANGE, leave=LeaveNotice(left_s=2.0), sends_hints=False, first_call_s=0.1),
+        changed_tenants=TENANT_CHANGE,
+        leave=ShutdownNotice(time_left_s=2.0),
+        sends_hints=False,
+        first_call_s=0.1,
+    ),
     Scenario(
-        name="tier-credit", seed=12, settings=tier_credit(CLASSES, 4),
+        name="tier-credit",
+        seed=12,
+        settings=tier_credit(CLASSES, 4),
         changed_settings=SettingsChanged(settings=tier_credit(CHANGED_CLASSES, 3)),
-        changed_tenants=TENANT_CHANGE, leave=LeaveNotice(left_s=3.0, since_s=0.4), sends_hints=True),
+        changed_tenants=TENANT_CHANGE,
+        leave=ShutdownNotice(time_left_s=3.0, received_ago_s=0.4),
+        sends_hints=True,
+    ),
     Scenario(
-        name="unsignalled-weight", seed=13, settings=unsignalled(CLASSES, 3),
+        name="unsignalled-weight",
+        seed=13,
+        settings=unsignalled(CLASSES, 3),
         changed_settings=SettingsChanged(settings=weighted(CHANGED_CLASSES, 4)),
-        changed_tenants=TENANT_CHANGE, leave=LeaveNotice(left_s=5.0), sends_hints=True),
+        changed_tenants=TENANT_CHANGE,
+        leave=ShutdownNotice(time_left_s=5.0),
+        sends_hints=True,
+    ),
 )
--- a/tests/support/decision_trace.py
+++ b/tests/support/decision_trace.py
@@ -12,10 +12,36 @@
 from pathlib import Path
 from typing import assert_never
 
-from snowthread.admission.interface import (
-    Action, Arrival, AtCall, Attach, Call, CallEnded, CallerGone, CloseIdle, Event, Fail, ForgetKey, KeepKey,
-    LeaveNotice, Preempt, Publish, Refuse, Report, Run, RunDoubted, RunEnded, SetHealth, SetTimer,
-    SettingsChanged, SkipCall, Started, TenantsChanged, TimerFired,
+from snowthread.admission.actions import (
+    Action,
+    AwaitOriginal,
+    Fail,
+    ForgetKey,
+    LogNote,
+    PublishLoad,
+    Reject,
+    RememberKey,
+    SetHealth,
+    SetIdleTimeout,
+    SetTimer,
+    SkipCall,
+    StartCall,
+    StartRun,
+    StopRun,
+)
+from snowthread.admission.events import (
+    CallFinished,
+    CallNeeded,
+    Event,
+    RequestAbandoned,
+    RequestArrived,
+    RunFinished,
+    RunIndeterminate,
+    SettingsChanged,
+    ShutdownNotice,
+    Started,
+    TenantsChanged,
+    TimerFired,
 )
 from support.admission_host import Host, Step
 from support.admission_scenarios import SCENARIOS, Scenario
@@ -34,21 +60,21 @@
     """The kind of an event and the request it is about."""
     if isinstance(event, Started):
         return {"event": "started"}
-    if isinstance(event, Arrival):
-        return {"event": "arrival", "request": event.request}
-    if isinstance(event, CallerGone):
-        return {"event": "caller-gone", "request": event.request}
-    if isinstance(event, AtCall):
-        return {"event": "at-call", "request": event.request}
-    if isinstance(event, CallEnded):
-        return {"event": "call-ended", "request": event.request}
-    if isinstance(event, RunEnded):
-        return {"event": "run-ended", "request": event.request}
+    if isinstance(event, RequestArrived):
+        return {"event": "arrival", "request": event.request_id}
+    if isinstance(event, RequestAbandoned):
+        return {"event": "caller-gone", "request": event.request_id}
+    if isinstance(event, CallNeeded):
+        return {"event": "at-call", "request": event.request_id}
+    if isinstance(event, CallFinished):
+        return {"event": "call-ended", "request": event.request_id}
+    if isinstance(event, RunFinished):
+        return {"event": "run-ended", "request": event.request_id}
     if isinstance(event, TimerFired):
         return {"event": "timer", "timer": event.label}
-    if isinstance(event, RunDoubted):
-        return {"event": "run-doubted", "request": event.request}
-    if isinstance(event, LeaveNotice):
+    if isinstance(event, RunIndeterminate):
+        return {"event": "run-doubted", "request": event.request_id}
+    if isinstance(event, ShutdownNotice):
         return {"event": "leave-notice"}
     if isinstance(event, TenantsChanged):
         return {"event": "tenants-changed"}
@@ -59,34 +85,34 @@
 
 def action_words(action: Action) -> Words:
     """An action with all its fields."""
-    if isinstance(action, Run):
-        return {"action": "run", "request": action.request}
-    if isinstance(action, KeepKey):
-        return {"action": "keep-key", "request": action.request, "lifetime": action.lifetime_s}
+    if isinstance(action, StartRun):
+        return {"action": "run", "request": action.request_id}
+    if isinstance(action, RememberKey):
+        return {"action": "keep-key", "request": action.request_id, "lifetime": action.lifetime_s}
     if isinstance(action, ForgetKey):
-        return {"action": "forget-key", "request": action.request}
-    if isinstance(action, Refuse):
-        return {"action": "reject", "request": action.request, "retry-after": action.hold_off_s,
-                "last": action.last}
+        return {"action": "forget-key", "request": action.request_id}
+    if isinstance(action, Reject):
+        return {"action": "reject", "request": action.request_id, "retry-after": action.retry_after_s,
+                "last": action.do_not_retry}
     if isinstance(action, Fail):
-        return {"action": "fail", "request": action.request}
-    if isinstance(action, Call):
-        return {"action": "call", "request": action.request, "timeout": action.give_up_s}
+        return {"action": "fail", "request": action.request_id}
+    if isinstance(action, StartCall):
+        return {"action": "call", "request": action.request_id, "timeout": action.timeout_s}
     if isinstance(action, SkipCall):
-        return {"action": "skip-call", "request": action.request}
-    if isinstance(action, Preempt):
-        return {"action": "preempt", "request": action.request}
-    if isinstance(action, Attach):
-        return {"action": "attach", "request": action.request}
-    if isinstance(action, Publish):
+        return {"action": "skip-call", "request": action.request_id}
+    if isinstance(action, StopRun):
+        return {"action": "preempt", "request": action.request_id}
+    if isinstance(action, AwaitOriginal):
+        return {"action": "attach", "request": action.request_id}
+    if isinstance(action, PublishLoad):
         return {"action": "publish", "value": action.value}
-    if isinstance(action, CloseIdle):
-        return {"action": "close-idle", "after": action.after_s}
+    if isinstance(action, SetIdleTimeout):
+        return {"action": "close-idle", "after": action.timeout_s}
     if isinstance(action, SetTimer):
-        return {"action": "set-timer", "after": action.after_s, "timer": action.label}
+        return {"action": "set-timer", "after": action.delay_s, "timer": action.label}
     if isinstance(action, SetHealth):
-        return {"action": "set-health", "good": action.good, "shallow": action.shallow}
-    if isinstance(action, Report):
+        return {"action": "set-health", "good": action.healthy, "shallow": action.shallow}
+    if isinstance(action, LogNote):
         return {"action": "report", "text": action.text}
     assert_never(action)
 
