--- a/tests/support/directory_world.py
+++ b/tests/support/directory_world.py
@@ -8,12 +8,12 @@
 
 from snowthread import config
 from snowthread.address import Address
-from snowthread.net.clock import SetClock
-from snowthread.net.loop import Loop
+from snowthread.net.clock import ManualClock
+from snowthread.net.loop import EventLoop
 from snowthread.operator import hcl
-from snowthread.tenants.replication import Follower
+from snowthread.tenants.replication import DirectoryReplicator
 from snowthread.tenants.settings import TenantSettings
-from snowthread.tenants.state import News, Tenancy
+from snowthread.tenants.state import TenantChanges, TenantState
 from emulators.directory import Directory, Habits
 
 START = 1_800_000_000_000.0
@@ -40,8 +40,8 @@
     """Directories and, once started, a follower."""
 
     def __init__(self, count: int = 1, tenants: int = 10, habits: Habits | None = None) -> None:
-        self.clock = SetClock(START)
-        self.loop = Loop(self.clock)
+        self.clock = ManualClock(START)
+        self.loop = EventLoop(self.clock)
         self.directories = [Directory(self.loop, Address("127.0.0.1", 0), habits=habits)
                             for _ in range(count)]
         for n in range(tenants):
@@ -49,8 +49,8 @@
         for other in self.directories[1:]:
             self.directories[0].copy_to(other)
         self.lines: list[tuple[str, str]] = []
-        self.tenancy: Tenancy
-        self.follower: Follower
+        self.tenancy: TenantState
+        self.follower: DirectoryReplicator
 
     @property
     def urls(self) -> list[str]:
@@ -58,28 +58,28 @@
 
     def start(self, more: str = "", seed: int = 1, servers: list[str] | None = None) -> World:
         made = settings(servers or self.urls, more)
-        self.tenancy = Tenancy(made.rules)
-        self.follower = Follower(self.loop, made, self.tenancy, random.Random(seed), self._tell)
+        self.tenancy = TenantState(made.rules)
+        self.follower = DirectoryReplicator(self.loop, made, self.tenancy, random.Random(seed), self._tell)
         return self
 
-    def _tell(self, news: News) -> None:
+    def _tell(self, news: TenantChanges) -> None:
         self.lines += news.lines
 
     def run(self, ms: float, step: float = 50.0) -> None:
         """Let so much time go by, in steps."""
-        end = self.clock.time + ms
-        while self.clock.time < end:
+        end = self.clock.now_ms + ms
+        while self.clock.now_ms < end:
             for _ in range(3):
-                self.loop.round(0.0)
-            self.clock.time = min(end, self.clock.time + step)
+                self.loop.run_once(0.0)
+            self.clock.now_ms = min(end, self.clock.now_ms + step)
 
     def until(self, holds: Callable[[], bool], most: float = 60_000.0, step: float = 20.0) -> float:
         """Run until it holds; how long that took."""
-        began = self.clock.time
+        began = self.clock.now_ms
         while not holds():
-            assert self.clock.time - began < most, "it never held"
+            assert self.clock.now_ms - began < most, "it never held"
             self.run(step, step)
-        return self.clock.time - began
+        return self.clock.now_ms - began
 
     def synced(self) -> None:
         """The first refresh is through."""
--- a/tests/support/exchange.py
+++ b/tests/support/exchange.py
@@ -29,8 +29,8 @@
 from typing import Any
 
 from snowthread import config
-from snowthread.core import events as ev
-from snowthread.net.clock import SetClock
+from snowthread.core import events
+from snowthread.net.clock import ManualClock
 from snowthread.node import Node
 
 START = 1764576000000.0
@@ -60,14 +60,16 @@
         self.peers: dict[str, socket.socket] = {"roster": loopback(socket.SOCK_DGRAM)}
         fields: dict[str, Any] = json.loads(EXAMPLE.read_bytes())
         fields |= {name: address(sock) for name, sock in (self.listeners | self.peers).items()}
-        self.clock = SetClock(START)
+        self.clock = ManualClock(START)
         self.fields = fields | {"listen": "127.0.0.1:0", "admin_addr": "127.0.0.1:0"} | changes
-        self.node = Node(replace(config.parse(self.fields), door=door, folder=folder), self.clock)
+        self.node = Node(
+            replace(config.parse(self.fields), listen_descriptor=door, handover_directory=folder), self.clock
+        )
         self.index = fields["index"].encode()
 
     def settle(self) -> None:
         for _ in range(12):
-            self.node.loop.round(0.0005)
+            self.node.loop.run_once(0.0005)
 
     def came(self, who: str, size: int) -> bytes:
         """What the node sent, as many bytes as wanted; less where it closes or sends no more."""
@@ -77,7 +79,7 @@
             try:
                 more = peer.recv(size - len(data))
             except BlockingIOError:
-                self.node.loop.round(0.0005)
+                self.node.loop.run_once(0.0005)
                 continue
             if not more:
                 self.ended = True
@@ -95,21 +97,21 @@
     def step(self, who: str, what: str, rest: str) -> None:
         data = codecs.escape_decode(rest.encode())[0].replace(b"{index}", self.index)
         if who == "clock":
-            self.clock.time += float(what)
+            self.clock.now_ms += float(what)
             self.settle()
         elif who == "leave":
-            self.node.post(ev.LeaveAsked(3200.0))
-            self.node.balancers.leave()
+            self.node.post(events.ShutdownRequested(3200.0))
+            self.node.balancers.say_farewell_to_all()
         elif who == "move":
             for name in self.listeners:
                 self.listeners[name].close()
                 self.listeners[name] = loopback(socket.SOCK_STREAM)
                 self.fields[name] = address(self.listeners[name])
             self.index = self.fields["index"].encode()
-            self.node.move(config.parse(self.fields))
+            self.node.apply_configuration(config.parse(self.fields))
             self.settle()
         elif who == "idle":
-            self.node.balancers.close_idle_after(float(what))
+            self.node.balancers.set_idle_timeout(float(what))
         elif what == "connect":
             self.peers[who] = socket.create_connection(self.node.balancers.address)
         elif what == "call":
--- a/tests/tenants/test_follow.py
+++ b/tests/tenants/test_follow.py
@@ -12,10 +12,10 @@
 from support.directory_world import World, settings
 
 from snowthread.ldap.health import Circuit
-from snowthread.tenants.replication import Follower
+from snowthread.tenants.replication import DirectoryReplicator
 from snowthread.tenants.staleness import Stage
 from snowthread.tenants.sync import Mode, State
-from snowthread.tenants.state import Tenancy
+from snowthread.tenants.state import TenantState
 from emulators.directory import Habits
 
 ALL = {f"t{n}" for n in range(10)}
@@ -45,8 +45,8 @@
     d.rename("t3", "t3b")
     w.run(200.0)
     assert w.names == ALL - {"t2", "t3"} | {"t3b"}
-    assert w.tenancy.whois("11.2.3.4", None, w.clock.time).id != "default"
-    assert w.tenancy.whois("10.1.0.1", None, w.clock.time).id == "default"
+    assert w.tenancy.whois("11.2.3.4", None, w.clock.now_ms).id != "default"
+    assert w.tenancy.whois("10.1.0.1", None, w.clock.now_ms).id == "default"
     assert d.searches == 1 and w.tenancy.counts["refreshes"] == 1
 
 
@@ -73,7 +73,7 @@
     w.directories[0].faults.stall_at = at
     w.run(30_000.0)
     assert not w.names and w.follower.link_failures >= 3
-    assert w.tenancy.ladder.stage(w.clock.time) is Stage.NONE
+    assert w.tenancy.staleness.stage(w.clock.now_ms) is Stage.NONE
     w.directories[0].faults.stall_at = None
     w.directories[0].nudge()
     assert w.until(lambda: w.names == ALL) <= 30_000.0
@@ -87,14 +87,14 @@
     d.faults.stall = True
     d.remove("t9")
     w.run(6_000.0)
-    assert w.tenancy.ladder.stage(w.clock.time) is Stage.STALE
+    assert w.tenancy.staleness.stage(w.clock.now_ms) is Stage.STALE
     w.run(24_000.0)
-    assert w.names == ALL and w.tenancy.ladder.stage(w.clock.time) is Stage.OLD
-    assert w.tenancy.whois("10.9.0.1", None, w.clock.time).id != "default"
+    assert w.names == ALL and w.tenancy.staleness.stage(w.clock.now_ms) is Stage.OLD
+    assert w.tenancy.whois("10.9.0.1", None, w.clock.now_ms).id != "default"
     d.faults.stall = False
     d.nudge()
     w.until(lambda: w.names == ALL - {"t9"}, most=60_000.0)  # by its cookie, and t9's removal is named
-    assert w.tenancy.ladder.stage(w.clock.time) is Stage.FRESH
+    assert w.tenancy.staleness.stage(w.clock.now_ms) is Stage.FRESH
 
 
 @pytest.mark.parametrize("cut", range(10))
@@ -108,7 +108,7 @@
     d.put("late", snowthreadQuota=1)
     d.expire_cookies()
     for peer in list(d.peers):
-        w.loop.end(peer.task)
+        w.loop.end_task(peer.task)
     # At the second try nine entries and the word that the refresh is through: ten messages.
     d.faults.stall, d.faults.cut_at = False, cut
     w.run(5_000.0)
@@ -216,7 +216,7 @@
     d = w.directories[0]
     d.faults.mangle = HOSTILE[kind]
     for peer in list(d.peers):
-        w.loop.end(peer.task)
+        w.loop.end_task(peer.task)
     held = 0
     for _ in range(60):
         w.run(500.0, 100.0)
@@ -239,7 +239,7 @@
     w = worlds()
     made = replace(settings(w.urls), spread_ms=2000.0)
     for seed in range(30):
-        Follower(w.loop, made, Tenancy(made.rules), Random(seed), lambda news: None)
+        DirectoryReplicator(w.loop, made, TenantState(made.rules), Random(seed), lambda news: None)
     w.run(2_500.0, 10.0)
     at = sorted(w.directories[0].opened_at)
     assert len(at) == 30 and at[-1] - at[0] > 1_200.0
@@ -250,7 +250,7 @@
     w = worlds()
     made = settings(w.urls, QUICK)
     for seed in range(30):
-        Follower(w.loop, made, Tenancy(made.rules), Random(seed), lambda news: None)
+        DirectoryReplicator(w.loop, made, TenantState(made.rules), Random(seed), lambda news: None)
     w.run(500.0, 10.0)
     d = w.directories[0]
     d.opened_at.clear()
@@ -265,13 +265,13 @@
     w.synced()
     d = w.directories[0]
     d.put("fresh", snowthreadNetwork=["13.1.0.0/16"], snowthreadQuota=1)
-    now = w.clock.time
+    now = w.clock.now_ms
     assert w.tenancy.whois("13.1.2.3", None, now).id == "default"
-    assert w.tenancy.unknowns.seen("13.1.2.3", now) and w.tenancy.unknowns.seen("14.0.0.1", now)
+    assert w.tenancy.unknown_clients.seen("13.1.2.3", now) and w.tenancy.unknown_clients.seen("14.0.0.1", now)
     w.follower.wake()
     w.run(400.0)
     assert "fresh" in w.names and w.tenancy.whois("13.1.2.3", None, now).id != "default"
-    assert w.tenancy.counts["nobodys"] == 1 and not w.tenancy.unknowns.seen("14.0.0.1", w.clock.time)
+    assert w.tenancy.counts["nobodys"] == 1 and not w.tenancy.unknown_clients.seen("14.0.0.1", w.clock.now_ms)
 
 
 def test_questions_into_a_stall_end_in_time_and_are_not_piled_up(worlds: Callable[..., World]) -> None:
@@ -279,10 +279,10 @@
     w.synced()
     w.directories[0].faults.stall = True
     for n in range(500):
-        w.tenancy.unknowns.seen(f"13.0.{n >> 8}.{n & 255}", w.clock.time)
+        w.tenancy.unknown_clients.seen(f"13.0.{n >> 8}.{n & 255}", w.clock.now_ms)
     w.follower.wake()
     w.run(10_000.0)
-    assert w.tenancy.unknowns.waiting <= 256 and len(w.tenancy.unknowns) <= 256 + 8
+    assert w.tenancy.unknown_clients.waiting <= 256 and len(w.tenancy.unknown_clients) <= 256 + 8
 
 
 def test_servers_and_credentials_move_in_the_middle_of_a_refresh(worlds: Callable[..., World]) -> None:
@@ -290,7 +290,7 @@
     first, second = w.directories
     first.faults.stall_at = 900
     w.run(500.0)
-    w.follower.move(settings([f"ldap://{second.address}"], QUICK))
+    w.follower.apply_settings(settings([f"ldap://{second.address}"], QUICK))
     w.until(lambda: w.names == ALL, most=2_000.0)
     assert w.follower.server == f"ldap://{second.address}"
 
@@ -306,7 +306,7 @@
     w.run(20_000.0)
     logger.remove(sink)
     assert 1 <= w.directories[0].binds <= 4 and any("code 49" in line for line in logged)
-    assert w.follower.servers.breakers[0].state(w.clock.time - 1e6) is Circuit.OPEN
+    assert w.follower.servers.breakers[0].state(w.clock.now_ms - 1e6) is Circuit.OPEN
     assert not any("hunter2" in line for line in logged) and "hunter2" not in repr(w.follower.settings)
 
 
--- a/tests/tenants/test_guard.py
+++ b/tests/tenants/test_guard.py
@@ -6,11 +6,11 @@
 from ipaddress import ip_network
 
 from snowthread.tenants.removal_guard import RemovalGuard, RemovalRules
-from snowthread.tenants.staleness import Ladder, LadderRules, Stage
+from snowthread.tenants.staleness import StalenessTracker, StalenessRules, Stage
 from snowthread.tenants.model import DEFAULT_ID, Status, Tenant
 from snowthread.tenants.sync import Changed, Refreshed
-from snowthread.tenants.state import Rules, Tenancy
-from snowthread.tenants.unknown_clients import UnknownRules, Unknowns, question
+from snowthread.tenants.state import TenantRules, TenantState
+from snowthread.tenants.unknown_clients import UnknownClientRules, UnknownClients, question
 
 RULES = RemovalRules(share=0.1, least=2, confirm_after_ms=60_000.0)
 
@@ -77,20 +77,20 @@
 
 
 def test_the_ladder_goes_down_with_age_and_up_at_once() -> None:
-    ladder = Ladder(LadderRules(stale_ms=1000.0, old_ms=5000.0))
-    assert ladder.news(0.0) is None and ladder.stage(0.0) is Stage.NONE
-    ladder.agreed(100.0)
-    seen = [ladder.news(t) for t in (100.0, 1100.0, 1101.0, 5100.0, 5101.0)]
+    ladder = StalenessTracker(StalenessRules(stale_ms=1000.0, old_ms=5000.0))
+    assert ladder.changed_stage(0.0) is None and ladder.stage(0.0) is Stage.NONE
+    ladder.confirm(100.0)
+    seen = [ladder.changed_stage(t) for t in (100.0, 1100.0, 1101.0, 5100.0, 5101.0)]
     assert seen == [Stage.FRESH, None, Stage.STALE, None, Stage.OLD]
     assert ladder.age(50.0) == 0.0  # a clock set back makes nothing older
-    ladder.agreed(6000.0)
-    assert ladder.news(6000.0) is Stage.FRESH
+    ladder.confirm(6000.0)
+    assert ladder.changed_stage(6000.0) is Stage.FRESH
 
 
-def tenancy(**more: object) -> Tenancy:
-    rules = Rules(removal=RULES, ladder=LadderRules(1000.0, 5000.0, default_when_old=True),
+def tenancy(**more: object) -> TenantState:
+    rules = TenantRules(removal=RULES, staleness=StalenessRules(1000.0, 5000.0, default_when_old=True),
                   **more)  # type: ignore[arg-type]
-    out = Tenancy(rules)
+    out = TenantState(rules)
     made = {f"t{n}": Tenant(f"t{n}", f"name{n}", Status.SUSPENDED if n == 2 else Status.ACTIVE, 5.0,
                             (ip_network(f"10.{n}.0.0/16"),), stamp=f"2026010100000{n}") for n in range(4)}
     out.refreshed(Refreshed(made, frozenset(), frozenset(), True), "a", 0.0)
@@ -116,7 +116,7 @@
 
 
 def test_one_question_a_caller_and_a_no_is_remembered_for_a_while() -> None:
-    u = Unknowns(UnknownRules(remember_ms=1000.0, remembered_most=3, waiting_most=4, open_most=2,
+    u = UnknownClients(UnknownClientRules(remember_ms=1000.0, remembered_most=3, waiting_most=4, open_most=2,
                               per_s=100.0))
     assert u.seen("10.0.0.1", 0.0) and not u.seen("10.0.0.1", 0.0)
     assert u.next(10.0) == "10.0.0.1" and u.next(10.0) is None and not u.seen("10.0.0.1", 11.0)
@@ -135,7 +135,7 @@
 
 
 def test_questions_a_second_are_bounded() -> None:
-    u = Unknowns(UnknownRules(open_most=32, per_s=5.0, waiting_most=1000))
+    u = UnknownClients(UnknownClientRules(open_most=32, per_s=5.0, waiting_most=1000))
     sent = 0
     for ms in range(0, 10_000, 10):
         u.seen(f"10.{ms // 2560}.{ms // 10 % 256}.1", float(ms))
@@ -147,15 +147,15 @@
 
 
 def test_a_question_names_every_prefix_round_the_caller() -> None:
-    made = question("10.1.2.3", "net", UnknownRules(prefixes4=(8, 24, 32)))
+    made = question("10.1.2.3", "net", UnknownClientRules(prefixes4=(8, 24, 32)))
     assert made is not None
     assert [t[1]["value"] for t in made[1]] == [b"10.0.0.0/8", b"10.1.2.0/24", b"10.1.2.3/32", b"10.1.2.3"]
-    assert question("nonsense", "net", UnknownRules()) is None
+    assert question("nonsense", "net", UnknownClientRules()) is None
 
 
 def test_strangers_never_take_a_tenant_away_or_change_one() -> None:
     t = tenancy()
-    t.unknowns.seen("11.0.0.1", 0.0)
-    assert t.unknowns.next(100.0) == "11.0.0.1"
+    t.unknown_clients.seen("11.0.0.1", 0.0)
+    assert t.unknown_clients.next(100.0) == "11.0.0.1"
     news = t.found("11.0.0.1", [replace(t.table.tenants["t1"], quota_per_s=1e6)], (), 100.0)
     assert not news.shares and t.table.tenants["t1"].quota_per_s == 5.0 and t.counts["nobodys"] == 1
--- a/tests/tenants/test_table.py
+++ b/tests/tenants/test_table.py
@@ -9,7 +9,7 @@
 
 from snowthread.ldap import dn
 from snowthread.tenants.entry import BadEntry, Names, read
-from snowthread.tenants.model import How, Status, Tenant
+from snowthread.tenants.model import IdentifiedBy, Status, Tenant
 from snowthread.tenants.table import TenantTable
 
 BASE = dn.parse("ou=tenants,dc=example")
@@ -34,7 +34,10 @@
 def test_a_number_is_believed_from_trusted_networks_only() -> None:
     table = TenantTable([ip_network("10.7.0.0/16")])
     table.apply([tenant("a", "10.0.0.0/8"), tenant("b", balancers=((3, 5), (100, 100)))])
-    assert table.whois("10.7.0.1", 4).id == "b" and table.whois("10.7.0.1", 4).how is How.BALANCER
+    assert (
+        table.whois("10.7.0.1", 4).id == "b"
+        and table.whois("10.7.0.1", 4).identified_by is IdentifiedBy.BALANCER
+    )
     assert table.whois("10.7.0.1", 6).id == "a" and table.whois("10.7.0.1", 100).id == "b"
     assert table.whois("10.8.0.1", 4).id == "a"  # anybody could write a 4
     assert table.whois("12.0.0.1", 4).id == "default"
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -41,10 +41,10 @@
                 pass
             except OSError:
                 ended += 1
-        player.node.loop.round(0.0005)
+        player.node.loop.run_once(0.0005)
         if ended:
             break
-        player.clock.time += 5.0  # in all less than a single peer may keep the node waiting
+        player.clock.now_ms += 5.0  # in all less than a single peer may keep the node waiting
     assert 0 < ended < len(crowd)
     for sock in crowd:
         sock.close()
@@ -63,4 +63,4 @@
         reload(player.node, {"NODE_CONFIG": str(path)})
     assert player.node.config is before
     reload(player.node, {"NODE_CONFIG": str(path)})
-    assert player.node.config.index == ("127.0.0.1", 9)
+    assert player.node.config.database == ("127.0.0.1", 9)
