--- a/benchmarks/hot_restart.py
+++ b/benchmarks/hot_restart.py
@@ -26,10 +26,10 @@
 from typing import Any
 
 from benchmarks.rig import ROOT, SERVED, Load, broken_rules, free_address
+from emulators.site import RuntimeEmulator, SiteEmulator, SiteScript
 from snowthread.address import Address
 from snowthread.net.clock import Clock
 from snowthread.net.loop import EventLoop, TaskSteps, Wait
-from emulators.site import RuntimeEmulator, SiteScript, SiteEmulator
 
 CORES, RUN_MS, USE = 8, 100.0, 0.7
 MIX = {"match": 0.5, "recalc": 0.3, "dispense": 0.2}
@@ -50,8 +50,10 @@
         self.door = socket.create_server(("127.0.0.1", 0), backlog=512)
         self.fields = json.loads((ROOT / "examples" / "node.json").read_bytes())
         self.fields |= {name: free_address() for name in ("runtime", "index")}
-        self.fields |= {"roster": free_address(socket.SOCK_DGRAM),
-                        "listen": "{}:{}".format(*self.door.getsockname())}
+        self.fields |= {
+            "roster": free_address(socket.SOCK_DGRAM),
+            "listen": "{}:{}".format(*self.door.getsockname()),
+        }
         self.fields["settings"]["domain"]["cores"] = CORES
         script = SiteScript(other_ms=RUN_MS, cores=CORES, tell=self._tell)
         self.script = script
@@ -68,10 +70,19 @@
         admin = free_address()
         path = self.folder / f"node{len(self.ready_ms)}{os.urandom(2).hex()}.json"
         path.write_text(json.dumps(self.fields | {"runtime": runtime, "admin_addr": admin}))
-        made = subprocess.Popen([sys.executable, "-m", "snowthread"], cwd=ROOT, stderr=subprocess.DEVNULL,
-                                pass_fds=(self.door.fileno(),), env=os.environ | {
-                                    "NODE_CONFIG": str(path), "NODE_FD": str(self.door.fileno()),
-                                    "TMPDIR": str(self.folder), "PYTHONPATH": str(ROOT)})
+        made = subprocess.Popen(
+            [sys.executable, "-m", "snowthread"],
+            cwd=ROOT,
+            stderr=subprocess.DEVNULL,
+            pass_fds=(self.door.fileno(),),
+            env=os.environ
+            | {
+                "NODE_CONFIG": str(path),
+                "NODE_FD": str(self.door.fileno()),
+                "TMPDIR": str(self.folder),
+                "PYTHONPATH": str(ROOT),
+            },
+        )
         return made, admin
 
     def _ready(self, admin: str) -> TaskSteps:
@@ -132,10 +143,14 @@
         self.processes[-1][0].kill()
         served = sum(any(word == SERVED for _, word in a.answers) for a in load.asked)
         return broken_rules(load.asked, WAIT_MS) | {
-            "served": served / len(load.asked), "keys_run": len(runs),
-            "keys_run_twice": sum(n > 1 for n in runs.values()), "roster_off": self.offs,
-            "ready_ms": [round(ms) for ms in self.ready_ms], "left": left,
-            "private_mb": [round(mb, 1) for mb in self.private_mb]}
+            "served": served / len(load.asked),
+            "keys_run": len(runs),
+            "keys_run_twice": sum(n > 1 for n in runs.values()),
+            "roster_off": self.offs,
+            "ready_ms": [round(ms) for ms in self.ready_ms],
+            "left": left,
+            "private_mb": [round(mb, 1) for mb in self.private_mb],
+        }
 
     def close(self) -> None:
         """End what was started."""
--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -26,8 +26,16 @@
 
 ROOT = Path(__file__).parent.parent
 AIMS = {"ratio": 0.5, "database_peak_over_capacity": 1.0, "cost": 1.1}
-ZERO = ("second_dips", "stale_decisions", "keyed_runs_doubled", "lost", "answered_twice", "spoilt", "late",
-        "falls")
+ZERO = (
+    "second_dips",
+    "stale_decisions",
+    "keyed_runs_doubled",
+    "lost",
+    "answered_twice",
+    "spoilt",
+    "late",
+    "falls",
+)
 FAULT_S, SECONDS, SECONDS_SHORT = 5, 40, 24
 AT_ONCE = 6  # plays beside each other
 KILL = {"at": "5s", "do": "kill", "share": 0.8, "again_after": "800ms"}
@@ -46,11 +54,14 @@
 
 def scenario(seed: int, seconds: int, comeback: bool, steps: list[dict[str, Any]]) -> str:
     """The HCL of a play."""
+
     def block(step: dict[str, Any]) -> str:
         return "step {\n" + "".join(f"  {key} = {json.dumps(value)}\n" for key, value in step.items()) + "}\n"
 
-    return (f'seed = {seed}\nnodes = 5\nduration = "{seconds}s"\ncomeback = {json.dumps(comeback)}\n'
-            + "".join(map(block, steps)))
+    return (
+        f'seed = {seed}\nnodes = 5\nduration = "{seconds}s"\ncomeback = {json.dumps(comeback)}\n'
+        + "".join(map(block, steps))
+    )
 
 
 def play(folder: Path, plays: list[tuple[str, int, bool]], seconds: int) -> list[dict[str, Any]]:
@@ -60,10 +71,29 @@
         name = f"{variant}-{seed}-{'comeback' if comeback else 'baseline'}"
         length = CALM_S if variant == CALM else seconds
         (folder / f"{name}.hcl").write_text(scenario(seed, length, comeback, VARIANTS.get(variant, [])))
-        running.append((folder / name, subprocess.Popen(
-            [sys.executable, "-m", "snowthread", "lab", "run", str(folder / f"{name}.hcl"),
-             "-o", str(folder / name), "--lab-cores", "3"],
-            cwd=ROOT, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE, text=True)))
+        running.append(
+            (
+                folder / name,
+                subprocess.Popen(
+                    [
+                        sys.executable,
+                        "-m",
+                        "snowthread",
+                        "lab",
+                        "run",
+                        str(folder / f"{name}.hcl"),
+                        "-o",
+                        str(folder / name),
+                        "--lab-cores",
+                        "3",
+                    ],
+                    cwd=ROOT,
+                    stdout=subprocess.DEVNULL,
+                    stderr=subprocess.PIPE,
+                    text=True,
+                ),
+            )
+        )
     out = []
     for place, process in running:
         _, err = process.communicate(timeout=seconds + 120)
@@ -76,9 +106,11 @@
 def figures(plays: list[dict[str, Any]], longest: float) -> dict[str, Any]:
     """One side's plays in a few figures; the worst of each."""
     times = [play["time_to_full_s"] if play["time_to_full_s"] is not None else longest for play in plays]
-    out: dict[str, Any] = {"time_to_full_s": {"median": statistics.median(times), "worst": max(times)},
-                           "not_back": sum(play["time_to_full_s"] is None for play in plays),
-                           "worth_lost": round(statistics.median(play["worth_lost"] for play in plays), 1)}
+    out: dict[str, Any] = {
+        "time_to_full_s": {"median": statistics.median(times), "worst": max(times)},
+        "not_back": sum(play["time_to_full_s"] is None for play in plays),
+        "worth_lost": round(statistics.median(play["worth_lost"] for play in plays), 1),
+    }
     for name in ("database_peak_over_capacity", "database_held_over_limit", *ZERO):
         out[name] = max(play[name] for play in plays)
     return out
@@ -107,20 +139,25 @@
     began, longest = time.monotonic(), float(seconds - FAULT_S)
     seeds = [options.seed] if options.short else [options.seed, options.seed + 1]
     names = SHORT if options.short else tuple(VARIANTS)
-    pairs = [(name, seed, comeback)
-             for name in (*names, CALM) for seed in seeds for comeback in (False, True)]
+    pairs = [
+        (name, seed, comeback) for name in (*names, CALM) for seed in seeds for comeback in (False, True)
+    ]
     at_once = len(pairs) if options.short else AT_ONCE
     results: dict[tuple[str, bool], list[dict[str, Any]]] = {}
     with tempfile.TemporaryDirectory(prefix="restart-") as folder:
         for first in range(0, len(pairs), at_once):
-            part = pairs[first:first + at_once]
+            part = pairs[first : first + at_once]
             for (name, _, comeback), summary in zip(part, play(Path(folder), part, seconds), strict=True):
                 results.setdefault((name, comeback), []).append(summary)
     after = ticks()
     costs = [sum(map(cost, results[CALM, side])) / len(seeds) for side in (False, True)]
     found: dict[str, Any] = {
-        "seeds": seeds, "cost_ms": [round(c, 3) for c in costs], "cost": round(costs[1] / costs[0], 3),
-        "stolen": round((after[1] - before[1]) / max(1, after[0] - before[0]), 3), "variants": {}}
+        "seeds": seeds,
+        "cost_ms": [round(c, 3) for c in costs],
+        "cost": round(costs[1] / costs[0], 3),
+        "stolen": round((after[1] - before[1]) / max(1, after[0] - before[0]), 3),
+        "variants": {},
+    }
     missed = ["cost"] if found["cost"] > AIMS["cost"] else []
     for name in names:
         base, ours = (figures(results[name, side], longest) for side in (False, True))
--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -45,13 +45,19 @@
 
 
 @contextmanager
-def process(*command: str, ready: str, where: str = "stdout", cwd: Path = ROOT,
-            **environment: str) -> Iterator[subprocess.Popen[str]]:
+def process(
+    *command: str, ready: str, where: str = "stdout", cwd: Path = ROOT, **environment: str
+) -> Iterator[subprocess.Popen[str]]:
     """A process that is ready once it says so, and ends with the block."""
-    made = subprocess.Popen([sys.executable, *command], cwd=cwd, text=True, stdin=subprocess.PIPE,
-                            stdout=subprocess.PIPE if where == "stdout" else subprocess.DEVNULL,
-                            stderr=subprocess.PIPE if where == "stderr" else subprocess.DEVNULL,
-                            env=os.environ | {"PYTHONPATH": str(cwd)} | environment)
+    made = subprocess.Popen(
+        [sys.executable, *command],
+        cwd=cwd,
+        text=True,
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE if where == "stdout" else subprocess.DEVNULL,
+        stderr=subprocess.PIPE if where == "stderr" else subprocess.DEVNULL,
+        env=os.environ | {"PYTHONPATH": str(cwd)} | environment,
+    )
     try:
         stream = made.stdout if where == "stdout" else made.stderr
         assert stream is not None
@@ -89,9 +95,12 @@
 
 def broken_rules(asked: list[Asked], wait_ms: float) -> dict[str, int]:
     """How many were lost, answered twice, or late."""
-    return {"asked": len(asked), "lost": sum(not a.answers for a in asked),
-            "doubled": sum(len(a.answers) > 1 for a in asked),
-            "late": sum(bool(a.answers) and a.answers[0][0] > a.at + wait_ms + 110.0 for a in asked)}
+    return {
+        "asked": len(asked),
+        "lost": sum(not a.answers for a in asked),
+        "doubled": sum(len(a.answers) > 1 for a in asked),
+        "late": sum(bool(a.answers) and a.answers[0][0] > a.at + wait_ms + 110.0 for a in asked),
+    }
 
 
 def per_second(asked: list[Asked]) -> list[float]:
@@ -109,5 +118,3 @@
     """The value below which a share of them lies."""
     ordered = sorted(values)
     return ordered[min(len(ordered) - 1, int(q * len(ordered)))]
-
-
--- a/benchmarks/tenants.py
+++ b/benchmarks/tenants.py
@@ -26,6 +26,7 @@
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 from benchmarks import rig
+from emulators import directory as other
 from snowthread import config
 from snowthread.core import events
 from snowthread.ldap import filters
@@ -34,12 +35,11 @@
 from snowthread.net.clock import Clock
 from snowthread.net.loop import EventLoop
 from snowthread.operator.features import Features
-from snowthread.tenants.replication import DirectoryReplicator
 from snowthread.tenants.identification import TenantIdentification
 from snowthread.tenants.model import Tenant
-from snowthread.tenants.table import TenantTable
+from snowthread.tenants.replication import DirectoryReplicator
 from snowthread.tenants.state import TenantState
-from emulators import directory as other
+from snowthread.tenants.table import TenantTable
 
 BEFORE = "1037c89"  # the last version without tenants from a directory
 CORES, RUN_MS, LOAD = 4, 20.0, 0.85  # capacity 200 requests a second, and the share of it that is asked for
@@ -48,7 +48,7 @@
 
 def operator_file(folder: Path, directory: str) -> Path:
     path = folder / "tenants.hcl"
-    path.write_text(f'''tenants {{
+    path.write_text(f"""tenants {{
       servers = ["ldap://{directory}"]
       base = "ou=tenants,dc=example"
       probe = "1s"
@@ -57,29 +57,44 @@
         stale_after = "5s"
       }}
     }}
-    ''')
+    """)
     return path
 
 
 class Setup:
     """Site, directory and node, each a process."""
 
-    def __init__(self, stack: ExitStack, folder: Path, cores: int, run_ms: float, tenants: bool = True,
-                 cwd: Path = rig.ROOT) -> None:
+    def __init__(
+        self,
+        stack: ExitStack,
+        folder: Path,
+        cores: int,
+        run_ms: float,
+        tenants: bool = True,
+        cwd: Path = rig.ROOT,
+    ) -> None:
         config = rig.configuration(folder, cores)
         fields = json.loads(config.read_text())
-        stack.enter_context(rig.process("-m", "emulators.site", str(config), str(cores), str(run_ms),
-                                        ready="ready"))
+        stack.enter_context(
+            rig.process("-m", "emulators.site", str(config), str(cores), str(run_ms), ready="ready")
+        )
         words = ["-m", "snowthread"]
         self.directory: subprocess.Popen[str] | None = None
         if tenants:
             where = rig.free_address()
             self.directory = stack.enter_context(
-                rig.process("-m", "emulators.directory", where, ready="5 tenants"))
+                rig.process("-m", "emulators.directory", where, ready="5 tenants")
+            )
             words += ["serve", "--with", str(operator_file(folder, where))]
-        self.node = stack.enter_context(rig.process(
-            *words, ready="refreshed in" if tenants else "listens on", where="stderr", cwd=cwd,
-            NODE_CONFIG=str(config)))
+        self.node = stack.enter_context(
+            rig.process(
+                *words,
+                ready="refreshed in" if tenants else "listens on",
+                where="stderr",
+                cwd=cwd,
+                NODE_CONFIG=str(config),
+            )
+        )
         self.listen: str = fields["listen"]
 
     def tell(self, line: str) -> None:
@@ -103,8 +118,11 @@
         load.play(random.Random(seed), LOAD * CORES * 1000.0 / RUN_MS, seconds)
         load.close()
         served = sum(a.answers[0][1] == rig.SERVED for a in load.asked if a.answers)
-        return {"served": served / len(load.asked), "worst_second": min(rig.per_second(load.asked)),
-                "rules": rig.broken_rules(load.asked, load.wait_ms)}
+        return {
+            "served": served / len(load.asked),
+            "worst_second": min(rig.per_second(load.asked)),
+            "rules": rig.broken_rules(load.asked, load.wait_ms),
+        }
 
 
 def change_to_decision(rounds: int) -> dict[str, float]:
@@ -131,8 +149,15 @@
 
 def many(tenants: int, networks: int) -> list[Tenant]:
     each = networks // tenants
-    return [Tenant(f"{n:032x}", f"tenant {n}", quota_per_s=1.0 + n % 50, networks=tuple(
-        ip_network((10 << 24 | (n * each + k) << 6, 26)) for k in range(each))) for n in range(tenants)]
+    return [
+        Tenant(
+            f"{n:032x}",
+            f"tenant {n}",
+            quota_per_s=1.0 + n % 50,
+            networks=tuple(ip_network((10 << 24 | (n * each + k) << 6, 26)) for k in range(each)),
+        )
+        for n in range(tenants)
+    ]
 
 
 def look_up(rng: random.Random, tenants: int, networks: int, looks: int) -> dict[str, float]:
@@ -163,8 +188,13 @@
     for address in few:
         table.whois(address, 5)
     warm = (time.perf_counter() - began) / len(few)
-    return {"cold_us": cold * 1e6, "kept_us": warm * 1e6, "build_ms": build * 1e3, "change_us": change * 1e6,
-            "table_mb_beside_the_entries": memory}
+    return {
+        "cold_us": cold * 1e6,
+        "kept_us": warm * 1e6,
+        "build_ms": build * 1e3,
+        "change_us": change * 1e6,
+        "table_mb_beside_the_entries": memory,
+    }
 
 
 def full_sync(tenants: int, networks: int) -> dict[str, float]:
@@ -173,8 +203,16 @@
     where = rig.free_address()
     with ExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
-        stack.enter_context(rig.process("-m", "emulators.directory", where, str(tenants),
-                                        str(networks // tenants), ready=f"{tenants} tenants"))
+        stack.enter_context(
+            rig.process(
+                "-m",
+                "emulators.directory",
+                where,
+                str(tenants),
+                str(networks // tenants),
+                ready=f"{tenants} tenants",
+            )
+        )
         node = config.load({"NODE_CONFIG": str(rig.ROOT / "examples" / "node.json")})
         made = Features.load(operator_file(folder, where), node).tenants
         assert made is not None
@@ -187,9 +225,14 @@
             turns.append((time.process_time() - turn) * 1e3)
             if time.perf_counter() - began > 90.0:
                 break
-        return {"seconds": time.perf_counter() - began, "cpu_s": time.process_time() - cpu,
-                "tenants": len(tenancy.table), "networks": tenancy.table.networks,
-                "longest_turn_ms": max(turns), "turn_p99_ms": rig.quantile(turns, 0.99)}
+        return {
+            "seconds": time.perf_counter() - began,
+            "cpu_s": time.process_time() - cpu,
+            "tenants": len(tenancy.table),
+            "networks": tenancy.table.networks,
+            "longest_turn_ms": max(turns),
+            "turn_p99_ms": rig.quantile(turns, 0.99),
+        }
 
 
 def gate(rng: random.Random, looks: int) -> dict[str, float]:
@@ -203,8 +246,10 @@
     gate.tenants.table.apply(many(1_000, 10_000))
     addresses = [f"10.{rng.randrange(10)}.{rng.randrange(256)}.1" for _ in range(500)]
     gate._origin = lambda place: addresses[place]
-    messages = [events.RequestReceived((n % 500, n), "0" * 16, "match", b"grey", 1.0, 1.0, 3, 20.0, 0.5)
-                for n in range(looks)]
+    messages = [
+        events.RequestReceived((n % 500, n), "0" * 16, "match", b"grey", 1.0, 1.0, 3, 20.0, 0.5)
+        for n in range(looks)
+    ]
     began = time.perf_counter()
     for message in messages:
         gate.handle(message)
@@ -217,14 +262,22 @@
 
 def codec(count: int) -> dict[str, float]:
     """Decoding entries off the wire, as the session does."""
-    item = other.Item("cn=Farbhof,ou=tenants,dc=example", b"x" * 16, {
-        "objectClass": ["snowthreadTenant"], "cn": ["Farbhof"], "snowthreadQuota": ["20"],
-        "snowthreadNetwork": [f"10.{n}.0.0/16" for n in range(10)]}, 1)
+    item = other.Item(
+        "cn=Farbhof,ou=tenants,dc=example",
+        b"x" * 16,
+        {
+            "objectClass": ["snowthreadTenant"],
+            "cn": ["Farbhof"],
+            "snowthreadQuota": ["20"],
+            "snowthreadNetwork": [f"10.{n}.0.0/16" for n in range(10)],
+        },
+        1,
+    )
     wire = other.pack((0, 16, [(0, 2, 1), item.node()])) * count
     session = Session()
     session.send(m.Search("", m.Scope.SUB, filters.parse("(cn=*)")))
     began = time.perf_counter()
-    read = sum(len(session.receive(wire[at:at + 16384])) for at in range(0, len(wire), 16384))
+    read = sum(len(session.receive(wire[at : at + 16384])) for at in range(0, len(wire), 16384))
     took = time.perf_counter() - began
     assert read == count
     return {"mb_per_s": len(wire) / took / 1e6, "us_per_entry": took / count * 1e6}
@@ -236,8 +289,9 @@
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         before = folder / "before"
         before.mkdir()
-        archive = subprocess.run(["git", "archive", BEFORE, "snowthread", "clovertack"], cwd=rig.ROOT,
-                                 capture_output=True)
+        archive = subprocess.run(
+            ["git", "archive", BEFORE, "snowthread", "clovertack"], cwd=rig.ROOT, capture_output=True
+        )
         if archive.returncode:
             return None
         subprocess.run(["tar", "-x", "-C", str(before)], input=archive.stdout, check=True)
@@ -248,8 +302,9 @@
                 with ExitStack() as inner:
                     place = folder / f"{which}{n}"
                     place.mkdir()
-                    setup = Setup(inner, place, 64, 1.0, tenants=False,
-                                  cwd=before if which == "before" else rig.ROOT)
+                    setup = Setup(
+                        inner, place, 64, 1.0, tenants=False, cwd=before if which == "before" else rig.ROOT
+                    )
                     load = rig.Load(setup.listen, SOURCES)
                     began = rig.cpu_s(setup.node.pid)
                     load.play(random.Random(n), 500.0, requests / 500.0)
@@ -257,14 +312,18 @@
                     memory[which].append(rig.memory_mb(setup.node.pid))
                     load.close()
     middle = {which: rig.quantile(values, 0.5) for which, values in cost.items()}
-    return {"before_us": middle["before"], "now_us": middle["now"],
-            "cpu_ratio": sum(cost["now"]) / sum(cost["before"]),
-            "memory_ratio": sum(memory["now"]) / sum(memory["before"])}
+    return {
+        "before_us": middle["before"],
+        "now_us": middle["now"],
+        "cpu_ratio": sum(cost["now"]) / sum(cost["before"]),
+        "memory_ratio": sum(memory["now"]) / sum(memory["before"]),
+    }
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(description=__doc__,
-                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--short", action="store_true", help="ends within 45 s")
     options = parser.parse_args()
@@ -284,9 +343,11 @@
     aims = {
         "service through the stall at least 0.95": out["service_ratio"] >= 0.95,
         "nobody lost, doubled or late": not any(
-            run["rules"][k] for run in (calm, stalled) for k in ("lost", "doubled", "late")),
-        "feature off within 1.10 of before": out["off"] is None or out["off"]["cpu_ratio"] <= (
-            1.5 if short else 1.10),  # one short round of a second of load tells little
+            run["rules"][k] for run in (calm, stalled) for k in ("lost", "doubled", "late")
+        ),
+        "feature off within 1.10 of before": out["off"] is None
+        or out["off"]["cpu_ratio"]
+        <= (1.5 if short else 1.10),  # one short round of a second of load tells little
     }
     out["missed"] = [aim for aim, kept in aims.items() if not kept]
     for name, value in out.items():
--- a/benchmarks/timeline.py
+++ b/benchmarks/timeline.py
@@ -22,6 +22,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
+from emulators.recorded_incidents import BEGIN, Day, Trouble, draw, play
 from snowthread.incident.clocks import Clocks
 from snowthread.incident.episodes import CAUSES, Episode
 from snowthread.incident.report import Report
@@ -29,7 +30,6 @@
 from snowthread.incident.timeline import before, build_timeline
 from snowthread.records.frame import encode
 from snowthread.records.writer import SUFFIX
-from emulators.recorded_incidents import BEGIN, Day, Trouble, draw, play
 
 
 def told(day: Day, fitted: bool) -> tuple[list[Episode], Clocks]:
@@ -63,15 +63,20 @@
                 missed += 1
         hits, invented = hits + len(matched), invented + len(left)
         for n, (t, e) in enumerate(matched):
-            for u, f in matched[n + 1:]:
+            for u, f in matched[n + 1 :]:
                 order = before(e, f)
                 if order is not None and t.start != u.start:
                     pairs += 1
                     wrong += order != (t.start < u.start)
-    return {"days": len(seeds), "precision": hits / max(1, hits + invented),
-            "recall": hits / max(1, hits + missed),
-            "start_error_median_ms": median(errors), "start_error_max_ms": max(errors),
-            "pairs_ordered": pairs, "ordered_wrong": wrong}
+    return {
+        "days": len(seeds),
+        "precision": hits / max(1, hits + invented),
+        "recall": hits / max(1, hits + missed),
+        "start_error_median_ms": median(errors),
+        "start_error_max_ms": max(errors),
+        "pairs_ordered": pairs,
+        "ordered_wrong": wrong,
+    }
 
 
 def quiet(seeds: range) -> int:
@@ -87,14 +92,18 @@
         _, clocks = told(day, True)
         found = list(clocks.offsets.items())
         for n, (p, a) in enumerate(found):
-            for q, b in found[n + 1:]:
+            for q, b in found[n + 1 :]:
                 offset, drift = (x - y for x, y in zip(day.offsets[p.node], day.offsets[q.node], strict=True))
                 truth = offset + drift * 1e-3 * (a.at / 1000.0 - BEGIN)
                 error = abs(a.offset_ms - b.offset_ms - truth)
                 errors.append(error)
                 held.append(error <= a.bound_ms + b.bound_ms)
-    return {"pairs": len(errors), "median_ms": median(errors), "max_ms": max(errors),
-            "bound_holds": sum(held) / len(held)}
+    return {
+        "pairs": len(errors),
+        "median_ms": median(errors),
+        "max_ms": max(errors),
+        "bound_holds": sum(held) / len(held),
+    }
 
 
 def speed(nodes: int, seconds: int) -> dict[str, float]:
@@ -123,8 +132,9 @@
 
 
 def main() -> int:
-    parser = argparse.ArgumentParser(description=__doc__,
-                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
     parser.add_argument("--seed", type=int, default=1000, help="the first seed not looked at")
     parser.add_argument("--short", action="store_true", help="ends within 45 s")
     options = parser.parse_args()
@@ -138,10 +148,13 @@
     out["offsets"] = offsets(range(first, first + (10 if short else 60)))
     out["report"] = speed(20, 300 if short else 3600)
     apart = out["not_looked_at"]
-    aims = {"precision 1.00": apart["precision"] == 1.0, "recall above 0.9": apart["recall"] > 0.9,
-            "order never wrong": apart["ordered_wrong"] == 0,
-            "no quiet day": not out["quiet_days_with_a_story"],
-            "bounds hold in 95 of 100": out["offsets"]["bound_holds"] >= 0.95}
+    aims = {
+        "precision 1.00": apart["precision"] == 1.0,
+        "recall above 0.9": apart["recall"] > 0.9,
+        "order never wrong": apart["ordered_wrong"] == 0,
+        "no quiet day": not out["quiet_days_with_a_story"],
+        "bounds hold in 95 of 100": out["offsets"]["bound_holds"] >= 0.95,
+    }
     out["missed"] = [aim for aim, kept in aims.items() if not kept]
     for name, value in out.items():
         print(f"{name}: {value}", file=sys.stderr)
--- a/emulators/balancers.py
+++ b/emulators/balancers.py
@@ -24,12 +24,12 @@
 from pathlib import Path
 from typing import Any
 
+from emulators.load_generator import BROKEN_OFF, REFUSED, SERVED, Asked, Load
+from emulators.machine import WITHOUT
+from emulators.stdin_commands import listen_to
 from snowthread.address import Address
 from snowthread.net.clock import Clock
 from snowthread.net.loop import READABLE, EventLoop, TaskSteps, Wait
-from emulators.load_generator import BROKEN_OFF, REFUSED, SERVED, Asked, Load
-from emulators.stdin_commands import listen_to
-from emulators.machine import WITHOUT
 
 SOURCES = 3  # balancers: each an address of its own
 LIST_MS, AGAIN_MS = 300.0, 250.0
@@ -62,10 +62,12 @@
         self.draw = random.Random(plan["seed"])
         host = plan["sources"]
         self.sources = [f"{host}.{n + 2}" for n in range(SOURCES)]
-        self.loads = {name: self._load(name, where, plan["own_number"])
-                      for name, where in plan["nodes"].items()}
-        self.others = {name: self._load(name, where, plan["others_number"])
-                       for name, where in plan["nodes"].items()}
+        self.loads = {
+            name: self._load(name, where, plan["own_number"]) for name, where in plan["nodes"].items()
+        }
+        self.others = {
+            name: self._load(name, where, plan["others_number"]) for name, where in plan["nodes"].items()
+        }
         self.listed = sorted(self.loads)
         self.weight: dict[str, float] = {}
         self.off_until: dict[tuple[str, str], float] = {}
@@ -105,8 +107,11 @@
         keyed = next(kind for kind in kinds if kind["keyed"])
         while at < self.begin + self.plan["seconds"] * 1000.0:
             at += draw.expovariate(self.plan["per_s"]) * 1000.0
-            kind = keyed if draw.random() < self.plan["keyed"] else draw.choices(
-                safe, [kind["share"] for kind in safe])[0]
+            kind = (
+                keyed
+                if draw.random() < self.plan["keyed"]
+                else draw.choices(safe, [kind["share"] for kind in safe])[0]
+            )
             foreign = draw.random() < self.plan["foreign"]
             key = f"{'f' if foreign else '0'}{draw.getrandbits(64):016x}" if kind["keyed"] else ""
             repeated = bool(key) and draw.random() < self.plan["repeats"]
@@ -192,7 +197,8 @@
         if word == SERVED:
             body = message[3][0]
             self.count["spoilt"] += not body.startswith(
-                b"key:" + request.key.encode() if request.key else b"a warm grey")
+                b"key:" + request.key.encode() if request.key else b"a warm grey"
+            )
             age = now - request.born
             skipped = body.endswith(WITHOUT)
             worth = request.kind["skip_worth"] if skipped else 1.0
@@ -228,8 +234,9 @@
     def report(self) -> dict[str, Any]:
         """By second of the requests' birth; a try without an answer is lost unless its node was killed."""
         seconds = int(self.plan["seconds"])
-        table = {word: [0.0] * seconds
-                 for word in ("asked", "worth_asked", "worth", "served", "refused", "failed")}
+        table = {
+            word: [0.0] * seconds for word in ("asked", "worth_asked", "worth", "served", "refused", "failed")
+        }
         classes = {kind["name"]: [[0.0, 0.0] for _ in range(seconds)] for kind in self.plan["classes"]}
         for request in self.requests:
             second = int((request.born - self.begin) // 1000.0)
@@ -248,13 +255,20 @@
             count[f"{request.kind['name']} asked"] += 1
             count[f"{request.kind['name']} {request.end}"] += 1
         now = self.loop.clock.now()
-        open_ = [(name, asked.at, due) for asked, (_, name, due) in self.tries.items()
-                 if now > due + SLACK_MS]
+        open_ = [
+            (name, asked.at, due) for asked, (_, name, due) in self.tries.items() if now > due + SLACK_MS
+        ]
         unanswered = [*self.broken, *open_]
         gone = sum(self._excused(*entry) for entry in unanswered)
-        return {"by_second": table, "classes": classes, "tries": dict(self.count), "begin": self.begin,
-                "homes": homes,
-                "gone_with_node": gone, "lost": len(unanswered) - gone}
+        return {
+            "by_second": table,
+            "classes": classes,
+            "tries": dict(self.count),
+            "begin": self.begin,
+            "homes": homes,
+            "gone_with_node": gone,
+            "lost": len(unanswered) - gone,
+        }
 
 
 def main(path: str) -> None:
--- a/emulators/directory.py
+++ b/emulators/directory.py
@@ -19,13 +19,17 @@
 import asn1
 
 from snowthread.address import Address
-from snowthread.net.loop import HANGUP, READABLE, WRITABLE, EventLoop, TaskSteps, Task, Wait
+from snowthread.net.loop import HANGUP, READABLE, WRITABLE, EventLoop, Task, TaskSteps, Wait
 
 UNIVERSAL, APPLICATION, CONTEXT = (asn1.Classes.Universal, asn1.Classes.Application, asn1.Classes.Context)
 INTEGER, BOOLEAN, OCTETS, ENUM, SEQ, SET = 2, 1, 4, 10, 16, 17
 PAGED, SYNC, SYNC_STATE, SYNC_DONE, SYNC_INFO = (
-    "1.2.840.113556.1.4.319", "1.3.6.1.4.1.4203.1.9.1.1", "1.3.6.1.4.1.4203.1.9.1.2",
-    "1.3.6.1.4.1.4203.1.9.1.3", "1.3.6.1.4.1.4203.1.9.1.4")
+    "1.2.840.113556.1.4.319",
+    "1.3.6.1.4.1.4203.1.9.1.1",
+    "1.3.6.1.4.1.4203.1.9.1.2",
+    "1.3.6.1.4.1.4203.1.9.1.3",
+    "1.3.6.1.4.1.4203.1.9.1.4",
+)
 START_TLS, NOTICE = "1.3.6.1.4.1.1466.20037", "1.3.6.1.4.1.1466.20036"
 REQUEST_MAX = 64 * 1024
 
@@ -109,8 +113,10 @@
 
     def node(self) -> Node:
         """As a search gives it."""
-        named = [(UNIVERSAL, SEQ, [octets(name), (UNIVERSAL, SET, [octets(v) for v in values])])
-                 for name, values in self.attributes.items()]
+        named = [
+            (UNIVERSAL, SEQ, [octets(name), (UNIVERSAL, SET, [octets(v) for v in values])])
+            for name, values in self.attributes.items()
+        ]
         return (APPLICATION, 4, [octets(self.dn), (UNIVERSAL, SEQ, named)])
 
     def wire(self) -> bytes:
@@ -185,8 +191,13 @@
 class Directory:
     """The contents and all connections."""
 
-    def __init__(self, loop: EventLoop, address: Address, base: str = "ou=tenants,dc=example",
-                 habits: Habits | None = None) -> None:
+    def __init__(
+        self,
+        loop: EventLoop,
+        address: Address,
+        base: str = "ou=tenants,dc=example",
+        habits: Habits | None = None,
+    ) -> None:
         self.loop, self.base, self.habits, self.faults = loop, base, habits or Habits(), Faults()
         self.items: dict[str, Item] = {}
         self.number = 0
@@ -221,12 +232,23 @@
         self.number += 1
         dn = f"cn={name},{self.base}"
         old = self.items.get(dn)
-        told = {key: [str(v) for v in value] if isinstance(value, list | tuple) else [str(value)]
-                for key, value in attributes.items()}
+        told = {
+            key: [str(v) for v in value] if isinstance(value, list | tuple) else [str(value)]
+            for key, value in attributes.items()
+        }
         key = uuid or (old.uuid if old else uuids.uuid5(uuids.NAMESPACE_DNS, dn).bytes)
-        item = Item(dn, key, {"objectClass": ["snowthreadTenant"], "cn": [name],
-                              "entryUUID": [str(uuids.UUID(bytes=key))],
-                              "modifyTimestamp": [f"{20260101000000 + self.number}Z"]} | told, self.number)
+        item = Item(
+            dn,
+            key,
+            {
+                "objectClass": ["snowthreadTenant"],
+                "cn": [name],
+                "entryUUID": [str(uuids.UUID(bytes=key))],
+                "modifyTimestamp": [f"{20260101000000 + self.number}Z"],
+            }
+            | told,
+            self.number,
+        )
         self.items[dn] = item
         self.gone.pop(key, None)
         self._push(item, 2 if old else 1)
@@ -235,8 +257,11 @@
     def rename(self, name: str, to: str) -> None:
         """The same entry under another name."""
         old = self.items.pop(f"cn={name},{self.base}")
-        told = {k: v for k, v in old.attributes.items()
-                if k not in ("objectClass", "cn", "entryUUID", "modifyTimestamp")}
+        told = {
+            k: v
+            for k, v in old.attributes.items()
+            if k not in ("objectClass", "cn", "entryUUID", "modifyTimestamp")
+        }
         self.put(to, old.uuid, **told)
 
     def remove(self, name: str) -> None:
@@ -333,8 +358,11 @@
         if cookie is not None:
             inner.append(octets(cookie))
         bare = (APPLICATION, 4, [octets(item.dn), (UNIVERSAL, SEQ, [])])
-        self._say(number, pack(bare) if state in (0, 3) else item.wire(),
-                  [control(SYNC_STATE, (UNIVERSAL, SEQ, inner))])
+        self._say(
+            number,
+            pack(bare) if state in (0, 3) else item.wire(),
+            [control(SYNC_STATE, (UNIVERSAL, SEQ, inner))],
+        )
 
     def _flush(self) -> None:
         faults = self.directory.faults
@@ -368,8 +396,11 @@
             while not (self.ending and not self._out):
                 self._flush()
                 faults = directory.faults
-                blocked = faults.stall or not self._out or (
-                    faults.stall_at is not None and self._sent >= faults.stall_at)
+                blocked = (
+                    faults.stall
+                    or not self._out
+                    or (faults.stall_at is not None and self._sent >= faults.stall_at)
+                )
                 mask = (0 if faults.stall else READABLE) | (0 if blocked or faults.drip_ms else WRITABLE)
                 until = loop.clock.now() + (faults.drip_ms if faults.drip_ms and self._out else 1e12)
                 got = yield Wait(self.sock.fileno(), mask, until)
@@ -478,7 +509,7 @@
         elif PAGED in controls and habits.paging:
             request = _tree(controls[PAGED])[2]
             size, start = request[0][2], int(request[1][2] or b"0")
-            for item in found[start:start + size]:
+            for item in found[start : start + size]:
                 self._say(number, item.wire(), None)
             more = str(start + size).encode() if start + size < len(found) else b""
             answer = (UNIVERSAL, SEQ, [(UNIVERSAL, INTEGER, len(found)), octets(more)])
@@ -486,7 +517,7 @@
         elif PAGED in controls:
             self.say(number, result(5, 12))
         else:
-            for item in found[:faults.size_limit or None]:
+            for item in found[: faults.size_limit or None]:
                 self._say(number, item.wire(), None)
             self.say(number, result(5, 4 if faults.size_limit and len(found) > faults.size_limit else 0))
 
@@ -501,7 +532,7 @@
                 self.say(number, result(5, 4096))
                 return
         if faults.size_limit and len(found) > faults.size_limit:
-            for item in found[:faults.size_limit]:
+            for item in found[: faults.size_limit]:
                 self.entry(number, item, 1)
             self.say(number, result(5, 4))
             return
@@ -512,13 +543,18 @@
         gone = [u for u, n in directory.gone.items() if n > known] if deletes else []
         if gone:
             inner = [(UNIVERSAL, BOOLEAN, True), (UNIVERSAL, SET, [octets(u) for u in gone])]
-            self.say(number, (APPLICATION, 25, [(CONTEXT, 0, SYNC_INFO.encode()),
-                                                (CONTEXT, 1, pack((CONTEXT, 3, inner)))]))
+            self.say(
+                number,
+                (
+                    APPLICATION,
+                    25,
+                    [(CONTEXT, 0, SYNC_INFO.encode()), (CONTEXT, 1, pack((CONTEXT, 3, inner)))],
+                ),
+            )
         now = directory.cookie()
         if mode == 3 and directory.habits.persist:
             phase = (CONTEXT, 1 if deletes else 2, [octets(now)])
-            self.say(number, (APPLICATION, 25, [(CONTEXT, 0, SYNC_INFO.encode()),
-                                                (CONTEXT, 1, pack(phase))]))
+            self.say(number, (APPLICATION, 25, [(CONTEXT, 0, SYNC_INFO.encode()), (CONTEXT, 1, pack(phase))]))
             self.persistent[number] = test
         elif mode == 3:
             self.say(number, result(5, 53, "no persistence here"))
@@ -542,7 +578,7 @@
     octet_count = data[1] & 0x7F
     if len(data) < 2 + octet_count:
         return None
-    return 2 + octet_count + int.from_bytes(data[2:2 + octet_count])
+    return 2 + octet_count + int.from_bytes(data[2 : 2 + octet_count])
 
 
 def main() -> None:
--- a/emulators/fleet_services.py
+++ b/emulators/fleet_services.py
@@ -26,12 +26,12 @@
 from pathlib import Path
 from typing import Any
 
+from emulators.machine import Machine, WarmupModel
+from emulators.site import SiteScript, accept, listen
+from emulators.stdin_commands import listen_to
 from snowthread.address import Address
 from snowthread.net.clock import Clock
 from snowthread.net.loop import READABLE, EventLoop, TaskSteps, Wait
-from emulators.stdin_commands import listen_to
-from emulators.machine import Machine, WarmupModel
-from emulators.site import SiteScript, accept, listen
 
 WAITING_MAX = 10_000  # calls that wait for the database at the most; more are answered 503 at once
 THRASH, THRASH_MOST = 0.5, 4.0  # longer by so much for each ``slots`` that wait; times as long at the most
@@ -76,8 +76,9 @@
             peer = self.waiting.popleft()
             self.busy += 1
             crowd = min(THRASH_MOST, 1.0 + THRASH * len(self.waiting) / self.slots)
-            self.loop.call_at(self.loop.clock.now() + self.call_ms * self.factor * crowd,
-            partial(self._done, peer))
+            self.loop.call_at(
+                self.loop.clock.now() + self.call_ms * self.factor * crowd, partial(self._done, peer)
+            )
 
     def _done(self, peer: socket.socket) -> None:
         self.busy -= 1
@@ -142,16 +143,28 @@
 
 def keyed_runs(machines: list[Machine]) -> dict[str, int]:
     """Keyed runs begun, by machine and key (the lab's keyed bodies are ``key:`` and the key): the ledger."""
-    return {f"{number}/{body[4:].decode(errors='replace')}": count for number, machine in enumerate(machines)
-            for body, count in machine.runs.items() if body.startswith(b"key:")}
+    return {
+        f"{number}/{body[4:].decode(errors='replace')}": count
+        for number, machine in enumerate(machines)
+        for body, count in machine.runs.items()
+        if body.startswith(b"key:")
+    }
 
 
 def main(path: str) -> None:
     plan: dict[str, Any] = json.loads(Path(path).read_text())
     loop, draw = EventLoop(Clock()), random.Random(plan["seed"])
     script = SiteScript(run_ms=plan["run_ms"], cores=int(plan["cores"]), calls=frozenset(plan["calls"]))
-    machines = [Machine(loop, Address.parse(where), script, WarmupModel(**plan["warmth"]),
-                        random.Random(draw.getrandbits(32))) for where in plan["runtimes"]]
+    machines = [
+        Machine(
+            loop,
+            Address.parse(where),
+            script,
+            WarmupModel(**plan["warmth"]),
+            random.Random(draw.getrandbits(32)),
+        )
+        for where in plan["runtimes"]
+    ]
     database = Database(loop, Address.parse(plan["database"]), float(plan["call_ms"]), int(plan["slots"]))
     roster = FleetRegistry(loop, Address.parse(plan["roster"]))
     warmth: dict[int, float] = {}  # of the machines in the mean, by second
@@ -172,12 +185,22 @@
         elif word == "generation":
             roster.generation = int(rest)
         elif word == "report":
-            print(json.dumps({
-                "keyed": keyed_runs(machines), "calls": dict(database.by_second),
-                "done": dict(database.done_by_second), "held": dict(database.held_most),
-                "database_refused": database.refused, "falls": [m.falls for m in machines],
-                "known": [round(m.known, 3) for m in machines], "warmth": warmth,
-                "old_lives": roster.old_lives}), flush=True)
+            print(
+                json.dumps(
+                    {
+                        "keyed": keyed_runs(machines),
+                        "calls": dict(database.by_second),
+                        "done": dict(database.done_by_second),
+                        "held": dict(database.held_most),
+                        "database_refused": database.refused,
+                        "falls": [m.falls for m in machines],
+                        "known": [round(m.known, 3) for m in machines],
+                        "warmth": warmth,
+                        "old_lives": roster.old_lives,
+                    }
+                ),
+                flush=True,
+            )
 
     listen_to(loop, told)
     loop.run()
--- a/emulators/load_generator.py
+++ b/emulators/load_generator.py
@@ -121,9 +121,14 @@
         self._number += 1
         now = time.time() * 1000.0
         asked.uid, asked.once = f"{random.getrandbits(64):016x}", once
-        fields = {"id": asked.uid, "at": str(int(now)),
-                  "from": str(self._load.caller), "rank": "0.5",
-                  "wait": str(int(wait_ms)), "kb": "20"}
+        fields = {
+            "id": asked.uid,
+            "at": str(int(now)),
+            "from": str(self._load.caller),
+            "rank": "0.5",
+            "wait": str(int(wait_ms)),
+            "kb": "20",
+        }
         if once:
             fields["once"] = once
         self._open[self._number] = asked
--- a/emulators/machine.py
+++ b/emulators/machine.py
@@ -15,9 +15,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from emulators.site import RuntimeEmulator, SiteScript
 from snowthread.address import Address
 from snowthread.net.loop import EventLoop
-from emulators.site import RuntimeEmulator, SiteScript
 
 CROWD_MS, SAMPLE_MS = 2000.0, 100.0
 KNOWN, WITHOUT = b" known", b" without"  # what a result ends with: made with its calls, or a call left out
@@ -38,8 +38,9 @@
 class Machine(RuntimeEmulator):
     """One node's runtime in the lab; ``restart`` is a power cycle of the machine."""
 
-    def __init__(self, loop: EventLoop, address: Address, script: SiteScript, warmth: WarmupModel,
-                 draw: random.Random) -> None:
+    def __init__(
+        self, loop: EventLoop, address: Address, script: SiteScript, warmth: WarmupModel, draw: random.Random
+    ) -> None:
         self.warmth, self.draw = warmth, draw
         self.replies = warmth.warm_replies  # the fleet has been at work for long when a play begins
         self.falls = 0
--- a/emulators/recorded_incidents.py
+++ b/emulators/recorded_incidents.py
@@ -51,20 +51,32 @@
         return (BEGIN + s) * 1000.0 + self.offset + self.drift * 1e-6 * s * 1000.0
 
 
-def play(seed: int, nodes: int = 4, seconds: int = 180, troubles: Sequence[Trouble] = (),
-         offset_ms: float = 3000.0, drift_ppm: float = 200.0) -> Day:
+def play(
+    seed: int,
+    nodes: int = 4,
+    seconds: int = 180,
+    troubles: Sequence[Trouble] = (),
+    offset_ms: float = 3000.0,
+    drift_ppm: float = 200.0,
+) -> Day:
     """One day."""
     rng = random.Random(seed)
     day = Day(truth=list(troubles))
-    fleet = [_Node(f"n{k}", rng.uniform(-offset_ms, offset_ms), rng.uniform(-drift_ppm, drift_ppm))
-             for k in range(nodes)]
+    fleet = [
+        _Node(f"n{k}", rng.uniform(-offset_ms, offset_ms), rng.uniform(-drift_ppm, drift_ppm))
+        for k in range(nodes)
+    ]
     balancers = [rng.uniform(-50.0, 50.0) for _ in range(BALANCERS)]
     for node in fleet:
         day.offsets[node.name] = node.offset, node.drift
         day.records[node.name] = []
         _start(day, node, 0.2, rng)
-    moves = sorted((t.start + k * t.size, t.kind, n, t) for t in troubles
-                   if t.kind in ("rolling deploy", "crash") for k, n in enumerate(t.nodes))
+    moves = sorted(
+        (t.start + k * t.size, t.kind, n, t)
+        for t in troubles
+        if t.kind in ("rolling deploy", "crash")
+        for k, n in enumerate(t.nodes)
+    )
     for s in range(1, seconds + 1):
         while moves and moves[0][0] <= s:
             _, kind, n, t = moves.pop(0)
@@ -98,12 +110,21 @@
 
 def _on(troubles: Sequence[Trouble], kind: str, s: float) -> float:
     """The size of such a trouble now, 1 without."""
-    return max([t.size for t in troubles if t.kind == kind and t.start <= s < t.start + t.length],
-               default=1.0)
-
-
-def _second(day: Day, node: _Node, s: int, up: int, nodes: int, troubles: Sequence[Trouble],
-            balancers: Sequence[float], rng: random.Random) -> None:
+    return max(
+        [t.size for t in troubles if t.kind == kind and t.start <= s < t.start + t.length], default=1.0
+    )
+
+
+def _second(
+    day: Day,
+    node: _Node,
+    s: int,
+    up: int,
+    nodes: int,
+    troubles: Sequence[Trouble],
+    balancers: Sequence[float],
+    rng: random.Random,
+) -> None:
     slow, jump = _on(troubles, "slow database", s), _on(troubles, "traffic jump", s)
     mean = PER_NODE * jump * nodes / up
     read = max(0, round(rng.gauss(mean, math.sqrt(mean))))
@@ -113,17 +134,30 @@
     calls = read // 2
     length = max(1.0, rng.gauss(20.0 * slow, 2.0 * slow / math.sqrt(max(1, calls))))
     bad = round(_on(troubles, "bad clients", s) - 1.0)
-    totals: list[object] = [["match", "", {"read": read, "served": read - away, "refused": away,
-                                           "runs": read - away}]]
+    totals: list[object] = [
+        ["match", "", {"read": read, "served": read - away, "refused": away, "runs": read - away}]
+    ]
     if bad > 0:
         totals.append(["", "", {"read": bad, "failed": bad}])
     off = node.offset + node.drift * 1e-6 * s * 1000.0
     floors = {k: off - c + rng.expovariate(2.0 * PER_NODE / BALANCERS) for k, c in enumerate(balancers)}
-    _put(day, node, s, "second", {
-        "ms": 1000.0, "totals": totals, "calls": {"success": [calls, round(length), round(length * 3),
-                                                              round(length * 5)]},
-        "b": away / max(1, read), "limit": 8.0, "mu": 40.0, "lambda": float(read), "memory_mb": 24.0,
-        "floors": floors})
+    _put(
+        day,
+        node,
+        s,
+        "second",
+        {
+            "ms": 1000.0,
+            "totals": totals,
+            "calls": {"success": [calls, round(length), round(length * 3), round(length * 5)]},
+            "b": away / max(1, read),
+            "limit": 8.0,
+            "mu": 40.0,
+            "lambda": float(read),
+            "memory_mb": 24.0,
+            "floors": floors,
+        },
+    )
 
 
 KINDS = ("slow database", "traffic jump", "rolling deploy", "crash", "bad clients")
--- a/emulators/site.py
+++ b/emulators/site.py
@@ -91,7 +91,7 @@
                 self._peer = peer
                 code, age = ("fresh", self.loop.clock.now() - self._born) if self._born else ("seasoned", 0.0)
                 self._write({"action": "ready", "code": code, "wall_ms": age})
-                for notice in self._notices[command["pos"]:]:
+                for notice in self._notices[command["pos"] :]:
                     self._write(notice)
             case "gauges":
                 now = self.loop.clock.now()
@@ -168,8 +168,15 @@
 
     def _end(self, uid: str, code: str, result: bytes) -> None:
         self._live.discard(uid)
-        self._note({"action": "end", "uid": uid, "code": code, "wall_ms": 1.0,
-                    "content": base64.b64encode(result).decode()})
+        self._note(
+            {
+                "action": "end",
+                "uid": uid,
+                "code": code,
+                "wall_ms": 1.0,
+                "content": base64.b64encode(result).decode(),
+            }
+        )
 
     def _note(self, notice: dict[str, Any]) -> None:
         self._notices.append(notice | {"pos": len(self._notices) + 1})
--- a/examples/ask.py
+++ b/examples/ask.py
@@ -15,8 +15,14 @@
 
 def ask(address: tuple[str, int], class_name: str, body: bytes, once: str | None = None) -> object:
     """The whole answer message."""
-    fields = {"id": secrets.token_hex(8), "at": str(int(time.time() * 1000)), "from": "0", "wait": "3000",
-              "kb": "20", "rank": "0.5"}
+    fields = {
+        "id": secrets.token_hex(8),
+        "at": str(int(time.time() * 1000)),
+        "from": "0",
+        "wait": "3000",
+        "kb": "20",
+        "rank": "0.5",
+    }
     if once:
         fields["once"] = once
     with socket.create_connection(address, timeout=5) as sock:
--- a/examples/toy_site.py
+++ b/examples/toy_site.py
@@ -13,9 +13,9 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
+from emulators.site import SiteEmulator, SiteScript
 from snowthread.net.clock import Clock
 from snowthread.net.loop import EventLoop
-from emulators.site import SiteScript, SiteEmulator
 
 
 def main(path: str) -> None:
--- a/snowthread/admission/learned_state.py
+++ b/snowthread/admission/learned_state.py
@@ -136,5 +136,8 @@
 def confirmation_ages_s(controller: Controller, now_s: float) -> dict[str, float]:
     """How long ago the run times of each class that decide now were last confirmed, in seconds."""
     est = controller.estimates
-    return {kind.name: now_s - est.last_run_at_s[n] for n, kind in enumerate(controller.settings.classes)
-            if est.run_time_s[n] > 0.0 and est.last_run_at_s[n] > 0.0}
+    return {
+        kind.name: now_s - est.last_run_at_s[n]
+        for n, kind in enumerate(controller.settings.classes)
+        if est.run_time_s[n] > 0.0 and est.last_run_at_s[n] > 0.0
+    }
--- a/snowthread/admission/settings.py
+++ b/snowthread/admission/settings.py
@@ -135,9 +135,18 @@
         for request_class in settings.classes
         for name in ("latency_objective_s", "deadline_s")
     }
-    not_negative = ("key_memory_kb", "warmup_s", "collapse_after_s", "drain_grace_s", "call_quota",
-                    "call_quota_window_s", "abandoned_call_s", "max_retry_after_s", "load_report_ttl_s",
-                    "idle_timeout_s")
+    not_negative = (
+        "key_memory_kb",
+        "warmup_s",
+        "collapse_after_s",
+        "drain_grace_s",
+        "call_quota",
+        "call_quota_window_s",
+        "abandoned_call_s",
+        "max_retry_after_s",
+        "load_report_ttl_s",
+        "idle_timeout_s",
+    )
     invalid = [name for name, value in positive.items() if not value > 0.0]
     invalid += [name for name in not_negative if not getattr(settings, name) >= 0.0]
     if invalid or not settings.classes:
--- a/snowthread/admission/settings_parser.py
+++ b/snowthread/admission/settings_parser.py
@@ -16,11 +16,18 @@
 
 Fields = dict[str, Any]
 
-_EFFECT = {"read_like": Idempotency.IDEMPOTENT, "idempotency_key": Idempotency.KEYED,
-           "non_idempotent": Idempotency.NON_IDEMPOTENT}
+_EFFECT = {
+    "read_like": Idempotency.IDEMPOTENT,
+    "idempotency_key": Idempotency.KEYED,
+    "non_idempotent": Idempotency.NON_IDEMPOTENT,
+}
 _PREEMPTION = {"silent": Preemption.NONE, "drop": Preemption.DROP, "pause": Preemption.PAUSE}
-_SIGNAL = {"silent": LoadReportKind.NONE, "level": LoadReportKind.LEVEL, "credit": LoadReportKind.CREDIT,
-           "weight": LoadReportKind.WEIGHT}
+_SIGNAL = {
+    "silent": LoadReportKind.NONE,
+    "level": LoadReportKind.LEVEL,
+    "credit": LoadReportKind.CREDIT,
+    "weight": LoadReportKind.WEIGHT,
+}
 _BELOW = {"silent": Dependency.NONE, "shared": Dependency.SHARED, "tier": Dependency.TIER}
 
 
--- a/snowthread/admission/simulator_adapter.py
+++ b/snowthread/admission/simulator_adapter.py
@@ -25,6 +25,7 @@
     StartRun,
     StopRun,
 )
+from snowthread.admission.controller import Controller
 from snowthread.admission.events import (
     CallFinished,
     CallNeeded,
@@ -37,7 +38,6 @@
     TimerFired,
 )
 from snowthread.admission.settings import Outcome
-from snowthread.admission.controller import Controller
 from snowthread.admission.settings_parser import Fields, parse_settings
 
 __all__ = ["SimulatorAdapter", "main", "parse_settings", "serve"]
@@ -48,18 +48,30 @@
 def _arrival(f: Fields) -> Event:
     tenant = f.get("tenant") or ""
     return RequestArrived(
-        request_id=f["op_id"], class_name=f["category"], memory_kb=f.get("held_kb", 0.0), tenant=tenant,
-        partition_key=f.get("partition_key") or "", time_left_s=f.get("left_s") or None,
-        work_hint_s=f.get("work_hint_s") or None, rank=f.get("precedence"),
-        is_retry=bool(f.get("is_retry")), caller_id=f.get("src", 0), unread_s=f.get("backlog_time_s", 0.0),
-        original_id=f.get("prior") or None)
+        request_id=f["op_id"],
+        class_name=f["category"],
+        memory_kb=f.get("held_kb", 0.0),
+        tenant=tenant,
+        partition_key=f.get("partition_key") or "",
+        time_left_s=f.get("left_s") or None,
+        work_hint_s=f.get("work_hint_s") or None,
+        rank=f.get("precedence"),
+        is_retry=bool(f.get("is_retry")),
+        caller_id=f.get("src", 0),
+        unread_s=f.get("backlog_time_s", 0.0),
+        original_id=f.get("prior") or None,
+    )
 
 
 def _timer(f: Fields) -> Event:
     usage = f.get("usage") or {}
-    return TimerFired(label=f.get("label", 0), core_utilization=usage.get("core_use"),
-                          core_demand=usage.get("on_cores"), memory_utilization=usage.get("heap_share"),
-                          connections=usage.get("links"))
+    return TimerFired(
+        label=f.get("label", 0),
+        core_utilization=usage.get("core_use"),
+        core_demand=usage.get("on_cores"),
+        memory_utilization=usage.get("heap_share"),
+        connections=usage.get("links"),
+    )
 
 
 _EVENT: dict[str, Callable[[Fields], Event]] = {
@@ -76,8 +88,9 @@
     StartRun: lambda i, a: {"run": {"i": i, "op_id": a.request_id}},
     RememberKey: lambda i, a: {"record_key": {"i": i, "op_id": a.request_id, "lifetime_s": a.lifetime_s}},
     ForgetKey: lambda i, a: {"forget": {"i": i, "op_id": a.request_id}},
-    Reject: lambda i, a: {"say_no": {"i": i, "op_id": a.request_id, "hold_off_s": a.retry_after_s,
-                                         "last": a.do_not_retry}},
+    Reject: lambda i, a: {
+        "say_no": {"i": i, "op_id": a.request_id, "hold_off_s": a.retry_after_s, "last": a.do_not_retry}
+    },
     Fail: lambda i, a: {"lose": {"i": i, "op_id": a.request_id}},
     StartCall: lambda i, a: {"ask_below": {"i": i, "op_id": a.request_id, "give_up_after_s": a.timeout_s}},
     SkipCall: lambda i, a: {"go_on": {"i": i, "op_id": a.request_id}},
--- a/snowthread/cli.py
+++ b/snowthread/cli.py
@@ -15,17 +15,24 @@
 from snowthread.incident.cli import report
 from snowthread.lab.cli import lab
 from snowthread.records.cli import records
-from snowthread.tenants.cli import tenants
 from snowthread.recovery.cli import warm
+from snowthread.tenants.cli import tenants
 
-WITH = click.option("--with", "operator_file", metavar="FILE",
-                    type=click.Path(exists=True, dir_okay=False, path_type=Path),
-                    help="The operator's own file (HCL), one block a feature; see deploy/tenants.hcl.")
-
-
-@click.group(invoke_without_command=True, context_settings={"help_option_names": ["-h", "--help"]},
-             epilog="NODE_CONFIG names the node's configuration (JSON, see examples/node.json); NODE_LOG is "
-                    "the least level logged; NODE_LOG_FORMAT=json logs one JSON object a line.")
+WITH = click.option(
+    "--with",
+    "operator_file",
+    metavar="FILE",
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    help="The operator's own file (HCL), one block a feature; see deploy/tenants.hcl.",
+)
+
+
+@click.group(
+    invoke_without_command=True,
+    context_settings={"help_option_names": ["-h", "--help"]},
+    epilog="NODE_CONFIG names the node's configuration (JSON, see examples/node.json); NODE_LOG is "
+    "the least level logged; NODE_LOG_FORMAT=json logs one JSON object a line.",
+)
 @click.version_option(__version__, prog_name="snowthread")
 @click.pass_context
 def cli(context: click.Context) -> None:
@@ -54,8 +61,10 @@
 
         for line in Features.load(operator_file, settings).lines():
             click.echo(line)
-    click.echo(f"{settings.name}: listens on {settings.listen.host}:{settings.listen.port}, "
-               f"{len(settings.settings.classes)} classes, {settings.settings.cores} cores")
+    click.echo(
+        f"{settings.name}: listens on {settings.listen.host}:{settings.listen.port}, "
+        f"{len(settings.settings.classes)} classes, {settings.settings.cores} cores"
+    )
 
 
 @cli.command()
@@ -76,8 +85,9 @@
 def main(arguments: Sequence[str] | None = None) -> int:
     """Entry point: the exit status."""
     try:
-        code = cli.main(args=None if arguments is None else list(arguments), prog_name="snowthread",
-                        standalone_mode=False)
+        code = cli.main(
+            args=None if arguments is None else list(arguments), prog_name="snowthread", standalone_mode=False
+        )
     except click.ClickException as error:
         error.show()
         return error.exit_code
--- a/snowthread/clients/database.py
+++ b/snowthread/clients/database.py
@@ -9,13 +9,12 @@
 
 import httptools
 
-from snowthread.admission.settings import Outcome
 from snowthread.address import Address
-from snowthread.core import effects
-from snowthread.core import events
+from snowthread.admission.settings import Outcome
+from snowthread.core import effects, events
 from snowthread.net.attempt import Failure, Progress
 from snowthread.net.connect import ConnectAttempt
-from snowthread.net.loop import HANGUP, READABLE, WRITABLE, EventLoop, TaskSteps, Task, Wait
+from snowthread.net.loop import HANGUP, READABLE, WRITABLE, EventLoop, Task, TaskSteps, Wait
 
 KEEP_MS = 7000.0  # the index closes what was idle for 10 s; a call must not cross that
 IDLE_MOST = 12  # connections that rest
@@ -49,9 +48,10 @@
 
 def encode(call: effects.StartCall, host: str, budget: float) -> bytes:
     """A call's bytes."""
-    return (f"POST /lookup HTTP/1.1\r\nHost: {host}\r\nX-Parent-Id: {call.attempt_id}\r\n"
-            f"X-Budget-Ms: {max(1, round(budget))}\r\nContent-Length: {len(call.body)}\r\n\r\n"
-            ).encode() + call.body
+    return (
+        f"POST /lookup HTTP/1.1\r\nHost: {host}\r\nX-Parent-Id: {call.attempt_id}\r\n"
+        f"X-Budget-Ms: {max(1, round(budget))}\r\nContent-Length: {len(call.body)}\r\n\r\n"
+    ).encode() + call.body
 
 
 class ResponseReader:
@@ -134,8 +134,9 @@
     """Makes calls for runs; each that is not dropped comes back exactly once. Without an address there is
     nobody to call: no call can be made, and each comes back as never run."""
 
-    def __init__(self, loop: EventLoop, address: Address | None, most: int,
-                 post: Callable[[events.Event], None]) -> None:
+    def __init__(
+        self, loop: EventLoop, address: Address | None, most: int, post: Callable[[events.Event], None]
+    ) -> None:
         self._loop, self._address, self._most, self._post = loop, address, most, post
         self._idle: OrderedDict[_Link, None] = OrderedDict()  # the longest idle first
         self._calls: dict[str, _Link] = {}
@@ -265,7 +266,7 @@
         while link.call is call:
             try:
                 if out:
-                    out = out[sock.send(out):]
+                    out = out[sock.send(out) :]
             except BlockingIOError:
                 pass
             except OSError as error:
--- a/snowthread/clients/registry.py
+++ b/snowthread/clients/registry.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from snowthread.address import Address
-from snowthread.net.loop import READABLE, EventLoop, TaskSteps, Task, Wait
+from snowthread.net.loop import READABLE, EventLoop, Task, TaskSteps, Wait
 
 REPORT_MS = 400.0  # an entry lapses 3 s after the last report: of seven in that time most may get lost
 ANSWER_MAX = 1024  # bytes of an answer that are read
--- a/snowthread/clients/runtime.py
+++ b/snowthread/clients/runtime.py
@@ -13,10 +13,9 @@
 import orjson
 from loguru import logger
 
-from snowthread.admission.settings import Outcome
 from snowthread.address import Address
-from snowthread.core import effects
-from snowthread.core import events
+from snowthread.admission.settings import Outcome
+from snowthread.core import effects, events
 from snowthread.net.attempt import Failure, Progress
 from snowthread.net.connect import ConnectAttempt
 from snowthread.net.loop import HANGUP, READABLE, WRITABLE, EventLoop, TaskSteps, Wait
@@ -30,8 +29,12 @@
 ALIVE_TAG = "alive"
 FENCE_MS = 400.0  # the longest wait for the word that all commands were read, before the link moves
 
-_END = {"done": Outcome.SUCCESS, "crashed": Outcome.FAILURE, "aborted": Outcome.CANCELLED,
-        "stale": Outcome.NOT_STARTED}
+_END = {
+    "done": Outcome.SUCCESS,
+    "crashed": Outcome.FAILURE,
+    "aborted": Outcome.CANCELLED,
+    "stale": Outcome.NOT_STARTED,
+}
 
 
 def _pack(content: bytes) -> str:
@@ -47,8 +50,12 @@
     fields: dict[str, Any]
     match command:
         case effects.StartRun():
-            fields = {"action": "start", "uid": command.attempt_id, "lane": command.class_name,
-                      "content": _pack(command.body)}
+            fields = {
+                "action": "start",
+                "uid": command.attempt_id,
+                "lane": command.class_name,
+                "content": _pack(command.body),
+            }
         case effects.StopRun():
             fields = {"action": "stop", "uid": command.attempt_id}
         case effects.DeliverReply():
@@ -96,8 +103,13 @@
 class RuntimeClient:
     """Keeps the link, sends commands in order and passes each notice on once."""
 
-    def __init__(self, loop: EventLoop, address: Address, post: Callable[[events.Event], None],
-                 pause: Callable[[], float] | None = None) -> None:
+    def __init__(
+        self,
+        loop: EventLoop,
+        address: Address,
+        post: Callable[[events.Event], None],
+        pause: Callable[[], float] | None = None,
+    ) -> None:
         self._pause = pause  # how long to wait before the next attempt to link, where not as usual
         self._loop, self._address, self._post = loop, address, post
         self._sock: socket.socket | None = None
@@ -147,7 +159,7 @@
         while self._lines and self._sock is not None:
             line = self._lines[0][1]
             try:
-                self._sent += self._sock.send(line[self._sent:] if self._sent else line)
+                self._sent += self._sock.send(line[self._sent :] if self._sent else line)
             except BlockingIOError:
                 return False
             except OSError:
@@ -168,14 +180,16 @@
                 failure = yield from self._linked(attempt.sock)
                 if failure is None:
                     logger.bind(event="link.moved", peer="runtime").info(
-                        "runtime: moves to {}:{}", *self._address)
+                        "runtime: moves to {}:{}", *self._address
+                    )
                     self._fence, self._moving, pause = "", True, BACKOFF_MS[0]
                     self._close()
                     continue
                 if failure.progress is Progress.REPLY_BEGUN:
                     pause = BACKOFF_MS[0]
                     logger.bind(event="link.lost", peer="runtime").warning(
-                        "runtime: link lost: {}", failure.reason)
+                        "runtime: link lost: {}", failure.reason
+                    )
                 self._lost(failure.timed_out)
             yield Wait(until=self._loop.clock.now() + (self._pause() if self._pause is not None else pause))
             pause = min(BACKOFF_MS[1], pause * 2.0)
@@ -183,14 +197,17 @@
     def _lost(self, timed_out: bool) -> None:
         """Say which commands were not begun: they may go on the next link; of others nothing is known. Where
         the link was given up for its silence, that is true of all that went since something was heard."""
-        lines = list(self._lines)[1 if self._sent else 0:] + self._later
+        lines = list(self._lines)[1 if self._sent else 0 :] + self._later
         self._later = []
         self._close()
         self._fence = ""
         if self._ready or self._moving:
             self._ready = self._moving = False
-            self._post(events.RuntimeDisconnected(tuple(command for command, _ in lines),
-                                      self._heard if timed_out else None))
+            self._post(
+                events.RuntimeDisconnected(
+                    tuple(command for command, _ in lines), self._heard if timed_out else None
+                )
+            )
 
     def _close(self) -> None:
         sock, self._sock = self._sock, None
@@ -243,7 +260,8 @@
                         pos, message = decode(line)
                     except ValueError as error:
                         logger.bind(event="peer.nonsense", peer="runtime").warning(
-                            "runtime: not a notice: {}", error)
+                            "runtime: not a notice: {}", error
+                        )
                         continue
                     self._take(pos, message)
                     if (
--- a/snowthread/config.py
+++ b/snowthread/config.py
@@ -10,10 +10,10 @@
 
 import orjson
 
+from snowthread.address import Address
 from snowthread.admission.controller import Controller
 from snowthread.admission.settings import Dependency, Settings
 from snowthread.admission.settings_parser import parse_settings
-from snowthread.address import Address
 
 SOCKETS, MEMORY_MB = 1024, 192.0  # where the file sets no limit
 
@@ -91,8 +91,11 @@
     lacks = missing_key(fields, old.shape) if old is not None else None
     if lacks is not None:
         raise ConfigError(f"{path}: {lacks}: is missing, the configuration in force has it")
-    for name, variable in (("name", "NODE_NAME"), ("listen", "NODE_LISTEN"),
-                           ("admin_addr", "NODE_ADMIN_ADDR")):
+    for name, variable in (
+        ("name", "NODE_NAME"),
+        ("listen", "NODE_LISTEN"),
+        ("admin_addr", "NODE_ADMIN_ADDR"),
+    ):
         if environment.get(variable):
             fields[name] = environment[variable]
     number = environment.get("NODE_FD") or None
@@ -159,7 +162,17 @@
         raise ConfigError(f"settings can't be used: {type(error).__name__}: {error}") from None
     if "index" not in addresses and settings.dependency is not Dependency.NONE:
         raise ConfigError("index: an address is wanted, the settings say that calls are made below")
-    return Config(name=name, seed=seed, stop_ms=float(stop), sockets=sockets,
-                  memory_mb=float(memory), settings=settings, gauge_names=meters, listen=addresses["listen"],
-                  runtime=addresses["runtime"], registry=addresses["roster"], database=addresses.get("index"),
-                  admin=admin)
+    return Config(
+        name=name,
+        seed=seed,
+        stop_ms=float(stop),
+        sockets=sockets,
+        memory_mb=float(memory),
+        settings=settings,
+        gauge_names=meters,
+        listen=addresses["listen"],
+        runtime=addresses["runtime"],
+        registry=addresses["roster"],
+        database=addresses.get("index"),
+        admin=admin,
+    )
--- a/snowthread/console/cli.py
+++ b/snowthread/console/cli.py
@@ -22,8 +22,14 @@
 @click.argument("places", nargs=-1, required=True, type=click.Path(exists=True, path_type=Path))
 @click.option("--sort", type=click.Choice(SORTS), default="node", help="The order of nodes.")
 @click.option("--only", default="", help="Only nodes with this in their name, or of this state.")
-@click.option("--replay", "speed", type=click.FloatRange(0.1, 1000.0), default=None, metavar="SPEED",
-              help="Play what is recorded again, so many times as fast.")
+@click.option(
+    "--replay",
+    "speed",
+    type=click.FloatRange(0.1, 1000.0),
+    default=None,
+    metavar="SPEED",
+    help="Play what is recorded again, so many times as fast.",
+)
 @click.option("--once", is_flag=True, help="Print the picture as it is now, and exit; so also where piped.")
 def console(places: tuple[Path, ...], sort: str, only: str, speed: float | None, once: bool) -> None:
     """Show a fleet from its nodes' records: state, service, refusals, calls, and the course of things."""
--- a/snowthread/console/model.py
+++ b/snowthread/console/model.py
@@ -107,8 +107,11 @@
             view.late += counts.get("late", 0)
             if tenant:
                 view.tenants[tenant] = view.tenants.get(tenant, 0) + counts.get("read", 0)
-            for reason, label in (("refused", "as read"), ("refused_held", "held"),
-                                  ("refused_leaving", "leaving")):
+            for reason, label in (
+                ("refused", "as read"),
+                ("refused_held", "held"),
+                ("refused_leaving", "leaving"),
+            ):
                 if counts.get(reason):
                     view.refused += counts[reason]
                     view.reasons[label] = view.reasons.get(label, 0) + counts[reason]
@@ -129,14 +132,24 @@
     def shown(self, sort: str = "node", only: str = "") -> list[NodeView]:
         """The nodes whose name or state has this text in it, in this order; figures the highest first."""
         nodes = [v for v in self.nodes.values() if only in v.name or only == self.state(v)]
-        keys = {"node": lambda v: (v.name,), "state": lambda v: (self.state(v), v.name),
-                "read": lambda v: (-v.read, v.name), "aim": lambda v: (v.aim, v.name),
-                "refused": lambda v: (-v.refused, v.name), "failed": lambda v: (-v.failed, v.name),
-                "b": lambda v: (-v.b, v.name), "calls": lambda v: (-v.call_ms, v.name)}
+        keys = {
+            "node": lambda v: (v.name,),
+            "state": lambda v: (self.state(v), v.name),
+            "read": lambda v: (-v.read, v.name),
+            "aim": lambda v: (v.aim, v.name),
+            "refused": lambda v: (-v.refused, v.name),
+            "failed": lambda v: (-v.failed, v.name),
+            "b": lambda v: (-v.b, v.name),
+            "calls": lambda v: (-v.call_ms, v.name),
+        }
         return sorted(nodes, key=keys[sort])
 
     def totals(self) -> tuple[int, int, int, int]:
         """Read, served in aim, refused and failed in the last second of the nodes that are up."""
         up = [v for v in self.nodes.values() if self.state(v) in ("up", "leaving")]
-        return (sum(v.read for v in up), sum(v.good for v in up), sum(v.refused for v in up),
-                sum(v.failed for v in up))
+        return (
+            sum(v.read for v in up),
+            sum(v.good for v in up),
+            sum(v.refused for v in up),
+            sum(v.failed for v in up),
+        )
--- a/snowthread/core/effects.py
+++ b/snowthread/core/effects.py
@@ -6,12 +6,12 @@
 
 from snowthread.core.events import (
     DrainRequested,
-    LoadSampleDue,
-    KeyClaimRequested,
-    KeyReleased,
     KeyClaimDecided,
+    KeyClaimRequested,
     KeyClaimTimedOut,
+    KeyReleased,
     KeyRunCompleted,
+    LoadSampleDue,
     PeerLoadReported,
     ResponseAddress,
     TimerExpired,
--- a/snowthread/core/idempotency.py
+++ b/snowthread/core/idempotency.py
@@ -66,8 +66,17 @@
     def __len__(self) -> int:
         return len(self._by_number)
 
-    def put(self, once: str, number: int, uid: str, until: float, now: float, content: bytes = b"",
-             away: bool = False, class_name: str = "") -> IdempotencyRecord:
+    def put(
+        self,
+        once: str,
+        number: int,
+        uid: str,
+        until: float,
+        now: float,
+        content: bytes = b"",
+        away: bool = False,
+        class_name: str = "",
+    ) -> IdempotencyRecord:
         """Remember the key from now on; a newer try takes the entry over."""
         self._purge(now)
         old = self._by_once.get(once)
--- a/snowthread/core/reconfiguration.py
+++ b/snowthread/core/reconfiguration.py
@@ -19,9 +19,11 @@
     """What is left of the runtime's limits while another process has so much of it: the crowd on the cores,
     the memory and the calls below are one for both, and either would else fill them alone."""
     return replace(
-        settings, memory_kb=max(settings.memory_kb * LEAST, settings.memory_kb - memory_kb),
+        settings,
+        memory_kb=max(settings.memory_kb * LEAST, settings.memory_kb - memory_kb),
         collapse_multiple=max(1.0, settings.collapse_multiple - runs / settings.cores),
-        call_quota=max(settings.call_quota * LEAST, settings.call_quota - calls))
+        call_quota=max(settings.call_quota * LEAST, settings.call_quota - calls),
+    )
 
 
 def merge_settings(old: Settings, new: Settings, gone: dict[str, float], now: float) -> Settings:
--- a/snowthread/core/reducer.py
+++ b/snowthread/core/reducer.py
@@ -15,16 +15,14 @@
 
 from snowthread.admission import actions as admission_actions
 from snowthread.admission import events as admission_events
-from snowthread.admission.settings import RequestClass
 from snowthread.admission import learned_state
 from snowthread.admission.controller import UPDATE_TIMER, Controller
 from snowthread.admission.settings import Idempotency as Repeat
-from snowthread.admission.settings import Outcome
-from snowthread.core import effects
-from snowthread.core import events
+from snowthread.admission.settings import Outcome, RequestClass
+from snowthread.core import effects, events
 from snowthread.core.idempotency import IdempotencyRecord
 from snowthread.core.reconfiguration import merge_settings, remaining_limits
-from snowthread.core.state import RequestPhase, Request, HandoverRole, State
+from snowthread.core.state import HandoverRole, Request, RequestPhase, State
 
 GAUGES_LEAD_MS = 20.0  # gauges are asked for so long before the timer they are for
 GAUGES_RECENT_MS = 200.0  # timers nearer to each other than this share gauges
@@ -35,8 +33,12 @@
 ASK_MS = 400.0  # the longest wait for the older process's word on a key; no more than half of the time left
 ASKING_MOST = 256  # keys that may be asked for at once
 
-_METER = {"core_use": "core_utilization", "on_cores": "core_demand", "heap_share": "memory_utilization",
-          "links": "connections"}
+_METER = {
+    "core_use": "core_utilization",
+    "on_cores": "core_demand",
+    "heap_share": "memory_utilization",
+    "links": "connections",
+}
 
 
 def reduce(state: State, message: events.Event, now: float) -> list[effects.Effect]:
@@ -91,8 +93,12 @@
                 _DO[type(action)](self, action)
             if s.peer_load is not None:
                 m = s.peer_load
-                s.controller.handle(s.admission_clock.timestamp_s(self.now), admission_events.SettingsChanged(
-                    remaining_limits(s.settings, m.runs, m.memory_kb, m.calls)))
+                s.controller.handle(
+                    s.admission_clock.timestamp_s(self.now),
+                    admission_events.SettingsChanged(
+                        remaining_limits(s.settings, m.runs, m.memory_kb, m.calls)
+                    ),
+                )
             self.recall()
             if s.pending_quotas is not None:  # nothing is held yet, so nothing comes of it
                 s.controller.handle(s.admission_clock.timestamp_s(self.now), s.pending_quotas)
@@ -400,8 +406,11 @@
         s = self.s
         found: dict[str, float] = {}
         if self.now - s.load_sample_at_ms <= GAUGES_OLD_MS:
-            found = {_METER[name]: value for name, value in zip(s.gauge_names, s.load_sample, strict=False)
-                     if name in _METER}
+            found = {
+                _METER[name]: value
+                for name, value in zip(s.gauge_names, s.load_sample, strict=False)
+                if name in _METER
+            }
         self.tell(admission_events.TimerFired(m.label, **found))
         if s.handover_role is not HandoverRole.STANDALONE and m.label == UPDATE_TIMER:
             self.tell_load()
@@ -438,9 +447,13 @@
         self.tell_limits()
         theirs = {t.name: t for t in m.settings.tenants}
         if old.tenants != m.settings.tenants or old.over_quota_weight != m.settings.over_quota_weight:
-            self.shares_changed(events.TenantQuotasChanged(
-                m.settings.tenants, frozenset(t.name for t in old.tenants if t.name not in theirs),
-                m.settings.over_quota_weight))
+            self.shares_changed(
+                events.TenantQuotasChanged(
+                    m.settings.tenants,
+                    frozenset(t.name for t in old.tenants if t.name not in theirs),
+                    m.settings.over_quota_weight,
+                )
+            )
 
     def longer_windows(self, old: tuple[RequestClass, ...]) -> None:
         """A key is kept for its class's window as it is now, where that is the longer one: repeats come
@@ -576,9 +589,15 @@
         s = self.s
         runs = [q for q in s.requests.values() if q.phase is RequestPhase.RUNNING]
         held = sum(q.memory_kb for q in s.requests.values() if q.phase is not RequestPhase.RUNNING)
-        self.out.append(effects.SendToPeerProcess(events.PeerLoadReported(
-            len(runs), float(held + s.settings.running_memory_factor * sum(q.memory_kb for q in runs)),
-            sum(q.call_in_flight for q in runs))))
+        self.out.append(
+            effects.SendToPeerProcess(
+                events.PeerLoadReported(
+                    len(runs),
+                    float(held + s.settings.running_memory_factor * sum(q.memory_kb for q in runs)),
+                    sum(q.call_in_flight for q in runs),
+                )
+            )
+        )
 
     def load_told(self, m: events.PeerLoadReported) -> None:
         self.s.peer_load = m
--- a/snowthread/core/state.py
+++ b/snowthread/core/state.py
@@ -10,9 +10,9 @@
 from snowthread.admission.settings import RequestClass, Settings
 from snowthread.core.effects import Command
 from snowthread.core.events import (
-    PeerLoadReported,
     CallPacingChanged,
     LearnedStateRestored,
+    PeerLoadReported,
     RequestReceived,
     ResponseAddress,
 )
--- a/snowthread/demo.py
+++ b/snowthread/demo.py
@@ -56,8 +56,12 @@
 
     def _config(self, n: int) -> Path:
         fields = json.loads((ROOT / "examples" / "node.json").read_bytes())
-        for name, kind in (("listen", socket.SOCK_STREAM), ("runtime", socket.SOCK_STREAM),
-                           ("index", socket.SOCK_STREAM), ("roster", socket.SOCK_DGRAM)):
+        for name, kind in (
+            ("listen", socket.SOCK_STREAM),
+            ("runtime", socket.SOCK_STREAM),
+            ("index", socket.SOCK_STREAM),
+            ("roster", socket.SOCK_DGRAM),
+        ):
             fields[name] = _free(kind)
         fields["settings"]["domain"]["cores"] = CORES
         path = self.folder / f"node{n + 1}.json"
@@ -65,15 +69,27 @@
         return path
 
     def _start(self, *words: str, **environment: str) -> subprocess.Popen[str]:
-        made = subprocess.Popen([sys.executable, "-m", *words], cwd=ROOT, text=True, stdin=subprocess.PIPE,
-                                stdout=subprocess.PIPE, stderr=subprocess.DEVNULL,
-                                env=os.environ | {"PYTHONPATH": str(ROOT)} | environment)
+        made = subprocess.Popen(
+            [sys.executable, "-m", *words],
+            cwd=ROOT,
+            text=True,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            env=os.environ | {"PYTHONPATH": str(ROOT)} | environment,
+        )
         self._stack.callback(_end, made)
         return made
 
     def _serve(self, n: int) -> subprocess.Popen[str]:
-        return self._start("emulators.skewed_clock", str(SKEWS_S[n]), "serve", "--with", str(self.file),
-                           NODE_CONFIG=str(self.configs[n]))
+        return self._start(
+            "emulators.skewed_clock",
+            str(SKEWS_S[n]),
+            "serve",
+            "--with",
+            str(self.file),
+            NODE_CONFIG=str(self.configs[n]),
+        )
 
     def node(self, n: int) -> subprocess.Popen[str]:
         """Start a node; it listens when this returns."""
@@ -136,50 +152,71 @@
     """What happens, as (seconds from the start, words, action)."""
     plan: list[tuple[float, str, Callable[[], None]]] = [
         (CALM * seconds, "the index becomes slow", lambda: fleet.index(SLOW_MS)),
-        (SLOW_UNTIL * seconds, "the index is as before", lambda: fleet.index(INDEX_MS))]
+        (SLOW_UNTIL * seconds, "the index is as before", lambda: fleet.index(INDEX_MS)),
+    ]
 
     def leave(n: int) -> Callable[[], None]:
         def go() -> None:
             loads[n].paused = True  # what a list of servers does a moment after the notice
             fleet.nodes[n].send_signal(signal.SIGTERM)
+
         return go
 
     def back(n: int) -> Callable[[], None]:
         def go() -> None:
             loads[n].loop.spawn(fleet.again(n, loads[n]))
+
         return go
 
     def kill(n: int) -> Callable[[], None]:
         def go() -> None:
             loads[n].paused = True
             fleet.nodes[n].kill()
+
         return go
 
     for n in range(NODES):
         at = DEPLOY * seconds + n * 3.0
-        plan += [(at, f"node n{n + 1} is told to leave", leave(n)),
-                 (at + 2.0, f"n{n + 1} comes back", back(n))]
+        plan += [
+            (at, f"node n{n + 1} is told to leave", leave(n)),
+            (at + 2.0, f"n{n + 1} comes back", back(n)),
+        ]
     at = max(KILL * seconds, DEPLOY * seconds + NODES * 3.0 + 2.0)
-    return sorted([*plan, (at, "n2 is killed", kill(1)), (at + 4.0, "n2 comes back", back(1))],
-                  key=lambda step: step[0])
-
+    return sorted(
+        [*plan, (at, "n2 is killed", kill(1)), (at + 4.0, "n2 comes back", back(1))], key=lambda step: step[0]
+    )
 
 
 @click.command()
-@click.option("-o", "--output", default="demo-report.html", type=click.Path(dir_okay=False, path_type=Path),
-              show_default=True, help="The report to write.")
-@click.option("--seconds", default=40.0, type=click.FloatRange(24.0, 600.0), show_default=True,
-              help="How long the traffic lasts.")
-@click.option("--keep", type=click.Path(file_okay=False, path_type=Path), default=None,
-              help="Keep the records in this folder.")
+@click.option(
+    "-o",
+    "--output",
+    default="demo-report.html",
+    type=click.Path(dir_okay=False, path_type=Path),
+    show_default=True,
+    help="The report to write.",
+)
+@click.option(
+    "--seconds",
+    default=40.0,
+    type=click.FloatRange(24.0, 600.0),
+    show_default=True,
+    help="How long the traffic lasts.",
+)
+@click.option(
+    "--keep",
+    type=click.Path(file_okay=False, path_type=Path),
+    default=None,
+    help="Keep the records in this folder.",
+)
 def demo(output: Path, seconds: float, keep: Path | None) -> None:
     """Run a fleet of three on loopback through a slow index, a rolling deploy and a crash; report on it."""
     if not (ROOT / "emulators").is_dir():
         raise ConfigError("the demo needs the repository round it: run it from a clone")
+    from emulators.load_generator import Load
     from snowthread.incident.report import Report
     from snowthread.net.clock import Clock
     from snowthread.net.loop import EventLoop
-    from emulators.load_generator import Load
 
     with ExitStack() as stack:
         folder = keep or Path(stack.enter_context(tempfile.TemporaryDirectory()))
@@ -187,8 +224,9 @@
         click.echo("starting three nodes and what stands round them...", err=True)
         fleet = Fleet(stack, folder)
         loop, rng = EventLoop(Clock()), random.Random(1)
-        loads = [Load(fleet.address(n), ["127.0.0.1", "127.0.0.2"], loop=loop, caller=10)
-                 for n in range(NODES)]
+        loads = [
+            Load(fleet.address(n), ["127.0.0.1", "127.0.0.2"], loop=loop, caller=10) for n in range(NODES)
+        ]
         for load in loads:
             load.others = [other for other in loads if other is not load]
         plan = _plan(fleet, loads, seconds)
@@ -209,8 +247,13 @@
         click.echo(f"{output} has it with its charts.")
 
 
-def _play(fleet: Fleet, loads: list[Load], plan: list[tuple[float, str, Callable[[], None]]],
-          rng: random.Random, seconds: float) -> None:
+def _play(
+    fleet: Fleet,
+    loads: list[Load],
+    plan: list[tuple[float, str, Callable[[], None]]],
+    rng: random.Random,
+    seconds: float,
+) -> None:
     """Traffic and events, and a picture each half second where there is a terminal."""
     from rich.console import Console
     from rich.live import Live
--- a/snowthread/frontends/admin/codec.py
+++ b/snowthread/frontends/admin/codec.py
@@ -93,6 +93,11 @@
 def encode(status: HTTPStatus, text: str, headers: tuple[tuple[str, str], ...] = ()) -> bytes:
     """A whole reply; the connection closes behind it."""
     body = (text + "\n").encode()
-    lines = [f"HTTP/1.1 {status.value} {status.phrase}", "Content-Type: text/plain; charset=utf-8",
-             f"Content-Length: {len(body)}", "Connection: close", *(f"{n}: {v}" for n, v in headers)]
+    lines = [
+        f"HTTP/1.1 {status.value} {status.phrase}",
+        "Content-Type: text/plain; charset=utf-8",
+        f"Content-Length: {len(body)}",
+        "Connection: close",
+        *(f"{n}: {v}" for n, v in headers),
+    ]
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- a/snowthread/frontends/admin/server.py
+++ b/snowthread/frontends/admin/server.py
@@ -10,7 +10,7 @@
 
 from snowthread.address import Address
 from snowthread.frontends.admin.codec import CONTINUE, AdminRequest, RequestError, RequestReader, encode
-from snowthread.net.loop import READABLE, WRITABLE, EventLoop, TaskSteps, Task, Wait
+from snowthread.net.loop import READABLE, WRITABLE, EventLoop, Task, TaskSteps, Wait
 
 CALLERS_MOST = 12  # at once, within the descriptors set aside; past it who has waited longest makes room
 CALL_MS = 10_000.0  # the longest wait for the rest of a call: some stop for seconds and go on
@@ -109,7 +109,7 @@
         out, until = self._answer(reading.result), self._loop.clock.now() + REPLY_MS
         while out:
             try:
-                out = out[sock.send(out):]
+                out = out[sock.send(out) :]
             except BlockingIOError:
                 if not (yield Wait(sock.fileno(), WRITABLE, until)):
                     return
--- a/snowthread/frontends/balancers/codec.py
+++ b/snowthread/frontends/balancers/codec.py
@@ -10,8 +10,7 @@
 
 import msgpack
 
-from snowthread.core import effects
-from snowthread.core import events
+from snowthread.core import effects, events
 
 READ_BYTES = 8 * 1024  # taken from one connection in a turn of the loop: a flood gets no more than others
 MESSAGE_MAX = 16 * 1024  # bytes of one message: a body, fields and room to spare
@@ -22,10 +21,38 @@
 AHEAD_MAX_MS = 60_000.0  # as is a time that lies further ahead
 
 # Bytes of the length that follows a head (of a map or list from 0xdc on), or of a value of fixed size.
-_LENGTHS = {0xc4: 1, 0xc5: 2, 0xc6: 4, 0xc7: 1, 0xc8: 2, 0xc9: 4, 0xd9: 1, 0xda: 2, 0xdb: 4,
-            0xdc: 2, 0xdd: 4, 0xde: 2, 0xdf: 4}
-_SIZES = {0xca: 4, 0xcb: 8, 0xcc: 1, 0xcd: 2, 0xce: 4, 0xcf: 8, 0xd0: 1, 0xd1: 2, 0xd2: 4, 0xd3: 8,
-          0xd4: 2, 0xd5: 3, 0xd6: 5, 0xd7: 9, 0xd8: 17}
+_LENGTHS = {
+    0xC4: 1,
+    0xC5: 2,
+    0xC6: 4,
+    0xC7: 1,
+    0xC8: 2,
+    0xC9: 4,
+    0xD9: 1,
+    0xDA: 2,
+    0xDB: 4,
+    0xDC: 2,
+    0xDD: 4,
+    0xDE: 2,
+    0xDF: 4,
+}
+_SIZES = {
+    0xCA: 4,
+    0xCB: 8,
+    0xCC: 1,
+    0xCD: 2,
+    0xCE: 4,
+    0xCF: 8,
+    0xD0: 1,
+    0xD1: 2,
+    0xD2: 4,
+    0xD3: 8,
+    0xD4: 2,
+    0xD5: 3,
+    0xD6: 5,
+    0xD7: 9,
+    0xD8: 17,
+}
 
 _ID = re.compile(r"[0-9a-f]{16}")
 # at, wait, kb, rank and from in plain digits: Python's own reading takes 'nan', '1_0' and other scripts'.
@@ -168,10 +195,17 @@
     """One for each read: what is begun waits as plain bytes, so hundreds of idle connections hold no buffers.
     Lengths are judged by their head, before what they announce is taken in. Bytes that are no text, or keys
     that are none, must not end the stream: they only spoil their own message."""
-    return msgpack.Unpacker(max_buffer_size=MESSAGE_MAX + READ_BYTES, read_size=READ_BYTES,
-                            max_bin_len=MESSAGE_MAX, max_str_len=MESSAGE_MAX, max_ext_len=MESSAGE_MAX,
-                            max_array_len=ITEMS_MAX, max_map_len=ITEMS_MAX, strict_map_key=False,
-                            unicode_errors="surrogateescape")
+    return msgpack.Unpacker(
+        max_buffer_size=MESSAGE_MAX + READ_BYTES,
+        read_size=READ_BYTES,
+        max_bin_len=MESSAGE_MAX,
+        max_str_len=MESSAGE_MAX,
+        max_ext_len=MESSAGE_MAX,
+        max_array_len=ITEMS_MAX,
+        max_map_len=ITEMS_MAX,
+        strict_map_key=False,
+        unicode_errors="surrogateescape",
+    )
 
 
 def too_long(begun: bytes) -> bool:
@@ -183,12 +217,12 @@
         at += 1
         width = _LENGTHS.get(head, 0)
         if width:
-            size = int.from_bytes(begun[at:at + width])
-            if at + width <= len(begun) and size > (ITEMS_MAX if head >= 0xdc else MESSAGE_MAX):
+            size = int.from_bytes(begun[at : at + width])
+            if at + width <= len(begun) and size > (ITEMS_MAX if head >= 0xDC else MESSAGE_MAX):
                 return True
-            at += width if head >= 0xdc else width + size + (0xc7 <= head <= 0xc9)
+            at += width if head >= 0xDC else width + size + (0xC7 <= head <= 0xC9)
         else:
-            at += head - 0xa0 if 0xa0 <= head < 0xc0 else _SIZES.get(head, 0)
+            at += head - 0xA0 if 0xA0 <= head < 0xC0 else _SIZES.get(head, 0)
     return False
 
 
--- a/snowthread/frontends/balancers/connection.py
+++ b/snowthread/frontends/balancers/connection.py
@@ -9,17 +9,16 @@
 import msgpack
 from loguru import logger
 
-from snowthread.core import effects
-from snowthread.core import events
+from snowthread.core import effects, events
 from snowthread.frontends.balancers.codec import (
     FAREWELL,
     MESSAGE_MAX,
     READ_BYTES,
-    RequestMessage,
-    InvalidMessage,
     CancelMessage,
-    HealthCheckMessage,
     DecodedMessage,
+    HealthCheckMessage,
+    InvalidMessage,
+    RequestMessage,
     decode,
     encode,
     number_of,
@@ -88,7 +87,7 @@
             return
         if not self.unsent_bytes:
             try:
-                data = data[self.sock.send(data):]
+                data = data[self.sock.send(data) :]
             except BlockingIOError:
                 pass
             except OSError:
@@ -179,7 +178,7 @@
 
     def _flush(self) -> None:
         try:
-            del self.unsent_bytes[:self.sock.send(self.unsent_bytes)]
+            del self.unsent_bytes[: self.sock.send(self.unsent_bytes)]
             self.stalled_since_ms = self.server.loop.clock.now() if self.unsent_bytes else math.inf
         except BlockingIOError:
             pass
--- a/snowthread/frontends/balancers/server.py
+++ b/snowthread/frontends/balancers/server.py
@@ -12,13 +12,12 @@
 from loguru import logger
 
 from snowthread.address import Address
-from snowthread.core import effects
-from snowthread.core import events
+from snowthread.core import effects, events
 from snowthread.frontends.balancers.codec import encode
 from snowthread.frontends.balancers.connection import BalancerConnection
 from snowthread.net.limits import (
-    IDLE_SHARE,
     FRESH_IDLE_MS,
+    IDLE_SHARE,
     SINGLE_USE_IDLE_MS,
     SWEEP_INTERVAL_MS,
     is_timed_out,
@@ -54,8 +53,15 @@
 class BalancerServer:
     """Accepts connections, answers on them and parts with them."""
 
-    def __init__(self, loop: EventLoop, address: Address, most: int, unsent_most: int,
-                 post: Callable[[events.Event], None], door: int | None = None) -> None:
+    def __init__(
+        self,
+        loop: EventLoop,
+        address: Address,
+        most: int,
+        unsent_most: int,
+        post: Callable[[events.Event], None],
+        door: int | None = None,
+    ) -> None:
         """``door``: a socket that listens at this address already and was passed on as a descriptor."""
         self.loop, self.post, self._unsent_most = loop, post, unsent_most
         self.set_max_connections(most)
--- a/snowthread/hot_restart/channel.py
+++ b/snowthread/hot_restart/channel.py
@@ -16,20 +16,19 @@
 import msgpack
 from loguru import logger
 
-from snowthread.core import effects
-from snowthread.core import events
+from snowthread.core import effects, events
 from snowthread.core.idempotency import IdempotencyRecord
-from snowthread.net.loop import HANGUP, READABLE, WRITABLE, EventLoop, TaskSteps, Task, Wait
 from snowthread.hot_restart.messages import (
+    CLIENTS_RELEASED,
     HANDOVER_COMPLETE,
     HELLO,
     TAKING_CLIENTS,
-    CLIENTS_RELEASED,
     PeerMessage,
     decode,
     encode,
     unpacker,
 )
+from snowthread.net.loop import HANGUP, READABLE, WRITABLE, EventLoop, Task, TaskSteps, Wait
 
 SOCKET = "beside"  # its name in the folder
 READ_BYTES = 64 * 1024
@@ -59,8 +58,9 @@
 class HotRestartChannel:
     """Finds the other process, keeps the link and passes on what it says."""
 
-    def __init__(self, loop: EventLoop, folder: str, post: Callable[[events.Event], None],
-                 found: Callable[[], None]) -> None:
+    def __init__(
+        self, loop: EventLoop, folder: str, post: Callable[[events.Event], None], found: Callable[[], None]
+    ) -> None:
         """``found`` is called once it is known that nobody is there, or all that the other knows is known
         here: the process may take clients from then on."""
         self._loop, self._folder, self._post, self._found = loop, folder, post, found
@@ -113,7 +113,7 @@
                     pieces.append(encode(self._words.popleft()))
                     size += len(pieces[-1])
                 self._out = b"".join(pieces)
-                self._out = self._out[sock.send(self._out):]
+                self._out = self._out[sock.send(self._out) :]
         except BlockingIOError:
             pass
         except OSError:  # the next read tells
@@ -131,7 +131,8 @@
             if sock is not None:
                 if not joined:
                     logger.bind(event="beside.joined", peer="beside").info(
-                        "another process serves: takes over from it")
+                        "another process serves: takes over from it"
+                    )
                 joined = True
                 self._begin(sock, self._joining)
                 self._post(events.PeerProcessConnected(is_predecessor=False))
@@ -187,7 +188,8 @@
                 os.close(fd)
         except OSError as error:  # it serves on all the same, only nobody can take over from it
             logger.bind(event="beside.failed", peer="beside").error(
-                "can't be found by another process: {}", error)
+                "can't be found by another process: {}", error
+            )
             made.close()
             return
         made.setblocking(False)
--- a/snowthread/hot_restart/messages.py
+++ b/snowthread/hot_restart/messages.py
@@ -61,10 +61,18 @@
     "load": events.PeerLoadReported,
 }
 _WANTED: dict[str, tuple[Any, ...]] = {
-    "key": (str, str, float, bytes, bool, bytes | None), "over": (str, bytes | None), "freed": (str,),
-    "asked": (str, str, float, bytes), "judged": (str, str, bool), "drain": (bool,),
+    "key": (str, str, float, bytes, bool, bytes | None),
+    "over": (str, bytes | None),
+    "freed": (str,),
+    "asked": (str, str, float, bytes),
+    "judged": (str, str, bool),
+    "drain": (bool,),
     "load": (int, float, int, int),
-    HELLO: (int,), HANDOVER_COMPLETE: (int,), TAKING_CLIENTS: (int,), CLIENTS_RELEASED: (int,)}
+    HELLO: (int,),
+    HANDOVER_COMPLETE: (int,),
+    TAKING_CLIENTS: (int,),
+    CLIENTS_RELEASED: (int,),
+}
 
 
 def decode(message: object) -> PeerMessage:
--- a/snowthread/incident/cli.py
+++ b/snowthread/incident/cli.py
@@ -9,8 +9,13 @@
 
 @click.command()
 @click.argument("places", nargs=-1, required=True, type=click.Path(exists=True, path_type=Path))
-@click.option("-o", "--output", required=True, type=click.Path(dir_okay=False, path_type=Path),
-              help="The HTML file to write; a JSON file is written beside it.")
+@click.option(
+    "-o",
+    "--output",
+    required=True,
+    type=click.Path(dir_okay=False, path_type=Path),
+    help="The HTML file to write; a JSON file is written beside it.",
+)
 def report(places: tuple[Path, ...], output: Path) -> None:
     """Tell from nodes' records (files and folders) what happened, in one HTML file and a JSON beside it."""
     from snowthread.incident.report import Report
--- a/snowthread/incident/clocks.py
+++ b/snowthread/incident/clocks.py
@@ -178,5 +178,6 @@
             mine = keep & (who == i)
             spread = float(np.quantile(np.abs(left[mine]), 0.95)) if mine.any() else ALONE_MS
             drift = float(found[column[i]]) / 3.6 if i in column else 0.0  # ms an hour -> ppm
-            self.offsets[piece] = Offset(group, float(found[i]), drift, t0, max(BOUND_LEAST_MS, 2.0 * spread),
-                                         int((who == i).sum()))
+            self.offsets[piece] = Offset(
+                group, float(found[i]), drift, t0, max(BOUND_LEAST_MS, 2.0 * spread), int((who == i).sum())
+            )
--- a/snowthread/incident/episodes.py
+++ b/snowthread/incident/episodes.py
@@ -21,8 +21,16 @@
 GONE_MS = 5_000.0  # a node that says nothing for so long, while others do, is gone
 
 SLOW_DATABASE, TRAFFIC, DEPLOY, RESTART, CRASH, DIRECTORY, BAD_CLIENTS, LINK, TURNED_AWAY = (
-    "slow database", "traffic jump", "rolling deploy", "restart", "crash", "directory outage", "bad clients",
-    "runtime link lost", "turned away")
+    "slow database",
+    "traffic jump",
+    "rolling deploy",
+    "restart",
+    "crash",
+    "directory outage",
+    "bad clients",
+    "runtime link lost",
+    "turned away",
+)
 CAUSES = (SLOW_DATABASE, TRAFFIC, DEPLOY, RESTART, CRASH, DIRECTORY, BAD_CLIENTS, LINK)
 
 
@@ -74,22 +82,58 @@
     if length:
         usual, spread = _usual(length.values())
         high = max(2.0 * usual, usual + 8.0 * spread, usual + 10.0)
-        out += _stretches(SLOW_DATABASE, length, high, max(1.4 * usual, usual + 4.0 * spread), rows, bound,
-                          lambda v: v / max(usual, 1.0), "times the usual length of a call", "calls")
+        out += _stretches(
+            SLOW_DATABASE,
+            length,
+            high,
+            max(1.4 * usual, usual + 4.0 * spread),
+            rows,
+            bound,
+            lambda v: v / max(usual, 1.0),
+            "times the usual length of a call",
+            "calls",
+        )
     usual, spread = _usual(read.values())
     spread = max(spread, math.sqrt(max(usual, 1.0)))
     high, low = max(1.3 * usual, usual + 5.0 * spread), usual + 2.5 * spread
-    out += _stretches(TRAFFIC, read, high, low, rows, bound,
-                      lambda v: v / max(usual, 1.0), "times the usual requests", "read")
+    out += _stretches(
+        TRAFFIC,
+        read,
+        high,
+        low,
+        rows,
+        bound,
+        lambda v: v / max(usual, 1.0),
+        "times the usual requests",
+        "read",
+    )
     part = {s: away[s] / read[s] for s in read if read[s] >= 5}
     if part:
         usual, spread = _usual(part.values())
         noise = 3.0 * math.sqrt(0.05 / max(median(read.values()), 1.0))
         high = usual + max(0.05 + noise, 6.0 * spread)
-        out += _stretches(TURNED_AWAY, part, high, usual + (high - usual) / 2.0, rows, bound,
-                          lambda v: 100.0 * v, "% of what was read was not served in its aim", "refused")
-    out += _stretches(BAD_CLIENTS, nonsense, max(5.0, 0.05 * _usual(read.values())[0]), 2.0, rows, bound,
-                      lambda v: v, "requests a second of classes that nobody knows", "nonsense")
+        out += _stretches(
+            TURNED_AWAY,
+            part,
+            high,
+            usual + (high - usual) / 2.0,
+            rows,
+            bound,
+            lambda v: 100.0 * v,
+            "% of what was read was not served in its aim",
+            "refused",
+        )
+    out += _stretches(
+        BAD_CLIENTS,
+        nonsense,
+        max(5.0, 0.05 * _usual(read.values())[0]),
+        2.0,
+        rows,
+        bound,
+        lambda v: v,
+        "requests a second of classes that nobody knows",
+        "nonsense",
+    )
     return out
 
 
@@ -99,9 +143,17 @@
     return middle, 1.4826 * median(abs(v - middle) for v in numbers)
 
 
-def _stretches(kind: str, figure: Mapping[int, float], high: float, low: float,
-               rows: Mapping[int, Mapping[str, Row]], bound: float, size: Callable[[float], float], unit: str,
-               shows: str) -> list[Episode]:
+def _stretches(
+    kind: str,
+    figure: Mapping[int, float],
+    high: float,
+    low: float,
+    rows: Mapping[int, Mapping[str, Row]],
+    bound: float,
+    size: Callable[[float], float],
+    unit: str,
+    shows: str,
+) -> list[Episode]:
     out: list[Episode] = []
     begun: int | None = None
     over, under = 0, 0
@@ -115,13 +167,28 @@
         elif begun is not None and (s is None or under >= END_S):
             stop = seconds[-1] if s is None else s - END_S
             inside = [x for x in seconds if begun <= x <= stop]
-            worst = sorted((figure[x] for x in inside), reverse=True)[:max(1, len(inside) // 4)]
+            worst = sorted((figure[x] for x in inside), reverse=True)[: max(1, len(inside) // 4)]
             nodes = sorted({n for x in inside for n, r in rows[x].items() if getattr(r, shows)})
-            cites = [r.key for x in (inside[:2] + inside[-1:]) for _, r in sorted(rows[x].items())
-                     if getattr(r, shows)][:CITES]
+            cites = [
+                r.key
+                for x in (inside[:2] + inside[-1:])
+                for _, r in sorted(rows[x].items())
+                if getattr(r, shows)
+            ][:CITES]
             lasts = s is None and under < END_S and figure[stop] > low
-            out.append(Episode(kind, begun * 1000.0, None if lasts else (stop + 1) * 1000.0, 1000.0 + bound,
-                               tuple(nodes), size(median(worst)), unit, tuple(cites), len(inside)))
+            out.append(
+                Episode(
+                    kind,
+                    begun * 1000.0,
+                    None if lasts else (stop + 1) * 1000.0,
+                    1000.0 + bound,
+                    tuple(nodes),
+                    size(median(worst)),
+                    unit,
+                    tuple(cites),
+                    len(inside),
+                )
+            )
             begun, over = None, 0
     return out
 
@@ -153,14 +220,26 @@
         if (node, boot) in series.ends:
             cites.append(series.ends[node, boot])
             ends.append(series.boots[node, boot][1])
-        after = sorted((span[0], b) for (n, b), span in series.boots.items()
-                       if n == node and b != boot and span[0] > event.at)
+        after = sorted(
+            (span[0], b)
+            for (n, b), span in series.boots.items()
+            if n == node and b != boot and span[0] > event.at
+        )
         if after and (node, after[0][1]) in series.starts:
             cites.append(series.starts[node, after[0][1]])
             ends.append(after[0][0])
     kind = DEPLOY if len(nodes) > 1 else RESTART
-    return Episode(kind, chain[0].at, max(ends) if ends else None, chain[0].bound, nodes, float(len(nodes)),
-                   "nodes were told to leave", tuple(cites[:CITES * 4]), len(chain))
+    return Episode(
+        kind,
+        chain[0].at,
+        max(ends) if ends else None,
+        chain[0].bound,
+        nodes,
+        float(len(nodes)),
+        "nodes were told to leave",
+        tuple(cites[: CITES * 4]),
+        len(chain),
+    )
 
 
 def _crashes(series: Series, last: int) -> list[Episode]:
@@ -169,15 +248,29 @@
     for (node, boot), (_, end) in series.boots.items():
         if (node, boot) in series.ends or (node, boot) not in series.lasts:
             continue
-        after = sorted((span[0], b) for (n, b), span in series.boots.items()
-                       if n == node and b != boot and span[0] >= end - 1000.0)
+        after = sorted(
+            (span[0], b)
+            for (n, b), span in series.boots.items()
+            if n == node and b != boot and span[0] >= end - 1000.0
+        )
         if not after and last * 1000.0 - end < GONE_MS:
             continue  # the records simply end here
         cites = [series.lasts[node, boot]]
         if after and (node, after[0][1]) in series.starts:
             cites.append(series.starts[node, after[0][1]])
-        out.append(Episode(CRASH, end, after[0][0] if after else None, 1000.0, (node,), 1.0,
-                           "node ended without a word", tuple(cites), 1))
+        out.append(
+            Episode(
+                CRASH,
+                end,
+                after[0][0] if after else None,
+                1000.0,
+                (node,),
+                1.0,
+                "node ended without a word",
+                tuple(cites),
+                1,
+            )
+        )
     return out
 
 
@@ -197,17 +290,27 @@
     out: list[Episode] = []
     group: list[tuple[float, float | None, Event, Event | None]] = []
     for span in [*sorted(spans, key=lambda x: x[0]), None]:
-        if span is not None and (not group or any(e is None or span[0] <= e + 5000.0
-                                                  for _, e, _, _ in group)):
+        if span is not None and (
+            not group or any(e is None or span[0] <= e + 5000.0 for _, e, _, _ in group)
+        ):
             group.append(span)
             continue
         if group:
             ends = [e for _, e, _, _ in group]
             cites = [e.record.key for _, _, a, b in group for e in (a, b) if e is not None]
-            out.append(Episode(DIRECTORY, group[0][0], None if None in ends else max(e for e in ends if e),
-                               group[0][2].bound, tuple(sorted({a.record.node for _, _, a, _ in group})),
-                               float(len(group)), "links to the directory were lost", tuple(cites[:CITES]),
-                               len(group)))
+            out.append(
+                Episode(
+                    DIRECTORY,
+                    group[0][0],
+                    None if None in ends else max(e for e in ends if e),
+                    group[0][2].bound,
+                    tuple(sorted({a.record.node for _, _, a, _ in group})),
+                    float(len(group)),
+                    "links to the directory were lost",
+                    tuple(cites[:CITES]),
+                    len(group),
+                )
+            )
         group = [span] if span is not None else []
     return out
 
@@ -230,5 +333,14 @@
 def _link(began: Event, ended: Event | None) -> Episode:
     cites = [e.record.key for e in (began, ended) if e is not None]
     end = None if ended is None else ended.at
-    return Episode(LINK, began.at, end, began.bound, (began.record.node,), 1.0,
-                   "link to the runtime was lost", tuple(cites), 1)
+    return Episode(
+        LINK,
+        began.at,
+        end,
+        began.bound,
+        (began.record.node,),
+        1.0,
+        "link to the runtime was lost",
+        tuple(cites),
+        1,
+    )
--- a/snowthread/incident/report.py
+++ b/snowthread/incident/report.py
@@ -47,22 +47,48 @@
     def plain(self) -> dict[str, Any]:
         """For programs: the story with its citations, the offsets, the gaps, and each node's totals."""
         return {
-            "version": __version__, "quiet": self.story.quiet, "span": list(self.series.span),
-            "sentences": [{"at": s.at, "kind": s.kind, "text": s.text, "confidence": s.confidence,
-                           "start": s.episode.start, "end": s.episode.end, "bound_ms": s.episode.bound,
-                           "nodes": list(s.episode.nodes), "cites": [list(c) for c in s.cites]}
-                          for s in self.story.sentences],
+            "version": __version__,
+            "quiet": self.story.quiet,
+            "span": list(self.series.span),
+            "sentences": [
+                {
+                    "at": s.at,
+                    "kind": s.kind,
+                    "text": s.text,
+                    "confidence": s.confidence,
+                    "start": s.episode.start,
+                    "end": s.episode.end,
+                    "bound_ms": s.episode.bound,
+                    "nodes": list(s.episode.nodes),
+                    "cites": [list(c) for c in s.cites],
+                }
+                for s in self.story.sentences
+            ],
             "unknown": list(self.story.unknown),
-            "offsets": [{"node": p.node, "boot": p.boot, "part": p.part, **asdict(o),
-                         "bound_ms": o.bound_ms if o.bound_ms != float("inf") else None}
-                        for p, o in self.clocks.offsets.items()],
-            "findings": {"records": self.findings.records, "files": self.findings.files,
-                         "copies": self.findings.copies, "unreadable": self.findings.unreadable,
-                         "holes": [[h.node, h.boot, h.after, h.count] for h in self.findings.holes],
-                         "spoilt": [[str(s.path.name), s.frame.offset, s.frame.size, s.frame.reason]
-                                    for s in self.findings.spoilt]},
-            "nodes": [{"node": node, **_totals(rows.values())}
-                      for node, rows in sorted(self.series.rows.items())],
+            "offsets": [
+                {
+                    "node": p.node,
+                    "boot": p.boot,
+                    "part": p.part,
+                    **asdict(o),
+                    "bound_ms": o.bound_ms if o.bound_ms != float("inf") else None,
+                }
+                for p, o in self.clocks.offsets.items()
+            ],
+            "findings": {
+                "records": self.findings.records,
+                "files": self.findings.files,
+                "copies": self.findings.copies,
+                "unreadable": self.findings.unreadable,
+                "holes": [[h.node, h.boot, h.after, h.count] for h in self.findings.holes],
+                "spoilt": [
+                    [str(s.path.name), s.frame.offset, s.frame.size, s.frame.reason]
+                    for s in self.findings.spoilt
+                ],
+            },
+            "nodes": [
+                {"node": node, **_totals(rows.values())} for node, rows in sorted(self.series.rows.items())
+            ],
         }
 
     def json(self) -> bytes:
@@ -71,17 +97,27 @@
 
     def html(self) -> str:
         """The whole page."""
-        environment = Environment(loader=PackageLoader("snowthread.incident", "."), autoescape=True,
-                                  undefined=StrictUndefined, trim_blocks=True, lstrip_blocks=True)
+        environment = Environment(
+            loader=PackageLoader("snowthread.incident", "."),
+            autoescape=True,
+            undefined=StrictUndefined,
+            trim_blocks=True,
+            lstrip_blocks=True,
+        )
         environment.filters["clock"] = _clock
         plain = self.plain()
         charts = [_fleet(self.series)] if self.series.rows else []
         charts += [_class(name, rows) for name, rows in sorted(self.series.classes.items())]
         panels = [(node, _node(node, rows)) for node, rows in sorted(self.series.rows.items())[:NODES_MOST]]
         return environment.get_template("report.html.j2").render(
-            r=plain, story=self.story, charts=charts, panels=panels, clocks=self.clocks.offsets,
+            r=plain,
+            story=self.story,
+            charts=charts,
+            panels=panels,
+            clocks=self.clocks.offsets,
             left_out=max(0, len(self.series.rows) - NODES_MOST),
-            date=_date(self.series.span[0] * 1000.0) if self.series.rows else "")
+            date=_date(self.series.span[0] * 1000.0) if self.series.rows else "",
+        )
 
 
 def _totals(rows: Iterable[Any]) -> dict[str, int]:
@@ -104,13 +140,30 @@
     step = max(1, -(-(last - first + 1) // POINTS_MOST))
     starts = list(range(first, last + 1, step))
     chart = pygal.Line(
-        title=title, height=260, width=900, js=[], show_dots=False, truncate_label=-1,
+        title=title,
+        height=260,
+        width=900,
+        js=[],
+        show_dots=False,
+        truncate_label=-1,
         show_minor_x_labels=False,
         x_label_rotation=0,
-        legend_at_bottom=True, disable_xml_declaration=True, include_x_axis=True, pretty_print=False,
-        style=Style(background="transparent", plot_background="transparent", foreground="currentColor",
-                    foreground_strong="currentColor", foreground_subtle="currentColor", colors=COLORS,
-                    font_family="sans-serif", guide_stroke_color="#8888", major_guide_stroke_color="#8888"))
+        legend_at_bottom=True,
+        disable_xml_declaration=True,
+        include_x_axis=True,
+        pretty_print=False,
+        style=Style(
+            background="transparent",
+            plot_background="transparent",
+            foreground="currentColor",
+            foreground_strong="currentColor",
+            foreground_subtle="currentColor",
+            colors=COLORS,
+            font_family="sans-serif",
+            guide_stroke_color="#8888",
+            major_guide_stroke_color="#8888",
+        ),
+    )
     chart.x_labels = [_clock(s * 1000.0) for s in starts]
     chart.x_labels_major_count = 6
     for name, values in lines.items():
@@ -133,21 +186,28 @@
     lines: dict[str, dict[int, float]] = {"read": {}, "served in aim": {}, "turned away": {}}
     for rows in series.rows.values():
         for s, row in rows.items():
-            for name, value in (("read", row.read), ("served in aim", row.good),
-                                ("turned away", row.refused + row.leaving + row.failed + row.late)):
+            for name, value in (
+                ("read", row.read),
+                ("served in aim", row.good),
+                ("turned away", row.refused + row.leaving + row.failed + row.late),
+            ):
                 lines[name][s] = lines[name].get(s, 0.0) + value
     return _chart("All nodes: requests a second", first, last, lines)
 
 
 def _class(name: str, rows: dict[int, list[int]]) -> str:
-    lines = {title: {s: float(row[n]) for s, row in rows.items()}
-             for n, title in enumerate(("read", "served in aim", "turned away"))}
+    lines = {
+        title: {s: float(row[n]) for s, row in rows.items()}
+        for n, title in enumerate(("read", "served in aim", "turned away"))
+    }
     return _chart(f"{name}: requests a second", min(rows), max(rows), lines)
 
 
 def _node(node: str, rows: dict[int, Any]) -> str:
-    lines = {"read": {s: float(r.read) for s, r in rows.items()},
-             "served in aim": {s: float(r.good) for s, r in rows.items()},
-             "turned away": {s: float(r.refused + r.leaving + r.failed + r.late) for s, r in rows.items()},
-             "call, ms": {s: r.call_ms for s, r in rows.items() if r.calls}}
+    lines = {
+        "read": {s: float(r.read) for s, r in rows.items()},
+        "served in aim": {s: float(r.good) for s, r in rows.items()},
+        "turned away": {s: float(r.refused + r.leaving + r.failed + r.late) for s, r in rows.items()},
+        "call, ms": {s: r.call_ms for s, r in rows.items() if r.calls},
+    }
     return _chart(node, min(rows), max(rows), lines)
--- a/snowthread/incident/timeline.py
+++ b/snowthread/incident/timeline.py
@@ -13,7 +13,17 @@
 
 from snowthread.incident.clocks import Clocks
 from snowthread.incident.episodes import (
-    CAUSES, CRASH, DEPLOY, DIRECTORY, LINK, RESTART, SLOW_DATABASE, TRAFFIC, TURNED_AWAY, Episode, find,
+    CAUSES,
+    CRASH,
+    DEPLOY,
+    DIRECTORY,
+    LINK,
+    RESTART,
+    SLOW_DATABASE,
+    TRAFFIC,
+    TURNED_AWAY,
+    Episode,
+    find,
 )
 from snowthread.incident.series import Key, Series
 
@@ -51,15 +61,22 @@
 
 def causes(effect: Episode, episodes: Sequence[Episode]) -> list[Episode]:
     """What may have brought it about."""
-    return [e for e in episodes if e.kind in KNOWN_FOR and before(e, effect) is not False
-            and (e.end is None or e.end + AFTER_MS + e.bound >= effect.start)]
+    return [
+        e
+        for e in episodes
+        if e.kind in KNOWN_FOR
+        and before(e, effect) is not False
+        and (e.end is None or e.end + AFTER_MS + e.bound >= effect.start)
+    ]
 
 
 def build_timeline(series: Series, clocks: Clocks) -> Timeline:
     """The story of these records."""
     episodes = find(series)
-    sentences = tuple(Sentence(e.start, _text(e, episodes), _cites(e, episodes), _confidence(e), e.kind, e)
-                      for e in episodes)
+    sentences = tuple(
+        Sentence(e.start, _text(e, episodes), _cites(e, episodes), _confidence(e), e.kind, e)
+        for e in episodes
+    )
     return Timeline(
         sentences,
         tuple(_unknown(series, clocks)),
@@ -94,13 +111,18 @@
         case "traffic jump":
             return f"{e.size:.1f} times the usual requests came{_lasted(e)}."
         case "rolling deploy":
-            return (f"{len(e.nodes)} nodes were told to leave, one after the other ({_names(e.nodes)})"
-                    f"{_lasted(e)}.")
+            return (
+                f"{len(e.nodes)} nodes were told to leave, one after the other ({_names(e.nodes)})"
+                f"{_lasted(e)}."
+            )
         case "restart":
             return f"{e.nodes[0]} was told to leave{_lasted(e)}."
         case "crash":
-            back = "it has not come back in the records" if e.end is None else (
-                f"it came back after {(e.end - e.start) / 1000.0:.0f} s")
+            back = (
+                "it has not come back in the records"
+                if e.end is None
+                else (f"it came back after {(e.end - e.start) / 1000.0:.0f} s")
+            )
             return f"{e.nodes[0]} ended without a word; {back}."
         case "directory outage":
             return f"{_names(e.nodes)} lost the directory of tenants{_lasted(e)}."
@@ -123,8 +145,10 @@
     out = []
     groups = {o.group for o in clocks.offsets.values()}
     if len(groups) > 1:
-        out.append(f"The clocks of {len(groups)} groups of nodes are linked by nothing in the records; what "
-                   "happened in one is not ordered against another more finely than their own clocks say.")
+        out.append(
+            f"The clocks of {len(groups)} groups of nodes are linked by nothing in the records; what "
+            "happened in one is not ordered against another more finely than their own clocks say."
+        )
     if series.lost:
         out.append(f"{series.lost} records are known to be missing.")
     if series.left_out:
--- a/snowthread/lab/cli.py
+++ b/snowthread/lab/cli.py
@@ -42,10 +42,19 @@
 
 @lab.command()
 @SCENARIO
-@click.option("-o", "--output", type=click.Path(file_okay=False, path_type=Path),
-              help="The folder for the play's nodes, logs, summary and report; a new one where not given.")
-@click.option("--lab-cores", type=click.IntRange(1), default=2, show_default=True,
-              help="Cores that the lab and its stand-ins share; the nodes have the others.")
+@click.option(
+    "-o",
+    "--output",
+    type=click.Path(file_okay=False, path_type=Path),
+    help="The folder for the play's nodes, logs, summary and report; a new one where not given.",
+)
+@click.option(
+    "--lab-cores",
+    type=click.IntRange(1),
+    default=2,
+    show_default=True,
+    help="Cores that the lab and its stand-ins share; the nodes have the others.",
+)
 def run(scenario: Path, output: Path | None, lab_cores: int) -> None:
     """Play a scenario; the last line printed is its summary as one JSON object."""
     click.echo(json.dumps(_play(scenario, output, lab_cores)))
--- a/snowthread/lab/plan.py
+++ b/snowthread/lab/plan.py
@@ -39,10 +39,29 @@
 from snowthread.config import ConfigError
 from snowthread.operator.hcl import Block, read
 
-ACTIONS = ("kill", "term", "stop", "wipe", "tear", "spoil", "generation", "partition", "delay", "bandwidth",
-           "cut", "slow")
-AGAIN = {"kill": "start", "term": "start", "stop": "cont", "partition": "heal", "delay": "heal",
-         "bandwidth": "heal", "slow": "heal"}
+ACTIONS = (
+    "kill",
+    "term",
+    "stop",
+    "wipe",
+    "tear",
+    "spoil",
+    "generation",
+    "partition",
+    "delay",
+    "bandwidth",
+    "cut",
+    "slow",
+)
+AGAIN = {
+    "kill": "start",
+    "term": "start",
+    "stop": "cont",
+    "partition": "heal",
+    "delay": "heal",
+    "bandwidth": "heal",
+    "slow": "heal",
+}
 ON_LINKS = ("partition", "delay", "bandwidth", "cut")
 FOR_ALL = ("slow", "generation")  # steps that are not a node's
 LINKS = ("front", "database", "roster")
@@ -114,8 +133,13 @@
         value = block.number("factor", 5.0, 1.0)
     elif do == "bandwidth":
         value = block.number("bytes_per_s", 2000.0, 1.0)
-    again = block.time("again_after" if do in ("kill", "term") else "for", "0ms", least_ms=0.0,
-                       most_ms=duration_ms) if do in AGAIN else 0.0
+    again = (
+        block.time(
+            "again_after" if do in ("kill", "term") else "for", "0ms", least_ms=0.0, most_ms=duration_ms
+        )
+        if do in AGAIN
+        else 0.0
+    )
     block.done()
     for name in named:
         if name not in names:
@@ -126,7 +150,7 @@
     elif do not in FOR_ALL:
         order = list(names)  # one time: one order, so that a smaller share is a part of a larger one
         random.Random(f"{seed}/{at}").shuffle(order)
-        chosen = tuple(sorted(order[:round(share * len(names))], key=names.index))
+        chosen = tuple(sorted(order[: round(share * len(names))], key=names.index))
     steps = [Step(at, do, chosen, link, jitter, value)]
     if again:
         steps.append(Step(at + again, AGAIN[do], chosen, link, jitter, value))
@@ -142,24 +166,44 @@
     cores = top.count("cores", 4, 1, 64)
     run_ms = top.time("run_time", "100ms", least_ms=1.0, most_ms=10_000.0)
     part = top.part("load")
-    load_ = Load(part.number("share", 0.9, 0.0, 3.0), part.number("keyed", 0.2, 0.0, 1.0),
-                 part.number("repeats", 0.3, 0.0, 1.0), part.number("foreign", 0.0, 0.0, 1.0))
+    load_ = Load(
+        part.number("share", 0.9, 0.0, 3.0),
+        part.number("keyed", 0.2, 0.0, 1.0),
+        part.number("repeats", 0.3, 0.0, 1.0),
+        part.number("foreign", 0.0, 0.0, 1.0),
+    )
     part.done()
     database = top.part("database")
     slots = database.count("slots", 6, 1, 1000)
     call_ms = database.time("call_time", "80ms", least_ms=0.1, most_ms=10_000.0)
     database.done()
     part = top.part("machine")
-    machine = Machine(part.number("cold_share", 0.23, 0.01, 1.0), part.number("warm_calls", 0.5, 0.0, 10.0),
-                      part.number("cold_calls", 3.0, 0.0, 20.0), part.count("warm_replies", 150, 1, 100_000))
+    machine = Machine(
+        part.number("cold_share", 0.23, 0.01, 1.0),
+        part.number("warm_calls", 0.5, 0.0, 10.0),
+        part.number("cold_calls", 3.0, 0.0, 20.0),
+        part.count("warm_replies", 150, 1, 100_000),
+    )
     part.done()
     comeback = top.flag("comeback", False)
     names = [f"n{number + 1}" for number in range(nodes)]
     steps = [step for block in top.blocks("step", STEPS_MAX) for step in _step(block, names, seed, duration)]
     top.done()
     steps.sort(key=lambda step: step.at_ms)  # stable: steps at one time keep the file's order
-    return Scenario(path.stem, seed, nodes, duration, load_, slots, call_ms, machine, cores, run_ms, comeback,
-                    tuple(steps))
+    return Scenario(
+        path.stem,
+        seed,
+        nodes,
+        duration,
+        load_,
+        slots,
+        call_ms,
+        machine,
+        cores,
+        run_ms,
+        comeback,
+        tuple(steps),
+    )
 
 
 def lines(scenario: Scenario) -> list[str]:
--- a/snowthread/lab/relay.py
+++ b/snowthread/lab/relay.py
@@ -13,7 +13,7 @@
 
 from snowthread.address import Address
 from snowthread.lab.faults import LinkFaults, Pace, admits, cut, release_ms
-from snowthread.net.loop import HANGUP, READABLE, WRITABLE, EventLoop, TaskSteps, Task, Wait
+from snowthread.net.loop import HANGUP, READABLE, WRITABLE, EventLoop, Task, TaskSteps, Wait
 
 QUEUE_BYTES = 1 << 20  # held a direction at the most
 CHUNK = 65536
@@ -23,8 +23,9 @@
 class Relay:
     """One link: ``listen`` -> ``target``; its faults are changed from outside while it plays."""
 
-    def __init__(self, loop: EventLoop, listen: Address, target: Address, draw: random.Random,
-                 name: str = "") -> None:
+    def __init__(
+        self, loop: EventLoop, listen: Address, target: Address, draw: random.Random, name: str = ""
+    ) -> None:
         self.loop, self.target, self.draw, self.name = loop, target, draw, name
         self.faults = LinkFaults()
         self.opened = self.refused = 0
--- a/snowthread/lab/runner.py
+++ b/snowthread/lab/runner.py
@@ -25,9 +25,6 @@
 from typing import IO, Any
 
 from snowthread.address import Address
-from snowthread.lab.summary import summary, told
-from snowthread.lab.plan import Scenario, Step, lines
-from snowthread.lab.relay import DatagramRelay, Relay
 from snowthread.lab.deployment import (
     CLASSES,
     OTHERS,
@@ -38,6 +35,9 @@
     over_ms,
     run_ms,
 )
+from snowthread.lab.plan import Scenario, Step, lines
+from snowthread.lab.relay import DatagramRelay, Relay
+from snowthread.lab.summary import summary, told
 from snowthread.net.clock import Clock
 from snowthread.net.loop import EventLoop
 from snowthread.records.reader import Findings, merge
@@ -97,8 +97,14 @@
         self.name, self._log = module, plan.with_suffix(".log")
         with open(self._log, "wb") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", module, str(plan)], cwd=ROOT, stdin=subprocess.PIPE, stderr=log,
-                stdout=subprocess.PIPE, text=True, env=os.environ | {"PYTHONPATH": str(ROOT)})
+                [sys.executable, "-m", module, str(plan)],
+                cwd=ROOT,
+                stdin=subprocess.PIPE,
+                stderr=log,
+                stdout=subprocess.PIPE,
+                text=True,
+                env=os.environ | {"PYTHONPATH": str(ROOT)},
+            )
         assert self.process.stdout is not None
         if "ready" not in self.process.stdout.readline():
             raise RuntimeError(f"{module} did not start")
@@ -145,12 +151,22 @@
         database, *runtimes = free(f"{SITE}.1", scenario.nodes + 1)
         roster = free(f"{SITE}.1", 1, socket.SOCK_DGRAM)[0]
         fleet = folder / "fleet.json"
-        fleet.write_text(json.dumps({
-            "runtimes": [text(a) for a in runtimes], "database": text(database), "roster": text(roster),
-            "cores": scenario.cores, "run_ms": run_ms(scenario), "call_ms": scenario.call_ms,
-            "slots": scenario.slots, "seed": scenario.seed,
-            "warmth": asdict(scenario.machine) | {"over_ms": over_ms(scenario)},
-            "calls": [kind.name for kind in CLASSES if kind.calls]}))
+        fleet.write_text(
+            json.dumps(
+                {
+                    "runtimes": [text(a) for a in runtimes],
+                    "database": text(database),
+                    "roster": text(roster),
+                    "cores": scenario.cores,
+                    "run_ms": run_ms(scenario),
+                    "call_ms": scenario.call_ms,
+                    "slots": scenario.slots,
+                    "seed": scenario.seed,
+                    "warmth": asdict(scenario.machine) | {"over_ms": over_ms(scenario)},
+                    "calls": [kind.name for kind in CLASSES if kind.calls],
+                }
+            )
+        )
         self.cores = sorted(os.sched_getaffinity(0))
         self.fleet = EmulatorProcess("emulators.fleet_services", fleet)
         draws = random.Random(scenario.seed)
@@ -169,22 +185,40 @@
             self.nodes[name] = self._node(name, number, listen, runtimes[number], below.address, told.address)
         traffic = folder / "balancers.json"
         per_s = scenario.load.share * scenario.nodes * scenario.cores * 1000.0 / scenario.run_ms
-        traffic.write_text(json.dumps({
-            "nodes": {name: text(front.address) for name, front in self.fronts.items()},
-            "roster": text(roster), "sources": SITE, "seed": scenario.seed, "per_s": per_s,
-            "seconds": scenario.duration_ms / 1000.0,
-            "keyed": scenario.load.keyed, "repeats": scenario.load.repeats,
-            "foreign": scenario.load.foreign, "own_number": OWN, "others_number": OTHERS,
-            **balancer_classes(scenario)}))
+        traffic.write_text(
+            json.dumps(
+                {
+                    "nodes": {name: text(front.address) for name, front in self.fronts.items()},
+                    "roster": text(roster),
+                    "sources": SITE,
+                    "seed": scenario.seed,
+                    "per_s": per_s,
+                    "seconds": scenario.duration_ms / 1000.0,
+                    "keyed": scenario.load.keyed,
+                    "repeats": scenario.load.repeats,
+                    "foreign": scenario.load.foreign,
+                    "own_number": OWN,
+                    "others_number": OTHERS,
+                    **balancer_classes(scenario),
+                }
+            )
+        )
         self.balancers = EmulatorProcess("emulators.balancers", traffic)
 
-    def _node(self, name: str, number: int, listen: Address, runtime: Address, database: Address,
-              roster: Address) -> Node:
+    def _node(
+        self, name: str, number: int, listen: Address, runtime: Address, database: Address, roster: Address
+    ) -> Node:
         folder = self.folder / name
         (folder / "state").mkdir(parents=True, exist_ok=True)
         fields = node_fields(self.scenario, json.loads((ROOT / "examples" / "node.json").read_bytes()))
-        fields |= {"name": name, "listen": text(listen), "runtime": text(runtime), "index": text(database),
-                   "roster": text(roster), "seed": f"{self.scenario.seed * 1000 + number:016x}"}
+        fields |= {
+            "name": name,
+            "listen": text(listen),
+            "runtime": text(runtime),
+            "index": text(database),
+            "roster": text(roster),
+            "seed": f"{self.scenario.seed * 1000 + number:016x}",
+        }
         config = folder / "node.json"
         config.write_text(json.dumps(fields))
         (folder / "features.hcl").write_text(features_file(self.scenario, folder))
@@ -195,13 +229,21 @@
     def start(self, node: Node) -> None:
         log = open(node.folder / f"log.{node.lives + 1}", "wb")  # closed at the end of the play
         self.logs.append(log)
-        environment = {"PYTHONPATH": str(ROOT), "NODE_CONFIG": str(node.config), "TMPDIR": str(node.state),
-                       "NODE_LOG": "INFO"}
+        environment = {
+            "PYTHONPATH": str(ROOT),
+            "NODE_CONFIG": str(node.config),
+            "TMPDIR": str(node.state),
+            "NODE_LOG": "INFO",
+        }
         node.process = subprocess.Popen(
             [sys.executable, "-m", "snowthread", "serve", "--with", str(node.folder / "features.hcl")],
-            cwd=ROOT, stdout=log, stderr=log, env=os.environ | environment)
+            cwd=ROOT,
+            stdout=log,
+            stderr=log,
+            env=os.environ | environment,
+        )
         if len(self.cores) >= 2 * self.lab_cores:
-            os.sched_setaffinity(node.process.pid, self.cores[:-self.lab_cores])
+            os.sched_setaffinity(node.process.pid, self.cores[: -self.lab_cores])
         node.lives += 1
         node.killed, node.gone = False, True
         self._look(node, node.process, self.loop.clock.now())
@@ -227,7 +269,7 @@
     def start_all(self) -> None:
         if len(self.cores) >= 2 * self.lab_cores:
             for pid in (0, self.fleet.process.pid, self.balancers.process.pid):
-                os.sched_setaffinity(pid, self.cores[-self.lab_cores:])
+                os.sched_setaffinity(pid, self.cores[-self.lab_cores :])
         for node in self.nodes.values():
             if self.scenario.comeback:  # what an operator does for a new machine: no earlier life ran keys
                 storage.init(node.state)
@@ -353,14 +395,20 @@
             self.loop._close_tasks()
             os.sched_setaffinity(0, self.cores)
         records = merge(sorted(self.folder.glob("*/records")), Findings())
-        return summary(self.scenario, traffic, fleet, self.facts()) | told(records) | {
-            "plan": lines(self.scenario)}
+        return (
+            summary(self.scenario, traffic, fleet, self.facts())
+            | told(records)
+            | {"plan": lines(self.scenario)}
+        )
 
     def _count_cpu(self) -> None:
         tick = os.sysconf("SC_CLK_TCK")
-        for name, pid in (("lab", os.getpid()), ("fleet", self.fleet.process.pid),
-                          ("balancers", self.balancers.process.pid),
-                          *((n.name, n.process.pid) for n in self.nodes.values() if n.process is not None)):
+        for name, pid in (
+            ("lab", os.getpid()),
+            ("fleet", self.fleet.process.pid),
+            ("balancers", self.balancers.process.pid),
+            *((n.name, n.process.pid) for n in self.nodes.values() if n.process is not None),
+        ):
             try:
                 fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
                 self.cpu[name] = round((int(fields[11]) + int(fields[12])) / tick, 2)
@@ -369,7 +417,11 @@
 
     def facts(self) -> dict[str, Any]:
         """What the runner itself saw."""
-        return {"alive_by_s": self.alive_by_s, "events": self.events, "ready_ms": self.ready_ms,
-                "cpu_s": self.cpu,
-                "lives": {name: node.lives for name, node in self.nodes.items()},
-                "logs": sorted(str(p) for p in self.folder.glob("*/log.*"))}
+        return {
+            "alive_by_s": self.alive_by_s,
+            "events": self.events,
+            "ready_ms": self.ready_ms,
+            "cpu_s": self.cpu,
+            "lives": {name: node.lives for name, node in self.nodes.items()},
+            "logs": sorted(str(p) for p in self.folder.glob("*/log.*")),
+        }
--- a/snowthread/lab/summary.py
+++ b/snowthread/lab/summary.py
@@ -21,15 +21,17 @@
 
 def smooth(values: list[float]) -> list[float]:
     """Each second's mean with its neighbours."""
-    return [sum(values[max(0, n - 1):n + 2]) / len(values[max(0, n - 1):n + 2]) for n in range(len(values))]
+    return [
+        sum(values[max(0, n - 1) : n + 2]) / len(values[max(0, n - 1) : n + 2]) for n in range(len(values))
+    ]
 
 
 def back(service: list[float], fault_s: float, before: float) -> tuple[float | None, int]:
     """Seconds from the fault to full service (None: not within the play), and seconds of a second dip."""
     even, first = smooth(service), int(fault_s)
     for second in range(first, len(even) - LASTS + 1):
-        if all(value >= FULL * before for value in even[second:second + LASTS]) and second > first:
-            dips = sum(value < DIPPED * before for value in even[second + LASTS:])
+        if all(value >= FULL * before for value in even[second : second + LASTS]) and second > first:
+            dips = sum(value < DIPPED * before for value in even[second + LASTS :])
             return max(0.0, second - fault_s), dips
     return None, 0
 
@@ -64,13 +66,16 @@
     return {"stale_decisions": stale, "decisions": decisions, "starts": dict(starts)}
 
 
-def summary(scenario: Scenario, traffic: dict[str, Any], fleet: dict[str, Any],
-            facts: dict[str, Any]) -> dict[str, Any]:
+def summary(
+    scenario: Scenario, traffic: dict[str, Any], fleet: dict[str, Any], facts: dict[str, Any]
+) -> dict[str, Any]:
     """The play as one JSON object."""
     table = traffic["by_second"]
     seconds = len(table["asked"])
-    service = [worth / asked if asked else 1.0
-               for worth, asked in zip(table["worth"], table["worth_asked"], strict=True)]
+    service = [
+        worth / asked if asked else 1.0
+        for worth, asked in zip(table["worth"], table["worth_asked"], strict=True)
+    ]
     faults = [step.at_ms / 1000.0 for step in scenario.steps if step.do in ("kill", "term", "stop")]
     first = int(faults[0]) if faults else seconds
     calm = range(min(SETTLED_S, first), first)
@@ -88,25 +93,41 @@
     # What was asked for from the fault on and not got: the return's price, whatever its course.
     lost = sum(before * table["worth_asked"][s] - table["worth"][s] for s in range(first, seconds))
     return {
-        "scenario": scenario.name, "seed": scenario.seed, "nodes": scenario.nodes,
+        "scenario": scenario.name,
+        "seed": scenario.seed,
+        "nodes": scenario.nodes,
         "comeback": scenario.comeback,
-        "asked": int(sum(table["asked"])), "tries": tries,
-        "lost": traffic["lost"], "gone_with_node": traffic["gone_with_node"],
-        "answered_twice": tries.get("answered twice", 0), "late": tries.get("late", 0),
+        "asked": int(sum(table["asked"])),
+        "tries": tries,
+        "lost": traffic["lost"],
+        "gone_with_node": traffic["gone_with_node"],
+        "answered_twice": tries.get("answered twice", 0),
+        "late": tries.get("late", 0),
         "spoilt": tries.get("spoilt", 0),
         "keyed_runs_doubled": sum(count > 1 for count in fleet["keyed"].values()),
-        "keys_run": len(fleet["keyed"]), "homes": traffic["homes"],
+        "keys_run": len(fleet["keyed"]),
+        "homes": traffic["homes"],
         "foreign_keys_run": sum(key.partition("/")[2].startswith("f") for key in fleet["keyed"]),
-        "served_before": round(before, 3), "time_to_full_s": full_s, "second_dips": dips,
-        "worth_lost": round(lost, 1), "falls": sum(fleet["falls"]), "known": fleet["known"],
+        "served_before": round(before, 3),
+        "time_to_full_s": full_s,
+        "second_dips": dips,
+        "worth_lost": round(lost, 1),
+        "falls": sum(fleet["falls"]),
+        "known": fleet["known"],
         "database_per_s": round(scenario.database_per_s, 1),
         "database_peak_over_capacity": round(max(calls[after], default=0) / scenario.database_per_s, 3),
         "database_held_over_limit": round(max(held[after], default=0) / survives, 3),
-        "database_refused": fleet["database_refused"], "old_lives": fleet["old_lives"],
+        "database_refused": fleet["database_refused"],
+        "old_lives": fleet["old_lives"],
         "classes": {name: share(rows) for name, rows in traffic["classes"].items()},
         "classes_by_s": {name: [share([row]) for row in rows] for name, rows in traffic["classes"].items()},
-        "service_by_s": [round(value, 3) for value in service], "warmth_by_s": by_second(fleet["warmth"]),
-        "asked_by_s": table["asked"], "refused_by_s": table["refused"], "failed_by_s": table["failed"],
-        "database_by_s": calls, "database_done_by_s": by_second(fleet["done"]), "database_held_by_s": held,
+        "service_by_s": [round(value, 3) for value in service],
+        "warmth_by_s": by_second(fleet["warmth"]),
+        "asked_by_s": table["asked"],
+        "refused_by_s": table["refused"],
+        "failed_by_s": table["failed"],
+        "database_by_s": calls,
+        "database_done_by_s": by_second(fleet["done"]),
+        "database_held_by_s": held,
         **facts,
     }
--- a/snowthread/ldap/ber.py
+++ b/snowthread/ldap/ber.py
@@ -45,7 +45,7 @@
         raise MalformedError(f"a length of {octets} octets")
     if size < 2 + octets:
         return None
-    length = int.from_bytes(data[2:2 + octets])
+    length = int.from_bytes(data[2 : 2 + octets])
     if length > bounds.frame_bytes:
         raise MalformedError(f"a message of {length} bytes, at most {bounds.frame_bytes} are read")
     return 2 + octets + length
@@ -71,7 +71,7 @@
             octets = length & 0x7F
             if not 1 <= octets <= 4 or end - at < octets:
                 raise MalformedError("a length that can't be read")
-            length = int.from_bytes(frame[at:at + octets])
+            length = int.from_bytes(frame[at : at + octets])
             at += octets
         if length > end - at:
             raise MalformedError("an element reaches out of its parent")
--- a/snowthread/ldap/controls.py
+++ b/snowthread/ldap/controls.py
@@ -133,8 +133,9 @@
     if kind == "newcookie":
         return NewCookie(_cookie(v) or b"")
     if kind == "syncIdSet":
-        return IdSet(v.get("refreshDeletes", False), tuple(_uuid(u) for u in v["uuids"]),
-                     _cookie(v.get("cookie")))
+        return IdSet(
+            v.get("refreshDeletes", False), tuple(_uuid(u) for u in v["uuids"]), _cookie(v.get("cookie"))
+        )
     return Phase(kind == "refreshDelete", _cookie(v.get("cookie")), v.get("refreshDone", True))
 
 
--- a/snowthread/ldap/dn.py
+++ b/snowthread/ldap/dn.py
@@ -52,8 +52,12 @@
     """Does the text end in the base as it would be written plainly? True is certain; False: parse it. For
     entries by the thousand, of which a parser would take most of the time."""
     end, lower = base.key, text.lower()
-    return bool(end) and lower.endswith(end) and lower[-len(end) - 1:-len(end)] == "," and (
-        lower[-len(end) - 2:-len(end) - 1] != "\\")
+    return (
+        bool(end)
+        and lower.endswith(end)
+        and lower[-len(end) - 1 : -len(end)] == ","
+        and (lower[-len(end) - 2 : -len(end) - 1] != "\\")
+    )
 
 
 @cache
@@ -70,8 +74,13 @@
         tree = _parser().parse(text)
     except UnexpectedInput as error:
         raise DnError(f"can't be read at character {error.column}") from None
-    return Dn(tuple(frozenset(_pair(part) for part in rdn.children if isinstance(part, Tree))
-                    for rdn in tree.children if isinstance(rdn, Tree)))
+    return Dn(
+        tuple(
+            frozenset(_pair(part) for part in rdn.children if isinstance(part, Tree))
+            for rdn in tree.children
+            if isinstance(rdn, Tree)
+        )
+    )
 
 
 def _pair(part: Tree[Token]) -> tuple[str, str]:
--- a/snowthread/ldap/filters.py
+++ b/snowthread/ldap/filters.py
@@ -94,7 +94,7 @@
     def test(self, parts: list[Any]) -> FilterTree:
         head, rest = str(parts[0]), parts[1:]
         sign = head[-2:] if head[-2:] in _KIND else "="
-        attribute = head[:-len(sign)].encode()
+        attribute = head[: -len(sign)].encode()
         stars = [n for n, token in enumerate(rest) if token.type == "STAR"]
         if not stars:
             value = _unescape("".join(rest))
@@ -105,8 +105,11 @@
             return "present", attribute
         if any(b - a == 1 for a, b in pairwise(stars)):
             raise FilterError("two stars with nothing between them")
-        pieces = [("initial" if n < stars[0] else "final" if n > stars[-1] else "any", _unescape(token))
-                  for n, token in enumerate(rest) if token.type == "VALUE"]
+        pieces = [
+            ("initial" if n < stars[0] else "final" if n > stars[-1] else "any", _unescape(token))
+            for n, token in enumerate(rest)
+            if token.type == "VALUE"
+        ]
         return "substrings", {"type": attribute, "parts": pieces}
 
     def extensible(self, parts: list[Any]) -> FilterTree:
--- a/snowthread/ldap/health.py
+++ b/snowthread/ldap/health.py
@@ -92,8 +92,9 @@
 
     def again(self, now: float) -> float:
         """May a repeat go out? 0 and it is paid for; else the milliseconds until one may."""
-        self.left = min(self._p.budget_saved,
-                        self.left + max(0.0, now - self._at) / 1000.0 * self._p.budget_floor_per_s)
+        self.left = min(
+            self._p.budget_saved, self.left + max(0.0, now - self._at) / 1000.0 * self._p.budget_floor_per_s
+        )
         self._at = now
         if self.left >= 1.0:
             self.left -= 1.0
@@ -205,5 +206,7 @@
 
     def lines(self, now: float) -> list[str]:
         """For people."""
-        return [f"{name}: {b.state(now).value}, {b.failures} failures in a row"
-                for name, b in zip(self.names, self.breakers, strict=True)]
+        return [
+            f"{name}: {b.state(now).value}, {b.failures} failures in a row"
+            for name, b in zip(self.names, self.breakers, strict=True)
+        ]
--- a/snowthread/ldap/messages.py
+++ b/snowthread/ldap/messages.py
@@ -203,8 +203,11 @@
 def _request(r: Request) -> tuple[str, Any]:
     match r:
         case Bind():
-            return "bindRequest", {"version": 3, "name": r.name.encode(),
-                                   "authentication": ("simple", r.secret.reveal())}
+            return "bindRequest", {
+                "version": 3,
+                "name": r.name.encode(),
+                "authentication": ("simple", r.secret.reveal()),
+            }
         case BindExternal():
             sasl = {"mechanism": b"EXTERNAL", "credentials": r.authorization.encode()}
             return "bindRequest", {"version": 3, "name": b"", "authentication": ("sasl", sasl)}
@@ -214,9 +217,15 @@
             return "abandonRequest", r.message_id
         case Search():
             return "searchRequest", {
-                "base": r.base.encode(), "scope": int(r.scope), "deref": 0, "sizeLimit": r.size_limit,
-                "timeLimit": r.time_limit_s, "typesOnly": False, "filter": r.filter,
-                "attributes": [a.encode() for a in r.attributes]}
+                "base": r.base.encode(),
+                "scope": int(r.scope),
+                "deref": 0,
+                "sizeLimit": r.size_limit,
+                "timeLimit": r.time_limit_s,
+                "typesOnly": False,
+                "filter": r.filter,
+                "attributes": [a.encode() for a in r.attributes],
+            }
         case Extended():
             fields = {"name": r.oid.encode()}
             if r.value is not None:
@@ -229,8 +238,10 @@
     check(frame, bounds)
     try:
         fields = _MESSAGE.decode(frame)
-        controls = tuple(Control(c["type"].decode(), c.get("criticality", False), c.get("value"))
-                         for c in fields.get("controls", ()))
+        controls = tuple(
+            Control(c["type"].decode(), c.get("criticality", False), c.get("value"))
+            for c in fields.get("controls", ())
+        )
         return Message(fields["id"], _response(fields["op"][0], fields["op"][1], controls), len(frame))
     except (asn1tools.Error, UnicodeDecodeError, KeyError, IndexError, OverflowError) as error:
         raise MalformedError(f"not a message: {type(error).__name__}") from None
@@ -258,5 +269,9 @@
 
 
 def _result(v: Any) -> Result:
-    return Result(v["code"], v["matched"].decode(), v["text"].decode(),
-                  tuple(url.decode() for url in v.get("referral", ())))
+    return Result(
+        v["code"],
+        v["matched"].decode(),
+        v["text"].decode(),
+        tuple(url.decode() for url in v.get("referral", ())),
+    )
--- a/snowthread/ldap/session.py
+++ b/snowthread/ldap/session.py
@@ -49,9 +49,11 @@
 
 
 _ANSWERS: dict[type, tuple[type, ...]] = {
-    m.Bind: (m.BindDone,), m.BindExternal: (m.BindDone,),
+    m.Bind: (m.BindDone,),
+    m.BindExternal: (m.BindDone,),
     m.Search: (m.Entry, m.Reference, m.SearchDone, m.Intermediate),
-    m.Extended: (m.ExtendedDone, m.Intermediate)}
+    m.Extended: (m.ExtendedDone, m.Intermediate),
+}
 _LAST = (m.BindDone, m.SearchDone, m.ExtendedDone)
 
 
@@ -106,10 +108,10 @@
             while at < len(view):
                 if self.state is State.TLS:
                     raise MalformedError("clear text behind the answer to StartTLS")
-                length = frame_length(view[at:at + 6], self.bounds)
+                length = frame_length(view[at : at + 6], self.bounds)
                 if length is None or at + length > len(view):
                     break
-                message = m.decode(view[at:at + length], self.bounds)
+                message = m.decode(view[at : at + length], self.bounds)
                 at += length
                 broken = self._take(message)
                 if broken is not None:
--- a/snowthread/ldap/url.py
+++ b/snowthread/ldap/url.py
@@ -33,8 +33,9 @@
     def address(self) -> Address:
         """Where to connect. There are no name look-ups: the host is a number."""
         try:
-            return Address.parse(f"[{self.host}]:{self.port}" if ":" in self.host
-                                 else f"{self.host}:{self.port}")
+            return Address.parse(
+                f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
+            )
         except ValueError as error:
             raise UrlError(str(error)) from None
 
@@ -71,5 +72,12 @@
             filters.parse(search)
     except ValueError as error:
         raise UrlError(f"{text!r}: {error}") from None
-    return LdapUrl(split.scheme, split.hostname or "", PORTS[split.scheme] if port is None else port, base,
-                   tuple(name for name in names.split(",") if name), _SCOPES[scope.lower()], search or None)
+    return LdapUrl(
+        split.scheme,
+        split.hostname or "",
+        PORTS[split.scheme] if port is None else port,
+        base,
+        tuple(name for name in names.split(",") if name),
+        _SCOPES[scope.lower()],
+        search or None,
+    )
--- a/snowthread/log.py
+++ b/snowthread/log.py
@@ -38,9 +38,12 @@
     import orjson
 
     record = message.record
-    fields: dict[str, object] = {"time": record["time"].isoformat(timespec="milliseconds"),
-                                 "level": record["level"].name, "event": "note",
-                                 "message": record["message"]} | record["extra"]
+    fields: dict[str, object] = {
+        "time": record["time"].isoformat(timespec="milliseconds"),
+        "level": record["level"].name,
+        "event": "note",
+        "message": record["message"],
+    } | record["extra"]
     if record["exception"] is not None:
         fields["exception"] = str(message)
     return orjson.dumps(fields, default=str, option=orjson.OPT_NON_STR_KEYS)
--- a/snowthread/net/tls_stream.py
+++ b/snowthread/net/tls_stream.py
@@ -52,8 +52,9 @@
             return raw
         return self._decrypt(raw)
 
-    def secure(self, context: ssl.SSLContext, name: str,
-               until: float) -> Generator[Wait, int, Failure | None]:
+    def secure(
+        self, context: ssl.SSLContext, name: str, until: float
+    ) -> Generator[Wait, int, Failure | None]:
         """Wrap the stream in TLS as a client; the peer has to prove that it is ``name``."""
         tls = context.wrap_bio(self._in_bio, self._out_bio, server_hostname=name)
         while True:
@@ -99,7 +100,7 @@
     def _flush(self) -> None:
         try:
             while self._out:
-                del self._out[:self._sock.send(self._out)]
+                del self._out[: self._sock.send(self._out)]
         except OSError:  # full, or broken: the next read tells which
             pass
 
--- a/snowthread/node.py
+++ b/snowthread/node.py
@@ -15,28 +15,27 @@
 
 from loguru import logger
 
+from snowthread.clients.database import DatabaseClient
+from snowthread.clients.registry import RegistryClient
+from snowthread.clients.runtime import RuntimeClient
 from snowthread.config import Config
-from snowthread.core import effects
-from snowthread.core import events
+from snowthread.core import effects, events
 from snowthread.core.idempotency import IdempotencyTable
 from snowthread.core.reducer import reduce
 from snowthread.core.state import AdmissionClock, State
-from snowthread.frontends.balancers.server import BalancerServer
 from snowthread.frontends.admin.server import AdminServer
+from snowthread.frontends.balancers.server import BalancerServer
+from snowthread.hot_restart.channel import HotRestartChannel
 from snowthread.net.clock import Clock
 from snowthread.net.limits import max_result_bytes, max_unsent_bytes
 from snowthread.net.loop import READABLE, EventLoop, TaskSteps, Wait
-from snowthread.hot_restart.channel import HotRestartChannel
-from snowthread.clients.database import DatabaseClient
-from snowthread.clients.registry import RegistryClient
-from snowthread.clients.runtime import RuntimeClient
 from snowthread.reload import reload
 
 if TYPE_CHECKING:
     from snowthread.operator.features import Features
     from snowthread.records.recorder import Recorder
-    from snowthread.tenants.identification import TenantIdentification
     from snowthread.recovery.manager import RecoveryManager
+    from snowthread.tenants.identification import TenantIdentification
 
 SPARE = 32  # descriptors kept for the runtime, the roster, the loop and files
 FIXED = 16  # those that a process has whatever comes
@@ -56,8 +55,13 @@
     def __init__(self, config: Config, clock: Clock, features: Features | None = None) -> None:
         self.config, self.clock, self.features = config, clock, features
         self.loop = EventLoop(clock)
-        self.state = State(config.settings, config.seed, config.gauge_names, AdmissionClock(clock.now()),
-                           idempotency_table=IdempotencyTable(max_result_bytes(config.memory_mb)))
+        self.state = State(
+            config.settings,
+            config.seed,
+            config.gauge_names,
+            AdmissionClock(clock.now()),
+            idempotency_table=IdempotencyTable(max_result_bytes(config.memory_mb)),
+        )
         limit = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         calls = max(4, limit // INDEX_PART)
         self._messages: deque[events.Event] = deque()
@@ -99,8 +103,14 @@
             )
             front_post = self.tenant_identification.handle
         self._places = max(8, limit - calls - SPARE)
-        self.balancers = BalancerServer(self.loop, config.listen, self._places,
-                                   max_unsent_bytes(config.memory_mb), front_post, config.listen_descriptor)
+        self.balancers = BalancerServer(
+            self.loop,
+            config.listen,
+            self._places,
+            max_unsent_bytes(config.memory_mb),
+            front_post,
+            config.listen_descriptor,
+        )
         # Another process of this node may serve already, or come to replace this one.
         self.hot_restart: HotRestartChannel | None = None
         if config.listen_descriptor is not None and config.handover_directory is not None:
@@ -127,9 +137,19 @@
         if keeper is not None:
             self.registry.join_fleet(keeper.report_suffix, keeper.handle_registry_answer)
             keeper.start(self.registry.report_now, self._carry)
-        self.admin = None if config.admin is None else AdminServer(self.loop, config.admin, {
-            "/-/ready": ("GET", self._ready), "/-/drain": ("POST", lambda: self._drain(True)),
-            "/-/resume": ("POST", lambda: self._drain(False))})
+        self.admin = (
+            None
+            if config.admin is None
+            else AdminServer(
+                self.loop,
+                config.admin,
+                {
+                    "/-/ready": ("GET", self._ready),
+                    "/-/drain": ("POST", lambda: self._drain(True)),
+                    "/-/resume": ("POST", lambda: self._drain(False)),
+                },
+            )
+        )
         self._carry_out |= dict.fromkeys(
             (
                 effects.StartRun,
@@ -246,8 +266,13 @@
         told = (config.settings, config.gauge_names)
         if told != (self.config.settings, self.config.gauge_names):
             # Where tenants are told apart the gate says which there are, not the file.
-            settings = config.settings if self.tenant_identification is None else replace(
-                config.settings, tenants=(), over_quota_weight=self.state.settings.over_quota_weight)
+            settings = (
+                config.settings
+                if self.tenant_identification is None
+                else replace(
+                    config.settings, tenants=(), over_quota_weight=self.state.settings.over_quota_weight
+                )
+            )
             self.post(events.SettingsReloaded(settings, config.gauge_names))
             if self.recorder is not None:
                 self.recorder.apply_settings(config.settings)
@@ -296,8 +321,14 @@
                 left = self.config.stop_ms
                 since = max(0.0, self.clock.now() - self._told_at)
                 if self.state.superseded:
-                    left = min(left, PASSED_ON_MS + min(PASSED_ON_DEADLINE_MS, 1000.0 * max(
-                        c.deadline_s for c in self.config.settings.classes)))
+                    left = min(
+                        left,
+                        PASSED_ON_MS
+                        + min(
+                            PASSED_ON_DEADLINE_MS,
+                            1000.0 * max(c.deadline_s for c in self.config.settings.classes),
+                        ),
+                    )
                 logger.bind(event="node.leaving").info("told to leave, {} ms left", left)
                 self.post(events.ShutdownRequested(left - since, since))
                 self.balancers.say_farewell_to_all()
--- a/snowthread/operator/features.py
+++ b/snowthread/operator/features.py
@@ -10,10 +10,10 @@
 from snowthread.operator import hcl
 
 if TYPE_CHECKING:
-    from snowthread.sites.settings import SiteSettings
     from snowthread.records.recorder import RecordSettings
-    from snowthread.tenants.settings import TenantSettings
     from snowthread.recovery.settings import RecoverySettings
+    from snowthread.sites.settings import SiteSettings
+    from snowthread.tenants.settings import TenantSettings
 
 
 @dataclass(frozen=True, slots=True)
--- a/snowthread/operator/hcl.py
+++ b/snowthread/operator/hcl.py
@@ -74,8 +74,9 @@
             raise self.wrong(key, f"one of {', '.join(words)} is wanted")
         return value
 
-    def number(self, key: str, default: float | None = None, least: float = 0.0,
-               most: float = math.inf) -> float:
+    def number(
+        self, key: str, default: float | None = None, least: float = 0.0, most: float = math.inf
+    ) -> float:
         """A number within bounds, both included."""
         value = self._take(key, default)
         if value is None:
--- a/snowthread/records/cli.py
+++ b/snowthread/records/cli.py
@@ -31,9 +31,19 @@
         if (kind and record.kind not in kind) or (node and record.node not in node):
             continue
         if as_json:
-            click.echo(orjson.dumps({"node": record.node, "boot": record.boot, "number": record.number,
-                                     "at": record.at, "kind": record.kind, **record.fields},
-                                    option=orjson.OPT_NON_STR_KEYS))
+            click.echo(
+                orjson.dumps(
+                    {
+                        "node": record.node,
+                        "boot": record.boot,
+                        "number": record.number,
+                        "at": record.at,
+                        "kind": record.kind,
+                        **record.fields,
+                    },
+                    option=orjson.OPT_NON_STR_KEYS,
+                )
+            )
         else:
             when = datetime.fromtimestamp(record.at / 1000.0, UTC).isoformat(timespec="milliseconds")
             words = " ".join(f"{k}={v}" for k, v in record.fields.items())
@@ -60,8 +70,10 @@
     if findings.more:
         click.echo(f"and {findings.more} more")
     wrong = len(findings.unreadable) + len(findings.spoilt) + len(findings.holes) + findings.more
-    click.echo(f"{findings.records} records in {findings.files} files, {findings.copies} copies, "
-               f"{wrong or 'nothing'} wrong")
+    click.echo(
+        f"{findings.records} records in {findings.files} files, {findings.copies} copies, "
+        f"{wrong or 'nothing'} wrong"
+    )
     if wrong:
         sys.exit(1)
 
--- a/snowthread/records/frame.py
+++ b/snowthread/records/frame.py
@@ -33,8 +33,9 @@
 
 def encode(record: Record) -> bytes:
     """A record's frame; ValueError where it is too long to be read again."""
-    payload = msgpack.packb([FORMAT, record.node, record.boot, record.number, record.at, record.kind,
-                             record.fields])
+    payload = msgpack.packb(
+        [FORMAT, record.node, record.boot, record.number, record.at, record.kind, record.fields]
+    )
     if len(payload) > PAYLOAD_MAX:
         raise ValueError(f"a record of {len(payload)} bytes, at most {PAYLOAD_MAX} are read back")
     size = struct.pack("<I", len(payload))
@@ -45,9 +46,15 @@
     """A record from a payload whose checksum holds; ValueError where it is none."""
     try:
         version, node, boot, number, at, kind, fields = msgpack.unpackb(payload, strict_map_key=False)[:7]
-        if not (isinstance(version, int) and isinstance(node, str) and isinstance(boot, str)
-                and isinstance(number, int) and isinstance(at, float) and isinstance(kind, str)
-                and isinstance(fields, dict)):
+        if not (
+            isinstance(version, int)
+            and isinstance(node, str)
+            and isinstance(boot, str)
+            and isinstance(number, int)
+            and isinstance(at, float)
+            and isinstance(kind, str)
+            and isinstance(fields, dict)
+        ):
             raise ValueError("a field of another type")
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         raise ValueError(f"not a record: {error}") from None
@@ -86,7 +93,7 @@
         data = self._data
         if not data:
             return False
-        if not data.startswith(START[:len(data)]):
+        if not data.startswith(START[: len(data)]):
             found = data.find(START, 1)
             if found < 0:
                 found = len(data) - (data[-1] == START[0])  # its second byte may follow
@@ -104,7 +111,7 @@
             if last:  # its length may be spoilt, and whole frames stand behind it
                 self._skip(1, "cut short")
             return last
-        payload = bytes(data[HEAD.size:HEAD.size + size])
+        payload = bytes(data[HEAD.size : HEAD.size + size])
         if crc32c(payload, crc32c(bytes(data[2:6]))) != checksum:
             self._skip(1, "the checksum does not hold")
             return True
@@ -115,7 +122,7 @@
             return True
         self._tell(out)
         out.append(record)
-        del data[:HEAD.size + size]
+        del data[: HEAD.size + size]
         self._offset += HEAD.size + size
         return True
 
--- a/snowthread/records/model.py
+++ b/snowthread/records/model.py
@@ -50,8 +50,20 @@
     left: int = 0  # nobody waited any more
     runs: int = 0
 
-    NAMES = ("read", "served", "late", "attached", "refused", "refused_held", "refused_leaving", "failed",
-             "failed_running", "failed_calling", "left", "runs")
+    NAMES = (
+        "read",
+        "served",
+        "late",
+        "attached",
+        "refused",
+        "refused_held",
+        "refused_leaving",
+        "failed",
+        "failed_running",
+        "failed_calling",
+        "left",
+        "runs",
+    )
 
     def plain(self) -> Fields:
         """What is not zero."""
@@ -60,24 +72,38 @@
 
 # What each kind's fields mean; a test keeps docs/records.md and this alike.
 MEANING: dict[str, dict[str, str]] = {
-    "start": {"version": "the program's", "pid": "process id", "format": "of the fields",
-              "classes": "name, aim and deadline in ms, of each class", "cores": "of the runtime"},
+    "start": {
+        "version": "the program's",
+        "pid": "process id",
+        "format": "of the fields",
+        "classes": "name, aim and deadline in ms, of each class",
+        "cores": "of the runtime",
+    },
     "end": {"how": "left: after a notice; stopped: without one", "seconds": "since the start"},
     "config": {"taken": "whether it was taken up", "text": "the log's line"},
     "drain": {"left_ms": "until the process is killed"},
     "list": {"taking": "whether the node asks to be listed as taking work"},
     "note": {"text": "a line of the decisions"},
     "link": {"peer": "runtime, or a feature's peer", "up": "whether the link stands", "text": "why it broke"},
-    "second": {"ms": "how long it was", "totals": "counts of each class and tenant: see below",
-               "runs": "lengths of runs in ms, of each class: count, median, 99th, longest",
-               "calls": "the same of calls to the index, by how they ended",
-               "b": "the blocking probability", "limit": "the run limit", "mu": "the service rate learned",
-               "lambda": "the arrival rate learned",
-               "run_ages_s": "by class, seconds since a run last confirmed the times learned",
-               "calls_in_hand": "calls being made",
-               "held": "requests held", "running": "requests running", "gauges": "the runtime's own figures",
-               "say": "the free value told to balancers", "connections": "open ones", "keys": "kept",
-               "memory_mb": "of the process",
-               "floors": "of each balancer: the least age in ms of its requests"},
+    "second": {
+        "ms": "how long it was",
+        "totals": "counts of each class and tenant: see below",
+        "runs": "lengths of runs in ms, of each class: count, median, 99th, longest",
+        "calls": "the same of calls to the index, by how they ended",
+        "b": "the blocking probability",
+        "limit": "the run limit",
+        "mu": "the service rate learned",
+        "lambda": "the arrival rate learned",
+        "run_ages_s": "by class, seconds since a run last confirmed the times learned",
+        "calls_in_hand": "calls being made",
+        "held": "requests held",
+        "running": "requests running",
+        "gauges": "the runtime's own figures",
+        "say": "the free value told to balancers",
+        "connections": "open ones",
+        "keys": "kept",
+        "memory_mb": "of the process",
+        "floors": "of each balancer: the least age in ms of its requests",
+    },
     "gap": {"lost": "records that could not be written", "why": "no space, or the writer is behind"},
 }
--- a/snowthread/records/observer.py
+++ b/snowthread/records/observer.py
@@ -13,8 +13,7 @@
 
 from snowthread.admission.learned_state import confirmation_ages_s
 from snowthread.admission.settings import Settings
-from snowthread.core import effects
-from snowthread.core import events
+from snowthread.core import effects, events
 from snowthread.core.state import RequestPhase, State
 from snowthread.records.model import Fields, Totals
 
@@ -79,8 +78,9 @@
         """The classes there are from now on, and their aims."""
         self._aims = {c.name: c.latency_objective_s * 1000.0 for c in settings.classes}
 
-    def observe(self, message: events.Event, produced: Sequence[effects.Effect], state: State,
-            now: float) -> Sequence[tuple[str, Fields]]:
+    def observe(
+        self, message: events.Event, produced: Sequence[effects.Effect], state: State, now: float
+    ) -> Sequence[tuple[str, Fields]]:
         """One step of the reducer; the records it makes at once."""
         look = self._on.get(type(message))
         if look is None and not produced:
@@ -140,8 +140,10 @@
     def take_totals(self, state: State, now: float) -> Fields:
         """What was counted since the last time, with the figures as they stand."""
         s, self._second = self._second, _Second(now)
-        fields: Fields = {"ms": round(now - s.began, 1),
-                          "totals": [[name, tenant, t.plain()] for (name, tenant), t in s.totals.items()]}
+        fields: Fields = {
+            "ms": round(now - s.began, 1),
+            "totals": [[name, tenant, t.plain()] for (name, tenant), t in s.totals.items()],
+        }
         for what in ("runs", "calls"):
             lengths = {name: _summary(h) for (kind, name), h in s.lengths.items() if kind == what}
             if lengths:
@@ -164,9 +166,13 @@
             }
         places = [q.phase for q in state.requests.values()]
         calling = sum(q.call_in_flight for q in state.requests.values())
-        fields |= {"held": places.count(RequestPhase.QUEUED), "running": places.count(RequestPhase.RUNNING),
-                   "calls_in_hand": calling, "keys": len(state.idempotency_table),
-                   "gauges": dict(zip(state.gauge_names, state.load_sample, strict=False))}
+        fields |= {
+            "held": places.count(RequestPhase.QUEUED),
+            "running": places.count(RequestPhase.RUNNING),
+            "calls_in_hand": calling,
+            "keys": len(state.idempotency_table),
+            "gauges": dict(zip(state.gauge_names, state.load_sample, strict=False)),
+        }
         if state.load_report is not None:
             fields["say"] = state.load_report
         return fields
@@ -259,5 +265,9 @@
     h = HdrHistogram(1, LENGTH_MAX, 2)
     for value, count in counts.items():
         h.record_value(max(1, min(LENGTH_MAX, value)), count)
-    return [h.get_total_count(), int(h.get_value_at_percentile(50.0)), int(h.get_value_at_percentile(99.0)),
-            int(h.get_max_value())]
+    return [
+        h.get_total_count(),
+        int(h.get_value_at_percentile(50.0)),
+        int(h.get_value_at_percentile(99.0)),
+        int(h.get_max_value()),
+    ]
--- a/snowthread/records/recorder.py
+++ b/snowthread/records/recorder.py
@@ -12,10 +12,9 @@
 
 from loguru import logger
 
-from snowthread.admission.settings import Settings
 from snowthread import __version__
-from snowthread.core import effects
-from snowthread.core import events
+from snowthread.admission.settings import Settings
+from snowthread.core import effects, events
 from snowthread.core.reducer import reduce
 from snowthread.core.state import State
 from snowthread.net.loop import EventLoop, TaskSteps, Wait
@@ -180,8 +179,11 @@
         if not isinstance(event, str):
             return
         fields: Fields = {"event": event, "text": record["message"][:500]}
-        fields |= {name: value for name, value in record["extra"].items()
-                   if name not in fields and isinstance(value, _PLAIN)}
+        fields |= {
+            name: value
+            for name, value in record["extra"].items()
+            if name not in fields and isinstance(value, _PLAIN)
+        }
         if event in ("config.read", "config.refused"):
             self.record("config", {"taken": event == "config.read", "text": fields["text"]})
         elif event in ("link.lost", "link.moved"):
--- a/snowthread/records/writer.py
+++ b/snowthread/records/writer.py
@@ -47,8 +47,14 @@
                     raise OSError(0, self._why)
                 self._open(now)
             if self._lost:
-                gap = Record(self._node, self._boot, -1 - self._gaps, now, "gap",
-                             {"lost": self._lost, "why": self._why})
+                gap = Record(
+                    self._node,
+                    self._boot,
+                    -1 - self._gaps,
+                    now,
+                    "gap",
+                    {"lost": self._lost, "why": self._why},
+                )
                 self._write(encode(gap))
                 self._gaps, self._lost = self._gaps + 1, 0
             self._write(batch)
--- a/snowthread/recovery/cli.py
+++ b/snowthread/recovery/cli.py
@@ -35,8 +35,8 @@
 @click.option("--fresh-for", default=60.0, show_default=True, help="Seconds for which a snapshot is trusted.")
 def show(folder: Path, fresh_for: float) -> None:
     """What a start now would find."""
-    from snowthread.recovery import storage, key_log
-    from snowthread.recovery.snapshot import decode, assess
+    from snowthread.recovery import key_log, storage
+    from snowthread.recovery.snapshot import assess, decode
 
     now = time.time() * 1000.0
     data = storage.read(folder)
@@ -47,16 +47,22 @@
     click.echo(f"snapshot: {judged.verdict.value}{': ' if judged.reason else ''}{judged.reason}")
     if snapshot is not None:
         age_s = (now - snapshot.written_ms) / 1000.0
-        click.echo(f"  generation {snapshot.generation}, written {age_s:.1f} s ago, "
-                   f"{snapshot.learned.read_per_s:.1f} requests a second")
+        click.echo(
+            f"  generation {snapshot.generation}, written {age_s:.1f} s ago, "
+            f"{snapshot.learned.read_per_s:.1f} requests a second"
+        )
         for name, core in snapshot.learned.core_time_s.items():
-            click.echo(f"  {name}: {core * 1000.0:.0f} ms on a core, "
-                       f"{snapshot.learned.run_time_s.get(name, 0.0) * 1000.0:.0f} ms in all, "
-                       f"{snapshot.learned.call_time_s.get(name, 0.0) * 1000.0:.0f} ms a call")
+            click.echo(
+                f"  {name}: {core * 1000.0:.0f} ms on a core, "
+                f"{snapshot.learned.run_time_s.get(name, 0.0) * 1000.0:.0f} ms in all, "
+                f"{snapshot.learned.call_time_s.get(name, 0.0) * 1000.0:.0f} ms a call"
+            )
     found = key_log.read_key_log(
         storage.read(folder, storage.KEY_LOG_FILE, key_log.key_log_size(key_log.SLOTS_MAX))
     )
     left = sum(until > now for until in found.keys.values())
     blind = f", blind for {(found.any_until_ms - now) / 1000.0:.1f} s" if found.any_until_ms > now else ""
-    click.echo(f"ring of keys: {found.verdict.value}{': ' if found.reason else ''}{found.reason}; "
-               f"{left} with an open window{blind}")
+    click.echo(
+        f"ring of keys: {found.verdict.value}{': ' if found.reason else ''}{found.reason}; "
+        f"{left} with an open window{blind}"
+    )
--- a/snowthread/recovery/key_log.py
+++ b/snowthread/recovery/key_log.py
@@ -80,7 +80,7 @@
     if magic != MAGIC or version != FORMAT_VERSION:
         known = f"format {version}, known {FORMAT_VERSION}"
         return KeyLogContents(Verdict.FOREIGN, known if magic == MAGIC else "not a ring")
-    if CRC.unpack_from(data, HEADER.size)[0] != zlib.crc32(data[:HEADER.size]):
+    if CRC.unpack_from(data, HEADER.size)[0] != zlib.crc32(data[: HEADER.size]):
         return KeyLogContents(Verdict.TORN, "the header does not check")
     if not 0 < slots <= SLOTS_MAX or len(data) != key_log_size(slots):
         return KeyLogContents(Verdict.TORN, f"{len(data)} bytes, {slots} slots")
@@ -88,8 +88,8 @@
     newest = 0
     for n in range(slots):
         at = HEADER_BYTES + n * SLOT_BYTES
-        body = data[at:at + SLOT.size]
-        if not any(data[at:at + SLOT_BYTES]):
+        body = data[at : at + SLOT.size]
+        if not any(data[at : at + SLOT_BYTES]):
             continue
         sequence, until, digest = SLOT.unpack(body)
         if CRC.unpack_from(data, at + SLOT.size)[0] != zlib.crc32(body) or sequence % slots != n:
@@ -114,5 +114,5 @@
             self.rejected_appends += 1
             return False
         self._sequence += 1
-        self._buffer[at:at + SLOT.size + CRC.size] = _slot(self._sequence, until_ms, digest)
+        self._buffer[at : at + SLOT.size + CRC.size] = _slot(self._sequence, until_ms, digest)
         return True
--- a/snowthread/recovery/manager.py
+++ b/snowthread/recovery/manager.py
@@ -16,26 +16,25 @@
 from loguru import logger
 
 from snowthread.admission import learned_state
+from snowthread.admission.controller import UPDATE_TIMER
 from snowthread.admission.recovery_pacing import (
     BURST_S,
     FLEET_SHARE,
     Backoff,
     CallBudget,
-    SlowStart,
-    RecoveryPacer,
     CallPermission,
+    RecoveryPacer,
+    SlowStart,
 )
-from snowthread.admission.controller import UPDATE_TIMER
 from snowthread.admission.settings import Outcome, RequestClass
-from snowthread.core import effects
-from snowthread.core import events
+from snowthread.core import effects, events
 from snowthread.core.idempotency import IndeterminateKeys, key_digest
 from snowthread.core.state import RequestPhase, State
 from snowthread.net.loop import EventLoop, TaskSteps, Timer, Wait
-from snowthread.recovery import storage, key_log
+from snowthread.recovery import key_log, storage
 from snowthread.recovery.membership import Membership, MemberStatus
 from snowthread.recovery.settings import RecoverySettings
-from snowthread.recovery.snapshot import SnapshotAssessment, LearnedTimes, Snapshot, Verdict, encode, assess
+from snowthread.recovery.snapshot import LearnedTimes, Snapshot, SnapshotAssessment, Verdict, assess, encode
 
 if TYPE_CHECKING:
     from snowthread.config import Config
@@ -52,8 +51,15 @@
 class RecoveryManager:
     """Keeps what helps a node come back, and paces its return."""
 
-    def __init__(self, loop: EventLoop, settings: RecoverySettings, config: Config, state: State,
-                 post: Callable[[events.Event], None], inner: Reduce) -> None:
+    def __init__(
+        self,
+        loop: EventLoop,
+        settings: RecoverySettings,
+        config: Config,
+        state: State,
+        post: Callable[[events.Event], None],
+        inner: Reduce,
+    ) -> None:
         self._loop, self._settings, self._state, self._post, self._inner = loop, settings, state, post, inner
         now = self._born = loop.clock.now()
         draw = self._draw = random.Random(config.seed ^ 0x5EED)
@@ -71,7 +77,10 @@
         self._return = RecoveryPacer(
             SlowStart(2.0 * cores, float(cores)),
             CallBudget(FLEET_SHARE * settings.database_per_s, settings.database_call_ms, burst_s=BURST_S),
-            Backoff(*BACKOFF_MS), settings.database_per_s * settings.database_call_ms / 1000.0, draw)
+            Backoff(*BACKOFF_MS),
+            settings.database_per_s * settings.database_call_ms / 1000.0,
+            draw,
+        )
         self._return.update_fleet(*self._members.fleet_size())
         self._link_backoff = Backoff(*BACKOFF_MS)
         self._ages = learned_state.LearnedStateAging(learned_state.LearnedState({}))
@@ -103,8 +112,13 @@
             self._state.indeterminate_keys = IndeterminateKeys(keys, blind_until)
         blind = f", all for {(blind_until - now) / 1000.0:.1f} s" if blind_until > now else ""
         logger.bind(event="comeback.ring", verdict=found.verdict.value, keys=len(keys)).info(
-            "ring of keys: {}{}{}; {} keys unknown{}", found.verdict.value, ": " if found.reason else "",
-            found.reason, len(keys), blind)
+            "ring of keys: {}{}{}; {} keys unknown{}",
+            found.verdict.value,
+            ": " if found.reason else "",
+            found.reason,
+            len(keys),
+            blind,
+        )
 
     @staticmethod
     def _failed(why: str | None) -> None:
@@ -126,7 +140,8 @@
         if members.incarnation != life:
             if members.incarnation > 1:
                 logger.bind(event="comeback.life").warning(
-                    "the roster knows a later life than {}: goes on as {}", life, members.incarnation)
+                    "the roster knows a later life than {}: goes on as {}", life, members.incarnation
+                )
             self._failed(storage.write_incarnation(self._settings.folder, members.incarnation))
             self._say_again()
         if members.status is MemberStatus.REPLACED and standing is not MemberStatus.REPLACED:
@@ -141,11 +156,16 @@
         """The fleet's generation is known: may the snapshot be trusted?"""
         view = self._members.view
         assert view is not None
-        judged = self.snapshot_verdict = assess(self._snapshot, generation=view.generation, now_ms=now,
-                                     fresh_for_ms=self._settings.snapshot_max_age_ms)
+        judged = self.snapshot_verdict = assess(
+            self._snapshot,
+            generation=view.generation,
+            now_ms=now,
+            fresh_for_ms=self._settings.snapshot_max_age_ms,
+        )
         self._snapshot = b""
         logger.bind(event="comeback.snapshot", verdict=judged.verdict.value).info(
-            "snapshot: {}{}{}", judged.verdict.value, ": " if judged.reason else "", judged.reason)
+            "snapshot: {}{}{}", judged.verdict.value, ": " if judged.reason else "", judged.reason
+        )
         if judged.verdict is not Verdict.FRESH:
             return
         learned = judged.initial_state
@@ -211,8 +231,10 @@
             )
         ):
             return None  # a repeat, or one that may be: the reducer knows what to say
-        flying = sum(q.request_class.name == kind.name and q.phase is not RequestPhase.AWAITING_ORIGINAL
-                     for q in state.requests.values())
+        flying = sum(
+            q.request_class.name == kind.name and q.phase is not RequestPhase.AWAITING_ORIGINAL
+            for q in state.requests.values()
+        )
         return None if self._return.slow_start.admits(flying) else self._turned_away(state, m, kind)
 
     def _turned_away(
@@ -235,8 +257,12 @@
         way = self._return
         match message:
             case events.CallCompleted():
-                way.call_ended(now, message.attempt_id, message.outcome is not Outcome.UNREACHABLE,
-                               message.outcome in (Outcome.SUCCESS, Outcome.TIMED_OUT))
+                way.call_ended(
+                    now,
+                    message.attempt_id,
+                    message.outcome is not Outcome.UNREACHABLE,
+                    message.outcome in (Outcome.SUCCESS, Outcome.TIMED_OUT),
+                )
                 self._turns()
             case events.RunCompleted():
                 self._made.pop(message.attempt_id, None)
@@ -271,7 +297,8 @@
         self._ages.tick(controller, at)
         quick = learned_state.runs_within_factor(controller, self._ages.recalled, WARM_FACTOR)
         way.slow_start.held_open = self._cold is True and not (
-            quick if quick is not None else learned_state.warmup_speed(controller, at) >= 1.0)
+            quick if quick is not None else learned_state.warmup_speed(controller, at) >= 1.0
+        )
         pace = events.CallPacingChanged(CALLS_FACTOR * state.settings.call_quota if way.is_pacing else 0.0)
         if pace != self._pace:
             self._pace = pace
@@ -279,8 +306,10 @@
         if way.cold != self._said_cold:
             self._said_cold = way.cold
             logger.bind(event="comeback.cold" if way.cold else "comeback.warm").info(
-                "{} {:.1f} s after the start", "on its way back" if way.cold else "warm",
-                (now - self._born) / 1000.0)
+                "{} {:.1f} s after the start",
+                "on its way back" if way.cold else "warm",
+                (now - self._born) / 1000.0,
+            )
             self._say_again()
 
     def _written(self, state: State, start: effects.StartRun, now: float) -> bool:
@@ -350,7 +379,8 @@
             if silent != self._silent:
                 self._silent = silent
                 logger.bind(event="comeback.roster").info(
-                    "the roster {}", "is silent: what it told last holds" if silent else "answers")
+                    "the roster {}", "is silent: what it told last holds" if silent else "answers"
+                )
 
     def _keep(self) -> None:
         """Write down what is worth it: what a cold machine measures is not, nor what no generation dates."""
@@ -359,8 +389,16 @@
         if controller is None or view is None or self._return.cold or replaced:
             return
         known = learned_state.export_learned_state(controller)
-        learned = LearnedTimes({name: t.core_time_s for name, t in known.times.items()},
-                          {name: t.run_time_s for name, t in known.times.items()},
-                          {name: t.call_time_s for name, t in known.times.items()}, known.request_rate)
-        self._failed(storage.write(self._settings.folder, encode(Snapshot(
-            view.generation, self._members.incarnation, self._loop.clock.now(), learned)), sync=False))
+        learned = LearnedTimes(
+            {name: t.core_time_s for name, t in known.times.items()},
+            {name: t.run_time_s for name, t in known.times.items()},
+            {name: t.call_time_s for name, t in known.times.items()},
+            known.request_rate,
+        )
+        self._failed(
+            storage.write(
+                self._settings.folder,
+                encode(Snapshot(view.generation, self._members.incarnation, self._loop.clock.now(), learned)),
+                sync=False,
+            )
+        )
--- a/snowthread/recovery/membership.py
+++ b/snowthread/recovery/membership.py
@@ -64,8 +64,12 @@
             self.invalid_answers += 1
             return False
         before = self.view.generation if self.view is not None else 0
-        if words[0] != b"FLEET" or min(listed, cold, highest) < 0 or cold > listed or (
-                generation < before or highest > INCARNATION_MAX):
+        if (
+            words[0] != b"FLEET"
+            or min(listed, cold, highest) < 0
+            or cold > listed
+            or (generation < before or highest > INCARNATION_MAX)
+        ):
             self.invalid_answers += 1
             return False
         self.view = FleetView(generation, listed, cold, now_ms)
--- a/snowthread/recovery/settings.py
+++ b/snowthread/recovery/settings.py
@@ -20,15 +20,21 @@
 
     def summary(self) -> str:
         """For people: what is on."""
-        return (f"coming back: state in {self.folder}, trusted for {self.snapshot_max_age_ms / 1000.0:g} s; "
-                f"the database bears {self.database_per_s:g} calls a second")
+        return (
+            f"coming back: state in {self.folder}, trusted for {self.snapshot_max_age_ms / 1000.0:g} s; "
+            f"the database bears {self.database_per_s:g} calls a second"
+        )
 
 
 def read(block: Block) -> RecoverySettings:
     """Check the block; ConfigError names the key that can't be used."""
     out = RecoverySettings(
-        Path(block.text("folder")), block.time("every", "1s", 50.0), block.time("fresh_for", "60s", 100.0),
-        block.number("database_per_s", None, 0.1), block.time("database_call", "50ms", 0.1))
+        Path(block.text("folder")),
+        block.time("every", "1s", 50.0),
+        block.time("fresh_for", "60s", 100.0),
+        block.number("database_per_s", None, 0.1),
+        block.time("database_call", "50ms", 0.1),
+    )
     if not out.folder.is_dir():
         raise block.wrong("folder", f"{out.folder} is no folder")
     block.done()
--- a/snowthread/recovery/snapshot.py
+++ b/snowthread/recovery/snapshot.py
@@ -102,8 +102,9 @@
     ).encode()
     if len(body) > BODY_MAX:
         raise ValueError(f"a snapshot's body of {len(body)} bytes is over {BODY_MAX}")
-    head = HEADER.pack(MAGIC, FORMAT_VERSION, snapshot.generation, snapshot.incarnation, snapshot.written_ms,
-                       len(body))
+    head = HEADER.pack(
+        MAGIC, FORMAT_VERSION, snapshot.generation, snapshot.incarnation, snapshot.written_ms, len(body)
+    )
     return head + body + hashlib.blake2b(head + body, digest_size=DIGEST_BYTES).digest()
 
 
@@ -127,8 +128,12 @@
         return None
     tables = [_rates(raw.get(name)) for name in ("core_s", "wall_s", "call_s")]
     read = raw.get("read_per_s")
-    if None in tables or not isinstance(read, int | float) or isinstance(read, bool) or not (
-            math.isfinite(read) and read >= 0.0):
+    if (
+        None in tables
+        or not isinstance(read, int | float)
+        or isinstance(read, bool)
+        or not (math.isfinite(read) and read >= 0.0)
+    ):
         return None
     core, wall, call = (table or {} for table in tables)
     return LearnedTimes(core, wall, call, float(read))
@@ -153,14 +158,15 @@
         return Verdict.TORN, f"{len(data)} bytes where the header says {end + DIGEST_BYTES}", None
     if hashlib.blake2b(data[:end], digest_size=DIGEST_BYTES).digest() != data[end:]:
         return Verdict.TORN, "digest does not match", None
-    learned = _learned(data[HEADER.size:end])
+    learned = _learned(data[HEADER.size : end])
     if learned is None or not math.isfinite(written_ms):
         return Verdict.FOREIGN, "body is not a snapshot's", None
     return Verdict.FRESH, "", Snapshot(generation, incarnation, written_ms, learned)
 
 
-def assess(data: bytes, *, generation: int, now_ms: float, fresh_for_ms: float,
-          slack_ms: float = 2000.0) -> SnapshotAssessment:
+def assess(
+    data: bytes, *, generation: int, now_ms: float, fresh_for_ms: float, slack_ms: float = 2000.0
+) -> SnapshotAssessment:
     """Whether the bytes found at a start may be trusted, by the fleet's ``generation`` and wall ms."""
     verdict, why, snapshot = decode(data)
     if snapshot is not None:
--- a/snowthread/recovery/storage.py
+++ b/snowthread/recovery/storage.py
@@ -32,7 +32,7 @@
             step = "write"
             view = memoryview(data)
             while view:
-                view = view[os.write(fd, view):]
+                view = view[os.write(fd, view) :]
             step = "fsync"
             if sync:
                 os.fsync(fd)
--- a/snowthread/reload.py
+++ b/snowthread/reload.py
@@ -45,4 +45,5 @@
         logger.bind(event="config.refused").error("configuration not taken up, the old one stays: {}", error)
         return
     logger.bind(event="config.read").info(
-        "configuration read anew{}", f"; {', '.join(kept)} only at the next start" if kept else "")
+        "configuration read anew{}", f"; {', '.join(kept)} only at the next start" if kept else ""
+    )
--- a/snowthread/sites/client_filter.py
+++ b/snowthread/sites/client_filter.py
@@ -13,12 +13,11 @@
 
 from snowthread.admission.settings import Idempotency as Repeat
 from snowthread.admission.settings import RequestClass
-from snowthread.core import effects
-from snowthread.core import events
-from snowthread.core.state import RequestPhase, Request, State
-from snowthread.sites.shedding import NodeLoad, Verdict, decide, shedding_order
-from snowthread.sites.settings import SiteSettings
+from snowthread.core import effects, events
+from snowthread.core.state import Request, RequestPhase, State
 from snowthread.net.loop import EventLoop, TaskSteps, Wait
+from snowthread.sites.settings import SiteSettings
+from snowthread.sites.shedding import NodeLoad, Verdict, decide, shedding_order
 
 TELL_MS = 10_000.0  # between two words on what came from other sites
 
@@ -69,8 +68,10 @@
         self._foreign = {uid: None for uid in self._foreign if uid in state.by_attempt_id}
         controller = state.controller
         classes = state.settings.classes
-        runs = {c.name: controller.estimates.base_core_time_s[n] if controller is not None else 0.0
-                for n, c in enumerate(classes)}
+        runs = {
+            c.name: controller.estimates.base_core_time_s[n] if controller is not None else 0.0
+            for n, c in enumerate(classes)
+        }
         order = shedding_order({c.name: c.priority_weight / (runs[c.name] or 1.0) for c in classes})
         held = sum(_held(q) for q in state.requests.values())
         load = NodeLoad(
--- a/snowthread/sites/membership.py
+++ b/snowthread/sites/membership.py
@@ -148,12 +148,16 @@
 
     def hears(self) -> frozenset[str]:
         """Whom this site's own beats say it hears."""
-        return frozenset(name for name, peer in self.peers.items()
-                         if peer.status in (SiteStatus.UP, SiteStatus.BACK))
+        return frozenset(
+            name for name, peer in self.peers.items() if peer.status in (SiteStatus.UP, SiteStatus.BACK)
+        )
 
     def _heard_elsewhere(self, name: str) -> bool:
-        return any(name in peer.last_heartbeat.hears for other, peer in self.peers.items()
-                   if other != name and peer.last_heartbeat is not None and peer.status is SiteStatus.UP)
+        return any(
+            name in peer.last_heartbeat.hears
+            for other, peer in self.peers.items()
+            if other != name and peer.last_heartbeat is not None and peer.status is SiteStatus.UP
+        )
 
     def _move(self, name: str, now: SiteStatus, now_ms: float) -> list[StatusChange]:
         peer = self.peers[name]
--- a/snowthread/sites/settings.py
+++ b/snowthread/sites/settings.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass
 
-from snowthread.sites.shedding import SiteRanges
 from snowthread.operator.hcl import Block
+from snowthread.sites.shedding import SiteRanges
 
 HOMES_MAX = 64
 
--- a/snowthread/sites/spillover.py
+++ b/snowthread/sites/spillover.py
@@ -33,8 +33,11 @@
 def allocate(load_per_s: float, takers: Mapping[str, SpilloverTarget], aim_ms: float) -> Allocation:
     """Deal a load of requests whose aim is this. Sites whose way takes half of the aim take nothing: an
     answer from there comes too late to be worth the work."""
-    room = {name: CAP * max(0.0, taker.spare_capacity_per_s) for name, taker in takers.items()
-            if taker.delay_ms < aim_ms / 2.0 and taker.spare_capacity_per_s > 0.0}
+    room = {
+        name: CAP * max(0.0, taker.spare_capacity_per_s)
+        for name, taker in takers.items()
+        if taker.delay_ms < aim_ms / 2.0 and taker.spare_capacity_per_s > 0.0
+    }
     weight = {name: room[name] / (1.0 + takers[name].delay_ms / aim_ms) for name in room}
     parts, left = dict.fromkeys(room, 0.0), max(0.0, load_per_s)
     open_ = set(room)
