--- a/snowthread/tenants/cli.py
+++ b/snowthread/tenants/cli.py
@@ -13,11 +13,22 @@
     """Look at the directory of tenants, or at its snapshot on disk."""
 
 
-SOURCE = click.option("--snapshot", "snapshot", metavar="FILE", type=click.Path(path_type=Path), default=None,
-                      help="Read this snapshot instead of asking the directory.")
-NEEDED = click.option("--with", "operator_file", metavar="FILE", required=True,
-                      type=click.Path(exists=True, dir_okay=False, path_type=Path),
-                      help="The operator's file with the block 'tenants'.")
+SOURCE = click.option(
+    "--snapshot",
+    "snapshot",
+    metavar="FILE",
+    type=click.Path(path_type=Path),
+    default=None,
+    help="Read this snapshot instead of asking the directory.",
+)
+NEEDED = click.option(
+    "--with",
+    "operator_file",
+    metavar="FILE",
+    required=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    help="The operator's file with the block 'tenants'.",
+)
 
 
 @tenants.command("show")
--- a/snowthread/tenants/entry.py
+++ b/snowthread/tenants/entry.py
@@ -19,8 +19,14 @@
 BALANCER_MAX = 10**18
 _NUMBER = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 _RANGE = re.compile(r"([0-9]{1,18})(?:\s*-\s*([0-9]{1,18}))?")
-_STATUS = {"active": Status.ACTIVE, "enabled": Status.ACTIVE, "true": Status.ACTIVE,
-           "suspended": Status.SUSPENDED, "disabled": Status.SUSPENDED, "false": Status.SUSPENDED}
+_STATUS = {
+    "active": Status.ACTIVE,
+    "enabled": Status.ACTIVE,
+    "true": Status.ACTIVE,
+    "suspended": Status.SUSPENDED,
+    "disabled": Status.SUSPENDED,
+    "false": Status.SUSPENDED,
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,8 +44,16 @@
 
     def all(self) -> tuple[str, ...]:
         """What a search asks for."""
-        return (self.id, self.name, self.status, self.quota, self.network, self.balancer, self.allowed,
-                self.stamp)
+        return (
+            self.id,
+            self.name,
+            self.status,
+            self.quota,
+            self.network,
+            self.balancer,
+            self.allowed,
+            self.stamp,
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,8 +65,9 @@
     reason: str
 
 
-def read(name: str, attributes: Mapping[str, tuple[bytes, ...]], names: Names, base: dn.Dn,
-         uuid: str = "") -> Tenant | BadEntry:
+def read(
+    name: str, attributes: Mapping[str, tuple[bytes, ...]], names: Names, base: dn.Dn, uuid: str = ""
+) -> Tenant | BadEntry:
     """The tenant that an entry says. ``uuid`` is the one that a synchronisation told, in hex."""
     tenant_id = uuid
     try:
@@ -66,12 +81,16 @@
             raise ValueError(f"{names.name}: missing")
         if len(label) > NAME_MAX or not label.isprintable():
             raise ValueError(f"{names.name}: too long or not printable")
-        return Tenant(tenant_id, label, _status(_one(attributes, names.status), names.status),
-                      _quota(_one(attributes, names.quota), names.quota),
-                      _networks(_texts(attributes, names.network), names.network),
-                      _ranges(_texts(attributes, names.balancer), names.balancer),
-                      _classes(_texts(attributes, names.allowed), names.allowed),
-                      _one(attributes, names.stamp) or "")
+        return Tenant(
+            tenant_id,
+            label,
+            _status(_one(attributes, names.status), names.status),
+            _quota(_one(attributes, names.quota), names.quota),
+            _networks(_texts(attributes, names.network), names.network),
+            _ranges(_texts(attributes, names.balancer), names.balancer),
+            _classes(_texts(attributes, names.allowed), names.allowed),
+            _one(attributes, names.stamp) or "",
+        )
     except ValueError as error:
         return BadEntry(name[:NAME_MAX], tenant_id, str(error))
 
--- a/snowthread/tenants/identification.py
+++ b/snowthread/tenants/identification.py
@@ -15,8 +15,8 @@
 from snowthread.core import events
 from snowthread.net.loop import EventLoop, TaskSteps, Wait
 from snowthread.tenants import snapshot as tenant_snapshot
-from snowthread.tenants.replication import DirectoryReplicator
 from snowthread.tenants.model import IdentifiedBy
+from snowthread.tenants.replication import DirectoryReplicator
 from snowthread.tenants.settings import TenantSettings
 from snowthread.tenants.state import TenantChanges, TenantState
 
@@ -28,8 +28,9 @@
 class TenantIdentification:
     """One node's tenants."""
 
-    def __init__(self, loop: EventLoop, settings: TenantSettings, seed: int,
-                 post: Callable[[events.Event], None]) -> None:
+    def __init__(
+        self, loop: EventLoop, settings: TenantSettings, seed: int, post: Callable[[events.Event], None]
+    ) -> None:
         self._loop, self.settings, self._post = loop, settings, post
         self._origin: Callable[[int], str] = lambda place: ""
         self.tenants = TenantState(settings.rules)
@@ -42,8 +43,11 @@
     def start(self, origin: Callable[[int], str]) -> None:
         """Begin: what was known at the last life first, then the directory."""
         self._origin = origin
-        self._post(events.TenantQuotasChanged((self.tenants.default_share(),),
-                                    over_quota_weight=self.settings.over_share_worth))
+        self._post(
+            events.TenantQuotasChanged(
+                (self.tenants.default_share(),), over_quota_weight=self.settings.over_share_worth
+            )
+        )
         self.replicator = DirectoryReplicator(
             self._loop, self.settings, self.tenants, self._rng, self.publish
         )
@@ -82,8 +86,17 @@
         self._post(events.TenantQuotasChanged(over_quota_weight=settings.over_share_worth))
         if settings.snapshot != old.snapshot:
             self._writer = None if settings.snapshot is None else tenant_snapshot.Writer(settings.snapshot)
-        same = replace(settings, rules=old.rules, snapshot=old.snapshot, snapshot_ms=old.snapshot_ms,
-                       report_ms=old.report_ms, over_share_worth=old.over_share_worth) == old
+        same = (
+            replace(
+                settings,
+                rules=old.rules,
+                snapshot=old.snapshot,
+                snapshot_ms=old.snapshot_ms,
+                report_ms=old.report_ms,
+                over_share_worth=old.over_share_worth,
+            )
+            == old
+        )
         if self.replicator is not None and not same:
             self.replicator.apply_settings(settings)
 
@@ -104,15 +117,27 @@
         tenancy, follower = self.tenants, self.replicator
         stage = tenancy.staleness.stage(now).value
         age = tenancy.staleness.age(now) / 1000.0
-        logger.bind(event="tenants.state", peer="directory", stage=stage, tenants=len(tenancy.table),
-                    networks=tenancy.table.networks, server=follower.server if follower else "",
-                    fail_overs=follower.servers.fail_overs if follower else 0,
-                    link_failures=follower.link_failures if follower else 0,
-                    age_s=round(age, 1) if age < 1e9 else None, unknown_waiting=len(tenancy.unknown_clients),
-                    nobodys=tenancy.unknown_clients.remembered, held=len(tenancy.guard.held.ids)
-                    if tenancy.guard.held else 0, **tenancy.counts).info(
-            "tenants: {} known, {}, {} requests of known callers, {} of unknown ones", len(tenancy.table),
-            stage, tenancy.counts["known"], tenancy.counts["unknown"])
+        logger.bind(
+            event="tenants.state",
+            peer="directory",
+            stage=stage,
+            tenants=len(tenancy.table),
+            networks=tenancy.table.networks,
+            server=follower.server if follower else "",
+            fail_overs=follower.servers.fail_overs if follower else 0,
+            link_failures=follower.link_failures if follower else 0,
+            age_s=round(age, 1) if age < 1e9 else None,
+            unknown_waiting=len(tenancy.unknown_clients),
+            nobodys=tenancy.unknown_clients.remembered,
+            held=len(tenancy.guard.held.ids) if tenancy.guard.held else 0,
+            **tenancy.counts,
+        ).info(
+            "tenants: {} known, {}, {} requests of known callers, {} of unknown ones",
+            len(tenancy.table),
+            stage,
+            tenancy.counts["known"],
+            tenancy.counts["unknown"],
+        )
 
     # The snapshot.
 
@@ -127,14 +152,17 @@
             snapshot = tenant_snapshot.read(path, self.settings.source)
         except tenant_snapshot.SnapshotError as error:
             logger.bind(event="tenants.no_snapshot").warning(
-                "tenants: snapshot {} not used: {}; the directory alone will tell", path, error)
+                "tenants: snapshot {} not used: {}; the directory alone will tell", path, error
+            )
             return
         now = self._loop.clock.now()
         self.publish(self.tenants.restored(snapshot.tenants, snapshot.agreed_at, snapshot.home, now))
         follower.sync.cookie, follower.sync.cookie_server = snapshot.cookie, snapshot.home
         logger.bind(event="tenants.restored", tenants=len(snapshot.tenants)).info(
-            "tenants: {} from the snapshot, {:.0f} s old", len(snapshot.tenants),
-            self.tenants.staleness.age(now) / 1000.0)
+            "tenants: {} from the snapshot, {:.0f} s old",
+            len(snapshot.tenants),
+            self.tenants.staleness.age(now) / 1000.0,
+        )
 
     def _snapshot(self, now: float) -> None:
         writer, tenancy = self._writer, self.tenants
@@ -143,7 +171,8 @@
         error = writer.finished()
         if error:
             logger.bind(event="tenants.snapshot_failed").warning(
-                "tenants: snapshot not written: {}; tried again later", error)
+                "tenants: snapshot not written: {}; tried again later", error
+            )
             self._written_version = -1
         due = now - self._written_at >= self.settings.snapshot_ms
         changed = tenancy.table.version != self._written_version
@@ -155,5 +184,10 @@
         sync = self.replicator.sync
         # A held removal is not in the file: from the cookie on it would never be told again.
         resumes = tenancy.guard.held is None and sync.cookie_server == tenancy.guard.home
-        writer.start(tenancy.table.tenants.values(), tenancy.staleness.confirmed_at_ms, self.settings.source,
-                     tenancy.guard.home, sync.cookie if resumes else None)
+        writer.start(
+            tenancy.table.tenants.values(),
+            tenancy.staleness.confirmed_at_ms,
+            self.settings.source,
+            tenancy.guard.home,
+            sync.cookie if resumes else None,
+        )
--- a/snowthread/tenants/inspection.py
+++ b/snowthread/tenants/inspection.py
@@ -15,8 +15,8 @@
 from snowthread.net.loop import EventLoop
 from snowthread.operator.features import Features
 from snowthread.tenants import snapshot as tenant_snapshot
-from snowthread.tenants.replication import DirectoryReplicator
 from snowthread.tenants.model import IdentifiedBy
+from snowthread.tenants.replication import DirectoryReplicator
 from snowthread.tenants.settings import TenantSettings
 from snowthread.tenants.state import TenantChanges, TenantState
 
@@ -85,13 +85,15 @@
     tenants = sorted(fetched.tenancy.table.tenants.values(), key=lambda t: (t.name.casefold(), t.id))
     yield f"{len(tenants)} tenants, {fetched.tenancy.table.networks} networks, from {fetched.source}"
     for t in tenants:
-        networks = ", ".join(map(str, t.networks[:4])) + (f" and {len(t.networks) - 4} more"
-                                                          if len(t.networks) > 4 else "")
+        networks = ", ".join(map(str, t.networks[:4])) + (
+            f" and {len(t.networks) - 4} more" if len(t.networks) > 4 else ""
+        )
         balancers = ", ".join(f"{a}" if a == b else f"{a}-{b}" for a, b in t.balancers) or "-"
         quota = f"{t.quota_per_s:g}/s" if t.quota_per_s else "no quota"
         classes = ", ".join(sorted(t.classes)) or "all classes"
-        yield "  ".join((t.name, t.status.value, quota, networks or "-", f"balancers {balancers}", classes,
-                         t.id))
+        yield "  ".join(
+            (t.name, t.status.value, quota, networks or "-", f"balancers {balancers}", classes, t.id)
+        )
 
 
 def whois(fetched: InspectionResult, address: str, balancer: int | None) -> tuple[bool, str]:
--- a/snowthread/tenants/replication.py
+++ b/snowthread/tenants/replication.py
@@ -44,8 +44,14 @@
 class DirectoryReplicator:
     """Follows the directory for one node."""
 
-    def __init__(self, loop: EventLoop, settings: TenantSettings, tenancy: TenantState, rng: random.Random,
-                 tell: Callable[[TenantChanges], None]) -> None:
+    def __init__(
+        self,
+        loop: EventLoop,
+        settings: TenantSettings,
+        tenancy: TenantState,
+        rng: random.Random,
+        tell: Callable[[TenantChanges], None],
+    ) -> None:
         self._loop, self.settings, self._tenancy, self._rng, self._tell = loop, settings, tenancy, rng, tell
         self.sync = s.Sync(settings.question)
         self.servers = self._servers()
@@ -84,10 +90,18 @@
                 trouble = yield from self._session(n)
                 self.link_failures += 1
                 opened = self.servers.failed(n, self._now(), trouble.reaction)
-                logger.bind(event="tenants.link_lost", peer="directory", server=self.servers.names[n],
-                            progress=trouble.progress.name, reaction=trouble.reaction.value).warning(
-                    "directory {}: {}{}", self.servers.names[n], trouble.reason,
-                    "; left alone for a while" if opened else "")
+                logger.bind(
+                    event="tenants.link_lost",
+                    peer="directory",
+                    server=self.servers.names[n],
+                    progress=trouble.progress.name,
+                    reaction=trouble.reaction.value,
+                ).warning(
+                    "directory {}: {}{}",
+                    self.servers.names[n],
+                    trouble.reason,
+                    "; left alone for a while" if opened else "",
+                )
             until = self._now() + self.servers.wait(self._now(), self._rng)
             while self._now() < until:  # a question that wakes it does not make it try sooner
                 yield Wait(until=until)
@@ -129,8 +143,11 @@
                     began = heard = now
                     probe, probe_until, poll_at = 0, math.inf, math.inf
                 elif not probe and now - heard >= settings.probe_ms:
-                    probe = link.send(m.Search(settings.question.base, m.Scope.BASE,
-                                               ("present", b"objectClass"), NO_ATTRIBUTES))
+                    probe = link.send(
+                        m.Search(
+                            settings.question.base, m.Scope.BASE, ("present", b"objectClass"), NO_ATTRIBUTES
+                        )
+                    )
                     probe_until = now + settings.operation_ms
             self._ask(link, questions, now)
             until = self._until(heard, began, probe, probe_until, poll_at, questions)
@@ -172,8 +189,11 @@
                                 if step.reaction not in ANEW or anew > ANEW_MOST:
                                     return LinkFailure(Progress.REPLY_BEGUN, step.reason, step.reaction)
                                 logger.bind(event="tenants.other_way", peer="directory").info(
-                                    "directory {}: {}; asked anew: {}", link.server, step.reason,
-                                    step.reaction.value)
+                                    "directory {}: {}; asked anew: {}",
+                                    link.server,
+                                    step.reason,
+                                    step.reaction.value,
+                                )
                                 search = link.send(sync.begin(link.server))
                                 began, poll_at = now, math.inf
 
@@ -182,8 +202,15 @@
         at = self._tenancy.guard.look_again_at()
         return at is not None and self._now() >= at
 
-    def _until(self, heard: float, began: float, probe: int, probe_until: float, poll_at: float,
-               questions: dict[int, _Question]) -> float:
+    def _until(
+        self,
+        heard: float,
+        began: float,
+        probe: int,
+        probe_until: float,
+        poll_at: float,
+        questions: dict[int, _Question],
+    ) -> float:
         """When something is due next, whatever comes."""
         settings = self.settings
         until = min((q.until for q in questions.values()), default=math.inf)
@@ -191,8 +218,12 @@
             until = min(until, heard + settings.operation_ms, began + settings.refresh_ms)
         else:
             look = self._tenancy.guard.look_again_at()
-            until = min(until, poll_at, look if look is not None else math.inf,
-                        probe_until if probe else heard + settings.probe_ms)
+            until = min(
+                until,
+                poll_at,
+                look if look is not None else math.inf,
+                probe_until if probe else heard + settings.probe_ms,
+            )
             if self._tenancy.unknown_clients.waiting:
                 until = min(until, self._now() + TOKEN_MS)
         return until
@@ -211,11 +242,23 @@
             if news is None:  # given up half way: the cookie must not say that this is known
                 self.sync.forget_cookie()
         table = self._tenancy.table
-        logger.bind(event="tenants.refreshed", peer="directory", server=server, ms=round(took, 1),
-                    mode=self.sync.mode.name.lower(), tenants=len(table), networks=table.networks,
-                    changed=len(news.shares), removed=len(news.removed)).info(
-            "directory {}: refreshed in {:.0f} ms, {} tenants, {} networks", server, took, len(table),
-            table.networks)
+        logger.bind(
+            event="tenants.refreshed",
+            peer="directory",
+            server=server,
+            ms=round(took, 1),
+            mode=self.sync.mode.name.lower(),
+            tenants=len(table),
+            networks=table.networks,
+            changed=len(news.shares),
+            removed=len(news.removed),
+        ).info(
+            "directory {}: refreshed in {:.0f} ms, {} tenants, {} networks",
+            server,
+            took,
+            len(table),
+            table.networks,
+        )
         self._tell(news)
 
     # Questions about callers nobody knows.
--- a/snowthread/tenants/settings.py
+++ b/snowthread/tenants/settings.py
@@ -18,11 +18,11 @@
 from snowthread.ldap.health import RetryPolicy
 from snowthread.operator.hcl import Block
 from snowthread.tenants.entry import Names
+from snowthread.tenants.model import Network
 from snowthread.tenants.removal_guard import RemovalRules
 from snowthread.tenants.staleness import StalenessRules
-from snowthread.tenants.model import Network
-from snowthread.tenants.sync import Mode, Question
 from snowthread.tenants.state import TenantRules
+from snowthread.tenants.sync import Mode, Question
 from snowthread.tenants.unknown_clients import UnknownClientRules
 
 T = TypeVar("T")
@@ -61,8 +61,11 @@
     def read(cls, block: Block, config: Config) -> TenantSettings:
         """Check the block; ConfigError names the key that can't be used."""
         if config.settings.tenants and not block.flag("replace_settings", False):
-            raise block.wrong("replace_settings", "the node's settings name tenants too; their quotas never "
-                              "mix with a directory's: set it to true to use the directory's alone")
+            raise block.wrong(
+                "replace_settings",
+                "the node's settings name tenants too; their quotas never "
+                "mix with a directory's: set it to true to use the directory's alone",
+            )
         block.flag("replace_settings", False)
         servers = tuple(_of(block, "servers", url.parse, text) for text in block.texts("servers"))
         if not servers:
@@ -74,22 +77,37 @@
         names = _names(block.part("attributes"))
         limits = block.part("limits")
         question = Question(
-            base=base, filter=_of(block, "filter", filters.parse, text), names=names,
+            base=base,
+            filter=_of(block, "filter", filters.parse, text),
+            names=names,
             scope=_SCOPES[block.choice("scope", _SCOPES, "sub")],
             first_mode=_MODES[block.choice("mode", _MODES, "persist")],
             page_size=block.count("page_size", 500, 10, 10_000),
             tenants_max=limits.count("tenants", 100_000, 1),
-            networks_max=limits.count("networks", 1_000_000, 1))
+            networks_max=limits.count("networks", 1_000_000, 1),
+        )
         bounds = Bounds(frame_bytes=limits.count("message_bytes", 512 * 1024, 4096, 64 * 2**20))
         limits.done()
         access = _access(block, servers, bounds)
         rules, over = _rules(block)
         snapshot, snapshot_ms = _snapshot(block)
-        out = cls(servers, access, question, f"{base}?{text}", _patience(block.part("retry")), rules, over,
-                  operation_ms=block.time("operation", "10s"), refresh_ms=block.time("refresh", "2m"),
-                  probe_ms=block.time("probe", "5s", 100.0), poll_ms=block.time("poll", "1m", 100.0),
-                  spread_ms=block.time("spread", "500ms", 0.0),
-                  report_ms=block.time("report", "1m", 1000.0), snapshot=snapshot, snapshot_ms=snapshot_ms)
+        out = cls(
+            servers,
+            access,
+            question,
+            f"{base}?{text}",
+            _patience(block.part("retry")),
+            rules,
+            over,
+            operation_ms=block.time("operation", "10s"),
+            refresh_ms=block.time("refresh", "2m"),
+            probe_ms=block.time("probe", "5s", 100.0),
+            poll_ms=block.time("poll", "1m", 100.0),
+            spread_ms=block.time("spread", "500ms", 0.0),
+            report_ms=block.time("report", "1m", 1000.0),
+            snapshot=snapshot,
+            snapshot_ms=snapshot_ms,
+        )
         block.done()
         return out
 
@@ -103,8 +121,12 @@
 
 def _names(block: Block) -> Names:
     default = Names()
-    names = Names(*(block.text(key, getattr(default, key)).lower() for key in (
-        "id", "name", "status", "quota", "network", "balancer", "allowed", "stamp")))
+    names = Names(
+        *(
+            block.text(key, getattr(default, key)).lower()
+            for key in ("id", "name", "status", "quota", "network", "balancer", "allowed", "stamp")
+        )
+    )
     block.done()
     return names
 
@@ -126,8 +148,9 @@
             try:
                 context.load_cert_chain(cert, key)
             except (OSError, ssl.SSLError) as error:
-                raise tls.wrong("cert_file", f"{cert}: {getattr(error, 'reason', None) or error.strerror}"
-                                ) from None
+                raise tls.wrong(
+                    "cert_file", f"{cert}: {getattr(error, 'reason', None) or error.strerror}"
+                ) from None
     elif ca or cert or key or server_name:
         raise tls.wrong("ca_file", "no server is reached over TLS: ldaps URLs or start_tls are wanted")
     tls.done()
@@ -135,8 +158,9 @@
     return Access(bind, context, start_tls, server_name, connect_ms, bind_ms, bounds)
 
 
-def _bind(block: Block, secure: bool, has_cert: bool,
-          servers: tuple[url.LdapUrl, ...]) -> m.Bind | m.BindExternal | None:
+def _bind(
+    block: Block, secure: bool, has_cert: bool, servers: tuple[url.LdapUrl, ...]
+) -> m.Bind | m.BindExternal | None:
     part = block.block("bind")
     if part is None:
         return None
@@ -167,19 +191,24 @@
     for server in servers:
         local = ip_address(server.host).is_loopback
         if not secure and not local and not clear:
-            raise part.wrong("allow_clear_text", f"the password would go to {server.server} in clear text; "
-                             "use ldaps or start_tls")
+            raise part.wrong(
+                "allow_clear_text",
+                f"the password would go to {server.server} in clear text; use ldaps or start_tls",
+            )
     return m.Bind(name, m.Secret(password))
 
 
 def _patience(block: Block) -> RetryPolicy:
     out = RetryPolicy(
-        pause_ms=block.time("pause", "200ms"), pause_most_ms=block.time("pause_most", "30s"),
+        pause_ms=block.time("pause", "200ms"),
+        pause_most_ms=block.time("pause_most", "30s"),
         budget_share=block.number("budget_share", 0.2, 0.0, 1.0),
         budget_floor_per_s=block.number("budget_floor_per_s", 0.1, 0.001, 100.0),
         budget_saved=block.number("budget_saved", 10.0, 1.0, 1000.0),
-        failures=block.count("failures", 3, 1, 100), open_ms=block.time("open", "5s"),
-        open_most_ms=block.time("open_most", "2m"))
+        failures=block.count("failures", 3, 1, 100),
+        open_ms=block.time("open", "5s"),
+        open_most_ms=block.time("open_most", "2m"),
+    )
     block.done()
     return out
 
@@ -188,20 +217,33 @@
     removal, stale = block.part("removal"), block.part("staleness")
     unknown, default = block.part("unknown"), block.part("default")
     trusted: tuple[Network, ...] = tuple(
-        _of(block, "trust_numbers_from", ip_network, text) for text in block.texts("trust_numbers_from", ()))
+        _of(block, "trust_numbers_from", ip_network, text) for text in block.texts("trust_numbers_from", ())
+    )
     rules = TenantRules(
         removal=RemovalRules(
-            removal.number("share", 0.1, 0.0, 1.0), removal.count("least", 2),
+            removal.number("share", 0.1, 0.0, 1.0),
+            removal.count("least", 2),
             removal.choice("confirm", ("second_refresh", "operator"), "second_refresh") == "second_refresh",
-            removal.time("confirm_after", "1m"), removal.text("accept", "")),
-        staleness=StalenessRules(stale.time("stale_after", "1m"), stale.time("old_after", "24h"),
-                           stale.choice("when_old", ("serve", "default"), "serve") == "default"),
+            removal.time("confirm_after", "1m"),
+            removal.text("accept", ""),
+        ),
+        staleness=StalenessRules(
+            stale.time("stale_after", "1m"),
+            stale.time("old_after", "24h"),
+            stale.choice("when_old", ("serve", "default"), "serve") == "default",
+        ),
         unknown_clients=UnknownClientRules(
-            unknown.flag("ask", True), unknown.time("remember", "1m"),
-            unknown.count("remembered", 10_000, 1), unknown.count("waiting", 256, 1),
-            unknown.count("open", 8, 1, 32), unknown.number("per_s", 20.0, 0.1, 10_000.0)),
-        default_quota_per_s=default.number("quota_per_s", 0.0), default_refused=default.flag("refuse", False),
-        trusted=trusted)
+            unknown.flag("ask", True),
+            unknown.time("remember", "1m"),
+            unknown.count("remembered", 10_000, 1),
+            unknown.count("waiting", 256, 1),
+            unknown.count("open", 8, 1, 32),
+            unknown.number("per_s", 20.0, 0.1, 10_000.0),
+        ),
+        default_quota_per_s=default.number("quota_per_s", 0.0),
+        default_refused=default.flag("refuse", False),
+        trusted=trusted,
+    )
     for part in (removal, stale, unknown, default):
         part.done()
     return rules, block.number("over_share_worth", 0.1, 0.0, 1.0)
--- a/snowthread/tenants/snapshot.py
+++ b/snowthread/tenants/snapshot.py
@@ -43,11 +43,27 @@
 
 def encode(snapshot: Snapshot) -> bytes:
     """The file's bytes."""
-    body = orjson.dumps({
-        "agreed_at": snapshot.agreed_at, "source": snapshot.source, "home": snapshot.home,
-        "cookie": None if snapshot.cookie is None else snapshot.cookie.hex(),
-        "tenants": [[t.id, t.name, t.status.value, t.quota_per_s, [str(n) for n in t.networks],
-                     [list(r) for r in t.balancers], sorted(t.classes), t.stamp] for t in snapshot.tenants]})
+    body = orjson.dumps(
+        {
+            "agreed_at": snapshot.agreed_at,
+            "source": snapshot.source,
+            "home": snapshot.home,
+            "cookie": None if snapshot.cookie is None else snapshot.cookie.hex(),
+            "tenants": [
+                [
+                    t.id,
+                    t.name,
+                    t.status.value,
+                    t.quota_per_s,
+                    [str(n) for n in t.networks],
+                    [list(r) for r in t.balancers],
+                    sorted(t.classes),
+                    t.stamp,
+                ]
+                for t in snapshot.tenants
+            ],
+        }
+    )
     digest = blake2b(body, digest_size=16).hexdigest().encode()
     return b"%s %d %d %s\n%s\n" % (MAGIC, VERSION, len(body), digest, body)
 
@@ -67,18 +83,29 @@
     try:
         fields = orjson.loads(body)
         cookie = fields["cookie"]
-        return Snapshot(tuple(_tenant(row) for row in fields["tenants"]), float(fields["agreed_at"]),
-                        str(fields["source"]), str(fields["home"]),
-                        None if cookie is None else bytes.fromhex(cookie))
+        return Snapshot(
+            tuple(_tenant(row) for row in fields["tenants"]),
+            float(fields["agreed_at"]),
+            str(fields["source"]),
+            str(fields["home"]),
+            None if cookie is None else bytes.fromhex(cookie),
+        )
     except (ValueError, KeyError, TypeError) as error:
         raise SnapshotError(f"can't be read: {type(error).__name__}") from None
 
 
 def _tenant(row: list[Any]) -> Tenant:
     tenant_id, name, status, quota, networks, ranges, classes, stamp = row
-    return Tenant(str(tenant_id), str(name), Status(status), float(quota),
-                  tuple(ip_network(n) for n in networks), tuple((int(a), int(b)) for a, b in ranges),
-                  frozenset(map(str, classes)), str(stamp))
+    return Tenant(
+        str(tenant_id),
+        str(name),
+        Status(status),
+        float(quota),
+        tuple(ip_network(n) for n in networks),
+        tuple((int(a), int(b)) for a, b in ranges),
+        frozenset(map(str, classes)),
+        str(stamp),
+    )
 
 
 def read(path: Path, source: str) -> Snapshot:
@@ -103,7 +130,7 @@
         try:
             view = memoryview(data)
             while view:
-                view = view[os.write(fd, view):]
+                view = view[os.write(fd, view) :]
             os.fsync(fd)
         finally:
             os.close(fd)
@@ -130,8 +157,9 @@
         """Is a child still writing?"""
         return self._child != 0
 
-    def start(self, tenants: Iterable[Tenant], agreed_at: float, source: str, home: str,
-              cookie: bytes | None) -> None:
+    def start(
+        self, tenants: Iterable[Tenant], agreed_at: float, source: str, home: str, cookie: bytes | None
+    ) -> None:
         """Write what is known now. Encoding is the child's work too: it has its own copy of all of it."""
         pid = os.fork()
         if pid:
--- a/snowthread/tenants/state.py
+++ b/snowthread/tenants/state.py
@@ -10,9 +10,9 @@
 
 from snowthread.admission.settings import Tenant as Share
 from snowthread.tenants.entry import BadEntry
-from snowthread.tenants.removal_guard import RemovalGuard, RemovalRules, Verdict
-from snowthread.tenants.staleness import StalenessTracker, StalenessRules, Stage
 from snowthread.tenants.model import DEFAULT_ID, UNKNOWN, IdentifiedBy, Identity, Network, Status, Tenant
+from snowthread.tenants.removal_guard import RemovalGuard, RemovalRules, Verdict
+from snowthread.tenants.staleness import Stage, StalenessRules, StalenessTracker
 from snowthread.tenants.sync import Changed, Refreshed
 from snowthread.tenants.table import Applied, TenantTable
 from snowthread.tenants.unknown_clients import UnknownClientRules, UnknownClients
@@ -217,11 +217,17 @@
         if verdict.news and verdict.held is not None:
             held = verdict.held
             self.counts["held"] += 1
-            news.add_line("tenants.removal_held", f"{len(held.ids)} tenants are missing and stay for now "
-                     f"({held.why}); removal {held.digest}")
-
-    def _tell(self, applied: Applied, before: Mapping[str, Tenant | None] | Mapping[str, Tenant],
-              news: TenantChanges) -> None:
+            news.add_line(
+                "tenants.removal_held",
+                f"{len(held.ids)} tenants are missing and stay for now ({held.why}); removal {held.digest}",
+            )
+
+    def _tell(
+        self,
+        applied: Applied,
+        before: Mapping[str, Tenant | None] | Mapping[str, Tenant],
+        news: TenantChanges,
+    ) -> None:
         for tenant in applied.changed:
             old = before.get(tenant.id)
             if old is None or _share(old) != _share(tenant):
@@ -244,5 +250,6 @@
 
 
 def _share(tenant: Tenant) -> Share:
-    return Share(tenant.id, tenant.quota_per_s, tenant.status is Status.SUSPENDED,
-                 tuple(sorted(tenant.classes)))
+    return Share(
+        tenant.id, tenant.quota_per_s, tenant.status is Status.SUSPENDED, tuple(sorted(tenant.classes))
+    )
--- a/snowthread/tenants/sync.py
+++ b/snowthread/tenants/sync.py
@@ -296,8 +296,9 @@
         self.state = then
         if self.mode is not Mode.PAGED:
             self.cookie, self.cookie_server = aside.cookie, self._server
-        return Refreshed(aside.upserts, frozenset(aside.present), frozenset(aside.gone), aside.whole,
-                         tuple(aside.bad))
+        return Refreshed(
+            aside.upserts, frozenset(aside.present), frozenset(aside.gone), aside.whole, tuple(aside.bad)
+        )
 
     # What servers lack.
 
@@ -324,8 +325,9 @@
 
     def _search(self, control: m.Control) -> m.Search:
         q = self.question
-        return m.Search(q.base, q.scope, q.filter, q.names.all(), time_limit_s=q.time_limit_s,
-                        controls=(control,))
+        return m.Search(
+            q.base, q.scope, q.filter, q.names.all(), time_limit_s=q.time_limit_s, controls=(control,)
+        )
 
     def move(self, question: Question) -> None:
         """Ask another question from now on; another directory's cookie is of no use."""
--- a/snowthread/tenants/unknown_clients.py
+++ b/snowthread/tenants/unknown_clients.py
@@ -70,8 +70,9 @@
 
     def next(self, now: float) -> str | None:
         """The caller to ask about now, if the bounds let one be asked."""
-        self._tokens = min(self.rules.per_s, self._tokens + max(0.0, now - self._at) / 1000.0
-                           * self.rules.per_s)
+        self._tokens = min(
+            self.rules.per_s, self._tokens + max(0.0, now - self._at) / 1000.0 * self.rules.per_s
+        )
         self._at = now
         if not self._waiting or len(self._open) >= self.rules.open_most or self._tokens < 1.0:
             return None
--- a/tests/admission/test_decision_trace.py
+++ b/tests/admission/test_decision_trace.py
@@ -7,7 +7,6 @@
 from pathlib import Path
 
 import pytest
-
 from support.admission_scenarios import SCENARIOS, Scenario
 from support.decision_trace import ACTION_KINDS, EVENT_KINDS, play, read_trace, trace_path
 
--- a/tests/admission/test_learned_state.py
+++ b/tests/admission/test_learned_state.py
@@ -9,13 +9,16 @@
 from snowthread.admission.events import RequestArrived, RunFinished, Started
 from snowthread.admission.settings import Outcome, RequestClass, Settings
 
-CLASSES = (RequestClass("match", latency_objective_s=3.0, deadline_s=9.0),
-           RequestClass("recalc", latency_objective_s=2.0, deadline_s=6.0))
+CLASSES = (
+    RequestClass("match", latency_objective_s=3.0, deadline_s=9.0),
+    RequestClass("recalc", latency_objective_s=2.0, deadline_s=6.0),
+)
 
 
 def controller(cold: bool = False) -> Controller:
-    made = Controller(Settings(classes=CLASSES, cores=2, memory_kb=1e6, starts_cold=cold, cold_speed=0.25,
-                               warmup_s=8.0), 1)
+    made = Controller(
+        Settings(classes=CLASSES, cores=2, memory_kb=1e6, starts_cold=cold, cold_speed=0.25, warmup_s=8.0), 1
+    )
     made.handle(1.0, Started())
     return made
 
--- a/tests/admission/test_properties.py
+++ b/tests/admission/test_properties.py
@@ -8,7 +8,6 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from snowthread.admission.controller import Controller
 from snowthread.admission.actions import (
     AwaitOriginal,
     Fail,
@@ -21,6 +20,7 @@
     StartRun,
     StopRun,
 )
+from snowthread.admission.controller import Controller
 from snowthread.admission.events import (
     CallFinished,
     CallNeeded,
@@ -223,8 +223,19 @@
         h.send(CallFinished(r, outcome, 0.1))
 
 
-OPS = ("arrive", "arrive", "arrive", "arrive", "running", "attached", "needs", "needs", "needs", "called",
-       "gone")
+OPS = (
+    "arrive",
+    "arrive",
+    "arrive",
+    "arrive",
+    "running",
+    "attached",
+    "needs",
+    "needs",
+    "needs",
+    "called",
+    "gone",
+)
 SITES = st.builds(
     Settings,
     st.just(CLASSES),
@@ -257,11 +268,18 @@
 
 
 @settings(max_examples=150, derandomize=True, deadline=None)
-@given(SITES, st.lists(st.tuples(st.sampled_from(OPS), st.integers(0, 127),
-                                 st.sampled_from((0.0, 0.0, 0.01, 0.05, 0.3))), min_size=30, max_size=120),
-       st.integers(0, 60))
-def test_rules_hold_under_any_legal_sequence(site: Settings, steps: list[tuple[str, int, float]],
-                                             leave_at: int) -> None:
+@given(
+    SITES,
+    st.lists(
+        st.tuples(st.sampled_from(OPS), st.integers(0, 127), st.sampled_from((0.0, 0.0, 0.01, 0.05, 0.3))),
+        min_size=30,
+        max_size=120,
+    ),
+    st.integers(0, 60),
+)
+def test_rules_hold_under_any_legal_sequence(
+    site: Settings, steps: list[tuple[str, int, float]], leave_at: int
+) -> None:
     h = Host(site, seed=7)
     for n, (op, choice, dt) in enumerate(steps):
         h.advance(dt)
--- a/tests/admission/test_recovery_pacing.py
+++ b/tests/admission/test_recovery_pacing.py
@@ -10,9 +10,9 @@
     WAITING_MOST,
     Backoff,
     CallBudget,
-    SlowStart,
-    RecoveryPacer,
     CallPermission,
+    RecoveryPacer,
+    SlowStart,
 )
 
 
@@ -96,7 +96,6 @@
     assert budget.rate() == pytest.approx(99.0)
 
 
-
 def way(sharing: int = 1, slots: float = 2.0, per_s: float = 1000.0) -> RecoveryPacer:
     made = RecoveryPacer(
         SlowStart(4.0, 2.0), CallBudget(per_s, 10.0, burst_s=0.5), Backoff(), slots, random.Random(1)
--- a/tests/admission/test_simulator_adapter.py
+++ b/tests/admission/test_simulator_adapter.py
@@ -10,21 +10,26 @@
 import pytest
 
 from snowthread.admission.controller import Controller
-from snowthread.admission.simulator_adapter import SimulatorAdapter, parse_settings
 from snowthread.admission.settings import Idempotency, LoadReportKind, Preemption
+from snowthread.admission.simulator_adapter import SimulatorAdapter, parse_settings
 
 FACTS: dict[str, Any] = {
-    "classes": [{"name": "a", "goal_time_s": 1.0, "deadline_s": 3.0, "effect": "read_like",
-                 "importance": 1.0}],
+    "classes": [
+        {"name": "a", "goal_time_s": 1.0, "deadline_s": 3.0, "effect": "read_like", "importance": 1.0}
+    ],
     "domain": {"cores": 2, "memory_kb": 1000.0, "run_factor": 4.0, "say": "silent", "something_new": 1},
-    "rules": {"fall_multiple": 3.0}, "unheard_of": {}}
+    "rules": {"fall_multiple": 3.0},
+    "unheard_of": {},
+}
 BOOT = {"boot": {"i": "worker/1", "prng": 7, "facts": FACTS}}
 
 
 def play(*batches: list[dict[str, Any]]) -> list[list[dict[str, Any]]]:
     drill = SimulatorAdapter()
-    return [json.loads(drill.answer(json.dumps({"now_s": 1.0 + n, "events": b}).encode()))["out"]
-            for n, b in enumerate(batches)]
+    return [
+        json.loads(drill.answer(json.dumps({"now_s": 1.0 + n, "events": b}).encode()))["out"]
+        for n, b in enumerate(batches)
+    ]
 
 
 def test_boot_and_run() -> None:
@@ -34,8 +39,11 @@
 
 
 def test_unknown_events_are_skipped_and_down_forgets() -> None:
-    _, odd, gone = play([BOOT], [{"novelty": {"i": "worker/1"}}],
-                        [{"down": {"i": "worker/1"}}, {"expired": {"i": "worker/1", "op_id": 3}}])
+    _, odd, gone = play(
+        [BOOT],
+        [{"novelty": {"i": "worker/1"}}],
+        [{"down": {"i": "worker/1"}}, {"expired": {"i": "worker/1", "op_id": 3}}],
+    )
     assert odd == [] and gone == []
 
 
@@ -48,11 +56,24 @@
 
 def test_settings_of_sites_that_say_less_are_taken_plainly() -> None:
     classes = [{"name": "a", "goal_time_s": 1.0, "deadline_s": 3.0, "effect": "novel"}]
-    domain = {"cores": 2, "memory_kb": 1000.0, "say": "weight", "readiness": False, "preemption": "silent",
-              "passes_deadline": False, "tells_gone": True, "heard_for_s": None}
+    domain = {
+        "cores": 2,
+        "memory_kb": 1000.0,
+        "say": "weight",
+        "readiness": False,
+        "preemption": "silent",
+        "passes_deadline": False,
+        "tells_gone": True,
+        "heard_for_s": None,
+    }
     projects = [{"name": "t"}, {"name": "u", "quota_per_s": 3}]
-    facts = {"classes": classes, "domain": domain, "projects": projects,
-             "telemetry": {"how": "piggyback", "fields": ["tps"]}, "callers": {"marks_retry": True}}
+    facts = {
+        "classes": classes,
+        "domain": domain,
+        "projects": projects,
+        "telemetry": {"how": "piggyback", "fields": ["tps"]},
+        "callers": {"marks_retry": True},
+    }
     s = parse_settings(facts)
     assert s.load_report_kind is LoadReportKind.WEIGHT and s.preemption is Preemption.NONE and s.marks_retries
     assert s.classes[0].idempotency is Idempotency.NON_IDEMPOTENT and [t.quota_per_s for t in s.tenants] == [
@@ -68,7 +89,11 @@
 
 
 def test_end_of_input_exits_cleanly() -> None:
-    done = subprocess.run([sys.executable, "-m", "snowthread.admission.simulator_adapter"],
-                          input=b'{"now_s":1,"events":[]}\n',
-                          capture_output=True, timeout=60, check=False)
+    done = subprocess.run(
+        [sys.executable, "-m", "snowthread.admission.simulator_adapter"],
+        input=b'{"now_s":1,"events":[]}\n',
+        capture_output=True,
+        timeout=60,
+        check=False,
+    )
     assert done.returncode == 0 and done.stdout == b'{"out":[]}\n'
--- a/tests/console/test_console.py
+++ b/tests/console/test_console.py
@@ -8,22 +8,35 @@
 
 import pytest
 
+from emulators.recorded_incidents import Trouble, play
 from snowthread.console.model import LINES_MOST, SORTS, Fleet
 from snowthread.console.screen import Look, text
 from snowthread.console.tail import Tail
 from snowthread.records.frame import encode
 from snowthread.records.model import Record
 from snowthread.records.writer import SUFFIX
-from emulators.recorded_incidents import Trouble, play
 
 ROOT = Path(__file__).parents[2]
 T = 1_800_000_000_000.0
 
 
 def second(node: str, number: int, at: float, **counts: int) -> Record:
-    return Record(node, "b", number, at, "second", {
-        "ms": 1000.0, "totals": [["match", "farbhof", counts]], "b": 0.25, "held": 3, "running": 4,
-        "calls": {"success": [4, 20, 30, 40], "timed_out": [1, 100, 100, 100]}, "memory_mb": 23.6})
+    return Record(
+        node,
+        "b",
+        number,
+        at,
+        "second",
+        {
+            "ms": 1000.0,
+            "totals": [["match", "farbhof", counts]],
+            "b": 0.25,
+            "held": 3,
+            "running": 4,
+            "calls": {"success": [4, 20, 30, 40], "timed_out": [1, 100, 100, 100]},
+            "memory_mb": 23.6,
+        },
+    )
 
 
 def test_a_nodes_states_and_figures() -> None:
@@ -92,7 +105,12 @@
     day = play(1, seconds=60, troubles=(Trouble("crash", 40.0, 30.0, 1.0, (1,)),), offset_ms=0.0)
     for name, records in day.records.items():
         (tmp_path / f"{name}-1-00-000001{SUFFIX}").write_bytes(b"".join(encode(r) for r in records))
-    done = subprocess.run([sys.executable, "-m", "snowthread", "console", "--sort", "state", str(tmp_path)],
-                          cwd=ROOT, capture_output=True, text=True, timeout=60)
+    done = subprocess.run(
+        [sys.executable, "-m", "snowthread", "console", "--sort", "state", str(tmp_path)],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     assert done.returncode == 0 and "4 nodes" in done.stdout and "silent" in done.stdout
     assert "\x1b" not in done.stdout and max(map(len, done.stdout.splitlines())) <= 80
--- a/tests/core/test_reconfiguration.py
+++ b/tests/core/test_reconfiguration.py
@@ -12,14 +12,13 @@
 import pytest
 from support.exchange import EXAMPLE, START, Player
 
-from snowthread.admission.controller import UPDATE_TIMER, Controller
 from snowthread.admission.actions import Reject, StartRun
+from snowthread.admission.controller import UPDATE_TIMER, Controller
 from snowthread.admission.events import RequestArrived, RunFinished, SettingsChanged, Started, TimerFired
 from snowthread.admission.settings import Idempotency, Outcome, RequestClass, Settings
-from snowthread.config import ConfigError, missing_key, load, parse, shape_of
-from snowthread.core import effects
-from snowthread.core import events
-from snowthread.core.reconfiguration import retention_ms, merge_settings
+from snowthread.config import ConfigError, load, missing_key, parse, shape_of
+from snowthread.core import effects, events
+from snowthread.core.reconfiguration import merge_settings, retention_ms
 from snowthread.records.observer import Observer
 
 A = RequestClass("a", latency_objective_s=1.0, deadline_s=3.0)
@@ -97,8 +96,14 @@
     controller = started()
     assert StartRun(1) in controller.handle(1.1, RequestArrived(1, "a", memory_kb=10.0))
     due, kind = controller._reqs[1].due, controller._reqs[1].kind
-    controller.handle(1.2, SettingsChanged(with_classes(
-        dataclasses.replace(A, deadline_s=1.0), B, running_memory_factor=8.0, key_memory_kb=2.0)))
+    controller.handle(
+        1.2,
+        SettingsChanged(
+            with_classes(
+                dataclasses.replace(A, deadline_s=1.0), B, running_memory_factor=8.0, key_memory_kb=2.0
+            )
+        ),
+    )
     assert (controller._reqs[1].due, controller._reqs[1].kind) == (due, kind)
     assert controller._memory == pytest.approx(80.0)
     controller.handle(1.3, RunFinished(1, Outcome.SUCCESS, 0.2))
@@ -273,4 +278,3 @@
         assert "tint" in {c.name for c in player.node.state.settings.classes}
     finally:
         player.node.loop._close_tasks()
-
--- a/tests/frontends/test_admin.py
+++ b/tests/frontends/test_admin.py
@@ -11,27 +11,30 @@
 
 from snowthread.address import Address
 from snowthread.config import ConfigError, load
-from snowthread.frontends.balancers.server import inherited, listener
 from snowthread.frontends.admin.codec import BODY_MAX, HEAD_MAX, AdminRequest, RequestError, RequestReader
 from snowthread.frontends.admin.server import CALL_MS, CALLERS_MOST
+from snowthread.frontends.balancers.server import inherited, listener
 
 READY = b"GET /-/ready HTTP/1.1\r\n\r\n"
 
 
-@pytest.mark.parametrize(("data", "result"), [
-    (b"POST /-/drain?now=1 HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", AdminRequest("POST", "/-/drain")),
-    (b"GET http://n1:9/-/ready HTTP/1.1\r\nHost: n1\r\n\r\n", AdminRequest("GET", "/-/ready")),
-    (b"POST /-/drain HTTP/1.1\r\nContent-Length: 2\r\n\r\n{", None),
-    (b"\x94\x00\x01\xa6health\x91\x80", HTTPStatus.BAD_REQUEST),
-    (b"GET /-/ready HTTP/1.1\r\nContent-Length: x\r\n\r\n", HTTPStatus.BAD_REQUEST),
-    (b"GET / HTTP/1.1\r\nA: " + b"a" * HEAD_MAX, HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE),
-    (b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (BODY_MAX + 1), HTTPStatus.BAD_REQUEST),
-])
+@pytest.mark.parametrize(
+    ("data", "result"),
+    [
+        (b"POST /-/drain?now=1 HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", AdminRequest("POST", "/-/drain")),
+        (b"GET http://n1:9/-/ready HTTP/1.1\r\nHost: n1\r\n\r\n", AdminRequest("GET", "/-/ready")),
+        (b"POST /-/drain HTTP/1.1\r\nContent-Length: 2\r\n\r\n{", None),
+        (b"\x94\x00\x01\xa6health\x91\x80", HTTPStatus.BAD_REQUEST),
+        (b"GET /-/ready HTTP/1.1\r\nContent-Length: x\r\n\r\n", HTTPStatus.BAD_REQUEST),
+        (b"GET / HTTP/1.1\r\nA: " + b"a" * HEAD_MAX, HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE),
+        (b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (BODY_MAX + 1), HTTPStatus.BAD_REQUEST),
+    ],
+)
 @pytest.mark.parametrize("piece", [1, 7, 10**6])
 def test_calls_are_read_in_pieces_of_any_size(data: bytes, result: object, piece: int) -> None:
     reading = RequestReader()
     for n in range(0, len(data), piece):
-        reading.feed(data[n:n + piece])
+        reading.feed(data[n : n + piece])
     got = reading.result
     assert (got.status if isinstance(got, RequestError) else got) == result
 
@@ -89,8 +92,9 @@
             held.accept()[0].close()
 
 
-@pytest.mark.parametrize(("more", "word"), [
-    ({"NODE_FD": "three"}, "NODE_FD"), ({"NODE_ADMIN_ADDR": "here"}, "admin_addr")])
+@pytest.mark.parametrize(
+    ("more", "word"), [({"NODE_FD": "three"}, "NODE_FD"), ({"NODE_ADMIN_ADDR": "here"}, "admin_addr")]
+)
 def test_a_bad_environment_is_told(more: dict[str, str], word: str) -> None:
     with pytest.raises(ConfigError, match=word):
         load({"NODE_CONFIG": str(EXAMPLE)} | more)
--- a/tests/frontends/test_crowd.py
+++ b/tests/frontends/test_crowd.py
@@ -8,10 +8,16 @@
 import pytest
 from support.exchange import START, Player
 
-from snowthread.net.limits import PARTIAL_MESSAGE_TIMEOUT_MS, FIRST_BYTE_TIMEOUT_MS
+from snowthread.net.limits import FIRST_BYTE_TIMEOUT_MS, PARTIAL_MESSAGE_TIMEOUT_MS
 
-FIELDS = {"id": "00000000000000a1", "at": f"{START:.0f}", "from": "4", "wait": "9000", "kb": "20",
-          "rank": "0.5"}
+FIELDS = {
+    "id": "00000000000000a1",
+    "at": f"{START:.0f}",
+    "from": "4",
+    "wait": "9000",
+    "kb": "20",
+    "rank": "0.5",
+}
 REQUEST = msgpack.packb([0, 1, "match", [FIELDS, b"p" * 40]])
 HEALTH = msgpack.packb([0, 1, "health", [{}]])
 
@@ -30,7 +36,7 @@
     try:
         places = player.node.balancers._most
         slow = connect(player)
-        pieces = [REQUEST[n:n + 7] for n in range(0, len(REQUEST), 7)]
+        pieces = [REQUEST[n : n + 7] for n in range(0, len(REQUEST), 7)]
         step = 2000.0 / (len(pieces) - 1)
         for n, piece in enumerate(pieces):
             if n:
--- a/tests/hot_restart/test_hot_restart.py
+++ b/tests/hot_restart/test_hot_restart.py
@@ -85,8 +85,10 @@
         self.settle()
 
     def done(self, player: Player, pos: int, uid: str, content: str = "cg==") -> None:
-        self.say(player, {"action": "end", "pos": pos, "uid": uid, "code": "done", "wall_ms": 9,
-                          "content": content})
+        self.say(
+            player,
+            {"action": "end", "pos": pos, "uid": uid, "code": "done", "wall_ms": 9, "content": content},
+        )
 
     def starts(self, player: Player) -> list[str]:
         """Which runs it has asked its runtime for, since last looked."""
@@ -108,10 +110,25 @@
         sock.setblocking(False)
         return sock
 
-    def ask(self, sock: socket.socket, number: int, uid: str, once: str = "k1", body: bytes = b"p",
-            kb: str = "20", settle: bool = True) -> None:
-        fields = {"id": uid, "at": f"{self.old.clock.now_ms:.0f}", "from": "4", "wait": "5000", "kb": kb,
-                  "rank": "0.5", "once": once}
+    def ask(
+        self,
+        sock: socket.socket,
+        number: int,
+        uid: str,
+        once: str = "k1",
+        body: bytes = b"p",
+        kb: str = "20",
+        settle: bool = True,
+    ) -> None:
+        fields = {
+            "id": uid,
+            "at": f"{self.old.clock.now_ms:.0f}",
+            "from": "4",
+            "wait": "5000",
+            "kb": kb,
+            "rank": "0.5",
+            "once": once,
+        }
         sock.sendall(msgpack.packb([0, number, "dispense", [fields, body]]))
         if settle:
             self.settle()
@@ -423,10 +440,18 @@
 
 def scenario(pair: Pair) -> None:
     """A hand-over with keyed requests before, during and after it, whose tries reach both processes."""
+
     def ask(sock: socket.socket | None, number: int, uid: str, once: str) -> None:
         if sock is not None:
-            fields = {"id": uid, "at": f"{START:.0f}", "from": "4", "wait": "5000", "kb": "20", "rank": "0.5",
-                      "once": once}
+            fields = {
+                "id": uid,
+                "at": f"{START:.0f}",
+                "from": "4",
+                "wait": "5000",
+                "kb": "20",
+                "rank": "0.5",
+                "once": once,
+            }
             sock.sendall(msgpack.packb([0, number, "dispense", [fields, b"p"]]))
             pair.settle()
 
@@ -444,7 +469,8 @@
 @pytest.mark.parametrize("fate", ["dropped", "killed", "cut"])
 @pytest.mark.parametrize("step", range(8))
 def test_whatever_word_is_lost_and_whoever_dies_no_key_runs_twice(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, side: str, fate: str, step: int) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, side: str, fate: str, step: int
+) -> None:
     """Each word of either side in turn: lost, the last before a kill, or the last before the link breaks."""
     said = {"old": 0, "new": 0}
     pair = Pair(tmp_path)
@@ -512,8 +538,10 @@
     assert node._drain(False)[0] == 409 and node._drain(True)[0] == 200 and not node.state.accepts_work
 
 
-@pytest.mark.parametrize("message", [
-    None, [], ["no"], ["freed", 7], ["key", "k", "u", 1.0, b"", True], ["hello", 99], ["over", "u", "text"]])
+@pytest.mark.parametrize(
+    "message",
+    [None, [], ["no"], ["freed", 7], ["key", "k", "u", 1.0, b"", True], ["hello", 99], ["over", "u", "text"]],
+)
 def test_nonsense_from_beside_is_told_apart(message: object) -> None:
     with pytest.raises(ValueError):
         messages.decode(message)
@@ -546,8 +574,15 @@
                 while not told and not self.over.is_set():
                     number += 1
                     uid = os.urandom(8).hex()
-                    fields = {"id": uid, "at": f"{time.time() * 1000:.0f}", "from": "4", "wait": "9000",
-                              "kb": "20", "rank": "0.5", "once": uid}
+                    fields = {
+                        "id": uid,
+                        "at": f"{time.time() * 1000:.0f}",
+                        "from": "4",
+                        "wait": "9000",
+                        "kb": "20",
+                        "rank": "0.5",
+                        "once": uid,
+                    }
                     sock.sendall(msgpack.packb([0, number, "dispense", [fields, uid.encode()]]))
                     answer = None
                     while answer is None:
@@ -577,11 +612,19 @@
 
         def start(n: int) -> subprocess.Popen[str]:
             stack.enter_context(site(paths[n]))
-            more = {"NODE_FD": str(door.fileno()), "TMPDIR": str(folders[2]),
-                    "NODE_ADMIN_ADDR": f"127.0.0.1:{admins[n]}"}
-            process = subprocess.Popen([sys.executable, "-m", "snowthread"], cwd=ROOT, text=True,
-                                       env=environment(paths[n]) | more, stderr=subprocess.PIPE,
-                                       pass_fds=(door.fileno(),))
+            more = {
+                "NODE_FD": str(door.fileno()),
+                "TMPDIR": str(folders[2]),
+                "NODE_ADMIN_ADDR": f"127.0.0.1:{admins[n]}",
+            }
+            process = subprocess.Popen(
+                [sys.executable, "-m", "snowthread"],
+                cwd=ROOT,
+                text=True,
+                env=environment(paths[n]) | more,
+                stderr=subprocess.PIPE,
+                pass_fds=(door.fileno(),),
+            )
             stack.callback(process.communicate)
             stack.callback(process.kill)
             end = time.monotonic() + PATIENCE_S
@@ -616,8 +659,15 @@
 
 
 def ask_on(sock: socket.socket, once: str) -> Any:
-    fields = {"id": os.urandom(8).hex(), "at": f"{time.time() * 1000:.0f}", "from": "4", "wait": "9000",
-              "kb": "20", "rank": "0.5", "once": once}
+    fields = {
+        "id": os.urandom(8).hex(),
+        "at": f"{time.time() * 1000:.0f}",
+        "from": "4",
+        "wait": "9000",
+        "kb": "20",
+        "rank": "0.5",
+        "once": once,
+    }
     sock.sendall(msgpack.packb([0, 1, "dispense", [fields, b"grey"]]))
     sock.settimeout(PATIENCE_S)
     answer = msgpack.unpackb(sock.recv(4096))
--- a/tests/incident/test_demo.py
+++ b/tests/incident/test_demo.py
@@ -12,8 +12,13 @@
 
 def test_the_demo_tells_its_own_story_in_order(tmp_path: Path) -> None:
     out = tmp_path / "report.html"
-    done = subprocess.run([sys.executable, "-m", "snowthread", "demo", "--seconds", "24", "-o", str(out)],
-                          cwd=ROOT, capture_output=True, text=True, timeout=240)
+    done = subprocess.run(
+        [sys.executable, "-m", "snowthread", "demo", "--seconds", "24", "-o", str(out)],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=240,
+    )
     assert done.returncode == 0, done.stderr
     told = json.loads(out.with_suffix(".json").read_text())
     # Where the machine itself pauses, what was due comes at once: that jump is in the records, and is told.
--- a/tests/incident/test_incident.py
+++ b/tests/incident/test_incident.py
@@ -12,16 +12,16 @@
 
 import pytest
 
+from emulators.recorded_incidents import BEGIN, Day, Trouble, draw, play
 from snowthread.incident.clocks import Clocks
 from snowthread.incident.episodes import CAUSES, TURNED_AWAY, Episode
 from snowthread.incident.report import Report
 from snowthread.incident.series import build
-from snowthread.incident.timeline import Timeline, before, causes, build_timeline
+from snowthread.incident.timeline import Timeline, before, build_timeline, causes
 from snowthread.records.frame import encode
 from snowthread.records.model import Record
 from snowthread.records.reader import Findings, merge
 from snowthread.records.writer import SUFFIX
-from emulators.recorded_incidents import BEGIN, Day, Trouble, draw, play
 
 ROOT = Path(__file__).parents[2]
 
@@ -46,8 +46,11 @@
         (folder / f"{name}-1-00-000001{SUFFIX}").write_bytes(b"".join(encode(r) for r in records))
 
 
-KNOWN = (Trouble("slow database", 60.0, 20.0, 6.0), Trouble("rolling deploy", 110.0, 20.0, 5.0, (0, 1, 2, 3)),
-         Trouble("crash", 150.0, 12.0, 1.0, (2,)))
+KNOWN = (
+    Trouble("slow database", 60.0, 20.0, 6.0),
+    Trouble("rolling deploy", 110.0, 20.0, 5.0, (0, 1, 2, 3)),
+    Trouble("crash", 150.0, 12.0, 1.0, (2,)),
+)
 
 
 @pytest.mark.parametrize("seed", range(6))
@@ -76,8 +79,11 @@
 
 
 def test_quiet_days_make_no_incident() -> None:
-    invented = {seed: [s.text for s in told.sentences] for seed in range(100)
-                if (told := story(play(seed, nodes=3, seconds=120))[0]).sentences or not told.quiet}
+    invented = {
+        seed: [s.text for s in told.sentences]
+        for seed in range(100)
+        if (told := story(play(seed, nodes=3, seconds=120))[0]).sentences or not told.quiet
+    }
     assert not invented
 
 
@@ -104,8 +110,10 @@
 
 
 def test_two_troubles_whose_effects_look_alike_are_both_named_and_none_is_blamed() -> None:
-    both = (Trouble("slow database", 60.0, 25.0, 8.0),
-            Trouble("rolling deploy", 59.0, 20.0, 5.0, (0, 1, 2, 3)))
+    both = (
+        Trouble("slow database", 60.0, 25.0, 8.0),
+        Trouble("rolling deploy", 59.0, 20.0, 5.0, (0, 1, 2, 3)),
+    )
     told, _ = story(play(5, troubles=both))
     (effect,) = [s for s in told.sentences if s.kind == TURNED_AWAY][:1]
     assert "slow database" in effect.text and "rolling deploy" in effect.text
@@ -141,9 +149,22 @@
 
 def test_a_clock_that_steps_back_begins_a_new_piece() -> None:
     day = play(2, nodes=3, seconds=240)
-    moved = [Record(r.node, r.boot, r.number, r.at - (8000.0 if r.number > 120 else 0.0), r.kind, r.fields | (
-        {"floors": {k: v - 8000.0 for k, v in r.fields["floors"].items()}}
-        if r.number > 120 and r.kind == "second" else {})) for r in day.records["n1"]]
+    moved = [
+        Record(
+            r.node,
+            r.boot,
+            r.number,
+            r.at - (8000.0 if r.number > 120 else 0.0),
+            r.kind,
+            r.fields
+            | (
+                {"floors": {k: v - 8000.0 for k, v in r.fields["floors"].items()}}
+                if r.number > 120 and r.kind == "second"
+                else {}
+            ),
+        )
+        for r in day.records["n1"]
+    ]
     day.records["n1"] = moved
     told, clocks = story(day)
     parts = {p.part: o for p, o in clocks.offsets.items() if p.node == "n1"}
@@ -178,8 +199,12 @@
 def test_markup_in_names_and_texts_never_runs(tmp_path: Path) -> None:
     evil = "<script>alert(1)</script>"
     day = play(1, nodes=2, seconds=120, troubles=(Trouble("crash", 60.0, 10.0, 1.0, (0,)),))
-    renamed = {evil: [Record(evil, r.boot, r.number, r.at, r.kind, r.fields | {"text": evil})
-                      for r in day.records["n0"]], "n1": day.records["n1"]}
+    renamed = {
+        evil: [
+            Record(evil, r.boot, r.number, r.at, r.kind, r.fields | {"text": evil}) for r in day.records["n0"]
+        ],
+        "n1": day.records["n1"],
+    }
     for n, records in enumerate(renamed.values()):
         (tmp_path / f"x{n}-1-00-000001{SUFFIX}").write_bytes(b"".join(encode(r) for r in records))
     page = Report([tmp_path]).html()
@@ -190,8 +215,13 @@
 def test_the_page_needs_nothing_else_and_the_json_says_the_same(tmp_path: Path) -> None:
     write(play(4, troubles=KNOWN), tmp_path)
     out = tmp_path / "report.html"
-    done = subprocess.run([sys.executable, "-m", "snowthread", "report", str(tmp_path), "-o", str(out)],
-                          cwd=ROOT, capture_output=True, text=True, timeout=60)
+    done = subprocess.run(
+        [sys.executable, "-m", "snowthread", "report", str(tmp_path), "-o", str(out)],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
     assert done.returncode == 0 and "times their usual length" in done.stdout
     page, plain = out.read_text(), json.loads(out.with_suffix(".json").read_text())
     links = re.findall(r'https?://[^"\s<>)]+', page)
--- a/tests/lab/test_fleet.py
+++ b/tests/lab/test_fleet.py
@@ -26,12 +26,24 @@
     "service": (False, KILL),
     "kept": (True, KILL + CUT_OFF),
     "wiped": (True, KILL + f'step {{\n at = "3s"\n do = "wipe"\n {TWO}\n}}\n'),
-    "torn": (True, KILL + 'step {\n at = "3s"\n do = "tear"\n nodes = ["n1"]\n}\n'
-             + 'step {\n at = "3s"\n do = "generation"\n}\n'),
-    "twice": (True, KILL + 'step {\n at = "6s"\n do = "kill"\n nodes = ["n1"]\n again_after = "400ms"\n}\n'
-              + f'step {{\n at = "3s"\n do = "wipe"\n {TWO}\n}}\n'),
-    "slow": (True, KILL + 'step {\n at = "3s"\n do = "slow"\n factor = 5\n for = "3s"\n}\n'
-             + 'step {\n at = "4s"\n do = "stop"\n nodes = ["n3"]\n for = "300ms"\n}\n'),
+    "torn": (
+        True,
+        KILL
+        + 'step {\n at = "3s"\n do = "tear"\n nodes = ["n1"]\n}\n'
+        + 'step {\n at = "3s"\n do = "generation"\n}\n',
+    ),
+    "twice": (
+        True,
+        KILL
+        + 'step {\n at = "6s"\n do = "kill"\n nodes = ["n1"]\n again_after = "400ms"\n}\n'
+        + f'step {{\n at = "3s"\n do = "wipe"\n {TWO}\n}}\n',
+    ),
+    "slow": (
+        True,
+        KILL
+        + 'step {\n at = "3s"\n do = "slow"\n factor = 5\n for = "3s"\n}\n'
+        + 'step {\n at = "4s"\n do = "stop"\n nodes = ["n3"]\n for = "300ms"\n}\n',
+    ),
     # More than the site can bear, two in five of it from another site's clients; nobody dies.
     "foreign": (True, ""),
 }
@@ -39,8 +51,7 @@
 AT_ONCE = 4
 LOAD_USUAL = "share = 0.5\n keyed = 0.5\n repeats = 0.9"
 LOAD = {"foreign": "share = 1.2\n keyed = 0.2\n repeats = 0.5\n foreign = 0.4"}
-HEAD = ('seed = 3\nnodes = 3\nduration = "9s"\ncomeback = %s\n'
-        'load {\n %s\n}\n')
+HEAD = 'seed = 3\nnodes = 3\nduration = "9s"\ncomeback = %s\nload {\n %s\n}\n'
 Played = Callable[[str], tuple[Path, dict[str, Any]]]
 
 
@@ -50,7 +61,7 @@
     found = {}
     names = list(PLAYS)
     for first in range(0, len(names), AT_ONCE):
-        found |= together(place, names[first:first + AT_ONCE])
+        found |= together(place, names[first : first + AT_ONCE])
     return lambda name: (place / name, found[name])
 
 
@@ -61,9 +72,22 @@
         comeback, steps = PLAYS[name]
         (place / f"{name}.hcl").write_text(HEAD % (json.dumps(comeback), LOAD.get(name, LOAD_USUAL)) + steps)
         running[name] = subprocess.Popen(
-            [sys.executable, "-m", "snowthread", "lab", "run", str(place / f"{name}.hcl"), "-o",
-             str(place / name)], cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
-            env=os.environ | {"PYTHONPATH": str(ROOT)})
+            [
+                sys.executable,
+                "-m",
+                "snowthread",
+                "lab",
+                "run",
+                str(place / f"{name}.hcl"),
+                "-o",
+                str(place / name),
+            ],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+            env=os.environ | {"PYTHONPATH": str(ROOT)},
+        )
     found = {}
     for name, process in running.items():
         out, err = process.communicate(timeout=180)
--- a/tests/lab/test_plan.py
+++ b/tests/lab/test_plan.py
@@ -29,29 +29,39 @@
 def test_another_seed_draws_other_nodes(tmp_path: Path) -> None:
     chosen = set()
     for seed in range(1, 8):
-        path = write(tmp_path, f'seed = {seed}\nnodes = 10\n'
-                               'step {\n at = "1s"\n do = "kill"\n share = 0.3\n}\n')
+        path = write(
+            tmp_path, f'seed = {seed}\nnodes = 10\nstep {{\n at = "1s"\n do = "kill"\n share = 0.3\n}}\n'
+        )
         chosen.add(load(path).steps[0].nodes)
     assert len(chosen) > 3
 
 
 def test_steps_come_in_the_order_of_time_with_their_ends(tmp_path: Path) -> None:
-    path = write(tmp_path, 'step {\n at = "5s"\n do = "partition"\n link = "roster"\n'
-                           ' nodes = ["n2"]\n for = "2s"\n}\n'
-                           'step {\n at = "1s"\n do = "stop"\n nodes = ["n1"]\n for = "500ms"\n}\n')
+    path = write(
+        tmp_path,
+        'step {\n at = "5s"\n do = "partition"\n link = "roster"\n'
+        ' nodes = ["n2"]\n for = "2s"\n}\n'
+        'step {\n at = "1s"\n do = "stop"\n nodes = ["n1"]\n for = "500ms"\n}\n',
+    )
     assert [(s.at_ms, s.do, s.nodes) for s in load(path).steps] == [
-        (1000.0, "stop", ("n1",)), (1500.0, "cont", ("n1",)), (5000.0, "partition", ("n2",)),
-        (7000.0, "heal", ("n2",))]
-
-
-@pytest.mark.parametrize(("text", "says"), [
-    ('step {\n do = "explode"\n}\n', "'do'"),
-    ('step {\n do = "kill"\n nodes = ["n9"]\n}\n', "no node 'n9'"),
-    ('nodes = 1000\n', "'nodes'"),
-    ('step {\n at = "2h"\n}\n', "'at'"),
-    ('step {\n do = "delay"\n link = "moon"\n}\n', "'link'"),
-    ('speed = 3\n', "no such key"),
-])
+        (1000.0, "stop", ("n1",)),
+        (1500.0, "cont", ("n1",)),
+        (5000.0, "partition", ("n2",)),
+        (7000.0, "heal", ("n2",)),
+    ]
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ('step {\n do = "explode"\n}\n', "'do'"),
+        ('step {\n do = "kill"\n nodes = ["n9"]\n}\n', "no node 'n9'"),
+        ("nodes = 1000\n", "'nodes'"),
+        ('step {\n at = "2h"\n}\n', "'at'"),
+        ('step {\n do = "delay"\n link = "moon"\n}\n', "'link'"),
+        ("speed = 3\n", "no such key"),
+    ],
+)
 def test_what_cant_be_played_is_refused_by_name(tmp_path: Path, text: str, says: str) -> None:
     with pytest.raises(ConfigError, match=says):
         load(write(tmp_path, text))
--- a/tests/ldap/test_codec.py
+++ b/tests/ldap/test_codec.py
@@ -7,12 +7,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from emulators import directory as other
 from snowthread.ldap import controls as c
 from snowthread.ldap import dn, filters, url
 from snowthread.ldap import messages as m
 from snowthread.ldap.ber import Bounds, MalformedError, check, frame_length
 from snowthread.ldap.session import Broken, Session, State, StateError
-from emulators import directory as other
 
 BOUNDS = Bounds()
 WORDS = st.text(max_size=12)
@@ -41,8 +41,9 @@
 
 @given(st.lists(st.tuples(WORDS, st.lists(WORDS, max_size=3)), max_size=4), st.data())
 @settings(max_examples=60, deadline=None)
-def test_any_split_of_the_bytes_reads_the_same(entries: list[tuple[str, list[str]]],
-                                               data: st.DataObject) -> None:
+def test_any_split_of_the_bytes_reads_the_same(
+    entries: list[tuple[str, list[str]]], data: st.DataObject
+) -> None:
     wire = b"".join(entry(1, name, values) for name, values in entries) + done(1)
     whole = searching().receive(wire)
     assert [x.op.dn for x in whole[:-1]] == [name for name, _ in entries]
@@ -80,9 +81,16 @@
         assert len(session.receive(wire[size:])) == 1
 
 
-@pytest.mark.parametrize(("head", "word"), [
-    (b"\x30\x84\xc0\x00\x00\x00", "3221225472"), (b"\x30\x85\x01", "5 octets"), (b"\x30\x80", "indefinite"),
-    (b"\x02\x01", "0x30"), (b"HTTP/1.1 400", "0x30")])
+@pytest.mark.parametrize(
+    ("head", "word"),
+    [
+        (b"\x30\x84\xc0\x00\x00\x00", "3221225472"),
+        (b"\x30\x85\x01", "5 octets"),
+        (b"\x30\x80", "indefinite"),
+        (b"\x02\x01", "0x30"),
+        (b"HTTP/1.1 400", "0x30"),
+    ],
+)
 def test_a_hostile_head_is_refused_before_anything_is_buffered(head: bytes, word: str) -> None:
     session = searching()
     (broken,) = session.receive(head)
@@ -105,8 +113,15 @@
 
 
 def test_a_search_is_what_the_other_side_reads() -> None:
-    request = m.Search("dc=x", m.Scope.ONE, filters.parse("(&(a=1)(!(b=*))(c=x*y))"), ("cn", "sn"), 7, 9,
-                       (c.paged(50, b"k"), c.sync_request(c.SyncMode.REFRESH_AND_PERSIST, b"cookie")))
+    request = m.Search(
+        "dc=x",
+        m.Scope.ONE,
+        filters.parse("(&(a=1)(!(b=*))(c=x*y))"),
+        ("cn", "sn"),
+        7,
+        9,
+        (c.paged(50, b"k"), c.sync_request(c.SyncMode.REFRESH_AND_PERSIST, b"cookie")),
+    )
     number, data = Session().send(request)
     told = read_by_other(data)
     assert told[0][2] == number == 1
@@ -146,13 +161,19 @@
         session.send(m.Unbind())
 
 
-@pytest.mark.parametrize(("wire", "word"), [
-    (done(9), "nothing was asked"),
-    (other.pack((0, 16, [(0, 2, 1), other.result(1, 0)])), "BindDone answers a Search"),
-    (other.pack((0, 16, [(0, 2, 0), other.result(24, 52, "", [(128, 10, other.NOTICE.encode())])])),
-     "notice"),
-    (other.pack((0, 16, [(0, 2, 0), other.result(5, 0)])), "unsolicited"),
-    (other.pack((0, 16, [(0, 2, 1), (0x40, 3, [])])), "not a message")])
+@pytest.mark.parametrize(
+    ("wire", "word"),
+    [
+        (done(9), "nothing was asked"),
+        (other.pack((0, 16, [(0, 2, 1), other.result(1, 0)])), "BindDone answers a Search"),
+        (
+            other.pack((0, 16, [(0, 2, 0), other.result(24, 52, "", [(128, 10, other.NOTICE.encode())])])),
+            "notice",
+        ),
+        (other.pack((0, 16, [(0, 2, 0), other.result(5, 0)])), "unsolicited"),
+        (other.pack((0, 16, [(0, 2, 1), (0x40, 3, [])])), "not a message"),
+    ],
+)
 def test_what_a_server_may_not_say_ends_the_session(wire: bytes, word: str) -> None:
     (broken,) = searching().receive(wire)
     assert isinstance(broken, Broken) and word in broken.reason
@@ -185,8 +206,12 @@
     assert c.sync_info(ids) == c.IdSet(True, (uuid.hex(),), None)
     assert c.sync_info(other.pack((0x80, 2, []))) == c.Phase(False, None, True)
     assert c.sync_info(other.pack((0x80, 1, [(0, 1, False)]))) == c.Phase(True, None, False)
-    for bad in (b"", b"\x30\x00", other.pack((0x80, 3, [(0, 17, [other.octets(b"short")])])),
-                other.pack((0x80, 0, b"x" * 5000))):
+    for bad in (
+        b"",
+        b"\x30\x00",
+        other.pack((0x80, 3, [(0, 17, [other.octets(b"short")])])),
+        other.pack((0x80, 0, b"x" * 5000)),
+    ):
         with pytest.raises(MalformedError):
             c.sync_info(bad)
 
@@ -197,23 +222,47 @@
         assert frame_length(frame[:6], BOUNDS) == len(frame)
 
 
-@pytest.mark.parametrize(("text", "tree"), [
-    ("(cn=Babs J ensen)", ("equalityMatch", {"attribute": b"cn", "value": b"Babs J ensen"})),
-    ("(o=Parens R Us \\28for all\\29)",
-     ("equalityMatch", {"attribute": b"o", "value": b"Parens R Us (for all)"})),
-    ("(cn=*\\2A*)", ("substrings", {"type": b"cn", "parts": [("any", b"*")]})),
-    ("(sn;lang-en~=x)", ("approxMatch", {"attribute": b"sn;lang-en", "value": b"x"})),
-    ("(seeAlso=)", ("equalityMatch", {"attribute": b"seeAlso", "value": b""})),
-    ("(1.2.3=\\04\\02\\48\\69)", ("equalityMatch", {"attribute": b"1.2.3", "value": b"\x04\x02Hi"})),
-    ("(|)", ("or", [])), ("(cn=*)", ("present", b"cn")),
-    ("(cn:dn:2.4.6:=Dino)", ("extensibleMatch", {"type": b"cn", "rule": b"2.4.6", "dnAttributes": True,
-                                                 "value": b"Dino"}))])
+@pytest.mark.parametrize(
+    ("text", "tree"),
+    [
+        ("(cn=Babs J ensen)", ("equalityMatch", {"attribute": b"cn", "value": b"Babs J ensen"})),
+        (
+            "(o=Parens R Us \\28for all\\29)",
+            ("equalityMatch", {"attribute": b"o", "value": b"Parens R Us (for all)"}),
+        ),
+        ("(cn=*\\2A*)", ("substrings", {"type": b"cn", "parts": [("any", b"*")]})),
+        ("(sn;lang-en~=x)", ("approxMatch", {"attribute": b"sn;lang-en", "value": b"x"})),
+        ("(seeAlso=)", ("equalityMatch", {"attribute": b"seeAlso", "value": b""})),
+        ("(1.2.3=\\04\\02\\48\\69)", ("equalityMatch", {"attribute": b"1.2.3", "value": b"\x04\x02Hi"})),
+        ("(|)", ("or", [])),
+        ("(cn=*)", ("present", b"cn")),
+        (
+            "(cn:dn:2.4.6:=Dino)",
+            ("extensibleMatch", {"type": b"cn", "rule": b"2.4.6", "dnAttributes": True, "value": b"Dino"}),
+        ),
+    ],
+)
 def test_filters_of_rfc_4515(text: str, tree: m.FilterTree) -> None:
     assert filters.parse(text) == tree
 
 
-@pytest.mark.parametrize("text", ["", "cn=a", "(cn=a", "(cn=a))", "(=a)", "(cn=a**b)", "(cn>=*)", "(cn=\\2)",
-                                  "(!(a=b)(c=d))", "(:=x)", "(" * 40 + "a=b" + ")" * 40, "(cn=\x00)"])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "cn=a",
+        "(cn=a",
+        "(cn=a))",
+        "(=a)",
+        "(cn=a**b)",
+        "(cn>=*)",
+        "(cn=\\2)",
+        "(!(a=b)(c=d))",
+        "(:=x)",
+        "(" * 40 + "a=b" + ")" * 40,
+        "(cn=\x00)",
+    ],
+)
 def test_what_is_no_filter_is_refused(text: str) -> None:
     with pytest.raises(filters.FilterError):
         filters.parse(text)
@@ -234,8 +283,12 @@
     assert dn.parse("cn=a  b").key == dn.parse("cn=a b").key != dn.parse("cn=ab").key
     plain = dn.parse("ou=tenants,dc=example")
     assert dn.plainly_below("cn=X,OU=Tenants,dc=example", plain)
-    for text in ("cn=x\\,ou=tenants,dc=example", "cn=x,ou=tenants, dc=example", "ou=tenants,dc=example",
-                 "cn=xou=tenants,dc=example"):
+    for text in (
+        "cn=x\\,ou=tenants,dc=example",
+        "cn=x,ou=tenants, dc=example",
+        "ou=tenants,dc=example",
+        "cn=xou=tenants,dc=example",
+    ):
         assert not dn.plainly_below(text, plain)
     for bad in ("cn", "=a", "cn=a,,cn=b", "cn=a\\", "cn=a;b", "cn=" + "x" * 5000):
         with pytest.raises(dn.DnError):
@@ -247,8 +300,15 @@
     assert (got.host, got.port, got.base, got.scope) == ("2001:db8::7", 389, "c=GB", m.Scope.ONE)
     assert got.attributes == ("objectClass", "cn") and got.server == "ldap://[2001:db8::7]:389"
     assert url.parse("ldaps://10.0.0.1").port == 636
-    for bad in ("http://10.0.0.1", "ldap://u@10.0.0.1", "ldap://10.0.0.1/x", "ldap://10.0.0.1/??all",
-                "ldap://10.0.0.1/????!ext", "ldap://10.0.0.1:0x", "ldap://10.0.0.1/???(a"):
+    for bad in (
+        "http://10.0.0.1",
+        "ldap://u@10.0.0.1",
+        "ldap://10.0.0.1/x",
+        "ldap://10.0.0.1/??all",
+        "ldap://10.0.0.1/????!ext",
+        "ldap://10.0.0.1:0x",
+        "ldap://10.0.0.1/???(a",
+    ):
         with pytest.raises(url.UrlError):
             url.parse(bad)
     with pytest.raises(url.UrlError, match="numeric"):
--- a/tests/ldap/test_health.py
+++ b/tests/ldap/test_health.py
@@ -10,21 +10,40 @@
     Breaker,
     Budget,
     Circuit,
-    RetryPolicy,
     Reaction,
+    RetryPolicy,
     Servers,
     backoff_ms,
     reaction,
 )
 
-P = RetryPolicy(pause_ms=100.0, pause_most_ms=10_000.0, budget_share=0.2, budget_floor_per_s=0.1,
-             budget_saved=5.0, failures=3, open_ms=1000.0, open_most_ms=8000.0)
+P = RetryPolicy(
+    pause_ms=100.0,
+    pause_most_ms=10_000.0,
+    budget_share=0.2,
+    budget_floor_per_s=0.1,
+    budget_saved=5.0,
+    failures=3,
+    open_ms=1000.0,
+    open_most_ms=8000.0,
+)
 
 
-@pytest.mark.parametrize(("code", "what"), [
-    (0, Reaction.DONE), (3, Reaction.AGAIN), (4, Reaction.SMALLER), (10, Reaction.ELSEWHERE),
-    (12, Reaction.WITHOUT), (49, Reaction.OPERATOR), (51, Reaction.AGAIN), (52, Reaction.ELSEWHERE),
-    (4096, Reaction.RESTART), (9999, Reaction.ELSEWHERE)])
+@pytest.mark.parametrize(
+    ("code", "what"),
+    [
+        (0, Reaction.DONE),
+        (3, Reaction.AGAIN),
+        (4, Reaction.SMALLER),
+        (10, Reaction.ELSEWHERE),
+        (12, Reaction.WITHOUT),
+        (49, Reaction.OPERATOR),
+        (51, Reaction.AGAIN),
+        (52, Reaction.ELSEWHERE),
+        (4096, Reaction.RESTART),
+        (9999, Reaction.ELSEWHERE),
+    ],
+)
 def test_each_result_has_its_reaction(code: int, what: Reaction) -> None:
     assert reaction(code) is what
 
--- a/tests/ldap/test_standin.py
+++ b/tests/ldap/test_standin.py
@@ -20,8 +20,13 @@
 def client() -> Iterator[ldap3.Connection]:
     with loopback(socket.SOCK_STREAM) as sock:
         where = address(sock)
-    process = subprocess.Popen([sys.executable, "-m", "emulators.directory", where], cwd=ROOT, text=True,
-                               stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "emulators.directory", where],
+        cwd=ROOT,
+        text=True,
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    )
     try:
         assert process.stdout is not None and "5 tenants" in process.stdout.readline()
         host, _, port = where.rpartition(":")
@@ -34,8 +39,11 @@
 
 
 def test_search_filters_and_values(client: ldap3.Connection) -> None:
-    assert client.search(BASE, "(&(objectClass=snowthreadTenant)(|(cn=Far*)(cn=*nte)(!(cn=*))))",
-                         attributes=["cn", "snowthreadNetwork"])
+    assert client.search(
+        BASE,
+        "(&(objectClass=snowthreadTenant)(|(cn=Far*)(cn=*nte)(!(cn=*))))",
+        attributes=["cn", "snowthreadNetwork"],
+    )
     assert sorted(str(e.cn) for e in client.entries) == ["Farbhof", "Tinte"]
     assert str(client.entries[0].snowthreadNetwork) == "127.0.0.0/24"
     client.search(BASE, "(cn=nobody)")
--- a/tests/ldap/test_tls.py
+++ b/tests/ldap/test_tls.py
@@ -30,20 +30,27 @@
 
 
 @pytest.fixture
-def start(tmp_path: Path, authority: trustme.CA,
-          monkeypatch: pytest.MonkeyPatch) -> Iterator[Callable[..., World]]:
+def start(
+    tmp_path: Path, authority: trustme.CA, monkeypatch: pytest.MonkeyPatch
+) -> Iterator[Callable[..., World]]:
     monkeypatch.setenv("WORLD_PASSWORD", PASSWORD)
     made: list[World] = []
 
-    def begin(context: ssl.SSLContext | None, ldaps: bool, trusted: trustme.CA | None = None,
-              more: str = "", bind: str = 'dn = "cn=node"\n password_env = "WORLD_PASSWORD"\n',
-              tls: str = "") -> World:
+    def begin(
+        context: ssl.SSLContext | None,
+        ldaps: bool,
+        trusted: trustme.CA | None = None,
+        more: str = "",
+        bind: str = 'dn = "cn=node"\n password_env = "WORLD_PASSWORD"\n',
+        tls: str = "",
+    ) -> World:
         ca = tmp_path / "ca.pem"
         (trusted or authority).cert_pem.write_to_path(str(ca))
         w = World(habits=Habits(passwords={"cn=node": PASSWORD}, tls=context, ldaps=ldaps))
         made.append(w)
         urls = [u.replace("ldap:", "ldaps:") for u in w.urls] if ldaps else w.urls
-        return w.start(f"""operation = "2s"
+        return w.start(
+            f"""operation = "2s"
           {"" if ldaps else "start_tls = true"}
           tls {{
             ca_file = "{ca}"
@@ -52,7 +59,9 @@
           bind {{
             {bind}
           }}
-          {more}""", servers=urls)
+          {more}""",
+            servers=urls,
+        )
 
     yield begin
     for world in made:
@@ -60,8 +69,9 @@
 
 
 @pytest.mark.parametrize("ldaps", [True, False])
-def test_a_good_certificate_is_let_through(start: Callable[..., World], authority: trustme.CA,
-                                           ldaps: bool) -> None:
+def test_a_good_certificate_is_let_through(
+    start: Callable[..., World], authority: trustme.CA, ldaps: bool
+) -> None:
     w = start(server_context(authority, "127.0.0.1"), ldaps)
     w.synced()
     w.directories[0].put("later", snowthreadQuota=1)
@@ -71,9 +81,11 @@
 
 @pytest.mark.parametrize("ldaps", [True, False])
 @pytest.mark.parametrize("kind", ["wrong name", "wrong authority", "no TLS at all"])
-def test_a_bad_one_is_an_error_and_no_password_is_sent(start: Callable[..., World], authority: trustme.CA,
-                                                       ldaps: bool, kind: str) -> None:
+def test_a_bad_one_is_an_error_and_no_password_is_sent(
+    start: Callable[..., World], authority: trustme.CA, ldaps: bool, kind: str
+) -> None:
     from loguru import logger
+
     logged: list[str] = []
     sink = logger.add(lambda m: logged.append(str(m)), level=0)
     if kind == "no TLS at all":
@@ -89,14 +101,16 @@
     assert w.follower.link_failures <= 8 and not any(PASSWORD in line for line in logged)
 
 
-def test_a_name_may_be_set_for_the_certificate_to_prove(start: Callable[..., World],
-                                                        authority: trustme.CA) -> None:
+def test_a_name_may_be_set_for_the_certificate_to_prove(
+    start: Callable[..., World], authority: trustme.CA
+) -> None:
     w = start(server_context(authority, "directory.example"), True, tls='server_name = "directory.example"')
     w.synced()
 
 
-def test_external_binds_by_the_clients_certificate(start: Callable[..., World], authority: trustme.CA,
-                                                   tmp_path: Path) -> None:
+def test_external_binds_by_the_clients_certificate(
+    start: Callable[..., World], authority: trustme.CA, tmp_path: Path
+) -> None:
     clients = trustme.CA()
     pem = tmp_path / "client.pem"
     clients.issue_cert("node.example").private_key_and_cert_chain_pem.write_to_path(str(pem))
@@ -107,8 +121,9 @@
 
 
 @pytest.mark.parametrize("at", [1, 200, 1500])
-def test_a_stall_in_the_handshake_ends_in_time(start: Callable[..., World], authority: trustme.CA,
-                                               at: int) -> None:
+def test_a_stall_in_the_handshake_ends_in_time(
+    start: Callable[..., World], authority: trustme.CA, at: int
+) -> None:
     w = start(server_context(authority, "127.0.0.1"), True, more='bind_within = "1s"\n retry { open = "1s" }')
     w.directories[0].faults.stall_at = at
     w.run(10_000.0)
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -21,12 +21,12 @@
 from support.playing import answer, command, done, ends, message, notice, ready, settings, uid
 
 from snowthread import config
-from snowthread.core import effects
-from snowthread.frontends.balancers.server import PART_MS, PLACES_LEAST
-from snowthread.net.limits import FRESH_IDLE_MS, SWEEP_INTERVAL_MS, FIRST_BYTE_TIMEOUT_MS
-from snowthread.node import DOOR_MS, BLOCKED_SIGNALS, QUIET_MS
 from snowthread.clients.database import KEEP_MS
 from snowthread.clients.runtime import ALIVE_MS, FENCE_MS, QUEUE_MAX, SILENT_MS
+from snowthread.core import effects
+from snowthread.frontends.balancers.server import PART_MS, PLACES_LEAST
+from snowthread.net.limits import FIRST_BYTE_TIMEOUT_MS, FRESH_IDLE_MS, SWEEP_INTERVAL_MS
+from snowthread.node import BLOCKED_SIGNALS, DOOR_MS, QUIET_MS
 
 FAREWELL = [2, "farewell", []]
 REPLY = b"HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\nr"  # to a call
@@ -63,6 +63,7 @@
 
 # The closing of idle connections.
 
+
 def test_a_request_unread_when_the_farewell_s_time_is_up_is_served() -> None:
     player = started()
     connected(player, "1")
@@ -166,6 +167,7 @@
 
 # A connection that ends.
 
+
 def test_what_is_open_is_failed_where_its_connection_ends_for_one_bad_message() -> None:
     player = started()
     connected(player, "1")
@@ -195,7 +197,7 @@
     sock.connect(player.node.balancers.address)
     player.peers["1"] = sock
     player.settle()
-    connection, = player.node.balancers._connections.values()
+    (connection,) = player.node.balancers._connections.values()
     connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     sent = 0
     while len(connection.unsent_bytes) < 16_000 and sent < most:  # under 32 KiB it is still read from
@@ -254,6 +256,7 @@
 
 # Shutdown.
 
+
 def test_what_crossed_the_last_farewell_is_answered_however_late_the_loop_is() -> None:
     player = started()
     connected(player, "1")
@@ -394,6 +397,7 @@
 
 # A runtime that goes quiet, and links that move.
 
+
 def silent_for_good(player: Player) -> None:
     """The runtime says nothing more, and its link does not break."""
     player.step("clock", str(SILENT_MS), "")
@@ -552,6 +556,7 @@
 
 # Calls.
 
+
 def test_a_reply_that_lies_there_when_its_time_is_up_is_taken() -> None:
     player = started()
     connected(player, "1")
@@ -559,7 +564,7 @@
     assert command(player)["action"] == "start"
     notice(player, "wants", pos=1, uid=uid(1), content=b"?")
     player.step("index", "accept", "")
-    link, = player.node.database._calls.values()
+    (link,) = player.node.database._calls.values()
     assert link.call is not None
     assert b"POST /lookup" in player.came("index", 20)
     late(player, link.call.timeout_ms)
@@ -638,8 +643,10 @@
 
 
 def test_a_call_that_ends_makes_room_for_the_next_one_where_no_other_connection_rests() -> None:
-    player = started(settings=settings(calls_out=200.0, cores=6, memory_kb=60000.0),
-                     limits={"memory_mb": 64, "sockets": 64})
+    player = started(
+        settings=settings(calls_out=200.0, cores=6, memory_kb=60000.0),
+        limits={"memory_mb": 64, "sockets": 64},
+    )
     connected(player, "1")
     index = player.node.database
     most = index._most
@@ -701,6 +708,7 @@
 
 # Settings taken up.
 
+
 def test_gauges_asked_for_in_the_order_of_before_are_not_read_in_the_new_one() -> None:
     player = started()
     notice(player, "load", echo="sync-1", meters=[0.9, 7, 0.1, 1])
--- a/tests/node/test_customers.py
+++ b/tests/node/test_customers.py
@@ -13,6 +13,7 @@
 
 from snowthread import config
 
+
 @pytest.mark.parametrize("below", ["shared", "tier", "silent"])
 def test_an_index_is_wanted_where_calls_are_made_below_and_only_there(below: str) -> None:
     fields = Player(settings=settings(below=below)).fields
@@ -69,8 +70,17 @@
 
 ROOT = Path(__file__).parents[2]
 PLAYED = {"lab", "demo.py"}  # these play the example's site beside the program; `run` and `sim` load neither
-ELSEWHERE = {"krakow-main", "krakow-room-1", "cardiff-quiz", "kigali-quotes", "fetch-question", "save-answer",
-             "question-bank", "round-front", "std-6c"}
+ELSEWHERE = {
+    "krakow-main",
+    "krakow-room-1",
+    "cardiff-quiz",
+    "kigali-quotes",
+    "fetch-question",
+    "save-answer",
+    "question-bank",
+    "round-front",
+    "std-6c",
+}
 
 
 def names() -> set[str]:
@@ -86,10 +96,17 @@
 
 def named(text: str, known: set[str]) -> set[str]:
     """Which of the names stand in a program as a string, or as a word of one that holds no other."""
-    strings = {node.value for node in ast.walk(ast.parse(text))
-               if isinstance(node, ast.Constant) and isinstance(node.value, str)}
-    return {name for name in known for s in strings
-            if s == name or ("-" in name and re.search(rf"\b{re.escape(name)}\b", s))}
+    strings = {
+        node.value
+        for node in ast.walk(ast.parse(text))
+        if isinstance(node, ast.Constant) and isinstance(node.value, str)
+    }
+    return {
+        name
+        for name in known
+        for s in strings
+        if s == name or ("-" in name and re.search(rf"\b{re.escape(name)}\b", s))
+    }
 
 
 def test_no_deployment_s_names_stand_in_the_program_or_its_deploy_file() -> None:
--- a/tests/node/test_restart.py
+++ b/tests/node/test_restart.py
@@ -42,8 +42,15 @@
 
 
 def request(number: int, once: str) -> bytes:
-    fields = {"id": secrets.token_hex(8), "at": str(int(time.time() * 1000)), "from": "1", "wait": "5000",
-              "kb": "20", "rank": "0.5", "once": once}
+    fields = {
+        "id": secrets.token_hex(8),
+        "at": str(int(time.time() * 1000)),
+        "from": "1",
+        "wait": "5000",
+        "kb": "20",
+        "rank": "0.5",
+        "once": once,
+    }
     packed: bytes = msgpack.packb([0, number, "dispense", [fields, b"x"]])
     return packed
 
--- a/tests/operator/test_hcl.py
+++ b/tests/operator/test_hcl.py
@@ -35,32 +35,42 @@
     assert load(tmp_path, "").tenants is None
 
 
-@pytest.mark.parametrize(("text", "words"), [
-    ("tenants {\n x = \n}", ["line 2", "not HCL"]), ("tenant {\n}", ["key 'tenant'", "no such key"]),
-    ("tenants {\n}", ["block 'tenants'", "key 'servers'", "missing"]),
-    (f"tenants {{\n {GOOD} page_sice = 5\n }}", ["key 'page_sice'", "no such key"]),
-    (f"tenants {{\n {GOOD} page_size = 5\n }}", ["key 'page_size'", "at least 10"]),
-    (f"tenants {{\n {GOOD} page_size = 50.5\n }}", ["key 'page_size'", "whole number"]),
-    (f"tenants {{\n {GOOD} page_size = \"50\"\n }}", ["key 'page_size'", "number"]),
-    (f"tenants {{\n {GOOD} start_tls = \"yes\"\n }}", ["key 'start_tls'", "true or false"]),
-    (f"tenants {{\n {GOOD} poll = 30\n }}", ["key 'poll'", "string"]),
-    (f"tenants {{\n {GOOD} poll = \"30\"\n }}", ["key 'poll'", "length of time"]),
-    (f"tenants {{\n {GOOD} poll = var.period\n }}", ["key 'poll'", "no expression"]),
-    (f"tenants {{\n {GOOD} filter = \"(a=b\"\n }}", ["key 'filter'", "character"]),
-    (f"tenants {{\n {GOOD} mode = \"push\"\n }}", ["key 'mode'", "persist, refresh, paged"]),
-    (f"tenants {{\n {GOOD} trust_numbers_from = [\"10.0.0.0/99\"]\n }}", ["trust_numbers_from", "/99"]),
-    (f"tenants {{\n {GOOD} removal {{\n share = 2\n }}\n }}", ["block 'tenants.removal'", "key 'share'"]),
-    (f"tenants {{\n {GOOD} removal {{\n }}\n removal {{\n }}\n }}", ["key 'removal'", "2 times"]),
-    (f"tenants {{\n {GOOD} removal = 3\n }}", ["key 'removal'", "a block is wanted"]),
-    ('tenants {\n servers = ["ldap://ldap.example"]\n base = "dc=x"\n }', ["servers", "numeric"]),
-    ('tenants {\n servers = ["ldap://127.0.0.1"]\n base = "dc"\n }', ["key 'base'", "character"]),
-    (f"tenants {{\n {GOOD} bind {{\n dn = \"cn=a\"\n }}\n }}", ["block 'tenants.bind'", "password_file"]),
-    (f"tenants {{\n {GOOD} bind {{\n dn = \"cn=a\"\n password_env = \"NO_SUCH_VARIABLE\"\n }}\n }}",
-     ["password_env", "no password"]),
-    (f"tenants {{\n {GOOD} bind {{\n method = \"external\"\n }}\n }}", ["key 'method'", "cert_file"]),
-    (f"tenants {{\n {GOOD} tls {{\n ca_file = \"/none\"\n }}\n }}", ["key 'ca_file'", "no server"]),
-    (f"tenants {{\n {GOOD} start_tls = true\n tls {{\n ca_file = \"/none\"\n }}\n }}", ["ca_file", "/none"]),
-    (f"tenants {{\n {GOOD} snapshot {{\n file = \"/none/at/all\"\n }}\n }}", ["key 'file'", "no folder"])])
+@pytest.mark.parametrize(
+    ("text", "words"),
+    [
+        ("tenants {\n x = \n}", ["line 2", "not HCL"]),
+        ("tenant {\n}", ["key 'tenant'", "no such key"]),
+        ("tenants {\n}", ["block 'tenants'", "key 'servers'", "missing"]),
+        (f"tenants {{\n {GOOD} page_sice = 5\n }}", ["key 'page_sice'", "no such key"]),
+        (f"tenants {{\n {GOOD} page_size = 5\n }}", ["key 'page_size'", "at least 10"]),
+        (f"tenants {{\n {GOOD} page_size = 50.5\n }}", ["key 'page_size'", "whole number"]),
+        (f'tenants {{\n {GOOD} page_size = "50"\n }}', ["key 'page_size'", "number"]),
+        (f'tenants {{\n {GOOD} start_tls = "yes"\n }}', ["key 'start_tls'", "true or false"]),
+        (f"tenants {{\n {GOOD} poll = 30\n }}", ["key 'poll'", "string"]),
+        (f'tenants {{\n {GOOD} poll = "30"\n }}', ["key 'poll'", "length of time"]),
+        (f"tenants {{\n {GOOD} poll = var.period\n }}", ["key 'poll'", "no expression"]),
+        (f'tenants {{\n {GOOD} filter = "(a=b"\n }}', ["key 'filter'", "character"]),
+        (f'tenants {{\n {GOOD} mode = "push"\n }}', ["key 'mode'", "persist, refresh, paged"]),
+        (f'tenants {{\n {GOOD} trust_numbers_from = ["10.0.0.0/99"]\n }}', ["trust_numbers_from", "/99"]),
+        (f"tenants {{\n {GOOD} removal {{\n share = 2\n }}\n }}", ["block 'tenants.removal'", "key 'share'"]),
+        (f"tenants {{\n {GOOD} removal {{\n }}\n removal {{\n }}\n }}", ["key 'removal'", "2 times"]),
+        (f"tenants {{\n {GOOD} removal = 3\n }}", ["key 'removal'", "a block is wanted"]),
+        ('tenants {\n servers = ["ldap://ldap.example"]\n base = "dc=x"\n }', ["servers", "numeric"]),
+        ('tenants {\n servers = ["ldap://127.0.0.1"]\n base = "dc"\n }', ["key 'base'", "character"]),
+        (f'tenants {{\n {GOOD} bind {{\n dn = "cn=a"\n }}\n }}', ["block 'tenants.bind'", "password_file"]),
+        (
+            f'tenants {{\n {GOOD} bind {{\n dn = "cn=a"\n password_env = "NO_SUCH_VARIABLE"\n }}\n }}',
+            ["password_env", "no password"],
+        ),
+        (f'tenants {{\n {GOOD} bind {{\n method = "external"\n }}\n }}', ["key 'method'", "cert_file"]),
+        (f'tenants {{\n {GOOD} tls {{\n ca_file = "/none"\n }}\n }}', ["key 'ca_file'", "no server"]),
+        (
+            f'tenants {{\n {GOOD} start_tls = true\n tls {{\n ca_file = "/none"\n }}\n }}',
+            ["ca_file", "/none"],
+        ),
+        (f'tenants {{\n {GOOD} snapshot {{\n file = "/none/at/all"\n }}\n }}', ["key 'file'", "no folder"]),
+    ],
+)
 def test_each_mistake_is_named_with_file_block_and_key(tmp_path: Path, text: str, words: list[str]) -> None:
     with pytest.raises(ConfigError) as caught:
         load(tmp_path, text)
@@ -76,8 +86,12 @@
     far = 'servers = ["ldap://10.0.0.1"]\n base = "dc=x"\n'
     with pytest.raises(ConfigError, match="clear text"):
         load(tmp_path, f"tenants {{\n {far} {bind} }}")
-    for allowed in (f"{far} start_tls = true\n {bind}", far.replace("ldap:", "ldaps:") + bind, GOOD + bind,
-                    far + bind.replace("}", "allow_clear_text = true\n }")):
+    for allowed in (
+        f"{far} start_tls = true\n {bind}",
+        far.replace("ldap:", "ldaps:") + bind,
+        GOOD + bind,
+        far + bind.replace("}", "allow_clear_text = true\n }"),
+    ):
         tenants = load(tmp_path, f"tenants {{\n {allowed} }}").tenants
         assert tenants is not None and tenants.access.bind == m.Bind("cn=a", m.Secret("pw"))
 
--- a/tests/records/test_frame.py
+++ b/tests/records/test_frame.py
@@ -21,8 +21,9 @@
 T = 1_800_000_000_000.0
 
 
-def record(number: int, node: str = "n1", boot: str = "b0", at: float | None = None,
-           **fields: object) -> Record:
+def record(
+    number: int, node: str = "n1", boot: str = "b0", at: float | None = None, **fields: object
+) -> Record:
     return Record(node, boot, number, T + number * 1000.0 if at is None else at, "note", fields)
 
 
@@ -163,8 +164,9 @@
     assert [p.parent.name for p in tmp_path.rglob(f"*out*{SUFFIX}")] == ["in"]
 
 
-def test_a_full_disk_is_told_once_there_is_space_again(tmp_path: Path,
-                                                       monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_full_disk_is_told_once_there_is_space_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     files, real = Files(tmp_path, "n1", "b0", Retention(keep_ms=1e15)), os.write  # files' own times are real
     files.append(encode(record(1)), 1, T)
 
@@ -183,7 +185,8 @@
     got = list(merge([tmp_path], findings))
     assert [r.number for r in got if r.kind == "note"] == [1, 5]
     assert [(r.fields["lost"], r.fields["why"]) for r in got if r.kind == "gap"] == [
-        (3, "No space left on device")]
+        (3, "No space left on device")
+    ]
     assert findings.spoilt and [(h.after, h.count) for h in findings.holes] == [(1, 3)]
 
 
--- a/tests/records/test_recorder.py
+++ b/tests/records/test_recorder.py
@@ -14,10 +14,9 @@
 from ask import ask
 from test_program import PATIENCE_S, at, configuration, environment, site, started
 
-from snowthread.admission.settings import Outcome
 from snowthread import config
-from snowthread.core import effects
-from snowthread.core import events
+from snowthread.admission.settings import Outcome
+from snowthread.core import effects, events
 from snowthread.core.reducer import reduce
 from snowthread.core.state import AdmissionClock, State
 from snowthread.records.model import KINDS, MEANING, Record, Totals
@@ -80,7 +79,8 @@
         ("match", "a"): {"read": 1, "served": 1, "runs": 1},
         ("match", ""): {"read": 3, "late": 1, "failed_running": 1, "left": 1, "runs": 3},
         ("dispense", ""): {"read": 3, "served": 2, "attached": 1, "failed_calling": 1, "runs": 2},
-        ("", ""): {"read": 1, "failed": 1}}
+        ("", ""): {"read": 1, "failed": 1},
+    }
     assert len(w.observer) == 0 and w.totals() == {}
 
 
@@ -103,14 +103,16 @@
 
 def test_conservation_whatever_comes() -> None:
     import random
+
     rng, w, all_ = random.Random(4), Watched(), Totals()
     live: list[str] = []
     for n in range(1, 600):
         w.now += rng.expovariate(1.0) * 20.0
         step = rng.random()
         if step < 0.6:
-            live.append(w.ask(n, rng.choice(["match", "recalc", "dispense", "odd"]),
-                              once=f"k{rng.randrange(80)}"))
+            live.append(
+                w.ask(n, rng.choice(["match", "recalc", "dispense", "odd"]), once=f"k{rng.randrange(80)}")
+            )
         elif step < 0.9 and live:
             w.end(live.pop(rng.randrange(len(live))), 5.0, rng.choice([Outcome.SUCCESS, Outcome.FAILURE]))
         elif step < 0.95:
@@ -120,8 +122,17 @@
         for counts in w.totals().values():
             for name, value in counts.items():
                 setattr(all_, name, getattr(all_, name) + value)
-    ended = (all_.served + all_.late + all_.refused + all_.refused_held + all_.refused_leaving + all_.failed
-             + all_.failed_running + all_.failed_calling + all_.left)
+    ended = (
+        all_.served
+        + all_.late
+        + all_.refused
+        + all_.refused_held
+        + all_.refused_leaving
+        + all_.failed
+        + all_.failed_running
+        + all_.failed_calling
+        + all_.left
+    )
     assert all_.read == ended + len(w.observer) and all_.read > 300 and len(w.observer) < 120
 
 
@@ -167,8 +178,9 @@
     path, file = configuration(tmp_path, stop_ms=1000), records_file(tmp_path)
     with ExitStack() as stack:
         stack.enter_context(site(path))
-        node = stack.enter_context(started("-m", "snowthread", "serve", "--with", str(file),
-                                           env=environment(path)))
+        node = stack.enter_context(
+            started("-m", "snowthread", "serve", "--with", str(file), env=environment(path))
+        )
         assert node.stderr is not None and "listens on" in node.stderr.readline()
         for n in range(5):
             assert ask(at(path), "match", b"grey") == [1, 1, None, [b"GREY", {}]], n
@@ -193,8 +205,9 @@
 
 
 def served(records: list[Record]) -> int:
-    return sum(counts.get("served", 0) for r in records if r.kind == "second"
-               for _, _, counts in r.fields["totals"])
+    return sum(
+        counts.get("served", 0) for r in records if r.kind == "second" for _, _, counts in r.fields["totals"]
+    )
 
 
 def wait_for(folder: Path, wanted: int) -> list[Record]:
@@ -212,8 +225,9 @@
     (tmp_path / "kept").write_text("a file where a folder should be")
     with ExitStack() as stack:
         stack.enter_context(site(path))
-        node = stack.enter_context(started("-m", "snowthread", "serve", "--with", str(file),
-                                           env=environment(path)))
+        node = stack.enter_context(
+            started("-m", "snowthread", "serve", "--with", str(file), env=environment(path))
+        )
         assert node.stderr is not None and "listens on" in node.stderr.readline()
         assert ask(at(path), "match", b"grey") == [1, 1, None, [b"GREY", {}]]
         children = Path(f"/proc/{node.pid}/task/{node.pid}/children").read_text().split()
@@ -224,8 +238,15 @@
         assert node.wait(PATIENCE_S) == 0
 
 
-@pytest.mark.parametrize(("more", "word"), [("total_mb = 1", "total_mb"), ("keep = 3", "keep"),
-                                            ("file_mb = 0", "file_mb"), ("colour = 1", "no such key")])
+@pytest.mark.parametrize(
+    ("more", "word"),
+    [
+        ("total_mb = 1", "total_mb"),
+        ("keep = 3", "keep"),
+        ("file_mb = 0", "file_mb"),
+        ("colour = 1", "no such key"),
+    ],
+)
 def test_a_bad_block_is_named(tmp_path: Path, more: str, word: str) -> None:
     from snowthread.config import ConfigError
     from snowthread.operator.features import Features
@@ -244,8 +265,14 @@
     assert stop(path, file) == 0
 
     def run(*words: str) -> subprocess.CompletedProcess[str]:
-        return subprocess.run([sys.executable, "-m", "snowthread", "records", *words], cwd=ROOT, text=True,
-                              env=environment(path), capture_output=True, timeout=PATIENCE_S)
+        return subprocess.run(
+            [sys.executable, "-m", "snowthread", "records", *words],
+            cwd=ROOT,
+            text=True,
+            env=environment(path),
+            capture_output=True,
+            timeout=PATIENCE_S,
+        )
 
     kept = str(tmp_path / "kept")
     lines = [json.loads(line) for line in run("cat", "--json", kept).stdout.splitlines()]
--- a/tests/recovery/test_key_log.py
+++ b/tests/recovery/test_key_log.py
@@ -9,8 +9,8 @@
 import pytest
 
 from snowthread.core.idempotency import IndeterminateKeys, key_digest
-from snowthread.recovery import storage, key_log
-from snowthread.recovery.key_log import SLOT_BYTES, KeyLog, Verdict, new_key_log, read_key_log, key_log_size
+from snowthread.recovery import key_log, storage
+from snowthread.recovery.key_log import SLOT_BYTES, KeyLog, Verdict, key_log_size, new_key_log, read_key_log
 
 NOW = 1_800_000_000_000.0
 
@@ -35,7 +35,7 @@
         assert read_key_log(data[:length]).verdict is not Verdict.WHOLE, length
     written = range(key_log.HEADER_BYTES + SLOT_BYTES, key_log.HEADER_BYTES + 4 * SLOT_BYTES)
     for at in [*range(22), *written]:
-        spoilt = data[:at] + bytes([data[at] ^ 0x10]) + data[at + 1:]
+        spoilt = data[:at] + bytes([data[at] ^ 0x10]) + data[at + 1 :]
         slot_pad = at in written and (at - key_log.HEADER_BYTES) % SLOT_BYTES >= 36
         assert (read_key_log(spoilt).verdict is Verdict.WHOLE) == slot_pad, at
     assert read_key_log(b"").verdict is Verdict.MISSING
@@ -76,9 +76,16 @@
     assert made is None and why
 
 
-@pytest.mark.parametrize(("once", "at", "held"), [
-    ("ran", NOW + 99.0, True), ("ran", NOW + 100.0, False), ("other", NOW + 9.0, True),
-    ("other", NOW + 10.0, False), ("ran", NOW + 10.0, True)])
+@pytest.mark.parametrize(
+    ("once", "at", "held"),
+    [
+        ("ran", NOW + 99.0, True),
+        ("ran", NOW + 100.0, False),
+        ("other", NOW + 9.0, True),
+        ("other", NOW + 10.0, False),
+        ("ran", NOW + 10.0, True),
+    ],
+)
 def test_unknown_keys_end_with_their_windows(once: str, at: float, held: bool) -> None:
     unknown = IndeterminateKeys({key_digest("ran"): NOW + 100.0}, blind_until=NOW + 10.0)
     assert unknown.may_have_run(once, at) is held
@@ -86,8 +93,12 @@
 
 def test_operators_make_a_ring_once_and_see_what_a_start_would_find(tmp_path: Path) -> None:
     def say(*words: str) -> tuple[int, str]:
-        done = subprocess.run([sys.executable, "-m", "snowthread", "warm", *words, str(tmp_path)], text=True,
-                              capture_output=True, check=False)
+        done = subprocess.run(
+            [sys.executable, "-m", "snowthread", "warm", *words, str(tmp_path)],
+            text=True,
+            capture_output=True,
+            check=False,
+        )
         return done.returncode, done.stdout + done.stderr
 
     assert "ring of keys: missing" in say("show")[1]
--- a/tests/recovery/test_manager.py
+++ b/tests/recovery/test_manager.py
@@ -7,13 +7,12 @@
 import pytest
 
 from snowthread import config
-from snowthread.core import effects
-from snowthread.core import events
+from snowthread.core import effects, events
 from snowthread.core.reducer import reduce
 from snowthread.core.state import AdmissionClock, State
 from snowthread.net.clock import Clock
 from snowthread.net.loop import EventLoop
-from snowthread.recovery import storage, key_log
+from snowthread.recovery import key_log, storage
 from snowthread.recovery.manager import RecoveryManager
 from snowthread.recovery.membership import SILENT_MS, FleetView
 from snowthread.recovery.settings import RecoverySettings
@@ -103,8 +102,12 @@
 
 
 def test_the_ramp_refuses_at_once_what_it_has_no_place_for(bench: Bench) -> None:
-    answers = [effect.response for number in range(1, 12) for effect in bench.ask(number)
-               if isinstance(effect, effects.SendResponse)]
+    answers = [
+        effect.response
+        for number in range(1, 12)
+        for effect in bench.ask(number)
+        if isinstance(effect, effects.SendResponse)
+    ]
     assert answers and all(
         isinstance(answer, effects.Rejected) and answer.retry_after_ms > 0.0 for answer in answers
     )
--- a/tests/recovery/test_membership.py
+++ b/tests/recovery/test_membership.py
@@ -39,9 +39,21 @@
     assert members.status is MemberStatus.REPLACED
 
 
-@pytest.mark.parametrize("answer", [
-    b"", b"FLEET", b"FLEET 1 2 3", b"FLEET 1 2 3 1", b"FLEET x 2 1 1", b"NAMES 1 2 1 1", b"FLEET 1 -2 -3 1",
-    b"FLEET 1 2 1 99999999999", b"FLEET 1 2 1 1 1", b"\xff\xfe 1 2 1 1"])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"",
+        b"FLEET",
+        b"FLEET 1 2 3",
+        b"FLEET 1 2 3 1",
+        b"FLEET x 2 1 1",
+        b"NAMES 1 2 1 1",
+        b"FLEET 1 -2 -3 1",
+        b"FLEET 1 2 1 99999999999",
+        b"FLEET 1 2 1 1 1",
+        b"\xff\xfe 1 2 1 1",
+    ],
+)
 def test_what_is_no_answer_changes_nothing_and_is_counted(answer: bytes) -> None:
     members = Membership(1, peers=4)
     assert not members.handle_answer(answer, 0.0)
--- a/tests/recovery/test_snapshot.py
+++ b/tests/recovery/test_snapshot.py
@@ -13,9 +13,9 @@
     LearnedTimes,
     Snapshot,
     Verdict,
+    assess,
     decode,
     encode,
-    assess,
 )
 
 NOW = 1_800_000_000_000.0
@@ -32,11 +32,14 @@
     assert result.verdict is Verdict.FRESH and result.initial_state == LEARNED
 
 
-@pytest.mark.parametrize(("changed", "verdict"), [
-    ({"generation": 6}, Verdict.OLDER),
-    ({"written_ms": NOW - 60_000.0}, Verdict.STALE),
-    ({"written_ms": NOW + 10_000.0}, Verdict.FUTURE),
-])
+@pytest.mark.parametrize(
+    ("changed", "verdict"),
+    [
+        ({"generation": 6}, Verdict.OLDER),
+        ({"written_ms": NOW - 60_000.0}, Verdict.STALE),
+        ({"written_ms": NOW + 10_000.0}, Verdict.FUTURE),
+    ],
+)
 def test_a_snapshot_of_another_time_is_not_trusted(changed: dict[str, float], verdict: Verdict) -> None:
     fields = {"generation": 7, "incarnation": 3, "written_ms": NOW - 1000.0} | changed
     data = encode(Snapshot(int(fields["generation"]), 3, float(fields["written_ms"]), LEARNED))
@@ -53,7 +56,7 @@
 def test_every_flipped_byte_is_turned_down() -> None:
     data = encode(SNAP)
     for at in range(len(data)):
-        spoilt = data[:at] + bytes([data[at] ^ 0x20]) + data[at + 1:]
+        spoilt = data[:at] + bytes([data[at] ^ 0x20]) + data[at + 1 :]
         verdict = judged(spoilt)
         # the digest covers the header too: no field can change and pass
         assert verdict is not Verdict.FRESH, at
@@ -70,8 +73,13 @@
 def test_a_body_that_is_no_snapshot_is_foreign_even_with_a_right_digest() -> None:
     import hashlib
 
-    for body in (b"[]", b'{"read_per_s": 0}', b"\xff", b'{"core_s":{"a":-1},"wall_s":{},"call_s":{},'
-                 b'"read_per_s":1}', b'{"core_s":{},"wall_s":{},"call_s":{},"read_per_s":true}'):
+    for body in (
+        b"[]",
+        b'{"read_per_s": 0}',
+        b"\xff",
+        b'{"core_s":{"a":-1},"wall_s":{},"call_s":{},"read_per_s":1}',
+        b'{"core_s":{},"wall_s":{},"call_s":{},"read_per_s":true}',
+    ):
         head = HEADER.pack(b"STWS", 2, 7, 3, NOW, len(body))
         data = head + body + hashlib.blake2b(head + body, digest_size=16).digest()
         assert judged(data) is Verdict.FOREIGN, body
--- a/tests/sites/test_shedding.py
+++ b/tests/sites/test_shedding.py
@@ -8,19 +8,19 @@
 import pytest
 
 from snowthread.config import ConfigError
+from snowthread.operator import hcl
+from snowthread.sites.settings import SiteSettings
+from snowthread.sites.settings import read as read_site
 from snowthread.sites.shedding import (
     CAP,
     MOST,
-    SiteRanges,
     NodeLoad,
+    SiteRanges,
     Verdict,
     decide,
-    shedding_order,
     pressure,
+    shedding_order,
 )
-from snowthread.sites.settings import SiteSettings
-from snowthread.sites.settings import read as read_site
-from snowthread.operator import hcl
 
 
 def load(blocking: float = 0.0, held: int = 0, foreign: int = 0) -> NodeLoad:
@@ -74,12 +74,16 @@
     assert read.homes.ranges == {"a": [(0, 9), (12, 12)], "b": [(10, 11)]} and "site a" in read.summary()
 
 
-@pytest.mark.parametrize(("text", "says"), [
-    ('name = "c"\n' + home("a", "1"), "no block 'home'"),
-    ('name = "a"\n' + home("a", "1-5") + home("b", "5"), "another's too: a"),
-    ('name = "a"\n' + home("a", "5-1"), "ends before"),
-    ('name = "a"\n' + home("a", "x"), "no number"),
-    ('name = "a"\nspeed = 1\n' + home("a", "1"), "no such key")])
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ('name = "c"\n' + home("a", "1"), "no block 'home'"),
+        ('name = "a"\n' + home("a", "1-5") + home("b", "5"), "another's too: a"),
+        ('name = "a"\n' + home("a", "5-1"), "ends before"),
+        ('name = "a"\n' + home("a", "x"), "no number"),
+        ('name = "a"\nspeed = 1\n' + home("a", "1"), "no such key"),
+    ],
+)
 def test_ranges_that_cant_be_are_refused_by_name(tmp_path: Path, text: str, says: str) -> None:
     with pytest.raises(ConfigError, match=says):
         block(tmp_path, text)
--- a/tests/sites/test_sites.py
+++ b/tests/sites/test_sites.py
@@ -9,8 +9,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from snowthread.sites.membership import Heartbeat, MembershipRules, SiteMembership, SiteStatus, StatusChange
 from snowthread.sites.recovery_ramp import STEP, RecoveryRamp, SiteHealth
-from snowthread.sites.membership import Heartbeat, StatusChange, MembershipRules, SiteMembership, SiteStatus
 from snowthread.sites.spillover import CAP, SpilloverTarget, allocate
 
 RULES = MembershipRules(heartbeat_interval_ms=250.0, lost_after_ms=2000.0, up_after_ms=3000.0)
@@ -25,8 +25,9 @@
         self.now, self.moves = 0.0, list[StatusChange]()
         self.lives = {"b": 1, "c": 1}
 
-    def run(self, for_ms: float, delay: dict[str, float],
-            hears: dict[str, set[str]] | None = None) -> list[StatusChange]:
+    def run(
+        self, for_ms: float, delay: dict[str, float], hears: dict[str, set[str]] | None = None
+    ) -> list[StatusChange]:
         """Let time pass; a site that is not in ``delay`` is silent, the others' beats come so far apart."""
         moves, end = [], self.now + for_ms
         due = {name: self.now + gap for name, gap in delay.items()}
@@ -107,8 +108,14 @@
 
 
 @settings(max_examples=200, deadline=None)
-@given(st.floats(0.0, 1000.0), st.dictionaries(st.sampled_from("abcdef"), st.builds(
-    SpilloverTarget, st.floats(-10.0, 500.0), st.floats(0.0, 400.0)), max_size=6))
+@given(
+    st.floats(0.0, 1000.0),
+    st.dictionaries(
+        st.sampled_from("abcdef"),
+        st.builds(SpilloverTarget, st.floats(-10.0, 500.0), st.floats(0.0, 400.0)),
+        max_size=6,
+    ),
+)
 def test_nobody_gets_more_than_its_cap_and_nothing_goes_lost(
     load: float, takers: dict[str, SpilloverTarget]
 ) -> None:
--- a/tests/stored/test_hot_restart_messages.py
+++ b/tests/stored/test_hot_restart_messages.py
@@ -22,10 +22,10 @@
 from snowthread.core.idempotency import IdempotencyRecord
 from snowthread.core.state import HandoverRole
 from snowthread.hot_restart.messages import (
+    CLIENTS_RELEASED,
     HANDOVER_COMPLETE,
     HELLO,
     TAKING_CLIENTS,
-    CLIENTS_RELEASED,
     PeerMessage,
     decode,
     encode,
@@ -38,8 +38,9 @@
 REQUESTED_CONTENT = bytes.fromhex("86d87da02efa6ebc05f6ce7c171fa906")
 UNTIL = START + 60_000.0
 
-RUNNING, DONE, FREED, REQUESTED, HELD, NEW = (f"00000000000000{number}" for number in (
-    "a1", "a2", "a3", "b1", "b2", "b3"))
+RUNNING, DONE, FREED, REQUESTED, HELD, NEW = (
+    f"00000000000000{number}" for number in ("a1", "a2", "a3", "b1", "b2", "b3")
+)
 
 # Each message as it is decoded; a key's own message is encoded from a Key.
 OLDER_TO_NEWER: tuple[PeerMessage, ...] = (
@@ -96,7 +97,7 @@
     stream, messages, start = unpacker(), [], 0
     stream.feed(data)
     for _ in stream:
-        messages.append(data[start:stream.tell()])
+        messages.append(data[start : stream.tell()])
         start = stream.tell()
     assert start == len(data)
     return messages
@@ -139,7 +140,18 @@
             stream.feed(data)
             names.add(stream.unpack()[0])
     assert names == {
-        "hello", "all", "takes", "yours", "key", "over", "freed", "asked", "judged", "drain", "load"}
+        "hello",
+        "all",
+        "takes",
+        "yours",
+        "key",
+        "over",
+        "freed",
+        "asked",
+        "judged",
+        "drain",
+        "load",
+    }
 
 
 class Session:
--- a/tests/stored/test_stored_formats.py
+++ b/tests/stored/test_stored_formats.py
@@ -15,27 +15,27 @@
 
 import pytest
 
-from snowthread.admission.settings import Outcome
 from snowthread import config
+from snowthread.admission.settings import Outcome
+from snowthread.clients.registry import encode_report
 from snowthread.core import events
 from snowthread.core.idempotency import key_digest
 from snowthread.core.reducer import reduce
 from snowthread.core.state import AdmissionClock, State
-from snowthread.clients.registry import encode_report
 from snowthread.records.frame import InvalidFrame, Reader, encode
 from snowthread.records.model import KINDS, Fields, Record, Totals
 from snowthread.records.observer import Observer
 from snowthread.records.reader import Findings, Gap, merge
 from snowthread.records.retention import Retention
 from snowthread.records.writer import Files
-from snowthread.tenants import snapshot as tenant_disk
-from snowthread.tenants.model import Status, Tenant
-from snowthread.recovery import storage as warm_disk
 from snowthread.recovery import key_log
-from snowthread.recovery.membership import Membership, MemberStatus, FleetView
+from snowthread.recovery import storage as warm_disk
+from snowthread.recovery.membership import FleetView, Membership, MemberStatus
 from snowthread.recovery.snapshot import LearnedTimes, Snapshot, Verdict, assess
 from snowthread.recovery.snapshot import decode as decode_warm
 from snowthread.recovery.snapshot import encode as encode_warm
+from snowthread.tenants import snapshot as tenant_disk
+from snowthread.tenants.model import Status, Tenant
 
 ROOT = Path(__file__).parents[2]
 STORED = ROOT / "tests" / "data" / "stored"
@@ -49,20 +49,34 @@
 
 SECOND: Fields = {
     "ms": 3440.0,
-    "totals": [["match", "a", {"read": 2, "served": 1, "late": 1, "runs": 2}],
-               ["dispense", "a", {"read": 2, "runs": 2}]],
+    "totals": [
+        ["match", "a", {"read": 2, "served": 1, "late": 1, "runs": 2}],
+        ["dispense", "a", {"read": 2, "runs": 2}],
+    ],
     "runs": {"match": [2, 100, 3311, 3311]},
     "calls": {"success": [1, 40, 40, 40]},
     "floors": {1: 5.0, 2: 5.0, 0: 5.0},
-    "b": 0.0, "limit": 2.0, "mu": 0.0, "lambda": 0.0,
+    "b": 0.0,
+    "limit": 2.0,
+    "mu": 0.0,
+    "lambda": 0.0,
     "run_ages_s": {"match": 0.04},
-    "held": 0, "running": 2, "calls_in_hand": 0, "keys": 2,
+    "held": 0,
+    "running": 2,
+    "calls_in_hand": 0,
+    "keys": 2,
     "gauges": {},
 }
 
 BEFORE_FAILURE = (
-    Record(NODE, BOOT, 1, START, "start", {
-        "version": "0.1.0", "pid": 4711, "format": 1, "classes": [["match", 3200.0, 9000.0]], "cores": 4}),
+    Record(
+        NODE,
+        BOOT,
+        1,
+        START,
+        "start",
+        {"version": "0.1.0", "pid": 4711, "format": 1, "classes": [["match", 3200.0, 9000.0]], "cores": 4},
+    ),
     Record(NODE, BOOT, 2, START + 1.5, "config", {"taken": True, "text": "settings of nöde.json"}),
     Record(NODE, BOOT, 3, START + 2.0, "link", {"peer": "runtime", "up": True}),
     Record(NODE, BOOT, 4, START + 3.0, "list", {"taking": True}),
@@ -154,7 +168,17 @@
     records, _ = read_record_files(STORED / "records")
     assert records == [*BEFORE_FAILURE, GAP_OF_WRITER, *AFTER_FAILURE]
     assert [record.kind for record in records] == [
-        "start", "config", "link", "list", "note", "second", "gap", "drain", "gap", "end"]
+        "start",
+        "config",
+        "link",
+        "list",
+        "note",
+        "second",
+        "gap",
+        "drain",
+        "gap",
+        "end",
+    ]
     assert [record.number for record in records] == [1, 2, 3, 4, 5, 6, -1, 9, 10, 11]
     assert {record.kind for record in records} == set(KINDS)
     assert records[0].node == "node/a" and records[0].boot == "5e0c71d2"
@@ -185,11 +209,34 @@
 
 
 def test_totals_are_stored_under_their_names() -> None:
-    totals = Totals(read=1, served=2, late=3, attached=4, refused=5, refused_held=6, refused_leaving=7,
-                    failed=8, failed_running=9, failed_calling=10, left=11, runs=12)
+    totals = Totals(
+        read=1,
+        served=2,
+        late=3,
+        attached=4,
+        refused=5,
+        refused_held=6,
+        refused_leaving=7,
+        failed=8,
+        failed_running=9,
+        failed_calling=10,
+        left=11,
+        runs=12,
+    )
     expected = {
-        "read": 1, "served": 2, "late": 3, "attached": 4, "refused": 5, "refused_held": 6,
-        "refused_leaving": 7, "failed": 8, "failed_running": 9, "failed_calling": 10, "left": 11, "runs": 12}
+        "read": 1,
+        "served": 2,
+        "late": 3,
+        "attached": 4,
+        "refused": 5,
+        "refused_held": 6,
+        "refused_leaving": 7,
+        "failed": 8,
+        "failed_running": 9,
+        "failed_calling": 10,
+        "left": 11,
+        "runs": 12,
+    }
     assert totals.plain() == expected
     assert list(totals.plain()) == list(expected)  # their order is that of the stored bytes
 
@@ -267,8 +314,12 @@
 
 def test_membership_reports_have_the_stored_bytes() -> None:
     stored = (STORED / "roster_reports.txt").read_bytes().splitlines()
-    assert stored == [b"HERE node-a on 0 cold", b"HERE node-a on 5 cold", b"HERE node-a off 5 warm",
-                      b"HERE node-b on"]
+    assert stored == [
+        b"HERE node-a on 0 cold",
+        b"HERE node-a on 5 cold",
+        b"HERE node-a off 5 warm",
+        b"HERE node-b on",
+    ]
     assert member_reports() == stored
 
 
@@ -302,7 +353,8 @@
     assert found.keys == {
         key_digest("key-1"): 1_764_576_001_000.0,
         key_digest("key-2"): 1_764_576_002_000.5,
-        key_digest("schlüssel-3"): 1_764_576_003_000.0}
+        key_digest("schlüssel-3"): 1_764_576_003_000.0,
+    }
     assert found.sequence == 3 and found.any_until_ms == 1_764_575_940_000.0
 
 
@@ -339,8 +391,16 @@
 
 SOURCE = "dc=mill,dc=example?(objectClass=organization)"
 TENANTS = (
-    Tenant("t-1", "Farbhof", Status.SUSPENDED, 2.5, (ip_network("10.0.0.0/8"), ip_network("2001:db8::/32")),
-           ((1, 4), (9, 9)), frozenset({"dispense", "match"}), "20260102030405Z"),
+    Tenant(
+        "t-1",
+        "Farbhof",
+        Status.SUSPENDED,
+        2.5,
+        (ip_network("10.0.0.0/8"), ip_network("2001:db8::/32")),
+        ((1, 4), (9, 9)),
+        frozenset({"dispense", "match"}),
+        "20260102030405Z",
+    ),
     Tenant("t-2", "Tinte ü", quota_per_s=120.0),
     Tenant("default", "others"),
 )
--- a/tests/support/admission_host.py
+++ b/tests/support/admission_host.py
@@ -11,7 +11,6 @@
 from dataclasses import dataclass, field
 from functools import partial
 
-from snowthread.admission.controller import Controller
 from snowthread.admission.actions import (
     Action,
     AwaitOriginal,
@@ -23,6 +22,7 @@
     StartRun,
     StopRun,
 )
+from snowthread.admission.controller import Controller
 from snowthread.admission.events import (
     CallFinished,
     CallNeeded,
@@ -178,13 +178,17 @@
         request = len(self._requests) + 1
         unread = 0.6 if self._arrival_rate() == BURST_RATE else 0.2
         arrival = RequestArrived(
-            request_id=request, class_name=name, memory_kb=self._random.uniform(5.0, 60.0),
+            request_id=request,
+            class_name=name,
+            memory_kb=self._random.uniform(5.0, 60.0),
             tenant=self._random.choice(TENANT_NAMES),
             partition_key=f"key-{request}" if request_class.idempotency is Idempotency.KEYED else "",
             time_left_s=self._random.uniform(0.3, request_class.deadline_s) if self._chance(0.5) else None,
             work_hint_s=work_s * self._random.uniform(0.6, 1.6) if self._sends_hint() else None,
-            is_retry=self._chance(0.05), caller_id=self._random.randrange(8),
-            unread_s=self._random.uniform(0.0, 0.8) if self._chance(unread) else 0.0)
+            is_retry=self._chance(0.05),
+            caller_id=self._random.randrange(8),
+            unread_s=self._random.uniform(0.0, 0.8) if self._chance(unread) else 0.0,
+        )
         return self._receive(HostedRequest(arrival=arrival, request_class=request_class, work_s=work_s))
 
     def _sends_hint(self) -> bool:
@@ -213,8 +217,14 @@
             caller_id=first.arrival.caller_id,
             original_id=prior,
         )
-        return self._receive(HostedRequest(arrival=arrival, request_class=first.request_class,
-                                           work_s=first.work_s, attempts=first.attempts + 1))
+        return self._receive(
+            HostedRequest(
+                arrival=arrival,
+                request_class=first.request_class,
+                work_s=first.work_s,
+                attempts=first.attempts + 1,
+            )
+        )
 
     def _caller_leaves(self, request: int) -> Event | None:
         hosted = self._requests[request]
@@ -268,9 +278,13 @@
         cores = self.settings.cores
         use = min(1.0, running / cores * self._random.uniform(0.9, 1.05))
         on_cores = running * self._random.uniform(0.7, 1.1) if self._chance(0.8) else None
-        return TimerFired(label=label, core_utilization=use, core_demand=on_cores,
-                          memory_utilization=self._random.uniform(0.2, 0.9),
-                          connections=float(min(35, 20 + int(self._elapsed_s()))))
+        return TimerFired(
+            label=label,
+            core_utilization=use,
+            core_demand=on_cores,
+            memory_utilization=self._random.uniform(0.2, 0.9),
+            connections=float(min(35, 20 + int(self._elapsed_s()))),
+        )
 
     def _run(self, request: int) -> None:
         hosted = self._requests[request]
--- a/tests/support/decision_trace.py
+++ b/tests/support/decision_trace.py
@@ -48,12 +48,39 @@
 
 Words = dict[str, str | int | float | bool]
 
-EVENT_KINDS = frozenset({
-    "started", "arrival", "caller-gone", "at-call", "call-ended", "run-ended", "timer", "run-doubted",
-    "leave-notice", "tenants-changed", "settings-changed"})
-ACTION_KINDS = frozenset({
-    "run", "keep-key", "forget-key", "reject", "fail", "call", "skip-call", "preempt", "attach", "publish",
-    "close-idle", "set-timer", "set-health", "report"})
+EVENT_KINDS = frozenset(
+    {
+        "started",
+        "arrival",
+        "caller-gone",
+        "at-call",
+        "call-ended",
+        "run-ended",
+        "timer",
+        "run-doubted",
+        "leave-notice",
+        "tenants-changed",
+        "settings-changed",
+    }
+)
+ACTION_KINDS = frozenset(
+    {
+        "run",
+        "keep-key",
+        "forget-key",
+        "reject",
+        "fail",
+        "call",
+        "skip-call",
+        "preempt",
+        "attach",
+        "publish",
+        "close-idle",
+        "set-timer",
+        "set-health",
+        "report",
+    }
+)
 
 
 def event_words(event: Event) -> Words:
@@ -92,8 +119,12 @@
     if isinstance(action, ForgetKey):
         return {"action": "forget-key", "request": action.request_id}
     if isinstance(action, Reject):
-        return {"action": "reject", "request": action.request_id, "retry-after": action.retry_after_s,
-                "last": action.do_not_retry}
+        return {
+            "action": "reject",
+            "request": action.request_id,
+            "retry-after": action.retry_after_s,
+            "last": action.do_not_retry,
+        }
     if isinstance(action, Fail):
         return {"action": "fail", "request": action.request_id}
     if isinstance(action, StartCall):
--- a/tests/support/directory_world.py
+++ b/tests/support/directory_world.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from emulators.directory import Directory, Habits
 from snowthread import config
 from snowthread.address import Address
 from snowthread.net.clock import ManualClock
@@ -14,7 +15,6 @@
 from snowthread.tenants.replication import DirectoryReplicator
 from snowthread.tenants.settings import TenantSettings
 from snowthread.tenants.state import TenantChanges, TenantState
-from emulators.directory import Directory, Habits
 
 START = 1_800_000_000_000.0
 EXAMPLE = Path(__file__).parents[2] / "examples" / "node.json"
@@ -42,8 +42,9 @@
     def __init__(self, count: int = 1, tenants: int = 10, habits: Habits | None = None) -> None:
         self.clock = ManualClock(START)
         self.loop = EventLoop(self.clock)
-        self.directories = [Directory(self.loop, Address("127.0.0.1", 0), habits=habits)
-                            for _ in range(count)]
+        self.directories = [
+            Directory(self.loop, Address("127.0.0.1", 0), habits=habits) for _ in range(count)
+        ]
         for n in range(tenants):
             self.directories[0].put(f"t{n}", snowthreadNetwork=[f"10.{n}.0.0/16"], snowthreadQuota=n + 1)
         for other in self.directories[1:]:
--- a/tests/support/playing.py
+++ b/tests/support/playing.py
@@ -8,9 +8,9 @@
 from typing import Any
 
 import msgpack
-from support.exchange import EXAMPLE, START, Player
 
 from snowthread.frontends.balancers.codec import FAREWELL
+from support.exchange import EXAMPLE, START, Player
 
 
 def settings(**domain: Any) -> dict[str, Any]:
@@ -23,16 +23,25 @@
 
 def ready(player: Player) -> None:
     """A runtime that has started and reads."""
-    for who, what, rest in (("runtime", "accept", ""), ("runtime", "<", r'{"action":"sync","pos":0}\n'),
-                            ("runtime", ">", r'{"action":"ready","code":"seasoned","wall_ms":0}\n'),
-                            ("runtime", "<", r'{"action":"gauges","echo":"sync-1"}\n')):
+    for who, what, rest in (
+        ("runtime", "accept", ""),
+        ("runtime", "<", r'{"action":"sync","pos":0}\n'),
+        ("runtime", ">", r'{"action":"ready","code":"seasoned","wall_ms":0}\n'),
+        ("runtime", "<", r'{"action":"gauges","echo":"sync-1"}\n'),
+    ):
         player.step(who, what, rest)
 
 
 def message(number: int, method: str, at: float = START, **fields: Any) -> bytes:
     """A request; a field of None is left out."""
-    told = {"id": f"{number:016x}", "at": str(int(at)), "from": "1", "wait": "5000", "kb": "20",
-            "rank": "0.5"} | fields
+    told = {
+        "id": f"{number:016x}",
+        "at": str(int(at)),
+        "from": "1",
+        "wait": "5000",
+        "kb": "20",
+        "rank": "0.5",
+    } | fields
     fields_told = {name: value for name, value in told.items() if value is not None}
     packed: bytes = msgpack.packb([0, number, method, [fields_told, b"x"]])
     return packed
--- a/tests/tenants/test_disk.py
+++ b/tests/tenants/test_disk.py
@@ -14,8 +14,10 @@
 from snowthread.tenants.model import Status, Tenant
 
 NETWORKS = ip_network("10.0.0.0/8"), ip_network("2001:db8::/32")
-TENANTS = (Tenant("a", "Farbhof", Status.SUSPENDED, 2.5, NETWORKS, ((1, 4),),
-                  frozenset({"match"}), "2026Z"), Tenant("b", "Tinte ü"))
+TENANTS = (
+    Tenant("a", "Farbhof", Status.SUSPENDED, 2.5, NETWORKS, ((1, 4),), frozenset({"match"}), "2026Z"),
+    Tenant("b", "Tinte ü"),
+)
 SNAPSHOT = tenant_snapshot.Snapshot(TENANTS, 1234.5, "dc=x?(cn=*)", "ldap://10.0.0.1:389", b"\x00cookie\n")
 
 
@@ -42,8 +44,12 @@
 
 def test_other_versions_and_foreign_files_are_refused(tmp_path: Path) -> None:
     data = tenant_snapshot.encode(SNAPSHOT)
-    for bad, word in ((data.replace(b"tenants 1 ", b"tenants 2 "), "version"), (b"", "not a snapshot"),
-                      (b"#!/bin/sh\n", "not a snapshot"), (os.urandom(500), "not a snapshot")):
+    for bad, word in (
+        (data.replace(b"tenants 1 ", b"tenants 2 "), "version"),
+        (b"", "not a snapshot"),
+        (b"#!/bin/sh\n", "not a snapshot"),
+        (os.urandom(500), "not a snapshot"),
+    ):
         with pytest.raises(tenant_snapshot.SnapshotError, match=word):
             tenant_snapshot.decode(bad)
     path = tmp_path / "s"
@@ -55,8 +61,9 @@
 
 
 @pytest.mark.parametrize("step", ["write", "fsync", "rename"])
-def test_a_write_that_fails_at_any_step_leaves_the_old_file(tmp_path: Path, step: str,
-                                                            monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_write_that_fails_at_any_step_leaves_the_old_file(
+    tmp_path: Path, step: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     path = tmp_path / "tenants.snapshot"
     tenant_snapshot.write(path, tenant_snapshot.encode(SNAPSHOT))
     before = path.read_bytes()
--- a/tests/tenants/test_follow.py
+++ b/tests/tenants/test_follow.py
@@ -11,12 +11,12 @@
 import pytest
 from support.directory_world import World, settings
 
+from emulators.directory import Habits
 from snowthread.ldap.health import Circuit
 from snowthread.tenants.replication import DirectoryReplicator
 from snowthread.tenants.staleness import Stage
-from snowthread.tenants.sync import Mode, State
 from snowthread.tenants.state import TenantState
-from emulators.directory import Habits
+from snowthread.tenants.sync import Mode, State
 
 ALL = {f"t{n}" for n in range(10)}
 QUICK = 'operation = "2s"\n probe = "1s"\n poll = "5s"\n'
@@ -50,11 +50,13 @@
     assert d.searches == 1 and w.tenancy.counts["refreshes"] == 1
 
 
-@pytest.mark.parametrize(("habits", "mode"), [
-    (Habits(persist=False), Mode.REFRESH), (Habits(sync=False), Mode.PAGED)])
-def test_a_server_that_lacks_a_way_is_asked_the_next(worlds: Callable[..., World], habits: Habits,
-                                                      mode: Mode) -> None:
-    w = worlds(tenants=25, habits=habits).start(QUICK + 'page_size = 10\n removal { share = 0.5 }')
+@pytest.mark.parametrize(
+    ("habits", "mode"), [(Habits(persist=False), Mode.REFRESH), (Habits(sync=False), Mode.PAGED)]
+)
+def test_a_server_that_lacks_a_way_is_asked_the_next(
+    worlds: Callable[..., World], habits: Habits, mode: Mode
+) -> None:
+    w = worlds(tenants=25, habits=habits).start(QUICK + "page_size = 10\n removal { share = 0.5 }")
     w.synced()
     assert len(w.names) == 25 and w.follower.sync.mode is mode
     w.directories[0].put("new", snowthreadQuota=1)
@@ -64,8 +66,9 @@
 
 
 @pytest.mark.parametrize("at", [0, 1, 14, 40, 120, 700, 1500, 2400])
-def test_a_stall_of_30_s_at_any_byte_is_survived(worlds: Callable[..., World], at: int,
-                                                 monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_stall_of_30_s_at_any_byte_is_survived(
+    worlds: Callable[..., World], at: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
     # 0: it accepts and says nothing; 14: the bind's answer; later: mid-entry and mid-refresh.
     w = worlds(habits=Habits(passwords={"cn=node": "pw"}))
     monkeypatch.setenv("WORLD_PASSWORD", "pw")
@@ -80,7 +83,8 @@
 
 
 def test_a_stall_while_following_is_noticed_known_tenants_stay_and_it_catches_up(
-        worlds: Callable[..., World]) -> None:
+    worlds: Callable[..., World],
+) -> None:
     w = worlds().start(QUICK + 'staleness { stale_after = "5s"\n old_after = "20s"\n }')
     w.synced()
     d = w.directories[0]
@@ -177,7 +181,8 @@
 
 @pytest.mark.parametrize("code", [3, 10, 50, 51, 52, 80])
 def test_a_search_that_ends_in_an_error_deletes_nothing_and_is_not_hammered(
-        worlds: Callable[..., World], code: int) -> None:
+    worlds: Callable[..., World], code: int
+) -> None:
     w = worlds().start(QUICK + 'retry { open = "2s"\n open_most = "8s" }')
     w.synced()
     d = w.directories[0]
@@ -200,13 +205,15 @@
 
 HOSTILE: dict[str, Callable[[int, bytes], bytes | None]] = {
     "wrong number": lambda n, data: data[:4] + bytes([data[4] + 1]) + data[5:] if data[1] < 0x80 else b"\x30",
-    "garbage": lambda n, data: b"\x9f\x85" * 400, "truncated": lambda n, data: data[:-3],
+    "garbage": lambda n, data: b"\x9f\x85" * 400,
+    "truncated": lambda n, data: data[:-3],
     "3 GB": lambda n, data: b"\x30\x84\xc0\x00\x00\x00" + b"x" * 5000,
     "nested": lambda n, data: b"\x30\x82\x0f\xa0" + b"\x30\x82\x0f\x00" * 1000,
     "endless": lambda n, data: b"\x30\x83\x07\xff\xff" + b"\x04\x00" * 30_000,
     "closed": lambda n, data: None,
     "inner length": lambda n, data: data[:5] + b"\x64\x7f" + data[7:],
-    "half now and then": lambda n, data: data if n % 2 else data[:10]}
+    "half now and then": lambda n, data: data if n % 2 else data[:10],
+}
 
 
 @pytest.mark.parametrize("kind", HOSTILE)
@@ -295,9 +302,11 @@
     assert w.follower.server == f"ldap://{second.address}"
 
 
-def test_a_wrong_password_is_left_to_people_and_never_logged(worlds: Callable[..., World],
-                                                            monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_wrong_password_is_left_to_people_and_never_logged(
+    worlds: Callable[..., World], monkeypatch: pytest.MonkeyPatch
+) -> None:
     from loguru import logger
+
     monkeypatch.setenv("WORLD_PASSWORD", "hunter2")
     logged: list[str] = []
     sink = logger.add(lambda m: logged.append(str(m) + json.dumps(m.record["extra"], default=str)), level=0)
--- a/tests/tenants/test_guard.py
+++ b/tests/tenants/test_guard.py
@@ -5,11 +5,11 @@
 from dataclasses import replace
 from ipaddress import ip_network
 
-from snowthread.tenants.removal_guard import RemovalGuard, RemovalRules
-from snowthread.tenants.staleness import StalenessTracker, StalenessRules, Stage
 from snowthread.tenants.model import DEFAULT_ID, Status, Tenant
-from snowthread.tenants.sync import Changed, Refreshed
+from snowthread.tenants.removal_guard import RemovalGuard, RemovalRules
+from snowthread.tenants.staleness import Stage, StalenessRules, StalenessTracker
 from snowthread.tenants.state import TenantRules, TenantState
+from snowthread.tenants.sync import Changed, Refreshed
 from snowthread.tenants.unknown_clients import UnknownClientRules, UnknownClients, question
 
 RULES = RemovalRules(share=0.1, least=2, confirm_after_ms=60_000.0)
@@ -88,11 +88,21 @@
 
 
 def tenancy(**more: object) -> TenantState:
-    rules = TenantRules(removal=RULES, staleness=StalenessRules(1000.0, 5000.0, default_when_old=True),
-                  **more)  # type: ignore[arg-type]
+    rules = TenantRules(
+        removal=RULES, staleness=StalenessRules(1000.0, 5000.0, default_when_old=True), **more
+    )  # type: ignore[arg-type]
     out = TenantState(rules)
-    made = {f"t{n}": Tenant(f"t{n}", f"name{n}", Status.SUSPENDED if n == 2 else Status.ACTIVE, 5.0,
-                            (ip_network(f"10.{n}.0.0/16"),), stamp=f"2026010100000{n}") for n in range(4)}
+    made = {
+        f"t{n}": Tenant(
+            f"t{n}",
+            f"name{n}",
+            Status.SUSPENDED if n == 2 else Status.ACTIVE,
+            5.0,
+            (ip_network(f"10.{n}.0.0/16"),),
+            stamp=f"2026010100000{n}",
+        )
+        for n in range(4)
+    }
     out.refreshed(Refreshed(made, frozenset(), frozenset(), True), "a", 0.0)
     return out
 
@@ -116,8 +126,9 @@
 
 
 def test_one_question_a_caller_and_a_no_is_remembered_for_a_while() -> None:
-    u = UnknownClients(UnknownClientRules(remember_ms=1000.0, remembered_most=3, waiting_most=4, open_most=2,
-                              per_s=100.0))
+    u = UnknownClients(
+        UnknownClientRules(remember_ms=1000.0, remembered_most=3, waiting_most=4, open_most=2, per_s=100.0)
+    )
     assert u.seen("10.0.0.1", 0.0) and not u.seen("10.0.0.1", 0.0)
     assert u.next(10.0) == "10.0.0.1" and u.next(10.0) is None and not u.seen("10.0.0.1", 11.0)
     u.answered("10.0.0.1", False, 20.0)
--- a/tests/tenants/test_states.py
+++ b/tests/tenants/test_states.py
@@ -9,10 +9,9 @@
 
 import pytest
 
-from snowthread.admission.settings import Outcome, Tenant
 from snowthread import config
-from snowthread.core import effects
-from snowthread.core import events
+from snowthread.admission.settings import Outcome, Tenant
+from snowthread.core import effects, events
 from snowthread.core.reducer import reduce
 from snowthread.core.state import AdmissionClock, State
 
@@ -140,8 +139,10 @@
 
 def test_shares_told_before_the_runtime_is_there_wait_for_it_and_a_cold_start_stays_cold() -> None:
     state = State(replace(SETTINGS, starts_cold=False), 1, (), AdmissionClock(START))
-    for message in (events.TenantQuotasChanged((Tenant("a", 5.0), Tenant("b", 1.0)), over_quota_weight=0.3),
-                    events.TenantQuotasChanged((Tenant("a", 6.0),), frozenset({"b"}))):
+    for message in (
+        events.TenantQuotasChanged((Tenant("a", 5.0), Tenant("b", 1.0)), over_quota_weight=0.3),
+        events.TenantQuotasChanged((Tenant("a", 6.0),), frozenset({"b"})),
+    ):
         assert reduce(state, message, START) == [] and state.controller is None
     reduce(state, events.RuntimeConnected(True, 0.0), START)
     assert state.controller is not None and state.controller.settings.starts_cold
--- a/tests/tenants/test_table.py
+++ b/tests/tenants/test_table.py
@@ -15,19 +15,39 @@
 BASE = dn.parse("ou=tenants,dc=example")
 
 
-def tenant(tenant_id: str, *networks: str, balancers: tuple[tuple[int, int], ...] = (),
-           quota: float = 0.0) -> Tenant:
-    return Tenant(tenant_id, tenant_id.upper(), quota_per_s=quota, balancers=balancers,
-                  networks=tuple(ip_network(n) for n in networks))
+def tenant(
+    tenant_id: str, *networks: str, balancers: tuple[tuple[int, int], ...] = (), quota: float = 0.0
+) -> Tenant:
+    return Tenant(
+        tenant_id,
+        tenant_id.upper(),
+        quota_per_s=quota,
+        balancers=balancers,
+        networks=tuple(ip_network(n) for n in networks),
+    )
 
 
 def test_the_longest_prefix_wins_in_both_families() -> None:
     table = TenantTable()
-    table.apply([tenant("a", "10.0.0.0/8", "2001:db8::/32"), tenant("b", "10.1.0.0/16", "2001:db8:1::/48"),
-                 tenant("c", "10.1.2.3/32")])
-    for address, owner in (("10.9.9.9", "a"), ("10.1.9.9", "b"), ("10.1.2.3", "c"), ("2001:db8::1", "a"),
-                           ("2001:db8:1::1", "b"), ("::ffff:10.1.2.3", "c"), ("2001:db8:1::1%eth0", "b"),
-                           ("11.0.0.1", "default"), ("nonsense", "default"), ("", "default")):
+    table.apply(
+        [
+            tenant("a", "10.0.0.0/8", "2001:db8::/32"),
+            tenant("b", "10.1.0.0/16", "2001:db8:1::/48"),
+            tenant("c", "10.1.2.3/32"),
+        ]
+    )
+    for address, owner in (
+        ("10.9.9.9", "a"),
+        ("10.1.9.9", "b"),
+        ("10.1.2.3", "c"),
+        ("2001:db8::1", "a"),
+        ("2001:db8:1::1", "b"),
+        ("::ffff:10.1.2.3", "c"),
+        ("2001:db8:1::1%eth0", "b"),
+        ("11.0.0.1", "default"),
+        ("nonsense", "default"),
+        ("", "default"),
+    ):
         assert table.whois(address).id == owner, address
 
 
@@ -51,7 +71,8 @@
     assert not first.conflicts
     second = table.apply([tenant("a", "10.0.0.0/8")])
     assert [x.line() for x in second.conflicts] == [
-        "network 10.0.0.0/8 is claimed by a, who has it, and by b"]
+        "network 10.0.0.0/8 is claimed by a, who has it, and by b"
+    ]
     assert table.whois("10.0.0.1").id == "a" and len(table.conflicts) == 1
     assert not table.apply([tenant("b", "10.0.0.0/8", quota=2.0)]).conflicts  # said once
     table.apply([tenant("a", "11.0.0.0/8")])
@@ -60,13 +81,31 @@
     assert table.whois("10.0.0.1").id == "default" and table.networks == 1
 
 
-NETWORKS = st.sampled_from(["10.0.0.0/8", "10.0.0.0/9", "10.128.0.0/9", "10.0.0.0/24", "10.0.0.1/32",
-                            "2001:db8::/32", "2001:db8::/64"])
-TENANTS = st.builds(lambda i, n, b: tenant(i, *n, balancers=tuple(b)), st.sampled_from("abcd"),
-                    st.lists(NETWORKS, max_size=4, unique=True),
-                    st.lists(st.sampled_from([(1, 1), (1, 4), (3, 9)]), max_size=2, unique=True))
-PROBES = [("10.0.0.1", 1), ("10.0.0.7", 3), ("10.1.0.1", 4), ("10.200.0.1", 9), ("2001:db8::1", 2),
-          ("2001:db8:f::1", None)]
+NETWORKS = st.sampled_from(
+    [
+        "10.0.0.0/8",
+        "10.0.0.0/9",
+        "10.128.0.0/9",
+        "10.0.0.0/24",
+        "10.0.0.1/32",
+        "2001:db8::/32",
+        "2001:db8::/64",
+    ]
+)
+TENANTS = st.builds(
+    lambda i, n, b: tenant(i, *n, balancers=tuple(b)),
+    st.sampled_from("abcd"),
+    st.lists(NETWORKS, max_size=4, unique=True),
+    st.lists(st.sampled_from([(1, 1), (1, 4), (3, 9)]), max_size=2, unique=True),
+)
+PROBES = [
+    ("10.0.0.1", 1),
+    ("10.0.0.7", 3),
+    ("10.1.0.1", 4),
+    ("10.200.0.1", 9),
+    ("2001:db8::1", 2),
+    ("2001:db8:f::1", None),
+]
 
 
 @given(st.lists(st.one_of(TENANTS, st.sampled_from("abcd"))))
@@ -101,18 +140,38 @@
 
 
 def test_entries_are_read_strictly() -> None:
-    good = {"cn": (b"Farbhof",), "snowthreadquota": (b"12.5",), "snowthreadstatus": (b"Suspended",),
-            "snowthreadnetwork": (b"10.1.2.3/16", b"2001:db8::/32"), "snowthreadbalancer": (b"7", b"3-5"),
-            "snowthreadclass": (b"match",), "entryuuid": (b"10B6A61E-4736-524c-bf1f-0a63779c2252",)}
+    good = {
+        "cn": (b"Farbhof",),
+        "snowthreadquota": (b"12.5",),
+        "snowthreadstatus": (b"Suspended",),
+        "snowthreadnetwork": (b"10.1.2.3/16", b"2001:db8::/32"),
+        "snowthreadbalancer": (b"7", b"3-5"),
+        "snowthreadclass": (b"match",),
+        "entryuuid": (b"10B6A61E-4736-524c-bf1f-0a63779c2252",),
+    }
     name = "cn=Farbhof,ou=Tenants,dc=example"
     got = read(name, good, Names(), BASE)
-    assert got == Tenant("10b6a61e4736524cbf1f0a63779c2252", "Farbhof", Status.SUSPENDED, 12.5,
-                         (ip_network("10.1.0.0/16"), ip_network("2001:db8::/32")), ((3, 5), (7, 7)),
-                         frozenset({"match"}))
-    for change in ({"snowthreadquota": (b"-1",)}, {"snowthreadquota": (b"nan",)},
-                   {"snowthreadquota": (b"1", b"2")}, {"snowthreadnetwork": (b"10.0.0.0/40",)},
-                   {"snowthreadstatus": (b"maybe",)}, {"snowthreadbalancer": (b"9-3",)}, {"cn": ()},
-                   {"cn": (b"\xff\xfe",)}, {"cn": (b"a\nb",)}, {"snowthreadbalancer": (b"-4",)}):
+    assert got == Tenant(
+        "10b6a61e4736524cbf1f0a63779c2252",
+        "Farbhof",
+        Status.SUSPENDED,
+        12.5,
+        (ip_network("10.1.0.0/16"), ip_network("2001:db8::/32")),
+        ((3, 5), (7, 7)),
+        frozenset({"match"}),
+    )
+    for change in (
+        {"snowthreadquota": (b"-1",)},
+        {"snowthreadquota": (b"nan",)},
+        {"snowthreadquota": (b"1", b"2")},
+        {"snowthreadnetwork": (b"10.0.0.0/40",)},
+        {"snowthreadstatus": (b"maybe",)},
+        {"snowthreadbalancer": (b"9-3",)},
+        {"cn": ()},
+        {"cn": (b"\xff\xfe",)},
+        {"cn": (b"a\nb",)},
+        {"snowthreadbalancer": (b"-4",)},
+    ):
         assert isinstance(read(name, good | change, Names(), BASE), BadEntry), change
     assert isinstance(read("cn=x,ou=elsewhere,dc=example", good, Names(), BASE), BadEntry)
     assert isinstance(read("not a name", good, Names(), BASE), BadEntry)
--- a/tests/tenants/test_whole.py
+++ b/tests/tenants/test_whole.py
@@ -49,8 +49,11 @@
         """)
 
     def begin(self) -> None:
-        self.directory = self.stack.enter_context(started(
-            "-m", "emulators.directory", self.where, env=environment(self.config), stdin=subprocess.PIPE))
+        self.directory = self.stack.enter_context(
+            started(
+                "-m", "emulators.directory", self.where, env=environment(self.config), stdin=subprocess.PIPE
+            )
+        )
         assert self.directory.stdout is not None
         assert "5 tenants" in self.directory.stdout.readline()
 
@@ -64,8 +67,11 @@
         if self.config.with_name("site").exists() is False:
             self.config.with_name("site").touch()
             self.stack.enter_context(site(self.config))
-        process = self.stack.enter_context(started(
-            "-m", "snowthread", "serve", "--with", str(self.file), env=environment(self.config), **more))
+        process = self.stack.enter_context(
+            started(
+                "-m", "snowthread", "serve", "--with", str(self.file), env=environment(self.config), **more
+            )
+        )
         self.head = log_until(process, "listens on")
         return process
 
@@ -177,8 +183,14 @@
 
 def test_the_log_is_one_json_object_a_line_where_asked_for(stage: Stage) -> None:
     stage.begin()
-    with started("-m", "snowthread", "serve", "--with", str(stage.file),
-                 env=environment(stage.config) | {"NODE_LOG_FORMAT": "json"}) as process:
+    with started(
+        "-m",
+        "snowthread",
+        "serve",
+        "--with",
+        str(stage.file),
+        env=environment(stage.config) | {"NODE_LOG_FORMAT": "json"},
+    ) as process:
         line = json.loads(log_until(process, "tenants.refreshed").splitlines()[-1])
         process.send_signal(signal.SIGTERM)
         rest = [json.loads(text) for text in process.communicate(timeout=PATIENCE_S)[1].splitlines()]
@@ -188,8 +200,14 @@
 
 
 def run(stage: Stage, *words: str) -> subprocess.CompletedProcess[str]:
-    return subprocess.run([sys.executable, "-m", "snowthread", *words], cwd=ROOT, text=True,
-                          env=environment(stage.config), capture_output=True, timeout=PATIENCE_S)
+    return subprocess.run(
+        [sys.executable, "-m", "snowthread", *words],
+        cwd=ROOT,
+        text=True,
+        env=environment(stage.config),
+        capture_output=True,
+        timeout=PATIENCE_S,
+    )
 
 
 def test_the_commands_for_people(stage: Stage) -> None:
@@ -218,6 +236,12 @@
 print([m for m in sys.modules
        if m.split(".")[0] in tops or any(m == our or m.startswith(our + ".") for our in ours)])
 """
-    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, text=True, capture_output=True,
-                          env=os.environ | {"PYTHONPATH": str(ROOT)}, timeout=PATIENCE_S)
+    done = subprocess.run(
+        [sys.executable, "-c", code],
+        cwd=ROOT,
+        text=True,
+        capture_output=True,
+        env=os.environ | {"PYTHONPATH": str(ROOT)},
+        timeout=PATIENCE_S,
+    )
     assert done.stdout.strip() == "[]", done.stdout + done.stderr
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -28,9 +28,15 @@
 def configuration(folder: Path, **changes: Any) -> Path:
     """The example's configuration on free ports."""
     with ExitStack() as stack:
-        ports = {name: address(stack.enter_context(loopback(kind))) for name, kind in (
-            ("listen", socket.SOCK_STREAM), ("runtime", socket.SOCK_STREAM), ("index", socket.SOCK_STREAM),
-            ("roster", socket.SOCK_DGRAM))}
+        ports = {
+            name: address(stack.enter_context(loopback(kind)))
+            for name, kind in (
+                ("listen", socket.SOCK_STREAM),
+                ("runtime", socket.SOCK_STREAM),
+                ("index", socket.SOCK_STREAM),
+                ("roster", socket.SOCK_DGRAM),
+            )
+        }
     path = folder / "node.json"
     path.write_text(json.dumps(json.loads(EXAMPLE.read_bytes()) | ports | changes))
     return path
@@ -38,8 +44,14 @@
 
 @contextmanager
 def started(*command: str, **more: Any) -> Iterator[subprocess.Popen[str]]:
-    process = subprocess.Popen([sys.executable, *command], cwd=ROOT, text=True, stderr=subprocess.PIPE,
-                               stdout=subprocess.PIPE, **more)
+    process = subprocess.Popen(
+        [sys.executable, *command],
+        cwd=ROOT,
+        text=True,
+        stderr=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        **more,
+    )
     try:
         yield process
     finally:
@@ -127,7 +139,7 @@
             sent, checks = 0, b"\x94\x00\x01\xa6health\x91\x80" * 1_000_000
             with pytest.raises(BlockingIOError):  # the node reads no more, and the buffers between are full
                 while sent < len(checks):
-                    sent += sock.send(checks[sent:sent + 65536])
+                    sent += sock.send(checks[sent : sent + 65536])
                     ask(at(path), "health", b"")
             assert ask(at(path), "match", b"grey") == [1, 1, None, [b"GREY", {}]]
             sock.settimeout(PATIENCE_S)
@@ -192,11 +204,18 @@
     for fifo in (loading, going):
         os.mkfifo(fifo)
     (tmp_path / "sitecustomize.py").write_text(
-        f"open({str(loading)!r}, 'w').close()\nopen({str(going)!r}).close()\n")
+        f"open({str(loading)!r}, 'w').close()\nopen({str(going)!r}).close()\n"
+    )
     run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"].replace(
-        ".venv/bin/python", sys.executable)
-    with subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, text=True, stderr=subprocess.PIPE,
-                          env=environment(path) | {"PYTHONPATH": f"{tmp_path}:{ROOT}"}) as process:
+        ".venv/bin/python", sys.executable
+    )
+    with subprocess.Popen(
+        ["/bin/sh", "-c", run],
+        cwd=ROOT,
+        text=True,
+        stderr=subprocess.PIPE,
+        env=environment(path) | {"PYTHONPATH": f"{tmp_path}:{ROOT}"},
+    ) as process:
         try:
             loading.open().close()
             process.send_signal(number)
@@ -212,15 +231,29 @@
             process.kill()
 
 
-@pytest.mark.parametrize(("changes", "word"), [
-    ({"runtime": "nowhere:1"}, "runtime"), ({"listen": "127.0.0.1"}, "listen"),
-    ({"stop_ms": "soon"}, "stop_ms"), ({"settings": {"classes": []}}, "settings"),
-    ({"settings": None}, "settings"), ({"seed": "xyz"}, "seed"),
-    ({"limits": {"sockets": 0}}, "sockets"), ({"name": ""}, "name")])
+@pytest.mark.parametrize(
+    ("changes", "word"),
+    [
+        ({"runtime": "nowhere:1"}, "runtime"),
+        ({"listen": "127.0.0.1"}, "listen"),
+        ({"stop_ms": "soon"}, "stop_ms"),
+        ({"settings": {"classes": []}}, "settings"),
+        ({"settings": None}, "settings"),
+        ({"seed": "xyz"}, "seed"),
+        ({"limits": {"sockets": 0}}, "sockets"),
+        ({"name": ""}, "name"),
+    ],
+)
 def test_a_bad_configuration_ends_with_one_plain_line(tmp_path: Path, changes: Any, word: str) -> None:
     path = configuration(tmp_path, **changes)
-    done = subprocess.run([sys.executable, "-m", "snowthread"], cwd=ROOT, env=environment(path), text=True,
-                          capture_output=True, timeout=PATIENCE_S)
+    done = subprocess.run(
+        [sys.executable, "-m", "snowthread"],
+        cwd=ROOT,
+        env=environment(path),
+        text=True,
+        capture_output=True,
+        timeout=PATIENCE_S,
+    )
     assert done.returncode == 2
     assert word in done.stderr and done.stderr.count("\n") == 1
 
@@ -229,12 +262,21 @@
 def test_an_address_or_a_door_that_cannot_be_used_ends_with_one_plain_line(tmp_path: Path, what: str) -> None:
     path = configuration(tmp_path)
     with loopback(socket.SOCK_STREAM) as taken, loopback(socket.SOCK_DGRAM) as deaf:
-        more, word = {"admin taken": ({"NODE_ADMIN_ADDR": address(taken)}, address(taken)),
-                      "door no number": ({"NODE_FD": "x"}, "NODE_FD"),
-                      "door not open": ({"NODE_FD": "77"}, "can't listen"),
-                      "door does not listen": ({"NODE_FD": str(deaf.fileno())}, "does not listen")}[what]
-        done = subprocess.run([sys.executable, "-m", "snowthread"], cwd=ROOT, env=environment(path) | more,
-                              text=True, capture_output=True, timeout=PATIENCE_S, pass_fds=(deaf.fileno(),))
+        more, word = {
+            "admin taken": ({"NODE_ADMIN_ADDR": address(taken)}, address(taken)),
+            "door no number": ({"NODE_FD": "x"}, "NODE_FD"),
+            "door not open": ({"NODE_FD": "77"}, "can't listen"),
+            "door does not listen": ({"NODE_FD": str(deaf.fileno())}, "does not listen"),
+        }[what]
+        done = subprocess.run(
+            [sys.executable, "-m", "snowthread"],
+            cwd=ROOT,
+            env=environment(path) | more,
+            text=True,
+            capture_output=True,
+            timeout=PATIENCE_S,
+            pass_fds=(deaf.fileno(),),
+        )
     assert done.returncode == 2
     assert word in done.stderr and done.stderr.count("\n") == 1
 
@@ -242,15 +284,23 @@
 def test_sub_commands(tmp_path: Path) -> None:
     path = configuration(tmp_path)
     for command, word in (("version", "snowthread 0."), ("check", "n1: listens on")):
-        done = subprocess.run([sys.executable, "-m", "snowthread", command], cwd=ROOT, env=environment(path),
-                              text=True, capture_output=True, timeout=PATIENCE_S)
+        done = subprocess.run(
+            [sys.executable, "-m", "snowthread", command],
+            cwd=ROOT,
+            env=environment(path),
+            text=True,
+            capture_output=True,
+            timeout=PATIENCE_S,
+        )
         assert done.returncode == 0 and done.stdout.startswith(word)
 
 
 def test_a_bare_start_loads_nothing_of_the_features() -> None:
-    code = ("import sys, snowthread.serve; "
-            "print([m for m in sys.modules if m.startswith(('snowthread.recovery', 'snowthread.lab', "
-            "'snowthread.records', 'snowthread.operator', "
-            "'snowthread.admission.recovery_pacing', 'click'))])")
+    code = (
+        "import sys, snowthread.serve; "
+        "print([m for m in sys.modules if m.startswith(('snowthread.recovery', 'snowthread.lab', "
+        "'snowthread.records', 'snowthread.operator', "
+        "'snowthread.admission.recovery_pacing', 'click'))])"
+    )
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
