--- a/snowthread/lab/__init__.py
+++ b/snowthread/lab/__init__.py
@@ -1,7 +1,9 @@
-"""The fleet lab: several processes of the program, stand-ins beside them, faults between them.
+"""The fleet lab: several processes of the program, emulated surroundings, and faults between them.
 
-``faults`` is pure: what a link does to the bytes that cross it at a time (delay, jitter, bandwidth,
-partition, cut). ``plan`` is pure: a scenario (HCL) to a sorted, printable list of timed steps drawn from its
-seed. ``relay`` forwards TCP on the project's loop through a link's faults. ``runner`` starts the processes,
-plays the plan and the load, and sums up. The lab drives; it never decides: what a node does is its own.
+Pure parts: ``plan`` turns a scenario (HCL) into timed steps, ``deployment`` into configurations; ``faults``
+says what a link does to the bytes that cross it; ``summary`` sums up a run and ``report`` renders it.
+
+Parts that act: ``processes`` starts and stops nodes and emulators (also for the demo), ``cores`` distributes
+the processor cores, ``relay`` forwards traffic through the faults of a link, ``fleet`` joins these for one
+scenario, ``timeline`` carries out its steps, and ``runner`` runs it from start to summary.
 """
--- a/snowthread/lab/deployment.py
+++ b/snowthread/lab/deployment.py
@@ -1,7 +1,7 @@
-"""The brief's site, scaled to a scenario's run time: classes, a node's settings, the stand-ins' tables. Pure.
+"""Configuration of the nodes and emulators of a scenario: the reference site, scaled to its run time.
 
-Times of the brief are for a mean run of 302 ms; a scenario with runs of 100 ms has a third of each, so a play
-of 20 s stands for a minute, and a window of 15,951 ms for 5.3 s.
+Pure. The times of the reference site hold for runs of 302 ms in the mean. A scenario with runs of 100 ms uses
+a third of each time, so that 20 s of a run represent a minute, and a window of 15,951 ms becomes 5.3 s.
 """
 
 from __future__ import annotations
@@ -12,112 +12,166 @@
 
 from snowthread.lab.plan import Scenario
 
-MEAN_RUN_MS = 301.6  # of the brief's classes by their shares
-RAMP_S = 17.0  # until a machine is warm, as the settings say
-SURVIVES = 5.0  # times its slots that the database may hold
+REFERENCE_RUN_MS = 301.6  # of core time, in the mean over the classes by their shares
+WARM_UP_S = 17.0  # from a cold start of a machine until it is warm
+DATABASE_CALLS_PER_SLOT_MAX = 5.0  # calls that the database holds without collapsing, over its slots
+MEMORY_KB_PER_CORE = 8000.0
+SHUTDOWN_TIMEOUT_MS = 1500
+RETRY_DELAY_MIN_MS, RETRY_DELAY_MAX_MS = 900.0, 14_000.0  # of a keyed retry: within its window
+# Numbers of the balancers in requests: of this site's clients, and of another site's.
+OWN_BALANCER = 0
+FOREIGN_BALANCER = 100
 
 
 @dataclass(frozen=True, slots=True)
-class Kind:
+class RequestClass:
+    """One class of requests of the reference site."""
+
     name: str
-    share: float  # of the requests without a key
-    run_ms: float
-    goal_ms: float
+    share: float  # of the requests without an idempotency key
+    run_ms: float  # of core time
+    latency_objective_ms: float
     deadline_ms: float
-    worth: float
-    late: float
-    skip: float
-    calls: bool
+    priority_weight: float
+    late_value: float  # what an answer after the objective counts, as a share of its weight
+    value_without_calls: float  # what an answer made without its calls counts; 0: no such answers
+    makes_calls: bool  # runs call the database
     keyed: bool
-    window_ms: float
+    window_ms: float  # in which a key identifies a retry
+
+
+REQUEST_CLASSES = (
+    RequestClass(
+        name="match",
+        share=0.64,
+        run_ms=375.0,
+        latency_objective_ms=3200.0,
+        deadline_ms=11000.0,
+        priority_weight=1.0,
+        late_value=0.2,
+        value_without_calls=0.6,
+        makes_calls=True,
+        keyed=False,
+        window_ms=5000.0,
+    ),
+    RequestClass(
+        name="recalc",
+        share=0.36,
+        run_ms=270.0,
+        latency_objective_ms=2100.0,
+        deadline_ms=5300.0,
+        priority_weight=2.0,
+        late_value=0.0,
+        value_without_calls=0.0,
+        makes_calls=False,
+        keyed=False,
+        window_ms=5000.0,
+    ),
+    RequestClass(
+        name="dispense",
+        share=0.0,
+        run_ms=160.0,
+        latency_objective_ms=1600.0,
+        deadline_ms=5300.0,
+        priority_weight=5.0,
+        late_value=0.2,
+        value_without_calls=0.0,
+        makes_calls=True,
+        keyed=True,
+        window_ms=15951.0,
+    ),
+)
 
 
-CLASSES = (
-    Kind("match", 0.64, 375.0, 3200.0, 11000.0, 1.0, 0.2, 0.6, True, False, 5000.0),
-    Kind("recalc", 0.36, 270.0, 2100.0, 5300.0, 2.0, 0.0, 0.0, False, False, 5000.0),
-    Kind("dispense", 0.0, 160.0, 1600.0, 5300.0, 5.0, 0.2, 0.0, True, True, 15951.0),
-)
+def time_scale(scenario: Scenario) -> float:
+    """Return the scenario's times over those of the reference site."""
+    return scenario.run_ms / REFERENCE_RUN_MS
 
 
-def scale(scenario: Scenario) -> float:
-    """Of the brief's times."""
-    return scenario.run_ms / MEAN_RUN_MS
+def run_times_ms(scenario: Scenario) -> dict[str, float]:
+    """Return the core time of a run by class."""
+    return {kind.name: kind.run_ms * time_scale(scenario) for kind in REQUEST_CLASSES}
 
 
-def run_ms(scenario: Scenario) -> dict[str, float]:
-    """Work of a run by class."""
-    return {kind.name: kind.run_ms * scale(scenario) for kind in CLASSES}
+def deadlines_ms(scenario: Scenario) -> dict[str, float]:
+    """Return the deadline of a request by class."""
+    return {kind.name: kind.deadline_ms * time_scale(scenario) for kind in REQUEST_CLASSES}
 
 
-def over_ms(scenario: Scenario) -> dict[str, float]:
-    """After how long a class's requests are over."""
-    return {kind.name: kind.deadline_ms * scale(scenario) for kind in CLASSES}
+def requests_per_s(scenario: Scenario) -> float:
+    """Return the rate of requests to the whole fleet."""
+    capacity_per_s = scenario.nodes * scenario.cores * 1000.0 / scenario.run_ms
+    return scenario.load.share * capacity_per_s
 
 
 def balancer_classes(scenario: Scenario) -> dict[str, Any]:
-    """What the balancers are told of the classes, and when keyed repeats come: within their window."""
-    by = scale(scenario)
+    """Return the classes, and the range of retry delays, for ``emulators.balancers``."""
+    scale = time_scale(scenario)
     return {
-        "again_ms": [900.0 * by, 14_000.0 * by],
+        "again_ms": [RETRY_DELAY_MIN_MS * scale, RETRY_DELAY_MAX_MS * scale],
         "classes": [
             {
-                "name": k.name,
-                "share": k.share,
-                "goal_ms": k.goal_ms * by,
-                "deadline_ms": k.deadline_ms * by,
-                "worth": k.worth,
-                "late_value": k.late,
-                "skip_worth": k.skip or 1.0,
-                "keyed": k.keyed,
+                "name": kind.name,
+                "share": kind.share,
+                "goal_ms": kind.latency_objective_ms * scale,
+                "deadline_ms": kind.deadline_ms * scale,
+                "worth": kind.priority_weight,
+                "late_value": kind.late_value,
+                "skip_worth": kind.value_without_calls or 1.0,
+                "keyed": kind.keyed,
             }
-            for k in CLASSES
+            for kind in REQUEST_CLASSES
         ],
     }
 
 
-def node_fields(scenario: Scenario, fields: dict[str, Any]) -> dict[str, Any]:
-    """A node's configuration, made of the example's: the brief's site in this scenario's size."""
-    by, settings = scale(scenario) / 1000.0, fields["settings"]
-    settings["classes"] = [
-        {
-            "name": k.name,
-            "goal_time_s": k.goal_ms * by,
-            "deadline_s": k.deadline_ms * by,
-            "importance": k.worth,
-            "effect": "idempotency_key" if k.keyed else "read_like",
-            "late_value": k.late,
-            "window_s": k.window_ms * by,
-        }
-        for k in CLASSES
-    ]
+def node_fields(scenario: Scenario, example: dict[str, Any]) -> dict[str, Any]:
+    """Return a node's configuration: the example's, with the classes and sizes of the scenario."""
+    settings = example["settings"]
+    scale_s = time_scale(scenario) / 1000.0
+    settings["classes"] = [_class_fields(kind, scale_s) for kind in REQUEST_CLASSES]
     settings["domain"] |= {
         "cores": scenario.cores,
-        "calls_out": SURVIVES * scenario.slots / scenario.nodes,
-        "class_calls": [k.calls for k in CLASSES],
-        "class_skip_worth": [k.skip for k in CLASSES],
-        "memory_kb": 8000.0 * scenario.cores,
+        "calls_out": DATABASE_CALLS_PER_SLOT_MAX * scenario.slots / scenario.nodes,
+        "class_calls": [kind.makes_calls for kind in REQUEST_CLASSES],
+        "class_skip_worth": [kind.value_without_calls for kind in REQUEST_CLASSES],
+        "memory_kb": MEMORY_KB_PER_CORE * scenario.cores,
     }
     settings["peers_total"] = scenario.nodes
-    settings["rules"] |= {"cold_share": scenario.machine.cold_share, "ramp_time_s": RAMP_S * scale(scenario)}
-    return fields | {"stop_ms": 1500}
+    settings["rules"] |= {
+        "cold_share": scenario.machine.cold_share,
+        "ramp_time_s": WARM_UP_S * time_scale(scenario),
+    }
+    return example | {"stop_ms": SHUTDOWN_TIMEOUT_MS}
 
 
-OWN, OTHERS = 0, 100  # balancers' numbers: of this site's clients and of another's
+def _class_fields(kind: RequestClass, scale_s: float) -> dict[str, Any]:
+    return {
+        "name": kind.name,
+        "goal_time_s": kind.latency_objective_ms * scale_s,
+        "deadline_s": kind.deadline_ms * scale_s,
+        "importance": kind.priority_weight,
+        "effect": "idempotency_key" if kind.keyed else "read_like",
+        "late_value": kind.late_value,
+        "window_s": kind.window_ms * scale_s,
+    }
 
 
 def features_file(scenario: Scenario, folder: Path) -> str:
-    """The node's features: records always, coming back where the scenario has it on."""
-    out = f'records {{\n  folder = "{folder / "records"}"\n}}\n'
+    """Return the operator's file of a node: records, and recovery and sites where the scenario uses them."""
+    text = f'records {{\n  folder = "{folder / "records"}"\n}}\n'
     if scenario.comeback:
-        out += (
+        text += (
             f'comeback {{\n  folder = "{folder / "state"}"\n  every = "500ms"\n  fresh_for = "60s"\n'
             f"  database_per_s = {scenario.database_per_s:g}\n"
             f'  database_call = "{scenario.call_ms:g}ms"\n}}\n'
         )
     if scenario.load.foreign:
-        out += (
+        own = f"{OWN_BALANCER}-{FOREIGN_BALANCER - 1}"
+        foreign = f"{FOREIGN_BALANCER}-{2 * FOREIGN_BALANCER}"
+        text += (
             'site {\n  name = "here"\n'
-            f'  home {{\n    name = "here"\n    balancers = ["{OWN}-{OTHERS - 1}"]\n  }}\n'
-            f'  home {{\n    name = "there"\n    balancers = ["{OTHERS}-{2 * OTHERS}"]\n  }}\n}}\n'
+            f'  home {{\n    name = "here"\n    balancers = ["{own}"]\n  }}\n'
+            f'  home {{\n    name = "there"\n    balancers = ["{foreign}"]\n  }}\n}}\n'
         )
-    return out
+    return text
--- a/snowthread/lab/faults.py
+++ b/snowthread/lab/faults.py
@@ -1,16 +1,17 @@
-"""What a link of the lab does to the bytes that cross it. Pure: ``now`` and a seeded generator come in.
+"""Faults of a link of the lab: when a chunk of bytes that crosses it may be forwarded.
 
-Faults (Toxiproxy's toxics, written anew), each on or off at a time, composable:
+Pure: the time and a seeded random generator are arguments. The faults follow Toxiproxy's toxics and can be
+combined:
 
-| fault      | setting                 | effect                                                         |
-| ---------- | ----------------------- | -------------------------------------------------------------- |
-| delay      | ``delay_ms``            | every chunk is held so long                                    |
-| jitter     | ``jitter_ms``           | plus a draw of up to so long; order within a connection is kept |
-| bandwidth  | ``bytes_per_s``         | chunks leave no faster (a slow reader on the other side alike)  |
-| partition  | ``partitioned``         | new connections are closed at once, open ones forward nothing  |
-| cut        | ``cuts`` (a count)      | each connection opened before the last cut is closed           |
+| fault      | setting                 | effect                                                          |
+| ---------- | ----------------------- | --------------------------------------------------------------- |
+| delay      | ``delay_ms``            | every chunk is delayed by this time                             |
+| jitter     | ``jitter_ms``           | plus a random time up to this; a connection keeps its order     |
+| bandwidth  | ``bytes_per_s``         | chunks are forwarded no faster (a slow reader on the other side) |
+| partition  | ``partitioned``         | new connections are closed, open ones forward nothing           |
+| cut        | ``cuts`` (a count)      | connections opened before the latest cut are closed             |
 
-A half-open link is a partition that lasts: the peers learn of it only by their own timeouts.
+A half-open link is a lasting partition: the peers learn of it only by their own timeouts.
 """
 
 from __future__ import annotations
@@ -21,42 +22,40 @@
 
 @dataclass(slots=True)
 class LinkFaults:
-    """The faults of one link now; the plan changes them while it plays."""
+    """The present faults of one link; the timeline changes them during a run."""
 
     delay_ms: float = 0.0
     jitter_ms: float = 0.0
-    bytes_per_s: float = 0.0  # 0: as fast as the sockets go
+    bytes_per_s: float = 0.0  # 0: no limit
     partitioned: bool = False
     cuts: int = 0
 
     def clear(self) -> None:
-        """Heal the link; cuts already made stay made."""
+        """Heal the link; connections that were cut stay closed."""
         self.delay_ms = self.jitter_ms = self.bytes_per_s = 0.0
         self.partitioned = False
 
 
 @dataclass(slots=True)
-class Pace:
-    """One direction of one connection: when its last chunk may leave, so order is kept."""
+class Pacing:
+    """The state of one direction of one connection that keeps its chunks in order."""
 
-    born_cuts: int
-    last_ms: float = 0.0
+    cuts_at_open: int
+    last_release_ms: float = 0.0
 
 
-def release_ms(faults: LinkFaults, pace: Pace, now_ms: float, size: int, draw: random.Random) -> float:
-    """When a chunk of ``size`` bytes read at ``now_ms`` may be written on: never before the one before it."""
-    at = now_ms + faults.delay_ms + (draw.uniform(0.0, faults.jitter_ms) if faults.jitter_ms else 0.0)
+def release_ms(
+    faults: LinkFaults, pacing: Pacing, now_ms: float, size: int, generator: random.Random
+) -> float:
+    """Return when a chunk of ``size`` bytes read now may be forwarded, never before its predecessor."""
+    jitter_ms = generator.uniform(0.0, faults.jitter_ms) if faults.jitter_ms else 0.0
+    at_ms = now_ms + faults.delay_ms + jitter_ms
     if faults.bytes_per_s > 0:
-        at = max(at, pace.last_ms) + size * 1000.0 / faults.bytes_per_s
-    pace.last_ms = max(at, pace.last_ms)
-    return pace.last_ms
+        at_ms = max(at_ms, pacing.last_release_ms) + size * 1000.0 / faults.bytes_per_s
+    pacing.last_release_ms = max(at_ms, pacing.last_release_ms)
+    return pacing.last_release_ms
 
 
-def cut(faults: LinkFaults, pace: Pace) -> bool:
-    """Whether this connection was opened before a cut and has to close."""
-    return pace.born_cuts < faults.cuts
-
-
-def admits(faults: LinkFaults) -> bool:
-    """Whether a new connection may be opened through the link now."""
-    return not faults.partitioned
+def is_cut(faults: LinkFaults, pacing: Pacing) -> bool:
+    """Return whether a connection was opened before the latest cut and has to be closed."""
+    return pacing.cuts_at_open < faults.cuts
--- a/snowthread/lab/relay.py
+++ b/snowthread/lab/relay.py
@@ -1,162 +1,224 @@
-"""A TCP relay of the lab on the project's loop: listens at one address, forwards to another, through faults.
+"""Relays of the lab: forward TCP connections and datagrams to a target, through the faults of a link.
 
-One coroutine a direction of a connection; what is read waits in a bounded queue until :mod:`faults` lets it
-go. Where the queue is full, reading stops, so a slow link pushes back as a real one does. A cut closes both
-sides; a partition holds the bytes and refuses new connections.
+Each direction of a TCP connection is a coroutine of its own on the project's event loop. What it reads waits
+in a bounded queue until :mod:`snowthread.lab.faults` releases it. Reading stops while the queue is full, so
+that a slow link causes back pressure as a real one does.
 """
 
 from __future__ import annotations
 
+import contextlib
 import random
 import socket
+import struct
 from collections import deque
+from typing import NamedTuple
 
 from snowthread.address import Address
-from snowthread.lab.faults import LinkFaults, Pace, admits, cut, release_ms
+from snowthread.lab.faults import LinkFaults, Pacing, is_cut, release_ms
 from snowthread.net.loop import HANGUP, READABLE, WRITABLE, EventLoop, Task, TaskSteps, Wait
 
-QUEUE_BYTES = 1 << 20  # held a direction at the most
-CHUNK = 65536
-CHECK_MS = 50.0  # how often a held direction looks at the faults again
+QUEUE_BYTES_MAX = 1 << 20  # of one direction of a connection
+CHUNK_BYTES = 65536
+DATAGRAM_BYTES_MAX = 65536
+FAULT_POLL_MS = 50.0  # how often a waiting direction reads the faults again
+CONNECT_TIMEOUT_MS = 3000.0
+LISTEN_BACKLOG = 512
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, with a timeout of 0 s
 
 
 class Relay:
-    """One link: ``listen`` -> ``target``; its faults are changed from outside while it plays."""
+    """A TCP link from its own ``address`` to a target; set ``faults`` to disturb it."""
 
     def __init__(
-        self, loop: EventLoop, listen: Address, target: Address, draw: random.Random, name: str = ""
+        self, loop: EventLoop, listen: Address, target: Address, generator: random.Random, name: str = ""
     ) -> None:
-        self.loop, self.target, self.draw, self.name = loop, target, draw, name
+        """Listen at once; port 0 of ``listen`` picks a free port, which ``address`` then holds."""
+        self.loop = loop
+        self.target = target
+        self.generator = generator
+        self.name = name
         self.faults = LinkFaults()
-        self.opened = self.refused = 0
-        self.bytes = 0
+        self.opened = 0
+        self.rejected = 0
+        self.bytes_forwarded = 0
         self.address = listen
-        self._task: Task | None = None
+        self._listener: socket.socket | None = None
+        self._accept_task: Task | None = None
         self.open()
 
     def open(self) -> None:
-        """Listen; the address is kept over a :meth:`close`."""
-        if self._task is not None:
+        """Listen at the relay's address; no effect where it listens already."""
+        if self._accept_task is not None:
             return
         listener = self.address.open(socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind(self.address)
-        listener.listen(512)
+        listener.listen(LISTEN_BACKLOG)
         self.address = Address(*listener.getsockname()[:2])
-        self._listener, self._task = listener, self.loop.spawn(self._accept(listener))
+        self._listener = listener
+        self._accept_task = self.loop.spawn(self._accept(listener))
 
     def close(self) -> None:
-        """Listen no more: callers are refused, as where the process behind is dead. Open connections stay."""
-        if self._task is not None:
-            self.loop.end_task(self._task)
-            self._task = None
-            if self._listener.fileno() >= 0:  # a task that never ran closes nothing
-                self._listener.close()
+        """Stop listening, as if the target were dead; open connections stay, and so does the address."""
+        if self._accept_task is None or self._listener is None:
+            return
+        self.loop.end_task(self._accept_task)
+        self._accept_task = None
+        if self._listener.fileno() >= 0:  # a task that never ran has closed nothing
+            self._listener.close()
 
     def _accept(self, listener: socket.socket) -> TaskSteps:
         try:
             while True:
                 yield Wait(listener.fileno(), READABLE)
                 try:
-                    near, _ = listener.accept()
+                    client, _ = listener.accept()
                 except BlockingIOError:
                     continue
-                if not admits(self.faults):
-                    self.refused += 1
-                    near.close()
+                if self.faults.partitioned:
+                    self.rejected += 1
+                    client.close()
                     continue
-                near.setblocking(False)
+                client.setblocking(False)
                 self.opened += 1
-                self.loop.spawn(self._connection(near))
+                self.loop.spawn(self._connect(client))
         finally:
             self.loop.close(listener)
 
-    def _connection(self, near: socket.socket) -> TaskSteps:
-        far = self.target.open(socket.SOCK_STREAM)
+    def _connect(self, client: socket.socket) -> TaskSteps:
+        """Connect to the target and start both directions; close the client where it does not answer."""
+        server = self.target.open(socket.SOCK_STREAM)
         try:
-            far.connect(self.target)
+            server.connect(self.target)
         except BlockingIOError:
-            yield Wait(far.fileno(), WRITABLE | HANGUP, self.loop.clock.now() + 3000.0)
-            self.loop.unwatch(far.fileno())
+            yield Wait(server.fileno(), WRITABLE | HANGUP, self.loop.clock.now() + CONNECT_TIMEOUT_MS)
+            self.loop.unwatch(server.fileno())
         except OSError:
             pass
-        if far.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) or not _connected(far):
-            self.refused += 1  # nobody on the other side: the caller finds the door closed, as without us
-            near.close()
-            far.close()
+        if server.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) or not _is_connected(server):
+            self.rejected += 1
+            client.close()
+            server.close()
             return
-        for sock in (near, far):
+        for sock in (client, server):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        pair = Pair()
-        # Each direction has its own descriptors (dup), since the loop watches a descriptor for one task.
-        self.loop.spawn(self._pump(near, far.dup(), pair))
-        self.loop.spawn(self._pump(far, near.dup(), pair))
-
-    def _pump(self, source: socket.socket, sink: socket.socket, pair: Pair) -> TaskSteps:
-        """Read from ``source``, hold, write to ``sink``; a cut, a reset or both ends close all."""
-        pace = Pace(self.faults.cuts)
-        held: deque[tuple[float, bytes]] = deque()
-        size, ended = 0, False
+        connection = _ConnectionState()
+        # Each direction has its own descriptors, since the loop watches a descriptor for one task.
+        self.loop.spawn(_Direction(self, client, server.dup(), connection).run())
+        self.loop.spawn(_Direction(self, server, client.dup(), connection).run())
+
+
+class _ConnectionState:
+    """What the two directions of one connection share."""
+
+    __slots__ = ("broken", "directions_ended")
+
+    def __init__(self) -> None:
+        self.broken = False
+        self.directions_ended = 0
+
+
+class _QueuedChunk(NamedTuple):
+    """Bytes that were read, and when they may be forwarded."""
+
+    release_ms: float
+    data: bytes
+
+
+class _Direction:
+    """One direction of a relayed connection: reads, delays and writes until it ends, breaks or is cut."""
+
+    def __init__(
+        self, relay: Relay, source: socket.socket, sink: socket.socket, connection: _ConnectionState
+    ) -> None:
+        self._relay = relay
+        self._faults = relay.faults
+        self._loop = relay.loop
+        self._source = source
+        self._sink = sink
+        self._connection = connection
+        self._pacing = Pacing(relay.faults.cuts)
+        self._queue: deque[_QueuedChunk] = deque()
+        self._queued_bytes = 0
+        self._source_ended = False
+
+    def run(self) -> TaskSteps:
+        """Forward until the source has ended and all of it is written; then wait for the other direction."""
         try:
-            while not (ended and not held):
-                if cut(self.faults, pace) or pair.broken:
+            while self._queue or not self._source_ended:
+                if self._must_close():
                     return
-                now = self.loop.clock.now()
-                if held and not self.faults.partitioned and held[0][0] <= now:
-                    at, chunk = held.popleft()
-                    size -= len(chunk)
-                    try:
-                        sent = sink.send(chunk)
-                    except BlockingIOError:
-                        sent = 0
-                    self.bytes += sent
-                    if sent < len(chunk):
-                        held.appendleft((at, chunk[sent:]))
-                        size += len(chunk) - sent
-                        yield Wait(sink.fileno(), WRITABLE | HANGUP, now + CHECK_MS)
-                    continue
-                due = held[0][0] if held and not self.faults.partitioned else now + CHECK_MS
-                if ended or size >= QUEUE_BYTES:
-                    yield Wait(until=min(due, now + CHECK_MS))
+                now = self._loop.clock.now()
+                if self._is_due(now):
+                    if not self._write_first_chunk():
+                        yield Wait(self._sink.fileno(), WRITABLE | HANGUP, now + FAULT_POLL_MS)
                     continue
-                mask = yield Wait(source.fileno(), READABLE, min(due, now + CHECK_MS))
-                if not mask:
+                wake_ms = self._wake_ms(now)
+                if self._source_ended or self._queued_bytes >= QUEUE_BYTES_MAX:
+                    yield Wait(until=wake_ms)
                     continue
-                try:
-                    data = source.recv(CHUNK)
-                except BlockingIOError:
-                    continue
-                if not data:
-                    ended = True
-                    continue
-                leaves = release_ms(self.faults, pace, self.loop.clock.now(), len(data), self.draw)
-                held.append((leaves, data))
-                size += len(data)
-            sink.shutdown(socket.SHUT_WR)  # this side ended: so does what the other reads
-            pair.ended += 1
-            while pair.ended < 2 and not pair.broken and not cut(self.faults, pace):
-                yield Wait(until=self.loop.clock.now() + CHECK_MS)  # the other direction still speaks
+                if (yield Wait(self._source.fileno(), READABLE, wake_ms)):
+                    self._read_chunk()
+            self._sink.shutdown(socket.SHUT_WR)
+            self._connection.directions_ended += 1
+            while self._connection.directions_ended < 2 and not self._must_close():
+                yield Wait(until=self._loop.clock.now() + FAULT_POLL_MS)
         except OSError:
-            pair.broken = True
+            self._connection.broken = True
         finally:
-            if cut(self.faults, pace):
-                pair.broken = True
-            if pair.broken:
-                _reset(source)
-            self.loop.close(source)
-            self.loop.close(sink)
+            self._close()
 
+    def _must_close(self) -> bool:
+        return is_cut(self._faults, self._pacing) or self._connection.broken
 
-class Pair:
-    """What the two directions of one connection know of each other."""
+    def _is_due(self, now: float) -> bool:
+        return bool(self._queue) and not self._faults.partitioned and self._queue[0].release_ms <= now
 
-    __slots__ = ("broken", "ended")
+    def _wake_ms(self, now: float) -> float:
+        """Return when to look again: as the first chunk is due, or to read the faults anew."""
+        poll_ms = now + FAULT_POLL_MS
+        if self._queue and not self._faults.partitioned:
+            return min(self._queue[0].release_ms, poll_ms)
+        return poll_ms
 
-    def __init__(self) -> None:
-        self.broken, self.ended = False, 0
+    def _read_chunk(self) -> None:
+        try:
+            data = self._source.recv(CHUNK_BYTES)
+        except BlockingIOError:
+            return
+        if not data:
+            self._source_ended = True
+            return
+        now = self._loop.clock.now()
+        at_ms = release_ms(self._faults, self._pacing, now, len(data), self._relay.generator)
+        self._queue.append(_QueuedChunk(at_ms, data))
+        self._queued_bytes += len(data)
+
+    def _write_first_chunk(self) -> bool:
+        """Write what the sink takes of the first chunk; return whether it took all of it."""
+        chunk = self._queue.popleft()
+        try:
+            sent = self._sink.send(chunk.data)
+        except BlockingIOError:
+            sent = 0
+        self._relay.bytes_forwarded += sent
+        self._queued_bytes -= sent
+        if sent == len(chunk.data):
+            return True
+        self._queue.appendleft(_QueuedChunk(chunk.release_ms, chunk.data[sent:]))
+        return False
+
+    def _close(self) -> None:
+        if is_cut(self._faults, self._pacing):
+            self._connection.broken = True
+        if self._connection.broken:
+            _reset_on_close(self._source)
+        self._loop.close(self._source)
+        self._loop.close(self._sink)
 
 
-def _connected(sock: socket.socket) -> bool:
+def _is_connected(sock: socket.socket) -> bool:
     try:
         sock.getpeername()
     except OSError:
@@ -164,61 +226,65 @@
     return True
 
 
-def _reset(sock: socket.socket) -> None:
-    """Close with a reset, as a cut link or a dead peer's kernel would."""
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
-    except OSError:
-        pass
+def _reset_on_close(sock: socket.socket) -> None:
+    """Have the socket close with a reset, as a cut link or the kernel of a dead peer would."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
 
 class DatagramRelay:
-    """One node's link with the roster: reports and their answers, passed on as they come, or dropped
-    while the link is partitioned."""
+    """The link between one node and the registry: forwards datagrams, or drops them while partitioned."""
 
     def __init__(self, loop: EventLoop, target: Address, name: str = "") -> None:
-        self.loop, self.target, self.name = loop, target, name
+        """Receive on a free loopback port, which ``address`` holds."""
+        self.loop = loop
+        self.target = target
+        self.name = name
         self.faults = LinkFaults()
-        self.passed = self.dropped = 0
-        self._near = Address("127.0.0.1", 0).open(socket.SOCK_DGRAM)
-        self._near.bind(("127.0.0.1", 0))
-        self._far = target.open(socket.SOCK_DGRAM)
-        self._far.connect(target)
-        self._caller: tuple[str, int] | None = None
-        self.address = Address(*self._near.getsockname()[:2])
-        self._tasks = [loop.spawn(self._out()), loop.spawn(self._back())]
+        self.forwarded = 0
+        self.dropped = 0
+        self._client_side = Address("127.0.0.1", 0).open(socket.SOCK_DGRAM)
+        self._client_side.bind(("127.0.0.1", 0))
+        self._target_side = target.open(socket.SOCK_DGRAM)
+        self._target_side.connect(target)
+        self._client: tuple[str, int] | None = None
+        self.address = Address(*self._client_side.getsockname()[:2])
+        self._tasks = [loop.spawn(self._forward_requests()), loop.spawn(self._forward_answers())]
 
     def close(self) -> None:
+        """Close both sockets."""
         for task in self._tasks:
             self.loop.end_task(task)
 
     def _passes(self) -> bool:
-        self.dropped += self.faults.partitioned
-        self.passed += not self.faults.partitioned
-        return not self.faults.partitioned
+        """Count a datagram, and return whether it is forwarded."""
+        passes = not self.faults.partitioned
+        self.forwarded += passes
+        self.dropped += not passes
+        return passes
 
-    def _out(self) -> TaskSteps:
+    def _forward_requests(self) -> TaskSteps:
         try:
             while True:
-                yield Wait(self._near.fileno(), READABLE)
+                yield Wait(self._client_side.fileno(), READABLE)
                 try:
-                    word, self._caller = self._near.recvfrom(65536)
+                    datagram, self._client = self._client_side.recvfrom(DATAGRAM_BYTES_MAX)
                     if self._passes():
-                        self._far.send(word)
+                        self._target_side.send(datagram)
                 except OSError:
-                    self.dropped += 1  # the roster is not there: a datagram is lost, as on a network
+                    self.dropped += 1  # no registry there: the datagram is lost, as on a network
         finally:
-            self.loop.close(self._near)
+            self.loop.close(self._client_side)
 
-    def _back(self) -> TaskSteps:
+    def _forward_answers(self) -> TaskSteps:
         try:
             while True:
-                yield Wait(self._far.fileno(), READABLE)
+                yield Wait(self._target_side.fileno(), READABLE)
                 try:
-                    word = self._far.recv(65536)
-                    if self._caller is not None and self._passes():
-                        self._near.sendto(word, self._caller)
+                    datagram = self._target_side.recv(DATAGRAM_BYTES_MAX)
+                    if self._client is not None and self._passes():
+                        self._client_side.sendto(datagram, self._client)
                 except OSError:
                     self.dropped += 1
         finally:
-            self.loop.close(self._far)
+            self.loop.close(self._target_side)
--- a/snowthread/lab/report.py
+++ b/snowthread/lab/report.py
@@ -1,11 +1,14 @@
-"""A play of the lab as one HTML file: service, refusals, the shared database's load and nodes alive, a second
-at a time, with the plan's steps listed. Drawn by the same chart code as ``snowthread report``.
+"""Render the summary of a run of the lab as one HTML file.
+
+It shows service, rejections, the load of the shared database and the nodes that accept connections, each by
+second, with the steps of the plan. The charts are those of ``snowthread report``.
 """
 
 from __future__ import annotations
 
 import html
 import json
+from collections.abc import Sequence
 from typing import Any
 
 from snowthread.incident.report import _chart
@@ -29,54 +32,57 @@
     "starts",
     "cpu_s",
 )
+STYLE = "body{font-family:sans-serif;max-width:960px;margin:auto}th{text-align:left;padding-right:1em}"
 
 
-def page(summary: dict[str, Any]) -> str:
-    """The HTML of a summary that :func:`snowthread.lab.runner.summary` made."""
-    seconds = len(summary["service_by_s"])
+def render_report(summary: dict[str, Any]) -> str:
+    """Return the HTML page of a summary."""
+    title = html.escape(f"lab: {summary['scenario']}, seed {summary['seed']}, {summary['nodes']} nodes")
+    return (
+        f"<!doctype html><html><head><meta charset=utf-8><title>{title}</title><style>{STYLE}</style></head>"
+        f"<body><h1>{title}</h1><table>{_figure_rows(summary)}</table>"
+        f"<h2>Steps</h2><ol>{_step_items(summary)}</ol>"
+        + "".join(f"<figure>{chart}</figure>" for chart in _charts(summary))
+        + "</body></html>"
+    )
 
-    def series(values: list[float]) -> dict[int, float]:
-        return dict(enumerate(values))
 
-    capacity = float(summary["database_per_s"])
-    charts = [
-        _chart("Worth served over worth asked", 0, seconds - 1, {"service": series(summary["service_by_s"])}),
-        _chart(
-            "Requests a second",
-            0,
-            seconds - 1,
-            {
-                "asked": series(summary["asked_by_s"]),
-                "refused": series(summary["refused_by_s"]),
-                "failed": series(summary["failed_by_s"]),
-            },
-        ),
-        _chart(
-            "Shared database: calls over its capacity",
-            0,
-            seconds - 1,
-            {
-                "came": series([calls / capacity for calls in summary["database_by_s"]]),
-                "done": series([calls / capacity for calls in summary["database_done_by_s"]]),
-            },
-        ),
-        _chart("Nodes that take connections", 0, seconds - 1, {"alive": series(summary["alive_by_s"])}),
-    ]
-    rows = "".join(
+def _figure_rows(summary: dict[str, Any]) -> str:
+    return "".join(
         f"<tr><th>{html.escape(name)}</th><td>{html.escape(json.dumps(summary.get(name)))}</td></tr>"
         for name in FIGURES
     )
-    steps = "".join(
+
+
+def _step_items(summary: dict[str, Any]) -> str:
+    return "".join(
         f"<li>{event['at_ms'] / 1000:.1f} s: {html.escape(event['do'])} "
         f"{html.escape(' '.join(event['nodes']))} {html.escape(event['link'])}</li>"
         for event in summary["events"]
     )
-    title = html.escape(f"lab: {summary['scenario']}, seed {summary['seed']}, {summary['nodes']} nodes")
-    return (
-        f"<!doctype html><html><head><meta charset=utf-8><title>{title}</title>"
-        "<style>body{font-family:sans-serif;max-width:960px;margin:auto}th{text-align:left;padding-right:1em}"
-        "</style></head>"
-        f"<body><h1>{title}</h1><table>{rows}</table><h2>Steps</h2><ol>{steps}</ol>"
-        + "".join(f"<figure>{chart}</figure>" for chart in charts)
-        + "</body></html>"
-    )
+
+
+def _charts(summary: dict[str, Any]) -> list[str]:
+    last_second = len(summary["service_by_s"]) - 1
+    capacity = float(summary["database_per_s"])
+
+    def chart(title: str, **lines: Sequence[float]) -> str:
+        return _chart(
+            title, 0, last_second, {name: dict(enumerate(values)) for name, values in lines.items()}
+        )
+
+    return [
+        chart("Value served over value asked", service=summary["service_by_s"]),
+        chart(
+            "Requests a second",
+            asked=summary["asked_by_s"],
+            rejected=summary["refused_by_s"],
+            failed=summary["failed_by_s"],
+        ),
+        chart(
+            "Shared database: calls over its capacity",
+            received=[calls / capacity for calls in summary["database_by_s"]],
+            completed=[calls / capacity for calls in summary["database_done_by_s"]],
+        ),
+        chart("Nodes that accept connections", accepting=summary["alive_by_s"]),
+    ]
--- a/snowthread/lab/summary.py
+++ b/snowthread/lab/summary.py
@@ -1,133 +1,229 @@
-"""What a play came to: one JSON object from what the stand-ins and the runner saw. Pure.
+"""Sum up a run of the lab as one JSON object. Pure.
 
-Service is worth in aim over the worth asked for, by the second in which requests were born. Before is its
-mean from the third second on to the first fault. Full again is the first second from which three smoothed
-seconds (the mean of three) on end have 95 % of that; a second dip is a smoothed second after it under 90 %.
+Service is the value of the answers given over the value asked for, by the second in which requests were
+sent. The baseline is its mean from the third second to the first fault. Service is fully recovered in the
+first second from which three smoothed seconds (each the mean of three) in a row reach 95 % of the baseline. A
+second dip is a later smoothed second below 90 %.
+
+The keys of the objects read and returned here are read by ``benchmarks/recovery.py`` and in ``docs/lab.md``.
 """
 
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
-from typing import Any
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from typing import Any, NamedTuple
 
-from snowthread.lab.plan import Scenario
+from snowthread.lab.deployment import DATABASE_CALLS_PER_SLOT_MAX
+from snowthread.lab.plan import Action, Scenario
 from snowthread.records.model import Record
 
-FULL, DIPPED, LASTS = 0.95, 0.9, 3
-STALE, PERIOD_S = 2.0, 0.25  # aims: the bound of the coming back; and how often it looks
-SETTLED_S = 2  # the fleet's first seconds tell nothing of before
+FULL_SERVICE_SHARE = 0.95  # of the baseline
+DIP_SHARE = 0.9  # of the baseline
+FULL_SERVICE_SECONDS = 3  # in a row
+SETTLING_SECONDS = 2  # at the start of a run: not part of the baseline
+STALE_AFTER_OBJECTIVES = 2.0  # age of a run time, in latency objectives, from which it counts as stale
+STALE_TOLERANCE_S = 0.25  # the nodes check the age this often
+NODE_FAULTS = frozenset({Action.KILL, Action.TERM, Action.STOP})
+# Log events of the recovery feature in the nodes' records; earlier versions wrote the second prefix.
+RECOVERY_EVENT_PREFIXES = ("recovery.", "comeback.")
+SNAPSHOT_WRITE_EVENT = "write"  # says that a snapshot was not written: nothing about a start
 
 
-def smooth(values: list[float]) -> list[float]:
-    """Each second's mean with its neighbours."""
-    return [
-        sum(values[max(0, n - 1) : n + 2]) / len(values[max(0, n - 1) : n + 2]) for n in range(len(values))
-    ]
+class Recovery(NamedTuple):
+    """How service came back after a fault."""
 
+    full_service_s: float | None  # from the fault; None: not within the run
+    second_dips: int
 
-def back(service: list[float], fault_s: float, before: float) -> tuple[float | None, int]:
-    """Seconds from the fault to full service (None: not within the play), and seconds of a second dip."""
-    even, first = smooth(service), int(fault_s)
-    for second in range(first, len(even) - LASTS + 1):
-        if all(value >= FULL * before for value in even[second : second + LASTS]) and second > first:
-            dips = sum(value < DIPPED * before for value in even[second + LASTS :])
-            return max(0.0, second - fault_s), dips
-    return None, 0
 
+def smooth(values: Sequence[float]) -> list[float]:
+    """Return the mean of each value and its neighbours."""
+    windows = [values[max(0, index - 1) : index + 2] for index in range(len(values))]
+    return [sum(window) / len(window) for window in windows]
 
-def share(rows: list[list[float]]) -> float | None:
-    """Worth served over worth asked for; None where nothing was."""
-    asked = sum(row[0] for row in rows)
-    return round(sum(row[1] for row in rows) / asked, 3) if asked else None
 
+def measure_recovery(service: Sequence[float], fault_s: float, baseline: float) -> Recovery:
+    """Return when service, given by second, reached the baseline again after a fault, and its later dips."""
+    smoothed = smooth(service)
+    for second in range(int(fault_s) + 1, len(smoothed) - FULL_SERVICE_SECONDS + 1):
+        end = second + FULL_SERVICE_SECONDS
+        if all(value >= FULL_SERVICE_SHARE * baseline for value in smoothed[second:end]):
+            dips = sum(value < DIP_SHARE * baseline for value in smoothed[end:])
+            return Recovery(max(0.0, second - fault_s), dips)
+    return Recovery(None, 0)
 
-def told(records: Iterable[Record]) -> dict[str, Any]:
-    """What the nodes' own records say: decisions made on stale state (requests read in a second at whose end
-    their class's run times had not been confirmed for over ``STALE`` aims), and what each start trusted."""
-    aims: dict[str, float] = {}
-    stale, decisions = 0, 0
+
+def summarize_records(records: Iterable[Record]) -> dict[str, Any]:
+    """Return the decisions made on stale state, and what each start of a node found and trusted.
+
+    A request counts as decided on stale state where it was read in a second at whose end the run times of its
+    class had not been confirmed for more than ``STALE_AFTER_OBJECTIVES``.
+    """
+    objectives_s: dict[str, float] = {}
+    stale = decisions = 0
     starts: Counter[str] = Counter()
     for record in records:
         fields = record.fields
         if record.kind == "start":
-            aims |= {name: goal / 1000.0 for name, goal, _ in fields["classes"]}
-        elif record.kind == "note" and str(fields.get("event", "")).startswith("comeback."):
-            if "verdict" in fields:
-                starts[f"{fields['event'].removeprefix('comeback.')} {fields['verdict']}"] += 1
-            elif fields["event"] != "comeback.write":
-                starts[fields["event"].removeprefix("comeback.")] += 1
+            objectives_s |= {name: objective_ms / 1000.0 for name, objective_ms, _ in fields["classes"]}
+        elif record.kind == "note":
+            if found := _start_finding(fields):
+                starts[found] += 1
         elif record.kind == "second":
-            ages = fields.get("run_ages_s", {})
+            ages_s = fields.get("run_ages_s", {})
             for name, _, counts in fields["totals"]:
-                decisions += counts.get("read", 0)
-                if ages.get(name, 0.0) > STALE * aims.get(name, float("inf")) + PERIOD_S:
-                    stale += counts.get("read", 0)
+                read = counts.get("read", 0)
+                decisions += read
+                limit_s = STALE_AFTER_OBJECTIVES * objectives_s.get(name, float("inf")) + STALE_TOLERANCE_S
+                if ages_s.get(name, 0.0) > limit_s:
+                    stale += read
     return {"stale_decisions": stale, "decisions": decisions, "starts": dict(starts)}
 
 
-def summary(
-    scenario: Scenario, traffic: dict[str, Any], fleet: dict[str, Any], facts: dict[str, Any]
+def _start_finding(fields: dict[str, Any]) -> str:
+    """Return what a note of the recovery feature says about a start; empty for other notes."""
+    event = str(fields.get("event", ""))
+    for prefix in RECOVERY_EVENT_PREFIXES:
+        if event.startswith(prefix):
+            name = event.removeprefix(prefix)
+            if "verdict" in fields:
+                return f"{name} {fields['verdict']}"
+            return "" if name == SNAPSHOT_WRITE_EVENT else name
+    return ""
+
+
+@dataclass(frozen=True, slots=True)
+class _Reports:
+    """The scenario of a run and what the emulators counted in it."""
+
+    scenario: Scenario
+    traffic: dict[str, Any]  # of emulators.balancers
+    services: dict[str, Any]  # of emulators.fleet_services
+
+    @property
+    def table(self) -> dict[str, list[float]]:
+        """The traffic by second of the run."""
+        table: dict[str, list[float]] = self.traffic["by_second"]
+        return table
+
+    @property
+    def seconds(self) -> int:
+        return len(self.table["asked"])
+
+    @property
+    def fault_s(self) -> float | None:
+        """When the first node was disturbed."""
+        faults = [step.at_ms / 1000.0 for step in self.scenario.steps if step.do in NODE_FAULTS]
+        return faults[0] if faults else None
+
+    @property
+    def seconds_after_fault(self) -> range:
+        return range(self.seconds if self.fault_s is None else int(self.fault_s), self.seconds)
+
+    def services_by_second(self, name: str) -> list[Any]:
+        """Return a count of the services, which they keep by second of their clock, by second of the run."""
+        counts = self.services[name]
+        begin = int(self.traffic["begin"] // 1000)
+        return [counts.get(str(begin + second), 0) for second in range(self.seconds)]
+
+    def largest_after_fault(self, name: str) -> float:
+        counts = self.services_by_second(name)
+        return max((counts[second] for second in self.seconds_after_fault), default=0)
+
+
+def summarize(
+    scenario: Scenario, traffic: dict[str, Any], services: dict[str, Any], runner: dict[str, Any]
 ) -> dict[str, Any]:
-    """The play as one JSON object."""
-    table = traffic["by_second"]
-    seconds = len(table["asked"])
-    service = [
-        worth / asked if asked else 1.0
-        for worth, asked in zip(table["worth"], table["worth_asked"], strict=True)
-    ]
-    faults = [step.at_ms / 1000.0 for step in scenario.steps if step.do in ("kill", "term", "stop")]
-    first = int(faults[0]) if faults else seconds
-    calm = range(min(SETTLED_S, first), first)
-    before = sum(table["worth"][s] for s in calm) / max(1e-9, sum(table["worth_asked"][s] for s in calm))
-    full_s, dips = back(service, faults[0], before) if faults else (0.0, 0)
-    base = int(traffic["begin"] // 1000)
-
-    def by_second(counts: dict[str, Any]) -> list[Any]:
-        return [counts.get(str(base + second), 0) for second in range(seconds)]
-
-    calls, held = by_second(fleet["calls"]), by_second(fleet["held"])
-    after = slice(first, seconds)
-    survives = 5.0 * scenario.slots
-    tries = traffic["tries"]
-    # What was asked for from the fault on and not got: the return's price, whatever its course.
-    lost = sum(before * table["worth_asked"][s] - table["worth"][s] for s in range(first, seconds))
+    """Return the summary of a run from the reports of the emulators and of the runner."""
+    reports = _Reports(scenario, traffic, services)
     return {
         "scenario": scenario.name,
         "seed": scenario.seed,
         "nodes": scenario.nodes,
         "comeback": scenario.comeback,
-        "asked": int(sum(table["asked"])),
+        **_request_figures(reports),
+        **_service_figures(reports),
+        **_database_figures(reports),
+        **_figures_by_second(reports),
+        **runner,
+    }
+
+
+def _request_figures(reports: _Reports) -> dict[str, Any]:
+    traffic, keyed_runs = reports.traffic, reports.services["keyed"]
+    tries = traffic["tries"]
+    return {
+        "asked": int(sum(reports.table["asked"])),
         "tries": tries,
         "lost": traffic["lost"],
         "gone_with_node": traffic["gone_with_node"],
         "answered_twice": tries.get("answered twice", 0),
         "late": tries.get("late", 0),
         "spoilt": tries.get("spoilt", 0),
-        "keyed_runs_doubled": sum(count > 1 for count in fleet["keyed"].values()),
-        "keys_run": len(fleet["keyed"]),
+        "keyed_runs_doubled": sum(count > 1 for count in keyed_runs.values()),
+        "keys_run": len(keyed_runs),
         "homes": traffic["homes"],
-        "foreign_keys_run": sum(key.partition("/")[2].startswith("f") for key in fleet["keyed"]),
-        "served_before": round(before, 3),
-        "time_to_full_s": full_s,
-        "second_dips": dips,
+        "foreign_keys_run": sum(key.partition("/")[2].startswith("f") for key in keyed_runs),
+    }
+
+
+def _service_figures(reports: _Reports) -> dict[str, Any]:
+    table, after = reports.table, reports.seconds_after_fault
+    calm = range(min(SETTLING_SECONDS, after.start), after.start)
+    value_asked = sum(table["worth_asked"][second] for second in calm)
+    baseline = sum(table["worth"][second] for second in calm) / max(1e-9, value_asked)
+    recovery = Recovery(0.0, 0)
+    if reports.fault_s is not None:
+        recovery = measure_recovery(_service_by_second(reports), reports.fault_s, baseline)
+    # The cost of the recovery, whatever its course: what the baseline would have served beyond what was.
+    lost = sum(baseline * table["worth_asked"][second] - table["worth"][second] for second in after)
+    return {
+        "served_before": round(baseline, 3),
+        "time_to_full_s": recovery.full_service_s,
+        "second_dips": recovery.second_dips,
         "worth_lost": round(lost, 1),
-        "falls": sum(fleet["falls"]),
-        "known": fleet["known"],
-        "database_per_s": round(scenario.database_per_s, 1),
-        "database_peak_over_capacity": round(max(calls[after], default=0) / scenario.database_per_s, 3),
-        "database_held_over_limit": round(max(held[after], default=0) / survives, 3),
-        "database_refused": fleet["database_refused"],
-        "old_lives": fleet["old_lives"],
-        "classes": {name: share(rows) for name, rows in traffic["classes"].items()},
-        "classes_by_s": {name: [share([row]) for row in rows] for name, rows in traffic["classes"].items()},
-        "service_by_s": [round(value, 3) for value in service],
-        "warmth_by_s": by_second(fleet["warmth"]),
-        "asked_by_s": table["asked"],
-        "refused_by_s": table["refused"],
-        "failed_by_s": table["failed"],
-        "database_by_s": calls,
-        "database_done_by_s": by_second(fleet["done"]),
-        "database_held_by_s": held,
-        **facts,
+        "falls": sum(reports.services["falls"]),
+        "known": reports.services["known"],
     }
+
+
+def _service_by_second(reports: _Reports) -> list[float]:
+    rows = zip(reports.table["worth"], reports.table["worth_asked"], strict=True)
+    return [value / asked if asked else 1.0 for value, asked in rows]
+
+
+def _database_figures(reports: _Reports) -> dict[str, Any]:
+    scenario = reports.scenario
+    capacity_per_s = scenario.database_per_s
+    held_max = DATABASE_CALLS_PER_SLOT_MAX * scenario.slots
+    return {
+        "database_per_s": round(capacity_per_s, 1),
+        "database_peak_over_capacity": round(reports.largest_after_fault("calls") / capacity_per_s, 3),
+        "database_held_over_limit": round(reports.largest_after_fault("held") / held_max, 3),
+        "database_refused": reports.services["database_refused"],
+        "old_lives": reports.services["old_lives"],
+    }
+
+
+def _figures_by_second(reports: _Reports) -> dict[str, Any]:
+    classes: dict[str, list[list[float]]] = reports.traffic["classes"]
+    return {
+        "classes": {name: _value_share(rows) for name, rows in classes.items()},
+        "classes_by_s": {name: [_value_share([row]) for row in rows] for name, rows in classes.items()},
+        "service_by_s": [round(value, 3) for value in _service_by_second(reports)],
+        "warmth_by_s": reports.services_by_second("warmth"),
+        "asked_by_s": reports.table["asked"],
+        "refused_by_s": reports.table["refused"],
+        "failed_by_s": reports.table["failed"],
+        "database_by_s": reports.services_by_second("calls"),
+        "database_done_by_s": reports.services_by_second("done"),
+        "database_held_by_s": reports.services_by_second("held"),
+    }
+
+
+def _value_share(rows: list[list[float]]) -> float | None:
+    """Return the value served over the value asked for; None where nothing was asked."""
+    asked = sum(row[0] for row in rows)
+    return round(sum(row[1] for row in rows) / asked, 3) if asked else None
--- /dev/null
+++ b/snowthread/lab/timeline.py
@@ -0,0 +1,93 @@
+"""Carry out the steps of a scenario on its fleet at their times."""
+
+from __future__ import annotations
+
+import signal
+from functools import partial
+from typing import Any
+
+from snowthread.lab import state_damage
+from snowthread.lab.fleet import Fleet, state_folder
+from snowthread.lab.plan import Action, LinkName, Step
+from snowthread.lab.processes import NodeProcess
+
+SIGNALS = {
+    Action.KILL: signal.SIGKILL,
+    Action.TERM: signal.SIGTERM,
+    Action.STOP: signal.SIGSTOP,
+    Action.CONT: signal.SIGCONT,
+}
+STATE_DAMAGE = {
+    Action.WIPE: state_damage.wipe,
+    Action.TEAR: state_damage.truncate_files,
+    Action.SPOIL: state_damage.corrupt_files,
+}
+INTERRUPTING_ACTIONS = frozenset({Action.PARTITION, Action.CUT})  # requests open on the link may be lost
+
+
+class Timeline:
+    """Applies steps to a fleet, and keeps which ones it applied."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        """Apply nothing until :meth:`schedule`."""
+        self._fleet = fleet
+        self._generation = 1
+        self.applied: list[Step] = []
+
+    def schedule(self, begin_ms: float) -> None:
+        """Schedule all steps of the scenario on the fleet's loop."""
+        for step in self._fleet.scenario.steps:
+            self._fleet.loop.call_at(begin_ms + step.at_ms, partial(self.apply, step))
+
+    def apply(self, step: Step) -> None:
+        """Carry out one step now."""
+        self.applied.append(step)
+        if not step.link:
+            self._apply_to_fleet(step)
+        for name in step.nodes:
+            self._apply_to_node(self._fleet.nodes[name], step)
+
+    def _apply_to_fleet(self, step: Step) -> None:
+        services = self._fleet.services
+        match step.do:
+            case Action.SLOW:
+                services.send(f"slow {step.value}")
+            case Action.HEAL:
+                services.send("slow 1.0")
+            case Action.GENERATION:
+                self._generation += 1
+                services.send(f"generation {self._generation}")
+
+    def _apply_to_node(self, node: NodeProcess, step: Step) -> None:
+        if step.do in SIGNALS:
+            self._fleet.signal_node(node, SIGNALS[step.do])
+        elif step.do is Action.START:
+            self._fleet.restart_node(node)
+        elif step.do in STATE_DAMAGE:
+            STATE_DAMAGE[step.do](state_folder(node.folder))
+        elif step.link:
+            self._apply_to_link(node, step)
+
+    def _apply_to_link(self, node: NodeProcess, step: Step) -> None:
+        link = LinkName(step.link)
+        faults = self._fleet.links[node.name].get(link).faults
+        if link is LinkName.FRONT and step.do in INTERRUPTING_ACTIONS:
+            self._fleet.announce_down(node)
+        match step.do:
+            case Action.PARTITION:
+                faults.partitioned = True
+            case Action.DELAY:
+                faults.delay_ms, faults.jitter_ms = step.value, step.jitter_ms
+            case Action.BANDWIDTH:
+                faults.bytes_per_s = step.value
+            case Action.CUT:
+                faults.cuts += 1
+            case Action.HEAL:
+                faults.clear()
+
+    def events(self) -> list[dict[str, Any]]:
+        """Return the steps applied so far, for the summary."""
+        return [
+            {"at_ms": step.at_ms, "do": step.do, "nodes": list(step.nodes), "link": step.link}
+            for step in self.applied
+        ]
--- a/tests/lab/test_plan.py
+++ b/tests/lab/test_plan.py
@@ -7,7 +7,7 @@
 import pytest
 
 from snowthread.config import ConfigError
-from snowthread.lab.plan import lines, load
+from snowthread.lab.plan import plan_lines, read_scenario
 
 ROOT = Path(__file__).parent.parent.parent
 
@@ -19,8 +19,11 @@
 
 
 def test_the_example_plans_the_same_twice_and_kill_and_wipe_meet() -> None:
-    first, second = load(ROOT / "deploy" / "restart.hcl"), load(ROOT / "deploy" / "restart.hcl")
-    assert lines(first) == lines(second)
+    first, second = (
+        read_scenario(ROOT / "deploy" / "restart.hcl"),
+        read_scenario(ROOT / "deploy" / "restart.hcl"),
+    )
+    assert plan_lines(first) == plan_lines(second)
     kill, wipe = first.steps[0], first.steps[1]
     assert (kill.do, wipe.do) == ("kill", "wipe") and kill.nodes == wipe.nodes and len(kill.nodes) == 4
     assert [step.do for step in first.steps] == ["kill", "wipe", "slow", "start", "heal"]
@@ -32,7 +35,7 @@
         path = write(
             tmp_path, f'seed = {seed}\nnodes = 10\nstep {{\n at = "1s"\n do = "kill"\n share = 0.3\n}}\n'
         )
-        chosen.add(load(path).steps[0].nodes)
+        chosen.add(read_scenario(path).steps[0].nodes)
     assert len(chosen) > 3
 
 
@@ -43,7 +46,7 @@
         ' nodes = ["n2"]\n for = "2s"\n}\n'
         'step {\n at = "1s"\n do = "stop"\n nodes = ["n1"]\n for = "500ms"\n}\n',
     )
-    assert [(s.at_ms, s.do, s.nodes) for s in load(path).steps] == [
+    assert [(s.at_ms, s.do, s.nodes) for s in read_scenario(path).steps] == [
         (1000.0, "stop", ("n1",)),
         (1500.0, "cont", ("n1",)),
         (5000.0, "partition", ("n2",)),
@@ -64,4 +67,4 @@
 )
 def test_what_cant_be_played_is_refused_by_name(tmp_path: Path, text: str, says: str) -> None:
     with pytest.raises(ConfigError, match=says):
-        load(write(tmp_path, text))
+        read_scenario(write(tmp_path, text))
--- a/tests/lab/test_relay.py
+++ b/tests/lab/test_relay.py
@@ -9,7 +9,7 @@
 import pytest
 
 from snowthread.address import Address
-from snowthread.lab.faults import LinkFaults, Pace, release_ms
+from snowthread.lab.faults import LinkFaults, Pacing, release_ms
 from snowthread.lab.relay import Relay
 from snowthread.net.clock import Clock
 from snowthread.net.loop import READABLE, EventLoop, TaskSteps, Wait
@@ -102,7 +102,7 @@
     loop, relay = link
     relay.faults.partitioned = True
     got, _ = exchange(loop, relay, b"ping", patience_ms=400.0)
-    assert got == b"" and relay.refused == 1
+    assert got == b"" and relay.rejected == 1
     relay.faults.partitioned = False
     assert exchange(loop, relay, b"ping")[0] == b"ping"
 
@@ -132,7 +132,7 @@
 
 
 def test_jitter_keeps_order_within_a_connection() -> None:
-    faults, pace, draw = LinkFaults(delay_ms=10.0, jitter_ms=100.0), Pace(0), random.Random(3)
+    faults, pace, draw = LinkFaults(delay_ms=10.0, jitter_ms=100.0), Pacing(0), random.Random(3)
     times = [release_ms(faults, pace, float(at), 10, draw) for at in range(0, 100, 5)]
     assert times == sorted(times) and len(set(times)) > 5
 
