--- a/snowthread/console/tail.py
+++ b/snowthread/console/tail.py
@@ -7,7 +7,7 @@
 
 from snowthread.records.frame import Reader
 from snowthread.records.model import Record
-from snowthread.records.reader import find
+from snowthread.records.reader import find_files
 
 CHUNK = 256 * 1024  # bytes of one file in one look
 
@@ -22,7 +22,7 @@
     def poll(self) -> list[Record]:
         """What has come since the last look, by time."""
         out: list[Record] = []
-        there = find(p for p in self._places if p.exists())
+        there = find_files(p for p in self._places if p.exists())
         for path in there:
             offset, reader = self._files.get(path) or (0, Reader())
             try:
--- a/snowthread/records/__init__.py
+++ b/snowthread/records/__init__.py
@@ -1,8 +1,10 @@
-"""What a node leaves behind: a typed, versioned stream of records, from which a rough day can be told later.
+"""Records: a typed, versioned stream of what a node did, from which incidents are reconstructed later.
 
-``model``: the kinds of records. ``frame``: their bytes, checksummed, so that a cut or spoilt one is told
-from a whole one. ``observe``: from the reducer's messages and effects to per-second totals. ``retention``:
-when a file is full and which go. ``outbox``: what waits unwritten, bounded and counted. All of these are
-free of I/O. ``writer`` is the child process that writes files; ``recorder`` ties them to a node. ``read``
-reads any number of nodes' files back in the order of time.
+``model`` defines the kinds of records and their fields. ``frame`` encodes them with checksums, so that a
+truncated or corrupt record is told from a whole one. ``observer`` turns the reducer's events and effects into
+counts per second. ``retention`` decides when a file is full and which files are deleted. ``outbox`` is the
+bounded queue of batches that are not written yet. All of these are free of I/O.
+
+``writer`` is the child process that writes the files, ``recorder`` connects it to a node, ``reader`` merges
+the files of any number of nodes in order of time, and ``settings`` reads the operator's block.
 """
--- a/snowthread/records/cli.py
+++ b/snowthread/records/cli.py
@@ -1,13 +1,20 @@
-"""``snowthread records``: what nodes left behind, as text."""
+"""The command ``snowthread records``: show as text what nodes have recorded."""
 
 from __future__ import annotations
 
 import sys
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
 from datetime import UTC, datetime
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
 
+if TYPE_CHECKING:
+    from snowthread.records.model import BootId, Record
+
 PLACES = click.argument("places", nargs=-1, required=True, type=click.Path(exists=True, path_type=Path))
 
 
@@ -23,31 +30,12 @@
 @click.option("--json", "as_json", is_flag=True, help="One JSON object a line.")
 def cat(places: tuple[Path, ...], kind: tuple[str, ...], node: tuple[str, ...], as_json: bool) -> None:
     """Print records in the order of time."""
-    import orjson
-
     from snowthread.records.reader import Findings, merge
 
     for record in merge(places, Findings()):
         if (kind and record.kind not in kind) or (node and record.node not in node):
             continue
-        if as_json:
-            click.echo(
-                orjson.dumps(
-                    {
-                        "node": record.node,
-                        "boot": record.boot,
-                        "number": record.number,
-                        "at": record.at,
-                        "kind": record.kind,
-                        **record.fields,
-                    },
-                    option=orjson.OPT_NON_STR_KEYS,
-                )
-            )
-        else:
-            when = datetime.fromtimestamp(record.at / 1000.0, UTC).isoformat(timespec="milliseconds")
-            words = " ".join(f"{k}={v}" for k, v in record.fields.items())
-            click.echo(f"{when} {record.node} {record.kind} {words}")
+        click.echo(_as_json(record) if as_json else _as_text(record))
 
 
 @records.command("verify")
@@ -61,20 +49,18 @@
         pass
     for line in findings.unreadable:
         click.echo(line)
-    for spoilt in findings.spoilt:
-        click.echo(
-            f"{spoilt.path}: {spoilt.frame.size} bytes from {spoilt.frame.offset}: {spoilt.frame.reason}"
-        )
-    for hole in findings.holes:
-        click.echo(f"{hole.node} {hole.boot}: {hole.count} records missing after number {hole.after}")
+    for corrupt in findings.spoilt:
+        frame = corrupt.frame
+        click.echo(f"{corrupt.path}: {frame.size} bytes from {frame.offset}: {frame.reason}")
+    for gap in findings.holes:
+        click.echo(f"{gap.node} {gap.boot}: {gap.count} records missing after number {gap.after}")
     if findings.more:
         click.echo(f"and {findings.more} more")
-    wrong = len(findings.unreadable) + len(findings.spoilt) + len(findings.holes) + findings.more
     click.echo(
         f"{findings.records} records in {findings.files} files, {findings.copies} copies, "
-        f"{wrong or 'nothing'} wrong"
+        f"{findings.problems or 'nothing'} wrong"
     )
-    if wrong:
+    if findings.problems:
         sys.exit(1)
 
 
@@ -82,22 +68,54 @@
 @PLACES
 def stats(places: tuple[Path, ...]) -> None:
     """Say what is there: each node's boots, when, how they ended, and how many records of each kind."""
-    from collections import Counter
-
     from snowthread.records.reader import Findings, merge
 
-    boots: dict[tuple[str, str], list[float]] = {}
-    kinds: dict[tuple[str, str], Counter[str]] = {}
-    ended: set[tuple[str, str]] = set()
-    for record in merge(places, Findings()):
-        boot = record.node, record.boot
-        span = boots.setdefault(boot, [record.at, record.at])
-        span[1] = max(span[1], record.at)
-        kinds.setdefault(boot, Counter())[record.kind] += 1
-        if record.kind == "end":
-            ended.add(boot)
-    for boot, (first, last) in sorted(boots.items(), key=lambda item: item[1]):
-        when = datetime.fromtimestamp(first / 1000.0, UTC).isoformat(timespec="seconds")
-        counts = ", ".join(f"{n} {kind}" for kind, n in sorted(kinds[boot].items()))
-        how = "left" if boot in ended else "no end is recorded"
-        click.echo(f"{boot[0]} {boot[1]}: from {when} for {(last - first) / 1000.0:.1f} s, {how}; {counts}")
+    for boot_id, boot in _summarize_boots(merge(places, Findings())):
+        started = datetime.fromtimestamp(boot.first_at / 1000.0, UTC).isoformat(timespec="seconds")
+        seconds = (boot.last_at - boot.first_at) / 1000.0
+        how = "left" if boot.ended else "no end is recorded"
+        counts = ", ".join(f"{count} {kind}" for kind, count in sorted(boot.kinds.items()))
+        click.echo(f"{boot_id.node} {boot_id.boot}: from {started} for {seconds:.1f} s, {how}; {counts}")
+
+
+@dataclass(slots=True)
+class _BootSummary:
+    """The records of one boot; times in Unix milliseconds."""
+
+    first_at: float
+    last_at: float
+    kinds: Counter[str] = field(default_factory=Counter)
+
+    @property
+    def ended(self) -> bool:
+        """Whether the end of the boot is recorded."""
+        return "end" in self.kinds
+
+
+def _summarize_boots(stream: Iterable[Record]) -> list[tuple[BootId, _BootSummary]]:
+    """Return a summary of each boot, by its first and last time."""
+    boots: dict[BootId, _BootSummary] = {}
+    for record in stream:
+        boot = boots.setdefault(record.boot_id, _BootSummary(record.at, record.at))
+        boot.last_at = max(boot.last_at, record.at)
+        boot.kinds[record.kind] += 1
+    return sorted(boots.items(), key=lambda item: (item[1].first_at, item[1].last_at))
+
+
+def _as_json(record: Record) -> bytes:
+    import orjson
+
+    head = {
+        "node": record.node,
+        "boot": record.boot,
+        "number": record.number,
+        "at": record.at,
+        "kind": record.kind,
+    }
+    return orjson.dumps(head | record.fields, option=orjson.OPT_NON_STR_KEYS)
+
+
+def _as_text(record: Record) -> str:
+    when = datetime.fromtimestamp(record.at / 1000.0, UTC).isoformat(timespec="milliseconds")
+    fields = " ".join(f"{name}={value}" for name, value in record.fields.items())
+    return f"{when} {record.node} {record.kind} {fields}"
--- a/snowthread/records/frame.py
+++ b/snowthread/records/frame.py
@@ -1,10 +1,10 @@
-"""Records as bytes: frames with a length and a CRC32C, so that any cut or flip is seen and costs itself only.
+"""Encode records as frames with a length and a CRC32C, so that damage to one record costs no other.
 
     0xB7 0x52   length, 4 bytes   CRC32C of length and payload, 4 bytes   payload, msgpack
 
-Numbers are little-endian. A reader that meets a bad frame looks on for the next start of a frame whose
-checksum holds; what it passed over is told as one Bad. The payload is a list: format, node, boot, number,
-time, kind, fields.
+Numbers are little-endian. The payload is a list: format, node, boot, number, time, kind, fields. A reader
+that meets an invalid frame searches for the next start of a frame whose checksum holds, and reports the bytes
+that it skipped as one InvalidFrame.
 """
 
 from __future__ import annotations
@@ -18,13 +18,26 @@
 from snowthread.records.model import FORMAT, Record
 
 START = b"\xb7R"
-HEAD = struct.Struct("<2sII")
-PAYLOAD_MAX = 256 * 1024
+HEADER = struct.Struct("<2sII")  # start, length of the payload, checksum
+LENGTH_FIELD = slice(len(START), len(START) + 4)
+PAYLOAD_MAX = 256 * 1024  # bytes
+
+
+class RecordTooLongError(ValueError):
+    """A record does not fit into a frame that could be read back."""
+
+    def __init__(self, payload_bytes: int) -> None:
+        super().__init__(f"a record of {payload_bytes} bytes, at most {PAYLOAD_MAX} are read back")
+        self.payload_bytes = payload_bytes
+
+
+class InvalidPayloadError(ValueError):
+    """A payload whose checksum holds is not a record."""
 
 
 @dataclass(frozen=True, slots=True)
 class InvalidFrame:
-    """Bytes that are no frame: where they start and how many."""
+    """A stretch of bytes that holds no valid frame; ``offset`` and ``size`` are in bytes."""
 
     offset: int
     size: int
@@ -32,107 +45,119 @@
 
 
 def encode(record: Record) -> bytes:
-    """A record's frame; ValueError where it is too long to be read again."""
+    """Encode a record as a frame; raise RecordTooLongError if it could not be read back."""
     payload = msgpack.packb(
         [FORMAT, record.node, record.boot, record.number, record.at, record.kind, record.fields]
     )
     if len(payload) > PAYLOAD_MAX:
-        raise ValueError(f"a record of {len(payload)} bytes, at most {PAYLOAD_MAX} are read back")
+        raise RecordTooLongError(len(payload))
     size = struct.pack("<I", len(payload))
     return START + size + struct.pack("<I", crc32c(payload, crc32c(size))) + bytes(payload)
 
 
 def decode(payload: bytes) -> Record:
-    """A record from a payload whose checksum holds; ValueError where it is none."""
+    """Decode the payload of a frame whose checksum holds; raise InvalidPayloadError if it is not a record."""
     try:
         version, node, boot, number, at, kind, fields = msgpack.unpackb(payload, strict_map_key=False)[:7]
-        if not (
-            isinstance(version, int)
-            and isinstance(node, str)
-            and isinstance(boot, str)
-            and isinstance(number, int)
-            and isinstance(at, float)
-            and isinstance(kind, str)
-            and isinstance(fields, dict)
-        ):
-            raise ValueError("a field of another type")
     except (ValueError, TypeError, msgpack.UnpackException) as error:
-        raise ValueError(f"not a record: {error}") from None
+        raise InvalidPayloadError(f"not a record: {error}") from None
+    if not (
+        isinstance(version, int)
+        and isinstance(node, str)
+        and isinstance(boot, str)
+        and isinstance(number, int)
+        and isinstance(at, float)
+        and isinstance(kind, str)
+        and isinstance(fields, dict)
+    ):
+        raise InvalidPayloadError("not a record: a field of another type")
     return Record(node, boot, number, at, kind, fields)
 
 
 class Reader:
-    """Bytes in, records and bad stretches out; holds no more than one frame."""
+    """Decode a stream of frames: bytes in, records and invalid stretches out.
+
+    It holds the bytes of one unfinished frame at most.
+    """
 
     def __init__(self) -> None:
-        self._data = bytearray()
-        self._offset = 0  # of the first byte held
-        self._skipped = 0  # bytes passed over before it
-        self._why = ""
+        self._buffer = bytearray()
+        self._offset = 0  # of the first byte in the buffer
+        self._skipped_bytes = 0  # just before that offset, not reported yet
+        self._skip_reason = ""
 
     def feed(self, data: bytes) -> list[Record | InvalidFrame]:
-        """What can be read now."""
-        self._data += data
-        out: list[Record | InvalidFrame] = []
-        while self._step(out, last=False):
+        """Add bytes and return what can be decoded now."""
+        self._buffer += data
+        items: list[Record | InvalidFrame] = []
+        while self._read_frame(items, at_end=False):
             pass
-        return out
+        return items
 
     def end(self) -> list[Record | InvalidFrame]:
-        """The file is over: what is left is cut."""
-        out: list[Record | InvalidFrame] = []
-        while self._step(out, last=True):
+        """Return what is left at the end of the stream; an unfinished frame is invalid."""
+        items: list[Record | InvalidFrame] = []
+        while self._read_frame(items, at_end=True):
             pass
-        if self._data:
-            self._skip(len(self._data), "cut short")
-        self._tell(out)
-        return out
-
-    def _step(self, out: list[Record | InvalidFrame], last: bool) -> bool:
-        """One frame, or bytes that are none; False where more has to come first."""
-        data = self._data
-        if not data:
+        if self._buffer:
+            self._skip(len(self._buffer), "cut short")
+        self._report_skipped(items)
+        return items
+
+    def _read_frame(self, items: list[Record | InvalidFrame], *, at_end: bool) -> bool:
+        """Decode one frame or skip bytes that are none; return False if more data is needed first."""
+        buffer = self._buffer
+        if not buffer:
             return False
-        if not data.startswith(START[: len(data)]):
-            found = data.find(START, 1)
-            if found < 0:
-                found = len(data) - (data[-1] == START[0])  # its second byte may follow
-            if not found:
-                return False
-            self._skip(found, "no frame starts here")
-            return True
-        if len(data) < HEAD.size:
+        if not buffer.startswith(START[: len(buffer)]):
+            return self._skip_to_start()
+        if len(buffer) < HEADER.size:
             return False
-        _, size, checksum = HEAD.unpack_from(data)
+        _, size, checksum = HEADER.unpack_from(buffer)
         if size > PAYLOAD_MAX:
             self._skip(1, "a length that can't be")
             return True
-        if len(data) < HEAD.size + size:
-            if last:  # its length may be spoilt, and whole frames stand behind it
+        if len(buffer) < HEADER.size + size:
+            if at_end:  # the length itself may be corrupt, and whole frames may follow
                 self._skip(1, "cut short")
-            return last
-        payload = bytes(data[HEAD.size : HEAD.size + size])
-        if crc32c(payload, crc32c(bytes(data[2:6]))) != checksum:
+            return at_end
+        payload = bytes(buffer[HEADER.size : HEADER.size + size])
+        if crc32c(payload, crc32c(bytes(buffer[LENGTH_FIELD]))) != checksum:
             self._skip(1, "the checksum does not hold")
             return True
         try:
             record = decode(payload)
-        except ValueError as error:
-            self._skip(HEAD.size + size, str(error))
+        except InvalidPayloadError as error:
+            self._skip(HEADER.size + size, str(error))
             return True
-        self._tell(out)
-        out.append(record)
-        del data[: HEAD.size + size]
-        self._offset += HEAD.size + size
+        self._report_skipped(items)
+        items.append(record)
+        self._consume(HEADER.size + size)
         return True
 
-    def _skip(self, size: int, why: str) -> None:
-        del self._data[:size]
+    def _skip_to_start(self) -> bool:
+        """Skip to the next possible start of a frame; return False if more data is needed first."""
+        buffer = self._buffer
+        found = buffer.find(START, 1)
+        if found < 0:
+            found = len(buffer) - (buffer[-1] == START[0])  # the second byte of a start may follow
+        if not found:
+            return False
+        self._skip(found, "no frame starts here")
+        return True
+
+    def _skip(self, size: int, reason: str) -> None:
+        """Skip bytes; the first reason of a stretch is the one that is reported."""
+        self._consume(size)
+        self._skipped_bytes += size
+        self._skip_reason = self._skip_reason or reason
+
+    def _consume(self, size: int) -> None:
+        del self._buffer[:size]
         self._offset += size
-        self._skipped += size
-        self._why = self._why or why
 
-    def _tell(self, out: list[Record | InvalidFrame]) -> None:
-        if self._skipped:
-            out.append(InvalidFrame(self._offset - self._skipped, self._skipped, self._why))
-            self._skipped, self._why = 0, ""
+    def _report_skipped(self, items: list[Record | InvalidFrame]) -> None:
+        if self._skipped_bytes:
+            start = self._offset - self._skipped_bytes
+            items.append(InvalidFrame(start, self._skipped_bytes, self._skip_reason))
+            self._skipped_bytes, self._skip_reason = 0, ""
--- a/snowthread/records/observer.py
+++ b/snowthread/records/observer.py
@@ -1,273 +1,349 @@
-"""From what the reducer takes and asks for to records: free of I/O; nothing is counted that did not happen.
+"""Count what the reducer does and turn it into records. Free of I/O.
 
-It looks at messages and effects only, never decides, and holds one small entry for each request that is open.
+The observer looks at events and effects only, never decides, and holds one small entry for each open request.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, TypeVar
 
 from hdrh.histogram import HdrHistogram
 
+from snowthread.admission.controller import Controller
 from snowthread.admission.learned_state import confirmation_ages_s
 from snowthread.admission.settings import Settings
 from snowthread.core import effects, events
 from snowthread.core.state import RequestPhase, State
-from snowthread.records.model import Fields, Totals
+from snowthread.records.model import Fields, RecordDraft, RecordKind, Totals
 
-STEP_FROM = 1000.0  # ms: from here on lengths are counted in steps of 10
-LENGTH_MAX = 3_600_000  # ms: longer runs and calls count as so long
-TENANTS_MOST = 200  # of a second's tenants; what goes beyond is counted under one name
-OTHERS = "(others)"
-_NOTHING: tuple[tuple[str, Fields], ...] = ()
-RUNS_MOST = 4096  # runs whose end is waited for
-FLOORS_MOST = 16  # balancers whose youngest request is told a second
+COARSE_FROM_MS = 1000.0  # from here on durations are counted in coarse steps
+COARSE_STEP_MS = 10
+DURATION_MAX_MS = 3_600_000  # longer runs and calls count as this long
+DURATION_DIGITS = 2  # significant digits of the percentiles
+TENANTS_MAX = 200  # rows of a second; tenants beyond that are counted under one name
+OTHER_TENANTS = "(others)"
+RUNS_MAX = 4096  # runs whose end is awaited
+CALLERS_MAX = 16  # balancers whose youngest request is recorded each second
 
+DurationCounts = dict[int, int]  # duration in ms, in coarse steps above the limit -> how often
+TotalsKey = tuple[str, str]  # class name and tenant; a plain tuple, as one is built for each request
+
+_NO_RECORDS: tuple[RecordDraft, ...] = ()
+_EventT = TypeVar("_EventT")
+_EffectT = TypeVar("_EffectT")
 
-class _Open:
-    """A request that is not answered yet. No dataclass: one is made for each request."""
 
-    __slots__ = ("calling", "came", "class_name", "row", "second", "started", "tenant", "uid")
+class _OpenRequest:
+    """A request that is not answered yet. No dataclass: one is made for each request."""
 
-    def __init__(self, uid: str, class_name: str, tenant: str, came: float) -> None:
-        self.uid, self.class_name, self.tenant = uid, class_name, tenant
-        self.came = came  # when it came to the machine
-        self.started = self.calling = False
-        self.row: Totals | None = None  # where it is counted in that second
-        self.second: _Second | None = None
+    __slots__ = (
+        "attempt_id",
+        "call_in_flight",
+        "class_name",
+        "counted_in",
+        "received_at_ms",
+        "run_started",
+        "tenant",
+        "totals",
+    )
+
+    def __init__(self, attempt_id: str, class_name: str, tenant: str, received_at_ms: float) -> None:
+        self.attempt_id, self.class_name, self.tenant = attempt_id, class_name, tenant
+        self.received_at_ms = received_at_ms  # when it reached the machine
+        self.run_started = self.call_in_flight = False
+        self.totals: Totals | None = None  # its row in the second where it was counted last
+        self.counted_in: _Second | None = None
 
 
 @dataclass(slots=True)
 class _Second:
-    """What was counted since the last record."""
+    """What was counted since the last record of a second."""
 
-    began: float
-    totals: dict[tuple[str, str], Totals] = field(default_factory=dict)
-    lengths: dict[tuple[str, str], dict[int, int]] = field(default_factory=dict)  # ms -> how often
-    floors: dict[int, float] = field(default_factory=dict)
+    started_at_ms: float
+    totals: dict[TotalsKey, Totals] = field(default_factory=dict)
+    run_durations: dict[str, DurationCounts] = field(default_factory=dict)  # by class name
+    call_durations: dict[str, DurationCounts] = field(default_factory=dict)  # by outcome
+    least_age_ms: dict[int, float] = field(default_factory=dict)  # by caller: of its youngest request
 
 
 class Observer:
-    """Counts for one node."""
+    """Counts of one node."""
 
     def __init__(self, settings: Settings, now: float) -> None:
-        self._aims: dict[str, float] = {}
+        self._latency_objectives_ms: dict[str, float] = {}
         self.apply_settings(settings)
-        self._open: dict[events.ResponseAddress, _Open] = {}
-        self._by_uid: dict[str, _Open] = {}
+        self._open: dict[events.ResponseAddress, _OpenRequest] = {}
+        self._by_attempt: dict[str, _OpenRequest] = {}
         self._second = _Second(now)
-        self._linked = False
-        self._runs: dict[str, str] = {}  # uid of a run -> its class; its caller may be gone already
-        self._fresh: _Open | None = None  # read in this very step
-        self._on: dict[type, Callable[[Any, list[tuple[str, Fields]], float], None]] = {
-            events.RequestReceived: self._read,
-            events.RunCompleted: self._run_over,
-            events.CallCompleted: self._call_back,
-            events.RequestCancelled: self._caller_left,
-            events.RuntimeConnected: self._link,
-            events.RuntimeDisconnected: self._link,
-            events.ShutdownRequested: self._leave,
-        }
+        self._runtime_connected = False
+        self._run_classes: dict[str, str] = {}  # by attempt id; its caller may be gone already
+        self._just_received: _OpenRequest | None = None  # by the event that is being observed
+        self._event_handlers: dict[type, Callable[[Any, list[RecordDraft], float], None]] = {}
+        self._effect_handlers: dict[type, Callable[[Any, list[RecordDraft], State, float], None]] = {}
+        self._register_handlers()
 
     def __len__(self) -> int:
+        """Return the number of open requests."""
         return len(self._open)
 
     def apply_settings(self, settings: Settings) -> None:
-        """The classes there are from now on, and their aims."""
-        self._aims = {c.name: c.latency_objective_s * 1000.0 for c in settings.classes}
+        """Take the classes that there are from now on, and their latency objectives."""
+        self._latency_objectives_ms = {
+            request_class.name: request_class.latency_objective_s * 1000.0
+            for request_class in settings.classes
+        }
 
     def observe(
-        self, message: events.Event, produced: Sequence[effects.Effect], state: State, now: float
-    ) -> Sequence[tuple[str, Fields]]:
-        """One step of the reducer; the records it makes at once."""
-        look = self._on.get(type(message))
-        if look is None and not produced:
-            return _NOTHING
-        out: list[tuple[str, Fields]] = []
-        self._fresh = None
-        if look is not None:
-            look(message, out, now)
+        self, event: events.Event, produced: Sequence[effects.Effect], state: State, now: float
+    ) -> Sequence[RecordDraft]:
+        """Count one step of the reducer and return the records to be made at once."""
+        handle_event = self._event_handlers.get(type(event))
+        if handle_event is None and not produced:
+            return _NO_RECORDS
+        drafts: list[RecordDraft] = []
+        self._just_received = None
+        if handle_event is not None:
+            handle_event(event, drafts, now)
+        handlers = self._effect_handlers
         for effect in produced:
-            what = type(effect)
-            if what is effects.ScheduleTimer or what is effects.RequestLoadSample:
-                continue
-            if what is effects.SendResponse:
-                self._answered(effect, state, now)  # type: ignore[arg-type]
-            elif what is effects.StartRun:
-                self._started(effect)  # type: ignore[arg-type]
-            elif what is effects.StartCall:
-                at_call = self._by_uid.get(effect.attempt_id)  # type: ignore[union-attr]
-                if at_call is not None:
-                    at_call.calling = True
-            elif what is effects.SetRegistration:
-                out.append(("list", {"taking": effect.accepts_work}))  # type: ignore[union-attr]
-        return out
-
-    # Messages.
-
-    def _run_over(self, m: events.RunCompleted, out: list[tuple[str, Fields]], now: float) -> None:
-        class_name = self._runs.pop(m.attempt_id, None)
-        if class_name is not None:
-            self._length("runs", class_name, m.duration_ms)
+            handle_effect = handlers.get(type(effect))
+            if handle_effect is not None:
+                handle_effect(effect, drafts, state, now)
+        return drafts
 
-    def _call_back(self, m: events.CallCompleted, out: list[tuple[str, Fields]], now: float) -> None:
-        self._length("calls", m.outcome.value, m.duration_ms)
-        waiting = self._by_uid.get(m.attempt_id)
-        if waiting is not None:
-            waiting.calling = False
+    def take_totals(self, state: State, now: float) -> Fields:
+        """Return the fields of a ``second``: the counts since the last call, and the current figures."""
+        second, self._second = self._second, _Second(now)
+        fields = _counted_fields(second, now)
+        if state.controller is not None:
+            fields |= _controller_fields(state.controller, state.admission_clock.timestamp_s(now))
+        fields |= _load_fields(state)
+        return fields
 
-    def _caller_left(self, m: events.RequestCancelled, out: list[tuple[str, Fields]], now: float) -> None:
-        gone = self._drop(m.response_address)
-        if gone is not None:
-            self._of(gone).left += 1
+    # Dispatch.
+
+    def _register_handlers(self) -> None:
+        self._on_event(events.RequestReceived, self._request_received)
+        self._on_event(events.RunCompleted, self._run_completed)
+        self._on_event(events.CallCompleted, self._call_completed)
+        self._on_event(events.RequestCancelled, self._request_cancelled)
+        self._on_event(events.RuntimeConnected, self._runtime_connected_event)
+        self._on_event(events.RuntimeDisconnected, self._runtime_disconnected_event)
+        self._on_event(events.ShutdownRequested, self._shutdown_requested)
+        self._on_effect(effects.SendResponse, self._response_sent)
+        self._on_effect(effects.StartRun, self._run_started)
+        self._on_effect(effects.StartCall, self._call_started)
+        self._on_effect(effects.SetRegistration, self._registration_set)
+
+    def _on_event(
+        self, event_type: type[_EventT], handler: Callable[[_EventT, list[RecordDraft], float], None]
+    ) -> None:
+        """Register a handler; the types of event and handler are checked against each other here."""
+        self._event_handlers[event_type] = handler
 
-    def _link(
+    def _on_effect(
         self,
-        m: events.RuntimeConnected | events.RuntimeDisconnected,
-        out: list[tuple[str, Fields]],
-        now: float,
+        effect_type: type[_EffectT],
+        handler: Callable[[_EffectT, list[RecordDraft], State, float], None],
     ) -> None:
-        up = isinstance(m, events.RuntimeConnected)
-        if up or self._linked:
-            out.append(("link", {"peer": "runtime", "up": up}))
-        self._linked = up
+        """Register a handler; the types of effect and handler are checked against each other here."""
+        self._effect_handlers[effect_type] = handler
 
-    def _leave(self, m: events.ShutdownRequested, out: list[tuple[str, Fields]], now: float) -> None:
-        out.append(("drain", {"left_ms": m.time_left_ms}))
+    # Events.
 
-    def take_totals(self, state: State, now: float) -> Fields:
-        """What was counted since the last time, with the figures as they stand."""
-        s, self._second = self._second, _Second(now)
-        fields: Fields = {
-            "ms": round(now - s.began, 1),
-            "totals": [[name, tenant, t.plain()] for (name, tenant), t in s.totals.items()],
-        }
-        for what in ("runs", "calls"):
-            lengths = {name: _summary(h) for (kind, name), h in s.lengths.items() if kind == what}
-            if lengths:
-                fields[what] = lengths
-        if s.floors:
-            fields["floors"] = s.floors
-        controller = state.controller
-        if controller is not None:
-            fields |= {
-                "b": round(controller.blocking_probability, 4),
-                "limit": round(controller.concurrency_limit, 2),
-                "mu": round(controller.estimates.service_rate, 3),
-                "lambda": round(controller.estimates.arrival_rate, 3),
-                "run_ages_s": {
-                    name: round(age, 2)
-                    for name, age in confirmation_ages_s(
-                        controller, state.admission_clock.timestamp_s(now)
-                    ).items()
-                },
-            }
-        places = [q.phase for q in state.requests.values()]
-        calling = sum(q.call_in_flight for q in state.requests.values())
-        fields |= {
-            "held": places.count(RequestPhase.QUEUED),
-            "running": places.count(RequestPhase.RUNNING),
-            "calls_in_hand": calling,
-            "keys": len(state.idempotency_table),
-            "gauges": dict(zip(state.gauge_names, state.load_sample, strict=False)),
-        }
-        if state.load_report is not None:
-            fields["say"] = state.load_report
-        return fields
+    def _request_received(self, event: events.RequestReceived, drafts: list[RecordDraft], now: float) -> None:
+        # A class that the settings don't name is a caller's word: it gets no row of its own.
+        name = event.class_name if event.class_name in self._latency_objectives_ms else ""
+        sent_at = event.sent_at_ms
+        request = _OpenRequest(event.attempt_id, name, event.tenant, sent_at if sent_at < now else now)
+        self._open[event.response_address] = request
+        self._by_attempt[event.attempt_id] = request
+        self._just_received = request
+        self._totals_of(request).read += 1
+        ages, caller = self._second.least_age_ms, event.caller_id
+        least = ages.get(caller)
+        if least is None:
+            if len(ages) < CALLERS_MAX:
+                ages[caller] = now - sent_at
+        elif now - sent_at < least:
+            ages[caller] = now - sent_at
+
+    def _run_completed(self, event: events.RunCompleted, drafts: list[RecordDraft], now: float) -> None:
+        class_name = self._run_classes.pop(event.attempt_id, None)
+        if class_name is not None:
+            _count_duration(self._second.run_durations, class_name, event.duration_ms)
 
-    # Counting.
+    def _call_completed(self, event: events.CallCompleted, drafts: list[RecordDraft], now: float) -> None:
+        _count_duration(self._second.call_durations, event.outcome.value, event.duration_ms)
+        request = self._by_attempt.get(event.attempt_id)
+        if request is not None:
+            request.call_in_flight = False
 
-    def _read(self, m: events.RequestReceived, out: list[tuple[str, Fields]], now: float) -> None:
-        # A class that the settings don't name is a caller's word: it gets no row of its own.
-        name = m.class_name if m.class_name in self._aims else ""
-        at = m.sent_at_ms
-        made = _Open(m.attempt_id, name, m.tenant, at if at < now else now)
-        self._open[m.response_address] = self._by_uid[m.attempt_id] = self._fresh = made
-        self._of(made).read += 1
-        floors, caller = self._second.floors, m.caller_id
-        floor = floors.get(caller)
-        if floor is None:
-            if len(floors) < FLOORS_MOST:
-                floors[caller] = now - at
-        elif now - at < floor:
-            floors[caller] = now - at
-
-    def _started(self, effect: effects.StartRun) -> None:
-        made = self._by_uid.get(effect.attempt_id)
-        if made is not None and not made.started:
-            made.started = True
-            self._of(made).runs += 1
-        self._runs[effect.attempt_id] = effect.class_name
-        if len(self._runs) > RUNS_MOST:  # runs that a broken link took along never end here
-            del self._runs[next(iter(self._runs))]
-
-    def _answered(self, effect: effects.SendResponse, state: State, now: float) -> None:
-        made = self._drop(effect.response_address)
-        if made is None:
+    def _request_cancelled(
+        self, event: events.RequestCancelled, drafts: list[RecordDraft], now: float
+    ) -> None:
+        request = self._remove(event.response_address)
+        if request is not None:
+            self._totals_of(request).left += 1
+
+    def _runtime_connected_event(
+        self, event: events.RuntimeConnected, drafts: list[RecordDraft], now: float
+    ) -> None:
+        drafts.append(RecordDraft(RecordKind.LINK, {"peer": "runtime", "up": True}))
+        self._runtime_connected = True
+
+    def _runtime_disconnected_event(
+        self, event: events.RuntimeDisconnected, drafts: list[RecordDraft], now: float
+    ) -> None:
+        if self._runtime_connected:
+            drafts.append(RecordDraft(RecordKind.LINK, {"peer": "runtime", "up": False}))
+        self._runtime_connected = False
+
+    def _shutdown_requested(
+        self, event: events.ShutdownRequested, drafts: list[RecordDraft], now: float
+    ) -> None:
+        drafts.append(RecordDraft(RecordKind.DRAIN, {"left_ms": event.time_left_ms}))
+
+    # Effects.
+
+    def _response_sent(
+        self, effect: effects.SendResponse, drafts: list[RecordDraft], state: State, now: float
+    ) -> None:
+        request = self._remove(effect.response_address)
+        if request is None:
             return  # a health check
-        totals = self._of(made)
+        totals = self._totals_of(request)
         match effect.response:
             case effects.Served():
-                aim = self._aims.get(made.class_name, 0.0)
-                if now - made.came <= aim:
+                objective_ms = self._latency_objectives_ms.get(request.class_name, 0.0)
+                if now - request.received_at_ms <= objective_ms:
                     totals.served += 1
                 else:
                     totals.late += 1
-                totals.attached += not made.started
+                totals.attached += not request.run_started
             case effects.Rejected():
                 if state.shutting_down:
                     totals.refused_leaving += 1
-                elif made is self._fresh:
+                elif request is self._just_received:
                     totals.refused += 1
                 else:
                     totals.refused_held += 1
             case effects.Failed():
-                if made.calling:
+                if request.call_in_flight:
                     totals.failed_calling += 1
-                elif made.started:
+                elif request.run_started:
                     totals.failed_running += 1
                 else:
                     totals.failed += 1
 
-    def _drop(self, ticket: events.ResponseAddress) -> _Open | None:
-        made = self._open.pop(ticket, None)
-        if made is not None and self._by_uid.get(made.uid) is made:
-            del self._by_uid[made.uid]
-        return made
+    def _run_started(
+        self, effect: effects.StartRun, drafts: list[RecordDraft], state: State, now: float
+    ) -> None:
+        request = self._by_attempt.get(effect.attempt_id)
+        if request is not None and not request.run_started:
+            request.run_started = True
+            self._totals_of(request).runs += 1
+        self._run_classes[effect.attempt_id] = effect.class_name
+        if len(self._run_classes) > RUNS_MAX:  # runs lost with a broken connection never end here
+            del self._run_classes[next(iter(self._run_classes))]
+
+    def _call_started(
+        self, effect: effects.StartCall, drafts: list[RecordDraft], state: State, now: float
+    ) -> None:
+        request = self._by_attempt.get(effect.attempt_id)
+        if request is not None:
+            request.call_in_flight = True
+
+    def _registration_set(
+        self, effect: effects.SetRegistration, drafts: list[RecordDraft], state: State, now: float
+    ) -> None:
+        drafts.append(RecordDraft(RecordKind.REGISTRATION, {"taking": effect.accepts_work}))
+
+    # Open requests.
 
-    def _of(self, made: _Open) -> Totals:
+    def _remove(self, response_address: events.ResponseAddress) -> _OpenRequest | None:
+        request = self._open.pop(response_address, None)
+        if request is not None and self._by_attempt.get(request.attempt_id) is request:
+            del self._by_attempt[request.attempt_id]
+        return request
+
+    def _totals_of(self, request: _OpenRequest) -> Totals:
+        """Return the row of this second where the request is counted."""
         second = self._second
-        if made.second is second and made.row is not None:
-            return made.row
+        if request.counted_in is second and request.totals is not None:
+            return request.totals
         rows = second.totals
-        key = (made.class_name, made.tenant)
-        if key not in rows and len(rows) >= TENANTS_MOST:
-            key = (made.class_name, OTHERS)
+        key = (request.class_name, request.tenant)
+        if key not in rows and len(rows) >= TENANTS_MAX:
+            key = (request.class_name, OTHER_TENANTS)
         row = rows.get(key)
         if row is None:
             row = rows[key] = Totals()
-        made.second, made.row = second, row
+        request.counted_in, request.totals = second, row
         return row
 
-    def _length(self, kind: str, name: str, ms: float) -> None:
-        # Counted plainly here, put into a histogram once a second: that takes ten times as long.
-        counts = self._second.lengths.get((kind, name))
-        if counts is None:
-            counts = self._second.lengths[kind, name] = {}
-        value = int(ms) if ms < STEP_FROM else int(ms / 10.0) * 10
-        counts[value] = counts.get(value, 0) + 1
+
+def _count_duration(durations: dict[str, DurationCounts], name: str, duration_ms: float) -> None:
+    # Put into a histogram only once a second, as that takes ten times as long as a plain count.
+    counts = durations.get(name)
+    if counts is None:
+        counts = durations[name] = {}
+    if duration_ms < COARSE_FROM_MS:
+        value = int(duration_ms)
+    else:
+        value = int(duration_ms / COARSE_STEP_MS) * COARSE_STEP_MS
+    counts[value] = counts.get(value, 0) + 1
 
 
-def _summary(counts: dict[int, int]) -> list[int]:
-    """Count, median, 99th of 100, longest; the last three in ms."""
-    h = HdrHistogram(1, LENGTH_MAX, 2)
+def _summarize(counts: DurationCounts) -> list[int]:
+    """Return count, median, 99th percentile and maximum; the last three in ms."""
+    histogram = HdrHistogram(1, DURATION_MAX_MS, DURATION_DIGITS)
     for value, count in counts.items():
-        h.record_value(max(1, min(LENGTH_MAX, value)), count)
+        histogram.record_value(max(1, min(DURATION_MAX_MS, value)), count)
     return [
-        h.get_total_count(),
-        int(h.get_value_at_percentile(50.0)),
-        int(h.get_value_at_percentile(99.0)),
-        int(h.get_max_value()),
+        histogram.get_total_count(),
+        int(histogram.get_value_at_percentile(50.0)),
+        int(histogram.get_value_at_percentile(99.0)),
+        int(histogram.get_max_value()),
     ]
+
+
+def _counted_fields(second: _Second, now: float) -> Fields:
+    fields: Fields = {
+        "ms": round(now - second.started_at_ms, 1),
+        "totals": [[name, tenant, row.plain()] for (name, tenant), row in second.totals.items()],
+    }
+    if second.run_durations:
+        fields["runs"] = {name: _summarize(counts) for name, counts in second.run_durations.items()}
+    if second.call_durations:
+        fields["calls"] = {name: _summarize(counts) for name, counts in second.call_durations.items()}
+    if second.least_age_ms:
+        fields["floors"] = second.least_age_ms
+    return fields
+
+
+def _controller_fields(controller: Controller, timestamp_s: float) -> Fields:
+    ages_s = confirmation_ages_s(controller, timestamp_s)
+    return {
+        "b": round(controller.blocking_probability, 4),
+        "limit": round(controller.concurrency_limit, 2),
+        "mu": round(controller.estimates.service_rate, 3),
+        "lambda": round(controller.estimates.arrival_rate, 3),
+        "run_ages_s": {name: round(age, 2) for name, age in ages_s.items()},
+    }
+
+
+def _load_fields(state: State) -> Fields:
+    phases = [request.phase for request in state.requests.values()]
+    fields: Fields = {
+        "held": phases.count(RequestPhase.QUEUED),
+        "running": phases.count(RequestPhase.RUNNING),
+        "calls_in_hand": sum(request.call_in_flight for request in state.requests.values()),
+        "keys": len(state.idempotency_table),
+        "gauges": dict(zip(state.gauge_names, state.load_sample, strict=False)),
+    }
+    if state.load_report is not None:
+        fields["say"] = state.load_report
+    return fields
--- a/snowthread/records/outbox.py
+++ b/snowthread/records/outbox.py
@@ -1,7 +1,7 @@
-"""What waits to be written: bounded, in order, and with a count of what had to be dropped. Free of I/O.
+"""A bounded queue of batches that wait to be written, with a count of those dropped. Free of I/O.
 
-The newest is dropped where it is full, so that what is written has no holes but at known places; the next
-record that goes through is preceded by one that says how many are missing.
+The newest batch is dropped while the queue is full, so that losses are consecutive; the next record that goes
+through is preceded by a ``gap`` that says how many are missing.
 """
 
 from __future__ import annotations
@@ -10,34 +10,34 @@
 
 
 class Outbox:
-    """Batches of frames on their way to the writer."""
-
-    def __init__(self, most: int) -> None:
-        self._most = most
-        self._waiting: deque[bytes] = deque()
-        self.size = 0
-        self.dropped = 0  # since the last word about it
-        self.dropped_ever = 0
-
-    def add(self, frame: bytes) -> bool:
-        """Take a frame in; False where there is no room."""
-        if self.size + len(frame) > self._most:
+    """Batches of frames on their way to the writer; ``capacity`` is in bytes."""
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = capacity
+        self._batches: deque[bytes] = deque()
+        self.size = 0  # bytes that wait
+        self.dropped = 0  # since ``take_dropped`` was last called
+        self.dropped_total = 0
+
+    def add(self, batch: bytes) -> bool:
+        """Queue a batch; return False if there is no room and it was dropped."""
+        if self.size + len(batch) > self._capacity:
             self.dropped += 1
-            self.dropped_ever += 1
+            self.dropped_total += 1
             return False
-        self._waiting.append(frame)
-        self.size += len(frame)
+        self._batches.append(batch)
+        self.size += len(batch)
         return True
 
-    def owed(self) -> int:
-        """How many were dropped since it was asked last: the next record says so."""
+    def take_dropped(self) -> int:
+        """Return how many were dropped since the last call, and start counting anew."""
         dropped, self.dropped = self.dropped, 0
         return dropped
 
     def first(self) -> bytes | None:
-        """What goes next; it stays until ``sent``."""
-        return self._waiting[0] if self._waiting else None
+        """Return the batch that goes next; it stays in the queue until ``remove_first``."""
+        return self._batches[0] if self._batches else None
 
-    def sent(self) -> None:
-        """The first is on its way."""
-        self.size -= len(self._waiting.popleft())
+    def remove_first(self) -> None:
+        """Remove the first batch, as it was sent."""
+        self.size -= len(self._batches.popleft())
--- a/snowthread/records/reader.py
+++ b/snowthread/records/reader.py
@@ -1,7 +1,7 @@
-"""Reading records back: any number of nodes' files, in any order, cut anywhere, in bounded memory.
+"""Read records back: any number of nodes' files, in any order, damaged anywhere, in bounded memory.
 
-Files of one boot follow each other by their numbers; boots and nodes are merged by time. A copy of a record
-is dropped, a number left out is told as a hole, and a bad stretch as bad, each with where it is.
+The files of one boot follow each other by their numbers; boots and nodes are merged by time. Copies of a
+record are dropped, missing numbers are reported as gaps and invalid stretches as corrupt frames.
 """
 
 from __future__ import annotations
@@ -11,27 +11,30 @@
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
-from operator import itemgetter
+from operator import attrgetter
 from pathlib import Path
+from typing import NamedTuple
 
 from snowthread.records.frame import InvalidFrame, Reader
-from snowthread.records.model import Record
+from snowthread.records.model import BootId, Record, RecordKey
 from snowthread.records.writer import SUFFIX
 
-CHUNK = 64 * 1024
-SEEN_MOST = 4096  # records of a boot whose copies are recognised
-_NAME = re.compile(r"(?P<node>.+)-(?P<at>[0-9]+)-(?P<boot>[0-9a-f]+)-(?P<count>[0-9]+)" + re.escape(SUFFIX))
+CHUNK_BYTES = 64 * 1024
+SEEN_MAX = 4096  # records of a boot whose copies are recognised
+_FILE_NAME = re.compile(
+    r"(?P<node>.+)-(?P<at>[0-9]+)-(?P<boot>[0-9a-f]+)-(?P<count>[0-9]+)" + re.escape(SUFFIX)
+)
 
 
 @dataclass(frozen=True, slots=True)
 class Gap:
-    """Records of a boot that are not there."""
+    """Consecutive records of a boot that are missing."""
 
     node: str
     boot: str
-    after: int  # the number of the last one before
+    after: int  # number of the last record before the gap
     count: int
-    at: float  # the time of the first one behind
+    at: float  # time of the first record after the gap
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +47,7 @@
 
 @dataclass(slots=True)
 class Findings:
-    """What was wrong with what was read."""
+    """What was read, and what was wrong with it."""
 
     holes: list[Gap] = field(default_factory=list)
     spoilt: list[CorruptFrame] = field(default_factory=list)
@@ -52,12 +55,17 @@
     unreadable: list[str] = field(default_factory=list)
     records: int = 0
     files: int = 0
-    more: int = 0  # holes and spoilt stretches beyond those kept
+    more: int = 0  # gaps and corrupt frames beyond those kept
 
-    MOST = 1000
+    MOST = 1000  # gaps and corrupt frames that are kept
 
-    def keep(self, found: Gap | CorruptFrame) -> None:
-        """Note it down, as far as there is room."""
+    @property
+    def problems(self) -> int:
+        """How many things were wrong."""
+        return len(self.unreadable) + len(self.spoilt) + len(self.holes) + self.more
+
+    def add(self, found: Gap | CorruptFrame) -> None:
+        """Keep a finding as far as there is room, else only count it."""
         if len(self.holes) + len(self.spoilt) >= self.MOST:
             self.more += 1
         elif isinstance(found, Gap):
@@ -66,72 +74,97 @@
             self.spoilt.append(found)
 
 
-def find(places: Iterable[Path]) -> list[Path]:
-    """The files of records in these files and folders, each once."""
-    out: dict[Path, None] = {}
+class _TimedRecord(NamedTuple):
+    """A record with its place in the merged order."""
+
+    latest_at: float  # the latest time that the record's file chain has shown so far
+    key: RecordKey
+    record: Record
+
+
+@dataclass(slots=True)
+class _BootProgress:
+    """What has been read of one boot."""
+
+    highest_number: int = 0
+    seen: OrderedDict[int, None] = field(default_factory=OrderedDict)  # the latest numbers
+
+    def add(self, number: int) -> None:
+        """Note that a record was read."""
+        self.highest_number = max(self.highest_number, number)
+        self.seen[number] = None
+        if len(self.seen) > SEEN_MAX:
+            self.seen.popitem(last=False)
+
+
+def find_files(places: Iterable[Path]) -> list[Path]:
+    """Return the files of records among files and folders, each once."""
+    found: dict[Path, None] = {}
     for place in places:
         for path in sorted(place.rglob(f"*{SUFFIX}")) if place.is_dir() else [place]:
-            out[path.resolve()] = None
-    return list(out)
+            found[path.resolve()] = None
+    return list(found)
+
+
+def merge(places: Iterable[Path], findings: Findings) -> Iterator[Record]:
+    """Yield the records of all files and folders, each once, by time as their nodes' clocks have it.
+
+    A node whose clock steps back stays in the order of its numbers: until its clock has caught up, its
+    records come as of the latest time it has told. What is wrong is added to ``findings`` on the way.
+    """
+    progress: dict[BootId, _BootProgress] = {}
+    streams = [_read_chain(chain, findings) for chain in _chains(find_files(places))]
+    for _, _, record in heapq.merge(*streams, key=attrgetter("latest_at", "key")):
+        boot = progress.get(record.boot_id)
+        if boot is None:
+            boot = progress[record.boot_id] = _BootProgress()
+        if record.number in boot.seen:
+            findings.copies += 1
+            continue
+        missing = record.number - boot.highest_number - 1
+        if missing > 0:
+            findings.add(Gap(record.node, record.boot, boot.highest_number, missing, record.at))
+        boot.add(record.number)
+        findings.records += 1
+        yield record
+
+
+def _chains(paths: Iterable[Path]) -> list[list[Path]]:
+    """Group files that follow each other: those of one boot by their count, any other file alone."""
+    chains: dict[object, list[tuple[int, Path]]] = {}
+    for path in paths:
+        match = _FILE_NAME.fullmatch(path.name)
+        if match is None:
+            chains.setdefault(path, []).append((0, path))
+        else:
+            chain = path.parent, match["node"], match["boot"]
+            chains.setdefault(chain, []).append((int(match["count"]), path))
+    return [[path for _, path in sorted(chain)] for chain in chains.values()]
+
 
+def _read_chain(chain: Iterable[Path], findings: Findings) -> Iterator[_TimedRecord]:
+    latest_at = 0.0
+    for path in chain:
+        for record in _read_file(path, findings):
+            latest_at = max(latest_at, record.at)
+            yield _TimedRecord(latest_at, record.key, record)
 
-def file(path: Path, findings: Findings) -> Iterator[Record]:
-    """The records of one file."""
+
+def _read_file(path: Path, findings: Findings) -> Iterator[Record]:
     reader = Reader()
     findings.files += 1
     try:
         with path.open("rb") as source:
-            while data := source.read(CHUNK):
-                yield from _records(path, reader.feed(data), findings)
+            while data := source.read(CHUNK_BYTES):
+                yield from _keep_records(path, reader.feed(data), findings)
     except OSError as error:
         findings.unreadable.append(f"{path}: {error.strerror}")
-    yield from _records(path, reader.end(), findings)
+    yield from _keep_records(path, reader.end(), findings)
 
 
-def _records(path: Path, got: Iterable[Record | InvalidFrame], findings: Findings) -> Iterator[Record]:
-    for item in got:
+def _keep_records(path: Path, items: Iterable[Record | InvalidFrame], findings: Findings) -> Iterator[Record]:
+    for item in items:
         if isinstance(item, InvalidFrame):
-            findings.keep(CorruptFrame(path, item))
+            findings.add(CorruptFrame(path, item))
         else:
             yield item
-
-
-def _chains(paths: Iterable[Path]) -> list[list[Path]]:
-    """Files that follow each other: those of one boot, by their count; others alone."""
-    chains: dict[object, list[tuple[int, Path]]] = {}
-    for path in paths:
-        match = _NAME.fullmatch(path.name)
-        key: object = path if match is None else (path.parent, match["node"], match["boot"])
-        chains.setdefault(key, []).append((0 if match is None else int(match["count"]), path))
-    return [[path for _, path in sorted(chain)] for chain in chains.values()]
-
-
-def merge(paths: Iterable[Path], findings: Findings) -> Iterator[Record]:
-    """All records, each once, by time as their nodes' clocks have it. A node whose clock steps back stays in
-    the order of its numbers: its records come as of the latest time that it has told."""
-    last: OrderedDict[tuple[str, str], tuple[int, OrderedDict[int, None]]] = OrderedDict()
-    streams = [_timed(chain, findings) for chain in _chains(find(paths))]
-    for _, _, record in heapq.merge(*streams, key=itemgetter(0, 1)):
-        boot = record.node, record.boot
-        number, seen = last.get(boot, (0, OrderedDict()))
-        if record.number in seen:
-            findings.copies += 1
-            continue
-        seen[record.number] = None
-        if len(seen) > SEEN_MOST:
-            seen.popitem(last=False)
-        if record.number > number + 1 and boot in last:
-            findings.keep(Gap(*boot, number, record.number - number - 1, record.at))
-        elif record.number > 1 and boot not in last:
-            findings.keep(Gap(*boot, 0, record.number - 1, record.at))
-        last[boot] = max(number, record.number), seen
-        findings.records += 1
-        yield record
-
-
-def _timed(chain: list[Path], findings: Findings) -> Iterator[tuple[float, tuple[str, str, int], Record]]:
-    latest = 0.0
-    for path in chain:
-        for record in file(path, findings):
-            latest = max(latest, record.at)
-            yield latest, record.key, record
--- a/snowthread/records/retention.py
+++ b/snowthread/records/retention.py
@@ -1,4 +1,4 @@
-"""When a file of records is full, and which files go. Free of I/O."""
+"""Decide when a file of records is full, and which files are deleted. Free of I/O."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Retention:
-    """Bounds: bytes and milliseconds of one file, bytes of all of a node's files, and their age."""
+    """Bounds of one file (bytes and milliseconds) and of all files of a node (bytes and age)."""
 
     file_bytes: int = 8 * 2**20
     file_ms: float = 3_600_000.0
@@ -18,27 +18,32 @@
 
 @dataclass(frozen=True, slots=True)
 class Segment:
-    """One file that is there: its name, size, and when it was written last, in milliseconds."""
+    """An existing file: its name, its size in bytes, and when it was last written in milliseconds."""
 
     name: str
     size: int
     at: float
 
 
-def full(size: int, began: float, now: float, more: int, rules: Retention) -> bool:
-    """Does the next piece go into a new file? An empty one takes any piece; a clock set back ages none."""
-    return size > 0 and (size + more > rules.file_bytes or now - began >= rules.file_ms)
+def is_full(size: int, started_at_ms: float, now: float, added_bytes: int, retention: Retention) -> bool:
+    """Return whether the next batch goes into a new file.
 
+    An empty file takes a batch of any size; a clock that is set back makes no file older.
+    """
+    too_large = size + added_bytes > retention.file_bytes
+    too_old = now - started_at_ms >= retention.file_ms
+    return size > 0 and (too_large or too_old)
 
-def surplus(segments: Sequence[Segment], current: str, now: float, rules: Retention) -> list[str]:
-    """The files to delete, the oldest first; never the one being written."""
-    out: list[str] = []
-    total = sum(s.size for s in segments)
-    for segment in sorted(segments, key=lambda s: (s.at, s.name)):
+
+def files_to_delete(segments: Sequence[Segment], current: str, now: float, retention: Retention) -> list[str]:
+    """Return the names of the files to delete, oldest first; ``current`` is never among them."""
+    names: list[str] = []
+    total = sum(segment.size for segment in segments)
+    for segment in sorted(segments, key=lambda segment: (segment.at, segment.name)):
         if segment.name == current:
             continue
-        if total <= rules.total_bytes and now - segment.at <= rules.keep_ms:
+        if total <= retention.total_bytes and now - segment.at <= retention.keep_ms:
             continue
-        out.append(segment.name)
+        names.append(segment.name)
         total -= segment.size
-    return out
+    return names
--- a/snowthread/records/writer.py
+++ b/snowthread/records/writer.py
@@ -1,8 +1,8 @@
 """The child process that writes files of records, so that a slow or full disk never stops the node.
 
-It reads batches from a socket and appends them to files in one folder; it ends when the socket does, with
-what came before written, so a node that is killed outright leaves all that it had handed over. A write that
-fails is counted, and the next one that goes through is preceded by a record that says what is missing.
+It reads batches from a socket and appends them to files in one folder. It ends when the socket is closed,
+after it has written what came before, so a node that is killed loses nothing that it had handed over. A batch
+that can't be written is counted, and the next one that can is preceded by a ``gap`` record.
 """
 
 from __future__ import annotations
@@ -12,126 +12,162 @@
 import signal
 import socket
 import time
+from contextlib import suppress
 from pathlib import Path
+from typing import NamedTuple, NoReturn
 
 from snowthread.records.frame import encode
-from snowthread.records.model import Record
-from snowthread.records.retention import Retention, Segment, full, surplus
+from snowthread.records.model import Record, RecordKind
+from snowthread.records.retention import Retention, Segment, files_to_delete, is_full
 
-BATCH_MAX = 64 * 1024  # bytes of one message between the two
+BATCH_MAX = 64 * 1024  # bytes of one message between node and writer
+COUNT_BYTES = 4  # each message begins with its number of records, little-endian
 SUFFIX = ".records"
-LABEL_MAX = 100  # characters of a node's name in a file's
-RETRY_S = 1.0  # between two tries to open a file where the disk refuses
+LABEL_MAX = 100  # characters of a node's name that go into the name of a file
+RETRY_S = 1.0  # between two attempts to open a file after an error
+SOCKET_BUFFER_BATCHES = 4
+DESCRIPTORS_MAX = 4096  # descriptors of the node that are closed in the child
+FILE_MODE = 0o640
 
 
-class Files:
-    """Appends to the files of one boot in one folder."""
+class WriterProcess(NamedTuple):
+    """The running child: the socket on which it takes batches, and its process id."""
+
+    socket: socket.socket
+    pid: int
+
 
-    def __init__(self, folder: Path, node: str, boot: str, rules: Retention) -> None:
-        self._folder, self._node, self._boot, self._rules = folder, node, boot, rules
-        # A name may hold what a path must not, and one node's name may begin another's.
+class Files:
+    """Append batches to the files of one boot in one folder."""
+
+    def __init__(self, folder: Path, node: str, boot: str, retention: Retention) -> None:
+        self._folder = folder
+        self._node = node
+        self._boot = boot
+        self._retention = retention
+        # A node's name may hold characters that a path must not.
         self._label = re.sub(r"[^A-Za-z0-9._-]|^\.+", "_", node)[:LABEL_MAX]
-        self._mine = re.compile(re.escape(self._label) + r"-[0-9]+-[0-9a-f]+-[0-9]+" + re.escape(SUFFIX))
-        self._fd, self._name, self._size, self._began = -1, "", 0, 0.0
-        self._count = self._gaps = 0
-        self._lost, self._why, self._torn = 0, "", False
-        self._retry_at = 0.0
+        # The whole name is matched, as the name of one node may begin with another's.
+        self._own_name = re.compile(re.escape(self._label) + r"-[0-9]+-[0-9a-f]+-[0-9]+" + re.escape(SUFFIX))
+        self._file_count = 0
+        self._fd = -1
+        self._name = ""
+        self._size = 0
+        self._started_at_ms = 0.0
+        self._gap_count = 0
+        self._lost_records = 0
+        self._error_text = ""
+        self._retry_at_ms = 0.0
 
     def append(self, batch: bytes, records: int, now: float) -> None:
-        """Write a batch of whole frames; what can't be written is counted."""
+        """Write a batch of whole frames; count its records as lost if that fails."""
         try:
-            if self._fd >= 0 and full(self._size, self._began, now, len(batch), self._rules):
-                self.close()
-            if self._fd < 0:
-                if now < self._retry_at:
-                    raise OSError(0, self._why)
-                self._open(now)
-            if self._lost:
-                gap = Record(
-                    self._node,
-                    self._boot,
-                    -1 - self._gaps,
-                    now,
-                    "gap",
-                    {"lost": self._lost, "why": self._why},
-                )
-                self._write(encode(gap))
-                self._gaps, self._lost = self._gaps + 1, 0
+            self._ensure_open(len(batch), now)
+            if self._lost_records:
+                self._write_gap(now)
             self._write(batch)
         except OSError as error:
-            self._lost += records
-            self._why = error.strerror or str(error)
-            if now >= self._retry_at:
-                self._retry_at = now + RETRY_S * 1000.0
-            self.close()  # a frame may be torn at its end: the next goes into a new file
+            self._lost_records += records
+            self._error_text = error.strerror or str(error)
+            if now >= self._retry_at_ms:
+                self._retry_at_ms = now + RETRY_S * 1000.0
+            self.close()  # the file may end in an incomplete frame: the next batch goes into a new one
 
     def close(self) -> None:
-        """Close the file that is open."""
-        if self._fd >= 0:
-            fd, self._fd = self._fd, -1
-            try:
-                os.fsync(fd)
-            except OSError:
-                pass
-            os.close(fd)
+        """Close the file that is open, if any."""
+        if self._fd < 0:
+            return
+        fd, self._fd = self._fd, -1
+        with suppress(OSError):
+            os.fsync(fd)
+        os.close(fd)
+
+    def _ensure_open(self, batch_bytes: int, now: float) -> None:
+        """Open a file if none is open or the open one is full; raise OSError if that is not possible yet."""
+        if self._fd >= 0 and is_full(self._size, self._started_at_ms, now, batch_bytes, self._retention):
+            self.close()
+        if self._fd < 0:
+            if now < self._retry_at_ms:
+                raise OSError(0, self._error_text)
+            self._open(now)
 
     def _open(self, now: float) -> None:
-        self._count += 1
-        name = f"{self._label}-{int(now)}-{self._boot}-{self._count:06d}{SUFFIX}"
+        self._file_count += 1
+        name = f"{self._label}-{int(now)}-{self._boot}-{self._file_count:06d}{SUFFIX}"
         self._folder.mkdir(parents=True, exist_ok=True)
-        self._fd = os.open(self._folder / name, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o640)
-        self._name, self._size, self._began = name, 0, now
-        self._tidy(now)
+        self._fd = os.open(self._folder / name, os.O_WRONLY | os.O_CREAT | os.O_APPEND, FILE_MODE)
+        self._name = name
+        self._size = 0
+        self._started_at_ms = now
+        self._delete_surplus(now)
+
+    def _write_gap(self, now: float) -> None:
+        """Record how many records are missing; the writer numbers its own records below zero."""
+        fields = {"lost": self._lost_records, "why": self._error_text}
+        number = -1 - self._gap_count
+        self._write(encode(Record(self._node, self._boot, number, now, RecordKind.GAP, fields)))
+        self._gap_count += 1
+        self._lost_records = 0
 
     def _write(self, data: bytes) -> None:
         view = memoryview(data)
         while view:
-            sent = os.write(self._fd, view)
-            self._size += sent
-            view = view[sent:]
+            written = os.write(self._fd, view)
+            self._size += written
+            view = view[written:]
 
-    def _tidy(self, now: float) -> None:
-        """Delete what the rules don't keep; other nodes' files in the folder are theirs."""
+    def _delete_surplus(self, now: float) -> None:
+        """Delete files of this node beyond its retention; other nodes' files in the folder are left alone."""
         segments = []
         for path in self._folder.iterdir():
-            if not self._mine.fullmatch(path.name):
+            if not self._own_name.fullmatch(path.name):
                 continue
             try:
                 stat = path.stat()
             except OSError:
                 continue
             segments.append(Segment(path.name, stat.st_size, stat.st_mtime * 1000.0))
-        for name in surplus(segments, self._name, now, self._rules):
+        for name in files_to_delete(segments, self._name, now, self._retention):
             (self._folder / name).unlink(missing_ok=True)
 
 
-def start(folder: Path, node: str, boot: str, rules: Retention) -> tuple[socket.socket, int]:
-    """Start the child; the socket's other end, on which each message is a count and a batch, and its pid."""
-    here, there = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-    here.setblocking(False)
-    here.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4 * BATCH_MAX)
+def start(folder: Path, node: str, boot: str, retention: Retention) -> WriterProcess:
+    """Fork the child and return the socket on which it takes batches, see ``encode_batch``."""
+    files = Files(folder, node, boot, retention)
+    node_end, writer_end = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    node_end.setblocking(False)
+    node_end.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BATCHES * BATCH_MAX)
     pid = os.fork()
-    if pid:
-        there.close()
-        return here, pid
-    code = 1
+    if pid == 0:
+        _run_child(node_end, writer_end, files)
+    writer_end.close()
+    return WriterProcess(node_end, pid)
+
+
+def encode_batch(records: int, frames: bytes | bytearray) -> bytes:
+    """Encode a message to the writer: the number of records, then their frames."""
+    return records.to_bytes(COUNT_BYTES, "little") + bytes(frames)
+
+
+def _run_child(node_end: socket.socket, writer_end: socket.socket, files: Files) -> NoReturn:
+    """Serve in the child until the socket is closed, then exit without any of the parent's clean-up."""
+    status = 1
     try:
-        here.close()
-        fd = there.fileno()
+        node_end.close()
+        fd = writer_end.fileno()
         os.closerange(3, fd)
-        os.closerange(fd + 1, 4096)  # whatever else the node has open stays the node's alone
+        os.closerange(fd + 1, DESCRIPTORS_MAX)  # what else the node has open stays the node's alone
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            signal.signal(number, signal.SIG_IGN)  # it ends with its node, not before
-        _serve(there, Files(folder, node, boot, rules))
-        code = 0
+            signal.signal(number, signal.SIG_IGN)  # the child ends with its node, not before
+        _serve(writer_end, files)
+        status = 0
     finally:
-        os._exit(code)  # nothing of the parent's may run here
+        os._exit(status)
 
 
 def _serve(source: socket.socket, files: Files) -> None:
-    while True:
-        message = source.recv(4 + BATCH_MAX)
-        if not message:
-            files.close()
-            return
-        files.append(message[4:], int.from_bytes(message[:4], "little"), time.time() * 1000.0)
+    """Write batches until the socket is closed."""
+    while message := source.recv(COUNT_BYTES + BATCH_MAX):
+        records = int.from_bytes(message[:COUNT_BYTES], "little")
+        files.append(message[COUNT_BYTES:], records, time.time() * 1000.0)
+    files.close()
--- a/tests/core/test_reconfiguration.py
+++ b/tests/core/test_reconfiguration.py
@@ -184,7 +184,7 @@
 def test_records_count_by_the_new_classes() -> None:
     observer = Observer(PLAIN, START)
     observer.apply_settings(with_classes(C))
-    assert set(observer._aims) == {"c"}
+    assert set(observer._latency_objectives_ms) == {"c"}
 
 
 # Files.
--- /dev/null
+++ b/tests/records/test_record_program.py
@@ -0,0 +1,143 @@
+"""A program that records: what it leaves behind, and that it goes on whatever the writer does."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from contextlib import ExitStack
+from pathlib import Path
+
+import pytest
+from ask import ask
+from test_program import PATIENCE_S, at, configuration, environment, site, started
+
+from snowthread import config
+from snowthread.config import ConfigError
+from snowthread.operator.features import Features
+from snowthread.records.model import Record
+from snowthread.records.reader import Findings, merge
+
+ROOT = Path(__file__).parents[2]
+
+
+def records_file(folder: Path, line: str = "") -> Path:
+    path = folder / "records.hcl"
+    path.write_text(f'records {{\n folder = "{folder}/kept"\n {line}\n}}\n')
+    return path
+
+
+def test_a_killed_program_loses_at_most_its_last_second(tmp_path: Path) -> None:
+    path, file = configuration(tmp_path, stop_ms=1000), records_file(tmp_path)
+    with ExitStack() as stack:
+        stack.enter_context(site(path))
+        node = stack.enter_context(
+            started("-m", "snowthread", "serve", "--with", str(file), env=environment(path))
+        )
+        assert node.stderr is not None and "listens on" in node.stderr.readline()
+        for number in range(5):
+            assert ask(at(path), "match", b"grey") == [1, 1, None, [b"GREY", {}]], number
+        time.sleep(1.2)
+        node.kill()
+        node.wait()
+        kept = wait_for_served(tmp_path / "kept", 5)
+    assert kept[0].kind == "start" and kept[0].fields["pid"] == node.pid
+    assert not [record for record in kept if record.kind == "end"]
+    status = serve_and_stop(path, file)
+    kept = wait_for_served(tmp_path / "kept", 5)
+    assert len({record.boot for record in kept}) == 2 and {record.node for record in kept} == {"n1"}
+    (end,) = [record for record in kept if record.kind == "end"]
+    assert end.fields["how"] == "left" and status == 0
+
+
+def serve_and_stop(path: Path, file: Path) -> int:
+    """Serve until the node listens, shut it down, and return its status."""
+    with started("-m", "snowthread", "serve", "--with", str(file), env=environment(path)) as node:
+        assert node.stderr is not None and "listens on" in node.stderr.readline()
+        node.send_signal(signal.SIGTERM)
+        return node.wait(PATIENCE_S)
+
+
+def count_served(records: list[Record]) -> int:
+    return sum(
+        counts.get("served", 0)
+        for record in records
+        if record.kind == "second"
+        for _, _, counts in record.fields["totals"]
+    )
+
+
+def wait_for_served(folder: Path, wanted: int) -> list[Record]:
+    """Wait until the records tell of so many served requests, and return them."""
+    deadline = time.monotonic() + PATIENCE_S
+    while True:
+        records = list(merge([folder], Findings()))
+        if count_served(records) == wanted:
+            return records
+        assert time.monotonic() < deadline, records
+        time.sleep(0.1)
+
+
+def test_a_writer_that_fails_or_is_killed_does_not_stop_the_node(tmp_path: Path) -> None:
+    path, file = configuration(tmp_path, stop_ms=1000), records_file(tmp_path)
+    (tmp_path / "kept").write_text("a file where a folder should be")
+    with ExitStack() as stack:
+        stack.enter_context(site(path))
+        node = stack.enter_context(
+            started("-m", "snowthread", "serve", "--with", str(file), env=environment(path))
+        )
+        assert node.stderr is not None and "listens on" in node.stderr.readline()
+        assert ask(at(path), "match", b"grey") == [1, 1, None, [b"GREY", {}]]
+        children = Path(f"/proc/{node.pid}/task/{node.pid}/children").read_text().split()
+        os.kill(int(children[0]), signal.SIGKILL)
+        assert any("the writer has ended" in line for line in iter(node.stderr.readline, ""))
+        assert ask(at(path), "match", b"grey") == [1, 1, None, [b"GREY", {}]]
+        node.send_signal(signal.SIGTERM)
+        assert node.wait(PATIENCE_S) == 0
+
+
+@pytest.mark.parametrize(
+    ("line", "named"),
+    [
+        ("total_mb = 1", "total_mb"),
+        ("keep = 3", "keep"),
+        ("file_mb = 0", "file_mb"),
+        ("colour = 1", "no such key"),
+    ],
+)
+def test_the_invalid_key_of_the_block_is_named(tmp_path: Path, line: str, named: str) -> None:
+    node = config.load({"NODE_CONFIG": str(ROOT / "examples" / "node.json")})
+    assert Features.load(records_file(tmp_path), node).records is not None
+    with pytest.raises(ConfigError, match=named):
+        Features.load(records_file(tmp_path, line), node)
+
+
+def test_the_commands_show_what_was_recorded(tmp_path: Path) -> None:
+    path, file = configuration(tmp_path, stop_ms=1000), records_file(tmp_path)
+    assert serve_and_stop(path, file) == 0
+
+    def run(*arguments: str) -> subprocess.CompletedProcess[str]:
+        return subprocess.run(
+            [sys.executable, "-m", "snowthread", "records", *arguments],
+            cwd=ROOT,
+            text=True,
+            env=environment(path),
+            capture_output=True,
+            timeout=PATIENCE_S,
+        )
+
+    kept = str(tmp_path / "kept")
+    lines = [json.loads(line) for line in run("cat", "--json", kept).stdout.splitlines()]
+    assert lines[0]["kind"] == "start" and lines[-1]["kind"] == "end"
+    assert run("cat", "--kind", "end", kept).stdout.count("\n") == 1
+    whole = run("verify", kept)
+    assert whole.returncode == 0 and "nothing wrong" in whole.stdout
+    assert "n1" in run("stats", kept).stdout and "left" in run("stats", kept).stdout
+    (file_of_records,) = Path(kept).iterdir()
+    file_of_records.write_bytes(file_of_records.read_bytes()[:-7])
+    truncated = run("verify", kept)
+    assert truncated.returncode == 1 and "cut short" in truncated.stdout
+    assert "no end is recorded" in run("stats", kept).stdout
--- /dev/null
+++ b/tests/support/record_files.py
@@ -0,0 +1,38 @@
+"""Build records and write files of them for tests."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from pathlib import Path
+
+from snowthread.records.frame import encode
+from snowthread.records.model import Record, RecordKind
+from snowthread.records.writer import SUFFIX
+
+START_MS = 1_800_000_000_000.0
+
+
+def note(
+    number: int, node: str = "n1", boot: str = "b0", at: float | None = None, **fields: object
+) -> Record:
+    """Return a note whose time, if none is given, is that many seconds after the start."""
+    time_ms = START_MS + number * 1000.0 if at is None else at
+    return Record(node, boot, number, time_ms, RecordKind.NOTE, fields)
+
+
+def encode_all(records: Iterable[Record]) -> bytes:
+    """Return the frames of records one after the other."""
+    return b"".join(encode(record) for record in records)
+
+
+def write_records(folder: Path, name: str, records: Iterable[Record]) -> Path:
+    """Write a file of records; ``name`` is without its suffix."""
+    path = folder / f"{name}{SUFFIX}"
+    path.write_bytes(encode_all(records))
+    return path
+
+
+def write_nodes(folder: Path, records_by_node: dict[str, list[Record]]) -> None:
+    """Write one file for each node, as the first file of one boot."""
+    for node, records in records_by_node.items():
+        write_records(folder, f"{node}-1-00-000001", records)
