--- a/benchmarks/tenants.py
+++ b/benchmarks/tenants.py
@@ -181,12 +181,12 @@
     addresses = [f"10.{rng.randrange(96)}.{rng.randrange(256)}.{rng.randrange(256)}" for _ in range(looks)]
     began = time.perf_counter()
     for address in addresses:
-        table._find(address, 5)
+        table._identify_uncached(address, 5)
     cold = (time.perf_counter() - began) / looks
     few = addresses[:500] * (looks // 500)
     began = time.perf_counter()
     for address in few:
-        table.whois(address, 5)
+        table.identify(address, 5)
     warm = (time.perf_counter() - began) / len(few)
     return {
         "cold_us": cold * 1e6,
@@ -229,7 +229,7 @@
             "seconds": time.perf_counter() - began,
             "cpu_s": time.process_time() - cpu,
             "tenants": len(tenancy.table),
-            "networks": tenancy.table.networks,
+            "networks": tenancy.table.network_count,
             "longest_turn_ms": max(turns),
             "turn_p99_ms": rig.quantile(turns, 0.99),
         }
@@ -245,7 +245,7 @@
     gate = TenantIdentification(EventLoop(Clock()), made, 1, passed.append)
     gate.tenants.table.apply(many(1_000, 10_000))
     addresses = [f"10.{rng.randrange(10)}.{rng.randrange(256)}.1" for _ in range(500)]
-    gate._origin = lambda place: addresses[place]
+    gate._peer_address = lambda place: addresses[place]
     messages = [
         events.RequestReceived((n % 500, n), "0" * 16, "match", b"grey", 1.0, 1.0, 3, 20.0, 0.5)
         for n in range(looks)
@@ -275,7 +275,7 @@
     )
     wire = other.pack((0, 16, [(0, 2, 1), item.node()])) * count
     session = Session()
-    session.send(m.Search("", m.Scope.SUB, filters.parse("(cn=*)")))
+    session.send(m.SearchRequest("", m.Scope.SUB, filters.parse("(cn=*)")))
     began = time.perf_counter()
     read = sum(len(session.receive(wire[at : at + 16384])) for at in range(0, len(wire), 16384))
     took = time.perf_counter() - began
--- a/snowthread/ldap/client.py
+++ b/snowthread/ldap/client.py
@@ -11,8 +11,8 @@
 
 from snowthread.ldap import messages as m
 from snowthread.ldap.ber import Bounds
-from snowthread.ldap.health import Reaction, reaction
-from snowthread.ldap.session import Broken, Session, State
+from snowthread.ldap.health import Reaction, reaction_to
+from snowthread.ldap.session import SessionEnded, Session, SessionState
 from snowthread.ldap.url import LdapUrl
 from snowthread.net.attempt import Failure, Progress
 from snowthread.net.connect import ConnectAttempt
@@ -21,47 +21,47 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LinkFailure:
+class ConnectionFailure:
     """A connection or operation that failed: how far it had come, why, and what that asks for."""
 
     progress: Progress
     reason: str
-    reaction: Reaction = Reaction.ELSEWHERE
+    reaction: Reaction = Reaction.FAIL_OVER
 
 
 @dataclass(frozen=True, slots=True)
-class Access:
+class ConnectionSettings:
     """How to get in. ``context`` None: no TLS; ``start_tls``: over the plain port. Times in milliseconds."""
 
-    bind: m.Bind | m.BindExternal | None
-    context: ssl.SSLContext | None = None
+    bind: m.SimpleBindRequest | m.ExternalBindRequest | None
+    tls_context: ssl.SSLContext | None = None
     start_tls: bool = False
     server_name: str = ""  # that the certificate must prove; the host's own number where it is empty
-    connect_ms: float = 2_000.0
-    bind_ms: float = 3_000.0
+    connect_timeout_ms: float = 2_000.0
+    bind_timeout_ms: float = 3_000.0
     bounds: Bounds = field(default_factory=Bounds)
 
 
-class Link:
+class LdapConnection:
     """One connection. ``open`` first; ``send`` and ``receive`` until a Trouble; ``close`` in any case."""
 
-    def __init__(self, loop: EventLoop, url: LdapUrl, access: Access) -> None:
+    def __init__(self, loop: EventLoop, url: LdapUrl, access: ConnectionSettings) -> None:
         self.url, self.server = url, url.server
-        self._loop, self._access = loop, access
+        self._loop, self._settings = loop, access
         self._session = Session(access.bounds)
         self._stream: Stream | None = None
 
-    def open(self) -> Generator[Wait, int, LinkFailure | None]:
+    def open(self) -> Generator[Wait, int, ConnectionFailure | None]:
         """Connect, secure and bind, each under its deadline."""
-        clock, access = self._loop.clock, self._access
-        attempt = ConnectAttempt(self.url.address, self._loop, clock.now() + access.connect_ms)
+        clock, access = self._loop.clock, self._settings
+        attempt = ConnectAttempt(self.url.address, self._loop, clock.now() + access.connect_timeout_ms)
         yield from attempt.steps()
         if attempt.sock is None:
-            return LinkFailure(attempt.failure.progress, f"connect: {attempt.failure.reason}")
+            return ConnectionFailure(attempt.failure.progress, f"connect: {attempt.failure.reason}")
         self._stream = Stream(self._loop, attempt.sock)
-        trouble: LinkFailure | None = None
+        trouble: ConnectionFailure | None = None
         if self.url.scheme == "ldaps":
-            trouble = yield from self._tls()
+            trouble = yield from self._secure()
         elif access.start_tls:
             trouble = yield from self._start_tls()
         if trouble is None and access.bind is not None:
@@ -76,84 +76,94 @@
         self._stream.write(data)
         return number
 
-    def receive(self, until: float) -> Generator[Wait, int, list[m.Message] | LinkFailure]:
+    def receive(self, until: float) -> Generator[Wait, int, list[m.Message] | ConnectionFailure]:
         """Messages that came; none where time is up or the task was woken."""
         if self._stream is None:
             raise RuntimeError("the link is not open")
-        if self._session.state is State.CLOSED:
+        if self._session.state is SessionState.CLOSED:
             return self._broken
         data = yield from self._stream.read(until)
         if isinstance(data, Failure):
-            return LinkFailure(data.progress, data.reason)
+            return ConnectionFailure(data.progress, data.reason)
         out: list[m.Message] = []
         for got in self._session.receive(data):
-            if isinstance(got, Broken):
+            if isinstance(got, SessionEnded):
                 # What came whole before it stands; the next call finds the session closed.
-                self._broken = self._of(got)
+                self._broken = self._failure_of(got)
                 return out or self._broken
             out.append(got)
         return out
 
-    _broken = LinkFailure(Progress.REPLY_BEGUN, "closed")
+    _broken = ConnectionFailure(Progress.REPLY_BEGUN, "closed")
 
     def close(self) -> None:
         """Say goodbye where that can be done, and close."""
         stream, self._stream = self._stream, None
         if stream is not None:
-            if self._session.state is State.FRESH:
-                stream.write(self._session.send(m.Unbind())[1])
+            if self._session.state is SessionState.READY:
+                stream.write(self._session.send(m.UnbindRequest())[1])
             stream.close()
 
-    def _tls(self) -> Generator[Wait, int, LinkFailure | None]:
-        context, stream = self._access.context, self._stream
+    def _secure(self) -> Generator[Wait, int, ConnectionFailure | None]:
+        context, stream = self._settings.tls_context, self._stream
         if context is None or stream is None:
-            return LinkFailure(Progress.SENT, "TLS: no context is set", Reaction.OPERATOR)
-        name = self._access.server_name or self.url.host
-        failure = yield from stream.secure(context, name, self._loop.clock.now() + self._access.bind_ms)
+            return ConnectionFailure(Progress.SENT, "TLS: no context is set", Reaction.NEEDS_OPERATOR)
+        name = self._settings.server_name or self.url.host
+        failure = yield from stream.secure(
+            context, name, self._loop.clock.now() + self._settings.bind_timeout_ms
+        )
         if failure is not None:
             bad = failure.reason.startswith("certificate")
-            return LinkFailure(
-                failure.progress, failure.reason, Reaction.OPERATOR if bad else Reaction.ELSEWHERE
+            return ConnectionFailure(
+                failure.progress, failure.reason, Reaction.NEEDS_OPERATOR if bad else Reaction.FAIL_OVER
             )
         return None
 
-    def _start_tls(self) -> Generator[Wait, int, LinkFailure | None]:
-        number = self.send(m.Extended(m.START_TLS_OID))
-        got = yield from self._answer(number, self._loop.clock.now() + self._access.bind_ms, "StartTLS")
-        if isinstance(got, LinkFailure):
+    def _start_tls(self) -> Generator[Wait, int, ConnectionFailure | None]:
+        number = self.send(m.ExtendedRequest(m.START_TLS_OID))
+        got = yield from self._receive_response(
+            number, self._loop.clock.now() + self._settings.bind_timeout_ms, "StartTLS"
+        )
+        if isinstance(got, ConnectionFailure):
             return got
-        if not isinstance(got, m.ExtendedDone) or got.result.code != 0:
-            code = got.result.code if isinstance(got, m.ExtendedDone) else -1
-            return LinkFailure(Progress.REPLY_BEGUN, f"StartTLS: code {code}", Reaction.OPERATOR)
-        trouble = yield from self._tls()
+        if not isinstance(got, m.ExtendedResponse) or got.result.code != 0:
+            code = got.result.code if isinstance(got, m.ExtendedResponse) else -1
+            return ConnectionFailure(Progress.REPLY_BEGUN, f"StartTLS: code {code}", Reaction.NEEDS_OPERATOR)
+        trouble = yield from self._secure()
         if trouble is None:
-            self._session.secured()
+            self._session.mark_secured()
         return trouble
 
-    def _bind(self, bind: m.Bind | m.BindExternal) -> Generator[Wait, int, LinkFailure | None]:
+    def _bind(
+        self, bind: m.SimpleBindRequest | m.ExternalBindRequest
+    ) -> Generator[Wait, int, ConnectionFailure | None]:
         number = self.send(bind)
-        got = yield from self._answer(number, self._loop.clock.now() + self._access.bind_ms, "bind")
-        if isinstance(got, LinkFailure):
+        got = yield from self._receive_response(
+            number, self._loop.clock.now() + self._settings.bind_timeout_ms, "bind"
+        )
+        if isinstance(got, ConnectionFailure):
             return got
-        if not isinstance(got, m.BindDone) or got.result.code != 0:
-            code = got.result.code if isinstance(got, m.BindDone) else -1
-            return LinkFailure(Progress.REPLY_BEGUN, f"bind: code {code}", reaction(code))
+        if not isinstance(got, m.BindResponse) or got.result.code != 0:
+            code = got.result.code if isinstance(got, m.BindResponse) else -1
+            return ConnectionFailure(Progress.REPLY_BEGUN, f"bind: code {code}", reaction_to(code))
         return None
 
-    def _answer(self, number: int, until: float, what: str) -> Generator[Wait, int, m.Response | LinkFailure]:
+    def _receive_response(
+        self, number: int, until: float, what: str
+    ) -> Generator[Wait, int, m.Response | ConnectionFailure]:
         """The one answer to what was just sent."""
         while self._loop.clock.now() < until:
             got = yield from self.receive(until)
-            if isinstance(got, LinkFailure):
-                return LinkFailure(got.progress, f"{what}: {got.reason}", got.reaction)
+            if isinstance(got, ConnectionFailure):
+                return ConnectionFailure(got.progress, f"{what}: {got.reason}", got.reaction)
             for message in got:
-                if message.id == number:
-                    return message.op
-        return LinkFailure(Progress.SENT, f"{what}: no answer in time")
+                if message.message_id == number:
+                    return message.response
+        return ConnectionFailure(Progress.SENT, f"{what}: no answer in time")
 
     @staticmethod
-    def _of(broken: Broken) -> LinkFailure:
+    def _failure_of(broken: SessionEnded) -> ConnectionFailure:
         code = broken.notice.code if broken.notice is not None else None
         # A notice is a server on its way out, whatever its code; one that forbids us needs people.
-        what = Reaction.OPERATOR if code in (8, 13) else Reaction.ELSEWHERE
-        return LinkFailure(Progress.REPLY_BEGUN, broken.reason, what)
+        what = Reaction.NEEDS_OPERATOR if code in (8, 13) else Reaction.FAIL_OVER
+        return ConnectionFailure(Progress.REPLY_BEGUN, broken.reason, what)
--- a/snowthread/ldap/dn.py
+++ b/snowthread/ldap/dn.py
@@ -14,7 +14,7 @@
 from lark import Lark, Token, Tree
 from lark.exceptions import UnexpectedInput
 
-TEXT_MAX = 4096
+MAX_TEXT_LENGTH = 4096
 
 _GRAMMAR = r"""
 start: (rdn ("," rdn)*)?
@@ -32,12 +32,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Dn:
+class DistinguishedName:
     """A name: its parts, the nearest first, each a set of (type, value) pairs, normalised."""
 
     parts: tuple[frozenset[tuple[str, str]], ...]
 
-    def below(self, base: Dn) -> bool:
+    def is_below(self, base: DistinguishedName) -> bool:
         """Is it the base or anything under it?"""
         size = len(base.parts)
         return len(self.parts) >= size and (size == 0 or self.parts[-size:] == base.parts)
@@ -48,7 +48,7 @@
         return ",".join("+".join(sorted(f"{t}={_escape(v)}" for t, v in part)) for part in self.parts)
 
 
-def plainly_below(text: str, base: Dn) -> bool:
+def is_plainly_below(text: str, base: DistinguishedName) -> bool:
     """Does the text end in the base as it would be written plainly? True is certain; False: parse it. For
     entries by the thousand, of which a parser would take most of the time."""
     end, lower = base.key, text.lower()
@@ -66,15 +66,15 @@
 
 
 @lru_cache(maxsize=4096)
-def parse(text: str) -> Dn:
+def parse(text: str) -> DistinguishedName:
     """The name that a text means; DnError where it is none."""
-    if len(text) > TEXT_MAX:
-        raise DnError(f"longer than {TEXT_MAX} characters")
+    if len(text) > MAX_TEXT_LENGTH:
+        raise DnError(f"longer than {MAX_TEXT_LENGTH} characters")
     try:
         tree = _parser().parse(text)
     except UnexpectedInput as error:
         raise DnError(f"can't be read at character {error.column}") from None
-    return Dn(
+    return DistinguishedName(
         tuple(
             frozenset(_pair(part) for part in rdn.children if isinstance(part, Tree))
             for rdn in tree.children
--- a/snowthread/ldap/filters.py
+++ b/snowthread/ldap/filters.py
@@ -12,7 +12,7 @@
 
 from snowthread.ldap.messages import FilterTree
 
-TEXT_MAX, DEPTH_MAX = 16 * 1024, 16
+MAX_TEXT_LENGTH, MAX_DEPTH = 16 * 1024, 16
 
 _GRAMMAR = r"""
 start: filter
@@ -38,16 +38,16 @@
 
 def parse(text: str) -> FilterTree:
     """A filter as the tree that a search carries; FilterError says where the text goes wrong."""
-    if len(text) > TEXT_MAX:
-        raise FilterError(f"longer than {TEXT_MAX} characters")
+    if len(text) > MAX_TEXT_LENGTH:
+        raise FilterError(f"longer than {MAX_TEXT_LENGTH} characters")
     depth = deepest = 0
     for c in text:
         depth += (c == "(") - (c == ")")
         deepest = max(deepest, depth)
-    if deepest > DEPTH_MAX:
-        raise FilterError(f"nested deeper than {DEPTH_MAX}")
+    if deepest > MAX_DEPTH:
+        raise FilterError(f"nested deeper than {MAX_DEPTH}")
     try:
-        tree: FilterTree = _Build().transform(_parser().parse(text))
+        tree: FilterTree = _FilterBuilder().transform(_parser().parse(text))
     except UnexpectedInput as error:
         raise FilterError(f"can't be read at character {error.column}") from None
     except VisitError as error:
@@ -63,7 +63,7 @@
     return "".join(chr(o) if 0x20 < o < 0x7F and o not in b"*()\\" else f"\\{o:02x}" for o in octets)
 
 
-def equal(attribute: str, value: str) -> FilterTree:
+def equality_filter(attribute: str, value: str) -> FilterTree:
     """The filter that finds this value."""
     return "equalityMatch", {"attribute": attribute.encode(), "value": value.encode()}
 
@@ -77,7 +77,7 @@
     return _ESCAPED.sub(lambda m: bytes([int(m[1], 16)]), text.encode())
 
 
-class _Build(Transformer[Any, FilterTree]):
+class _FilterBuilder(Transformer[Any, FilterTree]):
     def start(self, parts: list[Any]) -> FilterTree:
         found: FilterTree = parts[0]
         return found
--- a/snowthread/ldap/messages.py
+++ b/snowthread/ldap/messages.py
@@ -13,7 +13,7 @@
 from snowthread.ldap.schema import MODULE
 
 _MESSAGE = MODULE.types["Message"]
-NOTICE_OID = "1.3.6.1.4.1.1466.20036"  # notice of disconnection, RFC 4511 section 4.4.1
+NOTICE_OF_DISCONNECTION_OID = "1.3.6.1.4.1.1466.20036"  # notice of disconnection, RFC 4511 section 4.4.1
 START_TLS_OID = "1.3.6.1.4.1.1466.20037"  # RFC 4511 section 4.14
 FilterTree = tuple[str, Any]  # as ``filters.parse`` makes it
 
@@ -61,7 +61,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Bind:
+class SimpleBindRequest:
     """A simple bind; an empty name and secret is anonymous."""
 
     name: str
@@ -69,26 +69,26 @@
 
 
 @dataclass(frozen=True, slots=True)
-class BindExternal:
+class ExternalBindRequest:
     """SASL EXTERNAL (RFC 4422, appendix A): who the certificate says."""
 
     authorization: str = ""
 
 
 @dataclass(frozen=True, slots=True)
-class Unbind:
+class UnbindRequest:
     """The end of the session; no answer."""
 
 
 @dataclass(frozen=True, slots=True)
-class Abandon:
+class AbandonRequest:
     """Give up an operation; no answer."""
 
     message_id: int
 
 
 @dataclass(frozen=True, slots=True)
-class Search:
+class SearchRequest:
     """A search; limits of 0 are none."""
 
     base: str
@@ -101,20 +101,22 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Extended:
+class ExtendedRequest:
     """An extended operation."""
 
     oid: str
     value: bytes | None = None
 
 
-Request = Bind | BindExternal | Unbind | Abandon | Search | Extended
+Request = (
+    SimpleBindRequest | ExternalBindRequest | UnbindRequest | AbandonRequest | SearchRequest | ExtendedRequest
+)
 
 # Responses
 
 
 @dataclass(frozen=True, slots=True)
-class Result:
+class LdapResult:
     """How an operation ended."""
 
     code: int
@@ -124,14 +126,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class BindDone:
+class BindResponse:
     """The answer to a bind."""
 
-    result: Result
+    result: LdapResult
 
 
 @dataclass(frozen=True, slots=True)
-class Entry:
+class SearchResultEntry:
     """One entry; attribute names are lower-cased, options stay with them."""
 
     dn: str
@@ -140,53 +142,60 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Reference:
+class SearchResultReference:
     """The search goes on elsewhere, as these URLs say."""
 
     urls: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class SearchDone:
+class SearchResultDone:
     """The search is over."""
 
-    result: Result
+    result: LdapResult
     controls: tuple[Control, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
-class ExtendedDone:
+class ExtendedResponse:
     """The answer to an extended operation, or an unsolicited notice."""
 
-    result: Result
+    result: LdapResult
     oid: str = ""
     value: bytes | None = None
 
 
 @dataclass(frozen=True, slots=True)
-class Intermediate:
+class IntermediateResponse:
     """A word on the way (RFC 4511, section 4.13)."""
 
     oid: str
     value: bytes = b""
 
 
-Response = BindDone | Entry | Reference | SearchDone | ExtendedDone | Intermediate
+Response = (
+    BindResponse
+    | SearchResultEntry
+    | SearchResultReference
+    | SearchResultDone
+    | ExtendedResponse
+    | IntermediateResponse
+)
 
 
 @dataclass(frozen=True, slots=True)
 class Message:
     """A response under its number."""
 
-    id: int
-    op: Response
+    message_id: int
+    response: Response
     size: int = field(default=0, compare=False)
 
 
 def encode(number: int, request: Request) -> bytes:
     """A request's bytes."""
     fields: dict[str, Any] = {"id": number, "op": _request(request)}
-    if isinstance(request, Search) and request.controls:
+    if isinstance(request, SearchRequest) and request.controls:
         fields["controls"] = [_control(c) for c in request.controls]
     return bytes(_MESSAGE.encode(fields))
 
@@ -202,20 +211,20 @@
 
 def _request(r: Request) -> tuple[str, Any]:
     match r:
-        case Bind():
+        case SimpleBindRequest():
             return "bindRequest", {
                 "version": 3,
                 "name": r.name.encode(),
                 "authentication": ("simple", r.secret.reveal()),
             }
-        case BindExternal():
+        case ExternalBindRequest():
             sasl = {"mechanism": b"EXTERNAL", "credentials": r.authorization.encode()}
             return "bindRequest", {"version": 3, "name": b"", "authentication": ("sasl", sasl)}
-        case Unbind():
+        case UnbindRequest():
             return "unbindRequest", None
-        case Abandon():
+        case AbandonRequest():
             return "abandonRequest", r.message_id
-        case Search():
+        case SearchRequest():
             return "searchRequest", {
                 "base": r.base.encode(),
                 "scope": int(r.scope),
@@ -226,7 +235,7 @@
                 "filter": r.filter,
                 "attributes": [a.encode() for a in r.attributes],
             }
-        case Extended():
+        case ExtendedRequest():
             fields = {"name": r.oid.encode()}
             if r.value is not None:
                 fields["value"] = r.value
@@ -254,22 +263,22 @@
             for a in v["attributes"]:
                 name = a["type"].decode().lower()
                 attributes[name] = attributes.get(name, ()) + tuple(a["vals"])
-            return Entry(v["name"].decode(), attributes, controls)
+            return SearchResultEntry(v["name"].decode(), attributes, controls)
         case "searchResDone":
-            return SearchDone(_result(v), controls)
+            return SearchResultDone(_result(v), controls)
         case "searchResRef":
-            return Reference(tuple(url.decode() for url in v))
+            return SearchResultReference(tuple(url.decode() for url in v))
         case "bindResponse":
-            return BindDone(_result(v))
+            return BindResponse(_result(v))
         case "extendedResp":
-            return ExtendedDone(_result(v), v.get("name", b"").decode(), v.get("value"))
+            return ExtendedResponse(_result(v), v.get("name", b"").decode(), v.get("value"))
         case "intermediateResponse":
-            return Intermediate(v.get("name", b"").decode(), v.get("value", b""))
+            return IntermediateResponse(v.get("name", b"").decode(), v.get("value", b""))
     raise MalformedError(f"{kind} is nothing that a server sends")
 
 
-def _result(v: Any) -> Result:
-    return Result(
+def _result(v: Any) -> LdapResult:
+    return LdapResult(
         v["code"],
         v["matched"].decode(),
         v["text"].decode(),
--- a/snowthread/ldap/session.py
+++ b/snowthread/ldap/session.py
@@ -21,40 +21,45 @@
 from snowthread.ldap import messages as m
 from snowthread.ldap.ber import Bounds, MalformedError, frame_length
 
-OPEN_MAX = 64  # operations open on one connection
-ABANDONED_MAX = 256  # given up, whose answers may still come
-IDS_MAX = 2**31 - 1
+MAX_OPEN_OPERATIONS = 64  # operations open on one connection
+MAX_ABANDONED_OPERATIONS = 256  # given up, whose answers may still come
+MAX_MESSAGE_ID = 2**31 - 1
 
 
-class State(Enum):
+class SessionState(Enum):
     """Where the connection stands; see the table above."""
 
-    FRESH = 0
-    SECURING = 1
-    TLS = 2
+    READY = 0
+    START_TLS_SENT = 1
+    HANDSHAKE = 2
     BINDING = 3
     CLOSED = 4
 
 
-class StateError(Exception):
+class SessionStateError(Exception):
     """A request that the table does not allow here."""
 
 
 @dataclass(frozen=True, slots=True)
-class Broken:
+class SessionEnded:
     """The server broke the protocol, or told that it closes; the connection is of no further use."""
 
     reason: str
-    notice: m.Result | None = None  # what a notice of disconnection said
-
-
-_ANSWERS: dict[type, tuple[type, ...]] = {
-    m.Bind: (m.BindDone,),
-    m.BindExternal: (m.BindDone,),
-    m.Search: (m.Entry, m.Reference, m.SearchDone, m.Intermediate),
-    m.Extended: (m.ExtendedDone, m.Intermediate),
+    notice: m.LdapResult | None = None  # what a notice of disconnection said
+
+
+_EXPECTED_RESPONSES: dict[type, tuple[type, ...]] = {
+    m.SimpleBindRequest: (m.BindResponse,),
+    m.ExternalBindRequest: (m.BindResponse,),
+    m.SearchRequest: (
+        m.SearchResultEntry,
+        m.SearchResultReference,
+        m.SearchResultDone,
+        m.IntermediateResponse,
+    ),
+    m.ExtendedRequest: (m.ExtendedResponse, m.IntermediateResponse),
 }
-_LAST = (m.BindDone, m.SearchDone, m.ExtendedDone)
+_FINAL_RESPONSES = (m.BindResponse, m.SearchResultDone, m.ExtendedResponse)
 
 
 class Session:
@@ -62,104 +67,104 @@
 
     def __init__(self, bounds: Bounds | None = None) -> None:
         self.bounds = bounds or Bounds()
-        self.state = State.FRESH
+        self.state = SessionState.READY
         self._open: dict[int, type] = {}
         self._abandoned: OrderedDict[int, None] = OrderedDict()
-        self._last = 0
+        self._last_message_id = 0
         self._buffer = bytearray()
 
     def send(self, request: m.Request) -> tuple[int, bytes]:
         """A request's number and bytes."""
-        if self.state is not State.FRESH:
-            raise StateError(f"{type(request).__name__} while {self.state.name}")
+        if self.state is not SessionState.READY:
+            raise SessionStateError(f"{type(request).__name__} while {self.state.name}")
         kind = type(request)
-        if isinstance(request, m.Bind | m.BindExternal):
+        if isinstance(request, m.SimpleBindRequest | m.ExternalBindRequest):
             if self._open:
-                raise StateError("a bind while operations are open")
-            self.state = State.BINDING
-        elif isinstance(request, m.Extended) and request.oid == m.START_TLS_OID:
+                raise SessionStateError("a bind while operations are open")
+            self.state = SessionState.BINDING
+        elif isinstance(request, m.ExtendedRequest) and request.oid == m.START_TLS_OID:
             if self._open:
-                raise StateError("StartTLS while operations are open")
-            self.state = State.SECURING
-        if kind in _ANSWERS and len(self._open) >= OPEN_MAX:
-            raise StateError(f"more than {OPEN_MAX} operations open")
-        number = self._last = self._last % IDS_MAX + 1
+                raise SessionStateError("StartTLS while operations are open")
+            self.state = SessionState.START_TLS_SENT
+        if kind in _EXPECTED_RESPONSES and len(self._open) >= MAX_OPEN_OPERATIONS:
+            raise SessionStateError(f"more than {MAX_OPEN_OPERATIONS} operations open")
+        number = self._last_message_id = self._last_message_id % MAX_MESSAGE_ID + 1
         data = m.encode(number, request)
-        if kind in _ANSWERS:
+        if kind in _EXPECTED_RESPONSES:
             self._open[number] = kind
-        elif isinstance(request, m.Abandon) and request.message_id in self._open:
+        elif isinstance(request, m.AbandonRequest) and request.message_id in self._open:
             del self._open[request.message_id]
             self._abandoned[request.message_id] = None
-            while len(self._abandoned) > ABANDONED_MAX:
+            while len(self._abandoned) > MAX_ABANDONED_OPERATIONS:
                 self._abandoned.popitem(last=False)
-        elif isinstance(request, m.Unbind):
-            self.state = State.CLOSED
+        elif isinstance(request, m.UnbindRequest):
+            self.state = SessionState.CLOSED
         return number, data
 
-    def receive(self, data: bytes) -> list[m.Message | Broken]:
+    def receive(self, data: bytes) -> list[m.Message | SessionEnded]:
         """What came, in order; after a Broken the session is closed."""
-        if self.state is State.CLOSED:
+        if self.state is SessionState.CLOSED:
             return []
         self._buffer += data
-        out: list[m.Message | Broken] = []
+        out: list[m.Message | SessionEnded] = []
         at = 0
         view = bytes(self._buffer)
         try:
             while at < len(view):
-                if self.state is State.TLS:
+                if self.state is SessionState.HANDSHAKE:
                     raise MalformedError("clear text behind the answer to StartTLS")
                 length = frame_length(view[at : at + 6], self.bounds)
                 if length is None or at + length > len(view):
                     break
                 message = m.decode(view[at : at + length], self.bounds)
                 at += length
-                broken = self._take(message)
+                broken = self._account_response(message)
                 if broken is not None:
                     return [*out, self._close(broken)]
-                if message.id in self._abandoned:
-                    if isinstance(message.op, _LAST):
-                        del self._abandoned[message.id]
+                if message.message_id in self._abandoned:
+                    if isinstance(message.response, _FINAL_RESPONSES):
+                        del self._abandoned[message.message_id]
                 else:
                     out.append(message)
         except MalformedError as error:
-            return [*out, self._close(Broken(str(error)))]
+            return [*out, self._close(SessionEnded(str(error)))]
         del self._buffer[:at]
         return out
 
-    def secured(self) -> None:
+    def mark_secured(self) -> None:
         """The stream is wrapped: the protocol starts over on it."""
-        if self.state is not State.TLS:
-            raise StateError("nothing was to be secured")
-        self.state = State.FRESH
+        if self.state is not SessionState.HANDSHAKE:
+            raise SessionStateError("nothing was to be secured")
+        self.state = SessionState.READY
 
     @property
-    def buffered(self) -> int:
+    def buffered_bytes(self) -> int:
         """Bytes of a message that is not whole yet."""
         return len(self._buffer)
 
-    def _close(self, broken: Broken) -> Broken:
-        self.state = State.CLOSED
+    def _close(self, broken: SessionEnded) -> SessionEnded:
+        self.state = SessionState.CLOSED
         self._buffer.clear()
         self._open.clear()
         return broken
 
-    def _take(self, message: m.Message) -> Broken | None:
-        number, op = message.id, message.op
+    def _account_response(self, message: m.Message) -> SessionEnded | None:
+        number, op = message.message_id, message.response
         if number == 0:
-            if isinstance(op, m.ExtendedDone) and op.oid == m.NOTICE_OID:
-                return Broken(f"notice of disconnection, code {op.result.code}", op.result)
-            return Broken("an unsolicited message of no known kind")
+            if isinstance(op, m.ExtendedResponse) and op.oid == m.NOTICE_OF_DISCONNECTION_OID:
+                return SessionEnded(f"notice of disconnection, code {op.result.code}", op.result)
+            return SessionEnded("an unsolicited message of no known kind")
         if number in self._abandoned:
             return None
         kind = self._open.get(number)
         if kind is None:
-            return Broken(f"an answer under number {number}, where nothing was asked")
-        if not isinstance(op, _ANSWERS[kind]):
-            return Broken(f"{type(op).__name__} answers a {kind.__name__}")
-        if isinstance(op, _LAST):
+            return SessionEnded(f"an answer under number {number}, where nothing was asked")
+        if not isinstance(op, _EXPECTED_RESPONSES[kind]):
+            return SessionEnded(f"{type(op).__name__} answers a {kind.__name__}")
+        if isinstance(op, _FINAL_RESPONSES):
             del self._open[number]
-            if self.state is State.BINDING:
-                self.state = State.FRESH
-            elif self.state is State.SECURING:
-                self.state = State.TLS if op.result.code == 0 else State.FRESH
+            if self.state is SessionState.BINDING:
+                self.state = SessionState.READY
+            elif self.state is SessionState.START_TLS_SENT:
+                self.state = SessionState.HANDSHAKE if op.result.code == 0 else SessionState.READY
         return None
--- a/snowthread/operator/features.py
+++ b/snowthread/operator/features.py
@@ -49,7 +49,7 @@
             comeback = read_comeback(block)
         site = None
         if (block := file.block("site")) is not None:
-            from snowthread.sites.settings import read as read_site
+            from snowthread.sites.settings import read_site_settings as read_site
 
             site = read_site(block)
         file.done()
--- a/snowthread/operator/hcl.py
+++ b/snowthread/operator/hcl.py
@@ -19,18 +19,18 @@
 
 from snowthread.config import ConfigError
 
-FILE_MAX = 1024 * 1024  # bytes of an operator's file
-_TIME = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s|m|h)")
+MAX_FILE_BYTES = 1024 * 1024  # bytes of an operator's file
+_DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s|m|h)")
 _UNIT_MS = {"ms": 1.0, "s": 1000.0, "m": 60_000.0, "h": 3_600_000.0}
-_MARKS = ("__is_block__", "__comments__", "__inline_comments__", "__start_line__", "__end_line__")
+_PARSER_KEYS = ("__is_block__", "__comments__", "__inline_comments__", "__start_line__", "__end_line__")
 
 
 def read(path: Path) -> Block:
     """The file as one block; ConfigError names what is wrong with it and where."""
     try:
         size = path.stat().st_size
-        if size > FILE_MAX:
-            raise ConfigError(f"{path}: {size} bytes, at most {FILE_MAX} are read")
+        if size > MAX_FILE_BYTES:
+            raise ConfigError(f"{path}: {size} bytes, at most {MAX_FILE_BYTES} are read")
         text = path.read_text(encoding="utf-8")
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
@@ -49,7 +49,7 @@
 
     def __init__(self, file: str, name: str, body: dict[str, Any]) -> None:
         self.file, self.name = file, name
-        self._body = {key: value for key, value in body.items() if key not in _MARKS}
+        self._body = {key: value for key, value in body.items() if key not in _PARSER_KEYS}
 
     def wrong(self, key: str, what: str) -> ConfigError:
         """The error to raise about a key."""
@@ -102,7 +102,7 @@
 
     def time(self, key: str, default: str, least_ms: float = 1.0, most_ms: float = math.inf) -> float:
         """A length of time in milliseconds."""
-        found = _TIME.fullmatch(self.text(key, default))
+        found = _DURATION.fullmatch(self.text(key, default))
         if found is None:
             raise self.wrong(key, 'a length of time like "250ms", "30s", "5m" or "2h" is wanted')
         ms = float(found[1]) * _UNIT_MS[found[2]]
--- a/snowthread/sites/client_filter.py
+++ b/snowthread/sites/client_filter.py
@@ -19,23 +19,23 @@
 from snowthread.sites.settings import SiteSettings
 from snowthread.sites.shedding import NodeLoad, Verdict, decide, shedding_order
 
-TELL_MS = 10_000.0  # between two words on what came from other sites
+LOG_INTERVAL_MS = 10_000.0  # between two words on what came from other sites
 
-Reduce = Callable[[State, events.Event, float], list[effects.Effect]]
+Reducer = Callable[[State, events.Event, float], list[effects.Effect]]
 
 
 class ClientFilter:
     """Judges what comes from other sites' clients."""
 
-    def __init__(self, loop: EventLoop, settings: SiteSettings, inner: Reduce) -> None:
-        self._loop, self._homes, self._inner = loop, settings.homes, inner
-        self._foreign: dict[str, None] = {}  # tries of other sites in flight
+    def __init__(self, loop: EventLoop, settings: SiteSettings, inner: Reducer) -> None:
+        self._loop, self._site_ranges, self._next_reducer = loop, settings.site_ranges, inner
+        self._foreign_attempts: dict[str, None] = {}  # tries of other sites in flight
         self.counts: Counter[str] = Counter()  # by home and verdict, since they were last told
-        loop.spawn(self._tell())
+        loop.spawn(self._log_counts())
 
-    def _tell(self) -> TaskSteps:
+    def _log_counts(self) -> TaskSteps:
         while True:
-            yield Wait(until=self._loop.clock.now() + TELL_MS)
+            yield Wait(until=self._loop.clock.now() + LOG_INTERVAL_MS)
             if self.counts:
                 counts, self.counts = self.counts, Counter()
                 logger.bind(event="site.edge", **counts).info("other sites' clients: {}", dict(counts))
@@ -43,16 +43,16 @@
     def reduce(self, state: State, message: events.Event, now: float) -> list[effects.Effect]:
         """The step within; requests of other sites' clients pass only as they may."""
         if type(message) is not events.RequestReceived:
-            return self._inner(state, message, now)
-        home = self._homes.site_of(message.caller_id)
-        if home == self._homes.own_site:
-            return self._inner(state, message, now)
+            return self._next_reducer(state, message, now)
+        home = self._site_ranges.site_of(message.caller_id)
+        if home == self._site_ranges.own_site:
+            return self._next_reducer(state, message, now)
         kind = next((c for c in state.settings.classes if c.name == message.class_name), None)
         verdict = Verdict.FAIL if kind is None else self._judge(state, message, kind)
         self.counts[f"{home} {verdict.value}"] += 1
         if verdict is Verdict.FAIL:
             return [effects.SendResponse(message.response_address, effects.Failed(), state.load_report)]
-        if verdict is Verdict.REFUSE:
+        if verdict is Verdict.REJECT:
             settings, after = state.settings, 0.0
             if kind is not None and settings.supports_retry_after:
                 after = min(settings.max_retry_after_s, kind.latency_objective_s / 2.0)
@@ -61,11 +61,11 @@
                     message.response_address, effects.Rejected(1000.0 * after), state.load_report
                 )
             ]
-        self._foreign[message.attempt_id] = None
-        return self._inner(state, message, now)
+        self._foreign_attempts[message.attempt_id] = None
+        return self._next_reducer(state, message, now)
 
     def _judge(self, state: State, m: events.RequestReceived, kind: RequestClass) -> Verdict:
-        self._foreign = {uid: None for uid in self._foreign if uid in state.by_attempt_id}
+        self._foreign_attempts = {uid: None for uid in self._foreign_attempts if uid in state.by_attempt_id}
         controller = state.controller
         classes = state.settings.classes
         runs = {
@@ -79,7 +79,7 @@
             held,
             state.settings.cores,
             controller.concurrency_limit if controller is not None else float(state.settings.cores),
-            len(self._foreign),
+            len(self._foreign_attempts),
         )
         return decide(
             False, kind.idempotency is Repeat.IDEMPOTENT, order[kind.name], len(classes), m.rank, load
--- a/snowthread/sites/membership.py
+++ b/snowthread/sites/membership.py
@@ -22,15 +22,15 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-DEVIATIONS, GAPS_LEAST = 4.0, 3.0
-SITES_MAX = 64
+TIMEOUT_DEVIATIONS, MIN_TIMEOUT_INTERVALS = 4.0, 3.0
+MAX_SITES = 64
 
 
 class SiteStatus(Enum):
     UP = "up"
     SUSPECT = "suspect"
     LOST = "lost"
-    BACK = "back"
+    RECOVERING = "back"
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,7 +41,7 @@
     generation: int
     incarnation: int
     spare_capacity_per_s: float
-    hears: frozenset[str] = frozenset()
+    reachable_sites: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,8 +59,8 @@
 
     status: SiteStatus
     since_ms: float
-    heard_ms: float
-    gap_ms: float
+    last_heard_ms: float
+    mean_interval_ms: float
     deviation_ms: float
     last_heartbeat: Heartbeat | None = None
 
@@ -76,90 +76,98 @@
 class SiteMembership:
     """One site's view of the others."""
 
-    me: str
+    own_site: str
     rules: MembershipRules
     peers: dict[str, PeerSite] = field(default_factory=dict)
     outdated_heartbeats: int = 0  # beats of earlier lives
     unknown_heartbeats: int = 0  # beats of sites that nobody named
 
     @classmethod
-    def create(cls, me: str, others: Iterable[str], rules: MembershipRules, now_ms: float) -> SiteMembership:
+    def create(
+        cls, own_site: str, others: Iterable[str], rules: MembershipRules, now_ms: float
+    ) -> SiteMembership:
         """Nobody is heard yet: all are suspect, so nothing moves for a site that has just started."""
-        names = sorted(set(others) - {me})
-        if len(names) >= SITES_MAX:
-            raise ValueError(f"{len(names) + 1} sites, at most {SITES_MAX}")
+        names = sorted(set(others) - {own_site})
+        if len(names) >= MAX_SITES:
+            raise ValueError(f"{len(names) + 1} sites, at most {MAX_SITES}")
         gap = rules.heartbeat_interval_ms
         return cls(
-            me, rules, {name: PeerSite(SiteStatus.SUSPECT, now_ms, now_ms, gap, 0.0) for name in names}
+            own_site, rules, {name: PeerSite(SiteStatus.SUSPECT, now_ms, now_ms, gap, 0.0) for name in names}
         )
 
     def suspicion_timeout_ms(self, name: str) -> float:
         """Silent for longer, a site is suspect."""
         peer = self.peers[name]
         return max(
-            GAPS_LEAST * self.rules.heartbeat_interval_ms, peer.gap_ms + DEVIATIONS * peer.deviation_ms
+            MIN_TIMEOUT_INTERVALS * self.rules.heartbeat_interval_ms,
+            peer.mean_interval_ms + TIMEOUT_DEVIATIONS * peer.deviation_ms,
         )
 
-    def receive(self, beat: Heartbeat, now_ms: float) -> list[StatusChange]:
+    def receive(self, heartbeat: Heartbeat, now_ms: float) -> list[StatusChange]:
         """A beat has come."""
-        peer = self.peers.get(beat.site)
+        peer = self.peers.get(heartbeat.site)
         if peer is None:
             self.unknown_heartbeats += 1
             return []
         last = peer.last_heartbeat
-        if last is not None and (beat.generation, beat.incarnation) < (last.generation, last.incarnation):
+        if last is not None and (heartbeat.generation, heartbeat.incarnation) < (
+            last.generation,
+            last.incarnation,
+        ):
             self.outdated_heartbeats += 1
             return []
-        same = last is not None and last.incarnation == beat.incarnation
+        same = last is not None and last.incarnation == heartbeat.incarnation
         if same and peer.status in (SiteStatus.UP, SiteStatus.SUSPECT):
-            gap = now_ms - peer.heard_ms
-            peer.deviation_ms += (abs(gap - peer.gap_ms) - peer.deviation_ms) / 4.0
-            peer.gap_ms += (gap - peer.gap_ms) / 8.0
+            gap = now_ms - peer.last_heard_ms
+            peer.deviation_ms += (abs(gap - peer.mean_interval_ms) - peer.deviation_ms) / 4.0
+            peer.mean_interval_ms += (gap - peer.mean_interval_ms) / 8.0
         else:  # what its beats were like before a loss or in another life says nothing of these
-            peer.gap_ms, peer.deviation_ms = self.rules.heartbeat_interval_ms, 0.0
-        peer.last_heartbeat, peer.heard_ms = beat, now_ms
+            peer.mean_interval_ms, peer.deviation_ms = self.rules.heartbeat_interval_ms, 0.0
+        peer.last_heartbeat, peer.last_heard_ms = heartbeat, now_ms
         if peer.status is SiteStatus.SUSPECT:
             # Another life than the one that was up: what it had is gone, whether or not it was missed.
-            return self._move(beat.site, SiteStatus.UP if same or last is None else SiteStatus.BACK, now_ms)
+            return self._change_status(
+                heartbeat.site, SiteStatus.UP if same or last is None else SiteStatus.RECOVERING, now_ms
+            )
         if peer.status is SiteStatus.LOST or (peer.status is SiteStatus.UP and not same):
-            return self._move(beat.site, SiteStatus.BACK, now_ms)
+            return self._change_status(heartbeat.site, SiteStatus.RECOVERING, now_ms)
         return []
 
     def tick(self, now_ms: float) -> list[StatusChange]:
         """Look at the clock; to be called a few times a nominal gap."""
         moves: list[StatusChange] = []
         for name, peer in self.peers.items():
-            silent = now_ms - peer.heard_ms > self.suspicion_timeout_ms(name)
+            silent = now_ms - peer.last_heard_ms > self.suspicion_timeout_ms(name)
             if peer.status is SiteStatus.UP and silent:
-                moves += self._move(name, SiteStatus.SUSPECT, now_ms)
-            elif peer.status is SiteStatus.BACK and silent:
-                moves += self._move(name, SiteStatus.LOST, now_ms)
-            elif peer.status is SiteStatus.BACK and now_ms - peer.since_ms >= self.rules.up_after_ms:
-                moves += self._move(name, SiteStatus.UP, now_ms)
+                moves += self._change_status(name, SiteStatus.SUSPECT, now_ms)
+            elif peer.status is SiteStatus.RECOVERING and silent:
+                moves += self._change_status(name, SiteStatus.LOST, now_ms)
+            elif peer.status is SiteStatus.RECOVERING and now_ms - peer.since_ms >= self.rules.up_after_ms:
+                moves += self._change_status(name, SiteStatus.UP, now_ms)
         for name, peer in self.peers.items():
             late = peer.status is SiteStatus.SUSPECT and now_ms - peer.since_ms >= self.rules.lost_after_ms
-            if late and not self.is_isolated() and not self._heard_elsewhere(name):
-                moves += self._move(name, SiteStatus.LOST, now_ms)
+            if late and not self.is_isolated() and not self._reachable_from_another_site(name):
+                moves += self._change_status(name, SiteStatus.LOST, now_ms)
         return moves
 
     def is_isolated(self) -> bool:
         """Does this site hear none of the others? Then it can't tell their loss from its own."""
         return all(peer.status in (SiteStatus.SUSPECT, SiteStatus.LOST) for peer in self.peers.values())
 
-    def hears(self) -> frozenset[str]:
+    def reachable_sites(self) -> frozenset[str]:
         """Whom this site's own beats say it hears."""
         return frozenset(
-            name for name, peer in self.peers.items() if peer.status in (SiteStatus.UP, SiteStatus.BACK)
+            name for name, peer in self.peers.items() if peer.status in (SiteStatus.UP, SiteStatus.RECOVERING)
         )
 
-    def _heard_elsewhere(self, name: str) -> bool:
+    def _reachable_from_another_site(self, name: str) -> bool:
         return any(
-            name in peer.last_heartbeat.hears
+            name in peer.last_heartbeat.reachable_sites
             for other, peer in self.peers.items()
             if other != name and peer.last_heartbeat is not None and peer.status is SiteStatus.UP
         )
 
-    def _move(self, name: str, now: SiteStatus, now_ms: float) -> list[StatusChange]:
+    def _change_status(self, name: str, now: SiteStatus, now_ms: float) -> list[StatusChange]:
         peer = self.peers[name]
         before, peer.status, peer.since_ms = peer.status, now, now_ms
         return [StatusChange(name, before, now)] if before is not now else []
--- a/snowthread/sites/recovery_ramp.py
+++ b/snowthread/sites/recovery_ramp.py
@@ -18,9 +18,9 @@
 
 from dataclasses import dataclass
 
-STEP = 0.1
-WELL_SERVED = 0.9  # of the worth in aim that it had before
-WELL_DATABASE = 1.0  # calls held over what its database works on
+SHARE_STEP = 0.1
+HEALTHY_SERVED_RATIO = 0.9  # of the worth in aim that it had before
+HEALTHY_DATABASE_LOAD = 1.0  # calls held over what its database works on
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,37 +41,37 @@
     stable_after_ms: float = 60_000.0
     share: float = 1.0
     wait_ms: float = 0.0
-    back_since_ms: float | None = None  # since when it is back
+    recovering_since_ms: float | None = None  # since when it is back
     last_step_ms: float = 0.0
     losses: int = 0
 
     def __post_init__(self) -> None:
         self.wait_ms = self.wait_ms or self.first_wait_ms
 
-    def lost(self, now_ms: float) -> None:
+    def mark_lost(self, now_ms: float) -> None:
         """It is gone: all of its load is others' at once."""
-        if self.losses and self.back_since_ms is not None:
-            short = now_ms - self.back_since_ms < self.stable_after_ms
+        if self.losses and self.recovering_since_ms is not None:
+            short = now_ms - self.recovering_since_ms < self.stable_after_ms
             self.wait_ms = min(self.max_wait_ms, 2.0 * self.wait_ms) if short else self.first_wait_ms
         self.losses += 1
-        self.share, self.back_since_ms = 0.0, None
+        self.share, self.recovering_since_ms = 0.0, None
 
-    def back(self, now_ms: float) -> None:
+    def mark_recovering(self, now_ms: float) -> None:
         """It is there again; it gets nothing before its wait is over."""
-        if self.back_since_ms is None:
-            self.back_since_ms, self.last_step_ms = now_ms, now_ms
+        if self.recovering_since_ms is None:
+            self.recovering_since_ms, self.last_step_ms = now_ms, now_ms
 
     def tick(self, now_ms: float, health: SiteHealth | None) -> float:
         """Once in a while: the share of its load that it gets now. No health: nothing measured, no step."""
-        if self.back_since_ms is None or self.share >= 1.0:
+        if self.recovering_since_ms is None or self.share >= 1.0:
             return self.share
         if self.share == 0.0:
-            if now_ms - self.back_since_ms >= self.wait_ms:
-                self.share, self.last_step_ms = STEP, now_ms
+            if now_ms - self.recovering_since_ms >= self.wait_ms:
+                self.share, self.last_step_ms = SHARE_STEP, now_ms
         elif health is not None and now_ms - self.last_step_ms >= self.period_ms:
             self.last_step_ms = now_ms
-            if health.served_ratio >= WELL_SERVED and health.database_load <= WELL_DATABASE:
-                self.share = min(1.0, self.share + (STEP if self.share < 0.5 else 2.0 * STEP))
+            if health.served_ratio >= HEALTHY_SERVED_RATIO and health.database_load <= HEALTHY_DATABASE_LOAD:
+                self.share = min(1.0, self.share + (SHARE_STEP if self.share < 0.5 else 2.0 * SHARE_STEP))
             else:
-                self.share = max(STEP, self.share / 2.0)
+                self.share = max(SHARE_STEP, self.share / 2.0)
         return self.share
--- a/snowthread/sites/settings.py
+++ b/snowthread/sites/settings.py
@@ -7,19 +7,19 @@
 from snowthread.operator.hcl import Block
 from snowthread.sites.shedding import SiteRanges
 
-HOMES_MAX = 64
+MAX_HOME_BLOCKS = 64
 
 
 @dataclass(frozen=True, slots=True)
 class SiteSettings:
     """Which site this node is of, and whose clients the balancers' numbers stand for."""
 
-    homes: SiteRanges
+    site_ranges: SiteRanges
 
     def summary(self) -> str:
         """For people: what is on."""
-        others = ", ".join(self.homes.ranges)
-        return f"site {self.homes.own_site}: clients of {others} are told by their balancers"
+        others = ", ".join(self.site_ranges.ranges)
+        return f"site {self.site_ranges.own_site}: clients of {others} are told by their balancers"
 
 
 def _number(block: Block, text: str) -> int:
@@ -28,12 +28,12 @@
     return int(text)
 
 
-def read(block: Block) -> SiteSettings:
+def read_site_settings(block: Block) -> SiteSettings:
     """Check the block; ConfigError names the key that can't be used."""
     me = block.text("name")
     ranges: dict[str, list[tuple[int, int]]] = {}
     taken: list[tuple[int, int, str]] = []
-    for home in block.blocks("home", HOMES_MAX):
+    for home in block.blocks("home", MAX_HOME_BLOCKS):
         name = home.text("name")
         for text in home.texts("balancers"):
             low, dash, high = text.partition("-")
--- a/snowthread/sites/shedding.py
+++ b/snowthread/sites/shedding.py
@@ -20,15 +20,17 @@
 from dataclasses import dataclass
 from enum import Enum
 
-MOST = 0.3  # pressure from which nothing of other sites is taken
-HOLD_FULL = 4.0  # requests held a core that count as full
-CAP = 0.5  # of the run limit: so many of other sites' requests may be in flight, so that own ones find room
+MAX_FOREIGN_PRESSURE = 0.3  # pressure from which nothing of other sites is taken
+FULL_QUEUE_PER_CORE = 4.0  # requests held a core that count as full
+MAX_FOREIGN_SHARE = (
+    0.5  # of the run limit: so many of other sites' requests may be in flight, so that own ones find room
+)
 
 
 class Verdict(Enum):
-    OWN = "own"
+    ADMIT = "own"
     FAIL = "fail"
-    REFUSE = "refuse"
+    REJECT = "refuse"
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,17 +66,19 @@
 
 def pressure(load: NodeLoad) -> float:
     """How little room there is, 0 to 1."""
-    return max(load.blocking_probability, min(1.0, load.queued / (HOLD_FULL * max(1, load.cores))))
+    return max(load.blocking_probability, min(1.0, load.queued / (FULL_QUEUE_PER_CORE * max(1, load.cores))))
 
 
-def decide(own: bool, safe: bool, place: int, classes: int, rank: float, load: NodeLoad) -> Verdict:
+def decide(
+    is_own_client: bool, idempotent: bool, class_position: int, class_count: int, rank: float, load: NodeLoad
+) -> Verdict:
     """What becomes of a request as it is read."""
-    if own:
-        return Verdict.OWN
-    if not safe:
+    if is_own_client:
+        return Verdict.ADMIT
+    if not idempotent:
         return Verdict.FAIL
-    if load.foreign_in_flight >= max(1.0, CAP * load.concurrency_limit):
-        return Verdict.REFUSE
-    allowed = MOST * (place + min(1.0, max(0.0, rank))) / max(1, classes)
+    if load.foreign_in_flight >= max(1.0, MAX_FOREIGN_SHARE * load.concurrency_limit):
+        return Verdict.REJECT
+    allowed = MAX_FOREIGN_PRESSURE * (class_position + min(1.0, max(0.0, rank))) / max(1, class_count)
     felt = pressure(load)
-    return Verdict.REFUSE if felt > 0.0 and felt >= allowed else Verdict.OWN
+    return Verdict.REJECT if felt > 0.0 and felt >= allowed else Verdict.ADMIT
--- a/snowthread/tenants/cli.py
+++ b/snowthread/tenants/cli.py
@@ -36,9 +36,9 @@
 @SOURCE
 def tenants_show(operator_file: Path, snapshot: Path | None) -> None:
     """List the tenants: status, quota, networks, balancers, classes."""
-    from snowthread.tenants.inspection import fetch, show
+    from snowthread.tenants.inspection import fetch, format_tenants
 
-    for line in show(fetch(operator_file, snapshot)):
+    for line in format_tenants(fetch(operator_file, snapshot)):
         click.echo(line)
 
 
@@ -49,9 +49,9 @@
 @click.argument("address")
 def tenants_whois(operator_file: Path, snapshot: Path | None, balancer: int | None, address: str) -> None:
     """Say whose requests from ADDRESS are, and by which rule (status 1: nobody's)."""
-    from snowthread.tenants.inspection import fetch, whois
+    from snowthread.tenants.inspection import fetch, describe_owner
 
-    known, line = whois(fetch(operator_file, snapshot), address, balancer)
+    known, line = describe_owner(fetch(operator_file, snapshot), address, balancer)
     click.echo(line)
     if not known:
         sys.exit(1)
@@ -62,7 +62,7 @@
 @SOURCE
 def tenants_check(operator_file: Path, snapshot: Path | None) -> None:
     """Say what in the directory can't be used or contradicts itself (status 1 where anything does)."""
-    from snowthread.tenants.inspection import check as look
+    from snowthread.tenants.inspection import find_problems as look
     from snowthread.tenants.inspection import fetch
 
     faults = look(fetch(operator_file, snapshot))
--- a/snowthread/tenants/entry.py
+++ b/snowthread/tenants/entry.py
@@ -14,8 +14,8 @@
 from snowthread.ldap import dn
 from snowthread.tenants.model import Network, Status, Tenant
 
-NAME_MAX, NETWORKS_MAX, RANGES_MAX, CLASSES_MAX = 256, 4096, 1024, 256
-QUOTA_MAX = 1e9
+MAX_NAME_LENGTH, MAX_NETWORKS, MAX_BALANCER_RANGES, MAX_CLASSES = 256, 4096, 1024, 256
+MAX_QUOTA_PER_S = 1e9
 BALANCER_MAX = 10**18
 _NUMBER = re.compile(r"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 _RANGE = re.compile(r"([0-9]{1,18})(?:\s*-\s*([0-9]{1,18}))?")
@@ -30,7 +30,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Names:
+class AttributeNames:
     """The attributes' names at this directory, lower-cased."""
 
     id: str = "entryuuid"
@@ -39,8 +39,8 @@
     quota: str = "snowthreadquota"
     network: str = "snowthreadnetwork"
     balancer: str = "snowthreadbalancer"
-    allowed: str = "snowthreadclass"
-    stamp: str = "modifytimestamp"
+    allowed_classes: str = "snowthreadclass"
+    modified_at: str = "modifytimestamp"
 
     def all(self) -> tuple[str, ...]:
         """What a search asks for."""
@@ -51,8 +51,8 @@
             self.quota,
             self.network,
             self.balancer,
-            self.allowed,
-            self.stamp,
+            self.allowed_classes,
+            self.modified_at,
         )
 
 
@@ -61,12 +61,16 @@
     """An entry that says no tenant; ``id`` where that could be read."""
 
     dn: str
-    id: str
+    tenant_id: str
     reason: str
 
 
-def read(
-    name: str, attributes: Mapping[str, tuple[bytes, ...]], names: Names, base: dn.Dn, uuid: str = ""
+def read_tenant(
+    name: str,
+    attributes: Mapping[str, tuple[bytes, ...]],
+    names: AttributeNames,
+    base: dn.DistinguishedName,
+    uuid: str = "",
 ) -> Tenant | BadEntry:
     """The tenant that an entry says. ``uuid`` is the one that a synchronisation told, in hex."""
     tenant_id = uuid
@@ -74,12 +78,12 @@
         if not tenant_id:
             told = _one(attributes, names.id)
             tenant_id = told.replace("-", "").lower() if told else f"dn:{dn.parse(name).key}"
-        if not dn.plainly_below(name, base) and not dn.parse(name).below(base):
+        if not dn.is_plainly_below(name, base) and not dn.parse(name).is_below(base):
             raise ValueError("it lies outside the base")
         label = _one(attributes, names.name)
         if not label:
             raise ValueError(f"{names.name}: missing")
-        if len(label) > NAME_MAX or not label.isprintable():
+        if len(label) > MAX_NAME_LENGTH or not label.isprintable():
             raise ValueError(f"{names.name}: too long or not printable")
         return Tenant(
             tenant_id,
@@ -88,11 +92,11 @@
             _quota(_one(attributes, names.quota), names.quota),
             _networks(_texts(attributes, names.network), names.network),
             _ranges(_texts(attributes, names.balancer), names.balancer),
-            _classes(_texts(attributes, names.allowed), names.allowed),
-            _one(attributes, names.stamp) or "",
+            _classes(_texts(attributes, names.allowed_classes), names.allowed_classes),
+            _one(attributes, names.modified_at) or "",
         )
     except ValueError as error:
-        return BadEntry(name[:NAME_MAX], tenant_id, str(error))
+        return BadEntry(name[:MAX_NAME_LENGTH], tenant_id, str(error))
 
 
 def _texts(attributes: Mapping[str, tuple[bytes, ...]], name: str) -> list[str]:
@@ -119,14 +123,14 @@
 def _quota(text: str | None, name: str) -> float:
     if text is None:
         return 0.0
-    if not _NUMBER.fullmatch(text) or not float(text) <= QUOTA_MAX:
+    if not _NUMBER.fullmatch(text) or not float(text) <= MAX_QUOTA_PER_S:
         raise ValueError(f"{name}: {text[:40]!r} is no number of requests a second")
     return float(text)
 
 
 def _networks(texts: list[str], name: str) -> tuple[Network, ...]:
-    if len(texts) > NETWORKS_MAX:
-        raise ValueError(f"{name}: {len(texts)} networks, at most {NETWORKS_MAX} are read")
+    if len(texts) > MAX_NETWORKS:
+        raise ValueError(f"{name}: {len(texts)} networks, at most {MAX_NETWORKS} are read")
     found: set[Network] = set()
     for text in texts:
         try:
@@ -137,8 +141,8 @@
 
 
 def _ranges(texts: list[str], name: str) -> tuple[tuple[int, int], ...]:
-    if len(texts) > RANGES_MAX:
-        raise ValueError(f"{name}: {len(texts)} ranges, at most {RANGES_MAX} are read")
+    if len(texts) > MAX_BALANCER_RANGES:
+        raise ValueError(f"{name}: {len(texts)} ranges, at most {MAX_BALANCER_RANGES} are read")
     out = []
     for text in texts:
         match = _RANGE.fullmatch(text)
@@ -151,6 +155,6 @@
 
 
 def _classes(texts: list[str], name: str) -> frozenset[str]:
-    if len(texts) > CLASSES_MAX or not all(texts):
+    if len(texts) > MAX_CLASSES or not all(texts):
         raise ValueError(f"{name}: too many classes, or an empty one")
     return frozenset(texts)
--- a/snowthread/tenants/inspection.py
+++ b/snowthread/tenants/inspection.py
@@ -20,20 +20,20 @@
 from snowthread.tenants.settings import TenantSettings
 from snowthread.tenants.state import TenantChanges, TenantState
 
-ROUND_S = 0.05
+LOOP_ROUND_S = 0.05
 
 
 class InspectionResult:
     """What was read, and the lines that came with it."""
 
     def __init__(self, tenancy: TenantState, lines: list[str], source: str) -> None:
-        self.tenancy, self.lines, self.source = tenancy, lines, source
+        self.tenants, self.problems, self.source = tenancy, lines, source
 
 
 def fetch(operator_file: Path, snapshot: Path | None) -> InspectionResult:
     """All tenants, from the snapshot where one is named, else from the directory; ConfigError where that
     can't be had."""
-    settings = _settings(operator_file)
+    settings = _read_settings(operator_file)
     tenancy, lines = TenantState(settings.rules), list[str]()
     now = Clock().now()
     if snapshot is not None:
@@ -41,15 +41,15 @@
             found = tenant_snapshot.read(snapshot, settings.source)
         except tenant_snapshot.SnapshotError as error:
             raise config.ConfigError(f"{snapshot}: {error}") from None
-        news = tenancy.restored(found.tenants, found.agreed_at, found.home, now)
-        lines += [text for event, text in news.lines if event == "tenants.conflict"]
+        news = tenancy.restore_snapshot(found.tenants, found.agreed_at, found.home, now)
+        lines += [text for event, text in news.log_lines if event == "tenants.conflict"]
         return InspectionResult(
             tenancy, lines, f"{snapshot}, {max(0.0, now - found.agreed_at) / 1000.0:.0f} s old"
         )
-    return _ask(settings, tenancy, lines)
+    return _fetch_from_directory(settings, tenancy, lines)
 
 
-def _settings(operator_file: Path) -> TenantSettings:
+def _read_settings(operator_file: Path) -> TenantSettings:
     # Looking at tenants needs no node: where NODE_CONFIG is not set the example's settings stand in.
     environment = dict(os.environ)
     if not environment.get("NODE_CONFIG"):
@@ -60,30 +60,39 @@
     return tenants
 
 
-def _ask(settings: TenantSettings, tenancy: TenantState, lines: list[str]) -> InspectionResult:
+def _fetch_from_directory(
+    settings: TenantSettings, tenancy: TenantState, lines: list[str]
+) -> InspectionResult:
     logger.remove()
     troubles: list[str] = []
     logger.add(lambda message: troubles.append(message.record["message"]), level="WARNING")
     loop = EventLoop(Clock())
 
     def tell(news: TenantChanges) -> None:
-        lines.extend(text for event, text in news.lines if event in ("tenants.conflict", "tenants.bad_entry"))
+        lines.extend(
+            text for event, text in news.log_lines if event in ("tenants.conflict", "tenants.bad_entry")
+        )
 
     follower = DirectoryReplicator(loop, settings, tenancy, random.Random(), tell)
     clock = loop.clock
-    until = clock.now() + settings.access.connect_ms + settings.access.bind_ms + settings.refresh_ms
-    tries = len(settings.servers) * settings.patience.failures
-    while not tenancy.counts["refreshes"] and clock.now() < until and follower.link_failures < tries:
-        loop.run_once(ROUND_S)
+    until = (
+        clock.now()
+        + settings.connection.connect_timeout_ms
+        + settings.connection.bind_timeout_ms
+        + settings.refresh_timeout_ms
+    )
+    tries = len(settings.servers) * settings.retry_policy.failures_to_open
+    while not tenancy.counts["refreshes"] and clock.now() < until and follower.connection_failures < tries:
+        loop.run_once(LOOP_ROUND_S)
     if not tenancy.counts["refreshes"]:
         raise config.ConfigError(troubles[-1] if troubles else "the directory does not answer")
     return InspectionResult(tenancy, lines, follower.sync.cookie_server or settings.servers[0].server)
 
 
-def show(fetched: InspectionResult) -> Iterator[str]:
+def format_tenants(fetched: InspectionResult) -> Iterator[str]:
     """A table of the tenants, by name."""
-    tenants = sorted(fetched.tenancy.table.tenants.values(), key=lambda t: (t.name.casefold(), t.id))
-    yield f"{len(tenants)} tenants, {fetched.tenancy.table.networks} networks, from {fetched.source}"
+    tenants = sorted(fetched.tenants.table.tenants.values(), key=lambda t: (t.name.casefold(), t.id))
+    yield f"{len(tenants)} tenants, {fetched.tenants.table.network_count} networks, from {fetched.source}"
     for t in tenants:
         networks = ", ".join(map(str, t.networks[:4])) + (
             f" and {len(t.networks) - 4} more" if len(t.networks) > 4 else ""
@@ -96,20 +105,20 @@
         )
 
 
-def whois(fetched: InspectionResult, address: str, balancer: int | None) -> tuple[bool, str]:
+def describe_owner(fetched: InspectionResult, address: str, balancer: int | None) -> tuple[bool, str]:
     """Whether somebody's, and the line that says whose and why."""
-    who = fetched.tenancy.table.whois(address, balancer)
+    who = fetched.tenants.table.identify(address, balancer)
     if who.identified_by is IdentifiedBy.UNKNOWN:
         return False, f"{address}: nobody's, so the default tenant's"
-    tenant = fetched.tenancy.table.tenants[who.id]
+    tenant = fetched.tenants.table.tenants[who.tenant_id]
     by = f"network {who.network}" if who.identified_by is IdentifiedBy.NETWORK else f"balancer {balancer}"
     return True, f"{address}: {tenant.name} ({tenant.status.value}, {tenant.id}), by {by}"
 
 
-def check(fetched: InspectionResult) -> list[str]:
+def find_problems(fetched: InspectionResult) -> list[str]:
     """What can't be used or contradicts itself."""
-    out = list(dict.fromkeys(fetched.lines))
-    for tenant in fetched.tenancy.table.tenants.values():
+    out = list(dict.fromkeys(fetched.problems))
+    for tenant in fetched.tenants.table.tenants.values():
         if not tenant.networks and not tenant.balancers:
             out.append(f"{json.dumps(tenant.name)} has neither a network nor a balancer, so no callers")
     return out
--- a/snowthread/tenants/model.py
+++ b/snowthread/tenants/model.py
@@ -7,7 +7,7 @@
 from ipaddress import IPv4Network, IPv6Network
 
 Network = IPv4Network | IPv6Network
-DEFAULT_ID = "default"  # the tenant of callers that nobody knows
+DEFAULT_TENANT_ID = "default"  # the tenant of callers that nobody knows
 
 
 class Status(Enum):
@@ -30,7 +30,7 @@
     networks: tuple[Network, ...] = ()
     balancers: tuple[tuple[int, int], ...] = ()
     classes: frozenset[str] = frozenset()
-    stamp: str = ""
+    modified_at: str = ""
 
 
 class IdentifiedBy(Enum):
@@ -45,9 +45,9 @@
 class Identity:
     """Whose caller it is, and how that is known."""
 
-    id: str
+    tenant_id: str
     identified_by: IdentifiedBy
     network: str = ""
 
 
-UNKNOWN = Identity(DEFAULT_ID, IdentifiedBy.UNKNOWN)
+UNKNOWN_IDENTITY = Identity(DEFAULT_TENANT_ID, IdentifiedBy.UNKNOWN)
--- a/snowthread/tenants/removal_guard.py
+++ b/snowthread/tenants/removal_guard.py
@@ -21,34 +21,34 @@
 class RemovalRules:
     """``share`` of the tenants, and ``least`` in number, that may go unasked within the window."""
 
-    share: float = 0.1
-    least: int = 2
-    confirm: bool = True  # a second refresh confirms; else only an operator does
+    max_share: float = 0.1
+    min_allowance: int = 2
+    confirm_by_refresh: bool = True  # a second refresh confirms; else only an operator does
     confirm_after_ms: float = 60_000.0
-    accept: str = ""  # the digest of a held removal that an operator accepts
+    accepted_digest: str = ""  # the digest of a held removal that an operator accepts
 
 
 @dataclass(frozen=True, slots=True)
-class Held:
+class HeldRemoval:
     """A removal that waits for a word."""
 
-    ids: frozenset[str]
-    since: float
-    why: str
+    tenant_ids: frozenset[str]
+    since_ms: float
+    reason: str
 
     @property
     def digest(self) -> str:
         """What an operator accepts it by."""
-        return blake2b("\n".join(sorted(self.ids)).encode(), digest_size=6).hexdigest()
+        return blake2b("\n".join(sorted(self.tenant_ids)).encode(), digest_size=6).hexdigest()
 
 
 @dataclass(frozen=True, slots=True)
-class Verdict:
+class RemovalVerdict:
     """``remove`` now; ``held``: what waits afterwards; ``news``: it began to wait just now."""
 
-    remove: frozenset[str]
-    held: Held | None
-    news: bool = False
+    removed_ids: frozenset[str]
+    held: HeldRemoval | None
+    newly_held: bool = False
 
 
 class RemovalGuard:
@@ -56,83 +56,89 @@
 
     def __init__(self, rules: RemovalRules) -> None:
         self.rules = rules
-        self.held: Held | None = None
-        self.home = ""  # the server whose contents are known here
+        self.held: HeldRemoval | None = None
+        self.source_server = ""  # the server whose contents are known here
         self._recent: deque[tuple[float, int]] = deque()
 
-    def whole(self, missing: Collection[str], known: int, server: str, now: float) -> Verdict:
+    def judge_full_refresh(
+        self, missing: Collection[str], known: int, server: str, now: float
+    ) -> RemovalVerdict:
         """A whole refresh went through, and these of the known ones did not come."""
         missing = frozenset(missing)
-        foreign = bool(self.home) and server != self.home
+        foreign = bool(self.source_server) and server != self.source_server
         if not missing:
-            self.home, self.held = server, None
-            return Verdict(frozenset(), None)
+            self.source_server, self.held = server, None
+            return RemovalVerdict(frozenset(), None)
         held = self.held
-        if self.rules.accept and self.rules.accept == Held(missing, now, "").digest:
+        if self.rules.accepted_digest and self.rules.accepted_digest == HeldRemoval(missing, now, "").digest:
             return self._remove(missing, server, now)
         if held is not None:
-            again = held.ids & missing
-            if self.rules.confirm and again and now - held.since >= self.rules.confirm_after_ms:
+            again = held.tenant_ids & missing
+            if self.rules.confirm_by_refresh and again and now - held.since_ms >= self.rules.confirm_after_ms:
                 rest = missing - again
                 verdict = self._remove(again, server, now)
                 if not rest:
                     return verdict
-                self.held = Held(rest, now, "it is missing for the first time")
-                return Verdict(again, self.held, True)
+                self.held = HeldRemoval(rest, now, "it is missing for the first time")
+                return RemovalVerdict(again, self.held, True)
             if again:  # its time is not up; what is newly missing has its whole time before it
-                self.held = Held(missing, held.since if missing <= held.ids else now, held.why)
-                return Verdict(frozenset(), self.held, missing != held.ids)
-        why = "another server says so" if foreign else self._too_many(len(missing), known, now)
+                self.held = HeldRemoval(
+                    missing, held.since_ms if missing <= held.tenant_ids else now, held.reason
+                )
+                return RemovalVerdict(frozenset(), self.held, missing != held.tenant_ids)
+        why = "another server says so" if foreign else self._excess_reason(len(missing), known, now)
         if not why:
             return self._remove(missing, server, now)
-        self.held = Held(missing, now, why)
-        return Verdict(frozenset(), self.held, True)
+        self.held = HeldRemoval(missing, now, why)
+        return RemovalVerdict(frozenset(), self.held, True)
 
-    def named(self, gone: Collection[str], known: int, server: str, now: float) -> Verdict:
+    def judge_deletions(self, gone: Collection[str], known: int, server: str, now: float) -> RemovalVerdict:
         """These were named as deleted, in a refresh from a cookie or while following."""
         ids = frozenset(gone)
         if self.held is not None:
-            ids |= self.held.ids
-        why = self._too_many(len(ids), known, now)
-        if self.rules.accept and self.rules.accept == Held(ids, now, "").digest:
+            ids |= self.held.tenant_ids
+        why = self._excess_reason(len(ids), known, now)
+        if self.rules.accepted_digest and self.rules.accepted_digest == HeldRemoval(ids, now, "").digest:
             why = ""
         if not ids:
-            return Verdict(ids, self.held)
+            return RemovalVerdict(ids, self.held)
         if why or self.held is not None:
-            news = self.held is None or self.held.ids != ids
-            self.held = Held(ids, now if self.held is None else self.held.since, why or "more went before")
-            return Verdict(frozenset(), self.held, news)
+            news = self.held is None or self.held.tenant_ids != ids
+            self.held = HeldRemoval(
+                ids, now if self.held is None else self.held.since_ms, why or "more went before"
+            )
+            return RemovalVerdict(frozenset(), self.held, news)
         return self._remove(ids, server, now)
 
-    def returned(self, ids: Collection[str]) -> None:
+    def mark_present(self, ids: Collection[str]) -> None:
         """These were seen: they are missing no more."""
-        if self.held is not None and not self.held.ids.isdisjoint(ids):
-            rest = self.held.ids - frozenset(ids)
-            self.held = Held(rest, self.held.since, self.held.why) if rest else None
+        if self.held is not None and not self.held.tenant_ids.isdisjoint(ids):
+            rest = self.held.tenant_ids - frozenset(ids)
+            self.held = HeldRemoval(rest, self.held.since_ms, self.held.reason) if rest else None
 
-    def look_again_at(self) -> float | None:
+    def confirmation_due_at(self) -> float | None:
         """When a whole refresh could confirm what is held."""
-        if self.held is None or not self.rules.confirm:
+        if self.held is None or not self.rules.confirm_by_refresh:
             return None
-        return self.held.since + self.rules.confirm_after_ms
+        return self.held.since_ms + self.rules.confirm_after_ms
 
-    def accepted(self, known: Collection[str]) -> frozenset[str]:
+    def take_accepted(self, known: Collection[str]) -> frozenset[str]:
         """What is held and was accepted by its digest meanwhile; it may go now."""
-        if self.held is None or self.held.digest != self.rules.accept:
+        if self.held is None or self.held.digest != self.rules.accepted_digest:
             return frozenset()
-        ids, self.held = self.held.ids & frozenset(known), None
+        ids, self.held = self.held.tenant_ids & frozenset(known), None
         return ids
 
-    def _too_many(self, count: int, known: int, now: float) -> str:
+    def _excess_reason(self, count: int, known: int, now: float) -> str:
         while self._recent and self._recent[0][0] <= now - WINDOW_MS:
             self._recent.popleft()
         gone = sum(n for _, n in self._recent)
-        most = max(self.rules.least, int(self.rules.share * (known + gone)))
+        most = max(self.rules.min_allowance, int(self.rules.max_share * (known + gone)))
         if count + gone <= most:
             return ""
         return f"{count + gone} of {known + gone} tenants, at most {most} may go at once"
 
-    def _remove(self, ids: frozenset[str], server: str, now: float) -> Verdict:
-        self.home, self.held = server, None
+    def _remove(self, ids: frozenset[str], server: str, now: float) -> RemovalVerdict:
+        self.source_server, self.held = server, None
         self._recent.append((now, len(ids)))
-        return Verdict(ids, None)
+        return RemovalVerdict(ids, None)
--- a/snowthread/tenants/settings.py
+++ b/snowthread/tenants/settings.py
@@ -14,21 +14,25 @@
 from snowthread.ldap import dn, filters, url
 from snowthread.ldap import messages as m
 from snowthread.ldap.ber import Bounds
-from snowthread.ldap.client import Access
+from snowthread.ldap.client import ConnectionSettings
 from snowthread.ldap.health import RetryPolicy
 from snowthread.operator.hcl import Block
-from snowthread.tenants.entry import Names
+from snowthread.tenants.entry import AttributeNames
 from snowthread.tenants.model import Network
 from snowthread.tenants.removal_guard import RemovalRules
 from snowthread.tenants.staleness import StalenessRules
 from snowthread.tenants.state import TenantRules
-from snowthread.tenants.sync import Mode, Question
+from snowthread.tenants.sync import ReplicationMode, DirectoryQuery
 from snowthread.tenants.unknown_clients import UnknownClientRules
 
 T = TypeVar("T")
 V = TypeVar("V")
 HOUR_MS = 3_600_000.0
-_MODES = {"persist": Mode.PERSIST, "refresh": Mode.REFRESH, "paged": Mode.PAGED}
+_MODES = {
+    "persist": ReplicationMode.PERSIST,
+    "refresh": ReplicationMode.REFRESH,
+    "paged": ReplicationMode.PAGED,
+}
 _SCOPES = {"base": m.Scope.BASE, "one": m.Scope.ONE, "sub": m.Scope.SUB}
 
 
@@ -37,25 +41,25 @@
     """All that the block sets. Times are milliseconds."""
 
     servers: tuple[url.LdapUrl, ...]
-    access: Access
-    question: Question
+    connection: ConnectionSettings
+    query: DirectoryQuery
     source: str
-    patience: RetryPolicy
+    retry_policy: RetryPolicy
     rules: TenantRules
-    over_share_worth: float
-    operation_ms: float
-    refresh_ms: float
-    probe_ms: float
-    poll_ms: float
-    spread_ms: float
-    report_ms: float
-    snapshot: Path | None
-    snapshot_ms: float
+    over_quota_weight: float
+    operation_timeout_ms: float
+    refresh_timeout_ms: float
+    probe_interval_ms: float
+    poll_interval_ms: float
+    start_jitter_ms: float
+    report_interval_ms: float
+    snapshot_path: Path | None
+    snapshot_interval_ms: float
 
     def summary(self) -> str:
         """For people: what is on."""
         names = ", ".join(server.server for server in self.servers)
-        return f"tenants from {names} below {self.question.base!r}"
+        return f"tenants from {names} below {self.query.base!r}"
 
     @classmethod
     def read(cls, block: Block, config: Config) -> TenantSettings:
@@ -67,71 +71,77 @@
                 "mix with a directory's: set it to true to use the directory's alone",
             )
         block.flag("replace_settings", False)
-        servers = tuple(_of(block, "servers", url.parse, text) for text in block.texts("servers"))
+        servers = tuple(_parse_value(block, "servers", url.parse, text) for text in block.texts("servers"))
         if not servers:
             raise block.wrong("servers", "at least one LDAP URL is wanted")
         for server in servers:
-            _of(block, "servers", lambda s: s.address, server)
+            _parse_value(block, "servers", lambda s: s.address, server)
         base, text = block.text("base"), block.text("filter", "(objectClass=snowthreadTenant)")
-        _of(block, "base", dn.parse, base)
-        names = _names(block.part("attributes"))
+        _parse_value(block, "base", dn.parse, base)
+        names = _read_attribute_names(block.part("attributes"))
         limits = block.part("limits")
-        question = Question(
+        question = DirectoryQuery(
             base=base,
-            filter=_of(block, "filter", filters.parse, text),
-            names=names,
+            filter=_parse_value(block, "filter", filters.parse, text),
+            attribute_names=names,
             scope=_SCOPES[block.choice("scope", _SCOPES, "sub")],
             first_mode=_MODES[block.choice("mode", _MODES, "persist")],
             page_size=block.count("page_size", 500, 10, 10_000),
-            tenants_max=limits.count("tenants", 100_000, 1),
-            networks_max=limits.count("networks", 1_000_000, 1),
+            max_tenants=limits.count("tenants", 100_000, 1),
+            max_networks=limits.count("networks", 1_000_000, 1),
         )
         bounds = Bounds(frame_bytes=limits.count("message_bytes", 512 * 1024, 4096, 64 * 2**20))
         limits.done()
-        access = _access(block, servers, bounds)
-        rules, over = _rules(block)
-        snapshot, snapshot_ms = _snapshot(block)
+        access = _read_connection_settings(block, servers, bounds)
+        rules, over = _read_rules(block)
+        snapshot_path, snapshot_interval_ms = _read_snapshot(block)
         out = cls(
             servers,
             access,
             question,
             f"{base}?{text}",
-            _patience(block.part("retry")),
+            _read_retry_policy(block.part("retry")),
             rules,
             over,
-            operation_ms=block.time("operation", "10s"),
-            refresh_ms=block.time("refresh", "2m"),
-            probe_ms=block.time("probe", "5s", 100.0),
-            poll_ms=block.time("poll", "1m", 100.0),
-            spread_ms=block.time("spread", "500ms", 0.0),
-            report_ms=block.time("report", "1m", 1000.0),
-            snapshot=snapshot,
-            snapshot_ms=snapshot_ms,
+            operation_timeout_ms=block.time("operation", "10s"),
+            refresh_timeout_ms=block.time("refresh", "2m"),
+            probe_interval_ms=block.time("probe", "5s", 100.0),
+            poll_interval_ms=block.time("poll", "1m", 100.0),
+            start_jitter_ms=block.time("spread", "500ms", 0.0),
+            report_interval_ms=block.time("report", "1m", 1000.0),
+            snapshot_path=snapshot_path,
+            snapshot_interval_ms=snapshot_interval_ms,
         )
         block.done()
         return out
 
 
-def _of(block: Block, key: str, parse: Callable[[V], T], value: V) -> T:
+def _parse_value(block: Block, key: str, parse: Callable[[V], T], value: V) -> T:
     try:
         return parse(value)
     except ValueError as error:
         raise block.wrong(key, str(error)) from None
 
 
-def _names(block: Block) -> Names:
-    default = Names()
-    names = Names(
-        *(
-            block.text(key, getattr(default, key)).lower()
-            for key in ("id", "name", "status", "quota", "network", "balancer", "allowed", "stamp")
-        )
+def _read_attribute_names(block: Block) -> AttributeNames:
+    default = AttributeNames()
+    names = AttributeNames(
+        id=block.text("id", default.id).lower(),
+        name=block.text("name", default.name).lower(),
+        status=block.text("status", default.status).lower(),
+        quota=block.text("quota", default.quota).lower(),
+        network=block.text("network", default.network).lower(),
+        balancer=block.text("balancer", default.balancer).lower(),
+        allowed_classes=block.text("allowed", default.allowed_classes).lower(),
+        modified_at=block.text("stamp", default.modified_at).lower(),
     )
     block.done()
     return names
 
 
-def _access(block: Block, servers: tuple[url.LdapUrl, ...], bounds: Bounds) -> Access:
+def _read_connection_settings(
+    block: Block, servers: tuple[url.LdapUrl, ...], bounds: Bounds
+) -> ConnectionSettings:
     start_tls = block.flag("start_tls", False)
     connect_ms, bind_ms = block.time("connect", "2s"), block.time("bind_within", "3s")
     tls = block.part("tls")
@@ -154,13 +164,13 @@
     elif ca or cert or key or server_name:
         raise tls.wrong("ca_file", "no server is reached over TLS: ldaps URLs or start_tls are wanted")
     tls.done()
-    bind = _bind(block, context is not None, cert is not None, servers)
-    return Access(bind, context, start_tls, server_name, connect_ms, bind_ms, bounds)
+    bind = _read_bind(block, context is not None, cert is not None, servers)
+    return ConnectionSettings(bind, context, start_tls, server_name, connect_ms, bind_ms, bounds)
 
 
-def _bind(
+def _read_bind(
     block: Block, secure: bool, has_cert: bool, servers: tuple[url.LdapUrl, ...]
-) -> m.Bind | m.BindExternal | None:
+) -> m.SimpleBindRequest | m.ExternalBindRequest | None:
     part = block.block("bind")
     if part is None:
         return None
@@ -170,9 +180,9 @@
             raise part.wrong("method", "external needs tls.cert_file")
         identity = part.text("identity", "")
         part.done()
-        return m.BindExternal(identity)
+        return m.ExternalBindRequest(identity)
     name = part.text("dn")
-    _of(part, "dn", dn.parse, name)
+    _parse_value(part, "dn", dn.parse, name)
     file, variable = part.maybe("password_file"), part.maybe("password_env")
     if (file is None) == (variable is None):
         raise part.wrong("password_file", "either this or password_env is wanted")
@@ -195,29 +205,30 @@
                 "allow_clear_text",
                 f"the password would go to {server.server} in clear text; use ldaps or start_tls",
             )
-    return m.Bind(name, m.Secret(password))
+    return m.SimpleBindRequest(name, m.Secret(password))
 
 
-def _patience(block: Block) -> RetryPolicy:
+def _read_retry_policy(block: Block) -> RetryPolicy:
     out = RetryPolicy(
-        pause_ms=block.time("pause", "200ms"),
-        pause_most_ms=block.time("pause_most", "30s"),
+        first_backoff_ms=block.time("pause", "200ms"),
+        max_backoff_ms=block.time("pause_most", "30s"),
         budget_share=block.number("budget_share", 0.2, 0.0, 1.0),
         budget_floor_per_s=block.number("budget_floor_per_s", 0.1, 0.001, 100.0),
-        budget_saved=block.number("budget_saved", 10.0, 1.0, 1000.0),
-        failures=block.count("failures", 3, 1, 100),
+        max_saved_retries=block.number("budget_saved", 10.0, 1.0, 1000.0),
+        failures_to_open=block.count("failures", 3, 1, 100),
         open_ms=block.time("open", "5s"),
-        open_most_ms=block.time("open_most", "2m"),
+        max_open_ms=block.time("open_most", "2m"),
     )
     block.done()
     return out
 
 
-def _rules(block: Block) -> tuple[TenantRules, float]:
+def _read_rules(block: Block) -> tuple[TenantRules, float]:
     removal, stale = block.part("removal"), block.part("staleness")
     unknown, default = block.part("unknown"), block.part("default")
     trusted: tuple[Network, ...] = tuple(
-        _of(block, "trust_numbers_from", ip_network, text) for text in block.texts("trust_numbers_from", ())
+        _parse_value(block, "trust_numbers_from", ip_network, text)
+        for text in block.texts("trust_numbers_from", ())
     )
     rules = TenantRules(
         removal=RemovalRules(
@@ -241,15 +252,15 @@
             unknown.number("per_s", 20.0, 0.1, 10_000.0),
         ),
         default_quota_per_s=default.number("quota_per_s", 0.0),
-        default_refused=default.flag("refuse", False),
-        trusted=trusted,
+        default_rejected=default.flag("refuse", False),
+        trusted_networks=trusted,
     )
     for part in (removal, stale, unknown, default):
         part.done()
     return rules, block.number("over_share_worth", 0.1, 0.0, 1.0)
 
 
-def _snapshot(block: Block) -> tuple[Path | None, float]:
+def _read_snapshot(block: Block) -> tuple[Path | None, float]:
     part = block.block("snapshot")
     if part is None:
         return None, HOUR_MS
--- a/snowthread/tenants/snapshot.py
+++ b/snowthread/tenants/snapshot.py
@@ -58,7 +58,7 @@
                     [str(n) for n in t.networks],
                     [list(r) for r in t.balancers],
                     sorted(t.classes),
-                    t.stamp,
+                    t.modified_at,
                 ]
                 for t in snapshot.tenants
             ],
--- a/snowthread/tenants/staleness.py
+++ b/snowthread/tenants/staleness.py
@@ -18,7 +18,7 @@
 from enum import Enum
 
 
-class Stage(Enum):
+class StalenessStage(Enum):
     """A step of the ladder above."""
 
     NONE = "none"
@@ -42,29 +42,29 @@
     def __init__(self, rules: StalenessRules) -> None:
         self.rules = rules
         self.confirmed_at_ms = -math.inf
-        self._told = Stage.NONE
+        self._last_reported = StalenessStage.NONE
 
     def confirm(self, now: float) -> None:
         """What is known here is what the directory has: a refresh ended, or following goes on."""
         self.confirmed_at_ms = max(self.confirmed_at_ms, now)
 
-    def age(self, now: float) -> float:
+    def age_ms(self, now: float) -> float:
         """Milliseconds since then; a clock set back counts as no time."""
         return max(0.0, now - self.confirmed_at_ms)
 
-    def stage(self, now: float) -> Stage:
+    def stage(self, now: float) -> StalenessStage:
         """The step it stands on."""
         if self.confirmed_at_ms == -math.inf:
-            return Stage.NONE
-        age = self.age(now)
+            return StalenessStage.NONE
+        age = self.age_ms(now)
         if age <= self.rules.stale_ms:
-            return Stage.FRESH
-        return Stage.STALE if age <= self.rules.old_ms else Stage.OLD
+            return StalenessStage.FRESH
+        return StalenessStage.STALE if age <= self.rules.old_ms else StalenessStage.OLD
 
-    def changed_stage(self, now: float) -> Stage | None:
+    def take_stage_change(self, now: float) -> StalenessStage | None:
         """The step, where it is another than last time."""
         stage = self.stage(now)
-        if stage is self._told:
+        if stage is self._last_reported:
             return None
-        self._told = stage
+        self._last_reported = stage
         return stage
--- a/snowthread/tenants/state.py
+++ b/snowthread/tenants/state.py
@@ -10,15 +10,23 @@
 
 from snowthread.admission.settings import Tenant as Share
 from snowthread.tenants.entry import BadEntry
-from snowthread.tenants.model import DEFAULT_ID, UNKNOWN, IdentifiedBy, Identity, Network, Status, Tenant
-from snowthread.tenants.removal_guard import RemovalGuard, RemovalRules, Verdict
-from snowthread.tenants.staleness import Stage, StalenessRules, StalenessTracker
-from snowthread.tenants.sync import Changed, Refreshed
-from snowthread.tenants.table import Applied, TenantTable
+from snowthread.tenants.model import (
+    DEFAULT_TENANT_ID,
+    UNKNOWN_IDENTITY,
+    IdentifiedBy,
+    Identity,
+    Network,
+    Status,
+    Tenant,
+)
+from snowthread.tenants.removal_guard import RemovalGuard, RemovalRules, RemovalVerdict
+from snowthread.tenants.staleness import StalenessStage, StalenessRules, StalenessTracker
+from snowthread.tenants.sync import EntriesChanged, RefreshCompleted
+from snowthread.tenants.table import TableChanges, TenantTable
 from snowthread.tenants.unknown_clients import UnknownClientRules, UnknownClients
 
-SLICE = 300  # tenants and networks taken up in one turn: one or two milliseconds
-LINES_MAX = 20  # a change says no more than so many lines, and how many it left out
+MAX_ITEMS_PER_SLICE = 300  # tenants and networks taken up in one turn: one or two milliseconds
+MAX_LOG_LINES = 20  # a change says no more than so many lines, and how many it left out
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,24 +37,24 @@
     staleness: StalenessRules = field(default_factory=StalenessRules)
     unknown_clients: UnknownClientRules = field(default_factory=UnknownClientRules)
     default_quota_per_s: float = 0.0
-    default_refused: bool = False  # callers nobody knows are turned away
-    trusted: tuple[Network, ...] = ()
+    default_rejected: bool = False  # callers nobody knows are turned away
+    trusted_networks: tuple[Network, ...] = ()
 
 
 @dataclass(slots=True)
 class TenantChanges:
     """What a step changed: shares for the decisions, and lines for people (event, text)."""
 
-    shares: list[Share] = field(default_factory=list)
-    removed: list[str] = field(default_factory=list)
-    lines: list[tuple[str, str]] = field(default_factory=list)
+    quotas: list[Share] = field(default_factory=list)
+    removed_ids: list[str] = field(default_factory=list)
+    log_lines: list[tuple[str, str]] = field(default_factory=list)
 
-    def add_line(self, event: str, text: str) -> None:
+    def add_log_line(self, event: str, text: str) -> None:
         """A line, while there are not too many."""
-        if len(self.lines) < LINES_MAX:
-            self.lines.append((event, text))
-        elif len(self.lines) == LINES_MAX:
-            self.lines.append(("tenants.more", "and more of the kind"))
+        if len(self.log_lines) < MAX_LOG_LINES:
+            self.log_lines.append((event, text))
+        elif len(self.log_lines) == MAX_LOG_LINES:
+            self.log_lines.append(("tenants.more", "and more of the kind"))
 
 
 class TenantState:
@@ -54,35 +62,35 @@
 
     def __init__(self, rules: TenantRules) -> None:
         self.rules = rules
-        self.table = TenantTable(rules.trusted)
+        self.table = TenantTable(rules.trusted_networks)
         self.guard = RemovalGuard(rules.removal)
         self.staleness = StalenessTracker(rules.staleness)
         self.unknown_clients = UnknownClients(rules.unknown_clients)
         self.counts: Counter[str] = Counter()
 
-    def default_share(self) -> Share:
+    def default_quota(self) -> Share:
         """The share of callers that nobody knows."""
-        return Share(DEFAULT_ID, self.rules.default_quota_per_s, self.rules.default_refused)
+        return Share(DEFAULT_TENANT_ID, self.rules.default_quota_per_s, self.rules.default_rejected)
 
     # Who calls.
 
-    def whois(self, address: str, number: int | None, now: float) -> Identity:
+    def identify(self, address: str, number: int | None, now: float) -> Identity:
         """Whose request it is, as far as may be acted on now."""
-        who = self.table.whois(address, number)
+        who = self.table.identify(address, number)
         if who.identified_by is IdentifiedBy.UNKNOWN:
             self.counts["unknown"] += 1
             return who
         self.counts["known"] += 1
-        if self.rules.staleness.default_when_old and self.staleness.stage(now) is Stage.OLD:
-            tenant = self.table.tenants[who.id]
-            return who if tenant.status is Status.SUSPENDED else UNKNOWN
+        if self.rules.staleness.default_when_old and self.staleness.stage(now) is StalenessStage.OLD:
+            tenant = self.table.tenants[who.tenant_id]
+            return who if tenant.status is Status.SUSPENDED else UNKNOWN_IDENTITY
         return who
 
     # What the directory says.
 
-    def refreshed(self, step: Refreshed, server: str, now: float) -> TenantChanges:
+    def apply_refresh(self, step: RefreshCompleted, server: str, now: float) -> TenantChanges:
         """A refresh went through; all of it in one go."""
-        steps = self.refreshing(step, server, now)
+        steps = self.apply_refresh_in_slices(step, server, now)
         while True:
             try:
                 next(steps)
@@ -90,166 +98,181 @@
                 news: TenantChanges = stop.value
                 return news
 
-    def refreshing(self, step: Refreshed, server: str, now: float) -> Generator[None, None, TenantChanges]:
+    def apply_refresh_in_slices(
+        self, step: RefreshCompleted, server: str, now: float
+    ) -> Generator[None, None, TenantChanges]:
         """The same in slices: it yields where others may have a turn, and takes the whole up in the last one.
         A table of a hundred thousand networks takes most of a second to build, and callers must not wait for
         that. Nothing else may be taken in meanwhile; what is given up half way has changed nothing here."""
         news = TenantChanges()
         self.counts["refreshes"] += 1
-        seen = step.present | step.upserts.keys()
-        if step.whole:
+        seen = step.present_ids | step.upserts.keys()
+        if step.is_full:
             missing = self.table.tenants.keys() - seen
-            verdict = self.guard.whole(missing, len(self.table), server, now)
+            verdict = self.guard.judge_full_refresh(missing, len(self.table), server, now)
         else:
-            self.guard.returned(seen)
-            verdict = self.guard.named(step.gone & self.table.tenants.keys(), len(self.table), server, now)
-        self._bad(step.bad, news)
-        fresh = self._newer(step.upserts.values())
+            self.guard.mark_present(seen)
+            verdict = self.guard.judge_deletions(
+                step.removed_ids & self.table.tenants.keys(), len(self.table), server, now
+            )
+        self._report_bad_entries(step.bad_entries, news)
+        fresh = self._without_outdated(step.upserts.values())
         old = self.table.tenants
         changes = [t for t in fresh if old.get(t.id) != t]
-        if sum(1 + len(t.networks) for t in changes) + len(verdict.remove) <= SLICE:
-            self._take(changes, verdict, news)
+        if sum(1 + len(t.networks) for t in changes) + len(verdict.removed_ids) <= MAX_ITEMS_PER_SLICE:
+            self._apply(changes, verdict, news)
         else:
             whole = {**old, **{t.id: t for t in changes}}
-            for tenant_id in verdict.remove:
+            for tenant_id in verdict.removed_ids:
                 del whole[tenant_id]
-            table, applied, size = TenantTable(self.rules.trusted), Applied(), 0
+            table, applied, size = TenantTable(self.rules.trusted_networks), TableChanges(), 0
             table.version = self.table.version
             for tenant in whole.values():
                 applied.conflicts += table.apply((tenant,)).conflicts
                 size += 1 + len(tenant.networks)
-                if size >= SLICE:
+                if size >= MAX_ITEMS_PER_SLICE:
                     size = 0
                     yield
             known = set(self.table.conflicts)
             applied.conflicts = [c for c in applied.conflicts if c not in known]
-            applied.changed, applied.removed = changes, [old[i] for i in verdict.remove]
+            applied.changed, applied.removed = changes, [old[i] for i in verdict.removed_ids]
             self.table = table
-            self._tell(applied, old, news)
-            self._held(verdict, news)
-            self.unknown_clients.changed()
+            self._report_table_changes(applied, old, news)
+            self._report_held_removal(verdict, news)
+            self.unknown_clients.clear_negative_cache()
         self.staleness.confirm(now)
         return news
 
-    def changed(self, step: Changed, server: str, now: float) -> TenantChanges:
+    def apply_change(self, step: EntriesChanged, server: str, now: float) -> TenantChanges:
         """Something changed while following."""
         news = TenantChanges()
         self.counts["changes"] += 1
-        self.guard.returned(step.upserts.keys())
-        verdict = Verdict(frozenset(), None)
-        gone = step.gone & self.table.tenants.keys()
+        self.guard.mark_present(step.upserts.keys())
+        verdict = RemovalVerdict(frozenset(), None)
+        gone = step.removed_ids & self.table.tenants.keys()
         if gone:
-            verdict = self.guard.named(gone, len(self.table), server, now)
-        self._bad(step.bad, news)
-        self._take(step.upserts.values(), verdict, news)
+            verdict = self.guard.judge_deletions(gone, len(self.table), server, now)
+        self._report_bad_entries(step.bad_entries, news)
+        self._apply(step.upserts.values(), verdict, news)
         self.staleness.confirm(now)
         return news
 
-    def found(
+    def apply_lookup(
         self, address: str, tenants: Collection[Tenant], bad: Iterable[BadEntry], now: float
     ) -> TenantChanges:
         """The answer to a question about an unknown caller. It only ever adds."""
         news = TenantChanges()
-        self._bad(bad, news)
+        self._report_bad_entries(bad, news)
         # Spoilt contents of a known tenant stay what a refresh made of them: this answer is but one entry.
-        self._take([t for t in tenants if t.id not in self.table.tenants], Verdict(frozenset(), None), news)
-        known = self.table.whois(address).identified_by is not IdentifiedBy.UNKNOWN
-        self.unknown_clients.answered(address, known, now)
+        self._apply(
+            [t for t in tenants if t.id not in self.table.tenants], RemovalVerdict(frozenset(), None), news
+        )
+        known = self.table.identify(address).identified_by is not IdentifiedBy.UNKNOWN
+        self.unknown_clients.finish_lookup(address, known, now)
         self.counts["found" if known else "nobodys"] += 1
         return news
 
-    def restored(self, tenants: Iterable[Tenant], agreed_at: float, home: str, now: float) -> TenantChanges:
+    def restore_snapshot(
+        self, tenants: Iterable[Tenant], agreed_at: float, home: str, now: float
+    ) -> TenantChanges:
         """A snapshot was read; it is as old as it says, and never fresher than now."""
         news = TenantChanges()
-        self._take(tenants, Verdict(frozenset(), None), news)
+        self._apply(tenants, RemovalVerdict(frozenset(), None), news)
         self.staleness.confirm(min(agreed_at, now))
-        self.guard.home = home
+        self.guard.source_server = home
         return news
 
     def apply_rules(self, rules: TenantRules) -> TenantChanges:
         """The operator sets other rules."""
         news = TenantChanges()
-        if rules.trusted != self.rules.trusted:
-            self.table.trust(rules.trusted)
+        if rules.trusted_networks != self.rules.trusted_networks:
+            self.table.trust_networks(rules.trusted_networks)
         self.rules = rules
         self.guard.rules, self.staleness.rules, self.unknown_clients.rules = (
             rules.removal,
             rules.staleness,
             rules.unknown_clients,
         )
-        accepted = self.guard.accepted(self.table.tenants)
+        accepted = self.guard.take_accepted(self.table.tenants)
         if accepted:
-            self._take((), Verdict(accepted, None), news)
-        news.shares.append(self.default_share())
+            self._apply((), RemovalVerdict(accepted, None), news)
+        news.quotas.append(self.default_quota())
         return news
 
-    def aged(self, now: float) -> TenantChanges:
+    def report_staleness(self, now: float) -> TenantChanges:
         """Time goes by: does the knowledge stand on another step?"""
         news = TenantChanges()
-        stage = self.staleness.changed_stage(now)
+        stage = self.staleness.take_stage_change(now)
         if stage is not None:
-            age = "" if stage is Stage.NONE else f", {self.staleness.age(now) / 1000.0:.0f} s old"
-            news.add_line("tenants.age", f"what is known of tenants is {stage.value}{age}")
+            age = "" if stage is StalenessStage.NONE else f", {self.staleness.age_ms(now) / 1000.0:.0f} s old"
+            news.add_log_line("tenants.age", f"what is known of tenants is {stage.value}{age}")
         return news
 
     # Within.
 
-    def _newer(self, upserts: Iterable[Tenant]) -> list[Tenant]:
+    def _without_outdated(self, upserts: Iterable[Tenant]) -> list[Tenant]:
         fresh = []
         for tenant in upserts:
             old = self.table.tenants.get(tenant.id)
-            if old is not None and old.stamp and tenant.stamp and tenant.stamp < old.stamp:
+            if (
+                old is not None
+                and old.modified_at
+                and tenant.modified_at
+                and tenant.modified_at < old.modified_at
+            ):
                 self.counts["older"] += 1  # a server with older contents
                 continue
             fresh.append(tenant)
         return fresh
 
-    def _take(self, upserts: Iterable[Tenant], verdict: Verdict, news: TenantChanges) -> None:
-        fresh = self._newer(upserts)
+    def _apply(self, upserts: Iterable[Tenant], verdict: RemovalVerdict, news: TenantChanges) -> None:
+        fresh = self._without_outdated(upserts)
         before = {t.id: self.table.tenants.get(t.id) for t in fresh}
-        applied = self.table.apply(fresh, verdict.remove)
-        self._tell(applied, before, news)
-        self._held(verdict, news)
+        applied = self.table.apply(fresh, verdict.removed_ids)
+        self._report_table_changes(applied, before, news)
+        self._report_held_removal(verdict, news)
         if applied:
-            self.unknown_clients.changed()
+            self.unknown_clients.clear_negative_cache()
 
-    def _held(self, verdict: Verdict, news: TenantChanges) -> None:
-        if verdict.news and verdict.held is not None:
+    def _report_held_removal(self, verdict: RemovalVerdict, news: TenantChanges) -> None:
+        if verdict.newly_held and verdict.held is not None:
             held = verdict.held
             self.counts["held"] += 1
-            news.add_line(
+            news.add_log_line(
                 "tenants.removal_held",
-                f"{len(held.ids)} tenants are missing and stay for now ({held.why}); removal {held.digest}",
+                f"{len(held.tenant_ids)} tenants are missing and stay for now ({held.reason}); removal {held.digest}",
             )
 
-    def _tell(
+    def _report_table_changes(
         self,
-        applied: Applied,
+        applied: TableChanges,
         before: Mapping[str, Tenant | None] | Mapping[str, Tenant],
         news: TenantChanges,
     ) -> None:
         for tenant in applied.changed:
             old = before.get(tenant.id)
-            if old is None or _share(old) != _share(tenant):
-                news.shares.append(_share(tenant))
+            if old is None or _quota_of(old) != _quota_of(tenant):
+                news.quotas.append(_quota_of(tenant))
             if old is not None and old.status is not tenant.status:
-                news.add_line("tenants.status", f"{tenant.name} ({tenant.id}) is {tenant.status.value} now")
+                news.add_log_line(
+                    "tenants.status", f"{tenant.name} ({tenant.id}) is {tenant.status.value} now"
+                )
             if old is not None and old.name != tenant.name:
-                news.add_line("tenants.renamed", f"{old.name} is called {tenant.name} now ({tenant.id})")
+                news.add_log_line("tenants.renamed", f"{old.name} is called {tenant.name} now ({tenant.id})")
         for tenant in applied.removed:
-            news.removed.append(tenant.id)
-            news.add_line("tenants.removed", f"{tenant.name} ({tenant.id}) is no tenant any more")
+            news.removed_ids.append(tenant.id)
+            news.add_log_line("tenants.removed", f"{tenant.name} ({tenant.id}) is no tenant any more")
         for conflict in applied.conflicts:
             self.counts["conflicts"] += 1
-            news.add_line("tenants.conflict", conflict.line())
+            news.add_log_line("tenants.conflict", conflict.describe())
 
-    def _bad(self, bad: Iterable[BadEntry], news: TenantChanges) -> None:
+    def _report_bad_entries(self, bad: Iterable[BadEntry], news: TenantChanges) -> None:
         for entry in bad:
             self.counts["bad_entries"] += 1
-            news.add_line("tenants.bad_entry", f"{entry.dn!r} can't be used: {entry.reason}")
+            news.add_log_line("tenants.bad_entry", f"{entry.dn!r} can't be used: {entry.reason}")
 
 
-def _share(tenant: Tenant) -> Share:
+def _quota_of(tenant: Tenant) -> Share:
     return Share(
         tenant.id, tenant.quota_per_s, tenant.status is Status.SUSPENDED, tuple(sorted(tenant.classes))
     )
--- a/snowthread/tenants/sync.py
+++ b/snowthread/tenants/sync.py
@@ -28,15 +28,15 @@
 from snowthread.ldap import dn
 from snowthread.ldap import messages as m
 from snowthread.ldap.ber import MalformedError
-from snowthread.ldap.health import Reaction, reaction
-from snowthread.tenants.entry import BadEntry, Names, read
+from snowthread.ldap.health import Reaction, reaction_to
+from snowthread.tenants.entry import BadEntry, AttributeNames, read_tenant
 from snowthread.tenants.model import Tenant
 
-PAGE_LEAST = 10
-BAD_MAX = 100  # spoilt entries that are told one by one
+MIN_PAGE_SIZE = 10
+MAX_REPORTED_BAD_ENTRIES = 100  # spoilt entries that are told one by one
 
 
-class Mode(IntEnum):
+class ReplicationMode(IntEnum):
     """How a server is followed; each needs less of it than the one before."""
 
     PERSIST = 0
@@ -44,7 +44,7 @@
     PAGED = 2
 
 
-class State(Enum):
+class ReplicationState(Enum):
     """See the table above."""
 
     IDLE = 0
@@ -53,286 +53,301 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Question:
+class DirectoryQuery:
     """What is asked of the directory."""
 
     base: str
     filter: m.FilterTree
-    names: Names
+    attribute_names: AttributeNames
     scope: m.Scope = m.Scope.SUB
-    first_mode: Mode = Mode.PERSIST
+    first_mode: ReplicationMode = ReplicationMode.PERSIST
     page_size: int = 500
-    tenants_max: int = 100_000
-    networks_max: int = 1_000_000
+    max_tenants: int = 100_000
+    max_networks: int = 1_000_000
     time_limit_s: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class Refreshed:
+class RefreshCompleted:
     """A refresh went through. ``whole``: what is neither in ``upserts`` nor in ``present`` is not there any
     more; else only what ``gone`` names."""
 
     upserts: Mapping[str, Tenant]
-    present: frozenset[str]
-    gone: frozenset[str]
-    whole: bool
-    bad: tuple[BadEntry, ...] = ()
+    present_ids: frozenset[str]
+    removed_ids: frozenset[str]
+    is_full: bool
+    bad_entries: tuple[BadEntry, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
-class Changed:
+class EntriesChanged:
     """A change while following."""
 
     upserts: Mapping[str, Tenant]
-    gone: frozenset[str] = frozenset()
-    bad: tuple[BadEntry, ...] = ()
+    removed_ids: frozenset[str] = frozenset()
+    bad_entries: tuple[BadEntry, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class NextPage:
     """The search to send next."""
 
-    search: m.Search
+    search: m.SearchRequest
 
 
 @dataclass(frozen=True, slots=True)
-class Over:
+class SearchEnded:
     """The search ended without more to say, or badly."""
 
     reason: str
     reaction: Reaction
 
 
-Step = Refreshed | Changed | NextPage | Over
+SyncEvent = RefreshCompleted | EntriesChanged | NextPage | SearchEnded
 
 
 @dataclass(slots=True)
-class _Aside:
+class _PendingRefresh:
     """A refresh that is not through yet."""
 
-    whole: bool
+    is_full: bool
     upserts: dict[str, Tenant] = field(default_factory=dict)
-    present: set[str] = field(default_factory=set)
-    gone: set[str] = field(default_factory=set)
-    bad: list[BadEntry] = field(default_factory=list)
+    present_ids: set[str] = field(default_factory=set)
+    removed_ids: set[str] = field(default_factory=set)
+    bad_entries: list[BadEntry] = field(default_factory=list)
     networks: int = 0
     cookie: bytes | None = None
 
 
-class Sync:
+class DirectorySync:
     """Follows one directory, at one server at a time."""
 
-    def __init__(self, question: Question) -> None:
-        self.question = question
-        self.state = State.IDLE
+    def __init__(self, question: DirectoryQuery) -> None:
+        self.query = question
+        self.state = ReplicationState.IDLE
         self.mode = question.first_mode
         self.cookie: bytes | None = None
         self.cookie_server = ""
-        self.references = 0  # continuations that were not followed
+        self.references_ignored = 0  # continuations that were not followed
         self.base = dn.parse(question.base)
         self._server = ""
-        self._modes: dict[str, Mode] = {}  # what a server was found to lack
+        self._modes: dict[str, ReplicationMode] = {}  # what a server was found to lack
         self._page_size = question.page_size
-        self._aside = _Aside(True)
+        self._pending = _PendingRefresh(True)
 
-    def begin(self, server: str, whole: bool = False) -> m.Search:
+    def start_refresh(self, server: str, full: bool = False) -> m.SearchRequest:
         """The search that starts a refresh at this server; ``whole``: without its cookie."""
         self._server = server
-        self.mode = self._modes.get(server, self.question.first_mode)
-        self.state = State.REFRESHING
-        cookie = self.cookie if server == self.cookie_server and not whole else None
-        if self.mode is Mode.PAGED:
+        self.mode = self._modes.get(server, self.query.first_mode)
+        self.state = ReplicationState.REFRESHING
+        cookie = self.cookie if server == self.cookie_server and not full else None
+        if self.mode is ReplicationMode.PAGED:
             cookie = None
-        self._aside = _Aside(whole=cookie is None)
-        if self.mode is Mode.PAGED:
-            return self._page(b"")
-        mode = c.SyncMode.REFRESH_AND_PERSIST if self.mode is Mode.PERSIST else c.SyncMode.REFRESH_ONLY
-        return self._search(c.sync_request(mode, cookie))
+        self._pending = _PendingRefresh(is_full=cookie is None)
+        if self.mode is ReplicationMode.PAGED:
+            return self._page_request(b"")
+        mode = (
+            c.SyncMode.REFRESH_AND_PERSIST
+            if self.mode is ReplicationMode.PERSIST
+            else c.SyncMode.REFRESH_ONLY
+        )
+        return self._search_request(c.sync_request_control(mode, cookie))
 
-    def cut(self) -> None:
+    def reset(self) -> None:
         """The connection is gone: what was kept aside is dropped."""
-        self.state = State.IDLE
-        self._aside = _Aside(True)
+        self.state = ReplicationState.IDLE
+        self._pending = _PendingRefresh(True)
 
     def forget_cookie(self) -> None:
         """The next refresh is a whole one."""
         self.cookie, self.cookie_server = None, ""
 
-    def take(self, op: m.Response) -> list[Step]:
+    def receive(self, op: m.Response) -> list[SyncEvent]:
         """One message of the search."""
-        if self.state is State.IDLE:
+        if self.state is ReplicationState.IDLE:
             return []
         try:
-            return self._take(op)
+            return self._receive(op)
         except MalformedError as error:
-            return [self._over(f"not as agreed: {error}", Reaction.ELSEWHERE)]
+            return [self._end_search(f"not as agreed: {error}", Reaction.FAIL_OVER)]
 
-    def _take(self, op: m.Response) -> list[Step]:
+    def _receive(self, op: m.Response) -> list[SyncEvent]:
         match op:
-            case m.Entry():
-                return self._entry(op)
-            case m.Reference():
-                self.references += 1
-            case m.Intermediate(oid=c.SYNC_INFO_OID):
-                return self._info(c.sync_info(op.value))
-            case m.SearchDone():
-                return self._done(op)
+            case m.SearchResultEntry():
+                return self._receive_entry(op)
+            case m.SearchResultReference():
+                self.references_ignored += 1
+            case m.IntermediateResponse(oid=c.SYNC_INFO_OID):
+                return self._receive_sync_info(c.read_sync_info(op.value))
+            case m.SearchResultDone():
+                return self._receive_search_done(op)
         return []
 
     # Entries.
 
-    def _entry(self, entry: m.Entry) -> list[Step]:
-        uuid, state, cookie = "", c.State.ADD, None
-        if self.mode is not Mode.PAGED:
-            told = c.sync_state(entry.controls)
+    def _receive_entry(self, entry: m.SearchResultEntry) -> list[SyncEvent]:
+        uuid, state, cookie = "", c.EntryState.ADD, None
+        if self.mode is not ReplicationMode.PAGED:
+            told = c.read_sync_state(entry.controls)
             if told is None:
-                self._lacks()
-                return [self._over("entries come without their state", Reaction.WITHOUT)]
+                self._fall_back_a_mode()
+                return [self._end_search("entries come without their state", Reaction.FALL_BACK)]
             uuid, state, cookie = told.uuid, told.state, told.cookie
-        if state is c.State.DELETE:
-            return self._gone((uuid,), cookie)
-        if state is c.State.PRESENT:
-            return self._present((uuid,), cookie)
-        made = read(entry.dn, entry.attributes, self.question.names, self.base, uuid)
-        if self.state is State.FOLLOWING:
-            self._keep(cookie)
+        if state is c.EntryState.DELETE:
+            return self._mark_removed((uuid,), cookie)
+        if state is c.EntryState.PRESENT:
+            return self._mark_present((uuid,), cookie)
+        made = read_tenant(entry.dn, entry.attributes, self.query.attribute_names, self.base, uuid)
+        if self.state is ReplicationState.FOLLOWING:
+            self._save_cookie(cookie)
             if isinstance(made, BadEntry):
-                return [Changed({}, bad=(made,))]
-            return [Changed({made.id: made})]
-        aside = self._aside
+                return [EntriesChanged({}, bad_entries=(made,))]
+            return [EntriesChanged({made.id: made})]
+        aside = self._pending
         aside.cookie = cookie or aside.cookie
         if isinstance(made, BadEntry):
             # It is there, though nothing can be made of it: a tenant that is known stays as it was.
-            if made.id:
-                aside.present.add(made.id)
-            if len(aside.bad) < BAD_MAX:
-                aside.bad.append(made)
+            if made.tenant_id:
+                aside.present_ids.add(made.tenant_id)
+            if len(aside.bad_entries) < MAX_REPORTED_BAD_ENTRIES:
+                aside.bad_entries.append(made)
         else:
             aside.upserts[made.id] = made
-            aside.gone.discard(made.id)
+            aside.removed_ids.discard(made.id)
             aside.networks += len(made.networks)
-        return self._bounded()
+        return self._check_limits()
 
-    def _present(self, uuids: tuple[str, ...], cookie: bytes | None) -> list[Step]:
-        if self.state is State.FOLLOWING:
-            self._keep(cookie)
+    def _mark_present(self, uuids: tuple[str, ...], cookie: bytes | None) -> list[SyncEvent]:
+        if self.state is ReplicationState.FOLLOWING:
+            self._save_cookie(cookie)
             return []
-        self._aside.cookie = cookie or self._aside.cookie
-        self._aside.present.update(uuids)
-        return self._bounded()
-
-    def _gone(self, uuids: tuple[str, ...], cookie: bytes | None) -> list[Step]:
-        if self.state is State.FOLLOWING:
-            self._keep(cookie)
-            return [Changed({}, frozenset(uuids))]
-        aside = self._aside
+        self._pending.cookie = cookie or self._pending.cookie
+        self._pending.present_ids.update(uuids)
+        return self._check_limits()
+
+    def _mark_removed(self, uuids: tuple[str, ...], cookie: bytes | None) -> list[SyncEvent]:
+        if self.state is ReplicationState.FOLLOWING:
+            self._save_cookie(cookie)
+            return [EntriesChanged({}, frozenset(uuids))]
+        aside = self._pending
         aside.cookie = cookie or aside.cookie
-        aside.gone.update(uuids)
+        aside.removed_ids.update(uuids)
         for uuid in uuids:
             aside.upserts.pop(uuid, None)
-            aside.present.discard(uuid)
-        return self._bounded()
-
-    def _bounded(self) -> list[Step]:
-        aside, q = self._aside, self.question
-        if max(len(aside.upserts), len(aside.present), len(aside.gone)) > q.tenants_max:
-            return [self._over(f"more than {q.tenants_max} tenants", Reaction.OPERATOR)]
-        if aside.networks > q.networks_max:
-            return [self._over(f"more than {q.networks_max} networks", Reaction.OPERATOR)]
+            aside.present_ids.discard(uuid)
+        return self._check_limits()
+
+    def _check_limits(self) -> list[SyncEvent]:
+        aside, q = self._pending, self.query
+        if max(len(aside.upserts), len(aside.present_ids), len(aside.removed_ids)) > q.max_tenants:
+            return [self._end_search(f"more than {q.max_tenants} tenants", Reaction.NEEDS_OPERATOR)]
+        if aside.networks > q.max_networks:
+            return [self._end_search(f"more than {q.max_networks} networks", Reaction.NEEDS_OPERATOR)]
         return []
 
     # Words between entries.
 
-    def _info(self, info: c.SyncInfo) -> list[Step]:
-        if self.mode is Mode.PAGED:
+    def _receive_sync_info(self, info: c.SyncInfo) -> list[SyncEvent]:
+        if self.mode is ReplicationMode.PAGED:
             return []
-        if isinstance(info, c.IdSet):
-            return (self._gone if info.deletes else self._present)(info.uuids, info.cookie)
-        if self.state is State.FOLLOWING:
-            self._keep(info.cookie)
+        if isinstance(info, c.SyncIdSet):
+            return (self._mark_removed if info.refresh_deletes else self._mark_present)(
+                info.uuids, info.cookie
+            )
+        if self.state is ReplicationState.FOLLOWING:
+            self._save_cookie(info.cookie)
             return []
-        self._aside.cookie = info.cookie or self._aside.cookie
-        if isinstance(info, c.Phase):
-            if not info.deletes:
-                self._aside.whole = True  # a present phase names all that is there
-            if info.done and self.mode is Mode.PERSIST:
-                return [self._refreshed(State.FOLLOWING)]
+        self._pending.cookie = info.cookie or self._pending.cookie
+        if isinstance(info, c.RefreshPhase):
+            if not info.is_delete_phase:
+                self._pending.is_full = True  # a present phase names all that is there
+            if info.refresh_done and self.mode is ReplicationMode.PERSIST:
+                return [self._complete_refresh(ReplicationState.FOLLOWING)]
         return []
 
-    def _done(self, done: m.SearchDone) -> list[Step]:
-        what = reaction(done.result.code)
+    def _receive_search_done(self, done: m.SearchResultDone) -> list[SyncEvent]:
+        what = reaction_to(done.result.code)
         if what is not Reaction.DONE:
-            if what is Reaction.RESTART:
+            if what is Reaction.FULL_REFRESH:
                 self.forget_cookie()
-            elif what is Reaction.WITHOUT:
-                if self.mode is Mode.PAGED:
-                    what = Reaction.OPERATOR
+            elif what is Reaction.FALL_BACK:
+                if self.mode is ReplicationMode.PAGED:
+                    what = Reaction.NEEDS_OPERATOR
                 else:
-                    self._lacks()
-            elif what is Reaction.SMALLER:
-                self._smaller()
-            return [self._over(f"code {done.result.code}", what)]
-        if self.mode is Mode.PAGED:
-            cookie = c.page_cookie(done.controls)
+                    self._fall_back_a_mode()
+            elif what is Reaction.REDUCE_PAGE_SIZE:
+                self._reduce_page_size()
+            return [self._end_search(f"code {done.result.code}", what)]
+        if self.mode is ReplicationMode.PAGED:
+            cookie = c.read_page_cookie(done.controls)
             if cookie:
-                return [NextPage(self._page(cookie))]
-            return [self._refreshed(State.IDLE)]
-        if self.state is State.FOLLOWING:
-            return [self._over("the server ended the search", Reaction.AGAIN)]
-        sync = c.sync_done(done.controls)
+                return [NextPage(self._page_request(cookie))]
+            return [self._complete_refresh(ReplicationState.IDLE)]
+        if self.state is ReplicationState.FOLLOWING:
+            return [self._end_search("the server ended the search", Reaction.RETRY)]
+        sync = c.read_sync_done(done.controls)
         if sync is None:
-            self._lacks()
-            return [self._over("the refresh ends without its word", Reaction.WITHOUT)]
-        self._aside.cookie = sync.cookie or self._aside.cookie
-        if not sync.deletes:
-            self._aside.whole = True
-        step = self._refreshed(State.IDLE)
-        if self.mode is Mode.PERSIST:  # it refreshed and does not persist
-            return [step, Over("the server ended the search", Reaction.AGAIN)]
+            self._fall_back_a_mode()
+            return [self._end_search("the refresh ends without its word", Reaction.FALL_BACK)]
+        self._pending.cookie = sync.cookie or self._pending.cookie
+        if not sync.refresh_deletes:
+            self._pending.is_full = True
+        step = self._complete_refresh(ReplicationState.IDLE)
+        if self.mode is ReplicationMode.PERSIST:  # it refreshed and does not persist
+            return [step, SearchEnded("the server ended the search", Reaction.RETRY)]
         return [step]
 
-    def _refreshed(self, then: State) -> Refreshed:
-        aside, self._aside = self._aside, _Aside(True)
+    def _complete_refresh(self, then: ReplicationState) -> RefreshCompleted:
+        aside, self._pending = self._pending, _PendingRefresh(True)
         self.state = then
-        if self.mode is not Mode.PAGED:
+        if self.mode is not ReplicationMode.PAGED:
             self.cookie, self.cookie_server = aside.cookie, self._server
-        return Refreshed(
-            aside.upserts, frozenset(aside.present), frozenset(aside.gone), aside.whole, tuple(aside.bad)
+        return RefreshCompleted(
+            aside.upserts,
+            frozenset(aside.present_ids),
+            frozenset(aside.removed_ids),
+            aside.is_full,
+            tuple(aside.bad_entries),
         )
 
     # What servers lack.
 
-    def _lacks(self) -> None:
+    def _fall_back_a_mode(self) -> None:
         """Not this way at this server."""
-        self._modes[self._server] = Mode(min(self.mode + 1, Mode.PAGED))
+        self._modes[self._server] = ReplicationMode(min(self.mode + 1, ReplicationMode.PAGED))
 
-    def _smaller(self) -> None:
+    def _reduce_page_size(self) -> None:
         """Pages, and smaller ones where they were too large already."""
-        if self.mode is Mode.PAGED:
-            self._page_size = max(PAGE_LEAST, self._page_size // 2)
-        self._modes[self._server] = Mode.PAGED
+        if self.mode is ReplicationMode.PAGED:
+            self._page_size = max(MIN_PAGE_SIZE, self._page_size // 2)
+        self._modes[self._server] = ReplicationMode.PAGED
 
-    def _keep(self, cookie: bytes | None) -> None:
+    def _save_cookie(self, cookie: bytes | None) -> None:
         if cookie is not None:
             self.cookie, self.cookie_server = cookie, self._server
 
-    def _over(self, reason: str, what: Reaction) -> Over:
-        self.cut()
-        return Over(reason, what)
-
-    def _page(self, cookie: bytes) -> m.Search:
-        return self._search(c.paged(self._page_size, cookie))
-
-    def _search(self, control: m.Control) -> m.Search:
-        q = self.question
-        return m.Search(
-            q.base, q.scope, q.filter, q.names.all(), time_limit_s=q.time_limit_s, controls=(control,)
+    def _end_search(self, reason: str, what: Reaction) -> SearchEnded:
+        self.reset()
+        return SearchEnded(reason, what)
+
+    def _page_request(self, cookie: bytes) -> m.SearchRequest:
+        return self._search_request(c.paged_results_control(self._page_size, cookie))
+
+    def _search_request(self, control: m.Control) -> m.SearchRequest:
+        q = self.query
+        return m.SearchRequest(
+            q.base,
+            q.scope,
+            q.filter,
+            q.attribute_names.all(),
+            time_limit_s=q.time_limit_s,
+            controls=(control,),
         )
 
-    def move(self, question: Question) -> None:
+    def set_query(self, question: DirectoryQuery) -> None:
         """Ask another question from now on; another directory's cookie is of no use."""
-        if replace(question, page_size=0) != replace(self.question, page_size=0):
+        if replace(question, page_size=0) != replace(self.query, page_size=0):
             self.forget_cookie()
             self._modes.clear()
-        self.question, self.base, self._page_size = question, dn.parse(question.base), question.page_size
-        self.cut()
+        self.query, self.base, self._page_size = question, dn.parse(question.base), question.page_size
+        self.reset()
--- a/snowthread/tenants/table.py
+++ b/snowthread/tenants/table.py
@@ -16,27 +16,27 @@
 
 from pytricia import PyTricia
 
-from snowthread.tenants.model import UNKNOWN, IdentifiedBy, Identity, Network, Tenant
+from snowthread.tenants.model import UNKNOWN_IDENTITY, IdentifiedBy, Identity, Network, Tenant
 
-CACHE_MAX = 8192  # callers whose answer is kept until the table changes
-CONFLICTS_MAX = 1000  # contradictions that are remembered for people
+MAX_CACHED_IDENTITIES = 8192  # callers whose answer is kept until the table changes
+MAX_RECORDED_CONFLICTS = 1000  # contradictions that are remembered for people
 
 
 @dataclass(frozen=True, slots=True)
 class Conflict:
     """Two tenants claim the same; ``holder`` has it."""
 
-    what: str
-    holder: str
-    other: str
+    resource: str
+    owner: str
+    other_claimant: str
 
-    def line(self) -> str:
+    def describe(self) -> str:
         """For the log."""
-        return f"{self.what} is claimed by {self.holder}, who has it, and by {self.other}"
+        return f"{self.resource} is claimed by {self.owner}, who has it, and by {self.other_claimant}"
 
 
 @dataclass(slots=True)
-class Applied:
+class TableChanges:
     """What a change made of the table."""
 
     changed: list[Tenant] = field(default_factory=list)
@@ -53,17 +53,17 @@
     def __init__(self, trusted: Iterable[Network] = ()) -> None:
         self.tenants: dict[str, Tenant] = {}
         self.version = 0
-        self.networks = 0  # claims in all
+        self.network_count = 0  # claims in all
         self._claims: dict[str, list[str]] = {}  # network -> ids that claim it, the least first
         self._v4, self._v6 = PyTricia(32), PyTricia(128)
         self._trusted4, self._trusted6 = PyTricia(32), PyTricia(128)
         self._ranges: list[tuple[int, int, str]] = []  # first number, last number, id; sorted
-        self._widest = 0  # of the ranges
+        self._widest_range = 0  # of the ranges
         self._cache: OrderedDict[tuple[str, int], Identity] = OrderedDict()
         self._conflicts: dict[str, tuple[Conflict, ...]] = {}  # by what is claimed
-        self.trust(trusted)
+        self.trust_networks(trusted)
 
-    def trust(self, networks: Iterable[Network]) -> None:
+    def trust_networks(self, networks: Iterable[Network]) -> None:
         """Believe balancers' numbers from these networks."""
         self._trusted4, self._trusted6 = PyTricia(32), PyTricia(128)
         for network in networks:
@@ -80,51 +80,51 @@
 
     # Looking up.
 
-    def whois(self, address: str, number: int | None = None) -> Identity:
+    def identify(self, address: str, number: int | None = None) -> Identity:
         """Whose caller it is. ``address`` as a socket gives it, ``number`` as the request says."""
         key = (address, -1 if number is None else number)
         found = self._cache.get(key)
         if found is None:
-            found = self._cache[key] = self._find(address, number)
-            if len(self._cache) > CACHE_MAX:
+            found = self._cache[key] = self._identify_uncached(address, number)
+            if len(self._cache) > MAX_CACHED_IDENTITIES:
                 self._cache.popitem(last=False)
         return found
 
-    def _find(self, address: str, number: int | None) -> Identity:
+    def _identify_uncached(self, address: str, number: int | None) -> Identity:
         try:
             ip = ip_address(address.partition("%")[0])
         except ValueError:
-            return UNKNOWN
+            return UNKNOWN_IDENTITY
         mapped = getattr(ip, "ipv4_mapped", None)
         if mapped is not None:  # one caller, one identity, whichever socket it came over
             ip = mapped
         text = str(ip)
         if number is not None and text in (self._trusted4 if ip.version == 4 else self._trusted6):
-            owners = self._owners(number)
+            owners = self._range_owners(number)
             if owners:
                 return Identity(owners[0], IdentifiedBy.BALANCER)
         trie = self._v4 if ip.version == 4 else self._v6
         network = trie.get_key(text)
         if network is None:
-            return UNKNOWN
+            return UNKNOWN_IDENTITY
         return Identity(trie[network], IdentifiedBy.NETWORK, network)
 
-    def _owners(self, number: int) -> list[str]:
+    def _range_owners(self, number: int) -> list[str]:
         """The tenants whose ranges hold the number, the least id first."""
         end = bisect_right(self._ranges, (number, float("inf"), ""))
-        start = bisect_right(self._ranges, (number - self._widest, -1, ""))
+        start = bisect_right(self._ranges, (number - self._widest_range, -1, ""))
         return sorted({owner for _first, last, owner in self._ranges[start:end] if number <= last})
 
     # Changing.
 
-    def apply(self, upserts: Iterable[Tenant], gone: Iterable[str] = ()) -> Applied:
+    def apply(self, upserts: Iterable[Tenant], removed_ids: Iterable[str] = ()) -> TableChanges:
         """Take up new and changed tenants and let go of others, as one step."""
-        out = Applied()
-        for tenant_id in gone:
+        out = TableChanges()
+        for tenant_id in removed_ids:
             old = self.tenants.pop(tenant_id, None)
             if old is not None:
-                self._release(old, frozenset(old.networks), out)
-                self._unrange(old, out)
+                self._release_networks(old, frozenset(old.networks), out)
+                self._remove_ranges(old, out)
                 out.removed.append(old)
         for new in upserts:
             old = self.tenants.get(new.id)
@@ -133,67 +133,67 @@
             had = frozenset(old.networks) if old is not None else frozenset()
             wants = frozenset(new.networks)
             if old is not None:
-                self._release(old, had - wants, out)
+                self._release_networks(old, had - wants, out)
                 if old.balancers != new.balancers:
-                    self._unrange(old, out)
+                    self._remove_ranges(old, out)
             self.tenants[new.id] = new
-            self._claim(new, wants - had, out)
+            self._claim_networks(new, wants - had, out)
             if old is None or old.balancers != new.balancers:
-                self._range(new, out)
+                self._add_ranges(new, out)
             out.changed.append(new)
         if out:
             self.version += 1
             self._cache.clear()
         return out
 
-    def _claim(self, tenant: Tenant, networks: Iterable[Network], out: Applied) -> None:
+    def _claim_networks(self, tenant: Tenant, networks: Iterable[Network], out: TableChanges) -> None:
         for network in networks:
             key = str(network)
             claims = self._claims.setdefault(key, [])
             insort(claims, tenant.id)
-            self.networks += 1
-            self._hold(network, key, claims[0])
+            self.network_count += 1
+            self._set_owner(network, key, claims[0])
             if len(claims) > 1:
-                self._review(f"network {key}", claims, out)
+                self._review_claims(f"network {key}", claims, out)
 
-    def _release(self, tenant: Tenant, networks: Iterable[Network], out: Applied) -> None:
+    def _release_networks(self, tenant: Tenant, networks: Iterable[Network], out: TableChanges) -> None:
         for network in networks:
             key = str(network)
             claims = self._claims[key]
             claims.remove(tenant.id)
-            self.networks -= 1
+            self.network_count -= 1
             if claims:
-                self._hold(network, key, claims[0])
-                self._review(f"network {key}", claims, out)
+                self._set_owner(network, key, claims[0])
+                self._review_claims(f"network {key}", claims, out)
             else:
                 del self._claims[key]
                 (self._v4 if network.version == 4 else self._v6).delete(key)
 
-    def _hold(self, network: Network, key: str, owner: str) -> None:
+    def _set_owner(self, network: Network, key: str, owner: str) -> None:
         (self._v4 if network.version == 4 else self._v6)[key] = owner
 
-    def _range(self, tenant: Tenant, out: Applied) -> None:
+    def _add_ranges(self, tenant: Tenant, out: TableChanges) -> None:
         for first, last in tenant.balancers:
             insort(self._ranges, (first, last, tenant.id))
-            self._widest = max(self._widest, last - first)
-        self._review_numbers(tenant, out)
+            self._widest_range = max(self._widest_range, last - first)
+        self._review_range_ends(tenant, out)
 
-    def _unrange(self, tenant: Tenant, out: Applied) -> None:
+    def _remove_ranges(self, tenant: Tenant, out: TableChanges) -> None:
         if tenant.balancers:
             self._ranges = [r for r in self._ranges if r[2] != tenant.id]
-            self._widest = max((last - first for first, last, _ in self._ranges), default=0)
-            self._review_numbers(tenant, out)
+            self._widest_range = max((last - first for first, last, _ in self._ranges), default=0)
+            self._review_range_ends(tenant, out)
 
-    def _review_numbers(self, tenant: Tenant, out: Applied) -> None:
+    def _review_range_ends(self, tenant: Tenant, out: TableChanges) -> None:
         """Contradictions of ranges are told at the ends of the one that changed."""
         for number in {n for ends in tenant.balancers for n in ends}:
-            self._review(f"balancer {number}", self._owners(number), out)
+            self._review_claims(f"balancer {number}", self._range_owners(number), out)
 
-    def _review(self, what: str, claims: list[str], out: Applied) -> None:
+    def _review_claims(self, what: str, claims: list[str], out: TableChanges) -> None:
         """Who contradicts whom about this now; what stood already is not told again."""
         old = self._conflicts.pop(what, ())
         new = tuple(Conflict(what, claims[0], other) for other in claims[1:])
         if new:
             out.conflicts += [c for c in new if c not in old]
-            if len(self._conflicts) < CONFLICTS_MAX:
+            if len(self._conflicts) < MAX_RECORDED_CONFLICTS:
                 self._conflicts[what] = new
--- a/tests/ldap/test_codec.py
+++ b/tests/ldap/test_codec.py
@@ -12,7 +12,7 @@
 from snowthread.ldap import dn, filters, url
 from snowthread.ldap import messages as m
 from snowthread.ldap.ber import Bounds, MalformedError, check, frame_length
-from snowthread.ldap.session import Broken, Session, State, StateError
+from snowthread.ldap.session import SessionEnded, Session, SessionState, SessionStateError
 
 BOUNDS = Bounds()
 WORDS = st.text(max_size=12)
@@ -35,7 +35,7 @@
 
 def searching() -> Session:
     session = Session()
-    session.send(m.Search("dc=x", m.Scope.SUB, filters.parse("(cn=*)"), ("cn",)))
+    session.send(m.SearchRequest("dc=x", m.Scope.SUB, filters.parse("(cn=*)"), ("cn",)))
     return session
 
 
@@ -46,13 +46,13 @@
 ) -> None:
     wire = b"".join(entry(1, name, values) for name, values in entries) + done(1)
     whole = searching().receive(wire)
-    assert [x.op.dn for x in whole[:-1]] == [name for name, _ in entries]
-    assert isinstance(whole[-1].op, m.SearchDone)
+    assert [x.response.dn for x in whole[:-1]] == [name for name, _ in entries]
+    assert isinstance(whole[-1].response, m.SearchResultDone)
     cuts = sorted(data.draw(st.lists(st.integers(0, len(wire)), max_size=6)))
     session, pieces = searching(), []
     for a, b in zip([0, *cuts], [*cuts, len(wire)], strict=True):
         pieces += session.receive(wire[a:b])
-    assert pieces == whole and session.buffered == 0
+    assert pieces == whole and session.buffered_bytes == 0
 
 
 @given(st.binary(max_size=300))
@@ -60,8 +60,8 @@
 def test_garbage_ends_the_session_or_waits_and_raises_nothing(data: bytes) -> None:
     session = searching()
     out = session.receive(data)
-    broken = [x for x in out if isinstance(x, Broken)]
-    assert len(broken) <= 1 and (session.state is State.CLOSED) == bool(broken)
+    broken = [x for x in out if isinstance(x, SessionEnded)]
+    assert len(broken) <= 1 and (session.state is SessionState.CLOSED) == bool(broken)
 
 
 @given(st.data())
@@ -70,14 +70,14 @@
     wire = bytearray(entry(1, "cn=a,dc=x", ["b", "c"]) + done(1))
     wire[data.draw(st.integers(0, len(wire) - 1))] ^= data.draw(st.integers(1, 255))
     for got in searching().receive(bytes(wire)):
-        assert isinstance(got, m.Message | Broken)
+        assert isinstance(got, m.Message | SessionEnded)
 
 
 def test_every_truncation_of_a_frame_waits_for_the_rest() -> None:
     wire = entry(1, "cn=a,dc=x", ["b" * 200])
     for size in range(len(wire)):
         session = searching()
-        assert session.receive(wire[:size]) == [] and session.state is State.FRESH
+        assert session.receive(wire[:size]) == [] and session.state is SessionState.READY
         assert len(session.receive(wire[size:])) == 1
 
 
@@ -94,8 +94,10 @@
 def test_a_hostile_head_is_refused_before_anything_is_buffered(head: bytes, word: str) -> None:
     session = searching()
     (broken,) = session.receive(head)
-    assert isinstance(broken, Broken) and word in broken.reason
-    assert session.buffered == 0 and session.receive(b"x" * 100_000) == [] and session.buffered == 0
+    assert isinstance(broken, SessionEnded) and word in broken.reason
+    assert (
+        session.buffered_bytes == 0 and session.receive(b"x" * 100_000) == [] and session.buffered_bytes == 0
+    )
 
 
 def test_depth_and_elements_are_bounded_and_children_stay_in_their_parents() -> None:
@@ -113,14 +115,17 @@
 
 
 def test_a_search_is_what_the_other_side_reads() -> None:
-    request = m.Search(
+    request = m.SearchRequest(
         "dc=x",
         m.Scope.ONE,
         filters.parse("(&(a=1)(!(b=*))(c=x*y))"),
         ("cn", "sn"),
         7,
         9,
-        (c.paged(50, b"k"), c.sync_request(c.SyncMode.REFRESH_AND_PERSIST, b"cookie")),
+        (
+            c.paged_results_control(50, b"k"),
+            c.sync_request_control(c.SyncMode.REFRESH_AND_PERSIST, b"cookie"),
+        ),
     )
     number, data = Session().send(request)
     told = read_by_other(data)
@@ -138,34 +143,40 @@
 
 def test_result_codes_of_later_documents_are_kept() -> None:
     (got,) = searching().receive(done(1, 4096))
-    assert got.op.result == m.Result(4096, "", "as asked")
+    assert got.response.result == m.LdapResult(4096, "", "as asked")
 
 
 def test_the_sessions_table() -> None:
     session = Session()
-    number, _ = session.send(m.Bind("cn=a", m.Secret("pw")))
-    for request in (m.Unbind(), m.Search("", m.Scope.BASE, ("present", b"a")), m.Bind("", m.Secret(""))):
-        with pytest.raises(StateError):
+    number, _ = session.send(m.SimpleBindRequest("cn=a", m.Secret("pw")))
+    for request in (
+        m.UnbindRequest(),
+        m.SearchRequest("", m.Scope.BASE, ("present", b"a")),
+        m.SimpleBindRequest("", m.Secret("")),
+    ):
+        with pytest.raises(SessionStateError):
             session.send(request)
     bound = other.pack((0, 16, [(0, 2, number), other.result(1, 0)]))
-    assert isinstance(session.receive(bound)[0].op, m.BindDone) and session.state is State.FRESH
-    search, _ = session.send(m.Search("", m.Scope.BASE, ("present", b"a")))
-    with pytest.raises(StateError):
-        session.send(m.Bind("", m.Secret("")))
-    session.send(m.Abandon(search))
+    assert (
+        isinstance(session.receive(bound)[0].response, m.BindResponse) and session.state is SessionState.READY
+    )
+    search, _ = session.send(m.SearchRequest("", m.Scope.BASE, ("present", b"a")))
+    with pytest.raises(SessionStateError):
+        session.send(m.SimpleBindRequest("", m.Secret("")))
+    session.send(m.AbandonRequest(search))
     assert session.receive(entry(search, "cn=late", [])) == []  # crossed the abandon
-    assert session.receive(done(search)) == [] and session.state is State.FRESH
+    assert session.receive(done(search)) == [] and session.state is SessionState.READY
     (broken,) = session.receive(done(search))
-    assert isinstance(broken, Broken) and "nothing was asked" in broken.reason
-    with pytest.raises(StateError):
-        session.send(m.Unbind())
+    assert isinstance(broken, SessionEnded) and "nothing was asked" in broken.reason
+    with pytest.raises(SessionStateError):
+        session.send(m.UnbindRequest())
 
 
 @pytest.mark.parametrize(
     ("wire", "word"),
     [
         (done(9), "nothing was asked"),
-        (other.pack((0, 16, [(0, 2, 1), other.result(1, 0)])), "BindDone answers a Search"),
+        (other.pack((0, 16, [(0, 2, 1), other.result(1, 0)])), "BindResponse answers a SearchRequest"),
         (
             other.pack((0, 16, [(0, 2, 0), other.result(24, 52, "", [(128, 10, other.NOTICE.encode())])])),
             "notice",
@@ -176,23 +187,23 @@
 )
 def test_what_a_server_may_not_say_ends_the_session(wire: bytes, word: str) -> None:
     (broken,) = searching().receive(wire)
-    assert isinstance(broken, Broken) and word in broken.reason
+    assert isinstance(broken, SessionEnded) and word in broken.reason
 
 
 def test_clear_text_behind_the_answer_to_start_tls_is_a_breach() -> None:
     # Somebody between could else put words into the mouth of the server before the stream is secured.
     answer = other.pack((0, 16, [(0, 2, 1), other.result(24, 0)]))
     session = Session()
-    session.send(m.Extended(m.START_TLS_OID))
+    session.send(m.ExtendedRequest(m.START_TLS_OID))
     got = session.receive(answer + entry(1, "cn=forged", []))
-    assert isinstance(got[-1], Broken) and "clear text" in got[-1].reason
+    assert isinstance(got[-1], SessionEnded) and "clear text" in got[-1].reason
     session = Session()
-    session.send(m.Extended(m.START_TLS_OID))
-    assert len(session.receive(answer)) == 1 and session.state is State.TLS
-    with pytest.raises(StateError):
-        session.send(m.Unbind())
-    session.secured()
-    assert session.state is State.FRESH
+    session.send(m.ExtendedRequest(m.START_TLS_OID))
+    assert len(session.receive(answer)) == 1 and session.state is SessionState.HANDSHAKE
+    with pytest.raises(SessionStateError):
+        session.send(m.UnbindRequest())
+    session.mark_secured()
+    assert session.state is SessionState.READY
 
 
 def test_values_of_controls_are_read_and_bounded() -> None:
@@ -201,11 +212,11 @@
     found = (0x40, 4, [other.octets("cn=a"), (0, 16, [])])
     wire = other.pack((0, 16, [(0, 2, 1), found, (0x80, 0, [state])]))
     (got,) = searching().receive(wire)
-    assert c.sync_state(got.op.controls) == c.SyncState(c.State.ADD, uuid.hex(), b"ck")
+    assert c.read_sync_state(got.response.controls) == c.SyncState(c.EntryState.ADD, uuid.hex(), b"ck")
     ids = other.pack((0x80, 3, [(0, 1, True), (0, 17, [other.octets(uuid)])]))
-    assert c.sync_info(ids) == c.IdSet(True, (uuid.hex(),), None)
-    assert c.sync_info(other.pack((0x80, 2, []))) == c.Phase(False, None, True)
-    assert c.sync_info(other.pack((0x80, 1, [(0, 1, False)]))) == c.Phase(True, None, False)
+    assert c.read_sync_info(ids) == c.SyncIdSet(True, (uuid.hex(),), None)
+    assert c.read_sync_info(other.pack((0x80, 2, []))) == c.RefreshPhase(False, None, True)
+    assert c.read_sync_info(other.pack((0x80, 1, [(0, 1, False)]))) == c.RefreshPhase(True, None, False)
     for bad in (
         b"",
         b"\x30\x00",
@@ -213,7 +224,7 @@
         other.pack((0x80, 0, b"x" * 5000)),
     ):
         with pytest.raises(MalformedError):
-            c.sync_info(bad)
+            c.read_sync_info(bad)
 
 
 def test_frame_lengths_are_told_from_the_head_alone() -> None:
@@ -276,20 +287,20 @@
 
 def test_names_compare_as_directories_do() -> None:
     base = dn.parse("ou=Tenants, dc=Example")
-    assert dn.parse("CN=a\\2c b,OU=tenants,DC=EXAMPLE").below(base)
+    assert dn.parse("CN=a\\2c b,OU=tenants,DC=EXAMPLE").is_below(base)
     assert dn.parse("cn=x+sn=y,ou=a").key == dn.parse("SN=Y+cn=X,OU=A").key
-    assert not dn.parse("ou=tenants,dc=example,dc=com").below(base)
-    assert dn.parse("cn=a,dc=x").below(dn.parse("")) and not dn.parse("").below(base)
+    assert not dn.parse("ou=tenants,dc=example,dc=com").is_below(base)
+    assert dn.parse("cn=a,dc=x").is_below(dn.parse("")) and not dn.parse("").is_below(base)
     assert dn.parse("cn=a  b").key == dn.parse("cn=a b").key != dn.parse("cn=ab").key
     plain = dn.parse("ou=tenants,dc=example")
-    assert dn.plainly_below("cn=X,OU=Tenants,dc=example", plain)
+    assert dn.is_plainly_below("cn=X,OU=Tenants,dc=example", plain)
     for text in (
         "cn=x\\,ou=tenants,dc=example",
         "cn=x,ou=tenants, dc=example",
         "ou=tenants,dc=example",
         "cn=xou=tenants,dc=example",
     ):
-        assert not dn.plainly_below(text, plain)
+        assert not dn.is_plainly_below(text, plain)
     for bad in ("cn", "=a", "cn=a,,cn=b", "cn=a\\", "cn=a;b", "cn=" + "x" * 5000):
         with pytest.raises(dn.DnError):
             dn.parse(bad)
@@ -316,5 +327,5 @@
 
 
 def test_a_secret_shows_itself_nowhere() -> None:
-    bind = m.Bind("cn=a", m.Secret("hunter2"))
+    bind = m.SimpleBindRequest("cn=a", m.Secret("hunter2"))
     assert "hunter2" not in repr(bind) and "hunter2" not in f"{bind}" and b"hunter2" in m.encode(1, bind)
--- a/tests/ldap/test_tls.py
+++ b/tests/ldap/test_tls.py
@@ -98,7 +98,7 @@
     assert not w.names and w.directories[0].binds == 0
     words = ["certificate"] if kind.startswith("wrong") else ["closed", "reset"] if ldaps else ["code 2"]
     assert any(word in line for line in logged for word in words), logged
-    assert w.follower.link_failures <= 8 and not any(PASSWORD in line for line in logged)
+    assert w.follower.connection_failures <= 8 and not any(PASSWORD in line for line in logged)
 
 
 def test_a_name_may_be_set_for_the_certificate_to_prove(
@@ -127,7 +127,7 @@
     w = start(server_context(authority, "127.0.0.1"), True, more='bind_within = "1s"\n retry { open = "1s" }')
     w.directories[0].faults.stall_at = at
     w.run(10_000.0)
-    assert not w.names and w.follower.link_failures >= 2
+    assert not w.names and w.follower.connection_failures >= 2
     w.directories[0].faults.stall_at = None
     w.directories[0].nudge()
     w.synced()
--- a/tests/operator/test_hcl.py
+++ b/tests/operator/test_hcl.py
@@ -30,8 +30,11 @@
 
 def test_defaults_and_units(tmp_path: Path) -> None:
     tenants = load(tmp_path, f'tenants {{\n {GOOD} operation = "1.5s"\n poll = "2m"\n }}').tenants
-    assert tenants is not None and (tenants.operation_ms, tenants.poll_ms) == (1500.0, 120_000.0)
-    assert tenants.access.bind is None and tenants.question.page_size == 500
+    assert tenants is not None and (tenants.operation_timeout_ms, tenants.poll_interval_ms) == (
+        1500.0,
+        120_000.0,
+    )
+    assert tenants.connection.bind is None and tenants.query.page_size == 500
     assert load(tmp_path, "").tenants is None
 
 
@@ -93,7 +96,7 @@
         far + bind.replace("}", "allow_clear_text = true\n }"),
     ):
         tenants = load(tmp_path, f"tenants {{\n {allowed} }}").tenants
-        assert tenants is not None and tenants.access.bind == m.Bind("cn=a", m.Secret("pw"))
+        assert tenants is not None and tenants.connection.bind == m.SimpleBindRequest("cn=a", m.Secret("pw"))
 
 
 def test_quotas_of_the_platform_and_of_a_directory_never_mix_silently(tmp_path: Path) -> None:
--- a/tests/sites/test_shedding.py
+++ b/tests/sites/test_shedding.py
@@ -10,10 +10,10 @@
 from snowthread.config import ConfigError
 from snowthread.operator import hcl
 from snowthread.sites.settings import SiteSettings
-from snowthread.sites.settings import read as read_site
+from snowthread.sites.settings import read_site_settings as read_site
 from snowthread.sites.shedding import (
-    CAP,
-    MOST,
+    MAX_FOREIGN_SHARE,
+    MAX_FOREIGN_PRESSURE,
     NodeLoad,
     SiteRanges,
     Verdict,
@@ -33,21 +33,23 @@
     wants = [(place, rank / 10.0) for place in range(3) for rank in range(10)]
     for step in range(60):
         felt = load(step / 100.0)
-        served = [decide(False, True, place, 3, rank, felt) is Verdict.OWN for place, rank in wants]
+        served = [decide(False, True, place, 3, rank, felt) is Verdict.ADMIT for place, rank in wants]
         for low, high in itertools.combinations(range(len(wants)), 2):
             assert not (served[low] and not served[high])  # wants are in order
-    assert not any(decide(False, True, 2, 3, 0.99, load(MOST)) is Verdict.OWN for _ in range(3))
+    assert not any(
+        decide(False, True, 2, 3, 0.99, load(MAX_FOREIGN_PRESSURE)) is Verdict.ADMIT for _ in range(3)
+    )
 
 
 def test_with_room_all_that_is_safe_is_taken_up_to_the_cap() -> None:
-    assert decide(False, True, 0, 3, 0.0, load()) is Verdict.OWN
-    assert decide(False, True, 2, 3, 0.9, load(foreign=int(CAP * 8))) is Verdict.REFUSE
+    assert decide(False, True, 0, 3, 0.0, load()) is Verdict.ADMIT
+    assert decide(False, True, 2, 3, 0.9, load(foreign=int(MAX_FOREIGN_SHARE * 8))) is Verdict.REJECT
     assert pressure(load(held=8)) == 0.5 and pressure(load(0.7, 8)) == 0.7
 
 
 def test_own_requests_are_the_modules_and_anothers_keys_are_failed_whatever_the_load() -> None:
     for felt in (0.0, 0.5, 1.0):
-        assert decide(True, False, 0, 3, 0.0, load(felt)) is Verdict.OWN
+        assert decide(True, False, 0, 3, 0.0, load(felt)) is Verdict.ADMIT
         assert decide(False, False, 2, 3, 0.9, load(felt)) is Verdict.FAIL
 
 
@@ -71,7 +73,9 @@
 
 def test_the_block_names_each_sites_balancers(tmp_path: Path) -> None:
     read = block(tmp_path, 'name = "a"\n' + home("a", "0-9", "12") + home("b", "10-11"))
-    assert read.homes.ranges == {"a": [(0, 9), (12, 12)], "b": [(10, 11)]} and "site a" in read.summary()
+    assert (
+        read.site_ranges.ranges == {"a": [(0, 9), (12, 12)], "b": [(10, 11)]} and "site a" in read.summary()
+    )
 
 
 @pytest.mark.parametrize(
--- a/tests/sites/test_sites.py
+++ b/tests/sites/test_sites.py
@@ -10,8 +10,8 @@
 from hypothesis import strategies as st
 
 from snowthread.sites.membership import Heartbeat, MembershipRules, SiteMembership, SiteStatus, StatusChange
-from snowthread.sites.recovery_ramp import STEP, RecoveryRamp, SiteHealth
-from snowthread.sites.spillover import CAP, SpilloverTarget, allocate
+from snowthread.sites.recovery_ramp import SHARE_STEP, RecoveryRamp, SiteHealth
+from snowthread.sites.spillover import MAX_SPARE_SHARE, SpilloverTarget, allocate
 
 RULES = MembershipRules(heartbeat_interval_ms=250.0, lost_after_ms=2000.0, up_after_ms=3000.0)
 WELL = SiteHealth(1.0, 0.5)
@@ -84,15 +84,18 @@
     play = up()
     play.run(5000.0, {"c": 250.0}, {"c": {"a"}})
     play.lives["b"] = 2
-    assert [m.current for m in play.run(1000.0, {"b": 250.0, "c": 250.0})] == [SiteStatus.BACK]
+    assert [m.current for m in play.run(1000.0, {"b": 250.0, "c": 250.0})] == [SiteStatus.RECOVERING]
     assert [m.current for m in play.run(2000.0, {"c": 250.0}, {"c": {"a"}})] == [SiteStatus.LOST]
-    assert [m.current for m in play.run(5000.0, {"b": 250.0, "c": 250.0})] == [SiteStatus.BACK, SiteStatus.UP]
+    assert [m.current for m in play.run(5000.0, {"b": 250.0, "c": 250.0})] == [
+        SiteStatus.RECOVERING,
+        SiteStatus.UP,
+    ]
 
 
 def test_a_site_restarted_before_anyone_missed_it_is_back_not_up() -> None:
     play = up()
     play.lives["b"] = 2
-    assert [m.current for m in play.run(500.0, {"b": 250.0, "c": 250.0})] == [SiteStatus.BACK]
+    assert [m.current for m in play.run(500.0, {"b": 250.0, "c": 250.0})] == [SiteStatus.RECOVERING]
 
 
 def test_beats_of_an_earlier_life_and_of_strangers_change_nothing() -> None:
@@ -123,10 +126,11 @@
     assert sum(dealt.rates_per_s.values()) + dealt.unallocated_per_s == pytest.approx(load, abs=1e-6)
     for name, part in dealt.rates_per_s.items():
         assert (
-            -1e-9 <= part <= CAP * takers[name].spare_capacity_per_s + 1e-6 and takers[name].delay_ms < 250.0
+            -1e-9 <= part <= MAX_SPARE_SHARE * takers[name].spare_capacity_per_s + 1e-6
+            and takers[name].delay_ms < 250.0
         )
     room = sum(
-        CAP * t.spare_capacity_per_s
+        MAX_SPARE_SHARE * t.spare_capacity_per_s
         for t in takers.values()
         if t.spare_capacity_per_s > 0 and t.delay_ms < 250.0
     )
@@ -150,35 +154,35 @@
 
 def test_the_share_of_a_site_that_is_back_goes_up_by_steps_while_it_stands_well() -> None:
     give = RecoveryRamp()
-    give.lost(0.0)
-    give.back(10_000.0)
+    give.mark_lost(0.0)
+    give.mark_recovering(10_000.0)
     course = shares(give, 10_000.0, 15, WELL)
     assert course[:4] == [0.0] * 4 and course == sorted(course) and course[-1] == 1.0
-    assert max(b - a for a, b in pairwise(course)) <= 2 * STEP + 1e-9
+    assert max(b - a for a, b in pairwise(course)) <= 2 * SHARE_STEP + 1e-9
 
 
 def test_a_sick_site_gets_less_and_one_that_is_not_measured_no_more() -> None:
     give = RecoveryRamp()
-    give.lost(0.0)
-    give.back(0.0)
+    give.mark_lost(0.0)
+    give.mark_recovering(0.0)
     shares(give, 0.0, 7, WELL)
     before = give.share
     assert shares(give, 7000.0, 1, None)[-1] == before
     assert shares(give, 8000.0, 1, SiteHealth(1.0, 1.5))[-1] == pytest.approx(before / 2.0)
-    assert shares(give, 9000.0, 20, SiteHealth(0.5, 0.1))[-1] == STEP
+    assert shares(give, 9000.0, 20, SiteHealth(0.5, 0.1))[-1] == SHARE_STEP
 
 
 def test_a_site_that_flaps_every_ten_seconds_is_soon_sent_nothing() -> None:
     give, sent = RecoveryRamp(), []
     for flap in range(8):
         begin = flap * 10_000.0
-        give.lost(begin)
-        give.back(begin + 3000.0)
+        give.mark_lost(begin)
+        give.mark_recovering(begin + 3000.0)
         sent.append(max(shares(give, begin + 3000.0, 7, WELL)))
     assert sent[0] > 0.0 and sent[-4:] == [0.0] * 4
-    give.lost(200_000.0)
-    give.back(201_000.0)
+    give.mark_lost(200_000.0)
+    give.mark_recovering(201_000.0)
     shares(give, 201_000.0, 400, WELL)
     assert give.share == 1.0
-    give.lost(900_000.0)  # long after: as at first
+    give.mark_lost(900_000.0)  # long after: as at first
     assert give.wait_ms == give.first_wait_ms
--- a/tests/stored/test_stored_formats.py
+++ b/tests/stored/test_stored_formats.py
@@ -415,7 +415,7 @@
     assert first.status is Status.SUSPENDED and first.quota_per_s == 2.5
     assert [str(network) for network in first.networks] == ["10.0.0.0/8", "2001:db8::/32"]
     assert first.balancers == ((1, 4), (9, 9)) and first.classes == {"dispense", "match"}
-    assert first.stamp == "20260102030405Z"
+    assert first.modified_at == "20260102030405Z"
     assert second.id == "t-2" and second.name == "Tinte ü"
     assert second.status is Status.ACTIVE and second.quota_per_s == 120.0
     assert third.id == "default" and third.quota_per_s == 0.0 and third.networks == ()
--- a/tests/support/directory_world.py
+++ b/tests/support/directory_world.py
@@ -64,7 +64,7 @@
         return self
 
     def _tell(self, news: TenantChanges) -> None:
-        self.lines += news.lines
+        self.lines += news.log_lines
 
     def run(self, ms: float, step: float = 50.0) -> None:
         """Let so much time go by, in steps."""
--- a/tests/tenants/test_follow.py
+++ b/tests/tenants/test_follow.py
@@ -12,11 +12,11 @@
 from support.directory_world import World, settings
 
 from emulators.directory import Habits
-from snowthread.ldap.health import Circuit
+from snowthread.ldap.health import CircuitState
 from snowthread.tenants.replication import DirectoryReplicator
-from snowthread.tenants.staleness import Stage
+from snowthread.tenants.staleness import StalenessStage
 from snowthread.tenants.state import TenantState
-from snowthread.tenants.sync import Mode, State
+from snowthread.tenants.sync import ReplicationMode, ReplicationState
 
 ALL = {f"t{n}" for n in range(10)}
 QUICK = 'operation = "2s"\n probe = "1s"\n poll = "5s"\n'
@@ -38,23 +38,24 @@
 def test_it_refreshes_then_follows_each_change(worlds: Callable[..., World]) -> None:
     w = worlds().start(QUICK)
     w.synced()
-    assert w.names == ALL and w.follower.sync.state is State.FOLLOWING
+    assert w.names == ALL and w.follower.sync.state is ReplicationState.FOLLOWING
     d = w.directories[0]
     d.put("t1", snowthreadNetwork=["11.0.0.0/8"], snowthreadQuota=7)
     d.remove("t2")
     d.rename("t3", "t3b")
     w.run(200.0)
     assert w.names == ALL - {"t2", "t3"} | {"t3b"}
-    assert w.tenancy.whois("11.2.3.4", None, w.clock.now_ms).id != "default"
-    assert w.tenancy.whois("10.1.0.1", None, w.clock.now_ms).id == "default"
+    assert w.tenancy.identify("11.2.3.4", None, w.clock.now_ms).tenant_id != "default"
+    assert w.tenancy.identify("10.1.0.1", None, w.clock.now_ms).tenant_id == "default"
     assert d.searches == 1 and w.tenancy.counts["refreshes"] == 1
 
 
 @pytest.mark.parametrize(
-    ("habits", "mode"), [(Habits(persist=False), Mode.REFRESH), (Habits(sync=False), Mode.PAGED)]
+    ("habits", "mode"),
+    [(Habits(persist=False), ReplicationMode.REFRESH), (Habits(sync=False), ReplicationMode.PAGED)],
 )
 def test_a_server_that_lacks_a_way_is_asked_the_next(
-    worlds: Callable[..., World], habits: Habits, mode: Mode
+    worlds: Callable[..., World], habits: Habits, mode: ReplicationMode
 ) -> None:
     w = worlds(tenants=25, habits=habits).start(QUICK + "page_size = 10\n removal { share = 0.5 }")
     w.synced()
@@ -62,7 +63,7 @@
     w.directories[0].put("new", snowthreadQuota=1)
     w.directories[0].remove("t7")
     w.until(lambda: "new" in w.names and "t7" not in w.names, most=7_000.0)  # with the next period
-    assert w.follower.sync.mode is mode and w.follower.link_failures == 0
+    assert w.follower.sync.mode is mode and w.follower.connection_failures == 0
 
 
 @pytest.mark.parametrize("at", [0, 1, 14, 40, 120, 700, 1500, 2400])
@@ -75,8 +76,8 @@
     w.start(QUICK + 'bind {\n dn = "cn=node"\n password_env = "WORLD_PASSWORD"\n }\n retry { open = "1s" }')
     w.directories[0].faults.stall_at = at
     w.run(30_000.0)
-    assert not w.names and w.follower.link_failures >= 3
-    assert w.tenancy.staleness.stage(w.clock.now_ms) is Stage.NONE
+    assert not w.names and w.follower.connection_failures >= 3
+    assert w.tenancy.staleness.stage(w.clock.now_ms) is StalenessStage.NONE
     w.directories[0].faults.stall_at = None
     w.directories[0].nudge()
     assert w.until(lambda: w.names == ALL) <= 30_000.0
@@ -91,14 +92,14 @@
     d.faults.stall = True
     d.remove("t9")
     w.run(6_000.0)
-    assert w.tenancy.staleness.stage(w.clock.now_ms) is Stage.STALE
+    assert w.tenancy.staleness.stage(w.clock.now_ms) is StalenessStage.STALE
     w.run(24_000.0)
-    assert w.names == ALL and w.tenancy.staleness.stage(w.clock.now_ms) is Stage.OLD
-    assert w.tenancy.whois("10.9.0.1", None, w.clock.now_ms).id != "default"
+    assert w.names == ALL and w.tenancy.staleness.stage(w.clock.now_ms) is StalenessStage.OLD
+    assert w.tenancy.identify("10.9.0.1", None, w.clock.now_ms).tenant_id != "default"
     d.faults.stall = False
     d.nudge()
     w.until(lambda: w.names == ALL - {"t9"}, most=60_000.0)  # by its cookie, and t9's removal is named
-    assert w.tenancy.staleness.stage(w.clock.now_ms) is Stage.FRESH
+    assert w.tenancy.staleness.stage(w.clock.now_ms) is StalenessStage.FRESH
 
 
 @pytest.mark.parametrize("cut", range(10))
@@ -116,7 +117,7 @@
     # At the second try nine entries and the word that the refresh is through: ten messages.
     d.faults.stall, d.faults.cut_at = False, cut
     w.run(5_000.0)
-    assert w.names == ALL and w.follower.link_failures >= 2 and w.tenancy.counts["refreshes"] == 1
+    assert w.names == ALL and w.follower.connection_failures >= 2 and w.tenancy.counts["refreshes"] == 1
     d.faults.cut_at = None
     w.until(lambda: w.names == ALL - {"t0", "t1"} | {"late"})
 
@@ -132,7 +133,7 @@
     first.faults.refuse = True
     first.notice()
     w.until(lambda: w.follower.sync.cookie_server == f"ldap://{second.address}")
-    assert "newest" in w.names and w.follower.servers.fail_overs == 1
+    assert "newest" in w.names and w.follower.server_selector.fail_overs == 1
     assert w.follower.sync.cookie != cookie  # each server's own
     quota = {t.name: t.quota_per_s for t in w.tenancy.table.tenants.values()}
     assert quota["t1"] == 99.0  # the older entry did not win
@@ -140,7 +141,7 @@
     first.faults.refuse = False
     second.faults.refuse = True
     second.notice()
-    w.until(lambda: w.follower.server == f"ldap://{first.address}" and w.tenancy.guard.held is None)
+    w.until(lambda: w.follower.connected_server == f"ldap://{first.address}" and w.tenancy.guard.held is None)
     assert "newest" in w.names
 
 
@@ -148,8 +149,8 @@
     w = worlds(2).start(QUICK)
     w.directories[0].faults.stall_at = 900
     w.until(lambda: w.names == ALL, most=10_000.0)
-    assert w.follower.server == f"ldap://{w.directories[1].address}"
-    assert w.follower.sync.cookie_server == w.follower.server
+    assert w.follower.connected_server == f"ldap://{w.directories[1].address}"
+    assert w.follower.sync.cookie_server == w.follower.connected_server
 
 
 def test_an_expired_cookie_means_a_whole_refresh(worlds: Callable[..., World]) -> None:
@@ -200,7 +201,7 @@
     w.directories[0].faults.size_limit = 15
     w.start(QUICK + "page_size = 10")
     w.synced()
-    assert len(w.names) == 40 and w.follower.sync.mode is Mode.PAGED
+    assert len(w.names) == 40 and w.follower.sync.mode is ReplicationMode.PAGED
 
 
 HOSTILE: dict[str, Callable[[int, bytes], bytes | None]] = {
@@ -230,21 +231,21 @@
         link = w.follower._task.steps
         assert link is not None
         held = max(held, sum(len(p._out) for p in d.peers))
-    assert w.names == ALL and w.follower.link_failures >= 2
+    assert w.names == ALL and w.follower.connection_failures >= 2
     d.faults.mangle = None
-    w.until(lambda: w.tenancy.counts["refreshes"] >= 2 and w.follower.server != "")
+    w.until(lambda: w.tenancy.counts["refreshes"] >= 2 and w.follower.connected_server != "")
 
 
 def test_a_slow_drip_is_left_after_the_time_for_a_whole_refresh(worlds: Callable[..., World]) -> None:
     w = worlds(2).start('operation = "15s"\n refresh = "20s"')
     w.directories[0].faults.drip_ms = 20.0  # an entry in seven seconds or so: never silent for long
     w.until(lambda: w.names == ALL, most=30_000.0)
-    assert w.follower.server == f"ldap://{w.directories[1].address}"
+    assert w.follower.connected_server == f"ldap://{w.directories[1].address}"
 
 
 def test_nodes_that_start_at_once_do_not_ask_at_once(worlds: Callable[..., World]) -> None:
     w = worlds()
-    made = replace(settings(w.urls), spread_ms=2000.0)
+    made = replace(settings(w.urls), start_jitter_ms=2000.0)
     for seed in range(30):
         DirectoryReplicator(w.loop, made, TenantState(made.rules), Random(seed), lambda news: None)
     w.run(2_500.0, 10.0)
@@ -273,12 +274,16 @@
     d = w.directories[0]
     d.put("fresh", snowthreadNetwork=["13.1.0.0/16"], snowthreadQuota=1)
     now = w.clock.now_ms
-    assert w.tenancy.whois("13.1.2.3", None, now).id == "default"
-    assert w.tenancy.unknown_clients.seen("13.1.2.3", now) and w.tenancy.unknown_clients.seen("14.0.0.1", now)
+    assert w.tenancy.identify("13.1.2.3", None, now).tenant_id == "default"
+    assert w.tenancy.unknown_clients.request_lookup(
+        "13.1.2.3", now
+    ) and w.tenancy.unknown_clients.request_lookup("14.0.0.1", now)
     w.follower.wake()
     w.run(400.0)
-    assert "fresh" in w.names and w.tenancy.whois("13.1.2.3", None, now).id != "default"
-    assert w.tenancy.counts["nobodys"] == 1 and not w.tenancy.unknown_clients.seen("14.0.0.1", w.clock.now_ms)
+    assert "fresh" in w.names and w.tenancy.identify("13.1.2.3", None, now).tenant_id != "default"
+    assert w.tenancy.counts["nobodys"] == 1 and not w.tenancy.unknown_clients.request_lookup(
+        "14.0.0.1", w.clock.now_ms
+    )
 
 
 def test_questions_into_a_stall_end_in_time_and_are_not_piled_up(worlds: Callable[..., World]) -> None:
@@ -286,7 +291,7 @@
     w.synced()
     w.directories[0].faults.stall = True
     for n in range(500):
-        w.tenancy.unknown_clients.seen(f"13.0.{n >> 8}.{n & 255}", w.clock.now_ms)
+        w.tenancy.unknown_clients.request_lookup(f"13.0.{n >> 8}.{n & 255}", w.clock.now_ms)
     w.follower.wake()
     w.run(10_000.0)
     assert w.tenancy.unknown_clients.waiting <= 256 and len(w.tenancy.unknown_clients) <= 256 + 8
@@ -299,7 +304,7 @@
     w.run(500.0)
     w.follower.apply_settings(settings([f"ldap://{second.address}"], QUICK))
     w.until(lambda: w.names == ALL, most=2_000.0)
-    assert w.follower.server == f"ldap://{second.address}"
+    assert w.follower.connected_server == f"ldap://{second.address}"
 
 
 def test_a_wrong_password_is_left_to_people_and_never_logged(
@@ -315,7 +320,7 @@
     w.run(20_000.0)
     logger.remove(sink)
     assert 1 <= w.directories[0].binds <= 4 and any("code 49" in line for line in logged)
-    assert w.follower.servers.breakers[0].state(w.clock.now_ms - 1e6) is Circuit.OPEN
+    assert w.follower.server_selector.breakers[0].state(w.clock.now_ms - 1e6) is CircuitState.OPEN
     assert not any("hunter2" in line for line in logged) and "hunter2" not in repr(w.follower.settings)
 
 
@@ -325,4 +330,4 @@
         taken.bind(("127.0.0.1", 0))
         w.start(QUICK, servers=["ldap://{}:{}".format(*taken.getsockname()), *w.urls])
         w.until(lambda: w.names == ALL, most=5_000.0)
-    assert w.follower.link_failures == 1
+    assert w.follower.connection_failures == 1
--- a/tests/tenants/test_table.py
+++ b/tests/tenants/test_table.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from snowthread.ldap import dn
-from snowthread.tenants.entry import BadEntry, Names, read
+from snowthread.tenants.entry import BadEntry, AttributeNames, read_tenant
 from snowthread.tenants.model import IdentifiedBy, Status, Tenant
 from snowthread.tenants.table import TenantTable
 
@@ -48,21 +48,21 @@
         ("nonsense", "default"),
         ("", "default"),
     ):
-        assert table.whois(address).id == owner, address
+        assert table.identify(address).tenant_id == owner, address
 
 
 def test_a_number_is_believed_from_trusted_networks_only() -> None:
     table = TenantTable([ip_network("10.7.0.0/16")])
     table.apply([tenant("a", "10.0.0.0/8"), tenant("b", balancers=((3, 5), (100, 100)))])
     assert (
-        table.whois("10.7.0.1", 4).id == "b"
-        and table.whois("10.7.0.1", 4).identified_by is IdentifiedBy.BALANCER
+        table.identify("10.7.0.1", 4).tenant_id == "b"
+        and table.identify("10.7.0.1", 4).identified_by is IdentifiedBy.BALANCER
     )
-    assert table.whois("10.7.0.1", 6).id == "a" and table.whois("10.7.0.1", 100).id == "b"
-    assert table.whois("10.8.0.1", 4).id == "a"  # anybody could write a 4
-    assert table.whois("12.0.0.1", 4).id == "default"
-    table.trust([])
-    assert table.whois("10.7.0.1", 4).id == "a"
+    assert table.identify("10.7.0.1", 6).tenant_id == "a" and table.identify("10.7.0.1", 100).tenant_id == "b"
+    assert table.identify("10.8.0.1", 4).tenant_id == "a"  # anybody could write a 4
+    assert table.identify("12.0.0.1", 4).tenant_id == "default"
+    table.trust_networks([])
+    assert table.identify("10.7.0.1", 4).tenant_id == "a"
 
 
 def test_a_network_claimed_twice_is_the_least_ids_until_it_lets_go() -> None:
@@ -70,15 +70,15 @@
     first = table.apply([tenant("b", "10.0.0.0/8")])
     assert not first.conflicts
     second = table.apply([tenant("a", "10.0.0.0/8")])
-    assert [x.line() for x in second.conflicts] == [
+    assert [x.describe() for x in second.conflicts] == [
         "network 10.0.0.0/8 is claimed by a, who has it, and by b"
     ]
-    assert table.whois("10.0.0.1").id == "a" and len(table.conflicts) == 1
+    assert table.identify("10.0.0.1").tenant_id == "a" and len(table.conflicts) == 1
     assert not table.apply([tenant("b", "10.0.0.0/8", quota=2.0)]).conflicts  # said once
     table.apply([tenant("a", "11.0.0.0/8")])
-    assert table.whois("10.0.0.1").id == "b" and not table.conflicts
+    assert table.identify("10.0.0.1").tenant_id == "b" and not table.conflicts
     table.apply([], ["b"])
-    assert table.whois("10.0.0.1").id == "default" and table.networks == 1
+    assert table.identify("10.0.0.1").tenant_id == "default" and table.network_count == 1
 
 
 NETWORKS = st.sampled_from(
@@ -123,9 +123,9 @@
     fresh = TenantTable(trusted)
     fresh.apply(sorted(want.values(), key=lambda t: t.id, reverse=True))
     for address, number in PROBES:
-        assert table.whois(address, number) == fresh.whois(address, number)
-    assert table.networks == fresh.networks == sum(len(t.networks) for t in want.values())
-    told = [{c for c in each.conflicts if c.what.startswith("network")} for each in (table, fresh)]
+        assert table.identify(address, number) == fresh.identify(address, number)
+    assert table.network_count == fresh.network_count == sum(len(t.networks) for t in want.values())
+    told = [{c for c in each.conflicts if c.resource.startswith("network")} for each in (table, fresh)]
     assert told[0] == told[1]
 
 
@@ -133,10 +133,10 @@
     table = TenantTable()
     table.apply([tenant("a", "0.0.0.0/0")])
     for n in range(20_000):
-        table.whois(f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}")
+        table.identify(f"10.{n >> 16}.{n >> 8 & 255}.{n & 255}")
     assert len(table._cache) <= 8192
     table.apply([tenant("b", "10.0.0.0/24")])
-    assert table.whois("10.0.0.5").id == "b"
+    assert table.identify("10.0.0.5").tenant_id == "b"
 
 
 def test_entries_are_read_strictly() -> None:
@@ -150,7 +150,7 @@
         "entryuuid": (b"10B6A61E-4736-524c-bf1f-0a63779c2252",),
     }
     name = "cn=Farbhof,ou=Tenants,dc=example"
-    got = read(name, good, Names(), BASE)
+    got = read_tenant(name, good, AttributeNames(), BASE)
     assert got == Tenant(
         "10b6a61e4736524cbf1f0a63779c2252",
         "Farbhof",
@@ -172,6 +172,6 @@
         {"cn": (b"a\nb",)},
         {"snowthreadbalancer": (b"-4",)},
     ):
-        assert isinstance(read(name, good | change, Names(), BASE), BadEntry), change
-    assert isinstance(read("cn=x,ou=elsewhere,dc=example", good, Names(), BASE), BadEntry)
-    assert isinstance(read("not a name", good, Names(), BASE), BadEntry)
+        assert isinstance(read_tenant(name, good | change, AttributeNames(), BASE), BadEntry), change
+    assert isinstance(read_tenant("cn=x,ou=elsewhere,dc=example", good, AttributeNames(), BASE), BadEntry)
+    assert isinstance(read_tenant("not a name", good, AttributeNames(), BASE), BadEntry)
