Split the reducer into modules by concern

core/reducer.py held every event and action of a node in one class of 800 lines. Each concern is a module now (arrivals, request lifecycle, runs, downstream calls, load samples, shutdown, settings reload, key claims, key replication, peer process, action handlers), whose handlers are registered by type and merged into one table. Transition is the context of one event. A pending claim of a key is a named type, the decision on a claim an enum passed as an argument in place of a field; the peer's load is one value.

--- /dev/null
+++ b/snowthread/core/action_handlers.py
@@ -0,0 +1,174 @@
+"""The actions of the admission controller, carried out on the state and as effects."""
+
+from __future__ import annotations
+
+from snowthread.admission import actions
+from snowthread.admission.settings import Idempotency, Outcome
+from snowthread.core import effects, events
+from snowthread.core.load_samples import schedule_timer
+from snowthread.core.request_lifecycle import answer, cancel_call, finish_follower
+from snowthread.core.runs import release_if_answered, run_completed, send_command
+from snowthread.core.state import HandoverRole, RequestPhase
+from snowthread.core.transition import HandlerTable, Transition
+
+
+def start_run(transition: Transition, action: actions.StartRun) -> None:
+    """Start the run of a queued request."""
+    request = transition.state.requests.get(action.request_id)
+    if request is not None and request.phase is RequestPhase.QUEUED:
+        request.phase = RequestPhase.RUNNING
+        send_command(transition, effects.StartRun(request.attempt_id, request.class_name, request.body))
+
+
+def stop_run(transition: Transition, action: actions.StopRun) -> None:
+    """Preempt a run; one whose start was not sent yet is over at once."""
+    state = transition.state
+    request = state.requests.get(action.request_id)
+    if request is None or request.phase is not RequestPhase.RUNNING or request.stopping:
+        return
+    request.stopping = True
+    if request.link_number:
+        send_command(transition, effects.StopRun(request.attempt_id))
+        return
+    state.unsent_commands = [
+        command for command in state.unsent_commands if command.attempt_id != request.attempt_id
+    ]
+    run_completed(transition, events.RunCompleted(request.attempt_id, Outcome.CANCELLED, 0.0, b""))
+
+
+def respond_finally(transition: Transition, action: actions.Reject | actions.Fail) -> None:
+    """Send the final answer of a request that does not get a result."""
+    state = transition.state
+    request = state.requests.get(action.request_id)
+    if request is None:
+        return
+    if isinstance(action, actions.Reject):
+        retry_after_ms = state.admission_clock.duration_ms(action.retry_after_s)
+        answer(transition, request, effects.Rejected(retry_after_ms, action.do_not_retry))
+    else:
+        answer(transition, request, effects.Failed())
+    cancel_call(transition, request)
+    release_if_answered(transition, request)
+
+
+def await_original(transition: Transition, action: actions.AwaitOriginal) -> None:
+    """Answer a retry from the result of its original, now or once there is one."""
+    state = transition.state
+    request = state.requests.get(action.request_id)
+    if request is None or request.original_number is None:
+        return
+    original = state.requests.get(request.original_number)
+    record = state.idempotency_table.find_by_number(request.original_number)
+    if record is not None and record.completed:
+        finish_follower(transition, request, record.result)
+    elif record is not None and record.remote:
+        request.phase = RequestPhase.AWAITING_ORIGINAL
+        record.followers.append(request.number)
+    elif original is not None:
+        request.phase = RequestPhase.AWAITING_ORIGINAL
+        original.followers.append(request.number)
+    else:
+        finish_follower(transition, request, None)
+
+
+def remember_key(transition: Transition, action: actions.RememberKey) -> None:
+    """Enter the request's key into the idempotency table, and tell a peer process of it."""
+    state = transition.state
+    request = state.requests.get(action.request_id)
+    if request is None or not request.idempotency_key:
+        return
+    record = state.idempotency_table.put(
+        request.idempotency_key,
+        request.number,
+        request.attempt_id,
+        transition.now_ms + state.admission_clock.duration_ms(action.lifetime_s),
+        transition.now_ms,
+        request.body_digest,
+        class_name=request.class_name,
+    )
+    if state.handover_role is not HandoverRole.STANDALONE:
+        transition.send_to_peer_process(record)
+
+
+def forget_key(transition: Transition, action: actions.ForgetKey) -> None:
+    """Drop the request's key, which never ran, and tell a peer process of it."""
+    state = transition.state
+    record = state.idempotency_table.find_by_number(action.request_id)
+    state.idempotency_table.remove(action.request_id)
+    if record is not None and state.handover_role is not HandoverRole.STANDALONE:
+        transition.send_to_peer_process(events.KeyReleased(record.attempt_id))
+
+
+def start_call(transition: Transition, action: actions.StartCall) -> None:
+    """Make the downstream call that a run waits for."""
+    request = transition.state.requests.get(action.request_id)
+    if request is None or request.pending_call_notice is None or request.call_in_flight:
+        return
+    request.call_in_flight = True
+    timeout_s = action.timeout_s or request.request_class.deadline_s
+    transition.emit(
+        effects.StartCall(
+            request.attempt_id,
+            request.call_body,
+            transition.state.admission_clock.duration_ms(timeout_s),
+            request.request_class.idempotency is Idempotency.IDEMPOTENT,
+        )
+    )
+
+
+def skip_call(transition: Transition, action: actions.SkipCall) -> None:
+    """Let a run go on without the downstream call that it waits for."""
+    request = transition.state.requests.get(action.request_id)
+    if request is not None and request.pending_call_notice is not None:
+        send_command(transition, effects.SkipCall(request.attempt_id, request.pending_call_notice))
+        request.pending_call_notice = None
+
+
+def set_timer(transition: Transition, action: actions.SetTimer) -> None:
+    """Schedule a timer of the controller."""
+    delay_ms = transition.state.admission_clock.duration_ms(action.delay_s)
+    schedule_timer(transition, delay_ms, action.label)
+
+
+def set_health(transition: Transition, action: actions.SetHealth) -> None:
+    """Take the node into registration or out of it, as its health is."""
+    state = transition.state
+    if not state.shutting_down:  # from then on the controller speaks of this process, not of the node
+        state.healthy = action.healthy
+    transition.emit(effects.SetRegistration(state.accepts_work))
+
+
+def publish_load(transition: Transition, action: actions.PublishLoad) -> None:
+    """Set the load report of the responses to come, unless the successor speaks for the node."""
+    if not transition.state.superseded:
+        transition.state.load_report = action.value
+
+
+def set_idle_timeout(transition: Transition, action: actions.SetIdleTimeout) -> None:
+    """Set the idle timeout of connections; 0 stands for that of the settings."""
+    state = transition.state
+    timeout_s = action.timeout_s or state.settings.idle_timeout_s
+    transition.emit(effects.SetIdleTimeout(state.admission_clock.duration_ms(timeout_s)))
+
+
+def log_note(transition: Transition, action: actions.LogNote) -> None:
+    """Log a line for the operators."""
+    transition.emit(effects.LogNote(action.text))
+
+
+ACTION_HANDLERS: HandlerTable = {
+    actions.StartRun: start_run,
+    actions.StopRun: stop_run,
+    actions.Reject: respond_finally,
+    actions.Fail: respond_finally,
+    actions.AwaitOriginal: await_original,
+    actions.RememberKey: remember_key,
+    actions.ForgetKey: forget_key,
+    actions.StartCall: start_call,
+    actions.SkipCall: skip_call,
+    actions.SetTimer: set_timer,
+    actions.SetHealth: set_health,
+    actions.PublishLoad: publish_load,
+    actions.SetIdleTimeout: set_idle_timeout,
+    actions.LogNote: log_note,
+}
--- /dev/null
+++ b/snowthread/core/arrivals.py
@@ -0,0 +1,187 @@
+"""Requests that arrive: checked, matched with their idempotency key, and handed to the controller."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+
+from snowthread.admission import events as admission_events
+from snowthread.admission.settings import Idempotency, RequestClass
+from snowthread.core import effects, events
+from snowthread.core.key_claims import ClaimDecision, claim_key, withdraw_claim
+from snowthread.core.request_lifecycle import cancel_call
+from snowthread.core.runs import release_if_answered
+from snowthread.core.state import HandoverRole, Request, State
+from snowthread.core.transition import HandlerTable, Transition
+
+MIN_TIME_LEFT_MS = 1.0  # reported for a request read past its deadline: 0 would mean that it has none
+
+
+def digest(event: events.RequestReceived) -> bytes:
+    """Return a digest of the class and the body: what a retry under the same key has to ask for."""
+    return blake2b(event.body, digest_size=16, key=event.class_name.encode()[:64]).digest()
+
+
+def request_received(
+    transition: Transition,
+    event: events.RequestReceived,
+    claim: ClaimDecision = ClaimDecision.UNDECIDED,
+) -> None:
+    """Admit a request to the controller, answer it at once, or hold it until its key is claimed.
+
+    ``claim`` tells what the predecessor process decided on the request's key, if it was asked.
+    """
+    state = transition.state
+    transition.ensure_controller()
+    state.last_request_number += 1
+    sent_at_ms = min(event.sent_at_ms, transition.now_ms)
+    request_class = _find_class(state, event.class_name, transition.now_ms)
+    if request_class is None or event.attempt_id in state.by_attempt_id:
+        # An unknown class, or the same attempt while its run goes on: nothing can be promised.
+        transition.respond(event.response_address, effects.Failed())
+        return
+    idempotency_key, body_digest, original_number = None, b"", None
+    if request_class.idempotency is Idempotency.KEYED:
+        idempotency_key, body_digest = event.idempotency_key, digest(event)
+        if not idempotency_key or not _is_key_usable(state, idempotency_key, body_digest, sent_at_ms):
+            transition.respond(event.response_address, effects.Failed())
+            return
+        original_number = state.idempotency_table.owner_at(idempotency_key, sent_at_ms)
+        if original_number is None and state.handover_role is HandoverRole.SUCCESSOR:
+            if claim is ClaimDecision.UNDECIDED:
+                claim_key(transition, event, idempotency_key, sent_at_ms, body_digest, request_class)
+                return
+            if claim is ClaimDecision.DENIED:  # another attempt owns the key and yet is unknown here
+                transition.respond(event.response_address, effects.Failed())
+                return
+    _admit(transition, event, request_class, sent_at_ms, idempotency_key, body_digest, original_number)
+    if claim is ClaimDecision.GRANTED:
+        _release_unused_claim(transition, event.attempt_id)
+
+
+def _release_unused_claim(transition: Transition, attempt_id: str) -> None:
+    """Give a key back to the predecessor if its request was rejected at once."""
+    state = transition.state
+    if (
+        state.handover_role is HandoverRole.SUCCESSOR
+        and state.idempotency_table.find_by_attempt(attempt_id) is None
+    ):
+        transition.send_to_peer_process(events.KeyReleased(attempt_id))
+
+
+def _find_class(state: State, name: str, now_ms: float) -> RequestClass | None:
+    """Return the class of this name, unless it was retired and its retention is over."""
+    for request_class in state.settings.classes:
+        if request_class.name == name:
+            is_expired = state.retired_classes and state.retired_classes.get(name, now_ms) < now_ms
+            return None if is_expired else request_class
+    return None
+
+
+def _is_key_usable(state: State, idempotency_key: str, body_digest: bytes, sent_at_ms: float) -> bool:
+    """Return False where the key stands for another body, or may have run in an earlier incarnation."""
+    table = state.idempotency_table
+    if table.conflicts_with(idempotency_key, body_digest):
+        return False
+    return (
+        state.indeterminate_keys is None
+        or table.owner_at(idempotency_key, sent_at_ms) is not None
+        or not state.indeterminate_keys.may_have_run(idempotency_key, sent_at_ms)
+    )
+
+
+def _admit(
+    transition: Transition,
+    event: events.RequestReceived,
+    request_class: RequestClass,
+    sent_at_ms: float,
+    idempotency_key: str | None,
+    body_digest: bytes,
+    original_number: int | None,
+) -> None:
+    """Enter the request into the state and tell the controller of it."""
+    state, now_ms = transition.state, transition.now_ms
+    number = state.last_request_number
+    request = Request(
+        number,
+        event.attempt_id,
+        event.class_name,
+        event.body,
+        event.response_address,
+        idempotency_key,
+        original_number,
+        now_ms,
+        request_class,
+        event.memory_kb,
+        body_digest,
+    )
+    state.requests[number] = request
+    state.by_attempt_id[event.attempt_id] = request
+    state.by_response_address[event.response_address] = request
+    clock = state.admission_clock
+    time_left_s = None
+    if event.timeout_ms is not None:
+        time_left_s = clock.duration_s(max(MIN_TIME_LEFT_MS, sent_at_ms + event.timeout_ms - now_ms))
+    transition.dispatch(
+        admission_events.RequestArrived(
+            request_id=number,
+            class_name=event.class_name,
+            memory_kb=event.memory_kb,
+            partition_key=event.partition_key,
+            time_left_s=time_left_s,
+            rank=event.rank,
+            caller_id=event.caller_id,
+            tenant=event.tenant,
+            unread_s=clock.duration_s(now_ms - sent_at_ms),
+            original_id=original_number,
+        )
+    )
+
+
+def request_cancelled(transition: Transition, event: events.RequestCancelled) -> None:
+    """Abandon a request that nobody waits for; its run, if any, goes on to its end."""
+    request = transition.state.by_response_address.pop(event.response_address, None)
+    if request is None:
+        withdraw_claim(transition.state, event.response_address)
+        return
+    request.response_address = None
+    cancel_call(transition, request)
+    transition.dispatch(admission_events.RequestAbandoned(request.number))
+    release_if_answered(transition, request)
+
+
+def health_check_received(transition: Transition, event: events.HealthCheckReceived) -> None:
+    """Answer a health check."""
+    transition.respond(event.response_address, effects.HealthStatus(transition.state.accepts_work))
+
+
+def key_claim_decided(transition: Transition, event: events.KeyClaimDecided) -> None:
+    """Take up the requests that waited for the predecessor's decision on their key."""
+    claim = transition.state.pending_claims.pop(event.idempotency_key, None)
+    waiting = [] if claim is None else claim.waiting
+    if not event.granted:
+        for request in waiting:
+            request_received(transition, request, ClaimDecision.DENIED)
+        return
+    if claim is not None and waiting and waiting[0].attempt_id == claim.attempt_id:
+        request_received(transition, waiting.pop(0), ClaimDecision.GRANTED)
+    else:  # the claimant was cancelled meanwhile; the others claim the key anew
+        transition.send_to_peer_process(events.KeyReleased(event.attempt_id))
+    for request in waiting:
+        request_received(transition, request)
+
+
+def retry_pending_claims(transition: Transition) -> None:
+    """Take up all requests that wait for a key anew, after the peer process connected or exited."""
+    state = transition.state
+    claims, state.pending_claims = state.pending_claims, {}
+    for claim in claims.values():
+        for request in claim.waiting:
+            request_received(transition, request)
+
+
+HANDLERS: HandlerTable = {
+    events.RequestReceived: request_received,
+    events.RequestCancelled: request_cancelled,
+    events.HealthCheckReceived: health_check_received,
+    events.KeyClaimDecided: key_claim_decided,
+}
--- a/snowthread/core/effects.py
+++ b/snowthread/core/effects.py
@@ -133,20 +133,26 @@
     accepts_work: bool
 
 
+PeerProcessMessage = (
+    IdempotencyRecord
+    | KeyRunCompleted
+    | KeyReleased
+    | KeyClaimRequested
+    | KeyClaimDecided
+    | DrainRequested
+    | PeerLoadReported
+)
+
+
 @dataclass(frozen=True, slots=True)
 class SendToPeerProcess:
-    """Tell the other process of this node. A key is told as it stands when its turn comes, so that thousands
-    of them wait as references, not as bytes."""
-
-    message: (
-        IdempotencyRecord
-        | KeyRunCompleted
-        | KeyReleased
-        | KeyClaimRequested
-        | KeyClaimDecided
-        | DrainRequested
-        | PeerLoadReported
-    )
+    """Send a message to the other process of this node during a hot restart.
+
+    An idempotency record is sent as it is when its turn comes, so that thousands of them wait as references
+    and not as bytes.
+    """
+
+    message: PeerProcessMessage
 
 
 @dataclass(frozen=True, slots=True)
--- a/snowthread/core/idempotency.py
+++ b/snowthread/core/idempotency.py
@@ -74,7 +74,7 @@
         until: float,
         now: float,
         content: bytes = b"",
-        away: bool = False,
+        remote: bool = False,
         class_name: str = "",
     ) -> IdempotencyRecord:
         """Remember the key from now on; a newer try takes the entry over."""
@@ -83,7 +83,7 @@
         if old is not None and old.request_number != number:
             self._remove(old)
         entry = self._by_number.get(number) or IdempotencyRecord(
-            once, number, uid, until, content, remote=away, class_name=class_name
+            once, number, uid, until, content, remote=remote, class_name=class_name
         )
         entry.expires_at_ms = until
         self._by_once[once] = self._by_number[number] = self._by_uid[uid] = entry
--- /dev/null
+++ b/snowthread/core/key_claims.py
@@ -0,0 +1,100 @@
+"""Claims of idempotency keys between the two processes of a hot restart.
+
+The successor takes no key without the predecessor's permission, so a request that reaches both processes
+runs in at most one of them. The successor holds a request back until the predecessor has decided.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from snowthread.admission.settings import RequestClass
+from snowthread.core import effects, events
+from snowthread.core.state import PendingClaim, State
+from snowthread.core.transition import HandlerTable, Transition
+
+KEY_CLAIM_TIMEOUT_MS = 400.0  # the longest wait for a decision; never more than half of the time left
+MAX_PENDING_KEY_CLAIMS = 256  # keys whose claim may be undecided at once
+
+
+class ClaimDecision(Enum):
+    """What the predecessor decided on the key of a request."""
+
+    UNDECIDED = "undecided"
+    GRANTED = "granted"
+    DENIED = "denied"
+
+
+def claim_key(
+    transition: Transition,
+    event: events.RequestReceived,
+    idempotency_key: str,
+    sent_at_ms: float,
+    body_digest: bytes,
+    request_class: RequestClass,
+) -> None:
+    """Hold a request back until the predecessor has decided on its key."""
+    state = transition.state
+    claim = state.pending_claims.get(idempotency_key)
+    if claim is None:
+        if len(state.pending_claims) >= MAX_PENDING_KEY_CLAIMS:
+            transition.respond(event.response_address, effects.Rejected())
+            return
+        claim = state.pending_claims[idempotency_key] = PendingClaim(event.attempt_id, [])
+        transition.send_to_peer_process(
+            events.KeyClaimRequested(idempotency_key, event.attempt_id, sent_at_ms, body_digest)
+        )
+    claim.waiting.append(event)
+    timeout_ms = event.timeout_ms
+    if timeout_ms is None:
+        timeout_ms = state.admission_clock.duration_ms(request_class.deadline_s)
+    time_left_ms = max(0.0, sent_at_ms + timeout_ms - transition.now_ms)
+    decide_by_ms = transition.now_ms + min(KEY_CLAIM_TIMEOUT_MS, time_left_ms / 2.0)
+    transition.emit(effects.ScheduleTimer(decide_by_ms, events.KeyClaimTimedOut(event.response_address)))
+
+
+def withdraw_claim(state: State, response_address: events.ResponseAddress) -> bool:
+    """Drop a request that waits for a decision on its key; return False where none does."""
+    for claim in state.pending_claims.values():
+        for request in claim.waiting:
+            if request.response_address == response_address:
+                claim.waiting.remove(request)
+                return True
+    return False
+
+
+def key_claim_timed_out(transition: Transition, event: events.KeyClaimTimedOut) -> None:
+    """Reject a request that waited too long for the decision on its key."""
+    if withdraw_claim(transition.state, event.response_address):
+        transition.respond(event.response_address, effects.Rejected())
+
+
+def key_claim_requested(transition: Transition, event: events.KeyClaimRequested) -> None:
+    """Decide, as the predecessor, whether the successor may have a key.
+
+    A granted key is the successor's for the longest window of all classes; the successor tells the window
+    that holds once it takes the request. If it never does, a run of it may still not be far off.
+    """
+    state = transition.state
+    table = state.idempotency_table
+    is_free = table.owner_at(event.idempotency_key, event.sent_at_ms) is None
+    granted = is_free and not table.conflicts_with(event.idempotency_key, event.body_digest)
+    if granted:
+        state.last_request_number += 1
+        window_s = max((c.idempotency_window_s for c in state.settings.classes), default=0.0)
+        table.put(
+            event.idempotency_key,
+            state.last_request_number,
+            event.attempt_id,
+            transition.now_ms + state.admission_clock.duration_ms(window_s),
+            transition.now_ms,
+            event.body_digest,
+            remote=True,
+        )
+    transition.send_to_peer_process(events.KeyClaimDecided(event.idempotency_key, event.attempt_id, granted))
+
+
+HANDLERS: HandlerTable = {
+    events.KeyClaimTimedOut: key_claim_timed_out,
+    events.KeyClaimRequested: key_claim_requested,
+}
--- /dev/null
+++ b/snowthread/core/key_replication.py
@@ -0,0 +1,52 @@
+"""Idempotency keys of the peer process, as it reports them during a hot restart."""
+
+from __future__ import annotations
+
+from snowthread.core import events
+from snowthread.core.request_lifecycle import complete_followers
+from snowthread.core.transition import HandlerTable, Transition
+
+
+def key_replicated(transition: Transition, event: events.KeyReplicated) -> None:
+    """Enter a key that the peer process owns, unless an attempt of this process owns it."""
+    state = transition.state
+    record = state.idempotency_table.find_by_attempt(event.attempt_id)
+    if record is not None and not record.remote:
+        return
+    state.last_request_number += 1
+    state.idempotency_table.put(
+        event.idempotency_key,
+        state.last_request_number if record is None else record.request_number,
+        event.attempt_id,
+        event.expires_at_ms,
+        transition.now_ms,
+        event.body_digest,
+        remote=True,
+    )
+    if event.completed:
+        key_run_completed(transition, events.KeyRunCompleted(event.attempt_id, event.result))
+
+
+def key_run_completed(transition: Transition, event: events.KeyRunCompleted) -> None:
+    """Answer the retries that wait for a run of the peer process, which ended."""
+    table = transition.state.idempotency_table
+    record = table.find_by_attempt(event.attempt_id)
+    if record is not None and record.remote:
+        table.complete(event.attempt_id, event.result)
+        complete_followers(transition, record, event.result)
+
+
+def key_released(transition: Transition, event: events.KeyReleased) -> None:
+    """Drop a key of the peer process whose attempt never ran."""
+    table = transition.state.idempotency_table
+    record = table.find_by_attempt(event.attempt_id)
+    if record is not None and record.remote:
+        table.remove(record.request_number)
+        complete_followers(transition, record, None)
+
+
+HANDLERS: HandlerTable = {
+    events.KeyReplicated: key_replicated,
+    events.KeyRunCompleted: key_run_completed,
+    events.KeyReleased: key_released,
+}
--- /dev/null
+++ b/snowthread/core/load_samples.py
@@ -0,0 +1,83 @@
+"""Load samples from the runtime, and the controller's timers that they are read for."""
+
+from __future__ import annotations
+
+from snowthread.admission import events as admission_events
+from snowthread.admission.controller import UPDATE_TIMER
+from snowthread.core import effects, events
+from snowthread.core.peer_process import report_load
+from snowthread.core.runs import resume_runs, sync_tag
+from snowthread.core.state import HandoverRole, State
+from snowthread.core.transition import HandlerTable, Transition
+
+LOAD_SAMPLE_LEAD_MS = 20.0  # a sample is requested so long before the timer it is for
+LOAD_SAMPLE_SHARING_MS = 200.0  # timers nearer to each other than this share a sample
+LOAD_SAMPLE_MAX_AGE_MS = 1000.0  # an older sample is passed on as not measured
+MAX_SAMPLE_NUMBER_DIGITS = 18  # a tag of more digits is not one of ours
+
+_TIMER_FIELDS = {  # gauge of the runtime -> field of TimerFired
+    "core_use": "core_utilization",
+    "on_cores": "core_demand",
+    "heap_share": "memory_utilization",
+    "links": "connections",
+}
+
+
+def schedule_timer(transition: Transition, delay_ms: float, label: int) -> None:
+    """Schedule a timer of the controller, and a load sample ahead of it unless a recent one serves."""
+    state = transition.state
+    due_at_ms = transition.now_ms + delay_ms
+    if due_at_ms - state.load_sample_due_for_ms >= LOAD_SAMPLE_SHARING_MS:
+        state.load_sample_due_for_ms = due_at_ms
+        request_at_ms = max(transition.now_ms, due_at_ms - LOAD_SAMPLE_LEAD_MS)
+        transition.emit(effects.ScheduleTimer(request_at_ms, events.LoadSampleDue()))
+    transition.emit(effects.ScheduleTimer(due_at_ms, events.TimerExpired(label)))
+
+
+def timer_expired(transition: Transition, event: events.TimerExpired) -> None:
+    """Pass a due timer to the controller, with the load sample where that is recent."""
+    state = transition.state
+    gauges: dict[str, float] = {}
+    if transition.now_ms - state.load_sample_at_ms <= LOAD_SAMPLE_MAX_AGE_MS:
+        gauges = {
+            _TIMER_FIELDS[name]: value
+            for name, value in zip(state.gauge_names, state.load_sample, strict=False)
+            if name in _TIMER_FIELDS
+        }
+    transition.dispatch(admission_events.TimerFired(event.label, **gauges))
+    if state.handover_role is not HandoverRole.STANDALONE and event.label == UPDATE_TIMER:
+        report_load(transition)
+
+
+def load_sample_due(transition: Transition, _: events.LoadSampleDue) -> None:
+    """Request a load sample, while there is a link to the runtime."""
+    state = transition.state
+    if state.runtime_connected:
+        state.last_sample_number += 1
+        transition.emit(effects.RequestLoadSample(str(state.last_sample_number)))
+
+
+def load_sample_received(transition: Transition, event: events.LoadSampleReceived) -> None:
+    """Store a load sample; that of the resynchronisation also settles the runs of earlier links."""
+    state = transition.state
+    if not _is_stale(state, event.tag):
+        state.load_sample, state.load_sample_at_ms = event.values, transition.now_ms
+    if state.runtime_connected and event.tag == sync_tag(state.link_number):
+        resume_runs(transition)
+
+
+def _is_stale(state: State, tag: str) -> bool:
+    """Return whether the sample was requested while the gauges had another order."""
+    return (
+        state.stale_sample_number > 0
+        and tag.isdecimal()
+        and len(tag) <= MAX_SAMPLE_NUMBER_DIGITS
+        and int(tag) <= state.stale_sample_number
+    )
+
+
+HANDLERS: HandlerTable = {
+    events.TimerExpired: timer_expired,
+    events.LoadSampleDue: load_sample_due,
+    events.LoadSampleReceived: load_sample_received,
+}
--- /dev/null
+++ b/snowthread/core/peer_process.py
@@ -0,0 +1,93 @@
+"""The peer process of a hot restart: its connection, its load, the handover and its exit.
+
+While one process of a node replaces another, each knows the idempotency keys of both, and they share the
+runtime's limits.
+"""
+
+from __future__ import annotations
+
+from snowthread.core import effects, events
+from snowthread.core.arrivals import retry_pending_claims
+from snowthread.core.request_lifecycle import complete_followers
+from snowthread.core.settings_reload import apply_settings
+from snowthread.core.state import HandoverRole, RequestPhase
+from snowthread.core.transition import HandlerTable, Transition
+
+
+def peer_process_connected(transition: Transition, event: events.PeerProcessConnected) -> None:
+    """Take a role in the handover and send the peer process what it has to know.
+
+    The predecessor sends all idempotency records, then marks their end. The successor sends its own: it
+    connects again after a break, where messages of either side may be lost.
+    """
+    state = transition.state
+    if event.is_predecessor:
+        state.handover_role = HandoverRole.PREDECESSOR
+        for record in state.idempotency_table.records():
+            transition.send_to_peer_process(record)
+        transition.send_to_peer_process(events.DrainRequested(state.drained))
+        report_load(transition)
+        transition.emit(effects.SendHandoverComplete())
+    else:
+        state.handover_role = HandoverRole.SUCCESSOR
+        for record in state.idempotency_table.records():
+            if not record.remote:
+                transition.send_to_peer_process(record)
+        retry_pending_claims(transition)
+
+
+def report_load(transition: Transition) -> None:
+    """Send the peer process what this one uses of the limits that both share."""
+    state = transition.state
+    running = calls = 0
+    running_memory_kb = other_memory_kb = 0.0
+    for request in state.requests.values():
+        if request.phase is RequestPhase.RUNNING:
+            running += 1
+            running_memory_kb += request.memory_kb
+            calls += request.call_in_flight
+        else:
+            other_memory_kb += request.memory_kb
+    memory_kb = other_memory_kb + state.settings.running_memory_factor * running_memory_kb
+    transition.send_to_peer_process(events.PeerLoadReported(running, memory_kb, calls))
+
+
+def peer_load_reported(transition: Transition, event: events.PeerLoadReported) -> None:
+    """Leave the peer process its part of the shared limits."""
+    transition.state.peer_load = event
+    apply_settings(transition)
+    transition.emit(effects.ReserveDescriptors(event.descriptors))
+
+
+def successor_ready(transition: Transition, _: events.SuccessorReady) -> None:
+    """Leave new connections and the load report to the successor, which speaks for the node from now on."""
+    state = transition.state
+    state.superseded, state.load_report = True, None
+    transition.emit(effects.SetRegistration(state.accepts_work))
+    transition.emit(effects.SetAccepting(False))
+
+
+def peer_process_exited(transition: Transition, _: events.PeerProcessExited) -> None:
+    """Serve alone again.
+
+    Runs that went on in the peer process will not be heard of: their retries fail, nothing runs again.
+    """
+    state = transition.state
+    state.handover_role, state.superseded, state.peer_load = HandoverRole.STANDALONE, False, None
+    apply_settings(transition)
+    for record in state.idempotency_table.records():
+        if record.remote and not record.completed:
+            record.completed = True
+            complete_followers(transition, record, None)
+    retry_pending_claims(transition)
+    transition.emit(effects.SetRegistration(state.accepts_work))
+    transition.emit(effects.SetAccepting(True))
+    transition.emit(effects.ReserveDescriptors(0))
+
+
+HANDLERS: HandlerTable = {
+    events.PeerProcessConnected: peer_process_connected,
+    events.PeerLoadReported: peer_load_reported,
+    events.SuccessorReady: successor_ready,
+    events.PeerProcessExited: peer_process_exited,
+}
--- a/snowthread/core/reconfiguration.py
+++ b/snowthread/core/reconfiguration.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from snowthread.admission.settings import RequestClass, Settings
+from snowthread.core.events import PeerLoadReported
 
 S_MS = 1000.0
 LEAST = 0.01  # of a limit that is left at least: none at all would pass for no limit
@@ -15,14 +16,16 @@
     return max(kind.deadline_s, kind.idempotency_window_s) * S_MS
 
 
-def remaining_limits(settings: Settings, runs: int, memory_kb: float, calls: int) -> Settings:
-    """What is left of the runtime's limits while another process has so much of it: the crowd on the cores,
-    the memory and the calls below are one for both, and either would else fill them alone."""
+def remaining_limits(settings: Settings, peer_load: PeerLoadReported) -> Settings:
+    """Return the settings less what the peer process uses of the runtime's limits.
+
+    The cores, the memory and the downstream calls are shared by both processes: either would fill them alone.
+    """
     return replace(
         settings,
-        memory_kb=max(settings.memory_kb * LEAST, settings.memory_kb - memory_kb),
-        collapse_multiple=max(1.0, settings.collapse_multiple - runs / settings.cores),
-        call_quota=max(settings.call_quota * LEAST, settings.call_quota - calls),
+        memory_kb=max(settings.memory_kb * LEAST, settings.memory_kb - peer_load.memory_kb),
+        collapse_multiple=max(1.0, settings.collapse_multiple - peer_load.runs / settings.cores),
+        call_quota=max(settings.call_quota * LEAST, settings.call_quota - peer_load.calls),
     )
 
 
--- /dev/null
+++ b/snowthread/core/request_lifecycle.py
@@ -0,0 +1,93 @@
+"""The ways in which a request is answered and leaves the node.
+
+States of a request (:class:`~snowthread.core.state.RequestPhase`) and what moves it on. Actions are those of
+the admission controller; *finished* means that the request is no longer in the state.
+
+=================  =========================================  ===================================
+phase              event or action                            next
+=================  =========================================  ===================================
+(none)             ``RequestReceived``                        QUEUED, or answered at once
+QUEUED             action ``StartRun``                        RUNNING
+QUEUED             action ``AwaitOriginal``                   AWAITING_ORIGINAL, or finished where
+                                                              the original is over already
+QUEUED             action ``Reject``, ``Fail``;               finished
+                   ``RequestCancelled``
+RUNNING            action ``Reject``, ``Fail``;               RUNNING until its run ends, with no
+                   ``RequestCancelled``                       answer owed any more
+RUNNING            action ``StopRun``                         RUNNING until the runtime confirms
+RUNNING            ``RunCompleted``: cancelled, and an        QUEUED
+                   answer is owed
+RUNNING            ``RunCompleted``: any other                finished
+AWAITING_ORIGINAL  the original's run ends                    finished, with the original's result
+AWAITING_ORIGINAL  action ``Reject``, ``Fail``;               finished
+                   ``RequestCancelled``
+=================  =========================================  ===================================
+"""
+
+from __future__ import annotations
+
+from snowthread.admission import events as admission_events
+from snowthread.admission.settings import Outcome
+from snowthread.core import effects
+from snowthread.core.idempotency import IdempotencyRecord
+from snowthread.core.state import Request, RequestPhase
+from snowthread.core.transition import Transition
+
+
+def answer(
+    transition: Transition, request: Request, response: effects.Served | effects.Rejected | effects.Failed
+) -> None:
+    """Send the final response, unless one was sent or nobody waits: a late result is no second response."""
+    if request.response_address is not None:
+        transition.respond(request.response_address, response)
+        transition.state.by_response_address.pop(request.response_address, None)
+        request.response_address = None
+
+
+def finish(transition: Transition, request: Request, result: bytes | None) -> None:
+    """Remove the request from the node and give its followers the result (None: failed)."""
+    state = transition.state
+    if state.requests.pop(request.number, None) is None:
+        return
+    if state.by_attempt_id.get(request.attempt_id) is request:
+        del state.by_attempt_id[request.attempt_id]
+    cancel_call(transition, request)
+    if request.original_number is not None:
+        original = state.requests.get(request.original_number) or state.idempotency_table.find_by_number(
+            request.original_number
+        )
+        if original is not None and request.number in original.followers:
+            original.followers.remove(request.number)
+    complete_followers(transition, request, result)
+
+
+def complete_followers(
+    transition: Transition, original: Request | IdempotencyRecord, result: bytes | None
+) -> None:
+    """Finish all requests that wait for the original with its result (None: failed)."""
+    followers, original.followers = original.followers, []
+    for number in followers:
+        follower = transition.state.requests.get(number)
+        if follower is not None:
+            finish_follower(transition, follower, result)
+
+
+def finish_follower(transition: Transition, follower: Request, result: bytes | None) -> None:
+    """Answer a retry with the result of its original (None: failed), and finish it."""
+    answer(transition, follower, effects.Failed() if result is None else effects.Served(result))
+    follower.phase = RequestPhase.QUEUED
+    finish(transition, follower, None)
+    transition.dispatch(
+        admission_events.RunFinished(
+            follower.number,
+            Outcome.FAILURE if result is None else Outcome.SUCCESS,
+            transition.state.admission_clock.duration_s(transition.now_ms - follower.received_at_ms),
+        )
+    )
+
+
+def cancel_call(transition: Transition, request: Request) -> None:
+    """Cancel the downstream call in flight for the request's run, if there is one."""
+    if request.call_in_flight:
+        request.call_in_flight = False
+        transition.emit(effects.CancelCall(request.attempt_id))
--- /dev/null
+++ b/snowthread/core/runs.py
@@ -0,0 +1,181 @@
+"""Runs: commands to the runtime, ends of runs, and what a broken link to the runtime leaves open."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from snowthread.admission import events as admission_events
+from snowthread.admission.settings import Idempotency, Outcome
+from snowthread.core import effects, events
+from snowthread.core.request_lifecycle import answer, cancel_call, complete_followers, finish
+from snowthread.core.state import HandoverRole, Request, RequestPhase
+from snowthread.core.transition import HandlerTable, Transition
+
+LOST_COMMAND_WINDOW_MS = (
+    150.0  # a command given so long before a link broke may be lost; earlier ones arrived
+)
+
+
+def sync_tag(link_number: int) -> str:
+    """Return the tag of the load sample whose arrival shows that all notices missed were read."""
+    return f"sync-{link_number}"
+
+
+def send_command(transition: Transition, command: effects.Command) -> None:
+    """Send a command to the runtime, or queue it while there is no link."""
+    state = transition.state
+    if not state.runtime_connected:
+        state.unsent_commands.append(command)
+        return
+    request = state.by_attempt_id.get(command.attempt_id)
+    if request is not None and not isinstance(command, effects.StopRun):
+        request.last_command, request.last_command_at_ms = command, transition.now_ms
+        if isinstance(command, effects.StartRun):
+            request.link_number = state.link_number
+    transition.emit(command)
+
+
+def run_completed(transition: Transition, event: events.RunCompleted) -> None:
+    """Finish the request whose run ended, or queue it again where its run was preempted."""
+    state = transition.state
+    result = event.result if event.outcome is Outcome.SUCCESS else None
+    if event.outcome is not Outcome.NOT_STARTED:
+        _record_result(transition, event.attempt_id, result)
+    request = state.by_attempt_id.get(event.attempt_id)
+    if request is None or request.phase is not RequestPhase.RUNNING:
+        return
+    cancel_call(transition, request)
+    request.pending_call_notice, request.stopping, request.link_number = None, False, 0
+    if event.outcome is Outcome.CANCELLED and request.response_address is not None:
+        # Stopped while an answer is owed. A keyed attempt does not start again, so its followers fail.
+        request.phase = RequestPhase.QUEUED
+        if request.idempotency_key:
+            complete_followers(transition, request, None)
+    else:
+        answer(transition, request, effects.Failed() if result is None else effects.Served(result))
+        finish(transition, request, result)
+    duration_s = state.admission_clock.duration_s(event.duration_ms)
+    transition.dispatch(admission_events.RunFinished(request.number, event.outcome, duration_s))
+
+
+def _record_result(transition: Transition, attempt_id: str, result: bytes | None) -> None:
+    """Enter the end of a run into the idempotency table, and tell a peer process of it."""
+    state = transition.state
+    state.idempotency_table.complete(attempt_id, result)
+    if state.handover_role is HandoverRole.STANDALONE:
+        return
+    record = state.idempotency_table.find_by_attempt(attempt_id)
+    if record is not None and not record.remote:
+        transition.send_to_peer_process(events.KeyRunCompleted(attempt_id, result))
+
+
+def command_rejected(transition: Transition, event: events.CommandRejected) -> None:
+    """End a run whose start or stop the runtime rejected."""
+    request = transition.state.by_attempt_id.get(event.attempt_id)
+    if request is None or request.phase is not RequestPhase.RUNNING:
+        return
+    if event.is_start or request.stopping:
+        # A start that was not carried out proves that nothing ran, so the idempotency key is free again.
+        outcome = Outcome.NOT_STARTED if event.is_start else Outcome.FAILURE
+        run_completed(transition, events.RunCompleted(event.attempt_id, outcome, 0.0, b""))
+
+
+def release_if_answered(transition: Transition, request: Request) -> None:
+    """Finish a request that was answered or cancelled; one that runs stays until its run ends."""
+    if request.phase is not RequestPhase.RUNNING:
+        finish(transition, request, None)
+    elif request.link_number and request.link_number < transition.state.link_number:
+        abandon_run(transition, request)
+
+
+def abandon_run(transition: Transition, request: Request) -> None:
+    """Stop a run that a broken link left indeterminate, and count it as ended.
+
+    Nobody waits for it and no notice of its end may ever come: it would count as running for good.
+    """
+    send_command(transition, effects.StopRun(request.attempt_id))
+    run_completed(transition, events.RunCompleted(request.attempt_id, Outcome.CANCELLED, 0.0, b""))
+
+
+def runtime_connected(transition: Transition, event: events.RuntimeConnected) -> None:
+    """Send the commands that waited for a link, and ask for the sample that ends the resynchronisation."""
+    state = transition.state
+    if state.controller is None:
+        if event.starts_cold and not state.settings.starts_cold:
+            state.settings = replace(state.settings, starts_cold=True)
+        transition.ensure_controller(event.age_ms)
+    state.link_number += 1
+    state.runtime_connected = True
+    waiting, state.unsent_commands = state.unsent_commands, []
+    for command in waiting:
+        if command.attempt_id in state.by_attempt_id:
+            send_command(transition, command)
+    transition.emit(effects.RequestLoadSample(sync_tag(state.link_number)))
+
+
+def runtime_disconnected(transition: Transition, event: events.RuntimeDisconnected) -> None:
+    """Queue the commands of which nothing was written, ahead of those queued already."""
+    state = transition.state
+    state.runtime_connected = False
+    state.disconnected_at_ms = transition.now_ms if event.last_heard_at_ms is None else event.last_heard_at_ms
+    unsent: list[effects.Command] = [
+        command for command in event.unsent_commands if isinstance(command, effects.Command)
+    ]
+    for command in unsent:
+        if isinstance(command, effects.StartRun) and command.attempt_id in state.by_attempt_id:
+            state.by_attempt_id[command.attempt_id].link_number = 0
+    state.unsent_commands = unsent + state.unsent_commands
+
+
+def resume_runs(transition: Transition) -> None:
+    """Settle the runs begun on an earlier link, once all notices missed were read."""
+    state = transition.state
+    for request in list(state.requests.values()):
+        if request.phase is RequestPhase.RUNNING and 0 < request.link_number < state.link_number:
+            _resume_run(transition, request)
+
+
+def _resume_run(transition: Transition, request: Request) -> None:
+    """Carry a run over to the present link, repeat its last command, or report it as indeterminate.
+
+    Commands given well before the break arrived; of later ones nothing is known. A start that is safe to
+    repeat, or a skipped call, is sent again: nothing happens where it had arrived. A start with side effects
+    never is, for if its run ended just now it would run twice; nor is a reply, which the run might take for
+    that to its next call. What becomes of these is for the controller to decide.
+    """
+    state = transition.state
+    command = request.last_command
+    if request.response_address is None or request.stopping:
+        abandon_run(transition, request)
+    elif request.indeterminate:
+        return  # since an earlier break: only a notice can change that
+    elif (
+        request.pending_call_notice is not None
+        or command is None
+        or request.last_command_at_ms < state.disconnected_at_ms - LOST_COMMAND_WINDOW_MS
+    ):
+        request.link_number = state.link_number
+    elif _is_repeatable(command, request):
+        request.link_number = state.link_number
+        send_command(transition, command)
+    else:
+        is_at_call = isinstance(command, effects.DeliverReply)
+        request.indeterminate = True
+        if is_at_call:
+            request.pending_call_notice = request.answered_call_notice
+        transition.dispatch(admission_events.RunIndeterminate(request.number, is_at_call))
+
+
+def _is_repeatable(command: effects.Command, request: Request) -> bool:
+    """Return whether a command that may have arrived can be sent again without harm."""
+    if isinstance(command, effects.StartRun):
+        return request.request_class.idempotency is Idempotency.IDEMPOTENT
+    return isinstance(command, effects.SkipCall)
+
+
+HANDLERS: HandlerTable = {
+    events.RunCompleted: run_completed,
+    events.CommandRejected: command_rejected,
+    events.RuntimeConnected: runtime_connected,
+    events.RuntimeDisconnected: runtime_disconnected,
+}
--- /dev/null
+++ b/snowthread/core/shutdown.py
@@ -0,0 +1,41 @@
+"""Graceful shutdown, and draining by the operators."""
+
+from __future__ import annotations
+
+from snowthread.admission import events as admission_events
+from snowthread.core import effects, events
+from snowthread.core.state import HandoverRole
+from snowthread.core.transition import HandlerTable, Transition
+
+
+def shutdown_requested(transition: Transition, event: events.ShutdownRequested) -> None:
+    """Begin the graceful shutdown; a second notice changes nothing."""
+    state = transition.state
+    if state.shutting_down:
+        return
+    state.shutting_down = True
+    transition.emit(effects.SetRegistration(state.accepts_work))
+    clock = state.admission_clock
+    transition.dispatch(
+        admission_events.ShutdownNotice(
+            clock.duration_s(event.time_left_ms), clock.duration_s(event.received_ago_ms)
+        )
+    )
+
+
+def drain_requested(transition: Transition, event: events.DrainRequested) -> None:
+    """Take the node out of registration, or back into it.
+
+    Requests are served either way: balancers learn of it late.
+    """
+    state = transition.state
+    if event.drain != state.drained and state.handover_role is not HandoverRole.STANDALONE:
+        transition.send_to_peer_process(event)
+    state.drained = event.drain
+    transition.emit(effects.SetRegistration(state.accepts_work))
+
+
+HANDLERS: HandlerTable = {
+    events.ShutdownRequested: shutdown_requested,
+    events.DrainRequested: drain_requested,
+}
--- a/snowthread/core/state.py
+++ b/snowthread/core/state.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import NamedTuple
 
 from snowthread.admission import events as admission_events
 from snowthread.admission.controller import Controller
@@ -63,6 +64,13 @@
     followers: list[int] = field(default_factory=list)  # repeats that wait for its result
 
 
+class PendingClaim(NamedTuple):
+    """A claim of an idempotency key that the predecessor has not decided yet."""
+
+    attempt_id: str  # the attempt that the key is claimed for
+    waiting: list[RequestReceived]  # all requests with this key; the claimant's first, unless cancelled
+
+
 class AdmissionClock:
     """The one place where milliseconds become the module's seconds and back. Its zero lies a second before
     the start: the module takes a time of 0 for none."""
@@ -124,8 +132,7 @@
         None  # what decisions begin with, until there is a controller
     )
     superseded: bool = False  # the newer process takes the clients
-    # The key that was asked for: for which try, and the requests that wait for the word
-    pending_claims: dict[str, tuple[str, list[RequestReceived]]] = field(default_factory=dict)
+    pending_claims: dict[str, PendingClaim] = field(default_factory=dict)  # by idempotency key
 
     @property
     def accepts_work(self) -> bool:
--- /dev/null
+++ b/snowthread/core/transition.py
@@ -0,0 +1,99 @@
+"""The context in which one event is handled: the state, the time, and the effects caused so far.
+
+The event handlers of the modules around it change the state only through a :class:`Transition`. What is
+admitted, rejected, run or stopped is decided by the admission controller, never here: a handler dispatches
+admission events to the controller, and the action handlers carry out what the controller answers.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from snowthread.admission import events as admission_events
+from snowthread.admission.controller import Controller
+from snowthread.admission.learned_state import restore_learned_state
+from snowthread.core import effects
+from snowthread.core.events import ResponseAddress
+from snowthread.core.reconfiguration import remaining_limits
+from snowthread.core.state import State
+
+Handler = Callable[["Transition", Any], None]
+"""Handles one event, or one action of the admission controller, of the type it is registered for."""
+
+HandlerTable = Mapping[type, Handler]
+
+
+class Transition:
+    """The handling of one event; ``effects`` holds what is to be done, in order."""
+
+    __slots__ = ("_action_handlers", "_dispatching", "_undispatched", "effects", "emit", "now_ms", "state")
+
+    def __init__(self, state: State, now_ms: float, action_handlers: HandlerTable) -> None:
+        self.state = state
+        self.now_ms = now_ms
+        self.effects: list[effects.Effect] = []
+        self.emit = self.effects.append
+        self._action_handlers = action_handlers
+        self._undispatched: deque[admission_events.Event] = deque()
+        self._dispatching = False
+
+    def respond(
+        self,
+        response_address: ResponseAddress,
+        response: effects.Served | effects.Rejected | effects.Failed | effects.HealthStatus,
+    ) -> None:
+        """Emit a response that carries the current load report."""
+        self.emit(effects.SendResponse(response_address, response, self.state.load_report))
+
+    def send_to_peer_process(self, message: effects.PeerProcessMessage) -> None:
+        """Emit a message to the peer process of a hot restart."""
+        self.emit(effects.SendToPeerProcess(message))
+
+    def dispatch(self, *new_events: admission_events.Event) -> None:
+        """Hand events to the controller, in order, and carry out its actions after each.
+
+        An action handler may dispatch further events: these wait until the actions at hand are carried out.
+        """
+        self._undispatched.extend(new_events)
+        if self._dispatching:
+            return
+        self._dispatching = True
+        controller = self.ensure_controller()
+        now_s = self.state.admission_clock.timestamp_s(self.now_ms)
+        handlers = self._action_handlers
+        while self._undispatched:
+            for action in controller.handle(now_s, self._undispatched.popleft()):
+                handlers[type(action)](self, action)
+        self._dispatching = False
+
+    def ensure_controller(self, started_ago_ms: float = 0.0) -> Controller:
+        """Return the controller; start it first, as of ``started_ago_ms`` ago, where there is none yet."""
+        controller = self.state.controller
+        return self._start_controller(started_ago_ms) if controller is None else controller
+
+    def _start_controller(self, started_ago_ms: float) -> Controller:
+        state = self.state
+        state.controller = controller = Controller(state.settings, state.seed)
+        clock = state.admission_clock
+        started_at_s = clock.timestamp_s(self.now_ms - started_ago_ms)
+        for action in controller.handle(started_at_s, admission_events.Started()):
+            self._action_handlers[type(action)](self, action)
+        now_s = clock.timestamp_s(self.now_ms)
+        if state.peer_load is not None:
+            settings = remaining_limits(state.settings, state.peer_load)
+            controller.handle(now_s, admission_events.SettingsChanged(settings))
+        apply_learned_state(state)
+        if state.pending_quotas is not None:  # nothing is queued yet, so no action can follow
+            controller.handle(now_s, state.pending_quotas)
+            state.pending_quotas = None
+        return controller
+
+
+def apply_learned_state(state: State) -> None:
+    """Hand what an earlier incarnation learned to the controller, if there are both."""
+    restored = state.learned_state
+    if state.controller is not None and restored is not None:
+        restore_learned_state(state.controller, restored.learned_state, restored.relative_speed)
+        state.learned_state = None
