Core: idempotency table, state, events and effects in the terms of the field

Names and docstrings of the core's types said attempts as tries, records as entries and times without units.

--- a/snowthread/core/arrivals.py
+++ b/snowthread/core/arrivals.py
@@ -99,41 +99,45 @@
     original_number: int | None,
 ) -> None:
     """Enter the request into the state and tell the controller of it."""
-    state, now_ms = transition.state, transition.now_ms
-    number = state.last_request_number
+    state = transition.state
     request = Request(
-        number,
+        state.last_request_number,
         event.attempt_id,
         event.class_name,
         event.body,
         event.response_address,
         idempotency_key,
         original_number,
-        now_ms,
+        transition.now_ms,
         request_class,
         event.memory_kb,
         body_digest,
     )
-    state.requests[number] = request
+    state.requests[request.number] = request
     state.by_attempt_id[event.attempt_id] = request
     state.by_response_address[event.response_address] = request
-    clock = state.admission_clock
+    transition.dispatch(_arrival(transition, event, request, sent_at_ms))
+
+
+def _arrival(
+    transition: Transition, event: events.RequestReceived, request: Request, sent_at_ms: float
+) -> admission_events.RequestArrived:
+    """Return what the controller is told of a request."""
+    clock, now_ms = transition.state.admission_clock, transition.now_ms
     time_left_s = None
     if event.timeout_ms is not None:
         time_left_s = clock.duration_s(max(MIN_TIME_LEFT_MS, sent_at_ms + event.timeout_ms - now_ms))
-    transition.dispatch(
-        admission_events.RequestArrived(
-            request_id=number,
-            class_name=event.class_name,
-            memory_kb=event.memory_kb,
-            partition_key=event.partition_key,
-            time_left_s=time_left_s,
-            rank=event.rank,
-            caller_id=event.caller_id,
-            tenant=event.tenant,
-            unread_s=clock.duration_s(now_ms - sent_at_ms),
-            original_id=original_number,
-        )
+    return admission_events.RequestArrived(
+        request_id=request.number,
+        class_name=event.class_name,
+        memory_kb=event.memory_kb,
+        partition_key=event.partition_key,
+        time_left_s=time_left_s,
+        rank=event.rank,
+        caller_id=event.caller_id,
+        tenant=event.tenant,
+        unread_s=clock.duration_s(now_ms - sent_at_ms),
+        original_id=request.original_number,
     )
 
 
--- a/snowthread/core/effects.py
+++ b/snowthread/core/effects.py
@@ -1,4 +1,4 @@
-"""What the reducer asks the outside to do. No protocol's names; times are milliseconds."""
+"""What the reducer asks the outside to do, independent of any protocol. Times are milliseconds."""
 
 from __future__ import annotations
 
@@ -21,14 +21,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Served:
-    """The result of a run, unchanged."""
+    """The response with the result of a run, unchanged."""
 
     result: bytes
 
 
 @dataclass(frozen=True, slots=True)
 class Rejected:
-    """Turned away: this try never ran."""
+    """The response to an attempt that never ran."""
 
     retry_after_ms: float = 0.0
     do_not_retry: bool = False
@@ -36,19 +36,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Failed:
-    """No promise."""
+    """The response that promises nothing: the request may have run."""
 
 
 @dataclass(frozen=True, slots=True)
 class HealthStatus:
-    """The answer of a health check."""
+    """The response to a health check."""
 
     healthy: bool
 
 
 @dataclass(frozen=True, slots=True)
 class SendResponse:
-    """The one final answer to what was read; ``say`` is the free value, None before there is one."""
+    """Send the one final response to a request; ``load_report`` is None before there is one."""
 
     response_address: ResponseAddress
     response: Served | Rejected | Failed | HealthStatus
@@ -57,7 +57,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StartRun:
-    """Have the runtime run a request."""
+    """Command the runtime to run a request."""
 
     attempt_id: str
     class_name: str
@@ -66,14 +66,14 @@
 
 @dataclass(frozen=True, slots=True)
 class StopRun:
-    """Have the runtime stop a run."""
+    """Command the runtime to stop a run."""
 
     attempt_id: str
 
 
 @dataclass(frozen=True, slots=True)
 class DeliverReply:
-    """Hand a run the reply to its call."""
+    """Deliver the reply to a downstream call to its run."""
 
     attempt_id: str
     reply: bytes
@@ -81,7 +81,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SkipCall:
-    """Let a run go on without the call that notice ``pos`` asked for."""
+    """Let a run go on without the call that the notice asked for."""
 
     attempt_id: str
     notice_number: int
@@ -89,31 +89,31 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestLoadSample:
-    """Ask the runtime for its gauges."""
+    """Request a load sample from the runtime; the sample carries the same tag."""
 
     tag: str
 
 
 @dataclass(frozen=True, slots=True)
 class StartCall:
-    """Make a call to the index for a run; give it up after ``budget``. ``again``: it may be made again."""
+    """Make a call to the formula database for a run; cancel it after ``timeout_ms``."""
 
     attempt_id: str
     body: bytes
     timeout_ms: float
-    retryable: bool = False
+    retryable: bool = False  # it may be made again
 
 
 @dataclass(frozen=True, slots=True)
 class CancelCall:
-    """Give up the call made for a run; its end is of no interest."""
+    """Cancel the call made for a run; its end is of no interest."""
 
     attempt_id: str
 
 
 @dataclass(frozen=True, slots=True)
 class ScheduleTimer:
-    """Send the message back at this time."""
+    """Send the event back to the reducer at this time."""
 
     at_ms: float
     event: TimerExpired | LoadSampleDue | KeyClaimTimedOut
@@ -121,14 +121,14 @@
 
 @dataclass(frozen=True, slots=True)
 class SetIdleTimeout:
-    """Part with connections that carried nothing for so long."""
+    """Close connections that were idle for so long."""
 
     timeout_ms: float
 
 
 @dataclass(frozen=True, slots=True)
 class SetRegistration:
-    """Be listed as taking work, or as taking none."""
+    """Register the node as accepting work, or as accepting none."""
 
     accepts_work: bool
 
@@ -157,26 +157,26 @@
 
 @dataclass(frozen=True, slots=True)
 class SendHandoverComplete:
-    """All keys were told: the other process may begin."""
+    """Tell the successor that all idempotency records were sent: it may begin."""
 
 
 @dataclass(frozen=True, slots=True)
 class ReserveDescriptors:
-    """So many of the descriptors are the other process's."""
+    """Leave so many file descriptors to the peer process."""
 
     count: int
 
 
 @dataclass(frozen=True, slots=True)
 class SetAccepting:
-    """Take new connections, or leave them to the other process and part with those there are."""
+    """Accept new connections, or leave them to the successor and close those there are."""
 
     accepting: bool
 
 
 @dataclass(frozen=True, slots=True)
 class LogNote:
-    """A line for the people on call."""
+    """Log a line for the operators."""
 
     text: str
 
--- a/snowthread/core/events.py
+++ b/snowthread/core/events.py
@@ -1,6 +1,6 @@
-"""What can happen to a node. No protocol's names: each peer's codec translates into these.
+"""What can happen to a node, independent of any protocol: the codecs translate into these events.
 
-Times are Unix milliseconds as floats.
+Times are float Unix milliseconds.
 """
 
 from __future__ import annotations
@@ -11,48 +11,51 @@
 from snowthread.admission.settings import Outcome, Settings, Tenant
 
 ResponseAddress = tuple[int, int]
-"""Where an answer goes: a connection's number and the number of the message on it."""
+"""Where a response goes: the number of the connection and of the message on it."""
 
 
 @dataclass(frozen=True, slots=True)
 class RequestReceived:
-    """A whole request was read and checked."""
+    """A whole request was read and validated."""
 
     response_address: ResponseAddress
     attempt_id: str
     class_name: str
     body: bytes
     sent_at_ms: float
-    timeout_ms: float | None  # from ``at``; None where the site tells no deadlines: the class's holds then
+    timeout_ms: float | None  # from ``sent_at_ms``; None: the deadline of the class holds
     caller_id: int
     memory_kb: float
     rank: float
     idempotency_key: str | None = None
     partition_key: str = ""
-    tenant: str = ""  # whose request it is, where tenants are told apart
+    tenant: str = ""  # where tenants are identified
 
 
-def with_tenant(m: RequestReceived, tenant: str) -> RequestReceived:
-    """The same request as this tenant's. Written out: dataclasses.replace takes three times as long."""
+def with_tenant(request: RequestReceived, tenant: str) -> RequestReceived:
+    """Return the same request with this tenant.
+
+    The fields are written out because dataclasses.replace takes three times as long.
+    """
     return RequestReceived(
-        m.response_address,
-        m.attempt_id,
-        m.class_name,
-        m.body,
-        m.sent_at_ms,
-        m.timeout_ms,
-        m.caller_id,
-        m.memory_kb,
-        m.rank,
-        m.idempotency_key,
-        m.partition_key,
+        request.response_address,
+        request.attempt_id,
+        request.class_name,
+        request.body,
+        request.sent_at_ms,
+        request.timeout_ms,
+        request.caller_id,
+        request.memory_kb,
+        request.rank,
+        request.idempotency_key,
+        request.partition_key,
         tenant,
     )
 
 
 @dataclass(frozen=True, slots=True)
 class RequestCancelled:
-    """Nobody waits for this answer any more: told so, or the connection is gone."""
+    """Nobody waits for this response any more: the client said so, or its connection closed."""
 
     response_address: ResponseAddress
 
@@ -66,7 +69,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RuntimeConnected:
-    """The link to the runtime stands. Cold: it started so; ``age``: so long ago."""
+    """A link to the runtime was established; ``age_ms`` is the time since the runtime started."""
 
     starts_cold: bool
     age_ms: float
@@ -74,16 +77,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RuntimeDisconnected:
-    """The link broke; of ``unsent`` commands not one byte was written. ``heard``: when the runtime was heard
-    last (ms), where the link was given up for its silence: it may have been broken since then."""
+    """The link to the runtime broke."""
 
-    unsent_commands: tuple[object, ...] = ()
-    last_heard_at_ms: float | None = None
+    unsent_commands: tuple[object, ...] = ()  # not one byte of them was written
+    last_heard_at_ms: float | None = None  # where it was closed as silent: it may be broken since then
 
 
 @dataclass(frozen=True, slots=True)
 class RunCompleted:
-    """The runtime says how a run ended."""
+    """The runtime reported the end of a run."""
 
     attempt_id: str
     outcome: Outcome
@@ -93,7 +95,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CommandRejected:
-    """The runtime did not carry out a command about this run; ``starting``: it was the one to start it."""
+    """The runtime did not carry out a command: that to start the run, or a later one."""
 
     attempt_id: str
     is_start: bool
@@ -101,7 +103,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallRequested:
-    """A run waits for a call with this body; ``pos`` names the notice that said so."""
+    """A run waits for a downstream call, as the notice of this number said."""
 
     attempt_id: str
     notice_number: int
@@ -110,7 +112,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadSampleReceived:
-    """The runtime's gauges, in the order of the settings."""
+    """A load sample of the runtime: its gauges, in the order of the configuration."""
 
     tag: str
     values: tuple[float, ...]
@@ -118,7 +120,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallCompleted:
-    """A call to the index came to its end."""
+    """A call to the formula database ended."""
 
     attempt_id: str
     outcome: Outcome
@@ -128,19 +130,19 @@
 
 @dataclass(frozen=True, slots=True)
 class TimerExpired:
-    """A timer of the decisions is due."""
+    """A timer of the admission controller is due."""
 
     label: int
 
 
 @dataclass(frozen=True, slots=True)
 class LoadSampleDue:
-    """Gauges should be asked for, ahead of a timer."""
+    """A load sample should be requested, ahead of a timer."""
 
 
 @dataclass(frozen=True, slots=True)
 class ShutdownRequested:
-    """The process will be killed this many milliseconds from now; the notice came ``since`` ms ago."""
+    """The process will be killed this many milliseconds from now."""
 
     time_left_ms: float
     received_ago_ms: float = 0.0
@@ -148,14 +150,14 @@
 
 @dataclass(frozen=True, slots=True)
 class DrainRequested:
-    """The operators want the node off the list, or back on it. It serves all that comes, either way."""
+    """The operators want the node drained, or back in registration. It serves requests either way."""
 
     drain: bool
 
 
 @dataclass(frozen=True, slots=True)
 class SettingsReloaded:
-    """Other settings, and the gauges' names in their order."""
+    """The configuration was reloaded: the settings, and the names of the gauges in their order."""
 
     settings: Settings
     gauge_names: tuple[str, ...]
@@ -163,34 +165,34 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerProcessConnected:
-    """Another process of this node is there. ``judge``: this one is the older and decides who has a key."""
+    """The peer process of a hot restart connected."""
 
-    is_predecessor: bool
+    is_predecessor: bool  # this process is the older one, and decides claims of idempotency keys
 
 
 @dataclass(frozen=True, slots=True)
 class PeerLoadReported:
-    """What the other process has of what both share: runs, memory booked (KB), calls made, descriptors."""
+    """What the peer process uses of the limits that both share."""
 
     runs: int
-    memory_kb: float
-    calls: int
+    memory_kb: float  # booked
+    calls: int  # in flight
     descriptors: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class SuccessorReady:
-    """The newer process takes the clients from now on."""
+    """The successor accepts the connections of clients from now on."""
 
 
 @dataclass(frozen=True, slots=True)
 class PeerProcessExited:
-    """The other process is gone, with all it said read."""
+    """The peer process exited; all its messages were read."""
 
 
 @dataclass(frozen=True, slots=True)
 class KeyReplicated:
-    """The other process holds a key, or holds it until another time."""
+    """The peer process owns a key, or owns it until another time than before."""
 
     idempotency_key: str
     attempt_id: str
@@ -202,7 +204,7 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyRunCompleted:
-    """The run of the other process's try is over, with a result or without."""
+    """The run of an attempt of the peer process ended, with a result or without."""
 
     attempt_id: str
     result: bytes | None
@@ -210,14 +212,14 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyReleased:
-    """The other process's try holds its key no more: it never ran."""
+    """An attempt of the peer process gave up its key: it never ran."""
 
     attempt_id: str
 
 
 @dataclass(frozen=True, slots=True)
 class KeyClaimRequested:
-    """The newer process wants a key for a try that came ``at``."""
+    """The successor claims a key for an attempt."""
 
     idempotency_key: str
     attempt_id: str
@@ -227,7 +229,7 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyClaimDecided:
-    """The older process's word on that."""
+    """The predecessor decided on a claim."""
 
     idempotency_key: str
     attempt_id: str
@@ -236,34 +238,33 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyClaimTimedOut:
-    """So long a request has waited for that word, and no longer."""
+    """A request has waited too long for the decision on its key."""
 
     response_address: ResponseAddress
 
 
 @dataclass(frozen=True, slots=True)
 class TenantQuotasChanged:
-    """Tenants were added, changed or removed; ``over_share_worth`` of traffic over a share, or None."""
+    """Tenants were added, changed or removed."""
 
     changed: tuple[Tenant, ...] = ()
     removed: frozenset[str] = frozenset()
-    over_quota_weight: float | None = None
+    over_quota_weight: float | None = None  # of traffic over a quota; None: as before
 
 
 @dataclass(frozen=True, slots=True)
 class CallPacingChanged:
-    """A node on its way back: the module may have so many calls in hand from now on, some of which wait for
-    their turn outside of it. 0: as the settings say."""
+    """The limit of concurrent calls during recovery changed; some of these calls wait to be sent."""
 
-    concurrent_calls: float = 0.0
+    concurrent_calls: float = 0.0  # 0: as the settings say
 
 
 @dataclass(frozen=True, slots=True)
 class LearnedStateRestored:
-    """What an earlier life of this node learned may be trusted: decisions begin with it."""
+    """What an earlier incarnation of this node learned is valid: the controller begins with it."""
 
     learned_state: LearnedState
-    relative_speed: float  # of the machine, of its warm speed
+    relative_speed: float  # of the machine now, as a share of its warm speed
 
 
 Event = (
--- a/snowthread/core/idempotency.py
+++ b/snowthread/core/idempotency.py
@@ -1,4 +1,7 @@
-"""The table of keys: which try holds a key, until when, and how its run ended."""
+"""Idempotency records: which attempt owns a key, until when, and how its run ended.
+
+Pure: times are float Unix milliseconds passed in; nothing here reads a clock or a socket.
+"""
 
 from __future__ import annotations
 
@@ -7,148 +10,167 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
-RESULTS_MAX = 24 * 2**20  # bytes of results kept; past it the oldest go first and their repeats fail
-READ_LATE_MS = 8_000.0  # a repeat that came within the window may be read so much later
+MAX_RESULT_BYTES = 24 * 2**20  # results kept in all; past it the oldest go first and their retries fail
+LATE_READ_ALLOWANCE_MS = 8_000.0  # a retry sent within the window may be read so much later
 
 
-def key_digest(once: str) -> bytes:
-    """A key in 16 bytes, for what outlives the process."""
-    return blake2b(once.encode(), digest_size=16).digest()
+def key_digest(idempotency_key: str) -> bytes:
+    """Return a digest of a key in 16 bytes, for what outlives the process."""
+    return blake2b(idempotency_key.encode(), digest_size=16).digest()
 
 
 @dataclass(slots=True)
 class IdempotencyRecord:
-    """One entry. ``result`` is None until the run went through."""
+    """One idempotency key and the attempt that owns it; ``result`` is None until the run succeeded."""
 
     idempotency_key: str
     request_number: int
     attempt_id: str
     expires_at_ms: float
-    body_digest: bytes  # a digest of what was asked: another body under the same key is no repeat
+    body_digest: bytes  # another body under the same key is a conflict, not a retry
     completed: bool = False
     result: bytes | None = None
-    remote: bool = False  # held by the process beside this one, not by a request here
-    class_name: str = ""  # empty where it is held elsewhere and not known
-    followers: list[int] = field(default_factory=list)  # repeats here that wait for what becomes of it there
+    remote: bool = False  # owned by the peer process, not by a request here
+    class_name: str = ""  # empty where it is owned by the peer process and not known
+    followers: list[int] = field(default_factory=list)  # retries here that wait for a run in the peer process
 
 
 class IndeterminateKeys:
-    """Keys that an earlier life of this node may have run: what became of them nobody knows, so they are
-    never run within their windows. Blind: which they are is not known either, so it is any."""
+    """Keys that an earlier incarnation of this node may have run, with unknown end.
+
+    They are never run within their windows. Until ``any_until_ms`` it is not known which keys they are
+    either, so every key counts as one of them.
+    """
 
-    def __init__(self, keys: dict[bytes, float], blind_until: float) -> None:
-        self._keys, self.any_until_ms = keys, blind_until
-        self.last_expiry_ms = max([blind_until, *keys.values()])
+    def __init__(self, expires_at_ms_by_digest: dict[bytes, float], blind_until: float) -> None:
+        self._expires_at_ms_by_digest, self.any_until_ms = expires_at_ms_by_digest, blind_until
+        self.last_expiry_ms = max([blind_until, *expires_at_ms_by_digest.values()])
 
     def __len__(self) -> int:
-        return len(self._keys)
+        return len(self._expires_at_ms_by_digest)
 
-    def may_have_run(self, once: str, at: float) -> bool:
-        """May a request with this key that came at this time be a repeat of one that ran?"""
-        return at < self.any_until_ms or (
-            at < self.last_expiry_ms and at < self._keys.get(key_digest(once), 0.0)
+    def may_have_run(self, idempotency_key: str, sent_at_ms: float) -> bool:
+        """Return whether a request with this key may be a retry of one that ran."""
+        return sent_at_ms < self.any_until_ms or (
+            sent_at_ms < self.last_expiry_ms
+            and sent_at_ms < self._expires_at_ms_by_digest.get(key_digest(idempotency_key), 0.0)
         )
 
 
 class IdempotencyTable:
-    """Entries by key, by try and by run. An entry leaves at its time or when it is forgotten, never because
-    an answer went out or a caller left: a repeat must find what ran, whatever became of its first try."""
+    """Idempotency records by key, by attempt and by request number.
+
+    A record leaves when it expires or is removed, never because a response went out or a request was
+    cancelled: a retry has to find what ran, whatever became of its original.
+    """
 
-    def __init__(self, results_max: int = RESULTS_MAX) -> None:
-        self._results_max = results_max
-        self._by_once: dict[str, IdempotencyRecord] = {}
+    def __init__(self, max_result_bytes: int = MAX_RESULT_BYTES) -> None:
+        self._max_result_bytes = max_result_bytes
+        self._by_key: dict[str, IdempotencyRecord] = {}
         self._by_number: dict[int, IdempotencyRecord] = {}
-        self._by_uid: dict[str, IdempotencyRecord] = {}
-        self._ends: list[tuple[float, int]] = []
-        self._results: OrderedDict[int, int] = OrderedDict()
-        self._bytes = 0
+        self._by_attempt_id: dict[str, IdempotencyRecord] = {}
+        self._purges: list[tuple[float, int]] = []  # a heap of (time in ms, request number)
+        self._result_sizes: OrderedDict[int, int] = OrderedDict()  # bytes by request number, oldest first
+        self._result_bytes = 0
 
     def __len__(self) -> int:
         return len(self._by_number)
 
     def put(
         self,
-        once: str,
-        number: int,
-        uid: str,
-        until: float,
-        now: float,
-        content: bytes = b"",
+        idempotency_key: str,
+        request_number: int,
+        attempt_id: str,
+        expires_at_ms: float,
+        now_ms: float,
+        body_digest: bytes = b"",
         remote: bool = False,
         class_name: str = "",
     ) -> IdempotencyRecord:
-        """Remember the key from now on; a newer try takes the entry over."""
-        self._purge(now)
-        old = self._by_once.get(once)
-        if old is not None and old.request_number != number:
+        """Enter or renew the record of a request; a newer request takes its key over."""
+        self._purge(now_ms)
+        old = self._by_key.get(idempotency_key)
+        if old is not None and old.request_number != request_number:
             self._remove(old)
-        entry = self._by_number.get(number) or IdempotencyRecord(
-            once, number, uid, until, content, remote=remote, class_name=class_name
+        record = self._by_number.get(request_number) or IdempotencyRecord(
+            idempotency_key,
+            request_number,
+            attempt_id,
+            expires_at_ms,
+            body_digest,
+            remote=remote,
+            class_name=class_name,
         )
-        entry.expires_at_ms = until
-        self._by_once[once] = self._by_number[number] = self._by_uid[uid] = entry
-        heapq.heappush(self._ends, (until + READ_LATE_MS, number))
-        return entry
-
-    def extend_window(self, class_name: str, more: float) -> None:
-        """The window of a class is longer by so much from now on, for what is kept already too."""
-        for entry in self._by_number.values():
-            if entry.class_name in (class_name, ""):
-                entry.expires_at_ms += more
-                heapq.heappush(self._ends, (entry.expires_at_ms + READ_LATE_MS, entry.request_number))
-
-    def conflicts_with(self, once: str, content: bytes) -> bool:
-        """Is something else known under this key? Its result must not go to who asked for another thing."""
-        entry = self._by_once.get(once)
-        return entry is not None and entry.body_digest != content
-
-    def owner_at(self, once: str, at: float) -> int | None:
-        """The try that holds the key for a repeat that came at this time, however late it is read."""
-        entry = self._by_once.get(once)
-        return entry.request_number if entry is not None and at < entry.expires_at_ms else None
-
-    def remove(self, number: int) -> None:
-        """Drop the entry of a try that never ran."""
-        entry = self._by_number.get(number)
-        if entry is not None:
-            self._remove(entry)
-
-    def complete(self, uid: str, result: bytes | None) -> None:
-        """A run is over, with a result or without; a result stays, whatever is said later."""
-        entry = self._by_uid.get(uid)
-        if entry is None or entry.result is not None:
+        record.expires_at_ms = expires_at_ms
+        self._by_key[idempotency_key] = record
+        self._by_number[request_number] = record
+        self._by_attempt_id[attempt_id] = record
+        self._schedule_purge(record)
+        return record
+
+    def extend_window(self, class_name: str, longer_ms: float) -> None:
+        """Let the records of a class expire later, as its window is longer now."""
+        for record in self._by_number.values():
+            if record.class_name in (class_name, ""):
+                record.expires_at_ms += longer_ms
+                self._schedule_purge(record)
+
+    def conflicts_with(self, idempotency_key: str, body_digest: bytes) -> bool:
+        """Return whether the key stands for another body, whose result must not answer this one."""
+        record = self._by_key.get(idempotency_key)
+        return record is not None and record.body_digest != body_digest
+
+    def owner_at(self, idempotency_key: str, sent_at_ms: float) -> int | None:
+        """Return the request that owns the key for a retry sent at this time, however late it is read."""
+        record = self._by_key.get(idempotency_key)
+        return record.request_number if record is not None and sent_at_ms < record.expires_at_ms else None
+
+    def remove(self, request_number: int) -> None:
+        """Remove the record of a request that never ran."""
+        record = self._by_number.get(request_number)
+        if record is not None:
+            self._remove(record)
+
+    def complete(self, attempt_id: str, result: bytes | None) -> None:
+        """Record the end of a run, with a result or without; a result stays, whatever is reported later."""
+        record = self._by_attempt_id.get(attempt_id)
+        if record is None or record.result is not None:
             return
-        entry.completed = True
+        record.completed = True
         if result is not None:
-            entry.result = result
-            self._results[entry.request_number] = len(result)
-            self._bytes += len(result)
-            while self._bytes > self._results_max:
-                number, size = self._results.popitem(last=False)
-                self._bytes -= size
+            record.result = result
+            self._result_sizes[record.request_number] = len(result)
+            self._result_bytes += len(result)
+            while self._result_bytes > self._max_result_bytes:
+                number, size = self._result_sizes.popitem(last=False)
+                self._result_bytes -= size
                 self._by_number[number].result = None
 
-    def find_by_attempt(self, uid: str) -> IdempotencyRecord | None:
-        """The entry that the try of this id holds."""
-        return self._by_uid.get(uid)
+    def find_by_attempt(self, attempt_id: str) -> IdempotencyRecord | None:
+        """Return the record that the attempt owns."""
+        return self._by_attempt_id.get(attempt_id)
 
     def records(self) -> list[IdempotencyRecord]:
-        """Every entry."""
+        """Return all records."""
         return list(self._by_number.values())
 
-    def find_by_number(self, number: int) -> IdempotencyRecord | None:
-        """The entry that this try holds."""
-        return self._by_number.get(number)
-
-    def _purge(self, now: float) -> None:
-        while self._ends and self._ends[0][0] <= now:
-            entry = self._by_number.get(heapq.heappop(self._ends)[1])
-            if entry is not None and entry.expires_at_ms + READ_LATE_MS <= now:
-                self._remove(entry)
-
-    def _remove(self, entry: IdempotencyRecord) -> None:
-        self._bytes -= self._results.pop(entry.request_number, 0)
-        del self._by_number[entry.request_number]
-        self._by_uid.pop(entry.attempt_id, None)
-        if self._by_once.get(entry.idempotency_key) is entry:
-            del self._by_once[entry.idempotency_key]
+    def find_by_number(self, request_number: int) -> IdempotencyRecord | None:
+        """Return the record that the request owns."""
+        return self._by_number.get(request_number)
+
+    def _schedule_purge(self, record: IdempotencyRecord) -> None:
+        purge_at_ms = record.expires_at_ms + LATE_READ_ALLOWANCE_MS
+        heapq.heappush(self._purges, (purge_at_ms, record.request_number))
+
+    def _purge(self, now_ms: float) -> None:
+        while self._purges and self._purges[0][0] <= now_ms:
+            record = self._by_number.get(heapq.heappop(self._purges)[1])
+            if record is not None and record.expires_at_ms + LATE_READ_ALLOWANCE_MS <= now_ms:
+                self._remove(record)
+
+    def _remove(self, record: IdempotencyRecord) -> None:
+        self._result_bytes -= self._result_sizes.pop(record.request_number, 0)
+        del self._by_number[record.request_number]
+        self._by_attempt_id.pop(record.attempt_id, None)
+        if self._by_key.get(record.idempotency_key) is record:
+            del self._by_key[record.idempotency_key]
