node: a package by concern: composition, features, effects, operators, reload, signals, shutdown

It is a package now; `from snowthread.node import Node, BLOCKED_SIGNALS` stays. Constants are named one by one with their unit, the effect table holds typed methods, the optional features are built in one module that imports them only where they are on. The order in which sockets open and tasks start is the same.

--- /dev/null
+++ b/snowthread/node/effect_handlers.py
@@ -0,0 +1,75 @@
+"""The table of effects: which part of a node carries out each type of effect."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from loguru import logger
+
+from snowthread.clients.database import DatabaseClient
+from snowthread.clients.registry import RegistryClient
+from snowthread.clients.runtime import RuntimeClient
+from snowthread.core import effects, events
+from snowthread.frontends.balancers.server import BalancerServer
+from snowthread.net.loop import EventLoop
+
+EffectHandler = Callable[[Any], None]
+"""Carries out an effect of the one type that it is registered for."""
+
+EffectHandlers = dict[type[effects.Effect], EffectHandler]
+"""Handlers by type: a chain of cases for thousands of effects a second would cost more than most effects."""
+
+
+class ClientEffects:
+    """Effects on the balancers, the runtime, the database, the registry, the timers and the log."""
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        post: Callable[[events.Event], None],
+        balancers: BalancerServer,
+        runtime: RuntimeClient,
+        database: DatabaseClient,
+        registry: RegistryClient,
+    ) -> None:
+        self._loop, self._post = loop, post
+        self._balancers, self._runtime, self._database, self._registry = (
+            balancers,
+            runtime,
+            database,
+            registry,
+        )
+
+    def handlers(self) -> EffectHandlers:
+        """Return the handler of each type of effect."""
+        return {
+            effects.StartRun: self._runtime.send,
+            effects.StopRun: self._runtime.send,
+            effects.DeliverReply: self._runtime.send,
+            effects.SkipCall: self._runtime.send,
+            effects.RequestLoadSample: self._runtime.send,
+            effects.SendResponse: self._balancers.send_response,
+            effects.SetIdleTimeout: self._set_idle_timeout,
+            effects.StartCall: self._database.start_call,
+            effects.CancelCall: self._cancel_call,
+            effects.SetRegistration: self._set_registration,
+            effects.ScheduleTimer: self._schedule_timer,
+            effects.LogNote: _log_note,
+        }
+
+    def _set_idle_timeout(self, effect: effects.SetIdleTimeout) -> None:
+        self._balancers.set_idle_timeout(effect.timeout_ms)
+
+    def _cancel_call(self, effect: effects.CancelCall) -> None:
+        self._database.cancel_call(effect.attempt_id)
+
+    def _set_registration(self, effect: effects.SetRegistration) -> None:
+        self._registry.set_registration(effect.accepts_work)
+
+    def _schedule_timer(self, effect: effects.ScheduleTimer) -> None:
+        self._loop.call_at(effect.at_ms, lambda: self._post(effect.event))
+
+
+def _log_note(effect: effects.LogNote) -> None:
+    logger.bind(event="decision.note").info("{}", effect.text)
--- /dev/null
+++ b/snowthread/node/hot_restart_effects.py
@@ -0,0 +1,57 @@
+"""Effects of a node that two processes serve for a while, one replacing the other.
+
+Clients come in by a listening socket that both have, and both count against one limit of descriptors.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+
+from snowthread.clients.database import DatabaseClient
+from snowthread.core import effects, events
+from snowthread.frontends.balancers.server import BalancerServer
+from snowthread.hot_restart.channel import HotRestartChannel
+from snowthread.node.descriptors import PROCESS_DESCRIPTORS, DescriptorBudget
+from snowthread.node.effect_handlers import EffectHandlers
+
+
+class HotRestartEffects:
+    """Carries out what the reducer asks for between the two processes."""
+
+    def __init__(
+        self,
+        channel: HotRestartChannel,
+        balancers: BalancerServer,
+        database: DatabaseClient,
+        descriptors: DescriptorBudget,
+        resume_accepting: Callable[[], None],
+    ) -> None:
+        self._channel, self._balancers, self._database = channel, balancers, database
+        self._descriptors, self._resume_accepting = descriptors, resume_accepting
+
+    def handlers(self) -> EffectHandlers:
+        """Return the handler of each type of effect."""
+        return {
+            effects.SendToPeerProcess: self._send_to_peer_process,
+            effects.SendHandoverComplete: self._channel.send_handover_complete,
+            effects.SetAccepting: self._set_accepting,
+            effects.ReserveDescriptors: self._reserve_descriptors,
+        }
+
+    def _send_to_peer_process(self, effect: effects.SendToPeerProcess) -> None:
+        message = effect.message
+        if isinstance(message, events.PeerLoadReported):
+            in_use = self._balancers.count() + self._database.connection_count() + PROCESS_DESCRIPTORS
+            effect = effects.SendToPeerProcess(replace(message, descriptors=in_use))
+        self._channel.send(effect)
+
+    def _set_accepting(self, effect: effects.SetAccepting) -> None:
+        if effect.accepting:
+            self._resume_accepting()
+        else:
+            self._balancers.pause_accepting()
+            self._balancers.say_farewell_to_all()
+
+    def _reserve_descriptors(self, effect: effects.ReserveDescriptors) -> None:
+        self._balancers.set_max_connections(self._descriptors.balancer_connections_beside(effect.count))
--- /dev/null
+++ b/snowthread/node/node.py
@@ -0,0 +1,185 @@
+"""The composition of a node: its clients and servers, and the reducer between them."""
+
+from __future__ import annotations
+
+import os
+from collections import deque
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from snowthread.clients.database import DatabaseClient
+from snowthread.clients.registry import RegistryClient
+from snowthread.clients.runtime import RuntimeClient
+from snowthread.config import Config
+from snowthread.core import effects, events
+from snowthread.core.idempotency import IdempotencyTable
+from snowthread.core.state import AdmissionClock, State
+from snowthread.frontends.admin.server import AdminServer
+from snowthread.frontends.balancers.server import BalancerServer
+from snowthread.hot_restart.channel import HotRestartChannel
+from snowthread.net.clock import Clock
+from snowthread.net.limits import max_result_bytes, max_unsent_bytes
+from snowthread.net.loop import EventLoop
+from snowthread.node.descriptors import DescriptorBudget
+from snowthread.node.effect_handlers import ClientEffects, EffectHandlers
+from snowthread.node.hot_restart_effects import HotRestartEffects
+from snowthread.node.operator_calls import OperatorCalls
+from snowthread.node.optional_features import build_feature_parts
+from snowthread.node.reconfiguration import apply_configuration, idle_timeout_ms
+from snowthread.node.shutdown import GracefulShutdown
+from snowthread.node.signals import SignalListener
+
+if TYPE_CHECKING:
+    from snowthread.operator.features import Features
+
+
+class Node:
+    """One formula node."""
+
+    def __init__(self, config: Config, clock: Clock, features: Features | None = None) -> None:
+        """Open the node's sockets; OSError where one can't be opened.
+
+        The order of the parts matters: sockets open and tasks take their first steps in it.
+        """
+        self.config, self.clock, self.features = config, clock, features
+        self.loop = EventLoop(clock)
+        self.state = _initial_state(config, clock)
+        self._pending_events: deque[events.Event] = deque()
+        self._dispatching = self._gone = False
+        parts = build_feature_parts(features, self.loop, config, self.state, self.post)
+        self.recorder, self.recovery = parts.recorder, parts.recovery
+        self.tenant_identification = parts.tenant_identification
+        self._reduce = parts.reduce
+        self._descriptors = DescriptorBudget.for_process(config.sockets)
+        self.balancers = self._open_balancer_server()
+        self.hot_restart = self._open_hot_restart_channel()
+        if config.settings.idle_timeout_s:
+            self.balancers.set_idle_timeout(idle_timeout_ms(config.settings))
+        self.runtime = RuntimeClient(
+            self.loop, config.runtime, self.post, self.recovery.reconnect_delay_ms if self.recovery else None
+        )
+        self.database = DatabaseClient(
+            self.loop, config.database, self._descriptors.database_calls, self.post
+        )
+        self.registry = RegistryClient(self.loop, config.registry, config.name)
+        if self.recovery is not None:
+            self.registry.join_fleet(self.recovery.report_suffix, self.recovery.handle_registry_answer)
+            self.recovery.start(self.registry.report_now, self._carry_out)
+        self.operator_calls = OperatorCalls(self.state, self.balancers, self.hot_restart, self.post)
+        self.admin = self._open_admin_server()
+        self._effect_handlers = self._build_effect_handlers()
+        self.shutdown = GracefulShutdown(self)
+        self._signals = SignalListener(self)
+        if self.tenant_identification is not None:
+            self.tenant_identification.start(self.balancers.peer_address)
+        if self.recorder is not None:
+            self.recorder.start(self.balancers.count)
+
+    def _open_balancer_server(self) -> BalancerServer:
+        config, tenants = self.config, self.tenant_identification
+        return BalancerServer(
+            self.loop,
+            config.listen,
+            self._descriptors.balancer_connections,
+            max_unsent_bytes(config.memory_mb),
+            self.post if tenants is None else tenants.handle,
+            config.listen_descriptor,
+        )
+
+    def _open_hot_restart_channel(self) -> HotRestartChannel | None:
+        """Open the channel to another process of this node that serves already, or comes to replace this one.
+
+        Clients are accepted once the channel knows whose they are.
+        """
+        if self.config.listen_descriptor is None or self.config.handover_directory is None:
+            return None
+        self.balancers.pause_accepting()
+        return HotRestartChannel(self.loop, self.config.handover_directory, self.post, self._resume_accepting)
+
+    def _open_admin_server(self) -> AdminServer | None:
+        if self.config.admin is None:
+            return None
+        return AdminServer(self.loop, self.config.admin, self.operator_calls.routes())
+
+    def _build_effect_handlers(self) -> EffectHandlers:
+        handlers = ClientEffects(
+            self.loop, self.post, self.balancers, self.runtime, self.database, self.registry
+        ).handlers()
+        if self.hot_restart is not None:
+            handlers |= HotRestartEffects(
+                self.hot_restart, self.balancers, self.database, self._descriptors, self._resume_accepting
+            ).handlers()
+        return handlers
+
+    def _resume_accepting(self) -> None:
+        """Accept clients, unless this process shuts down or a successor accepts them."""
+        if not self.state.shutting_down and not self.state.superseded:
+            self.balancers.resume_accepting()
+
+    def post(self, event: events.Event) -> None:
+        """Hand an event to the reducer and carry out the effects that it returns.
+
+        An event that an effect causes at once waits until the effects before it are carried out.
+        """
+        if self._gone:
+            return
+        self._pending_events.append(event)
+        if self._dispatching:
+            return
+        self._dispatching = True
+        try:
+            while self._pending_events:
+                event = self._pending_events.popleft()
+                try:
+                    for effect in self._reduce(self.state, event, self.clock.now()):
+                        self._effect_handlers[type(effect)](effect)
+                except Exception:  # a failed event must not end the connection or timer that brought it
+                    logger.exception("{} failed", type(event).__name__)
+        finally:
+            self._dispatching = False
+
+    def _carry_out(self, effect: effects.Effect) -> None:
+        """Carry out an effect that recovery delayed."""
+        if not self._gone:
+            self._effect_handlers[type(effect)](effect)
+
+    def _ready(self) -> tuple[HTTPStatus, str]:
+        return self.operator_calls.ready()  # until tests/hot_restart calls it there
+
+    def _drain(self, drain: bool) -> tuple[HTTPStatus, str]:
+        return self.operator_calls.drain() if drain else self.operator_calls.resume()  # likewise
+
+    def apply_configuration(self, config: Config, features: Features | None = None) -> None:
+        """Go on with a new configuration; OSError where no socket can be opened, and nothing has changed."""
+        apply_configuration(self, config, features)
+
+    def serve(self) -> None:
+        """Serve until a signal to shut down, and return once all is answered. SIGHUP reloads all files."""
+        self.listen_for_signals()
+        logger.info("{} pid {} listens on {}:{}", self.config.name, os.getpid(), *self.config.listen)
+        self.loop.run()
+
+    def listen_for_signals(self) -> None:
+        """Listen for signals from now on."""
+        self._signals.start()
+
+    def stop(self) -> None:
+        """End the event loop; events that are posted from now on are dropped with the process."""
+        logger.bind(event="node.left").info("left")
+        self._gone = True
+        if self.recorder is not None:
+            self.recorder.close("left")
+        self.loop.stop()
+
+
+def _initial_state(config: Config, clock: Clock) -> State:
+    """Return the state of a node that has read nothing yet."""
+    return State(
+        config.settings,
+        config.seed,
+        config.gauge_names,
+        AdmissionClock(clock.now()),
+        idempotency_table=IdempotencyTable(max_result_bytes(config.memory_mb)),
+    )
--- /dev/null
+++ b/snowthread/node/optional_features.py
@@ -0,0 +1,97 @@
+"""Features that an operator's file turns on.
+
+Each is imported only where it is on: a bare start loads none of them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+from snowthread.config import Config
+from snowthread.core import effects, events
+from snowthread.core.reducer import reduce
+from snowthread.core.state import State
+from snowthread.net.loop import EventLoop
+
+if TYPE_CHECKING:
+    from snowthread.operator.features import Features
+    from snowthread.records.recorder import Recorder
+    from snowthread.recovery.manager import RecoveryManager
+    from snowthread.sites.client_filter import ClientFilter
+    from snowthread.tenants.identification import TenantIdentification
+
+Reduce = Callable[[State, events.Event, float], list[effects.Effect]]
+"""A reducer's step, or a feature that wraps one: (state, event, now in milliseconds) to effects."""
+
+Post = Callable[[events.Event], None]
+"""Takes an event for the reducer."""
+
+
+@dataclass(frozen=True, slots=True)
+class FeatureParts:
+    """The parts of a node that optional features add; None: the feature is off."""
+
+    reduce: Reduce  # the reducer, wrapped by each feature that sees its events and effects
+    recorder: Recorder | None
+    recovery: RecoveryManager | None
+    tenant_identification: TenantIdentification | None
+
+
+def build_feature_parts(
+    features: Features | None, loop: EventLoop, config: Config, state: State, post: Post
+) -> FeatureParts:
+    """Make what the features need, the innermost wrapper of the reducer first."""
+    if features is None:
+        return FeatureParts(reduce, None, None, None)
+    step: Reduce = reduce
+    recorder = _build_recorder(features, loop, config, state)
+    if recorder is not None:
+        step = recorder.reduce
+    recovery = _build_recovery(features, loop, config, state, post, step)
+    if recovery is not None:
+        step = recovery.reduce
+    client_filter = _build_client_filter(features, loop, step)
+    if client_filter is not None:  # decides on other sites' requests before anything else sees them
+        step = client_filter.reduce
+    tenant_identification = _build_tenant_identification(features, loop, config, post)
+    if tenant_identification is not None:  # the directory says which tenants there are, not the file
+        state.settings = replace(config.settings, tenants=())
+    return FeatureParts(step, recorder, recovery, tenant_identification)
+
+
+def _build_recorder(features: Features, loop: EventLoop, config: Config, state: State) -> Recorder | None:
+    if features.records is None:
+        return None
+    from snowthread.records.recorder import Recorder
+
+    return Recorder(loop, features.records, config, state)
+
+
+def _build_recovery(
+    features: Features, loop: EventLoop, config: Config, state: State, post: Post, step: Reduce
+) -> RecoveryManager | None:
+    if features.comeback is None:
+        return None
+    from snowthread.recovery.manager import RecoveryManager
+
+    return RecoveryManager(loop, features.comeback, config, state, post, step)
+
+
+def _build_client_filter(features: Features, loop: EventLoop, step: Reduce) -> ClientFilter | None:
+    if features.site is None:
+        return None
+    from snowthread.sites.client_filter import ClientFilter
+
+    return ClientFilter(loop, features.site, step)
+
+
+def _build_tenant_identification(
+    features: Features, loop: EventLoop, config: Config, post: Post
+) -> TenantIdentification | None:
+    if features.tenants is None:
+        return None
+    from snowthread.tenants.identification import TenantIdentification
+
+    return TenantIdentification(loop, features.tenants, config.seed, post)
--- /dev/null
+++ b/snowthread/node/shutdown.py
@@ -0,0 +1,96 @@
+"""Graceful shutdown: from the signal to the exit, within the grace period that the platform gives.
+
+The platform kills the process at a known time. Until then the node answers what it has read and what still
+comes. A process that has the listening socket to itself closes it shortly before the kill; one that shares it
+with a successor leaves new clients to the successor and exits once all is answered.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from snowthread.core import events
+from snowthread.hot_restart.channel import HotRestartChannel
+from snowthread.net.loop import TaskSteps, Wait
+
+if TYPE_CHECKING:
+    from snowthread.node.node import Node
+
+CLOSE_LISTENER_BEFORE_KILL_MS = 500.0  # what has come by then is answered by the kill
+EXIT_BEFORE_KILL_MS = 120.0  # the process exits by then, whatever is left unanswered
+POLL_INTERVAL_MS = 10.0  # between two checks whether all is answered
+QUIET_BEFORE_EXIT_MS = 100.0  # without any work; what crosses a farewell on the wire takes up to 50 ms
+SUPERSEDED_GRACE_MS = 700.0  # with a successor: this long beyond the longest deadline
+SUPERSEDED_DEADLINE_MAX_MS = 3000.0  # the longest deadline counts for no more than this
+
+
+class GracefulShutdown:
+    """Ends a node's service without leaving a request unanswered."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    def begin(self, signalled_at_ms: float) -> None:
+        """Begin to shut down; the grace period counts from the signal, not from now."""
+        node, clock = self._node, self._node.clock
+        grace_ms = self._grace_ms()
+        elapsed_ms = max(0.0, clock.now() - signalled_at_ms)
+        logger.bind(event="node.leaving").info("told to leave, {} ms left", grace_ms)
+        node.post(events.ShutdownRequested(grace_ms - elapsed_ms, elapsed_ms))
+        node.balancers.say_farewell_to_all()
+        kill_at_ms = clock.now() + grace_ms - elapsed_ms
+        if node.hot_restart is None:
+            steps = self.serve_until_kill(kill_at_ms)
+        else:
+            steps = self.serve_until_superseded(kill_at_ms, node.hot_restart)
+        node.loop.spawn(steps)
+
+    def _grace_ms(self) -> float:
+        """Return the time until the kill; with a successor no more than open requests can need."""
+        config = self._node.config
+        if not self._node.state.superseded:
+            return config.stop_ms
+        longest_deadline_ms = 1000.0 * max(
+            request_class.deadline_s for request_class in config.settings.classes
+        )
+        return min(config.stop_ms, SUPERSEDED_GRACE_MS + min(SUPERSEDED_DEADLINE_MAX_MS, longest_deadline_ms))
+
+    def serve_until_superseded(self, kill_at_ms: float, channel: HotRestartChannel) -> TaskSteps:
+        """Leave new clients to the successor and exit once all is answered.
+
+        The listening socket is shared: closing it here would reject nobody. Without a successor, serve until
+        shortly before the kill.
+        """
+        node, clock = self._node, self._node.clock
+        busy_at_ms = clock.now()
+        while (now := clock.now()) < kill_at_ms - EXIT_BEFORE_KILL_MS:
+            if not node.state.superseded or node.balancers.has_pending_work() or node.state.requests:
+                busy_at_ms = now
+            elif now >= busy_at_ms + QUIET_BEFORE_EXIT_MS:
+                if not self._has_unread_work():
+                    break
+                busy_at_ms = now
+            yield Wait(until=now + POLL_INTERVAL_MS)
+        channel.close()
+        node.stop()
+
+    def serve_until_kill(self, kill_at_ms: float) -> TaskSteps:
+        """Serve until shortly before the kill, then close the listener, answer what came and exit."""
+        node, clock = self._node, self._node.clock
+        yield Wait(until=kill_at_ms - CLOSE_LISTENER_BEFORE_KILL_MS)
+        node.balancers.stop_accepting()
+        busy_at_ms = clock.now()
+        while (now := clock.now()) < kill_at_ms - EXIT_BEFORE_KILL_MS:
+            if now >= busy_at_ms + QUIET_BEFORE_EXIT_MS and not self._has_unread_work():
+                break
+            if node.balancers.busy:
+                busy_at_ms = now
+            yield Wait(until=now + POLL_INTERVAL_MS)
+        node.stop()
+
+    def _has_unread_work(self) -> bool:
+        """Read what lies in the sockets: where the loop was late, the quiet may be its own."""
+        self._node.balancers.read_pending()
+        return self._node.balancers.busy
--- a/tests/node/test_crossings.py
+++ b/tests/node/test_crossings.py
@@ -26,7 +26,8 @@
 from snowthread.core import effects
 from snowthread.frontends.balancers.server import PART_MS, PLACES_LEAST
 from snowthread.net.limits import FIRST_BYTE_TIMEOUT_MS, FRESH_IDLE_MS, SWEEP_INTERVAL_MS
-from snowthread.node import BLOCKED_SIGNALS, DOOR_MS, QUIET_MS
+from snowthread.node import BLOCKED_SIGNALS
+from snowthread.node.shutdown import CLOSE_LISTENER_BEFORE_KILL_MS, QUIET_BEFORE_EXIT_MS
 
 FAREWELL = [2, "farewell", []]
 REPLY = b"HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\nr"  # to a call
@@ -261,14 +262,14 @@
     player = started()
     connected(player, "1")
     node = player.node
-    node.loop.spawn(node._leave(player.clock.now_ms + 1000.0))
+    node.loop.spawn(node.shutdown.serve_until_kill(player.clock.now_ms + 1000.0))
     player.settle()
-    player.step("clock", str(1000.0 - DOOR_MS), "")
+    player.step("clock", str(1000.0 - CLOSE_LISTENER_BEFORE_KILL_MS), "")
     assert answer(player, "1") == FAREWELL
-    late(player, QUIET_MS)
+    late(player, QUIET_BEFORE_EXIT_MS)
     player.peers["1"].sendall(b"\x94\x00\x01\xa6health\x91\x80")
     assert answer(player, "1")[:2] == [1, 1]
-    player.step("clock", str(QUIET_MS), "")
+    player.step("clock", str(QUIET_BEFORE_EXIT_MS), "")
     player.settle()
     assert node._gone
 
@@ -280,17 +281,17 @@
     assert command(player)["action"] == "start"
     player.step("leave", "", "")
     node = player.node
-    node.loop.spawn(node._leave(START + 3200.0))
+    node.loop.spawn(node.shutdown.serve_until_kill(START + 3200.0))
     player.settle()
-    player.step("clock", str(3200.0 - DOOR_MS), "")
+    player.step("clock", str(3200.0 - CLOSE_LISTENER_BEFORE_KILL_MS), "")
     for _ in range(2):  # nothing comes or goes, and the request is open
-        player.step("clock", str(0.75 * QUIET_MS), "")
+        player.step("clock", str(0.75 * QUIET_BEFORE_EXIT_MS), "")
     assert not node._gone
     done(player, 1, 1)
     assert answer(player, "1") == FAREWELL
     assert answer(player, "1")[:3] == [1, 1, None]
     for _ in range(3):
-        player.step("clock", str(0.5 * QUIET_MS), "")
+        player.step("clock", str(0.5 * QUIET_BEFORE_EXIT_MS), "")
     assert node._gone
 
 
@@ -340,8 +341,8 @@
         player.step("clock", "400", "")
         assert roster.recv(100) == b"HERE n1 off"
         if n == 3:
-            player.node._drain(True)
-            assert player.node._drain(False)[0] == 409
+            player.node.operator_calls.drain()
+            assert player.node.operator_calls.resume()[0] == 409
     roster.close()
 
 
@@ -360,9 +361,9 @@
         player.node.loop.run_once(0.0)
         done(player, 1, 1)
     player.settle()
-    player.clock.now_ms = START + 3200.0 - DOOR_MS
+    player.clock.now_ms = START + 3200.0 - CLOSE_LISTENER_BEFORE_KILL_MS
     player.settle()
-    player.step("clock", str(QUIET_MS), "")
+    player.step("clock", str(QUIET_BEFORE_EXIT_MS), "")
     player.settle()
     found = [answer(player, "1") for _ in range(2)]
     assert FAREWELL in found and [1, 1, None] in [one[:3] for one in found]
