--- a/snowthread/__main__.py
+++ b/snowthread/__main__.py
@@ -1,4 +1,4 @@
-"""``python -m snowthread``. With no arguments it serves, and loads no command line for it."""
+"""``python -m snowthread``: without arguments it serves, and does not import the command line for that."""
 
 import sys
 
--- a/snowthread/address.py
+++ b/snowthread/address.py
@@ -1,33 +1,40 @@
-"""Addresses as they stand in the configuration, and sockets made for them."""
+"""Network addresses as the configuration gives them."""
 
 from __future__ import annotations
 
 import socket
 from typing import NamedTuple
 
+PORT_MAX = 65535
+
 
 class Address(NamedTuple):
-    """A host given as a number (there is no DNS) and a port."""
+    """A numeric IPv4 or IPv6 host (nothing here resolves names) and a port."""
 
     host: str
     port: int
 
     @classmethod
     def parse(cls, text: str) -> Address:
-        """From ``host:port``; ValueError says what is wrong."""
+        """Parse ``host:port``, an IPv6 host with or without brackets; ValueError says what is wrong."""
         host, _, port = text.rpartition(":")
         host = host.strip("[]")
-        if not host or not port.isdigit() or not 0 <= int(port) < 65536:
+        if not host or not port.isdigit() or not 0 <= int(port) <= PORT_MAX:
             raise ValueError(f"{text!r} is not an address of the form host:port")
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        address = cls(host, int(port))
         try:
-            socket.inet_pton(family, host)
+            socket.inet_pton(address.family, host)
         except OSError:
             raise ValueError(f"{text!r}: the host must be a numeric address") from None
-        return cls(host, int(port))
+        return address
+
+    @property
+    def family(self) -> socket.AddressFamily:
+        """The address family of the host."""
+        return socket.AF_INET6 if ":" in self.host else socket.AF_INET
 
     def open(self, kind: socket.SocketKind) -> socket.socket:
-        """A non-blocking socket of the right family."""
-        sock = socket.socket(socket.AF_INET6 if ":" in self.host else socket.AF_INET, kind)
+        """Return a new non-blocking socket of this address's family; OSError where none is left."""
+        sock = socket.socket(self.family, kind)
         sock.setblocking(False)
         return sock
--- a/snowthread/cli.py
+++ b/snowthread/cli.py
@@ -18,7 +18,13 @@
 from snowthread.recovery.cli import warm
 from snowthread.tenants.cli import tenants
 
-WITH = click.option(
+USAGE_STATUS = 2
+"""Exit status for a configuration that can't be used, as click has it for a wrong command line."""
+
+INTERRUPTED_STATUS = 130
+"""Exit status after an interrupt from the keyboard, as shells have it."""
+
+operator_file_option = click.option(
     "--with",
     "operator_file",
     metavar="FILE",
@@ -36,25 +42,28 @@
 @click.version_option(__version__, prog_name="snowthread")
 @click.pass_context
 def cli(context: click.Context) -> None:
-    """snowthread: a formula node. It reads requests from balancers, runs, holds or refuses each, and answers
-    it exactly once. Without a command it serves."""
+    """snowthread: a formula node.
+
+    It reads requests from balancers, runs, queues or rejects each, and answers it exactly once. Without a
+    command it serves.
+    """
     if context.invoked_subcommand is None:
         context.invoke(serve)
 
 
 @cli.command()
-@WITH
+@operator_file_option
 def serve(operator_file: Path | None) -> None:
-    """Serve until SIGTERM, answer what was read, and exit. SIGHUP reads all files anew."""
-    from snowthread.serve import serve as run
+    """Serve until SIGTERM, answer what was read, and exit. SIGHUP reloads all files."""
+    from snowthread.serve import serve as serve_node
 
-    run(operator_file)
+    serve_node(operator_file)
 
 
 @cli.command()
-@WITH
+@operator_file_option
 def check(operator_file: Path | None) -> None:
-    """Read the configuration, say whether it can be used, and exit (status 2 where it can't)."""
+    """Check the configuration, and exit with status 2 where it can't be used."""
     settings = config.load(os.environ)
     if operator_file is not None:
         from snowthread.operator.features import Features
@@ -83,17 +92,17 @@
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
-    """Entry point: the exit status."""
+    """Run a command and return the exit status; an error that is the user's ends with one line."""
     try:
-        code = cli.main(
+        status = cli.main(
             args=None if arguments is None else list(arguments), prog_name="snowthread", standalone_mode=False
         )
     except click.ClickException as error:
         error.show()
         return error.exit_code
     except click.Abort:
-        return 130
+        return INTERRUPTED_STATUS
     except config.ConfigError as error:
         print(f"snowthread: {error}", file=sys.stderr)
-        return 2
-    return code if isinstance(code, int) else 0
+        return USAGE_STATUS
+    return status if isinstance(status, int) else 0
--- a/snowthread/config.py
+++ b/snowthread/config.py
@@ -1,4 +1,9 @@
-"""What a node is told at its start: the environment and a JSON file, checked."""
+"""The configuration of a node: a JSON file and environment variables, read and checked.
+
+NODE_CONFIG names the file; NODE_NAME, NODE_LISTEN and NODE_ADMIN_ADDR replace single fields of it, and
+NODE_FD is a listening socket that another process of this node passed on. Anything that can't be used is a
+:class:`ConfigError` that names the file and the key.
+"""
 
 from __future__ import annotations
 
@@ -15,38 +20,57 @@
 from snowthread.admission.settings import Dependency, Settings
 from snowthread.admission.settings_parser import parse_settings
 
-SOCKETS, MEMORY_MB = 1024, 192.0  # where the file sets no limit
+DEFAULT_MAX_SOCKETS = 1024  # where the file sets no limit
+DEFAULT_MEMORY_MB = 192.0  # likewise
+MAX_SOCKETS_MIN = 64  # with fewer a node has none left for balancers
+DEFAULT_STOP_MS = 3000.0
+FIELD_BY_VARIABLE = {"NODE_NAME": "name", "NODE_LISTEN": "listen", "NODE_ADMIN_ADDR": "admin_addr"}
+"""The fields of the file that an environment variable replaces."""
 
 
 class ConfigError(Exception):
-    """Why the configuration can't be used, in one line."""
+    """A configuration that can't be used.
+
+    ``reason`` says why in one line; ``key`` is the key at fault, with the keys of the objects round it before
+    it, and ``path`` the file, where they are known. The text is ``path: key: reason``.
+    """
+
+    def __init__(self, reason: str, *, key: str | None = None, path: str | None = None) -> None:
+        super().__init__(": ".join(part for part in (path, key, reason) if part is not None))
+        self.reason, self.key, self.path = reason, key, path
+
+    def in_file(self, path: str) -> ConfigError:
+        """Return the same error with the file that it was found in."""
+        return ConfigError(self.reason, key=self.key, path=path)
 
 
 Shape = dict[str, Any]
-"""The keys of an object, each with the shape of what it holds; of a list of objects, what all have."""
+"""The keys of an object, each with the shape of its value; of a list of objects, the keys that all have."""
 
 
 def shape_of(value: object) -> Shape:
-    """The keys in a value, however deep."""
+    """Return the keys in a value, however deep."""
     if isinstance(value, dict):
-        return {key: shape_of(held) for key, held in value.items()}
+        return {key: shape_of(inner) for key, inner in value.items()}
     if isinstance(value, list) and value and all(isinstance(item, dict) for item in value):
         common = set.intersection(*(set(item) for item in value))
         return {key: shape_of(value[0][key]) for key in sorted(common)}
     return {}
 
 
-def missing_key(value: object, shape: Shape, place: str = "") -> str | None:
-    """The first key of the shape that is not in the value, with where it should stand. One that is there and
-    empty is there: what it may hold is another check's."""
+def missing_key(value: object, shape: Shape, prefix: str = "") -> str | None:
+    """Return the first key of the shape that the value lacks, with the keys round it, or None.
+
+    A key with an empty value is not missing: what it may hold is checked elsewhere.
+    """
     if isinstance(value, list):
-        return next(filter(None, (missing_key(item, shape, place) for item in value)), None)
+        return next(filter(None, (missing_key(item, shape, prefix) for item in value)), None)
     if not isinstance(value, dict):
         return None
-    for key, inner in shape.items():
+    for key, inner_shape in shape.items():
         if key not in value:
-            return place + key
-        found = missing_key(value[key], inner, f"{place}{key}: ")
+            return prefix + key
+        found = missing_key(value[key], inner_shape, f"{prefix}{key}: ")
         if found is not None:
             return found
     return None
@@ -60,119 +84,165 @@
     listen: Address
     runtime: Address
     registry: Address
-    database: Address | None  # none where the settings say that nothing lies below
+    database: Address | None  # None where the settings say that runs call no database
     seed: int
-    stop_ms: float
-    sockets: int
+    stop_ms: float  # from SIGTERM to the kill
+    sockets: int  # the most that may be open
     memory_mb: float
     settings: Settings
     gauge_names: tuple[str, ...]
-    admin: Address | None = None  # where the operators call
-    listen_descriptor: int | None = None  # the descriptor of a listening socket that was passed on
-    handover_directory: str | None = None  # where processes that share it find each other
+    admin: Address | None = None  # where operators call
+    listen_descriptor: int | None = None  # of a listening socket that another process passed on
+    handover_directory: str | None = None  # where processes that share that socket find each other
     shape: Shape = field(default_factory=dict, compare=False)  # the keys of the file
 
 
-def load(environment: Mapping[str, str], old: Config | None = None) -> Config:
-    """Read what NODE_CONFIG names; NODE_NAME, NODE_LISTEN and NODE_ADMIN_ADDR, where set, go before it. It
-    may lack no key that the ``old`` one had: half a file would else pass for one that leaves things out."""
+def load(environment: Mapping[str, str], previous: Config | None = None) -> Config:
+    """Return the configuration that the environment names.
+
+    It may lack no key that the ``previous`` one had: half a file would else pass for one that leaves things
+    out.
+    """
     path = environment.get("NODE_CONFIG")
     if not path:
         raise ConfigError("NODE_CONFIG is not set: it names the configuration file")
-    try:
-        fields = orjson.loads(Path(path).read_bytes())
-    except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror}") from None
-    except ValueError as error:
-        raise ConfigError(f"{path}: not JSON: {error}") from None
-    if not isinstance(fields, dict):
-        raise ConfigError(f"{path}: not a JSON object")
+    fields = _read_file(path)
     shape = shape_of(fields)
-    lacks = missing_key(fields, old.shape) if old is not None else None
-    if lacks is not None:
-        raise ConfigError(f"{path}: {lacks}: is missing, the configuration in force has it")
-    for name, variable in (
-        ("name", "NODE_NAME"),
-        ("listen", "NODE_LISTEN"),
-        ("admin_addr", "NODE_ADMIN_ADDR"),
-    ):
+    missing = missing_key(fields, previous.shape) if previous is not None else None
+    if missing is not None:
+        raise ConfigError("is missing, the configuration in force has it", key=missing, path=path)
+    for variable, key in FIELD_BY_VARIABLE.items():
         if environment.get(variable):
-            fields[name] = environment[variable]
-    number = environment.get("NODE_FD") or None
-    if number is not None and not (number.isascii() and number.isdigit()):
-        raise ConfigError(f"NODE_FD: {number!r} is not a descriptor's number")
+            fields[key] = environment[variable]
+    descriptor = _listen_descriptor(environment)
     try:
         config = replace(parse(fields), shape=shape)
-        if number is not None:
-            config = replace(
-                config, listen_descriptor=int(number), handover_directory=environment.get("TMPDIR")
-            )
-        return config
     except ConfigError as error:
-        raise ConfigError(f"{path}: {error}") from None
+        raise error.in_file(path) from None
+    if descriptor is None:
+        return config
+    return replace(config, listen_descriptor=descriptor, handover_directory=environment.get("TMPDIR"))
+
+
+def _read_file(path: str) -> dict[str, Any]:
+    try:
+        fields = orjson.loads(Path(path).read_bytes())
+    except OSError as error:
+        raise ConfigError(str(error.strerror), path=path) from None
+    except ValueError as error:
+        raise ConfigError(f"not JSON: {error}", path=path) from None
+    if not isinstance(fields, dict):
+        raise ConfigError("not a JSON object", path=path)
+    return fields
+
+
+def _listen_descriptor(environment: Mapping[str, str]) -> int | None:
+    """Return the descriptor of a listening socket that was passed on."""
+    number = environment.get("NODE_FD")
+    if not number:
+        return None
+    if not (number.isascii() and number.isdigit()):
+        raise ConfigError(f"{number!r} is not a descriptor's number", key="NODE_FD")
+    return int(number)
 
 
 def parse(fields: Mapping[str, Any]) -> Config:
-    """Check the fields one by one."""
+    """Check the fields of a file one by one; ConfigError names the first that can't be used."""
+    name = _parse_name(fields)
+    listen, runtime, registry = (_parse_address(fields, key) for key in ("listen", "runtime", "roster"))
+    database = _parse_address(fields, "index") if fields.get("index") else None
+    admin = _parse_address(fields, "admin_addr") if fields.get("admin_addr") is not None else None
+    stop_ms = _parse_stop_ms(fields)
+    sockets, memory_mb = _parse_limits(fields)
+    seed = _parse_seed(fields)
+    settings, gauge_names = _parse_settings(fields, seed)
+    if database is None and settings.dependency is not Dependency.NONE:
+        raise ConfigError("an address is wanted, the settings say that calls are made below", key="index")
+    return Config(
+        name=name,
+        listen=listen,
+        runtime=runtime,
+        registry=registry,
+        database=database,
+        seed=seed,
+        stop_ms=stop_ms,
+        sockets=sockets,
+        memory_mb=memory_mb,
+        settings=settings,
+        gauge_names=gauge_names,
+        admin=admin,
+    )
+
+
+def _parse_name(fields: Mapping[str, Any]) -> str:
     name = fields.get("name")
-    if not isinstance(name, str) or not name or any(c.isspace() for c in name):
-        raise ConfigError("name: a word is wanted")
-    addresses = {}
-    for peer in ("listen", "runtime", "roster", *(["index"] if fields.get("index") else [])):
-        try:
-            addresses[peer] = Address.parse(str(fields.get(peer, "")))
-        except ValueError as error:
-            raise ConfigError(f"{peer}: {error}") from None
-    admin = None
-    if fields.get("admin_addr") is not None:
-        try:
-            admin = Address.parse(str(fields["admin_addr"]))
-        except ValueError as error:
-            raise ConfigError(f"admin_addr: {error}") from None
-    stop = fields.get("stop_ms", 3000.0)
-    if isinstance(stop, bool) or not isinstance(stop, int | float) or not 0.0 < stop < math.inf:
-        raise ConfigError("stop_ms: a number of milliseconds above 0 is wanted")
+    if not isinstance(name, str) or not name or any(character.isspace() for character in name):
+        raise ConfigError("a word is wanted", key="name")
+    return name
+
+
+def _parse_address(fields: Mapping[str, Any], key: str) -> Address:
+    try:
+        return Address.parse(str(fields.get(key, "")))
+    except ValueError as error:
+        raise ConfigError(str(error), key=key) from None
+
+
+def _parse_stop_ms(fields: Mapping[str, Any]) -> float:
+    stop_ms = fields.get("stop_ms", DEFAULT_STOP_MS)
+    if not _is_positive_number(stop_ms):
+        raise ConfigError("a number of milliseconds above 0 is wanted", key="stop_ms")
+    return float(stop_ms)
+
+
+def _parse_limits(fields: Mapping[str, Any]) -> tuple[int, float]:
+    """Return the most sockets and the memory in MB."""
     limits = fields.get("limits") or {}
-    sockets = limits.get("sockets", SOCKETS) if isinstance(limits, dict) else None
-    if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < 64:
-        raise ConfigError("limits: sockets: a whole number of at least 64 is wanted")
-    memory = limits.get("memory_mb", MEMORY_MB) if isinstance(limits, dict) else None
-    if isinstance(memory, bool) or not isinstance(memory, int | float) or not 0.0 < memory < math.inf:
-        raise ConfigError("limits: memory_mb: a number above 0 is wanted")
+    sockets = limits.get("sockets", DEFAULT_MAX_SOCKETS) if isinstance(limits, dict) else None
+    if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < MAX_SOCKETS_MIN:
+        raise ConfigError(f"a whole number of at least {MAX_SOCKETS_MIN} is wanted", key="limits: sockets")
+    memory_mb = limits.get("memory_mb", DEFAULT_MEMORY_MB)
+    if not _is_positive_number(memory_mb):
+        raise ConfigError("a number above 0 is wanted", key="limits: memory_mb")
+    return sockets, float(memory_mb)
+
+
+def _parse_seed(fields: Mapping[str, Any]) -> int:
     try:
-        seed = int(str(fields.get("seed", "0")), 16)
+        return int(str(fields.get("seed", "0")), 16)
     except ValueError:
-        raise ConfigError("seed: hex digits are wanted") from None
+        raise ConfigError("hex digits are wanted", key="seed") from None
+
+
+def _parse_settings(fields: Mapping[str, Any], seed: int) -> tuple[Settings, tuple[str, ...]]:
+    """Return the admission settings, tried on a controller, and the names of the runtime's gauges."""
     facts = fields.get("settings")
     if not isinstance(facts, dict):
-        raise ConfigError("settings: an object is wanted")
+        raise ConfigError("an object is wanted", key="settings")
     try:
-        for n, kind in enumerate(facts.get("classes") or ()):
-            for key in ("goal_time_s", "deadline_s"):
-                value = kind[key]
-                if type(value) not in (int, float) or not 0.0 < value < math.inf:
-                    raise ValueError(f"classes: {n}: {key}: a number of seconds above 0 is wanted")
+        _check_class_times(facts)
         settings = parse_settings(facts)
-        names = [c.name for c in settings.classes]
-        if not all(isinstance(name, str) and name for name in names) or len(set(names)) < len(names):
-            raise ValueError("classes: each wants a name of its own")
+        _check_class_names(settings)
         Controller(settings, seed)
-        meters = tuple(str(m) for m in (facts.get("domain") or {}).get("meters") or ())
+        gauge_names = tuple(str(name) for name in (facts.get("domain") or {}).get("meters") or ())
     except (ValueError, TypeError, KeyError, AttributeError, ArithmeticError) as error:
         raise ConfigError(f"settings can't be used: {type(error).__name__}: {error}") from None
-    if "index" not in addresses and settings.dependency is not Dependency.NONE:
-        raise ConfigError("index: an address is wanted, the settings say that calls are made below")
-    return Config(
-        name=name,
-        seed=seed,
-        stop_ms=float(stop),
-        sockets=sockets,
-        memory_mb=float(memory),
-        settings=settings,
-        gauge_names=meters,
-        listen=addresses["listen"],
-        runtime=addresses["runtime"],
-        registry=addresses["roster"],
-        database=addresses.get("index"),
-        admin=admin,
-    )
+    return settings, gauge_names
+
+
+def _check_class_times(facts: Mapping[str, Any]) -> None:
+    for index, request_class in enumerate(facts.get("classes") or ()):
+        for key in ("goal_time_s", "deadline_s"):
+            seconds = request_class[key]
+            if type(seconds) not in (int, float) or not 0.0 < seconds < math.inf:
+                raise ValueError(f"classes: {index}: {key}: a number of seconds above 0 is wanted")
+
+
+def _check_class_names(settings: Settings) -> None:
+    names = [request_class.name for request_class in settings.classes]
+    if not all(isinstance(name, str) and name for name in names) or len(set(names)) < len(names):
+        raise ValueError("classes: each wants a name of its own")
+
+
+def _is_positive_number(value: object) -> bool:
+    return isinstance(value, int | float) and not isinstance(value, bool) and 0.0 < value < math.inf
--- a/snowthread/log.py
+++ b/snowthread/log.py
@@ -1,4 +1,4 @@
-"""Logs: lines for people, or one JSON object a line where NODE_LOG_FORMAT asks for it.
+"""Logging: plain lines, or one JSON object a line where NODE_LOG_FORMAT asks for it.
 
 Field names are stable: ``time``, ``level``, ``event``, ``message`` and whatever the line binds (``peer``,
 ``tenant``, ``ms``...). A line that binds no event has the event ``note``.
@@ -15,26 +15,26 @@
 if TYPE_CHECKING:
     from loguru import Message
 
-PLAIN = "{time:HH:mm:ss.SSS} {level} {message}"
+PLAIN_FORMAT = "{time:HH:mm:ss.SSS} {level} {message}"
 
 
 def set_up(environment: Mapping[str, str]) -> None:
-    """Log to standard error: NODE_LOG is the least level, NODE_LOG_FORMAT ``json`` or ``plain``."""
+    """Log to standard error; NODE_LOG is the lowest level logged, NODE_LOG_FORMAT ``json`` or ``plain``."""
     logger.remove()
     level = environment.get("NODE_LOG", "INFO")
     if environment.get("NODE_LOG_FORMAT", "plain") == "json":
-        logger.add(_write, level=level, backtrace=False, diagnose=False)
+        logger.add(_write_json, level=level, backtrace=False, diagnose=False)
     else:
-        logger.add(sys.stderr, level=level, backtrace=False, diagnose=False, format=PLAIN)
+        logger.add(sys.stderr, level=level, backtrace=False, diagnose=False, format=PLAIN_FORMAT)
 
 
-def _write(message: Message) -> None:
+def _write_json(message: Message) -> None:
     sys.stderr.write(as_json(message).decode() + "\n")
     sys.stderr.flush()
 
 
 def as_json(message: Message) -> bytes:
-    """One record as one JSON object; what JSON has no form for is written as text."""
+    """Return a log record as one JSON object; a value that JSON has no form for becomes text."""
     import orjson
 
     record = message.record
--- a/snowthread/reload.py
+++ b/snowthread/reload.py
@@ -1,4 +1,4 @@
-"""Reading the configuration anew while serving."""
+"""Reloading the configuration while serving."""
 
 from __future__ import annotations
 
@@ -13,37 +13,59 @@
 if TYPE_CHECKING:
     from snowthread.operator.features import Features
 
-RESTART_ONLY_FIELDS = "name", "listen", "admin", "sockets", "memory_mb"  # these take a new start
+RESTART_ONLY_FIELDS = ("name", "listen", "admin", "sockets", "memory_mb")
+"""Fields of the configuration that only a new start takes up."""
 
 
 class Reconfigurable(Protocol):
-    """Who can go on with a new configuration."""
+    """What can go on with a new configuration."""
 
     config: Config
     features: Features | None
 
     def apply_configuration(self, config: Config, features: Features | None) -> None:
-        """Take it up."""
+        """Go on with it; OSError where no socket can be opened, and nothing has changed then."""
 
 
 def reload(node: Reconfigurable, environment: Mapping[str, str] = os.environ) -> None:
-    """Take up the configuration as it stands now. A file that can't be used changes nothing: whoever replaced
-    it can put it right, and a node that ended over it would take its runs along."""
+    """Take up the files as they stand now; a file that can't be used changes nothing.
+
+    Whoever replaced the file can correct it, while a node that ended over it would end its runs too.
+    """
     try:
-        config, features = load(environment, node.config), node.features
-        if features is not None:  # the operator's file goes with it: both are taken up, or neither
-            features = features.load(features.path, config)
+        config, features = _load_files(node, environment)
     except ConfigError as error:
-        logger.bind(event="config.refused").error("configuration not taken up, the old one stays: {}", error)
+        _log_rejected(error)
         return
-    kept = [field for field in RESTART_ONLY_FIELDS if getattr(config, field) != getattr(node.config, field)]
-    if features is not None and node.features is not None:
-        kept += features.new_start(node.features)
+    restart_only = _restart_only_changes(node, config, features)
     try:
         node.apply_configuration(config, features)
     except OSError as error:  # no descriptor left: it must not end the task that listens for signals
-        logger.bind(event="config.refused").error("configuration not taken up, the old one stays: {}", error)
+        _log_rejected(error)
         return
     logger.bind(event="config.read").info(
-        "configuration read anew{}", f"; {', '.join(kept)} only at the next start" if kept else ""
+        "configuration read anew{}",
+        f"; {', '.join(restart_only)} only at the next start" if restart_only else "",
     )
+
+
+def _log_rejected(error: Exception) -> None:
+    logger.bind(event="config.refused").error("configuration not taken up, the old one stays: {}", error)
+
+
+def _load_files(node: Reconfigurable, environment: Mapping[str, str]) -> tuple[Config, Features | None]:
+    """Read the configuration and the operator's file: both are taken up, or neither."""
+    config, features = load(environment, node.config), node.features
+    if features is not None:
+        features = features.load(features.path, config)
+    return config, features
+
+
+def _restart_only_changes(node: Reconfigurable, config: Config, features: Features | None) -> list[str]:
+    """Return the names of what differs and takes a new start."""
+    changed = [
+        field for field in RESTART_ONLY_FIELDS if getattr(config, field) != getattr(node.config, field)
+    ]
+    if features is not None and node.features is not None:
+        changed += features.new_start(node.features)
+    return changed
--- a/snowthread/serve.py
+++ b/snowthread/serve.py
@@ -1,4 +1,4 @@
-"""Serving, as ``run`` in deploy/balancer.toml starts it: no command line is loaded for it."""
+"""Serving, as ``run`` in deploy/balancer.toml starts it: without the command line's modules."""
 
 from __future__ import annotations
 
@@ -12,11 +12,12 @@
 from snowthread.net.clock import Clock
 from snowthread.node import BLOCKED_SIGNALS, Node
 
-COLLECT_AFTER = 10_000  # objects made between two rounds of the collector: the node makes few cycles
+COLLECTION_THRESHOLDS = (10_000, 20, 20)
+"""Thresholds of the garbage collector's generations: high, as the node makes few reference cycles."""
 
 
 def main() -> int:
-    """Serve; a configuration that can't be used ends it with status 2 and one line."""
+    """Serve and return the exit status: 2, after one line, for a configuration that can't be used."""
     try:
         serve(None)
     except config.ConfigError as error:
@@ -27,7 +28,7 @@
 
 def serve(operator_file: Path | None) -> None:
     """Serve as the environment says, with the features of an operator's file where one is named."""
-    # Held back until the node listens for them: they would end the program, some with clients at its door.
+    # Blocked until the node listens for them: their defaults would end the program with clients connected.
     signal.pthread_sigmask(signal.SIG_BLOCK, BLOCKED_SIGNALS)
     log.set_up(os.environ)
     settings = config.load(os.environ)
@@ -36,12 +37,16 @@
         from snowthread.operator.features import Features
 
         features = Features.load(operator_file, settings)
-    # What is loaded by now stays: looked through at each of the collector's rounds it cost a stall each.
-    gc.freeze()
-    gc.set_threshold(COLLECT_AFTER, 20, 20)
+    _tune_garbage_collector()
     try:
         node = Node(settings, Clock(), features)
     except OSError as error:
-        place = error.filename or "{}:{}".format(*settings.listen)
-        raise config.ConfigError(f"can't listen on {place}: {error.strerror}") from None
+        address = error.filename or "{}:{}".format(*settings.listen)
+        raise config.ConfigError(f"can't listen on {address}: {error.strerror}") from None
     node.serve()
+
+
+def _tune_garbage_collector() -> None:
+    """Keep what is loaded by now out of collections: looking it through took a noticeable stall each time."""
+    gc.freeze()
+    gc.set_threshold(*COLLECTION_THRESHOLDS)
