net: docstrings, whole names and units; the TLS stream flushes in one place

Names such as `_by_fd`, `_order` and `_out` said little, and the pair "take TLS output, flush" stood five times. Timers stay lists, as a wait with a timeout makes one, and a round of the loop stays one function.

--- a/snowthread/net/__init__.py
+++ b/snowthread/net/__init__.py
@@ -1,1 +1,1 @@
-"""The peers of a node on sockets: for each a codec and coroutines on one epoll loop."""
+"""Sockets and time: one epoll loop with coroutines and timers, connecting, TLS, and limits on connections."""
--- a/snowthread/net/attempt.py
+++ b/snowthread/net/attempt.py
@@ -1,4 +1,4 @@
-"""Errors as values: how far an attempt had come when it failed, and why."""
+"""Failures of network attempts as values: how far the attempt had come, and why it failed."""
 
 from __future__ import annotations
 
@@ -9,14 +9,14 @@
 class Progress(Enum):
     """How far an attempt had come."""
 
-    NOT_CONNECTED = 0  # not a byte can have arrived
-    SENT = 1  # some of it may have
-    REPLY_BEGUN = 2  # an answer began
+    NOT_CONNECTED = 0  # the peer can't have received a byte
+    SENT = 1  # the peer may have received some of it
+    REPLY_BEGUN = 2  # the peer had begun to answer
 
 
 @dataclass(frozen=True, slots=True)
 class Failure:
-    """An attempt that failed."""
+    """A failed attempt."""
 
     progress: Progress
     reason: str
--- a/snowthread/net/clock.py
+++ b/snowthread/net/clock.py
@@ -6,18 +6,19 @@
 
 
 class Clock:
-    """The system's Unix clock, in which peers state their times too."""
+    """The system's Unix clock, which peers state their times by, too."""
 
     def now(self) -> float:
-        """Milliseconds since the epoch."""
+        """Return the milliseconds since the epoch."""
         return time.time() * 1000.0
 
 
 class ManualClock(Clock):
-    """A clock that stands where a test puts it."""
+    """A clock for tests, which stands still until ``now_ms`` is set."""
 
     def __init__(self, now: float) -> None:
         self.now_ms = now
 
     def now(self) -> float:
+        """Return the time that was set."""
         return self.now_ms
--- a/snowthread/net/connect.py
+++ b/snowthread/net/connect.py
@@ -12,8 +12,11 @@
 
 
 class ConnectAttempt:
-    """One attempt to connect; after ``steps`` either ``sock`` or ``failure`` is there. Waking the task that
-    waits for it gives the attempt up."""
+    """One attempt to connect by TCP until a time in Unix milliseconds.
+
+    After ``steps`` has run, ``sock`` is the connected socket, or it is None and ``failure`` says why. Waking
+    the task that runs the steps gives the attempt up, as a timeout.
+    """
 
     def __init__(self, address: Address, loop: EventLoop, until: float) -> None:
         self.address, self.loop, self.deadline_ms = address, loop, until
@@ -21,10 +24,10 @@
         self.failure = Failure(Progress.NOT_CONNECTED, "not tried")
 
     def steps(self) -> TaskSteps:
-        """Connect or say why not."""
+        """Connect, or set ``failure``."""
         try:
             sock = self.address.open(socket.SOCK_STREAM)
-        except OSError as error:  # no descriptor left, mostly
+        except OSError as error:  # mostly no descriptor left
             self.failure = Failure(Progress.NOT_CONNECTED, str(error))
             return
         code = sock.connect_ex(self.address)
--- a/snowthread/net/loop.py
+++ b/snowthread/net/loop.py
@@ -1,7 +1,10 @@
-"""One epoll loop: generators as coroutines, and timers in a heap.
+"""An event loop on epoll: generators as coroutines, and timers in a heap.
 
-A coroutine yields a :class:`Wait` and is resumed with the epoll mask that came, or with 0 when its time is
-up or somebody woke it. An exception ends the coroutine it came from and nothing else.
+A coroutine yields a :class:`Wait` and is resumed with the epoll mask of what happened, or with 0 when its
+time is up or its task was woken. An exception ends the coroutine that it came from and nothing else.
+
+One round of the loop resumes the tasks that were woken, then those whose sockets are ready, then runs the
+timers that are due. All times are Unix milliseconds by the loop's clock.
 """
 
 from __future__ import annotations
@@ -19,22 +22,30 @@
 
 from snowthread.net.clock import Clock
 
-CANCELLED_MAX = 256  # timers taken back that may lie in the heap whatever its size
-POLL_MAX_S = 3600.0  # longest sleep: epoll takes no endless times
+CANCELLED_TIMERS_MAX = 256  # cancelled timers that may lie in the heap, however small it is
+POLL_MAX_S = 3600.0  # the longest sleep: epoll takes no infinite timeout as a float
 
-READABLE, WRITABLE, HANGUP = select.EPOLLIN, select.EPOLLOUT, select.EPOLLHUP | select.EPOLLERR
+READABLE = select.EPOLLIN
+WRITABLE = select.EPOLLOUT
+HANGUP = select.EPOLLHUP | select.EPOLLERR
 
 
 class Wait(NamedTuple):
-    """What a coroutine waits for: a file descriptor to be ready, a time, or to be woken."""
+    """What a coroutine waits for: a file descriptor to be ready, a time in milliseconds, or to be woken."""
 
-    fd: int = -1
+    fd: int = -1  # none
     mask: int = 0
     until: float = math.inf
 
 
 TaskSteps = Generator[Wait, int, None]
-Timer = list[Callable[[], None]]  # empty once it fired or was taken back
+"""A coroutine: yields what it waits for and is sent the epoll mask of what happened."""
+
+Timer = list[Callable[[], None]]
+"""A scheduled call, to cancel it by; empty once it was called or cancelled.
+
+A list, and not a class of ours, as each wait with a timeout makes one.
+"""
 
 
 class Task:
@@ -43,9 +54,9 @@
     __slots__ = ("begun", "fd", "mask", "steps", "timer", "woken")
 
     def __init__(self, steps: TaskSteps) -> None:
-        self.steps: TaskSteps | None = steps
-        self.fd, self.mask = -1, 0
-        self.timer: Timer | None = None
+        self.steps: TaskSteps | None = steps  # None once it has ended
+        self.fd, self.mask = -1, 0  # what it waits for
+        self.timer: Timer | None = None  # of the wait's time
         self.begun = self.woken = False
 
 
@@ -55,12 +66,12 @@
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self._epoll = select.epoll()
-        self._by_fd: dict[int, Task] = {}
-        self._tasks: dict[Task, None] = {}
-        self._ready: deque[Task] = deque()
-        self._timers: list[tuple[float, int, Timer]] = []
-        self._cancelled = 0  # timers in the heap that were taken back
-        self._order = itertools.count()
+        self._task_by_fd: dict[int, Task] = {}
+        self._tasks: dict[Task, None] = {}  # in the order in which they were spawned
+        self._woken_tasks: deque[Task] = deque()
+        self._timers: list[tuple[float, int, Timer]] = []  # a heap of time, sequence number, call
+        self._cancelled_timers = 0  # in the heap
+        self._timer_numbers = itertools.count()  # timers of one time run in the order they were made in
         self._stopped = False
 
     def spawn(self, steps: TaskSteps) -> Task:
@@ -71,36 +82,39 @@
         return task
 
     def wake(self, task: Task) -> None:
-        """Resume a task with 0 soon, whatever it waits for."""
+        """Resume a task with 0 in the next round, whatever it waits for."""
         if not task.woken and task.steps is not None:
             task.woken = True
-            self._ready.append(task)
+            self._woken_tasks.append(task)
 
     def call_at(self, when: float, call: Callable[[], None]) -> Timer:
-        """Call at a time; the timer can be cancelled."""
+        """Call at a time in milliseconds; return the timer to cancel it by."""
         timer: Timer = [call]
-        heapq.heappush(self._timers, (when, next(self._order), timer))
+        heapq.heappush(self._timers, (when, next(self._timer_numbers), timer))
         return timer
 
     def cancel(self, timer: Timer | None) -> None:
-        """Take a timer back; one that fired already is left alone. Where most of the heap was taken back it
-        is made anew: calls that end early would else leave their limits behind by the thousand."""
+        """Cancel a timer; one that was called already is left alone.
+
+        Where most of the heap is cancelled it is rebuilt: calls that end early would otherwise leave their
+        timeouts behind by the thousand.
+        """
         if timer:
             timer.clear()
-            self._cancelled += 1
-            if self._cancelled > max(CANCELLED_MAX, len(self._timers) // 2):
+            self._cancelled_timers += 1
+            if self._cancelled_timers > max(CANCELLED_TIMERS_MAX, len(self._timers) // 2):
                 self._timers = [entry for entry in self._timers if entry[2]]
                 heapq.heapify(self._timers)
-                self._cancelled = 0
+                self._cancelled_timers = 0
 
     def close(self, sock: socket.socket) -> None:
-        """Close a socket. Its number may be another's at once, so nothing may still be watched under it."""
+        """Close a socket. Its number may be reused at once, so nothing may still be watched under it."""
         self.unwatch(sock.fileno())
         sock.close()
 
     def unwatch(self, fd: int) -> None:
-        """Watch a descriptor no more; to be called before it is closed."""
-        task = self._by_fd.pop(fd, None)
+        """Stop watching a descriptor; to be called before it is closed."""
+        task = self._task_by_fd.pop(fd, None)
         if task is not None:
             task.fd = -1
             self._epoll.unregister(fd)
@@ -116,40 +130,43 @@
         self._close_tasks()
 
     def _close_tasks(self) -> None:
-        """End what still waits while its descriptors can be put away: left to the interpreter's exit, the
-        coroutines would find the loop gone and fail one by one."""
+        """End the tasks that still wait, while the loop can still unwatch their descriptors.
+
+        Left to the interpreter's exit, the coroutines would find the loop gone and fail one by one.
+        """
         for task in list(self._tasks):
             self.end_task(task)
         self._epoll.close()
 
     def run_once(self, longest_s: float) -> None:
-        """One round: what is ready, what came, what is due."""
-        for _ in range(len(self._ready)):
-            task = self._ready.popleft()
+        """Run one round, which sleeps for at most so many seconds where nothing is ready."""
+        # In one function, for it runs thousands of times a second.
+        for _ in range(len(self._woken_tasks)):
+            task = self._woken_tasks.popleft()
             task.woken = False
             self._resume(task, 0)
         while self._timers and not self._timers[0][2]:
             heapq.heappop(self._timers)
-            self._cancelled -= 1
-        wait = longest_s
-        if self._ready:
-            wait = 0.0
+            self._cancelled_timers -= 1
+        sleep_s = longest_s
+        if self._woken_tasks:
+            sleep_s = 0.0
         elif self._timers:
-            wait = min(wait, max(0.0, (self._timers[0][0] - self.clock.now()) / 1000.0))
-        for fd, mask in self._epoll.poll(wait):
-            watcher = self._by_fd.get(fd)
+            sleep_s = min(longest_s, max(0.0, (self._timers[0][0] - self.clock.now()) / 1000.0))
+        for fd, mask in self._epoll.poll(sleep_s):
+            watcher = self._task_by_fd.get(fd)
             if watcher is not None:
                 self._resume(watcher, mask)
         now = self.clock.now()
         while self._timers and self._timers[0][0] <= now:
             timer = heapq.heappop(self._timers)[2]
             if not timer:
-                self._cancelled -= 1
-            else:
-                try:
-                    timer.pop()()
-                except Exception:
-                    logger.exception("a timer failed")
+                self._cancelled_timers -= 1
+                continue
+            try:
+                timer.pop()()
+            except Exception:
+                logger.exception("a timer failed")
 
     def _resume(self, task: Task, mask: int) -> None:
         if task.steps is None:
@@ -161,18 +178,19 @@
             task.begun = True
         except StopIteration:
             self._end(task)
-        except Exception:  # exceptions stop here: one connection's trouble is not another's
+        except Exception:  # exceptions stop here: one connection's failure is not another's
             logger.exception("a coroutine failed")
             self._end(task)
         else:
-            self._park(task, wait)
+            self._suspend(task, wait)
 
-    def _park(self, task: Task, wait: Wait) -> None:
+    def _suspend(self, task: Task, wait: Wait) -> None:
+        """Watch for what a task waits for; most wait for the same descriptor again."""
         if wait.fd != task.fd:
-            self._unwatch(task)
+            self._unwatch_task(task)
             if wait.fd >= 0:
                 self._epoll.register(wait.fd, wait.mask)
-                self._by_fd[wait.fd] = task
+                self._task_by_fd[wait.fd] = task
             task.fd, task.mask = wait.fd, wait.mask
         elif wait.fd >= 0 and wait.mask != task.mask:
             self._epoll.modify(wait.fd, wait.mask)
@@ -180,19 +198,19 @@
         if wait.until < math.inf:
             task.timer = self.call_at(wait.until, lambda: self.wake(task))
 
-    def _unwatch(self, task: Task) -> None:
-        if task.fd >= 0 and self._by_fd.get(task.fd) is task:
-            del self._by_fd[task.fd]
+    def _unwatch_task(self, task: Task) -> None:
+        if task.fd >= 0 and self._task_by_fd.get(task.fd) is task:
+            del self._task_by_fd[task.fd]
             self._epoll.unregister(task.fd)
         task.fd = -1
 
     def end_task(self, task: Task) -> None:
-        """End a task now; it runs what it has to run on its way out."""
+        """End a task now; its ``finally`` blocks run."""
         if task.steps is not None:
             task.steps.close()
         self._end(task)
 
     def _end(self, task: Task) -> None:
-        self._unwatch(task)
+        self._unwatch_task(task)
         self._tasks.pop(task, None)
         task.steps = None
--- a/snowthread/net/tls_stream.py
+++ b/snowthread/net/tls_stream.py
@@ -1,7 +1,7 @@
-"""A byte stream on the loop, in clear text or in TLS through memory buffers, written without threads.
+"""A byte stream on the event loop, in clear text or in TLS through memory buffers, without threads.
 
-Whoever owns the stream is the one coroutine that reads it. Failures are values; a certificate that can't be
-verified is one of them and never leads to clear text.
+One coroutine owns a stream and reads it. Failures are values; a certificate that can't be verified is one of
+them and never leads to clear text.
 """
 
 from __future__ import annotations
@@ -13,39 +13,43 @@
 from snowthread.net.attempt import Failure, Progress
 from snowthread.net.loop import HANGUP, READABLE, WRITABLE, EventLoop, Wait
 
-READ_BYTES = 16 * 1024  # taken in one turn, so that a peer that floods gets no more than others
-OUT_MAX = 256 * 1024  # bytes unsent from which the peer counts as gone
+READ_BYTES = 16 * 1024  # read in one round, so that a peer that floods gets no more than others
+UNSENT_BYTES_MAX = 256 * 1024  # beyond this the peer counts as gone
 
 
 class Stream:
-    """One connected socket."""
+    """One connected socket and what has not been sent on it yet."""
 
     def __init__(self, loop: EventLoop, sock: socket.socket) -> None:
         self._loop, self._sock = loop, sock
-        self._out = bytearray()
+        self._unsent = bytearray()
         self._tls: ssl.SSLObject | None = None
-        self._in_bio, self._out_bio = ssl.MemoryBIO(), ssl.MemoryBIO()
+        self._tls_input, self._tls_output = ssl.MemoryBIO(), ssl.MemoryBIO()
 
     def write(self, data: bytes) -> None:
-        """Send what goes and keep the rest for ``read``, which sees an error too."""
+        """Send what the socket takes and keep the rest for ``read``, which reports an error, too."""
         if self._tls is not None:
             self._tls.write(data)
-            data = self._out_bio.read()
-        self._out += data
-        self._flush()
+            self._flush_tls()
+        else:
+            self._unsent += data
+            self._flush()
 
     def read(self, until: float) -> Generator[Wait, int, bytes | Failure]:
-        """Bytes that came; none where time is up or the task was woken; a Failure at the stream's end."""
-        if self._tls is not None:  # what a handshake or a read left over
+        """Return bytes that came, or a Failure at the stream's end.
+
+        No bytes: the time, in milliseconds, is up or the task was woken.
+        """
+        if self._tls is not None:  # what a handshake or an earlier read left over
             data = self._decrypt(b"")
             if data:
                 return data
-        if len(self._out) > OUT_MAX:
+        if len(self._unsent) > UNSENT_BYTES_MAX:
             return Failure(Progress.SENT, "the peer reads nothing")
-        got = yield Wait(self._sock.fileno(), READABLE | WRITABLE if self._out else READABLE, until)
-        if got & WRITABLE:
+        ready = yield self._wait(until)
+        if ready & WRITABLE:
             self._flush()
-        if not got & (READABLE | HANGUP):
+        if not ready & (READABLE | HANGUP):
             return b""
         raw = self._receive()
         if isinstance(raw, Failure) or self._tls is None:
@@ -55,39 +59,39 @@
     def secure(
         self, context: ssl.SSLContext, name: str, until: float
     ) -> Generator[Wait, int, Failure | None]:
-        """Wrap the stream in TLS as a client; the peer has to prove that it is ``name``."""
-        tls = context.wrap_bio(self._in_bio, self._out_bio, server_hostname=name)
+        """Wrap the stream in TLS as a client; return a Failure where the peer can't prove to be ``name``."""
+        tls = context.wrap_bio(self._tls_input, self._tls_output, server_hostname=name)
         while True:
             try:
                 tls.do_handshake()
             except ssl.SSLWantReadError:
                 pass
             except ssl.SSLCertVerificationError as error:
-                self._out += self._out_bio.read()  # the alert that says why
-                self._flush()
+                self._flush_tls()  # the alert that says why
                 return Failure(Progress.SENT, f"certificate: {error.verify_message}")
             except (ssl.SSLError, ssl.CertificateError) as error:
                 return Failure(Progress.SENT, f"TLS: {getattr(error, 'reason', None) or error}")
             else:
-                self._out += self._out_bio.read()
-                self._flush()
+                self._flush_tls()
                 self._tls = tls
                 return None
-            self._out += self._out_bio.read()
-            self._flush()
+            self._flush_tls()
             if self._loop.clock.now() >= until:
                 return Failure(Progress.SENT, "TLS: no time left", timed_out=True)
-            got = yield Wait(self._sock.fileno(), READABLE | WRITABLE if self._out else READABLE, until)
-            if got & (READABLE | HANGUP):
+            ready = yield self._wait(until)
+            if ready & (READABLE | HANGUP):
                 raw = self._receive()
                 if isinstance(raw, Failure):
                     return raw
-                self._in_bio.write(raw)
+                self._tls_input.write(raw)
 
     def close(self) -> None:
         """Close now."""
         self._loop.close(self._sock)
 
+    def _wait(self, until: float) -> Wait:
+        return Wait(self._sock.fileno(), READABLE | WRITABLE if self._unsent else READABLE, until)
+
     def _receive(self) -> bytes | Failure:
         try:
             data = self._sock.recv(READ_BYTES)
@@ -99,15 +103,20 @@
 
     def _flush(self) -> None:
         try:
-            while self._out:
-                del self._out[: self._sock.send(self._out)]
+            while self._unsent:
+                del self._unsent[: self._sock.send(self._unsent)]
         except OSError:  # full, or broken: the next read tells which
             pass
 
+    def _flush_tls(self) -> None:
+        """Send what the TLS layer has written."""
+        self._unsent += self._tls_output.read()
+        self._flush()
+
     def _decrypt(self, raw: bytes) -> bytes | Failure:
         if self._tls is None:
             return raw
-        self._in_bio.write(raw)
+        self._tls_input.write(raw)
         try:
             data = self._tls.read(READ_BYTES)
         except ssl.SSLWantReadError:
@@ -117,6 +126,5 @@
         else:
             if not data:
                 return Failure(Progress.SENT, "closed by the peer")
-        self._out += self._out_bio.read()  # answers to key updates
-        self._flush()
+        self._flush_tls()  # answers to key updates
         return data
