Hot restart: typed messages, socket file, link and channel in modules of their own

The channel found the peer process, listened, queued, read and followed the states in one class, and the codec kept two dicts and bare strings that had to match each other.

messages.py has one MessageFormat a kind of message, HandoverSignal for the four steps and PeerProtocolError (a ValueError) for what is no message; socket_file.py finds the peer process, link.py is one connection with its bounded queue, channel.py follows the states, with their table. Names and fields on the wire and the socket file's name are as they were. Log events beside.* are hot_restart.*.

tests/hot_restart/test_hot_restart.py (675 lines) is split into keys, clients, capacity, faults and program, with ProcessPair in tests/support/hot_restart.py. The killed-process cases had lost their kill in the rename before this: they read node.beside, which no longer exists, and the AttributeError was swallowed like the KilledError meant to be raised. They now kill again and assert that the kill took place.

--- a/snowthread/hot_restart/__init__.py
+++ b/snowthread/hot_restart/__init__.py
@@ -1,5 +1,7 @@
-"""One process replaces another: what the two say to each other, and the link between them.
+"""Hot restart: a new process of a node replaces the old one while clients are served.
 
-``words`` is the codec; ``link`` finds the other process and keeps the connection. Who may take a key is up to
-``core.reducer``, on what comes over the link.
+``messages`` is the codec of what the two processes send each other, ``socket_file`` finds the peer process in
+the shared directory, ``link`` is one connection with its bounded outgoing queue, and ``channel`` follows the
+hot restart through its states. Which process may claim an idempotency key is decided by ``core.reducer`` from
+the events that come over the channel.
 """
--- /dev/null
+++ b/snowthread/hot_restart/link.py
@@ -0,0 +1,104 @@
+"""One connection to the peer process: a bounded queue of outgoing messages, and the messages that come in."""
+
+from __future__ import annotations
+
+import socket
+from collections import deque
+from collections.abc import Callable
+
+import msgpack
+from loguru import logger
+
+from snowthread.hot_restart.messages import IncomingMessage, OutgoingMessage, decode, encode, unpacker
+from snowthread.net.loop import HANGUP, READABLE, WRITABLE, EventLoop, Task, TaskSteps, Wait
+
+READ_BYTES = 64 * 1024
+ENCODE_AHEAD_BYTES = 64 * 1024  # encoded at a time, ahead of what the peer has read
+QUEUE_MAX_MESSAGES = 20_000  # that wait for the peer to read; one that stands still must not fill the memory
+
+
+class PeerLink:
+    """A connection to the peer process, from connect until it breaks.
+
+    ``task`` is the coroutine that runs :meth:`run`; it is woken when a message could not be written at once.
+    """
+
+    def __init__(
+        self, loop: EventLoop, sock: socket.socket, receive: Callable[[IncomingMessage], None]
+    ) -> None:
+        self._loop, self._sock, self._receive = loop, sock, receive
+        self.task: Task | None = None
+        self._queue: deque[OutgoingMessage] = deque()
+        self._encoded = b""
+
+    @property
+    def _has_unsent(self) -> bool:
+        return bool(self._encoded or self._queue)
+
+    def send(self, message: OutgoingMessage) -> None:
+        """Queue a message and write what the socket takes; cut the link where too many messages wait."""
+        if len(self._queue) >= QUEUE_MAX_MESSAGES:  # it reconnects, if it lives, and is sent all keys again
+            logger.bind(event="hot_restart.stuck", peer="hot_restart").warning(
+                "the peer process does not read: link cut"
+            )
+            self._queue.clear()
+            self.cut()
+            return
+        self._queue.append(message)
+        if len(self._queue) == 1 and not self._encoded:
+            self.flush()
+            if self._has_unsent and self.task is not None:
+                self._loop.wake(self.task)
+
+    def flush(self) -> None:
+        """Write what the socket takes. A message is encoded only when its turn comes."""
+        try:
+            while self._has_unsent:
+                self._encode_ahead()
+                self._encoded = self._encoded[self._sock.send(self._encoded) :]
+        except BlockingIOError:
+            pass
+        except OSError:  # the next read reports that the link is broken
+            self._encoded = b""
+            self._queue.clear()
+
+    def _encode_ahead(self) -> None:
+        pieces, size = [self._encoded], len(self._encoded)
+        while self._queue and size < ENCODE_AHEAD_BYTES:
+            pieces.append(encode(self._queue.popleft()))
+            size += len(pieces[-1])
+        self._encoded = b"".join(pieces)
+
+    def run(self) -> TaskSteps:
+        """Send and receive until the link breaks, then close the socket."""
+        incoming = unpacker()
+        try:
+            while True:
+                self.flush()
+                mask = READABLE | WRITABLE if self._has_unsent else READABLE
+                ready = yield Wait(self._sock.fileno(), mask)
+                if ready & (READABLE | HANGUP) and not self._read(incoming):
+                    return
+        except (OSError, ValueError, msgpack.UnpackException) as error:
+            logger.bind(event="hot_restart.protocol_error", peer="hot_restart").warning(
+                "link to the peer process: {}", error
+            )
+        finally:
+            self._loop.close(self._sock)
+
+    def _read(self, incoming: msgpack.Unpacker) -> bool:
+        """Read once and pass the messages on; return False at the end of the stream."""
+        try:
+            data = self._sock.recv(READ_BYTES)
+        except BlockingIOError:
+            return True
+        if not data:
+            return False
+        incoming.feed(data)
+        for message in incoming:
+            self._receive(decode(message))
+        return True
+
+    def cut(self) -> None:
+        """Shut the connection down in both directions; :meth:`run` then ends."""
+        self._sock.shutdown(socket.SHUT_RDWR)
--- a/snowthread/hot_restart/messages.py
+++ b/snowthread/hot_restart/messages.py
@@ -1,9 +1,17 @@
-"""What the two processes say to each other: MessagePack arrays, a word's name first; no sockets."""
+"""Codec of the messages between the two processes of a hot restart.
+
+Sans-I/O: values in, bytes out, and back. A message is a MessagePack array, its name first. Each kind of
+message has one :class:`MessageFormat` in :data:`MESSAGE_FORMATS`; a :class:`HandoverSignal` carries the
+version of the protocol and nothing else. Names and fields are fixed: a process has to understand the one of
+an earlier release that it replaces.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Collection
+from dataclasses import dataclass
+from enum import Enum
+from types import UnionType
 
 import msgpack
 
@@ -11,85 +19,172 @@
 from snowthread.core.idempotency import IdempotencyRecord
 
 VERSION = 1
-MESSAGE_MAX = 64 * 1024  # a key with its result, and room to spare
-
-HELLO, HANDOVER_COMPLETE, TAKING_CLIENTS, CLIENTS_RELEASED = "hello", "all", "takes", "yours"
-PeerMessage = events.Event | str
-
-
-def encode(word: IdempotencyRecord | events.Event | str) -> bytes:
-    """One message: an array, its name first."""
-    fields: list[Any]
-    match word:
-        case IdempotencyRecord():
-            fields = [
-                "key",
-                word.idempotency_key,
-                word.attempt_id,
-                word.expires_at_ms,
-                word.body_digest,
-                word.completed,
-                word.result,
-            ]
-        case events.KeyRunCompleted():
-            fields = ["over", word.attempt_id, word.result]
-        case events.KeyReleased():
-            fields = ["freed", word.attempt_id]
-        case events.KeyClaimRequested():
-            fields = ["asked", word.idempotency_key, word.attempt_id, word.sent_at_ms, word.body_digest]
-        case events.KeyClaimDecided():
-            fields = ["judged", word.idempotency_key, word.attempt_id, word.granted]
-        case events.PeerLoadReported():
-            fields = ["load", word.runs, word.memory_kb, word.calls, word.descriptors]
-        case events.DrainRequested():
-            fields = ["drain", word.drain]
-        case str():
-            fields = [word, VERSION]
-        case _:
-            raise TypeError(type(word).__name__)
+MESSAGE_MAX_BYTES = 64 * 1024  # an idempotency record with its result, and room to spare
+ERROR_EXCERPT_CHARACTERS = 80  # of an unknown message, in the error's text
+
+
+class HandoverSignal(Enum):
+    """A step of the hot restart that one process signals to the other; the value is its name on the wire."""
+
+    HELLO = "hello"  # successor: connected, send all keys
+    HANDOVER_COMPLETE = "all"  # predecessor: all keys were sent
+    TAKING_CLIENTS = "takes"  # successor: accepts connections now
+    CLIENTS_RELEASED = "yours"  # predecessor: accepts no more connections
+
+
+OutgoingMessage = (
+    HandoverSignal
+    | IdempotencyRecord
+    | events.KeyRunCompleted
+    | events.KeyReleased
+    | events.KeyClaimRequested
+    | events.KeyClaimDecided
+    | events.DrainRequested
+    | events.PeerLoadReported
+)
+"""What a process sends. A record is encoded as it stands when it is written, not when it is queued."""
+
+IncomingMessage = (
+    HandoverSignal
+    | events.KeyReplicated
+    | events.KeyRunCompleted
+    | events.KeyReleased
+    | events.KeyClaimRequested
+    | events.KeyClaimDecided
+    | events.DrainRequested
+    | events.PeerLoadReported
+)
+"""What a process receives. The peer's :class:`IdempotencyRecord` arrives as :class:`events.KeyReplicated`."""
+
+IncomingEvent = (
+    events.KeyReplicated
+    | events.KeyRunCompleted
+    | events.KeyReleased
+    | events.KeyClaimRequested
+    | events.KeyClaimDecided
+    | events.DrainRequested
+    | events.PeerLoadReported
+)
+
+WireValue = str | int | float | bytes | bool | None
+
+
+class PeerProtocolError(ValueError):
+    """The peer process sent something that is no message of this protocol."""
+
+
+@dataclass(frozen=True, slots=True)
+class MessageFormat:
+    """The wire format of one kind of message.
+
+    ``fields`` maps each attribute of ``source`` to the type of its value on the wire, in wire order, which is
+    also the order of the arguments of ``event``.
+    """
+
+    name: str
+    source: type
+    event: Callable[..., IncomingEvent]
+    fields: dict[str, type | UnionType]
+
+    def values_of(self, message: object) -> list[WireValue]:
+        """Return the fields of a message to send."""
+        return [getattr(message, attribute) for attribute in self.fields]
+
+
+MESSAGE_FORMATS = (
+    MessageFormat(
+        "key",
+        IdempotencyRecord,
+        events.KeyReplicated,
+        {
+            "idempotency_key": str,
+            "attempt_id": str,
+            "expires_at_ms": float,
+            "body_digest": bytes,
+            "completed": bool,
+            "result": bytes | None,
+        },
+    ),
+    MessageFormat(
+        "over",
+        events.KeyRunCompleted,
+        events.KeyRunCompleted,
+        {"attempt_id": str, "result": bytes | None},
+    ),
+    MessageFormat("freed", events.KeyReleased, events.KeyReleased, {"attempt_id": str}),
+    MessageFormat(
+        "asked",
+        events.KeyClaimRequested,
+        events.KeyClaimRequested,
+        {"idempotency_key": str, "attempt_id": str, "sent_at_ms": float, "body_digest": bytes},
+    ),
+    MessageFormat(
+        "judged",
+        events.KeyClaimDecided,
+        events.KeyClaimDecided,
+        {"idempotency_key": str, "attempt_id": str, "granted": bool},
+    ),
+    MessageFormat("drain", events.DrainRequested, events.DrainRequested, {"drain": bool}),
+    MessageFormat(
+        "load",
+        events.PeerLoadReported,
+        events.PeerLoadReported,
+        {"runs": int, "memory_kb": float, "calls": int, "descriptors": int},
+    ),
+)
+_FORMATS_BY_SOURCE = {message_format.source: message_format for message_format in MESSAGE_FORMATS}
+_FORMATS_BY_NAME = {message_format.name: message_format for message_format in MESSAGE_FORMATS}
+_SIGNALS_BY_NAME = {signal.value: signal for signal in HandoverSignal}
+
+
+def encode(message: OutgoingMessage) -> bytes:
+    """Return the bytes of one message. Raise TypeError for what is no message."""
+    fields: list[WireValue]
+    if isinstance(message, HandoverSignal):
+        fields = [message.value, VERSION]
+    else:
+        message_format = _FORMATS_BY_SOURCE.get(type(message))
+        if message_format is None:
+            raise TypeError(type(message).__name__)
+        fields = [message_format.name, *message_format.values_of(message)]
     packed: bytes = msgpack.packb(fields, unicode_errors="surrogateescape")
     return packed
 
 
-_READ: dict[str, Callable[..., events.Event]] = {
-    "key": events.KeyReplicated,
-    "over": events.KeyRunCompleted,
-    "freed": events.KeyReleased,
-    "asked": events.KeyClaimRequested,
-    "judged": events.KeyClaimDecided,
-    "drain": events.DrainRequested,
-    "load": events.PeerLoadReported,
-}
-_WANTED: dict[str, tuple[Any, ...]] = {
-    "key": (str, str, float, bytes, bool, bytes | None),
-    "over": (str, bytes | None),
-    "freed": (str,),
-    "asked": (str, str, float, bytes),
-    "judged": (str, str, bool),
-    "drain": (bool,),
-    "load": (int, float, int, int),
-    HELLO: (int,),
-    HANDOVER_COMPLETE: (int,),
-    TAKING_CLIENTS: (int,),
-    CLIENTS_RELEASED: (int,),
-}
-
-
-def decode(message: object) -> PeerMessage:
-    """What a message says; ValueError where it says nothing that is known."""
-    if not isinstance(message, list) or not message or message[0] not in _WANTED:
-        raise ValueError(f"not a message: {str(message)[:80]}")
+def decode(message: object) -> IncomingMessage:
+    """Return what an unpacked message says. Raise PeerProtocolError where it is none."""
+    if not isinstance(message, list) or not message:
+        raise _unknown_message(message)
     name, fields = message[0], message[1:]
-    wanted = _WANTED[name]
-    if len(fields) != len(wanted) or not all(map(isinstance, fields, wanted)):
-        raise ValueError(f"{name}: not its fields")
-    if name in _READ:
-        return _READ[name](*fields)
+    signal = _SIGNALS_BY_NAME.get(name)
+    if signal is not None:
+        return _decode_signal(signal, fields)
+    message_format = _FORMATS_BY_NAME.get(name)
+    if message_format is None:
+        raise _unknown_message(message)
+    _check_fields(name, fields, message_format.fields.values())
+    return message_format.event(*fields)
+
+
+def _decode_signal(signal: HandoverSignal, fields: list[object]) -> HandoverSignal:
+    _check_fields(signal.value, fields, (int,))
     if fields[0] != VERSION:
-        raise ValueError(f"{name}: version {fields[0]}, not {VERSION}")
-    return str(name)
+        raise PeerProtocolError(f"{signal.value}: version {fields[0]}, not {VERSION}")
+    return signal
+
+
+def _check_fields(name: str, fields: list[object], types: Collection[type | UnionType]) -> None:
+    if len(fields) != len(types) or not all(map(isinstance, fields, types)):
+        raise PeerProtocolError(f"{name}: not its fields")
+
+
+def _unknown_message(message: object) -> PeerProtocolError:
+    return PeerProtocolError(f"not a message: {str(message)[:ERROR_EXCERPT_CHARACTERS]}")
 
 
 def unpacker() -> msgpack.Unpacker:
-    """Takes the other's bytes; what a balancer sent as no text comes out as it went in."""
-    return msgpack.Unpacker(max_buffer_size=2 * MESSAGE_MAX, unicode_errors="surrogateescape")
+    """Return an unpacker for the peer's bytes.
+
+    Bytes of a balancer that are no UTF-8 text (in an idempotency key) come out as they went in.
+    """
+    return msgpack.Unpacker(max_buffer_size=2 * MESSAGE_MAX_BYTES, unicode_errors="surrogateescape")
--- /dev/null
+++ b/tests/hot_restart/test_hot_restart_clients.py
@@ -0,0 +1,84 @@
+"""Clients, readiness, drain and registration during a hot restart."""
+
+from __future__ import annotations
+
+import msgpack
+from support.hot_restart import FIRST, SECOND, THIRD, ProcessPair, responses
+
+from snowthread.core import events
+from snowthread.core.state import HandoverRole
+
+FAREWELL = msgpack.packb([2, "farewell", []])
+
+
+def test_successor_is_ready_only_after_the_predecessor_released_the_clients(pair: ProcessPair) -> None:
+    """A notice of shutdown before that would withdraw the node's registration."""
+    first = pair.connect(pair.predecessor)
+    successor = pair.launch_successor().node
+    while not successor.balancers.accepting:
+        successor.loop.run_once(0.0)
+        if successor.state.handover_role is HandoverRole.SUCCESSOR and not successor.balancers.accepting:
+            pair.predecessor.settle()
+    assert pair.predecessor.node.balancers.accepting
+    assert successor._ready()[0] == 503
+    pair.settle()
+    assert successor._ready()[0] == 200
+    assert pair.predecessor.node._ready()[0] == 503
+    assert first.recv(100) == FAREWELL
+
+
+def test_predecessor_takes_the_clients_back_when_the_successor_dies(pair: ProcessPair) -> None:
+    pair.start_successor()
+    second = pair.connect(pair.successor)
+    pair.request(second, 1, FIRST)
+    assert pair.started_runs(pair.successor) == [FIRST]
+    assert not pair.predecessor.node.balancers.accepting
+    pair.end(pair.successor)
+    pair.settle()
+    third = pair.connect(pair.predecessor)
+    pair.request(third, 1, SECOND)
+    assert responses(third) == [[1, "Failed", None]]  # nobody can tell how its run ended
+    pair.request(third, 2, THIRD, key="k2")
+    assert pair.started_runs(pair.predecessor) == [THIRD]
+    pair.start_successor()  # and the next one is let in
+    assert pair.successor.node.state.handover_role is HandoverRole.SUCCESSOR
+    assert pair.successor.node.balancers.accepting
+
+
+def test_drain_is_handed_over_and_the_registration_is_never_withdrawn(pair: ProcessPair) -> None:
+    first = pair.connect(pair.predecessor)
+    pair.request(first, 1, FIRST)
+    assert pair.predecessor.node.admin is not None
+    pair.predecessor.node._drain(True)
+    pair.start_successor()
+    assert pair.successor.node.state.drained
+    pair.successor.node._drain(False)
+    pair.settle()
+    assert not pair.predecessor.node.state.drained
+    registry = pair.predecessor.peers["roster"]
+    while True:
+        try:
+            registry.recv(100)
+        except BlockingIOError:
+            break
+    pair.predecessor.node.post(events.ShutdownRequested(3700.0))
+    pair.advance(2500.0)  # beyond the grace of a drain
+    assert registry.recv(100) == b"HERE n1 on"
+    first.sendall(msgpack.packb([0, 2, "health", [{}]]))
+    pair.settle()
+    pair.complete_run(pair.predecessor, 1, FIRST)
+    assert responses(first) == [[2, None, True], [1, None, b"r"]]
+    second = pair.connect(pair.successor)
+    pair.request(second, 1, SECOND)
+    assert responses(second) == [[1, None, b"r"]]
+
+
+def test_reload_keeps_a_drain_and_shutdown_makes_it_final(pair: ProcessPair) -> None:
+    node = pair.predecessor.node
+    node._drain(True)
+    node.apply_configuration(node.config)
+    assert node.state.drained and not node.state.accepts_work
+    node.post(events.ShutdownRequested(3200.0))
+    assert node._drain(False)[0] == 409
+    assert node._drain(True)[0] == 200
+    assert not node.state.accepts_work
--- /dev/null
+++ b/tests/hot_restart/test_hot_restart_program.py
@@ -0,0 +1,168 @@
+"""The program replaced by another process under load, with the clients none the wiser."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable
+from contextlib import ExitStack
+from dataclasses import dataclass
+from http.client import HTTPConnection
+from pathlib import Path
+from typing import Any
+
+import msgpack
+from support.exchange import address, loopback
+from support.hot_restart import packed_request
+from test_program import PATIENCE_S, ROOT, configuration, environment, site
+
+BALANCERS = 6
+POLL_S = 0.02
+
+
+def admin_status(port: int, method: str, path: str) -> int:
+    """Return the status of a request to the admin server, 0 where it does not answer."""
+    connection = HTTPConnection("127.0.0.1", port, timeout=5.0)
+    try:
+        connection.request(method, path)
+        return connection.getresponse().status
+    except OSError:
+        return 0
+    finally:
+        connection.close()
+
+
+def wait_until(condition: Callable[[], bool], failure: str) -> None:
+    """Wait for a condition; fail with this text after ``PATIENCE_S``."""
+    end = time.monotonic() + PATIENCE_S
+    while not condition():
+        assert time.monotonic() < end, failure
+        time.sleep(POLL_S)
+
+
+class Balancer(threading.Thread):
+    """Sends one request after another, over a new connection after each farewell."""
+
+    def __init__(self, listening: socket.socket) -> None:
+        super().__init__(daemon=True)
+        self.address, self.stopping = listening.getsockname(), threading.Event()
+        self.served = self.failed = 0
+
+    def run(self) -> None:
+        while not self.stopping.is_set():
+            with socket.create_connection(self.address) as sock:
+                sock.settimeout(PATIENCE_S)
+                if not self._use(sock):
+                    return
+
+    def _use(self, sock: socket.socket) -> bool:
+        """Send requests until a farewell comes; return False where the connection is closed instead."""
+        unpacker, number, farewell = msgpack.Unpacker(), 0, False
+        while not farewell and not self.stopping.is_set():
+            number += 1
+            attempt_id = os.urandom(8).hex()
+            sock.sendall(request_with_key(number, attempt_id, attempt_id, attempt_id.encode()))
+            response = None
+            while response is None:
+                data = sock.recv(4096)
+                if not data:
+                    self.failed += 1
+                    return False
+                unpacker.feed(data)
+                for message in unpacker:
+                    farewell = farewell or message[0] == 2
+                    response = message if message[0] == 1 else response
+            expected = [number, None, [b"dispensed known", response[3] and response[3][1]]]
+            is_served = response[1:] == expected
+            self.served += is_served
+            self.failed += not is_served
+        return True
+
+
+def request_with_key(number: int, attempt_id: str, key: str, body: bytes) -> bytes:
+    return packed_request(
+        number, attempt_id, sent_at_ms=time.time() * 1000, key=key, body=body, timeout_ms=9000
+    )
+
+
+def result_for_key(listening: socket.socket, key: str) -> Any:
+    """Return the result of a request with this key on a connection of its own."""
+    with socket.create_connection(listening.getsockname()) as sock:
+        sock.sendall(request_with_key(1, os.urandom(8).hex(), key, b"grey"))
+        sock.settimeout(PATIENCE_S)
+        response = msgpack.unpackb(sock.recv(4096))
+    assert response[2] is None
+    return response[3][0]
+
+
+@dataclass
+class Program:
+    """The node's program, started anew on one listening socket and one shared directory."""
+
+    stack: ExitStack
+    listening: socket.socket
+    shared_directory: Path
+
+    def start(self, directory: Path, admin_port: int) -> subprocess.Popen[str]:
+        """Start a process with a site of its own; return it once it is ready."""
+        directory.mkdir()
+        path = configuration(directory, listen=address(self.listening), stop_ms=5000)
+        self.stack.enter_context(site(path))
+        descriptor = self.listening.fileno()
+        variables = {
+            "NODE_FD": str(descriptor),
+            "TMPDIR": str(self.shared_directory),
+            "NODE_ADMIN_ADDR": f"127.0.0.1:{admin_port}",
+        }
+        process = subprocess.Popen(
+            [sys.executable, "-m", "snowthread"],
+            cwd=ROOT,
+            text=True,
+            env=environment(path) | variables,
+            stderr=subprocess.PIPE,
+            pass_fds=(descriptor,),
+        )
+        self.stack.callback(process.communicate)
+        self.stack.callback(process.kill)
+        wait_until(lambda: admin_status(admin_port, "GET", "/-/ready") == 200, "never ready")
+        return process
+
+
+def free_ports() -> tuple[int, int]:
+    with loopback(socket.SOCK_STREAM) as one, loopback(socket.SOCK_STREAM) as two:
+        return one.getsockname()[1], two.getsockname()[1]
+
+
+def test_program_is_replaced_under_load_without_a_failed_request(tmp_path: Path) -> None:
+    shared_directory = tmp_path / "shared"
+    shared_directory.mkdir()
+    old_admin, new_admin = free_ports()
+    with ExitStack() as stack:
+        listening = stack.enter_context(loopback(socket.SOCK_STREAM))
+        listening.listen(128)
+        program = Program(stack, listening, shared_directory)
+        old = program.start(tmp_path / "a", old_admin)
+        first = result_for_key(listening, "k1")
+        balancers = [Balancer(listening) for _ in range(BALANCERS)]
+        for balancer in balancers:
+            balancer.start()
+        new = program.start(tmp_path / "b", new_admin)
+        assert admin_status(old_admin, "GET", "/-/ready") == 503
+        old.send_signal(signal.SIGTERM)
+        _, log = old.communicate(timeout=PATIENCE_S)
+        assert old.returncode == 0
+        assert "roster: off" not in log and "Traceback" not in log
+        assert result_for_key(listening, "k1") == first  # the result that the old process had
+        enough = sum(balancer.served for balancer in balancers) + 2 * BALANCERS
+        wait_until(lambda: sum(balancer.served for balancer in balancers) >= enough, "the load stands still")
+        for balancer in balancers:
+            balancer.stopping.set()
+        for balancer in balancers:
+            balancer.join(PATIENCE_S)
+        assert sum(balancer.failed for balancer in balancers) == 0
+        assert new.poll() is None
--- a/tests/stored/test_hot_restart_messages.py
+++ b/tests/stored/test_hot_restart_messages.py
@@ -22,11 +22,8 @@
 from snowthread.core.idempotency import IdempotencyRecord
 from snowthread.core.state import HandoverRole
 from snowthread.hot_restart.messages import (
-    CLIENTS_RELEASED,
-    HANDOVER_COMPLETE,
-    HELLO,
-    TAKING_CLIENTS,
-    PeerMessage,
+    HandoverSignal,
+    IncomingMessage,
     decode,
     encode,
     unpacker,
@@ -43,14 +40,14 @@
 )
 
 # Each message as it is decoded; a key's own message is encoded from a Key.
-OLDER_TO_NEWER: tuple[PeerMessage, ...] = (
+OLDER_TO_NEWER: tuple[IncomingMessage, ...] = (
     events.KeyReplicated("key-running", RUNNING, UNTIL, CONTENT, False, None),
     events.KeyReplicated("key-done", DONE, UNTIL + 0.5, CONTENT, True, b"\x00result\xff"),
     events.KeyReplicated("key-failed", FREED, UNTIL, b"", True, None),
     events.DrainRequested(False),
     events.PeerLoadReported(0, 0.0, 0, 16),
-    HANDOVER_COMPLETE,
-    CLIENTS_RELEASED,
+    HandoverSignal.HANDOVER_COMPLETE,
+    HandoverSignal.CLIENTS_RELEASED,
     events.KeyRunCompleted(RUNNING, b"late result"),
     events.KeyReleased(FREED),
     events.KeyClaimDecided("key-requested", REQUESTED, True),
@@ -59,9 +56,9 @@
     events.PeerLoadReported(3, 61_440.5, 2, 40),
     events.DrainRequested(True),
 )
-NEWER_TO_OLDER: tuple[PeerMessage, ...] = (
-    HELLO,
-    TAKING_CLIENTS,
+NEWER_TO_OLDER: tuple[IncomingMessage, ...] = (
+    HandoverSignal.HELLO,
+    HandoverSignal.TAKING_CLIENTS,
     events.KeyClaimRequested("key-requested", REQUESTED, START, REQUESTED_CONTENT),
     events.KeyClaimRequested("key-done", HELD, START + 0.25, CONTENT),
     events.KeyReplicated("key-requested", REQUESTED, UNTIL + 250.0, REQUESTED_CONTENT, False, None),
@@ -74,7 +71,7 @@
 STREAMS = {"older_to_newer.msgpack": OLDER_TO_NEWER, "newer_to_older.msgpack": NEWER_TO_OLDER}
 
 
-def encoded(message: PeerMessage) -> bytes:
+def encoded(message: IncomingMessage) -> bytes:
     """The bytes of a message; a key's is made from the entry that its sender has."""
     if isinstance(message, events.KeyReplicated):
         return encode(
@@ -103,7 +100,7 @@
     return messages
 
 
-def decoded(data: bytes) -> PeerMessage:
+def decoded(data: bytes) -> IncomingMessage:
     """One message."""
     stream = unpacker()
     stream.feed(data)
--- /dev/null
+++ b/tests/support/hot_restart.py
@@ -0,0 +1,257 @@
+"""Two processes of one node during a hot restart, both played in this process on real sockets."""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import msgpack
+import pytest
+
+from snowthread.hot_restart import channel, socket_file
+from snowthread.hot_restart.channel import HotRestartChannel
+from snowthread.hot_restart.socket_file import PeerProcess
+from support.exchange import Player, loopback
+
+FIRST, SECOND, THIRD = "00000000000000a1", "00000000000000b1", "00000000000000c1"  # attempts' ids
+DEFAULT_KEY = "k1"
+SOCKET_BYTES = 65536
+
+
+def packed_request(
+    number: int,
+    attempt_id: str,
+    *,
+    sent_at_ms: float,
+    method: str = "dispense",
+    key: str | None = DEFAULT_KEY,
+    body: bytes = b"p",
+    timeout_ms: int = 5000,
+    memory_kb: int = 20,
+) -> bytes:
+    """Return a balancer's request."""
+    fields = {
+        "id": attempt_id,
+        "at": f"{sent_at_ms:.0f}",
+        "from": "4",
+        "wait": str(timeout_ms),
+        "kb": str(memory_kb),
+        "rank": "0.5",
+    }
+    if key is not None:
+        fields["once"] = key
+    packed: bytes = msgpack.packb([0, number, method, [fields, body]])
+    return packed
+
+
+def responses(sock: socket.socket) -> list[list[Any]]:
+    """Return the responses that came: number, error, result; farewells are left out."""
+    unpacker = msgpack.Unpacker()
+    try:
+        unpacker.feed(sock.recv(SOCKET_BYTES))
+    except BlockingIOError:
+        return []
+    return [
+        [message[1], message[2] and message[2][0], message[3] and message[3][0]]
+        for message in unpacker
+        if message[0] == 1
+    ]
+
+
+class ProcessPair:
+    """The predecessor and the successor at one listening socket, each with its own runtime and registry.
+
+    ``peer_process`` is replaced: the process that connects is always the one that was started last, and it
+    has exited once the writing end of its pipe is closed.
+    """
+
+    def __init__(self, directory: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+        self._listening, self._directory = loopback(socket.SOCK_STREAM), str(directory)
+        self._exit_descriptors: list[int] = []  # reading ends, one a process, in the order of their start
+        self._alive_descriptors: dict[int, int] = {}  # writing ends by id() of the player
+        self._frozen: Player | None = None
+        self._successor: Player | None = None
+        self.all: list[Player] = []
+        monkeypatch.setattr(socket_file, "peer_process", self._latest_process)
+        self._predecessor: Player | None = self._start_process()
+        self.settle()
+
+    def _latest_process(self, _: socket.socket) -> PeerProcess:
+        return PeerProcess(len(self._exit_descriptors), os.dup(self._exit_descriptors[-1]))
+
+    def _start_process(self) -> Player:
+        exit_descriptor, alive_descriptor = os.pipe()
+        self._exit_descriptors.append(exit_descriptor)
+        player = Player(door=os.dup(self._listening.fileno()), folder=self._directory)
+        self._alive_descriptors[id(player)] = alive_descriptor
+        self.all.append(player)
+        return player
+
+    @property
+    def predecessor(self) -> Player:
+        """The process that was there first; it must not have ended."""
+        assert self._predecessor is not None, "the predecessor has ended"
+        return self._predecessor
+
+    @property
+    def successor(self) -> Player:
+        """The process that was started last; it must not have ended."""
+        assert self._successor is not None, "there is no successor"
+        return self._successor
+
+    @property
+    def running(self) -> list[Player]:
+        """The processes that have not ended and are not frozen, the predecessor first."""
+        both = (self._predecessor, self._successor)
+        return [player for player in both if player is not None and player is not self._frozen]
+
+    def has_ended(self, player: Player) -> bool:
+        """Tell whether a process was ended or killed."""
+        return id(player) not in self._alive_descriptors
+
+    def launch_successor(self) -> Player:
+        """Start the successor and do not let it run yet."""
+        self._successor = self._start_process()
+        return self._successor
+
+    def start_successor(self) -> None:
+        """Start the successor, let it take over and connect its runtime."""
+        started = self.launch_successor()
+        self.settle()
+        if self._successor is started:  # it may have been killed meanwhile
+            self.connect_runtime(started)
+
+    @contextmanager
+    def frozen_predecessor(self) -> Iterator[Player]:
+        """Let the predecessor neither run nor see time pass in the block."""
+        self._frozen = self.predecessor
+        try:
+            yield self._frozen
+        finally:
+            self._frozen = None
+
+    def settle(self, rounds: int = 2) -> None:
+        """Let both processes run until nothing more comes."""
+        for _ in range(rounds):
+            for player in self.running:
+                player.settle()
+
+    def advance(self, elapsed_ms: float) -> None:
+        """Advance the clocks of both processes."""
+        for player in self.running:
+            player.clock.now_ms += elapsed_ms
+        self.settle()
+
+    def connect_runtime(self, player: Player) -> None:
+        """Connect the runtime of a process and have it say that it is ready."""
+        player.step("runtime", "accept", "")
+        self.notify(player, {"action": "ready", "code": "seasoned", "wall_ms": 0})
+
+    def notify(self, player: Player, *notices: dict[str, Any]) -> None:
+        """Send notices of the runtime to a process."""
+        for notice in notices:
+            player.peers["runtime"].sendall(json.dumps(notice).encode() + b"\n")
+        self.settle()
+
+    def complete_run(self, player: Player, position: int, attempt_id: str, content: str = "cg==") -> None:
+        """Have the runtime report the end of a run; ``content`` is the result in Base64."""
+        self.notify(
+            player,
+            {
+                "action": "end",
+                "pos": position,
+                "uid": attempt_id,
+                "code": "done",
+                "wall_ms": 9,
+                "content": content,
+            },
+        )
+
+    def started_runs(self, player: Player) -> list[str]:
+        """Return the attempts whose runs a process has started since the last call."""
+        if "runtime" not in player.peers:
+            return []
+        try:
+            lines = player.peers["runtime"].recv(SOCKET_BYTES).splitlines()
+        except BlockingIOError:
+            return []
+        return [fields["uid"] for fields in map(json.loads, lines) if fields["action"] == "start"]
+
+    def connect(self, player: Player) -> socket.socket:
+        """Return a balancer's connection that this process, and not the other one, accepts."""
+        before = player.node.balancers.count()
+        sock = socket.create_connection(self._listening.getsockname())
+        for _ in range(5):
+            player.settle()
+        assert player.node.balancers.count() == before + 1
+        sock.setblocking(False)
+        return sock
+
+    def request(
+        self,
+        sock: socket.socket,
+        number: int,
+        attempt_id: str,
+        *,
+        sent_at_ms: float | None = None,
+        settle: bool = True,
+        **fields: Any,
+    ) -> None:
+        """Send a request; ``fields`` as in :func:`packed_request`."""
+        if sent_at_ms is None:
+            sent_at_ms = self.running[0].clock.now_ms
+        sock.sendall(packed_request(number, attempt_id, sent_at_ms=sent_at_ms, **fields))
+        if settle:
+            self.settle()
+
+    def end(self, player: Player) -> None:
+        """End a process as a kill signal does: it sends nothing more."""
+        hot_restart = self._silence(player)
+        hot_restart._closed = True
+        player.node.loop._close_tasks()
+        self._forget(player)
+        self.settle()
+        self.advance(channel.RETRY_MS)
+
+    def kill(self, player: Player) -> None:
+        """Kill a process in the middle of its step: what it was about to do is not done."""
+        hot_restart = self._silence(player)
+        assert hot_restart._link is not None
+        hot_restart._link.cut()
+        self._forget(player)
+
+    def _silence(self, player: Player) -> HotRestartChannel:
+        """Close what a process listens on and let it report nothing more."""
+        hot_restart = player.node.hot_restart
+        assert hot_restart is not None
+        player.node._gone = hot_restart._closed = True
+        for listening in (hot_restart._listener, player.node.balancers._listener):
+            if listening is not None:
+                player.node.loop.close(listening)
+        return hot_restart
+
+    def _forget(self, player: Player) -> None:
+        os.close(self._alive_descriptors.pop(id(player)))
+        if player is self._predecessor:
+            self._predecessor = None
+        else:
+            self._successor = None
+
+    def close(self) -> None:
+        """End both processes and close every socket."""
+        for player in self.running:
+            player.node._gone = True
+            if player.node.hot_restart is not None:
+                player.node.hot_restart.close()
+            player.node.loop._close_tasks()
+        for player in self.all:
+            for sock in (*player.peers.values(), *player.listeners.values()):
+                sock.close()
+        for descriptor in (*self._exit_descriptors, *self._alive_descriptors.values()):
+            os.close(descriptor)
+        self._listening.close()
