--- a/snowthread/recovery/__init__.py
+++ b/snowthread/recovery/__init__.py
@@ -1,7 +1,8 @@
-"""Warm state that may be lost: what a node learned that helps it come back, as one small snapshot.
+"""Recovery of a node after a restart: what it keeps on disk, what it trusts of it, and how it warms up.
 
-``snapshot`` is pure: the bytes of a snapshot (header, JSON body, BLAKE2b digest), and the judge that says,
-for the bytes found at a start, the fleet's generation and ``now``, whether they may be trusted and why not.
-``disk`` writes a snapshot atomically (temporary name, fsync, rename, fsync of the folder) and reads one back.
-Nothing here trusts a snapshot the judge turned down: the node starts from :data:`snapshot.PRIORS` then.
+Pure parts: ``snapshot`` (format and assessment of what a node learned), ``key_log`` (format of the keys
+whose runs may have begun) and ``membership`` (the node's place in the fleet by the registry's answers).
+``storage`` writes and reads the files. ``key_recorder``, ``learned_snapshots``, ``registry_member``,
+``request_admission`` and ``call_pacing`` each wire one concern to the event loop and the state; ``manager``
+composes them around the reducer.
 """
--- a/snowthread/recovery/key_log.py
+++ b/snowthread/recovery/key_log.py
@@ -1,18 +1,19 @@
-"""The ring of keys: which keyed runs an earlier life of this node may have begun. Pure: bytes in, verdict
-out.
+"""Format of the key log: which runs with an idempotency key an earlier incarnation may have begun.
+
+Pure: bytes in, contents and verdict out.
 
 Layout (little-endian), ``HEADER`` then ``slots`` of ``SLOT``::
 
     header  magic b"STKR", version u16, pad, slots u32, blind_until f64 (wall ms), crc32 u32, pad to 32 bytes
     slot    sequence u64 (from 1; 0: empty), until f64 (wall ms), digest of the key 16 bytes, crc32 u32, pad
 
-A key goes into slot ``sequence % slots`` before its start goes to the runtime. One that would take the place
-of a key whose window is open is not written, and so not run: the ring is a bound, not a log.
+A key is written to slot ``sequence % slots`` before the start of its run is sent to the runtime. A key whose
+slot holds another key with an open window is not written, and so not run: the log's size is a bound.
 
-| found                                            | verdict | keys unknown                              |
+| found                                            | verdict | indeterminate keys                        |
 | ------------------------------------------------ | ------- | ----------------------------------------- |
 | whole                                            | whole   | those with an open window                 |
-| whole, made blind by an earlier start            | whole   | all until ``blind_until``, then as above  |
+| whole, with ``blind_until`` of an earlier start  | whole   | all until ``blind_until``, then as above  |
 | no file                                          | missing | all, until a window after this start      |
 | another size than its header says, a slot or the | torn    | all, until a window after this start      |
 | header that does not check                       |         |                                           |
@@ -32,11 +33,13 @@
 SLOT = struct.Struct("<Qd16s")
 SLOT_BYTES = 40
 CRC = struct.Struct("<I")
-SLOTS = 8192  # of a new ring: at 100 keys a second more than five windows
-SLOTS_MAX = 1 << 20
+DEFAULT_SLOTS = 8192  # of a new log: more than five windows at 100 keys a second
+MAX_SLOTS = 1 << 20
+
 
+class KeyLogVerdict(Enum):
+    """What was found in place of a key log."""
 
-class Verdict(Enum):
     WHOLE = "whole"
     MISSING = "missing"
     TORN = "torn"
@@ -45,74 +48,81 @@
 
 @dataclass(frozen=True, slots=True)
 class KeyLogContents:
-    """What a start finds: ``keys`` by digest with the end of their windows, the newest ``sequence``."""
+    """What a start finds in a key log."""
 
-    verdict: Verdict
+    verdict: KeyLogVerdict
     reason: str = ""
-    keys: dict[bytes, float] = field(default_factory=dict)
-    any_until_ms: float = 0.0
-    sequence: int = 0
+    keys: dict[bytes, float] = field(default_factory=dict)  # by digest: end of the window, wall ms
+    any_until_ms: float = 0.0  # until then any key may have run, wall ms
+    sequence: int = 0  # of the newest key
 
 
-def _slot(sequence: int, until_ms: float, digest: bytes) -> bytes:
+def _encode_slot(sequence: int, until_ms: float, digest: bytes) -> bytes:
     body = SLOT.pack(sequence, until_ms, digest)
     return body + CRC.pack(zlib.crc32(body))
 
 
 def key_log_size(slots: int) -> int:
-    """Bytes of a ring."""
+    """Return the size in bytes of a key log with so many slots."""
     return HEADER_BYTES + slots * SLOT_BYTES
 
 
-def new_key_log(blind_until: float = 0.0, slots: int = SLOTS) -> bytes:
-    """A new ring."""
+def new_key_log(blind_until: float = 0.0, slots: int = DEFAULT_SLOTS) -> bytes:
+    """Return an empty key log; until ``blind_until`` (wall ms) any key may have run."""
     head = HEADER.pack(MAGIC, FORMAT_VERSION, slots, blind_until)
     return (head + CRC.pack(zlib.crc32(head))).ljust(HEADER_BYTES, b"\0") + bytes(slots * SLOT_BYTES)
 
 
 def read_key_log(data: bytes) -> KeyLogContents:
-    """Read a ring back."""
+    """Return the contents of a key log, with the verdict on its bytes."""
     if not data:
-        return KeyLogContents(Verdict.MISSING, "no ring")
+        return KeyLogContents(KeyLogVerdict.MISSING, "no key log")
     if len(data) < HEADER_BYTES:
-        return KeyLogContents(Verdict.TORN, f"{len(data)} bytes")
+        return KeyLogContents(KeyLogVerdict.TORN, f"{len(data)} bytes")
     magic, version, slots, blind_until = HEADER.unpack_from(data)
-    if magic != MAGIC or version != FORMAT_VERSION:
-        known = f"format {version}, known {FORMAT_VERSION}"
-        return KeyLogContents(Verdict.FOREIGN, known if magic == MAGIC else "not a ring")
+    if magic != MAGIC:
+        return KeyLogContents(KeyLogVerdict.FOREIGN, "not a key log")
+    if version != FORMAT_VERSION:
+        return KeyLogContents(KeyLogVerdict.FOREIGN, f"format {version}, known {FORMAT_VERSION}")
     if CRC.unpack_from(data, HEADER.size)[0] != zlib.crc32(data[: HEADER.size]):
-        return KeyLogContents(Verdict.TORN, "the header does not check")
-    if not 0 < slots <= SLOTS_MAX or len(data) != key_log_size(slots):
-        return KeyLogContents(Verdict.TORN, f"{len(data)} bytes, {slots} slots")
+        return KeyLogContents(KeyLogVerdict.TORN, "the header does not check")
+    if not 0 < slots <= MAX_SLOTS or len(data) != key_log_size(slots):
+        return KeyLogContents(KeyLogVerdict.TORN, f"{len(data)} bytes, {slots} slots")
+    return _read_slots(data, slots, blind_until)
+
+
+def _read_slots(data: bytes, slots: int, blind_until: float) -> KeyLogContents:
     keys: dict[bytes, float] = {}
     newest = 0
-    for n in range(slots):
-        at = HEADER_BYTES + n * SLOT_BYTES
-        body = data[at : at + SLOT.size]
-        if not any(data[at : at + SLOT_BYTES]):
+    for index in range(slots):
+        offset = HEADER_BYTES + index * SLOT_BYTES
+        if not any(data[offset : offset + SLOT_BYTES]):
             continue
-        sequence, until, digest = SLOT.unpack(body)
-        if CRC.unpack_from(data, at + SLOT.size)[0] != zlib.crc32(body) or sequence % slots != n:
-            return KeyLogContents(Verdict.TORN, f"slot {n} does not check")
-        keys[digest] = max(until, keys.get(digest, 0.0))
+        body = data[offset : offset + SLOT.size]
+        sequence, until_ms, digest = SLOT.unpack(body)
+        checksum = CRC.unpack_from(data, offset + SLOT.size)[0]
+        if checksum != zlib.crc32(body) or sequence % slots != index:
+            return KeyLogContents(KeyLogVerdict.TORN, f"slot {index} does not check")
+        keys[digest] = max(until_ms, keys.get(digest, 0.0))
         newest = max(newest, sequence)
-    return KeyLogContents(Verdict.WHOLE, "", keys, blind_until, newest)
+    return KeyLogContents(KeyLogVerdict.WHOLE, "", keys, blind_until, newest)
 
 
 class KeyLog:
-    """Writes keys into a buffer that outlives the process."""
+    """Appends keys to a buffer that outlives the process; ``sequence`` is that of its newest key."""
 
     def __init__(self, buffer: memoryview, sequence: int) -> None:
         self._buffer, self._sequence = buffer, sequence
         self._slots = (len(buffer) - HEADER_BYTES) // SLOT_BYTES
-        self.rejected_appends = 0  # keys that found no place
+        self.rejected_appends = 0  # keys that found no free slot
 
     def append(self, digest: bytes, until_ms: float, now_ms: float) -> bool:
-        """Write a key down; False where its place is another's whose window is still open."""
-        at = HEADER_BYTES + (self._sequence + 1) % self._slots * SLOT_BYTES
-        if SLOT.unpack_from(self._buffer, at)[1] > now_ms:
+        """Write a key; return False where its slot holds another key whose window is open."""
+        offset = HEADER_BYTES + (self._sequence + 1) % self._slots * SLOT_BYTES
+        if SLOT.unpack_from(self._buffer, offset)[1] > now_ms:
             self.rejected_appends += 1
             return False
         self._sequence += 1
-        self._buffer[at : at + SLOT.size + CRC.size] = _slot(self._sequence, until_ms, digest)
+        slot = _encode_slot(self._sequence, until_ms, digest)
+        self._buffer[offset : offset + len(slot)] = slot
         return True
--- /dev/null
+++ b/snowthread/recovery/key_recorder.py
@@ -0,0 +1,66 @@
+"""Records the key of each run before it starts, and marks the keys of an earlier incarnation."""
+
+from __future__ import annotations
+
+import math
+
+from loguru import logger
+
+from snowthread.core import effects
+from snowthread.core.idempotency import IndeterminateKeys, key_digest
+from snowthread.core.state import State
+from snowthread.recovery import storage
+from snowthread.recovery.key_log import KeyLogVerdict
+from snowthread.recovery.settings import RecoverySettings
+from snowthread.recovery.storage import OpenedKeyLog
+
+
+class KeyRecorder:
+    """Opens the key log at the start of the process and appends to it."""
+
+    def __init__(
+        self, settings: RecoverySettings, state: State, now_ms: float, longest_window_ms: float
+    ) -> None:
+        """Open the key log and mark in ``state`` which keys may have run in an earlier incarnation.
+
+        ``longest_window_ms`` is the longest idempotency window of all request classes: where the log is not
+        whole, any key may have run until that time has passed.
+        """
+        blind_until = now_ms + longest_window_ms
+        opened = storage.open_key_log(settings.folder, blind_until)
+        self._key_log = opened.key_log
+        _mark_indeterminate_keys(state, opened, blind_until, now_ms)
+
+    def record_start(self, state: State, start: effects.StartRun, now_ms: float) -> bool:
+        """Write the key of a run that is about to start; return False where it must not start.
+
+        A run without a key may start at once.
+        """
+        record = state.idempotency_table.find_by_attempt(start.attempt_id)
+        if record is None:
+            return True
+        digest = key_digest(record.idempotency_key)
+        if self._key_log is not None and self._key_log.append(digest, record.expires_at_ms, now_ms):
+            return True
+        logger.bind(event="comeback.ring").warning("the key log has no free slot: run not started")
+        return False
+
+
+def _mark_indeterminate_keys(state: State, opened: OpenedKeyLog, blind_until: float, now_ms: float) -> None:
+    found = opened.found
+    if opened.error is not None:
+        logger.bind(event="comeback.ring").error("no key log, no request with a key is run: {}", opened.error)
+        blind_until = math.inf
+    elif found.verdict is KeyLogVerdict.WHOLE:
+        blind_until = found.any_until_ms
+    keys = {digest: until_ms for digest, until_ms in found.keys.items() if until_ms > now_ms}
+    if keys or blind_until > now_ms:
+        state.indeterminate_keys = IndeterminateKeys(keys, blind_until)
+    logger.bind(event="comeback.ring", verdict=found.verdict.value, keys=len(keys)).info(
+        "key log: {}{}{}; {} keys indeterminate{}",
+        found.verdict.value,
+        ": " if found.reason else "",
+        found.reason,
+        len(keys),
+        f", all for {(blind_until - now_ms) / 1000.0:.1f} s" if blind_until > now_ms else "",
+    )
--- /dev/null
+++ b/snowthread/recovery/learned_snapshots.py
@@ -0,0 +1,96 @@
+"""Restores what an earlier incarnation learned, and writes down what this one learns."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from loguru import logger
+
+from snowthread.admission import learned_state
+from snowthread.admission.controller import Controller
+from snowthread.admission.learned_state import ClassTimes, LearnedState, LearnedStateAging
+from snowthread.core import events
+from snowthread.core.state import State
+from snowthread.recovery import storage
+from snowthread.recovery.membership import FleetView
+from snowthread.recovery.settings import RecoverySettings
+from snowthread.recovery.snapshot import (
+    LearnedTimes,
+    Snapshot,
+    SnapshotAssessment,
+    SnapshotVerdict,
+    assess,
+    encode,
+)
+
+MIN_SPEED, MAX_SPEED = 0.01, 1.0  # of a machine, relative to a warm one
+
+
+class LearnedSnapshots:
+    """Reads the snapshot of the earlier incarnation and writes those of this one."""
+
+    def __init__(
+        self, settings: RecoverySettings, state: State, post: Callable[[events.Event], None]
+    ) -> None:
+        """Read the snapshot; it is assessed once the fleet's generation is known."""
+        self._settings, self._state, self._post = settings, state, post
+        self._found = storage.read(settings.folder)
+        self._aging = LearnedStateAging(LearnedState({}))
+        self.assessment: SnapshotAssessment | None = None
+
+    @property
+    def restored(self) -> LearnedState:
+        """What was restored and is not forgotten yet."""
+        return self._aging.recalled
+
+    def restore(self, generation: int, now_ms: float, is_cold: bool) -> None:
+        """Assess the snapshot by the fleet's generation and restore what it holds, where it is fresh."""
+        assessment = self.assessment = assess(
+            self._found,
+            generation=generation,
+            now_ms=now_ms,
+            fresh_for_ms=self._settings.snapshot_max_age_ms,
+        )
+        self._found = b""
+        logger.bind(event="comeback.snapshot", verdict=assessment.verdict.value).info(
+            "snapshot: {}{}{}",
+            assessment.verdict.value,
+            ": " if assessment.reason else "",
+            assessment.reason,
+        )
+        if assessment.verdict is not SnapshotVerdict.FRESH:
+            return
+        learned = _to_learned_state(assessment.initial_state)
+        self._aging = LearnedStateAging(learned)
+        speed = self._state.settings.cold_speed if is_cold else MAX_SPEED
+        self._post(events.LearnedStateRestored(learned, min(MAX_SPEED, max(MIN_SPEED, speed))))
+
+    def forget_outdated(self, controller: Controller, at_s: float) -> None:
+        """Forget what was restored too long ago."""
+        self._aging.tick(controller, at_s)
+
+    def write(self, view: FleetView, incarnation: int, now_ms: float) -> None:
+        """Write what the controller has learned until now."""
+        controller = self._state.controller
+        if controller is None:
+            return
+        learned = _to_learned_times(learned_state.export_learned_state(controller))
+        data = encode(Snapshot(view.generation, incarnation, now_ms, learned))
+        storage.warn_if_failed(storage.write(self._settings.folder, data, sync=False))
+
+
+def _to_learned_state(learned: LearnedTimes) -> LearnedState:
+    times = {
+        name: ClassTimes(core_time_s, learned.run_time_s.get(name, 0.0), learned.call_time_s.get(name, 0.0))
+        for name, core_time_s in learned.core_time_s.items()
+    }
+    return LearnedState(times, learned.read_per_s)
+
+
+def _to_learned_times(learned: LearnedState) -> LearnedTimes:
+    return LearnedTimes(
+        core_time_s={name: times.core_time_s for name, times in learned.times.items()},
+        run_time_s={name: times.run_time_s for name, times in learned.times.items()},
+        call_time_s={name: times.call_time_s for name, times in learned.times.items()},
+        read_per_s=learned.request_rate,
+    )
--- a/snowthread/recovery/manager.py
+++ b/snowthread/recovery/manager.py
@@ -1,10 +1,16 @@
-"""A node's way back, wired: state on disk, the roster's answers, and the pace of calls and runs.
-
-It wraps ``reduce``: it sees each event before the reducer and each effect after it. It decides nothing
-itself: :mod:`snapshot` and :mod:`key_log` say what may be trusted, :mod:`membership` who is in the fleet,
-:mod:`snowthread.admission.recovery_pacing` how fast, and :mod:`snowthread.admission.learned_state` what is
-restored. A keyed start leaves the node only once its key is in the key log; a call that has to wait is held
-here until it may go.
+"""Recovery of a node after a restart: the parts wired to the event loop and around the reducer.
+
+:class:`RecoveryManager` wraps the reducer: it sees each event before and each effect after it, and decides
+nothing itself. :mod:`key_recorder` and :mod:`learned_snapshots` know what an earlier incarnation left,
+:mod:`registry_member` the fleet, :mod:`request_admission` and :mod:`call_pacing` what may start while the
+node is cold, by the pace of :mod:`snowthread.admission.recovery_pacing`.
+
+| state  | event                                        | next state                                         |
+| ------ | -------------------------------------------- | -------------------------------------------------- |
+| cold   | the runtime connects and started warm        | warm                                               |
+| cold   | slow start is complete, the machine is quick | warm: snapshots are written                        |
+| warm   | the registry reports other, cold nodes       | warm: calls stay within the fleet's budget         |
+| warm   | it reports no cold node                      | warm: calls go as they come                        |
 """
 
 from __future__ import annotations
@@ -22,34 +28,36 @@
     FLEET_SHARE,
     Backoff,
     CallBudget,
-    CallPermission,
     RecoveryPacer,
     SlowStart,
 )
-from snowthread.admission.settings import Outcome, RequestClass
+from snowthread.admission.settings import Outcome
 from snowthread.core import effects, events
-from snowthread.core.idempotency import IndeterminateKeys, key_digest
-from snowthread.core.state import RequestPhase, State
-from snowthread.net.loop import EventLoop, TaskSteps, Timer, Wait
-from snowthread.recovery import key_log, storage
-from snowthread.recovery.membership import Membership, MemberStatus
+from snowthread.core.state import State
+from snowthread.net.loop import EventLoop, TaskSteps, Wait
+from snowthread.recovery.call_pacing import CallPacing
+from snowthread.recovery.key_recorder import KeyRecorder
+from snowthread.recovery.learned_snapshots import LearnedSnapshots
+from snowthread.recovery.registry_member import RegistryMember
+from snowthread.recovery.request_admission import ColdRequestAdmission
 from snowthread.recovery.settings import RecoverySettings
-from snowthread.recovery.snapshot import LearnedTimes, Snapshot, SnapshotAssessment, Verdict, assess, encode
 
 if TYPE_CHECKING:
     from snowthread.config import Config
 
 Reduce = Callable[[State, events.Event, float], list[effects.Effect]]
 
-CALLS_FACTOR = 4.0  # times its share that the module may have in hand: here some of them wait for their turn
-AFTER_PART = 8.0  # of an aim, over the window: how long one who is turned away should keep off
-MADE_MAX = 4096  # runs whose calls are counted
-WARM_FACTOR = 1.25  # times what was recalled: as quick as that, a machine is warm
-BACKOFF_MS = 20.0, 2000.0  # of links and calls that find nobody there
+SEED_MASK = 0x5EED  # draws of recovery are other ones than those of the controller
+PACED_CALL_FACTOR = 4.0  # times its quota that the controller may have in flight: some are queued here
+QUICK_FACTOR = 1.25  # a machine is warm whose runs take at most so many times what was restored
+WARMED_UP_SPEED = 1.0  # of a machine, relative to a warm one
+MAX_WINDOW_RUNS_PER_CORE = 2.0
+MIN_WINDOW_RUNS_PER_CORE = 1.0
+BACKOFF_BASE_MS, BACKOFF_CAP_MS = 20.0, 2000.0  # of connects and calls that reach nobody
 
 
 class RecoveryManager:
-    """Keeps what helps a node come back, and paces its return."""
+    """Keeps what helps a node to recover, and paces its return to full service."""
 
     def __init__(
         self,
@@ -60,345 +68,177 @@
         post: Callable[[events.Event], None],
         inner: Reduce,
     ) -> None:
+        """Read what an earlier incarnation left; ``inner`` is the reducer that is wrapped."""
         self._loop, self._settings, self._state, self._post, self._inner = loop, settings, state, post, inner
-        now = self._born = loop.clock.now()
-        draw = self._draw = random.Random(config.seed ^ 0x5EED)
-        kinds = config.settings.classes
-        window = max((c.idempotency_window_s for c in kinds), default=0.0) * 1000.0
-        found, self._ring, failed = storage.open_key_log(settings.folder, now + window)
-        self._keys(found, failed, now + window)
-        before = storage.read_incarnation(settings.folder)
-        self._members = Membership(before + 1 if before else 0, max(1, config.settings.node_count))
-        if before:
-            self._failed(storage.write_incarnation(settings.folder, before + 1))
-        self._snapshot = storage.read(settings.folder)
-        self.snapshot_verdict: SnapshotAssessment | None = None
-        cores = config.settings.cores
-        self._return = RecoveryPacer(
-            SlowStart(2.0 * cores, float(cores)),
-            CallBudget(FLEET_SHARE * settings.database_per_s, settings.database_call_ms, burst_s=BURST_S),
-            Backoff(*BACKOFF_MS),
-            settings.database_per_s * settings.database_call_ms / 1000.0,
-            draw,
-        )
-        self._return.update_fleet(*self._members.fleet_size())
-        self._link_backoff = Backoff(*BACKOFF_MS)
-        self._ages = learned_state.LearnedStateAging(learned_state.LearnedState({}))
-        self._held: dict[str, effects.StartCall] = {}
-        self._made: dict[str, int] = {}
-        self._timer: Timer | None = None
+        self._started_at_ms = loop.clock.now()
+        self._random = random.Random(config.seed ^ SEED_MASK)
+        self._report_now: Callable[[], None] = lambda: None
+        self._carry_out: Callable[[effects.Effect], None] = lambda effect: None
+
+        windows_s = [request_class.idempotency_window_s for request_class in config.settings.classes]
+        longest_window_ms = max(windows_s, default=0.0) * 1000.0
+        self._key_recorder = KeyRecorder(settings, state, self._started_at_ms, longest_window_ms)
+        configured_nodes = max(1, config.settings.node_count)
+        self._member = RegistryMember(settings, configured_nodes, post, lambda: self._report_now())
+        self._snapshots = LearnedSnapshots(settings, state, post)
+        self._pacer = _make_pacer(settings, config.settings.cores, self._random)
+        self._update_fleet()
+        self._admission = ColdRequestAdmission(self._pacer)
+        self._calls = CallPacing(loop, state, self._pacer, post, lambda effect: self._carry_out(effect))
+
+        self._reconnect_backoff = Backoff(BACKOFF_BASE_MS, BACKOFF_CAP_MS)
         self._pace = events.CallPacingChanged()
-        self.rejected_requests = 0
-        self._said_cold = False
-        self._silent = True  # until it is heard
-        self._cold: bool | None = None  # the machine, at its start: told by the runtime
-        self._say_again: Callable[[], None] = lambda: None
-        self._carry: Callable[[effects.Effect], None] = lambda effect: None
-
-    def start(self, say_again: Callable[[], None], carry: Callable[[effects.Effect], None]) -> None:
-        """The peers are there."""
-        self._say_again, self._carry = say_again, carry
-        self._loop.spawn(self._steps())
-
-    def _keys(self, found: key_log.KeyLogContents, failed: str, blind_until: float) -> None:
-        now = self._born
-        if failed:
-            logger.bind(event="comeback.ring").error("no ring of keys, no keyed request is run: {}", failed)
-            blind_until = float("inf")
-        elif found.verdict is key_log.Verdict.WHOLE:
-            blind_until = found.any_until_ms
-        keys = {key: until for key, until in found.keys.items() if until > now}
-        if keys or blind_until > now:
-            self._state.indeterminate_keys = IndeterminateKeys(keys, blind_until)
-        blind = f", all for {(blind_until - now) / 1000.0:.1f} s" if blind_until > now else ""
-        logger.bind(event="comeback.ring", verdict=found.verdict.value, keys=len(keys)).info(
-            "ring of keys: {}{}{}; {} keys unknown{}",
-            found.verdict.value,
-            ": " if found.reason else "",
-            found.reason,
-            len(keys),
-            blind,
-        )
+        self._reported_cold = False
+        self._started_cold: bool | None = None  # the machine, as the runtime reports it; None until then
+
+    def start(self, report_now: Callable[[], None], carry_out: Callable[[effects.Effect], None]) -> None:
+        """Start to write snapshots.
 
-    @staticmethod
-    def _failed(why: str | None) -> None:
-        if why is not None:
-            logger.bind(event="comeback.write").warning("state not written: {}", why)
+        ``report_now`` sends a report to the registry at once, ``carry_out`` carries out an effect.
+        """
+        self._report_now, self._carry_out = report_now, carry_out
+        self._loop.spawn(self._write_snapshots())
 
-    # The roster.
+    @property
+    def rejected_requests(self) -> int:
+        """Requests rejected because slow start had no place for them."""
+        return self._admission.rejected_requests
+
+    # The registry and the runtime.
 
     def report_suffix(self) -> str:
-        """What a report says besides."""
-        return self._members.report_suffix(self._return.cold)
+        """Return what a report to the registry says after the node's state."""
+        return self._member.report_suffix(self._pacer.cold)
 
     def handle_registry_answer(self, data: bytes) -> None:
-        """An answer of the roster."""
-        now, members = self._loop.clock.now(), self._members
-        life, standing = members.incarnation, members.status
-        if not members.handle_answer(data, now):
+        """Take an answer of the registry."""
+        now_ms = self._loop.clock.now()
+        if not self._member.handle_answer(data, now_ms):
             return
-        if members.incarnation != life:
-            if members.incarnation > 1:
-                logger.bind(event="comeback.life").warning(
-                    "the roster knows a later life than {}: goes on as {}", life, members.incarnation
-                )
-            self._failed(storage.write_incarnation(self._settings.folder, members.incarnation))
-            self._say_again()
-        if members.status is MemberStatus.REPLACED and standing is not MemberStatus.REPLACED:
-            logger.bind(event="comeback.replaced").error("another process has this name now: off the list")
-            self._post(events.DrainRequested(True))
-        if self.snapshot_verdict is None:
-            self._trust(now)
-        self._return.update_fleet(*members.fleet_size())
-        self._turns()
-
-    def _trust(self, now: float) -> None:
-        """The fleet's generation is known: may the snapshot be trusted?"""
-        view = self._members.view
-        assert view is not None
-        judged = self.snapshot_verdict = assess(
-            self._snapshot,
-            generation=view.generation,
-            now_ms=now,
-            fresh_for_ms=self._settings.snapshot_max_age_ms,
-        )
-        self._snapshot = b""
-        logger.bind(event="comeback.snapshot", verdict=judged.verdict.value).info(
-            "snapshot: {}{}{}", judged.verdict.value, ": " if judged.reason else "", judged.reason
-        )
-        if judged.verdict is not Verdict.FRESH:
-            return
-        learned = judged.initial_state
-        known = learned_state.LearnedState(
-            {
-                name: learned_state.ClassTimes(
-                    core, learned.run_time_s.get(name, 0.0), learned.call_time_s.get(name, 0.0)
-                )
-                for name, core in learned.core_time_s.items()
-            },
-            learned.read_per_s,
-        )
-        self._ages = learned_state.LearnedStateAging(known)
-        speed = self._state.settings.cold_speed if self._return.cold else 1.0
-        self._post(events.LearnedStateRestored(known, min(1.0, max(0.01, speed))))
+        view = self._member.view
+        if self._snapshots.assessment is None and view is not None:
+            self._snapshots.restore(view.generation, now_ms, self._pacer.cold)
+        self._update_fleet()
+        self._calls.release()
+
+    def _update_fleet(self) -> None:
+        size = self._member.fleet_size()
+        self._pacer.update_fleet(size.listed, size.cold)
 
     def reconnect_delay_ms(self) -> float:
-        """How long to wait before the next attempt to link to the runtime."""
-        return self._link_backoff.next_delay_ms(self._draw)
+        """Return how long to wait before the next attempt to connect to the runtime."""
+        return self._reconnect_backoff.next_delay_ms(self._random)
 
     # Each step of the node.
 
     def reduce(self, state: State, message: events.Event, now: float) -> list[effects.Effect]:
-        """The reducer's step; starts and calls pass only as they may."""
-        self._look(state, message, now)
-        if type(message) is events.RequestReceived and self._return.cold:
-            refusal = self._admit(state, message, now)
-            if refusal is not None:
-                return [refusal]
-        out: list[effects.Effect] = []
+        """Do the reducer's step; let starts of runs and calls pass only as they may."""
+        self._observe(state, message, now)
+        if type(message) is events.RequestReceived and self._pacer.cold:
+            rejection = self._admission.rejection_of(state, message, now)
+            if rejection is not None:
+                return [rejection]
+        passed: list[effects.Effect] = []
         for effect in self._inner(state, message, now):
             if type(effect) is effects.StartRun:
-                if not self._written(state, effect, now):
+                if not self._key_recorder.record_start(state, effect, now):
                     self._post(events.CommandRejected(effect.attempt_id, True))
                     continue
             elif type(effect) is effects.StartCall:
-                if not self._goes(state, effect, now):
+                if not self._calls.permits(state, effect, now):
                     continue
             elif type(effect) is effects.CancelCall:
-                self._held.pop(effect.attempt_id, None)
-                self._return.call_cancelled(now, effect.attempt_id)
-            out.append(effect)
-        return out
-
-    def _admit(self, state: State, m: events.RequestReceived, now: float) -> effects.SendResponse | None:
-        """Turn away at once what the ramp has no place for: whose run can't do without its calls."""
-        kind = next((c for c in state.settings.classes if c.name == m.class_name), None)
-        if kind is None or kind.skipped_call_weight > 0.0:
-            return None
-        if not kind.may_call:
-            # Blind, the worthiest calls may not be made: what warms the machine meanwhile goes first.
-            blind = state.indeterminate_keys is not None and now < state.indeterminate_keys.any_until_ms
-            running = sum(q.phase is RequestPhase.RUNNING for q in state.requests.values())
-            if not blind or running < state.settings.cores or not self._return.has_idle_budget(now):
-                return None
-            return self._turned_away(state, m, kind)
-        at = min(m.sent_at_ms, now)
-        if m.idempotency_key and (
-            state.idempotency_table.owner_at(m.idempotency_key, at) is not None
-            or (
-                state.indeterminate_keys is not None
-                and state.indeterminate_keys.may_have_run(m.idempotency_key, at)
-            )
-        ):
-            return None  # a repeat, or one that may be: the reducer knows what to say
-        flying = sum(
-            q.request_class.name == kind.name and q.phase is not RequestPhase.AWAITING_ORIGINAL
-            for q in state.requests.values()
-        )
-        return None if self._return.slow_start.admits(flying) else self._turned_away(state, m, kind)
-
-    def _turned_away(
-        self, state: State, m: events.RequestReceived, kind: RequestClass
-    ) -> effects.SendResponse:
-        settings = state.settings
-        self.rejected_requests += 1
-        after = (
-            kind.latency_objective_s / (AFTER_PART * self._return.slow_start.window)
-            if settings.supports_retry_after
-            else 0.0
-        )
-        return effects.SendResponse(
-            m.response_address,
-            effects.Rejected(1000.0 * min(after, settings.max_retry_after_s)),
-            state.load_report,
-        )
+                self._calls.cancel(effect.attempt_id, now)
+            passed.append(effect)
+        return passed
 
-    def _look(self, state: State, message: events.Event, now: float) -> None:
-        way = self._return
+    def _observe(self, state: State, message: events.Event, now: float) -> None:
         match message:
             case events.CallCompleted():
-                way.call_ended(
-                    now,
-                    message.attempt_id,
-                    message.outcome is not Outcome.UNREACHABLE,
-                    message.outcome in (Outcome.SUCCESS, Outcome.TIMED_OUT),
-                )
-                self._turns()
+                self._calls.complete_call(message, now)
             case events.RunCompleted():
-                self._made.pop(message.attempt_id, None)
-                q = state.by_attempt_id.get(message.attempt_id)
-                if (
-                    q is None
-                    or not way.cold
-                    or q.request_class.skipped_call_weight
-                    or not q.request_class.may_call
-                ):
-                    return
-                if message.outcome in (Outcome.SUCCESS, Outcome.CANCELLED):
-                    aim = q.request_class.latency_objective_s * 1000.0
-                    way.run_ended(
-                        now, message.outcome is Outcome.SUCCESS and now - q.received_at_ms <= aim, aim
-                    )
+                self._calls.forget_run(message.attempt_id)
+                if self._pacer.cold:
+                    self._record_run(state, message, now)
             case events.RuntimeConnected():
-                self._link_backoff.reset()
-                if self._cold is None:
-                    self._cold = message.starts_cold
-                    way.slow_start.complete = not message.starts_cold
-                    self._say_again()
+                self._take_runtime(message)
             case events.TimerExpired(label=label) if label == UPDATE_TIMER:
-                self._tick(state, now)
+                self._update(state, now)
 
-    def _tick(self, state: State, now: float) -> None:
-        """Once a period: forget what is too old, and tell the module the limits of the way back."""
-        controller, way = state.controller, self._return
+    def _record_run(self, state: State, message: events.RunCompleted, now_ms: float) -> None:
+        """Let slow start learn from a run that cannot do without its calls."""
+        request = state.by_attempt_id.get(message.attempt_id)
+        if request is None or message.outcome not in (Outcome.SUCCESS, Outcome.CANCELLED):
+            return
+        request_class = request.request_class
+        if request_class.skipped_call_weight or not request_class.may_call:
+            return
+        objective_ms = request_class.latency_objective_s * 1000.0
+        in_time = now_ms - request.received_at_ms <= objective_ms
+        self._pacer.run_ended(now_ms, message.outcome is Outcome.SUCCESS and in_time, objective_ms)
+
+    def _take_runtime(self, message: events.RuntimeConnected) -> None:
+        self._reconnect_backoff.reset()
+        if self._started_cold is None:
+            self._started_cold = message.starts_cold
+            self._pacer.slow_start.complete = not message.starts_cold
+            self._report_now()
+
+    def _update(self, state: State, now_ms: float) -> None:
+        """Do what is due once a period of the controller."""
+        controller = state.controller
         if controller is None:
             return
-        at = state.admission_clock.timestamp_s(now)
-        self._ages.tick(controller, at)
-        quick = learned_state.runs_within_factor(controller, self._ages.recalled, WARM_FACTOR)
-        way.slow_start.held_open = self._cold is True and not (
-            quick if quick is not None else learned_state.warmup_speed(controller, at) >= 1.0
-        )
-        pace = events.CallPacingChanged(CALLS_FACTOR * state.settings.call_quota if way.is_pacing else 0.0)
+        at_s = state.admission_clock.timestamp_s(now_ms)
+        self._snapshots.forget_outdated(controller, at_s)
+        is_quick = learned_state.runs_within_factor(controller, self._snapshots.restored, QUICK_FACTOR)
+        if is_quick is None:  # nothing to compare with
+            is_quick = learned_state.warmup_speed(controller, at_s) >= WARMED_UP_SPEED
+        self._pacer.slow_start.held_open = self._started_cold is True and not is_quick
+        self._post_pace(state)
+        self._report_warmth(now_ms)
+
+    def _post_pace(self, state: State) -> None:
+        """Tell the controller how many calls it may have in flight."""
+        is_pacing = self._pacer.is_pacing
+        pace = events.CallPacingChanged(PACED_CALL_FACTOR * state.settings.call_quota if is_pacing else 0.0)
         if pace != self._pace:
             self._pace = pace
             self._post(pace)
-        if way.cold != self._said_cold:
-            self._said_cold = way.cold
-            logger.bind(event="comeback.cold" if way.cold else "comeback.warm").info(
-                "{} {:.1f} s after the start",
-                "on its way back" if way.cold else "warm",
-                (now - self._born) / 1000.0,
-            )
-            self._say_again()
-
-    def _written(self, state: State, start: effects.StartRun, now: float) -> bool:
-        """Is the key of this start, where it has one, where a crash can't take it?"""
-        entry = state.idempotency_table.find_by_attempt(start.attempt_id)
-        if entry is None:
-            return True
-        if self._ring is not None and self._ring.append(
-            key_digest(entry.idempotency_key), entry.expires_at_ms, now
-        ):
-            return True
-        logger.bind(event="comeback.ring").warning("a key finds no place in the ring: not run")
-        return False
-
-    # Calls.
-
-    def _goes(self, state: State, call: effects.StartCall, now: float) -> bool:
-        q = state.by_attempt_id.get(call.attempt_id)
-        skippable = q is not None and q.request_class.skipped_call_weight > 0.0
-        made = self._made.get(call.attempt_id, 0)
-        word = self._return.request_call(now, call.attempt_id, made, skippable, now + call.timeout_ms / 2.0)
-        if word is CallPermission.GRANTED:
-            self._count(call.attempt_id)
-        elif word is CallPermission.QUEUED:
-            self._held[call.attempt_id] = call
-            self._wait()
-        else:
-            self._post(events.CallCompleted(call.attempt_id, Outcome.OVERLOADED, 0.0))
-        return word is CallPermission.GRANTED
-
-    def _count(self, uid: str) -> None:
-        if len(self._made) >= MADE_MAX:
-            self._made = {uid: made for uid, made in self._made.items() if uid in self._state.by_attempt_id}
-        self._made[uid] = self._made.get(uid, 0) + 1
-
-    def _turns(self) -> None:
-        """Let go what may go now, and turn away what has waited too long."""
-        if not self._held:
+
+    def _report_warmth(self, now_ms: float) -> None:
+        is_cold = self._pacer.cold
+        if is_cold == self._reported_cold:
             return
-        go, late = self._return.release_calls(self._loop.clock.now())
-        for uid in go:
-            call = self._held.pop(uid, None)
-            if call is not None:
-                self._count(uid)
-                self._carry(call)
-        for uid in late:
-            if self._held.pop(uid, None) is not None:
-                self._post(events.CallCompleted(uid, Outcome.OVERLOADED, 0.0))
-        self._wait()
-
-    def _wait(self) -> None:
-        if self._held and not self._timer:
-            now = self._loop.clock.now()
-            self._timer = self._loop.call_at(self._return.next_release_at_ms(now), self._turns_due)
-
-    def _turns_due(self) -> None:
-        self._timer = None
-        self._turns()
-
-    # The snapshot.
-
-    def _steps(self) -> TaskSteps:
+        self._reported_cold = is_cold
+        logger.bind(event="comeback.cold" if is_cold else "comeback.warm").info(
+            "{} {:.1f} s after the start",
+            "recovering" if is_cold else "warm",
+            (now_ms - self._started_at_ms) / 1000.0,
+        )
+        self._report_now()
+
+    # Snapshots.
+
+    def _write_snapshots(self) -> TaskSteps:
         while True:
             yield Wait(until=self._loop.clock.now() + self._settings.snapshot_interval_ms)
-            self._keep()
-            silent = self._members.is_silent(self._loop.clock.now())
-            if silent != self._silent:
-                self._silent = silent
-                logger.bind(event="comeback.roster").info(
-                    "the roster {}", "is silent: what it told last holds" if silent else "answers"
-                )
-
-    def _keep(self) -> None:
-        """Write down what is worth it: what a cold machine measures is not, nor what no generation dates."""
-        controller, view = self._state.controller, self._members.view
-        replaced = self._members.status is MemberStatus.REPLACED
-        if controller is None or view is None or self._return.cold or replaced:
+            self._write_snapshot()
+            self._member.log_silence(self._loop.clock.now())
+
+    def _write_snapshot(self) -> None:
+        """Write what was learned, unless the machine is cold or no generation of the fleet dates it."""
+        view = self._member.view
+        if view is None or self._pacer.cold or self._member.is_replaced:
             return
-        known = learned_state.export_learned_state(controller)
-        learned = LearnedTimes(
-            {name: t.core_time_s for name, t in known.times.items()},
-            {name: t.run_time_s for name, t in known.times.items()},
-            {name: t.call_time_s for name, t in known.times.items()},
-            known.request_rate,
-        )
-        self._failed(
-            storage.write(
-                self._settings.folder,
-                encode(Snapshot(view.generation, self._members.incarnation, self._loop.clock.now(), learned)),
-                sync=False,
-            )
-        )
+        self._snapshots.write(view, self._member.incarnation, self._loop.clock.now())
+
+
+def _make_pacer(settings: RecoverySettings, cores: int, draws: random.Random) -> RecoveryPacer:
+    return RecoveryPacer(
+        SlowStart(MAX_WINDOW_RUNS_PER_CORE * cores, MIN_WINDOW_RUNS_PER_CORE * cores),
+        CallBudget(FLEET_SHARE * settings.database_per_s, settings.database_call_ms, burst_s=BURST_S),
+        Backoff(BACKOFF_BASE_MS, BACKOFF_CAP_MS),
+        settings.database_per_s * settings.database_call_ms / 1000.0,
+        draws,
+    )
--- a/snowthread/recovery/membership.py
+++ b/snowthread/recovery/membership.py
@@ -1,13 +1,15 @@
-"""Membership by the roster, with generations and incarnations. Pure: words in, words and verdicts out.
+"""Membership of a node in its fleet by the registry's answers, with generations and incarnations.
 
-A report's further words are the node's incarnation and ``cold`` or ``warm``; the answer to each is
+Pure: bytes of answers in, status and report suffix out.
+
+The suffix of a report is the node's incarnation and ``cold`` or ``warm``; the answer to each report is
 ``FLEET generation listed cold highest`` where ``highest`` is the highest incarnation heard for this name.
 
 | state        | answer                              | next                                                  |
 | ------------ | ----------------------------------- | ----------------------------------------------------- |
 | unheard      | ``highest`` is ours, above 0        | member                                                |
 | unheard      | ``highest`` is above ours, or ours  | member with ``highest + 1``: our count was lost, or   |
-|              | is 0 (no count was kept)            | this is the first life                                |
+|              | is 0 (no count was kept)            | this is the first incarnation                         |
 | member       | ``highest`` is ours                 | member                                                |
 | member       | ``highest`` is above ours           | replaced: another process has our name                |
 | replaced     | any                                 | replaced: off the list for good                       |
@@ -20,11 +22,13 @@
 from dataclasses import dataclass
 from enum import Enum
 
-SILENT_MS = 3000.0  # without an answer for so long, the roster is taken for gone
-INCARNATION_MAX = 2**31
+SILENT_MS = 3000.0  # without an answer for so long, the registry counts as gone
+MAX_INCARNATION = 2**31
 
 
 class MemberStatus(Enum):
+    """Whether the registry has answered, and whether another process has this node's name."""
+
     UNHEARD = "unheard"
     MEMBER = "member"
     REPLACED = "replaced"
@@ -32,7 +36,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetView:
-    """The fleet as the roster told it last."""
+    """The fleet as the registry reported it last."""
 
     generation: int
     listed: int
@@ -40,36 +44,43 @@
     at_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class FleetSize:
+    """How many nodes are listed and how many of them are cold."""
+
+    listed: int
+    cold: int
+
+
 @dataclass(slots=True)
 class Membership:
-    """One node's place in the fleet. ``incarnation`` 0: no count was kept, the roster may know one. Told as
-    it is, for a count begun anew would pass for the earlier life's."""
+    """One node's place in the fleet.
+
+    ``incarnation`` 0 says that no count was kept and the registry may know one. It is reported as it is: a
+    count begun anew would pass for that of an earlier incarnation.
+    """
 
     incarnation: int
-    peers: int  # nodes of the fleet by the settings: all taken for cold until the roster is heard
+    peers: int  # nodes of the fleet by the settings: all count as cold until the registry answers
     status: MemberStatus = MemberStatus.UNHEARD
     view: FleetView | None = None
     invalid_answers: int = 0
 
     def report_suffix(self, cold: bool) -> str:
-        """What a report says besides."""
+        """Return what a report says after the node's state: incarnation and cold or warm."""
         return f"{self.incarnation} {'cold' if cold else 'warm'}"
 
     def handle_answer(self, data: bytes, now_ms: float) -> bool:
-        """Take an answer; True where it is one and this node's standing or view may have changed."""
+        """Read an answer; return True where it is valid and the status or the view may have changed."""
         words = data.split()
         try:
             generation, listed, cold, highest = (int(word) for word in words[1:])
         except ValueError:
             self.invalid_answers += 1
             return False
-        before = self.view.generation if self.view is not None else 0
-        if (
-            words[0] != b"FLEET"
-            or min(listed, cold, highest) < 0
-            or cold > listed
-            or (generation < before or highest > INCARNATION_MAX)
-        ):
+        known_generation = self.view.generation if self.view is not None else 0
+        is_plausible = 0 <= cold <= listed and 0 <= highest <= MAX_INCARNATION
+        if words[0] != b"FLEET" or not is_plausible or generation < known_generation:
             self.invalid_answers += 1
             return False
         self.view = FleetView(generation, listed, cold, now_ms)
@@ -82,12 +93,12 @@
             self.status = MemberStatus.MEMBER
         return True
 
-    def fleet_size(self) -> tuple[int, int]:
-        """Nodes listed and cold, as last told; before any word all are cold."""
+    def fleet_size(self) -> FleetSize:
+        """Return the nodes listed and cold as last reported; before any answer all are cold."""
         if self.view is None:
-            return self.peers, self.peers
-        return max(1, self.view.listed), self.view.cold
+            return FleetSize(self.peers, self.peers)
+        return FleetSize(max(1, self.view.listed), self.view.cold)
 
     def is_silent(self, now_ms: float) -> bool:
-        """Has the roster not answered for long?"""
+        """Tell whether the registry has not answered for ``SILENT_MS``."""
         return self.view is None or now_ms - self.view.at_ms > SILENT_MS
--- /dev/null
+++ b/snowthread/recovery/request_admission.py
@@ -0,0 +1,83 @@
+"""Rejects, while the node is cold, requests that its slow start has no place for."""
+
+from __future__ import annotations
+
+from snowthread.admission.recovery_pacing import RecoveryPacer
+from snowthread.admission.settings import RequestClass
+from snowthread.core import effects, events
+from snowthread.core.state import RequestPhase, State
+
+RETRY_AFTER_DIVISOR = 8.0  # Retry-After is the latency objective over this times the slow start's window
+
+
+class ColdRequestAdmission:
+    """Decides on requests before the reducer sees them; only called while the node is cold."""
+
+    def __init__(self, pacer: RecoveryPacer) -> None:
+        self._pacer = pacer
+        self.rejected_requests = 0
+
+    def rejection_of(
+        self, state: State, request: events.RequestReceived, now_ms: float
+    ) -> effects.SendResponse | None:
+        """Return the response to a request that is rejected; None for one that the reducer decides on.
+
+        Rejected are requests whose runs cannot do without their calls.
+        """
+        request_class = next((c for c in state.settings.classes if c.name == request.class_name), None)
+        if request_class is None or request_class.skipped_call_weight > 0.0:
+            return None
+        if not request_class.may_call:
+            is_rejected = self._yields_to_warming(state, now_ms)
+        elif _may_be_a_retry(state, request, now_ms):
+            return None  # the reducer knows what to answer
+        else:
+            is_rejected = not self._pacer.slow_start.admits(_open_requests(state, request_class))
+        return self._reject(state, request, request_class) if is_rejected else None
+
+    def _yields_to_warming(self, state: State, now_ms: float) -> bool:
+        """Tell whether a request that makes no calls waits for those that do.
+
+        While any key may have run, the calls with the highest priority weight may not be made: what warms the
+        machine meanwhile goes first.
+        """
+        keys = state.indeterminate_keys
+        if keys is None or now_ms >= keys.any_until_ms:
+            return False
+        running = sum(request.phase is RequestPhase.RUNNING for request in state.requests.values())
+        return running >= state.settings.cores and self._pacer.has_idle_budget(now_ms)
+
+    def _reject(
+        self, state: State, request: events.RequestReceived, request_class: RequestClass
+    ) -> effects.SendResponse:
+        settings = state.settings
+        self.rejected_requests += 1
+        retry_after_s = 0.0
+        if settings.supports_retry_after:
+            window = self._pacer.slow_start.window
+            retry_after_s = request_class.latency_objective_s / (RETRY_AFTER_DIVISOR * window)
+        return effects.SendResponse(
+            request.response_address,
+            effects.Rejected(1000.0 * min(retry_after_s, settings.max_retry_after_s)),
+            state.load_report,
+        )
+
+
+def _may_be_a_retry(state: State, request: events.RequestReceived, now_ms: float) -> bool:
+    key = request.idempotency_key
+    if not key:
+        return False
+    at_ms = min(request.sent_at_ms, now_ms)
+    if state.idempotency_table.owner_at(key, at_ms) is not None:
+        return True
+    indeterminate_keys = state.indeterminate_keys
+    return indeterminate_keys is not None and indeterminate_keys.may_have_run(key, at_ms)
+
+
+def _open_requests(state: State, request_class: RequestClass) -> int:
+    """Return how many requests of a class are open, without those that follow another one's run."""
+    return sum(
+        request.request_class.name == request_class.name
+        and request.phase is not RequestPhase.AWAITING_ORIGINAL
+        for request in state.requests.values()
+    )
--- a/snowthread/recovery/snapshot.py
+++ b/snowthread/recovery/snapshot.py
@@ -1,27 +1,27 @@
-"""The bytes of a warm snapshot and the judge of those found at a start. Pure: no clock, no files.
+"""Format of the snapshot of what a node learned, and the assessment of one found at a start.
 
-Layout (big-endian)::
+Pure: no clock, no files. Layout (big-endian)::
 
     magic   4 bytes  b"STWS"
     version u16      FORMAT_VERSION
-    gen     u64      the fleet's generation when written (told by the roster or the operator)
-    life    u32      the node's incarnation: how many times its state folder has seen a start
+    gen     u64      the fleet's generation when it was written, as the registry reported it
+    life    u32      the node's incarnation: how many starts its state folder has seen
     at_ms   f64      wall time of writing, milliseconds since the epoch
     length  u32      bytes of the body
-    body    JSON     :class:`Learned` as an object
+    body    JSON     :class:`LearnedTimes` as an object
     digest  16 bytes BLAKE2b-128 of all that comes before it
 
-Verdicts of :func:`judge`:
+Verdicts of :func:`assess`:
 
-| verdict   | when                                                     | the node then        |
-| --------- | -------------------------------------------------------- | -------------------- |
-| fresh     | whole, known version, generation >= fleet's, young    | starts from it       |
-| missing   | no bytes                                                 | priors               |
-| torn      | shorter than its header says, or the digest is wrong     | priors, counted      |
-| foreign   | other magic, unknown version, or a body that is no object | priors, counted      |
-| older     | generation below the fleet's                             | priors, counted      |
-| stale     | older than ``fresh_for_ms``                              | priors, counted      |
-| future    | written after ``now`` beyond ``slack_ms``                | priors, counted      |
+| verdict   | when                                                      | the node starts from |
+| --------- | --------------------------------------------------------- | -------------------- |
+| fresh     | whole, known version, generation >= the fleet's, young    | the snapshot         |
+| missing   | no bytes                                                  | priors               |
+| torn      | shorter than its header says, or the digest is wrong      | priors               |
+| foreign   | other magic, unknown version, or a body that is no object | priors               |
+| older     | generation below the fleet's                              | priors               |
+| stale     | older than ``fresh_for_ms``                               | priors               |
+| future    | written after ``now`` beyond ``slack_ms``                 | priors               |
 
 Keys are not in a snapshot: they change with each request, and have :mod:`snowthread.recovery.key_log`.
 """
@@ -35,15 +35,18 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import TypeGuard
 
 MAGIC = b"STWS"
-FORMAT_VERSION = 2  # 1 had keys and rates that nothing recalled
+FORMAT_VERSION = 2  # version 1 had keys and rates that were never restored
 HEADER = struct.Struct(">4sHQIdI")
 DIGEST_BYTES = 16
-BODY_MAX = 1 << 20  # a snapshot is kilobytes; a length beyond this is foreign, not a reason to read on
+MAX_BODY_BYTES = 1 << 20  # a snapshot has kilobytes; one with a longer body is foreign
 
 
-class Verdict(Enum):
+class SnapshotVerdict(Enum):
+    """Whether a snapshot found at a start may be trusted, and if not, why."""
+
     FRESH = "fresh"
     MISSING = "missing"
     TORN = "torn"
@@ -55,39 +58,55 @@
 
 @dataclass(frozen=True, slots=True)
 class LearnedTimes:
-    """What a node learned, by class name in seconds, and the requests it read a second."""
+    """What a node learned: times in seconds by class name, and its request rate."""
 
-    core_time_s: Mapping[str, float] = field(default_factory=dict)  # of a run on a core, in good times
+    core_time_s: Mapping[str, float] = field(default_factory=dict)  # of a run on a core, unloaded
     run_time_s: Mapping[str, float] = field(default_factory=dict)  # of a run with its calls
-    call_time_s: Mapping[str, float] = field(default_factory=dict)  # of a call, in good times
-    read_per_s: float = 0.0
+    call_time_s: Mapping[str, float] = field(default_factory=dict)  # of a call, unloaded
+    read_per_s: float = 0.0  # requests
 
 
-PRIORS = (
-    LearnedTimes()
-)  # a cold node knows nothing: its decisions learn, and its ramp lets a few runs in at first
+# A cold node knows nothing: its decisions learn, and slow start admits a few runs at first.
+PRIORS = LearnedTimes()
 
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
+    """A snapshot as it is stored."""
+
     generation: int
     incarnation: int
-    written_ms: float
+    written_ms: float  # wall time
     learned: LearnedTimes
 
 
+@dataclass(frozen=True, slots=True)
+class DecodedSnapshot:
+    """What bytes say: FRESH with a snapshot where they are whole and known, else the verdict and why.
+
+    How old the snapshot is, is left to :func:`assess`.
+    """
+
+    verdict: SnapshotVerdict
+    reason: str = ""
+    snapshot: Snapshot | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class SnapshotAssessment:
-    """The verdict, why, and what to start from: the snapshot's learning where fresh, else the priors."""
+    """The verdict, why, and what to start from: what was learned where it is fresh, else the priors."""
 
-    verdict: Verdict
+    verdict: SnapshotVerdict
     reason: str
     initial_state: LearnedTimes
     snapshot: Snapshot | None = None  # what was read, where it could be read at all
 
 
 def encode(snapshot: Snapshot) -> bytes:
-    """The bytes of a snapshot. Raises ``ValueError`` for a body over :data:`BODY_MAX` or values no number."""
+    """Return the bytes of a snapshot.
+
+    Raise ValueError for a body over :data:`MAX_BODY_BYTES` or a value that is not finite.
+    """
     learned = snapshot.learned
     body = json.dumps(
         {
@@ -100,82 +119,96 @@
         separators=(",", ":"),
         sort_keys=True,
     ).encode()
-    if len(body) > BODY_MAX:
-        raise ValueError(f"a snapshot's body of {len(body)} bytes is over {BODY_MAX}")
+    if len(body) > MAX_BODY_BYTES:
+        raise ValueError(f"a snapshot's body of {len(body)} bytes is over {MAX_BODY_BYTES}")
     head = HEADER.pack(
         MAGIC, FORMAT_VERSION, snapshot.generation, snapshot.incarnation, snapshot.written_ms, len(body)
     )
     return head + body + hashlib.blake2b(head + body, digest_size=DIGEST_BYTES).digest()
 
 
-def _rates(value: object) -> dict[str, float] | None:
+def _parse_times(value: object) -> dict[str, float] | None:
     if not isinstance(value, dict):
         return None
-    out = {}
-    for name, rate in value.items():
-        if not isinstance(rate, int | float) or isinstance(rate, bool) or not math.isfinite(rate) or rate < 0:
+    times = {}
+    for name, time_s in value.items():
+        if not _is_measured(time_s):
             return None
-        out[str(name)] = float(rate)
-    return out
+        times[str(name)] = float(time_s)
+    return times
+
 
+def _is_measured(value: object) -> TypeGuard[float]:
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        return False
+    return math.isfinite(value) and value >= 0
 
-def _learned(body: bytes) -> LearnedTimes | None:
+
+def _parse_body(body: bytes) -> LearnedTimes | None:
     try:
-        raw = json.loads(body)
+        fields = json.loads(body)
     except (ValueError, UnicodeDecodeError):
         return None
-    if not isinstance(raw, dict):
+    if not isinstance(fields, dict):
+        return None
+    core_time_s = _parse_times(fields.get("core_s"))
+    run_time_s = _parse_times(fields.get("wall_s"))
+    call_time_s = _parse_times(fields.get("call_s"))
+    read_per_s = fields.get("read_per_s")
+    if core_time_s is None or run_time_s is None or call_time_s is None:
         return None
-    tables = [_rates(raw.get(name)) for name in ("core_s", "wall_s", "call_s")]
-    read = raw.get("read_per_s")
-    if (
-        None in tables
-        or not isinstance(read, int | float)
-        or isinstance(read, bool)
-        or not (math.isfinite(read) and read >= 0.0)
-    ):
+    if not _is_measured(read_per_s):
         return None
-    core, wall, call = (table or {} for table in tables)
-    return LearnedTimes(core, wall, call, float(read))
+    return LearnedTimes(core_time_s, run_time_s, call_time_s, float(read_per_s))
 
 
-def decode(data: bytes) -> tuple[Verdict, str, Snapshot | None]:
-    """Read bytes back: ``(FRESH, "", snapshot)`` where whole and known (freshness is :func:`judge`'s),
-    else the verdict and why."""
+def decode(data: bytes) -> DecodedSnapshot:
+    """Return what the bytes say."""
     if not data:
-        return Verdict.MISSING, "no snapshot", None
+        return DecodedSnapshot(SnapshotVerdict.MISSING, "no snapshot")
     if len(data) < HEADER.size:
-        return (Verdict.TORN if MAGIC.startswith(data[:4]) else Verdict.FOREIGN), f"{len(data)} bytes", None
+        is_start = MAGIC.startswith(data[: len(MAGIC)])
+        verdict = SnapshotVerdict.TORN if is_start else SnapshotVerdict.FOREIGN
+        return DecodedSnapshot(verdict, f"{len(data)} bytes")
     magic, version, generation, incarnation, written_ms, length = HEADER.unpack_from(data)
     if magic != MAGIC:
-        return Verdict.FOREIGN, "not a snapshot", None
+        return DecodedSnapshot(SnapshotVerdict.FOREIGN, "not a snapshot")
     if version != FORMAT_VERSION:
-        return Verdict.FOREIGN, f"format {version}, known {FORMAT_VERSION}", None
-    if length > BODY_MAX:
-        return Verdict.FOREIGN, f"body of {length} bytes", None
+        return DecodedSnapshot(SnapshotVerdict.FOREIGN, f"format {version}, known {FORMAT_VERSION}")
+    if length > MAX_BODY_BYTES:
+        return DecodedSnapshot(SnapshotVerdict.FOREIGN, f"body of {length} bytes")
     end = HEADER.size + length
-    if len(data) != end + DIGEST_BYTES:
-        return Verdict.TORN, f"{len(data)} bytes where the header says {end + DIGEST_BYTES}", None
+    whole = end + DIGEST_BYTES
+    if len(data) != whole:
+        reason = f"{len(data)} bytes where the header says {whole}"
+        return DecodedSnapshot(SnapshotVerdict.TORN, reason)
     if hashlib.blake2b(data[:end], digest_size=DIGEST_BYTES).digest() != data[end:]:
-        return Verdict.TORN, "digest does not match", None
-    learned = _learned(data[HEADER.size : end])
+        return DecodedSnapshot(SnapshotVerdict.TORN, "digest does not match")
+    learned = _parse_body(data[HEADER.size : end])
     if learned is None or not math.isfinite(written_ms):
-        return Verdict.FOREIGN, "body is not a snapshot's", None
-    return Verdict.FRESH, "", Snapshot(generation, incarnation, written_ms, learned)
+        return DecodedSnapshot(SnapshotVerdict.FOREIGN, "body is not a snapshot's")
+    return DecodedSnapshot(SnapshotVerdict.FRESH, "", Snapshot(generation, incarnation, written_ms, learned))
 
 
 def assess(
     data: bytes, *, generation: int, now_ms: float, fresh_for_ms: float, slack_ms: float = 2000.0
 ) -> SnapshotAssessment:
-    """Whether the bytes found at a start may be trusted, by the fleet's ``generation`` and wall ms."""
-    verdict, why, snapshot = decode(data)
-    if snapshot is not None:
-        age = now_ms - snapshot.written_ms
-        if snapshot.generation < generation:
-            verdict, why = Verdict.OLDER, f"generation {snapshot.generation}, the fleet's is {generation}"
-        elif age < -slack_ms:
-            verdict, why = Verdict.FUTURE, f"written {-age:.0f} ms after now"
-        elif age > fresh_for_ms:
-            verdict, why = Verdict.STALE, f"{age:.0f} ms old, fresh for {fresh_for_ms:.0f}"
-    start = snapshot.learned if verdict is Verdict.FRESH and snapshot is not None else PRIORS
-    return SnapshotAssessment(verdict, why, start, snapshot)
+    """Assess the bytes found at a start by the fleet's ``generation`` and the wall time ``now_ms``.
+
+    ``slack_ms`` is how far the clock that wrote the snapshot may have been ahead.
+    """
+    decoded = decode(data)
+    snapshot = decoded.snapshot
+    if snapshot is None:
+        return SnapshotAssessment(decoded.verdict, decoded.reason, PRIORS)
+    age_ms = now_ms - snapshot.written_ms
+    if snapshot.generation < generation:
+        reason = f"generation {snapshot.generation}, the fleet's is {generation}"
+        return SnapshotAssessment(SnapshotVerdict.OLDER, reason, PRIORS, snapshot)
+    if age_ms < -slack_ms:
+        reason = f"written {-age_ms:.0f} ms after now"
+        return SnapshotAssessment(SnapshotVerdict.FUTURE, reason, PRIORS, snapshot)
+    if age_ms > fresh_for_ms:
+        reason = f"{age_ms:.0f} ms old, fresh for {fresh_for_ms:.0f}"
+        return SnapshotAssessment(SnapshotVerdict.STALE, reason, PRIORS, snapshot)
+    return SnapshotAssessment(SnapshotVerdict.FRESH, "", snapshot.learned, snapshot)
--- a/snowthread/recovery/storage.py
+++ b/snowthread/recovery/storage.py
@@ -1,102 +1,164 @@
-"""A warm snapshot on disk: written atomically, read back whole or not at all.
+"""The files of a node's state folder: written atomically, read back whole or not at all.
 
-Write order: the bytes go to ``warm.snap.tmp`` in the same folder, are fsynced, renamed over ``warm.snap`` and
-the folder is fsynced. A crash before the rename leaves the old file; after it, the new one; a file system
-that loses the rename's order may leave a torn file, which the digest of :mod:`snapshot` turns down.
-``OSError`` of writing is returned as a value with the step it came to; reading a missing file gives empty
-bytes.
+Write order: the bytes go to a temporary file in the same folder, are fsynced, renamed over the file, and the
+folder is fsynced. A crash before the rename leaves the old file; after it, the new one. A file system that
+loses the rename's order may leave a torn file, which the digest of :mod:`snapshot` and the checksums of
+:mod:`key_log` find. A write that fails is returned as a :class:`StorageError`, nothing is raised; reading a
+file that is missing gives empty bytes.
 """
 
 from __future__ import annotations
 
 import mmap
 import os
+from dataclasses import dataclass
+from enum import Enum
 from pathlib import Path
 
+from loguru import logger
+
 from snowthread.recovery import key_log
+from snowthread.recovery.key_log import KeyLog, KeyLogContents, KeyLogVerdict
 
 SNAPSHOT_FILE = "warm.snap"
 KEY_LOG_FILE = "keys.ring"
 INCARNATION_FILE = "incarnation"
-READ_MAX = 2 << 20  # more than any snapshot; a larger file is read only so far and so is torn
+TEMPORARY_SUFFIX = ".tmp"
+MAX_READ_BYTES = 2 << 20  # more than any snapshot; of a larger file only so much is read, so it is torn
+MAX_INCARNATION_BYTES = 32
+
+
+class StorageStep(Enum):
+    """What was being done when storage failed."""
+
+    OPEN = "open"
+    WRITE = "write"
+    FSYNC = "fsync"
+    RENAME = "rename"
+    FSYNC_FOLDER = "fsync folder"
+    MAP = "map"
+
+
+@dataclass(frozen=True, slots=True)
+class StorageError:
+    """Why a file was not written: the step that failed, and the system's reason."""
+
+    step: StorageStep
+    reason: str
 
+    def __str__(self) -> str:
+        return f"{self.step.value}: {self.reason}"
 
-def write(folder: Path, data: bytes, name: str = SNAPSHOT_FILE, sync: bool = True) -> str | None:
-    """Put ``data`` in place; None where it is there, else the step that failed and why. Without ``sync`` it
-    outlives the process and costs the caller no wait; what a power failure leaves is the judge's to tell."""
-    step = "open"
-    temporary = folder / (name + ".tmp")
+
+@dataclass(frozen=True, slots=True)
+class OpenedKeyLog:
+    """What a start finds in the key log, and the log to append to, or why there is none."""
+
+    found: KeyLogContents
+    key_log: KeyLog | None = None
+    error: StorageError | None = None
+
+
+def write(folder: Path, data: bytes, name: str = SNAPSHOT_FILE, sync: bool = True) -> StorageError | None:
+    """Write a file atomically; return None once it is in place, else the error.
+
+    Without ``sync`` the file outlives the process but may not outlive a power failure, and the caller does
+    not wait for the disk.
+    """
+    temporary = folder / (name + TEMPORARY_SUFFIX)
+    step = StorageStep.OPEN
     try:
-        fd = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        descriptor = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
         try:
-            step = "write"
-            view = memoryview(data)
-            while view:
-                view = view[os.write(fd, view) :]
-            step = "fsync"
+            step = StorageStep.WRITE
+            _write_all(descriptor, data)
+            step = StorageStep.FSYNC
             if sync:
-                os.fsync(fd)
+                os.fsync(descriptor)
         finally:
-            os.close(fd)
-        step = "rename"
-        os.replace(temporary, folder / name)
-        if not sync:
-            return None
-        step = "fsync folder"
-        folder_fd = os.open(folder, os.O_RDONLY)
-        try:
-            os.fsync(folder_fd)
-        finally:
-            os.close(folder_fd)
+            os.close(descriptor)
+        step = StorageStep.RENAME
+        temporary.replace(folder / name)
+        step = StorageStep.FSYNC_FOLDER
+        if sync:
+            _fsync_folder(folder)
     except OSError as error:
-        return f"{step}: {error.strerror or error}"
+        return StorageError(step, error.strerror or str(error))
     return None
 
 
-def read(folder: Path, name: str = SNAPSHOT_FILE, most: int = READ_MAX) -> bytes:
-    """The bytes of the snapshot, empty where there is none or it can't be read."""
+def _write_all(descriptor: int, data: bytes) -> None:
+    rest = memoryview(data)
+    while rest:
+        rest = rest[os.write(descriptor, rest) :]
+
+
+def _fsync_folder(folder: Path) -> None:
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def warn_if_failed(error: StorageError | None) -> None:
+    """Log a failed write of state that the node can do without."""
+    if error is not None:
+        logger.bind(event="comeback.write").warning("state not written: {}", error)
+
+
+def read(folder: Path, name: str = SNAPSHOT_FILE, most: int = MAX_READ_BYTES) -> bytes:
+    """Return the first ``most`` bytes of a file, empty where there is none or it cannot be read."""
     try:
-        with open(folder / name, "rb") as file:
+        with (folder / name).open("rb") as file:
             return file.read(most)
     except OSError:
         return b""
 
 
 def read_incarnation(folder: Path) -> int:
-    """The last incarnation written down here; 0 where there is none or it can't be read."""
+    """Return the last incarnation that was written; 0 where there is none or it cannot be read."""
     try:
-        return max(0, int(read(folder, INCARNATION_FILE, 32) or b"0"))
+        return max(0, int(read(folder, INCARNATION_FILE, MAX_INCARNATION_BYTES) or b"0"))
     except ValueError:
         return 0
 
 
-def write_incarnation(folder: Path, number: int) -> str | None:
-    """Write an incarnation down; None, or what failed: the roster knows it too, so a start goes on."""
+def write_incarnation(folder: Path, number: int) -> StorageError | None:
+    """Write an incarnation; return None or the error. The registry knows it too, so a start goes on."""
     return write(folder, b"%d\n" % number, INCARNATION_FILE)
 
 
-def init(folder: Path) -> str | None:
-    """An empty ring: the operator's word that no earlier life of this node ran keys. None, or what failed."""
+def read_key_log(folder: Path) -> KeyLogContents:
+    """Return the contents of the folder's key log."""
+    return key_log.read_key_log(read(folder, KEY_LOG_FILE, key_log.key_log_size(key_log.MAX_SLOTS) + 1))
+
+
+def init(folder: Path) -> StorageError | None:
+    """Write an empty key log; return None or the error.
+
+    It is the operator's statement that no earlier incarnation of this node ran requests with keys.
+    """
     return write(folder, key_log.new_key_log(), KEY_LOG_FILE)
 
 
-def open_key_log(
-    folder: Path, blind_until: float
-) -> tuple[key_log.KeyLogContents, key_log.KeyLog | None, str]:
-    """What a start finds, and the ring to write into. One that is not whole is made anew, blind until this
-    time, so that a start after the next does not take it for a whole one. No ring: it can't be written, and
-    why."""
-    found = key_log.read_key_log(read(folder, KEY_LOG_FILE, key_log.key_log_size(key_log.SLOTS_MAX) + 1))
-    if found.verdict is not key_log.Verdict.WHOLE:
-        failed = write(folder, key_log.new_key_log(blind_until), KEY_LOG_FILE)
-        if failed is not None:
-            return found, None, failed
+def open_key_log(folder: Path, blind_until: float) -> OpenedKeyLog:
+    """Read the key log and open it for appending.
+
+    One that is not whole is replaced by an empty one in which any key may have run until ``blind_until``
+    (wall ms), so that the next start does not take it for a whole one.
+    """
+    found = read_key_log(folder)
+    if found.verdict is not KeyLogVerdict.WHOLE:
+        error = write(folder, key_log.new_key_log(blind_until), KEY_LOG_FILE)
+        if error is not None:
+            return OpenedKeyLog(found, error=error)
     try:
-        fd = os.open(folder / KEY_LOG_FILE, os.O_RDWR)
+        descriptor = os.open(folder / KEY_LOG_FILE, os.O_RDWR)
         try:
-            mapped = mmap.mmap(fd, 0)  # shared: what is written outlives the process without a call
+            mapped = mmap.mmap(descriptor, 0)  # shared: what is written outlives the process without a call
         finally:
-            os.close(fd)
-    except (OSError, ValueError) as error:
-        return found, None, str(error)
-    return found, key_log.KeyLog(memoryview(mapped), found.sequence), ""
+            os.close(descriptor)
+    except (OSError, ValueError) as failure:
+        return OpenedKeyLog(found, error=StorageError(StorageStep.MAP, str(failure)))
+    return OpenedKeyLog(found, KeyLog(memoryview(mapped), found.sequence))
--- a/tests/recovery/test_membership.py
+++ b/tests/recovery/test_membership.py
@@ -1,28 +1,28 @@
-"""A node's place in the fleet: answers of the roster, old lives, a lost count, a process of the same name."""
+"""A node's place in the fleet: answers of the registry, incarnations, and a process of the same name."""
 
 from __future__ import annotations
 
 import pytest
 
-from snowthread.recovery.membership import Membership, MemberStatus
+from snowthread.recovery.membership import FleetSize, Membership, MemberStatus
 
 
-def test_before_any_word_all_nodes_are_taken_for_cold() -> None:
+def test_all_nodes_count_as_cold_before_the_first_answer() -> None:
     members = Membership(1, peers=12)
-    assert members.fleet_size() == (12, 12) and members.is_silent(0.0)
+    assert members.fleet_size() == FleetSize(12, 12) and members.is_silent(0.0)
     assert members.handle_answer(b"FLEET 3 10 4 1", 100.0)
-    assert members.fleet_size() == (10, 4) and members.status is MemberStatus.MEMBER
+    assert members.fleet_size() == FleetSize(10, 4) and members.status is MemberStatus.MEMBER
     assert not members.is_silent(3000.0) and members.is_silent(3200.0)
 
 
-def test_a_lost_count_goes_on_above_the_one_that_the_roster_knows() -> None:
+def test_lost_incarnation_continues_above_the_one_the_registry_knows() -> None:
     members = Membership(1, peers=3)
     members.handle_answer(b"FLEET 1 3 1 41", 0.0)
     assert members.incarnation == 42 and members.status is MemberStatus.MEMBER
     assert members.report_suffix(True) == "42 cold"
 
 
-def test_a_lost_count_is_never_taken_for_the_life_of_the_same_number() -> None:
+def test_lost_incarnation_is_never_taken_for_the_one_of_the_same_number() -> None:
     first, second = Membership(0, peers=3), Membership(0, peers=3)
     first.handle_answer(b"FLEET 1 3 1 0", 0.0)
     assert first.incarnation == 1
@@ -30,7 +30,7 @@
     assert second.incarnation == 2 and second.status is MemberStatus.MEMBER
 
 
-def test_a_member_that_hears_of_a_later_life_has_been_replaced_for_good() -> None:
+def test_member_is_replaced_for_good_once_a_later_incarnation_is_reported() -> None:
     members = Membership(5, peers=3)
     members.handle_answer(b"FLEET 1 3 1 5", 0.0)
     members.handle_answer(b"FLEET 1 3 1 6", 10.0)
@@ -54,13 +54,13 @@
         b"\xff\xfe 1 2 1 1",
     ],
 )
-def test_what_is_no_answer_changes_nothing_and_is_counted(answer: bytes) -> None:
+def test_invalid_answer_changes_nothing_and_is_counted(answer: bytes) -> None:
     members = Membership(1, peers=4)
     assert not members.handle_answer(answer, 0.0)
-    assert members.invalid_answers == 1 and members.view is None and members.fleet_size() == (4, 4)
+    assert members.invalid_answers == 1 and members.view is None and members.fleet_size() == FleetSize(4, 4)
 
 
-def test_an_older_generation_is_an_old_answer() -> None:
+def test_answer_of_an_older_generation_is_ignored() -> None:
     members = Membership(1, peers=4)
     members.handle_answer(b"FLEET 7 4 0 1", 0.0)
-    assert not members.handle_answer(b"FLEET 6 4 4 1", 10.0) and members.fleet_size() == (4, 0)
+    assert not members.handle_answer(b"FLEET 6 4 4 1", 10.0) and members.fleet_size() == FleetSize(4, 0)
--- a/tests/stored/test_stored_formats.py
+++ b/tests/stored/test_stored_formats.py
@@ -31,7 +31,7 @@
 from snowthread.recovery import key_log
 from snowthread.recovery import storage as warm_disk
 from snowthread.recovery.membership import FleetView, Membership, MemberStatus
-from snowthread.recovery.snapshot import LearnedTimes, Snapshot, Verdict, assess
+from snowthread.recovery.snapshot import LearnedTimes, Snapshot, SnapshotVerdict, assess
 from snowthread.recovery.snapshot import decode as decode_warm
 from snowthread.recovery.snapshot import encode as encode_warm
 from snowthread.tenants import snapshot as tenant_disk
@@ -265,8 +265,9 @@
 
 def test_the_stored_warm_snapshot_is_read_with_what_was_learned() -> None:
     data = warm_disk.read(STORED / "warm")
-    verdict, why, snapshot = decode_warm(data)
-    assert (verdict, why) == (Verdict.FRESH, "") and snapshot is not None
+    decoded = decode_warm(data)
+    snapshot = decoded.snapshot
+    assert (decoded.verdict, decoded.reason) == (SnapshotVerdict.FRESH, "") and snapshot is not None
     assert snapshot.generation == 9 and snapshot.incarnation == 5
     assert snapshot.written_ms == 1_764_576_000_000.0
     assert snapshot.learned.core_time_s == {"dispense": 0.125, "match": 0.3}
@@ -278,9 +279,12 @@
 def test_the_stored_warm_snapshot_is_judged_fresh_stale_or_older() -> None:
     data = warm_disk.read(STORED / "warm")
     fresh = assess(data, generation=9, now_ms=START + 1000.0, fresh_for_ms=60_000.0)
-    assert fresh.verdict is Verdict.FRESH and fresh.initial_state == LEARNED
-    assert assess(data, generation=9, now_ms=START + 60_001.0, fresh_for_ms=60_000.0).verdict is Verdict.STALE
-    assert assess(data, generation=10, now_ms=START, fresh_for_ms=60_000.0).verdict is Verdict.OLDER
+    assert fresh.verdict is SnapshotVerdict.FRESH and fresh.initial_state == LEARNED
+    assert (
+        assess(data, generation=9, now_ms=START + 60_001.0, fresh_for_ms=60_000.0).verdict
+        is SnapshotVerdict.STALE
+    )
+    assert assess(data, generation=10, now_ms=START, fresh_for_ms=60_000.0).verdict is SnapshotVerdict.OLDER
 
 
 def test_a_warm_snapshot_written_anew_has_the_stored_name_and_bytes(tmp_path: Path) -> None:
@@ -293,7 +297,7 @@
     for offset in range(len(data)):
         altered = bytearray(data)
         altered[offset] ^= 0x01
-        assert decode_warm(bytes(altered))[2] is None, offset
+        assert decode_warm(bytes(altered)).snapshot is None, offset
 
 
 def test_the_stored_incarnation_is_read_and_written_alike(tmp_path: Path) -> None:
@@ -349,7 +353,7 @@
 
 def test_the_stored_key_ring_holds_its_keys_until_their_times() -> None:
     found = key_log.read_key_log((STORED / "warm" / "keys.ring").read_bytes())
-    assert found.verdict is key_log.Verdict.WHOLE and found.reason == ""
+    assert found.verdict is key_log.KeyLogVerdict.WHOLE and found.reason == ""
     assert found.keys == {
         key_digest("key-1"): 1_764_576_001_000.0,
         key_digest("key-2"): 1_764_576_002_000.5,
@@ -369,8 +373,9 @@
 
 def test_the_stored_key_ring_is_opened_and_gets_the_next_key(tmp_path: Path) -> None:
     (tmp_path / "keys.ring").write_bytes((STORED / "warm" / "keys.ring").read_bytes())
-    found, opened, why = warm_disk.open_key_log(tmp_path, 0.0)
-    assert found.verdict is key_log.Verdict.WHOLE and opened is not None and why == ""
+    result = warm_disk.open_key_log(tmp_path, 0.0)
+    found, opened = result.found, result.key_log
+    assert found.verdict is key_log.KeyLogVerdict.WHOLE and opened is not None and result.error is None
     assert opened.append(key_digest("key-4"), START + 4000.0, START)
     again = key_log.read_key_log((tmp_path / "keys.ring").read_bytes())
     assert again.sequence == 4 and again.keys[key_digest("key-4")] == START + 4000.0 and len(again.keys) == 4
