Balancers' frontend: one-way imports, server split into sweeper, eviction, listening

Connection and server imported each other and each knew the other's fields; the server accepted, evicted, timed out and answered in one class. The connection now names what it needs as a Protocol (ConnectionOwner), so arrows go server -> connection -> codec.

--- a/snowthread/frontends/__init__.py
+++ b/snowthread/frontends/__init__.py
@@ -1,1 +1,1 @@
-"""Who asks: each protocol in which requests come, translated into the events of the core."""
+"""Servers for the node's callers; each translates one protocol into the events of the core."""
--- /dev/null
+++ b/snowthread/frontends/balancers/framing.py
@@ -0,0 +1,111 @@
+"""MessagePack framing: unpackers with limits, and checks of messages that have not arrived whole.
+
+Sans-I/O. Nothing here knows what a message means; :mod:`.codec` does.
+"""
+
+from __future__ import annotations
+
+import msgpack
+
+READ_BYTES = 8 * 1024  # read from one connection per turn of the loop, so that a flood delays no other peer
+MAX_MESSAGE_BYTES = 16 * 1024  # one message: a body, its fields and room to spare
+MAX_CONTAINER_ITEMS = 64  # elements of one list or map
+MAX_MESSAGE_NUMBER = 2**32 - 1
+
+# Heads of the MessagePack specification that stand alone in the ranges below.
+FIXSTR_FIRST, FIXSTR_LAST = 0xA0, 0xBF  # the string's length is the head's distance from the first one
+EXT8, EXT32 = 0xC7, 0xC9  # a type byte stands between the length and the data
+ARRAY16 = 0xDC  # this head and those above announce items, the lower ones bytes
+
+# Bytes of the big-endian length that follows a head.
+_LENGTH_FIELD_BYTES = {
+    0xC4: 1,  # bin 8
+    0xC5: 2,  # bin 16
+    0xC6: 4,  # bin 32
+    EXT8: 1,
+    0xC8: 2,  # ext 16
+    EXT32: 4,
+    0xD9: 1,  # str 8
+    0xDA: 2,  # str 16
+    0xDB: 4,  # str 32
+    ARRAY16: 2,
+    0xDD: 4,  # array 32
+    0xDE: 2,  # map 16
+    0xDF: 4,  # map 32
+}
+
+# Bytes of the value that follows a head of fixed size.
+_FIXED_VALUE_BYTES = {
+    0xCA: 4,  # float 32
+    0xCB: 8,  # float 64
+    0xCC: 1,  # uint 8
+    0xCD: 2,  # uint 16
+    0xCE: 4,  # uint 32
+    0xCF: 8,  # uint 64
+    0xD0: 1,  # int 8
+    0xD1: 2,  # int 16
+    0xD2: 4,  # int 32
+    0xD3: 8,  # int 64
+    0xD4: 2,  # fixext 1: a type byte and the data
+    0xD5: 3,  # fixext 2
+    0xD6: 5,  # fixext 4
+    0xD7: 9,  # fixext 8
+    0xD8: 17,  # fixext 16
+}
+
+
+def unpacker_for_read() -> msgpack.Unpacker:
+    """Return an unpacker for the bytes of one read.
+
+    Each read has its own: a partial message is kept as plain bytes, so hundreds of idle connections hold no
+    buffers. Lengths are checked on the head, before their content is buffered. Strings that are not UTF-8,
+    and map keys of other types, must not end the stream: they only invalidate their own message.
+    """
+    return msgpack.Unpacker(
+        max_buffer_size=MAX_MESSAGE_BYTES + READ_BYTES,
+        read_size=READ_BYTES,
+        max_bin_len=MAX_MESSAGE_BYTES,
+        max_str_len=MAX_MESSAGE_BYTES,
+        max_ext_len=MAX_MESSAGE_BYTES,
+        max_array_len=MAX_CONTAINER_ITEMS,
+        max_map_len=MAX_CONTAINER_ITEMS,
+        strict_map_key=False,
+        unicode_errors="surrogateescape",
+    )
+
+
+def announces_oversized_value(partial_message: bytes) -> bool:
+    """Return whether a partial message announces a value above the limits.
+
+    The heads are read here because msgpack checks a length only when all of it has arrived.
+    """
+    position = 0
+    while position < len(partial_message):
+        head = partial_message[position]
+        position += 1
+        length_bytes = _LENGTH_FIELD_BYTES.get(head, 0)
+        if not length_bytes:
+            position += _inline_value_bytes(head)
+            continue
+        length_end = position + length_bytes
+        announced = int.from_bytes(partial_message[position:length_end])
+        is_container = head >= ARRAY16
+        limit = MAX_CONTAINER_ITEMS if is_container else MAX_MESSAGE_BYTES
+        if length_end <= len(partial_message) and announced > limit:
+            return True
+        position = length_end
+        if not is_container:  # the items of a container have heads of their own
+            position += announced + (EXT8 <= head <= EXT32)
+    return False
+
+
+def _inline_value_bytes(head: int) -> int:
+    """Return the size of the value that follows a head without a length field."""
+    if FIXSTR_FIRST <= head <= FIXSTR_LAST:
+        return head - FIXSTR_FIRST
+    return _FIXED_VALUE_BYTES.get(head, 0)
+
+
+def is_message_number(value: object) -> bool:
+    """Return whether a value can number a message: an unsigned 32-bit integer."""
+    return isinstance(value, int) and not isinstance(value, bool) and 0 <= value <= MAX_MESSAGE_NUMBER
--- /dev/null
+++ b/snowthread/frontends/balancers/listening.py
@@ -0,0 +1,39 @@
+"""Listening sockets: one of our own, or one that another process passed on."""
+
+from __future__ import annotations
+
+import errno
+import select
+import socket
+
+from snowthread.address import Address
+
+LISTEN_BACKLOG = 1024  # connections that the kernel queues until they are accepted
+
+
+def open_listener(address: Address) -> socket.socket:
+    """Return a new socket that listens at an address."""
+    listener = address.open(socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind(address)
+    listener.listen(LISTEN_BACKLOG)
+    return listener
+
+
+def adopt_listener(descriptor: int) -> socket.socket:
+    """Return the listening socket behind an inherited descriptor; OSError where it does not listen.
+
+    It may be closed but never shut down: other processes listen on it too.
+    """
+    listener = socket.socket(fileno=descriptor)
+    if not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        raise OSError(errno.EINVAL, f"descriptor {descriptor} does not listen")
+    listener.setblocking(False)
+    return listener
+
+
+def has_pending_connection(listener: socket.socket) -> bool:
+    """Return whether a connection waits to be accepted."""
+    poller = select.poll()
+    poller.register(listener.fileno(), select.POLLIN)
+    return bool(poller.poll(0))
--- a/snowthread/frontends/balancers/server.py
+++ b/snowthread/frontends/balancers/server.py
@@ -1,13 +1,11 @@
-"""The balancers' front: accepts connections, writes answers to them and parts with them."""
+"""The balancers' server: accepts connections, sends answers on them and closes them in good order."""
 
 from __future__ import annotations
 
 import errno
-import math
-import select
 import socket
 from collections import OrderedDict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 from loguru import logger
 
@@ -15,183 +13,174 @@
 from snowthread.core import effects, events
 from snowthread.frontends.balancers.codec import encode
 from snowthread.frontends.balancers.connection import BalancerConnection
-from snowthread.net.limits import (
-    FRESH_IDLE_MS,
-    IDLE_SHARE,
-    SINGLE_USE_IDLE_MS,
-    SWEEP_INTERVAL_MS,
-    is_timed_out,
+from snowthread.frontends.balancers.eviction import eviction_candidates
+from snowthread.frontends.balancers.listening import (
+    LISTEN_BACKLOG,
+    adopt_listener,
+    has_pending_connection,
+    open_listener,
 )
+from snowthread.frontends.balancers.sweeper import PART_MS, ConnectionSweeper
+from snowthread.net.limits import IDLE_SHARE, SWEEP_INTERVAL_MS
 from snowthread.net.loop import READABLE, EventLoop, TaskSteps, Wait
 
-BACKLOG = 1024
-PLACES_LEAST = 8  # connections held at most, whatever else is said
-ACCEPT_MAX = 64  # connections accepted in a turn of the loop
-FULL_PAUSE_MS = 50.0  # how long accepting rests when no descriptor is left
-PART_MS = 1000.0  # a peer that does not close so long after its farewell is closed
+PLACES_LEAST = 8  # connections that are allowed however low the limit is set
+ACCEPTS_PER_ROUND = 64  # connections accepted in one round of the loop
+ACCEPT_PAUSE_MS = 50.0  # pause in accepting where no connection can be taken
 
-
-def listener(address: Address) -> socket.socket:
-    """A socket of our own that listens."""
-    made = address.open(socket.SOCK_STREAM)
-    made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    made.bind(address)
-    made.listen(BACKLOG)
-    return made
-
-
-def inherited(door: int) -> socket.socket:
-    """The socket that was passed on; OSError where the descriptor is none that listens. It is only ever
-    closed, never shut down: others listen on it too."""
-    passed = socket.socket(fileno=door)
-    if not passed.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
-        raise OSError(errno.EINVAL, f"descriptor {door} does not listen")
-    passed.setblocking(False)
-    return passed
+_OUT_OF_RESOURCES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
 class BalancerServer:
-    """Accepts connections, answers on them and parts with them."""
+    """Owns the listening socket and all balancers' connections."""
 
     def __init__(
         self,
         loop: EventLoop,
         address: Address,
-        most: int,
-        unsent_most: int,
+        max_connections: int,
+        max_unsent_bytes: int,
         post: Callable[[events.Event], None],
-        door: int | None = None,
+        listen_descriptor: int | None = None,
     ) -> None:
-        """``door``: a socket that listens at this address already and was passed on as a descriptor."""
-        self.loop, self.post, self._unsent_most = loop, post, unsent_most
-        self.set_max_connections(most)
-        self._listener: socket.socket | None = listener(address) if door is None else inherited(door)
+        """Listen at ``address``, or on an inherited descriptor that listens there already.
+
+        ``max_unsent_bytes`` limits the unsent answers of all connections together.
+        """
+        self.loop, self.post = loop, post
         self._connections: dict[int, BalancerConnection] = {}
-        self._idle: OrderedDict[int, float] = OrderedDict()  # since when, the longest first
-        self._idle_after = math.inf
-        self._count = 0
-        self._leaving = self._shut = False
+        self._idle_since_ms: OrderedDict[int, float] = OrderedDict()  # the longest idle first
+        self._sweeper = ConnectionSweeper(self._connections, self._idle_since_ms, max_unsent_bytes)
+        self.set_max_connections(max_connections)
+        self._listener: socket.socket | None = (
+            open_listener(address) if listen_descriptor is None else adopt_listener(listen_descriptor)
+        )
+        self._last_connection_number = 0
+        self._draining = False  # connections are sent a farewell as soon as they are idle
+        self._paused = False  # new connections are left to another process
         self._acceptor = loop.spawn(self._accept())
         loop.spawn(self._sweep())
 
     @property
     def address(self) -> tuple[str, int]:
-        """Where it listens."""
+        """Where the server listens; ValueError after it stopped."""
         if self._listener is None:
-            raise ValueError("it listens no more")
+            raise ValueError("the server no longer listens")
         host, port = self._listener.getsockname()[:2]
         return host, port
 
     @property
     def accepting(self) -> bool:
-        """Are new connections taken?"""
-        return self._listener is not None and not self._leaving and not self._shut
+        """Whether new connections are accepted and kept."""
+        return self._listener is not None and not self._draining and not self._paused
+
+    @property
+    def busy(self) -> bool:
+        """Whether any connection has an open request, an unsent answer or a partial message."""
+        return any(
+            not connection.idle or connection.has_partial_message for connection in self._connections.values()
+        )
 
     def count(self) -> int:
-        """How many connections are open."""
+        """Return the number of open connections."""
         return len(self._connections)
 
-    def peer_address(self, place: int) -> str:
-        """The address that a connection comes from; empty where it is gone."""
-        connection = self._connections.get(place)
+    def peer_address(self, connection_number: int) -> str:
+        """Return the peer's host, or an empty string where the connection is gone."""
+        connection = self._connections.get(connection_number)
         try:
             return "" if connection is None else str(connection.sock.getpeername()[0])
         except OSError:
             return ""
 
+    def set_max_connections(self, max_connections: int) -> None:
+        """Limit the connections from now on; what is above the limit is evicted as new ones come."""
+        self._most = max(PLACES_LEAST, max_connections)
+        self._sweeper.max_idle_connections = int(self._most * IDLE_SHARE)
+
+    def set_idle_timeout(self, timeout_ms: float) -> None:
+        """Send a farewell to connections that are idle for this long, from now on."""
+        self._sweeper.idle_timeout_ms = timeout_ms
+
     # Accepting.
 
     def _accept(self) -> TaskSteps:
         while self._listener is not None:
-            got = yield Wait() if self._shut else Wait(self._listener.fileno(), READABLE)
-            if got and self._listener is not None and not self.accept_all(ACCEPT_MAX):
-                yield Wait(until=self.loop.clock.now() + FULL_PAUSE_MS)
-
-    def accept_all(self, most: int) -> bool:
-        """Accept what waits; False where nothing can be accepted now. Where the table is full, who has been
-        idle longest makes room: connections that say nothing must not keep out those with a request."""
-        for _ in range(most):
+            ready = yield Wait() if self._paused else Wait(self._listener.fileno(), READABLE)
+            if ready and self._listener is not None and not self.accept_all(ACCEPTS_PER_ROUND):
+                yield Wait(until=self.loop.clock.now() + ACCEPT_PAUSE_MS)
+
+    def accept_all(self, max_accepts: int) -> bool:
+        """Accept pending connections; return False where none can be accepted for now.
+
+        Where the table is full, an idle connection is evicted for each new one: connections that send nothing
+        must not keep out those that have a request.
+        """
+        for _ in range(max_accepts):
             if self._listener is None:
                 break
             if len(self._connections) >= self._most:
-                if not self._knocks():
-                    return True  # nobody waits: nobody has to go
-                if not self._make_room():
+                if not has_pending_connection(self._listener):
+                    return True
+                if not self._evict_idle_connection():
                     return False
             try:
                 sock, _address = self._listener.accept()
             except BlockingIOError:
                 return True
             except OSError as error:
-                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    logger.warning("accept: {}", error)
+                if error.errno in _OUT_OF_RESOURCES:
+                    logger.warning("balancers: accept: {}", error)
                     return False
-                continue  # that one connection is gone already
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._count += 1
-            connection = BalancerConnection(self, sock, self._count, self.loop.clock.now())
-            self._connections[self._count] = connection
-            self.mark_active(connection)
+                continue  # the peer has closed this connection already
+            self._add_connection(sock)
         return True
 
-    def _knocks(self) -> bool:
-        """Does a connection wait to be accepted?"""
-        look = select.poll()
-        if self._listener is not None:
-            look.register(self._listener.fileno(), select.POLLIN)
-        return bool(look.poll(0))
+    def _add_connection(self, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._last_connection_number += 1
+        number = self._last_connection_number
+        connection = BalancerConnection(self, sock, number, self.loop.clock.now())
+        self._connections[number] = connection
+        self.mark_active(connection)
 
-    def _make_room(self) -> bool:
-        """End the longest idle connection, but none on which a request lies unread."""
-        for connection in self._idlest():
-            begun = connection.has_partial_message
+    def _evict_idle_connection(self) -> bool:
+        """Close the best candidate on which no request lies unread; return False where there is none."""
+        now_ms = self.loop.clock.now()
+        for connection in eviction_candidates(self._connections, self._idle_since_ms, now_ms):
+            had_partial_message = connection.has_partial_message
             connection.read_pending()
-            if connection.idle and connection.has_partial_message == begun:
-                connection.say_farewell()
-                self._drop(connection)
+            if connection.idle and connection.has_partial_message == had_partial_message:
+                connection.send_farewell()
+                self._close_now(connection)
                 return True
         return False
 
-    def _idlest(self) -> Iterator[BalancerConnection]:
-        """Whom nothing keeps, the longest idle first, but none so new that its request may be on the way;
-        then who was told farewell; one on which a request comes in pieces only where there is no other."""
-        now, begun = self.loop.clock.now(), list[BalancerConnection]()
-        for number, since in list(self._idle.items()):
-            if now - since < FRESH_IDLE_MS:
-                break
-            connection = self._connections.get(number)
-            if connection is None:
-                continue
-            if connection.has_partial_message:
-                begun.append(connection)
-            else:
-                yield connection
-        parted = [
-            c
-            for c in self._connections.values()
-            if c.idle and not c.has_partial_message and c.farewell_at_ms < math.inf
-        ]
-        yield from [c for c in parted if c.farewell_at_ms + FRESH_IDLE_MS <= now]
-        if not parted:
-            yield from begun
-
-    def _drop(self, connection: BalancerConnection) -> None:
-        """Close at once, within this turn: its descriptor is wanted."""
+    def _close_now(self, connection: BalancerConnection) -> None:
+        """Close within this round of the loop, because the descriptor is needed."""
         connection.broken = True
         self.loop.end_task(connection.task)
-        if connection.number in self._connections:  # its task had not begun: nothing of it ran on the way out
+        if connection.number in self._connections:  # a task that never ran does not call connection_closed
             self.connection_closed(connection)
 
+    # What connections call (ConnectionOwner).
+
+    def mark_active(self, connection: BalancerConnection) -> None:
+        """Restart the connection's idle time, or note that it is busy."""
+        self._idle_since_ms.pop(connection.number, None)
+        if connection.idle and not connection.broken:
+            self._idle_since_ms[connection.number] = self.loop.clock.now()
+
     def connection_closed(self, connection: BalancerConnection) -> None:
-        """A connection is over: nobody waits for what was open on it."""
+        """Close the socket, forget the connection and cancel its open requests."""
         self._connections.pop(connection.number, None)
-        self._idle.pop(connection.number, None)
+        self._idle_since_ms.pop(connection.number, None)
         self.loop.close(connection.sock)
         self.cancel_open_requests(connection)
 
     def cancel_open_requests(self, connection: BalancerConnection) -> None:
-        """Nobody waits any more for what is open there."""
+        """Post that nobody waits for the connection's open requests any more."""
         for number in sorted(connection.open_numbers):
             self.post(events.RequestCancelled((connection.number, number)))
         connection.open_numbers.clear()
@@ -199,137 +188,72 @@
     # Answers.
 
     def send_response(self, effect: effects.SendResponse) -> None:
-        """Write an answer, if its connection is there and it is owed."""
-        place, number = effect.response_address
-        connection = self._connections.get(place)
+        """Send an answer, if its connection is open and the request unanswered."""
+        connection_number, number = effect.response_address
+        connection = self._connections.get(connection_number)
         if connection is None or number not in connection.open_numbers:
             return
         connection.open_numbers.discard(number)
         if isinstance(effect.response, effects.Served | effects.Rejected):
             connection.abuse_budget.refund()
         connection.write(encode(number, effect.response, effect.load_report))
-        if self._leaving and not connection.open_numbers:
-            connection.say_farewell()
+        if self._draining and not connection.open_numbers:
+            connection.send_farewell()
         self.mark_active(connection)
 
-    # Connections that cost more than they bring.
-
-    def set_idle_timeout(self, after: float) -> None:
-        """From now on part with connections that carried nothing for so long."""
-        self._idle_after = after
-
-    def mark_active(self, connection: BalancerConnection) -> None:
-        """Something went over this connection: its idle time begins anew, or it is busy."""
-        self._idle.pop(connection.number, None)
-        if connection.idle and not connection.broken:
-            self._idle[connection.number] = self.loop.clock.now()
+    # Timeouts.
 
     def _sweep(self) -> TaskSteps:
-        """Look over all connections now and then; a timer for each would cost more than the look."""
         while True:
             yield Wait(until=self.loop.clock.now() + SWEEP_INTERVAL_MS)
-            now = self.loop.clock.now()
-            for connection in list(self._connections.values()):
-                if self._is_over(connection, now):
-                    connection.read_pending()
-                    if (
-                        self._is_over(connection, now)
-                        and connection.open_numbers
-                        and not connection.unsent_bytes
-                    ):
-                        connection.close_gracefully()
-                    elif self._is_over(connection, now):
-                        connection.abort()
-            self._shed_unsent()
-            crowded = len(self._idle) - self._idle_most
-            for number, since in list(self._idle.items()):
-                connection, idle = self._connections[number], now - since
-                if connection.has_partial_message:
-                    continue  # what comes in pieces is a request on its way
-                if (
-                    idle >= self._idle_after
-                    or (connection.messages_read == 1 and idle >= SINGLE_USE_IDLE_MS)
-                    or (crowded > 0 and idle >= FRESH_IDLE_MS)
-                ):
-                    crowded -= 1
-                    del self._idle[number]
-                    connection.say_farewell()
-                elif idle < FRESH_IDLE_MS:
-                    break
-
-    def _is_over(self, connection: BalancerConnection, now: float) -> bool:
-        """Has it kept the node waiting too long, or carried nothing for a while since its farewell?"""
-        if is_timed_out(
-            now, connection.incomplete_since_ms(), connection.stalled_since_ms, connection.has_partial_message
-        ):
-            return True
-        return (
-            connection.farewell_at_ms + PART_MS <= now
-            and connection.idle
-            and not connection.has_partial_message
-            and (self._shut or not self._leaving)
-        )
+            self._sweeper.sweep(
+                self.loop.clock.now(), closes_after_farewell=self._paused or not self._draining
+            )
 
-    def _shed_unsent(self) -> None:
-        """End those that have taken least, where too much waits in all: many peers that read nothing would
-        fill the memory, though none of them has much waiting."""
-        waiting = sorted(
-            (c for c in self._connections.values() if c.unsent_bytes), key=lambda c: len(c.unsent_bytes)
-        )
-        unsent = sum(len(c.unsent_bytes) for c in waiting)
-        while unsent > self._unsent_most:
-            connection = waiting.pop()
-            unsent -= len(connection.unsent_bytes)
-            connection.abort()
-
-    # Leaving.
+    # Draining and stopping.
 
     def say_farewell_to_all(self) -> None:
-        """Farewell on all connections; those that come still are served, then parted with."""
-        self._leaving = True
+        """Drain: send a farewell on all connections, and on new ones once they were served."""
+        self._draining = True
         for connection in list(self._connections.values()):
-            connection.say_farewell()
-
-    def set_max_connections(self, most: int) -> None:
-        """The size of the table from now on. Where there are more, the idle ones go first, as a table that is
-        full does it."""
-        self._most = max(PLACES_LEAST, most)
-        self._idle_most = int(self._most * IDLE_SHARE)
+            connection.send_farewell()
 
     def pause_accepting(self) -> None:
-        """Accept nothing for now: what waits at the door is another process's."""
-        self._shut = True
+        """Accept nothing for now: pending connections belong to another process."""
+        self._paused = True
         self.loop.wake(self._acceptor)
 
     def resume_accepting(self) -> None:
-        """Accept again, and keep connections again."""
-        self._shut = self._leaving = False
+        """Accept connections and keep them again."""
+        self._paused = self._draining = False
         self.loop.wake(self._acceptor)
 
-    def has_pending_work(self) -> bool:
-        """May anything still come or be owed on a connection? After a farewell, one that is idle for a while
-        carries nothing more."""
-        now = self.loop.clock.now()
-        return any(
-            not c.idle or c.has_partial_message or now - c.farewell_at_ms < PART_MS
-            for c in self._connections.values()
-        )
-
     def stop_accepting(self) -> None:
-        """Take what waits to be accepted, then refuse connections: those prove that nothing ran."""
-        self._most = max(self._most, len(self._connections) + BACKLOG)
-        self.accept_all(BACKLOG)
+        """Accept what is pending and stop listening.
+
+        Connections are refused from then on, which proves to their peers that nothing ran.
+        """
+        self._most = max(self._most, len(self._connections) + LISTEN_BACKLOG)
+        self.accept_all(LISTEN_BACKLOG)
         if self._listener is not None:
             self.loop.close(self._listener)
             self._listener = None
         self.say_farewell_to_all()
 
+    def has_pending_work(self) -> bool:
+        """Return whether a request may still arrive or be unanswered on any connection.
+
+        A connection that stays idle for a while after its farewell carries nothing more.
+        """
+        now_ms = self.loop.clock.now()
+        return any(
+            not connection.idle
+            or connection.has_partial_message
+            or now_ms - connection.farewell_at_ms < PART_MS
+            for connection in self._connections.values()
+        )
+
     def read_pending(self) -> None:
-        """Take in what lies unread on any connection: before the exit, where the loop may have been late."""
+        """Read what has arrived on any connection: before the exit, where the loop may have been late."""
         for connection in list(self._connections.values()):
             connection.read_pending()
-
-    @property
-    def busy(self) -> bool:
-        """Is anything open, unwritten or begun?"""
-        return any(not c.idle or c.has_partial_message for c in self._connections.values())
--- /dev/null
+++ b/snowthread/frontends/balancers/sweeper.py
@@ -0,0 +1,103 @@
+"""The periodic check of all connections: timeouts, unsent answers and idle connections.
+
+One sweep over all connections costs less than a timer for each.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping, MutableMapping
+
+from snowthread.frontends.balancers.connection import BalancerConnection
+from snowthread.net.limits import FRESH_IDLE_MS, SINGLE_USE_IDLE_MS, is_timed_out
+
+PART_MS = 1000.0  # a connection still idle this long after its farewell is closed
+
+
+class ConnectionSweeper:
+    """Closes connections that cost more than they are worth.
+
+    ``connections`` and ``idle_since_ms`` (the longest idle first) are the server's own tables, by number.
+    """
+
+    def __init__(
+        self,
+        connections: Mapping[int, BalancerConnection],
+        idle_since_ms: MutableMapping[int, float],
+        max_unsent_bytes: int,
+    ) -> None:
+        self._connections, self._idle_since_ms = connections, idle_since_ms
+        self._max_unsent_bytes = max_unsent_bytes
+        self.idle_timeout_ms = math.inf
+        self.max_idle_connections = 0
+
+    def sweep(self, now_ms: float, closes_after_farewell: bool) -> None:
+        """Check all connections once.
+
+        ``closes_after_farewell``: whether connections that stay idle after their farewell are closed.
+        """
+        for connection in list(self._connections.values()):
+            if self._has_expired(connection, now_ms, closes_after_farewell):
+                connection.read_pending()
+                if self._has_expired(connection, now_ms, closes_after_farewell):
+                    _close_expired(connection)
+        self._abort_largest_unsent()
+        self._retire_idle(now_ms)
+
+    def _has_expired(
+        self, connection: BalancerConnection, now_ms: float, closes_after_farewell: bool
+    ) -> bool:
+        """Return whether the peer kept the node waiting too long, or stayed idle after its farewell."""
+        if is_timed_out(
+            now_ms,
+            connection.incomplete_since_ms(),
+            connection.stalled_since_ms,
+            connection.has_partial_message,
+        ):
+            return True
+        return (
+            closes_after_farewell
+            and connection.farewell_at_ms + PART_MS <= now_ms
+            and connection.idle
+            and not connection.has_partial_message
+        )
+
+    def _abort_largest_unsent(self) -> None:
+        """Abort the connections with the most unsent bytes until all together are within the limit.
+
+        Many peers that read nothing would fill the memory, though none of them has much unsent.
+        """
+        with_unsent = sorted(
+            (connection for connection in self._connections.values() if connection.unsent_bytes),
+            key=lambda connection: len(connection.unsent_bytes),
+        )
+        unsent_bytes = sum(len(connection.unsent_bytes) for connection in with_unsent)
+        while unsent_bytes > self._max_unsent_bytes:
+            connection = with_unsent.pop()
+            unsent_bytes -= len(connection.unsent_bytes)
+            connection.abort()
+
+    def _retire_idle(self, now_ms: float) -> None:
+        """Send a farewell to connections that are idle too long, or too many."""
+        excess = len(self._idle_since_ms) - self.max_idle_connections
+        for number, since_ms in list(self._idle_since_ms.items()):
+            connection, idle_ms = self._connections[number], now_ms - since_ms
+            if connection.has_partial_message:
+                continue  # a request is arriving in pieces
+            if (
+                idle_ms >= self.idle_timeout_ms
+                or (connection.messages_read == 1 and idle_ms >= SINGLE_USE_IDLE_MS)
+                or (excess > 0 and idle_ms >= FRESH_IDLE_MS)
+            ):
+                excess -= 1
+                del self._idle_since_ms[number]
+                connection.send_farewell()
+            elif idle_ms < FRESH_IDLE_MS:
+                break
+
+
+def _close_expired(connection: BalancerConnection) -> None:
+    if connection.open_numbers and not connection.unsent_bytes:
+        connection.close_gracefully()
+    else:
+        connection.abort()
--- a/tests/frontends/test_admin.py
+++ b/tests/frontends/test_admin.py
@@ -13,7 +13,7 @@
 from snowthread.config import ConfigError, load
 from snowthread.frontends.admin.codec import BODY_MAX, HEAD_MAX, AdminRequest, RequestError, RequestReader
 from snowthread.frontends.admin.server import CALL_MS, CALLERS_MOST
-from snowthread.frontends.balancers.server import inherited, listener
+from snowthread.frontends.balancers.listening import adopt_listener, open_listener
 
 READY = b"GET /-/ready HTTP/1.1\r\n\r\n"
 
@@ -82,10 +82,10 @@
 def test_a_socket_passed_on_is_listened_at_and_a_wrong_one_is_told() -> None:
     with loopback(socket.SOCK_STREAM) as held, loopback(socket.SOCK_DGRAM) as other:
         with pytest.raises(OSError, match="does not listen"):
-            inherited(os.dup(other.fileno()))
+            adopt_listener(os.dup(other.fileno()))
         with pytest.raises(OSError):
-            listener(Address(*held.getsockname()))  # taken: only the descriptor helps
-        mine = inherited(os.dup(held.fileno()))
+            open_listener(Address(*held.getsockname()))  # taken: only the descriptor helps
+        mine = adopt_listener(os.dup(held.fileno()))
         with socket.create_connection(held.getsockname()), mine:
             assert mine.accept()[0].getsockname() == held.getsockname()
         with socket.create_connection(held.getsockname()):  # closed by one, it listens on for the others
