Administration frontend: typed routes and responses, request steps split; frontends' tests on fixtures

Routes were bare pairs and one function read, answered and closed. Route and AdminResponse are NamedTuples, so the plain pairs that the node passes still work.

--- a/snowthread/frontends/admin/__init__.py
+++ b/snowthread/frontends/admin/__init__.py
@@ -1,1 +1,1 @@
-"""The front of those who run the node: HTTP/1.1 on an address of its own, one call a connection."""
+"""The administration interface: HTTP/1.1 on an address of its own, one request per connection."""
--- a/snowthread/frontends/admin/codec.py
+++ b/snowthread/frontends/admin/codec.py
@@ -1,21 +1,29 @@
-"""The operators' codec: HTTP/1.1 (RFC 9112), bytes in, one call out or why there is none; no sockets."""
+"""The administration interface's codec: HTTP/1.1 (RFC 9112), bytes in, one request or an error out.
+
+Sans-I/O.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
+from types import MappingProxyType
 
 import httptools
 
-HEAD_MAX = 8 * 1024  # bytes of a request's head
-BODY_MAX = 64 * 1024  # bytes of its body, which means nothing here and is read only so that the reply arrives
+from snowthread.frontends.admin.routes import AdminResponse
+
+MAX_HEAD_BYTES = 8 * 1024
+MAX_BODY_BYTES = 64 * 1024  # a body has no meaning here; it is read so that the response arrives
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+NO_HEADERS: Mapping[str, str] = MappingProxyType({})
 
 
 @dataclass(frozen=True, slots=True)
 class AdminRequest:
-    """A whole call: its method and its path, without a query."""
+    """A whole request: its method and its path, without a query."""
 
     method: str
     path: str
@@ -23,81 +31,88 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestError:
-    """What came is no call; the status says why."""
+    """Why the bytes are no valid request, as the status and the text of its response."""
 
     status: HTTPStatus
     reason: str
 
 
 class RequestReader:
-    """Takes in one call. ``result`` is there once it is whole or can't become so; what follows is not
-    read."""
+    """Reads one request.
+
+    ``result`` is None until the request is complete or cannot become so. What follows it is not read.
+    """
 
     def __init__(self) -> None:
         self.result: AdminRequest | RequestError | None = None
-        self.expects = False  # the caller waits for a word before it sends the body
+        self.expects_continue = False  # the client sends the body only after a 100 (Continue)
         self._parser = httptools.HttpRequestParser(self)
-        self._url = b""
-        self._head = self._body = 0
-        self._headed = False
+        self._target = b""
+        self._head_bytes = self._body_bytes = 0
+        self._has_head = False
 
     def feed(self, data: bytes) -> None:
-        """Take bytes."""
+        """Read bytes; afterwards ``result`` may be set."""
         if self.result is not None:
             return
-        if not self._headed:
-            self._head += len(data)
+        if not self._has_head:
+            self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            pass  # the call stands as it is; no other protocol is spoken here
+            pass  # the request is valid as it is; no other protocol is offered
         except httptools.HttpParserError as error:
-            self._end(HTTPStatus.BAD_REQUEST, str(error))
-        if not self._headed and self._head > HEAD_MAX:
-            self._end(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "a head without end")
+            self._fail(HTTPStatus.BAD_REQUEST, str(error))
+        if not self._has_head and self._head_bytes > MAX_HEAD_BYTES:
+            self._fail(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "a head without end")
 
-    def _end(self, status: HTTPStatus, reason: str) -> None:
+    def _fail(self, status: HTTPStatus, reason: str) -> None:
         if self.result is None:
             self.result = RequestError(status, reason)
 
-    # What the parser calls.
+    # Called by the parser.
 
     def on_url(self, url: bytes) -> None:
-        self._url += url
+        """Collect the request target, which may come in parts."""
+        self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Read the fields that matter here: Expect and Content-Length."""
         if name.lower() == b"expect" and value.lower() == b"100-continue":
-            self.expects = True
-        elif name.lower() == b"content-length" and int(value) > BODY_MAX:
-            self._end(HTTPStatus.BAD_REQUEST, "the body is too long")
+            self.expects_continue = True
+        elif name.lower() == b"content-length" and int(value) > MAX_BODY_BYTES:
+            self._fail(HTTPStatus.BAD_REQUEST, "the body is too long")
 
     def on_headers_complete(self) -> None:
-        self._headed = True
+        """Note that the head is complete."""
+        self._has_head = True
 
     def on_body(self, body: bytes) -> None:
-        self._body += len(body)
-        if self._body > BODY_MAX:
-            self._end(HTTPStatus.BAD_REQUEST, "the body is too long")
+        """Count the body's bytes."""
+        self._body_bytes += len(body)
+        if self._body_bytes > MAX_BODY_BYTES:
+            self._fail(HTTPStatus.BAD_REQUEST, "the body is too long")
 
     def on_message_complete(self) -> None:
+        """Set the result."""
         if self.result is not None:
             return
         try:
-            path = (httptools.parse_url(self._url).path or b"/").decode("ascii")
+            path = (httptools.parse_url(self._target).path or b"/").decode("ascii")
         except (httptools.HttpParserError, UnicodeDecodeError):
-            self._end(HTTPStatus.BAD_REQUEST, "not a target")
+            self._fail(HTTPStatus.BAD_REQUEST, "not a target")
         else:
             self.result = AdminRequest(self._parser.get_method().decode("ascii"), path)
 
 
-def encode(status: HTTPStatus, text: str, headers: tuple[tuple[str, str], ...] = ()) -> bytes:
-    """A whole reply; the connection closes behind it."""
-    body = (text + "\n").encode()
+def encode(response: AdminResponse, headers: Mapping[str, str] = NO_HEADERS) -> bytes:
+    """Return the bytes of a whole response; the connection closes after it."""
+    body = (response.text + "\n").encode()
     lines = [
-        f"HTTP/1.1 {status.value} {status.phrase}",
+        f"HTTP/1.1 {response.status.value} {response.status.phrase}",
         "Content-Type: text/plain; charset=utf-8",
         f"Content-Length: {len(body)}",
         "Connection: close",
-        *(f"{n}: {v}" for n, v in headers),
+        *(f"{name}: {value}" for name, value in headers.items()),
     ]
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- a/snowthread/frontends/admin/server.py
+++ b/snowthread/frontends/admin/server.py
@@ -1,30 +1,28 @@
-"""The operators' address: accepts callers, answers one call each and closes."""
+"""The administration server: accepts clients, answers one request each and closes."""
 
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable, Mapping
+from collections.abc import Generator
 from http import HTTPStatus
 
 from loguru import logger
 
 from snowthread.address import Address
 from snowthread.frontends.admin.codec import CONTINUE, AdminRequest, RequestError, RequestReader, encode
+from snowthread.frontends.admin.routes import AdminResponse, Route, RouteTable
 from snowthread.net.loop import READABLE, WRITABLE, EventLoop, Task, TaskSteps, Wait
 
-CALLERS_MOST = 12  # at once, within the descriptors set aside; past it who has waited longest makes room
-CALL_MS = 10_000.0  # the longest wait for the rest of a call: some stop for seconds and go on
-REPLY_MS = 1_000.0  # the longest wait for a caller to take its reply and close
+MAX_CLIENTS = 12  # at once, within the descriptors set aside; beyond it the oldest client is disconnected
+REQUEST_TIMEOUT_MS = 10_000.0  # for the whole request: some clients stop for seconds and go on
+RESPONSE_TIMEOUT_MS = 1_000.0  # for a client to take its response and close
 READ_BYTES = 4 * 1024
-BACKLOG = 64
-ACCEPT_PAUSE_MS = 10.0  # how long accepting rests when a connection can't be taken
+LISTEN_BACKLOG = 64
+ACCEPT_PAUSE_MS = 10.0  # pause in accepting where a connection cannot be taken
 
-Answer = Callable[[], tuple[HTTPStatus, str]]
-"""Does what a call asks for and says how it went."""
 
-
-class _Caller:
-    """One connection and the coroutine that serves it."""
+class _Client:
+    """One connection and the task that serves it."""
 
     __slots__ = ("sock", "task")
 
@@ -34,25 +32,18 @@
 
 
 class AdminServer:
-    """Answers calls, each known by its path and its method."""
+    """Answers requests by path and method."""
 
-    def __init__(self, loop: EventLoop, address: Address, calls: Mapping[str, tuple[str, Answer]]) -> None:
-        """``calls``: the method wanted and what answers, by path."""
-        self._loop, self._calls = loop, calls
-        self._listener = address.open(socket.SOCK_STREAM)
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            self._listener.bind(address)
-        except OSError as error:  # told apart from the balancers' own address
-            self._listener.close()
-            raise OSError(error.errno, error.strerror, f"{address.host}:{address.port}") from None
-        self._listener.listen(BACKLOG)
-        self._callers: dict[_Caller, None] = {}  # who has waited longest first
+    def __init__(self, loop: EventLoop, address: Address, routes: RouteTable) -> None:
+        self._loop = loop
+        self._routes = {path: Route(*route) for path, route in routes.items()}
+        self._listener = _open_listener(address)
+        self._clients: dict[_Client, None] = {}  # the oldest first
         loop.spawn(self._accept())
 
     @property
     def address(self) -> tuple[str, int]:
-        """Where it listens."""
+        """Where the server listens."""
         host, port = self._listener.getsockname()[:2]
         return host, port
 
@@ -61,70 +52,96 @@
             yield Wait(self._listener.fileno(), READABLE)
             try:
                 sock, _address = self._listener.accept()
-            except OSError as error:  # that caller is gone already, or no descriptor is left for now
-                logger.debug("operators: accept: {}", error)
+            except OSError as error:  # the client has gone already, or no descriptor is free for now
+                logger.debug("admin: accept: {}", error)
                 yield Wait(until=self._loop.clock.now() + ACCEPT_PAUSE_MS)
                 continue
             sock.setblocking(False)
-            if len(self._callers) >= CALLERS_MOST:
-                self._close(next(iter(self._callers)))
-            caller = _Caller(sock)
-            self._callers[caller] = None
-            caller.task = self._loop.spawn(self._steps(caller))
-
-    def _close(self, caller: _Caller) -> None:
-        """Close now, wherever it stands; one that was never resumed has no way out of its own to run."""
-        if caller in self._callers:
-            del self._callers[caller]
-            self._loop.close(caller.sock)
-            if caller.task is not None:
-                self._loop.end_task(caller.task)
-
-    def _steps(self, caller: _Caller) -> TaskSteps:
+            if len(self._clients) >= MAX_CLIENTS:
+                self._disconnect(next(iter(self._clients)))
+            client = _Client(sock)
+            self._clients[client] = None
+            client.task = self._loop.spawn(self._steps(client))
+
+    def _disconnect(self, client: _Client) -> None:
+        """Close a client's connection now; a task that never ran does not do so when it is ended."""
+        if client in self._clients:
+            self._remove(client)
+            if client.task is not None:
+                self._loop.end_task(client.task)
+
+    def _remove(self, client: _Client) -> None:
+        del self._clients[client]
+        self._loop.close(client.sock)
+
+    def _steps(self, client: _Client) -> TaskSteps:
         try:
-            yield from self._call(caller.sock)
+            request = yield from self._read_request(client.sock)
+            if request is not None:
+                yield from self._send_response(client.sock, self._respond(request))
         except OSError as error:
-            logger.debug("operators: {}", error)
+            logger.debug("admin: {}", error)
         finally:
-            if caller in self._callers:
-                del self._callers[caller]
-                self._loop.close(caller.sock)
-
-    def _call(self, sock: socket.socket) -> TaskSteps:
-        """One call, from its first byte to the caller's close."""
-        reading, until, told = RequestReader(), self._loop.clock.now() + CALL_MS, False
-        while reading.result is None:
-            if not (yield Wait(sock.fileno(), READABLE, until)):
-                return
+            if client in self._clients:
+                self._remove(client)
+
+    def _read_request(self, sock: socket.socket) -> Generator[Wait, int, AdminRequest | RequestError | None]:
+        """Read one request; return None where the client closes or its time is up."""
+        reader, deadline_ms = RequestReader(), self._loop.clock.now() + REQUEST_TIMEOUT_MS
+        has_sent_continue = False
+        while reader.result is None:
+            if not (yield Wait(sock.fileno(), READABLE, deadline_ms)):
+                return None
             try:
                 data = sock.recv(READ_BYTES)
             except BlockingIOError:
                 continue
             if not data:
-                return
-            reading.feed(data)
-            if reading.expects and reading.result is None and not told:
-                told = True
+                return None
+            reader.feed(data)
+            if reader.expects_continue and reader.result is None and not has_sent_continue:
+                has_sent_continue = True
                 sock.send(CONTINUE)
-        out, until = self._answer(reading.result), self._loop.clock.now() + REPLY_MS
-        while out:
+        return reader.result
+
+    def _send_response(self, sock: socket.socket, response: bytes) -> TaskSteps:
+        """Send a response, then read until the client closes.
+
+        Bytes left unread at a close would reset the connection, and the response would be lost.
+        """
+        deadline_ms = self._loop.clock.now() + RESPONSE_TIMEOUT_MS
+        while response:
             try:
-                out = out[sock.send(out) :]
+                response = response[sock.send(response) :]
             except BlockingIOError:
-                if not (yield Wait(sock.fileno(), WRITABLE, until)):
+                if not (yield Wait(sock.fileno(), WRITABLE, deadline_ms)):
                     return
-        # Closed in the open: bytes left unread at a close would reset the connection, and the reply with it.
         sock.shutdown(socket.SHUT_WR)
-        while (yield Wait(sock.fileno(), READABLE, until)) and sock.recv(READ_BYTES):
+        while (yield Wait(sock.fileno(), READABLE, deadline_ms)) and sock.recv(READ_BYTES):
             pass
 
-    def _answer(self, result: AdminRequest | RequestError) -> bytes:
-        if isinstance(result, RequestError):
-            return encode(result.status, result.reason)
-        known = self._calls.get(result.path)
-        if known is None:
-            return encode(HTTPStatus.NOT_FOUND, f"no such call; there are {', '.join(self._calls)}")
-        method, answer = known
-        if result.method != method:
-            return encode(HTTPStatus.METHOD_NOT_ALLOWED, f"{method} is wanted", (("Allow", method),))
-        return encode(*answer())
+    def _respond(self, request: AdminRequest | RequestError) -> bytes:
+        """Carry out a request and return the bytes of its response."""
+        if isinstance(request, RequestError):
+            return encode(AdminResponse(request.status, request.reason))
+        route = self._routes.get(request.path)
+        if route is None:
+            text = f"no such call; there are {', '.join(self._routes)}"
+            return encode(AdminResponse(HTTPStatus.NOT_FOUND, text))
+        if request.method != route.method:
+            refusal = AdminResponse(HTTPStatus.METHOD_NOT_ALLOWED, f"{route.method} is wanted")
+            return encode(refusal, {"Allow": route.method})
+        return encode(AdminResponse(*route.handler()))
+
+
+def _open_listener(address: Address) -> socket.socket:
+    """Return a socket that listens at the address; an OSError of bind names the address."""
+    listener = address.open(socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind(address)
+    except OSError as error:  # to be told apart from the balancers' address
+        listener.close()
+        raise OSError(error.errno, error.strerror, f"{address.host}:{address.port}") from None
+    listener.listen(LISTEN_BACKLOG)
+    return listener
--- /dev/null
+++ b/tests/frontends/conftest.py
@@ -0,0 +1,29 @@
+"""Nodes in this process whose tasks are ended with the test."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import pytest
+from support.exchange import Player
+
+
+@pytest.fixture
+def start_player() -> Iterator[Callable[..., Player]]:
+    """Start a node with changes to its configuration; its tasks and sockets are closed afterwards."""
+    players: list[Player] = []
+
+    def start(**changes: Any) -> Player:
+        players.append(Player(**changes))
+        return players[-1]
+
+    yield start
+    for player in players:
+        player.node.loop._close_tasks()
+
+
+@pytest.fixture
+def player(start_player: Callable[..., Player]) -> Player:
+    """Start a node with the example's configuration."""
+    return start_player()
--- /dev/null
+++ b/tests/frontends/test_connection_limits.py
@@ -0,0 +1,84 @@
+"""Crowds of silent connections: which are closed, and what an honest slow writer is granted."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack
+
+import msgpack
+import pytest
+from support.exchange import START, Player
+
+from snowthread.net.limits import FIRST_BYTE_TIMEOUT_MS, PARTIAL_MESSAGE_TIMEOUT_MS
+
+FIELDS = {
+    "id": "00000000000000a1",
+    "at": f"{START:.0f}",
+    "from": "4",
+    "wait": "9000",
+    "kb": "20",
+    "rank": "0.5",
+}
+BODY = b"p" * 40
+REQUEST = msgpack.packb([0, 1, "match", [FIELDS, BODY]])
+HEALTH_CHECK = msgpack.packb([0, 1, "health", [{}]])
+WRITING_TIME_MS = 2000.0  # of the slow writer's request
+
+
+Connect = Callable[[Player], socket.socket]
+
+
+@pytest.fixture
+def connect() -> Iterator[Connect]:
+    """Connect to a node's balancer port; the sockets are closed after the test."""
+    with ExitStack() as sockets:
+
+        def connect(player: Player) -> socket.socket:
+            sock = sockets.enter_context(socket.create_connection(player.node.balancers.address))
+            player.settle()
+            sock.setblocking(False)
+            return sock
+
+        yield connect
+
+
+@pytest.mark.parametrize(
+    "crowd_sends", [b"", HEALTH_CHECK[:4], HEALTH_CHECK], ids=["silent", "partial", "one message"]
+)
+def test_request_written_over_two_seconds_is_read_whole_among_a_crowd(
+    start_player: Callable[..., Player], connect: Connect, crowd_sends: bytes
+) -> None:
+    player = start_player(limits={"sockets": 64})
+    max_connections = player.node.balancers._most
+    slow_writer = connect(player)
+    pieces = [REQUEST[start : start + 7] for start in range(0, len(REQUEST), 7)]
+    pause_ms = WRITING_TIME_MS / (len(pieces) - 1)
+    for number, piece in enumerate(pieces):
+        if number:
+            player.clock.now_ms += pause_ms
+        slow_writer.send(piece)
+        player.settle()
+        for _ in range(max_connections // 2):  # the whole table anew with every second piece
+            other = connect(player)
+            if crowd_sends:
+                other.send(crowd_sends)
+                player.settle()
+    player.settle()
+    assert [request.body for request in player.node.state.requests.values()] == [BODY]
+    assert player.node.balancers.count() <= max_connections
+
+
+def test_silent_connections_and_endless_messages_are_closed_in_bounded_time(
+    player: Player, connect: Connect
+) -> None:
+    silent, endless = connect(player), connect(player)
+    endless.send(REQUEST[:20])
+    player.settle()
+    player.step("clock", str(FIRST_BYTE_TIMEOUT_MS), "")
+    player.step("clock", "0", "")
+    assert player.node.balancers.count() == 1 and silent.recv(10) == b""
+    for _ in range(5):
+        endless.send(REQUEST[20:21])  # a byte now and then buys no more time
+        player.step("clock", str((PARTIAL_MESSAGE_TIMEOUT_MS - FIRST_BYTE_TIMEOUT_MS) / 5.0 + 60.0), "")
+    assert player.node.balancers.count() == 0
--- /dev/null
+++ b/tests/frontends/test_listening.py
@@ -0,0 +1,25 @@
+"""Listening sockets that another process passed on."""
+
+from __future__ import annotations
+
+import os
+import socket
+
+import pytest
+from support.exchange import loopback
+
+from snowthread.address import Address
+from snowthread.frontends.balancers.listening import adopt_listener, open_listener
+
+
+def test_inherited_listener_is_shared_and_other_sockets_are_rejected() -> None:
+    with loopback(socket.SOCK_STREAM) as original, loopback(socket.SOCK_DGRAM) as datagrams:
+        with pytest.raises(OSError, match="does not listen"):
+            adopt_listener(os.dup(datagrams.fileno()))
+        with pytest.raises(OSError):
+            open_listener(Address(*original.getsockname()))  # in use: only the descriptor helps
+        adopted = adopt_listener(os.dup(original.fileno()))
+        with socket.create_connection(original.getsockname()), adopted:
+            assert adopted.accept()[0].getsockname() == original.getsockname()
+        with socket.create_connection(original.getsockname()):  # closed by one, it listens on for the others
+            original.accept()[0].close()
