--- a/snowthread/sites/__init__.py
+++ b/snowthread/sites/__init__.py
@@ -1,6 +1,11 @@
-"""The fleet's sites: which are up, where a lost site's load goes, and how it is given back.
+"""Cooperation between the sites of a fleet.
 
-All pure: beats, measures and ``now`` come in, states and shares come out. ``members`` says which sites are
-up; ``spill`` deals the load of those that are not to the others by what they can spare; ``giveback`` paces
-the return of one that is back. Nothing here is wired into a node yet: see docs/sites-design.md.
+- ``membership`` decides from heartbeats which sites are up.
+- ``spillover`` allocates the load of a lost site to the others by their spare capacity.
+- ``recovery_ramp`` paces the return of load to a site that is recovering.
+- ``shedding`` decides which requests of other sites' clients are rejected first.
+- ``client_filter`` applies that decision to each request of a node; ``settings`` reads its configuration.
+
+All but ``client_filter`` are pure: heartbeats, measurements and the current time are arguments. Only
+``client_filter`` is wired into a node so far; see docs/sites-design.md.
 """
--- a/snowthread/sites/client_filter.py
+++ b/snowthread/sites/client_filter.py
@@ -1,7 +1,7 @@
-"""The edge of a site, wired: requests of other sites' clients are judged as they are read (:mod:`order`).
+"""Filter the requests of other sites' clients before they reach admission control.
 
-Takes the place of ``reduce``. What it turns away never reaches the module, so the module's b stays the same
-for all callers of a class; what it lets in is a request like any other.
+The filter wraps the reducer. Requests that it rejects are never seen by admission control, so the blocking
+probability stays the same for all clients of a class; requests that it admits are treated like any other.
 """
 
 from __future__ import annotations
@@ -11,80 +11,94 @@
 
 from loguru import logger
 
-from snowthread.admission.settings import Idempotency as Repeat
-from snowthread.admission.settings import RequestClass
+from snowthread.admission.settings import Idempotency, RequestClass, Settings
 from snowthread.core import effects, events
 from snowthread.core.state import Request, RequestPhase, State
 from snowthread.net.loop import EventLoop, TaskSteps, Wait
 from snowthread.sites.settings import SiteSettings
 from snowthread.sites.shedding import NodeLoad, Verdict, decide, shedding_order
 
-LOG_INTERVAL_MS = 10_000.0  # between two words on what came from other sites
+LOG_INTERVAL_MS = 10_000.0
+MS_PER_S = 1000.0
 
 Reducer = Callable[[State, events.Event, float], list[effects.Effect]]
 
 
 class ClientFilter:
-    """Judges what comes from other sites' clients."""
+    """Applies the shedding policy to requests of other sites' clients."""
 
-    def __init__(self, loop: EventLoop, settings: SiteSettings, inner: Reducer) -> None:
-        self._loop, self._site_ranges, self._next_reducer = loop, settings.site_ranges, inner
-        self._foreign_attempts: dict[str, None] = {}  # tries of other sites in flight
-        self.counts: Counter[str] = Counter()  # by home and verdict, since they were last told
+    def __init__(self, loop: EventLoop, settings: SiteSettings, next_reducer: Reducer) -> None:
+        self._loop = loop
+        self._site_ranges = settings.site_ranges
+        self._next_reducer = next_reducer
+        self._foreign_attempts: dict[str, None] = {}  # attempts of other sites' clients in flight
+        self.counts: Counter[str] = Counter()  # by home site and verdict, since the last log line
         loop.spawn(self._log_counts())
 
-    def _log_counts(self) -> TaskSteps:
-        while True:
-            yield Wait(until=self._loop.clock.now() + LOG_INTERVAL_MS)
-            if self.counts:
-                counts, self.counts = self.counts, Counter()
-                logger.bind(event="site.edge", **counts).info("other sites' clients: {}", dict(counts))
-
     def reduce(self, state: State, message: events.Event, now: float) -> list[effects.Effect]:
-        """The step within; requests of other sites' clients pass only as they may."""
+        """Pass the event to the next reducer unless it is another site's request that may not run here."""
         if type(message) is not events.RequestReceived:
             return self._next_reducer(state, message, now)
-        home = self._site_ranges.site_of(message.caller_id)
-        if home == self._site_ranges.own_site:
+        home_site = self._site_ranges.site_of(message.caller_id)
+        if home_site == self._site_ranges.own_site:
             return self._next_reducer(state, message, now)
-        kind = next((c for c in state.settings.classes if c.name == message.class_name), None)
-        verdict = Verdict.FAIL if kind is None else self._judge(state, message, kind)
-        self.counts[f"{home} {verdict.value}"] += 1
+        request_class = next((c for c in state.settings.classes if c.name == message.class_name), None)
+        verdict = Verdict.FAIL if request_class is None else self._judge(state, message, request_class)
+        self.counts[f"{home_site} {verdict.value}"] += 1
         if verdict is Verdict.FAIL:
             return [effects.SendResponse(message.response_address, effects.Failed(), state.load_report)]
         if verdict is Verdict.REJECT:
-            settings, after = state.settings, 0.0
-            if kind is not None and settings.supports_retry_after:
-                after = min(settings.max_retry_after_s, kind.latency_objective_s / 2.0)
-            return [
-                effects.SendResponse(
-                    message.response_address, effects.Rejected(1000.0 * after), state.load_report
-                )
-            ]
+            rejected = effects.Rejected(_retry_after_ms(state.settings, request_class))
+            return [effects.SendResponse(message.response_address, rejected, state.load_report)]
         self._foreign_attempts[message.attempt_id] = None
         return self._next_reducer(state, message, now)
 
-    def _judge(self, state: State, m: events.RequestReceived, kind: RequestClass) -> Verdict:
-        self._foreign_attempts = {uid: None for uid in self._foreign_attempts if uid in state.by_attempt_id}
-        controller = state.controller
-        classes = state.settings.classes
-        runs = {
-            c.name: controller.estimates.base_core_time_s[n] if controller is not None else 0.0
-            for n, c in enumerate(classes)
+    def _judge(self, state: State, event: events.RequestReceived, request_class: RequestClass) -> Verdict:
+        self._foreign_attempts = {
+            attempt_id: None for attempt_id in self._foreign_attempts if attempt_id in state.by_attempt_id
         }
-        order = shedding_order({c.name: c.priority_weight / (runs[c.name] or 1.0) for c in classes})
-        held = sum(_held(q) for q in state.requests.values())
-        load = NodeLoad(
-            controller.blocking_probability if controller is not None else 0.0,
-            held,
-            state.settings.cores,
-            controller.concurrency_limit if controller is not None else float(state.settings.cores),
-            len(self._foreign_attempts),
-        )
+        order = _shedding_order(state)
         return decide(
-            False, kind.idempotency is Repeat.IDEMPOTENT, order[kind.name], len(classes), m.rank, load
+            is_own_client=False,
+            idempotent=request_class.idempotency is Idempotency.IDEMPOTENT,
+            class_position=order[request_class.name],
+            class_count=len(state.settings.classes),
+            rank=event.rank,
+            load=self._node_load(state),
         )
 
+    def _node_load(self, state: State) -> NodeLoad:
+        controller, cores = state.controller, state.settings.cores
+        return NodeLoad(
+            blocking_probability=controller.blocking_probability if controller is not None else 0.0,
+            queued=sum(_is_queued(request) for request in state.requests.values()),
+            cores=cores,
+            concurrency_limit=controller.concurrency_limit if controller is not None else float(cores),
+            foreign_in_flight=len(self._foreign_attempts),
+        )
+
+    def _log_counts(self) -> TaskSteps:
+        while True:
+            yield Wait(until=self._loop.clock.now() + LOG_INTERVAL_MS)
+            if self.counts:
+                counts, self.counts = self.counts, Counter()
+                logger.bind(event="site.edge", **counts).info("other sites' clients: {}", dict(counts))
+
+
+def _shedding_order(state: State) -> dict[str, int]:
+    """Return each class's position in the order of shedding, from its priority weight and core time."""
+    controller, weight_per_core_s = state.controller, {}
+    for index, request_class in enumerate(state.settings.classes):
+        core_time_s = controller.estimates.base_core_time_s[index] if controller is not None else 0.0
+        weight_per_core_s[request_class.name] = request_class.priority_weight / (core_time_s or 1.0)
+    return shedding_order(weight_per_core_s)
+
+
+def _retry_after_ms(settings: Settings, request_class: RequestClass | None) -> float:
+    if request_class is None or not settings.supports_retry_after:
+        return 0.0
+    return MS_PER_S * min(settings.max_retry_after_s, request_class.latency_objective_s / 2.0)
+
 
-def _held(q: Request) -> bool:
-    return q.phase is RequestPhase.QUEUED
+def _is_queued(request: Request) -> bool:
+    return request.phase is RequestPhase.QUEUED
--- a/snowthread/sites/recovery_ramp.py
+++ b/snowthread/sites/recovery_ramp.py
@@ -1,17 +1,17 @@
-"""How a site that is back gets its load again: by steps of share, on measured health, with hysteresis. Pure.
-
-| state  | event                                              | next                                        |
-| ------ | -------------------------------------------------- | ------------------------------------------- |
-| away   | back, and ``wait_ms`` over                         | giving, share ``STEP``                      |
-| giving | a period well (worth in aim, and database, both)   | share + ``STEP``, twice that over a half    |
-| giving | a period not well                                  | share halved, ``STEP`` at the least         |
-| giving | share 1                                            | whole                                       |
-| any    | lost                                               | away, share 0                               |
-| any    | lost, and back for less than ``calm_ms`` before    | the same, and ``wait_ms`` doubled           |
-| any    | lost, and back for longer before                   | the same, and ``wait_ms`` as at first       |
-
-So a site that flaps is sent load ever more seldom, up to ``wait_most_ms``, and one that was lost once is not
-made to wait for it.
+"""Pace the return of load to a recovering site: steps of its share, on measured health, with backoff. Pure.
+
+| state   | event                                                  | next                              |
+| ------- | ------------------------------------------------------ | --------------------------------- |
+| lost    | recovering, and ``wait_ms`` has passed                 | ramping, share one step           |
+| ramping | a healthy period (served ratio and database load)      | share + one step, over a half two |
+| ramping | an unhealthy period                                    | share halved, at least one step   |
+| ramping | share 1                                                | full                              |
+| any     | lost                                                   | lost, share 0                     |
+| any     | lost, less than ``stable_after_ms`` after its recovery | the same, and ``wait_ms`` doubled |
+| any     | lost, later than that                                  | the same, and ``wait_ms`` reset   |
+
+So a site that flaps gets load ever less often, up to ``max_wait_ms`` apart, and a single loss costs a site no
+more than the first wait.
 """
 
 from __future__ import annotations
@@ -19,21 +19,29 @@
 from dataclasses import dataclass
 
 SHARE_STEP = 0.1
-HEALTHY_SERVED_RATIO = 0.9  # of the worth in aim that it had before
-HEALTHY_DATABASE_LOAD = 1.0  # calls held over what its database works on
+HEALTHY_SERVED_RATIO = 0.9  # of the ratio before the loss
+HEALTHY_DATABASE_LOAD = 1.0  # calls in hand per slot of the database
+FAST_RAMP_FROM_SHARE = 0.5  # from here on the share grows in double steps
 
 
 @dataclass(frozen=True, slots=True)
 class SiteHealth:
-    """A period's measure of the site that is back."""
+    """Measurements of a recovering site over one period."""
 
-    served_ratio: float  # worth in aim over worth asked, over the same before its loss
-    database_load: float  # calls held over its slots
+    served_ratio: (
+        float  # weight served within its latency objective over weight requested, relative to before
+    )
+    database_load: float  # calls in hand over the database's slots
+
+    @property
+    def is_healthy(self) -> bool:
+        """Whether the site served enough and its database is not overloaded."""
+        return self.served_ratio >= HEALTHY_SERVED_RATIO and self.database_load <= HEALTHY_DATABASE_LOAD
 
 
 @dataclass(slots=True)
 class RecoveryRamp:
-    """One site's return, as the others pace it."""
+    """The share of its own load that one recovering site gets, as the other sites pace it."""
 
     period_ms: float = 1000.0
     first_wait_ms: float = 2000.0
@@ -41,7 +49,7 @@
     stable_after_ms: float = 60_000.0
     share: float = 1.0
     wait_ms: float = 0.0
-    recovering_since_ms: float | None = None  # since when it is back
+    recovering_since_ms: float | None = None
     last_step_ms: float = 0.0
     losses: int = 0
 
@@ -49,29 +57,34 @@
         self.wait_ms = self.wait_ms or self.first_wait_ms
 
     def mark_lost(self, now_ms: float) -> None:
-        """It is gone: all of its load is others' at once."""
+        """Take all of its load from the site at once; double the wait if it was lost again early."""
         if self.losses and self.recovering_since_ms is not None:
-            short = now_ms - self.recovering_since_ms < self.stable_after_ms
-            self.wait_ms = min(self.max_wait_ms, 2.0 * self.wait_ms) if short else self.first_wait_ms
+            lost_early = now_ms - self.recovering_since_ms < self.stable_after_ms
+            self.wait_ms = min(self.max_wait_ms, 2.0 * self.wait_ms) if lost_early else self.first_wait_ms
         self.losses += 1
-        self.share, self.recovering_since_ms = 0.0, None
+        self.share = 0.0
+        self.recovering_since_ms = None
 
     def mark_recovering(self, now_ms: float) -> None:
-        """It is there again; it gets nothing before its wait is over."""
+        """Note that the site is reachable again; it gets no load before its wait is over."""
         if self.recovering_since_ms is None:
-            self.recovering_since_ms, self.last_step_ms = now_ms, now_ms
+            self.recovering_since_ms = self.last_step_ms = now_ms
 
     def tick(self, now_ms: float, health: SiteHealth | None) -> float:
-        """Once in a while: the share of its load that it gets now. No health: nothing measured, no step."""
+        """Advance the ramp and return the current share; without a measurement the share does not change."""
         if self.recovering_since_ms is None or self.share >= 1.0:
             return self.share
         if self.share == 0.0:
             if now_ms - self.recovering_since_ms >= self.wait_ms:
-                self.share, self.last_step_ms = SHARE_STEP, now_ms
+                self.share = SHARE_STEP
+                self.last_step_ms = now_ms
         elif health is not None and now_ms - self.last_step_ms >= self.period_ms:
             self.last_step_ms = now_ms
-            if health.served_ratio >= HEALTHY_SERVED_RATIO and health.database_load <= HEALTHY_DATABASE_LOAD:
-                self.share = min(1.0, self.share + (SHARE_STEP if self.share < 0.5 else 2.0 * SHARE_STEP))
-            else:
-                self.share = max(SHARE_STEP, self.share / 2.0)
+            self.share = self._next_share(health)
         return self.share
+
+    def _next_share(self, health: SiteHealth) -> float:
+        if not health.is_healthy:
+            return max(SHARE_STEP, self.share / 2.0)
+        step = SHARE_STEP if self.share < FAST_RAMP_FROM_SHARE else 2.0 * SHARE_STEP
+        return min(1.0, self.share + step)
--- a/snowthread/sites/settings.py
+++ b/snowthread/sites/settings.py
@@ -1,8 +1,9 @@
-"""The block ``site`` of the operator's file, checked."""
+"""The ``site`` block of the operator's file."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from snowthread.operator.hcl import Block
 from snowthread.sites.shedding import SiteRanges
@@ -12,42 +13,56 @@
 
 @dataclass(frozen=True, slots=True)
 class SiteSettings:
-    """Which site this node is of, and whose clients the balancers' numbers stand for."""
+    """The site this node belongs to, and the ranges of balancers' numbers of every site."""
 
     site_ranges: SiteRanges
 
     def summary(self) -> str:
-        """For people: what is on."""
-        others = ", ".join(self.site_ranges.ranges)
-        return f"site {self.site_ranges.own_site}: clients of {others} are told by their balancers"
+        """Return one line for operators that says what is on."""
+        sites = ", ".join(self.site_ranges.ranges)
+        return f"site {self.site_ranges.own_site}: clients of {sites} are told by their balancers"
 
 
-def _number(block: Block, text: str) -> int:
-    if not (text.isascii() and text.isdigit()):
-        raise block.wrong("balancers", f"{text!r} is no number")
-    return int(text)
+class _AssignedRange(NamedTuple):
+    """A range of balancers' numbers, both ends included, and the site that it was assigned to."""
+
+    first: int
+    last: int
+    site: str
 
 
 def read_site_settings(block: Block) -> SiteSettings:
-    """Check the block; ConfigError names the key that can't be used."""
-    me = block.text("name")
-    ranges: dict[str, list[tuple[int, int]]] = {}
-    taken: list[tuple[int, int, str]] = []
+    """Check the block and return its settings; ConfigError names the key that can't be used."""
+    own_site = block.text("name")
+    assigned: list[_AssignedRange] = []
     for home in block.blocks("home", MAX_HOME_BLOCKS):
-        name = home.text("name")
+        site = home.text("name")
         for text in home.texts("balancers"):
-            low, dash, high = text.partition("-")
-            first = _number(home, low)
-            last = _number(home, high) if dash else first
-            if last < first:
-                raise home.wrong("balancers", f"{text!r} ends before it begins")
-            clash = next((other for a, b, other in taken if first <= b and a <= last and other != name), None)
-            if clash is not None:
-                raise home.wrong("balancers", f"{text!r} is another's too: {clash}")
-            taken.append((first, last, name))
-            ranges.setdefault(name, []).append((first, last))
+            assigned.append(_read_range(home, text, site, assigned))
         home.done()
     block.done()
-    if me not in ranges:
-        raise block.wrong("name", f"no block 'home' has the balancers of {me!r}")
-    return SiteSettings(SiteRanges(me, ranges))
+    ranges: dict[str, list[tuple[int, int]]] = {}
+    for first, last, site in assigned:
+        ranges.setdefault(site, []).append((first, last))
+    if own_site not in ranges:
+        raise block.wrong("name", f"no block 'home' has the balancers of {own_site!r}")
+    return SiteSettings(SiteRanges(own_site, ranges))
+
+
+def _read_range(home: Block, text: str, site: str, assigned: list[_AssignedRange]) -> _AssignedRange:
+    """Read ``"7"`` or ``"3-5"``; a range that overlaps another site's is an error."""
+    low, dash, high = text.partition("-")
+    first = _read_number(home, low)
+    last = _read_number(home, high) if dash else first
+    if last < first:
+        raise home.wrong("balancers", f"{text!r} ends before it begins")
+    for other in assigned:
+        if other.site != site and first <= other.last and other.first <= last:
+            raise home.wrong("balancers", f"{text!r} is another's too: {other.site}")
+    return _AssignedRange(first, last, site)
+
+
+def _read_number(home: Block, text: str) -> int:
+    if not (text.isascii() and text.isdigit()):
+        raise home.wrong("balancers", f"{text!r} is no number")
+    return int(text)
--- a/snowthread/sites/shedding.py
+++ b/snowthread/sites/shedding.py
@@ -1,17 +1,20 @@
-"""What a site refuses first of what comes from other sites' clients. Pure: measures in, a verdict out.
-
-| a request                                         | verdict                                              |
-| ------------------------------------------------- | ---------------------------------------------------- |
-| of this site's own clients                        | own: the module's, as always                         |
-| of another site's, keyed or not safe to repeat    | fail: its home may have run it, or be running it     |
-| of another site's, the cap is reached             | refuse                                               |
-| of another site's, pressure over its place        | refuse                                               |
-| of another site's, else                           | own: the module's, as always                         |
-
-Pressure is the module's b, or how full the hold is if that is more; 0 at a site with room. A request's place
-is its class's, by worth for its work from the least, and within the class its rank: so a cheaper one is
-refused before a worthier one at every pressure, all of them before ``MOST``, and with them all gone it is the
-site's own that the module refuses. It is one look-up as a request is read, before anything is booked for it.
+"""Decide which requests of other sites' clients a site sheds first. Pure.
+
+| request                                               | verdict                          |
+| ----------------------------------------------------- | -------------------------------- |
+| of this site's own client                             | ADMIT: admission control decides |
+| of another site's client, not safe to repeat          | FAIL: its home site may run it   |
+| of another site's client, the share in flight is full | REJECT                           |
+| of another site's client, pressure over its threshold | REJECT                           |
+| of another site's client, otherwise                   | ADMIT                            |
+
+Pressure is the blocking probability of admission control, or how full its queue is if that is more; it is 0
+at a site with free capacity. A request's threshold grows with its class's position in the shedding order
+(priority weight per unit of work, the least first) and with its rank within the class. So a request of less
+weight is rejected before one of more weight at every pressure; from ``MAX_FOREIGN_PRESSURE`` on all of them
+are rejected, and only then does admission control reject the site's own clients.
+
+The decision is taken as a request is read, before any resource is reserved for it.
 """
 
 from __future__ import annotations
@@ -20,14 +23,14 @@
 from dataclasses import dataclass
 from enum import Enum
 
-MAX_FOREIGN_PRESSURE = 0.3  # pressure from which nothing of other sites is taken
-FULL_QUEUE_PER_CORE = 4.0  # requests held a core that count as full
-MAX_FOREIGN_SHARE = (
-    0.5  # of the run limit: so many of other sites' requests may be in flight, so that own ones find room
-)
+MAX_FOREIGN_PRESSURE = 0.3  # from this pressure on no request of another site's client is admitted
+FULL_QUEUE_PER_CORE = 4.0  # requests queued per core that count as a full queue
+MAX_FOREIGN_SHARE = 0.5  # of the concurrency limit; the rest stays free for the site's own clients
 
 
 class Verdict(Enum):
+    """What happens to a request."""
+
     ADMIT = "own"
     FAIL = "fail"
     REJECT = "refuse"
@@ -35,50 +38,59 @@
 
 @dataclass(frozen=True, slots=True)
 class SiteRanges:
-    """Whose clients a balancer's number stands for: ranges, both ends included, by site."""
+    """Ranges of balancers' numbers, both ends included, by the site whose clients they serve."""
 
     own_site: str
     ranges: Mapping[str, Sequence[tuple[int, int]]]
 
-    def site_of(self, caller: int) -> str:
-        """The site, or this one where no range has the number: nobody else's clients are its own."""
+    def site_of(self, caller_id: int) -> str:
+        """Return the home site of a balancer's clients; a number in no range belongs to this site."""
         for site, ranges in self.ranges.items():
-            if any(low <= caller <= high for low, high in ranges):
+            if any(first <= caller_id <= last for first, last in ranges):
                 return site
         return self.own_site
 
 
 @dataclass(frozen=True, slots=True)
 class NodeLoad:
-    """A node as it stands."""
+    """The load of one node."""
 
-    blocking_probability: float  # the module's b
+    blocking_probability: float
     queued: int
     cores: int
-    concurrency_limit: float  # the module's run limit
-    foreign_in_flight: int  # requests of other sites in flight
+    concurrency_limit: float
+    foreign_in_flight: int  # requests of other sites' clients
 
 
-def shedding_order(worth_for_work: Mapping[str, float]) -> dict[str, int]:
-    """Classes in the order in which they are refused: the least worth for its work first."""
-    return {name: n for n, (name, _) in enumerate(sorted(worth_for_work.items(), key=lambda item: item[1]))}
+def shedding_order(weight_per_work: Mapping[str, float]) -> dict[str, int]:
+    """Return each class's position in the order of shedding; the least weight for its work comes first."""
+    by_weight = sorted(weight_per_work.items(), key=lambda item: item[1])
+    return {name: position for position, (name, _) in enumerate(by_weight)}
 
 
 def pressure(load: NodeLoad) -> float:
-    """How little room there is, 0 to 1."""
-    return max(load.blocking_probability, min(1.0, load.queued / (FULL_QUEUE_PER_CORE * max(1, load.cores))))
+    """Return the load's pressure, from 0 (free capacity) to 1."""
+    queue_fill = min(1.0, load.queued / (FULL_QUEUE_PER_CORE * max(1, load.cores)))
+    return max(load.blocking_probability, queue_fill)
 
 
 def decide(
-    is_own_client: bool, idempotent: bool, class_position: int, class_count: int, rank: float, load: NodeLoad
+    *,
+    is_own_client: bool,
+    idempotent: bool,
+    class_position: int,
+    class_count: int,
+    rank: float,
+    load: NodeLoad,
 ) -> Verdict:
-    """What becomes of a request as it is read."""
+    """Return the verdict on a request; ``class_position`` is its class's place in the shedding order."""
     if is_own_client:
         return Verdict.ADMIT
     if not idempotent:
         return Verdict.FAIL
     if load.foreign_in_flight >= max(1.0, MAX_FOREIGN_SHARE * load.concurrency_limit):
         return Verdict.REJECT
-    allowed = MAX_FOREIGN_PRESSURE * (class_position + min(1.0, max(0.0, rank))) / max(1, class_count)
-    felt = pressure(load)
-    return Verdict.REJECT if felt > 0.0 and felt >= allowed else Verdict.ADMIT
+    position = class_position + min(1.0, max(0.0, rank))
+    threshold = MAX_FOREIGN_PRESSURE * position / max(1, class_count)
+    current = pressure(load)
+    return Verdict.REJECT if current > 0.0 and current >= threshold else Verdict.ADMIT
--- a/snowthread/sites/spillover.py
+++ b/snowthread/sites/spillover.py
@@ -1,8 +1,9 @@
-"""Where the load of a site that can't serve it goes: dealt by measured spare capacity and delay. Pure.
+"""Allocate the load of a site that can't serve it to other sites. Pure.
 
-Each taker gets a part in proportion to ``spare / (1 + delay / aim)`` and never more than ``CAP`` of its
-spare, so that what it was wrong about does not make it fall; what goes over one's cap is dealt among the
-others. What nobody can take is left over: it is to be refused where it is asked for, with ``after``.
+Each target gets a part in proportion to ``spare capacity / (1 + delay / latency objective)`` and never more
+than ``MAX_SPARE_SHARE`` of its spare capacity, so that an error in its measurement does not overload it. What
+exceeds one target's cap is allocated among the others. What no target can take stays unallocated: the site
+that received it rejects it with Retry-After.
 """
 
 from __future__ import annotations
@@ -10,15 +11,13 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-MAX_SPARE_SHARE = (
-    0.8  # of what a site says it can spare: its measure is a beat old, and its own load moves meanwhile
-)
+MAX_SPARE_SHARE = 0.8  # a measurement is one heartbeat old, and the target's own load changes meanwhile
 NEGLIGIBLE_RATE_PER_S = 1e-9
 
 
 @dataclass(frozen=True, slots=True)
 class SpilloverTarget:
-    """A site that is up: requests a second that it can spare, and the way there and back."""
+    """A site that is up: its spare capacity (requests a second) and the round-trip time to it."""
 
     spare_capacity_per_s: float
     delay_ms: float
@@ -26,7 +25,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Allocation:
-    """Requests a second to each taker, and what is left over."""
+    """Requests a second for each target, and the rate that no target can take."""
 
     rates_per_s: Mapping[str, float]
     unallocated_per_s: float
@@ -35,27 +34,37 @@
 def allocate(
     load_per_s: float, targets: Mapping[str, SpilloverTarget], latency_objective_ms: float
 ) -> Allocation:
-    """Deal a load of requests whose aim is this. Sites whose way takes half of the aim take nothing: an
-    answer from there comes too late to be worth the work."""
-    room = {
-        name: MAX_SPARE_SHARE * max(0.0, taker.spare_capacity_per_s)
-        for name, taker in targets.items()
-        if taker.delay_ms < latency_objective_ms / 2.0 and taker.spare_capacity_per_s > 0.0
+    """Allocate a load to the targets.
+
+    A target whose round trip takes half of the latency objective gets nothing: its responses would come too
+    late to be worth the work.
+    """
+    capacities = {
+        name: MAX_SPARE_SHARE * target.spare_capacity_per_s
+        for name, target in targets.items()
+        if target.delay_ms < latency_objective_ms / 2.0 and target.spare_capacity_per_s > 0.0
+    }
+    weights = {
+        name: capacity / (1.0 + targets[name].delay_ms / latency_objective_ms)
+        for name, capacity in capacities.items()
     }
-    weight = {name: room[name] / (1.0 + targets[name].delay_ms / latency_objective_ms) for name in room}
-    parts, left = dict.fromkeys(room, 0.0), max(0.0, load_per_s)
-    open_ = set(room)
-    while (
-        open_ and left > NEGLIGIBLE_RATE_PER_S
-    ):  # each round fills at least one taker or deals all: at most so many rounds
-        total = sum(weight[name] for name in open_)
-        share = {name: left * weight[name] / total for name in open_}
-        full = {name for name in open_ if parts[name] + share[name] >= room[name] - NEGLIGIBLE_RATE_PER_S}
-        for name in full or open_:
-            part = min(share[name], room[name] - parts[name])
-            parts[name] += part
-            left -= part
+    rates = dict.fromkeys(capacities, 0.0)
+    remaining = max(0.0, load_per_s)
+    open_targets = set(capacities)
+    # Each round fills at least one target or allocates the rest, so there are at most as many as targets.
+    while open_targets and remaining > NEGLIGIBLE_RATE_PER_S:
+        total_weight = sum(weights[name] for name in open_targets)
+        shares = {name: remaining * weights[name] / total_weight for name in open_targets}
+        full = {
+            name
+            for name in open_targets
+            if rates[name] + shares[name] >= capacities[name] - NEGLIGIBLE_RATE_PER_S
+        }
+        for name in full or open_targets:
+            rate = min(shares[name], capacities[name] - rates[name])
+            rates[name] += rate
+            remaining -= rate
         if not full:
-            left = 0.0
-        open_ -= full
-    return Allocation(parts, max(0.0, left))
+            remaining = 0.0
+        open_targets -= full
+    return Allocation(rates, max(0.0, remaining))
