--- a/benchmarks/tenants.py
+++ b/benchmarks/tenants.py
@@ -219,7 +219,7 @@
         tenancy = TenantState(made.rules)
         DirectoryReplicator(loop, made, tenancy, random.Random(1), lambda news: None)
         began, cpu, turns = time.perf_counter(), time.process_time(), list[float]()
-        while not tenancy.counts["refreshes"] or not len(tenancy.table):
+        while not tenancy.counters.refreshes or not len(tenancy.table):
             turn = time.process_time()
             loop.run_once(0.01)
             turns.append((time.process_time() - turn) * 1e3)
--- a/snowthread/ldap/client.py
+++ b/snowthread/ldap/client.py
@@ -12,7 +12,7 @@
 from snowthread.ldap import messages as m
 from snowthread.ldap.ber import Bounds
 from snowthread.ldap.health import Reaction, reaction_to
-from snowthread.ldap.session import SessionEnded, Session, SessionState
+from snowthread.ldap.session import Session, SessionEnded, SessionState
 from snowthread.ldap.url import LdapUrl
 from snowthread.net.attempt import Failure, Progress
 from snowthread.net.connect import ConnectAttempt
--- a/snowthread/operator/features.py
+++ b/snowthread/operator/features.py
@@ -1,4 +1,7 @@
-"""The features that an operator's file turns on: read and checked as a whole, before anything is taken up."""
+"""The features that an operator's file turns on, read and checked as a whole before any is applied.
+
+A feature's package is imported only if the file has its block.
+"""
 
 from __future__ import annotations
 
@@ -18,7 +21,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Features:
-    """What the file turns on; None: its block is absent."""
+    """The settings of each feature; None where the file has no block for it."""
 
     path: Path
     tenants: TenantSettings | None
@@ -28,42 +31,65 @@
 
     @classmethod
     def load(cls, path: Path, config: Config) -> Features:
-        """Read the whole file; ConfigError says what can't be used. Secrets and certificates are read too,
-        so that a reload which needs them can still be given up as a whole."""
+        """Read the whole file; ConfigError says what can't be used.
+
+        Secrets and certificates are read too, so that a reload that needs them can be rejected as a whole.
+        """
         file = hcl.read(path)
-        block = file.block("tenants")
-        tenants = None
-        if block is not None:
-            from snowthread.tenants.settings import TenantSettings
-
-            tenants = TenantSettings.read(block, config)
-        records = None
-        if (block := file.block("records")) is not None:
-            from snowthread.records.settings import read
-
-            records = read(block)
-        comeback = None
-        if (block := file.block("comeback")) is not None:
-            from snowthread.recovery.settings import read as read_comeback
-
-            comeback = read_comeback(block)
-        site = None
-        if (block := file.block("site")) is not None:
-            from snowthread.sites.settings import read_site_settings as read_site
-
-            site = read_site(block)
+        features = cls(
+            path,
+            tenants=_read_tenants(file.block("tenants"), config),
+            records=_read_records(file.block("records")),
+            comeback=_read_recovery(file.block("comeback")),
+            site=_read_site(file.block("site")),
+        )
         file.done()
-        return cls(path, tenants, records, comeback, site)
+        return features
 
     def new_start(self, old: Features) -> list[str]:
-        """What differs from the features as they run and is taken up only by a new start."""
-        out = [] if (self.tenants is None) == (old.tenants is None) else ["tenants"]
-        out += [] if self.records == old.records else ["records"]
-        out += [] if self.comeback == old.comeback else ["comeback"]
-        return out + ([] if self.site == old.site else ["site"])
+        """Return the blocks whose changes since ``old`` take effect only at the next start."""
+        changed = {
+            "tenants": (self.tenants is None) != (old.tenants is None),  # other changes apply at once
+            "records": self.records != old.records,
+            "comeback": self.comeback != old.comeback,
+            "site": self.site != old.site,
+        }
+        return [name for name, differs in changed.items() if differs]
 
     def lines(self) -> list[str]:
-        """For people: what is on."""
+        """Return one line per feature for operators that says what is on."""
         features = (self.tenants, self.records, self.comeback, self.site)
-        on = [feature.summary() for feature in features if feature is not None]
-        return on or [f"{self.path}: no feature is on"]
+        summaries = [feature.summary() for feature in features if feature is not None]
+        return summaries or [f"{self.path}: no feature is on"]
+
+
+def _read_tenants(block: hcl.Block | None, config: Config) -> TenantSettings | None:
+    if block is None:
+        return None
+    from snowthread.tenants.settings import TenantSettings
+
+    return TenantSettings.read(block, config)
+
+
+def _read_records(block: hcl.Block | None) -> RecordSettings | None:
+    if block is None:
+        return None
+    from snowthread.records.settings import read
+
+    return read(block)
+
+
+def _read_recovery(block: hcl.Block | None) -> RecoverySettings | None:
+    if block is None:
+        return None
+    from snowthread.recovery.settings import read
+
+    return read(block)
+
+
+def _read_site(block: hcl.Block | None) -> SiteSettings | None:
+    if block is None:
+        return None
+    from snowthread.sites.settings import read_site_settings
+
+    return read_site_settings(block)
--- a/snowthread/operator/hcl.py
+++ b/snowthread/operator/hcl.py
@@ -1,8 +1,8 @@
-"""Reading HCL and checking it key by key, with errors that name file, block and key.
+"""Read HCL files and check them key by key, with errors that name file, block and key.
 
 Only plain values are settings: strings, numbers, booleans, lists and nested blocks. Expressions and
-references are refused, since nothing here would evaluate them. Lengths of time are strings like "250ms",
-"30s", "5m" or "2h" and come out as float milliseconds.
+references are errors, since nothing here would evaluate them. Durations are strings like "250ms", "30s", "5m"
+or "2h" and are returned as float milliseconds.
 """
 
 from __future__ import annotations
@@ -10,65 +10,77 @@
 import json
 import math
 import re
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import hcl2
 from lark.exceptions import LarkError, UnexpectedInput
 
 from snowthread.config import ConfigError
 
-MAX_FILE_BYTES = 1024 * 1024  # bytes of an operator's file
+MAX_FILE_BYTES = 1024 * 1024
 _DURATION = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s|m|h)")
 _UNIT_MS = {"ms": 1.0, "s": 1000.0, "m": 60_000.0, "h": 3_600_000.0}
-_PARSER_KEYS = ("__is_block__", "__comments__", "__inline_comments__", "__start_line__", "__end_line__")
+_BLOCK_MARK = "__is_block__"
+_PARSER_KEYS = (_BLOCK_MARK, "__comments__", "__inline_comments__", "__start_line__", "__end_line__")
+
+Value = TypeVar("Value")
+Parsed = TypeVar("Parsed")
 
 
 def read(path: Path) -> Block:
-    """The file as one block; ConfigError names what is wrong with it and where."""
+    """Return the file as one block; ConfigError names what is wrong with it and where."""
+    text = _read_text(path)
+    try:
+        return Block(str(path), "", hcl2.loads(text if text.endswith("\n") else text + "\n"))
+    except UnexpectedInput as error:
+        raise ConfigError(f"{path}: line {error.line}, column {error.column}: not HCL") from None
+    except (LarkError, RecursionError, ValueError) as error:
+        raise ConfigError(f"{path}: not HCL: {type(error).__name__}") from None
+
+
+def _read_text(path: Path) -> str:
     try:
         size = path.stat().st_size
         if size > MAX_FILE_BYTES:
             raise ConfigError(f"{path}: {size} bytes, at most {MAX_FILE_BYTES} are read")
-        text = path.read_text(encoding="utf-8")
+        return path.read_text(encoding="utf-8")
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
     except UnicodeDecodeError:
         raise ConfigError(f"{path}: not UTF-8 text") from None
-    try:
-        return Block(str(path), "", hcl2.loads(text if text.endswith("\n") else text + "\n"))
-    except UnexpectedInput as error:
-        raise ConfigError(f"{path}: line {error.line}, column {error.column}: not HCL") from None
-    except (LarkError, RecursionError, ValueError) as error:
-        raise ConfigError(f"{path}: not HCL: {type(error).__name__}") from None
 
 
 class Block:
-    """One block's keys, each read once; ``done`` says what nobody asked for."""
+    """The keys of one block, each read once; ``done`` rejects those that nobody asked for.
+
+    Every method that reads a key raises ConfigError if its value can't be used.
+    """
 
     def __init__(self, file: str, name: str, body: dict[str, Any]) -> None:
-        self.file, self.name = file, name
+        self.file = file
+        self.name = name
         self._body = {key: value for key, value in body.items() if key not in _PARSER_KEYS}
 
     def wrong(self, key: str, what: str) -> ConfigError:
-        """The error to raise about a key."""
+        """Return the error to raise about a key."""
         where = f"block {self.name!r}: " if self.name else ""
         return ConfigError(f"{self.file}: {where}key {key!r}: {what}")
 
     def text(self, key: str, default: str | None = None) -> str:
-        """A string; without a default it must be there."""
+        """Return a string; without a default the key is required."""
         value = self._take(key, default)
         if not isinstance(value, str):
             raise self.wrong(key, "missing" if value is None else "a string is wanted")
         return value
 
     def maybe(self, key: str) -> str | None:
-        """A string, or None where the key is absent."""
+        """Return a string, or None if the key is absent."""
         return self.text(key) if self._body.get(key) is not None else None
 
     def choice(self, key: str, among: Iterable[str], default: str) -> str:
-        """One of several words."""
+        """Return one of several words."""
         value, words = self.text(key, default), tuple(among)
         if value not in words:
             raise self.wrong(key, f"one of {', '.join(words)} is wanted")
@@ -77,7 +89,7 @@
     def number(
         self, key: str, default: float | None = None, least: float = 0.0, most: float = math.inf
     ) -> float:
-        """A number within bounds, both included."""
+        """Return a number within bounds, both included; without a default the key is required."""
         value = self._take(key, default)
         if value is None:
             raise self.wrong(key, "missing")
@@ -87,31 +99,31 @@
         return float(value)
 
     def count(self, key: str, default: int, least: int = 0, most: int = 2**31) -> int:
-        """A whole number within bounds."""
+        """Return a whole number within bounds, both included."""
         value = self.number(key, default, least, most)
         if value != int(value):
             raise self.wrong(key, "a whole number is wanted")
         return int(value)
 
     def flag(self, key: str, default: bool) -> bool:
-        """true or false."""
+        """Return true or false."""
         value = self._take(key, default)
         if not isinstance(value, bool):
             raise self.wrong(key, "true or false is wanted")
         return value
 
     def time(self, key: str, default: str, least_ms: float = 1.0, most_ms: float = math.inf) -> float:
-        """A length of time in milliseconds."""
-        found = _DURATION.fullmatch(self.text(key, default))
-        if found is None:
+        """Return a duration in milliseconds, within bounds."""
+        match = _DURATION.fullmatch(self.text(key, default))
+        if match is None:
             raise self.wrong(key, 'a length of time like "250ms", "30s", "5m" or "2h" is wanted')
-        ms = float(found[1]) * _UNIT_MS[found[2]]
-        if not least_ms <= ms <= most_ms:
+        duration_ms = float(match[1]) * _UNIT_MS[match[2]]
+        if not least_ms <= duration_ms <= most_ms:
             raise self.wrong(key, f"at least {least_ms:g} ms and at most {most_ms:g} ms are wanted")
-        return ms
+        return duration_ms
 
     def texts(self, key: str, default: tuple[str, ...] | None = None) -> tuple[str, ...]:
-        """A list of strings."""
+        """Return a list of strings; without a default the key is required."""
         value = self._body.pop(key, None)
         if value is None:
             if default is None:
@@ -119,50 +131,62 @@
             return default
         if not isinstance(value, list):
             raise self.wrong(key, "a list of strings is wanted")
-        words = [self._plain(key, item) for item in value]
-        if not all(isinstance(word, str) for word in words):
+        texts = [self._plain(key, item) for item in value]
+        if not all(isinstance(text, str) for text in texts):
             raise self.wrong(key, "a list of strings is wanted")
-        return tuple(words)
+        return tuple(texts)
+
+    def parsed(self, key: str, parse: Callable[[Value], Parsed], value: Value) -> Parsed:
+        """Return a key's value parsed; a ValueError of the parser becomes the error about the key."""
+        try:
+            return parse(value)
+        except ValueError as error:
+            raise self.wrong(key, str(error)) from None
 
     def block(self, key: str) -> Block | None:
-        """A nested block that may stand once, or None."""
-        value = self._body.pop(key, None)
-        if value is None:
-            return None
-        name = f"{self.name}.{key}" if self.name else key
-        if not isinstance(value, list) or not all(isinstance(b, dict) and "__is_block__" in b for b in value):
-            raise self.wrong(key, "a block is wanted")
-        if len(value) > 1:
-            raise self.wrong(key, f"the block stands {len(value)} times, once is wanted")
-        return Block(self.file, name, value[0])
+        """Return a nested block that may stand once, or None."""
+        bodies = self._take_bodies(key)
+        if len(bodies) > 1:
+            raise self.wrong(key, f"the block stands {len(bodies)} times, once is wanted")
+        return Block(self.file, self._name_of(key), bodies[0]) if bodies else None
 
     def blocks(self, key: str, most: int) -> list[Block]:
-        """A nested block that may stand any number of times up to ``most``, in the order written."""
-        value = self._body.pop(key, None)
-        if value is None:
-            return []
-        if not isinstance(value, list) or not all(isinstance(b, dict) and "__is_block__" in b for b in value):
-            raise self.wrong(key, "a block is wanted")
-        if len(value) > most:
-            raise self.wrong(key, f"the block stands {len(value)} times, at most {most} are read")
-        name = f"{self.name}.{key}" if self.name else key
-        return [Block(self.file, f"{name}[{at}]", body) for at, body in enumerate(value)]
+        """Return the nested blocks of a kind, up to ``most``, in the order written."""
+        bodies = self._take_bodies(key)
+        if len(bodies) > most:
+            raise self.wrong(key, f"the block stands {len(bodies)} times, at most {most} are read")
+        name = self._name_of(key)
+        return [Block(self.file, f"{name}[{index}]", body) for index, body in enumerate(bodies)]
 
     def part(self, key: str) -> Block:
-        """A nested block whose absence means that each of its keys has its default."""
-        return self.block(key) or Block(self.file, f"{self.name}.{key}" if self.name else key, {})
+        """Return a nested block; an absent one is empty, so that each of its keys has its default."""
+        return self.block(key) or Block(self.file, self._name_of(key), {})
 
     def done(self) -> None:
-        """Everything was asked for, or a key is misspelt."""
+        """Raise ConfigError if a key was not asked for: it is misspelt."""
         for key in self._body:
             raise self.wrong(key, "no such key")
 
+    def _name_of(self, key: str) -> str:
+        return f"{self.name}.{key}" if self.name else key
+
+    def _take_bodies(self, key: str) -> list[dict[str, Any]]:
+        bodies = self._body.pop(key, None)
+        if bodies is None:
+            return []
+        if not isinstance(bodies, list) or not all(_is_block(body) for body in bodies):
+            raise self.wrong(key, "a block is wanted")
+        return bodies
+
     def _take(self, key: str, default: Any) -> Any:
         value = self._body.pop(key, None)
         return default if value is None else self._plain(key, value)
 
     def _plain(self, key: str, value: Any) -> Any:
-        """A value as written. Strings come with their quotes; what has none is a name, a call or a sum."""
+        """Return a value as written.
+
+        The parser leaves the quotes of strings; text without quotes is a name, a call or an expression.
+        """
         if not isinstance(value, str):
             return value
         if len(value) < 2 or value[0] != '"' or value[-1] != '"' or "${" in value or "%{" in value:
@@ -171,3 +195,7 @@
             return json.loads(value)
         except ValueError:
             raise self.wrong(key, "a string on one line with plain escapes is wanted") from None
+
+
+def _is_block(body: object) -> bool:
+    return isinstance(body, dict) and _BLOCK_MARK in body
--- a/snowthread/sites/recovery_ramp.py
+++ b/snowthread/sites/recovery_ramp.py
@@ -28,9 +28,7 @@
 class SiteHealth:
     """Measurements of a recovering site over one period."""
 
-    served_ratio: (
-        float  # weight served within its latency objective over weight requested, relative to before
-    )
+    served_ratio: float  # weight served in time over weight requested, relative to before the loss
     database_load: float  # calls in hand over the database's slots
 
     @property
--- a/snowthread/tenants/cli.py
+++ b/snowthread/tenants/cli.py
@@ -1,4 +1,7 @@
-"""``snowthread tenants``: look at the directory of tenants, or at its snapshot on disk."""
+"""``snowthread tenants``: look at the directory of tenants, or at its snapshot on disk.
+
+The modules that read them are imported by the commands, so that ``snowthread --help`` stays fast.
+"""
 
 from __future__ import annotations
 
@@ -7,13 +10,7 @@
 
 import click
 
-
-@click.group()
-def tenants() -> None:
-    """Look at the directory of tenants, or at its snapshot on disk."""
-
-
-SOURCE = click.option(
+SNAPSHOT_OPTION = click.option(
     "--snapshot",
     "snapshot",
     metavar="FILE",
@@ -21,7 +18,7 @@
     default=None,
     help="Read this snapshot instead of asking the directory.",
 )
-NEEDED = click.option(
+OPERATOR_FILE_OPTION = click.option(
     "--with",
     "operator_file",
     metavar="FILE",
@@ -31,9 +28,14 @@
 )
 
 
+@click.group()
+def tenants() -> None:
+    """Look at the directory of tenants, or at its snapshot on disk."""
+
+
 @tenants.command("show")
-@NEEDED
-@SOURCE
+@OPERATOR_FILE_OPTION
+@SNAPSHOT_OPTION
 def tenants_show(operator_file: Path, snapshot: Path | None) -> None:
     """List the tenants: status, quota, networks, balancers, classes."""
     from snowthread.tenants.inspection import fetch, format_tenants
@@ -43,31 +45,30 @@
 
 
 @tenants.command("whois")
-@NEEDED
-@SOURCE
+@OPERATOR_FILE_OPTION
+@SNAPSHOT_OPTION
 @click.option("--balancer", type=int, default=None, help="The balancer's number, where it is believed.")
 @click.argument("address")
 def tenants_whois(operator_file: Path, snapshot: Path | None, balancer: int | None, address: str) -> None:
     """Say whose requests from ADDRESS are, and by which rule (status 1: nobody's)."""
-    from snowthread.tenants.inspection import fetch, describe_owner
+    from snowthread.tenants.inspection import describe_owner, fetch
 
-    known, line = describe_owner(fetch(operator_file, snapshot), address, balancer)
-    click.echo(line)
-    if not known:
+    owner = describe_owner(fetch(operator_file, snapshot), address, balancer)
+    click.echo(owner.text)
+    if not owner.is_known:
         sys.exit(1)
 
 
 @tenants.command("check")
-@NEEDED
-@SOURCE
+@OPERATOR_FILE_OPTION
+@SNAPSHOT_OPTION
 def tenants_check(operator_file: Path, snapshot: Path | None) -> None:
     """Say what in the directory can't be used or contradicts itself (status 1 where anything does)."""
-    from snowthread.tenants.inspection import find_problems as look
-    from snowthread.tenants.inspection import fetch
+    from snowthread.tenants.inspection import fetch, find_problems
 
-    faults = look(fetch(operator_file, snapshot))
-    for line in faults:
+    problems = find_problems(fetch(operator_file, snapshot))
+    for line in problems:
         click.echo(line)
-    click.echo(f"{len(faults)} to put right" if faults else "all entries can be used")
-    if faults:
+    click.echo(f"{len(problems)} to put right" if problems else "all entries can be used")
+    if problems:
         sys.exit(1)
--- a/snowthread/tenants/identification.py
+++ b/snowthread/tenants/identification.py
@@ -1,48 +1,57 @@
-"""Between the fronts and the reducer: says whose each request is, and tells the decisions of other shares.
+"""Identify the tenant of each request, between a node's frontends and its reducer.
 
-The caller's address is the connection's. Nothing that a caller writes into a request decides, but for a
-balancer's number where the operator trusts its network.
+The client's address is that of the connection. Nothing that a client writes into a request decides, except a
+balancer's number in networks that the operator trusts.
 """
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import asdict, replace
 
 from loguru import logger
 
 from snowthread.core import events
 from snowthread.net.loop import EventLoop, TaskSteps, Wait
 from snowthread.tenants import snapshot as tenant_snapshot
+from snowthread.tenants.changes import TenantChanges
 from snowthread.tenants.model import IdentifiedBy
 from snowthread.tenants.replication import DirectoryReplicator
 from snowthread.tenants.settings import TenantSettings
-from snowthread.tenants.state import TenantChanges, TenantState
-
-MIN_SNAPSHOT_INTERVAL_MS = 1000.0  # the least time between two snapshots
-HOUSEKEEPING_INTERVAL_MS = 500.0  # between two looks at age, snapshot and counters
+from snowthread.tenants.snapshot_writer import SnapshotWriter
+from snowthread.tenants.state import TenantState
+
+MIN_SNAPSHOT_INTERVAL_MS = 1000.0
+HOUSEKEEPING_INTERVAL_MS = 500.0
+MS_PER_S = 1000.0
+SEED_SALT = 0x7E4A47
+UNKNOWN_VERSION = -1  # of the table: the last snapshot was not written
 _WARNING_EVENTS = frozenset({"tenants.conflict", "tenants.bad_entry", "tenants.removal_held"})
 
 
 class TenantIdentification:
-    """One node's tenants."""
+    """The tenants of one node: identifies clients, follows the directory, writes snapshots."""
 
     def __init__(
         self, loop: EventLoop, settings: TenantSettings, seed: int, post: Callable[[events.Event], None]
     ) -> None:
-        self._loop, self.settings, self._post = loop, settings, post
-        self._peer_address: Callable[[int], str] = lambda place: ""
+        self.settings = settings
         self.tenants = TenantState(settings.rules)
-        # The node's seed is new with each start and each node: what is drawn from it is spread over a fleet.
-        self._rng = random.Random(seed ^ 0x7E4A47)
         self.replicator: DirectoryReplicator | None = None
-        self._writer: tenant_snapshot.Writer | None = None
-        self._last_snapshot_ms, self._last_snapshot_version = loop.clock.now(), 0
-
-    def start(self, origin: Callable[[int], str]) -> None:
-        """Begin: what was known at the last life first, then the directory."""
-        self._peer_address = origin
+        self._loop = loop
+        self._post = post
+        self._peer_address: Callable[[int], str] = lambda connection: ""
+        # The node's seed is new with each start and each node, so these draws are spread over a fleet.
+        self._rng = random.Random(seed ^ SEED_SALT)
+        self._writer: SnapshotWriter | None = None
+        self._last_snapshot_ms = loop.clock.now()
+        self._last_snapshot_version = 0
+
+    def start(self, peer_address: Callable[[int], str]) -> None:
+        """Restore the snapshot, then follow the directory; ``peer_address`` maps a connection to its peer."""
+        self._peer_address = peer_address
         self._post(
             events.TenantQuotasChanged(
                 (self.tenants.default_quota(),), over_quota_weight=self.settings.over_quota_weight
@@ -53,62 +62,50 @@
         )
         if self.settings.snapshot_path is not None:
             self._restore_snapshot(self.replicator)
-            self._writer = tenant_snapshot.Writer(self.settings.snapshot_path)
+            self._writer = SnapshotWriter(self.settings.snapshot_path)
         self._loop.spawn(self._run_housekeeping())
 
     def handle(self, message: events.Event) -> None:
-        """A front's message on its way to the reducer."""
+        """Pass a frontend's event to the reducer, with the tenant if it is a request."""
         if type(message) is events.RequestReceived:
             now = self._loop.clock.now()
             address = self._peer_address(message.response_address[0])
-            who = self.tenants.identify(address, message.caller_id, now)
+            identity = self.tenants.identify(address, message.caller_id, now)
             if (
-                who.identified_by is IdentifiedBy.UNKNOWN
+                identity.identified_by is IdentifiedBy.UNKNOWN
                 and self.tenants.unknown_clients.request_lookup(address, now)
                 and self.replicator
             ):
                 self.replicator.wake()
-            message = events.with_tenant(message, who.tenant_id)
+            message = events.with_tenant(message, identity.tenant_id)
         self._post(message)
 
-    def publish(self, news: TenantChanges) -> None:
-        """Hand on what a step changed."""
-        for event, text in news.log_lines:
-            line = logger.bind(event=event, peer="directory")
-            (line.warning if event in _WARNING_EVENTS else line.info)("tenants: {}", text)
-        if news.quotas or news.removed_ids:
-            self._post(events.TenantQuotasChanged(tuple(news.quotas), frozenset(news.removed_ids)))
+    def publish(self, changes: TenantChanges) -> None:
+        """Log what a step changed and tell admission control the new quotas."""
+        for line in changes.log_lines:
+            bound = logger.bind(event=line.event, peer="directory")
+            log = bound.warning if line.event in _WARNING_EVENTS else bound.info
+            log("tenants: {}", line.text)
+        if changes.quotas or changes.removed_ids:
+            self._post(events.TenantQuotasChanged(tuple(changes.quotas), frozenset(changes.removed_ids)))
 
     def apply_settings(self, settings: TenantSettings) -> None:
-        """Take up other settings; those of the snapshot's place too."""
+        """Apply other settings; the connection to the directory stays if they don't concern it."""
         old, self.settings = self.settings, settings
         self.publish(self.tenants.apply_rules(settings.rules))
         self._post(events.TenantQuotasChanged(over_quota_weight=settings.over_quota_weight))
-        if settings.snapshot_path != old.snapshot_path:
-            self._writer = (
-                None if settings.snapshot_path is None else tenant_snapshot.Writer(settings.snapshot_path)
-            )
-        same = (
-            replace(
-                settings,
-                rules=old.rules,
-                snapshot_path=old.snapshot_path,
-                snapshot_interval_ms=old.snapshot_interval_ms,
-                report_interval_ms=old.report_interval_ms,
-                over_quota_weight=old.over_quota_weight,
-            )
-            == old
-        )
-        if self.replicator is not None and not same:
+        path = settings.snapshot_path
+        if path != old.snapshot_path:
+            self._writer = None if path is None else SnapshotWriter(path)
+        if self.replicator is not None and not _same_replication(old, settings):
             self.replicator.apply_settings(settings)
 
-    # Now and then.
-
     def _run_housekeeping(self) -> TaskSteps:
-        report_at = self._loop.clock.now() + self.settings.report_interval_ms
+        clock = self._loop.clock
+        report_at = clock.now() + self.settings.report_interval_ms
         while True:
-            yield Wait(until=self._loop.clock.now() + HOUSEKEEPING_INTERVAL_MS)
-            now = self._loop.clock.now()
+            yield Wait(until=clock.now() + HOUSEKEEPING_INTERVAL_MS)
+            now = clock.now()
             self.publish(self.tenants.report_staleness(now))
             self._write_snapshot_if_due(now)
             if now >= report_at:
@@ -116,34 +113,35 @@
                 self._log_state(now)
 
     def _log_state(self, now: float) -> None:
-        tenancy, follower = self.tenants, self.replicator
-        stage = tenancy.staleness.stage(now).value
-        age = tenancy.staleness.age_ms(now) / 1000.0
+        tenants, replicator = self.tenants, self.replicator
+        stage = tenants.staleness.stage(now).value
+        age_s = tenants.staleness.age_ms(now) / MS_PER_S
+        held = tenants.guard.held
         logger.bind(
             event="tenants.state",
             peer="directory",
             stage=stage,
-            tenants=len(tenancy.table),
-            networks=tenancy.table.network_count,
-            server=follower.connected_server if follower else "",
-            fail_overs=follower.server_selector.fail_overs if follower else 0,
-            link_failures=follower.connection_failures if follower else 0,
-            age_s=round(age, 1) if age < 1e9 else None,
-            unknown_waiting=len(tenancy.unknown_clients),
-            nobodys=tenancy.unknown_clients.negative_cache_size,
-            held=len(tenancy.guard.held.tenant_ids) if tenancy.guard.held else 0,
-            **tenancy.counts,
+            tenants=len(tenants.table),
+            networks=tenants.table.network_count,
+            server=replicator.connected_server if replicator else "",
+            fail_overs=replicator.server_selector.fail_overs if replicator else 0,
+            connection_failures=replicator.connection_failures if replicator else 0,
+            age_s=round(age_s, 1) if math.isfinite(age_s) else None,
+            lookups_pending=len(tenants.unknown_clients),
+            negative_cache=tenants.unknown_clients.negative_cache_size,
+            held=len(held.tenant_ids) if held else 0,
+            **asdict(tenants.counters),
         ).info(
-            "tenants: {} known, {}, {} requests of known callers, {} of unknown ones",
-            len(tenancy.table),
+            "tenants: {} known, {}, {} requests of known clients, {} of unknown ones",
+            len(tenants.table),
             stage,
-            tenancy.counts["known"],
-            tenancy.counts["unknown"],
+            tenants.counters.known_requests,
+            tenants.counters.unknown_requests,
         )
 
     # The snapshot.
 
-    def _restore_snapshot(self, follower: DirectoryReplicator) -> None:
+    def _restore_snapshot(self, replicator: DirectoryReplicator) -> None:
         path = self.settings.snapshot_path
         if path is None:
             return
@@ -154,42 +152,61 @@
             snapshot = tenant_snapshot.read(path, self.settings.source)
         except tenant_snapshot.SnapshotError as error:
             logger.bind(event="tenants.no_snapshot").warning(
-                "tenants: snapshot {} not used: {}; the directory alone will tell", path, error
+                "tenants: snapshot {} not used: {}; waiting for the directory", path, error
             )
             return
         now = self._loop.clock.now()
         self.publish(self.tenants.restore_snapshot(snapshot.tenants, snapshot.agreed_at, snapshot.home, now))
-        follower.sync.cookie, follower.sync.cookie_server = snapshot.cookie, snapshot.home
+        replicator.sync.cookie, replicator.sync.cookie_server = snapshot.cookie, snapshot.home
         logger.bind(event="tenants.restored", tenants=len(snapshot.tenants)).info(
             "tenants: {} from the snapshot, {:.0f} s old",
             len(snapshot.tenants),
-            self.tenants.staleness.age_ms(now) / 1000.0,
+            self.tenants.staleness.age_ms(now) / MS_PER_S,
         )
 
     def _write_snapshot_if_due(self, now: float) -> None:
-        writer, tenancy = self._writer, self.tenants
-        if writer is None or self.replicator is None:
+        if self._writer is None or self.replicator is None:
             return
-        error = writer.finished()
-        if error:
+        result = self._writer.poll()
+        if result is not None and result.error:
             logger.bind(event="tenants.snapshot_failed").warning(
-                "tenants: snapshot not written: {}; tried again later", error
+                "tenants: snapshot not written: {}; retried later", result.error
             )
-            self._last_snapshot_version = -1
-        due = now - self._last_snapshot_ms >= self.settings.snapshot_interval_ms
-        changed = tenancy.table.version != self._last_snapshot_version
-        if writer.busy or not tenancy.table.version:
-            return
-        if not due and not (changed and now - self._last_snapshot_ms >= MIN_SNAPSHOT_INTERVAL_MS):
-            return
-        self._last_snapshot_ms, self._last_snapshot_version = now, tenancy.table.version
-        sync = self.replicator.sync
-        # A held removal is not in the file: from the cookie on it would never be told again.
-        resumes = tenancy.guard.held is None and sync.cookie_server == tenancy.guard.source_server
+            self._last_snapshot_version = UNKNOWN_VERSION
+        if not self._writer.busy and self._is_snapshot_due(now):
+            self._start_snapshot(self._writer, self.replicator, now)
+
+    def _is_snapshot_due(self, now: float) -> bool:
+        version = self.tenants.table.version
+        if not version:
+            return False
+        elapsed_ms = now - self._last_snapshot_ms
+        changed = version != self._last_snapshot_version
+        due_after_ms = self.settings.snapshot_interval_ms
+        return elapsed_ms >= due_after_ms or (changed and elapsed_ms >= MIN_SNAPSHOT_INTERVAL_MS)
+
+    def _start_snapshot(self, writer: SnapshotWriter, replicator: DirectoryReplicator, now: float) -> None:
+        table, guard, sync = self.tenants.table, self.tenants.guard, replicator.sync
+        self._last_snapshot_ms = now
+        self._last_snapshot_version = table.version
+        # A held removal is not in the file: a refresh from the cookie on would never report it again.
+        may_resume = guard.held is None and sync.cookie_server == guard.source_server
         writer.start(
-            tenancy.table.tenants.values(),
-            tenancy.staleness.confirmed_at_ms,
+            table.tenants.values(),
+            self.tenants.staleness.confirmed_at_ms,
             self.settings.source,
-            tenancy.guard.source_server,
-            sync.cookie if resumes else None,
+            guard.source_server,
+            sync.cookie if may_resume else None,
         )
+
+
+def _same_replication(old: TenantSettings, new: TenantSettings) -> bool:
+    """Return whether the settings differ at most in what does not concern the directory."""
+    return old == replace(
+        new,
+        rules=old.rules,
+        snapshot_path=old.snapshot_path,
+        snapshot_interval_ms=old.snapshot_interval_ms,
+        report_interval_ms=old.report_interval_ms,
+        over_quota_weight=old.over_quota_weight,
+    )
--- a/snowthread/tenants/inspection.py
+++ b/snowthread/tenants/inspection.py
@@ -1,4 +1,4 @@
-"""What ``snowthread tenants`` does: read a directory or a snapshot once, and say what is there."""
+"""What ``snowthread tenants`` does: read a directory or a snapshot once and describe its content."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 import os
 import random
 from collections.abc import Iterator
+from dataclasses import dataclass
 from pathlib import Path
 
 from loguru import logger
@@ -15,110 +16,143 @@
 from snowthread.net.loop import EventLoop
 from snowthread.operator.features import Features
 from snowthread.tenants import snapshot as tenant_snapshot
-from snowthread.tenants.model import IdentifiedBy
+from snowthread.tenants.changes import TenantChanges
+from snowthread.tenants.model import IdentifiedBy, Tenant
 from snowthread.tenants.replication import DirectoryReplicator
 from snowthread.tenants.settings import TenantSettings
-from snowthread.tenants.state import TenantChanges, TenantState
+from snowthread.tenants.state import TenantState
 
+EXAMPLE_NODE_CONFIG = Path(__file__).parents[2] / "examples" / "node.json"
 LOOP_ROUND_S = 0.05
+MS_PER_S = 1000.0
+MAX_NETWORKS_SHOWN = 4
 
 
+@dataclass(frozen=True, slots=True)
 class InspectionResult:
-    """What was read, and the lines that came with it."""
+    """The tenants that were read, the problems found meanwhile, and where they came from."""
 
-    def __init__(self, tenancy: TenantState, lines: list[str], source: str) -> None:
-        self.tenants, self.problems, self.source = tenancy, lines, source
+    tenants: TenantState
+    problems: list[str]
+    source: str
 
 
-def fetch(operator_file: Path, snapshot: Path | None) -> InspectionResult:
-    """All tenants, from the snapshot where one is named, else from the directory; ConfigError where that
-    can't be had."""
+@dataclass(frozen=True, slots=True)
+class OwnerDescription:
+    """Whether a tenant owns a client, and one line that says which and why."""
+
+    is_known: bool
+    text: str
+
+
+def fetch(operator_file: Path, snapshot_path: Path | None) -> InspectionResult:
+    """Read all tenants from the snapshot, if one is named, else from the directory.
+
+    Raises ConfigError if that is not possible.
+    """
     settings = _read_settings(operator_file)
-    tenancy, lines = TenantState(settings.rules), list[str]()
-    now = Clock().now()
-    if snapshot is not None:
-        try:
-            found = tenant_snapshot.read(snapshot, settings.source)
-        except tenant_snapshot.SnapshotError as error:
-            raise config.ConfigError(f"{snapshot}: {error}") from None
-        news = tenancy.restore_snapshot(found.tenants, found.agreed_at, found.home, now)
-        lines += [text for event, text in news.log_lines if event == "tenants.conflict"]
-        return InspectionResult(
-            tenancy, lines, f"{snapshot}, {max(0.0, now - found.agreed_at) / 1000.0:.0f} s old"
-        )
-    return _fetch_from_directory(settings, tenancy, lines)
+    if snapshot_path is not None:
+        return _fetch_from_snapshot(settings, snapshot_path)
+    return _fetch_from_directory(settings)
 
 
 def _read_settings(operator_file: Path) -> TenantSettings:
-    # Looking at tenants needs no node: where NODE_CONFIG is not set the example's settings stand in.
+    # This needs no node: without NODE_CONFIG the settings of the example are used.
     environment = dict(os.environ)
     if not environment.get("NODE_CONFIG"):
-        environment["NODE_CONFIG"] = str(Path(__file__).parents[2] / "examples" / "node.json")
+        environment["NODE_CONFIG"] = str(EXAMPLE_NODE_CONFIG)
     tenants = Features.load(operator_file, config.load(environment)).tenants
     if tenants is None:
         raise config.ConfigError(f"{operator_file}: it has no block 'tenants'")
     return tenants
 
 
-def _fetch_from_directory(
-    settings: TenantSettings, tenancy: TenantState, lines: list[str]
-) -> InspectionResult:
+def _fetch_from_snapshot(settings: TenantSettings, path: Path) -> InspectionResult:
+    now = Clock().now()
+    try:
+        snapshot = tenant_snapshot.read(path, settings.source)
+    except tenant_snapshot.SnapshotError as error:
+        raise config.ConfigError(f"{path}: {error}") from None
+    tenants = TenantState(settings.rules)
+    changes = tenants.restore_snapshot(snapshot.tenants, snapshot.agreed_at, snapshot.home, now)
+    problems = [line.text for line in changes.log_lines if line.event == "tenants.conflict"]
+    age_s = max(0.0, now - snapshot.agreed_at) / MS_PER_S
+    return InspectionResult(tenants, problems, f"{path}, {age_s:.0f} s old")
+
+
+def _fetch_from_directory(settings: TenantSettings) -> InspectionResult:
     logger.remove()
-    troubles: list[str] = []
-    logger.add(lambda message: troubles.append(message.record["message"]), level="WARNING")
+    warnings: list[str] = []
+    logger.add(lambda message: warnings.append(message.record["message"]), level="WARNING")
     loop = EventLoop(Clock())
-
-    def tell(news: TenantChanges) -> None:
-        lines.extend(
-            text for event, text in news.log_lines if event in ("tenants.conflict", "tenants.bad_entry")
-        )
-
-    follower = DirectoryReplicator(loop, settings, tenancy, random.Random(), tell)
-    clock = loop.clock
-    until = (
-        clock.now()
-        + settings.connection.connect_timeout_ms
-        + settings.connection.bind_timeout_ms
-        + settings.refresh_timeout_ms
-    )
-    tries = len(settings.servers) * settings.retry_policy.failures_to_open
-    while not tenancy.counts["refreshes"] and clock.now() < until and follower.connection_failures < tries:
+    tenants, problems = TenantState(settings.rules), list[str]()
+
+    def collect_problems(changes: TenantChanges) -> None:
+        events = ("tenants.conflict", "tenants.bad_entry")
+        problems.extend(line.text for line in changes.log_lines if line.event in events)
+
+    replicator = DirectoryReplicator(loop, settings, tenants, random.Random(), collect_problems)
+    connection = settings.connection
+    timeout_ms = connection.connect_timeout_ms + connection.bind_timeout_ms + settings.refresh_timeout_ms
+    deadline = loop.clock.now() + timeout_ms
+    max_attempts = len(settings.servers) * settings.retry_policy.failures_to_open
+    while (
+        not tenants.counters.refreshes
+        and loop.clock.now() < deadline
+        and replicator.connection_failures < max_attempts
+    ):
         loop.run_once(LOOP_ROUND_S)
-    if not tenancy.counts["refreshes"]:
-        raise config.ConfigError(troubles[-1] if troubles else "the directory does not answer")
-    return InspectionResult(tenancy, lines, follower.sync.cookie_server or settings.servers[0].server)
-
-
-def format_tenants(fetched: InspectionResult) -> Iterator[str]:
-    """A table of the tenants, by name."""
-    tenants = sorted(fetched.tenants.table.tenants.values(), key=lambda t: (t.name.casefold(), t.id))
-    yield f"{len(tenants)} tenants, {fetched.tenants.table.network_count} networks, from {fetched.source}"
-    for t in tenants:
-        networks = ", ".join(map(str, t.networks[:4])) + (
-            f" and {len(t.networks) - 4} more" if len(t.networks) > 4 else ""
-        )
-        balancers = ", ".join(f"{a}" if a == b else f"{a}-{b}" for a, b in t.balancers) or "-"
-        quota = f"{t.quota_per_s:g}/s" if t.quota_per_s else "no quota"
-        classes = ", ".join(sorted(t.classes)) or "all classes"
-        yield "  ".join(
-            (t.name, t.status.value, quota, networks or "-", f"balancers {balancers}", classes, t.id)
-        )
-
-
-def describe_owner(fetched: InspectionResult, address: str, balancer: int | None) -> tuple[bool, str]:
-    """Whether somebody's, and the line that says whose and why."""
-    who = fetched.tenants.table.identify(address, balancer)
-    if who.identified_by is IdentifiedBy.UNKNOWN:
-        return False, f"{address}: nobody's, so the default tenant's"
-    tenant = fetched.tenants.table.tenants[who.tenant_id]
-    by = f"network {who.network}" if who.identified_by is IdentifiedBy.NETWORK else f"balancer {balancer}"
-    return True, f"{address}: {tenant.name} ({tenant.status.value}, {tenant.id}), by {by}"
-
-
-def find_problems(fetched: InspectionResult) -> list[str]:
-    """What can't be used or contradicts itself."""
-    out = list(dict.fromkeys(fetched.problems))
-    for tenant in fetched.tenants.table.tenants.values():
+    if not tenants.counters.refreshes:
+        raise config.ConfigError(warnings[-1] if warnings else "the directory does not answer")
+    source = replicator.sync.cookie_server or settings.servers[0].server
+    return InspectionResult(tenants, problems, source)
+
+
+def format_tenants(result: InspectionResult) -> Iterator[str]:
+    """Yield the lines of a table of the tenants, by name."""
+    table = result.tenants.table
+    yield f"{len(table)} tenants, {table.network_count} networks, from {result.source}"
+    for tenant in sorted(table.tenants.values(), key=lambda tenant: (tenant.name.casefold(), tenant.id)):
+        yield _format_tenant(tenant)
+
+
+def _format_tenant(tenant: Tenant) -> str:
+    networks = ", ".join(map(str, tenant.networks[:MAX_NETWORKS_SHOWN]))
+    if len(tenant.networks) > MAX_NETWORKS_SHOWN:
+        networks += f" and {len(tenant.networks) - MAX_NETWORKS_SHOWN} more"
+    balancers = ", ".join(
+        f"{first}" if first == last else f"{first}-{last}" for first, last in tenant.balancers
+    )
+    columns = (
+        tenant.name,
+        tenant.status.value,
+        f"{tenant.quota_per_s:g}/s" if tenant.quota_per_s else "no quota",
+        networks or "-",
+        f"balancers {balancers or '-'}",
+        ", ".join(sorted(tenant.classes)) or "all classes",
+        tenant.id,
+    )
+    return "  ".join(columns)
+
+
+def describe_owner(result: InspectionResult, address: str, balancer: int | None) -> OwnerDescription:
+    """Say which tenant owns a client, and by which rule."""
+    table = result.tenants.table
+    identity = table.identify(address, balancer)
+    if identity.identified_by is IdentifiedBy.UNKNOWN:
+        return OwnerDescription(False, f"{address}: nobody's, so the default tenant's")
+    tenant = table.tenants[identity.tenant_id]
+    if identity.identified_by is IdentifiedBy.NETWORK:
+        rule = f"network {identity.network}"
+    else:
+        rule = f"balancer {balancer}"
+    return OwnerDescription(True, f"{address}: {tenant.name} ({tenant.status.value}, {tenant.id}), by {rule}")
+
+
+def find_problems(result: InspectionResult) -> list[str]:
+    """Return a line for each entry that can't be used, contradicts another or identifies no client."""
+    problems = list(dict.fromkeys(result.problems))
+    for tenant in result.tenants.table.tenants.values():
         if not tenant.networks and not tenant.balancers:
-            out.append(f"{json.dumps(tenant.name)} has neither a network nor a balancer, so no callers")
-    return out
+            problems.append(f"{json.dumps(tenant.name)} has neither a network nor a balancer, so no callers")
+    return problems
--- /dev/null
+++ b/snowthread/tenants/lookups.py
@@ -0,0 +1,98 @@
+"""Look up unknown clients over one connection to the directory."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from snowthread.ldap.client import LdapConnection
+from snowthread.ldap.dn import DistinguishedName
+from snowthread.ldap.messages import (
+    AbandonRequest,
+    Response,
+    SearchRequest,
+    SearchResultDone,
+    SearchResultEntry,
+)
+from snowthread.tenants.changes import TenantChanges
+from snowthread.tenants.entry import BadEntry, read_tenant
+from snowthread.tenants.model import Tenant
+from snowthread.tenants.settings import TenantSettings
+from snowthread.tenants.state import TenantState
+from snowthread.tenants.unknown_clients import lookup_filter
+
+
+@dataclass(slots=True)
+class _Lookup:
+    """A lookup in flight, and what it has brought so far."""
+
+    address: str
+    deadline: float
+    tenants: list[Tenant] = field(default_factory=list)
+    bad_entries: list[BadEntry] = field(default_factory=list)
+
+
+class ClientLookups:
+    """The lookups in flight on one connection, by message id."""
+
+    def __init__(
+        self,
+        connection: LdapConnection,
+        settings: TenantSettings,
+        tenants: TenantState,
+        base: DistinguishedName,
+        publish: Callable[[TenantChanges], None],
+    ) -> None:
+        self._connection = connection
+        self._settings = settings
+        self._tenants = tenants
+        self._base = base
+        self._publish = publish
+        self._in_flight: dict[int, _Lookup] = {}
+
+    def __contains__(self, message_id: int) -> bool:
+        return message_id in self._in_flight
+
+    def next_deadline(self) -> float:
+        """Return when the first lookup in flight times out, or infinity."""
+        return min((lookup.deadline for lookup in self._in_flight.values()), default=math.inf)
+
+    def abandon_overdue(self, now: float) -> None:
+        """Abandon the lookups that have timed out."""
+        for message_id, lookup in list(self._in_flight.items()):
+            if now >= lookup.deadline:
+                del self._in_flight[message_id]
+                self._connection.send(AbandonRequest(message_id))
+                self._tenants.unknown_clients.finish_lookup(lookup.address, found=False, now=now)
+
+    def start(self, now: float) -> None:
+        """Send as many of the waiting lookups as the bounds allow."""
+        unknown_clients, query = self._tenants.unknown_clients, self._settings.query
+        while (address := unknown_clients.start_next_lookup(now)) is not None:
+            network_filter = lookup_filter(address, query.attribute_names.network, unknown_clients.rules)
+            if network_filter is None:
+                unknown_clients.finish_lookup(address, found=False, now=now)
+                continue
+            search = SearchRequest(
+                query.base, query.scope, ("and", [query.filter, network_filter]), query.attribute_names.all()
+            )
+            message_id = self._connection.send(search)
+            self._in_flight[message_id] = _Lookup(address, now + self._settings.operation_timeout_ms)
+
+    def receive(self, message_id: int, response: Response, now: float) -> None:
+        """Take in one response to a lookup."""
+        lookup = self._in_flight[message_id]
+        if isinstance(response, SearchResultEntry):
+            self._receive_entry(lookup, response)
+        elif isinstance(response, SearchResultDone):
+            del self._in_flight[message_id]
+            self._publish(self._tenants.apply_lookup(lookup.address, lookup.tenants, lookup.bad_entries, now))
+
+    def _receive_entry(self, lookup: _Lookup, entry: SearchResultEntry) -> None:
+        query = self._settings.query
+        tenant = read_tenant(entry.dn, entry.attributes, query.attribute_names, self._base)
+        if isinstance(tenant, BadEntry):
+            lookup.bad_entries.append(tenant)
+        elif len(lookup.tenants) < query.page_size:
+            lookup.tenants.append(tenant)
--- a/snowthread/tenants/model.py
+++ b/snowthread/tenants/model.py
@@ -1,40 +1,46 @@
-"""What a tenant is."""
+"""What a tenant is, and the identity of a client."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 from enum import Enum
 from ipaddress import IPv4Network, IPv6Network
+from typing import NamedTuple
 
 Network = IPv4Network | IPv6Network
-DEFAULT_TENANT_ID = "default"  # the tenant of callers that nobody knows
+DEFAULT_TENANT_ID = "default"  # the tenant of clients that no other tenant owns
 
 
 class Status(Enum):
-    """May its requests be taken?"""
+    """Whether a tenant's requests are accepted."""
 
     ACTIVE = "active"
     SUSPENDED = "suspended"
 
 
+class BalancerRange(NamedTuple):
+    """A range of balancers' numbers, both ends included."""
+
+    first: int
+    last: int
+
+
 @dataclass(frozen=True, slots=True)
 class Tenant:
-    """One tenant. ``id`` stays the same when it is renamed; ``quota_per_s`` is the fleet's requests a second
-    within its share, 0 for none; ``balancers`` are ranges of numbers, both ends included; no ``classes``:
-    all of them; ``stamp``: when it was last changed, as the directory writes times (empty: not told)."""
+    """One tenant; its ``id`` stays the same when it is renamed."""
 
     id: str
     name: str
     status: Status = Status.ACTIVE
-    quota_per_s: float = 0.0
+    quota_per_s: float = 0.0  # requests a second of the whole fleet within its quota; 0: no quota
     networks: tuple[Network, ...] = ()
-    balancers: tuple[tuple[int, int], ...] = ()
-    classes: frozenset[str] = frozenset()
-    modified_at: str = ""
+    balancers: tuple[BalancerRange, ...] = ()
+    classes: frozenset[str] = frozenset()  # of requests that it may send; empty: all
+    modified_at: str = ""  # as the directory writes times; empty: unknown
 
 
 class IdentifiedBy(Enum):
-    """By which rule a caller was told."""
+    """The rule that identified a client."""
 
     BALANCER = "the balancer's number"
     NETWORK = "the network"
@@ -43,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Identity:
-    """Whose caller it is, and how that is known."""
+    """The tenant of a client, and how it was identified."""
 
     tenant_id: str
     identified_by: IdentifiedBy
--- a/snowthread/tenants/staleness.py
+++ b/snowthread/tenants/staleness.py
@@ -1,14 +1,15 @@
-"""How old the knowledge is, and what that allows. Free of I/O.
-
-    stage   since the directory was last known to agree   known callers     unknown callers
-    NONE    never, and no snapshot                        -                 the default tenant
-    FRESH   up to ``stale_ms``                            as told           asked about, the default tenant
-    STALE   up to ``old_ms``                              as told           the default tenant
-    OLD     longer                                        as ``when_old``   the default tenant
-
-``when_old`` is "serve" (as told: a directory that is down for a day does not stop a shop) or "default" (all
-share the default tenant's part, for those to whom a wrong share is worse than a small one). A suspension
-holds at every stage.
+"""How old the knowledge of the directory is, and what that allows. Pure.
+
+| stage | since the directory last confirmed it | known clients   | unknown clients               |
+| ----- | ------------------------------------- | --------------- | ----------------------------- |
+| NONE  | never, and there was no snapshot      | -               | the default tenant            |
+| FRESH | up to ``stale_ms``                    | identified      | looked up; the default tenant |
+| STALE | up to ``old_ms``                      | identified      | the default tenant            |
+| OLD   | longer                                | as ``when_old`` | the default tenant            |
+
+``when_old`` is "serve" (identified as before: a directory that is down for a day stops nobody) or "default"
+(all clients share the default tenant's quota, for operators to whom a wrong quota is worse than a small
+one). A suspension holds at every stage.
 """
 
 from __future__ import annotations
@@ -17,9 +18,11 @@
 from dataclasses import dataclass
 from enum import Enum
 
+HOUR_MS = 3_600_000.0
+
 
 class StalenessStage(Enum):
-    """A step of the ladder above."""
+    """A stage of the table above."""
 
     NONE = "none"
     FRESH = "fresh"
@@ -29,15 +32,15 @@
 
 @dataclass(frozen=True, slots=True)
 class StalenessRules:
-    """The steps' lengths in milliseconds."""
+    """The ages at which the stages begin, in milliseconds."""
 
     stale_ms: float = 60_000.0
-    old_ms: float = 24 * 3_600_000.0
+    old_ms: float = 24 * HOUR_MS
     default_when_old: bool = False
 
 
 class StalenessTracker:
-    """One node's knowledge of the directory."""
+    """Tracks the age of one node's knowledge."""
 
     def __init__(self, rules: StalenessRules) -> None:
         self.rules = rules
@@ -45,24 +48,24 @@
         self._last_reported = StalenessStage.NONE
 
     def confirm(self, now: float) -> None:
-        """What is known here is what the directory has: a refresh ended, or following goes on."""
+        """Note that the knowledge is current: a refresh ended, or changes are followed."""
         self.confirmed_at_ms = max(self.confirmed_at_ms, now)
 
     def age_ms(self, now: float) -> float:
-        """Milliseconds since then; a clock set back counts as no time."""
+        """Return the time since the last confirmation; a clock set back counts as no time."""
         return max(0.0, now - self.confirmed_at_ms)
 
     def stage(self, now: float) -> StalenessStage:
-        """The step it stands on."""
+        """Return the present stage."""
         if self.confirmed_at_ms == -math.inf:
             return StalenessStage.NONE
-        age = self.age_ms(now)
-        if age <= self.rules.stale_ms:
+        age_ms = self.age_ms(now)
+        if age_ms <= self.rules.stale_ms:
             return StalenessStage.FRESH
-        return StalenessStage.STALE if age <= self.rules.old_ms else StalenessStage.OLD
+        return StalenessStage.STALE if age_ms <= self.rules.old_ms else StalenessStage.OLD
 
     def take_stage_change(self, now: float) -> StalenessStage | None:
-        """The step, where it is another than last time."""
+        """Return the stage if it differs from the one returned last, else None."""
         stage = self.stage(now)
         if stage is self._last_reported:
             return None
--- a/snowthread/tenants/state.py
+++ b/snowthread/tenants/state.py
@@ -1,14 +1,15 @@
-"""All that a node knows of tenants, as one state free of I/O: what the directory says goes in, who a caller
-is comes out, and with each change what the decisions and the people on call are to be told.
+"""What a node knows about tenants, as one pure state.
+
+The directory's reports go in; the identity of a client comes out, and with each change the quotas for
+admission control and the log lines for operators.
 """
 
 from __future__ import annotations
 
-from collections import Counter
-from collections.abc import Collection, Generator, Iterable, Mapping
+from collections.abc import Collection, Generator, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
-from snowthread.admission.settings import Tenant as Share
+from snowthread.tenants.changes import TenantChanges, TenantQuota
 from snowthread.tenants.entry import BadEntry
 from snowthread.tenants.model import (
     DEFAULT_TENANT_ID,
@@ -19,46 +20,46 @@
     Status,
     Tenant,
 )
-from snowthread.tenants.removal_guard import RemovalGuard, RemovalRules, RemovalVerdict
-from snowthread.tenants.staleness import StalenessStage, StalenessRules, StalenessTracker
+from snowthread.tenants.removal_guard import NOTHING_REMOVED, RemovalGuard, RemovalRules, RemovalVerdict
+from snowthread.tenants.staleness import StalenessRules, StalenessStage, StalenessTracker
 from snowthread.tenants.sync import EntriesChanged, RefreshCompleted
 from snowthread.tenants.table import TableChanges, TenantTable
 from snowthread.tenants.unknown_clients import UnknownClientRules, UnknownClients
 
-MAX_ITEMS_PER_SLICE = 300  # tenants and networks taken up in one turn: one or two milliseconds
-MAX_LOG_LINES = 20  # a change says no more than so many lines, and how many it left out
+MAX_ITEMS_PER_SLICE = 300  # tenants and networks applied without a pause: one or two milliseconds
+MS_PER_S = 1000.0
 
 
 @dataclass(frozen=True, slots=True)
 class TenantRules:
-    """What the operator sets."""
+    """The operator's rules."""
 
     removal: RemovalRules = field(default_factory=RemovalRules)
     staleness: StalenessRules = field(default_factory=StalenessRules)
     unknown_clients: UnknownClientRules = field(default_factory=UnknownClientRules)
     default_quota_per_s: float = 0.0
-    default_rejected: bool = False  # callers nobody knows are turned away
+    default_rejected: bool = False  # requests of unknown clients are rejected
     trusted_networks: tuple[Network, ...] = ()
 
 
 @dataclass(slots=True)
-class TenantChanges:
-    """What a step changed: shares for the decisions, and lines for people (event, text)."""
-
-    quotas: list[Share] = field(default_factory=list)
-    removed_ids: list[str] = field(default_factory=list)
-    log_lines: list[tuple[str, str]] = field(default_factory=list)
+class TenantCounters:
+    """Counts since the start of the node."""
 
-    def add_log_line(self, event: str, text: str) -> None:
-        """A line, while there are not too many."""
-        if len(self.log_lines) < MAX_LOG_LINES:
-            self.log_lines.append((event, text))
-        elif len(self.log_lines) == MAX_LOG_LINES:
-            self.log_lines.append(("tenants.more", "and more of the kind"))
+    known_requests: int = 0
+    unknown_requests: int = 0
+    refreshes: int = 0
+    changes: int = 0
+    removals_held: int = 0
+    conflicts: int = 0
+    bad_entries: int = 0
+    outdated_entries: int = 0  # of servers with older content
+    lookups_found: int = 0
+    lookups_not_found: int = 0
 
 
 class TenantState:
-    """Tenants, who calls, and how far that is to be believed."""
+    """The tenants, the clients that nobody owns, and how far the knowledge is to be believed."""
 
     def __init__(self, rules: TenantRules) -> None:
         self.rules = rules
@@ -66,213 +67,225 @@
         self.guard = RemovalGuard(rules.removal)
         self.staleness = StalenessTracker(rules.staleness)
         self.unknown_clients = UnknownClients(rules.unknown_clients)
-        self.counts: Counter[str] = Counter()
-
-    def default_quota(self) -> Share:
-        """The share of callers that nobody knows."""
-        return Share(DEFAULT_TENANT_ID, self.rules.default_quota_per_s, self.rules.default_rejected)
+        self.counters = TenantCounters()
 
-    # Who calls.
+    def default_quota(self) -> TenantQuota:
+        """Return the quota of clients that no tenant owns."""
+        return TenantQuota(DEFAULT_TENANT_ID, self.rules.default_quota_per_s, self.rules.default_rejected)
 
     def identify(self, address: str, number: int | None, now: float) -> Identity:
-        """Whose request it is, as far as may be acted on now."""
-        who = self.table.identify(address, number)
-        if who.identified_by is IdentifiedBy.UNKNOWN:
-            self.counts["unknown"] += 1
-            return who
-        self.counts["known"] += 1
+        """Return the tenant of a client as far as the age of the knowledge allows."""
+        identity = self.table.identify(address, number)
+        if identity.identified_by is IdentifiedBy.UNKNOWN:
+            self.counters.unknown_requests += 1
+            return identity
+        self.counters.known_requests += 1
         if self.rules.staleness.default_when_old and self.staleness.stage(now) is StalenessStage.OLD:
-            tenant = self.table.tenants[who.tenant_id]
-            return who if tenant.status is Status.SUSPENDED else UNKNOWN_IDENTITY
-        return who
+            tenant = self.table.tenants[identity.tenant_id]
+            return identity if tenant.status is Status.SUSPENDED else UNKNOWN_IDENTITY
+        return identity
 
-    # What the directory says.
-
-    def apply_refresh(self, step: RefreshCompleted, server: str, now: float) -> TenantChanges:
-        """A refresh went through; all of it in one go."""
-        steps = self.apply_refresh_in_slices(step, server, now)
+    def apply_refresh(self, refresh: RefreshCompleted, server: str, now: float) -> TenantChanges:
+        """Apply a refresh in one go."""
+        slices = self.apply_refresh_in_slices(refresh, server, now)
         while True:
             try:
-                next(steps)
-            except StopIteration as stop:
-                news: TenantChanges = stop.value
-                return news
+                next(slices)
+            except StopIteration as finished:
+                changes: TenantChanges = finished.value
+                return changes
 
     def apply_refresh_in_slices(
-        self, step: RefreshCompleted, server: str, now: float
+        self, refresh: RefreshCompleted, server: str, now: float
     ) -> Generator[None, None, TenantChanges]:
-        """The same in slices: it yields where others may have a turn, and takes the whole up in the last one.
-        A table of a hundred thousand networks takes most of a second to build, and callers must not wait for
-        that. Nothing else may be taken in meanwhile; what is given up half way has changed nothing here."""
-        news = TenantChanges()
-        self.counts["refreshes"] += 1
-        seen = step.present_ids | step.upserts.keys()
-        if step.is_full:
-            missing = self.table.tenants.keys() - seen
-            verdict = self.guard.judge_full_refresh(missing, len(self.table), server, now)
-        else:
-            self.guard.mark_present(seen)
-            verdict = self.guard.judge_deletions(
-                step.removed_ids & self.table.tenants.keys(), len(self.table), server, now
-            )
-        self._report_bad_entries(step.bad_entries, news)
-        fresh = self._without_outdated(step.upserts.values())
-        old = self.table.tenants
-        changes = [t for t in fresh if old.get(t.id) != t]
-        if sum(1 + len(t.networks) for t in changes) + len(verdict.removed_ids) <= MAX_ITEMS_PER_SLICE:
-            self._apply(changes, verdict, news)
+        """Apply a refresh, yielding where other tasks may run; the last slice takes it all up at once.
+
+        Building a table of a hundred thousand networks takes most of a second, too long for requests to
+        wait. Nothing else may be applied meanwhile; a refresh that is given up half way has changed nothing.
+        """
+        changes = TenantChanges()
+        self.counters.refreshes += 1
+        verdict = self._judge_removals(refresh, server, now)
+        self._report_bad_entries(refresh.bad_entries, changes)
+        known = self.table.tenants
+        upserts = [t for t in self._without_outdated(refresh.upserts.values()) if known.get(t.id) != t]
+        if sum(map(_item_count, upserts)) + len(verdict.removed_ids) <= MAX_ITEMS_PER_SLICE:
+            self._apply(upserts, verdict, changes)
         else:
-            whole = {**old, **{t.id: t for t in changes}}
-            for tenant_id in verdict.removed_ids:
-                del whole[tenant_id]
-            table, applied, size = TenantTable(self.rules.trusted_networks), TableChanges(), 0
-            table.version = self.table.version
-            for tenant in whole.values():
-                applied.conflicts += table.apply((tenant,)).conflicts
-                size += 1 + len(tenant.networks)
-                if size >= MAX_ITEMS_PER_SLICE:
-                    size = 0
-                    yield
-            known = set(self.table.conflicts)
-            applied.conflicts = [c for c in applied.conflicts if c not in known]
-            applied.changed, applied.removed = changes, [old[i] for i in verdict.removed_ids]
-            self.table = table
-            self._report_table_changes(applied, old, news)
-            self._report_held_removal(verdict, news)
-            self.unknown_clients.clear_negative_cache()
+            yield from self._rebuild_table(upserts, verdict, changes)
         self.staleness.confirm(now)
-        return news
-
-    def apply_change(self, step: EntriesChanged, server: str, now: float) -> TenantChanges:
-        """Something changed while following."""
-        news = TenantChanges()
-        self.counts["changes"] += 1
-        self.guard.mark_present(step.upserts.keys())
-        verdict = RemovalVerdict(frozenset(), None)
-        gone = step.removed_ids & self.table.tenants.keys()
-        if gone:
-            verdict = self.guard.judge_deletions(gone, len(self.table), server, now)
-        self._report_bad_entries(step.bad_entries, news)
-        self._apply(step.upserts.values(), verdict, news)
+        return changes
+
+    def apply_change(self, change: EntriesChanged, server: str, now: float) -> TenantChanges:
+        """Apply a change reported between refreshes."""
+        changes = TenantChanges()
+        self.counters.changes += 1
+        self.guard.mark_present(change.upserts.keys())
+        verdict = NOTHING_REMOVED
+        deleted = change.removed_ids & self.table.tenants.keys()
+        if deleted:
+            verdict = self.guard.judge_deletions(deleted, len(self.table), server, now)
+        self._report_bad_entries(change.bad_entries, changes)
+        self._apply(change.upserts.values(), verdict, changes)
         self.staleness.confirm(now)
-        return news
+        return changes
 
     def apply_lookup(
-        self, address: str, tenants: Collection[Tenant], bad: Iterable[BadEntry], now: float
+        self, address: str, tenants: Collection[Tenant], bad_entries: Iterable[BadEntry], now: float
     ) -> TenantChanges:
-        """The answer to a question about an unknown caller. It only ever adds."""
-        news = TenantChanges()
-        self._report_bad_entries(bad, news)
-        # Spoilt contents of a known tenant stay what a refresh made of them: this answer is but one entry.
-        self._apply(
-            [t for t in tenants if t.id not in self.table.tenants], RemovalVerdict(frozenset(), None), news
-        )
-        known = self.table.identify(address).identified_by is not IdentifiedBy.UNKNOWN
-        self.unknown_clients.finish_lookup(address, known, now)
-        self.counts["found" if known else "nobodys"] += 1
-        return news
+        """Apply the result of looking up an unknown client. It only ever adds tenants."""
+        changes = TenantChanges()
+        self._report_bad_entries(bad_entries, changes)
+        # A known tenant stays as the last refresh made it: this result is but one entry.
+        new = [tenant for tenant in tenants if tenant.id not in self.table.tenants]
+        self._apply(new, NOTHING_REMOVED, changes)
+        found = self.table.identify(address).identified_by is not IdentifiedBy.UNKNOWN
+        self.unknown_clients.finish_lookup(address, found, now)
+        if found:
+            self.counters.lookups_found += 1
+        else:
+            self.counters.lookups_not_found += 1
+        return changes
 
     def restore_snapshot(
-        self, tenants: Iterable[Tenant], agreed_at: float, home: str, now: float
+        self, tenants: Iterable[Tenant], confirmed_at: float, source_server: str, now: float
     ) -> TenantChanges:
-        """A snapshot was read; it is as old as it says, and never fresher than now."""
-        news = TenantChanges()
-        self._apply(tenants, RemovalVerdict(frozenset(), None), news)
-        self.staleness.confirm(min(agreed_at, now))
-        self.guard.source_server = home
-        return news
+        """Apply the tenants of a snapshot; it is as old as it says, and never from the future."""
+        changes = TenantChanges()
+        self._apply(tenants, NOTHING_REMOVED, changes)
+        self.staleness.confirm(min(confirmed_at, now))
+        self.guard.source_server = source_server
+        return changes
 
     def apply_rules(self, rules: TenantRules) -> TenantChanges:
-        """The operator sets other rules."""
-        news = TenantChanges()
+        """Apply the operator's other rules, and a held removal if they accept it."""
+        changes = TenantChanges()
         if rules.trusted_networks != self.rules.trusted_networks:
             self.table.trust_networks(rules.trusted_networks)
         self.rules = rules
-        self.guard.rules, self.staleness.rules, self.unknown_clients.rules = (
-            rules.removal,
-            rules.staleness,
-            rules.unknown_clients,
-        )
+        self.guard.rules = rules.removal
+        self.staleness.rules = rules.staleness
+        self.unknown_clients.rules = rules.unknown_clients
         accepted = self.guard.take_accepted(self.table.tenants)
         if accepted:
-            self._apply((), RemovalVerdict(accepted, None), news)
-        news.quotas.append(self.default_quota())
-        return news
+            self._apply((), RemovalVerdict(accepted, None), changes)
+        changes.quotas.append(self.default_quota())
+        return changes
 
     def report_staleness(self, now: float) -> TenantChanges:
-        """Time goes by: does the knowledge stand on another step?"""
-        news = TenantChanges()
+        """Return a log line if the knowledge has reached another stage of staleness."""
+        changes = TenantChanges()
         stage = self.staleness.take_stage_change(now)
         if stage is not None:
-            age = "" if stage is StalenessStage.NONE else f", {self.staleness.age_ms(now) / 1000.0:.0f} s old"
-            news.add_log_line("tenants.age", f"what is known of tenants is {stage.value}{age}")
-        return news
-
-    # Within.
+            age_s = self.staleness.age_ms(now) / MS_PER_S
+            age = "" if stage is StalenessStage.NONE else f", {age_s:.0f} s old"
+            changes.add_log_line("tenants.age", f"what is known of tenants is {stage.value}{age}")
+        return changes
+
+    def _judge_removals(self, refresh: RefreshCompleted, server: str, now: float) -> RemovalVerdict:
+        known_ids = self.table.tenants.keys()
+        seen_ids = refresh.present_ids | refresh.upserts.keys()
+        if refresh.is_full:
+            return self.guard.judge_full_refresh(known_ids - seen_ids, len(self.table), server, now)
+        self.guard.mark_present(seen_ids)
+        return self.guard.judge_deletions(refresh.removed_ids & known_ids, len(self.table), server, now)
 
     def _without_outdated(self, upserts: Iterable[Tenant]) -> list[Tenant]:
-        fresh = []
-        for tenant in upserts:
-            old = self.table.tenants.get(tenant.id)
-            if (
-                old is not None
-                and old.modified_at
-                and tenant.modified_at
-                and tenant.modified_at < old.modified_at
-            ):
-                self.counts["older"] += 1  # a server with older contents
-                continue
-            fresh.append(tenant)
-        return fresh
-
-    def _apply(self, upserts: Iterable[Tenant], verdict: RemovalVerdict, news: TenantChanges) -> None:
-        fresh = self._without_outdated(upserts)
-        before = {t.id: self.table.tenants.get(t.id) for t in fresh}
-        applied = self.table.apply(fresh, verdict.removed_ids)
-        self._report_table_changes(applied, before, news)
-        self._report_held_removal(verdict, news)
-        if applied:
+        """Return the tenants that are not older than what is known of them."""
+        return [tenant for tenant in upserts if not self._is_outdated(tenant)]
+
+    def _is_outdated(self, tenant: Tenant) -> bool:
+        known = self.table.tenants.get(tenant.id)
+        if known is None or not known.modified_at or not tenant.modified_at:
+            return False
+        if tenant.modified_at >= known.modified_at:
+            return False
+        self.counters.outdated_entries += 1
+        return True
+
+    def _apply(self, upserts: Iterable[Tenant], verdict: RemovalVerdict, changes: TenantChanges) -> None:
+        current = self._without_outdated(upserts)
+        before = {tenant.id: self.table.tenants.get(tenant.id) for tenant in current}
+        table_changes = self.table.apply(current, verdict.removed_ids)
+        self._report_table_changes(table_changes, before, changes)
+        self._report_held_removal(verdict, changes)
+        if table_changes:
             self.unknown_clients.clear_negative_cache()
 
-    def _report_held_removal(self, verdict: RemovalVerdict, news: TenantChanges) -> None:
-        if verdict.newly_held and verdict.held is not None:
-            held = verdict.held
-            self.counts["held"] += 1
-            news.add_log_line(
-                "tenants.removal_held",
-                f"{len(held.tenant_ids)} tenants are missing and stay for now ({held.reason}); removal {held.digest}",
-            )
+    def _rebuild_table(
+        self, upserts: list[Tenant], verdict: RemovalVerdict, changes: TenantChanges
+    ) -> Iterator[None]:
+        """Build a new table in slices and take it up when it is complete."""
+        before = self.table.tenants
+        tenants = {**before, **{tenant.id: tenant for tenant in upserts}}
+        for tenant_id in verdict.removed_ids:
+            del tenants[tenant_id]
+        table = TenantTable(self.rules.trusted_networks)
+        table.version = self.table.version
+        conflicts, items = [], 0
+        for tenant in tenants.values():
+            conflicts += table.apply((tenant,)).conflicts
+            items += _item_count(tenant)
+            if items >= MAX_ITEMS_PER_SLICE:
+                items = 0
+                yield
+        known_conflicts = set(self.table.conflicts)
+        removed = [before[tenant_id] for tenant_id in verdict.removed_ids]
+        new_conflicts = [conflict for conflict in conflicts if conflict not in known_conflicts]
+        self.table = table
+        self._report_table_changes(TableChanges(upserts, removed, new_conflicts), before, changes)
+        self._report_held_removal(verdict, changes)
+        self.unknown_clients.clear_negative_cache()
+
+    def _report_held_removal(self, verdict: RemovalVerdict, changes: TenantChanges) -> None:
+        held = verdict.held
+        if held is None or not verdict.newly_held:
+            return
+        self.counters.removals_held += 1
+        changes.add_log_line(
+            "tenants.removal_held",
+            f"{len(held.tenant_ids)} tenants are missing and stay for now ({held.reason}); "
+            f"removal {held.digest}",
+        )
 
     def _report_table_changes(
         self,
-        applied: TableChanges,
+        table_changes: TableChanges,
         before: Mapping[str, Tenant | None] | Mapping[str, Tenant],
-        news: TenantChanges,
+        changes: TenantChanges,
     ) -> None:
-        for tenant in applied.changed:
-            old = before.get(tenant.id)
-            if old is None or _quota_of(old) != _quota_of(tenant):
-                news.quotas.append(_quota_of(tenant))
-            if old is not None and old.status is not tenant.status:
-                news.add_log_line(
-                    "tenants.status", f"{tenant.name} ({tenant.id}) is {tenant.status.value} now"
-                )
-            if old is not None and old.name != tenant.name:
-                news.add_log_line("tenants.renamed", f"{old.name} is called {tenant.name} now ({tenant.id})")
-        for tenant in applied.removed:
-            news.removed_ids.append(tenant.id)
-            news.add_log_line("tenants.removed", f"{tenant.name} ({tenant.id}) is no tenant any more")
-        for conflict in applied.conflicts:
-            self.counts["conflicts"] += 1
-            news.add_log_line("tenants.conflict", conflict.describe())
-
-    def _report_bad_entries(self, bad: Iterable[BadEntry], news: TenantChanges) -> None:
-        for entry in bad:
-            self.counts["bad_entries"] += 1
-            news.add_log_line("tenants.bad_entry", f"{entry.dn!r} can't be used: {entry.reason}")
-
-
-def _quota_of(tenant: Tenant) -> Share:
-    return Share(
-        tenant.id, tenant.quota_per_s, tenant.status is Status.SUSPENDED, tuple(sorted(tenant.classes))
-    )
+        for tenant in table_changes.changed:
+            _report_changed_tenant(tenant, before.get(tenant.id), changes)
+        for tenant in table_changes.removed:
+            changes.removed_ids.append(tenant.id)
+            changes.add_log_line("tenants.removed", f"{tenant.name} ({tenant.id}) is no tenant any more")
+        for conflict in table_changes.conflicts:
+            self.counters.conflicts += 1
+            changes.add_log_line("tenants.conflict", conflict.describe())
+
+    def _report_bad_entries(self, bad_entries: Iterable[BadEntry], changes: TenantChanges) -> None:
+        for entry in bad_entries:
+            self.counters.bad_entries += 1
+            changes.add_log_line("tenants.bad_entry", f"{entry.dn!r} can't be used: {entry.reason}")
+
+
+def _report_changed_tenant(tenant: Tenant, old: Tenant | None, changes: TenantChanges) -> None:
+    quota = _quota_of(tenant)
+    if old is None or _quota_of(old) != quota:
+        changes.quotas.append(quota)
+    if old is None:
+        return
+    if old.status is not tenant.status:
+        changes.add_log_line("tenants.status", f"{tenant.name} ({tenant.id}) is {tenant.status.value} now")
+    if old.name != tenant.name:
+        changes.add_log_line("tenants.renamed", f"{old.name} is called {tenant.name} now ({tenant.id})")
+
+
+def _quota_of(tenant: Tenant) -> TenantQuota:
+    suspended = tenant.status is Status.SUSPENDED
+    return TenantQuota(tenant.id, tenant.quota_per_s, suspended, tuple(sorted(tenant.classes)))
+
+
+def _item_count(tenant: Tenant) -> int:
+    """Return the tenant's part of a slice: itself and its networks."""
+    return 1 + len(tenant.networks)
--- a/snowthread/tenants/sync.py
+++ b/snowthread/tenants/sync.py
@@ -1,21 +1,23 @@
-"""A synchronisation's state, free of I/O: a server's messages in, whole changes out.
-
-Three ways to follow a directory, the best first; a server that lacks one is asked the next from then on:
-
-    PERSIST   refreshAndPersist (RFC 4533): a refresh, then each change as it happens
-    REFRESH   refreshOnly (RFC 4533): a refresh each period, from a cookie on
-    PAGED     the whole content in pages (RFC 2696) each period
-
-    state     message                          then
-    IDLE      begin                            REFRESHING
-    REFRESHING entry, id set, cookie           kept aside, nothing changes
-    REFRESHING end of the refresh              Refreshed: FOLLOWING in PERSIST, else IDLE
-    REFRESHING page ends, more to come         NextPage: REFRESHING
-    FOLLOWING entry, id set, cookie            Changed: FOLLOWING
-    any       end of the search, breach, cut   Over: IDLE; what was kept aside is dropped
-
-Nothing of a refresh counts before its end, so a cut one deletes nothing and adds nothing; a cookie counts
-from then on too, and only for the server that gave it.
+"""The protocol state of a synchronisation: a server's messages in, complete changes out. Pure.
+
+There are three modes of following a directory, the best first; a server that lacks one gets the next from
+then on:
+
+- PERSIST: refreshAndPersist (RFC 4533): a refresh, then each change as it happens.
+- REFRESH: refreshOnly (RFC 4533): a refresh each period, from a cookie on.
+- PAGED: the whole content in pages (RFC 2696) each period.
+
+| state      | message                            | event and next state                              |
+| ---------- | ---------------------------------- | ------------------------------------------------- |
+| IDLE       | start_refresh                      | REFRESHING                                        |
+| REFRESHING | entry, id set, cookie              | collected; nothing changes yet                    |
+| REFRESHING | end of the refresh                 | RefreshCompleted: FOLLOWING in PERSIST, else IDLE |
+| REFRESHING | end of a page that is not the last | NextPage: REFRESHING                              |
+| FOLLOWING  | entry, id set, cookie              | EntriesChanged: FOLLOWING                         |
+| any        | end of the search, error, reset    | SearchEnded: IDLE; what was collected is dropped  |
+
+Nothing of a refresh counts before its end, so an interrupted one removes and adds nothing; its cookie counts
+only from then on too, and only for the server that gave it.
 """
 
 from __future__ import annotations
@@ -24,20 +26,29 @@
 from dataclasses import dataclass, field, replace
 from enum import Enum, IntEnum
 
-from snowthread.ldap import controls as c
-from snowthread.ldap import dn
-from snowthread.ldap import messages as m
+from snowthread.ldap import controls, dn
 from snowthread.ldap.ber import MalformedError
 from snowthread.ldap.health import Reaction, reaction_to
-from snowthread.tenants.entry import BadEntry, AttributeNames, read_tenant
+from snowthread.ldap.messages import (
+    Control,
+    FilterTree,
+    IntermediateResponse,
+    Response,
+    Scope,
+    SearchRequest,
+    SearchResultDone,
+    SearchResultEntry,
+    SearchResultReference,
+)
+from snowthread.tenants.entry import AttributeNames, BadEntry, read_tenant
 from snowthread.tenants.model import Tenant
 
 MIN_PAGE_SIZE = 10
-MAX_REPORTED_BAD_ENTRIES = 100  # spoilt entries that are told one by one
+MAX_REPORTED_BAD_ENTRIES = 100
 
 
 class ReplicationMode(IntEnum):
-    """How a server is followed; each needs less of it than the one before."""
+    """How a server is followed; each mode needs less of it than the one before."""
 
     PERSIST = 0
     REFRESH = 1
@@ -45,7 +56,7 @@
 
 
 class ReplicationState(Enum):
-    """See the table above."""
+    """A state of the table above."""
 
     IDLE = 0
     REFRESHING = 1
@@ -57,9 +68,9 @@
     """What is asked of the directory."""
 
     base: str
-    filter: m.FilterTree
+    filter: FilterTree
     attribute_names: AttributeNames
-    scope: m.Scope = m.Scope.SUB
+    scope: Scope = Scope.SUB
     first_mode: ReplicationMode = ReplicationMode.PERSIST
     page_size: int = 500
     max_tenants: int = 100_000
@@ -69,8 +80,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RefreshCompleted:
-    """A refresh went through. ``whole``: what is neither in ``upserts`` nor in ``present`` is not there any
-    more; else only what ``gone`` names."""
+    """A refresh is complete.
+
+    If it ``is_full``, tenants that are neither in ``upserts`` nor in ``present_ids`` are gone; else only
+    those in ``removed_ids`` are.
+    """
 
     upserts: Mapping[str, Tenant]
     present_ids: frozenset[str]
@@ -81,7 +95,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EntriesChanged:
-    """A change while following."""
+    """Entries changed after the refresh."""
 
     upserts: Mapping[str, Tenant]
     removed_ids: frozenset[str] = frozenset()
@@ -90,14 +104,14 @@
 
 @dataclass(frozen=True, slots=True)
 class NextPage:
-    """The search to send next."""
+    """The search for the next page, to be sent now."""
 
-    search: m.SearchRequest
+    search: SearchRequest
 
 
 @dataclass(frozen=True, slots=True)
 class SearchEnded:
-    """The search ended without more to say, or badly."""
+    """The search ended without a result that can be used, or after following for a while."""
 
     reason: str
     reaction: Reaction
@@ -108,9 +122,9 @@
 
 @dataclass(slots=True)
 class _PendingRefresh:
-    """A refresh that is not through yet."""
+    """What a refresh has brought so far."""
 
-    is_full: bool
+    is_full: bool = True
     upserts: dict[str, Tenant] = field(default_factory=dict)
     present_ids: set[str] = field(default_factory=set)
     removed_ids: set[str] = field(default_factory=set)
@@ -118,110 +132,136 @@
     networks: int = 0
     cookie: bytes | None = None
 
+    def add_tenant(self, tenant: Tenant) -> None:
+        self.upserts[tenant.id] = tenant
+        self.removed_ids.discard(tenant.id)
+        self.networks += len(tenant.networks)
+
+    def add_bad_entry(self, entry: BadEntry) -> None:
+        # The entry exists: a tenant that is known stays as it was.
+        if entry.tenant_id:
+            self.present_ids.add(entry.tenant_id)
+        if len(self.bad_entries) < MAX_REPORTED_BAD_ENTRIES:
+            self.bad_entries.append(entry)
+
+    def remove(self, uuids: tuple[str, ...]) -> None:
+        self.removed_ids.update(uuids)
+        for uuid in uuids:
+            self.upserts.pop(uuid, None)
+            self.present_ids.discard(uuid)
+
+    def save_cookie(self, cookie: bytes | None) -> None:
+        self.cookie = cookie or self.cookie
+
 
 class DirectorySync:
-    """Follows one directory, at one server at a time."""
+    """The synchronisation with one directory, at one server at a time."""
 
-    def __init__(self, question: DirectoryQuery) -> None:
-        self.query = question
+    def __init__(self, query: DirectoryQuery) -> None:
+        self.query = query
         self.state = ReplicationState.IDLE
-        self.mode = question.first_mode
+        self.mode = query.first_mode
         self.cookie: bytes | None = None
         self.cookie_server = ""
-        self.references_ignored = 0  # continuations that were not followed
-        self.base = dn.parse(question.base)
+        self.references_ignored = 0
+        self.base = dn.parse(query.base)
         self._server = ""
-        self._modes: dict[str, ReplicationMode] = {}  # what a server was found to lack
-        self._page_size = question.page_size
-        self._pending = _PendingRefresh(True)
+        self._modes: dict[str, ReplicationMode] = {}  # of servers that lack a better one
+        self._page_size = query.page_size
+        self._pending = _PendingRefresh()
 
-    def start_refresh(self, server: str, full: bool = False) -> m.SearchRequest:
-        """The search that starts a refresh at this server; ``whole``: without its cookie."""
+    def start_refresh(self, server: str, full: bool = False) -> SearchRequest:
+        """Return the search that starts a refresh at this server; a ``full`` one ignores the cookie."""
         self._server = server
         self.mode = self._modes.get(server, self.query.first_mode)
         self.state = ReplicationState.REFRESHING
-        cookie = self.cookie if server == self.cookie_server and not full else None
-        if self.mode is ReplicationMode.PAGED:
-            cookie = None
-        self._pending = _PendingRefresh(is_full=cookie is None)
         if self.mode is ReplicationMode.PAGED:
+            self._pending = _PendingRefresh()
             return self._page_request(b"")
-        mode = (
-            c.SyncMode.REFRESH_AND_PERSIST
-            if self.mode is ReplicationMode.PERSIST
-            else c.SyncMode.REFRESH_ONLY
-        )
-        return self._search_request(c.sync_request_control(mode, cookie))
+        cookie = self.cookie if server == self.cookie_server and not full else None
+        self._pending = _PendingRefresh(is_full=cookie is None)
+        if self.mode is ReplicationMode.PERSIST:
+            sync_mode = controls.SyncMode.REFRESH_AND_PERSIST
+        else:
+            sync_mode = controls.SyncMode.REFRESH_ONLY
+        return self._search_request(controls.sync_request_control(sync_mode, cookie))
 
     def reset(self) -> None:
-        """The connection is gone: what was kept aside is dropped."""
+        """Drop what was collected, since the connection ended."""
         self.state = ReplicationState.IDLE
-        self._pending = _PendingRefresh(True)
+        self._pending = _PendingRefresh()
 
     def forget_cookie(self) -> None:
-        """The next refresh is a whole one."""
+        """Make the next refresh a full one."""
         self.cookie, self.cookie_server = None, ""
 
-    def receive(self, op: m.Response) -> list[SyncEvent]:
-        """One message of the search."""
+    def set_query(self, query: DirectoryQuery) -> None:
+        """Use another query from now on; the cookie of a different one is of no use."""
+        if replace(query, page_size=0) != replace(self.query, page_size=0):
+            self.forget_cookie()
+            self._modes.clear()
+        self.query = query
+        self.base = dn.parse(query.base)
+        self._page_size = query.page_size
+        self.reset()
+
+    def receive(self, response: Response) -> list[SyncEvent]:
+        """Take in one message of the search and return the events that follow."""
         if self.state is ReplicationState.IDLE:
             return []
         try:
-            return self._receive(op)
+            return self._receive(response)
         except MalformedError as error:
             return [self._end_search(f"not as agreed: {error}", Reaction.FAIL_OVER)]
 
-    def _receive(self, op: m.Response) -> list[SyncEvent]:
-        match op:
-            case m.SearchResultEntry():
-                return self._receive_entry(op)
-            case m.SearchResultReference():
+    def _receive(self, response: Response) -> list[SyncEvent]:
+        match response:
+            case SearchResultEntry():
+                return self._receive_entry(response)
+            case SearchResultReference():
                 self.references_ignored += 1
-            case m.IntermediateResponse(oid=c.SYNC_INFO_OID):
-                return self._receive_sync_info(c.read_sync_info(op.value))
-            case m.SearchResultDone():
-                return self._receive_search_done(op)
+            case IntermediateResponse(oid=controls.SYNC_INFO_OID):
+                return self._receive_sync_info(controls.read_sync_info(response.value))
+            case SearchResultDone():
+                return self._receive_search_done(response)
         return []
 
     # Entries.
 
-    def _receive_entry(self, entry: m.SearchResultEntry) -> list[SyncEvent]:
-        uuid, state, cookie = "", c.EntryState.ADD, None
-        if self.mode is not ReplicationMode.PAGED:
-            told = c.read_sync_state(entry.controls)
-            if told is None:
-                self._fall_back_a_mode()
-                return [self._end_search("entries come without their state", Reaction.FALL_BACK)]
-            uuid, state, cookie = told.uuid, told.state, told.cookie
-        if state is c.EntryState.DELETE:
-            return self._mark_removed((uuid,), cookie)
-        if state is c.EntryState.PRESENT:
-            return self._mark_present((uuid,), cookie)
-        made = read_tenant(entry.dn, entry.attributes, self.query.attribute_names, self.base, uuid)
+    def _receive_entry(self, entry: SearchResultEntry) -> list[SyncEvent]:
+        if self.mode is ReplicationMode.PAGED:
+            return self._receive_content(entry, "", None)
+        sync_state = controls.read_sync_state(entry.controls)
+        if sync_state is None:
+            self._fall_back_a_mode()
+            return [self._end_search("entries come without their state", Reaction.FALL_BACK)]
+        uuids = (sync_state.uuid,)
+        if sync_state.state is controls.EntryState.DELETE:
+            return self._mark_removed(uuids, sync_state.cookie)
+        if sync_state.state is controls.EntryState.PRESENT:
+            return self._mark_present(uuids, sync_state.cookie)
+        return self._receive_content(entry, sync_state.uuid, sync_state.cookie)
+
+    def _receive_content(self, entry: SearchResultEntry, uuid: str, cookie: bytes | None) -> list[SyncEvent]:
+        """Take in an added or changed entry."""
+        tenant = read_tenant(entry.dn, entry.attributes, self.query.attribute_names, self.base, uuid)
         if self.state is ReplicationState.FOLLOWING:
             self._save_cookie(cookie)
-            if isinstance(made, BadEntry):
-                return [EntriesChanged({}, bad_entries=(made,))]
-            return [EntriesChanged({made.id: made})]
-        aside = self._pending
-        aside.cookie = cookie or aside.cookie
-        if isinstance(made, BadEntry):
-            # It is there, though nothing can be made of it: a tenant that is known stays as it was.
-            if made.tenant_id:
-                aside.present_ids.add(made.tenant_id)
-            if len(aside.bad_entries) < MAX_REPORTED_BAD_ENTRIES:
-                aside.bad_entries.append(made)
+            if isinstance(tenant, BadEntry):
+                return [EntriesChanged({}, bad_entries=(tenant,))]
+            return [EntriesChanged({tenant.id: tenant})]
+        self._pending.save_cookie(cookie)
+        if isinstance(tenant, BadEntry):
+            self._pending.add_bad_entry(tenant)
         else:
-            aside.upserts[made.id] = made
-            aside.removed_ids.discard(made.id)
-            aside.networks += len(made.networks)
+            self._pending.add_tenant(tenant)
         return self._check_limits()
 
     def _mark_present(self, uuids: tuple[str, ...], cookie: bytes | None) -> list[SyncEvent]:
         if self.state is ReplicationState.FOLLOWING:
             self._save_cookie(cookie)
             return []
-        self._pending.cookie = cookie or self._pending.cookie
+        self._pending.save_cookie(cookie)
         self._pending.present_ids.update(uuids)
         return self._check_limits()
 
@@ -229,125 +269,121 @@
         if self.state is ReplicationState.FOLLOWING:
             self._save_cookie(cookie)
             return [EntriesChanged({}, frozenset(uuids))]
-        aside = self._pending
-        aside.cookie = cookie or aside.cookie
-        aside.removed_ids.update(uuids)
-        for uuid in uuids:
-            aside.upserts.pop(uuid, None)
-            aside.present_ids.discard(uuid)
+        self._pending.save_cookie(cookie)
+        self._pending.remove(uuids)
         return self._check_limits()
 
     def _check_limits(self) -> list[SyncEvent]:
-        aside, q = self._pending, self.query
-        if max(len(aside.upserts), len(aside.present_ids), len(aside.removed_ids)) > q.max_tenants:
-            return [self._end_search(f"more than {q.max_tenants} tenants", Reaction.NEEDS_OPERATOR)]
-        if aside.networks > q.max_networks:
-            return [self._end_search(f"more than {q.max_networks} networks", Reaction.NEEDS_OPERATOR)]
+        pending, query = self._pending, self.query
+        ids = max(len(pending.upserts), len(pending.present_ids), len(pending.removed_ids))
+        if ids > query.max_tenants:
+            return [self._end_search(f"more than {query.max_tenants} tenants", Reaction.NEEDS_OPERATOR)]
+        if pending.networks > query.max_networks:
+            return [self._end_search(f"more than {query.max_networks} networks", Reaction.NEEDS_OPERATOR)]
         return []
 
-    # Words between entries.
+    # Messages between entries.
 
-    def _receive_sync_info(self, info: c.SyncInfo) -> list[SyncEvent]:
+    def _receive_sync_info(self, info: controls.SyncInfo) -> list[SyncEvent]:
         if self.mode is ReplicationMode.PAGED:
             return []
-        if isinstance(info, c.SyncIdSet):
-            return (self._mark_removed if info.refresh_deletes else self._mark_present)(
-                info.uuids, info.cookie
-            )
+        if isinstance(info, controls.SyncIdSet):
+            if info.refresh_deletes:
+                return self._mark_removed(info.uuids, info.cookie)
+            return self._mark_present(info.uuids, info.cookie)
         if self.state is ReplicationState.FOLLOWING:
             self._save_cookie(info.cookie)
             return []
-        self._pending.cookie = info.cookie or self._pending.cookie
-        if isinstance(info, c.RefreshPhase):
+        self._pending.save_cookie(info.cookie)
+        if isinstance(info, controls.RefreshPhase):
             if not info.is_delete_phase:
-                self._pending.is_full = True  # a present phase names all that is there
+                self._pending.is_full = True  # a present phase names all entries
             if info.refresh_done and self.mode is ReplicationMode.PERSIST:
                 return [self._complete_refresh(ReplicationState.FOLLOWING)]
         return []
 
-    def _receive_search_done(self, done: m.SearchResultDone) -> list[SyncEvent]:
-        what = reaction_to(done.result.code)
-        if what is not Reaction.DONE:
-            if what is Reaction.FULL_REFRESH:
-                self.forget_cookie()
-            elif what is Reaction.FALL_BACK:
-                if self.mode is ReplicationMode.PAGED:
-                    what = Reaction.NEEDS_OPERATOR
-                else:
-                    self._fall_back_a_mode()
-            elif what is Reaction.REDUCE_PAGE_SIZE:
-                self._reduce_page_size()
-            return [self._end_search(f"code {done.result.code}", what)]
+    # The end of the search.
+
+    def _receive_search_done(self, done: SearchResultDone) -> list[SyncEvent]:
+        reaction = reaction_to(done.result.code)
+        if reaction is not Reaction.DONE:
+            return [self._end_failed_search(done.result.code, reaction)]
         if self.mode is ReplicationMode.PAGED:
-            cookie = c.read_page_cookie(done.controls)
+            cookie = controls.read_page_cookie(done.controls)
             if cookie:
                 return [NextPage(self._page_request(cookie))]
             return [self._complete_refresh(ReplicationState.IDLE)]
         if self.state is ReplicationState.FOLLOWING:
             return [self._end_search("the server ended the search", Reaction.RETRY)]
-        sync = c.read_sync_done(done.controls)
-        if sync is None:
+        return self._receive_refresh_done(controls.read_sync_done(done.controls))
+
+    def _receive_refresh_done(self, sync_done: controls.SyncDone | None) -> list[SyncEvent]:
+        if sync_done is None:
             self._fall_back_a_mode()
             return [self._end_search("the refresh ends without its word", Reaction.FALL_BACK)]
-        self._pending.cookie = sync.cookie or self._pending.cookie
-        if not sync.refresh_deletes:
+        self._pending.save_cookie(sync_done.cookie)
+        if not sync_done.refresh_deletes:
             self._pending.is_full = True
-        step = self._complete_refresh(ReplicationState.IDLE)
-        if self.mode is ReplicationMode.PERSIST:  # it refreshed and does not persist
-            return [step, SearchEnded("the server ended the search", Reaction.RETRY)]
-        return [step]
-
-    def _complete_refresh(self, then: ReplicationState) -> RefreshCompleted:
-        aside, self._pending = self._pending, _PendingRefresh(True)
-        self.state = then
+        completed = self._complete_refresh(ReplicationState.IDLE)
+        if self.mode is ReplicationMode.PERSIST:  # the server refreshes but does not persist
+            return [completed, SearchEnded("the server ended the search", Reaction.RETRY)]
+        return [completed]
+
+    def _end_failed_search(self, code: int, reaction: Reaction) -> SearchEnded:
+        if reaction is Reaction.FULL_REFRESH:
+            self.forget_cookie()
+        elif reaction is Reaction.REDUCE_PAGE_SIZE:
+            self._reduce_page_size()
+        elif reaction is Reaction.FALL_BACK:
+            if self.mode is ReplicationMode.PAGED:
+                reaction = Reaction.NEEDS_OPERATOR
+            else:
+                self._fall_back_a_mode()
+        return self._end_search(f"code {code}", reaction)
+
+    def _complete_refresh(self, next_state: ReplicationState) -> RefreshCompleted:
+        pending, self._pending = self._pending, _PendingRefresh()
+        self.state = next_state
         if self.mode is not ReplicationMode.PAGED:
-            self.cookie, self.cookie_server = aside.cookie, self._server
+            self.cookie, self.cookie_server = pending.cookie, self._server
         return RefreshCompleted(
-            aside.upserts,
-            frozenset(aside.present_ids),
-            frozenset(aside.removed_ids),
-            aside.is_full,
-            tuple(aside.bad_entries),
+            upserts=pending.upserts,
+            present_ids=frozenset(pending.present_ids),
+            removed_ids=frozenset(pending.removed_ids),
+            is_full=pending.is_full,
+            bad_entries=tuple(pending.bad_entries),
         )
 
+    def _end_search(self, reason: str, reaction: Reaction) -> SearchEnded:
+        self.reset()
+        return SearchEnded(reason, reaction)
+
+    def _save_cookie(self, cookie: bytes | None) -> None:
+        if cookie is not None:
+            self.cookie, self.cookie_server = cookie, self._server
+
     # What servers lack.
 
     def _fall_back_a_mode(self) -> None:
-        """Not this way at this server."""
+        """Use the next mode at this server from now on."""
         self._modes[self._server] = ReplicationMode(min(self.mode + 1, ReplicationMode.PAGED))
 
     def _reduce_page_size(self) -> None:
-        """Pages, and smaller ones where they were too large already."""
+        """Use pages at this server from now on, and smaller ones if it did already."""
         if self.mode is ReplicationMode.PAGED:
             self._page_size = max(MIN_PAGE_SIZE, self._page_size // 2)
         self._modes[self._server] = ReplicationMode.PAGED
 
-    def _save_cookie(self, cookie: bytes | None) -> None:
-        if cookie is not None:
-            self.cookie, self.cookie_server = cookie, self._server
-
-    def _end_search(self, reason: str, what: Reaction) -> SearchEnded:
-        self.reset()
-        return SearchEnded(reason, what)
-
-    def _page_request(self, cookie: bytes) -> m.SearchRequest:
-        return self._search_request(c.paged_results_control(self._page_size, cookie))
-
-    def _search_request(self, control: m.Control) -> m.SearchRequest:
-        q = self.query
-        return m.SearchRequest(
-            q.base,
-            q.scope,
-            q.filter,
-            q.attribute_names.all(),
-            time_limit_s=q.time_limit_s,
+    def _page_request(self, cookie: bytes) -> SearchRequest:
+        return self._search_request(controls.paged_results_control(self._page_size, cookie))
+
+    def _search_request(self, control: Control) -> SearchRequest:
+        query = self.query
+        return SearchRequest(
+            query.base,
+            query.scope,
+            query.filter,
+            query.attribute_names.all(),
+            time_limit_s=query.time_limit_s,
             controls=(control,),
         )
-
-    def set_query(self, question: DirectoryQuery) -> None:
-        """Ask another question from now on; another directory's cookie is of no use."""
-        if replace(question, page_size=0) != replace(self.query, page_size=0):
-            self.forget_cookie()
-            self._modes.clear()
-        self.query, self.base, self._page_size = question, dn.parse(question.base), question.page_size
-        self.reset()
--- a/snowthread/tenants/table.py
+++ b/snowthread/tenants/table.py
@@ -1,73 +1,85 @@
-"""Who owns a caller: all tenants, their networks in a prefix trie, their balancers' numbers.
+"""Which tenant owns a client: all tenants, their networks in prefix tries, their balancers' numbers.
 
-The result depends on the set of tenants alone, never on the order in which they came, so all nodes agree:
-the longest prefix wins; where several tenants claim the same network, or the same number, the one with the
-least id has it and the others don't, until it lets go. An address alone decides, but for balancers in
-networks the operator trusts: only from those is the number in a request believed.
+The result depends on the set of tenants alone, never on the order of the changes, so all nodes agree: the
+longest prefix wins; where several tenants claim the same network or number, the one with the least id owns
+it until it releases it. The client's address alone decides, except in networks that the operator trusts:
+only from those is the balancer's number in a request believed.
 """
 
 from __future__ import annotations
 
+import math
 from bisect import bisect_right, insort
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from ipaddress import ip_address
+from ipaddress import IPv4Address, IPv6Address, ip_address
+from typing import NamedTuple
 
 from pytricia import PyTricia
 
 from snowthread.tenants.model import UNKNOWN_IDENTITY, IdentifiedBy, Identity, Network, Tenant
 
-MAX_CACHED_IDENTITIES = 8192  # callers whose answer is kept until the table changes
-MAX_RECORDED_CONFLICTS = 1000  # contradictions that are remembered for people
+MAX_CACHED_IDENTITIES = 8192
+MAX_RECORDED_CONFLICTS = 1000
+ADDRESS_BITS = {4: 32, 6: 128}
+NO_NUMBER = -1
 
 
 @dataclass(frozen=True, slots=True)
 class Conflict:
-    """Two tenants claim the same; ``holder`` has it."""
+    """Two tenants claim the same network or number; ``owner`` has it."""
 
     resource: str
     owner: str
     other_claimant: str
 
     def describe(self) -> str:
-        """For the log."""
+        """Return one line for the log."""
         return f"{self.resource} is claimed by {self.owner}, who has it, and by {self.other_claimant}"
 
 
 @dataclass(slots=True)
 class TableChanges:
-    """What a change made of the table."""
+    """What one call changed in the table."""
 
     changed: list[Tenant] = field(default_factory=list)
     removed: list[Tenant] = field(default_factory=list)
-    conflicts: list[Conflict] = field(default_factory=list)  # that are new
+    conflicts: list[Conflict] = field(default_factory=list)  # new ones only
 
     def __bool__(self) -> bool:
         return bool(self.changed or self.removed)
 
 
+class _OwnedRange(NamedTuple):
+    """A range of balancers' numbers and the tenant that claims it; ordered by its first number."""
+
+    first: int
+    last: int
+    tenant_id: str
+
+
 class TenantTable:
-    """All tenants that are known. ``version`` counts the changes."""
+    """All known tenants; ``version`` counts the changes."""
 
-    def __init__(self, trusted: Iterable[Network] = ()) -> None:
+    def __init__(self, trusted_networks: Iterable[Network] = ()) -> None:
         self.tenants: dict[str, Tenant] = {}
         self.version = 0
-        self.network_count = 0  # claims in all
-        self._claims: dict[str, list[str]] = {}  # network -> ids that claim it, the least first
-        self._v4, self._v6 = PyTricia(32), PyTricia(128)
-        self._trusted4, self._trusted6 = PyTricia(32), PyTricia(128)
-        self._ranges: list[tuple[int, int, str]] = []  # first number, last number, id; sorted
-        self._widest_range = 0  # of the ranges
+        self.network_count = 0  # claims of networks, over all tenants
+        self._claims: dict[str, list[str]] = {}  # network -> ids of the tenants that claim it, sorted
+        self._owners = _new_tries()
+        self._trusted = _new_tries()
+        self._ranges: list[_OwnedRange] = []  # sorted
+        self._widest_range = 0
         self._cache: OrderedDict[tuple[str, int], Identity] = OrderedDict()
-        self._conflicts: dict[str, tuple[Conflict, ...]] = {}  # by what is claimed
-        self.trust_networks(trusted)
+        self._conflicts: dict[str, tuple[Conflict, ...]] = {}  # by resource
+        self.trust_networks(trusted_networks)
 
     def trust_networks(self, networks: Iterable[Network]) -> None:
-        """Believe balancers' numbers from these networks."""
-        self._trusted4, self._trusted6 = PyTricia(32), PyTricia(128)
+        """Believe balancers' numbers in requests from these networks, and from no others."""
+        self._trusted = _new_tries()
         for network in networks:
-            (self._trusted4 if network.version == 4 else self._trusted6)[str(network)] = True
+            self._trusted[network.version][str(network)] = True
         self._cache.clear()
 
     def __len__(self) -> int:
@@ -75,125 +87,139 @@
 
     @property
     def conflicts(self) -> list[Conflict]:
-        """The contradictions that stand, as far as they are remembered."""
+        """The present conflicts, as far as they are recorded."""
         return [conflict for group in self._conflicts.values() for conflict in group]
 
-    # Looking up.
-
     def identify(self, address: str, number: int | None = None) -> Identity:
-        """Whose caller it is. ``address`` as a socket gives it, ``number`` as the request says."""
-        key = (address, -1 if number is None else number)
-        found = self._cache.get(key)
-        if found is None:
-            found = self._cache[key] = self._identify_uncached(address, number)
+        """Return the tenant of a client.
+
+        ``address`` is the socket's, ``number`` the balancer's number in the request.
+        """
+        key = (address, NO_NUMBER if number is None else number)
+        identity = self._cache.get(key)
+        if identity is None:
+            identity = self._cache[key] = self._identify_uncached(address, number)
             if len(self._cache) > MAX_CACHED_IDENTITIES:
                 self._cache.popitem(last=False)
-        return found
+        return identity
 
     def _identify_uncached(self, address: str, number: int | None) -> Identity:
         try:
             ip = ip_address(address.partition("%")[0])
         except ValueError:
             return UNKNOWN_IDENTITY
-        mapped = getattr(ip, "ipv4_mapped", None)
-        if mapped is not None:  # one caller, one identity, whichever socket it came over
-            ip = mapped
+        ip = _without_ipv4_mapping(ip)
         text = str(ip)
-        if number is not None and text in (self._trusted4 if ip.version == 4 else self._trusted6):
+        if number is not None and text in self._trusted[ip.version]:
             owners = self._range_owners(number)
             if owners:
                 return Identity(owners[0], IdentifiedBy.BALANCER)
-        trie = self._v4 if ip.version == 4 else self._v6
+        trie = self._owners[ip.version]
         network = trie.get_key(text)
         if network is None:
             return UNKNOWN_IDENTITY
         return Identity(trie[network], IdentifiedBy.NETWORK, network)
 
     def _range_owners(self, number: int) -> list[str]:
-        """The tenants whose ranges hold the number, the least id first."""
-        end = bisect_right(self._ranges, (number, float("inf"), ""))
+        """Return the tenants whose ranges contain the number, the least id first."""
+        end = bisect_right(self._ranges, (number, math.inf, ""))
         start = bisect_right(self._ranges, (number - self._widest_range, -1, ""))
-        return sorted({owner for _first, last, owner in self._ranges[start:end] if number <= last})
-
-    # Changing.
+        return sorted({owned.tenant_id for owned in self._ranges[start:end] if number <= owned.last})
 
     def apply(self, upserts: Iterable[Tenant], removed_ids: Iterable[str] = ()) -> TableChanges:
-        """Take up new and changed tenants and let go of others, as one step."""
-        out = TableChanges()
+        """Remove tenants, then add and replace others, as one change of the table."""
+        changes = TableChanges()
         for tenant_id in removed_ids:
-            old = self.tenants.pop(tenant_id, None)
-            if old is not None:
-                self._release_networks(old, frozenset(old.networks), out)
-                self._remove_ranges(old, out)
-                out.removed.append(old)
-        for new in upserts:
-            old = self.tenants.get(new.id)
-            if old == new:
-                continue
-            had = frozenset(old.networks) if old is not None else frozenset()
-            wants = frozenset(new.networks)
-            if old is not None:
-                self._release_networks(old, had - wants, out)
-                if old.balancers != new.balancers:
-                    self._remove_ranges(old, out)
-            self.tenants[new.id] = new
-            self._claim_networks(new, wants - had, out)
-            if old is None or old.balancers != new.balancers:
-                self._add_ranges(new, out)
-            out.changed.append(new)
-        if out:
+            self._remove(tenant_id, changes)
+        for tenant in upserts:
+            self._upsert(tenant, changes)
+        if changes:
             self.version += 1
             self._cache.clear()
-        return out
-
-    def _claim_networks(self, tenant: Tenant, networks: Iterable[Network], out: TableChanges) -> None:
+        return changes
+
+    def _remove(self, tenant_id: str, changes: TableChanges) -> None:
+        old = self.tenants.pop(tenant_id, None)
+        if old is None:
+            return
+        self._release_networks(old, frozenset(old.networks), changes)
+        self._remove_ranges(old, changes)
+        changes.removed.append(old)
+
+    def _upsert(self, new: Tenant, changes: TableChanges) -> None:
+        old = self.tenants.get(new.id)
+        if old == new:
+            return
+        old_networks = frozenset(old.networks) if old is not None else frozenset()
+        new_networks = frozenset(new.networks)
+        ranges_changed = old is None or old.balancers != new.balancers
+        if old is not None:
+            self._release_networks(old, old_networks - new_networks, changes)
+            if ranges_changed:
+                self._remove_ranges(old, changes)
+        self.tenants[new.id] = new
+        self._claim_networks(new, new_networks - old_networks, changes)
+        if ranges_changed:
+            self._add_ranges(new, changes)
+        changes.changed.append(new)
+
+    def _claim_networks(self, tenant: Tenant, networks: Iterable[Network], changes: TableChanges) -> None:
         for network in networks:
             key = str(network)
-            claims = self._claims.setdefault(key, [])
-            insort(claims, tenant.id)
+            claimants = self._claims.setdefault(key, [])
+            insort(claimants, tenant.id)
             self.network_count += 1
-            self._set_owner(network, key, claims[0])
-            if len(claims) > 1:
-                self._review_claims(f"network {key}", claims, out)
+            self._owners[network.version][key] = claimants[0]
+            if len(claimants) > 1:
+                self._review_claims(f"network {key}", claimants, changes)
 
-    def _release_networks(self, tenant: Tenant, networks: Iterable[Network], out: TableChanges) -> None:
+    def _release_networks(self, tenant: Tenant, networks: Iterable[Network], changes: TableChanges) -> None:
         for network in networks:
             key = str(network)
-            claims = self._claims[key]
-            claims.remove(tenant.id)
+            claimants = self._claims[key]
+            claimants.remove(tenant.id)
             self.network_count -= 1
-            if claims:
-                self._set_owner(network, key, claims[0])
-                self._review_claims(f"network {key}", claims, out)
+            if claimants:
+                self._owners[network.version][key] = claimants[0]
+                self._review_claims(f"network {key}", claimants, changes)
             else:
                 del self._claims[key]
-                (self._v4 if network.version == 4 else self._v6).delete(key)
+                self._owners[network.version].delete(key)
 
-    def _set_owner(self, network: Network, key: str, owner: str) -> None:
-        (self._v4 if network.version == 4 else self._v6)[key] = owner
-
-    def _add_ranges(self, tenant: Tenant, out: TableChanges) -> None:
+    def _add_ranges(self, tenant: Tenant, changes: TableChanges) -> None:
         for first, last in tenant.balancers:
-            insort(self._ranges, (first, last, tenant.id))
+            insort(self._ranges, _OwnedRange(first, last, tenant.id))
             self._widest_range = max(self._widest_range, last - first)
-        self._review_range_ends(tenant, out)
-
-    def _remove_ranges(self, tenant: Tenant, out: TableChanges) -> None:
-        if tenant.balancers:
-            self._ranges = [r for r in self._ranges if r[2] != tenant.id]
-            self._widest_range = max((last - first for first, last, _ in self._ranges), default=0)
-            self._review_range_ends(tenant, out)
-
-    def _review_range_ends(self, tenant: Tenant, out: TableChanges) -> None:
-        """Contradictions of ranges are told at the ends of the one that changed."""
-        for number in {n for ends in tenant.balancers for n in ends}:
-            self._review_claims(f"balancer {number}", self._range_owners(number), out)
-
-    def _review_claims(self, what: str, claims: list[str], out: TableChanges) -> None:
-        """Who contradicts whom about this now; what stood already is not told again."""
-        old = self._conflicts.pop(what, ())
-        new = tuple(Conflict(what, claims[0], other) for other in claims[1:])
+        self._review_range_ends(tenant, changes)
+
+    def _remove_ranges(self, tenant: Tenant, changes: TableChanges) -> None:
+        if not tenant.balancers:
+            return
+        self._ranges = [owned for owned in self._ranges if owned.tenant_id != tenant.id]
+        self._widest_range = max((owned.last - owned.first for owned in self._ranges), default=0)
+        self._review_range_ends(tenant, changes)
+
+    def _review_range_ends(self, tenant: Tenant, changes: TableChanges) -> None:
+        """Review the conflicts of overlapping ranges at the ends of the ranges that changed."""
+        for number in {end for ends in tenant.balancers for end in ends}:
+            self._review_claims(f"balancer {number}", self._range_owners(number), changes)
+
+    def _review_claims(self, resource: str, claimants: list[str], changes: TableChanges) -> None:
+        """Record the present conflicts about a resource and report those that are new."""
+        old = self._conflicts.pop(resource, ())
+        new = tuple(Conflict(resource, claimants[0], other) for other in claimants[1:])
         if new:
-            out.conflicts += [c for c in new if c not in old]
+            changes.conflicts += [conflict for conflict in new if conflict not in old]
             if len(self._conflicts) < MAX_RECORDED_CONFLICTS:
-                self._conflicts[what] = new
+                self._conflicts[resource] = new
+
+
+def _new_tries() -> dict[int, PyTricia]:
+    """Return an empty prefix trie for each IP version."""
+    return {version: PyTricia(bits) for version, bits in ADDRESS_BITS.items()}
+
+
+def _without_ipv4_mapping(ip: IPv4Address | IPv6Address) -> IPv4Address | IPv6Address:
+    """Return the IPv4 address of ``::ffff:a.b.c.d``: one identity whichever socket a client came over."""
+    mapped = ip.ipv4_mapped if isinstance(ip, IPv6Address) else None
+    return ip if mapped is None else mapped
--- a/snowthread/tenants/unknown_clients.py
+++ b/snowthread/tenants/unknown_clients.py
@@ -1,8 +1,9 @@
-"""Questions about callers that nobody knows. Free of I/O.
+"""Lookups of clients that no known tenant owns. Pure.
 
-One question a caller is in flight; an answer of "nobody's" is remembered for a bounded time; questions in
-flight, answers remembered and questions a second are bounded, so that a crowd of strangers costs the
-directory next to nothing. Meanwhile they are the default tenant's.
+At most one lookup per client is in flight. A client that the directory doesn't know either is remembered for
+a bounded time (negative cache). Lookups in flight, waiting clients, remembered clients and lookups a second
+are all bounded, so that many unknown clients cost the directory next to nothing. Meanwhile their requests
+belong to the default tenant.
 """
 
 from __future__ import annotations
@@ -14,10 +15,12 @@
 from snowthread.ldap import filters
 from snowthread.ldap.messages import FilterTree
 
+MS_PER_S = 1000.0
+
 
 @dataclass(frozen=True, slots=True)
 class UnknownClientRules:
-    """Whether to ask, how long a "nobody's" holds, and the bounds."""
+    """Whether unknown clients are looked up, and the bounds."""
 
     enabled: bool = True
     negative_ttl_ms: float = 60_000.0
@@ -30,36 +33,38 @@
 
 
 class UnknownClients:
-    """Who waits for a question, who is asked about, and whom the directory does not know."""
+    """Clients that wait for a lookup, are looked up, or are known to be unknown."""
 
     def __init__(self, rules: UnknownClientRules) -> None:
         self.rules = rules
-        self.lookups_started = self.lookups_dropped = 0
+        self.lookups_started = 0
+        self.lookups_dropped = 0
         self._waiting: OrderedDict[str, None] = OrderedDict()
         self._in_flight: set[str] = set()
-        self._negative_cache: OrderedDict[str, float] = OrderedDict()  # address -> until when
-        self._tokens, self._at = rules.lookups_per_s, 0.0
+        self._negative_cache: OrderedDict[str, float] = OrderedDict()  # address -> time of expiry
+        self._tokens = rules.lookups_per_s
+        self._refilled_at_ms = 0.0
 
     def __len__(self) -> int:
         return len(self._waiting) + len(self._in_flight)
 
     @property
     def waiting(self) -> int:
-        """How many wait for their question."""
+        """The number of clients that wait for their lookup."""
         return len(self._waiting)
 
     @property
     def negative_cache_size(self) -> int:
-        """How many are known to be nobody's."""
+        """The number of clients that are remembered as unknown to the directory."""
         return len(self._negative_cache)
 
     def request_lookup(self, address: str, now: float) -> bool:
-        """A caller nobody knows; True where a question about it now waits to be sent."""
+        """Queue a lookup of the client; return whether one was queued."""
         if not self.rules.enabled or address in self._in_flight or address in self._waiting:
             return False
-        until = self._negative_cache.get(address)
-        if until is not None:
-            if now < until:
+        expires_at = self._negative_cache.get(address)
+        if expires_at is not None:
+            if now < expires_at:
                 return False
             del self._negative_cache[address]
         if len(self._waiting) >= self.rules.max_waiting:
@@ -69,12 +74,8 @@
         return True
 
     def start_next_lookup(self, now: float) -> str | None:
-        """The caller to ask about now, if the bounds let one be asked."""
-        self._tokens = min(
-            self.rules.lookups_per_s,
-            self._tokens + max(0.0, now - self._at) / 1000.0 * self.rules.lookups_per_s,
-        )
-        self._at = now
+        """Return the client to look up now, or None if none waits or the bounds allow none."""
+        self._refill_tokens(now)
         if not self._waiting or len(self._in_flight) >= self.rules.max_in_flight or self._tokens < 1.0:
             return None
         self._tokens -= 1.0
@@ -84,34 +85,40 @@
         return address
 
     def finish_lookup(self, address: str, found: bool, now: float) -> None:
-        """The directory's word about a caller."""
+        """Note the result of a lookup; a client that was not found is remembered."""
         self._in_flight.discard(address)
-        if not found:
-            self._negative_cache[address] = now + self.rules.negative_ttl_ms
-            self._negative_cache.move_to_end(address)
-            while len(self._negative_cache) > self.rules.max_negative_entries:
-                self._negative_cache.popitem(last=False)
+        if found:
+            return
+        self._negative_cache[address] = now + self.rules.negative_ttl_ms
+        self._negative_cache.move_to_end(address)
+        while len(self._negative_cache) > self.rules.max_negative_entries:
+            self._negative_cache.popitem(last=False)
 
     def abort_lookups(self) -> None:
-        """The link broke: what was in flight is asked again when the caller comes again."""
+        """Forget the lookups in flight, since the connection ended; next requests may repeat them."""
         self._in_flight.clear()
 
     def clear_negative_cache(self) -> None:
-        """The table is another: what was nobody's may be somebody's."""
+        """Forget which clients are unknown, since the table changed."""
         self._negative_cache.clear()
 
+    def _refill_tokens(self, now: float) -> None:
+        elapsed_ms = max(0.0, now - self._refilled_at_ms)
+        refill = elapsed_ms / MS_PER_S * self.rules.lookups_per_s
+        self._tokens = min(self.rules.lookups_per_s, self._tokens + refill)
+        self._refilled_at_ms = now
+
 
 def lookup_filter(address: str, attribute: str, rules: UnknownClientRules) -> FilterTree | None:
-    """The filter that finds who has a network round this address: each prefix the operator uses, in full."""
+    """Return the filter for tenants with a network round this address, or None if it is no address.
+
+    It tests for each prefix length that operators use, since a directory compares networks as text.
+    """
     try:
         ip = ip_address(address.partition("%")[0])
     except ValueError:
         return None
     ip = getattr(ip, "ipv4_mapped", None) or ip
     lengths = rules.ipv4_prefix_lengths if ip.version == 4 else rules.ipv6_prefix_lengths
-    tests = [
-        filters.equality_filter(attribute, str(ip_network(f"{ip}/{length}", strict=False)))
-        for length in lengths
-    ]
-    tests.append(filters.equality_filter(attribute, str(ip)))
-    return "or", tests
+    networks = [str(ip_network(f"{ip}/{length}", strict=False)) for length in lengths]
+    return "or", [filters.equality_filter(attribute, text) for text in (*networks, str(ip))]
--- a/tests/ldap/test_codec.py
+++ b/tests/ldap/test_codec.py
@@ -12,7 +12,7 @@
 from snowthread.ldap import dn, filters, url
 from snowthread.ldap import messages as m
 from snowthread.ldap.ber import Bounds, MalformedError, check, frame_length
-from snowthread.ldap.session import SessionEnded, Session, SessionState, SessionStateError
+from snowthread.ldap.session import Session, SessionEnded, SessionState, SessionStateError
 
 BOUNDS = Bounds()
 WORDS = st.text(max_size=12)
--- a/tests/ldap/test_health.py
+++ b/tests/ldap/test_health.py
@@ -8,9 +8,9 @@
 
 from snowthread.ldap.health import (
     CircuitBreaker,
-    RetryBudget,
     CircuitState,
     Reaction,
+    RetryBudget,
     RetryPolicy,
     ServerSelector,
     backoff_ms,
--- a/tests/support/directory_world.py
+++ b/tests/support/directory_world.py
@@ -12,9 +12,10 @@
 from snowthread.net.clock import ManualClock
 from snowthread.net.loop import EventLoop
 from snowthread.operator import hcl
+from snowthread.tenants.changes import TenantChanges, TenantLogLine
 from snowthread.tenants.replication import DirectoryReplicator
 from snowthread.tenants.settings import TenantSettings
-from snowthread.tenants.state import TenantChanges, TenantState
+from snowthread.tenants.state import TenantState
 
 START = 1_800_000_000_000.0
 EXAMPLE = Path(__file__).parents[2] / "examples" / "node.json"
@@ -49,7 +50,7 @@
             self.directories[0].put(f"t{n}", snowthreadNetwork=[f"10.{n}.0.0/16"], snowthreadQuota=n + 1)
         for other in self.directories[1:]:
             self.directories[0].copy_to(other)
-        self.lines: list[tuple[str, str]] = []
+        self.lines: list[TenantLogLine] = []
         self.tenancy: TenantState
         self.follower: DirectoryReplicator
 
@@ -84,14 +85,14 @@
 
     def synced(self) -> None:
         """The first refresh is through."""
-        self.until(lambda: self.tenancy.counts["refreshes"] > 0)
+        self.until(lambda: self.tenancy.counters.refreshes > 0)
 
     @property
     def names(self) -> set[str]:
         return {t.name for t in self.tenancy.table.tenants.values()}
 
     def said(self, event: str) -> list[str]:
-        return [text for name, text in self.lines if name == event]
+        return [line.text for line in self.lines if line.event == event]
 
     def close(self) -> None:
         """Put away what is open, so that one test's descriptors are not another's."""
--- a/tests/tenants/test_follow.py
+++ b/tests/tenants/test_follow.py
@@ -47,7 +47,7 @@
     assert w.names == ALL - {"t2", "t3"} | {"t3b"}
     assert w.tenancy.identify("11.2.3.4", None, w.clock.now_ms).tenant_id != "default"
     assert w.tenancy.identify("10.1.0.1", None, w.clock.now_ms).tenant_id == "default"
-    assert d.searches == 1 and w.tenancy.counts["refreshes"] == 1
+    assert d.searches == 1 and w.tenancy.counters.refreshes == 1
 
 
 @pytest.mark.parametrize(
@@ -117,7 +117,7 @@
     # At the second try nine entries and the word that the refresh is through: ten messages.
     d.faults.stall, d.faults.cut_at = False, cut
     w.run(5_000.0)
-    assert w.names == ALL and w.follower.connection_failures >= 2 and w.tenancy.counts["refreshes"] == 1
+    assert w.names == ALL and w.follower.connection_failures >= 2 and w.tenancy.counters.refreshes == 1
     d.faults.cut_at = None
     w.until(lambda: w.names == ALL - {"t0", "t1"} | {"late"})
 
@@ -165,7 +165,7 @@
     d.faults.stall = False
     d.nudge()
     w.until(lambda: w.names == ALL - {"t1"})
-    assert w.tenancy.counts["refreshes"] == 2
+    assert w.tenancy.counters.refreshes == 2
 
 
 def test_an_emptied_tree_takes_nobody_away_until_confirmed(worlds: Callable[..., World]) -> None:
@@ -193,7 +193,7 @@
     w.run(60_000.0)
     assert w.names == ALL and 2 <= d.searches - searches <= 30
     d.faults.search_code = 0
-    w.until(lambda: w.tenancy.counts["refreshes"] == 2)
+    w.until(lambda: w.tenancy.counters.refreshes == 2)
 
 
 def test_a_size_limit_leads_to_pages(worlds: Callable[..., World]) -> None:
@@ -233,7 +233,7 @@
         held = max(held, sum(len(p._out) for p in d.peers))
     assert w.names == ALL and w.follower.connection_failures >= 2
     d.faults.mangle = None
-    w.until(lambda: w.tenancy.counts["refreshes"] >= 2 and w.follower.connected_server != "")
+    w.until(lambda: w.tenancy.counters.refreshes >= 2 and w.follower.connected_server != "")
 
 
 def test_a_slow_drip_is_left_after_the_time_for_a_whole_refresh(worlds: Callable[..., World]) -> None:
@@ -281,7 +281,7 @@
     w.follower.wake()
     w.run(400.0)
     assert "fresh" in w.names and w.tenancy.identify("13.1.2.3", None, now).tenant_id != "default"
-    assert w.tenancy.counts["nobodys"] == 1 and not w.tenancy.unknown_clients.request_lookup(
+    assert w.tenancy.counters.lookups_not_found == 1 and not w.tenancy.unknown_clients.request_lookup(
         "14.0.0.1", w.clock.now_ms
     )
 
--- a/tests/tenants/test_guard.py
+++ b/tests/tenants/test_guard.py
@@ -7,7 +7,7 @@
 
 from snowthread.tenants.model import DEFAULT_TENANT_ID, Status, Tenant
 from snowthread.tenants.removal_guard import RemovalGuard, RemovalRules
-from snowthread.tenants.staleness import StalenessStage, StalenessRules, StalenessTracker
+from snowthread.tenants.staleness import StalenessRules, StalenessStage, StalenessTracker
 from snowthread.tenants.state import TenantRules, TenantState
 from snowthread.tenants.sync import EntriesChanged, RefreshCompleted
 from snowthread.tenants.unknown_clients import UnknownClientRules, UnknownClients, lookup_filter
@@ -123,11 +123,11 @@
     t.apply_change(
         EntriesChanged({"t1": replace(old, quota_per_s=9.0, modified_at="20250101000000Z")}), "a", 1.0
     )
-    assert t.table.tenants["t1"] == old and t.counts["older"] == 1
+    assert t.table.tenants["t1"] == old and t.counters.outdated_entries == 1
     news = t.apply_change(
         EntriesChanged({"t1": replace(old, quota_per_s=9.0, name="other", modified_at="2027")}), "a", 2.0
     )
-    assert [s.quota_per_s for s in news.quotas] == [9.0] and news.log_lines[0][0] == "tenants.renamed"
+    assert [s.quota_per_s for s in news.quotas] == [9.0] and news.log_lines[0].event == "tenants.renamed"
     again = EntriesChanged({"t1": replace(old, quota_per_s=9.0, name="x", modified_at="2027")})
     assert not t.apply_change(again, "a", 3.0).quotas
 
@@ -188,4 +188,4 @@
     t.unknown_clients.request_lookup("11.0.0.1", 0.0)
     assert t.unknown_clients.start_next_lookup(100.0) == "11.0.0.1"
     news = t.apply_lookup("11.0.0.1", [replace(t.table.tenants["t1"], quota_per_s=1e6)], (), 100.0)
-    assert not news.quotas and t.table.tenants["t1"].quota_per_s == 5.0 and t.counts["nobodys"] == 1
+    assert not news.quotas and t.table.tenants["t1"].quota_per_s == 5.0 and t.counters.lookups_not_found == 1
--- a/tests/tenants/test_states.py
+++ b/tests/tenants/test_states.py
@@ -1,5 +1,6 @@
 """A tenant is removed, suspended, renamed or given another quota while its requests stand anywhere: each ends
-exactly once, nothing runs twice, and a repeat of what ran still gets its result."""
+exactly once, nothing runs twice, and a repeat of what ran still gets its result.
+"""
 
 from __future__ import annotations
 
--- a/tests/tenants/test_table.py
+++ b/tests/tenants/test_table.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from snowthread.ldap import dn
-from snowthread.tenants.entry import BadEntry, AttributeNames, read_tenant
+from snowthread.tenants.entry import AttributeNames, BadEntry, read_tenant
 from snowthread.tenants.model import IdentifiedBy, Status, Tenant
 from snowthread.tenants.table import TenantTable
 
--- /dev/null
+++ b/tests/tenants/test_tenant_identification.py
@@ -0,0 +1,56 @@
+"""Identification of a node's clients, and the line on its state in the log."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import replace
+
+import pytest
+from loguru import logger
+from support.directory_world import START, settings
+
+from snowthread.core import events
+from snowthread.net.clock import ManualClock
+from snowthread.net.loop import EventLoop
+from snowthread.tenants.identification import TenantIdentification
+from snowthread.tenants.state import TenantCounters
+
+UNREACHABLE = ["ldap://127.0.0.1:1"]
+
+
+@pytest.fixture
+def state_records() -> Iterator[list[dict[str, object]]]:
+    """Return the fields of each ``tenants.state`` line."""
+    records: list[dict[str, object]] = []
+
+    def collect(message: object) -> None:
+        extra = message.record["extra"]  # type: ignore[attr-defined]
+        if extra.get("event") == "tenants.state":
+            records.append(extra)
+
+    sink = logger.add(collect, level=0)
+    yield records
+    logger.remove(sink)
+
+
+def test_the_state_line_has_each_counter_also_after_a_failed_lookup_and_a_held_removal(
+    state_records: list[dict[str, object]],
+) -> None:
+    clock = ManualClock(START)
+    loop = EventLoop(clock)
+    posted: list[events.Event] = []
+    identification = TenantIdentification(
+        loop, replace(settings(UNREACHABLE), report_interval_ms=1000.0), 1, posted.append
+    )
+    identification.start(lambda connection: "10.0.0.1")
+    identification.tenants.apply_lookup("10.0.0.1", [], (), START)
+    identification.tenants.counters.removals_held = 2
+    for _ in range(20):
+        loop.run_once(0.0)
+        clock.now_ms += 100.0
+    loop._close_tasks()
+    assert state_records
+    line = state_records[-1]
+    assert line["lookups_not_found"] == 1 and line["removals_held"] == 2
+    assert line["negative_cache"] == 1 and line["held"] == 0
+    assert set(TenantCounters.__slots__) <= line.keys()  # type: ignore[attr-defined]
