Operators' calls use the typed routes and responses of the administration server

Cause: two parts met with pairs of a status and a text. Change: Route and AdminResponse on both sides, no plain pairs.

--- a/snowthread/frontends/admin/routes.py
+++ b/snowthread/frontends/admin/routes.py
@@ -8,14 +8,14 @@
 
 
 class AdminResponse(NamedTuple):
-    """A handler's response: a status and one line of text."""
+    """The response to a request: a status and one line of text."""
 
     status: HTTPStatus
     text: str
 
 
-Handler = Callable[[], tuple[HTTPStatus, str]]
-"""Carries out a request and returns an :class:`AdminResponse` or the same as a plain pair."""
+Handler = Callable[[], AdminResponse]
+"""Carries out a request and returns its response."""
 
 
 class Route(NamedTuple):
@@ -25,5 +25,5 @@
     handler: Handler
 
 
-RouteTable = Mapping[str, tuple[str, Handler]]
-"""Routes, or the same as plain pairs, by path."""
+RouteTable = Mapping[str, Route]
+"""Routes by path."""
--- a/snowthread/frontends/admin/server.py
+++ b/snowthread/frontends/admin/server.py
@@ -10,7 +10,7 @@
 
 from snowthread.address import Address
 from snowthread.frontends.admin.codec import CONTINUE, AdminRequest, RequestError, RequestReader, encode
-from snowthread.frontends.admin.routes import AdminResponse, Route, RouteTable
+from snowthread.frontends.admin.routes import AdminResponse, RouteTable
 from snowthread.net.loop import READABLE, WRITABLE, EventLoop, Task, TaskSteps, Wait
 
 MAX_CLIENTS = 12  # at once, within the descriptors set aside; beyond it the oldest client is disconnected
@@ -36,7 +36,7 @@
 
     def __init__(self, loop: EventLoop, address: Address, routes: RouteTable) -> None:
         self._loop = loop
-        self._routes = {path: Route(*route) for path, route in routes.items()}
+        self._routes = dict(routes)
         self._listener = _open_listener(address)
         self._clients: dict[_Client, None] = {}  # the oldest first
         loop.spawn(self._accept())
@@ -131,7 +131,7 @@
         if request.method != route.method:
             refusal = AdminResponse(HTTPStatus.METHOD_NOT_ALLOWED, f"{route.method} is wanted")
             return encode(refusal, {"Allow": route.method})
-        return encode(AdminResponse(*route.handler()))
+        return encode(route.handler())
 
 
 def _open_listener(address: Address) -> socket.socket:
--- a/snowthread/node/operator_calls.py
+++ b/snowthread/node/operator_calls.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from http import HTTPStatus
 
 from loguru import logger
 
 from snowthread.core import events
 from snowthread.core.state import State
-from snowthread.frontends.admin.server import Answer
+from snowthread.frontends.admin.routes import AdminResponse, Route, RouteTable
 from snowthread.frontends.balancers.server import BalancerServer
 from snowthread.hot_restart.channel import HotRestartChannel
 
@@ -26,31 +26,32 @@
     ) -> None:
         self._state, self._balancers, self._hot_restart, self._post = state, balancers, hot_restart, post
 
-    def routes(self) -> Mapping[str, tuple[str, Answer]]:
+    def routes(self) -> RouteTable:
         """Return the HTTP method and the answering function of each path."""
         return {
-            "/-/ready": ("GET", self.ready),
-            "/-/drain": ("POST", self.drain),
-            "/-/resume": ("POST", self.resume),
+            "/-/ready": Route("GET", self.ready),
+            "/-/drain": Route("POST", self.drain),
+            "/-/resume": Route("POST", self.resume),
         }
 
-    def ready(self) -> tuple[HTTPStatus, str]:
+    def ready(self) -> AdminResponse:
         """Say whether this process takes clients."""
         if self._balancers.accepting and (self._hot_restart is None or self._hot_restart.settled):
-            return HTTPStatus.OK, "ready"
-        return HTTPStatus.SERVICE_UNAVAILABLE, "takes no clients"
+            return AdminResponse(HTTPStatus.OK, "ready")
+        return AdminResponse(HTTPStatus.SERVICE_UNAVAILABLE, "takes no clients")
 
-    def drain(self) -> tuple[HTTPStatus, str]:
+    def drain(self) -> AdminResponse:
         """Take the node off the registry; what still comes is served."""
         self._set_drained(True)
-        return HTTPStatus.OK, "draining"
+        return AdminResponse(HTTPStatus.OK, "draining")
 
-    def resume(self) -> tuple[HTTPStatus, str]:
+    def resume(self) -> AdminResponse:
         """Put the node back on the registry, unless this process is shutting down."""
         if self._state.shutting_down:
-            return HTTPStatus.CONFLICT, "this process has been told to leave: it can't go back to work"
+            text = "this process has been told to leave: it can't go back to work"
+            return AdminResponse(HTTPStatus.CONFLICT, text)
         self._set_drained(False)
-        return HTTPStatus.OK, "back to work"
+        return AdminResponse(HTTPStatus.OK, "back to work")
 
     def _set_drained(self, drained: bool) -> None:
         if drained != self._state.drained:
