--- /dev/null
+++ b/tests/core/conftest.py
@@ -0,0 +1,31 @@
+"""Fixtures for the tests of the core: a whole node, and a bare state."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+from support.exchange import START, Player
+
+from snowthread.admission.settings import Idempotency, RequestClass, Settings
+from snowthread.core.state import AdmissionClock, State
+
+
+@pytest.fixture
+def player() -> Iterator[Player]:
+    """Yield a node with the example configuration and peers that it can reach."""
+    player = Player()
+    yield player
+    player.node.loop._close_tasks()
+
+
+@pytest.fixture
+def state() -> State:
+    """Return the state of a node with one class of each kind of idempotency, before its first event."""
+    classes = (
+        RequestClass("idempotent", 1.0, 3.0),
+        RequestClass("keyed", 1.0, 3.0, idempotency=Idempotency.KEYED, idempotency_window_s=9.0),
+        RequestClass("non-idempotent", 1.0, 3.0, idempotency=Idempotency.NON_IDEMPOTENT),
+    )
+    settings = Settings(classes=classes, cores=2, memory_kb=1000.0, running_memory_factor=4.0)
+    return State(settings, seed=1, gauge_names=(), admission_clock=AdmissionClock(START))
--- /dev/null
+++ b/tests/core/test_key_claims.py
@@ -0,0 +1,73 @@
+"""The successor of a hot restart holds a request back until the predecessor has decided on its key."""
+
+from __future__ import annotations
+
+import pytest
+from support.core_events import make_request
+from support.exchange import START
+
+from snowthread.core import effects, events
+from snowthread.core.key_claims import KEY_CLAIM_TIMEOUT_MS
+from snowthread.core.reducer import reduce
+from snowthread.core.state import State
+
+KEY = "key"
+
+
+@pytest.fixture
+def successor(state: State) -> State:
+    reduce(state, events.RuntimeConnected(False, 0.0), START)
+    reduce(state, events.PeerProcessConnected(is_predecessor=False), START)
+    return state
+
+
+def sent_to_peer(emitted: list[effects.Effect]) -> list[object]:
+    return [effect.message for effect in emitted if isinstance(effect, effects.SendToPeerProcess)]
+
+
+def started(emitted: list[effects.Effect]) -> list[str]:
+    return [effect.attempt_id for effect in emitted if isinstance(effect, effects.StartRun)]
+
+
+def responses(emitted: list[effects.Effect]) -> list[object]:
+    return [effect.response for effect in emitted if isinstance(effect, effects.SendResponse)]
+
+
+def test_a_request_starts_only_once_its_key_is_granted(successor: State) -> None:
+    request = make_request(1, "keyed", START, idempotency_key=KEY)
+    emitted = reduce(successor, request, START)
+    assert [type(message) for message in sent_to_peer(emitted)] == [events.KeyClaimRequested]
+    assert started(emitted) == []
+    assert successor.pending_claims[KEY].waiting == [request]
+    emitted = reduce(successor, events.KeyClaimDecided(KEY, request.attempt_id, granted=True), START)
+    assert started(emitted) == [request.attempt_id]
+    assert successor.pending_claims == {}
+
+
+def test_all_requests_with_a_denied_key_fail(successor: State) -> None:
+    for number in (1, 2):
+        reduce(successor, make_request(number, "keyed", START, idempotency_key=KEY), START)
+    claimant = successor.pending_claims[KEY].attempt_id
+    emitted = reduce(successor, events.KeyClaimDecided(KEY, claimant, granted=False), START)
+    assert responses(emitted) == [effects.Failed(), effects.Failed()]
+    assert started(emitted) == []
+
+
+def test_a_granted_key_is_released_where_the_claimant_was_cancelled(successor: State) -> None:
+    claimant, other = (make_request(number, "keyed", START, idempotency_key=KEY) for number in (1, 2))
+    reduce(successor, claimant, START)
+    reduce(successor, other, START)
+    reduce(successor, events.RequestCancelled(claimant.response_address), START)
+    emitted = reduce(successor, events.KeyClaimDecided(KEY, claimant.attempt_id, granted=True), START)
+    released, claimed = sent_to_peer(emitted)
+    assert released == events.KeyReleased(claimant.attempt_id)
+    assert isinstance(claimed, events.KeyClaimRequested) and claimed.attempt_id == other.attempt_id
+    assert started(emitted) == []
+
+
+def test_a_request_is_rejected_where_the_decision_takes_too_long(successor: State) -> None:
+    emitted = reduce(successor, make_request(1, "keyed", START, idempotency_key=KEY), START)
+    (timer,) = (effect for effect in emitted if isinstance(effect, effects.ScheduleTimer))
+    assert timer.at_ms == START + KEY_CLAIM_TIMEOUT_MS
+    assert responses(reduce(successor, timer.event, timer.at_ms)) == [effects.Rejected()]
+    assert successor.pending_claims[KEY].waiting == []
--- a/tests/core/test_reconfiguration.py
+++ b/tests/core/test_reconfiguration.py
@@ -1,22 +1,20 @@
-"""Settings taken up while serving: in the module, in the reducer, and files that have gaps."""
+"""A reload of the settings while serving: the places of classes, the controller, the node, the records."""
 
 from __future__ import annotations
 
 import copy
 import dataclasses
-import json
-from pathlib import Path
 from typing import Any
 
-import orjson
 import pytest
-from support.exchange import EXAMPLE, START, Player
+from support.core_events import make_request
+from support.exchange import START, Player
 
 from snowthread.admission.actions import Reject, StartRun
 from snowthread.admission.controller import UPDATE_TIMER, Controller
 from snowthread.admission.events import RequestArrived, RunFinished, SettingsChanged, Started, TimerFired
 from snowthread.admission.settings import Idempotency, Outcome, RequestClass, Settings
-from snowthread.config import ConfigError, load, missing_key, parse, shape_of
+from snowthread.config import parse
 from snowthread.core import effects, events
 from snowthread.core.reconfiguration import merge_settings, retention_ms
 from snowthread.records.observer import Observer
@@ -36,7 +34,7 @@
 )
 
 
-def started(settings: Settings = PLAIN) -> Controller:
+def started_controller(settings: Settings = PLAIN) -> Controller:
     controller = Controller(settings, seed=1)
     controller.handle(1.0, Started())
     return controller
@@ -46,36 +44,35 @@
     return dataclasses.replace(PLAIN, classes=classes, **changes)
 
 
-# Places of classes.
+def test_classes_keep_their_places_and_a_removed_class_is_served_during_its_retention() -> None:
+    retired_until_ms: dict[str, float] = {}
+    without_a = merge_settings(PLAIN, with_classes(C, B), retired_until_ms, 1000.0)
+    assert [c.name for c in without_a.classes] == ["a", "b", "c"]
+    assert retired_until_ms == {"a": 1000.0 + retention_ms(A)}
+    changed_a = dataclasses.replace(A, latency_objective_s=9.0)
+    without_b = merge_settings(without_a, with_classes(changed_a, C), retired_until_ms, 2000.0)
+    assert [c.name for c in without_b.classes] == ["a", "b", "c"]
+    assert without_b.classes[0].latency_objective_s == 9.0
+    assert retired_until_ms == {"b": 2000.0 + retention_ms(B)}
+    assert retention_ms(B) == 9000.0
 
 
-def test_classes_keep_their_places_and_a_dropped_one_is_taken_on_for_a_while() -> None:
-    gone: dict[str, float] = {}
-    first = merge_settings(PLAIN, with_classes(C, B), gone, 1000.0)
-    assert [c.name for c in first.classes] == ["a", "b", "c"] and gone == {"a": 1000.0 + retention_ms(A)}
-    back = merge_settings(
-        first, with_classes(dataclasses.replace(A, latency_objective_s=9.0), C), gone, 2000.0
-    )
-    assert [c.name for c in back.classes] == ["a", "b", "c"] and back.classes[0].latency_objective_s == 9.0
-    assert gone == {"b": 2000.0 + retention_ms(B)} and retention_ms(B) == 9000.0
-
-
-def test_a_place_is_anothers_once_its_class_is_long_gone_so_the_list_does_not_grow() -> None:
-    gone: dict[str, float] = {}
+def test_the_place_of_a_class_is_reused_after_its_retention_so_the_list_does_not_grow() -> None:
+    retired_until_ms: dict[str, float] = {}
     settings = PLAIN
-    for n in range(200):
-        settings = merge_settings(
-            settings, with_classes(dataclasses.replace(A, name=f"x{n}")), gone, n * 5000.0
-        )
-    assert len(settings.classes) <= 4 and len(gone) <= 3
-    assert merge_settings(dataclasses.replace(settings, starts_cold=True), PLAIN, gone, 0.0).starts_cold
+    for reload in range(200):
+        only_class = dataclasses.replace(A, name=f"x{reload}")
+        settings = merge_settings(settings, with_classes(only_class), retired_until_ms, reload * 5000.0)
+    assert len(settings.classes) <= 4
+    assert len(retired_until_ms) <= 3
 
 
-# The module.
+def test_a_reload_does_not_change_whether_the_runtime_started_cold() -> None:
+    assert merge_settings(dataclasses.replace(PLAIN, starts_cold=True), PLAIN, {}, 0.0).starts_cold
 
 
-def test_what_was_learned_stays_with_a_class_and_a_new_one_starts_from_nothing() -> None:
-    controller = started()
+def test_estimates_stay_with_their_class_and_a_new_class_starts_without_any() -> None:
+    controller = started_controller()
     for n in range(4):
         now = 1.1 + n
         assert StartRun(n) in controller.handle(now, RequestArrived(n, "a"))
@@ -92,8 +89,8 @@
     assert any(isinstance(a, Reject) for a in controller.handle(7.1, RequestArrived(10, "a")))
 
 
-def test_what_is_open_keeps_its_class_and_its_memory_is_booked_by_the_new_factor() -> None:
-    controller = started()
+def test_an_open_request_keeps_its_class_and_is_booked_by_the_new_memory_factor() -> None:
+    controller = started_controller()
     assert StartRun(1) in controller.handle(1.1, RequestArrived(1, "a", memory_kb=10.0))
     due, kind = controller._reqs[1].due, controller._reqs[1].kind
     controller.handle(
@@ -112,8 +109,8 @@
     assert controller._reqs[2].due == pytest.approx(2.4)
 
 
-def test_limits_follow_the_new_settings() -> None:
-    controller = started()
+def test_limits_of_the_controller_follow_the_new_settings() -> None:
+    controller = started_controller()
     controller.handle(
         1.2, SettingsChanged(with_classes(A, B, cores=5, call_quota=10.0, call_quota_window_s=5.0))
     )
@@ -126,155 +123,58 @@
     assert controller._call_cap > 0.0 and controller._call_floor == 2.0
 
 
-# The node.
-
-
-def settings_of(fields: dict[str, Any], *drop: str, **more: dict[str, Any]) -> dict[str, Any]:
-    """The example's settings with classes dropped and, from copies of the first, added."""
-    made = copy.deepcopy(fields["settings"])
-    made["classes"] = [c for c in made["classes"] if c["name"] not in drop]
-    made["classes"] += [made["classes"][0] | {"name": name} | change for name, change in more.items()]
-    return made
-
-
-def read(n: int, name: str, at: float) -> events.RequestReceived:
-    return events.RequestReceived((1, n), f"{n:016x}", name, b"p", at, 5000.0, 4, 20.0, 0.5, f"k{n}")
+def reloaded_settings(fields: dict[str, Any], *removed: str, **added: dict[str, Any]) -> dict[str, Any]:
+    """Return the settings of a configuration without some classes, and with changed copies of its first."""
+    settings: dict[str, Any] = copy.deepcopy(fields["settings"])
+    settings["classes"] = [c for c in settings["classes"] if c["name"] not in removed]
+    first = settings["classes"][0]
+    settings["classes"] += [first | {"name": name} | changes for name, changes in added.items()]
+    return settings
+
+
+def test_a_node_serves_a_new_class_and_a_removed_one_during_its_retention_only(player: Player) -> None:
+    emitted: list[effects.Effect] = []
+    node, reduce = player.node, player.node._reduce
+
+    def recording_reduce(*arguments: Any) -> list[effects.Effect]:
+        new_effects = reduce(*arguments)
+        emitted.extend(new_effects)
+        return new_effects
+
+    def post(event: events.Event) -> None:
+        emitted.clear()
+        node.post(event)
+
+    node._reduce = recording_reduce
+    post(events.RuntimeConnected(False, 0.0))
+    post(make_request(1, "match", START))
+    player.fields["settings"] = reloaded_settings(player.fields, "match", tint={"deadline_s": 2.0})
+    node.apply_configuration(parse(player.fields))
+
+    post(events.CallRequested(f"{1:016x}", 1, b"c"))  # the open request keeps its class
+    assert any(isinstance(effect, effects.StartCall | effects.SkipCall) for effect in emitted)
+    for number, name in ((2, "tint"), (3, "match")):
+        post(make_request(number, name, START))
+        assert [effect.class_name for effect in emitted if isinstance(effect, effects.StartRun)] == [name]
+
+    player.clock.now_ms += 60_000.0
+    post(make_request(4, "match", player.clock.now_ms))
+    assert [effect.response for effect in emitted if isinstance(effect, effects.SendResponse)] == [
+        effects.Failed()
+    ]
 
 
-def test_a_node_takes_up_classes_and_serves_a_dropped_one_for_its_time_only() -> None:
-    player = Player()
-    try:
-        out: list[effects.Effect] = []
-        node, step = player.node, player.node._reduce
-        node._reduce = lambda *more: (made := step(*more), out.extend(made))[0]
-        node.post(events.RuntimeConnected(False, 0.0))
-        node.post(read(1, "match", START))
-        changed = settings_of(player.fields, "match", tint={"deadline_s": 2.0})
-        player.fields["settings"] = changed
+def test_tenants_follow_the_configuration_file(player: Player) -> None:
+    node = player.node
+    node.post(events.RuntimeConnected(False, 0.0))
+    for projects, names in (([{"name": "x", "quota_per_s": 2.0}], {"x"}), ([], set())):
+        player.fields["settings"] = player.fields["settings"] | {"projects": projects}
         node.apply_configuration(parse(player.fields))
-        out.clear()
-        node.post(events.CallRequested(f"{1:016x}", 1, b"c"))  # what is open goes on as its class did
-        assert any(isinstance(e, effects.StartCall | effects.SkipCall) for e in out)
-        for n, name in ((2, "tint"), (3, "match")):
-            out.clear()
-            node.post(read(n, name, START))
-            assert [e.class_name for e in out if isinstance(e, effects.StartRun)] == [name]
-        player.clock.now_ms += 60_000.0
-        out.clear()
-        node.post(read(4, "match", player.clock.now_ms))
-        assert [e.response for e in out if isinstance(e, effects.SendResponse)] == [effects.Failed()]
-    finally:
-        player.node.loop._close_tasks()
-
-
-def test_tenants_of_the_file_come_and_go() -> None:
-    player = Player()
-    try:
-        node = player.node
-        node.post(events.RuntimeConnected(False, 0.0))
-        for projects, names in (([{"name": "x", "quota_per_s": 2.0}], {"x"}), ([], set())):
-            player.fields["settings"] = player.fields["settings"] | {"projects": projects}
-            node.apply_configuration(parse(player.fields))
-            assert node.state.controller is not None
-            assert set(node.state.controller._tenants) == names
-    finally:
-        player.node.loop._close_tasks()
+        assert node.state.controller is not None
+        assert set(node.state.controller._tenants) == names
 
 
 def test_records_count_by_the_new_classes() -> None:
     observer = Observer(PLAIN, START)
     observer.apply_settings(with_classes(C))
     assert set(observer._latency_objectives_ms) == {"c"}
-
-
-# Files.
-
-
-def loaded(path: Path, fields: object) -> Any:
-    path.write_bytes(fields if isinstance(fields, bytes) else orjson.dumps(fields))
-    return load({"NODE_CONFIG": str(path)})
-
-
-def keys(value: object, at: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
-    """Where every key of a file stands."""
-    found: list[tuple[Any, ...]] = []
-    if isinstance(value, dict):
-        for key, held in value.items():
-            found += [(*at, key), *keys(held, (*at, key))]
-    elif isinstance(value, list):
-        for n, held in enumerate(value):
-            found += keys(held, (*at, n))
-    return found
-
-
-def test_a_file_that_lacks_any_key_is_turned_down_whole(tmp_path: Path) -> None:
-    whole = json.loads(EXAMPLE.read_bytes())
-    old = loaded(tmp_path / "node.json", whole)
-    assert load({"NODE_CONFIG": str(tmp_path / "node.json")}, old) == old
-    common = set.intersection(*(set(c) for c in whole["settings"]["classes"]))
-    wanted = [place for place in keys(whole) if "classes" not in place[:-1] or place[-1] in common]
-    assert len(wanted) > 30
-    for place in wanted:
-        fields = copy.deepcopy(whole)
-        inner = fields
-        for key in place[:-1]:
-            inner = inner[key]
-        del inner[place[-1]]
-        with pytest.raises(ConfigError, match=str(place[-1])):
-            (tmp_path / "node.json").write_bytes(orjson.dumps(fields))
-            load({"NODE_CONFIG": str(tmp_path / "node.json")}, old)
-
-
-def test_a_file_that_is_empty_or_cut_short_at_any_byte_is_turned_down(tmp_path: Path) -> None:
-    whole = EXAMPLE.read_bytes().rstrip()
-    assert len(whole) > 1000 and loaded(tmp_path / "node.json", whole)
-    for cut in range(len(whole)):
-        with pytest.raises(ConfigError, match="not JSON"):
-            loaded(tmp_path / "node.json", whole[:cut])
-
-
-@pytest.mark.parametrize("value", [0, -5, "5", "", None, True, [], {}, b"1e999", b"NaN"])
-@pytest.mark.parametrize("key", ["deadline_s", "goal_time_s"])
-def test_a_deadline_that_is_no_number_above_0_is_turned_down(tmp_path: Path, key: str, value: Any) -> None:
-    fields = json.loads(EXAMPLE.read_bytes())
-    fields["settings"]["classes"][-1][key] = "HERE" if isinstance(value, bytes) else value
-    data = orjson.dumps(fields).replace(b'"HERE"', value if isinstance(value, bytes) else b'"HERE"')
-    with pytest.raises(ConfigError):
-        loaded(tmp_path / "node.json", data)
-
-
-@pytest.mark.parametrize("classes", [5, "x", [5], {"a": 1}, [{"name": "m"}], "twice"])
-def test_classes_that_are_none_are_told_and_end_nothing(tmp_path: Path, classes: Any) -> None:
-    fields = json.loads(EXAMPLE.read_bytes())
-    fields["settings"]["classes"] = fields["settings"]["classes"][:1] * 2 if classes == "twice" else classes
-    with pytest.raises(ConfigError, match="settings"):
-        loaded(tmp_path / "node.json", fields)
-
-
-def test_a_new_class_may_lack_what_only_some_classes_have() -> None:
-    shape = shape_of({"classes": [{"name": "a", "window_s": 1.0}, {"name": "b"}], "empty": [], "null": None})
-    assert missing_key({"classes": [{"name": "c"}], "empty": [], "null": 1}, shape) is None
-    assert missing_key({"classes": [{}], "empty": [], "null": 1}, shape) == "classes: name"
-    assert missing_key({"classes": [], "null": 1}, shape) == "empty"
-
-
-def test_nothing_of_a_bad_file_is_taken_up(tmp_path: Path) -> None:
-    from snowthread.reload import reload
-
-    path = tmp_path / "node.json"
-    player = Player()
-    try:
-        whole = json.loads(EXAMPLE.read_bytes())
-        player.node.config = loaded(path, whole)
-        held = player.node.config
-        bad = copy.deepcopy(whole) | {"runtime": "127.0.0.1:9"}
-        bad["settings"]["classes"][0]["deadline_s"] = -5
-        path.write_bytes(orjson.dumps(bad))
-        reload(player.node, {"NODE_CONFIG": str(path)})
-        assert player.node.config is held and player.node.runtime._address != ("127.0.0.1", 9)
-        assert player.node.state.retired_classes == {}
-        path.write_bytes(orjson.dumps(whole | {"settings": settings_of(whole, tint={})}))
-        reload(player.node, {"NODE_CONFIG": str(path)})
-        assert "tint" in {c.name for c in player.node.state.settings.classes}
-    finally:
-        player.node.loop._close_tasks()
