tests/node: one file a concern on a shared NodeHarness, tests named for behaviour

The node with its peers is NodeHarness now (support/node_harness.py); the recorded exchanges are played by Player on top of it, one method a step; what peers say is in support/node_peers.py. Fixtures start nodes and close them.

--- /dev/null
+++ b/tests/node/test_connection_close.py
@@ -0,0 +1,120 @@
+"""A balancer's connection ends with requests open: each still gets its one answer."""
+
+from __future__ import annotations
+
+import socket
+
+import msgpack
+from support.node_harness import NodeHarness
+from support.node_peers import (
+    HEALTH_CHECK,
+    attempt_id,
+    complete_run,
+    is_closed_by_node,
+    read_answer,
+    read_command,
+    request,
+    send_notice,
+)
+
+from snowthread.net.limits import SWEEP_INTERVAL_MS
+
+MALFORMED = b"\xa5hello"
+SOCKET_BUFFER_BYTES = 4096
+UNSENT_WANTED_BYTES = 16_000  # the node reads from a connection with less than 32 KiB unsent
+CHECKS_MAX = 20_000
+IDLE_ROUNDS_MAX = 2000
+
+
+def connect_with_small_buffers(harness: NodeHarness) -> socket.socket:
+    """Connect the one balancer, with socket buffers that fill soon; it blocks as it sends."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+    sock.connect(harness.node.balancers.address)
+    harness.peers["1"] = sock
+    harness.settle()
+    (connection,) = harness.node.balancers._connections.values()
+    connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
+    return sock
+
+
+def receive_until_closed(harness: NodeHarness, sock: socket.socket) -> bytes:
+    """Return what comes until the node closes, or sends nothing for many rounds of the loop."""
+    sock.setblocking(False)
+    received, idle_rounds = b"", 0
+    while idle_rounds < IDLE_ROUNDS_MAX:
+        harness.node.loop.run_once(0.0005)
+        try:
+            more = sock.recv(65536)
+        except BlockingIOError:
+            idle_rounds += 1
+            continue
+        if not more:
+            break
+        received += more
+    return received
+
+
+def test_open_requests_fail_when_a_malformed_message_ends_their_connection(harness: NodeHarness) -> None:
+    harness.connect("1")
+    harness.send("1", request(1, "match") + request(2, "recalc") + MALFORMED)
+    harness.settle()
+    assert [read_answer(harness, "1")[:3] for _ in range(2)] == [
+        [1, 1, ["Failed", {}]],
+        [1, 2, ["Failed", {}]],
+    ]
+    assert is_closed_by_node(harness, "1")
+    assert [read_command(harness)["action"] for _ in range(4)] == ["start", "start", "stop", "stop"]
+
+
+def test_open_requests_fail_when_a_partial_message_times_out(harness: NodeHarness) -> None:
+    harness.connect("1")
+    harness.send("1", request(1, "match") + request(2, "match")[:30])
+    harness.settle()
+    for _ in range(14):
+        harness.advance(SWEEP_INTERVAL_MS)
+    assert read_answer(harness, "1")[:3] == [1, 1, ["Failed", {}]]
+    assert is_closed_by_node(harness, "1")
+
+
+def test_unsent_answers_go_out_whole_before_their_connection_closes(harness: NodeHarness) -> None:
+    sock = connect_with_small_buffers(harness)
+    (connection,) = harness.node.balancers._connections.values()
+    sent = 0
+    while len(connection.unsent_bytes) < UNSENT_WANTED_BYTES and sent < CHECKS_MAX:
+        sock.sendall(HEALTH_CHECK * 100)
+        sent += 100
+        harness.settle()
+    assert len(connection.unsent_bytes) >= UNSENT_WANTED_BYTES
+    sock.sendall(MALFORMED)
+    harness.settle()
+    unpacker = msgpack.Unpacker()
+    unpacker.feed(receive_until_closed(harness, sock))
+    assert len(list(unpacker)) == sent
+
+
+def test_peer_that_shuts_its_writing_side_gets_answers_to_open_requests(harness: NodeHarness) -> None:
+    harness.connect("1")
+    harness.send("1", request(1, "match"))
+    harness.peers["1"].shutdown(socket.SHUT_WR)
+    harness.settle()
+    assert read_answer(harness, "1")[:3] == [1, 1, ["Failed", {}]]
+    assert is_closed_by_node(harness, "1")
+    assert [read_command(harness)["action"] for _ in range(2)] == ["start", "stop"]
+
+
+def test_peer_that_cancels_the_slower_of_two_copies_stays_connected(harness: NodeHarness) -> None:
+    harness.connect("1", "2")
+    pos = 0
+    for n in range(1, 160, 2):
+        harness.send("1", request(n, "match") + request(n + 1, "match"))
+        for _ in range(2):
+            assert read_command(harness)["action"] == "start"
+        harness.send("1", msgpack.packb([2, "cancel", [n + 1]]))
+        assert read_answer(harness, "1")[:3] == [1, n + 1, ["Failed", {}]]
+        assert read_command(harness)["action"] == "stop"
+        pos += 1
+        send_notice(harness, "end", pos=pos, uid=attempt_id(n + 1), code="aborted", wall_ms=1, content=b"")
+        pos += 1
+        complete_run(harness, pos, n)
+        assert read_answer(harness, "1")[:2] == [1, n], n
--- /dev/null
+++ b/tests/node/test_idempotent_retries.py
@@ -0,0 +1,39 @@
+"""Retries by idempotency key when memory is short."""
+
+from __future__ import annotations
+
+import pytest
+from support.node_harness import StartNode
+from support.node_peers import attempt_id, complete_run, example_settings, read_answer, read_command, request
+
+
+def test_retry_whose_cached_result_was_evicted_fails_and_never_runs_again(start_node: StartNode) -> None:
+    harness = start_node(limits={"memory_mb": 0.05, "sockets": 512})  # room for one result of 4 KiB
+    harness.connect("1")
+    for n in (1, 2):
+        harness.send("1", request(n, "dispense", once=f"k{n}"))
+        assert read_command(harness)["action"] == "start"
+        complete_run(harness, n, n, b"r" * 4000)
+        assert read_answer(harness, "1")[:3] == [1, n, None]
+    for n, failed in ((1, True), (2, False)):
+        harness.send("1", request(10 + n, "dispense", once=f"k{n}"))
+        assert (read_answer(harness, "1")[2] is not None) == failed
+    harness.silent("runtime")
+
+
+@pytest.mark.parametrize("ran", [True, False])
+def test_retry_without_memory_is_rejected_only_if_the_first_attempt_never_ran(
+    start_node: StartNode, ran: bool
+) -> None:
+    harness = start_node(settings=example_settings(memory_kb=200.0))
+    harness.connect("1")
+    for n in () if ran else (1, 2):  # these take both cores
+        harness.send("1", request(n, "match", kb="1"))
+        assert read_command(harness)["action"] == "start"
+    harness.send("1", request(3, "dispense", once="k1", kb="10"))
+    if ran:
+        assert read_command(harness)["uid"] == attempt_id(3)
+    harness.send("1", request(4, "dispense", once="k1", kb="100"))
+    found = read_answer(harness, "1")
+    assert found[1] == 4 and found[2][0] == ("Failed" if ran else "Throttled")
+    harness.silent("runtime")
--- /dev/null
+++ b/tests/node/test_idle_connections.py
@@ -0,0 +1,109 @@
+"""Idle connections are closed while requests arrive: none that was sent in time is lost."""
+
+from __future__ import annotations
+
+import socket
+import struct
+
+import msgpack
+from support.node_harness import NodeHarness
+from support.node_peers import FAREWELL_MESSAGE, read_answer, request, serve_request
+
+from snowthread.frontends.balancers.server import PART_MS, PLACES_LEAST
+from snowthread.net.limits import FIRST_BYTE_TIMEOUT_MS, FRESH_IDLE_MS, SWEEP_INTERVAL_MS
+
+
+def test_request_unread_at_the_end_of_the_farewell_period_is_served(harness: NodeHarness) -> None:
+    harness.connect("1")
+    harness.node.balancers.set_idle_timeout(100.0)
+    harness.advance(SWEEP_INTERVAL_MS)
+    assert read_answer(harness, "1") == FAREWELL_MESSAGE
+    harness.advance_late(PART_MS)
+    harness.send("1", request(1, "match"))
+    serve_request(harness, "1", 1, 1)
+
+
+def test_first_request_unread_at_the_first_byte_timeout_is_served(harness: NodeHarness) -> None:
+    harness.connect("1")
+    harness.advance_late(FIRST_BYTE_TIMEOUT_MS)
+    harness.send("1", request(1, "match"))
+    serve_request(harness, "1", 1, 1)
+
+
+def test_request_unread_on_the_connection_that_would_make_room_is_served(harness: NodeHarness) -> None:
+    harness.node.balancers.set_max_connections(PLACES_LEAST)
+    harness.connect(*(str(n) for n in range(PLACES_LEAST)))
+    harness.clock.now_ms += FRESH_IDLE_MS
+    new = socket.create_connection(harness.node.balancers.address)  # before the request is sent
+    harness.send("0", request(1, "match"))
+    serve_request(harness, "0", 1, 1)
+    assert harness.node.balancers.count() == PLACES_LEAST  # another made room, and only one
+    assert harness.node.balancers.peer_address(PLACES_LEAST + 1) and harness.node.balancers.peer_address(1)
+    new.close()
+
+
+def test_connection_with_a_partial_request_is_not_closed_as_idle_or_to_make_room(
+    harness: NodeHarness,
+) -> None:
+    harness.node.balancers.set_max_connections(PLACES_LEAST)
+    harness.connect(*(str(n) for n in range(PLACES_LEAST)))
+    whole = request(1, "match")
+    harness.send("0", whole[:40])
+    harness.settle()
+    harness.node.balancers.set_idle_timeout(100.0)
+    harness.advance(SWEEP_INTERVAL_MS + 1.0)
+    for n in range(1, PLACES_LEAST):
+        assert read_answer(harness, str(n)) == FAREWELL_MESSAGE
+    harness.silent("0")
+    new = socket.create_connection(harness.node.balancers.address)
+    harness.settle()
+    harness.advance(PART_MS + SWEEP_INTERVAL_MS)
+    harness.send("0", whole[40:])
+    serve_request(harness, "0", 1, 1)
+    new.close()
+
+
+def test_partial_request_that_crossed_a_farewell_is_served(harness: NodeHarness) -> None:
+    harness.connect("1")
+    whole = request(1, "match")
+    harness.node.balancers.set_idle_timeout(100.0)
+    harness.advance(SWEEP_INTERVAL_MS)
+    assert read_answer(harness, "1") == FAREWELL_MESSAGE
+    harness.send("1", whole[:-1])  # it crossed; its last byte comes after the farewell period
+    harness.settle()
+    harness.advance(PART_MS + SWEEP_INTERVAL_MS)
+    harness.send("1", whole[-1:])
+    serve_request(harness, "1", 1, 1)
+
+
+def test_connection_closed_before_its_first_step_leaves_the_table(harness: NodeHarness) -> None:
+    """Where the machine stands still as it accepts, a connection of this round counts as idle for long."""
+    balancers = harness.node.balancers
+    balancers.set_max_connections(PLACES_LEAST)
+    busy = [str(n) for n in range(PLACES_LEAST - 1)]
+    harness.connect(*busy)
+    for n, name in enumerate(busy):
+        harness.send(name, request(100 + n, "match"))
+    harness.settle()
+    first, second = (socket.create_connection(balancers.address) for _ in range(2))
+    assert balancers.accept_all(1)
+    harness.clock.now_ms += FRESH_IDLE_MS
+    assert balancers.accept_all(1)
+    assert balancers.count() == PLACES_LEAST
+    unpacker = msgpack.Unpacker()
+    first.settimeout(5.0)
+    while more := first.recv(100):
+        unpacker.feed(more)
+    assert list(unpacker) == [FAREWELL_MESSAGE]
+    first.close()
+    second.close()
+
+
+def test_farewell_to_all_reaches_the_others_when_one_peer_has_reset(harness: NodeHarness) -> None:
+    harness.connect("1", "2", "3")
+    harness.peers["2"].setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    harness.peers.pop("2").close()  # a reset that the node has not looked at yet
+    harness.node.balancers.say_farewell_to_all()
+    harness.settle()
+    assert read_answer(harness, "1") == read_answer(harness, "3") == FAREWELL_MESSAGE
+    assert harness.node.balancers.count() == 2
--- a/tests/node/test_restart.py
+++ b/tests/node/test_restart.py
@@ -1,6 +1,6 @@
 """A node that is killed with requests in flight and started again at once under the same name and address.
 
-The test is the runtime itself, so that it decides what each life of the node hears, and in which order.
+The test is the runtime itself, so that it decides what each process of the node hears, and in which order.
 """
 
 from __future__ import annotations
@@ -10,24 +10,25 @@
 import signal
 import socket
 import time
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
 import msgpack
-from support.exchange import address, loopback
+from support.node_harness import address, loopback
 from test_program import PATIENCE_S, at, configuration, node
 
 
-class Runtime:
+class RuntimeLink:
     """One link from the node, as the runtime has it."""
 
-    def __init__(self, door: socket.socket) -> None:
-        self.sock, _ = door.accept()
+    def __init__(self, listener: socket.socket) -> None:
+        self.sock, _ = listener.accept()
         self.sock.settimeout(PATIENCE_S)
         self._lines = self.sock.makefile("rb")
 
-    def told(self, action: str) -> dict[str, Any]:
-        """The next command of this kind; gauges asked for before are answered, nothing else may come."""
+    def read_command(self, action: str) -> dict[str, Any]:
+        """Return the next command, which must be of this kind; load samples asked for before it are sent."""
         while True:
             line = self._lines.readline()
             assert line, f"the link ended, {action} was wanted"
@@ -35,13 +36,17 @@
             if fields["action"] == action:
                 return fields
             assert fields["action"] == "gauges", fields
-            self.say("load", echo=fields["echo"], meters=[0.1, 0, 0.1, 1])
+            self.send_notice("load", echo=fields["echo"], meters=[0.1, 0, 0.1, 1])
 
-    def say(self, action: str, **fields: Any) -> None:
+    def send_notice(self, action: str, **fields: Any) -> None:
         self.sock.sendall(json.dumps({"action": action} | fields).encode() + b"\n")
 
+    def complete_run(self, pos: int, attempt_id: str, content: str) -> None:
+        """Send that a run succeeded; the content is in base64."""
+        self.send_notice("end", pos=pos, uid=attempt_id, code="done", wall_ms=9, content=content)
 
-def request(number: int, once: str) -> bytes:
+
+def request(number: int, idempotency_key: str) -> bytes:
     fields = {
         "id": secrets.token_hex(8),
         "at": str(int(time.time() * 1000)),
@@ -49,7 +54,7 @@
         "wait": "5000",
         "kb": "20",
         "rank": "0.5",
-        "once": once,
+        "once": idempotency_key,
     }
     packed: bytes = msgpack.packb([0, number, "dispense", [fields, b"x"]])
     return packed
@@ -61,7 +66,7 @@
     return sock
 
 
-def answer(sock: socket.socket) -> list[Any]:
+def read_answer(sock: socket.socket) -> list[Any]:
     unpacker = msgpack.Unpacker()
     while True:
         more = sock.recv(4096)
@@ -71,45 +76,49 @@
             return list(message)
 
 
-def test_a_life_after_a_kill_knows_nothing_of_what_was_in_flight(tmp_path: Path) -> None:
-    with loopback(socket.SOCK_STREAM) as door, loopback(socket.SOCK_DGRAM) as roster:
-        door.settimeout(PATIENCE_S)
-        roster.settimeout(PATIENCE_S)
-        path = configuration(tmp_path, runtime=address(door), roster=address(roster), stop_ms=1500)
-        with node(path) as process:
-            first = Runtime(door)
-            assert first.told("sync")["pos"] == 0
-            first.say("ready", code="fresh", wall_ms=0)
-            asked = connected(path)
-            asked.sendall(request(1, "k1") + request(2, "k2"))
-            runs = [first.told("start")["uid"] for _ in range(2)]
-            process.send_signal(signal.SIGKILL)
-            process.wait(PATIENCE_S)
-        try:
-            assert asked.recv(100) == b""  # no answer, and no word of another life
-        except ConnectionResetError:
-            pass
-        with node(path) as process:  # the address is free at once, though the first life's connections linger
-            second = Runtime(door)
-            assert second.told("sync")["pos"] == 0
-            second.say("ready", code="seasoned", wall_ms=900)
-            # Runs outlived the node: what they end in or wait for is nobody's any more.
-            second.say("end", pos=1, uid=runs[0], code="done", wall_ms=9, content="b2xk")
-            second.say("wants", pos=2, uid=runs[1], content="Pw==")
-            again = connected(path)
-            again.sendall(request(1, "k1"))
-            uid = second.told("start")["uid"]  # neither the old result nor a call comes before it
-            assert uid not in runs
-            second.say("end", pos=3, uid=uid, code="done", wall_ms=9, content="bmV3")
-            found = answer(again)
+def start_two_runs_and_kill(path: Path, listener: socket.socket) -> tuple[socket.socket, list[str]]:
+    """Kill a node with two runs in flight; return the connection they came over and their attempts' ids."""
+    with node(path) as process:
+        link = RuntimeLink(listener)
+        assert link.read_command("sync")["pos"] == 0
+        link.send_notice("ready", code="fresh", wall_ms=0)
+        connection = connected(path)
+        connection.sendall(request(1, "k1") + request(2, "k2"))
+        runs = [link.read_command("start")["uid"] for _ in range(2)]
+        process.send_signal(signal.SIGKILL)
+        process.wait(PATIENCE_S)
+    return connection, runs
+
+
+def test_restarted_node_knows_nothing_of_what_was_in_flight(tmp_path: Path) -> None:
+    with loopback(socket.SOCK_STREAM) as listener, loopback(socket.SOCK_DGRAM) as registry:
+        listener.settimeout(PATIENCE_S)
+        registry.settimeout(PATIENCE_S)
+        path = configuration(tmp_path, runtime=address(listener), roster=address(registry), stop_ms=1500)
+        old_connection, old_runs = start_two_runs_and_kill(path, listener)
+        with suppress(ConnectionResetError):
+            assert old_connection.recv(100) == b""  # no answer, also not from the next process
+        with node(path) as process:  # the address is free at once, though old connections linger
+            link = RuntimeLink(listener)
+            assert link.read_command("sync")["pos"] == 0
+            link.send_notice("ready", code="seasoned", wall_ms=900)
+            # The runs outlived the node: their results and calls are nobody's any more.
+            link.complete_run(1, old_runs[0], "b2xk")
+            link.send_notice("wants", pos=2, uid=old_runs[1], content="Pw==")
+            connection = connected(path)
+            connection.sendall(request(1, "k1"))
+            attempt_id = link.read_command("start")["uid"]  # neither the old result nor a call comes before
+            assert attempt_id not in old_runs
+            link.complete_run(3, attempt_id, "bmV3")
+            found = read_answer(connection)
             assert found[:3] == [1, 1, None] and found[3][0] == b"new"
-            again.sendall(request(2, "k3"))
-            uid = second.told("start")["uid"]
+            connection.sendall(request(2, "k3"))
+            attempt_id = link.read_command("start")["uid"]
             process.send_signal(signal.SIGTERM)
-            assert answer(again) == [2, "farewell", []]
-            second.say("end", pos=4, uid=uid, code="done", wall_ms=9, content="bmV3")
-            assert answer(again)[:2] == [1, 2]
-            while roster.recv(100) != b"HERE n1 off":  # each life has said that it takes work before
+            assert read_answer(connection) == [2, "farewell", []]
+            link.complete_run(4, attempt_id, "bmV3")
+            assert read_answer(connection)[:2] == [1, 2]
+            while registry.recv(100) != b"HERE n1 off":  # each process has reported that it takes work before
                 pass
             log = process.communicate(timeout=PATIENCE_S)[1]
             assert process.returncode == 0 and "left" in log
--- /dev/null
+++ b/tests/node/test_site_settings.py
@@ -0,0 +1,70 @@
+"""Settings that some sites have and others do not, and what they change on the wire."""
+
+from __future__ import annotations
+
+import pytest
+from support.node_harness import START, NodeHarness, StartNode
+from support.node_peers import (
+    attempt_id,
+    complete_run,
+    example_settings,
+    read_answer,
+    read_command,
+    read_work_command,
+    request,
+    send_notice,
+)
+
+from snowthread import config
+
+RETRY_ROUNDS = 40  # of 50 ms each: by then the retries of a call have ended
+ROUND_MS = 50.0
+CLASS_DEADLINE_MS = 5300.0  # of the class "recalc", in the example
+
+
+@pytest.mark.parametrize("below", ["shared", "tier", "silent"])
+def test_database_address_is_required_only_where_runs_make_calls(below: str) -> None:
+    fields = NodeHarness(settings=example_settings(below=below)).fields
+    assert config.parse(fields).database is not None
+    for absent in ("", None):
+        if below == "silent":
+            assert config.parse(fields | {"index": absent}).database is None
+        else:
+            with pytest.raises(config.ConfigError, match="index: an address is wanted"):
+                config.parse(fields | {"index": absent})
+    with pytest.raises(config.ConfigError, match="index: 'nowhere'"):
+        config.parse(fields | {"index": "nowhere"})
+
+
+def test_call_without_a_database_is_skipped_and_its_run_is_answered(start_node: StartNode) -> None:
+    harness = start_node(
+        settings=example_settings(below="silent", class_skip_worth=[0.6, 0.0, 0.0]), index=""
+    )
+    harness.connect("1")
+    harness.send("1", request(1, "match"))
+    assert read_command(harness)["action"] == "start"
+    send_notice(harness, "wants", pos=1, uid=attempt_id(1), content=b"?")
+    harness.settle()
+    for _ in range(RETRY_ROUNDS):  # no connection is opened for any retry
+        harness.advance(ROUND_MS)
+    assert harness.node.database.connection_count() == 0
+    assert read_work_command(harness) == {"action": "omit", "uid": attempt_id(1), "pos": 1}
+    complete_run(harness, 2, 1)
+    assert read_answer(harness, "1")[2:] == [None, [b"made", {}]]
+
+
+def test_request_without_a_deadline_has_that_of_its_class(start_node: StartNode) -> None:
+    """Where deadlines are not passed on, a request does not say how long its caller waits."""
+    harness = start_node(settings=example_settings(passes_deadline=False))
+    harness.connect("1")
+    harness.send("1", request(1, "recalc", wait=None))
+    assert read_command(harness)["lane"] == "recalc"
+    while harness.clock.now_ms < START + CLASS_DEADLINE_MS - 2 * ROUND_MS:
+        harness.advance(ROUND_MS)
+    harness.silent("1")
+    harness.clock.now_ms = START + CLASS_DEADLINE_MS
+    kind, number, error, result = read_answer(harness, "1")
+    assert (kind, number, error[0], result) == (1, 1, "Throttled", None)
+    for malformed in ("", "soon", "-1"):
+        harness.send("1", request(2, "recalc", wait=malformed))
+        assert read_answer(harness, "1")[:3] == [1, 2, ["Failed", {}]]
--- a/tests/support/exchange.py
+++ b/tests/support/exchange.py
@@ -11,159 +11,163 @@
     index refuse              it is down: connections are refused
     clock +250                milliseconds go by
     NAME silent               nothing more came; also checked for all at the end
-    leave                     the notice to leave
+    leave                     the signal to shut down
     move                      a new configuration: runtime and index are elsewhere now; {index} is the new one
     idle MS                   the decision to close connections idle for so long
 
-{index} stands for the index's address.
+{index} stands for the address of the index, which is the database.
 """
 
 from __future__ import annotations
 
 import codecs
-import json
 import socket
-import time
-from dataclasses import replace
-from pathlib import Path
-from typing import Any
+from collections.abc import Callable
+from typing import Any, NamedTuple
 
-from snowthread import config
-from snowthread.core import events
-from snowthread.net.clock import ManualClock
-from snowthread.node import Node
+from support.node_harness import EXAMPLE, START, NodeHarness, address, loopback
 
-START = 1764576000000.0
-EXAMPLE = Path(__file__).parents[2] / "examples" / "node.json"
-PATIENCE_S = 10.0  # until a step that does not come counts as failed
+__all__ = ["EXAMPLE", "START", "Player", "Step", "address", "loopback"]
 
 
-def loopback(kind: socket.SocketKind) -> socket.socket:
-    """A bound socket on a free port."""
-    sock = socket.socket(socket.AF_INET, kind)
-    sock.bind(("127.0.0.1", 0))
-    if kind is socket.SOCK_STREAM:
-        sock.listen()
-    return sock
+class Step(NamedTuple):
+    """One line of an exchange."""
 
+    who: str
+    action: str
+    argument: str
 
-def address(sock: socket.socket) -> str:
-    """As the configuration has it."""
-    return "{}:{}".format(*sock.getsockname())
+    @classmethod
+    def parse(cls, line: str) -> Step:
+        """Split a line; what it lacks is empty."""
+        who, action, argument = (*line.split(" ", 2), "", "")[:3]
+        return cls(who, action, argument)
 
 
-class Player:
-    """A node and the peers round it."""
+def _unescaped(text: str) -> bytes:
+    return codecs.escape_decode(text.encode())[0]
 
-    def __init__(self, door: int | None = None, folder: str | None = None, **changes: Any) -> None:
-        self.listeners = {"runtime": loopback(socket.SOCK_STREAM), "index": loopback(socket.SOCK_STREAM)}
-        self.peers: dict[str, socket.socket] = {"roster": loopback(socket.SOCK_DGRAM)}
-        fields: dict[str, Any] = json.loads(EXAMPLE.read_bytes())
-        fields |= {name: address(sock) for name, sock in (self.listeners | self.peers).items()}
-        self.clock = ManualClock(START)
-        self.fields = fields | {"listen": "127.0.0.1:0", "admin_addr": "127.0.0.1:0"} | changes
-        self.node = Node(
-            replace(config.parse(self.fields), listen_descriptor=door, handover_directory=folder), self.clock
-        )
-        self.index = fields["index"].encode()
-
-    def settle(self) -> None:
-        for _ in range(12):
-            self.node.loop.run_once(0.0005)
-
-    def came(self, who: str, size: int) -> bytes:
-        """What the node sent, as many bytes as wanted; less where it closes or sends no more."""
-        self.ended = False
-        peer, data, end = self.peers[who], b"", time.monotonic() + PATIENCE_S
-        while len(data) < size and time.monotonic() < end:
-            try:
-                more = peer.recv(size - len(data))
-            except BlockingIOError:
-                self.node.loop.run_once(0.0005)
-                continue
-            if not more:
-                self.ended = True
-                break
-            data += more
-        return data
-
-    def silent(self, who: str) -> None:
-        try:
-            more = self.peers[who].recv(4096)
-        except BlockingIOError:
-            return
-        assert more == b"", f"{who}: unexpected {more!r}"
 
-    def step(self, who: str, what: str, rest: str) -> None:
-        data = codecs.escape_decode(rest.encode())[0].replace(b"{index}", self.index)
-        if who == "clock":
-            self.clock.now_ms += float(what)
-            self.settle()
-        elif who == "leave":
-            self.node.post(events.ShutdownRequested(3200.0))
-            self.node.balancers.say_farewell_to_all()
-        elif who == "move":
-            for name in self.listeners:
-                self.listeners[name].close()
-                self.listeners[name] = loopback(socket.SOCK_STREAM)
-                self.fields[name] = address(self.listeners[name])
-            self.index = self.fields["index"].encode()
-            self.node.apply_configuration(config.parse(self.fields))
-            self.settle()
-        elif who == "idle":
-            self.node.balancers.set_idle_timeout(float(what))
-        elif what == "connect":
-            self.peers[who] = socket.create_connection(self.node.balancers.address)
-        elif what == "call":
-            assert self.node.admin is not None
-            self.peers[who] = socket.create_connection(self.node.admin.address)
-            self.settle()
-        elif what == "accept":
-            self.settle()
-            self.listeners[who].settimeout(PATIENCE_S)
-            self.peers[who] = self.listeners[who].accept()[0]
-            self.settle()
-        elif what == ">":
-            self.peers[who].sendall(data)
-            self.settle()
-        elif what == ">*":
-            count, _, unit = rest.partition(" ")
-            self.peers[who].sendall(codecs.escape_decode(unit.encode())[0] * int(count))
-            self.settle()
-        elif what in ("<", "<*"):
-            if what == "<*":
-                count, _, unit = rest.partition(" ")
-                data = codecs.escape_decode(unit.encode())[0] * int(count)
-            got = self.came(who, len(data))
-            assert got == data, f"came: {got!r}"
-        elif what == "refuse":
-            self.listeners[who].close()
-        elif what == "close":
-            self.peers.pop(who).close()
-            self.settle()
-        elif what == "closed":
-            assert self.came(who, 1) == b"" and self.ended
-            self.peers.pop(who).close()
-        elif what == "silent":
-            self.settle()
-            self.silent(who)
-        else:
-            raise ValueError(f"no such step: {who} {what}")
-        for peer in self.peers.values():
-            peer.setblocking(False)
+def _repeated(argument: str) -> bytes:
+    """Return the bytes of ``COUNT BYTES``."""
+    count, _, unit = argument.partition(" ")
+    return _unescaped(unit) * int(count)
+
+
+class Player(NodeHarness):
+    """A node and its peers, which do what an exchange says."""
+
+    def __init__(self, door: int | None = None, folder: str | None = None, **changes: Any) -> None:
+        super().__init__(door, folder, **changes)
+        self.index = address(self.listeners["index"]).encode()
+        self._named_steps: dict[str, Callable[[Step], None]] = {
+            "clock": self._step_clock,
+            "leave": self._step_leave,
+            "move": self._step_move,
+            "idle": self._step_idle,
+        }
+        self._peer_steps: dict[str, Callable[[Step], None]] = {
+            "connect": self._step_connect,
+            "call": self._step_call,
+            "accept": self._step_accept,
+            ">": self._step_send,
+            ">*": self._step_send_repeated,
+            "<": self._step_receive,
+            "<*": self._step_receive_repeated,
+            "refuse": self._step_refuse,
+            "close": self._step_close,
+            "closed": self._step_closed,
+            "silent": self._step_silent,
+        }
 
     def play(self, text: str) -> None:
+        """Play a whole exchange; AssertionError names the line that went otherwise."""
         try:
             for number, line in enumerate(text.splitlines(), 1):
                 if line.strip() and not line.startswith("#"):
-                    who, what, rest = (*line.split(" ", 2), "", "")[:3]
-                    try:
-                        self.step(who, what, rest)
-                    except AssertionError as error:
-                        raise AssertionError(f"line {number}: {line}: {error}") from error
+                    self._play_line(number, line)
             self.settle()
-            for who in self.peers.keys() - {"roster"}:  # that one is told regularly
+            for who in self.peers.keys() - {"roster"}:  # the registry is reported to regularly
                 self.silent(who)
         finally:
             for sock in (*self.peers.values(), *self.listeners.values()):
                 sock.close()
+
+    def _play_line(self, number: int, line: str) -> None:
+        try:
+            self.step(*Step.parse(line))
+        except AssertionError as error:
+            raise AssertionError(f"line {number}: {line}: {error}") from error
+
+    def step(self, who: str, what: str, rest: str) -> None:
+        """Play one step."""
+        handler = self._named_steps.get(who) or self._peer_steps.get(what)
+        if handler is None:
+            raise ValueError(f"no such step: {who} {what}")
+        handler(Step(who, what, rest))
+        for peer in self.peers.values():
+            peer.setblocking(False)
+
+    def _step_clock(self, step: Step) -> None:
+        self.advance(float(step.action))
+
+    def _step_leave(self, _: Step) -> None:
+        self.begin_shutdown()
+
+    def _step_move(self, _: Step) -> None:
+        for name in self.listeners:
+            self.listeners[name].close()
+            self.listeners[name] = loopback(socket.SOCK_STREAM)
+            self.fields[name] = address(self.listeners[name])
+        self.index = self.fields["index"].encode()
+        self.reload()
+        self.settle()
+
+    def _step_idle(self, step: Step) -> None:
+        self.node.balancers.set_idle_timeout(float(step.action))
+
+    def _step_connect(self, step: Step) -> None:
+        self.open_connection(step.who)
+
+    def _step_call(self, step: Step) -> None:
+        self.connect_operator(step.who)
+
+    def _step_accept(self, step: Step) -> None:
+        self.accept(step.who)
+
+    def _step_send(self, step: Step) -> None:
+        self._send_and_settle(step.who, self._data(step.argument))
+
+    def _step_send_repeated(self, step: Step) -> None:
+        self._send_and_settle(step.who, _repeated(step.argument))
+
+    def _step_receive(self, step: Step) -> None:
+        self._expect(step.who, self._data(step.argument))
+
+    def _step_receive_repeated(self, step: Step) -> None:
+        self._expect(step.who, _repeated(step.argument))
+
+    def _step_refuse(self, step: Step) -> None:
+        self.listeners[step.who].close()
+
+    def _step_close(self, step: Step) -> None:
+        self.close_peer(step.who)
+
+    def _step_closed(self, step: Step) -> None:
+        assert self.came(step.who, 1) == b"" and self.ended
+        self.peers.pop(step.who).close()
+
+    def _step_silent(self, step: Step) -> None:
+        self.settle()
+        self.silent(step.who)
+
+    def _data(self, argument: str) -> bytes:
+        return _unescaped(argument).replace(b"{index}", self.index)
+
+    def _send_and_settle(self, who: str, data: bytes) -> None:
+        self.send(who, data)
+        self.settle()
+
+    def _expect(self, who: str, data: bytes) -> None:
+        got = self.came(who, len(data))
+        assert got == data, f"came: {got!r}"
--- /dev/null
+++ b/tests/support/node_harness.py
@@ -0,0 +1,162 @@
+"""A node in this process, whose peers the test plays on real sockets, with a clock that the test sets.
+
+A test forces the order of two events instead of waiting for it. A round of the loop reads sockets before it
+runs timers, and tasks that a timer woke are resumed first in the round after. ``NodeHarness.advance_late``
+runs one round in which a time is up; what is sent after it lies unread as the node acts on that time, as it
+does where the loop is late. docs/crossings.md lists these orders.
+"""
+
+from __future__ import annotations
+
+import json
+import socket
+import time
+from dataclasses import replace
+from pathlib import Path
+from typing import Any, Protocol
+
+from snowthread import config
+from snowthread.core import events
+from snowthread.net.clock import ManualClock
+from snowthread.node import Node
+
+START = 1764576000000.0
+"""The time at which the clock of each test starts, in Unix milliseconds."""
+
+EXAMPLE = Path(__file__).parents[2] / "examples" / "node.json"
+PATIENCE_S = 10.0  # until what does not come counts as missing
+SETTLE_ROUNDS = 12  # of the loop, which is enough for what was sent to have all its effects
+POLL_S = 0.0005
+GRACE_MS = 3200.0  # of a shutdown
+
+
+def loopback(kind: socket.SocketKind) -> socket.socket:
+    """Return a socket that is bound to a free port, and listens where it is of a kind that can."""
+    sock = socket.socket(socket.AF_INET, kind)
+    sock.bind(("127.0.0.1", 0))
+    if kind is socket.SOCK_STREAM:
+        sock.listen()
+    return sock
+
+
+def address(sock: socket.socket) -> str:
+    """Return the address of a socket as the configuration has it."""
+    return "{}:{}".format(*sock.getsockname())
+
+
+class NodeHarness:
+    """A node and its peers, by name.
+
+    ``runtime`` and ``index`` (the database) are listeners until the test accepts the node's connection;
+    ``roster`` (the registry) is a datagram socket. Balancers and operators connect under names of their own.
+    """
+
+    def __init__(self, door: int | None = None, folder: str | None = None, **changes: Any) -> None:
+        """Make a node with changes to the example's configuration; ``door`` is a listening descriptor."""
+        self.listeners = {"runtime": loopback(socket.SOCK_STREAM), "index": loopback(socket.SOCK_STREAM)}
+        self.peers: dict[str, socket.socket] = {"roster": loopback(socket.SOCK_DGRAM)}
+        fields: dict[str, Any] = json.loads(EXAMPLE.read_bytes())
+        fields |= {name: address(sock) for name, sock in (self.listeners | self.peers).items()}
+        self.clock = ManualClock(START)
+        self.fields = fields | {"listen": "127.0.0.1:0", "admin_addr": "127.0.0.1:0"} | changes
+        self.node = Node(
+            replace(config.parse(self.fields), listen_descriptor=door, handover_directory=folder), self.clock
+        )
+        self.ended = False  # whether the peer that was received from last was closed by the node
+
+    def close(self) -> None:
+        """Close the node's sockets and those of its peers."""
+        self.node.loop._close_tasks()
+        for sock in (*self.peers.values(), *self.listeners.values()):
+            sock.close()
+
+    def settle(self) -> None:
+        """Run the loop until what was sent has had its effects."""
+        for _ in range(SETTLE_ROUNDS):
+            self.node.loop.run_once(POLL_S)
+
+    def advance(self, ms: float) -> None:
+        """Let time go by and the loop run."""
+        self.clock.now_ms += ms
+        self.settle()
+
+    def advance_late(self, ms: float) -> None:
+        """Let time go by and the loop run one round: what is sent next lies unread as it acts on the time."""
+        self.clock.now_ms += ms
+        self.node.loop.run_once(0.0)
+
+    def connect(self, *names: str) -> None:
+        """Connect balancers, one after the other."""
+        for name in names:
+            self.open_connection(name)
+            self.settle()
+
+    def open_connection(self, name: str) -> None:
+        """Connect a balancer that the node has not accepted yet."""
+        self._add_peer(name, socket.create_connection(self.node.balancers.address))
+
+    def connect_operator(self, name: str) -> None:
+        """Connect an operator to the admin address."""
+        assert self.node.admin is not None
+        self._add_peer(name, socket.create_connection(self.node.admin.address))
+        self.settle()
+
+    def accept(self, name: str) -> None:
+        """Accept the node's connection to its runtime or database."""
+        self.settle()
+        self.listeners[name].settimeout(PATIENCE_S)
+        self._add_peer(name, self.listeners[name].accept()[0])
+        self.settle()
+
+    def _add_peer(self, name: str, sock: socket.socket) -> None:
+        sock.setblocking(False)
+        self.peers[name] = sock
+
+    def send(self, name: str, data: bytes) -> None:
+        """Send to the node, which has not read it yet."""
+        self.peers[name].sendall(data)
+
+    def came(self, who: str, size: int) -> bytes:
+        """Return what the node sent, as many bytes as wanted; fewer where it closes or sends no more."""
+        self.ended = False
+        peer, data, end = self.peers[who], b"", time.monotonic() + PATIENCE_S
+        while len(data) < size and time.monotonic() < end:
+            try:
+                more = peer.recv(size - len(data))
+            except BlockingIOError:
+                self.node.loop.run_once(POLL_S)
+                continue
+            if not more:
+                self.ended = True
+                break
+            data += more
+        return data
+
+    def silent(self, who: str) -> None:
+        """Check that the node has sent nothing more."""
+        try:
+            more = self.peers[who].recv(4096)
+        except BlockingIOError:
+            return
+        assert more == b"", f"{who}: unexpected {more!r}"
+
+    def close_peer(self, name: str) -> None:
+        """Close a peer's connection."""
+        self.peers.pop(name).close()
+        self.settle()
+
+    def reload(self, **changes: Any) -> None:
+        """Give the node a configuration with changes."""
+        self.node.apply_configuration(config.parse(self.fields | changes))
+
+    def begin_shutdown(self) -> None:
+        """Post what a signal to shut down posts."""
+        self.node.post(events.ShutdownRequested(GRACE_MS))
+        self.node.balancers.say_farewell_to_all()
+
+
+class StartNode(Protocol):
+    """Starts a node with changes to the example's configuration, and makes its runtime ready."""
+
+    def __call__(self, **changes: Any) -> NodeHarness:
+        """Return the started node."""
--- /dev/null
+++ b/tests/support/node_peers.py
@@ -0,0 +1,132 @@
+"""What a node's peers say and hear, in terms of their protocols: a balancer's requests, a runtime's lines."""
+
+from __future__ import annotations
+
+import base64
+import json
+from copy import deepcopy
+from typing import Any
+
+import msgpack
+
+from snowthread.frontends.balancers.codec import FAREWELL
+from support.node_harness import EXAMPLE, START, NodeHarness
+
+FAREWELL_MESSAGE = [2, "farewell", []]
+DATABASE_REPLY = b"HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\nr"
+HEALTH_CHECK = b"\x94\x00\x01\xa6health\x91\x80"  # request number 1
+
+
+def example_settings(**domain: Any) -> dict[str, Any]:
+    """Return the example's settings with changes to its ``domain``."""
+    found = deepcopy(json.loads(EXAMPLE.read_bytes())["settings"])
+    found["domain"] |= domain
+    assert isinstance(found, dict)
+    return found
+
+
+def attempt_id(number: int) -> str:
+    """Return the id of the request that ``request`` makes with this number."""
+    return f"{number:016x}"
+
+
+def request(number: int, method: str, at: float = START, **fields: Any) -> bytes:
+    """Return a balancer's request; a field of None is left out."""
+    all_fields = {
+        "id": attempt_id(number),
+        "at": str(int(at)),
+        "from": "1",
+        "wait": "5000",
+        "kb": "20",
+        "rank": "0.5",
+    } | fields
+    present = {name: value for name, value in all_fields.items() if value is not None}
+    packed: bytes = msgpack.packb([0, number, method, [present, b"x"]])
+    return packed
+
+
+def read_answer(harness: NodeHarness, who: str) -> list[Any]:
+    """Return the next message that a balancer gets."""
+    unpacker = msgpack.Unpacker()
+    while True:
+        more = harness.came(who, 1)
+        assert more, "no answer came"
+        unpacker.feed(more)
+        for found in unpacker:
+            return list(found)
+
+
+def read_command(harness: NodeHarness) -> dict[str, Any]:
+    """Return the next line that the runtime gets."""
+    line = b""
+    while not line.endswith(b"\n"):
+        more = harness.came("runtime", 1)
+        assert more, "nothing came"
+        line += more
+    return dict(json.loads(line))
+
+
+def read_work_command(harness: NodeHarness) -> dict[str, Any]:
+    """Return the next line that the runtime gets and that does not just ask for a load sample."""
+    command = read_command(harness)
+    while command["action"] == "gauges":
+        command = read_command(harness)
+    return command
+
+
+def send_notice(harness: NodeHarness, action: str, **fields: Any) -> None:
+    """Send a line as the runtime; its ``content`` is given in plain bytes."""
+    if "content" in fields:
+        fields["content"] = base64.b64encode(fields["content"]).decode()
+    harness.send("runtime", json.dumps({"action": action} | fields).encode() + b"\n")
+
+
+def complete_run(harness: NodeHarness, pos: int, number: int, content: bytes = b"made") -> None:
+    """Send, as the runtime, that the run of a request succeeded; ``pos`` numbers the runtime's notices."""
+    send_notice(harness, "end", pos=pos, uid=attempt_id(number), code="done", wall_ms=9, content=content)
+
+
+def send_load_sample(harness: NodeHarness, echo: str) -> None:
+    """Send a load sample as the runtime, and let the node take it in."""
+    send_notice(harness, "load", echo=echo, meters=[0.1, 0, 0.1, 1])
+    harness.settle()
+
+
+def make_runtime_ready(harness: NodeHarness) -> None:
+    """Accept the link to the runtime, and be ready as a runtime that has started."""
+    harness.accept("runtime")
+    _expect_line(harness, b'{"action":"sync","pos":0}\n')
+    send_notice(harness, "ready", code="seasoned", wall_ms=0)
+    harness.settle()
+    _expect_line(harness, b'{"action":"gauges","echo":"sync-1"}\n')
+
+
+def _expect_line(harness: NodeHarness, line: bytes) -> None:
+    assert harness.came("runtime", len(line)) == line
+
+
+def reconnect_runtime(harness: NodeHarness, pos: int, echo: str) -> None:
+    """Accept the node's next link to the runtime, which went on all the while."""
+    harness.advance(500.0)
+    harness.accept("runtime")
+    assert read_command(harness) == {"action": "sync", "pos": pos}
+    send_notice(harness, "ready", code="seasoned", wall_ms=9000)
+    assert read_command(harness) == {"action": "gauges", "echo": echo}
+    send_load_sample(harness, echo)
+
+
+def serve_request(harness: NodeHarness, who: str, number: int, pos: int) -> None:
+    """Check that a request is run, and that its result comes back once the run has completed."""
+    command = read_work_command(harness)
+    assert command["action"] == "start" and command["uid"] == attempt_id(number)
+    complete_run(harness, pos, number)
+    found = read_answer(harness, who)
+    assert found[:3] == [1, number, None] and found[3][0] == b"made"
+
+
+def is_closed_by_node(harness: NodeHarness, who: str) -> bool:
+    """Return whether the node closes, by a reset or not, and says no more than a farewell before."""
+    try:
+        return harness.came(who, 100) in (b"", FAREWELL) and harness.ended
+    except ConnectionError:
+        return True
