--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements: each is run by itself, with --seed and --short, and ends with one JSON object."""
+"""Benchmarks: each is a program with ``--seed`` and ``--short`` whose last line is one JSON object."""
--- a/benchmarks/hot_restart.py
+++ b/benchmarks/hot_restart.py
@@ -1,8 +1,9 @@
-"""A node's process replaced twice under load, against the same load with no replacement in the same run.
+"""Measure two hot restarts under load, against the same load without one in the same run.
 
-Balancers keep their connections until they are told to go; a third of the keyed requests is tried again soon
-after, on whichever process it reaches. Counted: what is served, lost, answered twice or late; keys that were
-run twice; what the roster hears; how soon the new process is ready; memory of both together.
+Balancers keep their connections until they get a farewell. A third of the requests with an idempotency key
+is retried soon after, on whichever process the retry reaches. Counted are the requests that were served,
+lost, answered twice or late, the keys that were run twice, the registrations withdrawn, the time until a new
+process is ready, and the memory of both processes together.
 
     python -m benchmarks.hot_restart [--seed N] [--short]
 """
@@ -20,6 +21,7 @@
 import tempfile
 import time
 from collections import Counter
+from dataclasses import dataclass
 from functools import partial
 from http.client import HTTPConnection
 from pathlib import Path
@@ -31,168 +33,224 @@
 from snowthread.net.clock import Clock
 from snowthread.net.loop import EventLoop, TaskSteps, Wait
 
-CORES, RUN_MS, USE = 8, 100.0, 0.7
-MIX = {"match": 0.5, "recalc": 0.3, "dispense": 0.2}
-WAIT_MS = 3000.0
-AIMS = {"ratio": 0.98, "ready_ms": 3000.0}
+CORES = 8
+RUN_MS = 100.0  # of core time for each run
+UTILISATION = 0.7  # of the cores, by the requests
+CLASS_SHARES = {"match": 0.5, "recalc": 0.3, "dispense": 0.2}
+KEYED_CLASS = "dispense"
+RETRY_SHARE = 1 / 3  # of the requests with a key
+RETRY_AFTER_MS = (1.0, 600.0)  # between these two, evenly
+REQUEST_TIMEOUT_MS = 3000.0
+SETTLE_MS = 300.0  # after the last request's timeout
+READY_POLL_MS = 20.0
+SOURCES = [f"127.0.0.{last}" for last in range(2, 10)]
+SECONDS, SECONDS_SHORT = 40.0, 10.0
+RESTARTS_AT = (0.25, 0.65)  # as shares of the load's length
+MIN_RATIO = 0.98  # of the share served with restarts to that without
+MAX_READY_MS = 3000.0
 
 
-class Day:
-    """One stretch of load on one node, whichever process it is."""
+@dataclass(frozen=True, slots=True)
+class NodeProcess:
+    """A process of the node, and the address of its admin server."""
 
-    def __init__(self, folder: Path, seed: int, seconds: float, replace_at: list[float]) -> None:
-        self.loop, self.folder, self.rng = EventLoop(Clock()), folder, random.Random(seed)
-        self.seconds, self.replace_at = seconds, replace_at
-        self.started: list[str] = []
-        self.offs = 0
+    process: subprocess.Popen[bytes]
+    admin: str
+
+
+class LoadRun:
+    """One stretch of load on one node, whichever process serves it."""
+
+    def __init__(self, folder: Path, seed: int, seconds: float, restarts_at_s: list[float]) -> None:
+        self.loop, self.folder, self.random = EventLoop(Clock()), folder, random.Random(seed)
+        self.seconds, self.restarts_at_s = seconds, restarts_at_s
+        self.started_runs: list[str] = []  # attempts
+        self.withdrawals = 0  # of the registration
         self.ready_ms: list[float] = []
         self.private_mb: list[float] = []
-        self.door = socket.create_server(("127.0.0.1", 0), backlog=512)
-        self.fields = json.loads((ROOT / "examples" / "node.json").read_bytes())
-        self.fields |= {name: free_address() for name in ("runtime", "index")}
-        self.fields |= {
-            "roster": free_address(socket.SOCK_DGRAM),
-            "listen": "{}:{}".format(*self.door.getsockname()),
-        }
-        self.fields["settings"]["domain"]["cores"] = CORES
-        script = SiteScript(other_ms=RUN_MS, cores=CORES, tell=self._tell)
-        self.script = script
-        SiteEmulator(self.loop, self.fields, script)
-        self.processes = [self._start(self.fields["runtime"])]
+        self.listening = socket.create_server(("127.0.0.1", 0), backlog=512)
+        self.fields = self._configuration()
+        self.script = SiteScript(other_ms=RUN_MS, cores=CORES, tell=self._count_line)
+        SiteEmulator(self.loop, self.fields, self.script)
+        self.processes = [self._start_process(self.fields["runtime"])]
+
+    def _configuration(self) -> dict[str, Any]:
+        fields: dict[str, Any] = json.loads((ROOT / "examples" / "node.json").read_bytes())
+        fields |= {name: free_address() for name in ("runtime", "index")}
+        fields["roster"] = free_address(socket.SOCK_DGRAM)
+        fields["listen"] = "{}:{}".format(*self.listening.getsockname())
+        fields["settings"]["domain"]["cores"] = CORES
+        return fields
 
-    def _tell(self, line: str) -> None:
+    def _count_line(self, line: str) -> None:
+        """Count a line of the emulated site: a run started, or the registration withdrawn."""
         words = line.split()
         if words[0] == "runtime:":
-            self.started.append(words[2])
-        self.offs += line.startswith("roster:") and line.endswith("off")
+            self.started_runs.append(words[2])
+        self.withdrawals += line.startswith("roster:") and line.endswith("off")
 
-    def _start(self, runtime: str) -> tuple[subprocess.Popen[bytes], str]:
+    def _start_process(self, runtime: str) -> NodeProcess:
         admin = free_address()
         path = self.folder / f"node{len(self.ready_ms)}{os.urandom(2).hex()}.json"
         path.write_text(json.dumps(self.fields | {"runtime": runtime, "admin_addr": admin}))
-        made = subprocess.Popen(
+        variables = {
+            "NODE_CONFIG": str(path),
+            "NODE_FD": str(self.listening.fileno()),
+            "TMPDIR": str(self.folder),
+            "PYTHONPATH": str(ROOT),
+        }
+        process = subprocess.Popen(
             [sys.executable, "-m", "snowthread"],
             cwd=ROOT,
             stderr=subprocess.DEVNULL,
-            pass_fds=(self.door.fileno(),),
-            env=os.environ
-            | {
-                "NODE_CONFIG": str(path),
-                "NODE_FD": str(self.door.fileno()),
-                "TMPDIR": str(self.folder),
-                "PYTHONPATH": str(ROOT),
-            },
+            pass_fds=(self.listening.fileno(),),
+            env=os.environ | variables,
         )
-        return made, admin
-
-    def _ready(self, admin: str) -> TaskSteps:
-        """Ask until it says yes. The call blocks this loop for a millisecond at most: it is on loopback."""
-        address = Address.parse(admin)
-        while True:
-            connection = HTTPConnection(address.host, address.port, timeout=0.2)
-            try:
-                connection.request("GET", "/-/ready")
-                if connection.getresponse().status == 200:
-                    return
-            except OSError:
-                pass
-            finally:
-                connection.close()
-            yield Wait(until=self.loop.clock.now() + 20.0)
-
-    def _replace(self) -> TaskSteps:
+        return NodeProcess(process, admin)
+
+    def _wait_until_ready(self, admin: str) -> TaskSteps:
+        while not is_ready(Address.parse(admin)):
+            yield Wait(until=self.loop.clock.now() + READY_POLL_MS)
+
+    def _restart(self) -> TaskSteps:
+        """Replace the process that serves by a new one with a runtime of its own."""
         runtime = free_address()
         RuntimeEmulator(self.loop, Address.parse(runtime), self.script)
-        (old, _), began = self.processes[-1], self.loop.clock.now()
-        new, admin = self._start(runtime)
-        self.processes.append((new, admin))
-        yield from self._ready(admin)
-        self.ready_ms.append(self.loop.clock.now() - began)
-        self.private_mb.append(private_mb(old.pid) + private_mb(new.pid))
+        old, began_ms = self.processes[-1].process, self.loop.clock.now()
+        new = self._start_process(runtime)
+        self.processes.append(new)
+        yield from self._wait_until_ready(new.admin)
+        self.ready_ms.append(self.loop.clock.now() - began_ms)
+        self.private_mb.append(private_mb(old.pid) + private_mb(new.process.pid))
         old.send_signal(signal.SIGTERM)
 
-    def _begin(self) -> None:
-        self.loop.spawn(self._replace())
-
-    @staticmethod
-    def _ask(load: Load, source: str, kind: str, once: str) -> None:
-        load.ask(source, kind, once)
+    def _spawn_restart(self) -> None:
+        self.loop.spawn(self._restart())
 
     def play(self) -> dict[str, Any]:
-        """Load, with the replacements at their times; what came of it."""
-        first = self.loop.spawn(self._ready(self.processes[0][1]))
+        """Play the load with its restarts; return the figures."""
+        first = self.loop.spawn(self._wait_until_ready(self.processes[0].admin))
         while first.steps is not None:
             self.loop.run_once(0.02)
-        load = Load(self.fields["listen"], [f"127.0.0.{n}" for n in range(2, 10)], WAIT_MS, self.loop)
-        begin, at = self.loop.clock.now(), 0.0
-        while at < self.seconds * 1000.0:
-            at += self.rng.expovariate(CORES * USE / RUN_MS)
-            kind = self.rng.choices(list(MIX), list(MIX.values()))[0]
-            once = f"{self.rng.getrandbits(128):032x}" if kind == "dispense" else ""
-            source = f"127.0.0.{self.rng.randrange(2, 10)}"
-            self.loop.call_at(begin + at, partial(self._ask, load, source, kind, once))
-            if once and self.rng.random() < 1 / 3:
-                again, source = at + self.rng.uniform(1.0, 600.0), f"127.0.0.{self.rng.randrange(2, 10)}"
-                self.loop.call_at(begin + again, partial(self._ask, load, source, kind, once))
-        for seconds in self.replace_at:
-            self.loop.call_at(begin + seconds * 1000.0, self._begin)
-        load.run_until(begin + self.seconds * 1000.0 + WAIT_MS + 300.0)
-        keys = {asked.uid: asked.once for asked in load.asked}
-        runs = Counter(keys[uid] for uid in self.started if keys.get(uid))
-        left = [process.poll() for process, _ in self.processes[:-1]]
-        self.processes[-1][0].kill()
-        served = sum(any(word == SERVED for _, word in a.answers) for a in load.asked)
-        return broken_rules(load.asked, WAIT_MS) | {
+        load = Load(self.fields["listen"], SOURCES, REQUEST_TIMEOUT_MS, self.loop)
+        begin_ms = self.loop.clock.now()
+        self._schedule_requests(load, begin_ms)
+        for at_s in self.restarts_at_s:
+            self.loop.call_at(begin_ms + at_s * 1000.0, self._spawn_restart)
+        load.run_until(begin_ms + self.seconds * 1000.0 + REQUEST_TIMEOUT_MS + SETTLE_MS)
+        return self._figures(load)
+
+    def _schedule_requests(self, load: Load, begin_ms: float) -> None:
+        """Schedule Poisson arrivals, and a retry of some of those with a key."""
+        classes, shares = list(CLASS_SHARES), list(CLASS_SHARES.values())
+        offset_ms = 0.0
+        while offset_ms < self.seconds * 1000.0:
+            offset_ms += self.random.expovariate(CORES * UTILISATION / RUN_MS)
+            class_name = self.random.choices(classes, shares)[0]
+            key = f"{self.random.getrandbits(128):032x}" if class_name == KEYED_CLASS else ""
+            self._schedule_request(load, begin_ms + offset_ms, class_name, key)
+            if key and self.random.random() < RETRY_SHARE:
+                retry_ms = offset_ms + self.random.uniform(*RETRY_AFTER_MS)
+                self._schedule_request(load, begin_ms + retry_ms, class_name, key)
+
+    def _schedule_request(self, load: Load, at_ms: float, class_name: str, key: str) -> None:
+        source = f"127.0.0.{self.random.randrange(2, 10)}"
+        self.loop.call_at(at_ms, partial(_ask, load, source, class_name, key))
+
+    def _figures(self, load: Load) -> dict[str, Any]:
+        keys = {request.uid: request.once for request in load.asked}
+        runs_by_key = Counter(keys[attempt] for attempt in self.started_runs if keys.get(attempt))
+        exit_codes = [replaced.process.poll() for replaced in self.processes[:-1]]
+        self.processes[-1].process.kill()
+        served = sum(any(word == SERVED for _, word in request.answers) for request in load.asked)
+        return broken_rules(load.asked, REQUEST_TIMEOUT_MS) | {
             "served": served / len(load.asked),
-            "keys_run": len(runs),
-            "keys_run_twice": sum(n > 1 for n in runs.values()),
-            "roster_off": self.offs,
-            "ready_ms": [round(ms) for ms in self.ready_ms],
-            "left": left,
-            "private_mb": [round(mb, 1) for mb in self.private_mb],
+            "keys_run": len(runs_by_key),
+            "keys_run_twice": sum(runs > 1 for runs in runs_by_key.values()),
+            "roster_off": self.withdrawals,
+            "ready_ms": [round(ready_ms) for ready_ms in self.ready_ms],
+            "left": exit_codes,
+            "private_mb": [round(size_mb, 1) for size_mb in self.private_mb],
         }
 
     def close(self) -> None:
-        """End what was started."""
-        for process, _ in self.processes:
-            process.kill()
-            process.wait()
-        self.door.close()
+        """End the processes and close the listening socket."""
+        for node in self.processes:
+            node.process.kill()
+            node.process.wait()
+        self.listening.close()
+
+
+def _ask(load: Load, source: str, class_name: str, key: str) -> None:
+    load.ask(source, class_name, key)
+
+
+def is_ready(admin: Address) -> bool:
+    """Tell whether a process accepts clients. On loopback the call takes a millisecond at most."""
+    connection = HTTPConnection(admin.host, admin.port, timeout=0.2)
+    try:
+        connection.request("GET", "/-/ready")
+        return connection.getresponse().status == 200
+    except OSError:
+        return False
+    finally:
+        connection.close()
 
 
 def private_mb(pid: int) -> float:
-    """Memory that is this process's own."""
+    """Return the memory in MB that a process shares with no other."""
     for line in Path(f"/proc/{pid}/smaps_rollup").read_text().splitlines():
         if line.startswith("Private_Dirty:"):
             return int(line.split()[1]) / 1024.0
     return 0.0
 
 
+def play(seed: int, seconds: float, restarts_at_s: list[float]) -> dict[str, Any]:
+    """Play one stretch of load in a folder of its own."""
+    with tempfile.TemporaryDirectory() as folder:
+        run = LoadRun(Path(folder), seed, seconds, restarts_at_s)
+        try:
+            return run.play()
+        finally:
+            run.close()
+
+
+def missed_objectives(replaced: dict[str, Any], ratio: float) -> list[str]:
+    """Return the names of the figures that miss their objective."""
+    must_be_zero = ("lost", "doubled", "late", "keys_run_twice", "roster_off")
+    missed = [name for name in must_be_zero if replaced[name]]
+    if replaced["left"] != [0, 0]:
+        missed.append("left")
+    if ratio < MIN_RATIO:
+        missed.append("ratio")
+    if max(replaced["ready_ms"], default=1e9) > MAX_READY_MS:
+        missed.append("ready_ms")
+    return missed
+
+
 def main() -> int:
-    """Run both, print one JSON object; 1 where an aim is missed."""
+    """Run both, print one JSON object; return 1 where an objective is missed."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--short", action="store_true")
     options = parser.parse_args()
-    seconds = 10.0 if options.short else 40.0
-    found: dict[str, Any] = {"seed": options.seed, "seconds": seconds}
+    seconds = SECONDS_SHORT if options.short else SECONDS
     began = time.monotonic()
-    for name, at in (("calm", []), ("replaced", [seconds * 0.25, seconds * 0.65])):
-        with tempfile.TemporaryDirectory() as folder:
-            day = Day(Path(folder), options.seed, seconds, list(at))
-            try:
-                found[name] = day.play()
-            finally:
-                day.close()
-    replaced = found["replaced"]
-    found["ratio"] = round(replaced["served"] / found["calm"]["served"], 4)
-    found["took_s"] = round(time.monotonic() - began, 1)
-    wrong = [name for name in ("lost", "doubled", "late", "keys_run_twice", "roster_off") if replaced[name]]
-    wrong += ["left"] if replaced["left"] != [0, 0] else []
-    wrong += ["ratio"] if found["ratio"] < AIMS["ratio"] else []
-    wrong += ["ready_ms"] if max(replaced["ready_ms"], default=1e9) > AIMS["ready_ms"] else []
-    print(json.dumps(found | {"missed": wrong}))
-    return 1 if wrong else 0
+    calm = play(options.seed, seconds, [])
+    replaced = play(options.seed, seconds, [seconds * share for share in RESTARTS_AT])
+    ratio = round(replaced["served"] / calm["served"], 4)
+    missed = missed_objectives(replaced, ratio)
+    result = {
+        "seed": options.seed,
+        "seconds": seconds,
+        "calm": calm,
+        "replaced": replaced,
+        "ratio": ratio,
+        "took_s": round(time.monotonic() - began, 1),
+        "missed": missed,
+    }
+    print(json.dumps(result))
+    return 1 if missed else 0
 
 
 if __name__ == "__main__":
--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -1,4 +1,4 @@
-"""What the measurements share: processes on loopback that end with them, and a load that counts requests."""
+"""Parts that benchmarks share: processes on loopback, a load that counts its requests, and figures."""
 
 from __future__ import annotations
 
@@ -8,31 +8,35 @@
 import socket
 import subprocess
 import sys
+from collections import Counter
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
-from typing import Any
+from typing import IO, Any
 
 from emulators.load_generator import FAILED, REFUSED, SERVED, Asked, Load
 
 __all__ = ["FAILED", "REFUSED", "SERVED", "Asked", "Load"]
 
 ROOT = Path(__file__).parent.parent
+FREE_PORTS = range(20_000, 32_000)  # below those that the system gives to outgoing connections
+LATE_SLACK_MS = 110.0  # beyond its timeout, until an answer counts as late
+MIN_REQUESTS_PER_SECOND = 5  # of a second whose share is told
 
 
 def free_address(kind: socket.SocketKind = socket.SOCK_STREAM) -> str:
-    """A loopback address with a free port, below those that the load's own connections are given."""
+    """Return a loopback address with a free port that no outgoing connection is given."""
     while True:
         with socket.socket(socket.AF_INET, kind) as sock:
             try:
-                sock.bind(("0.0.0.0", random.randrange(20_000, 32_000)))
+                sock.bind(("0.0.0.0", random.choice(FREE_PORTS)))
             except OSError:
                 continue
             return f"127.0.0.1:{sock.getsockname()[1]}"
 
 
 def configuration(folder: Path, cores: int, **changes: Any) -> Path:
-    """The example's configuration on free ports."""
+    """Write the example's configuration on free ports and return its path."""
     fields = json.loads((ROOT / "examples" / "node.json").read_bytes())
     for name in ("listen", "runtime", "index"):
         fields[name] = free_address()
@@ -48,7 +52,7 @@
 def process(
     *command: str, ready: str, where: str = "stdout", cwd: Path = ROOT, **environment: str
 ) -> Iterator[subprocess.Popen[str]]:
-    """A process that is ready once it says so, and ends with the block."""
+    """Run a Python program in the block, from when it has written ``ready`` to the stream ``where``."""
     made = subprocess.Popen(
         [sys.executable, *command],
         cwd=cwd,
@@ -59,62 +63,71 @@
         env=os.environ | {"PYTHONPATH": str(cwd)} | environment,
     )
     try:
-        stream = made.stdout if where == "stdout" else made.stderr
-        assert stream is not None
-        lines = []
-        for line in iter(stream.readline, ""):
-            lines.append(line)
-            if ready in line:
-                break
-        else:
-            raise RuntimeError(f"{command} did not start: {lines}")
+        _wait_for_line(made.stdout if where == "stdout" else made.stderr, ready, command)
         yield made
     finally:
         made.kill()
         made.wait()
 
 
+def _wait_for_line(stream: IO[str] | None, ready: str, command: tuple[str, ...]) -> None:
+    assert stream is not None
+    lines = []
+    for line in iter(stream.readline, ""):
+        lines.append(line)
+        if ready in line:
+            return
+    raise RuntimeError(f"{command} did not start: {lines}")
+
+
 def cpu_s(pid: int) -> float:
-    """Seconds of CPU that a process has used."""
+    """Return the seconds of CPU that a process has used."""
     words = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
     return (int(words[11]) + int(words[12])) / os.sysconf("SC_CLK_TCK")
 
 
 def children(pid: int) -> list[int]:
-    """The processes that it has started."""
+    """Return the processes that a process has started."""
     return [int(word) for word in Path(f"/proc/{pid}/task/{pid}/children").read_text().split()]
 
 
 def memory_mb(pid: int) -> float:
-    """Its memory now."""
+    """Return the resident memory of a process in MB."""
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
         if line.startswith("VmRSS:"):
             return int(line.split()[1]) / 1024.0
     return 0.0
 
 
-def broken_rules(asked: list[Asked], wait_ms: float) -> dict[str, int]:
-    """How many were lost, answered twice, or late."""
+def broken_rules(asked: list[Asked], timeout_ms: float) -> dict[str, int]:
+    """Return how many requests there were, and how many were lost, answered twice, or late."""
     return {
         "asked": len(asked),
-        "lost": sum(not a.answers for a in asked),
-        "doubled": sum(len(a.answers) > 1 for a in asked),
-        "late": sum(bool(a.answers) and a.answers[0][0] > a.at + wait_ms + 110.0 for a in asked),
+        "lost": sum(not request.answers for request in asked),
+        "doubled": sum(len(request.answers) > 1 for request in asked),
+        "late": sum(_is_late(request, timeout_ms) for request in asked),
     }
 
 
+def _is_late(request: Asked, timeout_ms: float) -> bool:
+    return bool(request.answers) and request.answers[0][0] > request.at + timeout_ms + LATE_SLACK_MS
+
+
 def per_second(asked: list[Asked]) -> list[float]:
-    """Share served of each second's requests, by when they were asked."""
-    begin = min(a.at for a in asked)
-    counts: dict[int, list[int]] = {}
-    for a in asked:
-        row = counts.setdefault(int((a.at - begin) / 1000.0), [0, 0])
-        row[0] += 1
-        row[1] += any(word == SERVED for _, word in a.answers)
-    return [good / all_ for _, (all_, good) in sorted(counts.items()) if all_ >= 5]
+    """Return the share served of each second's requests, by when they were sent."""
+    begin = min(request.at for request in asked)
+    sent: Counter[int] = Counter()
+    served: Counter[int] = Counter()
+    for request in asked:
+        second = int((request.at - begin) / 1000.0)
+        sent[second] += 1
+        served[second] += any(word == SERVED for _, word in request.answers)
+    return [
+        served[second] / sent[second] for second in sorted(sent) if sent[second] >= MIN_REQUESTS_PER_SECOND
+    ]
 
 
 def quantile(values: list[float], q: float) -> float:
-    """The value below which a share of them lies."""
+    """Return the value below which a share ``q`` of the values lies."""
     ordered = sorted(values)
     return ordered[min(len(ordered) - 1, int(q * len(ordered)))]
