--- a/snowthread/clients/__init__.py
+++ b/snowthread/clients/__init__.py
@@ -1,1 +1,1 @@
-"""Whom the node asks or tells: the runtime, the index and the roster."""
+"""Clients of the peers that a node calls or reports to: the runtime, the database and the registry."""
--- a/snowthread/clients/database.py
+++ b/snowthread/clients/database.py
@@ -1,295 +1,275 @@
-"""The index: HTTP/1.1 calls, one at a time on a connection, connections kept for a while."""
+"""The database's client: one HTTP/1.1 call at a time on a connection, connections kept for a while.
+
+:mod:`.database_codec` has the protocol.
+"""
 
 from __future__ import annotations
 
 import socket
 from collections import OrderedDict
 from collections.abc import Callable, Generator
-from dataclasses import dataclass
-
-import httptools
 
 from snowthread.address import Address
 from snowthread.admission.settings import Outcome
+from snowthread.clients.database_codec import DatabaseReply, ResponseReader, encode, outcome_of
 from snowthread.core import effects, events
 from snowthread.net.attempt import Failure, Progress
 from snowthread.net.connect import ConnectAttempt
 from snowthread.net.loop import HANGUP, READABLE, WRITABLE, EventLoop, Task, TaskSteps, Wait
 
-KEEP_MS = 7000.0  # the index closes what was idle for 10 s; a call must not cross that
-IDLE_MOST = 12  # connections that rest
-REST_MS = 30.0  # a connection rests so long before its next call: what comes behind a reply shows by then
+KEEP_MS = 7000.0  # the database closes connections idle for 10 s; a call must not cross that
+MAX_IDLE_CONNECTIONS = 12
+MIN_IDLE_MS = 30.0  # before a connection's next call: surplus bytes behind a reply show by then
 READ_BYTES = 16 * 1024
-HEAD_MAX = 8 * 1024  # bytes of the heads of one reply
-REPLY_MAX = 64 * 1024  # bytes of its body, announced or come: a longer one is broken off
-
-
-@dataclass(frozen=True, slots=True)
-class DatabaseReply:
-    """A whole reply."""
 
-    status: int
-    overloaded: bool
-    body: bytes
 
+class _Connection:
+    """One connection and the call that it carries, if any."""
 
-def outcome_of(result: DatabaseReply | Failure) -> Outcome:
-    """What a call's end means. Only what proves that nothing ran may be called so."""
-    if isinstance(result, Failure):
-        if result.progress is Progress.NOT_CONNECTED:
-            return Outcome.UNREACHABLE
-        return Outcome.TIMED_OUT if result.timed_out else Outcome.DISCONNECTED
-    if result.status == 200:
-        return Outcome.SUCCESS
-    if result.overloaded and result.status in (503, 409):
-        return Outcome.OVERLOADED if result.status == 503 else Outcome.NOT_STARTED
-    return Outcome.TIMED_OUT if result.status == 504 else Outcome.FAILURE
+    __slots__ = (
+        "_progress",
+        "_reader",
+        "_unsent",
+        "call",
+        "call_started_at_ms",
+        "idle_since_ms",
+        "is_reusable",
+        "sock",
+        "task",
+    )
 
+    def __init__(self) -> None:
+        self.call: effects.StartCall | None = None
+        self.call_started_at_ms = 0.0
+        self.idle_since_ms = 0.0
+        self.is_reusable = False  # whether the last call left it fit for another
+        self.sock: socket.socket | None = None
+        self.task: Task | None = None
 
-def encode(call: effects.StartCall, host: str, budget: float) -> bytes:
-    """A call's bytes."""
-    return (
-        f"POST /lookup HTTP/1.1\r\nHost: {host}\r\nX-Parent-Id: {call.attempt_id}\r\n"
-        f"X-Budget-Ms: {max(1, round(budget))}\r\nContent-Length: {len(call.body)}\r\n\r\n"
-    ).encode() + call.body
-
+    def begin(self, request: bytes, progress: Progress) -> None:
+        """Start to send a request; ``progress`` is what a failure without a reply proves."""
+        self._unsent, self._progress = request, progress
+        self._reader = ResponseReader()
 
-class ResponseReader:
-    """Takes in one reply, whatever comes. A reply that is whole stands; what follows it only spoils the
-    connection, for it would else be read as the reply to the next call."""
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a part of the request is not sent."""
+        return bool(self._unsent)
 
-    def __init__(self) -> None:
-        self.reply: DatabaseReply | None = None
-        self.failure: str | None = None
-        self.surplus = False
-        self.closes = False
-        self._parser = httptools.HttpResponseParser(self)
-        self._head = self._status = 0
-        self._shed = self._sized = False
-        self._body = bytearray()
-
-    def feed(self, data: bytes) -> None:
-        """Take bytes; afterwards ``reply`` or ``failure`` may be there."""
+    def send(self, sock: socket.socket) -> Failure | None:
+        """Send what the socket takes."""
         try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            if self.reply is not None:
-                self.surplus = True
-            elif self.failure is None:
-                self.failure = f"not a reply: {error}"
-        if not self._status:
-            self._head += len(data)
-            if self._head > HEAD_MAX and self.failure is None:
-                self.failure = "a head without end"
-
-    # What the parser calls.
-
-    def on_message_begin(self) -> None:
-        if self.reply is not None:
-            self.surplus = True
-        self._status, self._shed, self._sized = 0, False, False
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        match name.lower():
-            case b"x-shed":
-                self._shed = value == b"1"
-            case b"content-length":
-                self._sized = True
-                if int(value) > REPLY_MAX:  # the parser has made sure of the digits
-                    self.failure = "the reply is too long"
-            case b"transfer-encoding":
-                self._sized = True
-
-    def on_headers_complete(self) -> None:
-        self._status = self._parser.get_status_code()
-        if self._status >= 200 and not self._sized and self.failure is None:
-            self.failure = "a reply of no length: a cut one could not be told from a whole one"
-        self.closes = not self._parser.should_keep_alive()
-
-    def on_body(self, body: bytes) -> None:
-        if self.reply is None and self.failure is None:
-            self._body += body
-            if len(self._body) > REPLY_MAX:
-                self.failure = "the reply is too long"
-
-    def on_message_complete(self) -> None:
-        if self.reply is None and self.failure is None and self._status >= 200:  # 1xx only go before it
-            self.reply = DatabaseReply(self._status, self._shed, bytes(self._body))
-
-
-class _Link:
-    """One connection and the call it carries, if any."""
-
-    __slots__ = ("began", "call", "rested_at", "sock", "task")
+            if self._unsent:
+                self._unsent = self._unsent[sock.send(self._unsent) :]
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            return Failure(self._progress, str(error))
+        return None
 
-    def __init__(self) -> None:
-        self.call: effects.StartCall | None = None
-        self.began = 0.0
-        self.rested_at = 0.0  # when its last call was over
-        self.sock: socket.socket | None = None
-        self.task: Task | None = None
+    def receive(self, sock: socket.socket, timed_out: bool) -> DatabaseReply | Failure | None:
+        """Read once; return the end of the call, or None where more has to come."""
+        try:
+            data = sock.recv(READ_BYTES)
+        except BlockingIOError:
+            return _out_of_time() if timed_out else None
+        except OSError as error:
+            return Failure(self._progress, str(error))
+        if not data:
+            return Failure(self._progress, "closed during the call")
+        self._progress = Progress.REPLY_BEGUN
+        reader = self._reader
+        reader.feed(data)
+        if reader.reply is not None:
+            self.is_reusable = not (self._unsent or reader.has_surplus or reader.closes)
+            return reader.reply
+        return None if reader.failure is None else Failure(self._progress, reader.failure)
 
 
 class DatabaseClient:
-    """Makes calls for runs; each that is not dropped comes back exactly once. Without an address there is
-    nobody to call: no call can be made, and each comes back as never run."""
+    """Makes the calls of runs; each that is not cancelled is completed exactly once.
+
+    Without an address no call can be made, and each is completed as unreachable.
+    """
 
     def __init__(
-        self, loop: EventLoop, address: Address | None, most: int, post: Callable[[events.Event], None]
+        self,
+        loop: EventLoop,
+        address: Address | None,
+        max_connections: int,
+        post: Callable[[events.Event], None],
     ) -> None:
-        self._loop, self._address, self._most, self._post = loop, address, most, post
-        self._idle: OrderedDict[_Link, None] = OrderedDict()  # the longest idle first
-        self._calls: dict[str, _Link] = {}
-        self._links = 0
+        self._loop, self._address, self._most, self._post = loop, address, max_connections, post
+        self._idle: OrderedDict[_Connection, None] = OrderedDict()  # the longest idle first
+        self._calls: dict[str, _Connection] = {}  # by the id of the attempt that calls
+        self._connection_count = 0
 
     def connection_count(self) -> int:
-        """How many connections there are."""
-        return self._links
+        """Return the number of connections."""
+        return self._connection_count
 
     def set_address(self, address: Address | None) -> None:
-        """Make new calls at a new address; those in hand end where they are."""
+        """Make new calls at a new address; those in flight end where they are."""
         if address != self._address:
             self._address = address
-            for link in self._idle:
-                if link.task is not None:
-                    self._loop.wake(link.task)
+            for connection in self._idle:
+                if connection.task is not None:
+                    self._loop.wake(connection.task)
             self._idle.clear()
 
     def start_call(self, call: effects.StartCall) -> None:
-        """Make a call on a connection that is free, else on a new one. One that may not be made again never
-        goes over a used connection: a reset there would leave open whether it ran."""
+        """Make a call on an idle connection, else on a new one.
+
+        A call that may not be retried never uses an idle connection: a reset there would leave open whether
+        it ran.
+        """
         self.cancel_call(call.attempt_id)
         if self._address is None:
             self._post(events.CallCompleted(call.attempt_id, Outcome.UNREACHABLE, 0.0))
             return
-        link = self._free() if call.retryable else None
-        if link is None and self._links >= self._most:
+        connection = self._take_idle() if call.retryable else None
+        if connection is None and self._connection_count >= self._most:
             if not self._idle:
                 self._post(events.CallCompleted(call.attempt_id, Outcome.UNREACHABLE, 0.0))
                 return
-            self._end_idle()
-        link = link or _Link()
-        link.call, link.began = call, self._loop.clock.now()
-        self._calls[call.attempt_id] = link
-        if link.task is None:
-            self._links += 1
-            link.task = self._loop.spawn(self._steps(link))
+            self._close_longest_idle()
+        connection = connection or _Connection()
+        connection.call, connection.call_started_at_ms = call, self._loop.clock.now()
+        self._calls[call.attempt_id] = connection
+        if connection.task is None:
+            self._connection_count += 1
+            connection.task = self._loop.spawn(self._steps(connection))
         else:
-            self._loop.wake(link.task)
-
-    def _end_idle(self) -> None:
-        """Have the connection that has rested longest closed, in the loop's next round: it may be the one
-        whose call has just ended and whose task brought us here, and a task can't be ended from within."""
-        oldest, _ = self._idle.popitem(last=False)
-        if oldest.task is not None:
-            self._loop.wake(oldest.task)
-
-    def _free(self) -> _Link | None:
-        """The connection that has rested longest, if it still stands: a close or surplus bytes that lie
-        unread must be seen before a call is written."""
-        now = self._loop.clock.now()
+            self._loop.wake(connection.task)
+
+    def cancel_call(self, attempt_id: str) -> None:
+        """Cancel a call: its connection is closed, and the call is not completed."""
+        connection = self._calls.pop(attempt_id, None)
+        if connection is not None and connection.task is not None:
+            connection.call = None
+            self._loop.wake(connection.task)
+
+    def _close_longest_idle(self) -> None:
+        """Close the longest idle connection in the loop's next round.
+
+        It may be the one whose task completed its call and so brought us here; a task cannot be ended from
+        within.
+        """
+        connection, _ = self._idle.popitem(last=False)
+        if connection.task is not None:
+            self._loop.wake(connection.task)
+
+    def _take_idle(self) -> _Connection | None:
+        """Return the longest idle connection that is still open.
+
+        A close or surplus bytes that lie unread must be seen before a call is sent.
+        """
+        now_ms = self._loop.clock.now()
         while self._idle:
-            link = next(iter(self._idle))
-            if now - link.rested_at < REST_MS:
+            connection = next(iter(self._idle))
+            if now_ms - connection.idle_since_ms < MIN_IDLE_MS:
                 return None
-            del self._idle[link]
+            del self._idle[connection]
             try:
-                if link.sock is not None:
-                    link.sock.recv(1, socket.MSG_PEEK)
+                if connection.sock is not None:
+                    connection.sock.recv(1, socket.MSG_PEEK)
             except BlockingIOError:
-                return link
+                return connection
             except OSError:
                 pass
         return None
 
-    def cancel_call(self, uid: str) -> None:
-        """Give a call up: its connection closes, and nothing comes back."""
-        link = self._calls.pop(uid, None)
-        if link is not None and link.task is not None:
-            link.call = None
-            self._loop.wake(link.task)
+    # A connection's task.
 
-    def _steps(self, link: _Link) -> TaskSteps:
+    def _steps(self, connection: _Connection) -> TaskSteps:
         try:
-            while link.call is not None:
-                call = link.call
-                result, keeps = yield from self._exchange(link, call)
-                if link.call is not call:
-                    return  # given up meanwhile
-                link.call = None
-                del self._calls[call.attempt_id]
-                now = self._loop.clock.now()
-                if keeps:
-                    link.rested_at = now
-                    self._idle[link] = None
-                    if len(self._idle) > IDLE_MOST:
-                        self._end_idle()
-                body = result.body if isinstance(result, DatabaseReply) else b""
-                self._post(events.CallCompleted(call.attempt_id, outcome_of(result), now - link.began, body))
-                if not keeps or link.sock is None:
+            while connection.call is not None:
+                call = connection.call
+                result = yield from self._exchange(connection, call)
+                if connection.call is not call:
+                    return  # cancelled meanwhile
+                self._complete_call(connection, call, result)
+                if not connection.is_reusable or connection.sock is None:
                     return
-                if link.call is None:  # wait for the next call, for its end or for its time
-                    yield Wait(link.sock.fileno(), READABLE, now + KEEP_MS)
+                if connection.call is None:  # wait for the next call, for the peer's close or for the timeout
+                    yield Wait(connection.sock.fileno(), READABLE, connection.idle_since_ms + KEEP_MS)
         finally:
-            self._idle.pop(link, None)
-            if link.call is not None:  # ended by a fault of ours: the run must not wait for ever
-                self._calls.pop(link.call.attempt_id, None)
-                self._post(
-                    events.CallCompleted(
-                        link.call.attempt_id, Outcome.DISCONNECTED, self._loop.clock.now() - link.began
-                    )
-                )
-            if link.sock is not None:
-                self._loop.close(link.sock)
-            self._links -= 1
+            self._connection_closed(connection)
+
+    def _complete_call(
+        self, connection: _Connection, call: effects.StartCall, result: DatabaseReply | Failure
+    ) -> None:
+        """Post the end of a call, with its connection idle if it can be used again."""
+        connection.call = None
+        del self._calls[call.attempt_id]
+        now_ms = self._loop.clock.now()
+        if connection.is_reusable:
+            connection.idle_since_ms = now_ms
+            self._idle[connection] = None
+            if len(self._idle) > MAX_IDLE_CONNECTIONS:
+                self._close_longest_idle()
+        body = result.body if isinstance(result, DatabaseReply) else b""
+        duration_ms = now_ms - connection.call_started_at_ms
+        self._post(events.CallCompleted(call.attempt_id, outcome_of(result), duration_ms, body))
+
+    def _connection_closed(self, connection: _Connection) -> None:
+        """Forget a connection whose task ends."""
+        self._idle.pop(connection, None)
+        if connection.call is not None:  # ended by a fault of ours: the run must not wait for ever
+            self._calls.pop(connection.call.attempt_id, None)
+            duration_ms = self._loop.clock.now() - connection.call_started_at_ms
+            self._post(events.CallCompleted(connection.call.attempt_id, Outcome.DISCONNECTED, duration_ms))
+        if connection.sock is not None:
+            self._loop.close(connection.sock)
+        self._connection_count -= 1
+
+    # One call.
 
     def _exchange(
-        self, link: _Link, call: effects.StartCall
-    ) -> Generator[Wait, int, tuple[DatabaseReply | Failure, bool]]:
-        """One call: how it ended, and whether its connection may be used again."""
-        clock, until, address = self._loop.clock, link.began + call.timeout_ms, self._address
-        if address is None:  # taken away between the call and its first step
-            return Failure(Progress.NOT_CONNECTED, "no address"), False
-        used = link.sock is not None
-        if link.sock is None:
-            attempt = ConnectAttempt(address, self._loop, until)
+        self, connection: _Connection, call: effects.StartCall
+    ) -> Generator[Wait, int, DatabaseReply | Failure]:
+        """Connect where needed, make a call and return how it ended."""
+        connection.is_reusable = False
+        deadline_ms, address = connection.call_started_at_ms + call.timeout_ms, self._address
+        if address is None:  # removed between the call and its first step
+            return Failure(Progress.NOT_CONNECTED, "no address")
+        was_used = connection.sock is not None
+        if connection.sock is None:
+            attempt = ConnectAttempt(address, self._loop, deadline_ms)
             yield from attempt.steps()
             if attempt.sock is None:
-                return attempt.failure, False
-            link.sock = attempt.sock
-        sock, reading = link.sock, ResponseReader()
-        out = encode(call, f"{address.host}:{address.port}", until - clock.now())
-        # Idle connections are at times forgotten and reset at the next call, which then never ran.
-        progress = Progress.NOT_CONNECTED if used else Progress.SENT
-        if clock.now() >= until:
-            return Failure(Progress.SENT, "out of time", timed_out=True), False
-        while link.call is call:
-            try:
-                if out:
-                    out = out[sock.send(out) :]
-            except BlockingIOError:
-                pass
-            except OSError as error:
-                return Failure(progress, str(error)), False
-            got = yield Wait(sock.fileno(), READABLE | WRITABLE if out else READABLE, until)
-            timed_out = clock.now() >= until
-            if link.call is not call or not (got & (READABLE | HANGUP) or timed_out):
-                continue
-            try:
-                data = sock.recv(READ_BYTES)  # also when time is up: the loop may be late, the reply there
-            except BlockingIOError:
-                if timed_out:
-                    return Failure(Progress.SENT, "out of time", timed_out=True), False
+                return attempt.failure
+            connection.sock = attempt.sock
+        now_ms = self._loop.clock.now()
+        # Idle connections are at times dropped and reset at the next call, which then never ran.
+        connection.begin(
+            encode(call, f"{address.host}:{address.port}", deadline_ms - now_ms),
+            Progress.NOT_CONNECTED if was_used else Progress.SENT,
+        )
+        if now_ms >= deadline_ms:
+            return _out_of_time()
+        result = yield from self._send_and_receive(connection, connection.sock, call, deadline_ms)
+        if address != self._address:
+            connection.is_reusable = False
+        return result
+
+    def _send_and_receive(
+        self, connection: _Connection, sock: socket.socket, call: effects.StartCall, deadline_ms: float
+    ) -> Generator[Wait, int, DatabaseReply | Failure]:
+        while connection.call is call:
+            failure = connection.send(sock)
+            if failure is not None:
+                return failure
+            mask = READABLE | WRITABLE if connection.has_unsent else READABLE
+            ready = yield Wait(sock.fileno(), mask, deadline_ms)
+            timed_out = self._loop.clock.now() >= deadline_ms
+            if connection.call is not call or not (ready & (READABLE | HANGUP) or timed_out):
                 continue
-            except OSError as error:
-                return Failure(progress, str(error)), False
-            if not data:
-                return Failure(progress, "closed during the call"), False
-            progress = Progress.REPLY_BEGUN
-            reading.feed(data)
-            if reading.reply is not None:
-                keeps = not (out or reading.surplus or reading.closes) and address == self._address
-                return reading.reply, keeps
-            if reading.failure is not None:
-                return Failure(progress, reading.failure), False
-        return Failure(progress, "given up"), False
+            result = connection.receive(sock, timed_out)  # also when time is up: the reply may be there
+            if result is not None:
+                return result
+        return Failure(Progress.SENT, "cancelled")  # its connection is closed and nothing is posted
+
+
+def _out_of_time() -> Failure:
+    return Failure(Progress.SENT, "out of time", timed_out=True)
--- a/snowthread/clients/registry.py
+++ b/snowthread/clients/registry.py
@@ -1,4 +1,7 @@
-"""The roster: one datagram a report, and no answer."""
+"""The registry's client: reports in datagrams that the node is there and whether it accepts work.
+
+A registry that serves a fleet answers the reports; another one does not.
+"""
 
 from __future__ import annotations
 
@@ -10,72 +13,77 @@
 from snowthread.address import Address
 from snowthread.net.loop import READABLE, EventLoop, Task, TaskSteps, Wait
 
-REPORT_MS = 400.0  # an entry lapses 3 s after the last report: of seven in that time most may get lost
-ANSWER_MAX = 1024  # bytes of an answer that are read
-CHANGE_MS, CHANGES = 60.0, 4  # a change is said so many times, so far apart: one report may get lost
+REPORT_INTERVAL_MS = 400.0  # an entry expires 3 s after the last report: most of seven may be lost
+CHANGE_REPORT_COUNT = 4  # reports sent in quick succession after a change, because one may be lost
+CHANGE_REPORT_INTERVAL_MS = 60.0
+MAX_ANSWER_BYTES = 1024  # longer answers are truncated
 
 
-def encode_report(name: str, taking: bool, more: str = "") -> bytes:
-    """The three words, and what a member of a fleet says besides."""
-    return f"HERE {name} {'on' if taking else 'off'}{' ' if more else ''}{more}".encode()
+def encode_report(name: str, accepts_work: bool, suffix: str = "") -> bytes:
+    """Return the bytes of a report; ``suffix`` is what a member of a fleet adds."""
+    return f"HERE {name} {'on' if accepts_work else 'off'}{' ' if suffix else ''}{suffix}".encode()
 
 
 class RegistryClient:
-    """Reports at once when something changes, and regularly."""
+    """Reports regularly, and at once after a change."""
 
     def __init__(self, loop: EventLoop, address: Address, name: str) -> None:
         self._loop, self._address, self._name = loop, address, name
-        self._words: Callable[[], str] = lambda: ""  # said besides, and who hears the answers to that
-        self._heard: Callable[[bytes], None] | None = None
-        self._taking = True
-        self._changes = CHANGES
+        self._report_suffix: Callable[[], str] = lambda: ""  # none outside a fleet
+        self._on_answer: Callable[[bytes], None] | None = None
+        self._accepts_work = True
+        self._change_reports_left = CHANGE_REPORT_COUNT
         self._sock = address.open(socket.SOCK_DGRAM)
-        self._task = loop.spawn(self._steps())
-        self._ear: Task | None = None
-
-    def join_fleet(self, words: Callable[[], str], heard: Callable[[bytes], None]) -> None:
-        """Be a member of a fleet whose roster answers: what is said besides, and who hears the answers."""
-        self._words, self._heard = words, heard
-        self._ear = self._loop.spawn(self._answers(self._sock))
-
-    def set_registration(self, taking: bool) -> None:
-        """Be listed as taking work or not."""
-        if taking != self._taking:
-            self._taking = taking
-            logger.bind(event="roster.told", peer="roster").info("roster: {}", "on" if taking else "off")
+        self._report_task = loop.spawn(self._report())
+        self._answer_task: Task | None = None
+
+    def join_fleet(self, report_suffix: Callable[[], str], on_answer: Callable[[bytes], None]) -> None:
+        """Add a suffix to the reports and pass the registry's answers on."""
+        self._report_suffix, self._on_answer = report_suffix, on_answer
+        self._answer_task = self._loop.spawn(self._receive_answers(self._sock))
+
+    def set_registration(self, accepts_work: bool) -> None:
+        """Be listed as accepting work or not."""
+        if accepts_work != self._accepts_work:
+            self._accepts_work = accepts_work
+            logger.bind(event="registry.registration_changed", peer="registry").info(
+                "roster: {}", "on" if accepts_work else "off"
+            )
             self.report_now()
 
     def set_address(self, address: Address) -> None:
         """Report to a new address from now on."""
         if address != self._address:
             sock = address.open(socket.SOCK_DGRAM)
-            if self._ear is not None:
-                self._loop.end_task(self._ear)
-                self._ear = self._loop.spawn(self._answers(sock))
+            if self._answer_task is not None:
+                self._loop.end_task(self._answer_task)
+                self._answer_task = self._loop.spawn(self._receive_answers(sock))
             self._sock.close()
             self._sock, self._address = sock, address
             self.report_now()
 
-    def _answers(self, sock: socket.socket) -> TaskSteps:
-        while True:
-            yield Wait(sock.fileno(), READABLE)
-            try:
-                data, sender = sock.recvfrom(ANSWER_MAX)
-            except OSError:  # a roster that is down: ICMP's word on an earlier report
-                continue
-            if sender == tuple(self._address) and self._heard is not None:
-                self._heard(data)
-
     def report_now(self) -> None:
-        """Something that is said has changed."""
-        self._changes = CHANGES
-        self._loop.wake(self._task)
+        """Report a change at once and repeat it soon."""
+        self._change_reports_left = CHANGE_REPORT_COUNT
+        self._loop.wake(self._report_task)
 
-    def _steps(self) -> TaskSteps:
+    def _report(self) -> TaskSteps:
         while True:
+            report = encode_report(self._name, self._accepts_work, self._report_suffix())
             try:
-                self._sock.sendto(encode_report(self._name, self._taking, self._words()), self._address)
-            except OSError as error:  # a roster that is down refuses datagrams; the next report may pass
-                logger.debug("roster: {}", error)
-            self._changes = max(0, self._changes - 1)
-            yield Wait(until=self._loop.clock.now() + (CHANGE_MS if self._changes else REPORT_MS))
+                self._sock.sendto(report, self._address)
+            except OSError as error:  # a registry that is down refuses datagrams; the next report may pass
+                logger.debug("registry: {}", error)
+            self._change_reports_left = max(0, self._change_reports_left - 1)
+            interval_ms = CHANGE_REPORT_INTERVAL_MS if self._change_reports_left else REPORT_INTERVAL_MS
+            yield Wait(until=self._loop.clock.now() + interval_ms)
+
+    def _receive_answers(self, sock: socket.socket) -> TaskSteps:
+        while True:
+            yield Wait(sock.fileno(), READABLE)
+            try:
+                data, sender = sock.recvfrom(MAX_ANSWER_BYTES)
+            except OSError:  # the registry is down: an ICMP error for an earlier report
+                continue
+            if sender == tuple(self._address) and self._on_answer is not None:
+                self._on_answer(data)
