--- a/snowthread/ldap/__init__.py
+++ b/snowthread/ldap/__init__.py
@@ -1,7 +1,10 @@
-"""LDAP version 3 as a client speaks it (RFC 4511): bytes in, events out.
+"""An LDAP version 3 client (RFC 4511): bytes in, messages out.
 
-``ber`` frames and bounds what comes, ``schema`` is the protocol's ASN.1, ``messages`` the typed operations,
-``controls`` paged results and content synchronisation, ``filters``, ``dn`` and ``url`` the texts,
-``session`` the state of one connection, ``health`` decides about servers, retries and result codes, and
-``client`` holds the coroutines. Only ``client`` knows sockets, and nothing but it a clock.
+- ``ber`` frames and bounds what is received; ``schema`` is the protocol's ASN.1.
+- ``messages`` are the typed operations; ``controls`` paged results and content synchronisation.
+- ``filters``, ``dn`` and ``url`` parse the textual forms.
+- ``session`` is the state of one connection, without I/O; ``client`` its coroutines on the event loop.
+- ``health`` decides about servers, retries and result codes, with ``circuit_breaker`` and ``retry_budget``.
+
+Only ``client`` touches sockets, and only it reads a clock.
 """
--- a/snowthread/ldap/client.py
+++ b/snowthread/ldap/client.py
@@ -1,6 +1,6 @@
-"""One connection to a directory server, as coroutines on the loop: connect, TLS, bind, then messages.
+"""One connection to a directory server, as coroutines on the event loop: connect, TLS, bind, then messages.
 
-Thin on purpose: the protocol's state is ``session``'s, what to do about an end is ``health``'s.
+The protocol's state is ``session``'s, what to do about a failure ``health``'s.
 """
 
 from __future__ import annotations
@@ -8,10 +8,22 @@
 import ssl
 from collections.abc import Generator
 from dataclasses import dataclass, field
+from enum import IntEnum
 
-from snowthread.ldap import messages as m
 from snowthread.ldap.ber import Bounds
 from snowthread.ldap.health import Reaction, reaction_to
+from snowthread.ldap.messages import (
+    START_TLS_OID,
+    BindResponse,
+    ExtendedRequest,
+    ExtendedResponse,
+    ExternalBindRequest,
+    Message,
+    Request,
+    Response,
+    SimpleBindRequest,
+    UnbindRequest,
+)
 from snowthread.ldap.session import Session, SessionEnded, SessionState
 from snowthread.ldap.url import LdapUrl
 from snowthread.net.attempt import Failure, Progress
@@ -19,6 +31,16 @@
 from snowthread.net.loop import EventLoop, Wait
 from snowthread.net.tls_stream import Stream
 
+SUCCESS = 0
+NO_CODE = -1  # the response was of another kind
+
+
+class NoticeCode(IntEnum):
+    """Codes of a notice of disconnection that only an operator can act on (RFC 4511, appendix A)."""
+
+    STRONGER_AUTH_REQUIRED = 8
+    CONFIDENTIALITY_REQUIRED = 13
+
 
 @dataclass(frozen=True, slots=True)
 class ConnectionFailure:
@@ -29,141 +51,148 @@
     reaction: Reaction = Reaction.FAIL_OVER
 
 
+CLOSED = ConnectionFailure(Progress.REPLY_BEGUN, "closed")
+
+
 @dataclass(frozen=True, slots=True)
 class ConnectionSettings:
-    """How to get in. ``context`` None: no TLS; ``start_tls``: over the plain port. Times in milliseconds."""
+    """How to connect; without ``tls_context`` there is no TLS."""
 
-    bind: m.SimpleBindRequest | m.ExternalBindRequest | None
+    bind: SimpleBindRequest | ExternalBindRequest | None
     tls_context: ssl.SSLContext | None = None
-    start_tls: bool = False
-    server_name: str = ""  # that the certificate must prove; the host's own number where it is empty
+    start_tls: bool = False  # TLS over the plain port
+    server_name: str = ""  # that the certificate must prove; empty: the host of the URL
     connect_timeout_ms: float = 2_000.0
     bind_timeout_ms: float = 3_000.0
     bounds: Bounds = field(default_factory=Bounds)
 
 
 class LdapConnection:
-    """One connection. ``open`` first; ``send`` and ``receive`` until a Trouble; ``close`` in any case."""
-
-    def __init__(self, loop: EventLoop, url: LdapUrl, access: ConnectionSettings) -> None:
-        self.url, self.server = url, url.server
-        self._loop, self._settings = loop, access
-        self._session = Session(access.bounds)
+    """One connection: ``open``, then ``send`` and ``receive`` until a failure, ``close`` in any case."""
+
+    def __init__(self, loop: EventLoop, url: LdapUrl, settings: ConnectionSettings) -> None:
+        self.url = url
+        self.server = url.server
+        self._loop = loop
+        self._settings = settings
+        self._session = Session(settings.bounds)
         self._stream: Stream | None = None
+        self._failure = CLOSED
 
     def open(self) -> Generator[Wait, int, ConnectionFailure | None]:
-        """Connect, secure and bind, each under its deadline."""
-        clock, access = self._loop.clock, self._settings
-        attempt = ConnectAttempt(self.url.address, self._loop, clock.now() + access.connect_timeout_ms)
+        """Connect, secure and bind, each with its own deadline."""
+        deadline = self._loop.clock.now() + self._settings.connect_timeout_ms
+        attempt = ConnectAttempt(self.url.address, self._loop, deadline)
         yield from attempt.steps()
         if attempt.sock is None:
             return ConnectionFailure(attempt.failure.progress, f"connect: {attempt.failure.reason}")
         self._stream = Stream(self._loop, attempt.sock)
-        trouble: ConnectionFailure | None = None
+        failure: ConnectionFailure | None = None
         if self.url.scheme == "ldaps":
-            trouble = yield from self._secure()
-        elif access.start_tls:
-            trouble = yield from self._start_tls()
-        if trouble is None and access.bind is not None:
-            trouble = yield from self._bind(access.bind)
-        return trouble
-
-    def send(self, request: m.Request) -> int:
-        """Send a request; its number."""
-        if self._stream is None:
-            raise RuntimeError("the link is not open")
-        number, data = self._session.send(request)
-        self._stream.write(data)
-        return number
-
-    def receive(self, until: float) -> Generator[Wait, int, list[m.Message] | ConnectionFailure]:
-        """Messages that came; none where time is up or the task was woken."""
-        if self._stream is None:
-            raise RuntimeError("the link is not open")
+            failure = yield from self._secure(self._stream)
+        elif self._settings.start_tls:
+            failure = yield from self._start_tls(self._stream)
+        if failure is None and self._settings.bind is not None:
+            failure = yield from self._bind(self._settings.bind)
+        return failure
+
+    def send(self, request: Request) -> int:
+        """Send a request and return its message id."""
+        stream = self._open_stream()
+        message_id, data = self._session.send(request)
+        stream.write(data)
+        return message_id
+
+    def receive(self, until: float) -> Generator[Wait, int, list[Message] | ConnectionFailure]:
+        """Return the messages received; none if the time is up or the task was woken."""
+        stream = self._open_stream()
         if self._session.state is SessionState.CLOSED:
-            return self._broken
-        data = yield from self._stream.read(until)
+            return self._failure
+        data = yield from stream.read(until)
         if isinstance(data, Failure):
             return ConnectionFailure(data.progress, data.reason)
-        out: list[m.Message] = []
-        for got in self._session.receive(data):
-            if isinstance(got, SessionEnded):
-                # What came whole before it stands; the next call finds the session closed.
-                self._broken = self._failure_of(got)
-                return out or self._broken
-            out.append(got)
-        return out
-
-    _broken = ConnectionFailure(Progress.REPLY_BEGUN, "closed")
+        messages: list[Message] = []
+        for item in self._session.receive(data):
+            if isinstance(item, SessionEnded):
+                # The messages before the end count; the next call finds the session closed.
+                self._failure = _failure_of(item)
+                return messages or self._failure
+            messages.append(item)
+        return messages
 
     def close(self) -> None:
-        """Say goodbye where that can be done, and close."""
+        """Unbind if the session allows it, and close."""
         stream, self._stream = self._stream, None
-        if stream is not None:
-            if self._session.state is SessionState.READY:
-                stream.write(self._session.send(m.UnbindRequest())[1])
-            stream.close()
-
-    def _secure(self) -> Generator[Wait, int, ConnectionFailure | None]:
-        context, stream = self._settings.tls_context, self._stream
-        if context is None or stream is None:
+        if stream is None:
+            return
+        if self._session.state is SessionState.READY:
+            stream.write(self._session.send(UnbindRequest()).data)
+        stream.close()
+
+    def _open_stream(self) -> Stream:
+        if self._stream is None:
+            raise RuntimeError("the connection is not open")
+        return self._stream
+
+    def _secure(self, stream: Stream) -> Generator[Wait, int, ConnectionFailure | None]:
+        context = self._settings.tls_context
+        if context is None:
             return ConnectionFailure(Progress.SENT, "TLS: no context is set", Reaction.NEEDS_OPERATOR)
         name = self._settings.server_name or self.url.host
-        failure = yield from stream.secure(
-            context, name, self._loop.clock.now() + self._settings.bind_timeout_ms
-        )
-        if failure is not None:
-            bad = failure.reason.startswith("certificate")
-            return ConnectionFailure(
-                failure.progress, failure.reason, Reaction.NEEDS_OPERATOR if bad else Reaction.FAIL_OVER
-            )
-        return None
-
-    def _start_tls(self) -> Generator[Wait, int, ConnectionFailure | None]:
-        number = self.send(m.ExtendedRequest(m.START_TLS_OID))
-        got = yield from self._receive_response(
-            number, self._loop.clock.now() + self._settings.bind_timeout_ms, "StartTLS"
-        )
-        if isinstance(got, ConnectionFailure):
-            return got
-        if not isinstance(got, m.ExtendedResponse) or got.result.code != 0:
-            code = got.result.code if isinstance(got, m.ExtendedResponse) else -1
+        failure = yield from stream.secure(context, name, self._bind_deadline())
+        if failure is None:
+            return None
+        bad_certificate = failure.reason.startswith("certificate")
+        reaction = Reaction.NEEDS_OPERATOR if bad_certificate else Reaction.FAIL_OVER
+        return ConnectionFailure(failure.progress, failure.reason, reaction)
+
+    def _start_tls(self, stream: Stream) -> Generator[Wait, int, ConnectionFailure | None]:
+        message_id = self.send(ExtendedRequest(START_TLS_OID))
+        response = yield from self._receive_response(message_id, "StartTLS")
+        if isinstance(response, ConnectionFailure):
+            return response
+        code = response.result.code if isinstance(response, ExtendedResponse) else NO_CODE
+        if code != SUCCESS:
             return ConnectionFailure(Progress.REPLY_BEGUN, f"StartTLS: code {code}", Reaction.NEEDS_OPERATOR)
-        trouble = yield from self._secure()
-        if trouble is None:
+        failure = yield from self._secure(stream)
+        if failure is None:
             self._session.mark_secured()
-        return trouble
+        return failure
 
     def _bind(
-        self, bind: m.SimpleBindRequest | m.ExternalBindRequest
+        self, request: SimpleBindRequest | ExternalBindRequest
     ) -> Generator[Wait, int, ConnectionFailure | None]:
-        number = self.send(bind)
-        got = yield from self._receive_response(
-            number, self._loop.clock.now() + self._settings.bind_timeout_ms, "bind"
-        )
-        if isinstance(got, ConnectionFailure):
-            return got
-        if not isinstance(got, m.BindResponse) or got.result.code != 0:
-            code = got.result.code if isinstance(got, m.BindResponse) else -1
+        message_id = self.send(request)
+        response = yield from self._receive_response(message_id, "bind")
+        if isinstance(response, ConnectionFailure):
+            return response
+        code = response.result.code if isinstance(response, BindResponse) else NO_CODE
+        if code != SUCCESS:
             return ConnectionFailure(Progress.REPLY_BEGUN, f"bind: code {code}", reaction_to(code))
         return None
 
+    def _bind_deadline(self) -> float:
+        return self._loop.clock.now() + self._settings.bind_timeout_ms
+
     def _receive_response(
-        self, number: int, until: float, what: str
-    ) -> Generator[Wait, int, m.Response | ConnectionFailure]:
-        """The one answer to what was just sent."""
-        while self._loop.clock.now() < until:
-            got = yield from self.receive(until)
-            if isinstance(got, ConnectionFailure):
-                return ConnectionFailure(got.progress, f"{what}: {got.reason}", got.reaction)
-            for message in got:
-                if message.message_id == number:
+        self, message_id: int, operation: str
+    ) -> Generator[Wait, int, Response | ConnectionFailure]:
+        """Return the one response to the request that was just sent."""
+        deadline = self._bind_deadline()
+        while self._loop.clock.now() < deadline:
+            received = yield from self.receive(deadline)
+            if isinstance(received, ConnectionFailure):
+                reason = f"{operation}: {received.reason}"
+                return ConnectionFailure(received.progress, reason, received.reaction)
+            for message in received:
+                if message.message_id == message_id:
                     return message.response
-        return ConnectionFailure(Progress.SENT, f"{what}: no answer in time")
-
-    @staticmethod
-    def _failure_of(broken: SessionEnded) -> ConnectionFailure:
-        code = broken.notice.code if broken.notice is not None else None
-        # A notice is a server on its way out, whatever its code; one that forbids us needs people.
-        what = Reaction.NEEDS_OPERATOR if code in (8, 13) else Reaction.FAIL_OVER
-        return ConnectionFailure(Progress.REPLY_BEGUN, broken.reason, what)
+        return ConnectionFailure(Progress.SENT, f"{operation}: no answer in time")
+
+
+def _failure_of(ended: SessionEnded) -> ConnectionFailure:
+    # A notice means a server on its way out, whatever its code, unless it forbids this client.
+    code = ended.notice.code if ended.notice is not None else None
+    needs_operator = code in (NoticeCode.STRONGER_AUTH_REQUIRED, NoticeCode.CONFIDENTIALITY_REQUIRED)
+    reaction = Reaction.NEEDS_OPERATOR if needs_operator else Reaction.FAIL_OVER
+    return ConnectionFailure(Progress.REPLY_BEGUN, ended.reason, reaction)
--- a/snowthread/ldap/controls.py
+++ b/snowthread/ldap/controls.py
@@ -1,4 +1,4 @@
-"""Paged results (RFC 2696) and content synchronisation (RFC 4533): values made and read."""
+"""Encode and decode the controls of paged results (RFC 2696) and content synchronisation (RFC 4533)."""
 
 from __future__ import annotations
 
@@ -17,20 +17,20 @@
 SYNC_STATE_OID = "1.3.6.1.4.1.4203.1.9.1.2"
 SYNC_DONE_OID = "1.3.6.1.4.1.4203.1.9.1.3"
 SYNC_INFO_OID = "1.3.6.1.4.1.4203.1.9.1.4"
-MAX_COOKIE_BYTES = 4096  # bytes of a cookie that is kept: it is a server's, and of any length
+MAX_COOKIE_BYTES = 4096  # a cookie is the server's, so of any length
 UUID_BYTES = 16
 _VALUE_BOUNDS = Bounds(frame_bytes=512 * 1024, depth=6, elements=20_000)
 
 
 class SyncMode(IntEnum):
-    """What the client asks for."""
+    """What the client asks for (RFC 4533, section 2.2)."""
 
     REFRESH_ONLY = 1
     REFRESH_AND_PERSIST = 3
 
 
 class EntryState(IntEnum):
-    """What a synchronised entry says of itself."""
+    """The state of a synchronised entry (RFC 4533, section 2.3)."""
 
     PRESENT = 0
     ADD = 1
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SyncState:
-    """With each entry of a synchronisation."""
+    """The control of each entry of a synchronisation; ``uuid`` is in hex."""
 
     state: EntryState
     uuid: str
@@ -49,32 +49,31 @@
 
 @dataclass(frozen=True, slots=True)
 class SyncDone:
-    """At the end of a refresh. ``deletes``: what was to go was named; else all unnamed has gone."""
+    """The control at the end of a refresh."""
 
     cookie: bytes | None
-    refresh_deletes: bool
+    refresh_deletes: bool  # deleted entries were named; else all entries that were not named are deleted
 
 
 @dataclass(frozen=True, slots=True)
 class NewCookie:
-    """Only a new cookie."""
+    """A new cookie and nothing else."""
 
     cookie: bytes
 
 
 @dataclass(frozen=True, slots=True)
 class RefreshPhase:
-    """A refresh's phase ends. ``deletes``: the delete phase, else the present phase; ``done``: and with it
-    the whole refresh."""
+    """The end of a phase of a refresh."""
 
-    is_delete_phase: bool
+    is_delete_phase: bool  # else it is the present phase
     cookie: bytes | None
-    refresh_done: bool
+    refresh_done: bool  # the whole refresh ends with this phase
 
 
 @dataclass(frozen=True, slots=True)
 class SyncIdSet:
-    """A set of entries by their UUIDs: present and unchanged, or with ``deletes`` gone."""
+    """A set of entries by their UUIDs: present and unchanged, or with ``refresh_deletes`` deleted."""
 
     refresh_deletes: bool
     uuids: tuple[str, ...]
@@ -85,13 +84,13 @@
 
 
 def paged_results_control(size: int, cookie: bytes = b"") -> Control:
-    """Ask for a page."""
+    """Return the control that asks for a page, from a cookie on."""
     value = MODULE.types["PagedValue"].encode({"size": size, "cookie": cookie})
     return Control(PAGED_OID, True, bytes(value))
 
 
 def sync_request_control(mode: SyncMode, cookie: bytes | None = None) -> Control:
-    """Ask for synchronisation, from a cookie on where there is one."""
+    """Return the control that asks for synchronisation, from a cookie on if there is one."""
     fields: dict[str, Any] = {"mode": "refreshOnly" if mode is SyncMode.REFRESH_ONLY else "refreshAndPersist"}
     if cookie is not None:
         fields["cookie"] = cookie
@@ -99,47 +98,48 @@
 
 
 def find_control(controls: tuple[Control, ...], oid: str) -> Control | None:
-    """The control of that kind."""
-    return next((c for c in controls if c.oid == oid), None)
+    """Return the control of that kind, or None."""
+    return next((control for control in controls if control.oid == oid), None)
 
 
 def read_page_cookie(controls: tuple[Control, ...]) -> bytes | None:
-    """Where the next page starts, empty after the last; None: no such control came."""
+    """Return the cookie of the next page, empty after the last; None without such a control."""
     control = find_control(controls, PAGED_OID)
-    return None if control is None else _cookie(_read("PagedValue", control.value)["cookie"])
+    return None if control is None else _cookie(_decode("PagedValue", control.value)["cookie"])
 
 
 def read_sync_state(controls: tuple[Control, ...]) -> SyncState | None:
-    """An entry's state, None where it has none."""
+    """Return an entry's state, or None without such a control."""
     control = find_control(controls, SYNC_STATE_OID)
     if control is None:
         return None
-    v = _read("SyncState", control.value)
-    return SyncState(EntryState[v["state"].upper()], _uuid(v["uuid"]), _cookie(v.get("cookie")))
+    fields = _decode("SyncState", control.value)
+    state = EntryState[fields["state"].upper()]
+    return SyncState(state, _uuid(fields["uuid"]), _cookie(fields.get("cookie")))
 
 
 def read_sync_done(controls: tuple[Control, ...]) -> SyncDone | None:
-    """The end of a refresh, None where the control is missing."""
+    """Return the end of a refresh, or None without such a control."""
     control = find_control(controls, SYNC_DONE_OID)
     if control is None:
         return None
-    v = _read("SyncDone", control.value)
-    return SyncDone(_cookie(v.get("cookie")), v.get("refreshDeletes", False))
+    fields = _decode("SyncDone", control.value)
+    return SyncDone(_cookie(fields.get("cookie")), fields.get("refreshDeletes", False))
 
 
 def read_sync_info(value: bytes) -> SyncInfo:
-    """An intermediate message of a synchronisation."""
-    kind, v = _read("SyncInfo", value)
+    """Return the content of an intermediate message of a synchronisation."""
+    kind, fields = _decode("SyncInfo", value)
     if kind == "newcookie":
-        return NewCookie(_cookie(v) or b"")
+        return NewCookie(_cookie(fields) or b"")
+    cookie = _cookie(fields.get("cookie"))
     if kind == "syncIdSet":
-        return SyncIdSet(
-            v.get("refreshDeletes", False), tuple(_uuid(u) for u in v["uuids"]), _cookie(v.get("cookie"))
-        )
-    return RefreshPhase(kind == "refreshDelete", _cookie(v.get("cookie")), v.get("refreshDone", True))
+        uuids = tuple(_uuid(uuid) for uuid in fields["uuids"])
+        return SyncIdSet(fields.get("refreshDeletes", False), uuids, cookie)
+    return RefreshPhase(kind == "refreshDelete", cookie, fields.get("refreshDone", True))
 
 
-def _read(kind: str, value: bytes | None) -> Any:
+def _decode(kind: str, value: bytes | None) -> Any:
     try:
         check(value or b"", _VALUE_BOUNDS)
         return MODULE.types[kind].decode(value or b"")
--- a/snowthread/ldap/dn.py
+++ b/snowthread/ldap/dn.py
@@ -1,8 +1,8 @@
-"""Distinguished names as text (RFC 4514), parsed by lark and compared the way directories do.
+"""Distinguished names as text (RFC 4514), parsed by lark and compared as directories do.
 
-Two names are the same if their parts are, with types and values compared without regard to case and with runs
-of spaces as one (what caseIgnoreMatch does, RFC 4517 section 4.2.11): for finding out whether an entry lies
-below a base that is enough.
+Two names are equal if their parts are, with types and values compared without regard to case and with runs
+of spaces as one (caseIgnoreMatch, RFC 4517, section 4.2.11). That is enough to tell whether an entry lies
+below a base.
 """
 
 from __future__ import annotations
@@ -10,6 +10,7 @@
 import re
 from dataclasses import dataclass
 from functools import cache, lru_cache
+from typing import NamedTuple
 
 from lark import Lark, Token, Tree
 from lark.exceptions import UnexpectedInput
@@ -28,36 +29,46 @@
 
 
 class DnError(ValueError):
-    """A text that is no distinguished name."""
+    """A text is no distinguished name."""
+
+
+class _Attribute(NamedTuple):
+    """One attribute of a part of a name."""
+
+    type: str
+    value: str
 
 
 @dataclass(frozen=True, slots=True)
 class DistinguishedName:
-    """A name: its parts, the nearest first, each a set of (type, value) pairs, normalised."""
+    """A name, normalised: its parts, the nearest first, each a set of attributes."""
 
-    parts: tuple[frozenset[tuple[str, str]], ...]
+    parts: tuple[frozenset[_Attribute], ...]
 
     def is_below(self, base: DistinguishedName) -> bool:
-        """Is it the base or anything under it?"""
+        """Return whether this is the base or lies below it."""
         size = len(base.parts)
         return len(self.parts) >= size and (size == 0 or self.parts[-size:] == base.parts)
 
     @property
     def key(self) -> str:
-        """One text for all spellings of the name."""
-        return ",".join("+".join(sorted(f"{t}={_escape(v)}" for t, v in part)) for part in self.parts)
+        """The same text for all spellings of the name."""
+        return ",".join(
+            "+".join(sorted(f"{each.type}={_escape(each.value)}" for each in part)) for part in self.parts
+        )
 
 
 def is_plainly_below(text: str, base: DistinguishedName) -> bool:
-    """Does the text end in the base as it would be written plainly? True is certain; False: parse it. For
-    entries by the thousand, of which a parser would take most of the time."""
-    end, lower = base.key, text.lower()
-    return (
-        bool(end)
-        and lower.endswith(end)
-        and lower[-len(end) - 1 : -len(end)] == ","
-        and (lower[-len(end) - 2 : -len(end) - 1] != "\\")
-    )
+    """Return whether the text ends in the base as it is usually written.
+
+    True is certain; after False the name has to be parsed. For thousands of entries the parser would
+    otherwise take most of the time.
+    """
+    suffix, lower = base.key, text.lower()
+    if not suffix or not lower.endswith(suffix):
+        return False
+    prefix = lower[: -len(suffix)]
+    return prefix.endswith(",") and not prefix.endswith("\\,")
 
 
 @cache
@@ -67,7 +78,7 @@
 
 @lru_cache(maxsize=4096)
 def parse(text: str) -> DistinguishedName:
-    """The name that a text means; DnError where it is none."""
+    """Return the name that a text stands for; DnError if it is none."""
     if len(text) > MAX_TEXT_LENGTH:
         raise DnError(f"longer than {MAX_TEXT_LENGTH} characters")
     try:
@@ -76,26 +87,30 @@
         raise DnError(f"can't be read at character {error.column}") from None
     return DistinguishedName(
         tuple(
-            frozenset(_pair(part) for part in rdn.children if isinstance(part, Tree))
+            frozenset(_read_attribute(part) for part in rdn.children if isinstance(part, Tree))
             for rdn in tree.children
             if isinstance(rdn, Tree)
         )
     )
 
 
-def _pair(part: Tree[Token]) -> tuple[str, str]:
-    kind, *values = (str(child) for child in part.children)
-    return kind.strip(" =").lower(), _normal(values[0]) if values else ""
+def _read_attribute(part: Tree[Token]) -> _Attribute:
+    attribute_type, *values = (str(child) for child in part.children)
+    return _Attribute(attribute_type.strip(" =").lower(), _normalise(values[0]) if values else "")
 
 
-def _normal(text: str) -> str:
+def _normalise(text: str) -> str:
     if text.startswith("#"):
         return text.lower()
     if text.endswith(" ") and not text.endswith("\\ "):
         text = text.rstrip(" ")
-    octets = _ESCAPE.sub(lambda m: bytes([int(m[1], 16)]) if m[1] else m[2], text.encode())
+    octets = _ESCAPE.sub(_unescape, text.encode())
     return _SPACES.sub(" ", octets.decode(errors="surrogateescape")).strip().casefold()
 
 
+def _unescape(match: re.Match[bytes]) -> bytes:
+    return bytes([int(match[1], 16)]) if match[1] else match[2]
+
+
 def _escape(value: str) -> str:
     return re.sub(r'([",+;<>\\=#])', r"\\\1", value)
--- a/snowthread/ldap/filters.py
+++ b/snowthread/ldap/filters.py
@@ -1,4 +1,4 @@
-"""Search filters as text (RFC 4515), parsed by lark into what ``schema`` encodes."""
+"""Search filters as text (RFC 4515), parsed by lark into the trees that the schema encodes."""
 
 from __future__ import annotations
 
@@ -12,7 +12,8 @@
 
 from snowthread.ldap.messages import FilterTree
 
-MAX_TEXT_LENGTH, MAX_DEPTH = 16 * 1024, 16
+MAX_TEXT_LENGTH = 16 * 1024
+MAX_DEPTH = 16
 
 _GRAMMAR = r"""
 start: filter
@@ -33,18 +34,14 @@
 
 
 class FilterError(ValueError):
-    """A text that is no filter."""
+    """A text is no filter."""
 
 
 def parse(text: str) -> FilterTree:
-    """A filter as the tree that a search carries; FilterError says where the text goes wrong."""
+    """Return the tree of a filter; FilterError says where the text is wrong."""
     if len(text) > MAX_TEXT_LENGTH:
         raise FilterError(f"longer than {MAX_TEXT_LENGTH} characters")
-    depth = deepest = 0
-    for c in text:
-        depth += (c == "(") - (c == ")")
-        deepest = max(deepest, depth)
-    if deepest > MAX_DEPTH:
+    if _nesting_depth(text) > MAX_DEPTH:
         raise FilterError(f"nested deeper than {MAX_DEPTH}")
     try:
         tree: FilterTree = _FilterBuilder().transform(_parser().parse(text))
@@ -57,14 +54,24 @@
     return tree
 
 
+def _nesting_depth(text: str) -> int:
+    depth = deepest = 0
+    for character in text:
+        depth += (character == "(") - (character == ")")
+        deepest = max(deepest, depth)
+    return deepest
+
+
 def escape(value: bytes | str) -> str:
-    """A value as it stands in a filter's text (RFC 4515, section 3)."""
+    """Return a value as it is written in a filter (RFC 4515, section 3)."""
     octets = value.encode() if isinstance(value, str) else value
-    return "".join(chr(o) if 0x20 < o < 0x7F and o not in b"*()\\" else f"\\{o:02x}" for o in octets)
+    return "".join(
+        chr(octet) if 0x20 < octet < 0x7F and octet not in b"*()\\" else f"\\{octet:02x}" for octet in octets
+    )
 
 
 def equality_filter(attribute: str, value: str) -> FilterTree:
-    """The filter that finds this value."""
+    """Return the filter for entries with this value."""
     return "equalityMatch", {"attribute": attribute.encode(), "value": value.encode()}
 
 
@@ -74,13 +81,15 @@
 
 
 def _unescape(text: str) -> bytes:
-    return _ESCAPED.sub(lambda m: bytes([int(m[1], 16)]), text.encode())
+    return _ESCAPED.sub(lambda match: bytes([int(match[1], 16)]), text.encode())
 
 
 class _FilterBuilder(Transformer[Any, FilterTree]):
+    """Builds a filter's tree; each method is named for its rule of the grammar."""
+
     def start(self, parts: list[Any]) -> FilterTree:
-        found: FilterTree = parts[0]
-        return found
+        tree: FilterTree = parts[0]
+        return tree
 
     def all(self, parts: list[Any]) -> FilterTree:
         return "and", parts
@@ -95,22 +104,14 @@
         head, rest = str(parts[0]), parts[1:]
         sign = head[-2:] if head[-2:] in _KIND else "="
         attribute = head[: -len(sign)].encode()
-        stars = [n for n, token in enumerate(rest) if token.type == "STAR"]
-        if not stars:
+        if not any(token.type == "STAR" for token in rest):
             value = _unescape("".join(rest))
             return _KIND[sign], {"attribute": attribute, "value": value}
         if sign != "=":
             raise FilterError(f"a star behind {sign}")
         if len(rest) == 1:
             return "present", attribute
-        if any(b - a == 1 for a, b in pairwise(stars)):
-            raise FilterError("two stars with nothing between them")
-        pieces = [
-            ("initial" if n < stars[0] else "final" if n > stars[-1] else "any", _unescape(token))
-            for n, token in enumerate(rest)
-            if token.type == "VALUE"
-        ]
-        return "substrings", {"type": attribute, "parts": pieces}
+        return "substrings", {"type": attribute, "parts": _substring_parts(rest)}
 
     def extensible(self, parts: list[Any]) -> FilterTree:
         words = str(parts[0])[:-2].split(":")
@@ -126,3 +127,16 @@
         if "type" not in matching and "rule" not in matching:
             raise FilterError("neither an attribute nor a rule")
         return "extensibleMatch", matching
+
+
+def _substring_parts(tokens: list[Any]) -> list[tuple[str, bytes]]:
+    """Return the parts of a value with stars: the initial one, those between stars, the final one."""
+    stars = [index for index, token in enumerate(tokens) if token.type == "STAR"]
+    if any(second - first == 1 for first, second in pairwise(stars)):
+        raise FilterError("two stars with nothing between them")
+    parts = []
+    for index, token in enumerate(tokens):
+        if token.type == "VALUE":
+            kind = "initial" if index < stars[0] else "final" if index > stars[-1] else "any"
+            parts.append((kind, _unescape(token)))
+    return parts
--- a/snowthread/ldap/messages.py
+++ b/snowthread/ldap/messages.py
@@ -1,4 +1,4 @@
-"""The operations as plain types, and their bytes (RFC 4511, section 4)."""
+"""The operations of LDAP as typed messages, and their encoding (RFC 4511, section 4)."""
 
 from __future__ import annotations
 
@@ -13,13 +13,15 @@
 from snowthread.ldap.schema import MODULE
 
 _MESSAGE = MODULE.types["Message"]
-NOTICE_OF_DISCONNECTION_OID = "1.3.6.1.4.1.1466.20036"  # notice of disconnection, RFC 4511 section 4.4.1
-START_TLS_OID = "1.3.6.1.4.1.1466.20037"  # RFC 4511 section 4.14
-FilterTree = tuple[str, Any]  # as ``filters.parse`` makes it
+NOTICE_OF_DISCONNECTION_OID = "1.3.6.1.4.1.1466.20036"  # RFC 4511, section 4.4.1
+START_TLS_OID = "1.3.6.1.4.1.1466.20037"  # RFC 4511, section 4.14
+FilterTree = tuple[str, Any]  # the kind of a filter and its content, as the schema's CHOICE takes it
+PROTOCOL_VERSION = 3
+NEVER_DEREFERENCE_ALIASES = 0
 
 
 class Scope(IntEnum):
-    """How far down a search looks."""
+    """How far below the base a search goes."""
 
     BASE = 0
     ONE = 1
@@ -27,7 +29,7 @@
 
 
 class Secret:
-    """Text that no log, repr or traceback shows."""
+    """A text that no log, repr or traceback shows."""
 
     __slots__ = ("_text",)
 
@@ -35,7 +37,7 @@
         self._text = text
 
     def reveal(self) -> bytes:
-        """Its octets, for the one who sends them."""
+        """Return its octets, for the request that carries them."""
         return self._text.encode()
 
     def __repr__(self) -> str:
@@ -50,7 +52,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Control:
-    """A control of any kind; ``controls`` makes and reads the known ones."""
+    """A control of any kind; ``controls`` encodes and decodes the known ones."""
 
     oid: str
     critical: bool = False
@@ -70,26 +72,26 @@
 
 @dataclass(frozen=True, slots=True)
 class ExternalBindRequest:
-    """SASL EXTERNAL (RFC 4422, appendix A): who the certificate says."""
+    """SASL EXTERNAL (RFC 4422, appendix A): the identity is the client certificate's."""
 
     authorization: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class UnbindRequest:
-    """The end of the session; no answer."""
+    """The end of the session; there is no response."""
 
 
 @dataclass(frozen=True, slots=True)
 class AbandonRequest:
-    """Give up an operation; no answer."""
+    """The client gives up an operation; there is no response."""
 
     message_id: int
 
 
 @dataclass(frozen=True, slots=True)
 class SearchRequest:
-    """A search; limits of 0 are none."""
+    """A search; a limit of 0 is none."""
 
     base: str
     scope: Scope
@@ -117,7 +119,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LdapResult:
-    """How an operation ended."""
+    """The result of an operation."""
 
     code: int
     matched: str = ""
@@ -127,14 +129,14 @@
 
 @dataclass(frozen=True, slots=True)
 class BindResponse:
-    """The answer to a bind."""
+    """The response to a bind."""
 
     result: LdapResult
 
 
 @dataclass(frozen=True, slots=True)
 class SearchResultEntry:
-    """One entry; attribute names are lower-cased, options stay with them."""
+    """One entry; attribute names are lower-cased and keep their options."""
 
     dn: str
     attributes: Mapping[str, tuple[bytes, ...]]
@@ -143,14 +145,14 @@
 
 @dataclass(frozen=True, slots=True)
 class SearchResultReference:
-    """The search goes on elsewhere, as these URLs say."""
+    """The search continues at these URLs."""
 
     urls: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class SearchResultDone:
-    """The search is over."""
+    """The end of a search."""
 
     result: LdapResult
     controls: tuple[Control, ...] = ()
@@ -158,7 +160,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ExtendedResponse:
-    """The answer to an extended operation, or an unsolicited notice."""
+    """The response to an extended operation, or an unsolicited notification."""
 
     result: LdapResult
     oid: str = ""
@@ -167,7 +169,7 @@
 
 @dataclass(frozen=True, slots=True)
 class IntermediateResponse:
-    """A word on the way (RFC 4511, section 4.13)."""
+    """An intermediate response (RFC 4511, section 4.13)."""
 
     oid: str
     value: bytes = b""
@@ -185,102 +187,115 @@
 
 @dataclass(frozen=True, slots=True)
 class Message:
-    """A response under its number."""
+    """A response and the id of its request; 0: unsolicited."""
 
     message_id: int
     response: Response
     size: int = field(default=0, compare=False)
 
 
-def encode(number: int, request: Request) -> bytes:
-    """A request's bytes."""
-    fields: dict[str, Any] = {"id": number, "op": _request(request)}
+def encode(message_id: int, request: Request) -> bytes:
+    """Return a request's bytes."""
+    fields: dict[str, Any] = {"id": message_id, "op": _encode_request(request)}
     if isinstance(request, SearchRequest) and request.controls:
-        fields["controls"] = [_control(c) for c in request.controls]
+        fields["controls"] = [_encode_control(control) for control in request.controls]
     return bytes(_MESSAGE.encode(fields))
 
 
-def _control(c: Control) -> dict[str, Any]:
-    fields: dict[str, Any] = {"type": c.oid.encode()}
-    if c.critical:
+def _encode_control(control: Control) -> dict[str, Any]:
+    fields: dict[str, Any] = {"type": control.oid.encode()}
+    if control.critical:
         fields["criticality"] = True
-    if c.value is not None:
-        fields["value"] = c.value
+    if control.value is not None:
+        fields["value"] = control.value
     return fields
 
 
-def _request(r: Request) -> tuple[str, Any]:
-    match r:
+def _encode_request(request: Request) -> tuple[str, Any]:
+    match request:
         case SimpleBindRequest():
-            return "bindRequest", {
-                "version": 3,
-                "name": r.name.encode(),
-                "authentication": ("simple", r.secret.reveal()),
-            }
+            credentials = ("simple", request.secret.reveal())
+            return "bindRequest", _bind_fields(request.name, credentials)
         case ExternalBindRequest():
-            sasl = {"mechanism": b"EXTERNAL", "credentials": r.authorization.encode()}
-            return "bindRequest", {"version": 3, "name": b"", "authentication": ("sasl", sasl)}
+            sasl = {"mechanism": b"EXTERNAL", "credentials": request.authorization.encode()}
+            return "bindRequest", _bind_fields("", ("sasl", sasl))
         case UnbindRequest():
             return "unbindRequest", None
         case AbandonRequest():
-            return "abandonRequest", r.message_id
+            return "abandonRequest", request.message_id
         case SearchRequest():
-            return "searchRequest", {
-                "base": r.base.encode(),
-                "scope": int(r.scope),
-                "deref": 0,
-                "sizeLimit": r.size_limit,
-                "timeLimit": r.time_limit_s,
-                "typesOnly": False,
-                "filter": r.filter,
-                "attributes": [a.encode() for a in r.attributes],
-            }
+            return "searchRequest", _search_fields(request)
         case ExtendedRequest():
-            fields = {"name": r.oid.encode()}
-            if r.value is not None:
-                fields["value"] = r.value
+            fields = {"name": request.oid.encode()}
+            if request.value is not None:
+                fields["value"] = request.value
             return "extendedReq", fields
 
 
+def _bind_fields(name: str, authentication: tuple[str, Any]) -> dict[str, Any]:
+    return {"version": PROTOCOL_VERSION, "name": name.encode(), "authentication": authentication}
+
+
+def _search_fields(search: SearchRequest) -> dict[str, Any]:
+    return {
+        "base": search.base.encode(),
+        "scope": int(search.scope),
+        "deref": NEVER_DEREFERENCE_ALIASES,
+        "sizeLimit": search.size_limit,
+        "timeLimit": search.time_limit_s,
+        "typesOnly": False,
+        "filter": search.filter,
+        "attributes": [name.encode() for name in search.attributes],
+    }
+
+
 def decode(frame: bytes, bounds: Bounds) -> Message:
-    """A response from one whole frame; MalformedError where it is none."""
+    """Return the response in one complete frame; MalformedError if it is none."""
     check(frame, bounds)
     try:
         fields = _MESSAGE.decode(frame)
         controls = tuple(
-            Control(c["type"].decode(), c.get("criticality", False), c.get("value"))
-            for c in fields.get("controls", ())
+            Control(control["type"].decode(), control.get("criticality", False), control.get("value"))
+            for control in fields.get("controls", ())
         )
-        return Message(fields["id"], _response(fields["op"][0], fields["op"][1], controls), len(frame))
+        kind, content = fields["op"]
+        return Message(fields["id"], _decode_response(kind, content, controls), len(frame))
     except (asn1tools.Error, UnicodeDecodeError, KeyError, IndexError, OverflowError) as error:
         raise MalformedError(f"not a message: {type(error).__name__}") from None
 
 
-def _response(kind: str, v: Any, controls: tuple[Control, ...]) -> Response:
+def _decode_response(kind: str, content: Any, controls: tuple[Control, ...]) -> Response:
     match kind:
         case "searchResEntry":
-            attributes: dict[str, tuple[bytes, ...]] = {}
-            for a in v["attributes"]:
-                name = a["type"].decode().lower()
-                attributes[name] = attributes.get(name, ()) + tuple(a["vals"])
-            return SearchResultEntry(v["name"].decode(), attributes, controls)
+            return SearchResultEntry(
+                content["name"].decode(), _decode_attributes(content["attributes"]), controls
+            )
         case "searchResDone":
-            return SearchResultDone(_result(v), controls)
+            return SearchResultDone(_decode_result(content), controls)
         case "searchResRef":
-            return SearchResultReference(tuple(url.decode() for url in v))
+            return SearchResultReference(tuple(url.decode() for url in content))
         case "bindResponse":
-            return BindResponse(_result(v))
+            return BindResponse(_decode_result(content))
         case "extendedResp":
-            return ExtendedResponse(_result(v), v.get("name", b"").decode(), v.get("value"))
+            oid = content.get("name", b"").decode()
+            return ExtendedResponse(_decode_result(content), oid, content.get("value"))
         case "intermediateResponse":
-            return IntermediateResponse(v.get("name", b"").decode(), v.get("value", b""))
+            return IntermediateResponse(content.get("name", b"").decode(), content.get("value", b""))
     raise MalformedError(f"{kind} is nothing that a server sends")
 
 
-def _result(v: Any) -> LdapResult:
+def _decode_attributes(fields: Any) -> dict[str, tuple[bytes, ...]]:
+    attributes: dict[str, tuple[bytes, ...]] = {}
+    for attribute in fields:
+        name = attribute["type"].decode().lower()
+        attributes[name] = attributes.get(name, ()) + tuple(attribute["vals"])
+    return attributes
+
+
+def _decode_result(content: Any) -> LdapResult:
     return LdapResult(
-        v["code"],
-        v["matched"].decode(),
-        v["text"].decode(),
-        tuple(url.decode() for url in v.get("referral", ())),
+        code=content["code"],
+        matched=content["matched"].decode(),
+        text=content["text"].decode(),
+        referral=tuple(url.decode() for url in content.get("referral", ())),
     )
--- a/snowthread/ldap/schema.py
+++ b/snowthread/ldap/schema.py
@@ -1,7 +1,7 @@
-"""The ASN.1 of LDAP that a client needs, after RFC 4511 (section 4 and appendix B), RFC 2696 and RFC 4533.
+"""The ASN.1 of LDAP that a client needs: RFC 4511 (section 4 and appendix B), RFC 2696 and RFC 4533.
 
-Strings are octets here: what they hold is text in UTF-8 for the layers above to read. Only what a client
-sends or may be sent is named; a response of any other kind is a protocol error.
+Strings are octets here; the layers above decode their UTF-8. Only what a client sends or may receive is
+named; a response of any other kind is a protocol error.
 """
 
 from __future__ import annotations
--- a/snowthread/ldap/url.py
+++ b/snowthread/ldap/url.py
@@ -1,4 +1,4 @@
-"""LDAP URLs (RFC 4516): where a server is, and what a referral points at."""
+"""LDAP URLs (RFC 4516): where a server is."""
 
 from __future__ import annotations
 
@@ -14,12 +14,12 @@
 
 
 class UrlError(ValueError):
-    """A text that is no LDAP URL that can be used here."""
+    """A text is no LDAP URL that can be used here."""
 
 
 @dataclass(frozen=True, slots=True)
 class LdapUrl:
-    """One URL. ``scheme`` is ldap or ldaps; ``scope`` and ``filter`` are None where it names none."""
+    """One URL; ``scheme`` is ldap or ldaps, ``scope`` and ``filter`` are None if it names none."""
 
     scheme: str
     host: str
@@ -31,7 +31,7 @@
 
     @property
     def address(self) -> Address:
-        """Where to connect. There are no name look-ups: the host is a number."""
+        """Where to connect; the host must be a number, since names are not looked up."""
         try:
             return Address.parse(
                 f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
@@ -41,13 +41,13 @@
 
     @property
     def server(self) -> str:
-        """The server's part alone; cookies belong to it."""
+        """The scheme, host and port, to which cookies belong."""
         host = f"[{self.host}]" if ":" in self.host else self.host
         return f"{self.scheme}://{host}:{self.port}"
 
 
 def parse(text: str) -> LdapUrl:
-    """A URL's parts, each checked; UrlError says which is wrong."""
+    """Return a URL's parts, each checked; UrlError says which is wrong."""
     try:
         split = urlsplit(text)
         port = split.port
--- a/tests/ldap/test_health.py
+++ b/tests/ldap/test_health.py
@@ -6,16 +6,9 @@
 
 import pytest
 
-from snowthread.ldap.health import (
-    CircuitBreaker,
-    CircuitState,
-    Reaction,
-    RetryBudget,
-    RetryPolicy,
-    ServerSelector,
-    backoff_ms,
-    reaction_to,
-)
+from snowthread.ldap.circuit_breaker import CircuitBreaker, CircuitState
+from snowthread.ldap.health import Reaction, ServerSelector, reaction_to
+from snowthread.ldap.retry_budget import RetryBudget, RetryPolicy, backoff_ms
 
 P = RetryPolicy(
     first_backoff_ms=100.0,
--- a/tests/tenants/test_follow.py
+++ b/tests/tenants/test_follow.py
@@ -12,7 +12,7 @@
 from support.directory_world import World, settings
 
 from emulators.directory import Habits
-from snowthread.ldap.health import CircuitState
+from snowthread.ldap.circuit_breaker import CircuitState
 from snowthread.tenants.replication import DirectoryReplicator
 from snowthread.tenants.staleness import StalenessStage
 from snowthread.tenants.state import TenantState
