Console: sources, keyboard and loop apart from the command; named states and orders

Cause: the command held the loop, the replay, the keyboard and untyped arguments; drawing was one function of 75 lines. Change: SortOrder, NodeState, EventLine and FleetTotals; Replay and Tail are sources of one Protocol; drawing is one function a part of the screen; two fields that nothing showed are gone.

--- a/snowthread/console/model.py
+++ b/snowthread/console/model.py
@@ -1,155 +1,195 @@
-"""What the console shows, from records one by one. Free of I/O; bounded in nodes, history and lines."""
+"""What is known of each node, from records one by one. Free of I/O; bounded in nodes, history and lines."""
 
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import NamedTuple
 
-from snowthread.records.model import Record
+from snowthread.console.sorting import SortOrder
+from snowthread.records.model import Fields, Record, RecordKind
 
-NODES_MOST, LINES_MOST, HISTORY = 5_000, 1_000, 60
-SILENT_MS = 3_500.0  # a node that says nothing for so long, by the newest record of all, is silent
-SORTS = ("node", "state", "read", "aim", "refused", "failed", "b", "calls")
+NODES_MAX = 5_000
+LINES_MAX = 1_000
+HISTORY_S = 60
+SILENT_MS = 3_500.0  # a node without a record for so long, by the newest record of all, is silent
+REJECTION_LABELS = {"refused": "as read", "refused_held": "held", "refused_leaving": "leaving"}
+FAILED = ("failed", "failed_running", "failed_calling")  # names of stored counts
+
+
+class NodeState(StrEnum):
+    """The state of a node; the values are shown, and taken by the option ``--only``."""
+
+    UP = "up"
+    SHUTTING_DOWN = "leaving"
+    ENDED = "left"
+    SILENT = "silent"
 
 
 @dataclass(slots=True)
 class NodeView:
-    """One node as it was told last."""
+    """One node as it was last recorded. Counts of requests are those of the last second."""
 
     name: str
     boot: str = ""
-    state: str = "up"  # up, leaving, left
+    recorded_state: NodeState = NodeState.UP  # never SILENT, see Fleet.state
     at: float = 0.0
     read: int = 0
-    good: int = 0
-    late: int = 0
-    refused: int = 0
+    served_in_time: int = 0
+    rejected: int = 0
     failed: int = 0
-    b: float = 0.0
-    held: int = 0
+    blocking_probability: float = 0.0
+    queued: int = 0
     running: int = 0
-    in_hand: int = 0
-    call_ms: float = 0.0
+    call_ms: float = 0.0  # the median, averaged over the outcomes
     memory_mb: float = 0.0
-    reasons: dict[str, int] = field(default_factory=dict)
-    tenants: dict[str, int] = field(default_factory=dict)
-    history: deque[int] = field(default_factory=lambda: deque(maxlen=HISTORY))
+    rejections: dict[str, int] = field(default_factory=dict)  # by when they came
+    tenants: dict[str, int] = field(default_factory=dict)  # requests read
+    history: deque[int] = field(default_factory=lambda: deque(maxlen=HISTORY_S))  # requests read
 
     @property
-    def aim(self) -> float:
-        """Share of what was read that was served in its aim; 1 where nothing was read."""
-        return self.good / self.read if self.read else 1.0
+    def share_in_time(self) -> float:
+        """Share of the requests read that was served within the latency objective; 1 if none was read."""
+        return self.served_in_time / self.read if self.read else 1.0
+
+    def update(self, fields: Fields) -> None:
+        """Take the fields of a ``second``."""
+        self._update_counts(fields)
+        calls = fields.get("calls", {}).values()  # of each outcome: count, median and more
+        count = sum(summary[0] for summary in calls)
+        self.call_ms = sum(summary[0] * summary[1] for summary in calls) / count if count else 0.0
+        self.blocking_probability = fields.get("b", 0.0)
+        self.queued = fields.get("held", 0)
+        self.running = fields.get("running", 0)
+        self.memory_mb = fields.get("memory_mb", 0.0)
+        self.history.append(self.read)
+
+    def _update_counts(self, fields: Fields) -> None:
+        self.read = self.served_in_time = self.rejected = self.failed = 0
+        self.rejections, self.tenants = {}, {}
+        for _class_name, tenant, counts in fields.get("totals", ()):
+            self.read += counts.get("read", 0)
+            self.served_in_time += counts.get("served", 0)
+            self.failed += sum(counts.get(name, 0) for name in FAILED)
+            if tenant:
+                self.tenants[tenant] = self.tenants.get(tenant, 0) + counts.get("read", 0)
+            self._add_rejections(counts)
+
+    def _add_rejections(self, counts: Mapping[str, int]) -> None:
+        for name, label in REJECTION_LABELS.items():
+            count = counts.get(name, 0)
+            if count:
+                self.rejected += count
+                self.rejections[label] = self.rejections.get(label, 0) + count
 
 
 @dataclass(frozen=True, slots=True)
-class Line:
-    """One line of the course of things."""
+class EventLine:
+    """One line on what happened at a node."""
 
     at: float
     node: str
     text: str
 
 
+class FleetTotals(NamedTuple):
+    """Requests in the last second of all nodes that are up."""
+
+    read: int
+    served_in_time: int
+    rejected: int
+    failed: int
+
+
 class Fleet:
-    """All nodes that records tell of."""
+    """All nodes that records tell of; ``now`` is the time of the newest record."""
 
     def __init__(self) -> None:
         self.nodes: dict[str, NodeView] = {}
-        self.lines: deque[Line] = deque(maxlen=LINES_MOST)
+        self.lines: deque[EventLine] = deque(maxlen=LINES_MAX)
         self.now = 0.0
-        self.left_out = 0
+        self.left_out = 0  # records of nodes beyond those kept
 
     def take(self, record: Record) -> None:
-        """One more record."""
+        """Take one more record."""
         view = self.nodes.get(record.node)
         if view is None:
-            if len(self.nodes) >= NODES_MOST:
+            if len(self.nodes) >= NODES_MAX:
                 self.left_out += 1
                 return
             view = self.nodes[record.node] = NodeView(record.node)
         self.now = max(self.now, record.at)
-        f = record.fields
         if record.boot != view.boot:
-            if record.kind != "start" and view.boot and record.at < view.at:
-                return  # of an earlier life, come late
-            view.boot, view.state = record.boot, "up"
+            if record.kind != RecordKind.START and view.boot and record.at < view.at:
+                return  # of an earlier boot, read late
+            view.boot, view.recorded_state = record.boot, NodeState.UP
         view.at = record.at
-        match record.kind:
-            case "second":
-                self._second(view, record)
-            case "start":
-                self._say(record, f"started, version {f.get('version', '?')}")
-            case "drain":
-                view.state = "leaving"
-                self._say(record, f"told to leave, {f.get('left_ms', 0.0):.0f} ms left")
-            case "end":
-                view.state = "left"
-                self._say(record, f"left after {f.get('seconds', 0.0):.0f} s")
-            case "link":
-                self._say(record, f"link to the {f.get('peer', '?')} {'stands' if f.get('up') else 'lost'}")
-            case "gap":
-                self._say(record, f"{f.get('lost', 0)} records lost: {f.get('why', '')}")
-            case "note" | "config":
-                self._say(record, str(f.get("text", "")))
-            case "list":
-                self._say(record, "listed" if f.get("taking") else "out of the list")
-
-    def _say(self, record: Record, text: str) -> None:
-        self.lines.append(Line(record.at, record.node, text))
-
-    def _second(self, view: NodeView, record: Record) -> None:
-        f = record.fields
-        view.read = view.good = view.late = view.refused = view.failed = 0
-        view.reasons, view.tenants = {}, {}
-        for _name, tenant, counts in f.get("totals", ()):
-            view.read += counts.get("read", 0)
-            view.good += counts.get("served", 0)
-            view.late += counts.get("late", 0)
-            if tenant:
-                view.tenants[tenant] = view.tenants.get(tenant, 0) + counts.get("read", 0)
-            for reason, label in (
-                ("refused", "as read"),
-                ("refused_held", "held"),
-                ("refused_leaving", "leaving"),
-            ):
-                if counts.get(reason):
-                    view.refused += counts[reason]
-                    view.reasons[label] = view.reasons.get(label, 0) + counts[reason]
-            view.failed += sum(counts.get(k, 0) for k in ("failed", "failed_running", "failed_calling"))
-        calls = f.get("calls", {}).values()
-        count = sum(c[0] for c in calls)
-        view.call_ms = sum(c[0] * c[1] for c in calls) / count if count else 0.0
-        view.b, view.held, view.running = f.get("b", 0.0), f.get("held", 0), f.get("running", 0)
-        view.in_hand, view.memory_mb = f.get("calls_in_hand", 0), f.get("memory_mb", 0.0)
-        view.history.append(view.read)
-
-    def state(self, view: NodeView) -> str:
-        """The node's state, judged by the newest record of all."""
-        if view.state != "left" and self.now - view.at > SILENT_MS:
-            return "silent"
-        return view.state
-
-    def shown(self, sort: str = "node", only: str = "") -> list[NodeView]:
-        """The nodes whose name or state has this text in it, in this order; figures the highest first."""
-        nodes = [v for v in self.nodes.values() if only in v.name or only == self.state(v)]
-        keys = {
-            "node": lambda v: (v.name,),
-            "state": lambda v: (self.state(v), v.name),
-            "read": lambda v: (-v.read, v.name),
-            "aim": lambda v: (v.aim, v.name),
-            "refused": lambda v: (-v.refused, v.name),
-            "failed": lambda v: (-v.failed, v.name),
-            "b": lambda v: (-v.b, v.name),
-            "calls": lambda v: (-v.call_ms, v.name),
-        }
-        return sorted(nodes, key=keys[sort])
-
-    def totals(self) -> tuple[int, int, int, int]:
-        """Read, served in aim, refused and failed in the last second of the nodes that are up."""
-        up = [v for v in self.nodes.values() if self.state(v) in ("up", "leaving")]
-        return (
-            sum(v.read for v in up),
-            sum(v.good for v in up),
-            sum(v.refused for v in up),
-            sum(v.failed for v in up),
+        if record.kind == RecordKind.SECOND:
+            view.update(record.fields)
+            return
+        if record.kind == RecordKind.DRAIN:
+            view.recorded_state = NodeState.SHUTTING_DOWN
+        elif record.kind == RecordKind.END:
+            view.recorded_state = NodeState.ENDED
+        text = _event_text(record.kind, record.fields)
+        if text is not None:
+            self.lines.append(EventLine(record.at, record.node, text))
+
+    def state(self, view: NodeView) -> NodeState:
+        """Return the node's state as of the newest record of all nodes."""
+        if view.recorded_state != NodeState.ENDED and self.now - view.at > SILENT_MS:
+            return NodeState.SILENT
+        return view.recorded_state
+
+    def shown(self, sort: str = SortOrder.NODE, only: str = "") -> list[NodeView]:
+        """Return the nodes with this text in their name, or of this state, in this order."""
+        views = [view for view in self.nodes.values() if only in view.name or only == self.state(view)]
+        return sorted(views, key=self._sort_keys()[SortOrder(sort)])
+
+    def totals(self) -> FleetTotals:
+        """Return the sums over the nodes that are up."""
+        views = [
+            view
+            for view in self.nodes.values()
+            if self.state(view) in (NodeState.UP, NodeState.SHUTTING_DOWN)
+        ]
+        return FleetTotals(
+            sum(view.read for view in views),
+            sum(view.served_in_time for view in views),
+            sum(view.rejected for view in views),
+            sum(view.failed for view in views),
         )
+
+    def _sort_keys(self) -> dict[SortOrder, Callable[[NodeView], tuple[str | float, ...]]]:
+        return {
+            SortOrder.NODE: lambda view: (view.name,),
+            SortOrder.STATE: lambda view: (self.state(view), view.name),
+            SortOrder.READ: lambda view: (-view.read, view.name),
+            SortOrder.SHARE_IN_TIME: lambda view: (view.share_in_time, view.name),
+            SortOrder.REJECTED: lambda view: (-view.rejected, view.name),
+            SortOrder.FAILED: lambda view: (-view.failed, view.name),
+            SortOrder.BLOCKING_PROBABILITY: lambda view: (-view.blocking_probability, view.name),
+            SortOrder.CALL_DURATION: lambda view: (-view.call_ms, view.name),
+        }
+
+
+def _event_text(kind: str, fields: Fields) -> str | None:
+    """Return what a record other than a ``second`` says; None of a kind that is not known."""
+    match kind:
+        case RecordKind.START:
+            return f"started, version {fields.get('version', '?')}"
+        case RecordKind.DRAIN:
+            return f"told to leave, {fields.get('left_ms', 0.0):.0f} ms left"
+        case RecordKind.END:
+            return f"left after {fields.get('seconds', 0.0):.0f} s"
+        case RecordKind.LINK:
+            return f"link to the {fields.get('peer', '?')} {'stands' if fields.get('up') else 'lost'}"
+        case RecordKind.GAP:
+            return f"{fields.get('lost', 0)} records lost: {fields.get('why', '')}"
+        case RecordKind.NOTE | RecordKind.CONFIG:
+            return str(fields.get("text", ""))
+        case RecordKind.REGISTRATION:
+            return "listed" if fields.get("taking") else "out of the list"
+    return None
--- a/snowthread/console/tail.py
+++ b/snowthread/console/tail.py
@@ -1,38 +1,51 @@
-"""Following files of records while they grow: whole frames only, each file from where it was left."""
+"""Follow files of records while they grow: whole frames only, each file from where it was left."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from snowthread.records.frame import Reader
 from snowthread.records.model import Record
 from snowthread.records.reader import find_files
 
-CHUNK = 256 * 1024  # bytes of one file in one look
+CHUNK_BYTES = 256 * 1024  # of one file in one poll
+
+
+@dataclass(slots=True)
+class _Position:
+    """How far a file was read."""
+
+    offset: int = 0
+    reader: Reader = field(default_factory=Reader)
 
 
 class Tail:
-    """All files of some places."""
+    """A source of the records that are added to files and folders."""
 
     def __init__(self, places: Iterable[Path]) -> None:
         self._places = list(places)
-        self._files: dict[Path, tuple[int, Reader]] = {}
+        self._positions: dict[Path, _Position] = {}
 
     def poll(self) -> list[Record]:
-        """What has come since the last look, by time."""
-        out: list[Record] = []
-        there = find_files(p for p in self._places if p.exists())
-        for path in there:
-            offset, reader = self._files.get(path) or (0, Reader())
-            try:
-                with path.open("rb") as source:
-                    source.seek(offset)
-                    data = source.read(CHUNK)
-            except OSError:  # deleted between two looks
-                continue
-            self._files[path] = offset + len(data), reader
-            out += [got for got in reader.feed(data) if isinstance(got, Record)]
-        for path in set(self._files) - set(there):
-            del self._files[path]
-        return sorted(out, key=lambda r: (r.at, r.key))
+        """Return what was added since the last call, by time."""
+        paths = find_files(place for place in self._places if place.exists())
+        records: list[Record] = []
+        for path in paths:
+            records += self._read_added(path)
+        for path in set(self._positions) - set(paths):
+            del self._positions[path]
+        return sorted(records, key=lambda record: (record.at, record.key))
+
+    def _read_added(self, path: Path) -> list[Record]:
+        position = self._positions.get(path) or _Position()
+        try:
+            with path.open("rb") as source:
+                source.seek(position.offset)
+                data = source.read(CHUNK_BYTES)
+        except OSError:  # deleted since it was found
+            return []
+        position.offset += len(data)
+        self._positions[path] = position
+        return [item for item in position.reader.feed(data) if isinstance(item, Record)]
