Demo: it starts its fleet with the lab's process handling

Cause: snowthread/demo.py started, polled and stopped nodes and emulators, and picked ports, with a second copy of what the lab does.

The demo keeps a plan of its own: as a scenario of the lab it would have other traffic, shared services and no skewed clocks, so its report would say something else.

--- a/snowthread/lab/__init__.py
+++ b/snowthread/lab/__init__.py
@@ -6,4 +6,8 @@
 Parts that act: ``processes`` starts and stops nodes and emulators (also for the demo), ``cores`` distributes
 the processor cores, ``relay`` forwards traffic through the faults of a link, ``fleet`` joins these for one
 scenario, ``timeline`` carries out its steps, and ``runner`` runs it from start to summary.
+
+``demo_fleet``, ``demo_timeline`` and ``demo_display`` are the parts of ``snowthread demo``. They use the same
+processes, but a load of their own, and one emulated site a node in place of shared services. Of the whole
+program only ``demo_fleet`` imports the repository's emulators; the command checks first that they are there.
 """
--- /dev/null
+++ b/snowthread/lab/demo_fleet.py
@@ -0,0 +1,140 @@
+"""The fleet of the demo: three nodes with skewed clocks, each with emulated surroundings and its own load."""
+
+from __future__ import annotations
+
+import json
+import random
+import signal
+import socket
+from collections.abc import Callable
+from pathlib import Path
+
+from emulators.load_generator import Load
+from snowthread.lab.processes import (
+    EmulatorProcess,
+    NodeProcess,
+    StartError,
+    format_address,
+    free_addresses,
+    read_example_configuration,
+    stop_nodes,
+)
+from snowthread.net.loop import EventLoop, TaskSteps, Wait
+
+CLOCK_OFFSETS_S = (0.4, -0.6, 0.0)  # one a node: how far the clock of its machine is off
+NODES = len(CLOCK_OFFSETS_S)
+CORES = 4  # of each node's machine
+RUN_MS = 20.0
+DATABASE_MS = 15.0
+SHUTDOWN_TIMEOUT_MS = 1500
+START_TIMEOUT_MS = 20_000.0
+EXIT_POLL_MS = 50.0
+LOOP_STEP_S = 0.02
+REQUESTS_PER_S = 60.0  # to each node
+CLASS_SHARES = {"match": 0.5, "recalc": 0.2, "dispense": 0.3}
+BALANCER_HOSTS = ("127.0.0.1", "127.0.0.2")
+BALANCER_NUMBER = 10
+LOAD_SEED = 1
+
+
+class DemoFleet:
+    """The processes of the demo; the load comes from this process."""
+
+    def __init__(self, folder: Path, loop: EventLoop) -> None:
+        """Write the configurations into a folder and start the emulators; the nodes are not started yet."""
+        self.folder = folder
+        self.records = folder / "records"
+        self.loop = loop
+        self.records.mkdir(parents=True, exist_ok=True)
+        self._features = folder / "demo.hcl"
+        self._features.write_text(f'records {{\n  folder = "{self.records}"\n}}\n')
+        self.nodes = [self._create_node(number) for number in range(NODES)]
+        self._sites = [
+            EmulatorProcess("emulators.site", str(self._config_file(node.number)), str(CORES), str(RUN_MS))
+            for node in self.nodes
+        ]
+        self.loads = [
+            Load(format_address(node.listen), list(BALANCER_HOSTS), loop=loop, caller=BALANCER_NUMBER)
+            for node in self.nodes
+        ]
+        for load in self.loads:
+            load.others = [other for other in self.loads if other is not load]
+
+    def _config_file(self, number: int) -> Path:
+        return self.folder / f"node{number + 1}.json"
+
+    def _create_node(self, number: int) -> NodeProcess:
+        name = f"n{number + 1}"
+        listen, runtime, database = free_addresses(3)
+        registry = free_addresses(1, socket.SOCK_DGRAM)[0]
+        fields = read_example_configuration()
+        fields["settings"]["domain"]["cores"] = CORES
+        fields |= {
+            "name": name,
+            "listen": format_address(listen),
+            "runtime": format_address(runtime),
+            "index": format_address(database),
+            "roster": format_address(registry),
+            "stop_ms": SHUTDOWN_TIMEOUT_MS,
+        }
+        config = self._config_file(number)
+        config.write_text(json.dumps(fields))
+        offset_s = str(CLOCK_OFFSETS_S[number])
+        command = ("emulators.skewed_clock", offset_s, "serve", "--with", str(self._features))
+        return NodeProcess(name, number, listen, self.folder, command, {"NODE_CONFIG": str(config)})
+
+    def start(self) -> None:
+        """Start the nodes one after the other; raise StartError where one does not accept connections."""
+        for node in self.nodes:
+            node.start()
+            self.loop.spawn(self._wait_until_accepting(node))
+            deadline = self.loop.clock.now() + START_TIMEOUT_MS
+            while not node.accepting:
+                if self.loop.clock.now() >= deadline or not node.running:
+                    raise StartError(f"the demo's node {node.number + 1}")
+                self.loop.run_once(LOOP_STEP_S)
+        self.set_database_time(DATABASE_MS)
+
+    def _wait_until_accepting(self, node: NodeProcess) -> TaskSteps:
+        yield from node.wait_until_accepting(self.loop, START_TIMEOUT_MS)
+
+    def start_load(self, seconds: float) -> None:
+        """Send requests to all nodes for so long, with the same draws in each run."""
+        generator = random.Random(LOAD_SEED)
+        for load in self.loads:
+            load.arrivals(generator, REQUESTS_PER_S, seconds, CLASS_SHARES)
+
+    def set_database_time(self, milliseconds: float) -> None:
+        """Have each call to the database take so long from now on."""
+        for site in self._sites:
+            site.send(f"index {milliseconds}")
+
+    def stopper(self, number: int, how: signal.Signals) -> Callable[[], None]:
+        """Return an action that stops a node with a signal and sends its load to the others."""
+
+        def stop() -> None:
+            self.loads[number].paused = True
+            self.nodes[number].send_signal(how)
+
+        return stop
+
+    def restarter(self, number: int) -> Callable[[], None]:
+        """Return an action that starts a node again once it has ended, and gives it its load back."""
+        return lambda: self._spawn_restart(number)
+
+    def _spawn_restart(self, number: int) -> None:
+        self.loop.spawn(self._restart(self.nodes[number], self.loads[number]))
+
+    def _restart(self, node: NodeProcess, load: Load) -> TaskSteps:
+        while node.running:
+            yield Wait(until=self.loop.clock.now() + EXIT_POLL_MS)
+        node.start()
+        yield from node.wait_until_accepting(self.loop, START_TIMEOUT_MS)
+        load.paused = False
+
+    def close(self) -> None:
+        """Close the load's connections and stop all processes, the nodes gracefully."""
+        self.loop._close_tasks()
+        stop_nodes(self.nodes)
+        for site in self._sites:
+            site.stop()
--- a/snowthread/lab/fleet.py
+++ b/snowthread/lab/fleet.py
@@ -223,7 +223,6 @@
     def restart_node(self, node: NodeProcess) -> None:
         """Start a node again; kill it first where a graceful shutdown has not ended yet."""
         self.signal_node(node, signal.SIGKILL)
-        node.wait()
         self.start_node(node)
 
     def announce_down(self, node: NodeProcess) -> None:
--- a/snowthread/lab/processes.py
+++ b/snowthread/lab/processes.py
@@ -93,7 +93,12 @@
         return self.process is not None and not self.killed and self.process.poll() is None
 
     def start(self, log: IO[bytes] | int = subprocess.DEVNULL) -> None:
-        """Start a new process, with its output in a log file; does not wait until it accepts connections."""
+        """Start a new process once the last one has ended; does not wait until it accepts connections.
+
+        Its output goes to ``log``.
+        """
+        if self.process is not None:
+            self.process.wait()
         self.process = subprocess.Popen(
             [sys.executable, "-m", *self.command],
             cwd=ROOT,
@@ -139,11 +144,6 @@
             self.killed = True
             self.accepting = False
 
-    def wait(self) -> None:
-        """Block until the process has ended."""
-        if self.process is not None:
-            self.process.wait()
-
 
 def stop_nodes(nodes: Iterable[NodeProcess]) -> None:
     """Have all nodes shut down gracefully, and kill those that take too long."""
