Records: a second's counts and fields in their own module; report legends

Change: records/second.py holds what one second is made of; charts and the table of the HTML report say served in time, rejected, failed or late (no test or page pins the former legends; sentences and JSON stay).

--- a/benchmarks/timeline.py
+++ b/benchmarks/timeline.py
@@ -72,7 +72,7 @@
     @property
     def error_ms(self) -> float:
         """How far off the start of the episode is."""
-        return start_error_ms(self.trouble, self.episode)
+        return abs(self.episode.start - (BEGIN_S + self.trouble.start_s) * 1000.0)
 
 
 @dataclass(slots=True)
@@ -114,11 +114,6 @@
         }
 
 
-def start_error_ms(trouble: Trouble, episode: Episode) -> float:
-    """Return how far the start of an episode is from that of a trouble."""
-    return abs(episode.start - (BEGIN_S + trouble.start_s) * 1000.0)
-
-
 def match(troubles: Sequence[Trouble], episodes: Sequence[Episode]) -> list[Match]:
     """Match each trouble to the nearest episode of its kind that is not taken yet."""
     matches = []
@@ -126,9 +121,10 @@
     for trouble in troubles:
         same_kind = [episode for episode in unmatched if episode.kind.value == trouble.kind.value]
         if same_kind:
-            nearest = min((start_error_ms(trouble, episode), n) for n, episode in enumerate(same_kind))[1]
-            unmatched.remove(same_kind[nearest])
-            matches.append(Match(trouble, same_kind[nearest]))
+            candidates = [Match(trouble, episode) for episode in same_kind]
+            nearest = min(candidates, key=lambda candidate: candidate.error_ms)
+            unmatched.remove(nearest.episode)
+            matches.append(nearest)
     return matches
 
 
--- a/snowthread/incident/charts.py
+++ b/snowthread/incident/charts.py
@@ -15,7 +15,10 @@
 WIDTH, HEIGHT = 900, 260  # in the chart's own units; the page scales them
 LABELS = 6  # times below the chart
 COLORS = ("#2b6cb0", "#c05621", "#2f855a", "#b83280", "#6b46c1", "#b7791f")
-READ, SERVED_IN_TIME, NOT_SERVED, CALL_MS = "read", "served in aim", "turned away", "call, ms"  # legends
+READ = "read"  # legends of the lines
+SERVED_IN_TIME = "served in time"
+NOT_SERVED = "rejected, failed or late"
+CALL_MS = "call, ms"
 
 Line = dict[int, float]  # value by second
 _STYLE = Style(
--- a/snowthread/records/observer.py
+++ b/snowthread/records/observer.py
@@ -6,30 +6,19 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
-from hdrh.histogram import HdrHistogram
-
-from snowthread.admission.controller import Controller
-from snowthread.admission.learned_state import confirmation_ages_s
 from snowthread.admission.settings import Settings
 from snowthread.core import effects, events
-from snowthread.core.state import RequestPhase, State
+from snowthread.core.state import State
 from snowthread.records.model import Fields, RecordDraft, RecordKind, Totals
+from snowthread.records.second import Second, count_duration, second_fields
 
-COARSE_FROM_MS = 1000.0  # from here on durations are counted in coarse steps
-COARSE_STEP_MS = 10
-DURATION_MAX_MS = 3_600_000  # longer runs and calls count as this long
-DURATION_DIGITS = 2  # significant digits of the percentiles
 TENANTS_MAX = 200  # rows of a second; tenants beyond that are counted under one name
 OTHER_TENANTS = "(others)"
 RUNS_MAX = 4096  # runs whose end is awaited
 CALLERS_MAX = 16  # balancers whose youngest request is recorded each second
 
-DurationCounts = dict[int, int]  # duration in ms, in coarse steps above the limit -> how often
-TotalsKey = tuple[str, str]  # class name and tenant; a plain tuple, as one is built for each request
-
 _NO_RECORDS: tuple[RecordDraft, ...] = ()
 _EventT = TypeVar("_EventT")
 _EffectT = TypeVar("_EffectT")
@@ -54,18 +43,7 @@
         self.received_at_ms = received_at_ms  # when it reached the machine
         self.run_started = self.call_in_flight = False
         self.totals: Totals | None = None  # its row in the second where it was counted last
-        self.counted_in: _Second | None = None
-
-
-@dataclass(slots=True)
-class _Second:
-    """What was counted since the last record of a second."""
-
-    started_at_ms: float
-    totals: dict[TotalsKey, Totals] = field(default_factory=dict)
-    run_durations: dict[str, DurationCounts] = field(default_factory=dict)  # by class name
-    call_durations: dict[str, DurationCounts] = field(default_factory=dict)  # by outcome
-    least_age_ms: dict[int, float] = field(default_factory=dict)  # by caller: of its youngest request
+        self.counted_in: Second | None = None
 
 
 class Observer:
@@ -76,7 +54,7 @@
         self.apply_settings(settings)
         self._open: dict[events.ResponseAddress, _OpenRequest] = {}
         self._by_attempt: dict[str, _OpenRequest] = {}
-        self._second = _Second(now)
+        self._second = Second(now)
         self._runtime_connected = False
         self._run_classes: dict[str, str] = {}  # by attempt id; its caller may be gone already
         self._just_received: _OpenRequest | None = None  # by the event that is being observed
@@ -115,12 +93,8 @@
 
     def take_totals(self, state: State, now: float) -> Fields:
         """Return the fields of a ``second``: the counts since the last call, and the current figures."""
-        second, self._second = self._second, _Second(now)
-        fields = _counted_fields(second, now)
-        if state.controller is not None:
-            fields |= _controller_fields(state.controller, state.admission_clock.timestamp_s(now))
-        fields |= _load_fields(state)
-        return fields
+        second, self._second = self._second, Second(now)
+        return second_fields(second, state, now)
 
     # Dispatch.
 
@@ -173,10 +147,10 @@
     def _run_completed(self, event: events.RunCompleted, drafts: list[RecordDraft], now: float) -> None:
         class_name = self._run_classes.pop(event.attempt_id, None)
         if class_name is not None:
-            _count_duration(self._second.run_durations, class_name, event.duration_ms)
+            count_duration(self._second.run_durations, class_name, event.duration_ms)
 
     def _call_completed(self, event: events.CallCompleted, drafts: list[RecordDraft], now: float) -> None:
-        _count_duration(self._second.call_durations, event.outcome.value, event.duration_ms)
+        count_duration(self._second.call_durations, event.outcome.value, event.duration_ms)
         request = self._by_attempt.get(event.attempt_id)
         if request is not None:
             request.call_in_flight = False
@@ -283,67 +257,3 @@
             row = rows[key] = Totals()
         request.counted_in, request.totals = second, row
         return row
-
-
-def _count_duration(durations: dict[str, DurationCounts], name: str, duration_ms: float) -> None:
-    # Put into a histogram only once a second, as that takes ten times as long as a plain count.
-    counts = durations.get(name)
-    if counts is None:
-        counts = durations[name] = {}
-    if duration_ms < COARSE_FROM_MS:
-        value = int(duration_ms)
-    else:
-        value = int(duration_ms / COARSE_STEP_MS) * COARSE_STEP_MS
-    counts[value] = counts.get(value, 0) + 1
-
-
-def _summarize(counts: DurationCounts) -> list[int]:
-    """Return count, median, 99th percentile and maximum; the last three in ms."""
-    histogram = HdrHistogram(1, DURATION_MAX_MS, DURATION_DIGITS)
-    for value, count in counts.items():
-        histogram.record_value(max(1, min(DURATION_MAX_MS, value)), count)
-    return [
-        histogram.get_total_count(),
-        int(histogram.get_value_at_percentile(50.0)),
-        int(histogram.get_value_at_percentile(99.0)),
-        int(histogram.get_max_value()),
-    ]
-
-
-def _counted_fields(second: _Second, now: float) -> Fields:
-    fields: Fields = {
-        "ms": round(now - second.started_at_ms, 1),
-        "totals": [[name, tenant, row.plain()] for (name, tenant), row in second.totals.items()],
-    }
-    if second.run_durations:
-        fields["runs"] = {name: _summarize(counts) for name, counts in second.run_durations.items()}
-    if second.call_durations:
-        fields["calls"] = {name: _summarize(counts) for name, counts in second.call_durations.items()}
-    if second.least_age_ms:
-        fields["floors"] = second.least_age_ms
-    return fields
-
-
-def _controller_fields(controller: Controller, timestamp_s: float) -> Fields:
-    ages_s = confirmation_ages_s(controller, timestamp_s)
-    return {
-        "b": round(controller.blocking_probability, 4),
-        "limit": round(controller.concurrency_limit, 2),
-        "mu": round(controller.estimates.service_rate, 3),
-        "lambda": round(controller.estimates.arrival_rate, 3),
-        "run_ages_s": {name: round(age, 2) for name, age in ages_s.items()},
-    }
-
-
-def _load_fields(state: State) -> Fields:
-    phases = [request.phase for request in state.requests.values()]
-    fields: Fields = {
-        "held": phases.count(RequestPhase.QUEUED),
-        "running": phases.count(RequestPhase.RUNNING),
-        "calls_in_hand": sum(request.call_in_flight for request in state.requests.values()),
-        "keys": len(state.idempotency_table),
-        "gauges": dict(zip(state.gauge_names, state.load_sample, strict=False)),
-    }
-    if state.load_report is not None:
-        fields["say"] = state.load_report
-    return fields
--- /dev/null
+++ b/snowthread/records/second.py
@@ -0,0 +1,107 @@
+"""What one second of a node is made of: counts, durations, and the figures of the node. Free of I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from hdrh.histogram import HdrHistogram
+
+from snowthread.admission.controller import Controller
+from snowthread.admission.learned_state import confirmation_ages_s
+from snowthread.core.state import RequestPhase, State
+from snowthread.records.model import Fields, Totals
+
+COARSE_FROM_MS = 1000.0  # from here on durations are counted in coarse steps
+COARSE_STEP_MS = 10
+DURATION_MAX_MS = 3_600_000  # longer runs and calls count as this long
+DURATION_DIGITS = 2  # significant digits of the percentiles
+
+DurationCounts = dict[int, int]  # duration in ms, in coarse steps above the limit -> how often
+TotalsKey = tuple[str, str]  # class name and tenant; a plain tuple, as one is built for each request
+
+
+@dataclass(slots=True)
+class Second:
+    """What was counted since the last record of a second."""
+
+    started_at_ms: float
+    totals: dict[TotalsKey, Totals] = field(default_factory=dict)
+    run_durations: dict[str, DurationCounts] = field(default_factory=dict)  # by class name
+    call_durations: dict[str, DurationCounts] = field(default_factory=dict)  # by outcome
+    least_age_ms: dict[int, float] = field(default_factory=dict)  # by caller: of its youngest request
+
+
+def count_duration(durations: dict[str, DurationCounts], name: str, duration_ms: float) -> None:
+    """Count one duration under a name.
+
+    It goes into a histogram only once a second, as that takes ten times as long as a plain count.
+    """
+    counts = durations.get(name)
+    if counts is None:
+        counts = durations[name] = {}
+    if duration_ms < COARSE_FROM_MS:
+        value = int(duration_ms)
+    else:
+        value = int(duration_ms / COARSE_STEP_MS) * COARSE_STEP_MS
+    counts[value] = counts.get(value, 0) + 1
+
+
+def second_fields(second: Second, state: State, now: float) -> Fields:
+    """Return the fields of a ``second``: what was counted, and the node's figures as they are now."""
+    fields = _counted_fields(second, now)
+    if state.controller is not None:
+        fields |= _controller_fields(state.controller, state.admission_clock.timestamp_s(now))
+    fields |= _load_fields(state)
+    return fields
+
+
+def _summarize(counts: DurationCounts) -> list[int]:
+    """Return count, median, 99th percentile and maximum; the last three in ms."""
+    histogram = HdrHistogram(1, DURATION_MAX_MS, DURATION_DIGITS)
+    for value, count in counts.items():
+        histogram.record_value(max(1, min(DURATION_MAX_MS, value)), count)
+    return [
+        histogram.get_total_count(),
+        int(histogram.get_value_at_percentile(50.0)),
+        int(histogram.get_value_at_percentile(99.0)),
+        int(histogram.get_max_value()),
+    ]
+
+
+def _counted_fields(second: Second, now: float) -> Fields:
+    fields: Fields = {
+        "ms": round(now - second.started_at_ms, 1),
+        "totals": [[name, tenant, row.plain()] for (name, tenant), row in second.totals.items()],
+    }
+    if second.run_durations:
+        fields["runs"] = {name: _summarize(counts) for name, counts in second.run_durations.items()}
+    if second.call_durations:
+        fields["calls"] = {name: _summarize(counts) for name, counts in second.call_durations.items()}
+    if second.least_age_ms:
+        fields["floors"] = second.least_age_ms
+    return fields
+
+
+def _controller_fields(controller: Controller, timestamp_s: float) -> Fields:
+    ages_s = confirmation_ages_s(controller, timestamp_s)
+    return {
+        "b": round(controller.blocking_probability, 4),
+        "limit": round(controller.concurrency_limit, 2),
+        "mu": round(controller.estimates.service_rate, 3),
+        "lambda": round(controller.estimates.arrival_rate, 3),
+        "run_ages_s": {name: round(age, 2) for name, age in ages_s.items()},
+    }
+
+
+def _load_fields(state: State) -> Fields:
+    phases = [request.phase for request in state.requests.values()]
+    fields: Fields = {
+        "held": phases.count(RequestPhase.QUEUED),
+        "running": phases.count(RequestPhase.RUNNING),
+        "calls_in_hand": sum(request.call_in_flight for request in state.requests.values()),
+        "keys": len(state.idempotency_table),
+        "gauges": dict(zip(state.gauge_names, state.load_sample, strict=False)),
+    }
+    if state.load_report is not None:
+        fields["say"] = state.load_report
+    return fields
