--- a/snowthread/incident/report.py
+++ b/snowthread/incident/report.py
@@ -44,24 +44,24 @@
         self.series: Series = build(merge(paths, self.findings), self.clocks)
         self.story: Timeline = build_timeline(self.series, self.clocks)
 
-    def plain(self) -> dict[str, Any]:
-        """Return what is told for programs: sentences with their records, offsets, findings, totals."""
+    def to_dict(self) -> dict[str, Any]:
+        """Return the same for programs: sentences with their records, offsets, findings, totals."""
         return {
             "version": __version__,
             "quiet": self.story.quiet,
             "span": list(self.series.span),
-            "sentences": [_plain_sentence(sentence) for sentence in self.story.sentences],
+            "sentences": [_sentence_dict(sentence) for sentence in self.story.sentences],
             "unknown": list(self.story.unknown),
-            "offsets": _plain_offsets(self.clocks),
-            "findings": _plain_findings(self.findings),
+            "offsets": _offset_dicts(self.clocks),
+            "findings": _findings_dict(self.findings),
             "nodes": [
                 {"node": node, **_totals(rows.values())} for node, rows in sorted(self.series.nodes.items())
             ],
         }
 
     def json(self) -> bytes:
-        """Return ``plain`` as indented JSON."""
-        return orjson.dumps(self.plain(), option=orjson.OPT_INDENT_2)
+        """Return ``to_dict`` as indented JSON."""
+        return orjson.dumps(self.to_dict(), option=orjson.OPT_INDENT_2)
 
     def html(self) -> str:
         """Return the whole page."""
@@ -75,7 +75,7 @@
         environment.filters["clock"] = format_clock
         nodes = sorted(self.series.nodes.items())
         return environment.get_template(TEMPLATE).render(
-            report=self.plain(),
+            report=self.to_dict(),
             timeline=self.story,
             charts=self._charts(),
             node_charts=[node_chart(node, rows) for node, rows in nodes[:NODE_CHARTS_MAX]],
@@ -90,7 +90,7 @@
         return charts + [class_chart(name, rows) for name, rows in sorted(self.series.classes.items())]
 
 
-def _plain_sentence(sentence: Sentence) -> dict[str, Any]:
+def _sentence_dict(sentence: Sentence) -> dict[str, Any]:
     episode = sentence.episode
     return {
         "at": sentence.at,
@@ -105,7 +105,7 @@
     }
 
 
-def _plain_offsets(clocks: Clocks) -> list[dict[str, Any]]:
+def _offset_dicts(clocks: Clocks) -> list[dict[str, Any]]:
     return [
         {
             "node": segment.node,
@@ -118,7 +118,7 @@
     ]
 
 
-def _plain_findings(findings: Findings) -> dict[str, Any]:
+def _findings_dict(findings: Findings) -> dict[str, Any]:
     return {
         "records": findings.records,
         "files": findings.files,
--- a/tests/incident/test_incident_report.py
+++ b/tests/incident/test_incident_report.py
@@ -71,5 +71,5 @@
 
 def test_reading_the_same_records_twice_changes_nothing(tmp_path: Path) -> None:
     record_day(7, troubles=draw_troubles(7)).write(tmp_path)
-    assert Report([tmp_path]).plain() == Report([tmp_path, tmp_path]).plain()
+    assert Report([tmp_path]).to_dict() == Report([tmp_path, tmp_path]).to_dict()
     assert len(list(merge([tmp_path], Findings()))) > 0
