--- a/emulators/balancers.py
+++ b/emulators/balancers.py
@@ -1,15 +1,18 @@
-"""The balancers of a fleet lab as one process: seeded traffic in the brief's classes, with the brief's
-habits.
-
-``python -m emulators.balancers PLAN_JSON`` where the file holds ``nodes`` (name to address), ``roster``,
-``seed``, ``per_s``, ``seconds``, ``keyed`` (share), ``repeats`` (share of keyed requests tried again) and
-``classes``. It prints ``balancers: ready``, begins at a line ``go`` and takes ``down NAME`` (killed, stopped
-or cut off: what was open there is no answer lost), ``report`` (one JSON line) and the end of its input.
-
-Habits: nodes are those the roster lists, asked every 300 ms; weights told by ``say`` and ``after`` are
-heeded; a refusal that does not say ``last`` has the request walk on to another node; a safe try that broke
-off goes to another node; a keyed one that broke off goes to **the same node** again, since elsewhere it might
-run twice. Repeats of keyed requests go to the node that took the first try.
+"""Emulate the balancers of a fleet and their clients as one process of the lab.
+
+``python -m emulators.balancers PLAN_JSON`` reads the plan (see :mod:`emulators.traffic_plan`), prints
+``balancers: ready``, and then takes commands on standard input:
+
+    go          the traffic begins
+    down NAME   this node was killed, stopped or cut off: what is open there may stay without an answer
+    report      prints one JSON line: what became of the requests
+    (end)       the process ends
+
+The balancers send to the nodes that the registry lists, which they ask every 300 ms, by the weights that the
+nodes report (``say``). They give a node that rejected a request the time it asks for (``after``). A rejected
+request goes on to another node unless the answer says ``last``. An attempt without a key whose connection was
+lost goes on to another node; one with a key goes to **the same node** again, since it might run twice
+elsewhere. The client's repeat of a keyed request goes to the node that took the first attempt.
 """
 
 from __future__ import annotations
@@ -18,273 +21,263 @@
 import random
 import socket
 import sys
-from collections import Counter
-from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
 from typing import Any
 
-from emulators.load_generator import BROKEN_OFF, REFUSED, SERVED, Asked, Load
-from emulators.machine import WITHOUT
-from emulators.stdin_commands import listen_to
+from emulators.load_generator import (
+    CONNECTION_LOST,
+    KEYED_BODY_PREFIX,
+    PLAIN_BODY,
+    REFUSED,
+    SERVED,
+    Asked,
+    Load,
+)
+from emulators.machine import OMITTED_SUFFIX
+from emulators.stdin_commands import handle_commands
+from emulators.traffic_accounts import (
+    LATE_TOLERANCE_MS,
+    Accounts,
+    Attempt,
+    ClientRequest,
+    Outcome,
+    Unanswered,
+)
+from emulators.traffic_plan import RequestClass, TrafficPlan
 from snowthread.address import Address
 from snowthread.net.clock import Clock
 from snowthread.net.loop import READABLE, EventLoop, TaskSteps, Wait
 
-SOURCES = 3  # balancers: each an address of its own
-LIST_MS, AGAIN_MS = 300.0, 250.0
-TRIES_MAX = 4  # of a request, repeats not counted
-SLACK_MS = 110.0  # the rules' 60 and 50
-AROUND_MS = 400.0  # a death is heard of by way of the lab, which may be held up; a stop lasts too
-
-
-@dataclass(slots=True, eq=False)
-class Request:
-    """A client's request: its tries, and what came of it."""
-
-    kind: dict[str, Any]
-    key: str
-    born: float
-    source: str
-    tries: int = 0
-    node: str = ""  # where a keyed try may have run: no other may be asked
-    foreign: bool = False  # of another site's client
-    worth: float = 0.0
-    end: str = ""  # served, late, refused, failed
-    asked_at: list[str] = field(default_factory=list)
-
-
-class Balancers:
-    """Plays the traffic and keeps the accounts."""
-
-    def __init__(self, loop: EventLoop, plan: dict[str, Any]) -> None:
-        self.loop, self.plan = loop, plan
-        self.draw = random.Random(plan["seed"])
-        host = plan["sources"]
-        self.sources = [f"{host}.{n + 2}" for n in range(SOURCES)]
-        self.loads = {
-            name: self._load(name, where, plan["own_number"]) for name, where in plan["nodes"].items()
-        }
-        self.others = {
-            name: self._load(name, where, plan["others_number"]) for name, where in plan["nodes"].items()
-        }
-        self.listed = sorted(self.loads)
-        self.weight: dict[str, float] = {}
-        self.off_until: dict[tuple[str, str], float] = {}
-        self.tries: dict[Asked, tuple[Request, str, float]] = {}
-        self.requests: list[Request] = []
-        self.downs: dict[str, list[float]] = {name: [] for name in self.loads}
-        self.broken: list[tuple[str, float, float]] = []  # of tries: node, when asked, when broken off
-        self.count: Counter[str] = Counter()
-        self.begin = 0.0
+BALANCERS = 3  # each with a source address of its own
+REGISTRY_POLL_MS = 300.0
+RETRY_DELAY_MS = 250.0  # until an attempt with a key is sent to its node again
+ATTEMPTS_MAX = 4  # of a request, the client's repeat not counted
+ATTEMPT_TIME_MIN_MS = 5.0  # left until the deadline; with less, a request is given up
+WEIGHT_MIN = 0.02  # so that a node is heard of again
+DATAGRAM_BYTES_MAX = 65536
+
+
+class Router:
+    """Chooses nodes for requests, from the registry's list and what the nodes answered."""
+
+    def __init__(self, loop: EventLoop, plan: TrafficPlan, generator: random.Random) -> None:
+        """Begin with all nodes of the plan, and ask the registry from now on."""
+        self._loop = loop
+        self._generator = generator
+        self._known = frozenset(plan.nodes)
+        self._listed = sorted(plan.nodes)
+        self._weights: dict[str, float] = {}
+        self._avoid_until: dict[tuple[str, str], float] = {}  # by source and node
         self._sock = Address("127.0.0.1", 0).open(socket.SOCK_DGRAM)
-        loop.spawn(self._lists(Address.parse(plan["roster"])))
+        loop.spawn(self._poll_registry(Address.parse(plan.registry)))
 
-    def _load(self, name: str, where: str, number: int) -> Load:
-        load = Load(where, self.sources, loop=self.loop, caller=number)
-        load.keyed_bodies = True
-        load.heard = partial(self.heard, name)
-        return load
-
-    def _lists(self, roster: Address) -> TaskSteps:
+    def _poll_registry(self, registry: Address) -> TaskSteps:
         while True:
             try:
-                self._sock.sendto(b"LIST", roster)
-                yield Wait(self._sock.fileno(), READABLE, self.loop.clock.now() + LIST_MS)
-                names = self._sock.recv(65536).decode().split()[1:]
-                if names:  # with an empty list there is nobody better to ask than those known
-                    self.listed = [name for name in names if name in self.loads]
+                self._sock.sendto(b"LIST", registry)
+                yield Wait(self._sock.fileno(), READABLE, self._loop.clock.now() + REGISTRY_POLL_MS)
+                names = self._sock.recv(DATAGRAM_BYTES_MAX).decode().split()[1:]
+                if names:  # an empty list names nobody better than those known
+                    self._listed = [name for name in names if name in self._known]
             except OSError:
                 pass
-            yield Wait(until=self.loop.clock.now() + LIST_MS)
-
-    # The traffic.
-
-    def go(self) -> None:
-        self.begin = at = self.loop.clock.now()
-        draw, kinds = self.draw, self.plan["classes"]
-        safe = [kind for kind in kinds if not kind["keyed"]]
-        keyed = next(kind for kind in kinds if kind["keyed"])
-        while at < self.begin + self.plan["seconds"] * 1000.0:
-            at += draw.expovariate(self.plan["per_s"]) * 1000.0
-            kind = (
-                keyed
-                if draw.random() < self.plan["keyed"]
-                else draw.choices(safe, [kind["share"] for kind in safe])[0]
-            )
-            foreign = draw.random() < self.plan["foreign"]
-            key = f"{'f' if foreign else '0'}{draw.getrandbits(64):016x}" if kind["keyed"] else ""
-            repeated = bool(key) and draw.random() < self.plan["repeats"]
-            again = draw.uniform(*self.plan["again_ms"]) if repeated else 0.0
-            self.loop.call_at(at, partial(self._born, kind, key, draw.choice(self.sources), again, foreign))
-
-    def _born(self, kind: dict[str, Any], key: str, source: str, again: float, foreign: bool) -> None:
-        request = Request(kind, key, self.loop.clock.now(), source, foreign=foreign)
-        self.requests.append(request)
-        self.attempt(request)
-        if again:
-            self.loop.call_at(request.born + again, partial(self.repeat, request))
-
-    def _choose(self, request: Request) -> str | None:
-        now = self.loop.clock.now()
-        names = [name for name in self.listed if name not in request.asked_at]
-        names = [name for name in names if self.off_until.get((request.source, name), 0.0) <= now] or names
-        if not names:
+            yield Wait(until=self._loop.clock.now() + REGISTRY_POLL_MS)
+
+    def choose(self, request: ClientRequest) -> str | None:
+        """Return a node that was not tried yet; None where there is none."""
+        now = self._loop.clock.now()
+        untried = [name for name in self._listed if name not in request.nodes_tried]
+        welcome = [name for name in untried if self._avoid_until.get((request.source, name), 0.0) <= now]
+        candidates = welcome or untried
+        if not candidates:
             return None
-        weights = [max(0.02, self.weight.get(name, 1.0)) for name in names]
-        return str(self.draw.choices(names, weights)[0])
-
-    def attempt(self, request: Request) -> None:
-        """Try a node, and where it takes no connection the next; that proves that nothing ran."""
-        left = request.born + request.kind["deadline_ms"] - self.loop.clock.now()
-        while not request.end:
-            name = request.node or self._choose(request)
-            if name is None or request.tries >= TRIES_MAX or left < 5.0:
-                self.ended(request, "refused" if not request.node else "failed")
+        weights = [max(WEIGHT_MIN, self._weights.get(name, 1.0)) for name in candidates]
+        return self._generator.choices(candidates, weights)[0]
+
+    def take_weight(self, node: str, weight: float) -> None:
+        """Take the weight that a node reported."""
+        self._weights[node] = weight
+
+    def avoid(self, source: str, node: str, for_ms: float) -> None:
+        """Let a balancer prefer other nodes for so long."""
+        self._avoid_until[source, node] = self._loop.clock.now() + for_ms
+
+
+class Balancers:
+    """Sends the traffic of all clients, and keeps the accounts."""
+
+    def __init__(self, loop: EventLoop, plan: TrafficPlan) -> None:
+        """Send nothing yet."""
+        self._loop = loop
+        self._plan = plan
+        self._generator = random.Random(plan.seed)
+        self._sources = [f"{plan.source_network}.{number + 2}" for number in range(BALANCERS)]
+        self._own_loads = self._create_loads(plan.own_balancer)
+        self._foreign_loads = self._create_loads(plan.foreign_balancer)
+        self._router = Router(loop, plan, self._generator)
+        self._accounts = Accounts(plan)
+        self._attempts: dict[Asked, Attempt] = {}  # without an answer yet
+
+    def _create_loads(self, balancer_number: int) -> dict[str, Load]:
+        loads = {}
+        for name, address in self._plan.nodes.items():
+            load = Load(address, self._sources, loop=self._loop, caller=balancer_number)
+            load.keyed_bodies = True
+            load.on_answer = partial(self._take_answer, name)
+            loads[name] = load
+        return loads
+
+    def handle(self, command: str, argument: str) -> None:
+        """Carry out a command of standard input."""
+        match command:
+            case "go":
+                self._schedule_traffic()
+            case "down":
+                self._accounts.note_down(argument, self._loop.clock.now())
+            case "report":
+                print(json.dumps(self._accounts.report(self._overdue())), flush=True)
+
+    # Requests of the clients.
+
+    def _schedule_traffic(self) -> None:
+        """Schedule Poisson arrivals of all requests of the plan from now on."""
+        generator, plan = self._generator, self._plan
+        begin = at = self._accounts.begin_ms = self._loop.clock.now()
+        while at < begin + plan.seconds * 1000.0:
+            at += generator.expovariate(plan.per_s) * 1000.0
+            kind = self._draw_class()
+            foreign = generator.random() < plan.foreign_share
+            key = f"{'f' if foreign else '0'}{generator.getrandbits(64):016x}" if kind.keyed else ""
+            repeated = bool(key) and generator.random() < plan.repeated_share
+            repeat_after_ms = generator.uniform(*plan.repeat_after_ms) if repeated else 0.0
+            source = generator.choice(self._sources)
+            self._loop.call_at(at, partial(self._begin, kind, key, source, foreign, repeat_after_ms))
+
+    def _draw_class(self) -> RequestClass:
+        keyed = next(kind for kind in self._plan.classes if kind.keyed)
+        if self._generator.random() < self._plan.keyed_share:
+            return keyed
+        safe = [kind for kind in self._plan.classes if not kind.keyed]
+        return self._generator.choices(safe, [kind.share for kind in safe])[0]
+
+    def _begin(
+        self, kind: RequestClass, key: str, source: str, foreign: bool, repeat_after_ms: float
+    ) -> None:
+        request = ClientRequest(kind, key, self._loop.clock.now(), source, foreign)
+        self._accounts.requests.append(request)
+        self._attempt(request)
+        if repeat_after_ms:
+            self._loop.call_at(request.sent_ms + repeat_after_ms, partial(self._repeat, request))
+
+    def _attempt(self, request: ClientRequest) -> None:
+        """Send to a node, and where it takes no connection, so that nothing ran there, to the next."""
+        left_ms = request.sent_ms + request.request_class.deadline_ms - self._loop.clock.now()
+        while request.outcome is None:
+            node = request.pinned_node or self._router.choose(request)
+            if node is None or request.attempts >= ATTEMPTS_MAX or left_ms < ATTEMPT_TIME_MIN_MS:
+                request.finish(Outcome.FAILED if request.pinned_node else Outcome.REJECTED)
                 return
-            request.tries += 1
-            if self._ask(request, name, left):
+            request.attempts += 1
+            if self._send(request, node, left_ms):
                 return
-            if request.node:
-                self.loop.call_at(self.loop.clock.now() + AGAIN_MS, partial(self.attempt, request))
+            if request.pinned_node:
+                self._attempt_after(request, RETRY_DELAY_MS)
                 return
-            request.asked_at.append(name)
+            request.nodes_tried.append(node)
 
-    def _ask(self, request: Request, name: str, left: float) -> bool:
-        load = (self.others if request.foreign else self.loads)[name]
+    def _attempt_after(self, request: ClientRequest, delay_ms: float) -> None:
+        self._loop.call_at(self._loop.clock.now() + delay_ms, partial(self._attempt, request))
+
+    def _send(self, request: ClientRequest, node: str, left_ms: float) -> bool:
+        """Send an attempt; return False where the node takes no connection."""
+        load = (self._foreign_loads if request.foreign else self._own_loads)[node]
         try:
-            asked = load.ask(request.source, request.kind["name"], request.key, left)
+            asked = load.ask(request.source, request.request_class.name, request.key, left_ms)
         except OSError:
             load.asked.pop()
             return False
-        load.asked.clear()  # the accounts are here
+        load.asked.clear()  # the accounts have it
         if request.key:
-            request.node = name
-        self.tries[asked] = (request, name, asked.at + left)
-        self.count["tries"] += 1
+            request.pinned_node = node
+        self._attempts[asked] = Attempt(request, node, asked.at + left_ms)
+        self._accounts.counts["tries"] += 1
         return True
 
-    def repeat(self, request: Request) -> None:
-        """The client asks once more with the key, at the node that may have run it."""
-        if request.node and self._ask(request, request.node, request.kind["deadline_ms"]):
-            self.count["repeats"] += 1
+    def _repeat(self, request: ClientRequest) -> None:
+        """Repeat a keyed request for its client, at the node that may have run it."""
+        node = request.pinned_node
+        if node and self._send(request, node, request.request_class.deadline_ms):
+            self._accounts.counts["repeats"] += 1
 
-    # What comes back.
+    # Answers of the nodes.
 
-    def heard(self, name: str, asked: Asked, word: str, message: Any) -> None:
-        now = self.loop.clock.now()
-        found = self.tries.get(asked)
-        if found is None:
-            return
-        request, _, due = found
+    def _take_answer(self, node: str, asked: Asked, outcome: str, message: Any, /) -> None:
+        """Take an answer, or the loss of a connection, for one attempt."""
         if len(asked.answers) > 1:
-            self.count["answered twice"] += 1
+            self._accounts.counts["answered twice"] += 1
+            return
+        attempt = self._attempts.pop(asked, None)
+        if attempt is None:
             return
-        if word == BROKEN_OFF:
-            self.broken.append((name, asked.at, now))
-            del self.tries[asked]
-            if not request.key:
-                request.asked_at.append(name)
-            if not request.end:
-                self.loop.call_at(now + (AGAIN_MS if request.key else 0.0), partial(self.attempt, request))
+        request, now = attempt.request, self._loop.clock.now()
+        if outcome == CONNECTION_LOST:
+            self._accounts.connections_lost.append(Unanswered(node, asked.at, now))
+            self._retry_lost(request, node)
             return
-        del self.tries[asked]
-        self.count[word] += 1
-        self.count["late"] += now > due + SLACK_MS and not self._excused(name, asked.at, now)
+        self._accounts.counts[outcome] += 1
+        self._accounts.counts["late"] += self._accounts.is_late(attempt, asked.at, now)
         fields = message[2][1] if message[2] else message[3][1]
         if "say" in fields:
-            self.weight[name] = float(fields["say"])
-        if word == SERVED:
-            body = message[3][0]
-            self.count["spoilt"] += not body.startswith(
-                b"key:" + request.key.encode() if request.key else b"a warm grey"
-            )
-            age = now - request.born
-            skipped = body.endswith(WITHOUT)
-            worth = request.kind["skip_worth"] if skipped else 1.0
-            if age > request.kind["goal_ms"]:
-                worth *= request.kind["late_value"]
-            if age <= request.kind["deadline_ms"]:
-                request.worth = max(request.worth, worth * request.kind["worth"])
-            self.ended(request, "served")
-        elif word == REFUSED:
-            self.off_until[request.source, name] = now + float(fields.get("after", 0.0))
-            request.asked_at.append(name)
-            if request.node == name and request.tries <= 1:
-                request.node = ""  # it never ran there
-            if request.end:
-                return
-            if fields.get("last") == "1" or request.node:
-                self.ended(request, "refused")
-            else:
-                self.attempt(request)
+            self._router.take_weight(node, float(fields["say"]))
+        if outcome == SERVED:
+            self._take_result(request, message[3][0], now)
+        elif outcome == REFUSED:
+            self._take_rejection(request, node, fields)
+        else:
+            request.finish(Outcome.FAILED)
+
+    def _retry_lost(self, request: ClientRequest, node: str) -> None:
+        if not request.key:
+            request.nodes_tried.append(node)
+        if request.outcome is None:
+            self._attempt_after(request, RETRY_DELAY_MS if request.key else 0.0)
+
+    def _take_result(self, request: ClientRequest, body: bytes, now: float) -> None:
+        expected = KEYED_BODY_PREFIX + request.key.encode() if request.key else PLAIN_BODY
+        self._accounts.counts["spoilt"] += not body.startswith(expected)
+        value = request.request_class.answer_value(now - request.sent_ms, body.endswith(OMITTED_SUFFIX))
+        request.value = max(request.value, value)
+        request.finish(Outcome.SERVED)
+
+    def _take_rejection(self, request: ClientRequest, node: str, fields: dict[str, str]) -> None:
+        self._router.avoid(request.source, node, float(fields.get("after", 0.0)))
+        request.nodes_tried.append(node)
+        if request.pinned_node == node and request.attempts <= 1:
+            request.pinned_node = ""  # it never ran there
+        if request.outcome is not None:
+            return
+        if fields.get("last") == "1" or request.pinned_node:
+            request.finish(Outcome.REJECTED)
         else:
-            self.ended(request, "failed")
-
-    def _excused(self, name: str, begin: float, end: float) -> bool:
-        """Was the node killed or stopped, or its link down, while the try was open?"""
-        return any(begin - AROUND_MS <= down <= end + AROUND_MS for down in self.downs[name])
-
-    def ended(self, request: Request, how: str) -> None:
-        if not request.end:
-            request.end = how
-
-    # The accounts.
-
-    def report(self) -> dict[str, Any]:
-        """By second of the requests' birth; a try without an answer is lost unless its node was killed."""
-        seconds = int(self.plan["seconds"])
-        table = {
-            word: [0.0] * seconds for word in ("asked", "worth_asked", "worth", "served", "refused", "failed")
-        }
-        classes = {kind["name"]: [[0.0, 0.0] for _ in range(seconds)] for kind in self.plan["classes"]}
-        for request in self.requests:
-            second = int((request.born - self.begin) // 1000.0)
-            if second >= seconds:
-                continue
-            table["asked"][second] += 1
-            table["worth_asked"][second] += request.kind["worth"]
-            table["worth"][second] += request.worth
-            if request.end:
-                table[request.end][second] += 1
-            classes[request.kind["name"]][second][0] += request.kind["worth"]
-            classes[request.kind["name"]][second][1] += request.worth
-        homes: dict[str, Counter[str]] = {"own": Counter(), "foreign": Counter()}
-        for request in self.requests:
-            count = homes["foreign" if request.foreign else "own"]
-            count[f"{request.kind['name']} asked"] += 1
-            count[f"{request.kind['name']} {request.end}"] += 1
-        now = self.loop.clock.now()
-        open_ = [
-            (name, asked.at, due) for asked, (_, name, due) in self.tries.items() if now > due + SLACK_MS
+            self._attempt(request)
+
+    def _overdue(self) -> list[Unanswered]:
+        """Return the attempts whose answer has not come in time."""
+        now = self._loop.clock.now()
+        return [
+            Unanswered(attempt.node, asked.at, attempt.deadline_ms)
+            for asked, attempt in self._attempts.items()
+            if now > attempt.deadline_ms + LATE_TOLERANCE_MS
         ]
-        unanswered = [*self.broken, *open_]
-        gone = sum(self._excused(*entry) for entry in unanswered)
-        return {
-            "by_second": table,
-            "classes": classes,
-            "tries": dict(self.count),
-            "begin": self.begin,
-            "homes": homes,
-            "gone_with_node": gone,
-            "lost": len(unanswered) - gone,
-        }
 
 
 def main(path: str) -> None:
+    """Run the balancers of a plan until standard input ends."""
     loop = EventLoop(Clock())
-    balancers = Balancers(loop, json.loads(Path(path).read_text()))
+    balancers = Balancers(loop, TrafficPlan.from_json(json.loads(Path(path).read_text())))
     print("balancers: ready", flush=True)
-
-    def told(word: str, rest: str) -> None:
-        if word == "go":
-            balancers.go()
-        elif word == "down":
-            balancers.downs[rest].append(loop.clock.now())
-        elif word == "report":
-            print(json.dumps(balancers.report()), flush=True)
-
-    listen_to(loop, told)
+    handle_commands(loop, balancers.handle)
     loop.run()
 
 
--- a/emulators/load_generator.py
+++ b/emulators/load_generator.py
@@ -1,175 +1,228 @@
-"""Callers of a node: open-loop requests from several addresses, each counted by itself."""
+"""Send open-loop traffic to one node as balancers do, and keep what came of each request.
+
+Requests are sent at their times whether or not earlier ones were answered. Each source address has one
+connection, opened anew where the node closes it or says farewell, and after a number of requests.
+"""
 
 from __future__ import annotations
 
+import contextlib
 import random
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from functools import partial
-from typing import Any
+from typing import Any, NamedTuple, Protocol
 
 import msgpack
 
 from snowthread.net.clock import Clock
 from snowthread.net.loop import HANGUP, READABLE, WRITABLE, EventLoop, TaskSteps, Wait
 
-SERVED, REFUSED, FAILED = "served", "Throttled", "Failed"
-BROKEN_OFF = "broken"  # the connection ended before an answer
+# Outcomes of a request: as on the wire, but for the first and the last.
+SERVED = "served"
+REFUSED = "Throttled"
+FAILED = "Failed"
+CONNECTION_LOST = "broken"  # the connection ended before an answer
+
+# Kinds of messages on the wire.
+REQUEST_MESSAGE = 0
+ANSWER_MESSAGE = 1
+FAREWELL_MESSAGE = 2
+
+CONNECTION_REQUESTS_MAX = 32  # on one connection; the next request opens another
+READ_BYTES = 65536
+LOOP_STEP_S = 0.05
+LATE_ANSWERS_MS = 200.0  # waited for after the last deadline
+DEFAULT_WAIT_MS = 3000.0
+PLAIN_BODY = b"a warm grey"
+KEYED_BODY_PREFIX = b"key:"
+KEYED_CLASS = "dispense"
+RANK = "0.5"
+MEMORY_KB = "20"
+
+
+class Answer(NamedTuple):
+    """One answer to a request."""
+
+    at_ms: float
+    outcome: str
 
 
 @dataclass(slots=True, eq=False)
 class Asked:
-    """One request: when it was due, and what came of it."""
+    """One request that was sent, and the answers to it."""
+
+    at: float  # when it was sent, in milliseconds of the loop's clock
+    source: str  # the address of the balancer
+    answers: list[Answer] = field(default_factory=list)
+    uid: str = ""  # names this attempt
+    once: str = ""  # the idempotency key; empty: none
+
+
+class AnswerListener(Protocol):
+    """Called for each answer, and for each request whose connection was lost."""
 
-    at: float
-    source: str
-    answers: list[tuple[float, str]] = field(default_factory=list)
-    uid: str = ""
-    once: str = ""
+    def __call__(self, request: Asked, outcome: str, message: Any, /) -> None:
+        """Take an answer's whole message; None where the outcome is ``CONNECTION_LOST``."""
 
 
 class Load:
-    """Open-loop requests from several addresses; each is counted by itself."""
+    """Requests from several source addresses to one node."""
 
     def __init__(
         self,
         address: str,
-        sources: list[str],
-        wait_ms: float = 3000.0,
+        sources: Sequence[str],
+        wait_ms: float = DEFAULT_WAIT_MS,
         loop: EventLoop | None = None,
         caller: int = 0,
     ) -> None:
-        self.loop, self.wait_ms, self.caller = loop or EventLoop(Clock()), wait_ms, caller
-        self.paused = False  # what is due goes to one of the others meanwhile
-        self.keyed_bodies = False  # a keyed request's body names its key, so a ledger can count its runs
-        # Told of each answer with its whole message, and of each request whose connection broke
-        # ("broken", None)
-        self.heard: Callable[[Asked, str, Any], None] | None = None
+        """Connect to nothing yet; ``caller`` is the balancer's number, ``wait_ms`` the requests' deadline."""
+        self.loop = loop or EventLoop(Clock())
+        self.wait_ms = wait_ms
+        self.caller = caller
+        self.paused = False  # scheduled requests go to one of ``others`` meanwhile
         self.others: list[Load] = []
-        host, _, port = address.rpartition(":")
-        self._to = ("127.0.0.1" if host == "0.0.0.0" else host, int(port))
+        self.keyed_bodies = False  # bodies of keyed requests name their key, so that runs can be counted
+        self.on_answer: AnswerListener | None = None
         self.asked: list[Asked] = []
-        self._links = {source: _Link(self, source) for source in sources}
-
-    @property
-    def to(self) -> tuple[str, int]:
-        """Where the node listens."""
-        return self._to
+        host, _, port = address.rpartition(":")
+        self.target = ("127.0.0.1" if host == "0.0.0.0" else host, int(port))
+        self._connections = {source: _Connection(self, source) for source in sources}
 
     def ask(self, source: str, class_name: str = "match", once: str = "", wait_ms: float = 0.0) -> Asked:
-        """Send one request now; OSError where no connection could be opened: then it was not asked."""
-        asked = Asked(self.loop.clock.now(), source)
-        self.asked.append(asked)
-        self._links[source].send(asked, class_name, once, wait_ms or self.wait_ms)
-        return asked
+        """Send one request now; raise OSError where no connection can be opened, so that none was sent."""
+        request = Asked(self.loop.clock.now(), source, once=once)
+        self.asked.append(request)
+        self._connections[source].send(request, class_name, wait_ms or self.wait_ms)
+        return request
 
     def play(self, rng: random.Random, per_s: float, seconds: float) -> None:
-        """Poisson arrivals, evenly over the sources, then the time in which all must be answered."""
-        sources, begin = list(self._links), self.loop.clock.now()
-        at = begin
+        """Send requests with Poisson arrivals, evenly over the sources, and wait until all are due."""
+        sources = list(self._connections)
+        begin = at = self.loop.clock.now()
         while at < begin + seconds * 1000.0:
             at += rng.expovariate(per_s) * 1000.0
-            self.loop.call_at(at, partial(self._due, rng.choice(sources)))
-        self.run_until(at + self.wait_ms + 200.0)
+            self.loop.call_at(at, partial(self._send_scheduled, rng.choice(sources)))
+        self.run_until(at + self.wait_ms + LATE_ANSWERS_MS)
 
-    def _due(self, source: str) -> None:
+    def _send_scheduled(self, source: str) -> None:
         self.ask(source)
 
-    def arrivals(self, rng: random.Random, per_s: float, seconds: float, mix: dict[str, float]) -> None:
-        """Have Poisson arrivals of these classes come from now on; ``dispense`` has a key of its own."""
-        sources, begin = list(self._links), self.loop.clock.now()
-        at, names, weights = begin, list(mix), list(mix.values())
+    def schedule_arrivals(
+        self, generator: random.Random, per_s: float, seconds: float, class_shares: Mapping[str, float]
+    ) -> None:
+        """Schedule Poisson arrivals of these classes from now on; each ``dispense`` has a key of its own."""
+        sources = list(self._connections)
+        names, shares = list(class_shares), list(class_shares.values())
+        begin = at = self.loop.clock.now()
         while at < begin + seconds * 1000.0:
-            at += rng.expovariate(per_s) * 1000.0
-            kind = rng.choices(names, weights)[0]
-            once = f"{rng.getrandbits(128):032x}" if kind == "dispense" else ""
-            self.loop.call_at(at, partial(self._mixed, rng.choice(sources), kind, once))
-
-    def _mixed(self, source: str, kind: str, once: str) -> None:
-        up = [load for load in (self, *self.others) if not load.paused]
-        if up:
-            try:
-                (self if not self.paused else up[len(self.asked) % len(up)]).ask(source, kind, once)
-            except OSError:
-                pass  # the node died a moment ago: a caller without a connection has asked nothing
+            at += generator.expovariate(per_s) * 1000.0
+            name = generator.choices(names, shares)[0]
+            key = f"{generator.getrandbits(128):032x}" if name == KEYED_CLASS else ""
+            self.loop.call_at(at, partial(self._send_or_divert, generator.choice(sources), name, key))
+
+    def _send_or_divert(self, source: str, class_name: str, key: str) -> None:
+        """Send a request to this node, or to one of the others while this one is paused."""
+        available = [load for load in (self, *self.others) if not load.paused]
+        if not available:
+            return
+        chosen = available[len(self.asked) % len(available)] if self.paused else self
+        with contextlib.suppress(OSError):  # the node died a moment ago: nothing was sent
+            chosen.ask(source, class_name, key)
 
     def run_until(self, at: float) -> None:
-        """Let the loop run to this time."""
+        """Run the loop until this time of its clock."""
         while self.loop.clock.now() < at:
-            self.loop.run_once(min(0.05, max(0.0, (at - self.loop.clock.now()) / 1000.0)))
+            self.loop.run_once(min(LOOP_STEP_S, max(0.0, (at - self.loop.clock.now()) / 1000.0)))
 
     def close(self) -> None:
-        """Close all connections."""
+        """Close all connections, and end all other coroutines of the loop."""
         self.loop._close_tasks()
 
 
-class _Link:
-    """One connection, opened anew where the node parts with it; at most 32 open on it at once."""
+class _Connection:
+    """The connection of one source, opened when a request is sent."""
 
     def __init__(self, load: Load, source: str) -> None:
-        self._load, self._source = load, source
+        self._load = load
+        self._source = source
         self._sock: socket.socket | None = None
-        self._open: dict[int, Asked] = {}
-        self._number = 0
-        self._out = bytearray()
-
-    def send(self, asked: Asked, class_name: str, once: str, wait_ms: float) -> None:
-        if self._sock is None or self._number >= 10_000 or len(self._open) >= 32:
-            self._connect()
+        self._number = 0  # of the last request on the connection
+        self._requests: dict[int, Asked] = {}  # of the connection, by number
+
+    def send(self, request: Asked, class_name: str, wait_ms: float) -> None:
+        """Send a request; raise OSError where that fails."""
+        sock = self._sock
+        if sock is None or self._number >= CONNECTION_REQUESTS_MAX:
+            sock = self._connect()
         self._number += 1
-        now = time.time() * 1000.0
-        asked.uid, asked.once = f"{random.getrandbits(64):016x}", once
+        request.uid = f"{random.getrandbits(64):016x}"
         fields = {
-            "id": asked.uid,
-            "at": str(int(now)),
+            "id": request.uid,
+            "at": str(int(time.time() * 1000.0)),
             "from": str(self._load.caller),
-            "rank": "0.5",
+            "rank": RANK,
             "wait": str(int(wait_ms)),
-            "kb": "20",
+            "kb": MEMORY_KB,
         }
-        if once:
-            fields["once"] = once
-        self._open[self._number] = asked
-        assert self._sock is not None
-        body = b"key:" + once.encode() if once and self._load.keyed_bodies else b"a warm grey"
-        self._sock.sendall(msgpack.packb([0, self._number, class_name, [fields, body]]))
-
-    def _connect(self) -> None:
+        body = PLAIN_BODY
+        if request.once:
+            fields["once"] = request.once
+            if self._load.keyed_bodies:
+                body = KEYED_BODY_PREFIX + request.once.encode()
+        self._requests[self._number] = request
+        sock.sendall(msgpack.packb([REQUEST_MESSAGE, self._number, class_name, [fields, body]]))
+
+    def _connect(self) -> socket.socket:
         sock = socket.socket()
         sock.bind((self._source, 0))
-        sock.connect(self._load.to)
+        sock.connect(self._load.target)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._sock, self._number, self._open = sock, 0, {}
-        self._load.loop.spawn(self._read(sock, self._open))
+        self._sock = sock
+        self._number = 0
+        self._requests = {}
+        self._load.loop.spawn(self._read(sock, self._requests))
+        return sock
 
-    def _read(self, sock: socket.socket, waiting: dict[int, Asked]) -> TaskSteps:
+    def _read(self, sock: socket.socket, requests: dict[int, Asked]) -> TaskSteps:
+        """Read answers until the connection ends."""
         unpacker = msgpack.Unpacker()
         try:
             while True:
-                got = yield Wait(sock.fileno(), READABLE)
-                if got & (READABLE | HANGUP | WRITABLE):
-                    data = sock.recv(65536)
-                    if not data:
-                        return
-                    unpacker.feed(data)
-                    for message in unpacker:
-                        if message[0] == 2 and self._sock is sock:  # farewell: the next goes elsewhere
-                            self._sock = None
-                        elif message[0] == 1 and message[1] in waiting:
-                            word = str(message[2][0]) if message[2] else SERVED
-                            asked = waiting[message[1]]
-                            asked.answers.append((self._load.loop.clock.now(), word))
-                            if self._load.heard is not None:
-                                self._load.heard(asked, word, message)
+                events = yield Wait(sock.fileno(), READABLE)
+                if not events & (READABLE | HANGUP | WRITABLE):
+                    continue
+                data = sock.recv(READ_BYTES)
+                if not data:
+                    return
+                unpacker.feed(data)
+                for message in unpacker:
+                    self._take(sock, message, requests)
         except OSError:
             pass
         finally:
-            if self._sock is sock:
-                self._sock = None
+            self._forget(sock)
             self._load.loop.close(sock)
-            if self._load.heard is not None:
-                for asked in waiting.values():
-                    if not asked.answers:
-                        self._load.heard(asked, BROKEN_OFF, None)
+            for request in requests.values():
+                if not request.answers:
+                    self._notify(request, CONNECTION_LOST, None)
+
+    def _take(self, sock: socket.socket, message: Any, requests: dict[int, Asked]) -> None:
+        if message[0] == FAREWELL_MESSAGE:
+            self._forget(sock)  # the next request opens another connection
+        elif message[0] == ANSWER_MESSAGE and message[1] in requests:
+            outcome = str(message[2][0]) if message[2] else SERVED
+            request = requests[message[1]]
+            request.answers.append(Answer(self._load.loop.clock.now(), outcome))
+            self._notify(request, outcome, message)
+
+    def _forget(self, sock: socket.socket) -> None:
+        if self._sock is sock:
+            self._sock = None
+
+    def _notify(self, request: Asked, outcome: str, message: Any) -> None:
+        if self._load.on_answer is not None:
+            self._load.on_answer(request, outcome, message)
--- a/emulators/machine.py
+++ b/emulators/machine.py
@@ -1,126 +1,148 @@
-"""A node's machine in the fleet lab: a runtime that starts cold and is made warm by the database's replies.
+"""Emulate a node's machine in the fleet lab: a runtime that warms up with the database's replies.
 
-Cold, it works at ``cold_share`` of its speed and its runs make ``cold_calls`` more calls than ``warm_calls``;
-each reply given makes it warmer, ``warm_replies`` of them make it warm: a cache fills by being asked. Crowds
-on the cores are counted as the brief counts them: more than ``fall_multiple`` runs a core in the mean of 2 s,
-a cold machine fewer. A run that stands at a call when its request is over ends there, as on the platform.
+A cold machine works at ``cold_share`` of its speed, and its runs make ``cold_calls`` more calls than the
+``warm_calls`` of a warm one. Each reply makes it warmer, as lookups fill a cache, until ``warm_replies`` of
+them have made it warm. A machine is overloaded while the mean load of its cores over 2 s is above a limit:
+``fall_multiple`` runs a core when warm, fewer when cold. A run that waits for a call when its request's
+deadline passes ends there, as on the platform.
 """
 
 from __future__ import annotations
 
-import base64
 import random
 from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import Any
+from functools import partial
 
 from emulators.site import RuntimeEmulator, SiteScript
 from snowthread.address import Address
 from snowthread.net.loop import EventLoop
 
-CROWD_MS, SAMPLE_MS = 2000.0, 100.0
-KNOWN, WITHOUT = b" known", b" without"  # what a result ends with: made with its calls, or a call left out
+LOAD_WINDOW_MS = 2000.0
+LOAD_SAMPLE_MS = 100.0
+# What a result ends with: made with all of its calls, or with a call left out.
+COMPLETE_SUFFIX = b" known"
+OMITTED_SUFFIX = b" without"
+RUN_TIME_SPREAD = 0.3  # a run takes its class's time, up to this share shorter or longer
 
 
 @dataclass(frozen=True, slots=True)
 class WarmupModel:
-    """How a machine gets warm."""
+    """How a machine warms up; the field names are the keys of the plan's ``warmth``."""
 
-    cold_share: float = 0.23
-    warm_calls: float = 0.5  # calls a run, warm
-    cold_calls: float = 3.0  # more of them, cold
+    cold_share: float = 0.23  # of the warm speed
+    warm_calls: float = 0.5  # calls of a run, when warm
+    cold_calls: float = 3.0  # more of them, when cold
     warm_replies: int = 150
-    fall_multiple: float = 5.0
-    over_ms: Mapping[str, float] = field(default_factory=dict)  # by class: a request is over after so long
+    fall_multiple: float = 5.0  # runs a core that a warm machine survives
+    over_ms: Mapping[str, float] = field(default_factory=dict)  # deadline of a request, by class
+
+
+@dataclass(slots=True)
+class _Run:
+    """A run that goes on."""
+
+    body: bytes
+    calls_left: int
+    waiting_for_reply: bool = False
+    omitted_call: bool = False
 
 
 class Machine(RuntimeEmulator):
-    """One node's runtime in the lab; ``restart`` is a power cycle of the machine."""
+    """The runtime of one node in the lab; ``restart`` is a power cycle."""
 
     def __init__(
-        self, loop: EventLoop, address: Address, script: SiteScript, warmth: WarmupModel, draw: random.Random
+        self,
+        loop: EventLoop,
+        address: Address,
+        script: SiteScript,
+        model: WarmupModel,
+        generator: random.Random,
     ) -> None:
-        self.warmth, self.draw = warmth, draw
-        self.replies = warmth.warm_replies  # the fleet has been at work for long when a play begins
-        self.falls = 0
-        self._left: dict[str, int] = {}  # calls that a run has still to make
-        self._at_call: set[str] = set()
-        self._without: set[str] = set()
-        self._crowd: deque[float] = deque(maxlen=int(CROWD_MS / SAMPLE_MS))
+        """Listen at the address, already warm: the fleet has been at work for long when a run begins."""
+        self._model = model
+        self._generator = generator
+        self._replies = model.warm_replies
+        self._runs: dict[str, _Run] = {}
+        self._load_samples: deque[float] = deque(maxlen=int(LOAD_WINDOW_MS / LOAD_SAMPLE_MS))
+        self.overloads = 0
         super().__init__(loop, address, script)
-        loop.call_at(loop.clock.now() + SAMPLE_MS, self._sample)
+        loop.call_at(loop.clock.now() + LOAD_SAMPLE_MS, self._sample_load)
 
     @property
-    def known(self) -> float:
-        """How warm it is, 0 to 1."""
-        return min(1.0, self.replies / self.warmth.warm_replies)
+    def warmth(self) -> float:
+        """How warm the machine is, from 0 to 1."""
+        return min(1.0, self._replies / self._model.warm_replies)
 
+    @property
     def speed(self) -> float:
-        """Of its warm speed."""
-        return self.warmth.cold_share + (1.0 - self.warmth.cold_share) * self.known
+        """Its speed, as a share of that when warm."""
+        return self._model.cold_share + (1.0 - self._model.cold_share) * self.warmth
 
     def restart(self) -> None:
-        """Killed and started again: nothing goes on, nothing is warm, no notice is kept."""
+        """Switch the machine off and on: all runs and notices are lost, and it is cold."""
         super().restart()
-        self.replies = 0
-        self._left.clear()
-        self._without.clear()
-        self._at_call.clear()
-        self._crowd.clear()
-
-    def _sample(self) -> None:
-        self.loop.call_at(self.loop.clock.now() + SAMPLE_MS, self._sample)
-        self._crowd.append((self._busy + len(self._line)) / self.script.cores)
-        most = 1.0 + (self.warmth.fall_multiple - 1.0) * self.speed()
-        if len(self._crowd) == self._crowd.maxlen and sum(self._crowd) / len(self._crowd) > most:
-            self.falls += 1
-            self._crowd.clear()
-
-    def _take(self, peer: Any, command: dict[str, Any]) -> None:
-        uid = command.get("uid", "")
-        if command["action"] == "give" and uid in self._live:
-            self.replies += 1
-            self._at_call.discard(uid)
-            self._go_on(uid)
-        elif command["action"] == "omit" and uid in self._live:
-            self._without.add(uid)
-            self._at_call.discard(uid)
-            self._go_on(uid)
-        elif command["action"] not in ("give", "omit"):
-            super()._take(peer, command)
-
-    def _start(self, uid: str, lane: str, body: bytes) -> None:
-        self._live.add(uid)
+        self._replies = 0
+        self._runs.clear()
+        self._load_samples.clear()
+
+    def _sample_load(self) -> None:
+        self.loop.call_at(self.loop.clock.now() + LOAD_SAMPLE_MS, self._sample_load)
+        samples = self._load_samples
+        samples.append(len(self._cores) / self.script.cores)
+        limit = 1.0 + (self._model.fall_multiple - 1.0) * self.speed
+        if len(samples) == samples.maxlen and sum(samples) / len(samples) > limit:
+            self.overloads += 1
+            samples.clear()
+
+    def _start(self, attempt_id: str, class_name: str, body: bytes) -> None:
+        self._active.add(attempt_id)
         self.runs[body] += 1
-        wanted = 0.0
-        if lane in self.script.calls:
-            wanted = self.warmth.warm_calls + (1.0 - self.known) * self.warmth.cold_calls
-        self._left[uid] = int(wanted) + (self.draw.random() < wanted % 1.0)
-        self._bodies[uid] = body
-        if lane in self.warmth.over_ms:
-            over = self.loop.clock.now() + self.warmth.over_ms[lane]
-            self.loop.call_at(over, lambda: self._over(uid))
-        took = self.script.run_ms.get(lane, self.script.other_ms) * self.draw.uniform(0.7, 1.3)
-        self._work(uid, took / self.speed(), lambda: self._go_on(uid))
-
-    def _over(self, uid: str) -> None:
-        """Its request is over: a run that stands at a call ends there."""
-        if uid in self._at_call:
-            self._end(uid, "aborted", b"")
-
-    def _go_on(self, uid: str) -> None:
-        body = self._bodies[uid]
-        if self._left[uid] > 0:
-            self._left[uid] -= 1
-            self._at_call.add(uid)
-            self._note({"action": "wants", "uid": uid, "content": base64.b64encode(body).decode()})
+        self._runs[attempt_id] = _Run(body, self._draw_calls(class_name))
+        if class_name in self._model.over_ms:
+            deadline = self.loop.clock.now() + self._model.over_ms[class_name]
+            self.loop.call_at(deadline, partial(self._end_waiting, attempt_id))
+        duration_ms = self.script.run_ms.get(class_name, self.script.other_ms)
+        duration_ms *= self._generator.uniform(1.0 - RUN_TIME_SPREAD, 1.0 + RUN_TIME_SPREAD)
+        self._work(attempt_id, duration_ms / self.speed, partial(self._continue, attempt_id))
+
+    def _draw_calls(self, class_name: str) -> int:
+        """Return how many calls a run makes: a whole number, random, with the right mean."""
+        mean = 0.0
+        if class_name in self.script.calling_classes:
+            mean = self._model.warm_calls + (1.0 - self.warmth) * self._model.cold_calls
+        return int(mean) + (self._generator.random() < mean % 1.0)
+
+    def _give_reply(self, attempt_id: str, reply: bytes) -> None:
+        if run := self._runs.get(attempt_id):
+            self._replies += 1
+            run.waiting_for_reply = False
+            self._continue(attempt_id)
+
+    def _omit_reply(self, attempt_id: str) -> None:
+        if run := self._runs.get(attempt_id):
+            run.omitted_call = True
+            run.waiting_for_reply = False
+            self._continue(attempt_id)
+
+    def _end_waiting(self, attempt_id: str) -> None:
+        """End a run at its request's deadline, where it waits for a call."""
+        run = self._runs.get(attempt_id)
+        if run is not None and run.waiting_for_reply:
+            self._end(attempt_id, "aborted", b"")
+
+    def _continue(self, attempt_id: str) -> None:
+        """Make the next call of a run, or end it after the last."""
+        run = self._runs[attempt_id]
+        if run.calls_left > 0:
+            run.calls_left -= 1
+            run.waiting_for_reply = True
+            self._call_database(attempt_id, run.body)
         else:
-            self._end(uid, "done", body + (WITHOUT if uid in self._without else KNOWN))
-
-    def _end(self, uid: str, code: str, result: bytes) -> None:
-        self._left.pop(uid, None)
-        self._bodies.pop(uid, None)
-        self._without.discard(uid)
-        self._at_call.discard(uid)
-        super()._end(uid, code, result)
+            suffix = OMITTED_SUFFIX if run.omitted_call else COMPLETE_SUFFIX
+            self._end(attempt_id, "done", run.body + suffix)
+
+    def _end(self, attempt_id: str, code: str, result: bytes) -> None:
+        self._runs.pop(attempt_id, None)
+        super()._end(attempt_id, code, result)
--- /dev/null
+++ b/emulators/servers.py
@@ -0,0 +1,31 @@
+"""Listening sockets of the emulators on the project's event loop."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+
+from snowthread.address import Address
+from snowthread.net.loop import READABLE, EventLoop, TaskSteps, Wait
+
+BACKLOG = 256
+
+
+def listen(address: Address) -> socket.socket:
+    """Return a socket that listens at an address, even if connections of an earlier one linger there."""
+    sock = address.open(socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(address)
+    sock.listen(BACKLOG)
+    return sock
+
+
+def accept_connections(
+    loop: EventLoop, listener: socket.socket, serve: Callable[[socket.socket], TaskSteps]
+) -> TaskSteps:
+    """Accept connections for ever and serve each with a coroutine of its own."""
+    while True:
+        yield Wait(listener.fileno(), READABLE)
+        connection, _ = listener.accept()
+        connection.setblocking(False)
+        loop.spawn(serve(connection))
--- a/emulators/site.py
+++ b/emulators/site.py
@@ -1,276 +1,264 @@
-"""The runtime, the index and the roster on loopback, scripted: how long runs take, who calls, what fails.
+"""Emulate the surroundings of one node on loopback: its runtime, the formula database and the registry.
 
-A runtime has cores: of the work given to it, so many pieces go on at a time and the rest wait in line, so a
-load near capacity means something. The ledger of runs lets a test see a doubled run instead of inferring it.
+A script says how long runs take and which classes call the database. The runtime has a number of cores: work
+beyond them waits, so a load near capacity shows. It counts the runs begun by body, so that a test sees a run
+that was doubled instead of inferring it.
 """
 
 from __future__ import annotations
 
 import base64
+import contextlib
 import json
 import socket
-from collections import Counter, deque
+import sys
+from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from functools import partial
+from pathlib import Path
 from typing import Any
 
+from emulators.core_queue import CoreQueue
+from emulators.servers import accept_connections, listen
+from emulators.stdin_commands import handle_commands
 from snowthread.address import Address
+from snowthread.net.clock import Clock
 from snowthread.net.loop import READABLE, EventLoop, TaskSteps, Wait
 
+READ_BYTES = 65536
+DATAGRAM_BYTES_MAX = 1024
+DATABASE_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nknown"
+HEAP_SHARE, LINKS = 0.1, 2  # reported as constants with the measured part of the load
+RUN_WALL_MS = 1.0  # reported with each run that ended
+DEFAULT_CORES = 64
+DEFAULT_RUN_MS = 200.0
+
 
 @dataclass(slots=True)
 class SiteScript:
-    """What the site does; may be changed while it plays."""
-
-    run_ms: Mapping[str, float] = field(default_factory=dict)  # by class, of core time
-    other_ms: float = 200.0  # for classes not named
-    calls: frozenset[str] = frozenset({"dispense"})  # classes whose runs make one call, half way
-    cores: int = 64
-    index_ms: float = 0.0  # how long the index takes
-    index_silent: bool = False  # it takes calls and never answers
-    tell: Callable[[str], None] = lambda line: None
+    """The behaviour of a site; may be changed while it runs."""
 
+    run_ms: Mapping[str, float] = field(default_factory=dict)  # of core time, by class
+    other_ms: float = DEFAULT_RUN_MS  # of core time, for classes not named
+    calling_classes: frozenset[str] = frozenset({"dispense"})  # their runs call the database once
+    cores: int = DEFAULT_CORES
+    database_ms: float = 0.0  # until the database answers
+    tell: Callable[[str], None] = lambda line: None  # takes a line for each thing that happens
 
-def listen(address: Address) -> socket.socket:
-    """A listening socket that may take over an address at once."""
-    sock = address.open(socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind(address)
-    sock.listen(256)
-    return sock
 
+class RuntimeEmulator:
+    """The runtime of one node.
 
-def accept(
-    loop: EventLoop, listener: socket.socket, serve: Callable[[socket.socket], TaskSteps]
-) -> TaskSteps:
-    """Serve each connection with a coroutine of its own."""
-    while True:
-        yield Wait(listener.fileno(), READABLE)
-        peer, _ = listener.accept()
-        peer.setblocking(False)
-        loop.spawn(serve(peer))
+    A run returns its body in capitals, or what the database answered. Notices are numbered and kept, and are
+    sent again to a node that connects and asks for those after a position.
+    """
 
+    def __init__(self, loop: EventLoop, address: Address, script: SiteScript) -> None:
+        """Listen at the address; one node at a time is expected to connect."""
+        self.loop = loop
+        self.script = script
+        self.runs: Counter[bytes] = Counter()  # begun, by body
+        self._notices: list[dict[str, Any]] = []
+        self._node: socket.socket | None = None
+        self._cores = CoreQueue(loop, script.cores)
+        self._active: set[str] = set()  # attempt ids of the runs that go on
+        self._power_on_ms = 0.0  # when the machine's power came back; 0: long ago
+        loop.spawn(accept_connections(loop, listen(address), self._serve))
 
-class RuntimeEmulator:
-    """Does the work of one node. The result is the body in capitals, or what the index said."""
+    def restart(self) -> None:
+        """Switch the machine off and on: all runs and notices are lost."""
+        self._power_on_ms = self.loop.clock.now()
+        if self._node is not None:
+            with contextlib.suppress(OSError):  # its node may have been killed a moment ago
+                self._node.shutdown(socket.SHUT_RDWR)
+            self._node = None
+        self._notices.clear()
+        self._active.clear()
+        self._cores.abandon()
+        self._cores = CoreQueue(self.loop, self.script.cores)
 
-    def __init__(self, loop: EventLoop, address: Address, script: SiteScript) -> None:
-        self.loop, self.script = loop, script
-        self.runs: Counter[bytes] = Counter()  # begun, by body: the ledger
-        self._notices = list[dict[str, Any]]()
-        self._peer: socket.socket | None = None
-        self._busy = 0
-        self._line: deque[tuple[float, Callable[[], None]]] = deque()
-        self._used = self._measured = 0.0  # core-milliseconds and when the gauges were last read
-        self._live: set[str] = set()
-        self._bodies: dict[str, bytes] = {}
-        self._life, self._born = 1, 0.0  # power cycles, and when the last was (0: long before)
-        loop.spawn(accept(loop, listen(address), self._serve))
-
-    def _serve(self, peer: socket.socket) -> TaskSteps:
-        rest = b""
+    def _serve(self, connection: socket.socket) -> TaskSteps:
+        partial_line = b""
         try:
             while True:
-                yield Wait(peer.fileno(), READABLE)
+                yield Wait(connection.fileno(), READABLE)
                 try:
-                    data = peer.recv(65536)
+                    data = connection.recv(READ_BYTES)
                 except BlockingIOError:
                     continue
                 if not data:
                     return
-                *lines, rest = (rest + data).split(b"\n")
+                *lines, partial_line = (partial_line + data).split(b"\n")
                 for line in lines:
-                    self._take(peer, json.loads(line))
+                    self._take(connection, json.loads(line))
         finally:
-            self.loop.close(peer)
+            self.loop.close(connection)
 
-    def _take(self, peer: socket.socket, command: dict[str, Any]) -> None:
-        uid = command.get("uid", "")
+    def _take(self, connection: socket.socket, command: dict[str, Any]) -> None:
+        """Carry out one command of the node."""
+        attempt_id = command.get("uid", "")
         match command["action"]:
             case "sync":
-                self._peer = peer
-                code, age = ("fresh", self.loop.clock.now() - self._born) if self._born else ("seasoned", 0.0)
-                self._write({"action": "ready", "code": code, "wall_ms": age})
-                for notice in self._notices[command["pos"] :]:
-                    self._write(notice)
+                self._synchronize(connection, command["pos"])
             case "gauges":
-                now = self.loop.clock.now()
-                span = max(1.0, now - self._measured) * self.script.cores
-                use = min(1.0, self._used / span) if self._measured else 0.1
-                self._used, self._measured = 0.0, now
-                waiting = self._busy + len(self._line)
-                self._write({"action": "load", "echo": command["echo"], "meters": [use, waiting, 0.1, 2]})
+                utilization = self._cores.measure_utilization()
+                meters = [utilization, len(self._cores), HEAP_SHARE, LINKS]
+                self._send({"action": "load", "echo": command["echo"], "meters": meters})
             case "start":
-                if uid not in self._live:
-                    self._start(uid, command["lane"], base64.b64decode(command["content"]))
+                if attempt_id not in self._active:
+                    self._start(attempt_id, command["lane"], base64.b64decode(command["content"]))
             case "give":
-                said = base64.b64decode(command["content"])
-                self._work(uid, 0.0, lambda: self._end(uid, "done", b"dispensed " + said))
+                self._give_reply(attempt_id, base64.b64decode(command["content"]))
             case "omit":
-                self._work(uid, 0.0, lambda: self._end(uid, "done", b"dispensed without a look"))
+                self._omit_reply(attempt_id)
             case "stop":
-                if uid in self._live:
-                    self._end(uid, "aborted", b"")
-
-    def _start(self, uid: str, lane: str, body: bytes) -> None:
-        self.script.tell(f"runtime: {lane} {uid} starts")
-        self._live.add(uid)
+                if attempt_id in self._active:
+                    self._end(attempt_id, "aborted", b"")
+
+    def _synchronize(self, connection: socket.socket, position: int) -> None:
+        """Take a connection as the node's, and send all notices after a position again."""
+        self._node = connection
+        if self._power_on_ms:
+            code, age_ms = "fresh", self.loop.clock.now() - self._power_on_ms
+        else:
+            code, age_ms = "seasoned", 0.0
+        self._send({"action": "ready", "code": code, "wall_ms": age_ms})
+        for notice in self._notices[position:]:
+            self._send(notice)
+
+    def _start(self, attempt_id: str, class_name: str, body: bytes) -> None:
+        """Begin a run."""
+        self.script.tell(f"runtime: {class_name} {attempt_id} starts")
+        self._active.add(attempt_id)
         self.runs[body] += 1
-        took = self.script.run_ms.get(lane, self.script.other_ms)
-
-        def over() -> None:
-            if lane in self.script.calls:
-                self._note({"action": "wants", "uid": uid, "content": base64.b64encode(body).decode()})
-            else:
-                self._end(uid, "done", body.upper())
-
-        self._work(uid, took, over)
-
-    def restart(self) -> None:
-        """The machine's power went off and on: what went on is gone, and so are the notices."""
-        self._life += 1
-        self._born = self.loop.clock.now()
-        if self._peer is not None:
-            try:
-                self._peer.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass  # its node was killed a moment before
-            self._peer = None
-        self._notices.clear()
-        self._line.clear()
-        self._live.clear()
-        self._bodies.clear()
-        self._busy, self._used, self._measured = 0, 0.0, 0.0
-
-    def _work(self, uid: str, took: float, over: Callable[[], None]) -> None:
-        """Have a core for so long, now or when one is free."""
-        life = self._life
-
-        def done() -> None:
-            if life != self._life:
-                return
-            self._busy -= 1
-            self._used += took
-            if uid in self._live:
-                over()
-            self._next()
-
-        def begin() -> None:
-            self._busy += 1
-            self.loop.call_at(self.loop.clock.now() + took, done)
-
-        self._line.append((took, begin))
-        self._next()
-
-    def _next(self) -> None:
-        while self._line and self._busy < self.script.cores:
-            self._line.popleft()[1]()
-
-    def _end(self, uid: str, code: str, result: bytes) -> None:
-        self._live.discard(uid)
-        self._note(
-            {
-                "action": "end",
-                "uid": uid,
-                "code": code,
-                "wall_ms": 1.0,
-                "content": base64.b64encode(result).decode(),
-            }
+        duration_ms = self.script.run_ms.get(class_name, self.script.other_ms)
+        if class_name in self.script.calling_classes:
+            on_done = partial(self._call_database, attempt_id, body)
+        else:
+            on_done = partial(self._end, attempt_id, "done", body.upper())
+        self._work(attempt_id, duration_ms, on_done)
+
+    def _give_reply(self, attempt_id: str, reply: bytes) -> None:
+        """Give a run what the database answered."""
+        self._work(attempt_id, 0.0, partial(self._end, attempt_id, "done", b"dispensed " + reply))
+
+    def _omit_reply(self, attempt_id: str) -> None:
+        """Have a run go on without its call."""
+        self._work(attempt_id, 0.0, partial(self._end, attempt_id, "done", b"dispensed without a look"))
+
+    def _work(self, attempt_id: str, duration_ms: float, on_done: Callable[[], None]) -> None:
+        """Use a core for a run; ``on_done`` is not called where the run ended meanwhile."""
+
+        def finish() -> None:
+            if attempt_id in self._active:
+                on_done()
+
+        self._cores.add(duration_ms, finish)
+
+    def _call_database(self, attempt_id: str, body: bytes) -> None:
+        self._notify({"action": "wants", "uid": attempt_id, "content": base64.b64encode(body).decode()})
+
+    def _end(self, attempt_id: str, code: str, result: bytes) -> None:
+        """End a run with its result."""
+        self._active.discard(attempt_id)
+        content = base64.b64encode(result).decode()
+        self._notify(
+            {"action": "end", "uid": attempt_id, "code": code, "wall_ms": RUN_WALL_MS, "content": content}
         )
 
-    def _note(self, notice: dict[str, Any]) -> None:
+    def _notify(self, notice: dict[str, Any]) -> None:
+        """Give a notice its number, keep it and send it."""
         self._notices.append(notice | {"pos": len(self._notices) + 1})
-        self._write(self._notices[-1])
+        self._send(self._notices[-1])
 
-    def _write(self, message: dict[str, Any]) -> None:
-        if self._peer is not None and self._peer.fileno() >= 0:
-            try:
-                self._peer.send(json.dumps(message).encode() + b"\n")
-            except OSError:
-                self._peer = None  # the next link hears of it
+    def _send(self, message: dict[str, Any]) -> None:
+        if self._node is None or self._node.fileno() < 0:
+            return
+        try:
+            self._node.send(json.dumps(message).encode() + b"\n")
+        except OSError:
+            self._node = None  # a notice is sent again on the next connection
 
 
 class DatabaseEmulator:
-    """Answers every call; whole calls come in one piece on loopback."""
+    """The formula database: answers each call after the script's time.
+
+    Calls are not parsed: on loopback each arrives in one piece.
+    """
 
     def __init__(self, loop: EventLoop, address: Address, script: SiteScript) -> None:
-        self.loop, self.script = loop, script
-        loop.spawn(accept(loop, listen(address), self._serve))
+        """Listen at the address."""
+        self._loop = loop
+        self._script = script
+        loop.spawn(accept_connections(loop, listen(address), self._serve))
 
-    def _serve(self, peer: socket.socket) -> TaskSteps:
+    def _serve(self, connection: socket.socket) -> TaskSteps:
         try:
             while True:
-                yield Wait(peer.fileno(), READABLE)
-                data = peer.recv(65536)
+                yield Wait(connection.fileno(), READABLE)
+                data = connection.recv(READ_BYTES)
                 if not data:
                     return
-                self.script.tell(f"index: {data.split(chr(13).encode())[0].decode()}")
-                if self.script.index_silent:
-                    continue
-                if self.script.index_ms:
-                    yield Wait(until=self.loop.clock.now() + self.script.index_ms)
-                peer.send(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nknown")
+                request_line = data.split(b"\r")[0].decode()
+                self._script.tell(f"index: {request_line}")
+                if self._script.database_ms:
+                    yield Wait(until=self._loop.clock.now() + self._script.database_ms)
+                connection.send(DATABASE_ANSWER)
         except OSError:
             pass
         finally:
-            self.loop.close(peer)
+            self._loop.close(connection)
 
 
 class RegistryEmulator:
-    """Takes reports and tells what changes."""
+    """The registry: takes reports and tells the script those that differ from the one before."""
 
     def __init__(self, loop: EventLoop, address: Address, script: SiteScript) -> None:
+        """Receive at the address."""
         self._script = script
         self._sock = address.open(socket.SOCK_DGRAM)
         self._sock.bind(address)
-        loop.spawn(self._steps())
+        loop.spawn(self._read_reports())
 
-    def _steps(self) -> TaskSteps:
+    def _read_reports(self) -> TaskSteps:
         last = b""
         while True:
             yield Wait(self._sock.fileno(), READABLE)
-            word = self._sock.recv(1024)
-            if word != last:
-                self._script.tell(f"roster: {word.decode(errors='replace')}")
-            last = word
+            report = self._sock.recv(DATAGRAM_BYTES_MAX)
+            if report != last:
+                self._script.tell(f"roster: {report.decode(errors='replace')}")
+            last = report
 
 
 class SiteEmulator:
-    """All three, at the addresses of a node's configuration."""
+    """The runtime, the database and the registry at the addresses of a node's configuration."""
 
     def __init__(self, loop: EventLoop, fields: Mapping[str, Any], script: SiteScript) -> None:
+        """Listen at all three addresses; ``fields`` are those of the configuration."""
         self.script = script
         self.runtime = RuntimeEmulator(loop, Address.parse(fields["runtime"]), script)
         self.database = DatabaseEmulator(loop, Address.parse(fields["index"]), script)
         self.registry = RegistryEmulator(loop, Address.parse(fields["roster"]), script)
 
 
-def main() -> None:
-    """A quiet site: ``python -m emulators.site NODE_JSON [CORES [RUN_MS]]``. It stops with its
-    standard input, on which a line ``index MS`` says how long the database takes from then on."""
-    import sys
-    from pathlib import Path
-
-    from snowthread.net.clock import Clock
+def main(config: str, cores: str = str(DEFAULT_CORES), run_ms: str = str(DEFAULT_RUN_MS)) -> None:
+    """Run ``python -m emulators.site NODE_JSON [CORES [RUN_MS]]`` until standard input ends.
 
+    A line ``index MS`` on standard input sets how long the database takes from then on.
+    """
     loop = EventLoop(Clock())
-    cores, run_ms = (int(sys.argv[2]) if len(sys.argv) > 2 else 64), float((sys.argv + ["200"] * 4)[3])
-    script = SiteScript(other_ms=run_ms, cores=cores)
-    SiteEmulator(loop, json.loads(Path(sys.argv[1]).read_text()), script)
+    script = SiteScript(other_ms=float(run_ms), cores=int(cores))
+    SiteEmulator(loop, json.loads(Path(config).read_text()), script)
     print("site: ready", flush=True)
 
-    def told() -> TaskSteps:
-        while True:
-            yield Wait(sys.stdin.fileno(), READABLE)
-            line = sys.stdin.readline()
-            if not line:
-                loop.stop()
-            elif line.startswith("index "):
-                script.index_ms = float(line.split()[1])
-
-    loop.spawn(told())
+    def handle(command: str, argument: str) -> None:
+        if command == "index":
+            script.database_ms = float(argument)
+
+    handle_commands(loop, handle)
     loop.run()
 
 
 if __name__ == "__main__":
-    main()
+    main(*sys.argv[1:4])
--- a/emulators/skewed_clock.py
+++ b/emulators/skewed_clock.py
@@ -1,5 +1,7 @@
-"""A node on a machine whose clock is wrong: ``python -m emulators.skewed_clock SECONDS ARGUMENT...`` runs the
-program with its one clock so far off."""
+"""Run the program on a machine whose clock is off: ``python -m emulators.skewed_clock SECONDS ARGUMENT...``.
+
+The arguments are those of ``python -m snowthread``; the program's only clock is ahead by this many seconds.
+"""
 
 from __future__ import annotations
 
@@ -9,12 +11,13 @@
 
 
 def main() -> int:
-    """Shift the clock, then do what the arguments say."""
-    from snowthread.cli import main as program
+    """Shift the clock, run the program with the other arguments, and return its exit status."""
+    from snowthread.cli import main as run_program
 
-    offset, real = float(sys.argv[1]) * 1000.0, Clock.now
-    Clock.now = lambda self: real(self) + offset  # type: ignore[method-assign]
-    return program(sys.argv[2:])
+    offset_ms = float(sys.argv[1]) * 1000.0
+    now = Clock.now
+    Clock.now = lambda self: now(self) + offset_ms  # type: ignore[method-assign]
+    return run_program(sys.argv[2:])
 
 
 if __name__ == "__main__":
--- a/emulators/stdin_commands.py
+++ b/emulators/stdin_commands.py
@@ -1,36 +1,46 @@
-"""What a stand-in process is told on its standard input, a line at a time; its end ends the process."""
+"""Take commands of an emulator process from its standard input, one a line; the end of input ends it."""
 
 from __future__ import annotations
 
 import os
 import sys
-from collections.abc import Callable
+from typing import Protocol
 
 from loguru import logger
 
 from snowthread.net.loop import READABLE, EventLoop, TaskSteps, Wait
 
+READ_BYTES = 65536
 
-def listen_to(loop: EventLoop, take: Callable[[str, str], None]) -> None:
-    """Call ``take(word, rest)`` for each line that comes. Read raw: several lines may come at once, and
-    what a buffered reader holds back no epoll ever tells of."""
-    fd = sys.stdin.fileno()
-    os.set_blocking(fd, False)
-
-    def steps() -> TaskSteps:
-        rest = b""
-        while True:
-            yield Wait(fd, READABLE)
-            data = os.read(fd, 65536)
-            if not data:
-                os._exit(0)  # nothing to put away: who started it has ended the play
-            *lines, rest = (rest + data).split(b"\n")
-            try:
-                for line in lines:
-                    word, _, more = line.decode().strip().partition(" ")
-                    take(word, more)
-            except Exception:  # who told it waits for an answer: better none at all, at once
-                logger.exception("told {!r}", lines)
-                os._exit(1)
-
-    loop.spawn(steps())
+
+class CommandHandler(Protocol):
+    """Carries out one command."""
+
+    def __call__(self, command: str, argument: str, /) -> None:
+        """Take the first word of a line, and the rest of it."""
+
+
+def handle_commands(loop: EventLoop, handler: CommandHandler) -> None:
+    """Call the handler for each line of standard input from now on."""
+    loop.spawn(_read_commands(handler))
+
+
+def _read_commands(handler: CommandHandler) -> TaskSteps:
+    # Read from the descriptor: of lines that a buffered reader holds back epoll would tell nothing.
+    descriptor = sys.stdin.fileno()
+    os.set_blocking(descriptor, False)
+    partial_line = b""
+    while True:
+        yield Wait(descriptor, READABLE)
+        data = os.read(descriptor, READ_BYTES)
+        if not data:
+            os._exit(0)  # the process that started this one is done; there is nothing to clean up
+        *lines, partial_line = (partial_line + data).split(b"\n")
+        try:
+            for line in lines:
+                command, _, argument = line.decode().strip().partition(" ")
+                handler(command, argument)
+        except Exception:
+            # Whoever sent the command waits for its answer: ending now tells them at once.
+            logger.exception("command failed: {!r}", lines)
+            os._exit(1)
--- a/snowthread/lab/demo_fleet.py
+++ b/snowthread/lab/demo_fleet.py
@@ -54,7 +54,7 @@
             for node in self.nodes
         ]
         self.loads = [
-            Load(format_address(node.listen), list(BALANCER_HOSTS), loop=loop, caller=BALANCER_NUMBER)
+            Load(format_address(node.listen), BALANCER_HOSTS, loop=loop, caller=BALANCER_NUMBER)
             for node in self.nodes
         ]
         for load in self.loads:
@@ -102,7 +102,7 @@
         """Send requests to all nodes for so long, with the same draws in each run."""
         generator = random.Random(LOAD_SEED)
         for load in self.loads:
-            load.arrivals(generator, REQUESTS_PER_S, seconds, CLASS_SHARES)
+            load.schedule_arrivals(generator, REQUESTS_PER_S, seconds, CLASS_SHARES)
 
     def set_database_time(self, milliseconds: float) -> None:
         """Have each call to the database take so long from now on."""
