--- a/tests/hot_restart/test_hot_restart_capacity.py
+++ b/tests/hot_restart/test_hot_restart_capacity.py
@@ -5,7 +5,7 @@
 import socket
 
 import pytest
-from support.hot_restart import ProcessPair, packed_request
+from support.hot_restart import ProcessPair, concurrency_ceiling, max_connections, packed_request
 
 from snowthread.core import events
 
@@ -50,23 +50,22 @@
 
 def test_runs_of_both_processes_stay_under_the_ceiling_of_the_runtime(pair: ProcessPair) -> None:
     pair.start_successor()
-    controller = pair.successor.node.state.controller
-    assert controller is not None
-    before = controller._ceiling(controller._now)
+    before = concurrency_ceiling(pair.successor)
     pair.successor.node.post(events.PeerLoadReported(5, 0.0, 0))
-    assert controller._ceiling(controller._now) == pytest.approx(before - 0.8 * 5)
+    assert concurrency_ceiling(pair.successor) == pytest.approx(before - 0.8 * 5)
     pair.end(pair.predecessor)
     pair.settle()
-    assert controller._ceiling(controller._now) == before
-    assert controller.settings.memory_kb == 15906.0
+    assert concurrency_ceiling(pair.successor) == before
+    controller = pair.successor.node.state.controller
+    assert controller is not None and controller.settings.memory_kb == 15906.0
 
 
 def test_descriptors_of_both_processes_are_counted_together(pair: ProcessPair) -> None:
     connections = [pair.connect(pair.predecessor) for _ in range(40)]
-    most = pair.predecessor.node.balancers._most
+    most = max_connections(pair.predecessor)
     pair.start_successor()
-    assert pair.successor.node.balancers._most == most - 40
+    assert max_connections(pair.successor) == most - 40
     for sock in connections:
         sock.close()
     pair.advance(LOAD_REPORT_MS)
-    assert pair.successor.node.balancers._most == most
+    assert max_connections(pair.successor) == most
--- a/tests/hot_restart/test_hot_restart_clients.py
+++ b/tests/hot_restart/test_hot_restart_clients.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import msgpack
-from support.hot_restart import FIRST, SECOND, THIRD, ProcessPair, responses
+from support.hot_restart import FIRST, SECOND, THIRD, ProcessPair, ready_status, responses, set_drained
 
 from snowthread.core import events
 from snowthread.core.state import HandoverRole
@@ -14,16 +14,17 @@
 def test_successor_is_ready_only_after_the_predecessor_released_the_clients(pair: ProcessPair) -> None:
     """A notice of shutdown before that would withdraw the node's registration."""
     first = pair.connect(pair.predecessor)
-    successor = pair.launch_successor().node
-    while not successor.balancers.accepting:
-        successor.loop.run_once(0.0)
-        if successor.state.handover_role is HandoverRole.SUCCESSOR and not successor.balancers.accepting:
+    successor = pair.launch_successor()
+    node = successor.node
+    while not node.balancers.accepting:
+        node.loop.run_once(0.0)
+        if node.state.handover_role is HandoverRole.SUCCESSOR and not node.balancers.accepting:
             pair.predecessor.settle()
     assert pair.predecessor.node.balancers.accepting
-    assert successor._ready()[0] == 503
+    assert ready_status(successor) == 503
     pair.settle()
-    assert successor._ready()[0] == 200
-    assert pair.predecessor.node._ready()[0] == 503
+    assert ready_status(successor) == 200
+    assert ready_status(pair.predecessor) == 503
     assert first.recv(100) == FAREWELL
 
 
@@ -49,10 +50,10 @@
     first = pair.connect(pair.predecessor)
     pair.request(first, 1, FIRST)
     assert pair.predecessor.node.admin is not None
-    pair.predecessor.node._drain(True)
+    set_drained(pair.predecessor, True)
     pair.start_successor()
     assert pair.successor.node.state.drained
-    pair.successor.node._drain(False)
+    set_drained(pair.successor, False)
     pair.settle()
     assert not pair.predecessor.node.state.drained
     registry = pair.predecessor.peers["roster"]
@@ -75,10 +76,10 @@
 
 def test_reload_keeps_a_drain_and_shutdown_makes_it_final(pair: ProcessPair) -> None:
     node = pair.predecessor.node
-    node._drain(True)
+    set_drained(pair.predecessor, True)
     node.apply_configuration(node.config)
     assert node.state.drained and not node.state.accepts_work
     node.post(events.ShutdownRequested(3200.0))
-    assert node._drain(False)[0] == 409
-    assert node._drain(True)[0] == 200
+    assert set_drained(pair.predecessor, False) == 409
+    assert set_drained(pair.predecessor, True) == 200
     assert not node.state.accepts_work
--- a/tests/hot_restart/test_hot_restart_faults.py
+++ b/tests/hot_restart/test_hot_restart_faults.py
@@ -7,7 +7,7 @@
 
 import pytest
 from support.exchange import START, Player
-from support.hot_restart import ProcessPair
+from support.hot_restart import ProcessPair, ready_status
 
 from snowthread.core import events
 from snowthread.core.state import HandoverRole
@@ -31,7 +31,7 @@
     for _ in range(3):
         pair.advance(channel.RETRY_MS)
     pair.settle(40)
-    assert pair.successor.node._ready()[0] == 200
+    assert ready_status(pair.successor) == 200
     assert pair.successor.node.state.handover_role is HandoverRole.SUCCESSOR  # it reconnected
 
 
@@ -114,7 +114,7 @@
         pair.advance(channel.JOIN_MS + channel.RETRY_MS)
         pair.advance(channel.RETRY_MS)
         assert node.balancers.accepting
-        assert node._ready()[0] == 200
+        assert ready_status(pair.predecessor) == 200
         pair.connect_runtime(pair.predecessor)
         pair.start_successor()
         assert pair.successor.node.state.handover_role is HandoverRole.SUCCESSOR
@@ -126,7 +126,7 @@
     successor = pair.launch_successor()
     for _ in range(10):
         successor.settle()
-    assert successor.node._ready()[0] == 503
+    assert ready_status(successor) == 503
     assert not successor.node.balancers.accepting
     assert pair.predecessor.node.balancers.accepting  # it serves on as if nothing had been
 
--- a/tests/stored/test_hot_restart_messages.py
+++ b/tests/stored/test_hot_restart_messages.py
@@ -12,6 +12,7 @@
 import socket
 import time
 from collections.abc import Iterator
+from contextlib import suppress
 from pathlib import Path
 
 import msgpack
@@ -39,7 +40,7 @@
     f"00000000000000{number}" for number in ("a1", "a2", "a3", "b1", "b2", "b3")
 )
 
-# Each message as it is decoded; a key's own message is encoded from a Key.
+# Each message as it is decoded; a key's own message is encoded from an IdempotencyRecord.
 OLDER_TO_NEWER: tuple[IncomingMessage, ...] = (
     events.KeyReplicated("key-running", RUNNING, UNTIL, CONTENT, False, None),
     events.KeyReplicated("key-done", DONE, UNTIL + 0.5, CONTENT, True, b"\x00result\xff"),
@@ -72,7 +73,7 @@
 
 
 def encoded(message: IncomingMessage) -> bytes:
-    """The bytes of a message; a key's is made from the entry that its sender has."""
+    """Return the bytes of a message; a key's is made from the record that its sender has."""
     if isinstance(message, events.KeyReplicated):
         return encode(
             IdempotencyRecord(
@@ -89,7 +90,7 @@
 
 
 def stored_messages(name: str) -> list[bytes]:
-    """The stored stream, cut into its messages."""
+    """Return the stored stream, cut into its messages."""
     data = (STORED / name).read_bytes()
     stream, messages, start = unpacker(), [], 0
     stream.feed(data)
@@ -101,7 +102,7 @@
 
 
 def decoded(data: bytes) -> IncomingMessage:
-    """One message."""
+    """Return what the bytes of one message say."""
     stream = unpacker()
     stream.feed(data)
     return decode(stream.unpack())
@@ -123,10 +124,8 @@
         for offset in range(len(data)):
             altered = bytearray(data)
             altered[offset] ^= 0x01
-            try:
+            with suppress(ValueError, msgpack.UnpackException):  # no message at all, which is as good
                 assert decoded(bytes(altered)) != STREAMS[name][number], (number, offset)
-            except (ValueError, msgpack.UnpackException):
-                pass  # told as no message, which is as good
 
 
 def test_every_message_kind_is_stored() -> None:
@@ -168,7 +167,7 @@
         return self.player
 
     def role(self) -> HandoverRole:
-        """The node's role."""
+        """Return the node's role."""
         assert self.player is not None
         return self.player.node.state.handover_role
 
@@ -198,7 +197,7 @@
         self.player.settle()
 
     def expect(self, messages: list[bytes]) -> None:
-        """The node sends just these bytes."""
+        """Check that the node sends just these bytes."""
         assert self.other is not None and self.player is not None
         wanted, came, end = b"".join(messages), b"", time.monotonic() + PATIENCE_S
         while len(came) < len(wanted) and time.monotonic() < end:
@@ -215,7 +214,7 @@
             return b""
 
     def end_other(self) -> None:
-        """The other process ends."""
+        """End the other process."""
         for sock in (self.other, self.listener):
             if sock is not None:
                 sock.close()
@@ -244,7 +243,7 @@
 
 
 def request(key: str, attempt: str) -> events.RequestReceived:
-    """A request with a key, as a balancer's connection gives it to the node."""
+    """Return a request with a key, as a balancer's connection gives it to the node."""
     return events.RequestReceived((99, 1), attempt, "dispense", b"p", START, 5000.0, 4, 20.0, 0.5, key)
 
 
--- a/tests/stored/test_stored_formats.py
+++ b/tests/stored/test_stored_formats.py
@@ -2,8 +2,9 @@
 
 The data in ``tests/data/stored`` was made once, with version 4b467b1, from the literal values below: the
 record files by the writer's ``Files`` (a failed batch lies between the two), the others by the ``encode`` or
-``write`` function of their format. ``roster_reports.txt`` has one report datagram a line. The files are not
-to be made anew: one that can't be read any more means that a node can't read what an earlier version left.
+``write`` function of their format. The files are not to be made anew: one that can't be read any more means
+that a node can't read what an earlier version left. What is stored for recovery has a
+test file of its own.
 """
 
 from __future__ import annotations
@@ -17,9 +18,7 @@
 
 from snowthread import config
 from snowthread.admission.settings import Outcome
-from snowthread.clients.registry import encode_report
 from snowthread.core import events
-from snowthread.core.idempotency import key_digest
 from snowthread.core.reducer import reduce
 from snowthread.core.state import AdmissionClock, State
 from snowthread.records.frame import InvalidFrame, Reader, encode
@@ -28,12 +27,6 @@
 from snowthread.records.reader import Findings, Gap, merge
 from snowthread.records.retention import Retention
 from snowthread.records.writer import Files
-from snowthread.recovery import key_log
-from snowthread.recovery import storage as warm_disk
-from snowthread.recovery.membership import FleetView, Membership, MemberStatus
-from snowthread.recovery.snapshot import LearnedTimes, Snapshot, SnapshotVerdict, assess
-from snowthread.recovery.snapshot import decode as decode_warm
-from snowthread.recovery.snapshot import encode as encode_warm
 from snowthread.tenants import snapshot as tenant_disk
 from snowthread.tenants.model import Status, Tenant
 
@@ -115,7 +108,7 @@
 
 
 def observe_a_second() -> Fields:
-    """The fields of a ``second`` record: one request served, one late, two open with keys."""
+    """Return the fields of a ``second`` record: one request served, one late, two open with keys."""
     settings = config.parse(json.loads((ROOT / "examples" / "node.json").read_bytes())).settings
     now = START
     state = State(settings, 7, ("core_use",), AdmissionClock(now))
@@ -252,146 +245,6 @@
         assert any(isinstance(item, InvalidFrame) for item in found), offset
 
 
-# Warm snapshot, incarnation and membership.
-
-LEARNED = LearnedTimes(
-    core_time_s={"dispense": 0.125, "match": 0.3},
-    run_time_s={"dispense": 0.5, "match": 1.75},
-    call_time_s={"dispense": 0.25},
-    read_per_s=42.5,
-)
-WARM = Snapshot(9, 5, START, LEARNED)
-
-
-def test_the_stored_warm_snapshot_is_read_with_what_was_learned() -> None:
-    data = warm_disk.read(STORED / "warm")
-    decoded = decode_warm(data)
-    snapshot = decoded.snapshot
-    assert (decoded.verdict, decoded.reason) == (SnapshotVerdict.FRESH, "") and snapshot is not None
-    assert snapshot.generation == 9 and snapshot.incarnation == 5
-    assert snapshot.written_ms == 1_764_576_000_000.0
-    assert snapshot.learned.core_time_s == {"dispense": 0.125, "match": 0.3}
-    assert snapshot.learned.run_time_s == {"dispense": 0.5, "match": 1.75}
-    assert snapshot.learned.call_time_s == {"dispense": 0.25}
-    assert snapshot.learned.read_per_s == 42.5
-
-
-def test_the_stored_warm_snapshot_is_judged_fresh_stale_or_older() -> None:
-    data = warm_disk.read(STORED / "warm")
-    fresh = assess(data, generation=9, now_ms=START + 1000.0, fresh_for_ms=60_000.0)
-    assert fresh.verdict is SnapshotVerdict.FRESH and fresh.initial_state == LEARNED
-    assert (
-        assess(data, generation=9, now_ms=START + 60_001.0, fresh_for_ms=60_000.0).verdict
-        is SnapshotVerdict.STALE
-    )
-    assert assess(data, generation=10, now_ms=START, fresh_for_ms=60_000.0).verdict is SnapshotVerdict.OLDER
-
-
-def test_a_warm_snapshot_written_anew_has_the_stored_name_and_bytes(tmp_path: Path) -> None:
-    assert warm_disk.write(tmp_path, encode_warm(WARM)) is None
-    assert (tmp_path / "warm.snap").read_bytes() == (STORED / "warm" / "warm.snap").read_bytes()
-
-
-def test_any_altered_byte_of_the_stored_warm_snapshot_is_told() -> None:
-    data = (STORED / "warm" / "warm.snap").read_bytes()
-    for offset in range(len(data)):
-        altered = bytearray(data)
-        altered[offset] ^= 0x01
-        assert decode_warm(bytes(altered)).snapshot is None, offset
-
-
-def test_the_stored_incarnation_is_read_and_written_alike(tmp_path: Path) -> None:
-    assert warm_disk.read_incarnation(STORED / "warm") == 5
-    assert warm_disk.write_incarnation(tmp_path, 5) is None
-    assert (tmp_path / "incarnation").read_bytes() == (STORED / "warm" / "incarnation").read_bytes() == b"5\n"
-
-
-def member_reports() -> list[bytes]:
-    """Report datagrams: a member that keeps no count yet, a cold and a warm one, and a node of no fleet."""
-    return [
-        encode_report("node-a", True, Membership(0, 3).report_suffix(True)),
-        encode_report("node-a", True, Membership(5, 3).report_suffix(True)),
-        encode_report("node-a", False, Membership(5, 3).report_suffix(False)),
-        encode_report("node-b", True),
-    ]
-
-
-def test_membership_reports_have_the_stored_bytes() -> None:
-    stored = (STORED / "roster_reports.txt").read_bytes().splitlines()
-    assert stored == [
-        b"HERE node-a on 0 cold",
-        b"HERE node-a on 5 cold",
-        b"HERE node-a off 5 warm",
-        b"HERE node-b on",
-    ]
-    assert member_reports() == stored
-
-
-def test_the_answer_to_a_membership_report_is_read() -> None:
-    members = Membership(0, 3)
-    assert members.handle_answer(b"FLEET 9 3 1 4", START)
-    assert members.view == FleetView(generation=9, listed=3, cold=1, at_ms=START)
-    assert members.incarnation == 5 and members.status is MemberStatus.MEMBER
-    assert not members.handle_answer(b"FLOTE 9 3 1 4", START) and members.invalid_answers == 1
-
-
-# Key ring.
-
-RING_SLOTS = 8
-RING_BLIND_UNTIL = START - 60_000.0
-RING_KEYS = (("key-1", START + 1000.0), ("key-2", START + 2000.5), ("schlüssel-3", START + 3000.0))
-
-
-def make_ring() -> bytes:
-    """A small ring that holds three keys."""
-    buffer = bytearray(key_log.new_key_log(RING_BLIND_UNTIL, RING_SLOTS))
-    keys = key_log.KeyLog(memoryview(buffer), 0)
-    for key, until in RING_KEYS:
-        assert keys.append(key_digest(key), until, START)
-    return bytes(buffer)
-
-
-def test_the_stored_key_ring_holds_its_keys_until_their_times() -> None:
-    found = key_log.read_key_log((STORED / "warm" / "keys.ring").read_bytes())
-    assert found.verdict is key_log.KeyLogVerdict.WHOLE and found.reason == ""
-    assert found.keys == {
-        key_digest("key-1"): 1_764_576_001_000.0,
-        key_digest("key-2"): 1_764_576_002_000.5,
-        key_digest("schlüssel-3"): 1_764_576_003_000.0,
-    }
-    assert found.sequence == 3 and found.any_until_ms == 1_764_575_940_000.0
-
-
-def test_key_digests_are_those_of_the_stored_ring() -> None:
-    assert key_digest("key-1").hex() == "24b93e04aced8c2834c3d882514d708e"
-    assert key_digest("schlüssel-3").hex() == "78bc5487ffb08c7ecfd6022f6b735b71"
-
-
-def test_a_key_ring_written_anew_has_the_stored_bytes() -> None:
-    assert make_ring() == (STORED / "warm" / "keys.ring").read_bytes()
-
-
-def test_the_stored_key_ring_is_opened_and_gets_the_next_key(tmp_path: Path) -> None:
-    (tmp_path / "keys.ring").write_bytes((STORED / "warm" / "keys.ring").read_bytes())
-    result = warm_disk.open_key_log(tmp_path, 0.0)
-    found, opened = result.found, result.key_log
-    assert found.verdict is key_log.KeyLogVerdict.WHOLE and opened is not None and result.error is None
-    assert opened.append(key_digest("key-4"), START + 4000.0, START)
-    again = key_log.read_key_log((tmp_path / "keys.ring").read_bytes())
-    assert again.sequence == 4 and again.keys[key_digest("key-4")] == START + 4000.0 and len(again.keys) == 4
-
-
-def test_any_altered_byte_of_the_stored_key_ring_is_told() -> None:
-    data = (STORED / "warm" / "keys.ring").read_bytes()
-    whole = key_log.read_key_log(data)
-    header = set(range(24))  # without its padding, which is not read
-    slots = {32 + 40 * slot + offset for slot in (1, 2, 3) for offset in range(36)}
-    for offset in sorted(header | slots):
-        altered = bytearray(data)
-        altered[offset] ^= 0x01
-        assert key_log.read_key_log(bytes(altered)) != whole, offset
-
-
 # Tenant snapshot.
 
 SOURCE = "dc=mill,dc=example?(objectClass=organization)"
--- a/tests/support/hot_restart.py
+++ b/tests/support/hot_restart.py
@@ -63,6 +63,28 @@
     ]
 
 
+def ready_status(player: Player) -> int:
+    """Return the status that a process answers to the readiness check."""
+    return player.node._ready()[0]
+
+
+def set_drained(player: Player, drained: bool) -> int:
+    """Drain a node or end its drain, as operators do; return the status of the answer."""
+    return player.node._drain(drained)[0]
+
+
+def concurrency_ceiling(player: Player) -> float:
+    """Return how many runs the controller of a process would start at most."""
+    controller = player.node.state.controller
+    assert controller is not None
+    return controller._ceiling(controller._now)
+
+
+def max_connections(player: Player) -> int:
+    """Return how many balancers' connections a process accepts at most."""
+    return player.node.balancers._most
+
+
 class ProcessPair:
     """The predecessor and the successor at one listening socket, each with its own runtime and registry.
 
