--- a/tests/node/test_restart.py
+++ b/tests/node/test_restart.py
@@ -16,7 +16,7 @@
 
 import msgpack
 from support.node_harness import address, loopback
-from test_program import PATIENCE_S, at, configuration, node
+from support.program import PATIENCE_S, at, configuration, node
 
 
 class RuntimeLink:
--- /dev/null
+++ b/tests/support/program.py
@@ -0,0 +1,102 @@
+"""The program and the toy site as processes of their own, on free ports."""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+import subprocess
+import sys
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from typing import Any
+
+from support.node_harness import EXAMPLE, address, loopback
+
+ROOT = Path(__file__).parents[2]
+PATIENCE_S = 30.0  # until what does not come counts as missing
+SOCKET_KINDS = {
+    "listen": socket.SOCK_STREAM,
+    "runtime": socket.SOCK_STREAM,
+    "index": socket.SOCK_STREAM,
+    "roster": socket.SOCK_DGRAM,
+}
+"""The addresses in a configuration, by key, each with the kind of its socket."""
+
+
+def configuration(folder: Path, **changes: Any) -> Path:
+    """Write the example's configuration on free ports, with changes; return its path."""
+    with ExitStack() as stack:  # all are bound at once, so that they differ
+        ports = {key: address(stack.enter_context(loopback(kind))) for key, kind in SOCKET_KINDS.items()}
+    path = folder / "node.json"
+    path.write_text(json.dumps(json.loads(EXAMPLE.read_bytes()) | ports | changes))
+    return path
+
+
+def environment(path: Path) -> dict[str, str]:
+    """Return the environment in which a process reads a configuration."""
+    return os.environ | {"NODE_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
+
+
+def at(path: Path) -> tuple[str, int]:
+    """Return the address at which a node of a configuration listens."""
+    host, port = json.loads(path.read_text())["listen"].split(":")
+    return host, int(port)
+
+
+@contextmanager
+def started(*command: str, **options: Any) -> Iterator[subprocess.Popen[str]]:
+    """Start the interpreter with arguments; the process is killed at the end."""
+    process = subprocess.Popen(
+        [sys.executable, *command],
+        cwd=ROOT,
+        text=True,
+        stderr=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        **options,
+    )
+    try:
+        yield process
+    finally:
+        process.kill()
+        process.communicate()
+
+
+@contextmanager
+def node(path: Path, *command: str, **options: Any) -> Iterator[subprocess.Popen[str]]:
+    """Start a node and wait until it listens."""
+    with started("-m", "snowthread", *command, env=environment(path), **options) as process:
+        assert "listens on" in next_log_line(process)
+        yield process
+
+
+@contextmanager
+def site(path: Path) -> Iterator[subprocess.Popen[str]]:
+    """Start the toy site that a configuration names, and wait until it is ready."""
+    with started("examples/toy_site.py", str(path), env=environment(path)) as process:
+        assert process.stdout is not None
+        assert "ready" in process.stdout.readline()
+        yield process
+
+
+def next_log_line(process: subprocess.Popen[str]) -> str:
+    """Wait for the next line that a process logs."""
+    assert process.stderr is not None
+    return process.stderr.readline()
+
+
+def run_program(
+    path: Path, *command: str, variables: dict[str, str] | None = None, **options: Any
+) -> subprocess.CompletedProcess[str]:
+    """Run the program to its end, with more environment variables where given."""
+    return subprocess.run(
+        [sys.executable, "-m", "snowthread", *command],
+        cwd=ROOT,
+        env=environment(path) | (variables or {}),
+        text=True,
+        capture_output=True,
+        timeout=PATIENCE_S,
+        check=False,
+        **options,
+    )
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -5,15 +5,23 @@
 import errno
 import json
 import socket
+from collections.abc import Iterator
+from contextlib import ExitStack
 from pathlib import Path
 
 import pytest
 from support.exchange import Player
+from support.node_harness import NodeHarness
 
 from snowthread.address import Address
 from snowthread.reload import reload
 
 RECORDED = sorted((Path(__file__).parent / "exchanges").glob("*.txt"))
+SOCKET_BUFFER_BYTES = 4096
+PEERS = 12
+ROUNDS_MAX = 100
+ROUND_MS = 5.0  # in all rounds less than a single peer may keep the node waiting
+HEALTH_CHECKS = b"\x94\x00\x01\xa6health\x91\x80" * 1000
 
 
 @pytest.mark.parametrize("path", RECORDED, ids=lambda path: path.stem)
@@ -21,46 +29,68 @@
     Player().play(path.read_text())
 
 
-def test_peers_that_read_nothing_do_not_fill_the_memory_together() -> None:
-    player = Player(limits={"memory_mb": 2, "sockets": 128})
-    crowd = [socket.socket() for _ in range(12)]
-    for sock in crowd:  # none of them has as much waiting as one alone may have
+@pytest.fixture
+def harness() -> Iterator[NodeHarness]:
+    """Make a node, which is closed after the test."""
+    harness = NodeHarness()
+    yield harness
+    harness.close()
+
+
+def connect_with_small_buffers(harness: NodeHarness, stack: ExitStack) -> list[socket.socket]:
+    """Connect peers, none of which can have as much waiting as one alone may have."""
+    peers = [stack.enter_context(socket.socket()) for _ in range(PEERS)]
+    for peer in peers:
         for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
-            sock.setsockopt(socket.SOL_SOCKET, option, 4096)
-        sock.connect(player.node.balancers.address)
-        sock.setblocking(False)
-    player.settle()
-    for connection in player.node.balancers._connections.values():
-        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-    checks, ended = b"\x94\x00\x01\xa6health\x91\x80" * 1000, 0
-    for _ in range(100):
-        for sock in crowd:
-            try:
-                sock.send(checks)
-            except BlockingIOError:
-                pass
-            except OSError:
-                ended += 1
-        player.node.loop.run_once(0.0005)
-        if ended:
-            break
-        player.clock.now_ms += 5.0  # in all less than a single peer may keep the node waiting
-    assert 0 < ended < len(crowd)
-    for sock in crowd:
-        sock.close()
-
-
-def test_a_move_that_fails_leaves_all_as_it_was(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    player = Player()
-    before, path = player.node.config, tmp_path / "node.json"
-    path.write_text(json.dumps(player.fields | {"roster": "127.0.0.1:9", "index": "127.0.0.1:9"}))
+            peer.setsockopt(socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES)
+        peer.connect(harness.node.balancers.address)
+        peer.setblocking(False)
+    harness.settle()
+    for connection in harness.node.balancers._connections.values():
+        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
+    return peers
+
+
+def send_checks(peers: list[socket.socket]) -> int:
+    """Send health checks from each peer, as many as go; return how many peers the node has closed."""
+    closed = 0
+    for peer in peers:
+        try:
+            peer.send(HEALTH_CHECKS)
+        except BlockingIOError:
+            pass
+        except OSError:
+            closed += 1
+    return closed
+
+
+def test_unsent_answers_of_all_peers_together_are_bounded() -> None:
+    harness = NodeHarness(limits={"memory_mb": 2, "sockets": 128})
+    with ExitStack() as stack:
+        stack.callback(harness.close)
+        peers = connect_with_small_buffers(harness, stack)
+        closed = 0
+        for _ in range(ROUNDS_MAX):
+            closed += send_checks(peers)
+            harness.node.loop.run_once(0.0005)
+            if closed:
+                break
+            harness.clock.now_ms += ROUND_MS
+        assert 0 < closed < len(peers)
+
+
+def test_reload_that_fails_leaves_the_configuration_as_it_was(
+    harness: NodeHarness, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    before, path = harness.node.config, tmp_path / "node.json"
+    path.write_text(json.dumps(harness.fields | {"roster": "127.0.0.1:9", "index": "127.0.0.1:9"}))
 
     def no_descriptor(*_: object) -> socket.socket:
         raise OSError(errno.EMFILE, "too many open files")
 
     with monkeypatch.context() as patched:
         patched.setattr(Address, "open", no_descriptor)
-        reload(player.node, {"NODE_CONFIG": str(path)})
-    assert player.node.config is before
-    reload(player.node, {"NODE_CONFIG": str(path)})
-    assert player.node.config.database == ("127.0.0.1", 9)
+        reload(harness.node, {"NODE_CONFIG": str(path)})
+    assert harness.node.config is before
+    reload(harness.node, {"NODE_CONFIG": str(path)})
+    assert harness.node.config.database == ("127.0.0.1", 9)
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -1,14 +1,15 @@
-"""The README's example works as it stands there."""
+"""The README's examples run as they stand there."""
 
 from __future__ import annotations
 
 import re
 from pathlib import Path
 
+README = Path(__file__).parent.parent / "README.md"
 
-def test_example_runs() -> None:
-    text = (Path(__file__).parent.parent / "README.md").read_text()
-    blocks = re.findall(r"```python\n(.*?)```", text, re.DOTALL)
-    assert blocks
-    for block in blocks:
-        exec(block, {})
+
+def test_readme_examples_run() -> None:
+    examples = re.findall(r"```python\n(.*?)```", README.read_text(), re.DOTALL)
+    assert examples
+    for example in examples:
+        exec(example, {})
