--- a/snowthread/hot_restart/messages.py
+++ b/snowthread/hot_restart/messages.py
@@ -9,9 +9,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection
-from dataclasses import dataclass
 from enum import Enum
+from operator import attrgetter
 from types import UnionType
+from typing import Any
 
 import msgpack
 
@@ -73,7 +74,6 @@
     """The peer process sent something that is no message of this protocol."""
 
 
-@dataclass(frozen=True, slots=True)
 class MessageFormat:
     """The wire format of one kind of message.
 
@@ -81,14 +81,22 @@
     also the order of the arguments of ``event``.
     """
 
-    name: str
-    source: type
-    event: Callable[..., IncomingEvent]
-    fields: dict[str, type | UnionType]
+    __slots__ = ("_read_fields", "event", "fields", "name", "source")
 
-    def values_of(self, message: object) -> list[WireValue]:
+    def __init__(
+        self,
+        name: str,
+        source: type,
+        event: Callable[..., IncomingEvent],
+        fields: dict[str, type | UnionType],
+    ) -> None:
+        self.name, self.source, self.event, self.fields = name, source, event, fields
+        self._read_fields = attrgetter(*fields)
+
+    def values_of(self, message: object) -> tuple[WireValue, ...]:
         """Return the fields of a message to send."""
-        return [getattr(message, attribute) for attribute in self.fields]
+        values: Any = self._read_fields(message)  # one attribute alone is not read as a tuple
+        return values if len(self.fields) > 1 else (values,)
 
 
 MESSAGE_FORMATS = (
@@ -139,14 +147,14 @@
 
 def encode(message: OutgoingMessage) -> bytes:
     """Return the bytes of one message. Raise TypeError for what is no message."""
-    fields: list[WireValue]
-    if isinstance(message, HandoverSignal):
-        fields = [message.value, VERSION]
+    message_format = _FORMATS_BY_SOURCE.get(type(message))
+    fields: tuple[WireValue, ...]
+    if message_format is not None:
+        fields = (message_format.name, *message_format.values_of(message))
+    elif isinstance(message, HandoverSignal):
+        fields = (message.value, VERSION)
     else:
-        message_format = _FORMATS_BY_SOURCE.get(type(message))
-        if message_format is None:
-            raise TypeError(type(message).__name__)
-        fields = [message_format.name, *message_format.values_of(message)]
+        raise TypeError(type(message).__name__)
     packed: bytes = msgpack.packb(fields, unicode_errors="surrogateescape")
     return packed
 
--- a/tests/stored/test_hot_restart_messages.py
+++ b/tests/stored/test_hot_restart_messages.py
@@ -20,7 +20,7 @@
 from support.exchange import START, Player, loopback
 
 from snowthread.core import events
-from snowthread.core.idempotency import IdempotencyRecord
+from snowthread.core.idempotency import IdempotencyRecord, IdempotencyTable
 from snowthread.core.state import HandoverRole
 from snowthread.hot_restart.messages import (
     HandoverSignal,
@@ -41,7 +41,7 @@
 )
 
 # Each message as it is decoded; a key's own message is encoded from an IdempotencyRecord.
-OLDER_TO_NEWER: tuple[IncomingMessage, ...] = (
+PREDECESSOR_TO_SUCCESSOR: tuple[IncomingMessage, ...] = (
     events.KeyReplicated("key-running", RUNNING, UNTIL, CONTENT, False, None),
     events.KeyReplicated("key-done", DONE, UNTIL + 0.5, CONTENT, True, b"\x00result\xff"),
     events.KeyReplicated("key-failed", FREED, UNTIL, b"", True, None),
@@ -57,7 +57,7 @@
     events.PeerLoadReported(3, 61_440.5, 2, 40),
     events.DrainRequested(True),
 )
-NEWER_TO_OLDER: tuple[IncomingMessage, ...] = (
+SUCCESSOR_TO_PREDECESSOR: tuple[IncomingMessage, ...] = (
     HandoverSignal.HELLO,
     HandoverSignal.TAKING_CLIENTS,
     events.KeyClaimRequested("key-requested", REQUESTED, START, REQUESTED_CONTENT),
@@ -69,7 +69,10 @@
     events.PeerLoadReported(1, 20_480.0, 1, 18),
     events.DrainRequested(True),
 )
-STREAMS = {"older_to_newer.msgpack": OLDER_TO_NEWER, "newer_to_older.msgpack": NEWER_TO_OLDER}
+STREAMS = {
+    "older_to_newer.msgpack": PREDECESSOR_TO_SUCCESSOR,
+    "newer_to_older.msgpack": SUCCESSOR_TO_PREDECESSOR,
+}
 
 
 def encoded(message: IncomingMessage) -> bytes:
@@ -119,7 +122,7 @@
 
 
 @pytest.mark.parametrize("name", STREAMS)
-def test_no_altered_byte_of_a_stored_stream_is_read_as_the_same(name: str) -> None:
+def test_any_altered_byte_of_a_stored_stream_is_detected(name: str) -> None:
     for number, data in enumerate(stored_messages(name)):
         for offset in range(len(data)):
             altered = bytearray(data)
@@ -247,22 +250,9 @@
     return events.RequestReceived((99, 1), attempt, "dispense", b"p", START, 5000.0, 4, 20.0, 0.5, key)
 
 
-def test_a_newer_node_takes_over_from_an_older_process(session: Session) -> None:
-    theirs, ours = stored_messages("older_to_newer.msgpack"), stored_messages("newer_to_older.msgpack")
-    session.listen()
-    player = session.start_node()
-    session.accept()
-    node, beside = player.node, player.node.hot_restart
-    assert beside is not None
-    session.expect(ours[:1])  # hello
-    assert session.role() is HandoverRole.SUCCESSOR and not node.balancers.accepting
-
-    session.play(theirs[:6])  # three keys, drain, load, and that these are all
-    session.expect(ours[1:2])  # takes
-    assert node.balancers.accepting and not beside.settled
-    running, done, failed = (
-        node.state.idempotency_table.find_by_attempt(attempt) for attempt in (RUNNING, DONE, FREED)
-    )
+def check_records_of_the_predecessor(table: IdempotencyTable) -> IdempotencyRecord:
+    """Check the first three records of the stored stream; return the one whose run goes on."""
+    running, done, failed = (table.find_by_attempt(attempt) for attempt in (RUNNING, DONE, FREED))
     assert running is not None and done is not None and failed is not None
     assert (running.idempotency_key, running.expires_at_ms, running.body_digest) == (
         "key-running",
@@ -272,10 +262,27 @@
     assert running.remote and not running.completed and running.result is None
     assert done.expires_at_ms == 1_764_576_060_000.5 and done.completed and done.result == b"\x00result\xff"
     assert failed.completed and failed.result is None
+    return running
+
+
+def test_successor_takes_over_from_an_older_process(session: Session) -> None:
+    theirs, ours = stored_messages("older_to_newer.msgpack"), stored_messages("newer_to_older.msgpack")
+    session.listen()
+    player = session.start_node()
+    session.accept()
+    node, hot_restart = player.node, player.node.hot_restart
+    assert hot_restart is not None
+    session.expect(ours[:1])  # hello
+    assert session.role() is HandoverRole.SUCCESSOR and not node.balancers.accepting
+
+    session.play(theirs[:6])  # three keys, drain, load, and that these are all
+    session.expect(ours[1:2])  # takes
+    assert node.balancers.accepting and not hot_restart.settled
+    running = check_records_of_the_predecessor(node.state.idempotency_table)
     assert node.state.peer_load == events.PeerLoadReported(0, 0.0, 0, 16) and not node.state.drained
 
     session.play(theirs[6:7])  # yours
-    assert beside.settled
+    assert hot_restart.settled
     node.post(request("key-requested", REQUESTED))
     session.expect(ours[2:3])  # asked
     assert "key-requested" in node.state.pending_claims
@@ -290,7 +297,7 @@
     assert node.state.peer_load == events.PeerLoadReported(3, 61_440.5, 2, 40) and node.state.drained
 
 
-def test_a_newer_node_is_alone_with_the_keys_once_the_older_process_has_ended(session: Session) -> None:
+def test_successor_is_standalone_with_the_keys_once_the_older_process_has_ended(session: Session) -> None:
     session.listen()
     player = session.start_node()
     session.accept()
@@ -306,13 +313,13 @@
     assert done is not None and done.result == b"\x00result\xff"
 
 
-def test_an_older_node_hands_over_to_a_newer_process(session: Session) -> None:
+def test_predecessor_hands_over_to_a_newer_process(session: Session) -> None:
     ours, theirs = stored_messages("older_to_newer.msgpack"), stored_messages("newer_to_older.msgpack")
     player = session.start_node()
-    node, beside = player.node, player.node.hot_restart
-    assert beside is not None and beside.settled
+    node, hot_restart = player.node, player.node.hot_restart
+    assert hot_restart is not None and hot_restart.settled
     assert session.role() is HandoverRole.STANDALONE and node.balancers.accepting
-    for message in OLDER_TO_NEWER[:3]:
+    for message in PREDECESSOR_TO_SUCCESSOR[:3]:
         assert isinstance(message, events.KeyReplicated)
         node.post(message)
 
--- a/tests/stored/test_stored_formats.py
+++ b/tests/stored/test_stored_formats.py
@@ -107,6 +107,23 @@
     files.close()
 
 
+def request(number: int, class_name: str, key: str | None, now: float) -> events.RequestReceived:
+    """Return a request of tenant ``a`` that was sent 5 ms ago."""
+    return events.RequestReceived(
+        (1, number),
+        f"{number:016x}",
+        class_name,
+        b"b",
+        now - 5.0,
+        5000.0,
+        number % 3,
+        20.0,
+        0.5,
+        key,
+        tenant="a",
+    )
+
+
 def observe_a_second() -> Fields:
     """Return the fields of a ``second`` record: one request served, one late, two open with keys."""
     settings = config.parse(json.loads((ROOT / "examples" / "node.json").read_bytes())).settings
@@ -117,42 +134,28 @@
     def post(message: events.Event) -> None:
         observer.observe(message, reduce(state, message, now), state, now)
 
-    def request(number: int, class_name: str, key: str | None) -> str:
-        attempt = f"{number:016x}"
-        post(
-            events.RequestReceived(
-                (1, number),
-                attempt,
-                class_name,
-                b"b",
-                now - 5.0,
-                5000.0,
-                number % 3,
-                20.0,
-                0.5,
-                key,
-                tenant="a",
-            )
-        )
-        return attempt
+    def post_request(number: int, class_name: str, key: str | None) -> str:
+        received = request(number, class_name, key, now)
+        post(received)
+        return received.attempt_id
 
     post(events.RuntimeConnected(False, 0.0))
-    served = request(1, "match", None)
+    served = post_request(1, "match", None)
     now += 100.0
     post(events.RunCompleted(served, Outcome.SUCCESS, 100.0, b"r"))
-    late = request(2, "match", None)
+    late = post_request(2, "match", None)
     now += 3300.0
     post(events.RunCompleted(late, Outcome.SUCCESS, 3300.0, b"r"))
-    calling = request(3, "dispense", "key-3")
+    calling = post_request(3, "dispense", "key-3")
     post(events.CallRequested(calling, 1, b"call"))
     now += 40.0
     post(events.CallCompleted(calling, Outcome.SUCCESS, 40.0, b"reply"))
-    request(4, "dispense", "key-4")
+    post_request(4, "dispense", "key-4")
     return observer.take_totals(state, now)
 
 
 def read_record_files(folder: Path) -> tuple[list[Record], Findings]:
-    """All records of a folder in their order, and what was wrong."""
+    """Return all records of a folder in their order, and what was wrong."""
     findings = Findings()
     return list(merge([folder], findings)), findings
 
