--- a/snowthread/frontends/admin/server.py
+++ b/snowthread/frontends/admin/server.py
@@ -11,6 +11,7 @@
 from snowthread.address import Address
 from snowthread.frontends.admin.codec import CONTINUE, AdminRequest, RequestError, RequestReader, encode
 from snowthread.frontends.admin.routes import AdminResponse, RouteTable
+from snowthread.net.listening import open_listener
 from snowthread.net.loop import READABLE, WRITABLE, EventLoop, Task, TaskSteps, Wait
 
 MAX_CLIENTS = 12  # at once, within the descriptors set aside; beyond it the oldest client is disconnected
@@ -135,13 +136,8 @@
 
 
 def _open_listener(address: Address) -> socket.socket:
-    """Return a socket that listens at the address; an OSError of bind names the address."""
-    listener = address.open(socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    """Return a listening socket; an error names the address, to be told apart from the balancers' one."""
     try:
-        listener.bind(address)
-    except OSError as error:  # to be told apart from the balancers' address
-        listener.close()
+        return open_listener(address, LISTEN_BACKLOG)
+    except OSError as error:
         raise OSError(error.errno, error.strerror, f"{address.host}:{address.port}") from None
-    listener.listen(LISTEN_BACKLOG)
-    return listener
--- a/snowthread/frontends/balancers/server.py
+++ b/snowthread/frontends/balancers/server.py
@@ -14,16 +14,12 @@
 from snowthread.frontends.balancers.codec import encode
 from snowthread.frontends.balancers.connection import BalancerConnection
 from snowthread.frontends.balancers.eviction import eviction_candidates
-from snowthread.frontends.balancers.listening import (
-    LISTEN_BACKLOG,
-    adopt_listener,
-    has_pending_connection,
-    open_listener,
-)
 from snowthread.frontends.balancers.sweeper import PART_MS, ConnectionSweeper
 from snowthread.net.limits import IDLE_SHARE, SWEEP_INTERVAL_MS
+from snowthread.net.listening import adopt_listener, has_pending_connection, open_listener
 from snowthread.net.loop import READABLE, EventLoop, TaskSteps, Wait
 
+LISTEN_BACKLOG = 1024
 PLACES_LEAST = 8  # connections that are allowed however low the limit is set
 ACCEPTS_PER_ROUND = 64  # connections accepted in one round of the loop
 ACCEPT_PAUSE_MS = 50.0  # pause in accepting where no connection can be taken
@@ -53,7 +49,9 @@
         self._sweeper = ConnectionSweeper(self._connections, self._idle_since_ms, max_unsent_bytes)
         self.set_max_connections(max_connections)
         self._listener: socket.socket | None = (
-            open_listener(address) if listen_descriptor is None else adopt_listener(listen_descriptor)
+            open_listener(address, LISTEN_BACKLOG)
+            if listen_descriptor is None
+            else adopt_listener(listen_descriptor)
         )
         self._last_connection_number = 0
         self._draining = False  # connections are sent a farewell as soon as they are idle
--- a/snowthread/frontends/balancers/listening.py
+++ b/snowthread/net/listening.py
@@ -1,4 +1,4 @@
-"""Listening sockets: one of our own, or one that another process passed on."""
+"""Listening sockets: opened here, or passed on by another process."""
 
 from __future__ import annotations
 
@@ -8,15 +8,20 @@
 
 from snowthread.address import Address
 
-LISTEN_BACKLOG = 1024  # connections that the kernel queues until they are accepted
 
+def open_listener(address: Address, backlog: int) -> socket.socket:
+    """Return a new socket that listens at an address; OSError where the address is not available.
 
-def open_listener(address: Address) -> socket.socket:
-    """Return a new socket that listens at an address."""
+    The kernel queues ``backlog`` connections until they are accepted.
+    """
     listener = address.open(socket.SOCK_STREAM)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind(address)
-    listener.listen(LISTEN_BACKLOG)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(address)
+        listener.listen(backlog)
+    except OSError:
+        listener.close()
+        raise
     return listener
 
 
--- a/tests/frontends/test_listening.py
+++ b/tests/net/test_listening.py
@@ -1,4 +1,4 @@
-"""Listening sockets that another process passed on."""
+"""Listening sockets that are opened or passed on by another process."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from support.exchange import loopback
 
 from snowthread.address import Address
-from snowthread.frontends.balancers.listening import adopt_listener, open_listener
+from snowthread.net.listening import adopt_listener, open_listener
 
 
 def test_inherited_listener_is_shared_and_other_sockets_are_rejected() -> None:
@@ -17,7 +17,7 @@
         with pytest.raises(OSError, match="does not listen"):
             adopt_listener(os.dup(datagrams.fileno()))
         with pytest.raises(OSError):
-            open_listener(Address(*original.getsockname()))  # in use: only the descriptor helps
+            open_listener(Address(*original.getsockname()), backlog=1)  # in use: only the descriptor helps
         adopted = adopt_listener(os.dup(original.fileno()))
         with socket.create_connection(original.getsockname()), adopted:
             assert adopted.accept()[0].getsockname() == original.getsockname()
