Directory emulator: a package of codec, content, requests, connection and command line

Cause: one file of 638 lines held its BER, its data, its server and its commands, with tuples for nodes and numbers for operations. Change: emulators/directory/ has ber, protocol (typed operations and result codes), entries, content, faults, requests, connection, server and __main__; python -m emulators.directory and its commands stay. The tests of LDAP and of the replicator use its builders: test_codec is split into test_ldap_codec and test_ldap_texts, test_health, test_tls and test_standin become test_ldap_health, test_ldap_tls and test_directory_emulator, test_follow test_replication; directory_world's World is DirectoryWorld.

--- a/benchmarks/tenants.py
+++ b/benchmarks/tenants.py
@@ -31,6 +31,7 @@
 
 from benchmarks import rig
 from emulators import directory as directory_emulator
+from emulators.directory import protocol
 from snowthread import config
 from snowthread.core import events
 from snowthread.ldap import filters
@@ -282,7 +283,7 @@
 
 def codec(count: int) -> dict[str, float]:
     """Measure the decoding of entries, as the session does it."""
-    item = directory_emulator.Item(
+    entry = directory_emulator.Entry(
         "cn=Farbhof,ou=tenants,dc=example",
         b"x" * 16,
         {
@@ -293,7 +294,7 @@
         },
         1,
     )
-    wire = directory_emulator.pack((0, 16, [(0, 2, 1), item.node()])) * count
+    wire = protocol.message(1, entry.encode()) * count
     session = Session()
     session.send(SearchRequest("", Scope.SUB, filters.parse("(cn=*)")))
     began = time.perf_counter()
--- /dev/null
+++ b/emulators/directory/__init__.py
@@ -0,0 +1,17 @@
+"""Emulate a directory of tenants on loopback, with scripted faults.
+
+It implements LDAP from its own reading of RFC 4511, RFC 2696 and RFC 4533, over another BER library than the
+client's, so that a mistake made on one side shows on the other. It serves tests only.
+
+- ``ber``: encode and decode BER as generic nodes; ``protocol``: the LDAP messages made of them.
+- ``entries``: the entries and the filters that select them; ``content``: all entries, with their history.
+- ``faults``: what goes wrong, and what the server is capable of.
+- ``requests``: answer bind, search and synchronisation requests; ``connection``: one client's connection.
+- ``server``: the listener; ``__main__``: the command line.
+"""
+
+from emulators.directory.entries import Entry, matches
+from emulators.directory.faults import Capabilities, Faults
+from emulators.directory.server import Directory
+
+__all__ = ["Capabilities", "Directory", "Entry", "Faults", "matches"]
--- /dev/null
+++ b/emulators/directory/content.py
@@ -0,0 +1,94 @@
+"""All entries of a directory. Each change has a number; a cookie is the number up to which a client knows."""
+
+from __future__ import annotations
+
+import uuid as uuids
+from typing import Any
+
+from emulators.directory.entries import Entry
+from emulators.directory.protocol import EntryState
+
+OBJECT_CLASS = "snowthreadTenant"
+OPERATIONAL_ATTRIBUTES = ("objectClass", "cn", "entryUUID", "modifyTimestamp")
+FIRST_TIMESTAMP = 20260101000000
+COOKIE_PREFIX = b"n="
+
+
+class Content:
+    """The entries below one base."""
+
+    def __init__(self, base: str) -> None:
+        self.base = base
+        self.entries: dict[str, Entry] = {}  # by distinguished name
+        self.change_number = 0
+        self.oldest_cookie = 0  # older ones are expired
+        self.removed: dict[bytes, int] = {}  # uuid -> change number of its removal
+
+    def dn(self, name: str) -> str:
+        """Return the distinguished name of ``cn=name``."""
+        return f"cn={name},{self.base}"
+
+    def cookie(self) -> bytes:
+        """Return the cookie of the present content."""
+        return COOKIE_PREFIX + str(self.change_number).encode()
+
+    @staticmethod
+    def read_cookie(cookie: bytes | None) -> int:
+        """Return the change number of a cookie; 0 without one."""
+        return int((cookie or b"").removeprefix(COOKIE_PREFIX) or b"0")
+
+    def put(self, name: str, uuid: bytes | None = None, **attributes: Any) -> Entry:
+        """Add or replace ``cn=name``; values are strings or lists of them."""
+        self.change_number += 1
+        dn = self.dn(name)
+        old = self.entries.get(dn)
+        key = uuid or (old.uuid if old else uuids.uuid5(uuids.NAMESPACE_DNS, dn).bytes)
+        operational = {
+            "objectClass": [OBJECT_CLASS],
+            "cn": [name],
+            "entryUUID": [str(uuids.UUID(bytes=key))],
+            "modifyTimestamp": [f"{FIRST_TIMESTAMP + self.change_number}Z"],
+        }
+        given = {
+            attribute: [str(each) for each in value] if isinstance(value, list | tuple) else [str(value)]
+            for attribute, value in attributes.items()
+        }
+        entry = Entry(dn, key, operational | given, self.change_number)
+        self.entries[dn] = entry
+        self.removed.pop(key, None)
+        self._changed(entry, EntryState.MODIFY if old else EntryState.ADD)
+        return entry
+
+    def rename(self, name: str, new_name: str) -> None:
+        """Give an entry another name; its UUID stays."""
+        old = self.entries.pop(self.dn(name))
+        given = {
+            attribute: values
+            for attribute, values in old.attributes.items()
+            if attribute not in OPERATIONAL_ATTRIBUTES
+        }
+        self.put(new_name, old.uuid, **given)
+
+    def remove(self, name: str) -> None:
+        """Remove ``cn=name``."""
+        self.change_number += 1
+        entry = self.entries.pop(self.dn(name))
+        self.removed[entry.uuid] = self.change_number
+        self._changed(entry, EntryState.DELETE)
+
+    def expire_cookies(self) -> None:
+        """Make all cookies given so far invalid."""
+        self.change_number += 1
+        self.oldest_cookie = self.change_number
+
+    def copy_to(self, other: Content) -> None:
+        """Make another directory a replica of the present content."""
+        other.entries = {
+            dn: Entry(entry.dn, entry.uuid, dict(entry.attributes), entry.change_number)
+            for dn, entry in self.entries.items()
+        }
+        other.change_number = self.change_number
+        other.removed = dict(self.removed)
+
+    def _changed(self, entry: Entry, state: EntryState) -> None:
+        """Take note of a change; a subclass tells its clients."""
--- a/tests/ldap/test_standin.py
+++ b/tests/ldap/test_directory_emulator.py
@@ -1,4 +1,4 @@
-"""The stand-in directory is LDAP: a client of other people's reads it."""
+"""The emulated directory speaks LDAP: another library's client understands it."""
 
 from __future__ import annotations
 
@@ -38,7 +38,7 @@
         process.communicate()
 
 
-def test_search_filters_and_values(client: ldap3.Connection) -> None:
+def test_a_search_applies_filters_and_returns_values(client: ldap3.Connection) -> None:
     assert client.search(
         BASE,
         "(&(objectClass=snowthreadTenant)(|(cn=Far*)(cn=*nte)(!(cn=*))))",
@@ -50,12 +50,12 @@
     assert client.entries == [] and client.result["result"] == 0
 
 
-def test_pages(client: ldap3.Connection) -> None:
+def test_paged_results_return_each_entry_once(client: ldap3.Connection) -> None:
     found = list(client.extend.standard.paged_search(BASE, "(cn=*)", paged_size=2, attributes=["cn"]))
     assert len(found) == 5 and len({e["dn"] for e in found}) == 5
 
 
-def test_refresh_only_synchronisation(client: ldap3.Connection) -> None:
+def test_a_refresh_returns_all_entries_and_a_done_control(client: ldap3.Connection) -> None:
     control = ("1.3.6.1.4.1.4203.1.9.1.1", True, bytes((0x30, 3, 0x0A, 1, 1)))
     client.search(BASE, "(cn=*)", attributes=["cn"], controls=[control])
     assert len(client.entries) == 5 and "1.3.6.1.4.1.4203.1.9.1.3" in client.result["controls"]
--- /dev/null
+++ b/tests/ldap/test_ldap_texts.py
@@ -0,0 +1,103 @@
+"""The textual forms of LDAP: filters (RFC 4515), distinguished names (RFC 4514) and URLs (RFC 4516)."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from snowthread.ldap import dn, filters, url
+from snowthread.ldap.messages import FilterTree, Scope
+
+
+@pytest.mark.parametrize(
+    ("text", "tree"),
+    [
+        ("(cn=Babs J ensen)", ("equalityMatch", {"attribute": b"cn", "value": b"Babs J ensen"})),
+        (
+            "(o=Parens R Us \\28for all\\29)",
+            ("equalityMatch", {"attribute": b"o", "value": b"Parens R Us (for all)"}),
+        ),
+        ("(cn=*\\2A*)", ("substrings", {"type": b"cn", "parts": [("any", b"*")]})),
+        ("(sn;lang-en~=x)", ("approxMatch", {"attribute": b"sn;lang-en", "value": b"x"})),
+        ("(seeAlso=)", ("equalityMatch", {"attribute": b"seeAlso", "value": b""})),
+        ("(1.2.3=\\04\\02\\48\\69)", ("equalityMatch", {"attribute": b"1.2.3", "value": b"\x04\x02Hi"})),
+        ("(|)", ("or", [])),
+        ("(cn=*)", ("present", b"cn")),
+        (
+            "(cn:dn:2.4.6:=Dino)",
+            ("extensibleMatch", {"type": b"cn", "rule": b"2.4.6", "dnAttributes": True, "value": b"Dino"}),
+        ),
+    ],
+)
+def test_the_examples_of_rfc_4515_are_parsed(text: str, tree: FilterTree) -> None:
+    assert filters.parse(text) == tree
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "cn=a",
+        "(cn=a",
+        "(cn=a))",
+        "(=a)",
+        "(cn=a**b)",
+        "(cn>=*)",
+        "(cn=\\2)",
+        "(!(a=b)(c=d))",
+        "(:=x)",
+        "(" * 40 + "a=b" + ")" * 40,
+        "(cn=\x00)",
+    ],
+)
+def test_a_text_that_is_no_filter_is_an_error(text: str) -> None:
+    with pytest.raises(filters.FilterError):
+        filters.parse(text)
+
+
+@given(st.binary(max_size=20))
+def test_an_escaped_value_is_read_back(value: bytes) -> None:
+    text = f"(cn={filters.escape(value)})"
+    assert filters.parse(text) == ("equalityMatch", {"attribute": b"cn", "value": value})
+
+
+def test_names_compare_without_case_and_extra_spaces() -> None:
+    base = dn.parse("ou=Tenants, dc=Example")
+    assert dn.parse("CN=a\\2c b,OU=tenants,DC=EXAMPLE").is_below(base)
+    assert dn.parse("cn=x+sn=y,ou=a").key == dn.parse("SN=Y+cn=X,OU=A").key
+    assert not dn.parse("ou=tenants,dc=example,dc=com").is_below(base)
+    assert dn.parse("cn=a,dc=x").is_below(dn.parse("")) and not dn.parse("").is_below(base)
+    assert dn.parse("cn=a  b").key == dn.parse("cn=a b").key != dn.parse("cn=ab").key
+    plain = dn.parse("ou=tenants,dc=example")
+    assert dn.is_plainly_below("cn=X,OU=Tenants,dc=example", plain)
+    for text in (
+        "cn=x\\,ou=tenants,dc=example",
+        "cn=x,ou=tenants, dc=example",
+        "ou=tenants,dc=example",
+        "cn=xou=tenants,dc=example",
+    ):
+        assert not dn.is_plainly_below(text, plain)
+    for bad in ("cn", "=a", "cn=a,,cn=b", "cn=a\\", "cn=a;b", "cn=" + "x" * 5000):
+        with pytest.raises(dn.DnError):
+            dn.parse(bad)
+
+
+def test_urls_are_parsed_and_bad_ones_are_errors() -> None:
+    parsed = url.parse("ldap://[2001:db8::7]/c=GB?objectClass,cn?one?(cn=a%2a)")
+    assert (parsed.host, parsed.port, parsed.base, parsed.scope) == ("2001:db8::7", 389, "c=GB", Scope.ONE)
+    assert parsed.attributes == ("objectClass", "cn") and parsed.server == "ldap://[2001:db8::7]:389"
+    assert url.parse("ldaps://10.0.0.1").port == 636
+    for bad in (
+        "http://10.0.0.1",
+        "ldap://u@10.0.0.1",
+        "ldap://10.0.0.1/x",
+        "ldap://10.0.0.1/??all",
+        "ldap://10.0.0.1/????!ext",
+        "ldap://10.0.0.1:0x",
+        "ldap://10.0.0.1/???(a",
+    ):
+        with pytest.raises(url.UrlError):
+            url.parse(bad)
+    with pytest.raises(url.UrlError, match="numeric"):
+        _ = url.parse("ldap://directory.example").address
--- a/tests/support/directory_world.py
+++ b/tests/support/directory_world.py
@@ -1,4 +1,4 @@
-"""A follower and stand-in directories on one loop, on a clock that the test moves."""
+"""A replicator and emulated directories on one event loop, on a clock that the test moves."""
 
 from __future__ import annotations
 
@@ -6,7 +6,9 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from emulators.directory import Directory, Habits
+import hcl2
+
+from emulators.directory import Capabilities, Directory
 from snowthread import config
 from snowthread.address import Address
 from snowthread.net.clock import ManualClock
@@ -21,81 +23,93 @@
 EXAMPLE = Path(__file__).parents[2] / "examples" / "node.json"
 
 
-def settings(servers: list[str], more: str = "", folder: Path | None = None) -> TenantSettings:
-    """The block ``tenants`` with these servers and further keys."""
+def settings(servers: list[str], more: str = "") -> TenantSettings:
+    """Return the settings of a block ``tenants`` with these servers and further keys."""
     text = f"""tenants {{
-      servers = [{", ".join(f'"{s}"' for s in servers)}]
+      servers = [{", ".join(f'"{server}"' for server in servers)}]
       base = "ou=tenants,dc=example"
       spread = "1ms"
       {more}
     }}
     """
-    import hcl2
-
     block = hcl.Block("test.hcl", "", hcl2.loads(text)).block("tenants")
     assert block is not None
     return TenantSettings.read(block, config.load({"NODE_CONFIG": str(EXAMPLE)}))
 
 
-class World:
-    """Directories and, once started, a follower."""
+class DirectoryWorld:
+    """Directories with the same content and, once started, a replicator."""
 
-    def __init__(self, count: int = 1, tenants: int = 10, habits: Habits | None = None) -> None:
+    def __init__(
+        self, directories: int = 1, tenants: int = 10, capabilities: Capabilities | None = None
+    ) -> None:
         self.clock = ManualClock(START)
         self.loop = EventLoop(self.clock)
         self.directories = [
-            Directory(self.loop, Address("127.0.0.1", 0), habits=habits) for _ in range(count)
+            Directory(self.loop, Address("127.0.0.1", 0), capabilities=capabilities)
+            for _ in range(directories)
         ]
-        for n in range(tenants):
-            self.directories[0].put(f"t{n}", snowthreadNetwork=[f"10.{n}.0.0/16"], snowthreadQuota=n + 1)
-        for other in self.directories[1:]:
-            self.directories[0].copy_to(other)
-        self.lines: list[TenantLogLine] = []
-        self.tenancy: TenantState
-        self.follower: DirectoryReplicator
+        first = self.directories[0]
+        for index in range(tenants):
+            first.put(f"t{index}", snowthreadNetwork=[f"10.{index}.0.0/16"], snowthreadQuota=index + 1)
+        for replica in self.directories[1:]:
+            first.copy_to(replica)
+        self.log_lines: list[TenantLogLine] = []
+        self.tenants: TenantState
+        self.replicator: DirectoryReplicator
+
+    @property
+    def now(self) -> float:
+        return self.clock.now_ms
 
     @property
     def urls(self) -> list[str]:
-        return [f"ldap://{d.address}" for d in self.directories]
+        return [f"ldap://{directory.address}" for directory in self.directories]
+
+    @property
+    def tenant_names(self) -> set[str]:
+        return {tenant.name for tenant in self.tenants.table.tenants.values()}
 
-    def start(self, more: str = "", seed: int = 1, servers: list[str] | None = None) -> World:
+    def start(self, more: str = "", seed: int = 1, servers: list[str] | None = None) -> DirectoryWorld:
+        """Start the replicator, with these keys in its block."""
         made = settings(servers or self.urls, more)
-        self.tenancy = TenantState(made.rules)
-        self.follower = DirectoryReplicator(self.loop, made, self.tenancy, random.Random(seed), self._tell)
+        self.tenants = TenantState(made.rules)
+        self.replicator = DirectoryReplicator(
+            self.loop, made, self.tenants, random.Random(seed), self._collect
+        )
         return self
 
-    def _tell(self, news: TenantChanges) -> None:
-        self.lines += news.log_lines
-
-    def run(self, ms: float, step: float = 50.0) -> None:
-        """Let so much time go by, in steps."""
-        end = self.clock.now_ms + ms
+    def run(self, duration_ms: float, step_ms: float = 50.0) -> None:
+        """Let time pass, in steps."""
+        end = self.clock.now_ms + duration_ms
         while self.clock.now_ms < end:
             for _ in range(3):
                 self.loop.run_once(0.0)
-            self.clock.now_ms = min(end, self.clock.now_ms + step)
+            self.clock.now_ms = min(end, self.clock.now_ms + step_ms)
 
-    def until(self, holds: Callable[[], bool], most: float = 60_000.0, step: float = 20.0) -> float:
-        """Run until it holds; how long that took."""
+    def wait_until(
+        self, holds: Callable[[], bool], timeout_ms: float = 60_000.0, step_ms: float = 20.0
+    ) -> float:
+        """Run until the condition holds and return how long that took."""
         began = self.clock.now_ms
         while not holds():
-            assert self.clock.now_ms - began < most, "it never held"
-            self.run(step, step)
+            assert self.clock.now_ms - began < timeout_ms, "it never held"
+            self.run(step_ms, step_ms)
         return self.clock.now_ms - began
 
-    def synced(self) -> None:
-        """The first refresh is through."""
-        self.until(lambda: self.tenancy.counters.refreshes > 0)
+    def wait_for_refresh(self) -> None:
+        """Run until the first refresh is complete."""
+        self.wait_until(lambda: self.tenants.counters.refreshes > 0)
 
-    @property
-    def names(self) -> set[str]:
-        return {t.name for t in self.tenancy.table.tenants.values()}
-
-    def said(self, event: str) -> list[str]:
-        return [line.text for line in self.lines if line.event == event]
+    def log_texts(self, event: str) -> list[str]:
+        """Return the texts of the log lines of an event."""
+        return [line.text for line in self.log_lines if line.event == event]
 
     def close(self) -> None:
-        """Put away what is open, so that one test's descriptors are not another's."""
+        """Close what is open, so that one test's descriptors are not another's."""
         self.loop._close_tasks()
         for directory in self.directories:
             directory._listener.close()
+
+    def _collect(self, changes: TenantChanges) -> None:
+        self.log_lines += changes.log_lines
