Tests: the lab's balancers count doubled, lost and spoilt answers

Change: tests/lab/test_balancers.py runs the balancers against a scripted node that answers once, twice, never, or with another body.

--- /dev/null
+++ b/tests/lab/test_balancers.py
@@ -0,0 +1,137 @@
+"""The lab's balancers on loopback count lost, doubled and spoilt answers: their zeros mean something."""
+
+from __future__ import annotations
+
+import json
+import socket
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgpack
+import pytest
+
+from emulators.balancers import Balancers
+from emulators.traffic_plan import TrafficPlan
+from snowthread.net.clock import Clock
+from snowthread.net.loop import READABLE, EventLoop, TaskSteps, Wait
+
+PLAN = {
+    "roster": "127.0.0.1:9",
+    "sources": "127.0.0",
+    "seed": 1,
+    "per_s": 20.0,
+    "seconds": 1.0,
+    "keyed": 0.0,
+    "repeats": 0.0,
+    "foreign": 0.0,
+    "own_number": 0,
+    "others_number": 100,
+    "again_ms": [10.0, 20.0],
+    "classes": [
+        {
+            "name": name,
+            "share": 1.0,
+            "goal_ms": 500.0,
+            "deadline_ms": 1000.0,
+            "worth": 1.0,
+            "late_value": 0.2,
+            "skip_worth": 1.0,
+            "keyed": name == "dispense",
+        }
+        for name in ("match", "dispense")
+    ],
+}
+
+
+@dataclass
+class ScriptedNode:
+    """A node that sends each answer so many times."""
+
+    loop: EventLoop
+    answers: int = 1
+    body: bytes = b"a warm grey known"
+    listener: socket.socket = field(default_factory=lambda: socket.create_server(("127.0.0.1", 0)))
+
+    def __post_init__(self) -> None:
+        self.listener.setblocking(False)
+        self.loop.spawn(self._accept())
+
+    def _accept(self) -> TaskSteps:
+        while True:
+            yield Wait(self.listener.fileno(), READABLE)
+            connection, _ = self.listener.accept()
+            connection.setblocking(False)
+            self.loop.spawn(self._serve(connection))
+
+    def _serve(self, connection: socket.socket) -> TaskSteps:
+        unpacker = msgpack.Unpacker()
+        try:
+            while True:
+                yield Wait(connection.fileno(), READABLE)
+                data = connection.recv(65536)
+                if not data:
+                    return
+                unpacker.feed(data)
+                for _, number, _, _ in unpacker:
+                    connection.sendall(msgpack.packb([1, number, None, [self.body, {}]]) * self.answers)
+        finally:
+            self.loop.close(connection)
+
+
+class Fleet:
+    """One scripted node and the balancers that send to it."""
+
+    def __init__(self, loop: EventLoop, node: ScriptedNode) -> None:
+        self.loop = loop
+        self.node = node
+        host, port = node.listener.getsockname()
+        plan = TrafficPlan.from_json(PLAN | {"nodes": {"n1": f"{host}:{port}"}})
+        self.balancers = Balancers(loop, plan)
+
+    def run(self, capsys: pytest.CaptureFixture[str]) -> dict[str, Any]:
+        """Run the plan to the last deadline; the balancers' report."""
+        self.balancers.handle("go", "")
+        end = self.loop.clock.now() + 2500.0
+        while self.loop.clock.now() < end:
+            self.loop.run_once(0.02)
+        self.balancers.handle("report", "")
+        report: dict[str, Any] = json.loads(capsys.readouterr().out)
+        return report
+
+
+@pytest.fixture
+def fleet(request: pytest.FixtureRequest) -> Iterator[Fleet]:
+    loop = EventLoop(Clock())
+    fleet = Fleet(loop, ScriptedNode(loop, **request.param))
+    yield fleet
+    loop._close_tasks()
+
+
+@pytest.mark.parametrize("fleet", [{}], indirect=True)
+def test_each_request_answered_once_is_served(fleet: Fleet, capsys: pytest.CaptureFixture[str]) -> None:
+    report = fleet.run(capsys)
+    sent = sum(report["by_second"]["asked"])
+    assert sent > 5 and sum(report["by_second"]["served"]) == sent
+    assert report["tries"]["served"] >= sent and report["tries"]["spoilt"] == report["lost"] == 0
+    assert "answered twice" not in report["tries"]
+
+
+@pytest.mark.parametrize("fleet", [{"answers": 2}], indirect=True)
+def test_second_answer_to_a_request_is_counted(fleet: Fleet, capsys: pytest.CaptureFixture[str]) -> None:
+    report = fleet.run(capsys)
+    assert report["tries"]["answered twice"] == report["tries"]["served"] > 5
+
+
+@pytest.mark.parametrize("fleet", [{"answers": 0}], indirect=True)
+def test_missing_answer_is_counted_as_lost(fleet: Fleet, capsys: pytest.CaptureFixture[str]) -> None:
+    report = fleet.run(capsys)
+    assert report["lost"] == report["tries"]["tries"] > 5 and report["gone_with_node"] == 0
+
+
+@pytest.mark.parametrize("fleet", [{"body": b"a cold grey"}], indirect=True)
+def test_answer_with_another_body_is_counted_as_spoilt(
+    fleet: Fleet, capsys: pytest.CaptureFixture[str]
+) -> None:
+    report = fleet.run(capsys)
+    assert report["tries"]["spoilt"] == report["tries"]["served"] > 5
