Split the admission controller into modules by concern, with whole names

The controller was one class of 1,000 lines whose fields and parameters had one or two letters. It now composes small classes, each with one job: blocking (Berger's formulas and the draw), estimators, concurrency (run limit), wait_queue, downstream_calls, quotas, load_report, idle_connections and health.

What only keeps account and decides nothing stands beside them: the request record, the tables of open requests, of calls, of tenants and of class times, core and memory accounting, the timer queue, and generic arithmetic (statistics). The test of the imports holds them to the standard library and each other.

Controller.concurrency_limit is Controller.concurrency.limit; the start of the warm-up is Controller.started_at.

--- a/snowthread/admission/events.py
+++ b/snowthread/admission/events.py
@@ -35,33 +35,34 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RequestAbandoned:
-    """Nobody waits for this request any more; no answer is owed."""
+class RequestEvent:
+    """What happens to a request that has arrived."""
 
     request_id: int
 
 
 @dataclass(frozen=True, slots=True)
-class CallNeeded:
-    """A run stands at a call to what lies below."""
+class RequestAbandoned(RequestEvent):
+    """Nobody waits for this request any more; no answer is owed."""
 
-    request_id: int
+
+@dataclass(frozen=True, slots=True)
+class CallNeeded(RequestEvent):
+    """A run stands at a call to what lies below."""
 
 
 @dataclass(frozen=True, slots=True)
-class CallFinished:
+class CallFinished(RequestEvent):
     """A call came back."""
 
-    request_id: int
     outcome: Outcome
     duration_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
-class RunFinished:
+class RunFinished(RequestEvent):
     """A run or an attached request is over."""
 
-    request_id: int
     outcome: Outcome
     duration_s: float = 0.0
 
@@ -78,10 +79,9 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RunIndeterminate:
+class RunIndeterminate(RequestEvent):
     """The host lost sight of a run: its start, or the reply to its call, may never have come through."""
 
-    request_id: int
     at_call: bool = False
 
 
@@ -95,8 +95,11 @@
 
 @dataclass(frozen=True, slots=True)
 class TenantsChanged:
-    """Other tenants than before: those added or changed, the names of those removed, and what traffic over a
-    share is worth from now on (None: as before)."""
+    """Other tenants than before.
+
+    ``changed`` were added or changed, ``removed`` are names; ``over_quota_weight`` is the weight of requests
+    beyond their tenant's quota (None: as before).
+    """
 
     changed: tuple[Tenant, ...] = ()
     removed: frozenset[str] = frozenset()
@@ -105,8 +108,10 @@
 
 @dataclass(frozen=True, slots=True)
 class SettingsChanged:
-    """Other settings, tenants apart. A class has its place among them as long as anything of it may be open;
-    only then may another take it."""
+    """Other settings, tenants apart.
+
+    A class has its place among them as long as a request of it may be open; only then may another take it.
+    """
 
     settings: Settings
 
--- a/snowthread/admission/learned_state.py
+++ b/snowthread/admission/learned_state.py
@@ -71,10 +71,7 @@
 
 def warmup_speed(controller: Controller, now_s: float) -> float:
     """Of its warm speed: what the settings give a machine of this age (as the module's run limit has it)."""
-    s = controller.settings
-    if not s.starts_cold or s.warmup_s <= 0.0:
-        return 1.0
-    return min(1.0, s.cold_speed + (1.0 - s.cold_speed) * max(0.0, now_s - controller._born) / s.warmup_s)
+    return controller.settings.speed_at_age(now_s - controller.started_at)
 
 
 def runs_within_factor(controller: Controller, recalled: LearnedState, factor: float) -> bool | None:
@@ -90,7 +87,8 @@
 @dataclass(slots=True)
 class LearnedStateAging:
     """Lets run times grow old: one that no run has confirmed for longer than a request of its class may take
-    says nothing of the next. Once a period: blended to what was recalled, past its bound that or unknown."""
+    says nothing of the next. Once a period: blended to what was recalled, past its bound that or unknown.
+    """
 
     recalled: LearnedState
     fresh: float = 0.5  # times a class's aim: as learned for so long
--- /dev/null
+++ b/snowthread/admission/open_requests.py
@@ -0,0 +1,98 @@
+"""The table of open requests, with the cores and the memory that they take up.
+
+Accounting only: what starts, stops or is rejected is decided in :mod:`snowthread.admission.controller`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from snowthread.admission.class_times import ClassTimes
+from snowthread.admission.cores import Cores
+from snowthread.admission.events import RequestArrived
+from snowthread.admission.memory import MemoryAccount
+from snowthread.admission.request import RequestRecord, RequestState
+from snowthread.admission.settings import Settings
+
+
+def record_of(
+    now: float, event: RequestArrived, class_index: int, settings: Settings, times: ClassTimes
+) -> RequestRecord:
+    """Return the record of a request just read, without its weight and priority."""
+    request_class = settings.classes[class_index]
+    work = times.work_of(class_index, event.work_hint_s)
+    arrived_at = now - event.unread_s
+    if settings.propagates_deadline and event.time_left_s:
+        deadline_at = now + event.time_left_s
+    else:
+        deadline_at = max(now, arrived_at + request_class.deadline_s)
+    stretch_s = request_class.objective_stretch * (times.run_time_s[class_index] * work)
+    objective_at = min(deadline_at, arrived_at + request_class.latency_objective_s + stretch_s)
+    return RequestRecord(
+        id=event.request_id,
+        class_index=class_index,
+        request_class=request_class,
+        arrived_at=arrived_at,
+        deadline_at=deadline_at,
+        objective_at=objective_at,
+        useful_until=deadline_at if request_class.late_weight_factor > 0.0 else objective_at,
+        memory_kb=event.memory_kb,
+        work=work,
+        work_hint_s=event.work_hint_s,
+        tenant=event.tenant,
+        original_id=event.original_id,
+    )
+
+
+class OpenRequests:
+    """Requests that are not over, and among them those that are queued."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.by_id: dict[int, RequestRecord] = {}
+        self.queued: dict[int, RequestRecord] = {}  # paused ones included
+        self.cores = Cores(settings)
+        self.memory = MemoryAccount(settings)
+
+    def apply_settings(self, settings: Settings) -> None:
+        """Go on with these settings."""
+        self.cores.settings = settings
+        self.memory.apply_settings(settings, self.by_id.values())
+
+    def add(self, request: RequestRecord) -> None:
+        """Queue a request."""
+        self.by_id[request.id] = self.queued[request.id] = request
+        self.memory.used_kb += request.memory_kb
+
+    def await_original(self, request: RequestRecord) -> None:
+        """Take a retry out of the queue: it gets the result of the attempt that it repeats."""
+        del self.queued[request.id]
+        request.state, request.has_started = RequestState.AWAITING_ORIGINAL, True
+
+    def start(self, now: float, request: RequestRecord) -> None:
+        """Put a queued request on the cores."""
+        del self.queued[request.id]
+        self.memory.used_kb += self.memory.start_extra_kb(request)
+        request.has_started, request.started_at = True, now
+        self.cores.enter(request)
+
+    def requeue(self, request: RequestRecord, keeps_progress: bool) -> None:
+        """Queue a run that was stopped."""
+        self.cores.leave(request)
+        if not keeps_progress:
+            self.memory.release_run(request)
+        request.state = RequestState.PAUSED if keeps_progress else RequestState.QUEUED
+        self.queued[request.id] = request
+
+    def add_progress(self, work_done: float, core_time_s: Sequence[float]) -> float:
+        """Return the work done by runs that ended, corrected for what unfinished runs did of it.
+
+        ``core_time_s``: of each class, for a unit of work.
+        """
+        return self.cores.add_progress(work_done, self.by_id.values(), core_time_s)
+
+    def remove(self, request: RequestRecord) -> None:
+        """Free what a request that is over takes up."""
+        self.cores.leave(request)
+        self.memory.release(request)
+        self.queued.pop(request.id, None)
+        self.by_id.pop(request.id, None)
--- a/snowthread/admission/recovery_pacing.py
+++ b/snowthread/admission/recovery_pacing.py
@@ -165,7 +165,8 @@
 
     def record_latency(self, now_ms: float, took_ms: float) -> None:
         """A call's time: over ``slow_factor`` times the prior halves the share, once for calls made before
-        the last cut; a quick one lets it grow, so that it is whole some calls after a trouble is over."""
+        the last cut; a quick one lets it grow, so that it is whole some calls after a trouble is over.
+        """
         self._refill(now_ms)
         if took_ms <= self.slow_factor * self.prior_ms:
             self.share = min(1.0, self.share * QUICK_GROWS)
@@ -307,7 +308,8 @@
 
     def run_ended(self, now_ms: float, in_aim: bool, aim_ms: float) -> None:
         """A run went through, in time or not. Losses of one moment count once: runs begun before the last cut
-        tell nothing of the window since."""
+        tell nothing of the window since.
+        """
         if in_aim:
             self.slow_start.success(now_ms)
         elif now_ms - self.last_loss_at_ms >= aim_ms:
--- a/snowthread/admission/request.py
+++ b/snowthread/admission/request.py
@@ -1,6 +1,7 @@
-"""The record that the controller keeps of one request, and the state that the request is in.
+"""The record that the controller keeps of one request, and the states that a request passes through.
 
-Types only. Times are seconds of the controller's clock, memory is kilobytes.
+Types only. Points in time (``..._at``) are seconds of the controller's clock, memory is kilobytes. Work is
+core time in units of the mean request's.
 """
 
 from __future__ import annotations
@@ -8,7 +9,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from snowthread.admission.settings import RequestClass
+from snowthread.admission.settings import Idempotency, RequestClass
 
 
 class RequestState(Enum):
@@ -16,38 +17,48 @@
 
     QUEUED = 0
     RUNNING = 1  # on the cores
-    CALL_PENDING = 2  # at a call that is not being made
-    CALLING = 3
-    PAUSED = 4
-    AWAITING_ORIGINAL = 5
-    INDETERMINATE = 6  # begun, if its start came through
+    CALL_PENDING = 2  # its run waits for a call that is not being made
+    CALLING = 3  # its run waits for a call in flight
+    PAUSED = 4  # stopped with its progress kept, and queued to go on
+    AWAITING_ORIGINAL = 5  # a retry that takes the result of the attempt it repeats
+    INDETERMINATE = 6  # running, if the order to start reached the host
 
 
 @dataclass(slots=True, eq=False)
 class RequestRecord:
-    """All that is known of one request."""
+    """All that is known of one request that is not over."""
 
     id: int
-    cls: int
-    kind: RequestClass
-    arrived: float
-    due: float
-    aim: float
-    end: float  # until when an answer is worth anything
-    kb: float
+    class_index: int  # of its class in the settings
+    request_class: RequestClass
+    arrived_at: float
+    deadline_at: float  # when an answer is owed at the latest
+    objective_at: float  # until when an answer has its full weight
+    useful_until: float  # until when an answer has any weight
+    memory_kb: float
     work: float
-    value: float  # worth for its work, or for itself where the site counts by work
-    hint: float | None = None
+    weight: float = 0.0  # for each unit of its work, or for the request where the site weighs by work
+    work_hint_s: float | None = None
     tenant: str = ""
     state: RequestState = RequestState.QUEUED
-    ran: bool = False
-    answered: bool = False  # or no answer owed
-    prior: int | None = None
-    mark: float = 0.0  # core clock when it last stepped on the cores
-    core_s: float = 0.0  # core time used up to then
-    started: float = 0.0
-    calls: int = 0
-    retry_at: float = 0.0
-    called: float = 0.0
-    stay: float = 0.0  # call-seconds set aside for its call
-    key: float = 0.0  # its place in the hold
+    has_started: bool = False
+    is_answered: bool = False  # or abandoned: nothing is owed any more
+    original_id: int | None = None  # of the attempt that it repeats
+    core_clock_mark: float = 0.0  # the core clock when it last got a core
+    core_time_s: float = 0.0  # used up to then
+    started_at: float = 0.0
+    call_attempts: int = 0  # for the call that its run waits for
+    retry_at: float = 0.0  # not before: its next call; when an indeterminate run counts as lost
+    called_at: float = 0.0
+    reserved_call_s: float = 0.0  # call-seconds set aside for its call in flight
+    priority: float = 0.0  # in the wait queue: the highest goes first
+
+    @property
+    def can_skip_call(self) -> bool:
+        """True where an answer without the downstream call has some weight."""
+        return self.request_class.skipped_call_weight > 0.0
+
+    @property
+    def is_idempotent(self) -> bool:
+        """True where running it twice does no harm."""
+        return self.request_class.idempotency is Idempotency.IDEMPOTENT
--- a/snowthread/admission/settings.py
+++ b/snowthread/admission/settings.py
@@ -52,6 +52,12 @@
     CREDIT = "credit"
     WEIGHT = "weight"
 
+    def encode(self, kept_back: float, credit: float) -> float:
+        """Return the value that asks callers to keep back a share of their requests."""
+        if self is LoadReportKind.LEVEL:
+            return kept_back
+        return (1.0 - kept_back) * (credit if self is LoadReportKind.CREDIT else 1.0)
+
 
 class Dependency(Enum):
     """What requests call while they run."""
@@ -79,14 +85,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Tenant:
-    """A tenant and the request rate, over the whole fleet, inside its share (0: no quota). Barred: its new
-    requests are turned away; ``classes``: only these are taken, where any are named."""
+    """A tenant and its quota, in requests a second over the whole fleet (0: no quota).
+
+    A suspended tenant's new requests are rejected. Where ``allowed_classes`` names any, only these are taken.
+    """
 
     name: str
     quota_per_s: float = 0.0
     suspended: bool = False
     allowed_classes: tuple[str, ...] = ()
 
+    def allows(self, class_name: str) -> bool:
+        """Return whether requests of a class are taken from this tenant."""
+        return not self.suspended and (not self.allowed_classes or class_name in self.allowed_classes)
+
 
 @dataclass(frozen=True, slots=True)
 class Settings:
@@ -123,6 +135,16 @@
     over_quota_weight: float = 1.0
     deep_health_checks: bool = False
 
+    def is_warming_up(self, age_s: float) -> bool:
+        """Return whether a machine of this age is still warming up."""
+        return self.starts_cold and age_s < self.warmup_s
+
+    def speed_at_age(self, age_s: float) -> float:
+        """Return the speed of a machine of this age, as a share of its warm speed."""
+        if not self.starts_cold or self.warmup_s <= 0.0:
+            return 1.0
+        return min(1.0, self.cold_speed + (1.0 - self.cold_speed) * max(0.0, age_s) / self.warmup_s)
+
 
 def check_settings(settings: Settings) -> None:
     """Raise ``ValueError`` that names each field that is absent or out of range."""
--- /dev/null
+++ b/snowthread/admission/statistics.py
@@ -0,0 +1,136 @@
+"""Generic arithmetic for the controller: averages that forget, a slope, a budget with reservations.
+
+It knows neither requests nor settings and decides nothing: every constant is passed in.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+
+def approach(value: float, target: float, elapsed_s: float, time_constant_s: float) -> float:
+    """Return ``value`` moved exponentially towards ``target`` by the time elapsed."""
+    return value + (target - value) * (1.0 - math.exp(-elapsed_s / time_constant_s))
+
+
+@dataclass(slots=True)
+class DecayingCount:
+    """A count of events, each of which counts for less as time passes."""
+
+    count: float = 0.0
+    counted_at: float = 0.0
+
+    def add(self, now: float, events: float, rate: float, span: float) -> float:
+        """Add events and return the count: one is down to 1/e after ``span / rate`` seconds."""
+        count = self.count * math.exp((self.counted_at - now) * rate / span) + events
+        if events:
+            self.count, self.counted_at = count, now
+        return count
+
+
+class FadingSums:
+    """Sums of several quantities, and of the time in which they were counted, that fade as time is added."""
+
+    __slots__ = ("seconds", "sums", "window_s")
+
+    def __init__(self, count: int, window_s: float) -> None:
+        self.window_s = window_s  # time added after which what was counted has faded to 1/e
+        self.sums = [0.0] * count
+        self.seconds = 0.0
+
+    def add(self, elapsed_s: float, *amounts: float) -> None:
+        """Add what was counted in the time elapsed."""
+        keep = math.exp(-elapsed_s / self.window_s)
+        self.sums = [total * keep + amount for total, amount in zip(self.sums, amounts, strict=True)]
+        self.seconds = self.seconds * keep + elapsed_s
+
+
+class PowerLaw:
+    """How one quantity grows with another, learned by class: y / mean y = (x / mean x) ** exponent.
+
+    The means are geometric and each class's own; the exponent is common to all classes.
+    """
+
+    __slots__ = ("_memory", "_window", "_xx", "_xy", "means")
+
+    def __init__(self, exponent: float, weight: float, memory: float, window: float) -> None:
+        self._memory = memory  # points after which one has faded to 1/e from the exponent
+        self._window = window  # points that a mean spans
+        self._xx = weight  # second moments of the logarithms, from a first guess of this weight
+        self._xy = weight * exponent
+        self.means: list[tuple[float, float]] = []  # by class: of x and of y; zeros: not known
+
+    def forget_class(self, index: int) -> None:
+        """Start a class anew, or add one at the end."""
+        self.means[index : index + 1] = [(0.0, 0.0)]
+
+    def learn(self, index: int, x: float, y: float) -> None:
+        """Take a point into the means and the exponent."""
+        mean_x, mean_y = self.means[index] if self.means[index][0] > 0.0 else (x, y)
+        log_x, log_y = math.log(x / mean_x), math.log(y / mean_y)
+        self._xx += log_x * log_x - self._xx / self._memory
+        self._xy += log_x * log_y - self._xy / self._memory
+        self.means[index] = (
+            mean_x * math.exp(log_x / self._window),
+            mean_y * math.exp(log_y / self._window),
+        )
+
+    def scale(self, index: int, x: float) -> float:
+        """Return ``x`` drawn towards the mean of its class by as much as the exponent is under 1."""
+        mean = self.means[index][0]
+        exponent = min(1.0, max(0.0, self._xy / self._xx))
+        return mean * (x / mean) ** exponent if mean > 0.0 else x
+
+
+def follow(averages: list[float], index: int, value: float, window: float, fall_window: float) -> None:
+    """Move the average at ``index``, by another window if the value is at most half of it; 0: not known."""
+    average = averages[index]
+    span = window if value > average / 2.0 else fall_window
+    averages[index] = average + (value - average) / span if average > 0.0 else value
+
+
+class SteadyPeak:
+    """Counts how often in a row a value was close to the highest one so far."""
+
+    __slots__ = ("_closeness", "_highest", "times")
+
+    def __init__(self, closeness: float) -> None:
+        self._closeness = closeness  # share of the highest value from which a value is close to it
+        self._highest = 0.0
+        self.times = 0
+
+    def add(self, value: float) -> None:
+        """Take the next value; a new highest one starts the count anew."""
+        is_close = self._closeness * self._highest <= value <= self._highest
+        self.times = self.times + 1 if is_close else 0
+        self._highest = max(self._highest, value)
+
+
+class ReservationBudget:
+    """A token bucket from which tokens are reserved first and settled later by what was used of them."""
+
+    __slots__ = ("available", "capacity", "reserved")
+
+    def __init__(self, capacity: float) -> None:
+        self.capacity = capacity
+        self.available = capacity  # below zero where more was used than had been reserved
+        self.reserved = 0.0
+
+    def refill(self, amount: float) -> None:
+        """Add tokens; what is available and what is reserved never exceed the capacity together."""
+        self.available += amount
+        self.available = min(self.available, self.capacity - self.reserved)
+
+    def reserve(self, amount: float, leave: float) -> bool:
+        """Set tokens aside if as many are available and others are left; return whether they were."""
+        if amount <= 0.0 or amount > self.available - leave:
+            return False
+        self.reserved += amount
+        self.available -= amount
+        return True
+
+    def settle(self, reserved: float, used: float) -> None:
+        """End a reservation: what was not used of it is available again."""
+        self.reserved -= reserved
+        self.available += reserved - used
--- /dev/null
+++ b/snowthread/admission/tenant_table.py
@@ -0,0 +1,43 @@
+"""The table of tenants, with counts of their runs. Accounting only."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from snowthread.admission.events import TenantsChanged
+from snowthread.admission.request import RequestRecord
+from snowthread.admission.settings import Settings, Tenant
+from snowthread.admission.statistics import DecayingCount
+
+
+class TenantTable:
+    """Tenants by name, and the runs of each, which count for less as time passes."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.tenants: dict[str, Tenant] = {tenant.name: tenant for tenant in settings.tenants}
+        self.over_quota_weight = settings.over_quota_weight  # of requests beyond their tenant's quota
+        self._runs: defaultdict[str, DecayingCount] = defaultdict(DecayingCount)
+
+    def change(self, event: TenantsChanged) -> None:
+        """Take over changed tenants."""
+        self.tenants.update((tenant.name, tenant) for tenant in event.changed)
+        for name in event.removed:
+            self.tenants.pop(name, None)
+            self._runs.pop(name, None)
+        if event.over_quota_weight is not None:
+            self.over_quota_weight = event.over_quota_weight
+
+    def allows(self, request: RequestRecord) -> bool:
+        """Return whether the tenant of a request may send its class."""
+        tenant = self.tenants.get(request.tenant) if self.tenants else None
+        return tenant is None or tenant.allows(request.request_class.name)
+
+    def count_runs(self, now: float, name: str, new_runs: float, span: float) -> float:
+        """Add runs and return their count; one is down to 1/e after as long as ``span`` take at the quota.
+
+        0 for a tenant without a quota.
+        """
+        tenant = self.tenants.get(name) if self.tenants else None
+        if tenant is None or tenant.quota_per_s <= 0.0:
+            return 0.0
+        return self._runs[name].add(now, new_runs, tenant.quota_per_s, span)
--- a/snowthread/records/second.py
+++ b/snowthread/records/second.py
@@ -86,7 +86,7 @@
     ages_s = confirmation_ages_s(controller, timestamp_s)
     return {
         "b": round(controller.blocking_probability, 4),
-        "limit": round(controller.concurrency_limit, 2),
+        "limit": round(controller.concurrency.limit, 2),
         "mu": round(controller.estimates.service_rate, 3),
         "lambda": round(controller.estimates.arrival_rate, 3),
         "run_ages_s": {name: round(age, 2) for name, age in ages_s.items()},
--- a/snowthread/sites/client_filter.py
+++ b/snowthread/sites/client_filter.py
@@ -73,7 +73,7 @@
             blocking_probability=controller.blocking_probability if controller is not None else 0.0,
             queued=sum(_is_queued(request) for request in state.requests.values()),
             cores=cores,
-            concurrency_limit=controller.concurrency_limit if controller is not None else float(cores),
+            concurrency_limit=controller.concurrency.limit if controller is not None else float(cores),
             foreign_in_flight=len(self._foreign_attempts),
         )
 
--- a/tests/admission/test_guards.py
+++ b/tests/admission/test_guards.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from snowthread.admission import controller as decide
+from snowthread.admission import controller
 from snowthread.admission.actions import (
     AwaitOriginal,
     Fail,
@@ -28,13 +28,10 @@
     StartRun,
     StopRun,
 )
-from snowthread.admission.controller import (
-    DEADLINE_TIMER,
-    UPDATE_TIMER,
-    Controller,
-    blocking_probability,
-    target_utilization,
-)
+from snowthread.admission.blocking import MAX_DEBT_PER_CORE, blocking_probability, target_utilization
+from snowthread.admission.concurrency import UPDATE_PERIOD_S
+from snowthread.admission.controller import DEADLINE_TIMER, MAX_MEMORY_SHARE, UPDATE_TIMER, Controller
+from snowthread.admission.estimators import AVERAGED_REQUESTS
 from snowthread.admission.events import (
     CallFinished,
     CallNeeded,
@@ -47,9 +44,11 @@
     Started,
     TimerFired,
 )
+from snowthread.admission.request import RequestRecord
 from snowthread.admission.settings import (
     Dependency,
     Idempotency,
+    LoadReportKind,
     Outcome,
     Preemption,
     RequestClass,
@@ -97,6 +96,10 @@
     return [a.request_id for a in actions if isinstance(a, kind)]  # type: ignore[attr-defined]
 
 
+def is_blocked(c: Controller, request: RequestRecord) -> bool:
+    return c._blocking_draw.is_blocked(request, c.blocking_probability, c.settings.cores)
+
+
 def test_formula_is_bergers() -> None:
     beta = 0.071
     assert target_utilization(0.5, 1.0, beta) == 0.5
@@ -291,7 +294,7 @@
     assert sum(len(of(actions, StartCall)) for actions in made) == 4  # the floor, and none less
     for n in range(301, 305):
         c.handle(300.02, CallFinished(n, Outcome.SUCCESS))
-    assert c._call_limit >= 4.0
+    assert c._calls._limit >= 4.0
 
 
 def test_calls_that_hang_keep_no_others_waiting_and_are_given_up() -> None:
@@ -373,13 +376,13 @@
     c = start(cores=50, memory_kb=385.0)
     ran = sum(len(of(arrive(c, 0.1, n), StartRun)) for n in range(1, 40))
     assert ran == 8  # a ninth run of 40 kB would pass the share of memory that is used
-    assert c._memory <= decide.MEMORY_SHARE * 385.0
+    assert c._open.memory.used_kb <= MAX_MEMORY_SHARE * 385.0
 
 
 def test_crowd_ceiling_follows_the_cold_ramp() -> None:
     c = start(starts_cold=True, cold_speed=0.25, warmup_s=10.0)
-    assert c._ceiling(0.0) < c._ceiling(5.0) < c._ceiling(10.0) <= 2 * 4.0
-    assert c._ceiling(0.0) >= 2
+    assert c.concurrency.ceiling(0.0) < c.concurrency.ceiling(5.0) < c.concurrency.ceiling(10.0) <= 2 * 4.0
+    assert c.concurrency.ceiling(0.0) >= 2
 
 
 def test_limit_grows_while_cores_idle_and_work_waits() -> None:
@@ -387,10 +390,10 @@
     for n in range(1, 6):
         arrive(c, 0.1, n)
     c.handle(0.25, TimerFired(UPDATE_TIMER, core_utilization=0.3))
-    assert c.concurrency_limit == 2  # the cores were not asked for all of what the gauge looks back on
+    assert c.concurrency.limit == 2  # the cores were not asked for all of what the gauge looks back on
     c.handle(0.5, TimerFired(UPDATE_TIMER, core_utilization=0.3))
     c.handle(0.75, TimerFired(UPDATE_TIMER, core_utilization=0.3))
-    assert 2 < c.concurrency_limit <= c._ceiling(0.75)
+    assert 2 < c.concurrency.limit <= c.concurrency.ceiling(0.75)
 
 
 def test_rejects_settings_it_cannot_work_with() -> None:
@@ -417,8 +420,22 @@
 
 ROOT = Path(__file__).parents[2]
 POLICY = [ROOT / name for name in tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["policy"]]
-TYPES = [
-    ROOT / "snowthread/admission" / name for name in ("settings.py", "events.py", "actions.py", "request.py")
+TYPES = [  # types, tables and generic arithmetic: they decide nothing
+    ROOT / "snowthread/admission" / name
+    for name in (
+        "settings.py",
+        "events.py",
+        "actions.py",
+        "request.py",
+        "statistics.py",
+        "class_times.py",
+        "cores.py",
+        "memory.py",
+        "open_requests.py",
+        "call_table.py",
+        "tenant_table.py",
+        "timer_queue.py",
+    )
 ]
 
 
@@ -441,7 +458,7 @@
 
 def test_module_keeps_its_bounds() -> None:
     lines = [line for path in POLICY for line in path.read_text().splitlines() if line.strip()]
-    assert Path(decide.__file__) in POLICY
+    assert Path(controller.__file__) in POLICY
     assert len(lines) <= 800 and max(map(len, lines)) <= 110
 
 
@@ -458,7 +475,7 @@
     arrive(c, 0.1, 1, "once")
     c.handle(0.2, CallNeeded(1))
     c.handle(0.3, CallFinished(1, Outcome.OVERLOADED, 0.1))
-    retry_at = c._reqs[1].retry_at
+    retry_at = c._open.by_id[1].retry_at
     c.handle(retry_at - 0.01, TimerFired(DEADLINE_TIMER))
     assert of(c.handle(retry_at - 1e-7, TimerFired(DEADLINE_TIMER)), StartCall) == [1]
 
@@ -471,7 +488,7 @@
     for n in (2, 3):
         arrive(c, 0.4, n, time_left_s=1.6)
     actions = arrive(c, 0.4, 4, time_left_s=1.6)
-    assert of(actions, Reject) == [] and 4 in c._hold
+    assert of(actions, Reject) == [] and 4 in c._open.queued
 
 
 def test_what_lay_unread_too_long_is_turned_away_at_once() -> None:
@@ -489,11 +506,11 @@
     for n in range(1, 12):
         assert of(arrive(c, 1.5 * n, n), StartRun) == [n]
         c.handle(1.5 * n + 0.2, RunFinished(n, Outcome.SUCCESS, 0.2))
-    assert c._run_s(0, c.estimates.work_of(0, None)) < 5.0
+    assert c.estimates.run_time_s[0] * c.estimates.work_of(0, None) < 5.0
 
 
 def test_refusals_say_when_to_come_back_and_say_b_where_nothing_is_published() -> None:
-    for signal, said in ((decide.LoadReportKind.NONE, 1.0), (decide.LoadReportKind.LEVEL, 0.2)):
+    for signal, said in ((LoadReportKind.NONE, 1.0), (LoadReportKind.LEVEL, 0.2)):
         c = start(supports_retry_after=True, max_retry_after_s=1.0, caller_count=4, load_report_kind=signal)
         for n in (1, 2, 3):
             arrive(c, 0.1, n)
@@ -504,18 +521,18 @@
 
 def test_published_share_settles_instead_of_running_on() -> None:
     # Callers hear a share a second late: computed without that lag it would climb to the end meanwhile.
-    c = start(load_report_kind=decide.LoadReportKind.LEVEL, cores=4, memory_kb=1e6)
+    c = start(load_report_kind=LoadReportKind.LEVEL, cores=4, memory_kb=1e6)
     now = 0.0
     said: list[float] = []
     for n in range(80):
-        now += decide.PERIOD_S
+        now += UPDATE_PERIOD_S
         passing = 1.0 - (said[n - 4] if n >= 4 else 0.0)
-        c.estimates.arrived = 14.0 * passing * decide.PERIOD_S
-        c.estimates.read = round(40 * passing * decide.PERIOD_S)
-        c.estimates.done = 10.0 * decide.PERIOD_S
+        c.estimates.work_arrived = 14.0 * passing * UPDATE_PERIOD_S
+        c.estimates.requests_read = round(40 * passing * UPDATE_PERIOD_S)
+        c.estimates.work_done = 10.0 * UPDATE_PERIOD_S
         c.handle(now, TimerFired(UPDATE_TIMER, core_utilization=1.0))
-        said.append(c.published_load)
-    wanted = 1.0 - decide.target_utilization(99.0, 10.0, c.estimates.abandonment_ratio()) * 10.0 / 14.0
+        said.append(c._load_report.published_share)
+    wanted = 1.0 - target_utilization(99.0, 10.0, c.estimates.abandonment_ratio()) * 10.0 / 14.0
     assert max(said) < wanted + 0.12 and abs(said[-1] - wanted) < 0.05
 
 
@@ -576,20 +593,20 @@
 
 
 def test_each_kind_of_signal_asks_for_less_in_overload() -> None:
-    for signal in (decide.LoadReportKind.LEVEL, decide.LoadReportKind.CREDIT, decide.LoadReportKind.WEIGHT):
+    for signal in (LoadReportKind.LEVEL, LoadReportKind.CREDIT, LoadReportKind.WEIGHT):
         c = start(load_report_kind=signal, caller_count=2)
         values: list[float] = []
         for n in range(1, 30):
-            c.estimates.arrived, c.estimates.done = 5.0, 2.0
-            out = c.handle(n * decide.PERIOD_S, TimerFired(UPDATE_TIMER, core_utilization=1.0))
+            c.estimates.work_arrived, c.estimates.work_done = 5.0, 2.0
+            out = c.handle(n * UPDATE_PERIOD_S, TimerFired(UPDATE_TIMER, core_utilization=1.0))
             values += [a.value for a in out if isinstance(a, PublishLoad)]
         assert len(values) > 5
-        assert (values[-1] > values[0]) is (signal is decide.LoadReportKind.LEVEL)
+        assert (values[-1] > values[0]) is (signal is LoadReportKind.LEVEL)
 
 
 def test_same_events_same_actions() -> None:
     def play() -> list[object]:
-        c = start(load_report_kind=decide.LoadReportKind.LEVEL)
+        c = start(load_report_kind=LoadReportKind.LEVEL)
         out: list[object] = []
         for n in range(1, 60):
             out += arrive(c, n * 0.05, n, ("read", "keyed", "once")[n % 3])
@@ -603,18 +620,20 @@
 
 
 def test_after_trouble_blocking_and_limit_recover() -> None:
-    c = start(load_report_kind=decide.LoadReportKind.LEVEL)
+    c = start(load_report_kind=LoadReportKind.LEVEL)
     now = 0.0
     for _ in range(60):
-        now += decide.PERIOD_S
-        c.estimates.arrived, c.estimates.done = 8.0, 1.0
+        now += UPDATE_PERIOD_S
+        c.estimates.work_arrived, c.estimates.work_done = 8.0, 1.0
         c.handle(now, TimerFired(UPDATE_TIMER, core_utilization=1.0, core_demand=4.0))
-    assert c.blocking_probability > 0.5 and c.published_load > 0.5
+    assert c.blocking_probability > 0.5 and c._load_report.published_share > 0.5
     for _ in range(40):  # ten calm seconds
-        now += decide.PERIOD_S
-        c.estimates.arrived, c.estimates.done = 0.3, 0.3
+        now += UPDATE_PERIOD_S
+        c.estimates.work_arrived, c.estimates.work_done = 0.3, 0.3
         c.handle(now, TimerFired(UPDATE_TIMER, core_utilization=0.3, core_demand=1.0))
-    assert c.blocking_probability == 0.0 and c.published_load < 0.05 and c.concurrency_limit == 2.0
+    assert (
+        c.blocking_probability == 0.0 and c._load_report.published_share < 0.05 and c.concurrency.limit == 2.0
+    )
 
 
 def test_runs_and_calls_together_stay_under_the_crowd() -> None:
@@ -623,7 +642,7 @@
     for n in range(1, 20):
         for started in of(arrive(c, 0.1, n, "ask"), StartRun):
             c.handle(0.1, CallNeeded(started))
-    assert c._oncore + len(c._calls) <= c._ceiling(0.1) + 1
+    assert c._open.cores.running + len(c._calls.table.in_flight) <= c.concurrency.ceiling(0.1) + 1
 
 
 def test_idle_connections_close_early_where_callers_hardly_come_back() -> None:
@@ -647,21 +666,21 @@
     shares = []
     for upstreams in (1, 400):
         c = start(
-            load_report_kind=decide.LoadReportKind.LEVEL,
+            load_report_kind=LoadReportKind.LEVEL,
             cores=4,
             memory_kb=1e6,
             caller_count=upstreams,
             load_report_ttl_s=1.0,
         )
         for n in range(1, 100):
-            c.estimates.arrived, c.estimates.read, c.estimates.done = (
-                14.0 * decide.PERIOD_S,
+            c.estimates.work_arrived, c.estimates.requests_read, c.estimates.work_done = (
+                14.0 * UPDATE_PERIOD_S,
                 4,
-                10.0 * decide.PERIOD_S,
+                10.0 * UPDATE_PERIOD_S,
             )
-            c.handle(n * decide.PERIOD_S, TimerFired(UPDATE_TIMER, core_utilization=1.0))
+            c.handle(n * UPDATE_PERIOD_S, TimerFired(UPDATE_TIMER, core_utilization=1.0))
         assert c.blocking_probability > 0.3
-        shares.append(c.published_load - c.blocking_probability)
+        shares.append(c._load_report.published_share - c.blocking_probability)
     assert shares[0] > 0.2 and abs(shares[1]) < 0.05
 
 
@@ -670,11 +689,11 @@
     for rate in (4, 40):
         c = start()
         for _ in range(1, 40):
-            c.estimates.arrived, c.estimates.read = 2.0 * rate * decide.PERIOD_S, rate // 4
-            c.estimates.update(decide.PERIOD_S, full=False)
+            c.estimates.work_arrived, c.estimates.requests_read = 2.0 * rate * UPDATE_PERIOD_S, rate // 4
+            c.estimates.update(UPDATE_PERIOD_S, full=False)
             assert c.estimates.arrival_rate == pytest.approx(2.0 * rate)  # from the first period on
         spans.append(c.estimates.averaging_span_s() * rate)
-    assert spans[1] == pytest.approx(decide.SPAN) and spans[0] <= decide.SPAN
+    assert spans[1] == pytest.approx(AVERAGED_REQUESTS) and spans[0] <= AVERAGED_REQUESTS
 
 
 def test_hints_are_believed_as_far_as_core_times_bear_them_out() -> None:
@@ -697,11 +716,11 @@
         now, seen = 0.0, []
         for n in range(200):
             now += 0.25
-            seen.append(c._in_share(now, "t"))
+            seen.append(c._quotas.weight(now, "t"))
             if n % every == 0:
-                c._used(now, "t", 1.0)
+                c._quotas.run_started(now, "t")
         assert low <= sum(seen[100:]) / 100 <= high
-        assert c._in_share(now, "none") == 1.0 and c._in_share(now, "nobody") == 1.0
+        assert c._quotas.weight(now, "none") == 1.0 and c._quotas.weight(now, "nobody") == 1.0
 
 
 def test_a_first_try_goes_before_a_further_one_whose_age_is_not_told() -> None:
@@ -721,10 +740,10 @@
         c.blocking_probability, refused, count = 0.4, {"read": 0, "keyed": 0}, {"read": 0, "keyed": 0}
         for n in range(1, 2000):
             kind = ("read", "keyed")[n % 5 == 0]
-            q = decide.RequestRecord(
+            q = RequestRecord(
                 n, 0, READ, 0.0, 3.0, 1.0, 1.0, 1.0, 1.0, kinds[kind == "keyed"].priority_weight
             )
-            refused[kind] += c._blocked(q)
+            refused[kind] += is_blocked(c, q)
             count[kind] += 1
         assert sum(refused.values()) / 2000 == pytest.approx(0.4, abs=0.04)
         assert refused["keyed"] / count["keyed"] <= most
@@ -733,18 +752,18 @@
 
 def test_the_debt_of_refusals_passed_on_is_bounded() -> None:
     c = start(memory_kb=1e6)
-    c.blocking_probability, c._value = 1.0, 1.0  # nothing cheap comes any more
-    some = [decide.RequestRecord(n, 0, READ, 0.0, 3.0, 1.0, 1.0, 1.0, 1.0, 10.0 + n) for n in range(50)]
-    assert sum(not c._blocked(q) for q in some) == decide.DEBT * 2
+    c.blocking_probability, c._blocking_draw._mean_weight = 1.0, 1.0  # nothing cheap comes any more
+    some = [RequestRecord(n, 0, READ, 0.0, 3.0, 1.0, 1.0, 1.0, 1.0, 10.0 + n) for n in range(50)]
+    assert sum(not is_blocked(c, q) for q in some) == MAX_DEBT_PER_CORE * 2
 
 
 def test_nothing_is_turned_away_for_a_debt_while_b_is_zero() -> None:
     c = start(memory_kb=1e6)
-    c._value, c._debt = 2.0, 3.0
-    cheap = decide.RequestRecord(1, 0, READ, 0.0, 3.0, 1.0, 1.0, 1.0, 1.0, 1.0)
-    assert not c._blocked(cheap)
+    c._blocking_draw._mean_weight, c._blocking_draw._debt = 2.0, 3.0
+    cheap = RequestRecord(1, 0, READ, 0.0, 3.0, 1.0, 1.0, 1.0, 1.0, 1.0)
+    assert not is_blocked(c, cheap)
     c.blocking_probability = 1e-9
-    assert c._blocked(cheap)
+    assert is_blocked(c, cheap)
 
 
 def test_idle_connections_stay_while_requests_lie_unread() -> None:
@@ -758,7 +777,7 @@
             a.timeout_s for a in c.handle(n * 0.25, TimerFired(UPDATE_TIMER)) if isinstance(a, SetIdleTimeout)
         ]
         if n == 89:
-            assert said[-1] == decide.PERIOD_S
+            assert said[-1] == UPDATE_PERIOD_S
         elif n == 119:
             assert said[-1] == 30.0
     assert said[-1] < 2.0
@@ -782,8 +801,8 @@
         health: list[bool] = []
         for n in range(1, 160):
             slow = 60 <= n < 100
-            c.estimates.done, c.estimates.read = (done, read) if slow else (2.0, 1)
-            out = c.handle(n * decide.PERIOD_S, TimerFired(UPDATE_TIMER, core_utilization=1.0))
+            c.estimates.work_done, c.estimates.requests_read = (done, read) if slow else (2.0, 1)
+            out = c.handle(n * UPDATE_PERIOD_S, TimerFired(UPDATE_TIMER, core_utilization=1.0))
             health += [a.healthy for a in out if isinstance(a, SetHealth)]
         assert health == ([False, True] if leaves else [])
 
@@ -813,7 +832,7 @@
         {"collapse_after_s": 0.0},
     )
     for changes in odd:
-        for signal in decide.LoadReportKind:
+        for signal in LoadReportKind:
             c = start(
                 load_report_kind=signal,
                 dependency=Dependency.SHARED,
@@ -833,8 +852,8 @@
                     )
             assert (
                 0.0 <= c.blocking_probability <= 1.0
-                and 0.0 <= c.published_load <= 1.0
-                and c.concurrency_limit >= 2.0
+                and 0.0 <= c._load_report.published_share <= 1.0
+                and c.concurrency.limit >= 2.0
             )
 
 
--- a/tests/core/test_reconfiguration.py
+++ b/tests/core/test_reconfiguration.py
@@ -80,7 +80,9 @@
     learned = controller.estimates.core_time_s[0]
     assert learned > 0.0
     controller.handle(6.0, SettingsChanged(with_classes(A, B, C)))
-    assert controller.estimates.core_time_s == [learned, 0.0, 0.0] and len(controller.estimates.hints) == 3
+    assert (
+        controller.estimates.core_time_s == [learned, 0.0, 0.0] and len(controller.estimates.hints.means) == 3
+    )
     assert StartRun(9) in controller.handle(6.1, RequestArrived(9, "c"))
     controller.handle(6.3, RunFinished(9, Outcome.SUCCESS, 0.2))
     assert controller.estimates.core_time_s[2] > 0.0 and controller.estimates.last_run_at_s[2] == 6.3
@@ -92,7 +94,7 @@
 def test_an_open_request_keeps_its_class_and_is_booked_by_the_new_memory_factor() -> None:
     controller = started_controller()
     assert StartRun(1) in controller.handle(1.1, RequestArrived(1, "a", memory_kb=10.0))
-    due, kind = controller._reqs[1].due, controller._reqs[1].kind
+    due, kind = controller._open.by_id[1].deadline_at, controller._open.by_id[1].request_class
     controller.handle(
         1.2,
         SettingsChanged(
@@ -101,12 +103,12 @@
             )
         ),
     )
-    assert (controller._reqs[1].due, controller._reqs[1].kind) == (due, kind)
-    assert controller._memory == pytest.approx(80.0)
+    assert (controller._open.by_id[1].deadline_at, controller._open.by_id[1].request_class) == (due, kind)
+    assert controller._open.memory.used_kb == pytest.approx(80.0)
     controller.handle(1.3, RunFinished(1, Outcome.SUCCESS, 0.2))
-    assert controller._memory == pytest.approx(0.0)
+    assert controller._open.memory.used_kb == pytest.approx(0.0)
     controller.handle(1.4, RequestArrived(2, "a", memory_kb=10.0))
-    assert controller._reqs[2].due == pytest.approx(2.4)
+    assert controller._open.by_id[2].deadline_at == pytest.approx(2.4)
 
 
 def test_limits_of_the_controller_follow_the_new_settings() -> None:
@@ -115,12 +117,12 @@
         1.2, SettingsChanged(with_classes(A, B, cores=5, call_quota=10.0, call_quota_window_s=5.0))
     )
     controller.handle(1.25, TimerFired(UPDATE_TIMER, core_utilization=0.1))
-    assert controller.concurrency_limit == 5.0 and controller.estimates.cores == 5
+    assert controller.concurrency.limit == 5.0 and controller.estimates.cores == 5
     runs = [
         a for n in range(9) for a in controller.handle(1.3, RequestArrived(n, "a")) if isinstance(a, StartRun)
     ]
     assert len(runs) == 5
-    assert controller._call_cap > 0.0 and controller._call_floor == 2.0
+    assert controller._calls.table.budget.capacity > 0.0 and controller._calls._min_limit == 2.0
 
 
 def reloaded_settings(fields: dict[str, Any], *removed: str, **added: dict[str, Any]) -> dict[str, Any]:
@@ -171,7 +173,7 @@
         player.fields["settings"] = player.fields["settings"] | {"projects": projects}
         node.apply_configuration(parse(player.fields))
         assert node.state.controller is not None
-        assert set(node.state.controller._tenants) == names
+        assert set(node.state.controller._quotas.table.tenants) == names
 
 
 def test_records_count_by_the_new_classes() -> None:
--- a/tests/support/hot_restart.py
+++ b/tests/support/hot_restart.py
@@ -77,7 +77,7 @@
     """Return how many runs the controller of a process would start at most."""
     controller = player.node.state.controller
     assert controller is not None
-    return controller._ceiling(controller._now)
+    return controller.concurrency.ceiling(controller._now - controller.started_at)
 
 
 def max_connections(player: Player) -> int:
--- a/tests/tenants/test_states.py
+++ b/tests/tenants/test_states.py
@@ -147,7 +147,10 @@
         assert reduce(state, message, START) == [] and state.controller is None
     reduce(state, events.RuntimeConnected(True, 0.0), START)
     assert state.controller is not None and state.controller.settings.starts_cold
-    assert state.controller._tenants == {"a": Tenant("a", 6.0)} and state.controller._over_worth == 0.3
+    assert (
+        state.controller._quotas.table.tenants == {"a": Tenant("a", 6.0)}
+        and state.controller._quotas.table.over_quota_weight == 0.3
+    )
 
 
 def test_over_its_share_a_tenant_waits_behind_one_within() -> None:
