Split the recovery pacing into slow start, call budget, backoff and pacer

Each has its own module now (slow_start, call_budget, backoff, recovery_pacer), with its table, named constants with units, whole names and docstrings; ReleasedCalls takes the place of a pair of lists.

--- /dev/null
+++ b/snowthread/admission/call_budget.py
@@ -0,0 +1,83 @@
+"""The budget of a node for calls to the shared formula database while nodes of the fleet are cold.
+
+A token bucket whose rate is the fleet's budget over the number of nodes that share it. The rate is halved,
+once a call's time, where the database's latency is far over that of good times; it grows back by a tenth a
+second and with each quick call. Pure: times are passed in, in milliseconds of the one clock.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+FLEET_SHARE = 0.95  # of what the database gets done is given out: what is abandoned is done all the same
+BURST_S = 0.5  # of a node's rate that may go at once: a fleet's bursts add up
+QUICK_CALL_GROWTH = 1.1  # factor of the rate for each quick call: doubled after seven
+GROWTH_PER_S = 0.1  # of the fair rate
+SLOW_CALL_CUT = 0.5  # factor of the rate
+MIN_RATE_SHARE = 0.2  # of the fair rate: a database five times slower bears as much
+
+
+@dataclass(slots=True)
+class CallBudget:
+    """Calls to the database that this node may make."""
+
+    fleet_per_s: float  # calls that the database bears from the whole fleet
+    prior_ms: float  # its latency in good times
+    slow_factor: float = 3.0  # times that latency, over which a call is slow
+    sharing_nodes: int = 1  # nodes that share the budget, this one included
+    burst_s: float = 1.0  # seconds of its rate that the bucket holds
+    share: float = 1.0  # of the fair rate
+    tokens: float = 0.0
+    at_ms: float | None = None  # when tokens were added last
+    refused: int = 0
+    cut_at: float = -math.inf  # ms: when the rate was cut last
+
+    def rate(self) -> float:
+        """Return the calls a second that are allowed now."""
+        return self.fleet_per_s * self.share / max(1, self.sharing_nodes)
+
+    def capacity(self) -> float:
+        """Return how many calls may be saved up."""
+        return max(1.0, self.rate() * self.burst_s)
+
+    def set_sharing_nodes(self, sharing_nodes: int) -> None:
+        """Set the number of nodes that share the budget, as the registry counts them."""
+        self.sharing_nodes = max(1, sharing_nodes)
+
+    def refill(self, now_ms: float) -> None:
+        """Add the tokens of the time that has passed, and let the rate grow back."""
+        if self.at_ms is None:
+            self.at_ms, self.tokens = now_ms, min(1.0, self.rate())
+            return
+        elapsed_s = max(0.0, now_ms - self.at_ms) / 1000.0
+        self.at_ms = now_ms
+        self.share = min(1.0, self.share + GROWTH_PER_S * elapsed_s)
+        self.tokens = min(self.capacity(), self.tokens + self.rate() * elapsed_s)
+
+    def next_token_at_ms(self, now_ms: float) -> float:
+        """Return when the token of the next call is there, at the present rate."""
+        return now_ms + max(0.0, 1.0 - self.tokens) * 1000.0 / self.rate()
+
+    def try_acquire(self, now_ms: float, leave: float = 0.0) -> bool:
+        """Take the token of a call if it is there and others are left; count a refusal if not."""
+        self.refill(now_ms)
+        if self.tokens >= 1.0 + leave:
+            self.tokens -= 1.0
+            return True
+        self.refused += 1
+        return False
+
+    def record_latency(self, now_ms: float, took_ms: float) -> None:
+        """Adapt the rate to the duration of a call.
+
+        A slow one cuts it, unless it was made before the last cut; a quick one lets it grow, so that it is
+        whole some calls after a trouble is over.
+        """
+        self.refill(now_ms)
+        if took_ms <= self.slow_factor * self.prior_ms:
+            self.share = min(1.0, self.share * QUICK_CALL_GROWTH)
+        elif now_ms - took_ms >= self.cut_at:
+            self.cut_at = now_ms
+            self.share = max(MIN_RATE_SHARE, self.share * SLOW_CALL_CUT)
+            self.tokens = min(self.tokens, max(1.0, self.rate()))
--- /dev/null
+++ b/snowthread/admission/recovery_pacer.py
@@ -0,0 +1,189 @@
+"""Recovery without a stampede: the pace of runs and calls until this node, and the fleet, is warm.
+
+Pure: every call takes ``now_ms`` (float ms of the one clock); draws come from a seeded generator::
+
+    phase       event                                next
+    ----------  -----------------------------------  ------------------------------------------
+    recovering  the slow start is complete           recovered
+    recovered   the registry tells of cold nodes     recovered, calls still within the budget
+    recovered   the registry tells of none           recovered, nothing is paced
+    recovered   the slow start takes a loss          recovering
+
+A call that can't be skipped waits for its turn: those of runs that have made most calls go first, as theirs
+would be lost else. One that can be skipped goes only while none waits and there is more than a call's token.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import NamedTuple
+
+from snowthread.admission.backoff import Backoff
+from snowthread.admission.call_budget import CallBudget
+from snowthread.admission.slow_start import SlowStart
+
+SKIPPABLE_LEAVES = 0.3  # tokens that a skippable call leaves for those that can't be skipped
+IDLE_BUDGET_SHARE = 0.8  # of the budget's capacity: so much saved up, it lies idle
+MAX_QUEUED_CALLS = 64  # more are denied at once
+MIN_RELEASE_INTERVAL_MS = 5.0  # between two looks at the queue
+MAX_RELEASE_INTERVAL_MS = 50.0
+AVERAGED_CALLS = 8.0  # over which the duration of calls is averaged
+
+
+class CallPermission(Enum):
+    """What is done about a call that a run wants to make."""
+
+    GRANTED = "go"
+    QUEUED = "wait"
+    DENIED = "deny"
+
+
+@dataclass(slots=True)
+class QueuedCall:
+    """A call that waits for its turn."""
+
+    attempt_id: str
+    calls_made: int  # by its run, before this one
+    expires_at_ms: float  # when it is given up
+
+
+class ReleasedCalls(NamedTuple):
+    """Attempts whose calls wait no longer."""
+
+    granted: list[str]
+    expired: list[str]
+
+
+@dataclass(slots=True)
+class RecoveryPacer:
+    """The recovery of one node, by what it measures and what the registry tells of the fleet."""
+
+    slow_start: SlowStart
+    budget: CallBudget
+    backoff: Backoff
+    database_slots: float  # calls that the database works on at a time
+    random: random.Random
+    sharing_nodes: int = 1  # nodes that share the budget and the slots, this one included
+    other_cold_nodes: int = 0
+    queued_calls: list[QueuedCall] = field(default_factory=list)
+    calls_in_flight: dict[str, float] = field(default_factory=dict)  # by attempt: since when, in ms
+    abandoned_until_ms: list[float] = field(default_factory=list)  # until when the database works on them
+    usual_call_ms: float = 0.0  # duration of a call lately
+    unreachable_until_ms: float = 0.0  # the database took no connection: none is tried before
+    last_loss_at_ms: float = -math.inf
+    denied_calls: int = 0
+
+    @property
+    def cold(self) -> bool:
+        """True until this node has recovered."""
+        return not self.slow_start.complete
+
+    @property
+    def is_pacing(self) -> bool:
+        """True while calls are kept within the budget."""
+        return self.cold or self.other_cold_nodes > 0
+
+    def update_fleet(self, listed: int, cold: int) -> None:
+        """Take the registry's count of nodes; this one is among those listed once it has been heard of."""
+        self.sharing_nodes = max(1, listed)
+        self.other_cold_nodes = max(0, cold - self.cold)
+        self.budget.set_sharing_nodes(self.sharing_nodes)
+
+    def _has_free_slot(self, now_ms: float) -> bool:
+        """Return whether one more call may be in flight; a part of a slot is had that part of the time."""
+        self._drop_finished_abandoned(now_ms)
+        slots = max(1.0, self.database_slots / self.sharing_nodes)
+        limit = int(slots) + (self.random.random() < slots % 1.0)
+        in_use = len(self.calls_in_flight) + len(self.abandoned_until_ms)
+        return in_use < limit and now_ms >= self.unreachable_until_ms
+
+    def _drop_finished_abandoned(self, now_ms: float) -> None:
+        self.abandoned_until_ms = [until for until in self.abandoned_until_ms if until > now_ms]
+
+    def has_idle_budget(self, now_ms: float) -> bool:
+        """Return whether this node is cold and its budget lies idle: then what warms it goes first."""
+        self.budget.refill(now_ms)
+        return self.cold and self.budget.tokens >= IDLE_BUDGET_SHARE * self.budget.capacity()
+
+    def request_call(
+        self, now_ms: float, attempt_id: str, calls_made: int, skippable: bool, expires_at_ms: float
+    ) -> CallPermission:
+        """Decide on a call that a run wants to make; one that may not go now waits until it expires."""
+        if not self.is_pacing:
+            self.calls_in_flight[attempt_id] = now_ms
+            return CallPermission.GRANTED
+        # What makes a cold machine warm goes before what a warm one can do without.
+        is_next = not self.queued_calls and (self.cold or not skippable)
+        leave = SKIPPABLE_LEAVES if skippable else 0.0
+        if is_next and self._has_free_slot(now_ms) and self.budget.try_acquire(now_ms, leave):
+            self.calls_in_flight[attempt_id] = now_ms
+            return CallPermission.GRANTED
+        if skippable or len(self.queued_calls) >= MAX_QUEUED_CALLS:
+            self.denied_calls += 1
+            return CallPermission.DENIED
+        self.queued_calls.append(QueuedCall(attempt_id, calls_made, expires_at_ms))
+        return CallPermission.QUEUED
+
+    def release_calls(self, now_ms: float) -> ReleasedCalls:
+        """Take calls whose turn it is, and those that have waited too long, out of the queue."""
+        expired = [call.attempt_id for call in self.queued_calls if call.expires_at_ms <= now_ms]
+        self.queued_calls = [call for call in self.queued_calls if call.expires_at_ms > now_ms]
+        self.denied_calls += len(expired)
+        granted: list[str] = []
+        self.queued_calls.sort(key=lambda call: (-call.calls_made, call.expires_at_ms))
+        while self.queued_calls and (not self.is_pacing or self._takes_call(now_ms)):
+            attempt_id = self.queued_calls.pop(0).attempt_id
+            self.calls_in_flight[attempt_id] = now_ms
+            granted.append(attempt_id)
+        return ReleasedCalls(granted, expired)
+
+    def _takes_call(self, now_ms: float) -> bool:
+        return self._has_free_slot(now_ms) and self.budget.try_acquire(now_ms)
+
+    def next_release_at_ms(self, now_ms: float) -> float:
+        """Return when to call ``release_calls`` again, while calls are queued."""
+        token_at_ms = self.budget.next_token_at_ms(now_ms)
+        return max(now_ms + MIN_RELEASE_INTERVAL_MS, min(token_at_ms, now_ms + MAX_RELEASE_INTERVAL_MS))
+
+    def call_cancelled(self, now_ms: float, attempt_id: str) -> None:
+        """Forget a call; the database works on it for as long as a call usually takes."""
+        self.queued_calls = [call for call in self.queued_calls if call.attempt_id != attempt_id]
+        called_at_ms = self.calls_in_flight.pop(attempt_id, None)
+        if called_at_ms is None:
+            return
+        # A warm node asks for no free slot, so nothing else would ever take the old ones out.
+        self._drop_finished_abandoned(now_ms)
+        duration_ms = self.usual_call_ms or self.budget.prior_ms
+        self.abandoned_until_ms.append(max(now_ms, called_at_ms + duration_ms))
+
+    def call_ended(self, now_ms: float, attempt_id: str, reached: bool, answered: bool) -> None:
+        """Take the end of a call.
+
+        ``reached``: there was a connection; ``answered``: its duration is one of the database's.
+        """
+        called_at_ms = self.calls_in_flight.pop(attempt_id, None)
+        if called_at_ms is None:
+            return
+        if not reached:
+            self.unreachable_until_ms = now_ms + self.backoff.next_delay_ms(self.random)
+            return
+        self.backoff.reset()
+        if answered:
+            took_ms = now_ms - called_at_ms
+            change_ms = (took_ms - self.usual_call_ms) / AVERAGED_CALLS if self.usual_call_ms else took_ms
+            self.usual_call_ms += change_ms
+            self.budget.record_latency(now_ms, took_ms)
+
+    def run_ended(self, now_ms: float, in_time: bool, objective_ms: float) -> None:
+        """Take the end of a run, within its latency objective or not.
+
+        Losses of one moment count once: runs begun before the last cut tell nothing of the window since.
+        """
+        if in_time:
+            self.slow_start.success(now_ms)
+        elif now_ms - self.last_loss_at_ms >= objective_ms:
+            self.last_loss_at_ms = now_ms
+            self.slow_start.loss(now_ms)
--- a/snowthread/recovery/call_pacing.py
+++ b/snowthread/recovery/call_pacing.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from snowthread.admission.recovery_pacing import CallPermission, RecoveryPacer
+from snowthread.admission.recovery_pacer import CallPermission, RecoveryPacer
 from snowthread.admission.settings import Outcome
 from snowthread.core import effects, events
 from snowthread.core.state import State
--- a/snowthread/recovery/manager.py
+++ b/snowthread/recovery/manager.py
@@ -3,7 +3,7 @@
 :class:`RecoveryManager` wraps the reducer: it sees each event before and each effect after it, and decides
 nothing itself. :mod:`key_recorder` and :mod:`learned_snapshots` know what an earlier incarnation left,
 :mod:`registry_member` the fleet, :mod:`request_admission` and :mod:`call_pacing` what may start while the
-node is cold, by the pace of :mod:`snowthread.admission.recovery_pacing`.
+node is cold, by the pace of :mod:`snowthread.admission.recovery_pacer`.
 
 | state  | event                                        | next state                                         |
 | ------ | -------------------------------------------- | -------------------------------------------------- |
@@ -22,16 +22,12 @@
 from loguru import logger
 
 from snowthread.admission import learned_state
+from snowthread.admission.backoff import Backoff
+from snowthread.admission.call_budget import BURST_S, FLEET_SHARE, CallBudget
 from snowthread.admission.controller import UPDATE_TIMER
-from snowthread.admission.recovery_pacing import (
-    BURST_S,
-    FLEET_SHARE,
-    Backoff,
-    CallBudget,
-    RecoveryPacer,
-    SlowStart,
-)
+from snowthread.admission.recovery_pacer import RecoveryPacer
 from snowthread.admission.settings import Outcome
+from snowthread.admission.slow_start import SlowStart
 from snowthread.core import effects, events
 from snowthread.core.state import State
 from snowthread.net.loop import EventLoop, TaskSteps, Wait
--- a/snowthread/recovery/request_admission.py
+++ b/snowthread/recovery/request_admission.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from snowthread.admission.recovery_pacing import RecoveryPacer
+from snowthread.admission.recovery_pacer import RecoveryPacer
 from snowthread.admission.settings import RequestClass
 from snowthread.core import effects, events
 from snowthread.core.state import RequestPhase, State
--- /dev/null
+++ b/tests/admission/test_recovery_pacer.py
@@ -0,0 +1,117 @@
+"""The pace of a recovering node's calls and runs."""
+
+from __future__ import annotations
+
+import random
+
+from snowthread.admission.backoff import Backoff
+from snowthread.admission.call_budget import CallBudget
+from snowthread.admission.recovery_pacer import MAX_QUEUED_CALLS, CallPermission, RecoveryPacer
+from snowthread.admission.slow_start import SlowStart
+
+
+def recovery_pacer(sharing: int = 1, slots: float = 2.0, per_s: float = 1000.0) -> RecoveryPacer:
+    made = RecoveryPacer(
+        SlowStart(4.0, 2.0), CallBudget(per_s, 10.0, burst_s=0.5), Backoff(), slots, random.Random(1)
+    )
+    made.update_fleet(sharing, sharing)
+    return made
+
+
+def test_calls_in_flight_stay_within_the_nodes_part_of_the_slots() -> None:
+    pacer = recovery_pacer(sharing=1, slots=2.0)
+    words = [pacer.request_call(1000.0, f"u{n}", 0, False, 2000.0) for n in range(4)]
+    assert words == [
+        CallPermission.GRANTED,
+        CallPermission.QUEUED,
+        CallPermission.QUEUED,
+        CallPermission.QUEUED,
+    ] or words[:2] == [CallPermission.GRANTED, CallPermission.GRANTED]
+    for at in range(1001, 1100):
+        pacer.release_calls(float(at))
+        assert len(pacer.calls_in_flight) <= 2
+    pacer.call_ended(1100.0, "u0", True, True)
+    assert pacer.release_calls(1101.0)[0]
+
+
+def test_fleets_of_any_size_together_keep_to_the_slots_in_the_mean() -> None:
+    for nodes in (3, 7, 40):
+        fleet = [recovery_pacer(sharing=nodes, slots=60.0) for _ in range(nodes)]
+        held = []
+        for step in range(50):
+            for number, node in enumerate(fleet):
+                node.request_call(step * 10.0, f"{number}-{step}", 0, True, 0.0)
+            held.append(sum(len(node.calls_in_flight) for node in fleet))
+            for node in fleet:  # the oldest comes back
+                if len(node.calls_in_flight) > 1:
+                    node.call_ended(step * 10.0, next(iter(node.calls_in_flight)), True, True)
+        assert max(held) <= 60.0 * 1.5 + nodes
+
+
+def test_an_abandoned_call_takes_its_slot_for_as_long_as_calls_take() -> None:
+    pacer = recovery_pacer(slots=1.0)
+    assert pacer.request_call(0.0, "a", 0, False, 500.0) is CallPermission.GRANTED
+    pacer.call_cancelled(2.0, "a")
+    assert pacer.request_call(3.0, "b", 0, False, 500.0) is CallPermission.QUEUED
+    assert pacer.release_calls(9.0) == ([], []) and pacer.release_calls(11.0) == (["b"], [])
+
+
+def test_runs_with_most_calls_go_first_and_calls_that_wait_too_long_expire() -> None:
+    pacer = recovery_pacer(slots=1.0)
+    pacer.request_call(0.0, "first", 0, False, 500.0)
+    for uid, made, until in (("new", 0, 400.0), ("far", 3, 450.0), ("late", 1, 20.0)):
+        assert pacer.request_call(1.0, uid, made, False, until) is CallPermission.QUEUED
+    pacer.call_ended(30.0, "first", True, True)
+    assert pacer.release_calls(30.0) == (["far"], ["late"]) and pacer.denied_calls == 1
+
+
+def test_skippable_calls_never_wait_and_never_pass_those_that_do() -> None:
+    pacer = recovery_pacer(slots=1.0)
+    pacer.request_call(0.0, "a", 0, False, 500.0)
+    assert pacer.request_call(1.0, "s", 0, True, 500.0) is CallPermission.DENIED
+    pacer.request_call(1.0, "b", 0, False, 500.0)
+    pacer.call_ended(2.0, "a", True, True)
+    assert pacer.request_call(2.0, "t", 0, True, 500.0) is CallPermission.DENIED  # b waits
+    for n in range(MAX_QUEUED_CALLS + 5):
+        pacer.request_call(2.0, f"w{n}", 0, False, 500.0)
+    assert len(pacer.queued_calls) == MAX_QUEUED_CALLS
+
+
+def test_an_unreachable_database_is_retried_after_growing_delays() -> None:
+    pacer, tries, now = recovery_pacer(slots=4.0), 0, 0.0
+    while now < 60_000.0:
+        if pacer.request_call(now, f"u{now}", 0, True, now) is CallPermission.GRANTED:
+            tries += 1
+            pacer.call_ended(now, f"u{now}", False, False)
+        now += 10.0
+    assert 12 <= tries <= 120  # of 6,000 moments
+
+
+def test_a_warm_node_paces_nothing_until_others_are_cold() -> None:
+    pacer = recovery_pacer(sharing=5, slots=5.0)
+    pacer.slow_start.complete = True
+    pacer.update_fleet(5, 0)
+    assert not pacer.is_pacing and {pacer.request_call(0.0, f"u{n}", 0, True, 1.0) for n in range(50)} == {
+        CallPermission.GRANTED
+    }
+    pacer.update_fleet(5, 3)
+    assert pacer.is_pacing and pacer.request_call(0.0, "more", 0, True, 1.0) is CallPermission.DENIED
+
+
+def test_losses_of_one_moment_cut_the_window_once() -> None:
+    pacer = recovery_pacer()
+    pacer.slow_start = SlowStart(16.0, 2.0, window=16.0)
+    for _ in range(5):
+        pacer.run_ended(100.0, False, 500.0)
+    assert pacer.slow_start.window == 8.0
+    pacer.run_ended(700.0, False, 500.0)
+    assert pacer.slow_start.window == 4.0
+
+
+def test_calls_abandoned_by_a_warm_node_leave_nothing_behind() -> None:
+    pacer = recovery_pacer()
+    pacer.slow_start.complete = True
+    for n in range(5000):
+        pacer.request_call(n * 10.0, f"u{n}", 0, False, n * 10.0 + 500.0)
+        pacer.call_cancelled(n * 10.0 + 5.0, f"u{n}")
+    assert not pacer.calls_in_flight and len(pacer.abandoned_until_ms) <= 2
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -237,7 +237,8 @@
         "import sys, snowthread.serve; "
         "print([m for m in sys.modules if m.startswith(('snowthread.recovery', 'snowthread.lab', "
         "'snowthread.records', 'snowthread.operator', "
-        "'snowthread.admission.recovery_pacing', 'click'))])"
+        "'snowthread.admission.recovery_pacer', 'snowthread.admission.slow_start', "
+        "'snowthread.admission.call_budget', 'snowthread.admission.backoff', 'click'))])"
     )
     done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
