Give the admission settings, events and actions docstrings with units, and the simulator adapter typed codecs

The adapter translated actions by lambdas whose arguments had a meaning by position; each event and action has a typed function now, with the same keys in the same order. The parser of the settings is split by what it reads. Learned state: whole names, short functions, the warm-up read from the settings instead of a private field; its aging of the service rate and of run times are two methods. The table of class times is ClassTimeTable, as ClassTimes is the record of one class in the learned state.

--- a/snowthread/admission/actions.py
+++ b/snowthread/admission/actions.py
@@ -1,4 +1,4 @@
-"""What a controller asks its host to do. Types only; times are seconds."""
+"""Actions: what a controller asks its host to do. Types only; times are seconds."""
 
 from __future__ import annotations
 
@@ -7,14 +7,14 @@
 
 @dataclass(frozen=True, slots=True)
 class StartRun:
-    """Start a held request or take up a paused one."""
+    """Start the run of a queued request, or resume a paused one."""
 
     request_id: int
 
 
 @dataclass(frozen=True, slots=True)
 class RememberKey:
-    """Remember the request's key from now on."""
+    """Remember the idempotency key of a request for so long from now."""
 
     request_id: int
     lifetime_s: float
@@ -22,14 +22,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ForgetKey:
-    """Drop the request's key."""
+    """Forget the idempotency key of a request."""
 
     request_id: int
 
 
 @dataclass(frozen=True, slots=True)
 class Reject:
-    """Final answer: turned away, it never ran (or was safe to repeat)."""
+    """Answer that a request was rejected: it never ran, or is idempotent.
+
+    ``retry_after_s`` is 0 where the caller may retry at once; ``do_not_retry`` asks not to retry elsewhere.
+    """
 
     request_id: int
     retry_after_s: float = 0.0
@@ -38,14 +41,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Fail:
-    """Final answer: failed, no promise."""
+    """Answer that a request failed: it may have run."""
 
     request_id: int
 
 
 @dataclass(frozen=True, slots=True)
 class StartCall:
-    """Make the call a run stands at."""
+    """Make the downstream call that a run waits for."""
 
     request_id: int
     timeout_s: float
@@ -53,42 +56,42 @@
 
 @dataclass(frozen=True, slots=True)
 class SkipCall:
-    """Go on without the call."""
+    """Let a run go on without its downstream call."""
 
     request_id: int
 
 
 @dataclass(frozen=True, slots=True)
 class StopRun:
-    """Stop running work."""
+    """Stop a run, as far as the host can."""
 
     request_id: int
 
 
 @dataclass(frozen=True, slots=True)
 class AwaitOriginal:
-    """Serve a held request from the result of the one it repeats."""
+    """Answer a retry with the result of the attempt that it repeats."""
 
     request_id: int
 
 
 @dataclass(frozen=True, slots=True)
 class PublishLoad:
-    """The value sent with every answer from now on."""
+    """Send this load report with every answer from now on."""
 
     value: float
 
 
 @dataclass(frozen=True, slots=True)
 class SetIdleTimeout:
-    """Close connections idle this long (0: the host's default)."""
+    """Close connections that have been idle for so long (0: the host's default)."""
 
     timeout_s: float
 
 
 @dataclass(frozen=True, slots=True)
 class SetTimer:
-    """Ask for a :class:`TimerFired` this long from now."""
+    """Send a ``TimerFired`` with this label so long from now."""
 
     delay_s: float
     label: int
@@ -96,7 +99,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SetHealth:
-    """The answer of health checks from now on."""
+    """Answer health checks so from now on; ``shallow``: from this setting alone, without any work."""
 
     healthy: bool
     shallow: bool = True
@@ -104,7 +107,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LogNote:
-    """A line for the people on call."""
+    """Log a note for the operators."""
 
     text: str
 
--- a/snowthread/admission/class_times.py
+++ b/snowthread/admission/class_times.py
@@ -13,7 +13,7 @@
 from snowthread.admission.statistics import PowerLaw
 
 
-class ClassTimes:
+class ClassTimeTable:
     """Times in seconds, in lists by the index of the class in the settings."""
 
     def __init__(self, hints: PowerLaw) -> None:
--- a/snowthread/admission/estimators.py
+++ b/snowthread/admission/estimators.py
@@ -2,7 +2,7 @@
 
 import math
 
-from snowthread.admission.class_times import ClassTimes
+from snowthread.admission.class_times import ClassTimeTable
 from snowthread.admission.request import RequestRecord
 from snowthread.admission.settings import Settings
 from snowthread.admission.statistics import FadingSums, PowerLaw, follow
@@ -24,7 +24,7 @@
 SLOW_CALL_MEMORY_S = 60.0  # of slow calls, after which their time counts as that of good times
 
 
-class Estimates(ClassTimes):
+class Estimates(ClassTimeTable):
     """Learns rates of arrival and of service, the server's speed, and the times of each class."""
 
     def __init__(self, settings: Settings) -> None:
--- a/snowthread/admission/events.py
+++ b/snowthread/admission/events.py
@@ -1,4 +1,4 @@
-"""What the host tells a controller: requests, ends of runs and calls, timers, notices and new settings.
+"""Events: what the host tells a controller of requests, runs and calls, timers, notices and settings.
 
 Types only. Times are seconds, memory is kilobytes; request ids are integers that the host chooses and never
 uses twice.
@@ -13,12 +13,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Started:
-    """The worker starts; sent once, before anything else."""
+    """The node has started; sent once, before anything else."""
 
 
 @dataclass(frozen=True, slots=True)
 class RequestArrived:
-    """A request was read and is now held."""
+    """A request was read; it is queued until the controller answers.
+
+    ``time_left_s`` is the caller's deadline and ``work_hint_s`` its estimate of the core time, where it tells
+    them; ``unread_s`` is how long the request lay unread; ``original_id`` is the attempt that it repeats.
+    """
 
     request_id: int
     class_name: str
@@ -43,17 +47,17 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestAbandoned(RequestEvent):
-    """Nobody waits for this request any more; no answer is owed."""
+    """The caller has gone: no answer is owed any more."""
 
 
 @dataclass(frozen=True, slots=True)
 class CallNeeded(RequestEvent):
-    """A run stands at a call to what lies below."""
+    """A run needs a call to its dependency."""
 
 
 @dataclass(frozen=True, slots=True)
 class CallFinished(RequestEvent):
-    """A call came back."""
+    """A downstream call has ended."""
 
     outcome: Outcome
     duration_s: float = 0.0
@@ -61,7 +65,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RunFinished(RequestEvent):
-    """A run or an attached request is over."""
+    """A run has ended, or a retry that awaited its original was answered."""
 
     outcome: Outcome
     duration_s: float = 0.0
@@ -69,7 +73,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TimerFired:
-    """A timer fired; the gauges that the host has come with it (None: not measured)."""
+    """A timer fired; with it come the load figures that the host has (None: not measured)."""
 
     label: int
     core_utilization: float | None = None
@@ -80,14 +84,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RunIndeterminate(RequestEvent):
-    """The host lost sight of a run: its start, or the reply to its call, may never have come through."""
+    """The host lost sight of a run: its start, or the reply to its call, may not have been delivered."""
 
     at_call: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class ShutdownNotice:
-    """The worker will be stopped this long from now. The notice itself came ``since_s`` ago."""
+    """The node will be stopped in ``time_left_s``; the notice itself came ``received_ago_s`` ago."""
 
     time_left_s: float
     received_ago_s: float = 0.0
--- a/snowthread/admission/learned_state.py
+++ b/snowthread/admission/learned_state.py
@@ -1,26 +1,30 @@
-"""What the module learned, read and set from outside: for a snapshot, for a new start, and as it grows old.
+"""What a controller learned, read and set from outside: for a snapshot, for a start, and as it grows old.
 
-Pure. ``Times`` are seconds; a value of 0 is one that is not known, as everywhere in the module.
+Pure. Times are seconds; 0 is a time that is not known, as everywhere in the controller.
 
-| learned              | recalled at a start                     | past its bound                     |
-| -------------------- | --------------------------------------- | ---------------------------------- |
-| run times            | as in good times, at the machine's speed | as recalled, else not known        |
-| call times           | as in good times                        | (the module compares with them)    |
-| arrival rate         | until this life has measured one        | -                                  |
-| service rate         | no: it is the warm machine's            | what runs take now allows, if more |
-| best speed, b, limit | no: stale on a cold machine             | made anew every quarter of a second |
+| learned              | restored at a start                      | once too old                        |
+| -------------------- | ---------------------------------------- | ----------------------------------- |
+| run times            | as in good times, at the machine's speed | as restored, else not known         |
+| call times           | as in good times                         | (the controller compares with them) |
+| arrival rate         | until this process has measured one      | -                                   |
+| service rate         | no: it is the warm machine's             | what runs take now allows, if more  |
+| best speed, b, limit | no: stale on a cold machine              | made anew every quarter of a second |
 """
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from snowthread.admission.controller import Controller
+from snowthread.admission.settings import RequestClass
+
+AGING_RATE = 0.25  # of its difference to what was recalled that a run time loses an update, at its bound
 
 
 @dataclass(frozen=True, slots=True)
 class ClassTimes:
-    """A class's times in good times: of a run on a core, of a run with its calls, of a call."""
+    """The times of a class in good times: of a run on a core, of a run with its calls, of a call."""
 
     core_time_s: float = 0.0
     run_time_s: float = 0.0
@@ -36,106 +40,131 @@
 
 
 def export_learned_state(controller: Controller) -> LearnedState:
-    """What is worth keeping of what this controller learned."""
-    est = controller.estimates
-    return LearnedState(
-        {
-            kind.name: ClassTimes(
-                est.base_core_time_s[n],
-                max(est.base_core_time_s[n], est.run_time_s[n] * est.work_of(n, None)),
-                est.base_call_time_s[n],
+    """Return what is worth keeping of what a controller learned."""
+    estimates = controller.estimates
+    times: dict[str, ClassTimes] = {}
+    for index, request_class in enumerate(controller.settings.classes):
+        core_time_s = estimates.base_core_time_s[index]
+        if core_time_s > 0.0:
+            run_time_s = estimates.run_time_s[index] * estimates.work_of(index, None)
+            times[request_class.name] = ClassTimes(
+                core_time_s, max(core_time_s, run_time_s), estimates.base_call_time_s[index]
             )
-            for n, kind in enumerate(controller.settings.classes)
-            if est.base_core_time_s[n] > 0.0
-        },
-        est.request_rate,
-    )
+    return LearnedState(times, estimates.request_rate)
 
 
 def restore_learned_state(controller: Controller, recalled: LearnedState, speed: float) -> None:
-    """Begin with what an earlier life learned, on a machine that works at this share of its speed."""
-    est = controller.estimates
-    for n, kind in enumerate(controller.settings.classes):
-        times = recalled.times.get(kind.name)
-        if times is not None and est.base_core_time_s[n] <= 0.0:
-            est.base_core_time_s[n] = times.core_time_s
-            est.base_call_time_s[n] = est.call_time_s[n] = times.call_time_s
-    for n, kind in enumerate(controller.settings.classes):
-        times = recalled.times.get(kind.name)
-        if times is not None and est.core_time_s[n] <= 0.0 and times.core_time_s > 0.0:
-            work = est.work_of(n, None)
-            est.core_time_s[n] = times.core_time_s / speed / work
-            est.run_time_s[n] = (times.run_time_s - times.core_time_s + times.core_time_s / speed) / work
-    est.request_rate = est.request_rate or recalled.request_rate
+    """Begin with what an earlier process learned, on a machine that works at this share of its speed.
+
+    What the controller has measured itself stays.
+    """
+    estimates = controller.estimates
+    known = list(_known_classes(controller, recalled))
+    for index, times in known:
+        if estimates.base_core_time_s[index] <= 0.0:
+            estimates.base_core_time_s[index] = times.core_time_s
+            estimates.base_call_time_s[index] = estimates.call_time_s[index] = times.call_time_s
+    for index, times in known:  # the work of a class depends on the base times of all
+        if estimates.core_time_s[index] <= 0.0 and times.core_time_s > 0.0:
+            work = estimates.work_of(index, None)
+            core_time_s = times.core_time_s / speed
+            estimates.core_time_s[index] = core_time_s / work
+            estimates.run_time_s[index] = (times.run_time_s - times.core_time_s + core_time_s) / work
+    estimates.request_rate = estimates.request_rate or recalled.request_rate
+
+
+def _known_classes(controller: Controller, recalled: LearnedState) -> Iterator[tuple[int, ClassTimes]]:
+    """Yield index and times of the classes in the settings of which something is recalled."""
+    for index, request_class in enumerate(controller.settings.classes):
+        times = recalled.times.get(request_class.name)
+        if times is not None:
+            yield index, times
 
 
 def warmup_speed(controller: Controller, now_s: float) -> float:
-    """Of its warm speed: what the settings give a machine of this age (as the module's run limit has it)."""
+    """Return the machine's speed at its age by the settings, as a share of its warm speed."""
     return controller.settings.speed_at_age(now_s - controller.started_at)
 
 
 def runs_within_factor(controller: Controller, recalled: LearnedState, factor: float) -> bool | None:
-    """Do runs of every class recalled take at most so many times what they took? None: nothing to compare."""
-    est, ratios = controller.estimates, list[float]()
-    for n, kind in enumerate(controller.settings.classes):
-        times = recalled.times.get(kind.name)
-        if times is not None and times.core_time_s > 0.0 and est.core_time_s[n] > 0.0:
-            ratios.append(est.core_time_s[n] * est.work_of(n, None) / times.core_time_s)
+    """Return whether runs of every recalled class take at most so many times as long as recalled.
+
+    None where there is nothing to compare.
+    """
+    estimates = controller.estimates
+    ratios = [
+        estimates.core_time_s[index] * estimates.work_of(index, None) / times.core_time_s
+        for index, times in _known_classes(controller, recalled)
+        if times.core_time_s > 0.0 and estimates.core_time_s[index] > 0.0
+    ]
     return max(ratios) <= factor if ratios else None
 
 
 @dataclass(slots=True)
 class LearnedStateAging:
-    """Lets run times grow old: one that no run has confirmed for longer than a request of its class may take
-    says nothing of the next. Once a period: blended to what was recalled, past its bound that or unknown.
+    """Lets run times grow old.
+
+    One that no run has confirmed for longer than a request of its class may take says nothing of the next: it
+    is blended, update by update, with what was recalled, and past its bound it is that, or not known.
     """
 
     recalled: LearnedState
-    fresh: float = 0.5  # times a class's aim: as learned for so long
-    bound: float = 2.0  # times a class's aim: gone by then
-    rate_bound_s: float = 1.0  # a service rate that full cores have not confirmed for so long
-    decayed: int = 0
-    _rate: tuple[float, float] = (0.0, 0.0)  # the service rate as it was last seen to change, and when
+    fresh: float = 0.5  # times a class's latency objective: as learned for so long
+    bound: float = 2.0  # times a class's latency objective: gone by then
+    rate_bound_s: float = 1.0  # for which a service rate stands that full cores have not confirmed
+    decayed: int = 0  # estimates that were given up
+    _service_rate: float = 0.0  # as it was last seen to change
+    _service_rate_at_s: float = 0.0  # when that was
 
     def tick(self, controller: Controller, now_s: float) -> None:
-        """Look at each class; ``now_s`` on the module's clock."""
-        est = controller.estimates
-        if est.service_rate != self._rate[0]:
-            self._rate = (est.service_rate, now_s)
-        elif est.service_rate > 0.0 and now_s - self._rate[1] >= self.rate_bound_s:
-            # Learned at full cores only. One learned while the machine was cold has the node turn away so
-            # much that its cores are never full again, and is never unlearned; what runs take says more.
-            now_rate = est.full_rate(est.core_time_s)
-            if now_rate > est.service_rate:
-                est.service_rate = now_rate
-                self._rate = (now_rate, now_s)
-                self.decayed += 1
-        for n, kind in enumerate(controller.settings.classes):
-            age, first, last = (
-                now_s - est.last_run_at_s[n],
-                self.fresh * kind.latency_objective_s,
-                self.bound * kind.latency_objective_s,
-            )
-            if est.run_time_s[n] <= 0.0 or not est.last_run_at_s[n] or age <= first:
-                continue
-            times = self.recalled.times.get(kind.name, ClassTimes())
-            work = est.work_of(n, None)
-            core, wall = times.core_time_s / work, times.run_time_s / work
-            if age >= last:
-                est.core_time_s[n], est.run_time_s[n] = core, wall
-                est.last_run_at_s[n] = now_s if wall else 0.0
-                self.decayed += 1
-            elif wall:
-                part = min(1.0, (age - first) / (last - first)) / 4.0  # of what is left, a period
-                est.core_time_s[n] += (core - est.core_time_s[n]) * part
-                est.run_time_s[n] += (wall - est.run_time_s[n]) * part
+        """Age what is not confirmed; once an update, with ``now_s`` on the controller's clock."""
+        self._age_service_rate(controller, now_s)
+        for index, request_class in enumerate(controller.settings.classes):
+            self._age_class(controller, now_s, index, request_class)
+
+    def _age_service_rate(self, controller: Controller, now_s: float) -> None:
+        estimates = controller.estimates
+        if estimates.service_rate != self._service_rate:
+            self._service_rate, self._service_rate_at_s = estimates.service_rate, now_s
+            return
+        if estimates.service_rate <= 0.0 or now_s - self._service_rate_at_s < self.rate_bound_s:
+            return
+        # Learned at full cores only. One learned while the machine was cold has the node reject so much that
+        # its cores are never full again, and is never unlearned; what runs take says more.
+        rate_by_runs = estimates.full_rate(estimates.core_time_s)
+        if rate_by_runs > estimates.service_rate:
+            estimates.service_rate = rate_by_runs
+            self._service_rate, self._service_rate_at_s = rate_by_runs, now_s
+            self.decayed += 1
+
+    def _age_class(
+        self, controller: Controller, now_s: float, index: int, request_class: RequestClass
+    ) -> None:
+        estimates = controller.estimates
+        confirmed_at_s = estimates.last_run_at_s[index]
+        age_s = now_s - confirmed_at_s
+        fresh_s = self.fresh * request_class.latency_objective_s
+        bound_s = self.bound * request_class.latency_objective_s
+        if estimates.run_time_s[index] <= 0.0 or not confirmed_at_s or age_s <= fresh_s:
+            return
+        times = self.recalled.times.get(request_class.name, ClassTimes())
+        work = estimates.work_of(index, None)
+        core_time_s, run_time_s = times.core_time_s / work, times.run_time_s / work
+        if age_s >= bound_s:
+            estimates.core_time_s[index], estimates.run_time_s[index] = core_time_s, run_time_s
+            estimates.last_run_at_s[index] = now_s if run_time_s else 0.0
+            self.decayed += 1
+        elif run_time_s:
+            share = min(1.0, (age_s - fresh_s) / (bound_s - fresh_s)) * AGING_RATE
+            estimates.core_time_s[index] += (core_time_s - estimates.core_time_s[index]) * share
+            estimates.run_time_s[index] += (run_time_s - estimates.run_time_s[index]) * share
 
 
 def confirmation_ages_s(controller: Controller, now_s: float) -> dict[str, float]:
-    """How long ago the run times of each class that decide now were last confirmed, in seconds."""
-    est = controller.estimates
+    """Return how long ago, in seconds, the run times of each class in use were last confirmed."""
+    estimates = controller.estimates
     return {
-        kind.name: now_s - est.last_run_at_s[n]
-        for n, kind in enumerate(controller.settings.classes)
-        if est.run_time_s[n] > 0.0 and est.last_run_at_s[n] > 0.0
+        request_class.name: now_s - estimates.last_run_at_s[index]
+        for index, request_class in enumerate(controller.settings.classes)
+        if estimates.run_time_s[index] > 0.0 and estimates.last_run_at_s[index] > 0.0
     }
--- a/snowthread/admission/open_requests.py
+++ b/snowthread/admission/open_requests.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Sequence
 
-from snowthread.admission.class_times import ClassTimes
+from snowthread.admission.class_times import ClassTimeTable
 from snowthread.admission.cores import Cores
 from snowthread.admission.events import RequestArrived
 from snowthread.admission.memory import MemoryAccount
@@ -16,7 +16,7 @@
 
 
 def record_of(
-    now: float, event: RequestArrived, class_index: int, settings: Settings, times: ClassTimes
+    now: float, event: RequestArrived, class_index: int, settings: Settings, times: ClassTimeTable
 ) -> RequestRecord:
     """Return the record of a request just read, without its weight and priority."""
     request_class = settings.classes[class_index]
--- a/snowthread/admission/settings.py
+++ b/snowthread/admission/settings.py
@@ -19,7 +19,7 @@
 
 
 class Outcome(Enum):
-    """How a run or a call ended."""
+    """How a run or a downstream call ended."""
 
     SUCCESS = "success"
     FAILURE = "failure"
@@ -32,12 +32,12 @@
 
     @property
     def never_ran(self) -> bool:
-        """True where the outcome proves that nothing was begun."""
+        """True where the outcome proves that nothing was started."""
         return self in (Outcome.OVERLOADED, Outcome.UNREACHABLE, Outcome.NOT_STARTED)
 
 
 class Preemption(Enum):
-    """What the host can do to running work."""
+    """What the host can do to a run: nothing, stop it without its progress, or pause it."""
 
     NONE = "none"
     DROP = "drop"
@@ -45,7 +45,7 @@
 
 
 class LoadReportKind(Enum):
-    """What callers make of the published value."""
+    """What callers make of a published load report."""
 
     NONE = "none"
     LEVEL = "level"
@@ -60,7 +60,7 @@
 
 
 class Dependency(Enum):
-    """What requests call while they run."""
+    """What runs call: nothing, a dependency shared with other nodes, or the next tier."""
 
     NONE = "none"
     SHARED = "shared"
@@ -69,7 +69,12 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestClass:
-    """A class of requests and what its answers are worth."""
+    """A class of requests and the weight of its answers.
+
+    An answer has ``priority_weight`` within the latency objective, times ``late_weight_factor`` from then on
+    until the deadline, and times ``skipped_call_weight`` if its run went on without its downstream call.
+    ``objective_stretch`` extends the objective by so many expected run times.
+    """
 
     name: str
     latency_objective_s: float
@@ -102,37 +107,37 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """What a worker is told at its start. Defaults mean 'the site does not have this'."""
+    """The settings of a node. Defaults mean that the site does not have this."""
 
     classes: tuple[RequestClass, ...]
     cores: int
     memory_kb: float
     tenants: tuple[Tenant, ...] = ()
-    running_memory_factor: float = 1.0
-    key_memory_kb: float = 0.0
+    running_memory_factor: float = 1.0  # of the memory of a queued request, that a run takes
+    key_memory_kb: float = 0.0  # for each remembered idempotency key
     starts_cold: bool = False
-    cold_speed: float = 1.0
+    cold_speed: float = 1.0  # of the warm speed, at least, at a cold start
     warmup_s: float = 0.0
-    collapse_multiple: float = 3.0
-    collapse_after_s: float = 2.0
-    drain_grace_s: float = 1.0
+    collapse_multiple: float = 3.0  # runs on the cores, for each core, that a warm server survives
+    collapse_after_s: float = 2.0  # over which those runs are averaged
+    drain_grace_s: float = 1.0  # after a shutdown notice, in which new requests are still taken
     preemption: Preemption = Preemption.NONE
     propagates_deadline: bool = False
     marks_retries: bool = False
     load_report_kind: LoadReportKind = LoadReportKind.NONE
-    load_report_ttl_s: float = 0.0
+    load_report_ttl_s: float = 0.0  # for which callers keep a load report (0: until the next)
     caller_count: int = 1
     node_count: int = 1
     dependency: Dependency = Dependency.NONE
-    call_quota: float = 0.0
-    call_quota_window_s: float = 0.0
-    abandoned_call_s: float = 0.0
+    call_quota: float = 0.0  # this node's part of the calls in flight that the dependency sustains
+    call_quota_window_s: float = 0.0  # over which those calls are averaged
+    abandoned_call_s: float = 0.0  # at most, for which the dependency works on an abandoned call
     supports_retry_after: bool = False
     max_retry_after_s: float = 0.0
-    shared_result_ttl_s: float = 0.0
+    shared_result_ttl_s: float = 0.0  # for which a read's answer may serve others (0: never)
     idle_timeout_s: float = 0.0
-    weighs_by_work: bool = False
-    over_quota_weight: float = 1.0
+    weighs_by_work: bool = False  # weights are for each unit of work, not for a request
+    over_quota_weight: float = 1.0  # of requests beyond the quota of their tenant
     deep_health_checks: bool = False
 
     def is_warming_up(self, age_s: float) -> bool:
@@ -147,7 +152,7 @@
 
 
 def check_settings(settings: Settings) -> None:
-    """Raise ``ValueError`` that names each field that is absent or out of range."""
+    """Raise a ``ValueError`` that names each field that is absent or out of range."""
     positive = {
         name: getattr(settings, name)
         for name in ("cores", "memory_kb", "running_memory_factor", "collapse_multiple")
--- a/snowthread/admission/settings_parser.py
+++ b/snowthread/admission/settings_parser.py
@@ -1,4 +1,7 @@
-"""The settings as the simulator's first message and a node's configuration give them, read once for both."""
+"""Translation of a controller's settings from JSON: the simulator's first message and a node's configuration.
+
+Unknown keys are skipped; null is the same as absent.
+"""
 
 from __future__ import annotations
 
@@ -16,52 +19,27 @@
 
 Fields = dict[str, Any]
 
-_EFFECT = {
+_IDEMPOTENCY = {
     "read_like": Idempotency.IDEMPOTENT,
     "idempotency_key": Idempotency.KEYED,
     "non_idempotent": Idempotency.NON_IDEMPOTENT,
 }
 _PREEMPTION = {"silent": Preemption.NONE, "drop": Preemption.DROP, "pause": Preemption.PAUSE}
-_SIGNAL = {
+_LOAD_REPORT_KIND = {
     "silent": LoadReportKind.NONE,
     "level": LoadReportKind.LEVEL,
     "credit": LoadReportKind.CREDIT,
     "weight": LoadReportKind.WEIGHT,
 }
-_BELOW = {"silent": Dependency.NONE, "shared": Dependency.SHARED, "tier": Dependency.TIER}
-
-
-def _told(part: Fields | None) -> Fields:
-    """What is told in a part of the settings; null is the same as absent."""
-    return {name: value for name, value in (part or {}).items() if value is not None}
+_DEPENDENCY = {"silent": Dependency.NONE, "shared": Dependency.SHARED, "tier": Dependency.TIER}
 
 
 def parse_settings(facts: Fields) -> Settings:
-    """Translate the wire's settings; unknown keys are skipped."""
-    domain, rules, limits = (_told(facts.get(part)) for part in ("domain", "rules", "limits"))
-    may_call = domain.get("class_calls") or []
-    skip = domain.get("class_skip_worth") or []
-    classes = tuple(
-        RequestClass(
-            name=c["name"],
-            latency_objective_s=c["goal_time_s"],
-            deadline_s=c["deadline_s"],
-            idempotency=_EFFECT.get(
-                c.get("effect", "read_like"), Idempotency.NON_IDEMPOTENT
-            ),  # unknown: never twice
-            priority_weight=c.get("importance", 1.0),
-            late_weight_factor=c.get("late_value", 0.0),
-            idempotency_window_s=c.get("window_s") or 0.0,
-            objective_stretch=c.get("aim_stretch") or 0.0,
-            may_call=bool(may_call[n]) if n < len(may_call) else False,
-            skipped_call_weight=skip[n] if n < len(skip) else 0.0,
-        )
-        for n, c in enumerate(facts.get("classes") or [])
-    )
-    tenants = tuple(Tenant(t["name"], t.get("quota_per_s") or 0.0) for t in facts.get("projects") or [])
+    """Return the settings; raise ``KeyError`` where a field without a default is absent."""
+    domain, rules, limits = (_without_nulls(facts.get(part)) for part in ("domain", "rules", "limits"))
     return Settings(
-        classes=classes,
-        tenants=tenants,
+        classes=_parse_classes(facts.get("classes") or [], domain),
+        tenants=_parse_tenants(facts.get("projects") or []),
         cores=domain.get("cores", 0),
         memory_kb=domain.get("memory_kb", 0.0),
         running_memory_factor=domain.get("run_factor", 1.0),
@@ -75,11 +53,11 @@
         preemption=_PREEMPTION.get(domain.get("preemption", "silent"), Preemption.NONE),
         propagates_deadline=bool(domain.get("passes_deadline")),
         marks_retries=bool((facts.get("callers") or {}).get("marks_retry")),
-        load_report_kind=_SIGNAL.get(domain.get("say", "silent"), LoadReportKind.NONE),
+        load_report_kind=_LOAD_REPORT_KIND.get(domain.get("say", "silent"), LoadReportKind.NONE),
         load_report_ttl_s=domain.get("heard_for_s", 0.0),
         caller_count=domain.get("upstreams", 1),
         node_count=facts.get("peers_total", 1),
-        dependency=_BELOW.get(domain.get("below", "silent"), Dependency.NONE),
+        dependency=_DEPENDENCY.get(domain.get("below", "silent"), Dependency.NONE),
         call_quota=domain.get("calls_out", 0.0),
         call_quota_window_s=domain.get("calls_over_s", 0.0),
         abandoned_call_s=domain.get("linger_s", 0.0),
@@ -91,3 +69,40 @@
         over_quota_weight=facts.get("over_share_worth", 1.0),
         deep_health_checks=bool(domain.get("deep_checks")),
     )
+
+
+def _without_nulls(part: Fields | None) -> Fields:
+    return {name: value for name, value in (part or {}).items() if value is not None}
+
+
+def _parse_classes(classes: list[Fields], domain: Fields) -> tuple[RequestClass, ...]:
+    may_call = domain.get("class_calls") or []
+    skipped_call_weights = domain.get("class_skip_worth") or []
+    return tuple(
+        _parse_class(
+            fields,
+            may_call=bool(may_call[index]) if index < len(may_call) else False,
+            skipped_call_weight=skipped_call_weights[index] if index < len(skipped_call_weights) else 0.0,
+        )
+        for index, fields in enumerate(classes)
+    )
+
+
+def _parse_class(fields: Fields, may_call: bool, skipped_call_weight: float) -> RequestClass:
+    effect = fields.get("effect", "read_like")
+    return RequestClass(
+        name=fields["name"],
+        latency_objective_s=fields["goal_time_s"],
+        deadline_s=fields["deadline_s"],
+        idempotency=_IDEMPOTENCY.get(effect, Idempotency.NON_IDEMPOTENT),  # unknown: never run twice
+        priority_weight=fields.get("importance", 1.0),
+        late_weight_factor=fields.get("late_value", 0.0),
+        idempotency_window_s=fields.get("window_s") or 0.0,
+        objective_stretch=fields.get("aim_stretch") or 0.0,
+        may_call=may_call,
+        skipped_call_weight=skipped_call_weight,
+    )
+
+
+def _parse_tenants(tenants: list[Fields]) -> tuple[Tenant, ...]:
+    return tuple(Tenant(fields["name"], fields.get("quota_per_s") or 0.0) for fields in tenants)
--- a/snowthread/admission/simulator_adapter.py
+++ b/snowthread/admission/simulator_adapter.py
@@ -1,4 +1,7 @@
-"""The simulator's wire: one JSON line of events in, one line of actions out. Translation only."""
+"""Adapter of the controller to the simulator: one JSON line of events in, one line of actions out.
+
+Translation only. The names on the wire are the simulator's.
+"""
 
 from __future__ import annotations
 
@@ -9,34 +12,8 @@
 
 import orjson
 
-from snowthread.admission.actions import (
-    AwaitOriginal,
-    Fail,
-    ForgetKey,
-    LogNote,
-    PublishLoad,
-    Reject,
-    RememberKey,
-    SetHealth,
-    SetIdleTimeout,
-    SetTimer,
-    SkipCall,
-    StartCall,
-    StartRun,
-    StopRun,
-)
+from snowthread.admission import actions, events
 from snowthread.admission.controller import Controller
-from snowthread.admission.events import (
-    CallFinished,
-    CallNeeded,
-    Event,
-    RequestAbandoned,
-    RequestArrived,
-    RunFinished,
-    ShutdownNotice,
-    Started,
-    TimerFired,
-)
 from snowthread.admission.settings import Outcome
 from snowthread.admission.settings_parser import Fields, parse_settings
 
@@ -45,28 +22,27 @@
 log = logging.getLogger("snowthread.admission.simulator_adapter")
 
 
-def _arrival(f: Fields) -> Event:
-    tenant = f.get("tenant") or ""
-    return RequestArrived(
-        request_id=f["op_id"],
-        class_name=f["category"],
-        memory_kb=f.get("held_kb", 0.0),
-        tenant=tenant,
-        partition_key=f.get("partition_key") or "",
-        time_left_s=f.get("left_s") or None,
-        work_hint_s=f.get("work_hint_s") or None,
-        rank=f.get("precedence"),
-        is_retry=bool(f.get("is_retry")),
-        caller_id=f.get("src", 0),
-        unread_s=f.get("backlog_time_s", 0.0),
-        original_id=f.get("prior") or None,
+def _request_arrived(fields: Fields) -> events.Event:
+    return events.RequestArrived(
+        request_id=fields["op_id"],
+        class_name=fields["category"],
+        memory_kb=fields.get("held_kb", 0.0),
+        tenant=fields.get("tenant") or "",
+        partition_key=fields.get("partition_key") or "",
+        time_left_s=fields.get("left_s") or None,
+        work_hint_s=fields.get("work_hint_s") or None,
+        rank=fields.get("precedence"),
+        is_retry=bool(fields.get("is_retry")),
+        caller_id=fields.get("src", 0),
+        unread_s=fields.get("backlog_time_s", 0.0),
+        original_id=fields.get("prior") or None,
     )
 
 
-def _timer(f: Fields) -> Event:
-    usage = f.get("usage") or {}
-    return TimerFired(
-        label=f.get("label", 0),
+def _timer_fired(fields: Fields) -> events.Event:
+    usage = fields.get("usage") or {}
+    return events.TimerFired(
+        label=fields.get("label", 0),
         core_utilization=usage.get("core_use"),
         core_demand=usage.get("on_cores"),
         memory_utilization=usage.get("heap_share"),
@@ -74,86 +50,169 @@
     )
 
 
-_EVENT: dict[str, Callable[[Fields], Event]] = {
-    "accept": _arrival,
-    "tick_due": _timer,
-    "expired": lambda f: RequestAbandoned(f["op_id"]),
-    "ready_to_call": lambda f: CallNeeded(f["op_id"]),
-    "run_over": lambda f: RunFinished(f["op_id"], Outcome(f["rc"]), f.get("wait_time_s", 0.0)),
-    "came_back": lambda f: CallFinished(f["op_id"], Outcome(f["rc"]), f.get("wait_time_s", 0.0)),
-    "retire_soon": lambda f: ShutdownNotice(f.get("left_s", 0.0)),
+def _request_abandoned(fields: Fields) -> events.Event:
+    return events.RequestAbandoned(fields["op_id"])
+
+
+def _call_needed(fields: Fields) -> events.Event:
+    return events.CallNeeded(fields["op_id"])
+
+
+def _run_finished(fields: Fields) -> events.Event:
+    return events.RunFinished(fields["op_id"], Outcome(fields["rc"]), fields.get("wait_time_s", 0.0))
+
+
+def _call_finished(fields: Fields) -> events.Event:
+    return events.CallFinished(fields["op_id"], Outcome(fields["rc"]), fields.get("wait_time_s", 0.0))
+
+
+def _shutdown_notice(fields: Fields) -> events.Event:
+    return events.ShutdownNotice(fields.get("left_s", 0.0))
+
+
+EVENT_DECODERS: dict[str, Callable[[Fields], events.Event]] = {
+    "accept": _request_arrived,
+    "tick_due": _timer_fired,
+    "expired": _request_abandoned,
+    "ready_to_call": _call_needed,
+    "run_over": _run_finished,
+    "came_back": _call_finished,
+    "retire_soon": _shutdown_notice,
 }
 
-_ACTION: dict[type, Callable[[str, Any], Fields]] = {
-    StartRun: lambda i, a: {"run": {"i": i, "op_id": a.request_id}},
-    RememberKey: lambda i, a: {"record_key": {"i": i, "op_id": a.request_id, "lifetime_s": a.lifetime_s}},
-    ForgetKey: lambda i, a: {"forget": {"i": i, "op_id": a.request_id}},
-    Reject: lambda i, a: {
-        "say_no": {"i": i, "op_id": a.request_id, "hold_off_s": a.retry_after_s, "last": a.do_not_retry}
-    },
-    Fail: lambda i, a: {"lose": {"i": i, "op_id": a.request_id}},
-    StartCall: lambda i, a: {"ask_below": {"i": i, "op_id": a.request_id, "give_up_after_s": a.timeout_s}},
-    SkipCall: lambda i, a: {"go_on": {"i": i, "op_id": a.request_id}},
-    StopRun: lambda i, a: {"preempt": {"i": i, "op_id": a.request_id}},
-    AwaitOriginal: lambda i, a: {"attach": {"i": i, "op_id": a.request_id}},
-    PublishLoad: lambda i, a: {"publish": {"i": i, "value": a.value}},
-    SetIdleTimeout: lambda i, a: {"reap_after": {"i": i, "lifetime_s": a.timeout_s}},
-    SetTimer: lambda i, a: {"wake_me": {"i": i, "offset_s": a.delay_s, "label": a.label}},
-    SetHealth: lambda i, a: {"health": {"i": i, "enable": a.healthy, "shallow": a.shallow}},
-    LogNote: lambda i, a: {"remark": {"i": i, "words": a.text}},
+
+def _start_run(instance: str, action: actions.StartRun) -> Fields:
+    return {"run": {"i": instance, "op_id": action.request_id}}
+
+
+def _remember_key(instance: str, action: actions.RememberKey) -> Fields:
+    return {"record_key": {"i": instance, "op_id": action.request_id, "lifetime_s": action.lifetime_s}}
+
+
+def _forget_key(instance: str, action: actions.ForgetKey) -> Fields:
+    return {"forget": {"i": instance, "op_id": action.request_id}}
+
+
+def _reject(instance: str, action: actions.Reject) -> Fields:
+    return {
+        "say_no": {
+            "i": instance,
+            "op_id": action.request_id,
+            "hold_off_s": action.retry_after_s,
+            "last": action.do_not_retry,
+        }
+    }
+
+
+def _fail(instance: str, action: actions.Fail) -> Fields:
+    return {"lose": {"i": instance, "op_id": action.request_id}}
+
+
+def _start_call(instance: str, action: actions.StartCall) -> Fields:
+    return {"ask_below": {"i": instance, "op_id": action.request_id, "give_up_after_s": action.timeout_s}}
+
+
+def _skip_call(instance: str, action: actions.SkipCall) -> Fields:
+    return {"go_on": {"i": instance, "op_id": action.request_id}}
+
+
+def _stop_run(instance: str, action: actions.StopRun) -> Fields:
+    return {"preempt": {"i": instance, "op_id": action.request_id}}
+
+
+def _await_original(instance: str, action: actions.AwaitOriginal) -> Fields:
+    return {"attach": {"i": instance, "op_id": action.request_id}}
+
+
+def _publish_load(instance: str, action: actions.PublishLoad) -> Fields:
+    return {"publish": {"i": instance, "value": action.value}}
+
+
+def _set_idle_timeout(instance: str, action: actions.SetIdleTimeout) -> Fields:
+    return {"reap_after": {"i": instance, "lifetime_s": action.timeout_s}}
+
+
+def _set_timer(instance: str, action: actions.SetTimer) -> Fields:
+    return {"wake_me": {"i": instance, "offset_s": action.delay_s, "label": action.label}}
+
+
+def _set_health(instance: str, action: actions.SetHealth) -> Fields:
+    return {"health": {"i": instance, "enable": action.healthy, "shallow": action.shallow}}
+
+
+def _log_note(instance: str, action: actions.LogNote) -> Fields:
+    return {"remark": {"i": instance, "words": action.text}}
+
+
+ACTION_ENCODERS: dict[type, Callable[[str, Any], Fields]] = {
+    actions.StartRun: _start_run,
+    actions.RememberKey: _remember_key,
+    actions.ForgetKey: _forget_key,
+    actions.Reject: _reject,
+    actions.Fail: _fail,
+    actions.StartCall: _start_call,
+    actions.SkipCall: _skip_call,
+    actions.StopRun: _stop_run,
+    actions.AwaitOriginal: _await_original,
+    actions.PublishLoad: _publish_load,
+    actions.SetIdleTimeout: _set_idle_timeout,
+    actions.SetTimer: _set_timer,
+    actions.SetHealth: _set_health,
+    actions.LogNote: _log_note,
 }
 
 
 class SimulatorAdapter:
-    """The instances of one process, each a controller of its own."""
+    """The simulated instances of one process, each with a controller of its own."""
 
     def __init__(self) -> None:
-        self.instances: dict[str, Controller] = {}
+        self.controllers: dict[str, Controller] = {}
 
     def answer(self, line: bytes) -> bytes:
-        """One batch in, one reply out."""
-        name = ""
+        """Return the reply to one batch of events; a fault in it becomes the wire's own message for that."""
+        instance = ""
         try:
             batch = orjson.loads(line)
             now = batch["now_s"]
-            out: list[Fields] = []
+            replies: list[Fields] = []
             for item in batch["events"]:
                 for kind, fields in item.items():
-                    name = fields.get("i", "")
-                    out.extend(self._one(now, kind, name, fields))
-            return orjson.dumps({"out": out})
-        except Exception as error:  # the wire's own way to say so; the text is for the report
+                    instance = fields.get("i", "")
+                    replies.extend(self._handle(now, kind, instance, fields))
+            return orjson.dumps({"out": replies})
+        except Exception as error:  # whatever it is, the text is for the simulator's report
             log.exception("batch failed")
-            return orjson.dumps({"out": [{"bug": {"i": name, "words": f"{type(error).__name__}: {error}"}}]})
+            text = f"{type(error).__name__}: {error}"
+            return orjson.dumps({"out": [{"bug": {"i": instance, "words": text}}]})
 
-    def _one(self, now: float, kind: str, name: str, fields: Fields) -> list[Fields]:
+    def _handle(self, now: float, kind: str, instance: str, fields: Fields) -> list[Fields]:
         if kind == "boot":
             controller = Controller(parse_settings(fields["facts"]), fields.get("prng", 0))
-            self.instances[name] = controller
-            actions = controller.handle(now, Started())
+            self.controllers[instance] = controller
+            taken = controller.handle(now, events.Started())
         elif kind == "down":
-            self.instances.pop(name, None)
+            self.controllers.pop(instance, None)
             return []
         else:
-            translate = _EVENT.get(kind)
-            instance = self.instances.get(name)
-            if translate is None or instance is None:
+            decode = EVENT_DECODERS.get(kind)
+            known = self.controllers.get(instance)
+            if decode is None or known is None:
                 return []
-            actions = instance.handle(now, translate(fields))
-        return [_ACTION[type(a)](name, a) for a in actions]
+            taken = known.handle(now, decode(fields))
+        return [ACTION_ENCODERS[type(action)](instance, action) for action in taken]
 
 
 def serve(source: BinaryIO, sink: BinaryIO) -> None:
-    """Answer batches until the input ends."""
-    drill = SimulatorAdapter()
+    """Answer batches, a line each, until the input ends."""
+    adapter = SimulatorAdapter()
     for line in source:
         if line.strip():
-            sink.write(drill.answer(line) + b"\n")
+            sink.write(adapter.answer(line) + b"\n")
             sink.flush()
 
 
 def main() -> int:
-    """Entry point."""
+    """Serve standard input and output; return the exit status."""
     logging.basicConfig(stream=sys.stderr, level=logging.INFO)
     serve(sys.stdin.buffer, sys.stdout.buffer)
     return 0
