--- a/snowthread/clients/database.py
+++ b/snowthread/clients/database.py
@@ -29,13 +29,13 @@
     __slots__ = (
         "_progress",
         "_reader",
-        "_unsent",
         "call",
         "call_started_at_ms",
         "idle_since_ms",
         "is_reusable",
         "sock",
         "task",
+        "unsent",
     )
 
     def __init__(self) -> None:
@@ -45,22 +45,20 @@
         self.is_reusable = False  # whether the last call left it fit for another
         self.sock: socket.socket | None = None
         self.task: Task | None = None
+        self.unsent = b""  # of the call's request
+        self._progress = Progress.NOT_CONNECTED  # what a failure would prove now
+        self._reader = ResponseReader()
 
     def begin(self, request: bytes, progress: Progress) -> None:
-        """Start to send a request; ``progress`` is what a failure without a reply proves."""
-        self._unsent, self._progress = request, progress
+        """Start to send a request; ``progress`` is what a failure before the reply proves."""
+        self.unsent, self._progress = request, progress
         self._reader = ResponseReader()
 
-    @property
-    def has_unsent(self) -> bool:
-        """Whether a part of the request is not sent."""
-        return bool(self._unsent)
-
     def send(self, sock: socket.socket) -> Failure | None:
         """Send what the socket takes."""
         try:
-            if self._unsent:
-                self._unsent = self._unsent[sock.send(self._unsent) :]
+            if self.unsent:
+                self.unsent = self.unsent[sock.send(self.unsent) :]
         except BlockingIOError:
             pass
         except OSError as error:
@@ -81,7 +79,7 @@
         reader = self._reader
         reader.feed(data)
         if reader.reply is not None:
-            self.is_reusable = not (self._unsent or reader.has_surplus or reader.closes)
+            self.is_reusable = not (self.unsent or reader.has_surplus or reader.closes)
             return reader.reply
         return None if reader.failure is None else Failure(self._progress, reader.failure)
 
@@ -260,7 +258,7 @@
             failure = connection.send(sock)
             if failure is not None:
                 return failure
-            mask = READABLE | WRITABLE if connection.has_unsent else READABLE
+            mask = READABLE | WRITABLE if connection.unsent else READABLE
             ready = yield Wait(sock.fileno(), mask, deadline_ms)
             timed_out = self._loop.clock.now() >= deadline_ms
             if connection.call is not call or not (ready & (READABLE | HANGUP) or timed_out):
--- a/snowthread/clients/database_codec.py
+++ b/snowthread/clients/database_codec.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from http import HTTPStatus
 
 import httptools
 
@@ -14,6 +13,12 @@
 MAX_HEAD_BYTES = 8 * 1024  # of all heads before one reply's body
 MAX_REPLY_BYTES = 64 * 1024  # of a body, announced or received: a longer one is cut off
 
+# HTTP statuses as plain numbers: a lookup in http.HTTPStatus costs as much as a call, several times a reply.
+STATUS_OK = 200  # those below are interim
+STATUS_CONFLICT = 409
+STATUS_SERVICE_UNAVAILABLE = 503
+STATUS_GATEWAY_TIMEOUT = 504
+
 
 @dataclass(frozen=True, slots=True)
 class DatabaseReply:
@@ -30,13 +35,13 @@
         if result.progress is Progress.NOT_CONNECTED:
             return Outcome.UNREACHABLE
         return Outcome.TIMED_OUT if result.timed_out else Outcome.DISCONNECTED
-    if result.status == HTTPStatus.OK:
+    if result.status == STATUS_OK:
         return Outcome.SUCCESS
-    if result.overloaded and result.status == HTTPStatus.SERVICE_UNAVAILABLE:
+    if result.overloaded and result.status == STATUS_SERVICE_UNAVAILABLE:
         return Outcome.OVERLOADED
-    if result.overloaded and result.status == HTTPStatus.CONFLICT:
+    if result.overloaded and result.status == STATUS_CONFLICT:
         return Outcome.NOT_STARTED
-    return Outcome.TIMED_OUT if result.status == HTTPStatus.GATEWAY_TIMEOUT else Outcome.FAILURE
+    return Outcome.TIMED_OUT if result.status == STATUS_GATEWAY_TIMEOUT else Outcome.FAILURE
 
 
 def encode(call: effects.StartCall, host: str, time_left_ms: float) -> bytes:
@@ -103,7 +108,7 @@
     def on_headers_complete(self) -> None:
         """Check that the end of the reply can be recognised."""
         self._status = self._parser.get_status_code()
-        if self._status >= HTTPStatus.OK and not self._has_length and self.failure is None:
+        if self._status >= STATUS_OK and not self._has_length and self.failure is None:
             self.failure = "a reply without a length: a truncated one would look whole"
         self.closes = not self._parser.should_keep_alive()
 
@@ -116,5 +121,5 @@
 
     def on_message_complete(self) -> None:
         """Set the reply, unless this was an interim response (1xx)."""
-        if self.reply is None and self.failure is None and self._status >= HTTPStatus.OK:
+        if self.reply is None and self.failure is None and self._status >= STATUS_OK:
             self.reply = DatabaseReply(self._status, self._is_shed, bytes(self._body))
