Tests of tenants and LDAP: one file a module, fixtures in place of long sequences

Change: test_guard is split into test_removal_guard, test_staleness, test_unknown_clients and test_tenant_state, test_table into test_tenant_table and test_tenant_entry, test_ldap_health into test_retry_budget and test_server_selector; test_states is test_tenant_changes_in_reducer, test_whole test_tenants_program. New: a large refresh changes nothing before its last slice, log lines are bounded, a refresh after an operator's acceptance.

--- a/tests/operator/test_hcl.py
+++ b/tests/operator/test_hcl.py
@@ -1,4 +1,4 @@
-"""The operator's file: every mistake is named with file, block and key, and nothing is taken up half."""
+"""The operator's file: each error names file, block and key, and a file is applied as a whole."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 from snowthread import config
 from snowthread.config import ConfigError
-from snowthread.ldap import messages as m
+from snowthread.ldap.messages import Secret, SimpleBindRequest
 from snowthread.operator.features import Features
 
 NODE = config.load({"NODE_CONFIG": str(EXAMPLE)})
@@ -23,7 +23,7 @@
     return Features.load(path, node)
 
 
-def test_the_file_that_is_shipped_can_be_used() -> None:
+def test_the_shipped_file_is_valid() -> None:
     features = Features.load(EXAMPLE.parent.parent / "deploy" / "tenants.hcl", NODE)
     assert features.tenants is not None and features.lines()[0].startswith("tenants from ldap://")
 
@@ -74,7 +74,7 @@
         (f'tenants {{\n {GOOD} snapshot {{\n file = "/none/at/all"\n }}\n }}', ["key 'file'", "no folder"]),
     ],
 )
-def test_each_mistake_is_named_with_file_block_and_key(tmp_path: Path, text: str, words: list[str]) -> None:
+def test_each_error_names_file_block_and_key(tmp_path: Path, text: str, words: list[str]) -> None:
     with pytest.raises(ConfigError) as caught:
         load(tmp_path, text)
     line = str(caught.value)
@@ -82,24 +82,24 @@
     assert all(word in line for word in words), line
 
 
-def test_a_password_never_goes_out_in_clear_text_by_mistake(tmp_path: Path) -> None:
+def test_a_password_in_clear_text_has_to_be_allowed(tmp_path: Path) -> None:
     secret = tmp_path / "password"
     secret.write_text("pw\n")
     bind = f'bind {{\n dn = "cn=a"\n password_file = "{secret}"\n }}\n'
-    far = 'servers = ["ldap://10.0.0.1"]\n base = "dc=x"\n'
+    remote = 'servers = ["ldap://10.0.0.1"]\n base = "dc=x"\n'
     with pytest.raises(ConfigError, match="clear text"):
-        load(tmp_path, f"tenants {{\n {far} {bind} }}")
-    for allowed in (
-        f"{far} start_tls = true\n {bind}",
-        far.replace("ldap:", "ldaps:") + bind,
+        load(tmp_path, f"tenants {{\n {remote} {bind} }}")
+    for body in (
+        f"{remote} start_tls = true\n {bind}",
+        remote.replace("ldap:", "ldaps:") + bind,
         GOOD + bind,
-        far + bind.replace("}", "allow_clear_text = true\n }"),
+        remote + bind.replace("}", "allow_clear_text = true\n }"),
     ):
-        tenants = load(tmp_path, f"tenants {{\n {allowed} }}").tenants
-        assert tenants is not None and tenants.connection.bind == m.SimpleBindRequest("cn=a", m.Secret("pw"))
+        tenants = load(tmp_path, f"tenants {{\n {body} }}").tenants
+        assert tenants is not None and tenants.connection.bind == SimpleBindRequest("cn=a", Secret("pw"))
 
 
-def test_quotas_of_the_platform_and_of_a_directory_never_mix_silently(tmp_path: Path) -> None:
+def test_quotas_of_the_platform_and_of_a_directory_do_not_mix_unless_told(tmp_path: Path) -> None:
     fields = json.loads(EXAMPLE.read_bytes())
     fields["settings"]["projects"] = [{"name": "x", "quota_per_s": 3.0}]
     node = config.parse(fields)
@@ -108,12 +108,12 @@
     assert load(tmp_path, f"tenants {{\n {GOOD} replace_settings = true\n }}", node).tenants is not None
 
 
-def test_settings_compare_so_that_a_reload_sees_what_changed() -> None:
+def test_equal_blocks_make_equal_settings() -> None:
     assert settings(["ldap://127.0.0.1:1"]) == settings(["ldap://127.0.0.1:1"])
     assert settings(["ldap://127.0.0.1:1"]) != settings(["ldap://127.0.0.1:2"])
 
 
-def test_what_takes_a_new_start_is_told(tmp_path: Path) -> None:
+def test_changes_that_need_a_new_start_are_listed(tmp_path: Path) -> None:
     tenants, records = f"tenants {{\n {GOOD} }}\n", f'records {{\n folder = "{tmp_path}"\n }}\n'
     both = load(tmp_path, tenants + records)
     assert load(tmp_path, tenants + records).new_start(both) == []
--- /dev/null
+++ b/tests/tenants/test_removal_guard.py
@@ -0,0 +1,83 @@
+"""Which removals are applied, held, confirmed and accepted."""
+
+from __future__ import annotations
+
+from snowthread.tenants.removal_guard import RemovalGuard, RemovalRules
+
+RULES = RemovalRules(max_share=0.1, min_allowance=2, confirm_after_ms=60_000.0)
+OPERATOR_ONLY = RemovalRules(confirm_by_refresh=False)
+TENANTS = 100
+
+
+def ids(*numbers: int) -> frozenset[str]:
+    return frozenset(f"t{number}" for number in numbers)
+
+
+def guard_of_server_a() -> RemovalGuard:
+    guard = RemovalGuard(RULES)
+    guard.judge_full_refresh((), TENANTS, "a", 0.0)
+    return guard
+
+
+def test_few_removals_are_applied_and_many_are_held() -> None:
+    guard = guard_of_server_a()
+    assert guard.judge_full_refresh(ids(1, 2), TENANTS, "a", 1.0).removed_ids == ids(1, 2)
+    verdict = guard.judge_full_refresh(ids(*range(10, 30)), 98, "a", 2.0)
+    assert not verdict.removed_ids and verdict.newly_held and verdict.held is not None
+    assert guard.confirmation_due_at() == 2.0 + 60_000.0
+
+
+def test_a_slow_removal_of_everything_is_held_too() -> None:
+    guard, removed = guard_of_server_a(), 0
+    for number in range(TENANTS):  # one by one, as a script that empties the tree would
+        verdict = guard.judge_deletions(ids(number), TENANTS - removed, "a", number * 1000.0)
+        removed += len(verdict.removed_ids)
+    assert removed == 10
+
+
+def test_a_second_refresh_confirms_only_what_it_misses_too_and_only_when_due() -> None:
+    guard = guard_of_server_a()
+    guard.judge_full_refresh(ids(*range(50)), TENANTS, "a", 0.0)
+    assert not guard.judge_full_refresh(ids(*range(50)), TENANTS, "a", 59_000.0).removed_ids
+    verdict = guard.judge_full_refresh(ids(*range(10, 60)), TENANTS, "a", 60_000.0)
+    assert verdict.removed_ids == ids(*range(10, 50))
+    assert verdict.held is not None
+    assert verdict.held.tenant_ids == ids(*range(50, 60))  # missing for the first time
+
+
+def test_a_tenant_that_reappears_is_no_longer_held() -> None:
+    guard = guard_of_server_a()
+    guard.judge_full_refresh(ids(*range(50)), TENANTS, "a", 0.0)
+    guard.mark_present(ids(*range(49)))
+    assert guard.held is not None and guard.held.tenant_ids == ids(49)
+    assert not guard.judge_full_refresh((), TENANTS, "a", 1.0).held
+
+
+def test_another_servers_word_alone_removes_nothing() -> None:
+    guard = guard_of_server_a()
+    verdict = guard.judge_full_refresh(ids(1), TENANTS, "b", 1.0)
+    assert not verdict.removed_ids and verdict.held is not None
+    assert "another server" in verdict.held.reason
+    assert guard.judge_full_refresh(ids(1), TENANTS, "b", 61_000.0).removed_ids == ids(1)
+    assert guard.source_server == "b"
+
+
+def test_only_the_operator_confirms_by_digest_if_so_configured() -> None:
+    guard = RemovalGuard(OPERATOR_ONLY)
+    guard.source_server = "a"
+    held = guard.judge_full_refresh(ids(*range(50)), TENANTS, "a", 0.0).held
+    assert held is not None and guard.confirmation_due_at() is None
+    assert not guard.judge_full_refresh(ids(*range(50)), TENANTS, "a", 1e9).removed_ids
+    known = ids(*range(TENANTS))
+    guard.rules = RemovalRules(confirm_by_refresh=False, accepted_digest="000000000000")
+    assert not guard.take_accepted(known)
+    guard.rules = RemovalRules(confirm_by_refresh=False, accepted_digest=held.digest)
+    assert guard.take_accepted(known) == ids(*range(50)) and guard.held is None
+
+
+def test_a_refresh_that_misses_what_the_operator_accepted_removes_it() -> None:
+    guard = RemovalGuard(OPERATOR_ONLY)
+    held = guard.judge_full_refresh(ids(*range(50)), TENANTS, "a", 0.0).held
+    assert held is not None
+    guard.rules = RemovalRules(confirm_by_refresh=False, accepted_digest=held.digest)
+    assert guard.judge_full_refresh(ids(*range(50)), TENANTS, "a", 1.0).removed_ids == ids(*range(50))
--- a/tests/tenants/test_table.py
+++ b/tests/tenants/test_tenant_table.py
@@ -7,16 +7,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from snowthread.ldap import dn
-from snowthread.tenants.entry import AttributeNames, BadEntry, read_tenant
-from snowthread.tenants.model import IdentifiedBy, Status, Tenant
+from snowthread.tenants.model import BalancerRange, IdentifiedBy, Tenant
 from snowthread.tenants.table import TenantTable
 
-BASE = dn.parse("ou=tenants,dc=example")
-
 
 def tenant(
-    tenant_id: str, *networks: str, balancers: tuple[tuple[int, int], ...] = (), quota: float = 0.0
+    tenant_id: str, *networks: str, balancers: tuple[BalancerRange, ...] = (), quota: float = 0.0
 ) -> Tenant:
     return Tenant(
         tenant_id,
@@ -51,9 +47,11 @@
         assert table.identify(address).tenant_id == owner, address
 
 
-def test_a_number_is_believed_from_trusted_networks_only() -> None:
+def test_a_balancers_number_is_believed_from_trusted_networks_only() -> None:
     table = TenantTable([ip_network("10.7.0.0/16")])
-    table.apply([tenant("a", "10.0.0.0/8"), tenant("b", balancers=((3, 5), (100, 100)))])
+    table.apply(
+        [tenant("a", "10.0.0.0/8"), tenant("b", balancers=(BalancerRange(3, 5), BalancerRange(100, 100)))]
+    )
     assert (
         table.identify("10.7.0.1", 4).tenant_id == "b"
         and table.identify("10.7.0.1", 4).identified_by is IdentifiedBy.BALANCER
@@ -65,12 +63,12 @@
     assert table.identify("10.7.0.1", 4).tenant_id == "a"
 
 
-def test_a_network_claimed_twice_is_the_least_ids_until_it_lets_go() -> None:
+def test_a_network_claimed_twice_belongs_to_the_least_id_until_released() -> None:
     table = TenantTable()
     first = table.apply([tenant("b", "10.0.0.0/8")])
     assert not first.conflicts
     second = table.apply([tenant("a", "10.0.0.0/8")])
-    assert [x.describe() for x in second.conflicts] == [
+    assert [conflict.describe() for conflict in second.conflicts] == [
         "network 10.0.0.0/8 is claimed by a, who has it, and by b"
     ]
     assert table.identify("10.0.0.1").tenant_id == "a" and len(table.conflicts) == 1
@@ -93,10 +91,14 @@
     ]
 )
 TENANTS = st.builds(
-    lambda i, n, b: tenant(i, *n, balancers=tuple(b)),
+    lambda tenant_id, networks, balancers: tenant(tenant_id, *networks, balancers=tuple(balancers)),
     st.sampled_from("abcd"),
     st.lists(NETWORKS, max_size=4, unique=True),
-    st.lists(st.sampled_from([(1, 1), (1, 4), (3, 9)]), max_size=2, unique=True),
+    st.lists(
+        st.sampled_from([BalancerRange(1, 1), BalancerRange(1, 4), BalancerRange(3, 9)]),
+        max_size=2,
+        unique=True,
+    ),
 )
 PROBES = [
     ("10.0.0.1", 1),
@@ -110,26 +112,27 @@
 
 @given(st.lists(st.one_of(TENANTS, st.sampled_from("abcd"))))
 @settings(max_examples=300, deadline=None)
-def test_the_table_depends_on_what_is_there_not_on_how_it_came(steps: list[Tenant | str]) -> None:
-    trusted, want = [ip_network("10.0.0.0/25")], dict[str, Tenant]()
+def test_the_table_depends_on_the_tenants_not_on_the_order_of_changes(changes: list[Tenant | str]) -> None:
+    trusted = [ip_network("10.0.0.0/25")]
+    expected: dict[str, Tenant] = {}
     table = TenantTable(trusted)
-    for step in steps:
-        if isinstance(step, str):
-            table.apply([], [step])
-            want.pop(step, None)
+    for change in changes:
+        if isinstance(change, str):
+            table.apply([], [change])
+            expected.pop(change, None)
         else:
-            table.apply([step])
-            want[step.id] = step
+            table.apply([change])
+            expected[change.id] = change
     fresh = TenantTable(trusted)
-    fresh.apply(sorted(want.values(), key=lambda t: t.id, reverse=True))
+    fresh.apply(sorted(expected.values(), key=lambda t: t.id, reverse=True))
     for address, number in PROBES:
         assert table.identify(address, number) == fresh.identify(address, number)
-    assert table.network_count == fresh.network_count == sum(len(t.networks) for t in want.values())
+    assert table.network_count == fresh.network_count == sum(len(t.networks) for t in expected.values())
     told = [{c for c in each.conflicts if c.resource.startswith("network")} for each in (table, fresh)]
     assert told[0] == told[1]
 
 
-def test_the_cache_of_callers_is_bounded_and_never_stale() -> None:
+def test_the_cache_of_identities_is_bounded_and_never_stale() -> None:
     table = TenantTable()
     table.apply([tenant("a", "0.0.0.0/0")])
     for n in range(20_000):
@@ -137,41 +140,3 @@
     assert len(table._cache) <= 8192
     table.apply([tenant("b", "10.0.0.0/24")])
     assert table.identify("10.0.0.5").tenant_id == "b"
-
-
-def test_entries_are_read_strictly() -> None:
-    good = {
-        "cn": (b"Farbhof",),
-        "snowthreadquota": (b"12.5",),
-        "snowthreadstatus": (b"Suspended",),
-        "snowthreadnetwork": (b"10.1.2.3/16", b"2001:db8::/32"),
-        "snowthreadbalancer": (b"7", b"3-5"),
-        "snowthreadclass": (b"match",),
-        "entryuuid": (b"10B6A61E-4736-524c-bf1f-0a63779c2252",),
-    }
-    name = "cn=Farbhof,ou=Tenants,dc=example"
-    got = read_tenant(name, good, AttributeNames(), BASE)
-    assert got == Tenant(
-        "10b6a61e4736524cbf1f0a63779c2252",
-        "Farbhof",
-        Status.SUSPENDED,
-        12.5,
-        (ip_network("10.1.0.0/16"), ip_network("2001:db8::/32")),
-        ((3, 5), (7, 7)),
-        frozenset({"match"}),
-    )
-    for change in (
-        {"snowthreadquota": (b"-1",)},
-        {"snowthreadquota": (b"nan",)},
-        {"snowthreadquota": (b"1", b"2")},
-        {"snowthreadnetwork": (b"10.0.0.0/40",)},
-        {"snowthreadstatus": (b"maybe",)},
-        {"snowthreadbalancer": (b"9-3",)},
-        {"cn": ()},
-        {"cn": (b"\xff\xfe",)},
-        {"cn": (b"a\nb",)},
-        {"snowthreadbalancer": (b"-4",)},
-    ):
-        assert isinstance(read_tenant(name, good | change, AttributeNames(), BASE), BadEntry), change
-    assert isinstance(read_tenant("cn=x,ou=elsewhere,dc=example", good, AttributeNames(), BASE), BadEntry)
-    assert isinstance(read_tenant("not a name", good, AttributeNames(), BASE), BadEntry)
--- /dev/null
+++ b/tests/tenants/test_tenants_program.py
@@ -0,0 +1,262 @@
+"""The whole program with a directory: through stalls, suspensions, reloads, cold starts and shutdowns."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack
+from pathlib import Path
+from typing import Any
+
+import pytest
+from ask import ask
+from support.exchange import address, loopback
+from test_program import PATIENCE_S, ROOT, at, configuration, environment, site, started
+
+SERVED = "served"
+REJECTED = "Throttled"
+
+
+class TenantsSetup:
+    """A node's configuration, an operator's file, and a directory that takes commands."""
+
+    def __init__(self, folder: Path, stack: ExitStack, more: str = "") -> None:
+        self.folder, self.stack = folder, stack
+        with loopback(socket.SOCK_STREAM) as sock:
+            self.directory_address = address(sock)
+        self.node_config = configuration(folder, stop_ms=1000)
+        self.operator_file = folder / "tenants.hcl"
+        self.more = more
+        self.write(self.directory_address)
+        self.directory: subprocess.Popen[str]
+
+    def write(self, directory_address: str, more: str = "") -> None:
+        self.operator_file.write_text(f"""tenants {{
+          servers = ["ldap://{directory_address}"]
+          base = "ou=tenants,dc=example"
+          spread = "1ms"
+          probe = "300ms"
+          operation = "600ms"
+          retry {{ pause_most = "300ms" }}
+          {self.more}
+          {more}
+        }}
+        """)
+
+    def start_directory(self) -> None:
+        self.directory = self.stack.enter_context(
+            started(
+                "-m",
+                "emulators.directory",
+                self.directory_address,
+                env=environment(self.node_config),
+                stdin=subprocess.PIPE,
+            )
+        )
+        assert self.directory.stdout is not None
+        assert "5 tenants" in self.directory.stdout.readline()
+
+    def command(self, line: str) -> None:
+        assert self.directory.stdin is not None and self.directory.stdout is not None
+        self.directory.stdin.write(line + "\n")
+        self.directory.stdin.flush()
+        assert self.directory.stdout.readline() == f"done: {line}\n"
+
+    def start_node(self, **more: Any) -> subprocess.Popen[str]:
+        if self.node_config.with_name("site").exists() is False:
+            self.node_config.with_name("site").touch()
+            self.stack.enter_context(site(self.node_config))
+        process = self.stack.enter_context(
+            started(
+                "-m",
+                "snowthread",
+                "serve",
+                "--with",
+                str(self.operator_file),
+                env=environment(self.node_config),
+                **more,
+            )
+        )
+        self.startup_log = read_log_until(process, "listens on")
+        return process
+
+    def request(self, idempotency_key: str | None = None) -> str:
+        response: Any = ask(
+            at(self.node_config), "dispense" if idempotency_key else "match", b"grey", idempotency_key
+        )
+        return str(response[2][0]) if response[2] else SERVED
+
+    def wait_until(self, holds: Callable[[], bool]) -> None:
+        end = time.monotonic() + PATIENCE_S
+        while not holds():
+            assert time.monotonic() < end, "it never held"
+            time.sleep(0.05)
+
+
+@pytest.fixture
+def setup(tmp_path: Path) -> Iterator[TenantsSetup]:
+    with ExitStack() as stack:
+        yield TenantsSetup(tmp_path, stack)
+
+
+def read_log_until(process: subprocess.Popen[str], text: str) -> str:
+    """Return all lines up to the one with this text."""
+    assert process.stderr is not None
+    lines = ""
+    for line in iter(process.stderr.readline, ""):
+        lines += line
+        if text in line:
+            return lines
+    raise AssertionError(f"the log ended without {text!r}")
+
+
+def test_known_tenants_are_served_through_a_stall_and_a_suspension_takes_effect(setup: TenantsSetup) -> None:
+    setup.start_directory()
+    process = setup.start_node()
+    read_log_until(process, "refreshed in")
+    assert setup.request() == SERVED and setup.request("k1") == SERVED
+    setup.command("stall")
+    began = time.monotonic()
+    while time.monotonic() < began + 2.5:  # longer than an operation may take, so the link is given up
+        assert setup.request() == SERVED
+    read_log_until(process, "a probe is not answered")
+    setup.command("go")
+    setup.command("suspend Farbhof")  # 127.0.0.0/24: everybody here
+    setup.wait_until(lambda: setup.request() == REJECTED)
+    assert setup.request("k1") == SERVED  # a retry of what ran
+    assert setup.request("k2") == REJECTED
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(PATIENCE_S) == 0
+
+
+def test_a_shutdown_during_a_stalled_refresh_ends_in_time(setup: TenantsSetup) -> None:
+    setup.start_directory()
+    setup.command("stall")
+    process = setup.start_node()
+    assert setup.request() == SERVED  # the default tenant's
+    began = time.monotonic()
+    process.send_signal(signal.SIGTERM)
+    log = process.communicate(timeout=PATIENCE_S)[1]
+    assert process.returncode == 0 and time.monotonic() - began < 3.0
+    assert "Traceback" not in log and "left" in log
+
+
+def test_a_cold_start_with_the_directory_down_uses_the_snapshot(tmp_path: Path) -> None:
+    snapshot = tmp_path / "tenants.snapshot"
+    with ExitStack() as stack:
+        setup = TenantsSetup(tmp_path, stack, f'snapshot {{\n file = "{snapshot}"\n every = "200ms"\n }}')
+        setup.start_directory()
+        setup.command("suspend Farbhof")
+        first = setup.start_node()
+        setup.wait_until(lambda: snapshot.exists())
+        first.send_signal(signal.SIGTERM)
+        first.communicate(timeout=PATIENCE_S)
+        setup.directory.kill()
+        setup.directory.wait()
+        second = setup.start_node()
+        assert setup.request() == REJECTED
+        assert "5 from the snapshot" in setup.startup_log
+        second.send_signal(signal.SIGTERM)
+        second.communicate(timeout=PATIENCE_S)
+        snapshot.write_bytes(snapshot.read_bytes()[:-20])
+        third = setup.start_node()
+        assert setup.request() == SERVED  # nothing is known: the default tenant's
+        assert "not used: cut short" in setup.startup_log
+        third.send_signal(signal.SIGTERM)
+        third.communicate(timeout=PATIENCE_S)
+
+
+def test_a_reload_applies_both_files_or_neither_also_during_a_refresh(setup: TenantsSetup) -> None:
+    setup.start_directory()
+    setup.command("stall")
+    process = setup.start_node()
+    setup.operator_file.write_text("tenants {\n servers = []\n}\n")
+    process.send_signal(signal.SIGHUP)
+    line = read_log_until(process, "the old one stays")
+    assert "tenants.hcl" in line and "key" in line
+    old, setup.directory_address = setup.directory_address, ""
+    with loopback(socket.SOCK_STREAM) as sock:
+        setup.directory_address = address(sock)
+    assert old != setup.directory_address
+    setup.start_directory()  # another server
+    setup.write(setup.directory_address, "default {\n refuse = true\n }")
+    process.send_signal(signal.SIGHUP)
+    read_log_until(process, "read anew")
+    assert setup.directory_address in read_log_until(process, "refreshed in")
+    assert setup.request() == SERVED
+    setup.command("remove Farbhof")
+    setup.wait_until(lambda: setup.request() == REJECTED)  # unknown clients are rejected now
+
+
+def test_the_log_is_one_json_object_a_line_if_so_configured(setup: TenantsSetup) -> None:
+    setup.start_directory()
+    with started(
+        "-m",
+        "snowthread",
+        "serve",
+        "--with",
+        str(setup.operator_file),
+        env=environment(setup.node_config) | {"NODE_LOG_FORMAT": "json"},
+    ) as process:
+        line = json.loads(read_log_until(process, "tenants.refreshed").splitlines()[-1])
+        process.send_signal(signal.SIGTERM)
+        rest = [json.loads(text) for text in process.communicate(timeout=PATIENCE_S)[1].splitlines()]
+    assert line["tenants"] == 5 and line["peer"] == "directory" and line["level"] == "INFO"
+    assert {"time", "event", "message", "ms"} <= line.keys()
+    assert {"node.leaving", "node.left"} <= {record["event"] for record in rest}
+
+
+def run_command(setup: TenantsSetup, *words: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", "snowthread", *words],
+        cwd=ROOT,
+        text=True,
+        env=environment(setup.node_config),
+        capture_output=True,
+        timeout=PATIENCE_S,
+    )
+
+
+def test_the_commands_show_whois_and_check(setup: TenantsSetup) -> None:
+    setup.start_directory()
+    setup.command("put Zwei 127.0.0.0/24 3")  # claims what another has
+    shown = run_command(setup, "tenants", "show", "--with", str(setup.operator_file))
+    assert shown.returncode == 0 and "6 tenants" in shown.stdout and "Kolory  active  30/s" in shown.stdout
+    known = run_command(setup, "tenants", "whois", "--with", str(setup.operator_file), "127.0.1.9")
+    assert known.returncode == 0 and "Kolory" in known.stdout and "127.0.1.0/24" in known.stdout
+    nobody = run_command(setup, "tenants", "whois", "--with", str(setup.operator_file), "10.0.0.1")
+    assert nobody.returncode == 1 and "nobody" in nobody.stdout
+    faults = run_command(setup, "tenants", "check", "--with", str(setup.operator_file))
+    assert faults.returncode == 1 and "127.0.0.0/24 is claimed by" in faults.stdout
+    assert run_command(setup, "check", "--with", str(setup.operator_file)).stdout.startswith(
+        "tenants from ldap://"
+    )
+    setup.directory.kill()
+    setup.directory.wait()
+    down = run_command(setup, "tenants", "show", "--with", str(setup.operator_file))
+    assert down.returncode == 2 and "connect" in down.stderr and down.stderr.count("\n") == 1
+
+
+def test_a_start_without_features_imports_none_of_their_packages() -> None:
+    code = """
+import sys, snowthread.serve
+tops = {"click", "hcl2", "lark", "asn1tools", "pytricia", "emulators"}
+ours = ("snowthread.ldap", "snowthread.tenants", "snowthread.operator", "snowthread.cli")
+print([m for m in sys.modules
+       if m.split(".")[0] in tops or any(m == our or m.startswith(our + ".") for our in ours)])
+"""
+    done = subprocess.run(
+        [sys.executable, "-c", code],
+        cwd=ROOT,
+        text=True,
+        capture_output=True,
+        env=os.environ | {"PYTHONPATH": str(ROOT)},
+        timeout=PATIENCE_S,
+    )
+    assert done.stdout.strip() == "[]", done.stdout + done.stderr
