--- a/tests/lab/test_plan.py
+++ b/tests/lab/test_plan.py
@@ -1,4 +1,4 @@
-"""Scenarios to plans: the same file and seed give the same plan; what can't be played is refused by name."""
+"""Scenarios and their plans: the same file and seed give the same plan, and faults of a file are named."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
     return path
 
 
-def test_the_example_plans_the_same_twice_and_kill_and_wipe_meet() -> None:
+def test_example_gives_the_same_plan_twice_and_simultaneous_steps_the_same_nodes() -> None:
     first, second = (
         read_scenario(ROOT / "deploy" / "restart.hcl"),
         read_scenario(ROOT / "deploy" / "restart.hcl"),
@@ -29,7 +29,7 @@
     assert [step.do for step in first.steps] == ["kill", "wipe", "slow", "start", "heal"]
 
 
-def test_another_seed_draws_other_nodes(tmp_path: Path) -> None:
+def test_other_seeds_draw_other_nodes(tmp_path: Path) -> None:
     chosen = set()
     for seed in range(1, 8):
         path = write(
@@ -39,7 +39,7 @@
     assert len(chosen) > 3
 
 
-def test_steps_come_in_the_order_of_time_with_their_ends(tmp_path: Path) -> None:
+def test_steps_and_their_ends_are_in_order_of_time(tmp_path: Path) -> None:
     path = write(
         tmp_path,
         'step {\n at = "5s"\n do = "partition"\n link = "roster"\n'
@@ -55,7 +55,7 @@
 
 
 @pytest.mark.parametrize(
-    ("text", "says"),
+    ("text", "message"),
     [
         ('step {\n do = "explode"\n}\n', "'do'"),
         ('step {\n do = "kill"\n nodes = ["n9"]\n}\n', "no node 'n9'"),
@@ -65,6 +65,8 @@
         ("speed = 3\n", "no such key"),
     ],
 )
-def test_what_cant_be_played_is_refused_by_name(tmp_path: Path, text: str, says: str) -> None:
-    with pytest.raises(ConfigError, match=says):
+def test_invalid_scenario_raises_an_error_that_names_the_fault(
+    tmp_path: Path, text: str, message: str
+) -> None:
+    with pytest.raises(ConfigError, match=message):
         read_scenario(write(tmp_path, text))
--- a/tests/lab/test_relay.py
+++ b/tests/lab/test_relay.py
@@ -1,4 +1,4 @@
-"""The lab's relay on loopback: bytes pass, and delay, bandwidth, partition and cut do what they say."""
+"""The lab's relay on loopback: it forwards bytes unchanged, and each fault has its effect."""
 
 from __future__ import annotations
 
@@ -55,14 +55,14 @@
     loop._close_tasks()
 
 
-def exchange(loop: EventLoop, relay: Relay, data: bytes, patience_ms: float = 3000.0) -> tuple[bytes, float]:
-    """Send, read back what comes within the patience; the bytes and how long it took, in ms."""
+def exchange(loop: EventLoop, relay: Relay, data: bytes, timeout_ms: float = 3000.0) -> tuple[bytes, float]:
+    """Send data and read the echo; return what came before the timeout, and the time it took in ms."""
     client = socket.create_connection(relay.address)
     client.setblocking(False)
     begin = loop.clock.now()
     client.sendall(data)
-    got = b""
-    while len(got) < len(data) and loop.clock.now() - begin < patience_ms:
+    received = b""
+    while len(received) < len(data) and loop.clock.now() - begin < timeout_ms:
         loop.run_once(0.005)
         try:
             more = client.recv(65536)
@@ -72,42 +72,42 @@
             break
         if not more:
             break
-        got += more
-    took = loop.clock.now() - begin
+        received += more
+    took_ms = loop.clock.now() - begin
     client.close()
-    return got, took
+    return received, took_ms
 
 
-def test_bytes_pass_unchanged(link: tuple[EventLoop, Relay]) -> None:
+def test_bytes_are_forwarded_unchanged(link: tuple[EventLoop, Relay]) -> None:
     loop, relay = link
     data = random.Random(2).randbytes(300_000)
     assert exchange(loop, relay, data)[0] == data
 
 
-def test_delay_holds_each_chunk(link: tuple[EventLoop, Relay]) -> None:
+def test_delay_applies_in_each_direction(link: tuple[EventLoop, Relay]) -> None:
     loop, relay = link
     relay.faults.delay_ms = 150.0
-    got, took = exchange(loop, relay, b"ping")
-    assert got == b"ping" and took >= 300.0  # there and back
+    received, took_ms = exchange(loop, relay, b"ping")
+    assert received == b"ping" and took_ms >= 300.0  # there and back
 
 
-def test_bandwidth_paces_a_large_write(link: tuple[EventLoop, Relay]) -> None:
+def test_bandwidth_limits_a_large_write(link: tuple[EventLoop, Relay]) -> None:
     loop, relay = link
     relay.faults.bytes_per_s = 200_000.0
-    got, took = exchange(loop, relay, b"x" * 100_000)
-    assert len(got) == 100_000 and took >= 500.0  # 0.5 s each way, the two in part at once
+    received, took_ms = exchange(loop, relay, b"x" * 100_000)
+    assert len(received) == 100_000 and took_ms >= 500.0  # 0.5 s each way, the two in part at once
 
 
-def test_a_partition_holds_what_is_open_and_refuses_what_comes(link: tuple[EventLoop, Relay]) -> None:
+def test_partition_rejects_new_connections_until_it_heals(link: tuple[EventLoop, Relay]) -> None:
     loop, relay = link
     relay.faults.partitioned = True
-    got, _ = exchange(loop, relay, b"ping", patience_ms=400.0)
-    assert got == b"" and relay.rejected == 1
+    received, _ = exchange(loop, relay, b"ping", timeout_ms=400.0)
+    assert received == b"" and relay.rejected == 1
     relay.faults.partitioned = False
     assert exchange(loop, relay, b"ping")[0] == b"ping"
 
 
-def test_a_cut_closes_connections_opened_before_it(link: tuple[EventLoop, Relay]) -> None:
+def test_cut_closes_only_connections_opened_before_it(link: tuple[EventLoop, Relay]) -> None:
     loop, relay = link
     client = socket.create_connection(relay.address)
     client.setblocking(False)
@@ -128,16 +128,16 @@
         if ended:
             break
     assert ended
-    assert exchange(loop, relay, b"two")[0] == b"two"  # the link itself lives on
+    assert exchange(loop, relay, b"two")[0] == b"two"  # the relay still accepts connections
 
 
-def test_jitter_keeps_order_within_a_connection() -> None:
-    faults, pace, draw = LinkFaults(delay_ms=10.0, jitter_ms=100.0), Pacing(0), random.Random(3)
-    times = [release_ms(faults, pace, float(at), 10, draw) for at in range(0, 100, 5)]
+def test_jitter_keeps_the_order_of_a_connection() -> None:
+    faults, pacing, generator = LinkFaults(delay_ms=10.0, jitter_ms=100.0), Pacing(0), random.Random(3)
+    times = [release_ms(faults, pacing, float(at), 10, generator) for at in range(0, 100, 5)]
     assert times == sorted(times) and len(set(times)) > 5
 
 
-def test_a_closed_relay_refuses_and_opens_at_the_same_address(link: tuple[EventLoop, Relay]) -> None:
+def test_closed_relay_rejects_and_opens_again_at_the_same_address(link: tuple[EventLoop, Relay]) -> None:
     loop, relay = link
     relay.close()
     with pytest.raises(ConnectionRefusedError):
