Examples: named constants and whole names

Cause: examples/ask.py and toy_site.py used short names and bare numbers.

Change: constants, a main function each, and docstrings; the arguments and output are as before.

--- a/examples/ask.py
+++ b/examples/ask.py
@@ -1,4 +1,8 @@
-"""Send one request to a formula node and print its answer: ``ask.py [CLASS [BODY [ONCE]]]``."""
+"""Send one request to a formula node and print its answer: ``ask.py [CLASS [BODY [KEY]]]``.
+
+``KEY`` is the idempotency key; requests of the class ``dispense`` have a random one where it is not given.
+The node's address is that of the configuration in ``NODE_CONFIG``, or of the example beside this file.
+"""
 
 from __future__ import annotations
 
@@ -12,33 +16,43 @@
 
 import msgpack
 
+REQUEST_MESSAGE = 0
+WAIT_MS = 3000
+MEMORY_KB = 20
+CONNECT_TIMEOUT_S = 5
+READ_BYTES = 65536
+
 
-def ask(address: tuple[str, int], class_name: str, body: bytes, once: str | None = None) -> object:
-    """The whole answer message."""
+def ask(address: tuple[str, int], class_name: str, body: bytes, idempotency_key: str | None = None) -> object:
+    """Send one request on a connection of its own and return the whole answer message."""
     fields = {
         "id": secrets.token_hex(8),
         "at": str(int(time.time() * 1000)),
         "from": "0",
-        "wait": "3000",
-        "kb": "20",
+        "wait": str(WAIT_MS),
+        "kb": str(MEMORY_KB),
         "rank": "0.5",
     }
-    if once:
-        fields["once"] = once
-    with socket.create_connection(address, timeout=5) as sock:
-        sock.sendall(msgpack.packb([0, 1, class_name, [fields, body]]))
+    if idempotency_key:
+        fields["once"] = idempotency_key
+    request = [REQUEST_MESSAGE, 1, class_name, [fields, body]]
+    with socket.create_connection(address, timeout=CONNECT_TIMEOUT_S) as sock:
+        sock.sendall(msgpack.packb(request))
         unpacker = msgpack.Unpacker()
         while True:
-            unpacker.feed(sock.recv(65536) or sys.exit("ask: the node closed the connection"))
+            unpacker.feed(sock.recv(READ_BYTES) or sys.exit("ask: the node closed the connection"))
             for message in unpacker:
                 return message
 
 
-if __name__ == "__main__":
+def main(class_name: str = "match", body: str = "a warm grey", key: str | None = None) -> None:
+    """Ask the configured node and print its answer."""
     path = Path(os.environ.get("NODE_CONFIG", Path(__file__).with_name("node.json")))
-    config = json.loads(path.read_text())
-    host, _, port = config["listen"].rpartition(":")
-    kind = sys.argv[1] if len(sys.argv) > 1 else "match"
-    text = sys.argv[2] if len(sys.argv) > 2 else "a warm grey"
-    key = sys.argv[3] if len(sys.argv) > 3 else (secrets.token_hex(16) if kind == "dispense" else None)
-    print(ask((host, int(port)), kind, text.encode(), key))
+    host, _, port = json.loads(path.read_text())["listen"].rpartition(":")
+    if key is None and class_name == "dispense":
+        key = secrets.token_hex(16)
+    print(ask((host, int(port)), class_name, body.encode(), key))
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:4])
--- a/examples/toy_site.py
+++ b/examples/toy_site.py
@@ -1,8 +1,8 @@
-"""A toy of everything a formula node talks to, for trying one out by hand. Not a load rig.
+"""Emulate everything a formula node talks to, for trying one out by hand; not for measurements.
 
-Run it from the repository's root beside a node (README.md says how). It plays the runtime, the index and the
-roster of emulators/site.py at the addresses of a configuration: a run takes a fifth of a second, every
-dispense makes one call to the index, and what comes by is printed.
+Run it from the repository's root beside a node (README.md says how). It emulates the runtime, the database
+and the registry at the addresses of a configuration: a run takes a fifth of a second, every ``dispense``
+makes one call to the database, and what happens is printed.
 """
 
 from __future__ import annotations
@@ -17,16 +17,17 @@
 from snowthread.net.clock import Clock
 from snowthread.net.loop import EventLoop
 
+EXAMPLE = Path(__file__).with_name("node.json")
 
-def main(path: str) -> None:
-    """Play all three until stopped."""
+
+def main(path: Path = EXAMPLE) -> None:
+    """Emulate the surroundings of a configured node until interrupted."""
     loop = EventLoop(Clock())
-    SiteEmulator(
-        loop, json.loads(Path(path).read_text()), SiteScript(tell=lambda line: print(line, flush=True))
-    )
+    script = SiteScript(tell=lambda line: print(line, flush=True))
+    SiteEmulator(loop, json.loads(path.read_text()), script)
     print("toy site: ready", flush=True)
     loop.run()
 
 
 if __name__ == "__main__":
-    main(sys.argv[1] if len(sys.argv) > 1 else str(Path(__file__).with_name("node.json")))
+    main(*map(Path, sys.argv[1:2]))
