Tests: figures of the lab's summary and damage to state folders

Cause: the pure parts of the lab's summary were shown only by whole runs.

Change: tests/lab/test_summary.py (smoothing, recovery of service, findings of starts under both prefixes of log events, stale decisions, damage to state); the scripted servers of tests/lab accept through emulators/servers.py.

--- a/emulators/balancers.py
+++ b/emulators/balancers.py
@@ -95,8 +95,8 @@
         weights = [max(WEIGHT_MIN, self._weights.get(name, 1.0)) for name in candidates]
         return self._generator.choices(candidates, weights)[0]
 
-    def take_weight(self, node: str, weight: float) -> None:
-        """Take the weight that a node reported."""
+    def set_weight(self, node: str, weight: float) -> None:
+        """Set the weight that a node reported."""
         self._weights[node] = weight
 
     def avoid(self, source: str, node: str, for_ms: float) -> None:
@@ -152,7 +152,7 @@
             repeated = bool(key) and generator.random() < plan.repeated_share
             repeat_after_ms = generator.uniform(*plan.repeat_after_ms) if repeated else 0.0
             source = generator.choice(self._sources)
-            self._loop.call_at(at, partial(self._begin, kind, key, source, foreign, repeat_after_ms))
+            self._loop.call_at(at, partial(self._start_request, kind, key, source, foreign, repeat_after_ms))
 
     def _draw_class(self) -> RequestClass:
         keyed = next(kind for kind in self._plan.classes if kind.keyed)
@@ -161,7 +161,7 @@
         safe = [kind for kind in self._plan.classes if not kind.keyed]
         return self._generator.choices(safe, [kind.share for kind in safe])[0]
 
-    def _begin(
+    def _start_request(
         self, kind: RequestClass, key: str, source: str, foreign: bool, repeat_after_ms: float
     ) -> None:
         request = ClientRequest(kind, key, self._loop.clock.now(), source, foreign)
@@ -229,7 +229,7 @@
         self._accounts.counts["late"] += self._accounts.is_late(attempt, asked.at, now)
         fields = message[2][1] if message[2] else message[3][1]
         if "say" in fields:
-            self._router.take_weight(node, float(fields["say"]))
+            self._router.set_weight(node, float(fields["say"]))
         if outcome == SERVED:
             self._take_result(request, message[3][0], now)
         elif outcome == REFUSED:
--- a/tests/lab/test_balancers.py
+++ b/tests/lab/test_balancers.py
@@ -5,14 +5,15 @@
 import json
 import socket
 from collections.abc import Iterator
-from dataclasses import dataclass, field
 from typing import Any
 
 import msgpack
 import pytest
 
 from emulators.balancers import Balancers
+from emulators.servers import accept_connections, listen
 from emulators.traffic_plan import TrafficPlan
+from snowthread.address import Address
 from snowthread.net.clock import Clock
 from snowthread.net.loop import READABLE, EventLoop, TaskSteps, Wait
 
@@ -44,25 +45,15 @@
 }
 
 
-@dataclass
 class ScriptedNode:
     """A node that sends each answer so many times."""
 
-    loop: EventLoop
-    answers: int = 1
-    body: bytes = b"a warm grey known"
-    listener: socket.socket = field(default_factory=lambda: socket.create_server(("127.0.0.1", 0)))
-
-    def __post_init__(self) -> None:
-        self.listener.setblocking(False)
-        self.loop.spawn(self._accept())
-
-    def _accept(self) -> TaskSteps:
-        while True:
-            yield Wait(self.listener.fileno(), READABLE)
-            connection, _ = self.listener.accept()
-            connection.setblocking(False)
-            self.loop.spawn(self._serve(connection))
+    def __init__(self, loop: EventLoop, answers: int = 1, body: bytes = b"a warm grey known") -> None:
+        self.loop = loop
+        self.answers = answers
+        self.body = body
+        self.listener = listen(Address("127.0.0.1", 0))
+        loop.spawn(accept_connections(loop, self.listener, self._serve))
 
     def _serve(self, connection: socket.socket) -> TaskSteps:
         unpacker = msgpack.Unpacker()
--- a/tests/lab/test_relay.py
+++ b/tests/lab/test_relay.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from emulators.servers import accept_connections, listen
 from snowthread.address import Address
 from snowthread.lab.faults import LinkFaults, Pacing, release_ms
 from snowthread.lab.relay import Relay
@@ -20,17 +21,9 @@
 
     def __init__(self, loop: EventLoop) -> None:
         self.loop = loop
-        self.sock = socket.create_server(("127.0.0.1", 0))
-        self.sock.setblocking(False)
+        self.sock = listen(Address("127.0.0.1", 0))
         self.address = Address(*self.sock.getsockname()[:2])
-        loop.spawn(self._accept())
-
-    def _accept(self) -> TaskSteps:
-        while True:
-            yield Wait(self.sock.fileno(), READABLE)
-            peer, _ = self.sock.accept()
-            peer.setblocking(False)
-            self.loop.spawn(self._echo(peer))
+        loop.spawn(accept_connections(loop, self.sock, self._echo))
 
     def _echo(self, peer: socket.socket) -> TaskSteps:
         try:
--- /dev/null
+++ b/tests/lab/test_summary.py
@@ -0,0 +1,86 @@
+"""The figures of a run's summary: when service has recovered, and what the nodes found at their starts."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from snowthread.lab import state_damage
+from snowthread.lab.summary import Recovery, measure_recovery, smooth, summarize_records
+from snowthread.records.model import Record
+
+
+def test_smoothing_takes_the_mean_with_both_neighbours() -> None:
+    assert smooth([0.0, 3.0, 6.0, 3.0]) == [1.5, 3.0, 4.0, 4.5]
+    assert smooth([]) == []
+
+
+@pytest.mark.parametrize(
+    ("service", "fault_s", "expected"),
+    [
+        # Smoothed over three seconds, the dip of 3 and 4 is full again in 6, three seconds after the fault.
+        ([1.0, 1.0, 1.0, 0.0, 0.0, 1.0, 1.0, 1.0, 1.0, 1.0], 3.0, Recovery(3.0, 0)),
+        ([1.0, 1.0, 1.0, 0.0, 0.0, 1.0, 1.0, 1.0, 1.0, 1.0], 3.5, Recovery(2.5, 0)),
+        # Full for three seconds, then a second dip, of which the neighbours feel a part.
+        ([1.0, 1.0, 0.0, 1.0, 1.0, 1.0, 1.0, 1.0, 0.0, 1.0, 1.0], 2.0, Recovery(2.0, 3)),
+        ([1.0, 1.0, 1.0, 0.5, 0.5, 0.5, 0.5], 3.0, Recovery(None, 0)),
+        ([1.0, 1.0, 1.0], 9.0, Recovery(None, 0)),  # a fault after the run
+    ],
+)
+def test_service_has_recovered_once_three_seconds_reach_the_baseline(
+    service: list[float], fault_s: float, expected: Recovery
+) -> None:
+    assert measure_recovery(service, fault_s, baseline=1.0) == expected
+
+
+def record(kind: str, **fields: Any) -> Record:
+    return Record("n1", "boot", 1, 0.0, kind, fields)
+
+
+@pytest.mark.parametrize("prefix", ["recovery", "comeback"])
+def test_findings_of_starts_are_counted_by_event_and_verdict(prefix: str) -> None:
+    summary = summarize_records(
+        [
+            record("note", event=f"{prefix}.ring", verdict="whole"),
+            record("note", event=f"{prefix}.ring", verdict="whole"),
+            record("note", event=f"{prefix}.snapshot", verdict="torn"),
+            record("note", event=f"{prefix}.life"),
+            record("note", event=f"{prefix}.write"),  # a snapshot not written: nothing about a start
+            record("note", event="node.started"),
+            record("note"),
+        ]
+    )
+    assert summary["starts"] == {"ring whole": 2, "snapshot torn": 1, "life": 1}
+
+
+def test_requests_read_with_old_run_times_are_stale_decisions() -> None:
+    summary = summarize_records(
+        [
+            record("start", classes=[["match", 1000.0, 0]]),
+            record("second", totals=[["match", 0, {"read": 5}]], run_ages_s={"match": 2.2}),
+            record("second", totals=[["match", 0, {"read": 3}]], run_ages_s={"match": 2.3}),
+            record("second", totals=[["match", 0, {"read": 2}]]),
+            record("second", totals=[["other", 0, {"read": 1}]], run_ages_s={"other": 99.0}),
+        ]
+    )
+    assert summary["stale_decisions"] == 3 and summary["decisions"] == 11
+
+
+def test_state_damage_leaves_what_its_name_says(tmp_path: Path) -> None:
+    state = tmp_path / "state"
+    (state / "inner").mkdir(parents=True)
+    data = bytes(range(100))
+    files = [state / "a", state / "inner" / "b"]
+    for path in files:
+        path.write_bytes(data)
+    (state / "empty").write_bytes(b"")
+
+    state_damage.corrupt_files(state)
+    for path in files:
+        assert sum(new != old for new, old in zip(path.read_bytes(), data, strict=True)) == 1
+    state_damage.truncate_files(state)
+    assert [path.stat().st_size for path in files] == [50, 50]
+    state_damage.wipe(state)
+    assert state.is_dir() and not list(state.iterdir())
