--- /dev/null
+++ b/tests/admission/test_concurrency.py
@@ -0,0 +1,53 @@
+"""The run limit, its ceiling and the memory."""
+
+from __future__ import annotations
+
+from support.admission_controller import arrive, request_ids, started_controller
+
+from snowthread.admission.actions import StartRun
+from snowthread.admission.controller import MAX_MEMORY_SHARE, UPDATE_TIMER
+from snowthread.admission.events import CallNeeded, TimerFired
+from snowthread.admission.settings import Dependency
+
+
+def test_memory_is_never_exceeded() -> None:
+    controller = started_controller(cores=50, memory_kb=385.0)
+    ran = sum(len(request_ids(arrive(controller, 0.1, n), StartRun)) for n in range(1, 40))
+    assert ran == 8  # a ninth run of 40 kB would pass the share of memory that is used
+    assert controller._open.memory.used_kb <= MAX_MEMORY_SHARE * 385.0
+
+
+def test_the_ceiling_follows_the_warm_up() -> None:
+    controller = started_controller(starts_cold=True, cold_speed=0.25, warmup_s=10.0)
+    assert (
+        controller.concurrency.ceiling(0.0)
+        < controller.concurrency.ceiling(5.0)
+        < controller.concurrency.ceiling(10.0)
+        <= 2 * 4.0
+    )
+    assert controller.concurrency.ceiling(0.0) >= 2
+
+
+def test_the_limit_grows_while_cores_idle_and_work_waits() -> None:
+    controller = started_controller()
+    for n in range(1, 6):
+        arrive(controller, 0.1, n)
+    controller.handle(0.25, TimerFired(UPDATE_TIMER, core_utilization=0.3))
+    assert (
+        controller.concurrency.limit == 2
+    )  # runs did not want all cores throughout the time that utilization covers
+    controller.handle(0.5, TimerFired(UPDATE_TIMER, core_utilization=0.3))
+    controller.handle(0.75, TimerFired(UPDATE_TIMER, core_utilization=0.3))
+    assert 2 < controller.concurrency.limit <= controller.concurrency.ceiling(0.75)
+
+
+def test_runs_and_calls_together_stay_under_the_ceiling() -> None:
+    # All that stands at calls may come back to the cores at once.
+    controller = started_controller(dependency=Dependency.TIER, memory_kb=1e6)
+    for n in range(1, 20):
+        for started in request_ids(arrive(controller, 0.1, n, "ask"), StartRun):
+            controller.handle(0.1, CallNeeded(started))
+    assert (
+        controller._open.cores.running + len(controller._calls.table.in_flight)
+        <= controller.concurrency.ceiling(0.1) + 1
+    )
--- /dev/null
+++ b/tests/admission/test_deadlines.py
@@ -0,0 +1,88 @@
+"""Answers at the deadline, and the timer that brings them."""
+
+from __future__ import annotations
+
+import heapq
+import random
+
+from support.admission_controller import arrive, request_ids, started_controller
+
+from snowthread.admission.actions import Fail, Reject, SetTimer, SkipCall, StartCall, StartRun, StopRun
+from snowthread.admission.controller import DEADLINE_TIMER
+from snowthread.admission.events import (
+    CallFinished,
+    CallNeeded,
+    Event,
+    RequestArrived,
+    RunFinished,
+    RunIndeterminate,
+    TimerFired,
+)
+from snowthread.admission.settings import Dependency, Outcome, Preemption
+
+
+def test_a_running_request_is_answered_at_its_deadline() -> None:
+    controller = started_controller(preemption=Preemption.PAUSE)
+    arrive(controller, 0.1, 1)
+    actions = controller.handle(3.08, TimerFired(DEADLINE_TIMER))
+    assert request_ids(actions, Reject) == [1] and request_ids(actions, StopRun) == [1]
+    assert request_ids(controller.handle(3.09, TimerFired(DEADLINE_TIMER)), Reject) == []
+
+
+def test_a_running_request_with_effects_fails_at_its_deadline() -> None:
+    controller = started_controller()
+    arrive(controller, 0.1, 1, "keyed")
+    actions = controller.handle(3.08, TimerFired(DEADLINE_TIMER))
+    assert request_ids(actions, Fail) == [1] and request_ids(actions, Reject) == []
+
+
+def test_a_propagated_deadline_is_used() -> None:
+    controller = started_controller(propagates_deadline=True)
+    actions = arrive(controller, 0.1, 1, time_left_s=0.5)
+    assert min(a.delay_s for a in actions if isinstance(a, SetTimer)) <= 0.5
+
+
+def test_an_indeterminate_run_frees_its_core_and_fails_before_its_deadline() -> None:
+    controller = started_controller()
+    arrive(controller, 0.1, 1, "keyed")
+    arrive(controller, 0.1, 2)
+    assert not request_ids(arrive(controller, 0.2, 3), StartRun)
+    assert request_ids(controller.handle(0.3, RunIndeterminate(1)), StartRun) == [3]
+    assert not request_ids(controller.handle(0.9, TimerFired(DEADLINE_TIMER)), Fail)
+    actions = controller.handle(1.4, TimerFired(DEADLINE_TIMER))
+    assert request_ids(actions, Fail) == [1] and request_ids(actions, Reject) == []
+    arrive(controller, 1.5, 4, "ask")
+    assert request_ids(controller.handle(1.6, RunFinished(2, Outcome.SUCCESS)), StartRun) == [4]
+    assert request_ids(controller.handle(1.7, RunIndeterminate(4, at_call=True)), SkipCall) == [4]
+
+
+def test_deadline_timers_do_not_multiply() -> None:
+    controller, rng = started_controller(propagates_deadline=True, cores=4), random.Random(1)
+    due: list[tuple[float, int]] = []
+    alarms, now, arrives, read = 0, 0.0, 0.02, 0
+
+    def post(event: Event) -> None:
+        for action in controller.handle(now, event):
+            if isinstance(action, SetTimer):
+                heapq.heappush(due, (now + action.delay_s, action.label))
+
+    while now < 20.0:
+        if due and due[0][0] < arrives:
+            now, label = heapq.heappop(due)
+            alarms += label == DEADLINE_TIMER
+            post(TimerFired(label))
+        else:
+            now, arrives, read = arrives, arrives + 0.02, read + 1
+            post(RequestArrived(read, "read", time_left_s=rng.uniform(0.2, 3.0)))
+            post(RunFinished(read - 10, Outcome.SUCCESS))
+    assert alarms < 300 < read
+
+
+def test_a_retry_timer_that_fires_a_hair_early_does_not_spin() -> None:
+    controller = started_controller(dependency=Dependency.TIER)
+    arrive(controller, 0.1, 1, "once")
+    controller.handle(0.2, CallNeeded(1))
+    controller.handle(0.3, CallFinished(1, Outcome.OVERLOADED, 0.1))
+    retry_at = controller._open.by_id[1].retry_at
+    controller.handle(retry_at - 0.01, TimerFired(DEADLINE_TIMER))
+    assert request_ids(controller.handle(retry_at - 1e-7, TimerFired(DEADLINE_TIMER)), StartCall) == [1]
--- /dev/null
+++ b/tests/admission/test_health.py
@@ -0,0 +1,37 @@
+"""Ejection of an outlier."""
+
+from __future__ import annotations
+
+from support.admission_controller import started_controller
+
+from snowthread.admission.actions import SetHealth
+from snowthread.admission.concurrency import UPDATE_PERIOD_S
+from snowthread.admission.controller import UPDATE_TIMER
+from snowthread.admission.events import ShutdownNotice, TimerFired
+
+
+def test_an_outlier_is_ejected_and_comes_back() -> None:
+    # Full cores throughout: healthy, then far slower; or many more arrivals, read and rejected.
+    for done, read, leaves in ((0.1, 1, True), (0.1, 8, False)):
+        controller = started_controller()
+        health: list[bool] = []
+        for n in range(1, 160):
+            slow = 60 <= n < 100
+            estimates = controller.estimates
+            estimates.work_done, estimates.requests_read = (done, read) if slow else (2.0, 1)
+            out = controller.handle(n * UPDATE_PERIOD_S, TimerFired(UPDATE_TIMER, core_utilization=1.0))
+            health += [a.healthy for a in out if isinstance(a, SetHealth)]
+        assert health == ([False, True] if leaves else [])
+
+
+def test_a_server_that_shuts_down_does_not_become_healthy_again() -> None:
+    controller = started_controller()
+    controller.estimates.work_speed, controller.estimates.best_work_speed = 1.0, 10.0
+    controller.handle(0.25, TimerFired(UPDATE_TIMER, core_utilization=1.0))
+    controller.handle(0.5, ShutdownNotice(60.0))
+    out = [
+        a
+        for n in range(3, 80)
+        for a in controller.handle(n * 0.25, TimerFired(UPDATE_TIMER, core_utilization=0.1))
+    ]
+    assert not any(isinstance(a, SetHealth) for a in out)
--- a/tests/admission/test_learned_state.py
+++ b/tests/admission/test_learned_state.py
@@ -1,4 +1,4 @@
-"""What is recalled at a start, and what is forgotten once too old."""
+"""Learned state: what is restored at a start, and what is given up once too old."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
     return at
 
 
-def test_what_was_learned_comes_back_slower_by_the_cold_machines_speed() -> None:
+def test_restored_run_times_are_slower_by_the_cold_machines_speed() -> None:
     warm = controller()
     runs(warm, 0.3, 30)
     known = learned_state.export_learned_state(warm)
@@ -41,15 +41,20 @@
     assert known.times["match"].run_time_s >= known.times["match"].core_time_s
     fresh = controller(cold=True)
     learned_state.restore_learned_state(fresh, known, 0.25)
-    est = fresh.estimates
-    assert est.core_time_s[0] * est.work_of(0, None) == pytest.approx(4 * known.times["match"].core_time_s)
+    estimates = fresh.estimates
+    assert estimates.core_time_s[0] * estimates.work_of(0, None) == pytest.approx(
+        4 * known.times["match"].core_time_s
+    )
+    # Those of a warm machine would be stale here.
     assert (
-        est.service_rate == 0.0 and est.best_work_speed == 0.0 and fresh.blocking_probability == 0.0
-    )  # a warm machine's: stale here
+        estimates.service_rate == 0.0
+        and estimates.best_work_speed == 0.0
+        and fresh.blocking_probability == 0.0
+    )
     assert learned_state.runs_within_factor(fresh, known, 1.25) is False
 
 
-def test_recalling_never_replaces_what_this_life_has_measured() -> None:
+def test_restoring_never_replaces_what_this_process_has_measured() -> None:
     warm, other = controller(), controller()
     runs(warm, 0.3, 30)
     runs(other, 0.6, 30)
@@ -58,7 +63,7 @@
     assert other.estimates.core_time_s == before
 
 
-def test_run_times_that_nothing_confirms_are_gone_after_their_bound() -> None:
+def test_run_times_that_nothing_confirms_are_given_up_after_their_bound() -> None:
     made = controller()
     end = runs(made, 1.8, 5)
     ages = learned_state.LearnedStateAging(learned_state.LearnedState({}))
@@ -70,7 +75,7 @@
     assert learned_state.confirmation_ages_s(made, end + 9.0) == {}
 
 
-def test_run_times_go_to_what_was_recalled_where_something_was() -> None:
+def test_run_times_age_towards_what_was_recalled() -> None:
     made = controller()
     end = runs(made, 1.8, 5)
     ages = learned_state.LearnedStateAging(
@@ -79,12 +84,11 @@
     for tick in range(40):
         ages.tick(made, end + tick * 0.25)
     work = made.estimates.work_of(0, None)
-    assert made.estimates.core_time_s[0] * work == pytest.approx(0.3) and made.estimates.run_time_s[
-        0
-    ] * work == pytest.approx(0.5)
+    assert made.estimates.core_time_s[0] * work == pytest.approx(0.3)
+    assert made.estimates.run_time_s[0] * work == pytest.approx(0.5)
 
 
-def test_a_service_rate_of_the_cold_machine_is_not_kept_once_runs_are_quicker() -> None:
+def test_a_service_rate_of_the_cold_machine_is_given_up_once_runs_are_quicker() -> None:
     made = controller()
     end = runs(made, 0.3, 30)
     made.estimates.service_rate = 0.5
@@ -95,10 +99,9 @@
     assert made.estimates.service_rate == pytest.approx(made.estimates.full_rate(made.estimates.core_time_s))
 
 
-def test_the_machines_speed_goes_with_its_age() -> None:
+def test_the_speed_of_a_cold_machine_grows_with_its_age() -> None:
     assert learned_state.warmup_speed(controller(), 1.0) == 1.0
     cold = controller(cold=True)
-    assert learned_state.warmup_speed(cold, 1.0) == 0.25 and learned_state.warmup_speed(
-        cold, 5.0
-    ) == pytest.approx(0.625)
+    assert learned_state.warmup_speed(cold, 1.0) == 0.25
+    assert learned_state.warmup_speed(cold, 5.0) == pytest.approx(0.625)
     assert learned_state.warmup_speed(cold, 50.0) == 1.0
--- a/tests/admission/test_properties.py
+++ b/tests/admission/test_properties.py
@@ -170,6 +170,10 @@
         if self.s.dependency is Dependency.SHARED:
             assert used <= self.s.call_quota * self.s.call_quota_window_s + 1e-6, "fall-over: dependency"
 
+    def may_call(self, request: int) -> bool:
+        calls = self.arrival[request][0].class_name in ("once", "ask")
+        return calls and self.s.dependency is not Dependency.NONE
+
     def pick(self, state: str, n: int) -> int | None:
         some = sorted(r for r, w in self.where.items() if w == state)
         return some[n % len(some)] if some else None
@@ -212,10 +216,9 @@
         h.send(RequestAbandoned(r))
     if op in ("running", "attached") and (r := h.pick(op, n)) is not None:
         h.over(r, (Outcome.SUCCESS, Outcome.FAILURE)[n % 2])
-    if op == "needs" and (r := h.pick("running", n)) is not None and r in h.owed:
-        if h.arrival[r][0].class_name in ("once", "ask") and h.s.dependency is not Dependency.NONE:
-            h.where[r] = "at call"
-            h.send(CallNeeded(r))
+    if op == "needs" and (r := h.pick("running", n)) is not None and r in h.owed and h.may_call(r):
+        h.where[r] = "at call"
+        h.send(CallNeeded(r))
     if op == "called" and (r := h.pick("calling", n)) is not None:
         outcome = (Outcome.SUCCESS, Outcome.TIMED_OUT, Outcome.OVERLOADED, Outcome.FAILURE)[n % 4]
         h.call_over(r, lingers=outcome is Outcome.TIMED_OUT)
--- a/tests/admission/test_recovery_pacer.py
+++ b/tests/admission/test_recovery_pacer.py
@@ -11,22 +11,22 @@
 
 
 def recovery_pacer(sharing: int = 1, slots: float = 2.0, per_s: float = 1000.0) -> RecoveryPacer:
-    made = RecoveryPacer(
+    pacer = RecoveryPacer(
         SlowStart(4.0, 2.0), CallBudget(per_s, 10.0, burst_s=0.5), Backoff(), slots, random.Random(1)
     )
-    made.update_fleet(sharing, sharing)
-    return made
+    pacer.update_fleet(sharing, sharing)
+    return pacer
 
 
 def test_calls_in_flight_stay_within_the_nodes_part_of_the_slots() -> None:
     pacer = recovery_pacer(sharing=1, slots=2.0)
-    words = [pacer.request_call(1000.0, f"u{n}", 0, False, 2000.0) for n in range(4)]
-    assert words == [
+    permissions = [pacer.request_call(1000.0, f"u{n}", 0, False, 2000.0) for n in range(4)]
+    assert permissions == [
         CallPermission.GRANTED,
         CallPermission.QUEUED,
         CallPermission.QUEUED,
         CallPermission.QUEUED,
-    ] or words[:2] == [CallPermission.GRANTED, CallPermission.GRANTED]
+    ] or permissions[:2] == [CallPermission.GRANTED, CallPermission.GRANTED]
     for at in range(1001, 1100):
         pacer.release_calls(float(at))
         assert len(pacer.calls_in_flight) <= 2
@@ -42,7 +42,7 @@
             for number, node in enumerate(fleet):
                 node.request_call(step * 10.0, f"{number}-{step}", 0, True, 0.0)
             held.append(sum(len(node.calls_in_flight) for node in fleet))
-            for node in fleet:  # the oldest comes back
+            for node in fleet:  # the oldest call ends
                 if len(node.calls_in_flight) > 1:
                     node.call_ended(step * 10.0, next(iter(node.calls_in_flight)), True, True)
         assert max(held) <= 60.0 * 1.5 + nodes
@@ -59,8 +59,8 @@
 def test_runs_with_most_calls_go_first_and_calls_that_wait_too_long_expire() -> None:
     pacer = recovery_pacer(slots=1.0)
     pacer.request_call(0.0, "first", 0, False, 500.0)
-    for uid, made, until in (("new", 0, 400.0), ("far", 3, 450.0), ("late", 1, 20.0)):
-        assert pacer.request_call(1.0, uid, made, False, until) is CallPermission.QUEUED
+    for attempt_id, calls_made, expires_at_ms in (("new", 0, 400.0), ("far", 3, 450.0), ("late", 1, 20.0)):
+        assert pacer.request_call(1.0, attempt_id, calls_made, False, expires_at_ms) is CallPermission.QUEUED
     pacer.call_ended(30.0, "first", True, True)
     assert pacer.release_calls(30.0) == (["far"], ["late"]) and pacer.denied_calls == 1
 
@@ -78,13 +78,13 @@
 
 
 def test_an_unreachable_database_is_retried_after_growing_delays() -> None:
-    pacer, tries, now = recovery_pacer(slots=4.0), 0, 0.0
+    pacer, attempts, now = recovery_pacer(slots=4.0), 0, 0.0
     while now < 60_000.0:
         if pacer.request_call(now, f"u{now}", 0, True, now) is CallPermission.GRANTED:
-            tries += 1
+            attempts += 1
             pacer.call_ended(now, f"u{now}", False, False)
         now += 10.0
-    assert 12 <= tries <= 120  # of 6,000 moments
+    assert 12 <= attempts <= 120  # of 6,000 moments
 
 
 def test_a_warm_node_paces_nothing_until_others_are_cold() -> None:
--- /dev/null
+++ b/tests/admission/test_settings.py
@@ -0,0 +1,20 @@
+"""Settings that a controller cannot work with."""
+
+from __future__ import annotations
+
+import pytest
+from support.admission_controller import started_controller
+
+
+def test_settings_that_cannot_work_are_an_error() -> None:
+    for field, value in (
+        ("cores", 0),
+        ("classes", ()),
+        ("abandoned_call_s", -1.0),
+        ("memory_kb", 0.0),
+        ("idle_timeout_s", -1.0),
+        ("load_report_ttl_s", float("nan")),
+        ("memory_kb", float("nan")),
+    ):
+        with pytest.raises(ValueError, match=field):
+            started_controller(**{field: value})
--- a/tests/admission/test_simulator_adapter.py
+++ b/tests/admission/test_simulator_adapter.py
@@ -25,9 +25,9 @@
 
 
 def play(*batches: list[dict[str, Any]]) -> list[list[dict[str, Any]]]:
-    drill = SimulatorAdapter()
+    adapter = SimulatorAdapter()
     return [
-        json.loads(drill.answer(json.dumps({"now_s": 1.0 + n, "events": b}).encode()))["out"]
+        json.loads(adapter.answer(json.dumps({"now_s": 1.0 + n, "events": b}).encode()))["out"]
         for n, b in enumerate(batches)
     ]
 
@@ -74,13 +74,19 @@
         "telemetry": {"how": "piggyback", "fields": ["tps"]},
         "callers": {"marks_retry": True},
     }
-    s = parse_settings(facts)
-    assert s.load_report_kind is LoadReportKind.WEIGHT and s.preemption is Preemption.NONE and s.marks_retries
-    assert s.classes[0].idempotency is Idempotency.NON_IDEMPOTENT and [t.quota_per_s for t in s.tenants] == [
+    settings = parse_settings(facts)
+    assert (
+        settings.load_report_kind is LoadReportKind.WEIGHT
+        and settings.preemption is Preemption.NONE
+        and settings.marks_retries
+    )
+    assert settings.classes[0].idempotency is Idempotency.NON_IDEMPOTENT and [
+        t.quota_per_s for t in settings.tenants
+    ] == [
         0.0,
         3,
     ]
-    assert s.load_report_ttl_s == 0.0
+    assert settings.load_report_ttl_s == 0.0
     odd = parse_settings({**facts, "domain": {**domain, "say": "whisper", "preemption": "ask"}})
     assert odd.load_report_kind is LoadReportKind.NONE and odd.preemption is Preemption.NONE
     Controller(odd, seed=1)
--- a/tests/support/admission_host.py
+++ b/tests/support/admission_host.py
@@ -363,7 +363,7 @@
         return CallFinished(request_id=request, outcome=outcome, duration_s=took_s)
 
     def _continue(self, request: int) -> None:
-        """The run goes on past its call; now and then the host loses sight of it there."""
+        """Let the run go on past its call; now and then the host loses sight of it there."""
         hosted = self._requests[request]
         hosted.on_core, hosted.at_call = True, False
         if self._chance(0.08):
--- a/tests/support/admission_scenarios.py
+++ b/tests/support/admission_scenarios.py
@@ -106,7 +106,7 @@
 
 
 def shared_dependency(classes: tuple[RequestClass, ...], cores: int) -> Settings:
-    """A limited share of a dependency, a published level, work that can only be dropped."""
+    """Return a site with a share of a dependency, a published level, runs that can only be dropped."""
     return Settings(
         classes=classes,
         cores=cores,
@@ -134,7 +134,7 @@
 
 
 def narrow_share(classes: tuple[RequestClass, ...], cores: int) -> Settings:
-    """A small share of a dependency for what the cores could use of it; nothing published."""
+    """Return a site with a small share of a dependency for its cores, and nothing published."""
     return Settings(
         classes=classes,
         cores=cores,
@@ -154,7 +154,7 @@
 
 
 def tier_credit(classes: tuple[RequestClass, ...], cores: int) -> Settings:
-    """A cold start, a tier of its own below, published credit, work that can be paused."""
+    """Return a site with a cold start, a tier of its own below, published credit, runs that can be paused."""
     return Settings(
         classes=classes,
         cores=cores,
@@ -197,7 +197,7 @@
 
 
 def weighted(classes: tuple[RequestClass, ...], cores: int) -> Settings:
-    """A published weight and deadlines passed on; work that cannot be stopped."""
+    """Return a site with a published weight, deadlines that are passed on, runs that cannot be stopped."""
     return Settings(
         classes=classes,
         cores=cores,
--- a/tests/support/decision_trace.py
+++ b/tests/support/decision_trace.py
@@ -84,7 +84,7 @@
 
 
 def event_words(event: Event) -> Words:
-    """The kind of an event and the request it is about."""
+    """Return the kind of an event and the request it is about."""
     if isinstance(event, Started):
         return {"event": "started"}
     if isinstance(event, RequestArrived):
@@ -111,7 +111,7 @@
 
 
 def action_words(action: Action) -> Words:
-    """An action with all its fields."""
+    """Return an action with all its fields."""
     if isinstance(action, StartRun):
         return {"action": "run", "request": action.request_id}
     if isinstance(action, RememberKey):
@@ -155,7 +155,7 @@
 
 
 def play(scenario: Scenario) -> list[str]:
-    """The lines of a scenario's trace."""
+    """Return the lines of a scenario's trace."""
     return [step_line(step) for step in Host(scenario).play()]
 
 
@@ -165,7 +165,7 @@
 
 
 def read_trace(path: Path) -> list[str]:
-    """The lines of a recorded trace."""
+    """Return the lines of a recorded trace."""
     return gzip.decompress(path.read_bytes()).decode().splitlines()
 
 
