--- a/snowthread/net/connect.py
+++ b/snowthread/net/connect.py
@@ -18,8 +18,8 @@
     the task that runs the steps gives the attempt up, as a timeout.
     """
 
-    def __init__(self, address: Address, loop: EventLoop, until: float) -> None:
-        self.address, self.loop, self.deadline_ms = address, loop, until
+    def __init__(self, address: Address, loop: EventLoop, deadline_ms: float) -> None:
+        self.address, self.loop, self.deadline_ms = address, loop, deadline_ms
         self.sock: socket.socket | None = None
         self.failure = Failure(Progress.NOT_CONNECTED, "not tried")
 
--- a/snowthread/net/limits.py
+++ b/snowthread/net/limits.py
@@ -33,15 +33,17 @@
     return int(memory_mb * BYTES_PER_MB) // UNSENT_SHARE
 
 
-def is_timed_out(now: float, waits_since: float, stuck_since: float, begun: bool = False) -> bool:
+def is_timed_out(
+    now_ms: float, waiting_since_ms: float, stalled_since_ms: float, has_partial_message: bool = False
+) -> bool:
     """Return whether a peer has kept the node waiting too long.
 
-    Silent connections and messages without an end would otherwise hold their descriptors for good. Times are
-    in milliseconds: ``waits_since`` is when the wait for a message began, ``stuck_since`` when the peer last
-    read something of what waits for it, and ``begun`` says that part of the message has come.
+    Silent connections and messages without an end would otherwise hold their descriptors for good. The wait
+    for a message counts from ``waiting_since_ms``, and the wait for the peer to read what it is sent from
+    ``stalled_since_ms``.
     """
-    read_timeout_ms = PARTIAL_MESSAGE_TIMEOUT_MS if begun else FIRST_BYTE_TIMEOUT_MS
-    return now - waits_since >= read_timeout_ms or now - stuck_since >= WRITE_STALL_TIMEOUT_MS
+    read_timeout_ms = PARTIAL_MESSAGE_TIMEOUT_MS if has_partial_message else FIRST_BYTE_TIMEOUT_MS
+    return now_ms - waiting_since_ms >= read_timeout_ms or now_ms - stalled_since_ms >= WRITE_STALL_TIMEOUT_MS
 
 
 @dataclass(slots=True)
@@ -62,9 +64,9 @@
         """
         self.tokens = min(ABUSE_TOKENS_MAX, self.tokens + 1.0)
 
-    def spend(self, now: float) -> bool:
-        """Take a token at ``now``, in milliseconds; return False where none is left."""
-        refill = max(0.0, now - self.refilled_at_ms) / 1000.0 * ABUSE_TOKENS_PER_S
+    def spend(self, now_ms: float) -> bool:
+        """Take a token; return False where none is left."""
+        refill = max(0.0, now_ms - self.refilled_at_ms) / 1000.0 * ABUSE_TOKENS_PER_S
         self.tokens = min(ABUSE_TOKENS_MAX, self.tokens + refill) - 1.0
-        self.refilled_at_ms = now
+        self.refilled_at_ms = now_ms
         return self.tokens >= 0.0
--- a/snowthread/net/loop.py
+++ b/snowthread/net/loop.py
@@ -87,10 +87,10 @@
             task.woken = True
             self._woken_tasks.append(task)
 
-    def call_at(self, when: float, call: Callable[[], None]) -> Timer:
+    def call_at(self, at_ms: float, callback: Callable[[], None]) -> Timer:
         """Call at a time in milliseconds; return the timer to cancel it by."""
-        timer: Timer = [call]
-        heapq.heappush(self._timers, (when, next(self._timer_numbers), timer))
+        timer: Timer = [callback]
+        heapq.heappush(self._timers, (at_ms, next(self._timer_numbers), timer))
         return timer
 
     def cancel(self, timer: Timer | None) -> None:
@@ -138,7 +138,7 @@
             self.end_task(task)
         self._epoll.close()
 
-    def run_once(self, longest_s: float) -> None:
+    def run_once(self, max_sleep_s: float) -> None:
         """Run one round, which sleeps for at most so many seconds where nothing is ready."""
         # In one function, for it runs thousands of times a second.
         for _ in range(len(self._woken_tasks)):
@@ -148,11 +148,11 @@
         while self._timers and not self._timers[0][2]:
             heapq.heappop(self._timers)
             self._cancelled_timers -= 1
-        sleep_s = longest_s
+        sleep_s = max_sleep_s
         if self._woken_tasks:
             sleep_s = 0.0
         elif self._timers:
-            sleep_s = min(longest_s, max(0.0, (self._timers[0][0] - self.clock.now()) / 1000.0))
+            sleep_s = min(max_sleep_s, max(0.0, (self._timers[0][0] - self.clock.now()) / 1000.0))
         for fd, mask in self._epoll.poll(sleep_s):
             watcher = self._task_by_fd.get(fd)
             if watcher is not None:
--- a/snowthread/net/tls_stream.py
+++ b/snowthread/net/tls_stream.py
@@ -35,10 +35,10 @@
             self._unsent += data
             self._flush()
 
-    def read(self, until: float) -> Generator[Wait, int, bytes | Failure]:
+    def read(self, deadline_ms: float) -> Generator[Wait, int, bytes | Failure]:
         """Return bytes that came, or a Failure at the stream's end.
 
-        No bytes: the time, in milliseconds, is up or the task was woken.
+        No bytes: the deadline has passed or the task was woken.
         """
         if self._tls is not None:  # what a handshake or an earlier read left over
             data = self._decrypt(b"")
@@ -46,7 +46,7 @@
                 return data
         if len(self._unsent) > UNSENT_BYTES_MAX:
             return Failure(Progress.SENT, "the peer reads nothing")
-        ready = yield self._wait(until)
+        ready = yield self._wait(deadline_ms)
         if ready & WRITABLE:
             self._flush()
         if not ready & (READABLE | HANGUP):
@@ -57,10 +57,10 @@
         return self._decrypt(raw)
 
     def secure(
-        self, context: ssl.SSLContext, name: str, until: float
+        self, context: ssl.SSLContext, hostname: str, deadline_ms: float
     ) -> Generator[Wait, int, Failure | None]:
-        """Wrap the stream in TLS as a client; return a Failure where the peer can't prove to be ``name``."""
-        tls = context.wrap_bio(self._tls_input, self._tls_output, server_hostname=name)
+        """Wrap the stream in TLS as a client; a peer that can't prove its ``hostname`` is a Failure."""
+        tls = context.wrap_bio(self._tls_input, self._tls_output, server_hostname=hostname)
         while True:
             try:
                 tls.do_handshake()
@@ -76,9 +76,9 @@
                 self._tls = tls
                 return None
             self._flush_tls()
-            if self._loop.clock.now() >= until:
+            if self._loop.clock.now() >= deadline_ms:
                 return Failure(Progress.SENT, "TLS: no time left", timed_out=True)
-            ready = yield self._wait(until)
+            ready = yield self._wait(deadline_ms)
             if ready & (READABLE | HANGUP):
                 raw = self._receive()
                 if isinstance(raw, Failure):
@@ -89,8 +89,8 @@
         """Close now."""
         self._loop.close(self._sock)
 
-    def _wait(self, until: float) -> Wait:
-        return Wait(self._sock.fileno(), READABLE | WRITABLE if self._unsent else READABLE, until)
+    def _wait(self, deadline_ms: float) -> Wait:
+        return Wait(self._sock.fileno(), READABLE | WRITABLE if self._unsent else READABLE, deadline_ms)
 
     def _receive(self) -> bytes | Failure:
         try:
