Core: events in order of concern, tables of the handover and of key claims

Events stood in the order in which they were added; they are grouped by who causes them. The factor between the node's milliseconds and the controller's seconds stands once.

--- a/snowthread/core/events.py
+++ b/snowthread/core/events.py
@@ -14,6 +14,9 @@
 """Where a response goes: the number of the connection and of the message on it."""
 
 
+# Requests and health checks.
+
+
 @dataclass(frozen=True, slots=True)
 class RequestReceived:
     """A whole request was read and validated."""
@@ -67,6 +70,9 @@
     response_address: ResponseAddress
 
 
+# The runtime.
+
+
 @dataclass(frozen=True, slots=True)
 class RuntimeConnected:
     """A link to the runtime was established; ``age_ms`` is the time since the runtime started."""
@@ -79,7 +85,7 @@
 class RuntimeDisconnected:
     """The link to the runtime broke."""
 
-    unsent_commands: tuple[object, ...] = ()  # not one byte of them was written
+    unsent_commands: tuple[object, ...] = ()  # not one byte was written; only those for runs are of interest
     last_heard_at_ms: float | None = None  # where it was closed as silent: it may be broken since then
 
 
@@ -101,6 +107,17 @@
     is_start: bool
 
 
+@dataclass(frozen=True, slots=True)
+class LoadSampleReceived:
+    """A load sample of the runtime: its gauges, in the order of the configuration."""
+
+    tag: str
+    values: tuple[float, ...]
+
+
+# Downstream calls.
+
+
 @dataclass(frozen=True, slots=True)
 class CallRequested:
     """A run waits for a downstream call, as the notice of this number said."""
@@ -110,14 +127,6 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class LoadSampleReceived:
-    """A load sample of the runtime: its gauges, in the order of the configuration."""
-
-    tag: str
-    values: tuple[float, ...]
-
-
 @dataclass(frozen=True, slots=True)
 class CallCompleted:
     """A call to the formula database ended."""
@@ -128,6 +137,9 @@
     reply: bytes = b""
 
 
+# Timers.
+
+
 @dataclass(frozen=True, slots=True)
 class TimerExpired:
     """A timer of the admission controller is due."""
@@ -140,12 +152,15 @@
     """A load sample should be requested, ahead of a timer."""
 
 
+# Operators and configuration.
+
+
 @dataclass(frozen=True, slots=True)
 class ShutdownRequested:
-    """The process will be killed this many milliseconds from now."""
+    """The process will be killed ``time_left_ms`` from now."""
 
     time_left_ms: float
-    received_ago_ms: float = 0.0
+    received_ago_ms: float = 0.0  # how long ago the notice came
 
 
 @dataclass(frozen=True, slots=True)
@@ -163,11 +178,41 @@
     gauge_names: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class TenantQuotasChanged:
+    """Tenants were added, changed or removed."""
+
+    changed: tuple[Tenant, ...] = ()
+    removed: frozenset[str] = frozenset()
+    over_quota_weight: float | None = None  # of traffic over a quota; None: as before
+
+
+# Recovery.
+
+
+@dataclass(frozen=True, slots=True)
+class CallPacingChanged:
+    """The limit of concurrent calls during recovery changed; some of these calls wait to be sent."""
+
+    concurrent_calls: float = 0.0  # 0: as the settings say
+
+
+@dataclass(frozen=True, slots=True)
+class LearnedStateRestored:
+    """What an earlier incarnation of this node learned is valid: the controller begins with it."""
+
+    learned_state: LearnedState
+    relative_speed: float  # of the machine now, as a share of its warm speed
+
+
+# The peer process of a hot restart.
+
+
 @dataclass(frozen=True, slots=True)
 class PeerProcessConnected:
     """The peer process of a hot restart connected."""
 
-    is_predecessor: bool  # this process is the older one, and decides claims of idempotency keys
+    is_predecessor: bool  # whether this process is the older one, which decides claims of keys
 
 
 @dataclass(frozen=True, slots=True)
@@ -243,30 +288,6 @@
     response_address: ResponseAddress
 
 
-@dataclass(frozen=True, slots=True)
-class TenantQuotasChanged:
-    """Tenants were added, changed or removed."""
-
-    changed: tuple[Tenant, ...] = ()
-    removed: frozenset[str] = frozenset()
-    over_quota_weight: float | None = None  # of traffic over a quota; None: as before
-
-
-@dataclass(frozen=True, slots=True)
-class CallPacingChanged:
-    """The limit of concurrent calls during recovery changed; some of these calls wait to be sent."""
-
-    concurrent_calls: float = 0.0  # 0: as the settings say
-
-
-@dataclass(frozen=True, slots=True)
-class LearnedStateRestored:
-    """What an earlier incarnation of this node learned is valid: the controller begins with it."""
-
-    learned_state: LearnedState
-    relative_speed: float  # of the machine now, as a share of its warm speed
-
-
 Event = (
     RequestReceived
     | RequestCancelled
@@ -275,15 +296,17 @@
     | RuntimeDisconnected
     | RunCompleted
     | CommandRejected
-    | CallRequested
     | LoadSampleReceived
+    | CallRequested
     | CallCompleted
     | TimerExpired
     | LoadSampleDue
     | ShutdownRequested
     | DrainRequested
-    | TenantQuotasChanged
     | SettingsReloaded
+    | TenantQuotasChanged
+    | CallPacingChanged
+    | LearnedStateRestored
     | PeerProcessConnected
     | PeerLoadReported
     | SuccessorReady
@@ -294,6 +317,4 @@
     | KeyClaimRequested
     | KeyClaimDecided
     | KeyClaimTimedOut
-    | CallPacingChanged
-    | LearnedStateRestored
 )
--- a/snowthread/core/key_claims.py
+++ b/snowthread/core/key_claims.py
@@ -1,7 +1,17 @@
 """Claims of idempotency keys between the two processes of a hot restart.
 
 The successor takes no key without the predecessor's permission, so a request that reaches both processes
-runs in at most one of them. The successor holds a request back until the predecessor has decided.
+runs in at most one of them. The successor holds a request back until the predecessor has decided:
+
+====================================  ==================================================================
+event at the successor                what becomes of the requests that wait for the key
+====================================  ==================================================================
+``KeyClaimDecided``, granted          the claimant is admitted; later ones are its retries or claim anew
+``KeyClaimDecided``, denied           the owner's result answers them if it is known here, else they fail
+``KeyClaimTimedOut``                  the request it names is rejected
+``RequestCancelled``                  the request it names is dropped
+``PeerProcessConnected``, ``Exited``  all are taken up anew
+====================================  ==================================================================
 """
 
 from __future__ import annotations
--- a/snowthread/core/peer_process.py
+++ b/snowthread/core/peer_process.py
@@ -1,7 +1,16 @@
 """The peer process of a hot restart: its connection, its load, the handover and its exit.
 
 While one process of a node replaces another, each knows the idempotency keys of both, and they share the
-runtime's limits.
+runtime's limits. Roles (:class:`~snowthread.core.state.HandoverRole`) and what changes them:
+
+===========  =======================================  ===========
+role         event                                    next
+===========  =======================================  ===========
+any          ``PeerProcessConnected``, as the older   PREDECESSOR
+any          ``PeerProcessConnected``, as the newer   SUCCESSOR
+PREDECESSOR  ``SuccessorReady``                       PREDECESSOR, superseded: it accepts no connections
+any          ``PeerProcessExited``                    STANDALONE, accepting connections
+===========  =======================================  ===========
 """
 
 from __future__ import annotations
--- a/snowthread/core/reconfiguration.py
+++ b/snowthread/core/reconfiguration.py
@@ -9,14 +9,15 @@
 
 from snowthread.admission.settings import RequestClass, Settings
 from snowthread.core.events import PeerLoadReported
+from snowthread.core.state import AdmissionClock
 
-MS_PER_S = 1000.0
 MIN_REMAINING_SHARE = 0.01  # of a limit: 0 would mean that there is no limit
 
 
 def retention_ms(request_class: RequestClass) -> float:
     """Return how long after its removal attempts of a class may still arrive."""
-    return max(request_class.deadline_s, request_class.idempotency_window_s) * MS_PER_S
+    longest_s = max(request_class.deadline_s, request_class.idempotency_window_s)
+    return AdmissionClock.duration_ms(longest_s)
 
 
 def remaining_limits(settings: Settings, peer_load: PeerLoadReported) -> Settings:
--- a/snowthread/core/state.py
+++ b/snowthread/core/state.py
@@ -19,6 +19,9 @@
 )
 from snowthread.core.idempotency import IdempotencyTable, IndeterminateKeys
 
+MS_PER_S = 1000.0
+MIN_TIMESTAMP_S = 0.001  # the controller takes a time of 0 for none
+
 
 class RequestPhase(Enum):
     """The phase of a request; the table is in :mod:`snowthread.core.request_lifecycle`."""
@@ -74,25 +77,25 @@
 class AdmissionClock:
     """Converts between Unix milliseconds and the seconds of the admission controller.
 
-    The controller's zero lies a second before the start: it takes a time of 0 for none.
+    The controller's zero lies a second before the start, as it takes a time of 0 for none.
     """
 
     def __init__(self, start_ms: float) -> None:
-        self._zero_ms = start_ms - 1000.0
+        self._zero_ms = start_ms - MS_PER_S
 
     def timestamp_s(self, now_ms: float) -> float:
         """Return a point in time on the controller's clock."""
-        return max(0.001, (now_ms - self._zero_ms) / 1000.0)
+        return max(MIN_TIMESTAMP_S, (now_ms - self._zero_ms) / MS_PER_S)
 
     @staticmethod
     def duration_s(duration_ms: float) -> float:
         """Return a length of time in seconds."""
-        return duration_ms / 1000.0
+        return duration_ms / MS_PER_S
 
     @staticmethod
     def duration_ms(duration_s: float) -> float:
         """Return a length of time in milliseconds."""
-        return duration_s * 1000.0
+        return duration_s * MS_PER_S
 
 
 @dataclass(slots=True)
