--- a/tests/node/test_restart.py
+++ b/tests/node/test_restart.py
@@ -16,6 +16,7 @@
 
 import msgpack
 from support.node_harness import address, loopback
+from support.node_peers import request
 from support.program import PATIENCE_S, at, configuration, node
 
 
@@ -46,18 +47,9 @@
         self.send_notice("end", pos=pos, uid=attempt_id, code="done", wall_ms=9, content=content)
 
 
-def request(number: int, idempotency_key: str) -> bytes:
-    fields = {
-        "id": secrets.token_hex(8),
-        "at": str(int(time.time() * 1000)),
-        "from": "1",
-        "wait": "5000",
-        "kb": "20",
-        "rank": "0.5",
-        "once": idempotency_key,
-    }
-    packed: bytes = msgpack.packb([0, number, "dispense", [fields, b"x"]])
-    return packed
+def keyed_request(number: int, idempotency_key: str) -> bytes:
+    """Return a new attempt at a request, sent now."""
+    return request(number, "dispense", at=time.time() * 1000, id=secrets.token_hex(8), once=idempotency_key)
 
 
 def connected(path: Path) -> socket.socket:
@@ -83,7 +75,7 @@
         assert link.read_command("sync")["pos"] == 0
         link.send_notice("ready", code="fresh", wall_ms=0)
         connection = connected(path)
-        connection.sendall(request(1, "k1") + request(2, "k2"))
+        connection.sendall(keyed_request(1, "k1") + keyed_request(2, "k2"))
         runs = [link.read_command("start")["uid"] for _ in range(2)]
         process.send_signal(signal.SIGKILL)
         process.wait(PATIENCE_S)
@@ -106,13 +98,13 @@
             link.complete_run(1, old_runs[0], "b2xk")
             link.send_notice("wants", pos=2, uid=old_runs[1], content="Pw==")
             connection = connected(path)
-            connection.sendall(request(1, "k1"))
+            connection.sendall(keyed_request(1, "k1"))
             attempt_id = link.read_command("start")["uid"]  # neither the old result nor a call comes before
             assert attempt_id not in old_runs
             link.complete_run(3, attempt_id, "bmV3")
             found = read_answer(connection)
             assert found[:3] == [1, 1, None] and found[3][0] == b"new"
-            connection.sendall(request(2, "k3"))
+            connection.sendall(keyed_request(2, "k3"))
             attempt_id = link.read_command("start")["uid"]
             process.send_signal(signal.SIGTERM)
             assert read_answer(connection) == [2, "farewell", []]
--- a/tests/node/test_runtime_link.py
+++ b/tests/node/test_runtime_link.py
@@ -25,6 +25,11 @@
 from snowthread.core import effects
 
 
+def start_command(number: int, class_name: str) -> dict[str, str]:
+    """Return the command that starts a request's run."""
+    return {"action": "start", "uid": attempt_id(number), "lane": class_name, "content": "eA=="}
+
+
 def pass_silence_timeout(harness: NodeHarness) -> None:
     """Let the runtime say nothing more, on a link that does not break, until the node gives the link up."""
     harness.advance(SILENT_MS)
@@ -41,12 +46,7 @@
     assert read_command(harness)["action"] == "start"  # into a link that is dead already
     pass_silence_timeout(harness)
     reconnect_runtime(harness, 0, "sync-2")
-    assert read_command(harness) == {
-        "action": "start",
-        "uid": attempt_id(1),
-        "lane": "match",
-        "content": "eA==",
-    }
+    assert read_command(harness) == start_command(1, "match")
     complete_run(harness, 1, 1)
     assert read_answer(harness, "1")[:3] == [1, 1, None]
 
@@ -78,12 +78,7 @@
     harness.close_peer("runtime")
     reconnect_runtime(harness, 0, "sync-2")
     if resent:
-        assert read_command(harness) == {
-            "action": "start",
-            "uid": attempt_id(1),
-            "lane": "recalc",
-            "content": "eA==",
-        }
+        assert read_command(harness) == start_command(1, "recalc")
         return
     commands: list[dict[str, Any]] = []
     for _ in range(30):
@@ -169,9 +164,4 @@
     harness.advance(FENCE_MS)
     harness.listeners["runtime"] = back
     reconnect_runtime(harness, 0, "sync-2")
-    assert read_command(harness) == {
-        "action": "start",
-        "uid": attempt_id(1),
-        "lane": "match",
-        "content": "eA==",
-    }
+    assert read_command(harness) == start_command(1, "match")
