Log events of recovery, shutdown, registry and runtime link in the standard terms

Tests that read the log expect the new words in place of the old ones, as strictly: 'stopped' in place of 'left', which 'ms left' matched too.

--- a/snowthread/clients/registry.py
+++ b/snowthread/clients/registry.py
@@ -47,7 +47,7 @@
         if accepts_work != self._accepts_work:
             self._accepts_work = accepts_work
             logger.bind(event="registry.registration_changed", peer="registry").info(
-                "roster: {}", "on" if accepts_work else "off"
+                "registry: {}", "on" if accepts_work else "off"
             )
             self.report_now()
 
--- a/snowthread/clients/runtime.py
+++ b/snowthread/clients/runtime.py
@@ -140,7 +140,7 @@
                     continue
                 if failure.progress is Progress.REPLY_BEGUN:
                     backoff_ms = MIN_RECONNECT_DELAY_MS
-                    logger.bind(event="link.lost", peer="runtime").warning(
+                    logger.bind(event="runtime.link_lost", peer="runtime").warning(
                         "runtime: link lost: {}", failure.reason
                     )
                 self._lose_link(failure.timed_out)
@@ -150,7 +150,9 @@
 
     def _leave_link(self) -> None:
         """Close a link on which all commands were read; the next one continues it."""
-        logger.bind(event="link.moved", peer="runtime").info("runtime: link moves to {}:{}", *self._address)
+        logger.bind(event="runtime.link_moved", peer="runtime").info(
+            "runtime: link moves to {}:{}", *self._address
+        )
         self._move_marker, self._is_between_links = "", True
         self._close()
 
--- a/snowthread/node/node.py
+++ b/snowthread/node/node.py
@@ -167,7 +167,7 @@
 
     def stop(self) -> None:
         """End the event loop; events that are posted from now on are dropped with the process."""
-        logger.bind(event="node.left").info("left")
+        logger.bind(event="node.stopped").info("stopped")
         self._gone = True
         if self.recorder is not None:
             self.recorder.close("left")
--- a/snowthread/node/shutdown.py
+++ b/snowthread/node/shutdown.py
@@ -37,7 +37,7 @@
         node, clock = self._node, self._node.clock
         grace_ms = self._grace_ms()
         elapsed_ms = max(0.0, clock.now() - signalled_at_ms)
-        logger.bind(event="node.leaving").info("told to leave, {} ms left", grace_ms)
+        logger.bind(event="node.shutdown").info("graceful shutdown begins, {} ms until the kill", grace_ms)
         node.post(events.ShutdownRequested(grace_ms - elapsed_ms, elapsed_ms))
         node.balancers.say_farewell_to_all()
         kill_at_ms = clock.now() + grace_ms - elapsed_ms
--- a/snowthread/records/recorder.py
+++ b/snowthread/records/recorder.py
@@ -36,7 +36,10 @@
 CLOSE_SEND_TIMEOUT_S = 0.05  # of one send during that wait
 LOG_TEXT_MAX = 500  # characters of a log line that are recorded
 CONFIG_EVENTS = {"config.read": True, "config.refused": False}  # and whether the configuration was accepted
-LINK_EVENTS = {"link.lost", "link.moved"}  # the observer records the runtime's connection itself
+LINK_EVENTS = {
+    "runtime.link_lost",
+    "runtime.link_moved",
+}  # the observer records the runtime's connection itself
 _MEMORY_FILE = Path("/proc/self/statm")
 _PLAIN_TYPES = (str, int, float, bool)
 
--- a/snowthread/recovery/key_recorder.py
+++ b/snowthread/recovery/key_recorder.py
@@ -42,21 +42,23 @@
         digest = key_digest(record.idempotency_key)
         if self._key_log is not None and self._key_log.append(digest, record.expires_at_ms, now_ms):
             return True
-        logger.bind(event="comeback.ring").warning("the key log has no free slot: run not started")
+        logger.bind(event="recovery.key_log").warning("the key log has no free slot: run not started")
         return False
 
 
 def _mark_indeterminate_keys(state: State, opened: OpenedKeyLog, blind_until: float, now_ms: float) -> None:
     found = opened.found
     if opened.error is not None:
-        logger.bind(event="comeback.ring").error("no key log, no request with a key is run: {}", opened.error)
+        logger.bind(event="recovery.key_log").error(
+            "no key log, no request with a key is run: {}", opened.error
+        )
         blind_until = math.inf
     elif found.verdict is KeyLogVerdict.WHOLE:
         blind_until = found.any_until_ms
     keys = {digest: until_ms for digest, until_ms in found.keys.items() if until_ms > now_ms}
     if keys or blind_until > now_ms:
         state.indeterminate_keys = IndeterminateKeys(keys, blind_until)
-    logger.bind(event="comeback.ring", verdict=found.verdict.value, keys=len(keys)).info(
+    logger.bind(event="recovery.key_log", verdict=found.verdict.value, keys=len(keys)).info(
         "key log: {}{}{}; {} keys indeterminate{}",
         found.verdict.value,
         ": " if found.reason else "",
--- a/snowthread/recovery/learned_snapshots.py
+++ b/snowthread/recovery/learned_snapshots.py
@@ -52,7 +52,7 @@
             fresh_for_ms=self._settings.snapshot_max_age_ms,
         )
         self._found = b""
-        logger.bind(event="comeback.snapshot", verdict=assessment.verdict.value).info(
+        logger.bind(event="recovery.snapshot", verdict=assessment.verdict.value).info(
             "snapshot: {}{}{}",
             assessment.verdict.value,
             ": " if assessment.reason else "",
--- a/snowthread/recovery/manager.py
+++ b/snowthread/recovery/manager.py
@@ -207,7 +207,7 @@
         if is_cold == self._reported_cold:
             return
         self._reported_cold = is_cold
-        logger.bind(event="comeback.cold" if is_cold else "comeback.warm").info(
+        logger.bind(event="recovery.cold" if is_cold else "recovery.warm").info(
             "{} {:.1f} s after the start",
             "recovering" if is_cold else "warm",
             (now_ms - self._started_at_ms) / 1000.0,
--- a/snowthread/recovery/registry_member.py
+++ b/snowthread/recovery/registry_member.py
@@ -63,7 +63,7 @@
         if membership.incarnation != incarnation:
             self._take_incarnation(incarnation)
         if self.is_replaced and not was_replaced:
-            logger.bind(event="comeback.replaced").error(
+            logger.bind(event="recovery.replaced").error(
                 "another process has this name now: registration withdrawn"
             )
             self._post(events.DrainRequested(True))
@@ -72,7 +72,7 @@
     def _take_incarnation(self, earlier: int) -> None:
         incarnation = self._membership.incarnation
         if incarnation > 1:
-            logger.bind(event="comeback.life").warning(
+            logger.bind(event="recovery.incarnation").warning(
                 "the registry knows a later incarnation than {}: continues as {}", earlier, incarnation
             )
         storage.warn_if_failed(storage.write_incarnation(self._folder, incarnation))
@@ -83,6 +83,6 @@
         is_silent = self._membership.is_silent(now_ms)
         if is_silent != self._is_silent:
             self._is_silent = is_silent
-            logger.bind(event="comeback.roster").info(
+            logger.bind(event="recovery.registry").info(
                 "the registry {}", "is silent: what it reported last holds" if is_silent else "answers"
             )
--- a/snowthread/recovery/storage.py
+++ b/snowthread/recovery/storage.py
@@ -104,7 +104,7 @@
 def warn_if_failed(error: StorageError | None) -> None:
     """Log a failed write of state that the node can do without."""
     if error is not None:
-        logger.bind(event="comeback.write").warning("state not written: {}", error)
+        logger.bind(event="recovery.write_failed").warning("state not written: {}", error)
 
 
 def read(folder: Path, name: str = SNAPSHOT_FILE, most: int = MAX_READ_BYTES) -> bytes:
