--- a/benchmarks/records.py
+++ b/benchmarks/records.py
@@ -74,14 +74,16 @@
 def start_node(stack: ExitStack, folder: Path, with_records: bool) -> Node:
     """Start a node and what it needs; records go to the folder ``kept``."""
     config = rig.configuration(folder, CORES)
-    stack.enter_context(rig.process("-m", "emulators.site", str(config), str(CORES), "1.0", ready="ready"))
+    stack.enter_context(
+        rig.run_program("-m", "emulators.site", str(config), str(CORES), "1.0", ready="ready")
+    )
     command = ["-m", "snowthread"]
     if with_records:
         file = folder / "records.hcl"
         file.write_text(f'records {{\n folder = "{folder}/kept"\n}}\n')
         command += ["serve", "--with", str(file)]
     process = stack.enter_context(
-        rig.process(*command, ready="listens on", where="stderr", NODE_CONFIG=str(config))
+        rig.run_program(*command, ready="listens on", where="stderr", NODE_CONFIG=str(config))
     )
     return Node(process.pid, json.loads(config.read_text())["listen"])
 
@@ -181,7 +183,7 @@
             count += 1
         took_s = time.perf_counter() - began
         peak_mb = measure_merge_memory(folder)
-    assert count == nodes * seconds and not findings.holes
+    assert count == nodes * seconds and not findings.gaps
     return {
         "nodes": nodes,
         "records": count,
--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -49,7 +49,7 @@
 
 
 @contextmanager
-def process(
+def run_program(
     *command: str, ready: str, where: str = "stdout", cwd: Path = ROOT, **environment: str
 ) -> Iterator[subprocess.Popen[str]]:
     """Run a Python program in the block, from when it has written ``ready`` to the stream ``where``."""
--- a/benchmarks/tenants.py
+++ b/benchmarks/tenants.py
@@ -97,18 +97,18 @@
         config_path = rig.configuration(folder, cores)
         self.listen: str = json.loads(config_path.read_text())["listen"]
         stack.enter_context(
-            rig.process("-m", "emulators.site", str(config_path), str(cores), str(run_ms), ready="ready")
+            rig.run_program("-m", "emulators.site", str(config_path), str(cores), str(run_ms), ready="ready")
         )
         command = ["-m", "snowthread"]
         self.directory: subprocess.Popen[str] | None = None
         if tenants:
             address = rig.free_address()
             self.directory = stack.enter_context(
-                rig.process("-m", "emulators.directory", address, ready="5 tenants")
+                rig.run_program("-m", "emulators.directory", address, ready="5 tenants")
             )
             command += ["serve", "--with", str(operator_file(folder, address))]
         self.node = stack.enter_context(
-            rig.process(
+            rig.run_program(
                 *command,
                 ready="refreshed in" if tenants else "listens on",
                 where="stderr",
@@ -235,7 +235,7 @@
     with ExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         stack.enter_context(
-            rig.process("-m", "emulators.directory", address, *size, ready=f"{tenant_count} tenants")
+            rig.run_program("-m", "emulators.directory", address, *size, ready=f"{tenant_count} tenants")
         )
         settings = tenant_settings(folder, address)
         tenants = TenantState(settings.rules)
--- a/benchmarks/timeline.py
+++ b/benchmarks/timeline.py
@@ -185,7 +185,7 @@
         report = Report([folder])
         page = report.html()
         took_s = time.perf_counter() - began
-        kinds = [sentence.kind.value for sentence in report.story.sentences]
+        kinds = [sentence.kind.value for sentence in report.timeline.sentences]
         del report
         tracemalloc.start()
         Report([folder])
--- a/snowthread/clients/database.py
+++ b/snowthread/clients/database.py
@@ -17,7 +17,7 @@
 from snowthread.net.connect import ConnectAttempt
 from snowthread.net.loop import HANGUP, READABLE, WRITABLE, EventLoop, Task, TaskSteps, Wait
 
-KEEP_MS = 7000.0  # the database closes connections idle for 10 s; a call must not cross that
+IDLE_TIMEOUT_MS = 7000.0  # the database closes connections idle for 10 s; a call must not cross that
 MAX_IDLE_CONNECTIONS = 12
 MIN_IDLE_MS = 30.0  # before a connection's next call: surplus bytes behind a reply show by then
 READ_BYTES = 16 * 1024
@@ -97,7 +97,7 @@
         max_connections: int,
         post: Callable[[events.Event], None],
     ) -> None:
-        self._loop, self._address, self._most, self._post = loop, address, max_connections, post
+        self._loop, self._address, self._max_connections, self._post = loop, address, max_connections, post
         self._idle: OrderedDict[_Connection, None] = OrderedDict()  # the longest idle first
         self._calls: dict[str, _Connection] = {}  # by the id of the attempt that calls
         self._connection_count = 0
@@ -126,7 +126,7 @@
             self._post(events.CallCompleted(call.attempt_id, Outcome.UNREACHABLE, 0.0))
             return
         connection = self._take_idle() if call.retryable else None
-        if connection is None and self._connection_count >= self._most:
+        if connection is None and self._connection_count >= self._max_connections:
             if not self._idle:
                 self._post(events.CallCompleted(call.attempt_id, Outcome.UNREACHABLE, 0.0))
                 return
@@ -190,7 +190,7 @@
                 if not connection.is_reusable or connection.sock is None:
                     return
                 if connection.call is None:  # wait for the next call, for the peer's close or for the timeout
-                    yield Wait(connection.sock.fileno(), READABLE, connection.idle_since_ms + KEEP_MS)
+                    yield Wait(connection.sock.fileno(), READABLE, connection.idle_since_ms + IDLE_TIMEOUT_MS)
         finally:
             self._connection_closed(connection)
 
--- a/snowthread/clients/runtime.py
+++ b/snowthread/clients/runtime.py
@@ -28,14 +28,14 @@
 
 MAX_LINE_BYTES = 256 * 1024  # a longer line is no notice
 READ_BYTES = 64 * 1024
-QUEUE_MAX = 64  # unsent commands from which no load samples are requested
+LOAD_SAMPLE_QUEUE_LIMIT = 64  # unsent commands from which no load samples are requested
 CONNECT_TIMEOUT_MS = 1000.0
 MIN_RECONNECT_DELAY_MS = 20.0  # doubled after each attempt that fails
 MAX_RECONNECT_DELAY_MS = 500.0
-SILENT_MS = 4000.0  # a runtime silent for this long is probed
-ALIVE_MS = 1000.0  # the longest wait for the echo of a probe
+PROBE_AFTER_SILENCE_MS = 4000.0  # a runtime silent for this long is probed
+PROBE_TIMEOUT_MS = 1000.0  # the longest wait for the echo of a probe
 PROBE_TAG = "alive"
-FENCE_MS = 400.0  # the longest wait for the echo of a move marker, before the link moves
+MOVE_TIMEOUT_MS = 400.0  # the longest wait for the echo of a move marker, before the link moves
 
 
 @dataclass(slots=True)
@@ -67,7 +67,7 @@
         self._sock: socket.socket | None = None
         self._is_ready = False
         self._was_ready = False  # on any link; before that a silent runtime has not started
-        self._lines: deque[tuple[RuntimeCommand | None, bytes]] = deque()  # unsent, in order
+        self._unsent_lines: deque[tuple[RuntimeCommand | None, bytes]] = deque()  # unsent, in order
         self._first_line_sent_bytes = 0
         self._last_notice = 0
         self._last_heard_ms = 0.0
@@ -84,7 +84,10 @@
             if not isinstance(command, effects.RequestLoadSample):
                 self._queued_for_next_link.append((command, encode(command)))
         elif self._sock is not None:
-            if isinstance(command, effects.RequestLoadSample) and len(self._lines) >= QUEUE_MAX:
+            if (
+                isinstance(command, effects.RequestLoadSample)
+                and len(self._unsent_lines) >= LOAD_SAMPLE_QUEUE_LIMIT
+            ):
                 return  # a runtime that does not read now needs no more requests
             self._write(command)
 
@@ -104,14 +107,14 @@
         self._loop.wake(self._task)
 
     def _write(self, command: RuntimeCommand) -> None:
-        self._lines.append((command, encode(command)))
-        if len(self._lines) == 1 and not self._flush():
+        self._unsent_lines.append((command, encode(command)))
+        if len(self._unsent_lines) == 1 and not self._flush():
             self._loop.wake(self._task)
 
     def _flush(self) -> bool:
         """Send queued lines; return False where one is left or the link is broken."""
-        while self._lines and self._sock is not None:
-            line = self._lines[0][1]
+        while self._unsent_lines and self._sock is not None:
+            line = self._unsent_lines[0][1]
             try:
                 self._first_line_sent_bytes += self._sock.send(
                     line[self._first_line_sent_bytes :] if self._first_line_sent_bytes else line
@@ -120,7 +123,7 @@
                 return False
             if self._first_line_sent_bytes < len(line):
                 return False
-            self._lines.popleft()
+            self._unsent_lines.popleft()
             self._first_line_sent_bytes = 0
         return True
 
@@ -162,7 +165,9 @@
         Of the others nothing is known. Where the link was given up for its silence, this holds for all that
         was sent since something was heard.
         """
-        unsent = list(self._lines)[1 if self._first_line_sent_bytes else 0 :] + self._queued_for_next_link
+        unsent = (
+            list(self._unsent_lines)[1 if self._first_line_sent_bytes else 0 :] + self._queued_for_next_link
+        )
         self._queued_for_next_link = []
         self._close()
         self._move_marker = ""
@@ -175,7 +180,7 @@
         sock, self._sock = self._sock, None
         if sock is not None:
             self._loop.close(sock)
-        self._lines.clear()
+        self._unsent_lines.clear()
         self._first_line_sent_bytes = 0
 
     # One link.
@@ -185,8 +190,8 @@
 
         A failure with REPLY_BEGUN means that the link had been ready.
         """
-        self._lines.append((None, encode_sync(self._last_notice)))
-        self._lines.extend(self._queued_for_next_link)
+        self._unsent_lines.append((None, encode_sync(self._last_notice)))
+        self._unsent_lines.extend(self._queued_for_next_link)
         self._queued_for_next_link = []
         clock = self._loop.clock
         link = _Link(quiet_since_ms=clock.now())
@@ -194,7 +199,9 @@
         while True:
             self._flush()
             deadline_ms = self._link_deadline_ms(link)
-            ready = yield Wait(sock.fileno(), READABLE | WRITABLE if self._lines else READABLE, deadline_ms)
+            ready = yield Wait(
+                sock.fileno(), READABLE | WRITABLE if self._unsent_lines else READABLE, deadline_ms
+            )
             is_due = clock.now() >= deadline_ms
             if not ready & (READABLE | HANGUP) and not is_due:
                 continue
@@ -224,12 +231,12 @@
         an echo to each probe.
         """
         if self._move_marker and link.move_deadline_ms == math.inf:
-            link.move_deadline_ms = self._loop.clock.now() + FENCE_MS
+            link.move_deadline_ms = self._loop.clock.now() + MOVE_TIMEOUT_MS
         if not self._was_ready:
             return link.move_deadline_ms
         if self._probe_sent_at_ms:
-            return min(link.move_deadline_ms, self._probe_sent_at_ms + ALIVE_MS)
-        return min(link.move_deadline_ms, link.quiet_since_ms + SILENT_MS)
+            return min(link.move_deadline_ms, self._probe_sent_at_ms + PROBE_TIMEOUT_MS)
+        return min(link.move_deadline_ms, link.quiet_since_ms + PROBE_AFTER_SILENCE_MS)
 
     def _check_silence(self, link: _Link) -> Failure | None:
         """Give a link up whose deadline has passed with nothing to read, or probe it."""
--- a/snowthread/console/cli.py
+++ b/snowthread/console/cli.py
@@ -31,14 +31,14 @@
 def console(places: tuple[Path, ...], sort: str, only: str, speed: float | None, once: bool) -> None:
     """Show a fleet from its nodes' records: state, service, refusals, calls, and the course of things."""
     from snowthread.console.model import Fleet
-    from snowthread.console.screen import Look, text
+    from snowthread.console.screen import ViewOptions, render_text
     from snowthread.records.reader import Findings, merge
 
-    fleet, look = Fleet(), Look(sort, only)
+    fleet, look = Fleet(), ViewOptions(sort, only)
     if once or not sys.stdout.isatty():
         for record in merge(places, Findings()):
-            fleet.take(record)
-        click.echo(text(fleet, look), nl=False)
+            fleet.add(record)
+        click.echo(render_text(fleet, look), nl=False)
         return
 
     from snowthread.console.live import RecordSource, run
--- a/snowthread/console/live.py
+++ b/snowthread/console/live.py
@@ -10,7 +10,7 @@
 
 from snowthread.console.keyboard import Keyboard
 from snowthread.console.model import Fleet
-from snowthread.console.screen import Look, draw
+from snowthread.console.screen import ViewOptions, draw
 from snowthread.console.sorting import SortOrder
 from snowthread.records.model import Record
 
@@ -24,13 +24,13 @@
         """Return the records since the last call."""
 
 
-def run(source: RecordSource, fleet: Fleet, look: Look) -> None:
+def run(source: RecordSource, fleet: Fleet, look: ViewOptions) -> None:
     """Show the fleet until q is pressed."""
     console = Console()
     with Keyboard() as keyboard, Live(console=console, screen=True, auto_refresh=False) as live:
         while True:
             for record in source.poll():
-                fleet.take(record)
+                fleet.add(record)
             live.update(draw(fleet, look, console.width, console.height), refresh=True)
             key = keyboard.read_key(REFRESH_S)
             if key == "q":
@@ -38,7 +38,7 @@
             apply_key(look, key)
 
 
-def apply_key(look: Look, key: str) -> None:
+def apply_key(look: ViewOptions, key: str) -> None:
     """Change what is shown as the key says: page, order, or place in the events; others do nothing."""
     match key:
         case "n":
--- a/snowthread/console/model.py
+++ b/snowthread/console/model.py
@@ -112,7 +112,7 @@
         self.now = 0.0
         self.left_out = 0  # records of nodes beyond those kept
 
-    def take(self, record: Record) -> None:
+    def add(self, record: Record) -> None:
         """Take one more record."""
         view = self.nodes.get(record.node)
         if view is None:
--- a/snowthread/console/screen.py
+++ b/snowthread/console/screen.py
@@ -45,7 +45,7 @@
 
 
 @dataclass(slots=True)
-class Look:
+class ViewOptions:
     """What part of the fleet is shown, and in which order."""
 
     sort: str = SortOrder.NODE
@@ -63,7 +63,7 @@
     count: int
 
 
-def draw(fleet: Fleet, look: Look, width: int, height: int) -> RenderableType:
+def draw(fleet: Fleet, look: ViewOptions, width: int, height: int) -> RenderableType:
     """Return the whole screen for so many columns and lines."""
     views = fleet.shown(look.sort, look.only)
     rows = max(ROWS_MIN, (height - OTHER_LINES) * 2 // 3)
@@ -80,7 +80,7 @@
     return Group(*parts)
 
 
-def text(fleet: Fleet, look: Look, width: int = 80, height: int = 24) -> str:
+def render_text(fleet: Fleet, look: ViewOptions, width: int = 80, height: int = 24) -> str:
     """Return the screen as plain text."""
     console = Console(width=width, no_color=True, force_terminal=False, legacy_windows=False)
     with console.capture() as captured:
@@ -182,7 +182,7 @@
     return Text(f"{_clock(line.at)} {line.node} {line.text}", no_wrap=True, overflow="ellipsis")
 
 
-def _footer(look: Look, page: _Page) -> Text:
+def _footer(look: ViewOptions, page: _Page) -> Text:
     only = f", only {look.only}" if look.only else ""
     return Text(
         f"page {page.number + 1} of {page.count}, by {look.sort}{only}   "
--- a/snowthread/console/tail.py
+++ b/snowthread/console/tail.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from snowthread.records.frame import Reader
+from snowthread.records.frame import FrameReader
 from snowthread.records.model import Record
 from snowthread.records.reader import find_files
 
@@ -18,7 +18,7 @@
     """How far a file was read."""
 
     offset: int = 0
-    reader: Reader = field(default_factory=Reader)
+    reader: FrameReader = field(default_factory=FrameReader)
 
 
 class Tail:
--- a/snowthread/core/arrivals.py
+++ b/snowthread/core/arrivals.py
@@ -35,7 +35,7 @@
     state.last_request_number += 1
     sent_at_ms = min(event.sent_at_ms, transition.now_ms)
     request_class = _find_class(state, event.class_name, transition.now_ms)
-    if request_class is None or event.attempt_id in state.by_attempt_id:
+    if request_class is None or event.attempt_id in state.requests_by_attempt_id:
         # An unknown class, or the same attempt while its run goes on: nothing can be promised.
         transition.respond(event.response_address, effects.Failed())
         return
@@ -72,7 +72,7 @@
     """Return the class of this name, unless it was retired and its retention is over."""
     for request_class in state.settings.classes:
         if request_class.name == name:
-            is_expired = state.retired_classes and state.retired_classes.get(name, now_ms) < now_ms
+            is_expired = state.retired_until_ms and state.retired_until_ms.get(name, now_ms) < now_ms
             return None if is_expired else request_class
     return None
 
@@ -114,8 +114,8 @@
         body_digest,
     )
     state.requests[request.number] = request
-    state.by_attempt_id[event.attempt_id] = request
-    state.by_response_address[event.response_address] = request
+    state.requests_by_attempt_id[event.attempt_id] = request
+    state.requests_by_response_address[event.response_address] = request
     transition.dispatch(_arrival(transition, event, request, sent_at_ms))
 
 
@@ -143,7 +143,7 @@
 
 def request_cancelled(transition: Transition, event: events.RequestCancelled) -> None:
     """Abandon a request that nobody waits for; its run, if any, goes on to its end."""
-    request = transition.state.by_response_address.pop(event.response_address, None)
+    request = transition.state.requests_by_response_address.pop(event.response_address, None)
     if request is None:
         withdraw_claim(transition.state, event.response_address)
         return
--- a/snowthread/core/downstream_calls.py
+++ b/snowthread/core/downstream_calls.py
@@ -13,7 +13,7 @@
 def call_requested(transition: Transition, event: events.CallRequested) -> None:
     """Ask the controller for the call that a run waits for."""
     state = transition.state
-    request = state.by_attempt_id.get(event.attempt_id)
+    request = state.requests_by_attempt_id.get(event.attempt_id)
     if request is None or request.phase is not RequestPhase.RUNNING:
         return
     if request.indeterminate:  # the notice shows that the run goes on
@@ -25,7 +25,7 @@
 def call_completed(transition: Transition, event: events.CallCompleted) -> None:
     """Deliver the reply of a call to its run and tell the controller how the call ended."""
     state = transition.state
-    request = state.by_attempt_id.get(event.attempt_id)
+    request = state.requests_by_attempt_id.get(event.attempt_id)
     if request is None or not request.call_in_flight:
         return
     request.call_in_flight = False
--- a/snowthread/core/events.py
+++ b/snowthread/core/events.py
@@ -78,7 +78,7 @@
     """A link to the runtime was established; ``age_ms`` is the time since the runtime started."""
 
     starts_cold: bool
-    age_ms: float
+    runtime_age_ms: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/snowthread/core/idempotency.py
+++ b/snowthread/core/idempotency.py
@@ -42,9 +42,9 @@
     either, so every key counts as one of them.
     """
 
-    def __init__(self, expires_at_ms_by_digest: dict[bytes, float], blind_until: float) -> None:
-        self._expires_at_ms_by_digest, self.any_until_ms = expires_at_ms_by_digest, blind_until
-        self.last_expiry_ms = max([blind_until, *expires_at_ms_by_digest.values()])
+    def __init__(self, expires_at_ms_by_digest: dict[bytes, float], any_until_ms: float) -> None:
+        self._expires_at_ms_by_digest, self.any_until_ms = expires_at_ms_by_digest, any_until_ms
+        self.last_expiry_ms = max([any_until_ms, *expires_at_ms_by_digest.values()])
 
     def __len__(self) -> int:
         return len(self._expires_at_ms_by_digest)
--- a/snowthread/core/load_samples.py
+++ b/snowthread/core/load_samples.py
@@ -27,8 +27,8 @@
     """Schedule a timer of the controller, and a load sample ahead of it unless a recent one serves."""
     state = transition.state
     due_at_ms = transition.now_ms + delay_ms
-    if due_at_ms - state.load_sample_due_for_ms >= LOAD_SAMPLE_SHARING_MS:
-        state.load_sample_due_for_ms = due_at_ms
+    if due_at_ms - state.load_sample_serves_until_ms >= LOAD_SAMPLE_SHARING_MS:
+        state.load_sample_serves_until_ms = due_at_ms
         request_at_ms = max(transition.now_ms, due_at_ms - LOAD_SAMPLE_LEAD_MS)
         transition.emit(effects.ScheduleTimer(request_at_ms, events.LoadSampleDue()))
     transition.emit(effects.ScheduleTimer(due_at_ms, events.TimerExpired(label)))
@@ -69,10 +69,10 @@
 def _is_stale(state: State, tag: str) -> bool:
     """Return whether the sample was requested while the gauges had another order."""
     return (
-        state.stale_sample_number > 0
+        state.last_stale_sample_number > 0
         and tag.isdecimal()
         and len(tag) <= MAX_SAMPLE_NUMBER_DIGITS
-        and int(tag) <= state.stale_sample_number
+        and int(tag) <= state.last_stale_sample_number
     )
 
 
--- a/snowthread/core/reducer.py
+++ b/snowthread/core/reducer.py
@@ -36,9 +36,6 @@
     **key_replication.HANDLERS,
 }
 
-ASK_MS = key_claims.KEY_CLAIM_TIMEOUT_MS
-ASKING_MOST = key_claims.MAX_PENDING_KEY_CLAIMS
-
 
 def reduce(state: State, event: events.Event, now_ms: float, /) -> list[effects.Effect]:
     """Handle one event at this time (Unix milliseconds) and return its effects, in order."""
--- a/snowthread/core/request_lifecycle.py
+++ b/snowthread/core/request_lifecycle.py
@@ -40,7 +40,7 @@
     """Send the final response, unless one was sent or nobody waits: a late result is no second response."""
     if request.response_address is not None:
         transition.respond(request.response_address, response)
-        transition.state.by_response_address.pop(request.response_address, None)
+        transition.state.requests_by_response_address.pop(request.response_address, None)
         request.response_address = None
 
 
@@ -49,8 +49,8 @@
     state = transition.state
     if state.requests.pop(request.number, None) is None:
         return
-    if state.by_attempt_id.get(request.attempt_id) is request:
-        del state.by_attempt_id[request.attempt_id]
+    if state.requests_by_attempt_id.get(request.attempt_id) is request:
+        del state.requests_by_attempt_id[request.attempt_id]
     cancel_call(transition, request)
     if request.original_number is not None:
         original = state.requests.get(request.original_number) or state.idempotency_table.find_by_number(
--- a/snowthread/core/runs.py
+++ b/snowthread/core/runs.py
@@ -27,7 +27,7 @@
     if not state.runtime_connected:
         state.unsent_commands.append(command)
         return
-    request = state.by_attempt_id.get(command.attempt_id)
+    request = state.requests_by_attempt_id.get(command.attempt_id)
     if request is not None and not isinstance(command, effects.StopRun):
         request.last_command, request.last_command_at_ms = command, transition.now_ms
         if isinstance(command, effects.StartRun):
@@ -41,7 +41,7 @@
     result = event.result if event.outcome is Outcome.SUCCESS else None
     if event.outcome is not Outcome.NOT_STARTED:
         _record_result(transition, event.attempt_id, result)
-    request = state.by_attempt_id.get(event.attempt_id)
+    request = state.requests_by_attempt_id.get(event.attempt_id)
     if request is None or request.phase is not RequestPhase.RUNNING:
         return
     cancel_call(transition, request)
@@ -71,7 +71,7 @@
 
 def command_rejected(transition: Transition, event: events.CommandRejected) -> None:
     """End a run whose start or stop the runtime rejected."""
-    request = transition.state.by_attempt_id.get(event.attempt_id)
+    request = transition.state.requests_by_attempt_id.get(event.attempt_id)
     if request is None or request.phase is not RequestPhase.RUNNING:
         return
     if event.is_start or request.stopping:
@@ -103,12 +103,12 @@
     if state.controller is None:
         if event.starts_cold and not state.settings.starts_cold:
             state.settings = replace(state.settings, starts_cold=True)
-        transition.ensure_controller(event.age_ms)
+        transition.ensure_controller(event.runtime_age_ms)
     state.link_number += 1
     state.runtime_connected = True
     waiting, state.unsent_commands = state.unsent_commands, []
     for command in waiting:
-        if command.attempt_id in state.by_attempt_id:
+        if command.attempt_id in state.requests_by_attempt_id:
             send_command(transition, command)
     transition.emit(effects.RequestLoadSample(sync_tag(state.link_number)))
 
@@ -122,8 +122,8 @@
         command for command in event.unsent_commands if isinstance(command, effects.Command)
     ]
     for command in unsent:
-        if isinstance(command, effects.StartRun) and command.attempt_id in state.by_attempt_id:
-            state.by_attempt_id[command.attempt_id].link_number = 0
+        if isinstance(command, effects.StartRun) and command.attempt_id in state.requests_by_attempt_id:
+            state.requests_by_attempt_id[command.attempt_id].link_number = 0
     state.unsent_commands = unsent + state.unsent_commands
 
 
--- a/snowthread/core/settings_reload.py
+++ b/snowthread/core/settings_reload.py
@@ -30,11 +30,11 @@
     """Take up other settings; requests that are open keep their class as it was."""
     state = transition.state
     old = state.settings
-    state.settings = merge_settings(old, event.settings, state.retired_classes, transition.now_ms)
+    state.settings = merge_settings(old, event.settings, state.retired_until_ms, transition.now_ms)
     if event.gauge_names != state.gauge_names:  # samples read or requested so far have the old order
         state.gauge_names = event.gauge_names
         state.load_sample_at_ms = -math.inf
-        state.stale_sample_number = state.last_sample_number
+        state.last_stale_sample_number = state.last_sample_number
     _extend_idempotency_windows(state, old.classes)
     apply_settings(transition)
     _apply_tenants(transition, old, event.settings)
@@ -93,7 +93,7 @@
 
 def learned_state_restored(transition: Transition, event: events.LearnedStateRestored) -> None:
     """Begin with what an earlier incarnation learned; it waits until there is a controller."""
-    transition.state.learned_state = event
+    transition.state.pending_learned_state = event
     apply_learned_state(transition.state)
 
 
--- a/snowthread/core/state.py
+++ b/snowthread/core/state.py
@@ -113,8 +113,8 @@
     pending_quotas: admission_events.TenantsChanged | None = None  # received before there was a controller
     idempotency_table: IdempotencyTable = field(default_factory=IdempotencyTable)
     requests: dict[int, Request] = field(default_factory=dict)
-    by_attempt_id: dict[str, Request] = field(default_factory=dict)
-    by_response_address: dict[ResponseAddress, Request] = field(default_factory=dict)
+    requests_by_attempt_id: dict[str, Request] = field(default_factory=dict)
+    requests_by_response_address: dict[ResponseAddress, Request] = field(default_factory=dict)
     last_request_number: int = 0
     link_number: int = 0  # links to the runtime so far
     runtime_connected: bool = False
@@ -122,19 +122,19 @@
     unsent_commands: list[Command] = field(default_factory=list)  # they wait for a link
     load_sample: tuple[float, ...] = ()
     load_sample_at_ms: float = float("-inf")
-    load_sample_due_for_ms: float = float("-inf")  # the latest timer that a sample serves
+    load_sample_serves_until_ms: float = float("-inf")  # the latest timer that a sample serves
     last_sample_number: int = 0
-    stale_sample_number: int = 0  # up to this one the gauges had another order
+    last_stale_sample_number: int = 0  # up to this one the gauges had another order
     load_report: float | None = None
     healthy: bool = True
     shutting_down: bool = False
-    retired_classes: dict[str, float] = field(default_factory=dict)  # served until then (ms)
+    retired_until_ms: dict[str, float] = field(default_factory=dict)  # served until then (ms)
     drained: bool = False  # by the operators, until they undo it
     handover_role: HandoverRole = HandoverRole.STANDALONE
     peer_load: PeerLoadReported | None = None  # what the peer process uses of the shared limits
     indeterminate_keys: IndeterminateKeys | None = None  # of an earlier incarnation
     call_pacing: CallPacingChanged | None = None  # the limit during recovery
-    learned_state: LearnedStateRestored | None = None  # waits until there is a controller
+    pending_learned_state: LearnedStateRestored | None = None  # waits until there is a controller
     superseded: bool = False  # the successor takes new connections
     pending_claims: dict[str, PendingClaim] = field(default_factory=dict)  # by idempotency key
 
--- a/snowthread/core/transition.py
+++ b/snowthread/core/transition.py
@@ -93,7 +93,7 @@
 
 def apply_learned_state(state: State) -> None:
     """Hand what an earlier incarnation learned to the controller, if there are both."""
-    restored = state.learned_state
+    restored = state.pending_learned_state
     if state.controller is not None and restored is not None:
         restore_learned_state(state.controller, restored.learned_state, restored.relative_speed)
-        state.learned_state = None
+        state.pending_learned_state = None
--- a/snowthread/demo.py
+++ b/snowthread/demo.py
@@ -79,6 +79,6 @@
     output.write_text(report.html(), encoding="utf-8")
     output.with_suffix(".json").write_bytes(report.json())
     click.echo("\nWhat the records tell:")
-    for sentence in report.story.sentences:
+    for sentence in report.timeline.sentences:
         click.echo(f"- {sentence.text}")
     click.echo(f"{output} has it with its charts.")
--- a/snowthread/frontends/balancers/server.py
+++ b/snowthread/frontends/balancers/server.py
@@ -14,13 +14,13 @@
 from snowthread.frontends.balancers.codec import encode
 from snowthread.frontends.balancers.connection import BalancerConnection
 from snowthread.frontends.balancers.eviction import eviction_candidates
-from snowthread.frontends.balancers.sweeper import PART_MS, ConnectionSweeper
+from snowthread.frontends.balancers.sweeper import FAREWELL_TIMEOUT_MS, ConnectionSweeper
 from snowthread.net.limits import IDLE_SHARE, SWEEP_INTERVAL_MS
 from snowthread.net.listening import adopt_listener, has_pending_connection, open_listener
 from snowthread.net.loop import READABLE, EventLoop, TaskSteps, Wait
 
 LISTEN_BACKLOG = 1024
-PLACES_LEAST = 8  # connections that are allowed however low the limit is set
+MIN_CONNECTION_LIMIT = 8  # connections that are allowed however low the limit is set
 ACCEPTS_PER_ROUND = 64  # connections accepted in one round of the loop
 ACCEPT_PAUSE_MS = 50.0  # pause in accepting where no connection can be taken
 
@@ -93,8 +93,8 @@
 
     def set_max_connections(self, max_connections: int) -> None:
         """Limit the connections from now on; what is above the limit is evicted as new ones come."""
-        self._most = max(PLACES_LEAST, max_connections)
-        self._sweeper.max_idle_connections = int(self._most * IDLE_SHARE)
+        self._max_connections = max(MIN_CONNECTION_LIMIT, max_connections)
+        self._sweeper.max_idle_connections = int(self._max_connections * IDLE_SHARE)
 
     def set_idle_timeout(self, timeout_ms: float) -> None:
         """Send a farewell to connections that are idle for this long, from now on."""
@@ -105,10 +105,10 @@
     def _accept(self) -> TaskSteps:
         while self._listener is not None:
             ready = yield Wait() if self._paused else Wait(self._listener.fileno(), READABLE)
-            if ready and self._listener is not None and not self.accept_all(ACCEPTS_PER_ROUND):
+            if ready and self._listener is not None and not self.accept_pending(ACCEPTS_PER_ROUND):
                 yield Wait(until=self.loop.clock.now() + ACCEPT_PAUSE_MS)
 
-    def accept_all(self, max_accepts: int) -> bool:
+    def accept_pending(self, max_accepts: int) -> bool:
         """Accept pending connections; return False where none can be accepted for now.
 
         Where the table is full, an idle connection is evicted for each new one: connections that send nothing
@@ -117,7 +117,7 @@
         for _ in range(max_accepts):
             if self._listener is None:
                 break
-            if len(self._connections) >= self._most:
+            if len(self._connections) >= self._max_connections:
                 if not has_pending_connection(self._listener):
                     return True
                 if not self._evict_idle_connection():
@@ -210,7 +210,7 @@
 
     # Draining and stopping.
 
-    def say_farewell_to_all(self) -> None:
+    def send_farewell_to_all(self) -> None:
         """Drain: send a farewell on all connections, and on new ones once they were served."""
         self._draining = True
         for connection in list(self._connections.values()):
@@ -231,12 +231,12 @@
 
         Connections are refused from then on, which proves to their peers that nothing ran.
         """
-        self._most = max(self._most, len(self._connections) + LISTEN_BACKLOG)
-        self.accept_all(LISTEN_BACKLOG)
+        self._max_connections = max(self._max_connections, len(self._connections) + LISTEN_BACKLOG)
+        self.accept_pending(LISTEN_BACKLOG)
         if self._listener is not None:
             self.loop.close(self._listener)
             self._listener = None
-        self.say_farewell_to_all()
+        self.send_farewell_to_all()
 
     def has_pending_work(self) -> bool:
         """Return whether a request may still arrive or be unanswered on any connection.
@@ -247,7 +247,7 @@
         return any(
             not connection.idle
             or connection.has_partial_message
-            or now_ms - connection.farewell_at_ms < PART_MS
+            or now_ms - connection.farewell_at_ms < FAREWELL_TIMEOUT_MS
             for connection in self._connections.values()
         )
 
--- a/snowthread/frontends/balancers/sweeper.py
+++ b/snowthread/frontends/balancers/sweeper.py
@@ -11,7 +11,7 @@
 from snowthread.frontends.balancers.connection import BalancerConnection
 from snowthread.net.limits import FRESH_IDLE_MS, SINGLE_USE_IDLE_MS, is_timed_out
 
-PART_MS = 1000.0  # a connection still idle this long after its farewell is closed
+FAREWELL_TIMEOUT_MS = 1000.0  # a connection still idle this long after its farewell is closed
 
 
 class ConnectionSweeper:
@@ -57,7 +57,7 @@
             return True
         return (
             closes_after_farewell
-            and connection.farewell_at_ms + PART_MS <= now_ms
+            and connection.farewell_at_ms + FAREWELL_TIMEOUT_MS <= now_ms
             and connection.idle
             and not connection.has_partial_message
         )
--- a/snowthread/incident/cli.py
+++ b/snowthread/incident/cli.py
@@ -25,8 +25,8 @@
     output.write_text(result.html(), encoding="utf-8")
     json_output = output.with_suffix(".json")
     json_output.write_bytes(result.json())
-    for sentence in result.story.sentences:
+    for sentence in result.timeline.sentences:
         click.echo(sentence.text)
-    if not result.story.sentences:
+    if not result.timeline.sentences:
         click.echo("Nothing out of the ordinary is in these records.")
     click.echo(f"{output} and {json_output}", err=True)
--- a/snowthread/incident/report.py
+++ b/snowthread/incident/report.py
@@ -15,7 +15,7 @@
 from jinja2 import Environment, PackageLoader, StrictUndefined
 
 from snowthread import __version__
-from snowthread.incident.charts import class_chart, fleet_chart, line_chart, node_chart
+from snowthread.incident.charts import class_chart, fleet_chart, node_chart
 from snowthread.incident.clocks import Clocks
 from snowthread.incident.series import NodeSecond, Series, build
 from snowthread.incident.timeline import Sentence, Timeline, build_timeline
@@ -26,8 +26,6 @@
 NODE_CHARTS_MAX = 40
 TEMPLATE = "report.html.j2"
 
-_chart = line_chart  # the name under which snowthread.lab.report imports it
-
 
 class Report:
     """What happened, and what that was made from. The records are read twice, to hold few of them."""
@@ -42,16 +40,16 @@
                 progress(count)
         self.clocks.fit()
         self.series: Series = build(merge(paths, self.findings), self.clocks)
-        self.story: Timeline = build_timeline(self.series, self.clocks)
+        self.timeline: Timeline = build_timeline(self.series, self.clocks)
 
     def to_dict(self) -> dict[str, Any]:
         """Return the same for programs: sentences with their records, offsets, findings, totals."""
         return {
             "version": __version__,
-            "quiet": self.story.quiet,
+            "quiet": self.timeline.quiet,
             "span": list(self.series.span),
-            "sentences": [_sentence_dict(sentence) for sentence in self.story.sentences],
-            "unknown": list(self.story.unknown),
+            "sentences": [_sentence_dict(sentence) for sentence in self.timeline.sentences],
+            "unknown": list(self.timeline.unknown),
             "offsets": _offset_dicts(self.clocks),
             "findings": _findings_dict(self.findings),
             "nodes": [
@@ -76,7 +74,7 @@
         nodes = sorted(self.series.nodes.items())
         return environment.get_template(TEMPLATE).render(
             report=self.to_dict(),
-            timeline=self.story,
+            timeline=self.timeline,
             charts=self._charts(),
             node_charts=[node_chart(node, rows) for node, rows in nodes[:NODE_CHARTS_MAX]],
             offsets=self.clocks.offsets,
@@ -122,12 +120,12 @@
     return {
         "records": findings.records,
         "files": findings.files,
-        "copies": findings.copies,
+        "copies": findings.duplicates,
         "unreadable": findings.unreadable,
-        "holes": [[gap.node, gap.boot, gap.after, gap.count] for gap in findings.holes],
+        "holes": [[gap.node, gap.boot, gap.last_number, gap.count] for gap in findings.gaps],
         "spoilt": [
             [corrupt.path.name, corrupt.frame.offset, corrupt.frame.size, corrupt.frame.reason]
-            for corrupt in findings.spoilt
+            for corrupt in findings.corrupt_frames
         ],
     }
 
--- a/snowthread/lab/demo_display.py
+++ b/snowthread/lab/demo_display.py
@@ -12,7 +12,7 @@
 from rich.live import Live
 
 from snowthread.console.model import Fleet
-from snowthread.console.screen import Look, draw
+from snowthread.console.screen import ViewOptions, draw
 from snowthread.console.tail import Tail
 
 REFRESH_S = 0.5
@@ -60,9 +60,9 @@
             return
         self._refreshed_s = now_s
         for record in self._tail.poll():
-            self._fleet.take(record)
+            self._fleet.add(record)
         height = min(HEIGHT_MAX, self._console.height)
-        self._live.update(draw(self._fleet, Look(), self._console.width, height), refresh=True)
+        self._live.update(draw(self._fleet, ViewOptions(), self._console.width, height), refresh=True)
 
 
 @contextmanager
--- a/snowthread/lab/fleet.py
+++ b/snowthread/lab/fleet.py
@@ -185,7 +185,7 @@
         self._cores.assign_lab(self.services.process.pid, self.balancers.process.pid)
         for node in self.nodes.values():
             if self.scenario.comeback:  # as an operator does for a new machine: no incarnation ran keys
-                storage.init(state_folder(node.folder))
+                storage.create_key_log(state_folder(node.folder))
             self.start_node(node)
         deadline = time.monotonic() + START_TIMEOUT_S
         while not all(node.accepting for node in self.nodes.values()):
--- a/snowthread/lab/report.py
+++ b/snowthread/lab/report.py
@@ -11,7 +11,7 @@
 from collections.abc import Sequence
 from typing import Any
 
-from snowthread.incident.report import _chart
+from snowthread.incident.charts import line_chart
 
 FIGURES = (
     "comeback",
@@ -67,7 +67,7 @@
     capacity = float(summary["database_per_s"])
 
     def chart(title: str, **lines: Sequence[float]) -> str:
-        return _chart(
+        return line_chart(
             title, 0, last_second, {name: dict(enumerate(values)) for name, values in lines.items()}
         )
 
--- a/snowthread/node/hot_restart_effects.py
+++ b/snowthread/node/hot_restart_effects.py
@@ -51,7 +51,7 @@
             self._resume_accepting()
         else:
             self._balancers.pause_accepting()
-            self._balancers.say_farewell_to_all()
+            self._balancers.send_farewell_to_all()
 
     def _reserve_descriptors(self, effect: effects.ReserveDescriptors) -> None:
         self._balancers.set_max_connections(self._descriptors.balancer_connections_beside(effect.count))
--- a/snowthread/node/node.py
+++ b/snowthread/node/node.py
@@ -75,7 +75,7 @@
         if self.tenant_identification is not None:
             self.tenant_identification.start(self.balancers.peer_address)
         if self.recorder is not None:
-            self.recorder.start(self.balancers.count)
+            self.recorder.set_connection_counter(self.balancers.count)
 
     def _open_balancer_server(self) -> BalancerServer:
         config, tenants = self.config, self.tenant_identification
--- a/snowthread/node/shutdown.py
+++ b/snowthread/node/shutdown.py
@@ -39,7 +39,7 @@
         elapsed_ms = max(0.0, clock.now() - signalled_at_ms)
         logger.bind(event="node.shutdown").info("graceful shutdown begins, {} ms until the kill", grace_ms)
         node.post(events.ShutdownRequested(grace_ms - elapsed_ms, elapsed_ms))
-        node.balancers.say_farewell_to_all()
+        node.balancers.send_farewell_to_all()
         kill_at_ms = clock.now() + grace_ms - elapsed_ms
         if node.hot_restart is None:
             steps = self.serve_until_kill(kill_at_ms)
--- a/snowthread/operator/features.py
+++ b/snowthread/operator/features.py
@@ -74,9 +74,9 @@
 def _read_records(block: hcl.Block | None) -> RecordSettings | None:
     if block is None:
         return None
-    from snowthread.records.settings import read
+    from snowthread.records.settings import read_record_settings
 
-    return read(block)
+    return read_record_settings(block)
 
 
 def _read_recovery(block: hcl.Block | None) -> RecoverySettings | None:
--- a/snowthread/records/cli.py
+++ b/snowthread/records/cli.py
@@ -49,15 +49,15 @@
         pass
     for line in findings.unreadable:
         click.echo(line)
-    for corrupt in findings.spoilt:
+    for corrupt in findings.corrupt_frames:
         frame = corrupt.frame
         click.echo(f"{corrupt.path}: {frame.size} bytes from {frame.offset}: {frame.reason}")
-    for gap in findings.holes:
-        click.echo(f"{gap.node} {gap.boot}: {gap.count} records missing after number {gap.after}")
-    if findings.more:
-        click.echo(f"and {findings.more} more")
+    for gap in findings.gaps:
+        click.echo(f"{gap.node} {gap.boot}: {gap.count} records missing after number {gap.last_number}")
+    if findings.findings_left_out:
+        click.echo(f"and {findings.findings_left_out} more")
     click.echo(
-        f"{findings.records} records in {findings.files} files, {findings.copies} copies, "
+        f"{findings.records} records in {findings.files} files, {findings.duplicates} copies, "
         f"{findings.problems or 'nothing'} wrong"
     )
     if findings.problems:
--- a/snowthread/records/frame.py
+++ b/snowthread/records/frame.py
@@ -74,7 +74,7 @@
     return Record(node, boot, number, at, kind, fields)
 
 
-class Reader:
+class FrameReader:
     """Decode a stream of frames: bytes in, records and invalid stretches out.
 
     It holds the bytes of one unfinished frame at most.
--- a/snowthread/records/model.py
+++ b/snowthread/records/model.py
@@ -116,7 +116,7 @@
         "runs",
     )
 
-    def plain(self) -> Fields:
+    def nonzero_counts(self) -> Fields:
         """Return the counts that are not zero, by name."""
         return {name: value for name in self.NAMES if (value := getattr(self, name))}
 
--- a/snowthread/records/reader.py
+++ b/snowthread/records/reader.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from snowthread.records.frame import InvalidFrame, Reader
+from snowthread.records.frame import FrameReader, InvalidFrame
 from snowthread.records.model import BootId, Record, RecordKey
 from snowthread.records.writer import SUFFIX
 
@@ -32,7 +32,7 @@
 
     node: str
     boot: str
-    after: int  # number of the last record before the gap
+    last_number: int  # number of the last record before the gap
     count: int
     at: float  # time of the first record after the gap
 
@@ -49,29 +49,29 @@
 class Findings:
     """What was read, and what was wrong with it."""
 
-    holes: list[Gap] = field(default_factory=list)
-    spoilt: list[CorruptFrame] = field(default_factory=list)
-    copies: int = 0
+    gaps: list[Gap] = field(default_factory=list)
+    corrupt_frames: list[CorruptFrame] = field(default_factory=list)
+    duplicates: int = 0
     unreadable: list[str] = field(default_factory=list)
     records: int = 0
     files: int = 0
-    more: int = 0  # gaps and corrupt frames beyond those kept
+    findings_left_out: int = 0  # gaps and corrupt frames beyond those kept
 
-    MOST = 1000  # gaps and corrupt frames that are kept
+    FINDINGS_MAX = 1000  # gaps and corrupt frames that are kept
 
     @property
     def problems(self) -> int:
         """How many things were wrong."""
-        return len(self.unreadable) + len(self.spoilt) + len(self.holes) + self.more
+        return len(self.unreadable) + len(self.corrupt_frames) + len(self.gaps) + self.findings_left_out
 
     def add(self, found: Gap | CorruptFrame) -> None:
         """Keep a finding as far as there is room, else only count it."""
-        if len(self.holes) + len(self.spoilt) >= self.MOST:
-            self.more += 1
+        if len(self.gaps) + len(self.corrupt_frames) >= self.FINDINGS_MAX:
+            self.findings_left_out += 1
         elif isinstance(found, Gap):
-            self.holes.append(found)
+            self.gaps.append(found)
         else:
-            self.spoilt.append(found)
+            self.corrupt_frames.append(found)
 
 
 class _TimedRecord(NamedTuple):
@@ -123,7 +123,7 @@
         if boot is None:
             boot = progress[boot_id] = _BootProgress()
         if record.number in boot.seen:
-            findings.copies += 1
+            findings.duplicates += 1
             continue
         missing = record.number - boot.highest_number - 1
         if missing > 0:
@@ -155,7 +155,7 @@
 
 
 def _read_file(path: Path, findings: Findings) -> Iterator[Record]:
-    reader = Reader()
+    reader = FrameReader()
     findings.files += 1
     try:
         with path.open("rb") as source:
--- a/snowthread/records/recorder.py
+++ b/snowthread/records/recorder.py
@@ -81,7 +81,7 @@
         )
         loop.spawn(self._record_seconds())
 
-    def start(self, connections: Callable[[], int]) -> None:
+    def set_connection_counter(self, connections: Callable[[], int]) -> None:
         """Take the function that counts open connections, once there is one."""
         self._count_connections = connections
 
--- a/snowthread/records/second.py
+++ b/snowthread/records/second.py
@@ -71,7 +71,7 @@
 def _counted_fields(second: Second, now: float) -> Fields:
     fields: Fields = {
         "ms": round(now - second.started_at_ms, 1),
-        "totals": [[name, tenant, row.plain()] for (name, tenant), row in second.totals.items()],
+        "totals": [[name, tenant, row.nonzero_counts()] for (name, tenant), row in second.totals.items()],
     }
     if second.run_durations:
         fields["runs"] = {name: _summarize(counts) for name, counts in second.run_durations.items()}
--- a/snowthread/records/settings.py
+++ b/snowthread/records/settings.py
@@ -12,7 +12,7 @@
 BYTES_PER_MB = 2**20
 
 
-def read(block: Block) -> RecordSettings:
+def read_record_settings(block: Block) -> RecordSettings:
     """Return the checked settings; raise ConfigError, which names the key, if one is invalid."""
     settings = RecordSettings(
         folder=Path(block.text("folder")),
--- a/snowthread/records/writer.py
+++ b/snowthread/records/writer.py
@@ -37,7 +37,7 @@
     pid: int
 
 
-class Files:
+class RecordFiles:
     """Append batches to the files of one boot in one folder."""
 
     def __init__(self, folder: Path, node: str, boot: str, retention: Retention) -> None:
@@ -133,7 +133,7 @@
 
 def start(folder: Path, node: str, boot: str, retention: Retention) -> WriterProcess:
     """Fork the child and return the socket on which it takes batches, see ``encode_batch``."""
-    files = Files(folder, node, boot, retention)
+    files = RecordFiles(folder, node, boot, retention)
     node_end, writer_end = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
     node_end.setblocking(False)
     node_end.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BATCHES * BATCH_MAX)
@@ -149,7 +149,7 @@
     return records.to_bytes(COUNT_BYTES, "little") + bytes(frames)
 
 
-def _run_child(node_end: socket.socket, writer_end: socket.socket, files: Files) -> NoReturn:
+def _run_child(node_end: socket.socket, writer_end: socket.socket, files: RecordFiles) -> NoReturn:
     """Serve in the child until the socket is closed, then exit without any of the parent's clean-up."""
     status = 1
     try:
@@ -165,7 +165,7 @@
         os._exit(status)
 
 
-def _serve(source: socket.socket, files: Files) -> None:
+def _serve(source: socket.socket, files: RecordFiles) -> None:
     """Write batches until the socket is closed."""
     while message := source.recv(COUNT_BYTES + BATCH_MAX):
         records = int.from_bytes(message[:COUNT_BYTES], "little")
--- a/snowthread/recovery/call_pacing.py
+++ b/snowthread/recovery/call_pacing.py
@@ -37,7 +37,7 @@
     def permits(self, state: State, call: effects.StartCall, now_ms: float) -> bool:
         """Tell whether a call may start now; otherwise queue it, or report that it was denied."""
         attempt_id = call.attempt_id
-        request = state.by_attempt_id.get(attempt_id)
+        request = state.requests_by_attempt_id.get(attempt_id)
         skippable = request is not None and request.request_class.skipped_call_weight > 0.0
         permission = self._pacer.request_call(
             now_ms,
@@ -93,7 +93,7 @@
 
     def _count(self, attempt_id: str) -> None:
         if len(self._calls_made) >= MAX_COUNTED_RUNS:
-            running = self._state.by_attempt_id
+            running = self._state.requests_by_attempt_id
             self._calls_made = {run: made for run, made in self._calls_made.items() if run in running}
         self._calls_made[attempt_id] = self._calls_made.get(attempt_id, 0) + 1
 
--- a/snowthread/recovery/cli.py
+++ b/snowthread/recovery/cli.py
@@ -29,7 +29,7 @@
 
     if storage.read(folder, storage.KEY_LOG_FILE):
         raise ConfigError(f"{folder}: has a ring of keys; where it is torn the node has to be blind")
-    error = storage.init(folder)
+    error = storage.create_key_log(folder)
     if error is not None:
         raise ConfigError(f"{folder}: {error}")
     click.echo(f"{folder}: an empty ring of keys; the node's first start trusts it")
--- a/snowthread/recovery/manager.py
+++ b/snowthread/recovery/manager.py
@@ -163,7 +163,7 @@
 
     def _record_run(self, state: State, message: events.RunCompleted, now_ms: float) -> None:
         """Let slow start learn from a run that cannot do without its calls."""
-        request = state.by_attempt_id.get(message.attempt_id)
+        request = state.requests_by_attempt_id.get(message.attempt_id)
         if request is None or message.outcome not in (Outcome.SUCCESS, Outcome.CANCELLED):
             return
         request_class = request.request_class
--- a/snowthread/recovery/storage.py
+++ b/snowthread/recovery/storage.py
@@ -134,7 +134,7 @@
     return key_log.read_key_log(read(folder, KEY_LOG_FILE, key_log.key_log_size(key_log.MAX_SLOTS) + 1))
 
 
-def init(folder: Path) -> StorageError | None:
+def create_key_log(folder: Path) -> StorageError | None:
     """Write an empty key log; return None or the error.
 
     It is the operator's statement that no earlier incarnation of this node ran requests with keys.
--- a/snowthread/sites/client_filter.py
+++ b/snowthread/sites/client_filter.py
@@ -55,7 +55,9 @@
 
     def _judge(self, state: State, event: events.RequestReceived, request_class: RequestClass) -> Verdict:
         self._foreign_attempts = {
-            attempt_id: None for attempt_id in self._foreign_attempts if attempt_id in state.by_attempt_id
+            attempt_id: None
+            for attempt_id in self._foreign_attempts
+            if attempt_id in state.requests_by_attempt_id
         }
         order = _shedding_order(state)
         return decide(
--- a/tests/console/test_console.py
+++ b/tests/console/test_console.py
@@ -13,7 +13,7 @@
 from snowthread.console.live import apply_key
 from snowthread.console.model import LINES_MAX, Fleet
 from snowthread.console.replay import Replay
-from snowthread.console.screen import Look, text
+from snowthread.console.screen import ViewOptions, render_text
 from snowthread.console.sorting import SortOrder
 from snowthread.console.tail import Tail
 from snowthread.records.frame import encode
@@ -39,19 +39,19 @@
 
 def test_a_nodes_states_and_figures() -> None:
     fleet = Fleet()
-    fleet.take(Record("n1", "b", 1, START_MS, "start", {"version": "1"}))
-    fleet.take(second("n1", 2, START_MS + 1000.0, read=10, served=7, refused=2, refused_held=1))
-    fleet.take(second("n2", 1, START_MS + 1000.0, read=4, served=4))
+    fleet.add(Record("n1", "b", 1, START_MS, "start", {"version": "1"}))
+    fleet.add(second("n1", 2, START_MS + 1000.0, read=10, served=7, refused=2, refused_held=1))
+    fleet.add(second("n2", 1, START_MS + 1000.0, read=4, served=4))
     view = fleet.nodes["n1"]
     assert (view.read, view.served_in_time, view.rejected) == (10, 7, 3)
     assert (view.share_in_time, view.call_ms) == (0.7, 36.0)
     assert fleet.totals() == (14, 11, 3, 0) and view.rejections == {"as read": 2, "held": 1}
-    fleet.take(Record("n1", "b", 3, START_MS + 1500.0, "drain", {"left_ms": 900.0}))
+    fleet.add(Record("n1", "b", 3, START_MS + 1500.0, "drain", {"left_ms": 900.0}))
     assert fleet.state(view) == "leaving"
-    fleet.take(Record("n1", "b", 4, START_MS + 2000.0, "end", {"how": "left", "seconds": 2.0}))
-    fleet.take(second("n3", 1, START_MS + 9000.0, read=1))
+    fleet.add(Record("n1", "b", 4, START_MS + 2000.0, "end", {"how": "left", "seconds": 2.0}))
+    fleet.add(second("n3", 1, START_MS + 9000.0, read=1))
     assert fleet.state(view) == "left" and fleet.state(fleet.nodes["n2"]) == "silent"
-    fleet.take(Record("n1", "c", 1, START_MS + 9500.0, "start", {"version": "1"}))
+    fleet.add(Record("n1", "c", 1, START_MS + 9500.0, "start", {"version": "1"}))
     assert fleet.state(view) == "up"
     assert [line.text.split(",")[0] for line in fleet.lines][:2] == ["started", "told to leave"]
 
@@ -60,9 +60,9 @@
 def test_the_screen_fits_its_columns_and_shows_markup_as_it_is(width: int) -> None:
     fleet = Fleet()
     for number in range(12):
-        fleet.take(second(f"[red]a-node-with-a-long-name-{number}[/red]", 1, read=5, served=5))
-        fleet.take(note(1, f"n{number}", "b", START_MS, text="[bold]x[/bold] " + "y" * 300))
-    screen = text(fleet, Look(), width, 30)
+        fleet.add(second(f"[red]a-node-with-a-long-name-{number}[/red]", 1, read=5, served=5))
+        fleet.add(note(1, f"n{number}", "b", START_MS, text="[bold]x[/bold] " + "y" * 300))
+    screen = render_text(fleet, ViewOptions(), width, 30)
     assert max(len(line) for line in screen.splitlines()) <= width
     assert "[red]a-node" in screen and "[bold]x[/bold]" in screen and "\x1b" not in screen
     assert "as read" not in screen and "tenants: farbhof 60/s" in screen
@@ -72,10 +72,12 @@
     fleet = Fleet()
     for number in range(6000):
         at = START_MS + number % 3
-        fleet.take(second(f"n{number:04d}", 1, at, read=number % 50, served=0, refused=number % 7))
+        fleet.add(second(f"n{number:04d}", 1, at, read=number % 50, served=0, refused=number % 7))
     assert len(fleet.nodes) == 5000 and fleet.left_out == 1000
-    assert "n0000" in text(fleet, Look(), 80, 24) and "n0000" not in text(fleet, Look(page=1), 80, 24)
-    assert "n4999" in text(fleet, Look(page=10**6), 80, 24)
+    assert "n0000" in render_text(fleet, ViewOptions(), 80, 24) and "n0000" not in render_text(
+        fleet, ViewOptions(page=1), 80, 24
+    )
+    assert "n4999" in render_text(fleet, ViewOptions(page=10**6), 80, 24)
     assert [view.name for view in fleet.shown("node", "n499")][:2] == ["n4990", "n4991"]
     assert fleet.shown("read")[0].read == 49 and fleet.shown("refused")[0].rejected == 6
     for sort in SortOrder:
@@ -86,14 +88,14 @@
     fleet = Fleet()
     last = 3 * LINES_MAX - 1
     for number in range(last + 1):
-        fleet.take(note(number + 2, "n0001", "b", START_MS, text=str(number)))
+        fleet.add(note(number + 2, "n0001", "b", START_MS, text=str(number)))
     assert len(fleet.lines) == LINES_MAX
-    assert str(last) in text(fleet, Look(), 80, 24)
-    assert str(last) not in text(fleet, Look(scroll=500), 80, 24)
+    assert str(last) in render_text(fleet, ViewOptions(), 80, 24)
+    assert str(last) not in render_text(fleet, ViewOptions(scroll=500), 80, 24)
 
 
 def test_keys_turn_pages_scroll_and_change_the_order() -> None:
-    look = Look()
+    look = ViewOptions()
     for key in "pjnnk":
         apply_key(look, key)
     assert (look.page, look.scroll) == (2, 1)
@@ -102,7 +104,7 @@
     for _ in range(len(SortOrder) - 1):
         apply_key(look, "s")
     apply_key(look, "x")
-    assert look == Look(sort="node", page=2, scroll=1)
+    assert look == ViewOptions(sort="node", page=2, scroll=1)
 
 
 def test_a_replay_returns_each_record_when_it_is_due() -> None:
--- a/tests/core/test_configuration_file.py
+++ b/tests/core/test_configuration_file.py
@@ -103,7 +103,7 @@
     path.write_bytes(orjson.dumps(bad))
     reload(node, environment)
     assert node.config is previous and node.runtime._address != ("127.0.0.1", 9)
-    assert node.state.retired_classes == {}
+    assert node.state.retired_until_ms == {}
 
     added = example["settings"]["classes"][0] | {"name": "tint"}
     good = copy.deepcopy(example)
--- a/tests/core/test_runs.py
+++ b/tests/core/test_runs.py
@@ -22,7 +22,7 @@
 def start(state: State, request: events.RequestReceived) -> Request:
     reduce(state, events.RuntimeConnected(False, 0.0), START)
     assert any(isinstance(effect, effects.StartRun) for effect in reduce(state, request, START))
-    return state.by_attempt_id[request.attempt_id]
+    return state.requests_by_attempt_id[request.attempt_id]
 
 
 @pytest.mark.parametrize("class_name", ["idempotent", "keyed", "non-idempotent"])
--- a/tests/frontends/test_connection_limits.py
+++ b/tests/frontends/test_connection_limits.py
@@ -50,7 +50,7 @@
     start_player: Callable[..., Player], connect: Connect, crowd_sends: bytes
 ) -> None:
     player = start_player(limits={"sockets": 64})
-    max_connections = player.node.balancers._most
+    max_connections = player.node.balancers._max_connections
     slow_writer = connect(player)
     pieces = [REQUEST[start : start + 7] for start in range(0, len(REQUEST), 7)]
     pause_ms = WRITING_TIME_MS / (len(pieces) - 1)
--- a/tests/hot_restart/test_hot_restart_keys.py
+++ b/tests/hot_restart/test_hot_restart_keys.py
@@ -8,7 +8,7 @@
 from support.hot_restart import FIRST, SECOND, THIRD, ProcessPair, responses
 
 from snowthread.core import events
-from snowthread.core.reducer import ASK_MS, ASKING_MOST
+from snowthread.core.key_claims import KEY_CLAIM_TIMEOUT_MS, MAX_PENDING_KEY_CLAIMS
 from snowthread.core.state import HandoverRole
 
 REQUESTS_PER_CONNECTION = 32
@@ -95,7 +95,7 @@
     with pair.frozen_predecessor() as predecessor:
         pair.request(second, 1, FIRST)
         assert responses(second) == []
-        pair.advance(ASK_MS)
+        pair.advance(KEY_CLAIM_TIMEOUT_MS)
         assert responses(second) == [[1, "Throttled", None]]
         assert pair.started_runs(pair.successor) == []
     pair.settle()
@@ -112,10 +112,13 @@
     with pair.frozen_predecessor() as predecessor:
         pair.request(sock, 1, FIRST)
         sock.sendall(msgpack.packb([2, "cancel", [1]]))
-        for index in range(ASKING_MOST + 1):
+        for index in range(MAX_PENDING_KEY_CLAIMS + 1):
             if index % REQUESTS_PER_CONNECTION == 0:
                 sock = pair.connect(pair.successor)
-            is_last = index % REQUESTS_PER_CONNECTION == REQUESTS_PER_CONNECTION - 1 or index == ASKING_MOST
+            is_last = (
+                index % REQUESTS_PER_CONNECTION == REQUESTS_PER_CONNECTION - 1
+                or index == MAX_PENDING_KEY_CLAIMS
+            )
             pair.request(sock, 2 + index, f"{index:016x}", key=f"y{index}", settle=is_last)
         assert [error for _, error, _ in responses(sock)] == ["Throttled"]  # so many wait, and no more
     pair.settle()
--- a/tests/incident/test_incident_report.py
+++ b/tests/incident/test_incident_report.py
@@ -27,13 +27,13 @@
     path = next(tmp_path.glob("n1-*"))
     path.write_bytes(path.read_bytes()[:-9])
     report = Report([tmp_path])
-    kinds = [sentence.kind for sentence in report.story.sentences if sentence.kind in INCIDENTS]
+    kinds = [sentence.kind for sentence in report.timeline.sentences if sentence.kind in INCIDENTS]
     assert kinds == [trouble.kind for trouble in ONE_AFTER_THE_OTHER]
-    assert report.findings.spoilt
+    assert report.findings.corrupt_frames
     empty = tmp_path / "empty"
     empty.mkdir()
     nothing = Report([empty])
-    assert nothing.story.quiet and "Nothing out of the ordinary" in nothing.html()
+    assert nothing.timeline.quiet and "Nothing out of the ordinary" in nothing.html()
 
 
 def test_markup_in_names_and_texts_is_escaped(tmp_path: Path) -> None:
--- a/tests/node/test_database_call_races.py
+++ b/tests/node/test_database_call_races.py
@@ -16,7 +16,7 @@
     send_notice,
 )
 
-from snowthread.clients.database import KEEP_MS
+from snowthread.clients.database import IDLE_TIMEOUT_MS
 from snowthread.core import effects
 
 RETRY_DUE_MS = 60.0  # after this a call that found no connection, or lost it, is tried again
@@ -73,7 +73,7 @@
     assert harness.came("index", 30).startswith(b"POST")
     harness.send("index", DATABASE_REPLY)
     harness.settle()
-    harness.advance_late(KEEP_MS)  # its task is woken to end
+    harness.advance_late(IDLE_TIMEOUT_MS)  # its task is woken to end
     database.start_call(replace(call, attempt_id=attempt_id(2)))
     harness.settle()
     assert database.connection_count() == 1
@@ -117,7 +117,7 @@
     )
     harness.connect("1")
     database = harness.node.database
-    max_connections = database._most
+    max_connections = database._max_connections
     for n in range(1, max_connections + 2):
         harness.send("1", request(n, "match", wait="11000"))
         assert read_command(harness)["action"] == "start"
--- a/tests/node/test_runtime_link.py
+++ b/tests/node/test_runtime_link.py
@@ -21,7 +21,12 @@
     send_notice,
 )
 
-from snowthread.clients.runtime import ALIVE_MS, FENCE_MS, QUEUE_MAX, SILENT_MS
+from snowthread.clients.runtime import (
+    LOAD_SAMPLE_QUEUE_LIMIT,
+    MOVE_TIMEOUT_MS,
+    PROBE_AFTER_SILENCE_MS,
+    PROBE_TIMEOUT_MS,
+)
 from snowthread.core import effects
 
 
@@ -32,11 +37,11 @@
 
 def pass_silence_timeout(harness: NodeHarness) -> None:
     """Let the runtime say nothing more, on a link that does not break, until the node gives the link up."""
-    harness.advance(SILENT_MS)
+    harness.advance(PROBE_AFTER_SILENCE_MS)
     command = read_command(harness)
     while command != {"action": "gauges", "echo": "alive"}:
         command = read_command(harness)
-    harness.advance(ALIVE_MS)
+    harness.advance(PROBE_TIMEOUT_MS)
     harness.settle()
 
 
@@ -104,15 +109,15 @@
     harness.accept("runtime")
     assert read_command(harness) == {"action": "sync", "pos": 0}
     for _ in range(5):
-        harness.advance(SILENT_MS + ALIVE_MS)
+        harness.advance(PROBE_AFTER_SILENCE_MS + PROBE_TIMEOUT_MS)
     harness.silent("runtime")
     send_notice(harness, "ready", code="fresh", wall_ms=0)
     assert read_command(harness) == {"action": "gauges", "echo": "sync-1"}
 
 
 def test_echo_unread_at_the_end_of_the_wait_is_heard(harness: NodeHarness) -> None:
-    harness.advance(SILENT_MS)
-    harness.advance_late(ALIVE_MS)
+    harness.advance(PROBE_AFTER_SILENCE_MS)
+    harness.advance_late(PROBE_TIMEOUT_MS)
     send_notice(harness, "load", echo="alive", meters=[0.1, 0, 0.1, 1])
     harness.settle()
     assert harness.node.state.runtime_connected and harness.node.state.link_number == 1
@@ -121,7 +126,7 @@
 def test_link_with_many_unread_commands_moves_after_their_echo_and_loses_none(harness: NodeHarness) -> None:
     link = harness.peers["runtime"]
     sent = 0
-    while len(harness.node.runtime._lines) < QUEUE_MAX:
+    while len(harness.node.runtime._unsent_lines) < LOAD_SAMPLE_QUEUE_LIMIT:
         harness.node.runtime.send(effects.DeliverReply(attempt_id(sent), b"r" * 4000))
         sent += 1
         assert sent < 5000
@@ -161,7 +166,7 @@
     back = loopback(socket.SOCK_STREAM)
     harness.reload(runtime=address(back))
     harness.settle()
-    harness.advance(FENCE_MS)
+    harness.advance(MOVE_TIMEOUT_MS)
     harness.listeners["runtime"] = back
     reconnect_runtime(harness, 0, "sync-2")
     assert read_command(harness) == start_command(1, "match")
--- a/tests/records/test_record_files.py
+++ b/tests/records/test_record_files.py
@@ -14,7 +14,7 @@
 from snowthread.records.outbox import Outbox
 from snowthread.records.reader import Findings, merge
 from snowthread.records.retention import Retention, Segment, files_to_delete, is_full
-from snowthread.records.writer import SUFFIX, Files
+from snowthread.records.writer import SUFFIX, RecordFiles
 
 RETENTION = Retention(file_bytes=1000, file_ms=10_000.0, total_bytes=3000, keep_ms=60_000.0)
 ANY_AGE_MS = 1e15  # of files: the times in these tests are not those of the file system
@@ -36,7 +36,7 @@
 
 def test_files_rotate_within_their_total_and_leave_other_nodes_alone(tmp_path: Path) -> None:
     other = write_records(tmp_path, "n2-1-bb-000001", [note(1, "n2", "bb")])
-    files = Files(tmp_path, "n1", "b0", ANY_AGE)
+    files = RecordFiles(tmp_path, "n1", "b0", ANY_AGE)
     for number in range(1, 200):
         files.append(encode(note(number, text="x" * 60)), 1, START_MS + number)
     files.close()
@@ -45,20 +45,20 @@
     assert other.exists()
     findings = Findings()
     numbers = [record.number for record in merge(own, findings)]
-    assert numbers == list(range(numbers[0], 200)) and len(findings.holes) == 1
+    assert numbers == list(range(numbers[0], 200)) and len(findings.gaps) == 1
 
 
 def test_names_that_begin_alike_or_hold_a_path_stay_apart(tmp_path: Path) -> None:
-    other = Files(tmp_path, "n1-5", "ab", ANY_AGE)
+    other = RecordFiles(tmp_path, "n1-5", "ab", ANY_AGE)
     other.append(encode(note(1, "n1-5", "ab", text="x" * 900)), 1, START_MS)
     other.close()
     for number in range(1, 60):
-        own = Files(tmp_path, "n1", "cd", RETENTION)
+        own = RecordFiles(tmp_path, "n1", "cd", RETENTION)
         own.append(encode(note(number, boot="cd", text="x" * 900)), 1, START_MS + number)
         own.close()
     kept = [record for record in merge([tmp_path], Findings()) if record.node == "n1-5"]
     assert len(kept) == 1
-    escaping = Files(tmp_path / "in", "../../out", "ef", UNBOUNDED)
+    escaping = RecordFiles(tmp_path / "in", "../../out", "ef", UNBOUNDED)
     escaping.append(encode(note(1, "../../out", "ef")), 1, START_MS)
     escaping.close()
     assert [path.parent.name for path in tmp_path.rglob(f"*out*{SUFFIX}")] == ["in"]
@@ -67,7 +67,7 @@
 def test_records_lost_to_a_full_disk_are_reported_once_there_is_space(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    files, real_write = Files(tmp_path, "n1", "b0", UNBOUNDED), os.write
+    files, real_write = RecordFiles(tmp_path, "n1", "b0", UNBOUNDED), os.write
     files.append(encode(note(1)), 1, START_MS)
 
     def write_to_full_disk(fd: int, data: bytes) -> int:
@@ -86,12 +86,12 @@
     assert [record.number for record in records if record.kind == "note"] == [1, 5]
     gaps = [record.fields for record in records if record.kind == "gap"]
     assert [(fields["lost"], fields["why"]) for fields in gaps] == [(3, "No space left on device")]
-    assert findings.spoilt and [(gap.after, gap.count) for gap in findings.holes] == [(1, 3)]
+    assert findings.corrupt_frames and [(gap.last_number, gap.count) for gap in findings.gaps] == [(1, 3)]
 
 
 def test_an_unwritable_folder_is_tried_again_after_a_while(tmp_path: Path) -> None:
     (tmp_path / "file").write_text("")
-    files = Files(tmp_path / "file" / "folder", "n1", "b0", UNBOUNDED)
+    files = RecordFiles(tmp_path / "file" / "folder", "n1", "b0", UNBOUNDED)
     files.append(encode(note(1)), 1, START_MS)
     (tmp_path / "file").unlink()
     files.append(encode(note(2)), 1, START_MS + 500.0)  # too soon after the error to open a file again
--- a/tests/records/test_record_frame.py
+++ b/tests/records/test_record_frame.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from support.record_files import encode_all, note
 
-from snowthread.records.frame import PAYLOAD_MAX, InvalidFrame, Reader, encode
+from snowthread.records.frame import PAYLOAD_MAX, FrameReader, InvalidFrame, encode
 from snowthread.records.model import Record
 
 THREE = [note(1, text="one"), note(2, text="zwei ü", deep={"a": [1, 2.5, None]}), note(3)]
@@ -17,7 +17,7 @@
 
 def read(data: bytes) -> tuple[list[Record], list[InvalidFrame]]:
     """Decode a whole stream into its records and its invalid stretches."""
-    reader = Reader()
+    reader = FrameReader()
     items = reader.feed(data) + reader.end()
     records = [item for item in items if isinstance(item, Record)]
     return records, [item for item in items if isinstance(item, InvalidFrame)]
@@ -55,7 +55,7 @@
 @settings(max_examples=150, deadline=None)
 def test_garbage_between_records_and_any_split_lose_none_of_them(noise: bytes, splits: list[int]) -> None:
     data = encode(THREE[0]) + noise + encode(THREE[1])
-    reader = Reader()
+    reader = FrameReader()
     items: list[Record | InvalidFrame] = []
     offsets = sorted(min(split, len(data)) for split in splits)
     for begin, end in zip([0, *offsets], [*offsets, len(data)], strict=True):
--- a/tests/records/test_record_reader.py
+++ b/tests/records/test_record_reader.py
@@ -21,8 +21,8 @@
     records = list(merge([tmp_path], findings))
     times = [record.at for record in records]
     assert times == sorted(times) and len(records) == 7
-    assert findings.copies == 2
-    assert [(gap.boot, gap.after, gap.count) for gap in findings.holes] == [("aa", 3, 2)]
+    assert findings.duplicates == 2
+    assert [(gap.boot, gap.last_number, gap.count) for gap in findings.gaps] == [("aa", 3, 2)]
 
 
 def test_a_clock_set_back_keeps_a_nodes_records_in_their_order(tmp_path: Path) -> None:
@@ -41,4 +41,4 @@
     (tmp_path / f"noise{SUFFIX}").write_bytes(os.urandom(5000))
     findings = Findings()
     assert len(list(merge([tmp_path, tmp_path / "none"], findings))) == 2
-    assert findings.unreadable and len(findings.spoilt) >= 2
+    assert findings.unreadable and len(findings.corrupt_frames) >= 2
--- a/tests/recovery/test_key_log.py
+++ b/tests/recovery/test_key_log.py
@@ -74,7 +74,7 @@
 
 
 def test_key_log_that_the_operator_made_is_trusted(tmp_path: Path) -> None:
-    assert storage.init(tmp_path) is None
+    assert storage.create_key_log(tmp_path) is None
     opened = storage.open_key_log(tmp_path, NOW + 16_000.0)
     assert opened.found.verdict is KeyLogVerdict.WHOLE and opened.found.any_until_ms == 0.0
     assert opened.key_log is not None
@@ -98,7 +98,7 @@
     ],
 )
 def test_indeterminate_keys_end_with_their_windows(key: str, at_ms: float, may_have_run: bool) -> None:
-    keys = IndeterminateKeys({key_digest("ran"): NOW + 100.0}, blind_until=NOW + 10.0)
+    keys = IndeterminateKeys({key_digest("ran"): NOW + 100.0}, any_until_ms=NOW + 10.0)
     assert keys.may_have_run(key, at_ms) is may_have_run
 
 
--- a/tests/recovery/test_manager.py
+++ b/tests/recovery/test_manager.py
@@ -70,7 +70,7 @@
 
 @pytest.fixture
 def harness(tmp_path: Path) -> Harness:
-    storage.init(tmp_path)
+    storage.create_key_log(tmp_path)
     made = Harness(tmp_path)
     made.handle(events.RuntimeConnected(True, 0.0))
     return made
--- a/tests/stored/test_stored_formats.py
+++ b/tests/stored/test_stored_formats.py
@@ -21,12 +21,12 @@
 from snowthread.core import events
 from snowthread.core.reducer import reduce
 from snowthread.core.state import AdmissionClock, State
-from snowthread.records.frame import InvalidFrame, Reader, encode
+from snowthread.records.frame import FrameReader, InvalidFrame, encode
 from snowthread.records.model import KINDS, Fields, Record, Totals
 from snowthread.records.observer import Observer
 from snowthread.records.reader import Findings, Gap, merge
 from snowthread.records.retention import Retention
-from snowthread.records.writer import Files
+from snowthread.records.writer import RecordFiles
 from snowthread.tenants import snapshot as tenant_disk
 from snowthread.tenants.model import Status, Tenant
 
@@ -88,14 +88,14 @@
 GAP_OF_WRITER = Record(NODE, BOOT, -1, START + 5000.0, "gap", {"lost": 2, "why": "File exists"})
 
 
-def append_records(files: Files, records: tuple[Record, ...], now: float) -> None:
+def append_records(files: RecordFiles, records: tuple[Record, ...], now: float) -> None:
     """Append the records as one batch."""
     files.append(b"".join(encode(record) for record in records), len(records), now)
 
 
 def write_record_files(folder: Path) -> None:
     """Write two files; the batch between them fails, as a file stands where the folder should be."""
-    files = Files(folder, NODE, BOOT, Retention(file_ms=1000.0))
+    files = RecordFiles(folder, NODE, BOOT, Retention(file_ms=1000.0))
     append_records(files, BEFORE_FAILURE, START)
     moved = folder.with_name("moved")
     folder.rename(moved)
@@ -184,9 +184,9 @@
 
 def test_stored_records_lack_the_two_that_the_writer_lost() -> None:
     _, findings = read_record_files(STORED / "records")
-    assert (findings.files, findings.records, findings.copies) == (2, 10, 0)
-    assert findings.holes == [Gap("node/a", "5e0c71d2", 6, 2, START + 5000.0)]
-    assert findings.spoilt == [] and findings.unreadable == []
+    assert (findings.files, findings.records, findings.duplicates) == (2, 10, 0)
+    assert findings.gaps == [Gap("node/a", "5e0c71d2", 6, 2, START + 5000.0)]
+    assert findings.corrupt_frames == [] and findings.unreadable == []
 
 
 def test_records_written_anew_have_the_stored_names_and_bytes(tmp_path: Path) -> None:
@@ -233,8 +233,8 @@
         "left": 11,
         "runs": 12,
     }
-    assert totals.plain() == expected
-    assert list(totals.plain()) == list(expected)  # their order is that of the stored bytes
+    assert totals.nonzero_counts() == expected
+    assert list(totals.nonzero_counts()) == list(expected)  # their order is that of the stored bytes
 
 
 @pytest.mark.parametrize("name", [FIRST_FILE, SECOND_FILE])
@@ -243,7 +243,7 @@
     for offset in range(len(data)):
         altered = bytearray(data)
         altered[offset] ^= 0x01
-        reader = Reader()
+        reader = FrameReader()
         found = reader.feed(bytes(altered)) + reader.end()
         assert any(isinstance(item, InvalidFrame) for item in found), offset
 
--- a/tests/support/hot_restart.py
+++ b/tests/support/hot_restart.py
@@ -82,7 +82,7 @@
 
 def max_connections(player: Player) -> int:
     """Return how many balancers' connections a process accepts at most."""
-    return player.node.balancers._most
+    return player.node.balancers._max_connections
 
 
 class ProcessPair:
--- a/tests/support/node_harness.py
+++ b/tests/support/node_harness.py
@@ -152,7 +152,7 @@
     def begin_shutdown(self) -> None:
         """Post what a signal to shut down posts."""
         self.node.post(events.ShutdownRequested(GRACE_MS))
-        self.node.balancers.say_farewell_to_all()
+        self.node.balancers.send_farewell_to_all()
 
 
 class StartNode(Protocol):
