Node, configuration, loop and test harness: names that several packages share

Cause: stop_ms, until, came, silent and at stood for a grace period, a deadline, bytes received and an address.

--- a/benchmarks/hot_restart.py
+++ b/benchmarks/hot_restart.py
@@ -110,7 +110,7 @@
 
     def _wait_until_ready(self, admin: str) -> TaskSteps:
         while not is_ready(Address.parse(admin)):
-            yield Wait(until=self.loop.clock.now() + READY_POLL_MS)
+            yield Wait(until_ms=self.loop.clock.now() + READY_POLL_MS)
 
     def _restart(self) -> TaskSteps:
         """Replace the process that serves by a new one with a runtime of its own."""
--- a/benchmarks/tenant_costs.py
+++ b/benchmarks/tenant_costs.py
@@ -123,7 +123,7 @@
     with ExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         stack.enter_context(
-            rig.process("-m", "emulators.directory", address, *size, ready=f"{tenant_count} tenants")
+            rig.run_program("-m", "emulators.directory", address, *size, ready=f"{tenant_count} tenants")
         )
         settings = tenant_settings(folder, address)
         tenants = TenantState(settings.rules)
--- a/emulators/balancers.py
+++ b/emulators/balancers.py
@@ -82,7 +82,7 @@
                     self._listed = [name for name in names if name in self._known]
             except OSError:
                 pass
-            yield Wait(until=self._loop.clock.now() + REGISTRY_POLL_MS)
+            yield Wait(until_ms=self._loop.clock.now() + REGISTRY_POLL_MS)
 
     def choose(self, request: ClientRequest) -> str | None:
         """Return a node that was not tried yet; None where there is none."""
--- a/emulators/site.py
+++ b/emulators/site.py
@@ -203,7 +203,7 @@
                 request_line = data.split(b"\r")[0].decode()
                 self._script.tell(f"index: {request_line}")
                 if self._script.database_ms:
-                    yield Wait(until=self._loop.clock.now() + self._script.database_ms)
+                    yield Wait(until_ms=self._loop.clock.now() + self._script.database_ms)
                 connection.send(DATABASE_ANSWER)
         except OSError:
             pass
--- a/snowthread/clients/registry.py
+++ b/snowthread/clients/registry.py
@@ -76,7 +76,7 @@
                 logger.debug("registry: {}", error)
             self._change_reports_left = max(0, self._change_reports_left - 1)
             interval_ms = CHANGE_REPORT_INTERVAL_MS if self._change_reports_left else REPORT_INTERVAL_MS
-            yield Wait(until=self._loop.clock.now() + interval_ms)
+            yield Wait(until_ms=self._loop.clock.now() + interval_ms)
 
     def _receive_answers(self, sock: socket.socket) -> TaskSteps:
         while True:
--- a/snowthread/clients/runtime.py
+++ b/snowthread/clients/runtime.py
@@ -148,7 +148,7 @@
                     )
                 self._lose_link(failure.timed_out)
             delay_ms = backoff_ms if self._reconnect_delay_ms is None else self._reconnect_delay_ms()
-            yield Wait(until=self._loop.clock.now() + delay_ms)
+            yield Wait(until_ms=self._loop.clock.now() + delay_ms)
             backoff_ms = min(MAX_RECONNECT_DELAY_MS, backoff_ms * 2.0)
 
     def _leave_link(self) -> None:
--- a/snowthread/config.py
+++ b/snowthread/config.py
@@ -86,7 +86,7 @@
     registry: Address
     database: Address | None  # None where the settings say that runs call no database
     seed: int
-    stop_ms: float  # from SIGTERM to the kill
+    grace_period_ms: float  # from SIGTERM to the kill
     sockets: int  # the most that may be open
     memory_mb: float
     settings: Settings
@@ -94,7 +94,7 @@
     admin: Address | None = None  # where operators call
     listen_descriptor: int | None = None  # of a listening socket that another process passed on
     handover_directory: str | None = None  # where processes that share that socket find each other
-    shape: Shape = field(default_factory=dict, compare=False)  # the keys of the file
+    key_shape: Shape = field(default_factory=dict, compare=False)  # the keys of the file
 
 
 def load(environment: Mapping[str, str], previous: Config | None = None) -> Config:
@@ -108,7 +108,7 @@
         raise ConfigError("NODE_CONFIG is not set: it names the configuration file")
     fields = _read_file(path)
     shape = shape_of(fields)
-    missing = missing_key(fields, previous.shape) if previous is not None else None
+    missing = missing_key(fields, previous.key_shape) if previous is not None else None
     if missing is not None:
         raise ConfigError("is missing, the configuration in force has it", key=missing, path=path)
     for variable, key in FIELD_BY_VARIABLE.items():
@@ -116,7 +116,7 @@
             fields[key] = environment[variable]
     descriptor = _listen_descriptor(environment)
     try:
-        config = replace(parse(fields), shape=shape)
+        config = replace(parse(fields), key_shape=shape)
     except ConfigError as error:
         raise error.in_file(path) from None
     if descriptor is None:
@@ -165,7 +165,7 @@
         registry=registry,
         database=database,
         seed=seed,
-        stop_ms=stop_ms,
+        grace_period_ms=stop_ms,
         sockets=sockets,
         memory_mb=memory_mb,
         settings=settings,
--- a/snowthread/frontends/admin/server.py
+++ b/snowthread/frontends/admin/server.py
@@ -55,7 +55,7 @@
                 sock, _address = self._listener.accept()
             except OSError as error:  # the client has gone already, or no descriptor is free for now
                 logger.debug("admin: accept: {}", error)
-                yield Wait(until=self._loop.clock.now() + ACCEPT_PAUSE_MS)
+                yield Wait(until_ms=self._loop.clock.now() + ACCEPT_PAUSE_MS)
                 continue
             sock.setblocking(False)
             if len(self._clients) >= MAX_CLIENTS:
--- a/snowthread/frontends/balancers/server.py
+++ b/snowthread/frontends/balancers/server.py
@@ -106,7 +106,7 @@
         while self._listener is not None:
             ready = yield Wait() if self._paused else Wait(self._listener.fileno(), READABLE)
             if ready and self._listener is not None and not self.accept_pending(ACCEPTS_PER_ROUND):
-                yield Wait(until=self.loop.clock.now() + ACCEPT_PAUSE_MS)
+                yield Wait(until_ms=self.loop.clock.now() + ACCEPT_PAUSE_MS)
 
     def accept_pending(self, max_accepts: int) -> bool:
         """Accept pending connections; return False where none can be accepted for now.
@@ -203,7 +203,7 @@
 
     def _sweep(self) -> TaskSteps:
         while True:
-            yield Wait(until=self.loop.clock.now() + SWEEP_INTERVAL_MS)
+            yield Wait(until_ms=self.loop.clock.now() + SWEEP_INTERVAL_MS)
             self._sweeper.sweep(
                 self.loop.clock.now(), closes_after_farewell=self._paused or not self._draining
             )
--- a/snowthread/hot_restart/channel.py
+++ b/snowthread/hot_restart/channel.py
@@ -115,7 +115,7 @@
                 give_up_at = self._loop.clock.now()  # it listened a moment ago: refused means that it exited
             elif self._is_nobody_there(found, give_up_at):
                 break
-            yield Wait(until=self._loop.clock.now() + RETRY_MS)
+            yield Wait(until_ms=self._loop.clock.now() + RETRY_MS)
         if joined:
             self._report_exit()
         self._settled = True
--- a/snowthread/lab/demo_fleet.py
+++ b/snowthread/lab/demo_fleet.py
@@ -127,7 +127,7 @@
 
     def _restart(self, node: NodeProcess, load: Load) -> TaskSteps:
         while node.running:
-            yield Wait(until=self.loop.clock.now() + EXIT_POLL_MS)
+            yield Wait(until_ms=self.loop.clock.now() + EXIT_POLL_MS)
         node.start()
         yield from node.wait_until_accepting(self.loop, START_TIMEOUT_MS)
         load.paused = False
--- a/snowthread/lab/processes.py
+++ b/snowthread/lab/processes.py
@@ -125,7 +125,7 @@
                 return True
             if loop.clock.now() >= deadline:
                 break
-            yield Wait(until=loop.clock.now() + ACCEPT_POLL_MS)
+            yield Wait(until_ms=loop.clock.now() + ACCEPT_POLL_MS)
         return False
 
     def _accepts_connections(self) -> bool:
--- a/snowthread/lab/relay.py
+++ b/snowthread/lab/relay.py
@@ -156,14 +156,14 @@
                     continue
                 wake_ms = self._wake_ms(now)
                 if self._source_ended or self._queued_bytes >= QUEUE_BYTES_MAX:
-                    yield Wait(until=wake_ms)
+                    yield Wait(until_ms=wake_ms)
                     continue
                 if (yield Wait(self._source.fileno(), READABLE, wake_ms)):
                     self._read_chunk()
             self._sink.shutdown(socket.SHUT_WR)
             self._connection.directions_ended += 1
             while self._connection.directions_ended < 2 and not self._must_close():
-                yield Wait(until=self._loop.clock.now() + FAULT_POLL_MS)
+                yield Wait(until_ms=self._loop.clock.now() + FAULT_POLL_MS)
         except OSError:
             self._connection.broken = True
         finally:
--- a/snowthread/log.py
+++ b/snowthread/log.py
@@ -29,11 +29,11 @@
 
 
 def _write_json(message: Message) -> None:
-    sys.stderr.write(as_json(message).decode() + "\n")
+    sys.stderr.write(encode_json_line(message).decode() + "\n")
     sys.stderr.flush()
 
 
-def as_json(message: Message) -> bytes:
+def encode_json_line(message: Message) -> bytes:
     """Return a log record as one JSON object; a value that JSON has no form for becomes text."""
     import orjson
 
--- a/snowthread/net/loop.py
+++ b/snowthread/net/loop.py
@@ -35,7 +35,7 @@
 
     fd: int = -1  # none
     mask: int = 0
-    until: float = math.inf
+    until_ms: float = math.inf
 
 
 TaskSteps = Generator[Wait, int, None]
@@ -195,8 +195,8 @@
         elif wait.fd >= 0 and wait.mask != task.mask:
             self._epoll.modify(wait.fd, wait.mask)
             task.mask = wait.mask
-        if wait.until < math.inf:
-            task.timer = self.call_at(wait.until, lambda: self.wake(task))
+        if wait.until_ms < math.inf:
+            task.timer = self.call_at(wait.until_ms, lambda: self.wake(task))
 
     def _unwatch_task(self, task: Task) -> None:
         if task.fd >= 0 and self._task_by_fd.get(task.fd) is task:
--- a/snowthread/node/node.py
+++ b/snowthread/node/node.py
@@ -4,7 +4,6 @@
 
 import os
 from collections import deque
-from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 from loguru import logger
@@ -47,7 +46,7 @@
         self.loop = EventLoop(clock)
         self.state = _initial_state(config, clock)
         self._pending_events: deque[events.Event] = deque()
-        self._dispatching = self._gone = False
+        self._dispatching = self._stopped = False
         parts = build_feature_parts(features, self.loop, config, self.state, self.post)
         self.recorder, self.recovery = parts.recorder, parts.recovery
         self.tenant_identification = parts.tenant_identification
@@ -123,7 +122,7 @@
 
         An event that an effect causes at once waits until the effects before it are carried out.
         """
-        if self._gone:
+        if self._stopped:
             return
         self._pending_events.append(event)
         if self._dispatching:
@@ -142,15 +141,9 @@
 
     def _carry_out(self, effect: effects.Effect) -> None:
         """Carry out an effect that recovery delayed."""
-        if not self._gone:
+        if not self._stopped:
             self._effect_handlers[type(effect)](effect)
 
-    def _ready(self) -> tuple[HTTPStatus, str]:
-        return self.operator_calls.ready()  # until tests/hot_restart calls it there
-
-    def _drain(self, drain: bool) -> tuple[HTTPStatus, str]:
-        return self.operator_calls.drain() if drain else self.operator_calls.resume()  # likewise
-
     def apply_configuration(self, config: Config, features: Features | None = None) -> None:
         """Go on with a new configuration; OSError where no socket can be opened, and nothing has changed."""
         apply_configuration(self, config, features)
@@ -168,7 +161,7 @@
     def stop(self) -> None:
         """End the event loop; events that are posted from now on are dropped with the process."""
         logger.bind(event="node.stopped").info("stopped")
-        self._gone = True
+        self._stopped = True
         if self.recorder is not None:
             self.recorder.close("left")
         self.loop.stop()
--- a/snowthread/node/shutdown.py
+++ b/snowthread/node/shutdown.py
@@ -51,11 +51,13 @@
         """Return the time until the kill; with a successor no more than open requests can need."""
         config = self._node.config
         if not self._node.state.superseded:
-            return config.stop_ms
+            return config.grace_period_ms
         longest_deadline_ms = 1000.0 * max(
             request_class.deadline_s for request_class in config.settings.classes
         )
-        return min(config.stop_ms, SUPERSEDED_GRACE_MS + min(SUPERSEDED_DEADLINE_MAX_MS, longest_deadline_ms))
+        return min(
+            config.grace_period_ms, SUPERSEDED_GRACE_MS + min(SUPERSEDED_DEADLINE_MAX_MS, longest_deadline_ms)
+        )
 
     def serve_until_superseded(self, kill_at_ms: float, channel: HotRestartChannel) -> TaskSteps:
         """Leave new clients to the successor and exit once all is answered.
@@ -72,14 +74,14 @@
                 if not self._has_unread_work():
                     break
                 busy_at_ms = now
-            yield Wait(until=now + POLL_INTERVAL_MS)
+            yield Wait(until_ms=now + POLL_INTERVAL_MS)
         channel.close()
         node.stop()
 
     def serve_until_kill(self, kill_at_ms: float) -> TaskSteps:
         """Serve until shortly before the kill, then close the listener, answer what came and exit."""
         node, clock = self._node, self._node.clock
-        yield Wait(until=kill_at_ms - CLOSE_LISTENER_BEFORE_KILL_MS)
+        yield Wait(until_ms=kill_at_ms - CLOSE_LISTENER_BEFORE_KILL_MS)
         node.balancers.stop_accepting()
         busy_at_ms = clock.now()
         while (now := clock.now()) < kill_at_ms - EXIT_BEFORE_KILL_MS:
@@ -87,7 +89,7 @@
                 break
             if node.balancers.busy:
                 busy_at_ms = now
-            yield Wait(until=now + POLL_INTERVAL_MS)
+            yield Wait(until_ms=now + POLL_INTERVAL_MS)
         node.stop()
 
     def _has_unread_work(self) -> bool:
--- a/snowthread/records/recorder.py
+++ b/snowthread/records/recorder.py
@@ -121,7 +121,9 @@
     def _record_seconds(self) -> TaskSteps:
         while True:
             now = self._loop.clock.now()
-            yield Wait(until=now + SECOND_MS - now % SECOND_MS)  # so that the seconds of all nodes coincide
+            yield Wait(
+                until_ms=now + SECOND_MS - now % SECOND_MS
+            )  # so that the seconds of all nodes coincide
             self.record(RecordKind.SECOND, self._second_fields(self._loop.clock.now()))
             self._close_batch()
             self._send()
--- a/snowthread/recovery/manager.py
+++ b/snowthread/recovery/manager.py
@@ -218,7 +218,7 @@
 
     def _write_snapshots(self) -> TaskSteps:
         while True:
-            yield Wait(until=self._loop.clock.now() + self._settings.snapshot_interval_ms)
+            yield Wait(until_ms=self._loop.clock.now() + self._settings.snapshot_interval_ms)
             self._write_snapshot()
             self._member.log_silence(self._loop.clock.now())
 
--- a/snowthread/sites/client_filter.py
+++ b/snowthread/sites/client_filter.py
@@ -81,7 +81,7 @@
 
     def _log_counts(self) -> TaskSteps:
         while True:
-            yield Wait(until=self._loop.clock.now() + LOG_INTERVAL_MS)
+            yield Wait(until_ms=self._loop.clock.now() + LOG_INTERVAL_MS)
             if self.counts:
                 counts, self.counts = self.counts, Counter()
                 logger.bind(event="site.edge", **counts).info("other sites' clients: {}", dict(counts))
--- a/snowthread/tenants/directory_session.py
+++ b/snowthread/tenants/directory_session.py
@@ -264,7 +264,7 @@
                 except StopIteration as finished:
                     changes = finished.value
                 else:
-                    yield Wait(until=self._loop.clock.now())
+                    yield Wait(until_ms=self._loop.clock.now())
         finally:
             if changes is None:  # given up half way: the cookie must not say that this is known
                 self._sync.forget_cookie()
--- a/snowthread/tenants/identification.py
+++ b/snowthread/tenants/identification.py
@@ -104,7 +104,7 @@
         clock = self._loop.clock
         report_at = clock.now() + self.settings.report_interval_ms
         while True:
-            yield Wait(until=clock.now() + HOUSEKEEPING_INTERVAL_MS)
+            yield Wait(until_ms=clock.now() + HOUSEKEEPING_INTERVAL_MS)
             now = clock.now()
             self.publish(self.tenants.report_staleness(now))
             self._write_snapshot_if_due(now)
--- a/snowthread/tenants/replication.py
+++ b/snowthread/tenants/replication.py
@@ -69,7 +69,7 @@
     def _run(self, start_jitter_ms: float) -> TaskSteps:
         clock = self._loop.clock
         # Otherwise nodes that start together would all connect to the directory in the same instant.
-        yield Wait(until=clock.now() + self._rng.uniform(0.0, start_jitter_ms))
+        yield Wait(until_ms=clock.now() + self._rng.uniform(0.0, start_jitter_ms))
         while True:
             server_index = self.server_selector.choose(clock.now())
             if server_index is not None:
@@ -77,7 +77,7 @@
                 self._record_failure(server_index, failure)
             retry_at = clock.now() + self.server_selector.backoff_ms(clock.now(), self._rng)
             while clock.now() < retry_at:  # a lookup that wakes the task does not end the backoff
-                yield Wait(until=retry_at)
+                yield Wait(until_ms=retry_at)
 
     def _connect_and_follow(self, server_index: int) -> Generator[Wait, int, ConnectionFailure]:
         connection = LdapConnection(self._loop, self.settings.servers[server_index], self.settings.connection)
--- a/tests/core/conftest.py
+++ b/tests/core/conftest.py
@@ -5,16 +5,16 @@
 from collections.abc import Iterator
 
 import pytest
-from support.exchange import START, Player
+from support.exchange import START, ExchangePlayer
 
 from snowthread.admission.settings import Idempotency, RequestClass, Settings
 from snowthread.core.state import AdmissionClock, State
 
 
 @pytest.fixture
-def player() -> Iterator[Player]:
+def player() -> Iterator[ExchangePlayer]:
     """Yield a node with the example configuration and peers that it can reach."""
-    player = Player()
+    player = ExchangePlayer()
     yield player
     player.node.loop._close_tasks()
 
--- a/tests/core/test_configuration_file.py
+++ b/tests/core/test_configuration_file.py
@@ -9,7 +9,7 @@
 
 import orjson
 import pytest
-from support.exchange import EXAMPLE, Player
+from support.exchange import EXAMPLE, ExchangePlayer
 
 from snowthread.config import Config, ConfigError, load, missing_key, shape_of
 from snowthread.reload import reload
@@ -95,7 +95,9 @@
     assert missing_key({"classes": [], "null": 1}, shape) == "empty"
 
 
-def test_nothing_of_a_rejected_file_is_applied(path: Path, example: dict[str, Any], player: Player) -> None:
+def test_nothing_of_a_rejected_file_is_applied(
+    path: Path, example: dict[str, Any], player: ExchangePlayer
+) -> None:
     node, environment = player.node, {"NODE_CONFIG": str(path)}
     node.config = previous = load_fields(path, example)
     bad = copy.deepcopy(example) | {"runtime": "127.0.0.1:9"}
--- a/tests/core/test_reconfiguration.py
+++ b/tests/core/test_reconfiguration.py
@@ -8,7 +8,7 @@
 
 import pytest
 from support.core_events import make_request
-from support.exchange import START, Player
+from support.exchange import START, ExchangePlayer
 
 from snowthread.admission.actions import Reject, StartRun
 from snowthread.admission.controller import UPDATE_TIMER, Controller
@@ -134,7 +134,9 @@
     return settings
 
 
-def test_a_node_serves_a_new_class_and_a_removed_one_during_its_retention_only(player: Player) -> None:
+def test_a_node_serves_a_new_class_and_a_removed_one_during_its_retention_only(
+    player: ExchangePlayer,
+) -> None:
     emitted: list[effects.Effect] = []
     node, reduce = player.node, player.node._reduce
 
@@ -166,7 +168,7 @@
     ]
 
 
-def test_tenants_follow_the_configuration_file(player: Player) -> None:
+def test_tenants_follow_the_configuration_file(player: ExchangePlayer) -> None:
     node = player.node
     node.post(events.RuntimeConnected(False, 0.0))
     for projects, names in (([{"name": "x", "quota_per_s": 2.0}], {"x"}), ([], set())):
--- a/tests/frontends/conftest.py
+++ b/tests/frontends/conftest.py
@@ -6,16 +6,16 @@
 from typing import Any
 
 import pytest
-from support.exchange import Player
+from support.exchange import ExchangePlayer
 
 
 @pytest.fixture
-def start_player() -> Iterator[Callable[..., Player]]:
+def start_player() -> Iterator[Callable[..., ExchangePlayer]]:
     """Start a node with changes to its configuration; its tasks and sockets are closed afterwards."""
-    players: list[Player] = []
+    players: list[ExchangePlayer] = []
 
-    def start(**changes: Any) -> Player:
-        players.append(Player(**changes))
+    def start(**changes: Any) -> ExchangePlayer:
+        players.append(ExchangePlayer(**changes))
         return players[-1]
 
     yield start
@@ -24,6 +24,6 @@
 
 
 @pytest.fixture
-def player(start_player: Callable[..., Player]) -> Player:
+def player(start_player: Callable[..., ExchangePlayer]) -> ExchangePlayer:
     """Start a node with the example's configuration."""
     return start_player()
--- a/tests/frontends/test_admin.py
+++ b/tests/frontends/test_admin.py
@@ -8,7 +8,7 @@
 from http import HTTPStatus
 
 import pytest
-from support.exchange import EXAMPLE, Player
+from support.exchange import EXAMPLE, ExchangePlayer
 
 from snowthread.config import ConfigError, load
 from snowthread.frontends.admin.codec import (
@@ -53,7 +53,7 @@
 
 
 def test_stalled_clients_block_no_other_client_and_are_disconnected(
-    player: Player, sockets: ExitStack
+    player: ExchangePlayer, sockets: ExitStack
 ) -> None:
     assert player.node.admin is not None
     for _ in range(3 * MAX_CLIENTS):
@@ -63,7 +63,7 @@
         player.settle()
     player.step("9", "call", "")
     player.step("9", ">", "GET /-/ready HTTP/1.1\\r\\n\\r\\n")
-    assert player.came("9", 15) == b"HTTP/1.1 200 OK"
+    assert player.receive("9", 15) == b"HTTP/1.1 200 OK"
     player.step("9", "close", "")
     assert len(player.node.admin._clients) <= MAX_CLIENTS
     player.step("clock", str(REQUEST_TIMEOUT_MS), "")
@@ -71,7 +71,9 @@
     assert not player.node.admin._clients
 
 
-def test_request_is_answered_while_balancers_flood_the_node(player: Player, sockets: ExitStack) -> None:
+def test_request_is_answered_while_balancers_flood_the_node(
+    player: ExchangePlayer, sockets: ExitStack
+) -> None:
     flood = [
         sockets.enter_context(socket.create_connection(player.node.balancers.address)) for _ in range(50)
     ]
--- a/tests/frontends/test_connection_limits.py
+++ b/tests/frontends/test_connection_limits.py
@@ -8,7 +8,7 @@
 
 import msgpack
 import pytest
-from support.exchange import START, Player
+from support.exchange import START, ExchangePlayer
 
 from snowthread.net.limits import FIRST_BYTE_TIMEOUT_MS, PARTIAL_MESSAGE_TIMEOUT_MS
 
@@ -26,7 +26,7 @@
 WRITING_TIME_MS = 2000.0  # of the slow writer's request
 
 
-Connect = Callable[[Player], socket.socket]
+Connect = Callable[[ExchangePlayer], socket.socket]
 
 
 @pytest.fixture
@@ -34,7 +34,7 @@
     """Connect to a node's balancer port; the sockets are closed after the test."""
     with ExitStack() as sockets:
 
-        def connect(player: Player) -> socket.socket:
+        def connect(player: ExchangePlayer) -> socket.socket:
             sock = sockets.enter_context(socket.create_connection(player.node.balancers.address))
             player.settle()
             sock.setblocking(False)
@@ -47,7 +47,7 @@
     "crowd_sends", [b"", HEALTH_CHECK[:4], HEALTH_CHECK], ids=["silent", "partial", "one message"]
 )
 def test_request_written_over_two_seconds_is_read_whole_among_a_crowd(
-    start_player: Callable[..., Player], connect: Connect, crowd_sends: bytes
+    start_player: Callable[..., ExchangePlayer], connect: Connect, crowd_sends: bytes
 ) -> None:
     player = start_player(limits={"sockets": 64})
     max_connections = player.node.balancers._max_connections
@@ -70,7 +70,7 @@
 
 
 def test_silent_connections_and_endless_messages_are_closed_in_bounded_time(
-    player: Player, connect: Connect
+    player: ExchangePlayer, connect: Connect
 ) -> None:
     silent, endless = connect(player), connect(player)
     endless.send(REQUEST[:20])
--- a/tests/hot_restart/test_hot_restart_faults.py
+++ b/tests/hot_restart/test_hot_restart_faults.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 import pytest
-from support.exchange import START, Player
+from support.exchange import START, ExchangePlayer
 from support.hot_restart import ProcessPair, ready_status
 
 from snowthread.core import events
@@ -72,7 +72,7 @@
     """Each message of either side in turn: lost, the last before a kill, the last before the link breaks."""
     sent = {"predecessor": 0, "successor": 0}
     predecessor, send = pair.predecessor, HotRestartChannel._send
-    killed: list[Player] = []
+    killed: list[ExchangePlayer] = []
 
     def send_or_fail(hot_restart: HotRestartChannel, message: messages.OutgoingMessage) -> None:
         sender = "predecessor" if hot_restart is predecessor.node.hot_restart else "successor"
--- a/tests/hot_restart/test_hot_restart_program.py
+++ b/tests/hot_restart/test_hot_restart_program.py
@@ -19,7 +19,7 @@
 import msgpack
 from support.exchange import address, loopback
 from support.hot_restart import packed_request
-from test_program import PATIENCE_S, ROOT, configuration, environment, site
+from support.program import PATIENCE_S, ROOT, configuration, environment, site
 
 BALANCERS = 6
 POLL_S = 0.02
--- a/tests/node/test_database_call_races.py
+++ b/tests/node/test_database_call_races.py
@@ -38,7 +38,7 @@
     """Receive, as the database, the whole call of a request."""
     call = b""
     while not call.endswith(b"\r\n\r\n?"):
-        more = harness.came("index", 1)
+        more = harness.receive("index", 1)
         assert more, call
         call += more
     assert f"X-Parent-Id: {attempt_id(number)}".encode() in call
@@ -59,7 +59,7 @@
     harness.accept("index")
     (link,) = harness.node.database._calls.values()
     assert link.call is not None
-    assert b"POST /lookup" in harness.came("index", 20)
+    assert b"POST /lookup" in harness.receive("index", 20)
     harness.advance_late(link.call.timeout_ms)
     harness.send("index", DATABASE_REPLY)
     assert read_work_command(harness) == {"action": "give", "uid": attempt_id(1), "content": "cg=="}
@@ -70,7 +70,7 @@
     call = effects.StartCall(attempt_id(1), b"?", 9000.0, True)
     database.start_call(call)
     harness.accept("index")
-    assert harness.came("index", 30).startswith(b"POST")
+    assert harness.receive("index", 30).startswith(b"POST")
     harness.send("index", DATABASE_REPLY)
     harness.settle()
     harness.advance_late(IDLE_TIMEOUT_MS)  # its task is woken to end
@@ -78,7 +78,7 @@
     harness.settle()
     assert database.connection_count() == 1
     assert f"X-Parent-Id: {attempt_id(2)}".encode() in harness.peers["index"].recv(500)
-    harness.silent("index")
+    harness.assert_silent("index")
     harness.listeners["index"].setblocking(False)
     with pytest.raises(BlockingIOError):
         harness.listeners["index"].accept()
--- a/tests/node/test_idempotent_retries.py
+++ b/tests/node/test_idempotent_retries.py
@@ -18,7 +18,7 @@
     for n, failed in ((1, True), (2, False)):
         harness.send("1", request(10 + n, "dispense", once=f"k{n}"))
         assert (read_answer(harness, "1")[2] is not None) == failed
-    harness.silent("runtime")
+    harness.assert_silent("runtime")
 
 
 @pytest.mark.parametrize("ran", [True, False])
@@ -36,4 +36,4 @@
     harness.send("1", request(4, "dispense", once="k1", kb="100"))
     found = read_answer(harness, "1")
     assert found[1] == 4 and found[2][0] == ("Failed" if ran else "Throttled")
-    harness.silent("runtime")
+    harness.assert_silent("runtime")
--- a/tests/node/test_idle_connections.py
+++ b/tests/node/test_idle_connections.py
@@ -56,7 +56,7 @@
     harness.advance(SWEEP_INTERVAL_MS + 1.0)
     for n in range(1, MIN_CONNECTION_LIMIT):
         assert read_answer(harness, str(n)) == FAREWELL_MESSAGE
-    harness.silent("0")
+    harness.assert_silent("0")
     new = socket.create_connection(harness.node.balancers.address)
     harness.settle()
     harness.advance(FAREWELL_TIMEOUT_MS + SWEEP_INTERVAL_MS)
--- a/tests/node/test_node_shutdown.py
+++ b/tests/node/test_node_shutdown.py
@@ -35,7 +35,7 @@
     assert read_answer(harness, "1")[:2] == [1, 1]
     harness.advance(QUIET_BEFORE_EXIT_MS)
     harness.settle()
-    assert node._gone
+    assert node._stopped
 
 
 def test_run_that_completes_after_the_listener_closed_is_answered(harness: NodeHarness) -> None:
@@ -49,13 +49,13 @@
     harness.advance(GRACE_MS - CLOSE_LISTENER_BEFORE_KILL_MS)
     for _ in range(2):  # nothing comes or goes, and the request is open
         harness.advance(0.75 * QUIET_BEFORE_EXIT_MS)
-    assert not node._gone
+    assert not node._stopped
     complete_run(harness, 1, 1)
     assert read_answer(harness, "1") == FAREWELL_MESSAGE
     assert read_answer(harness, "1")[:3] == [1, 1, None]
     for _ in range(3):
         harness.advance(0.5 * QUIET_BEFORE_EXIT_MS)
-    assert node._gone
+    assert node._stopped
 
 
 @pytest.mark.usefixtures("restored_signals")
@@ -120,8 +120,8 @@
     harness.settle()
     found = [read_answer(harness, "1") for _ in range(2)]
     assert FAREWELL_MESSAGE in found and [1, 1, None] in [one[:3] for one in found]
-    assert harness.node._gone
-    harness.silent("1")
+    assert harness.node._stopped
+    harness.assert_silent("1")
 
 
 @pytest.mark.parametrize("first", ["shutdown", "move"])
--- a/tests/node/test_restart.py
+++ b/tests/node/test_restart.py
@@ -17,7 +17,7 @@
 import msgpack
 from support.node_harness import address, loopback
 from support.node_peers import request
-from support.program import PATIENCE_S, at, configuration, node
+from support.program import PATIENCE_S, configuration, listen_address, node
 
 
 class RuntimeLink:
@@ -53,7 +53,7 @@
 
 
 def connected(path: Path) -> socket.socket:
-    sock = socket.create_connection(at(path))
+    sock = socket.create_connection(listen_address(path))
     sock.settimeout(PATIENCE_S)
     return sock
 
--- a/tests/node/test_runtime_link.py
+++ b/tests/node/test_runtime_link.py
@@ -110,7 +110,7 @@
     assert read_command(harness) == {"action": "sync", "pos": 0}
     for _ in range(5):
         harness.advance(PROBE_AFTER_SILENCE_MS + PROBE_TIMEOUT_MS)
-    harness.silent("runtime")
+    harness.assert_silent("runtime")
     send_notice(harness, "ready", code="fresh", wall_ms=0)
     assert read_command(harness) == {"action": "gauges", "echo": "sync-1"}
 
--- a/tests/node/test_site_settings.py
+++ b/tests/node/test_site_settings.py
@@ -61,7 +61,7 @@
     assert read_command(harness)["lane"] == "recalc"
     while harness.clock.now_ms < START + CLASS_DEADLINE_MS - 2 * ROUND_MS:
         harness.advance(ROUND_MS)
-    harness.silent("1")
+    harness.assert_silent("1")
     harness.clock.now_ms = START + CLASS_DEADLINE_MS
     kind, number, error, result = read_answer(harness, "1")
     assert (kind, number, error[0], result) == (1, 1, "Throttled", None)
--- a/tests/records/test_record_program.py
+++ b/tests/records/test_record_program.py
@@ -13,7 +13,7 @@
 
 import pytest
 from ask import ask
-from test_program import PATIENCE_S, at, configuration, environment, site, started
+from support.program import PATIENCE_S, configuration, environment, listen_address, site, started
 
 from snowthread import config
 from snowthread.config import ConfigError
@@ -39,7 +39,7 @@
         )
         assert node.stderr is not None and "listens on" in node.stderr.readline()
         for number in range(5):
-            assert ask(at(path), "match", b"grey") == [1, 1, None, [b"GREY", {}]], number
+            assert ask(listen_address(path), "match", b"grey") == [1, 1, None, [b"GREY", {}]], number
         time.sleep(1.2)
         node.kill()
         node.wait()
@@ -90,11 +90,11 @@
             started("-m", "snowthread", "serve", "--with", str(file), env=environment(path))
         )
         assert node.stderr is not None and "listens on" in node.stderr.readline()
-        assert ask(at(path), "match", b"grey") == [1, 1, None, [b"GREY", {}]]
+        assert ask(listen_address(path), "match", b"grey") == [1, 1, None, [b"GREY", {}]]
         children = Path(f"/proc/{node.pid}/task/{node.pid}/children").read_text().split()
         os.kill(int(children[0]), signal.SIGKILL)
         assert any("the writer has ended" in line for line in iter(node.stderr.readline, ""))
-        assert ask(at(path), "match", b"grey") == [1, 1, None, [b"GREY", {}]]
+        assert ask(listen_address(path), "match", b"grey") == [1, 1, None, [b"GREY", {}]]
         node.send_signal(signal.SIGTERM)
         assert node.wait(PATIENCE_S) == 0
 
--- a/tests/stored/test_hot_restart_messages.py
+++ b/tests/stored/test_hot_restart_messages.py
@@ -17,7 +17,7 @@
 
 import msgpack
 import pytest
-from support.exchange import START, Player, loopback
+from support.exchange import START, ExchangePlayer, loopback
 
 from snowthread.core import events
 from snowthread.core.idempotency import IdempotencyRecord, IdempotencyTable
@@ -161,11 +161,11 @@
         self.path = str(folder / "beside")  # both versions look for this name
         self.listener: socket.socket | None = None
         self.other: socket.socket | None = None
-        self.player: Player | None = None
+        self.player: ExchangePlayer | None = None
 
-    def start_node(self) -> Player:
+    def start_node(self) -> ExchangePlayer:
         """Start the node; it takes its role by what it finds in the folder."""
-        self.player = Player(door=os.dup(self.door.fileno()), folder=str(self.folder))
+        self.player = ExchangePlayer(door=os.dup(self.door.fileno()), folder=str(self.folder))
         self.player.settle()
         return self.player
 
--- a/tests/support/exchange.py
+++ b/tests/support/exchange.py
@@ -27,7 +27,7 @@
 
 from support.node_harness import EXAMPLE, START, NodeHarness, address, loopback
 
-__all__ = ["EXAMPLE", "START", "Player", "Step", "address", "loopback"]
+__all__ = ["EXAMPLE", "START", "ExchangePlayer", "Step", "address", "loopback"]
 
 
 class Step(NamedTuple):
@@ -54,7 +54,7 @@
     return _unescaped(unit) * int(count)
 
 
-class Player(NodeHarness):
+class ExchangePlayer(NodeHarness):
     """A node and its peers, which do what an exchange says."""
 
     def __init__(self, door: int | None = None, folder: str | None = None, **changes: Any) -> None:
@@ -88,7 +88,7 @@
                     self._play_line(number, line)
             self.settle()
             for who in self.peers.keys() - {"roster"}:  # the registry is reported to regularly
-                self.silent(who)
+                self.assert_silent(who)
         finally:
             for sock in (*self.peers.values(), *self.listeners.values()):
                 sock.close()
@@ -154,12 +154,12 @@
         self.close_peer(step.who)
 
     def _step_closed(self, step: Step) -> None:
-        assert self.came(step.who, 1) == b"" and self.ended
+        assert self.receive(step.who, 1) == b"" and self.ended
         self.peers.pop(step.who).close()
 
     def _step_silent(self, step: Step) -> None:
         self.settle()
-        self.silent(step.who)
+        self.assert_silent(step.who)
 
     def _data(self, argument: str) -> bytes:
         return _unescaped(argument).replace(b"{index}", self.index)
@@ -169,5 +169,5 @@
         self.settle()
 
     def _expect(self, who: str, data: bytes) -> None:
-        got = self.came(who, len(data))
+        got = self.receive(who, len(data))
         assert got == data, f"came: {got!r}"
--- a/tests/support/hot_restart.py
+++ b/tests/support/hot_restart.py
@@ -16,7 +16,7 @@
 from snowthread.hot_restart import channel, socket_file
 from snowthread.hot_restart.channel import HotRestartChannel
 from snowthread.hot_restart.socket_file import PeerProcess
-from support.exchange import Player, loopback
+from support.exchange import ExchangePlayer, loopback
 
 FIRST, SECOND, THIRD = "00000000000000a1", "00000000000000b1", "00000000000000c1"  # attempts' ids
 DEFAULT_KEY = "k1"
@@ -63,24 +63,25 @@
     ]
 
 
-def ready_status(player: Player) -> int:
+def ready_status(player: ExchangePlayer) -> int:
     """Return the status that a process answers to the readiness check."""
-    return player.node._ready()[0]
+    return player.node.operator_calls.ready()[0]
 
 
-def set_drained(player: Player, drained: bool) -> int:
+def set_drained(player: ExchangePlayer, drained: bool) -> int:
     """Drain a node or end its drain, as operators do; return the status of the answer."""
-    return player.node._drain(drained)[0]
+    calls = player.node.operator_calls
+    return (calls.drain() if drained else calls.resume())[0]
 
 
-def concurrency_ceiling(player: Player) -> float:
+def concurrency_ceiling(player: ExchangePlayer) -> float:
     """Return how many runs the controller of a process would start at most."""
     controller = player.node.state.controller
     assert controller is not None
     return controller.concurrency.ceiling(controller._now - controller.started_at)
 
 
-def max_connections(player: Player) -> int:
+def max_connections(player: ExchangePlayer) -> int:
     """Return how many balancers' connections a process accepts at most."""
     return player.node.balancers._max_connections
 
@@ -96,47 +97,47 @@
         self._listening, self._directory = loopback(socket.SOCK_STREAM), str(directory)
         self._exit_descriptors: list[int] = []  # reading ends, one a process, in the order of their start
         self._alive_descriptors: dict[int, int] = {}  # writing ends by id() of the player
-        self._frozen: Player | None = None
-        self._successor: Player | None = None
-        self.all: list[Player] = []
+        self._frozen: ExchangePlayer | None = None
+        self._successor: ExchangePlayer | None = None
+        self.all: list[ExchangePlayer] = []
         monkeypatch.setattr(socket_file, "peer_process", self._latest_process)
-        self._predecessor: Player | None = self._start_process()
+        self._predecessor: ExchangePlayer | None = self._start_process()
         self.settle()
 
     def _latest_process(self, _: socket.socket) -> PeerProcess:
         return PeerProcess(len(self._exit_descriptors), os.dup(self._exit_descriptors[-1]))
 
-    def _start_process(self) -> Player:
+    def _start_process(self) -> ExchangePlayer:
         exit_descriptor, alive_descriptor = os.pipe()
         self._exit_descriptors.append(exit_descriptor)
-        player = Player(door=os.dup(self._listening.fileno()), folder=self._directory)
+        player = ExchangePlayer(door=os.dup(self._listening.fileno()), folder=self._directory)
         self._alive_descriptors[id(player)] = alive_descriptor
         self.all.append(player)
         return player
 
     @property
-    def predecessor(self) -> Player:
+    def predecessor(self) -> ExchangePlayer:
         """The process that was there first; it must not have ended."""
         assert self._predecessor is not None, "the predecessor has ended"
         return self._predecessor
 
     @property
-    def successor(self) -> Player:
+    def successor(self) -> ExchangePlayer:
         """The process that was started last; it must not have ended."""
         assert self._successor is not None, "there is no successor"
         return self._successor
 
     @property
-    def running(self) -> list[Player]:
+    def running(self) -> list[ExchangePlayer]:
         """The processes that have not ended and are not frozen, the predecessor first."""
         both = (self._predecessor, self._successor)
         return [player for player in both if player is not None and player is not self._frozen]
 
-    def has_ended(self, player: Player) -> bool:
+    def has_ended(self, player: ExchangePlayer) -> bool:
         """Tell whether a process was ended or killed."""
         return id(player) not in self._alive_descriptors
 
-    def launch_successor(self) -> Player:
+    def launch_successor(self) -> ExchangePlayer:
         """Start the successor and do not let it run yet."""
         self._successor = self._start_process()
         return self._successor
@@ -149,7 +150,7 @@
             self.connect_runtime(started)
 
     @contextmanager
-    def frozen_predecessor(self) -> Iterator[Player]:
+    def frozen_predecessor(self) -> Iterator[ExchangePlayer]:
         """Let the predecessor neither run nor see time pass in the block."""
         self._frozen = self.predecessor
         try:
@@ -169,18 +170,20 @@
             player.clock.now_ms += elapsed_ms
         self.settle()
 
-    def connect_runtime(self, player: Player) -> None:
+    def connect_runtime(self, player: ExchangePlayer) -> None:
         """Connect the runtime of a process and have it say that it is ready."""
         player.step("runtime", "accept", "")
         self.notify(player, {"action": "ready", "code": "seasoned", "wall_ms": 0})
 
-    def notify(self, player: Player, *notices: dict[str, Any]) -> None:
+    def notify(self, player: ExchangePlayer, *notices: dict[str, Any]) -> None:
         """Send notices of the runtime to a process."""
         for notice in notices:
             player.peers["runtime"].sendall(json.dumps(notice).encode() + b"\n")
         self.settle()
 
-    def complete_run(self, player: Player, position: int, attempt_id: str, content: str = "cg==") -> None:
+    def complete_run(
+        self, player: ExchangePlayer, position: int, attempt_id: str, content: str = "cg=="
+    ) -> None:
         """Have the runtime report the end of a run; ``content`` is the result in Base64."""
         self.notify(
             player,
@@ -194,7 +197,7 @@
             },
         )
 
-    def started_runs(self, player: Player) -> list[str]:
+    def started_runs(self, player: ExchangePlayer) -> list[str]:
         """Return the attempts whose runs a process has started since the last call."""
         if "runtime" not in player.peers:
             return []
@@ -204,7 +207,7 @@
             return []
         return [fields["uid"] for fields in map(json.loads, lines) if fields["action"] == "start"]
 
-    def connect(self, player: Player) -> socket.socket:
+    def connect(self, player: ExchangePlayer) -> socket.socket:
         """Return a balancer's connection that this process, and not the other one, accepts."""
         before = player.node.balancers.count()
         sock = socket.create_connection(self._listening.getsockname())
@@ -231,7 +234,7 @@
         if settle:
             self.settle()
 
-    def end(self, player: Player) -> None:
+    def end(self, player: ExchangePlayer) -> None:
         """End a process as a kill signal does: it sends nothing more."""
         hot_restart = self._silence(player)
         hot_restart._closed = True
@@ -240,24 +243,24 @@
         self.settle()
         self.advance(channel.RETRY_MS)
 
-    def kill(self, player: Player) -> None:
+    def kill(self, player: ExchangePlayer) -> None:
         """Kill a process in the middle of its step: what it was about to do is not done."""
         hot_restart = self._silence(player)
         assert hot_restart._link is not None
         hot_restart._link.cut()
         self._forget(player)
 
-    def _silence(self, player: Player) -> HotRestartChannel:
+    def _silence(self, player: ExchangePlayer) -> HotRestartChannel:
         """Close what a process listens on and let it report nothing more."""
         hot_restart = player.node.hot_restart
         assert hot_restart is not None
-        player.node._gone = hot_restart._closed = True
+        player.node._stopped = hot_restart._closed = True
         for listening in (hot_restart._listener, player.node.balancers._listener):
             if listening is not None:
                 player.node.loop.close(listening)
         return hot_restart
 
-    def _forget(self, player: Player) -> None:
+    def _forget(self, player: ExchangePlayer) -> None:
         os.close(self._alive_descriptors.pop(id(player)))
         if player is self._predecessor:
             self._predecessor = None
@@ -267,7 +270,7 @@
     def close(self) -> None:
         """End both processes and close every socket."""
         for player in self.running:
-            player.node._gone = True
+            player.node._stopped = True
             if player.node.hot_restart is not None:
                 player.node.hot_restart.close()
             player.node.loop._close_tasks()
--- a/tests/support/node_harness.py
+++ b/tests/support/node_harness.py
@@ -116,7 +116,7 @@
         """Send to the node, which has not read it yet."""
         self.peers[name].sendall(data)
 
-    def came(self, who: str, size: int) -> bytes:
+    def receive(self, who: str, size: int) -> bytes:
         """Return what the node sent, as many bytes as wanted; fewer where it closes or sends no more."""
         self.ended = False
         peer, data, end = self.peers[who], b"", time.monotonic() + PATIENCE_S
@@ -132,7 +132,7 @@
             data += more
         return data
 
-    def silent(self, who: str) -> None:
+    def assert_silent(self, who: str) -> None:
         """Check that the node has sent nothing more."""
         try:
             more = self.peers[who].recv(4096)
--- a/tests/support/node_peers.py
+++ b/tests/support/node_peers.py
@@ -49,7 +49,7 @@
     """Return the next message that a balancer gets."""
     unpacker = msgpack.Unpacker()
     while True:
-        more = harness.came(who, 1)
+        more = harness.receive(who, 1)
         assert more, "no answer came"
         unpacker.feed(more)
         for found in unpacker:
@@ -60,7 +60,7 @@
     """Return the next line that the runtime gets."""
     line = b""
     while not line.endswith(b"\n"):
-        more = harness.came("runtime", 1)
+        more = harness.receive("runtime", 1)
         assert more, "nothing came"
         line += more
     return dict(json.loads(line))
@@ -102,7 +102,7 @@
 
 
 def _expect_line(harness: NodeHarness, line: bytes) -> None:
-    assert harness.came("runtime", len(line)) == line
+    assert harness.receive("runtime", len(line)) == line
 
 
 def reconnect_runtime(harness: NodeHarness, pos: int, echo: str) -> None:
@@ -127,6 +127,6 @@
 def is_closed_by_node(harness: NodeHarness, who: str) -> bool:
     """Return whether the node closes, by a reset or not, and says no more than a farewell before."""
     try:
-        return harness.came(who, 100) in (b"", FAREWELL) and harness.ended
+        return harness.receive(who, 100) in (b"", FAREWELL) and harness.ended
     except ConnectionError:
         return True
--- a/tests/support/program.py
+++ b/tests/support/program.py
@@ -39,7 +39,7 @@
     return os.environ | {"NODE_CONFIG": str(path), "PYTHONPATH": str(ROOT)}
 
 
-def at(path: Path) -> tuple[str, int]:
+def listen_address(path: Path) -> tuple[str, int]:
     """Return the address at which a node of a configuration listens."""
     host, port = json.loads(path.read_text())["listen"].split(":")
     return host, int(port)
--- a/tests/tenants/test_tenants_program.py
+++ b/tests/tenants/test_tenants_program.py
@@ -17,7 +17,7 @@
 import pytest
 from ask import ask
 from support.exchange import address, loopback
-from test_program import PATIENCE_S, ROOT, at, configuration, environment, site, started
+from support.program import PATIENCE_S, ROOT, configuration, environment, listen_address, site, started
 
 SERVED = "served"
 REJECTED = "Throttled"
@@ -88,7 +88,10 @@
 
     def request(self, idempotency_key: str | None = None) -> str:
         response: Any = ask(
-            at(self.node_config), "dispense" if idempotency_key else "match", b"grey", idempotency_key
+            listen_address(self.node_config),
+            "dispense" if idempotency_key else "match",
+            b"grey",
+            idempotency_key,
         )
         return str(response[2][0]) if response[2] else SERVED
 
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 import pytest
-from support.exchange import Player
+from support.exchange import ExchangePlayer
 from support.node_harness import NodeHarness
 
 from snowthread.address import Address
@@ -26,7 +26,7 @@
 
 @pytest.mark.parametrize("path", RECORDED, ids=lambda path: path.stem)
 def test_exchange(path: Path) -> None:
-    Player().play(path.read_text())
+    ExchangePlayer().play(path.read_text())
 
 
 @pytest.fixture
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -20,9 +20,9 @@
 from support.program import (
     PATIENCE_S,
     ROOT,
-    at,
     configuration,
     environment,
+    listen_address,
     next_log_line,
     node,
     run_program,
@@ -39,10 +39,10 @@
 def test_example_serves_and_shuts_down(tmp_path: Path) -> None:
     path = configuration(tmp_path, stop_ms=1000)
     with site(path), node(path) as process:  # without a command it serves
-        assert ask(at(path), "match", b"grey") == GREY_MATCH
-        first = ask(at(path), "dispense", b"grey", "k1")
+        assert ask(listen_address(path), "match", b"grey") == GREY_MATCH
+        first = ask(listen_address(path), "dispense", b"grey", "k1")
         assert first == GREY_DISPENSE
-        assert ask(at(path), "dispense", b"grey", "k1") == first
+        assert ask(listen_address(path), "dispense", b"grey", "k1") == first
         process.send_signal(signal.SIGTERM)
         log = process.communicate(timeout=PATIENCE_S)[1]
         # An idle connection to the database is still there: tasks that wait must end before the loop does.
@@ -52,10 +52,10 @@
 def test_messages_unread_at_the_shutdown_signal_are_answered(tmp_path: Path) -> None:
     path = configuration(tmp_path, stop_ms=1500)
     with site(path), node(path) as process:
-        assert ask(at(path), "match", b"grey") == GREY_MATCH
+        assert ask(listen_address(path), "match", b"grey") == GREY_MATCH
         process.send_signal(signal.SIGSTOP)
         process.send_signal(signal.SIGTERM)
-        with socket.create_connection(at(path)) as sock:
+        with socket.create_connection(listen_address(path)) as sock:
             sock.sendall(b"\x94\x00\x07\xa6health\x91\x80")
             sock.settimeout(PATIENCE_S)
             process.send_signal(signal.SIGCONT)
@@ -73,10 +73,10 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (64, 64))
 
     with site(path), node(path, "serve", preexec_fn=limit_descriptors) as process:
-        crowd = [socket.create_connection(at(path)) for _ in range(100)]
+        crowd = [socket.create_connection(listen_address(path)) for _ in range(100)]
         for sock in crowd:
             sock.close()
-        assert ask(at(path), "match", b"grey") == GREY_MATCH
+        assert ask(listen_address(path), "match", b"grey") == GREY_MATCH
         assert process.poll() is None
 
 
@@ -85,14 +85,14 @@
     with site(path), node(path), socket.socket() as sock:
         for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
             sock.setsockopt(socket.SOL_SOCKET, option, 4096)
-        sock.connect(at(path))
+        sock.connect(listen_address(path))
         sock.setblocking(False)
         sent, checks = 0, HEALTH_CHECK * 1_000_000
         with pytest.raises(BlockingIOError):  # the node reads no more, and all buffers are full
             while sent < len(checks):
                 sent += sock.send(checks[sent : sent + 65536])
-                ask(at(path), "health", b"")
-        assert ask(at(path), "match", b"grey") == GREY_MATCH
+                ask(listen_address(path), "health", b"")
+        assert ask(listen_address(path), "match", b"grey") == GREY_MATCH
         sock.settimeout(PATIENCE_S)
         expected, received = sent // len(HEALTH_CHECK) * len(HEALTHY_ANSWER), 0
         while received < expected:
@@ -110,11 +110,11 @@
     with ExitStack() as stack:
         first = stack.enter_context(site(path))
         process = stack.enter_context(node(path))
-        assert ask(at(path), "dispense", b"grey", "k1") == GREY_DISPENSE
+        assert ask(listen_address(path), "dispense", b"grey", "k1") == GREY_DISPENSE
         path.write_text("{")
         process.send_signal(signal.SIGHUP)
         assert "the old one stays" in next_log_line(process)
-        assert ask(at(other), "match", b"grey") == GREY_MATCH
+        assert ask(listen_address(other), "match", b"grey") == GREY_MATCH
         second = stack.enter_context(site(other))
         path.write_text(json.dumps(fields | {"name": "n7"}))
         process.send_signal(signal.SIGHUP)
@@ -123,8 +123,8 @@
         first.kill()
         # Cached results are still there, and the new runtime does the work. (The toy's notices are numbered
         # anew and the node ignores them for that: tests/exchanges/moved.txt goes on from there.)
-        assert ask(at(other), "dispense", b"grey", "k1") == GREY_DISPENSE
-        ask(at(other), "match", b"grey")
+        assert ask(listen_address(other), "dispense", b"grey", "k1") == GREY_DISPENSE
+        ask(listen_address(other), "match", b"grey")
         assert second.stdout is not None
         assert any("runtime: match" in line for line in iter(second.stdout.readline, ""))
         process.send_signal(signal.SIGHUP)
