LDAP result codes are an enum; one function reads a client's address

Cause: the table of reactions had bare numbers with comments, table and lookups each unmapped IPv4 addresses. Change: ldap/result_codes.py names the codes of RFC 4511 and RFC 4533; tenants/client_address.py parses.

--- a/snowthread/ldap/__init__.py
+++ b/snowthread/ldap/__init__.py
@@ -4,7 +4,8 @@
 - ``messages`` are the typed operations; ``controls`` paged results and content synchronisation.
 - ``filters``, ``dn`` and ``url`` parse the textual forms.
 - ``session`` is the state of one connection, without I/O; ``client`` its coroutines on the event loop.
-- ``health`` decides about servers, retries and result codes, with ``circuit_breaker`` and ``retry_budget``.
+- ``health`` decides about servers, retries and ``result_codes``, with ``circuit_breaker`` and
+  ``retry_budget``.
 
 Only ``client`` touches sockets, and only it reads a clock.
 """
--- a/snowthread/ldap/client.py
+++ b/snowthread/ldap/client.py
@@ -8,7 +8,6 @@
 import ssl
 from collections.abc import Generator
 from dataclasses import dataclass, field
-from enum import IntEnum
 
 from snowthread.ldap.ber import Bounds
 from snowthread.ldap.health import Reaction, reaction_to
@@ -24,6 +23,7 @@
     SimpleBindRequest,
     UnbindRequest,
 )
+from snowthread.ldap.result_codes import ResultCode
 from snowthread.ldap.session import Session, SessionEnded, SessionState
 from snowthread.ldap.url import LdapUrl
 from snowthread.net.attempt import Failure, Progress
@@ -31,15 +31,8 @@
 from snowthread.net.loop import EventLoop, Wait
 from snowthread.net.tls_stream import Stream
 
-SUCCESS = 0
 NO_CODE = -1  # the response was of another kind
-
-
-class NoticeCode(IntEnum):
-    """Codes of a notice of disconnection that only an operator can act on (RFC 4511, appendix A)."""
-
-    STRONGER_AUTH_REQUIRED = 8
-    CONFIDENTIALITY_REQUIRED = 13
+CLIENT_FORBIDDEN = (ResultCode.STRONGER_AUTH_REQUIRED, ResultCode.CONFIDENTIALITY_REQUIRED)
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,7 +145,7 @@
         if isinstance(response, ConnectionFailure):
             return response
         code = response.result.code if isinstance(response, ExtendedResponse) else NO_CODE
-        if code != SUCCESS:
+        if code != ResultCode.SUCCESS:
             return ConnectionFailure(Progress.REPLY_BEGUN, f"StartTLS: code {code}", Reaction.NEEDS_OPERATOR)
         failure = yield from self._secure(stream)
         if failure is None:
@@ -167,7 +160,7 @@
         if isinstance(response, ConnectionFailure):
             return response
         code = response.result.code if isinstance(response, BindResponse) else NO_CODE
-        if code != SUCCESS:
+        if code != ResultCode.SUCCESS:
             return ConnectionFailure(Progress.REPLY_BEGUN, f"bind: code {code}", reaction_to(code))
         return None
 
@@ -193,6 +186,6 @@
 def _failure_of(ended: SessionEnded) -> ConnectionFailure:
     # A notice means a server on its way out, whatever its code, unless it forbids this client.
     code = ended.notice.code if ended.notice is not None else None
-    needs_operator = code in (NoticeCode.STRONGER_AUTH_REQUIRED, NoticeCode.CONFIDENTIALITY_REQUIRED)
+    needs_operator = code in CLIENT_FORBIDDEN
     reaction = Reaction.NEEDS_OPERATOR if needs_operator else Reaction.FAIL_OVER
     return ConnectionFailure(Progress.REPLY_BEGUN, ended.reason, reaction)
--- a/snowthread/ldap/health.py
+++ b/snowthread/ldap/health.py
@@ -11,6 +11,7 @@
 from enum import Enum
 
 from snowthread.ldap.circuit_breaker import CircuitBreaker
+from snowthread.ldap.result_codes import ResultCode
 from snowthread.ldap.retry_budget import RetryBudget, RetryPolicy, backoff_ms
 
 
@@ -26,29 +27,28 @@
     NEEDS_OPERATOR = "needs_operator"  # retries can't mend it: open the circuit, use another server
 
 
-# RFC 4511, section 4.1.9 and appendix A; 4096 is e-syncRefreshRequired of RFC 4533.
 _REACTIONS: dict[int, Reaction] = {
-    0: Reaction.DONE,
-    1: Reaction.FAIL_OVER,  # operationsError
-    2: Reaction.FAIL_OVER,  # protocolError: also what servers say to an extension they don't know
-    3: Reaction.RETRY,  # timeLimitExceeded
-    4: Reaction.REDUCE_PAGE_SIZE,  # sizeLimitExceeded
-    7: Reaction.NEEDS_OPERATOR,  # authMethodNotSupported
-    8: Reaction.NEEDS_OPERATOR,  # strongerAuthRequired
-    10: Reaction.FAIL_OVER,  # referral: not followed to addresses that no operator named
-    11: Reaction.REDUCE_PAGE_SIZE,  # adminLimitExceeded
-    12: Reaction.FALL_BACK,  # unavailableCriticalExtension
-    13: Reaction.NEEDS_OPERATOR,  # confidentialityRequired
-    32: Reaction.NEEDS_OPERATOR,  # noSuchObject
-    34: Reaction.NEEDS_OPERATOR,  # invalidDNSyntax
-    48: Reaction.NEEDS_OPERATOR,  # inappropriateAuthentication
-    49: Reaction.NEEDS_OPERATOR,  # invalidCredentials
-    50: Reaction.NEEDS_OPERATOR,  # insufficientAccessRights
-    51: Reaction.RETRY,  # busy
-    52: Reaction.FAIL_OVER,  # unavailable
-    53: Reaction.FALL_BACK,  # unwillingToPerform
-    80: Reaction.FAIL_OVER,  # other
-    4096: Reaction.FULL_REFRESH,
+    ResultCode.SUCCESS: Reaction.DONE,
+    ResultCode.OPERATIONS_ERROR: Reaction.FAIL_OVER,
+    ResultCode.PROTOCOL_ERROR: Reaction.FAIL_OVER,
+    ResultCode.TIME_LIMIT_EXCEEDED: Reaction.RETRY,
+    ResultCode.SIZE_LIMIT_EXCEEDED: Reaction.REDUCE_PAGE_SIZE,
+    ResultCode.AUTH_METHOD_NOT_SUPPORTED: Reaction.NEEDS_OPERATOR,
+    ResultCode.STRONGER_AUTH_REQUIRED: Reaction.NEEDS_OPERATOR,
+    ResultCode.REFERRAL: Reaction.FAIL_OVER,  # not followed to addresses that no operator named
+    ResultCode.ADMIN_LIMIT_EXCEEDED: Reaction.REDUCE_PAGE_SIZE,
+    ResultCode.UNAVAILABLE_CRITICAL_EXTENSION: Reaction.FALL_BACK,
+    ResultCode.CONFIDENTIALITY_REQUIRED: Reaction.NEEDS_OPERATOR,
+    ResultCode.NO_SUCH_OBJECT: Reaction.NEEDS_OPERATOR,
+    ResultCode.INVALID_DN_SYNTAX: Reaction.NEEDS_OPERATOR,
+    ResultCode.INAPPROPRIATE_AUTHENTICATION: Reaction.NEEDS_OPERATOR,
+    ResultCode.INVALID_CREDENTIALS: Reaction.NEEDS_OPERATOR,
+    ResultCode.INSUFFICIENT_ACCESS_RIGHTS: Reaction.NEEDS_OPERATOR,
+    ResultCode.BUSY: Reaction.RETRY,
+    ResultCode.UNAVAILABLE: Reaction.FAIL_OVER,
+    ResultCode.UNWILLING_TO_PERFORM: Reaction.FALL_BACK,
+    ResultCode.OTHER: Reaction.FAIL_OVER,
+    ResultCode.SYNC_REFRESH_REQUIRED: Reaction.FULL_REFRESH,
 }
 
 
--- a/snowthread/ldap/session.py
+++ b/snowthread/ldap/session.py
@@ -42,13 +42,13 @@
     decode,
     encode,
 )
+from snowthread.ldap.result_codes import ResultCode
 
 MAX_OPEN_OPERATIONS = 64
 MAX_ABANDONED_OPERATIONS = 256  # whose responses may still arrive
 MAX_MESSAGE_ID = 2**31 - 1
 MAX_HEAD_BYTES = 6  # of a frame: the tag and the longest length that is read
 UNSOLICITED = 0  # the message id of notifications
-SUCCESS = 0
 
 
 class SessionState(Enum):
@@ -197,7 +197,7 @@
             if self.state is SessionState.BINDING:
                 self.state = SessionState.READY
             elif self.state is SessionState.START_TLS_SENT:
-                accepted = response.result.code == SUCCESS
+                accepted = response.result.code == ResultCode.SUCCESS
                 self.state = SessionState.HANDSHAKE if accepted else SessionState.READY
         return None
 
--- a/snowthread/tenants/__init__.py
+++ b/snowthread/tenants/__init__.py
@@ -1,7 +1,7 @@
 """Tenants from a directory: identify the tenant of each request, also while the directory is slow or down.
 
 - ``model``: what a tenant is; ``entry``: how a directory entry describes one.
-- ``table``: which tenant owns an address or a balancer's number.
+- ``table``: which tenant owns a ``client_address`` or a balancer's number.
 - ``sync``: the protocol state of a synchronisation, from LDAP messages to changes.
 - ``removal_guard``: which reported removals are applied at once, and which are held.
 - ``staleness``: how old the knowledge is and what that allows.
--- a/snowthread/tenants/table.py
+++ b/snowthread/tenants/table.py
@@ -13,11 +13,11 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from ipaddress import IPv4Address, IPv6Address, ip_address
 from typing import NamedTuple
 
 from pytricia import PyTricia
 
+from snowthread.tenants.client_address import parse_client_address
 from snowthread.tenants.model import UNKNOWN_IDENTITY, IdentifiedBy, Identity, Network, Tenant
 
 MAX_CACHED_IDENTITIES = 8192
@@ -104,11 +104,9 @@
         return identity
 
     def _identify_uncached(self, address: str, number: int | None) -> Identity:
-        try:
-            ip = ip_address(address.partition("%")[0])
-        except ValueError:
+        ip = parse_client_address(address)
+        if ip is None:
             return UNKNOWN_IDENTITY
-        ip = _without_ipv4_mapping(ip)
         text = str(ip)
         if number is not None and text in self._trusted[ip.version]:
             owners = self._range_owners(number)
@@ -217,9 +215,3 @@
 def _new_tries() -> dict[int, PyTricia]:
     """Return an empty prefix trie for each IP version."""
     return {version: PyTricia(bits) for version, bits in ADDRESS_BITS.items()}
-
-
-def _without_ipv4_mapping(ip: IPv4Address | IPv6Address) -> IPv4Address | IPv6Address:
-    """Return the IPv4 address of ``::ffff:a.b.c.d``: one identity whichever socket a client came over."""
-    mapped = ip.ipv4_mapped if isinstance(ip, IPv6Address) else None
-    return ip if mapped is None else mapped
--- a/snowthread/tenants/unknown_clients.py
+++ b/snowthread/tenants/unknown_clients.py
@@ -10,10 +10,11 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
-from ipaddress import ip_address, ip_network
+from ipaddress import ip_network
 
 from snowthread.ldap import filters
 from snowthread.ldap.messages import FilterTree
+from snowthread.tenants.client_address import parse_client_address
 
 MS_PER_S = 1000.0
 
@@ -114,11 +115,9 @@
 
     It tests for each prefix length that operators use, since a directory compares networks as text.
     """
-    try:
-        ip = ip_address(address.partition("%")[0])
-    except ValueError:
+    ip = parse_client_address(address)
+    if ip is None:
         return None
-    ip = getattr(ip, "ipv4_mapped", None) or ip
     lengths = rules.ipv4_prefix_lengths if ip.version == 4 else rules.ipv6_prefix_lengths
     networks = [str(ip_network(f"{ip}/{length}", strict=False)) for length in lengths]
     return "or", [filters.equality_filter(attribute, text) for text in (*networks, str(ip))]
--- a/tests/tenants/test_tenant_identification.py
+++ b/tests/tenants/test_tenant_identification.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import replace
+from dataclasses import fields, replace
+from typing import TYPE_CHECKING
 
 import pytest
 from loguru import logger
@@ -15,6 +16,9 @@
 from snowthread.tenants.identification import TenantIdentification
 from snowthread.tenants.state import TenantCounters
 
+if TYPE_CHECKING:
+    import loguru
+
 UNREACHABLE = ["ldap://127.0.0.1:1"]
 
 
@@ -23,8 +27,8 @@
     """Return the fields of each ``tenants.state`` line."""
     records: list[dict[str, object]] = []
 
-    def collect(message: object) -> None:
-        extra = message.record["extra"]  # type: ignore[attr-defined]
+    def collect(message: loguru.Message) -> None:
+        extra = message.record["extra"]
         if extra.get("event") == "tenants.state":
             records.append(extra)
 
@@ -53,4 +57,4 @@
     line = state_records[-1]
     assert line["lookups_not_found"] == 1 and line["removals_held"] == 2
     assert line["negative_cache"] == 1 and line["held"] == 0
-    assert set(TenantCounters.__slots__) <= line.keys()  # type: ignore[attr-defined]
+    assert {field.name for field in fields(TenantCounters)} <= line.keys()
