Rewrite the checker of the admission rules with whole names and an enum of states

The host that plays random legal events kept states as strings and one-letter fields in one class of 170 lines within test_properties.py.

--- a/tests/admission/test_properties.py
+++ b/tests/admission/test_properties.py
@@ -1,37 +1,15 @@
-"""Legal event sequences at random, and a small checker of the four rules beside them."""
+"""The rules of admission hold under any legal sequence of events."""
 
 from __future__ import annotations
 
-import heapq
-from typing import Any
+from enum import Enum, auto
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from support.admission_rules import RuleCheckingHost
 
-from snowthread.admission.actions import (
-    AwaitOriginal,
-    Fail,
-    ForgetKey,
-    Reject,
-    RememberKey,
-    SetTimer,
-    SkipCall,
-    StartCall,
-    StartRun,
-    StopRun,
-)
-from snowthread.admission.controller import Controller
-from snowthread.admission.events import (
-    CallFinished,
-    CallNeeded,
-    Event,
-    RequestAbandoned,
-    RequestArrived,
-    RunFinished,
-    ShutdownNotice,
-    Started,
-    TimerFired,
-)
+from snowthread.admission.events import RequestArrived
+from snowthread.admission.request import RequestState
 from snowthread.admission.settings import (
     Dependency,
     Idempotency,
@@ -53,191 +31,92 @@
     ),
     RequestClass("ask", 1.5, 4.0, may_call=True, skipped_call_weight=0.5, late_weight_factor=0.2),
 )
-SLACK = 0.06
-
-
-class Host:
-    """Carries out actions as the interface says and notes every breach of a rule."""
-
-    def __init__(self, s: Settings, seed: int) -> None:
-        self.s, self.c, self.now = s, Controller(s, seed), 0.0
-        self.where: dict[int, str] = {}  # held, running, at call, calling, paused, attached
-        self.arrival: dict[int, tuple[RequestArrived, float, float]] = {}  # event, came to the machine, due
-        self.owed: set[int] = set()
-        self.ran: set[int] = set()
-        self.keys: dict[int, float] = {}
-        self.timers: list[tuple[float, int]] = []
-        self.in_hand: list[tuple[float, float]] = []  # calls over: from, to
-        self.since: dict[int, float] = {}
-        self.notice = self.stop = float("inf")
-        self.send(Started())
-
-    def send(self, event: Event) -> None:
-        for action in self.c.handle(self.now, event):
-            self.do(action)
-        self.check()
-
-    def effect(self, request: int) -> Idempotency:
-        return next(c for c in self.s.classes if c.name == self.arrival[request][0].class_name).idempotency
-
-    def do(self, a: Any) -> None:
-        if isinstance(a, SetTimer):
-            heapq.heappush(self.timers, (self.now + max(a.delay_s, 1e-4), a.label))
-        if isinstance(a, RememberKey):
-            self.keys[a.request_id] = self.now + a.lifetime_s
-        if isinstance(a, ForgetKey):
-            self.keys.pop(a.request_id, None)
-        r = getattr(a, "request_id", None)
-        if r is None or r not in self.where:
-            return
-        if isinstance(a, StartRun) and self.where[r] in ("held", "paused"):
-            again = self.where[r] == "paused"
-            assert again or r not in self.ran or self.effect(r) is Idempotency.IDEMPOTENT, "duplicate"
-            assert self.arrival[r][0].original_id is None, "duplicate: a repeat runs by itself"
-            assert self.arrival[r][1] <= self.notice + self.s.drain_grace_s + 1e-6, "drain"
-            self.ran.add(r)
-            self.where[r] = "running"
-        elif isinstance(a, AwaitOriginal):
-            self.where[r] = "attached"
-        elif isinstance(a, Reject | Fail):
-            assert r in self.owed, "two answers"
-            if isinstance(a, Reject) and r in self.ran:
-                assert self.effect(r) is Idempotency.IDEMPOTENT, "refused, but ran"
-            self.owed.discard(r)
-            if self.where[r] in ("held", "paused", "attached"):
-                del self.where[r]
-            elif self.where[r] in ("at call", "calling"):
-                self.over(r, Outcome.CANCELLED)
-        elif isinstance(a, StopRun) and self.where[r] == "running":
-            self.over(r, Outcome.CANCELLED)
-        elif isinstance(a, StartCall) and self.where[r] == "at call":
-            self.where[r], self.since[r] = "calling", self.now
-            heapq.heappush(self.timers, (self.now + a.timeout_s, -r))
-        elif isinstance(a, SkipCall) and self.where[r] == "at call":
-            self.where[r] = "running"
-
-    def call_over(self, r: int, lingers: bool) -> None:
-        if r in self.since:
-            self.in_hand.append((self.since.pop(r), self.now + (self.s.abandoned_call_s if lingers else 0.0)))
-
-    def over(self, r: int, outcome: Outcome) -> None:
-        self.call_over(r, lingers=True)
-        if outcome is Outcome.CANCELLED and r in self.owed:
-            self.where[r] = "paused" if self.s.preemption is Preemption.PAUSE else "held"
-        else:
-            del self.where[r]
-            self.owed.discard(r)
-        self.send(RunFinished(r, outcome, 0.1))
-
-    def advance(self, dt: float) -> None:
-        end = self.now + dt
-        while self.timers and self.timers[0][0] <= end:
-            self.now, label = heapq.heappop(self.timers)
-            if label < 0:  # a call given up, if it is still out
-                if self.where.get(-label) == "calling" and -label in self.since:
-                    self.call_over(-label, lingers=True)
-                    self.where[-label] = "at call"
-                    self.send(CallFinished(-label, Outcome.TIMED_OUT, 0.1))
-                continue
-            running = sum(w == "running" for w in self.where.values())
-            use = min(1.0, running / self.s.cores)
-            self.send(TimerFired(label, use, float(running), None, float(running)))
-        self.now = end
-        self.check()
-
-    def check(self) -> None:
-        for r in self.owed:
-            assert self.now <= self.arrival[r][2] + SLACK, "lost"
-            if self.where[r] == "held":  # what may no longer be started has its answer
-                assert r not in self.ran or self.effect(r) is Idempotency.IDEMPOTENT, (
-                    "waits, may not run again"
-                )
-                grace = self.notice + self.s.drain_grace_s + 1e-6
-                assert self.arrival[r][1] <= grace, "waits, came too late"
-        assert not (self.owed and self.now >= self.stop), "drain: unanswered at the stop"
-        weight = {"held": 1.0, "attached": 1.0}
-        self.keys = {k: end for k, end in self.keys.items() if end > self.now}
-        kb = sum(
-            self.arrival[r][0].memory_kb * weight.get(w, self.s.running_memory_factor)
-            for r, w in self.where.items()
-        )
-        assert kb + len(self.keys) * self.s.key_memory_kb <= self.s.memory_kb, "fall-over: memory"
-        running = sum(w == "running" for w in self.where.values())
-        assert running <= self.s.cores * self.s.collapse_multiple, "fall-over: cores"
-        start = self.now - self.s.call_quota_window_s
-        used = sum(max(0.0, min(b, self.now) - max(a, start)) for a, b in self.in_hand)
-        used += sum(self.now - max(a, start) for a in self.since.values())
-        if self.s.dependency is Dependency.SHARED:
-            assert used <= self.s.call_quota * self.s.call_quota_window_s + 1e-6, "fall-over: dependency"
-
-    def may_call(self, request: int) -> bool:
-        calls = self.arrival[request][0].class_name in ("once", "ask")
-        return calls and self.s.dependency is not Dependency.NONE
-
-    def pick(self, state: str, n: int) -> int | None:
-        some = sorted(r for r, w in self.where.items() if w == state)
-        return some[n % len(some)] if some else None
-
-
-def step(h: Host, op: str, n: int, request: int) -> None:
-    """One legal event of the kind drawn, if there is one."""
-    if op == "arrive":
-        kind = CLASSES[n % 4]
-        backlog = (0.0, 0.0, 0.3, 1.5)[n // 4 % 4]
-        left = (kind.deadline_s, 0.3)[n // 16 % 2]
-        due = h.now + left if h.s.propagates_deadline else max(h.now, h.now - backlog + kind.deadline_s)
-        known = [k for k in h.keys if k in h.where or k in h.ran]
-        prior = max(known) if kind.idempotency is Idempotency.KEYED and n // 32 % 2 and known else None
-        event = RequestArrived(
-            request,
-            kind.name,
-            float(5 + n % 40),
-            ("a", "")[n % 2],
-            time_left_s=left,
-            caller_id=n,
-            work_hint_s=(None, 0.01, 5.0)[n % 3],
-            unread_s=backlog,
-            original_id=prior,
-        )
-        h.arrival[request], h.where[request] = (event, h.now - backlog, due), "held"
-        h.owed.add(request)
-        h.send(event)
-    elif op == "leave" and h.notice == float("inf"):
-        h.notice, h.stop = h.now, h.now + 3.5
-        h.send(ShutdownNotice(3.5))
-    elif op == "gone" and h.owed:
-        r = sorted(h.owed)[n % len(h.owed)]
-        h.owed.discard(r)
-        if h.where[r] in ("held", "paused", "attached"):
-            del h.where[r]
-        elif h.where[r] in ("at call", "calling"):
-            h.call_over(r, lingers=True)
-            del h.where[r]
-        h.send(RequestAbandoned(r))
-    if op in ("running", "attached") and (r := h.pick(op, n)) is not None:
-        h.over(r, (Outcome.SUCCESS, Outcome.FAILURE)[n % 2])
-    if op == "needs" and (r := h.pick("running", n)) is not None and r in h.owed and h.may_call(r):
-        h.where[r] = "at call"
-        h.send(CallNeeded(r))
-    if op == "called" and (r := h.pick("calling", n)) is not None:
-        outcome = (Outcome.SUCCESS, Outcome.TIMED_OUT, Outcome.OVERLOADED, Outcome.FAILURE)[n % 4]
-        h.call_over(r, lingers=outcome is Outcome.TIMED_OUT)
-        h.where[r] = "running" if outcome is Outcome.SUCCESS else "at call"
-        h.send(CallFinished(r, outcome, 0.1))
-
-
-OPS = (
-    "arrive",
-    "arrive",
-    "arrive",
-    "arrive",
-    "running",
-    "attached",
-    "needs",
-    "needs",
-    "needs",
-    "called",
-    "gone",
+CALL_OUTCOMES = (Outcome.SUCCESS, Outcome.TIMED_OUT, Outcome.OVERLOADED, Outcome.FAILURE)
+RUN_OUTCOMES = (Outcome.SUCCESS, Outcome.FAILURE)
+
+
+class Operation(Enum):
+    """What happens next, where it is possible."""
+
+    ARRIVE = auto()
+    FINISH_RUN = auto()
+    FINISH_AWAITING = auto()
+    NEED_CALL = auto()
+    FINISH_CALL = auto()
+    ABANDON = auto()
+    NOTICE_SHUTDOWN = auto()
+
+
+def arrive(host: RuleCheckingHost, choice: int, request: int) -> None:
+    request_class = CLASSES[choice % 4]
+    unread_s = (0.0, 0.0, 0.3, 1.5)[choice // 4 % 4]
+    time_left_s = (request_class.deadline_s, 0.3)[choice // 16 % 2]
+    deadline_at = max(host.now, host.now - unread_s + request_class.deadline_s)
+    if host.settings.propagates_deadline:
+        deadline_at = host.now + time_left_s
+    originals = [key for key in host.key_expires_at if key in host.state or key in host.started]
+    is_retry = request_class.idempotency is Idempotency.KEYED and choice // 32 % 2 and originals
+    event = RequestArrived(
+        request,
+        request_class.name,
+        float(5 + choice % 40),
+        ("a", "")[choice % 2],
+        time_left_s=time_left_s,
+        caller_id=choice,
+        work_hint_s=(None, 0.01, 5.0)[choice % 3],
+        unread_s=unread_s,
+        original_id=max(originals) if is_retry else None,
+    )
+    host.arrive(event, request_class, deadline_at)
+
+
+def finish_run(host: RuleCheckingHost, state: RequestState, choice: int) -> None:
+    request = host.pick(state, choice)
+    if request is not None:
+        host.end_run(request, RUN_OUTCOMES[choice % 2])
+
+
+def need_call(host: RuleCheckingHost, choice: int) -> None:
+    request = host.pick(RequestState.RUNNING, choice)
+    if request is not None and request in host.unanswered and host.may_call(request):
+        host.need_call(request)
+
+
+def finish_call(host: RuleCheckingHost, choice: int) -> None:
+    request = host.pick(RequestState.CALLING, choice)
+    if request is not None:
+        host.finish_call(request, CALL_OUTCOMES[choice % 4])
+
+
+def abandon(host: RuleCheckingHost, choice: int) -> None:
+    if host.unanswered:
+        host.abandon(sorted(host.unanswered)[choice % len(host.unanswered)])
+
+
+def play(host: RuleCheckingHost, operation: Operation, choice: int, request: int) -> None:
+    if operation is Operation.ARRIVE:
+        arrive(host, choice, request)
+    elif operation is Operation.FINISH_RUN:
+        finish_run(host, RequestState.RUNNING, choice)
+    elif operation is Operation.FINISH_AWAITING:
+        finish_run(host, RequestState.AWAITING_ORIGINAL, choice)
+    elif operation is Operation.NEED_CALL:
+        need_call(host, choice)
+    elif operation is Operation.FINISH_CALL:
+        finish_call(host, choice)
+    elif operation is Operation.ABANDON:
+        abandon(host, choice)
+    else:
+        host.notice_shutdown()
+
+
+DRAWN_OPERATIONS = (
+    *[Operation.ARRIVE] * 4,
+    Operation.FINISH_RUN,
+    Operation.FINISH_AWAITING,
+    *[Operation.NEED_CALL] * 3,
+    Operation.FINISH_CALL,
+    Operation.ABANDON,
 )
 SITES = st.builds(
     Settings,
@@ -274,20 +153,25 @@
 @given(
     SITES,
     st.lists(
-        st.tuples(st.sampled_from(OPS), st.integers(0, 127), st.sampled_from((0.0, 0.0, 0.01, 0.05, 0.3))),
+        st.tuples(
+            st.sampled_from(DRAWN_OPERATIONS),
+            st.integers(0, 127),
+            st.sampled_from((0.0, 0.0, 0.01, 0.05, 0.3)),
+        ),
         min_size=30,
         max_size=120,
     ),
     st.integers(0, 60),
 )
 def test_rules_hold_under_any_legal_sequence(
-    site: Settings, steps: list[tuple[str, int, float]], leave_at: int
+    site: Settings, steps: list[tuple[Operation, int, float]], shutdown_step: int
 ) -> None:
-    h = Host(site, seed=7)
-    for n, (op, choice, dt) in enumerate(steps):
-        h.advance(dt)
-        if h.now >= h.stop:
+    host = RuleCheckingHost(site, seed=7)
+    for number, (operation, choice, elapsed_s) in enumerate(steps):
+        host.advance(elapsed_s)
+        if host.now >= host.stop_at:
             return
-        step(h, "leave" if n == leave_at else op, choice, n + 1)
-    h.advance(min(6.0, max(0.0, h.stop - h.now)))
-    assert not h.owed or h.now < h.stop
+        drawn = Operation.NOTICE_SHUTDOWN if number == shutdown_step else operation
+        play(host, drawn, choice, number + 1)
+    host.advance(min(6.0, max(0.0, host.stop_at - host.now)))
+    assert not host.unanswered or host.now < host.stop_at
