--- a/tests/support/admission_host.py
+++ b/tests/support/admission_host.py
@@ -11,32 +11,8 @@
 from dataclasses import dataclass, field
 from functools import partial
 
-from snowthread.admission.actions import (
-    Action,
-    AwaitOriginal,
-    Fail,
-    Reject,
-    SetTimer,
-    SkipCall,
-    StartCall,
-    StartRun,
-    StopRun,
-)
+from snowthread.admission import actions, events
 from snowthread.admission.controller import Controller
-from snowthread.admission.events import (
-    CallFinished,
-    CallNeeded,
-    Event,
-    RequestAbandoned,
-    RequestArrived,
-    RunFinished,
-    RunIndeterminate,
-    SettingsChanged,
-    ShutdownNotice,
-    Started,
-    TenantsChanged,
-    TimerFired,
-)
 from snowthread.admission.settings import Idempotency, Outcome, RequestClass, Settings
 from support.admission_scenarios import END_S, LEAVE_S, SETTINGS_CHANGE_S, TENANTS_CHANGE_S, Scenario
 
@@ -53,7 +29,7 @@
 )
 CALL_FAILURES = (*RUN_FAILURES, Outcome.NOT_STARTED, Outcome.CANCELLED)
 
-PlannedEvent = Callable[[], Event | None]  # called when its time has come; None: overtaken by others
+PlannedEvent = Callable[[], events.Event | None]  # called when its time has come; None: overtaken by others
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,15 +37,15 @@
     """One event and what the controller did about it."""
 
     time_s: float
-    event: Event
-    actions: Sequence[Action]
+    event: events.Event
+    actions: Sequence[actions.Action]
 
 
 @dataclass(slots=True)
 class HostedRequest:
     """What the host knows of a request it has handed to the controller."""
 
-    arrival: RequestArrived
+    arrival: events.RequestArrived
     request_class: RequestClass
     work_s: float
     attempts: int = 1
@@ -109,10 +85,10 @@
             event = planned()
             if event is None:
                 continue
-            actions = controller.handle(self.now, event)
-            for action in actions:
+            taken = controller.handle(self.now, event)
+            for action in taken:
                 self._carry_out(action)
-            yield Step(time_s=self.now, event=event, actions=actions)
+            yield Step(time_s=self.now, event=event, actions=taken)
 
     def _plan(self, after_s: float, planned: PlannedEvent) -> None:
         self._planned_count += 1
@@ -126,20 +102,20 @@
 
     # What happens by itself.
 
-    def _start(self) -> Event:
-        return Started()
+    def _start(self) -> events.Event:
+        return events.Started()
 
-    def _change_settings(self) -> Event:
-        change: SettingsChanged = self.scenario.changed_settings
+    def _change_settings(self) -> events.Event:
+        change: events.SettingsChanged = self.scenario.changed_settings
         self.settings = change.settings
         return change
 
-    def _change_tenants(self) -> Event:
-        change: TenantsChanged = self.scenario.changed_tenants
+    def _change_tenants(self) -> events.Event:
+        change: events.TenantsChanged = self.scenario.changed_tenants
         return change
 
-    def _leave(self) -> Event:
-        notice: ShutdownNotice = self.scenario.leave
+    def _leave(self) -> events.Event:
+        notice: events.ShutdownNotice = self.scenario.leave
         return notice
 
     def _arrival_rate(self) -> float:
@@ -170,14 +146,14 @@
         """Share of its time for which a run wants a core; in some spells runs mostly wait for I/O."""
         return 0.12 if self._waits_for_io() else 1.0
 
-    def _next_arrival(self) -> Event:
+    def _next_arrival(self) -> events.Event:
         self._plan(self._random.expovariate(self._arrival_rate()), self._next_arrival)
         request_class = self._random.choice(self.settings.classes)
         name = "unheard-of" if self._chance(0.01) else request_class.name
         work_s = self._random.lognormvariate(0.0, 0.6) * MEAN_WORK_S
         request = len(self._requests) + 1
         unread = 0.6 if self._arrival_rate() == BURST_RATE else 0.2
-        arrival = RequestArrived(
+        arrival = events.RequestArrived(
             request_id=request,
             class_name=name,
             memory_kb=self._random.uniform(5.0, 60.0),
@@ -194,7 +170,7 @@
     def _sends_hint(self) -> bool:
         return self.scenario.sends_hints and self._chance(0.7)
 
-    def _receive(self, hosted: HostedRequest) -> Event:
+    def _receive(self, hosted: HostedRequest) -> events.Event:
         request = hosted.arrival.request_id
         self._requests[request] = hosted
         if self._chance(0.04):
@@ -203,9 +179,9 @@
             self._plan(self._random.uniform(0.2, 1.5), partial(self._try_again, request, request))
         return hosted.arrival
 
-    def _try_again(self, request: int, prior: int | None) -> Event:
+    def _try_again(self, request: int, prior: int | None) -> events.Event:
         first = self._requests[request]
-        arrival = RequestArrived(
+        arrival = events.RequestArrived(
             request_id=len(self._requests) + 1,
             class_name=first.arrival.class_name,
             memory_kb=first.arrival.memory_kb,
@@ -226,12 +202,12 @@
             )
         )
 
-    def _caller_leaves(self, request: int) -> Event | None:
+    def _caller_leaves(self, request: int) -> events.Event | None:
         hosted = self._requests[request]
         if hosted.answered:
             return None
         self._settle(request)
-        return RequestAbandoned(request_id=request)
+        return events.RequestAbandoned(request_id=request)
 
     def _settle(self, request: int) -> None:
         """No answer is owed any more: a run that stands at its call is stopped there."""
@@ -242,26 +218,26 @@
 
     # What the controller's actions bring about.
 
-    def _carry_out(self, action: Action) -> None:
-        if isinstance(action, StartRun):
+    def _carry_out(self, action: actions.Action) -> None:
+        if isinstance(action, actions.StartRun):
             self._run(action.request_id)
-        elif isinstance(action, SetTimer):
+        elif isinstance(action, actions.SetTimer):
             self._plan(action.delay_s, partial(self._fire_timer, action.label))
-        elif isinstance(action, Reject):
+        elif isinstance(action, actions.Reject):
             self._answer(
                 action.request_id,
                 None if not action.do_not_retry else action.request_id,
                 action.retry_after_s,
             )
-        elif isinstance(action, Fail):
+        elif isinstance(action, actions.Fail):
             self._answer(action.request_id, action.request_id, 0.0)
-        elif isinstance(action, StartCall):
+        elif isinstance(action, actions.StartCall):
             self._call(action.request_id, action.timeout_s)
-        elif isinstance(action, SkipCall):
+        elif isinstance(action, actions.SkipCall):
             self._continue(action.request_id)
-        elif isinstance(action, StopRun):
+        elif isinstance(action, actions.StopRun):
             self._end_after(action.request_id, 0.01, Outcome.CANCELLED)
-        elif isinstance(action, AwaitOriginal):
+        elif isinstance(action, actions.AwaitOriginal):
             self._end_after(action.request_id, self._random.uniform(0.1, 1.0), Outcome.SUCCESS)
 
     def _answer(self, request: int, prior: int | None, wait_s: float) -> None:
@@ -271,14 +247,14 @@
             wait_s += self._random.uniform(0.05, 0.6)
             self._plan(wait_s, partial(self._try_again, request, prior))
 
-    def _fire_timer(self, label: int) -> Event:
+    def _fire_timer(self, label: int) -> events.Event:
         if self._chance(0.1):
-            return TimerFired(label=label)
+            return events.TimerFired(label=label)
         running = self._running() * self._core_demand()
         cores = self.settings.cores
         use = min(1.0, running / cores * self._random.uniform(0.9, 1.05))
         on_cores = running * self._random.uniform(0.7, 1.1) if self._chance(0.8) else None
-        return TimerFired(
+        return events.TimerFired(
             label=label,
             core_utilization=use,
             core_demand=on_cores,
@@ -309,15 +285,15 @@
         hosted.version += 1
         self._plan(after_s, partial(self._end_run, request, hosted.version, outcome, after_s))
 
-    def _end_run(self, request: int, version: int, outcome: Outcome, took_s: float) -> Event | None:
+    def _end_run(self, request: int, version: int, outcome: Outcome, took_s: float) -> events.Event | None:
         hosted = self._requests[request]
         if hosted.version != version:
             return None
         hosted.on_core = hosted.at_call = False
         hosted.answered = hosted.answered or outcome is not Outcome.CANCELLED
-        return RunFinished(request_id=request, outcome=outcome, duration_s=took_s)
+        return events.RunFinished(request_id=request, outcome=outcome, duration_s=took_s)
 
-    def _doubt(self, request: int, version: int, at_call: bool) -> Event | None:
+    def _doubt(self, request: int, version: int, at_call: bool) -> events.Event | None:
         hosted = self._requests[request]
         if hosted.version != version:
             return None
@@ -326,15 +302,15 @@
             self._end_after(request, self._random.uniform(0.2, 2.0), Outcome.SUCCESS)
         else:
             self._end_after(request, self._random.uniform(2.0, 8.0), Outcome.NOT_STARTED)
-        return RunIndeterminate(request_id=request, at_call=at_call)
+        return events.RunIndeterminate(request_id=request, at_call=at_call)
 
-    def _stand_at_call(self, request: int, version: int) -> Event | None:
+    def _stand_at_call(self, request: int, version: int) -> events.Event | None:
         hosted = self._requests[request]
         if hosted.version != version:
             return None
         hosted.on_core = False
         hosted.has_called = hosted.at_call = True
-        return CallNeeded(request_id=request)
+        return events.CallNeeded(request_id=request)
 
     def _call(self, request: int, give_up_s: float) -> None:
         hosted = self._requests[request]
@@ -354,13 +330,13 @@
             return self.scenario.first_call_s
         return 0.1
 
-    def _end_call(self, request: int, version: int, outcome: Outcome, took_s: float) -> Event | None:
+    def _end_call(self, request: int, version: int, outcome: Outcome, took_s: float) -> events.Event | None:
         hosted = self._requests[request]
         if hosted.version != version:
             return None
         if outcome is Outcome.SUCCESS:
             self._continue(request)
-        return CallFinished(request_id=request, outcome=outcome, duration_s=took_s)
+        return events.CallFinished(request_id=request, outcome=outcome, duration_s=took_s)
 
     def _continue(self, request: int) -> None:
         """Let the run go on past its call; now and then the host loses sight of it there."""
--- a/tests/support/decision_trace.py
+++ b/tests/support/decision_trace.py
@@ -12,41 +12,11 @@
 from pathlib import Path
 from typing import assert_never
 
-from snowthread.admission.actions import (
-    Action,
-    AwaitOriginal,
-    Fail,
-    ForgetKey,
-    LogNote,
-    PublishLoad,
-    Reject,
-    RememberKey,
-    SetHealth,
-    SetIdleTimeout,
-    SetTimer,
-    SkipCall,
-    StartCall,
-    StartRun,
-    StopRun,
-)
-from snowthread.admission.events import (
-    CallFinished,
-    CallNeeded,
-    Event,
-    RequestAbandoned,
-    RequestArrived,
-    RunFinished,
-    RunIndeterminate,
-    SettingsChanged,
-    ShutdownNotice,
-    Started,
-    TenantsChanged,
-    TimerFired,
-)
+from snowthread.admission import actions, events
 from support.admission_host import Host, Step
 from support.admission_scenarios import SCENARIOS, Scenario
 
-Words = dict[str, str | int | float | bool]
+TraceFields = dict[str, str | int | float | bool]
 
 EVENT_KINDS = frozenset(
     {
@@ -83,75 +53,75 @@
 )
 
 
-def event_words(event: Event) -> Words:
+def event_fields(event: events.Event) -> TraceFields:
     """Return the kind of an event and the request it is about."""
-    if isinstance(event, Started):
+    if isinstance(event, events.Started):
         return {"event": "started"}
-    if isinstance(event, RequestArrived):
+    if isinstance(event, events.RequestArrived):
         return {"event": "arrival", "request": event.request_id}
-    if isinstance(event, RequestAbandoned):
+    if isinstance(event, events.RequestAbandoned):
         return {"event": "caller-gone", "request": event.request_id}
-    if isinstance(event, CallNeeded):
+    if isinstance(event, events.CallNeeded):
         return {"event": "at-call", "request": event.request_id}
-    if isinstance(event, CallFinished):
+    if isinstance(event, events.CallFinished):
         return {"event": "call-ended", "request": event.request_id}
-    if isinstance(event, RunFinished):
+    if isinstance(event, events.RunFinished):
         return {"event": "run-ended", "request": event.request_id}
-    if isinstance(event, TimerFired):
+    if isinstance(event, events.TimerFired):
         return {"event": "timer", "timer": event.label}
-    if isinstance(event, RunIndeterminate):
+    if isinstance(event, events.RunIndeterminate):
         return {"event": "run-doubted", "request": event.request_id}
-    if isinstance(event, ShutdownNotice):
+    if isinstance(event, events.ShutdownNotice):
         return {"event": "leave-notice"}
-    if isinstance(event, TenantsChanged):
+    if isinstance(event, events.TenantsChanged):
         return {"event": "tenants-changed"}
-    if isinstance(event, SettingsChanged):
+    if isinstance(event, events.SettingsChanged):
         return {"event": "settings-changed"}
     assert_never(event)
 
 
-def action_words(action: Action) -> Words:
+def action_fields(action: actions.Action) -> TraceFields:
     """Return an action with all its fields."""
-    if isinstance(action, StartRun):
+    if isinstance(action, actions.StartRun):
         return {"action": "run", "request": action.request_id}
-    if isinstance(action, RememberKey):
+    if isinstance(action, actions.RememberKey):
         return {"action": "keep-key", "request": action.request_id, "lifetime": action.lifetime_s}
-    if isinstance(action, ForgetKey):
+    if isinstance(action, actions.ForgetKey):
         return {"action": "forget-key", "request": action.request_id}
-    if isinstance(action, Reject):
+    if isinstance(action, actions.Reject):
         return {
             "action": "reject",
             "request": action.request_id,
             "retry-after": action.retry_after_s,
             "last": action.do_not_retry,
         }
-    if isinstance(action, Fail):
+    if isinstance(action, actions.Fail):
         return {"action": "fail", "request": action.request_id}
-    if isinstance(action, StartCall):
+    if isinstance(action, actions.StartCall):
         return {"action": "call", "request": action.request_id, "timeout": action.timeout_s}
-    if isinstance(action, SkipCall):
+    if isinstance(action, actions.SkipCall):
         return {"action": "skip-call", "request": action.request_id}
-    if isinstance(action, StopRun):
+    if isinstance(action, actions.StopRun):
         return {"action": "preempt", "request": action.request_id}
-    if isinstance(action, AwaitOriginal):
+    if isinstance(action, actions.AwaitOriginal):
         return {"action": "attach", "request": action.request_id}
-    if isinstance(action, PublishLoad):
+    if isinstance(action, actions.PublishLoad):
         return {"action": "publish", "value": action.value}
-    if isinstance(action, SetIdleTimeout):
+    if isinstance(action, actions.SetIdleTimeout):
         return {"action": "close-idle", "after": action.timeout_s}
-    if isinstance(action, SetTimer):
+    if isinstance(action, actions.SetTimer):
         return {"action": "set-timer", "after": action.delay_s, "timer": action.label}
-    if isinstance(action, SetHealth):
+    if isinstance(action, actions.SetHealth):
         return {"action": "set-health", "good": action.healthy, "shallow": action.shallow}
-    if isinstance(action, LogNote):
+    if isinstance(action, actions.LogNote):
         return {"action": "report", "text": action.text}
     assert_never(action)
 
 
 def step_line(step: Step) -> str:
     """One step as a line of JSON; floats are written so that they read back exactly."""
-    actions = [action_words(action) for action in step.actions]
-    return json.dumps({"time": step.time_s, **event_words(step.event), "actions": actions})
+    taken = [action_fields(action) for action in step.actions]
+    return json.dumps({"time": step.time_s, **event_fields(step.event), "actions": taken})
 
 
 def play(scenario: Scenario) -> list[str]:
