--- a/snowthread/admission/call_budget.py
+++ b/snowthread/admission/call_budget.py
@@ -29,9 +29,9 @@
     burst_s: float = 1.0  # seconds of its rate that the bucket holds
     share: float = 1.0  # of the fair rate
     tokens: float = 0.0
-    at_ms: float | None = None  # when tokens were added last
-    refused: int = 0
-    cut_at: float = -math.inf  # ms: when the rate was cut last
+    refilled_at_ms: float | None = None  # when tokens were added last
+    denied_count: int = 0
+    cut_at_ms: float = -math.inf  # ms: when the rate was cut last
 
     def rate(self) -> float:
         """Return the calls a second that are allowed now."""
@@ -47,11 +47,11 @@
 
     def refill(self, now_ms: float) -> None:
         """Add the tokens of the time that has passed, and let the rate grow back."""
-        if self.at_ms is None:
-            self.at_ms, self.tokens = now_ms, min(1.0, self.rate())
+        if self.refilled_at_ms is None:
+            self.refilled_at_ms, self.tokens = now_ms, min(1.0, self.rate())
             return
-        elapsed_s = max(0.0, now_ms - self.at_ms) / 1000.0
-        self.at_ms = now_ms
+        elapsed_s = max(0.0, now_ms - self.refilled_at_ms) / 1000.0
+        self.refilled_at_ms = now_ms
         self.share = min(1.0, self.share + GROWTH_PER_S * elapsed_s)
         self.tokens = min(self.capacity(), self.tokens + self.rate() * elapsed_s)
 
@@ -65,7 +65,7 @@
         if self.tokens >= 1.0 + leave:
             self.tokens -= 1.0
             return True
-        self.refused += 1
+        self.denied_count += 1
         return False
 
     def record_latency(self, now_ms: float, took_ms: float) -> None:
@@ -77,7 +77,7 @@
         self.refill(now_ms)
         if took_ms <= self.slow_factor * self.prior_ms:
             self.share = min(1.0, self.share * QUICK_CALL_GROWTH)
-        elif now_ms - took_ms >= self.cut_at:
-            self.cut_at = now_ms
+        elif now_ms - took_ms >= self.cut_at_ms:
+            self.cut_at_ms = now_ms
             self.share = max(MIN_RATE_SHARE, self.share * SLOW_CALL_CUT)
             self.tokens = min(self.tokens, max(1.0, self.rate()))
--- a/snowthread/admission/slow_start.py
+++ b/snowthread/admission/slow_start.py
@@ -29,7 +29,7 @@
     settle_ms: float = 2000.0  # at the full window before the slow start is complete
     window: float = 0.0
     ssthresh: float = math.inf  # the window from which it grows slowly
-    at_ceiling_since: float | None = None  # ms: when the window became full
+    full_since_ms: float | None = None  # ms: when the window became full
     complete: bool = False
     held_open: bool = False  # never complete, whatever the window: the machine is known to be cold still
     loss_count: int = 0
@@ -54,9 +54,9 @@
         self.window = min(self.max_window, self.window + step)
         if self.window < self.max_window:
             return
-        if self.at_ceiling_since is None:
-            self.at_ceiling_since = now_ms
-        elif now_ms - self.at_ceiling_since >= self.settle_ms and not self.held_open:
+        if self.full_since_ms is None:
+            self.full_since_ms = now_ms
+        elif now_ms - self.full_since_ms >= self.settle_ms and not self.held_open:
             self.complete = True
 
     def loss(self, now_ms: float) -> None:
@@ -65,4 +65,4 @@
         self.complete = False
         self.window = max(self.min_window, self.window * self.backoff_factor)
         self.ssthresh = self.window
-        self.at_ceiling_since = None
+        self.full_since_ms = None
--- a/snowthread/admission/statistics.py
+++ b/snowthread/admission/statistics.py
@@ -1,6 +1,6 @@
 """Generic arithmetic for the controller: averages that forget, a slope, a budget with reservations.
 
-It knows neither requests nor settings and decides nothing: every constant is passed in.
+It knows neither requests nor settings and decides nothing: windows and weights are passed in.
 """
 
 from __future__ import annotations
