Recovery: six names of slow start, call budget and learned state

Cause: held_open, tick and decayed say nothing of a known-cold machine, an update and what was given up.

--- a/snowthread/admission/call_budget.py
+++ b/snowthread/admission/call_budget.py
@@ -10,7 +10,9 @@
 import math
 from dataclasses import dataclass
 
-FLEET_SHARE = 0.95  # of what the database gets done is given out: what is abandoned is done all the same
+FLEET_BUDGET_SHARE = (
+    0.95  # of what the database gets done is given out: what is abandoned is done all the same
+)
 BURST_S = 0.5  # of a node's rate that may go at once: a fleet's bursts add up
 QUICK_CALL_GROWTH = 1.1  # factor of the rate for each quick call: doubled after seven
 GROWTH_PER_S = 0.1  # of the fair rate
--- a/snowthread/admission/learned_state.py
+++ b/snowthread/admission/learned_state.py
@@ -23,7 +23,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ClassTimes:
+class LearnedClassTimes:
     """The times of a class in good times: of a run on a core, of a run with its calls, of a call."""
 
     core_time_s: float = 0.0
@@ -35,19 +35,19 @@
 class LearnedState:
     """What a node learned, by class, and the requests that it read a second."""
 
-    times: dict[str, ClassTimes]
+    times: dict[str, LearnedClassTimes]
     request_rate: float = 0.0
 
 
 def export_learned_state(controller: Controller) -> LearnedState:
     """Return what is worth keeping of what a controller learned."""
     estimates = controller.estimates
-    times: dict[str, ClassTimes] = {}
+    times: dict[str, LearnedClassTimes] = {}
     for index, request_class in enumerate(controller.settings.classes):
         core_time_s = estimates.base_core_time_s[index]
         if core_time_s > 0.0:
             run_time_s = estimates.run_time_s[index] * estimates.work_of(index, None)
-            times[request_class.name] = ClassTimes(
+            times[request_class.name] = LearnedClassTimes(
                 core_time_s, max(core_time_s, run_time_s), estimates.base_call_time_s[index]
             )
     return LearnedState(times, estimates.request_rate)
@@ -73,7 +73,7 @@
     estimates.request_rate = estimates.request_rate or recalled.request_rate
 
 
-def _known_classes(controller: Controller, recalled: LearnedState) -> Iterator[tuple[int, ClassTimes]]:
+def _known_classes(controller: Controller, recalled: LearnedState) -> Iterator[tuple[int, LearnedClassTimes]]:
     """Yield index and times of the classes in the settings of which something is recalled."""
     for index, request_class in enumerate(controller.settings.classes):
         times = recalled.times.get(request_class.name)
@@ -112,11 +112,11 @@
     fresh: float = 0.5  # times a class's latency objective: as learned for so long
     bound: float = 2.0  # times a class's latency objective: gone by then
     rate_bound_s: float = 1.0  # for which a service rate stands that full cores have not confirmed
-    decayed: int = 0  # estimates that were given up
+    given_up_count: int = 0  # estimates that were given up
     _service_rate: float = 0.0  # as it was last seen to change
     _service_rate_at_s: float = 0.0  # when that was
 
-    def tick(self, controller: Controller, now_s: float) -> None:
+    def update(self, controller: Controller, now_s: float) -> None:
         """Age what is not confirmed; once an update, with ``now_s`` on the controller's clock."""
         self._age_service_rate(controller, now_s)
         for index, request_class in enumerate(controller.settings.classes):
@@ -135,7 +135,7 @@
         if rate_by_runs > estimates.service_rate:
             estimates.service_rate = rate_by_runs
             self._service_rate, self._service_rate_at_s = rate_by_runs, now_s
-            self.decayed += 1
+            self.given_up_count += 1
 
     def _age_class(
         self, controller: Controller, now_s: float, index: int, request_class: RequestClass
@@ -147,13 +147,13 @@
         bound_s = self.bound * request_class.latency_objective_s
         if estimates.run_time_s[index] <= 0.0 or not confirmed_at_s or age_s <= fresh_s:
             return
-        times = self.recalled.times.get(request_class.name, ClassTimes())
+        times = self.recalled.times.get(request_class.name, LearnedClassTimes())
         work = estimates.work_of(index, None)
         core_time_s, run_time_s = times.core_time_s / work, times.run_time_s / work
         if age_s >= bound_s:
             estimates.core_time_s[index], estimates.run_time_s[index] = core_time_s, run_time_s
             estimates.last_run_at_s[index] = now_s if run_time_s else 0.0
-            self.decayed += 1
+            self.given_up_count += 1
         elif run_time_s:
             share = min(1.0, (age_s - fresh_s) / (bound_s - fresh_s)) * AGING_RATE
             estimates.core_time_s[index] += (core_time_s - estimates.core_time_s[index]) * share
--- a/snowthread/admission/recovery_pacer.py
+++ b/snowthread/admission/recovery_pacer.py
@@ -79,7 +79,7 @@
     @property
     def cold(self) -> bool:
         """True until this node has recovered."""
-        return not self.slow_start.complete
+        return not self.slow_start.is_complete
 
     @property
     def is_pacing(self) -> bool:
--- a/snowthread/admission/slow_start.py
+++ b/snowthread/admission/slow_start.py
@@ -30,8 +30,8 @@
     window: float = 0.0
     ssthresh: float = math.inf  # the window from which it grows slowly
     full_since_ms: float | None = None  # ms: when the window became full
-    complete: bool = False
-    held_open: bool = False  # never complete, whatever the window: the machine is known to be cold still
+    is_complete: bool = False
+    is_known_cold: bool = False  # never complete, whatever the window: the machine is known to be cold still
     loss_count: int = 0
 
     def __post_init__(self) -> None:
@@ -44,11 +44,11 @@
 
     def admits(self, in_flight: int) -> bool:
         """Return whether one more run may start, with ``in_flight`` going on."""
-        return self.complete or in_flight < math.floor(self.window)
+        return self.is_complete or in_flight < math.floor(self.window)
 
     def success(self, now_ms: float) -> None:
         """Grow the window: a run ended within its latency objective."""
-        if self.complete:
+        if self.is_complete:
             return
         step = 1.0 if self.window < self.ssthresh else 1.0 / self.window
         self.window = min(self.max_window, self.window + step)
@@ -56,13 +56,13 @@
             return
         if self.full_since_ms is None:
             self.full_since_ms = now_ms
-        elif now_ms - self.full_since_ms >= self.settle_ms and not self.held_open:
-            self.complete = True
+        elif now_ms - self.full_since_ms >= self.settle_ms and not self.is_known_cold:
+            self.is_complete = True
 
     def loss(self, now_ms: float) -> None:
         """Cut the window: a run was rejected, late or timed out, so too much was let in."""
         self.loss_count += 1
-        self.complete = False
+        self.is_complete = False
         self.window = max(self.min_window, self.window * self.backoff_factor)
         self.ssthresh = self.window
         self.full_since_ms = None
--- a/snowthread/recovery/learned_snapshots.py
+++ b/snowthread/recovery/learned_snapshots.py
@@ -8,7 +8,7 @@
 
 from snowthread.admission import learned_state
 from snowthread.admission.controller import Controller
-from snowthread.admission.learned_state import ClassTimes, LearnedState, LearnedStateAging
+from snowthread.admission.learned_state import LearnedClassTimes, LearnedState, LearnedStateAging
 from snowthread.core import events
 from snowthread.core.state import State
 from snowthread.recovery import storage
@@ -67,7 +67,7 @@
 
     def forget_outdated(self, controller: Controller, at_s: float) -> None:
         """Forget what was restored too long ago."""
-        self._aging.tick(controller, at_s)
+        self._aging.update(controller, at_s)
 
     def write(self, view: FleetView, incarnation: int, now_ms: float) -> None:
         """Write what the controller has learned until now."""
@@ -81,7 +81,9 @@
 
 def _to_learned_state(learned: LearnedTimes) -> LearnedState:
     times = {
-        name: ClassTimes(core_time_s, learned.run_time_s.get(name, 0.0), learned.call_time_s.get(name, 0.0))
+        name: LearnedClassTimes(
+            core_time_s, learned.run_time_s.get(name, 0.0), learned.call_time_s.get(name, 0.0)
+        )
         for name, core_time_s in learned.core_time_s.items()
     }
     return LearnedState(times, learned.read_per_s)
--- a/snowthread/recovery/manager.py
+++ b/snowthread/recovery/manager.py
@@ -23,7 +23,7 @@
 
 from snowthread.admission import learned_state
 from snowthread.admission.backoff import Backoff
-from snowthread.admission.call_budget import BURST_S, FLEET_SHARE, CallBudget
+from snowthread.admission.call_budget import BURST_S, FLEET_BUDGET_SHARE, CallBudget
 from snowthread.admission.controller import UPDATE_TIMER
 from snowthread.admission.recovery_pacer import RecoveryPacer
 from snowthread.admission.settings import Outcome
@@ -177,7 +177,7 @@
         self._reconnect_backoff.reset()
         if self._started_cold is None:
             self._started_cold = message.starts_cold
-            self._pacer.slow_start.complete = not message.starts_cold
+            self._pacer.slow_start.is_complete = not message.starts_cold
             self._report_now()
 
     def _update(self, state: State, now_ms: float) -> None:
@@ -190,7 +190,7 @@
         is_quick = learned_state.runs_within_factor(controller, self._snapshots.restored, QUICK_FACTOR)
         if is_quick is None:  # nothing to compare with
             is_quick = learned_state.warmup_speed(controller, at_s) >= WARMED_UP_SPEED
-        self._pacer.slow_start.held_open = self._started_cold is True and not is_quick
+        self._pacer.slow_start.is_known_cold = self._started_cold is True and not is_quick
         self._post_pace(state)
         self._report_warmth(now_ms)
 
@@ -233,7 +233,7 @@
 def _make_pacer(settings: RecoverySettings, cores: int, draws: random.Random) -> RecoveryPacer:
     return RecoveryPacer(
         SlowStart(MAX_WINDOW_RUNS_PER_CORE * cores, MIN_WINDOW_RUNS_PER_CORE * cores),
-        CallBudget(FLEET_SHARE * settings.database_per_s, settings.database_call_ms, burst_s=BURST_S),
+        CallBudget(FLEET_BUDGET_SHARE * settings.database_per_s, settings.database_call_ms, burst_s=BURST_S),
         Backoff(BACKOFF_BASE_MS, BACKOFF_CAP_MS),
         settings.database_per_s * settings.database_call_ms / 1000.0,
         draws,
--- a/tests/admission/test_learned_state.py
+++ b/tests/admission/test_learned_state.py
@@ -67,11 +67,11 @@
     made = controller()
     end = runs(made, 1.8, 5)
     ages = learned_state.LearnedStateAging(learned_state.LearnedState({}))
-    ages.tick(made, end + 0.4)
+    ages.update(made, end + 0.4)
     assert made.estimates.run_time_s[0] > 0.0
     assert learned_state.confirmation_ages_s(made, end + 0.4)["recalc"] == pytest.approx(0.4)
-    ages.tick(made, end + 6.1)
-    assert made.estimates.run_time_s == [0.0, 0.0] and ages.decayed == 2
+    ages.update(made, end + 6.1)
+    assert made.estimates.run_time_s == [0.0, 0.0] and ages.given_up_count == 2
     assert learned_state.confirmation_ages_s(made, end + 9.0) == {}
 
 
@@ -79,10 +79,10 @@
     made = controller()
     end = runs(made, 1.8, 5)
     ages = learned_state.LearnedStateAging(
-        learned_state.LearnedState({"match": learned_state.ClassTimes(0.3, 0.5, 0.1)})
+        learned_state.LearnedState({"match": learned_state.LearnedClassTimes(0.3, 0.5, 0.1)})
     )
     for tick in range(40):
-        ages.tick(made, end + tick * 0.25)
+        ages.update(made, end + tick * 0.25)
     work = made.estimates.work_of(0, None)
     assert made.estimates.core_time_s[0] * work == pytest.approx(0.3)
     assert made.estimates.run_time_s[0] * work == pytest.approx(0.5)
@@ -93,9 +93,9 @@
     end = runs(made, 0.3, 30)
     made.estimates.service_rate = 0.5
     ages = learned_state.LearnedStateAging(learned_state.LearnedState({}))
-    ages.tick(made, end)
+    ages.update(made, end)
     assert made.estimates.service_rate == 0.5
-    ages.tick(made, end + 1.1)
+    ages.update(made, end + 1.1)
     assert made.estimates.service_rate == pytest.approx(made.estimates.full_rate(made.estimates.core_time_s))
 
 
--- a/tests/admission/test_recovery_pacer.py
+++ b/tests/admission/test_recovery_pacer.py
@@ -89,7 +89,7 @@
 
 def test_a_warm_node_paces_nothing_until_others_are_cold() -> None:
     pacer = recovery_pacer(sharing=5, slots=5.0)
-    pacer.slow_start.complete = True
+    pacer.slow_start.is_complete = True
     pacer.update_fleet(5, 0)
     assert not pacer.is_pacing and {pacer.request_call(0.0, f"u{n}", 0, True, 1.0) for n in range(50)} == {
         CallPermission.GRANTED
@@ -110,7 +110,7 @@
 
 def test_calls_abandoned_by_a_warm_node_leave_nothing_behind() -> None:
     pacer = recovery_pacer()
-    pacer.slow_start.complete = True
+    pacer.slow_start.is_complete = True
     for n in range(5000):
         pacer.request_call(n * 10.0, f"u{n}", 0, False, n * 10.0 + 500.0)
         pacer.call_cancelled(n * 10.0 + 5.0, f"u{n}")
--- a/tests/admission/test_slow_start.py
+++ b/tests/admission/test_slow_start.py
@@ -37,11 +37,11 @@
     slow_start = SlowStart(max_window=2.0, settle_ms=1000.0)
     slow_start.success(0.0)
     slow_start.success(500.0)
-    assert not slow_start.complete
+    assert not slow_start.is_complete
     slow_start.success(1500.0)
-    assert slow_start.complete and slow_start.admits(1000)
+    assert slow_start.is_complete and slow_start.admits(1000)
     slow_start.loss(1600.0)
-    assert not slow_start.complete and not slow_start.admits(1)
+    assert not slow_start.is_complete and not slow_start.admits(1)
 
 
 def test_a_window_that_could_not_grow_is_an_error() -> None:
@@ -52,10 +52,10 @@
 
 
 def test_not_complete_while_the_machine_is_known_to_be_cold() -> None:
-    slow_start = SlowStart(4.0, 2.0, settle_ms=100.0, held_open=True)
+    slow_start = SlowStart(4.0, 2.0, settle_ms=100.0, is_known_cold=True)
     for at in range(0, 2000, 50):
         slow_start.success(float(at))
-    assert slow_start.window == 4.0 and not slow_start.complete
-    slow_start.held_open = False
+    assert slow_start.window == 4.0 and not slow_start.is_complete
+    slow_start.is_known_cold = False
     slow_start.success(2000.0)
-    assert slow_start.complete
+    assert slow_start.is_complete
