--- a/deploy/tenants.hcl
+++ b/deploy/tenants.hcl
@@ -2,7 +2,7 @@
 # docs/tenants.md says what each key means. Off on the platform: `run` in balancer.toml names no such file.
 
 tenants {
-  servers = ["ldap://127.0.0.1:3389"] # in the order in which they are asked
+  servers = ["ldap://127.0.0.1:3389"] # in order of preference
   base    = "ou=tenants,dc=example"
 
   # bind {
@@ -15,9 +15,9 @@
   #   server_name = "directory.example"
   # }
 
-  over_share_worth = 0.1 # of what a tenant sends beyond its quota
+  over_share_worth = 0.1 # factor on the priority weight of requests beyond a tenant's quota
 
-  default { # callers that nobody knows
+  default { # unknown clients, together
     quota_per_s = 5
   }
 
