Messages of the hot restart name what both processes send once; two benchmarks share their command line

Cause: duplicates listed the same six message types three times and one main function twice. Change: SharedEvent in hot_restart/messages.py, benchmarks/command.py.

--- a/benchmarks/records.py
+++ b/benchmarks/records.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import argparse
 import json
 import random
 import sys
@@ -25,6 +24,7 @@
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
 from benchmarks import rig
+from benchmarks.command import run_benchmark
 from snowthread.records.frame import encode
 from snowthread.records.model import Fields, Record, RecordKind
 from snowthread.records.reader import Findings, merge
@@ -230,18 +230,7 @@
 
 def main() -> int:
     """Run the benchmark and return its status."""
-    parser = argparse.ArgumentParser(
-        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
-    )
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--short", action="store_true", help="ends within 45 s")
-    options = parser.parse_args()
-    figures = measure(options.seed, options.short)
-    figures["missed"] = missed_targets(figures)
-    for name, value in figures.items():
-        print(f"{name}: {value}", file=sys.stderr)
-    print(json.dumps(figures))
-    return 1 if figures["missed"] else 0
+    return run_benchmark(__doc__, 1, measure, missed_targets)
 
 
 if __name__ == "__main__":
--- a/benchmarks/timeline.py
+++ b/benchmarks/timeline.py
@@ -10,8 +10,6 @@
 
 from __future__ import annotations
 
-import argparse
-import json
 import sys
 import tempfile
 import time
@@ -25,6 +23,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
+from benchmarks.command import run_benchmark
 from emulators.recorded_incidents import (
     BEGIN_S,
     RecordedDay,
@@ -40,6 +39,7 @@
 from snowthread.incident.series import build
 from snowthread.incident.timeline import began_before, build_timeline
 
+FIRST_UNSEEN_SEED = 1000  # seeds from here on were not looked at during development
 SEEN_SEEDS = range(25)  # looked at during development
 
 
@@ -231,18 +231,7 @@
 
 def main() -> int:
     """Run the benchmark and return its status."""
-    parser = argparse.ArgumentParser(
-        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
-    )
-    parser.add_argument("--seed", type=int, default=1000, help="the first seed not looked at")
-    parser.add_argument("--short", action="store_true", help="ends within 45 s")
-    options = parser.parse_args()
-    figures = measure(options.seed, options.short)
-    figures["missed"] = missed_targets(figures)
-    for name, value in figures.items():
-        print(f"{name}: {value}", file=sys.stderr)
-    print(json.dumps(figures))
-    return 1 if figures["missed"] else 0
+    return run_benchmark(__doc__, FIRST_UNSEEN_SEED, measure, missed_targets)
 
 
 if __name__ == "__main__":
--- a/snowthread/hot_restart/messages.py
+++ b/snowthread/hot_restart/messages.py
@@ -33,39 +33,24 @@
     CLIENTS_RELEASED = "yours"  # predecessor: accepts no more connections
 
 
-OutgoingMessage = (
-    HandoverSignal
-    | IdempotencyRecord
-    | events.KeyRunCompleted
+SharedEvent = (
+    events.KeyRunCompleted
     | events.KeyReleased
     | events.KeyClaimRequested
     | events.KeyClaimDecided
     | events.DrainRequested
     | events.PeerLoadReported
 )
+"""What either process may send, and receives as it was sent."""
+
+OutgoingMessage = HandoverSignal | IdempotencyRecord | SharedEvent
 """What a process sends. A record is encoded as it stands when it is written, not when it is queued."""
 
-IncomingMessage = (
-    HandoverSignal
-    | events.KeyReplicated
-    | events.KeyRunCompleted
-    | events.KeyReleased
-    | events.KeyClaimRequested
-    | events.KeyClaimDecided
-    | events.DrainRequested
-    | events.PeerLoadReported
-)
-"""What a process receives. The peer's :class:`IdempotencyRecord` arrives as :class:`events.KeyReplicated`."""
+IncomingEvent = events.KeyReplicated | SharedEvent
+"""What a process receives for the reducer: the peer's records arrive as :class:`events.KeyReplicated`."""
 
-IncomingEvent = (
-    events.KeyReplicated
-    | events.KeyRunCompleted
-    | events.KeyReleased
-    | events.KeyClaimRequested
-    | events.KeyClaimDecided
-    | events.DrainRequested
-    | events.PeerLoadReported
-)
+IncomingMessage = HandoverSignal | IncomingEvent
+"""What a process receives."""
 
 WireValue = str | int | float | bytes | bool | None
 
