HCL files are read by a module below the features, so no arrow runs back to the operator's package

Cause: operator/features.py imports the features' settings, and these imported operator/hcl.py. Change: snowthread/hcl.py; the checks that a bare start loads no feature name it too. EventLoop.end_all_tasks is public, as the lab and tests call it.

--- a/emulators/load_generator.py
+++ b/emulators/load_generator.py
@@ -142,7 +142,7 @@
 
     def close(self) -> None:
         """Close all connections, and end all other coroutines of the loop."""
-        self.loop._close_tasks()
+        self.loop.end_all_tasks()
 
 
 class _Connection:
--- a/snowthread/lab/demo_fleet.py
+++ b/snowthread/lab/demo_fleet.py
@@ -134,7 +134,7 @@
 
     def close(self) -> None:
         """Close the load's connections and stop all processes, the nodes gracefully."""
-        self.loop._close_tasks()
+        self.loop.end_all_tasks()
         stop_nodes(self.nodes)
         for site in self._sites:
             site.stop()
--- a/snowthread/lab/plan.py
+++ b/snowthread/lab/plan.py
@@ -39,7 +39,7 @@
 from pathlib import Path
 
 from snowthread.config import ConfigError
-from snowthread.operator.hcl import Block, read_file
+from snowthread.hcl import Block, read_file
 
 
 class Action(StrEnum):
--- a/snowthread/lab/runner.py
+++ b/snowthread/lab/runner.py
@@ -75,7 +75,7 @@
 
     def _close(self) -> None:
         self._fleet.close()
-        self._loop._close_tasks()
+        self._loop.end_all_tasks()
         self._cores.release()
 
     def _report(self) -> dict[str, Any]:
--- a/snowthread/net/loop.py
+++ b/snowthread/net/loop.py
@@ -127,9 +127,9 @@
         """Run until stopped."""
         while not self._stopped:
             self.run_once(POLL_MAX_S)
-        self._close_tasks()
+        self.end_all_tasks()
 
-    def _close_tasks(self) -> None:
+    def end_all_tasks(self) -> None:
         """End the tasks that still wait, while the loop can still unwatch their descriptors.
 
         Left to the interpreter's exit, the coroutines would find the loop gone and fail one by one.
--- a/snowthread/operator/__init__.py
+++ b/snowthread/operator/__init__.py
@@ -1,5 +1,5 @@
-"""The operator's file: HCL, one block per feature. Imported only if a node is started with such a file.
+"""The features of an operator's file: HCL, one block per feature. Imported only if a node has such a file.
 
-``hcl`` reads blocks key by key and depends on no feature; each feature's settings read their own block with
-it; ``features`` reads the whole file and depends on them.
+``features`` reads the whole file with :mod:`snowthread.hcl` and hands each block to the feature that it belongs
+to; a feature reads its own block with the same module and does not depend on this package.
 """
--- a/snowthread/operator/features.py
+++ b/snowthread/operator/features.py
@@ -9,8 +9,8 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from snowthread import hcl
 from snowthread.config import Config
-from snowthread.operator import hcl
 
 if TYPE_CHECKING:
     from snowthread.records.recorder import RecordSettings
--- a/snowthread/records/settings.py
+++ b/snowthread/records/settings.py
@@ -4,7 +4,7 @@
 
 from pathlib import Path
 
-from snowthread.operator.hcl import Block
+from snowthread.hcl import Block
 from snowthread.records.recorder import RecordSettings
 from snowthread.records.retention import Retention
 
--- a/snowthread/recovery/settings.py
+++ b/snowthread/recovery/settings.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from snowthread.operator.hcl import Block
+from snowthread.hcl import Block
 
 
 @dataclass(frozen=True, slots=True)
--- a/snowthread/sites/settings.py
+++ b/snowthread/sites/settings.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from snowthread.operator.hcl import Block
+from snowthread.hcl import Block
 from snowthread.sites.shedding import SiteRanges
 
 MAX_HOME_BLOCKS = 64
--- a/snowthread/tenants/connection_settings.py
+++ b/snowthread/tenants/connection_settings.py
@@ -7,11 +7,11 @@
 from ipaddress import ip_address
 from pathlib import Path
 
+from snowthread.hcl import Block
 from snowthread.ldap import dn, url
 from snowthread.ldap.ber import Bounds
 from snowthread.ldap.client import ConnectionSettings
 from snowthread.ldap.messages import ExternalBindRequest, Secret, SimpleBindRequest
-from snowthread.operator.hcl import Block
 
 Servers = tuple[url.LdapUrl, ...]
 
--- a/snowthread/tenants/settings.py
+++ b/snowthread/tenants/settings.py
@@ -8,12 +8,12 @@
 from typing import NamedTuple
 
 from snowthread.config import Config
+from snowthread.hcl import Block
 from snowthread.ldap import dn, filters, url
 from snowthread.ldap.ber import Bounds
 from snowthread.ldap.client import ConnectionSettings
 from snowthread.ldap.messages import Scope
 from snowthread.ldap.retry_budget import RetryPolicy
-from snowthread.operator.hcl import Block
 from snowthread.tenants.connection_settings import read_connection_settings
 from snowthread.tenants.entry import AttributeNames
 from snowthread.tenants.removal_guard import RemovalRules
--- a/tests/core/conftest.py
+++ b/tests/core/conftest.py
@@ -16,7 +16,7 @@
     """Yield a node with the example configuration and peers that it can reach."""
     player = ExchangePlayer()
     yield player
-    player.node.loop._close_tasks()
+    player.node.loop.end_all_tasks()
 
 
 @pytest.fixture
--- a/tests/frontends/conftest.py
+++ b/tests/frontends/conftest.py
@@ -20,7 +20,7 @@
 
     yield start
     for player in players:
-        player.node.loop._close_tasks()
+        player.node.loop.end_all_tasks()
 
 
 @pytest.fixture
--- a/tests/lab/test_balancers.py
+++ b/tests/lab/test_balancers.py
@@ -96,7 +96,7 @@
     loop = EventLoop(Clock())
     fleet = Fleet(loop, ScriptedNode(loop, **request.param))
     yield fleet
-    loop._close_tasks()
+    loop.end_all_tasks()
 
 
 @pytest.mark.parametrize("fleet", [{}], indirect=True)
--- a/tests/lab/test_relay.py
+++ b/tests/lab/test_relay.py
@@ -45,7 +45,7 @@
     echo = Echo(loop)
     relay = Relay(loop, Address("127.0.0.1", 0), echo.address, random.Random(1))
     yield loop, relay
-    loop._close_tasks()
+    loop.end_all_tasks()
 
 
 def exchange(loop: EventLoop, relay: Relay, data: bytes, timeout_ms: float = 3000.0) -> tuple[bytes, float]:
--- a/tests/sites/test_site_settings.py
+++ b/tests/sites/test_site_settings.py
@@ -6,8 +6,8 @@
 
 import pytest
 
+from snowthread import hcl
 from snowthread.config import ConfigError
-from snowthread.operator import hcl
 from snowthread.sites.settings import SiteSettings, read_site_settings
 
 
--- a/tests/support/directory_world.py
+++ b/tests/support/directory_world.py
@@ -9,11 +9,10 @@
 import hcl2
 
 from emulators.directory import Capabilities, Directory
-from snowthread import config
+from snowthread import config, hcl
 from snowthread.address import Address
 from snowthread.net.clock import ManualClock
 from snowthread.net.loop import EventLoop
-from snowthread.operator import hcl
 from snowthread.tenants.changes import TenantChanges, TenantLogLine
 from snowthread.tenants.replication import DirectoryReplicator
 from snowthread.tenants.settings import TenantSettings
@@ -107,7 +106,7 @@
 
     def close(self) -> None:
         """Close what is open, so that one test's descriptors are not another's."""
-        self.loop._close_tasks()
+        self.loop.end_all_tasks()
         for directory in self.directories:
             directory._listener.close()
 
--- a/tests/support/hot_restart.py
+++ b/tests/support/hot_restart.py
@@ -238,7 +238,7 @@
         """End a process as a kill signal does: it sends nothing more."""
         hot_restart = self._silence(player)
         hot_restart._closed = True
-        player.node.loop._close_tasks()
+        player.node.loop.end_all_tasks()
         self._forget(player)
         self.settle()
         self.advance(channel.RETRY_MS)
@@ -273,7 +273,7 @@
             player.node._stopped = True
             if player.node.hot_restart is not None:
                 player.node.hot_restart.close()
-            player.node.loop._close_tasks()
+            player.node.loop.end_all_tasks()
         for player in self.all:
             for sock in (*player.peers.values(), *player.listeners.values()):
                 sock.close()
--- a/tests/support/node_harness.py
+++ b/tests/support/node_harness.py
@@ -66,7 +66,7 @@
 
     def close(self) -> None:
         """Close the node's sockets and those of its peers."""
-        self.node.loop._close_tasks()
+        self.node.loop.end_all_tasks()
         for sock in (*self.peers.values(), *self.listeners.values()):
             sock.close()
 
--- a/tests/tenants/test_tenant_identification.py
+++ b/tests/tenants/test_tenant_identification.py
@@ -52,7 +52,7 @@
     for _ in range(20):
         loop.run_once(0.0)
         clock.now_ms += 100.0
-    loop._close_tasks()
+    loop.end_all_tasks()
     assert state_records
     line = state_records[-1]
     assert line["lookups_not_found"] == 1 and line["removals_held"] == 2
--- a/tests/tenants/test_tenants_program.py
+++ b/tests/tenants/test_tenants_program.py
@@ -250,7 +250,7 @@
     code = """
 import sys, snowthread.serve
 tops = {"click", "hcl2", "lark", "asn1tools", "pytricia", "emulators"}
-ours = ("snowthread.ldap", "snowthread.tenants", "snowthread.operator", "snowthread.cli")
+ours = ("snowthread.ldap", "snowthread.tenants", "snowthread.operator", "snowthread.hcl", "snowthread.cli")
 print([m for m in sys.modules
        if m.split(".")[0] in tops or any(m == our or m.startswith(our + ".") for our in ours)])
 """
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -236,7 +236,7 @@
     code = (
         "import sys, snowthread.serve; "
         "print([m for m in sys.modules if m.startswith(('snowthread.recovery', 'snowthread.lab', "
-        "'snowthread.records', 'snowthread.operator', "
+        "'snowthread.records', 'snowthread.operator', 'snowthread.hcl', "
         "'snowthread.admission.recovery_pacer', 'snowthread.admission.slow_start', "
         "'snowthread.admission.call_budget', 'snowthread.admission.backoff', 'click'))])"
     )
