A peer message whose name is no string is a protocol error like any other

Cause: a name that can't be hashed, a list say, raised TypeError in decode, which the link does not expect: its task ended in place of the link being cut. Change: the name has to be a string; two more invalid messages in the test. Measured: the test fails on the list without the check (1 of 9) and passes with it; mypy and ruff pass.

--- a/snowthread/hot_restart/messages.py
+++ b/snowthread/hot_restart/messages.py
@@ -146,7 +146,7 @@
 
 def decode(message: object) -> IncomingMessage:
     """Return what an unpacked message says. Raise PeerProtocolError where it is none."""
-    if not isinstance(message, list) or not message:
+    if not isinstance(message, list) or not message or not isinstance(message[0], str):
         raise _unknown_message(message)
     name, fields = message[0], message[1:]
     signal = _SIGNALS_BY_NAME.get(name)
--- a/tests/hot_restart/test_hot_restart_faults.py
+++ b/tests/hot_restart/test_hot_restart_faults.py
@@ -133,7 +133,17 @@
 
 @pytest.mark.parametrize(
     "message",
-    [None, [], ["no"], ["freed", 7], ["key", "k", "u", 1.0, b"", True], ["hello", 99], ["over", "u", "text"]],
+    [
+        None,
+        [],
+        ["no"],
+        [["hello"], 1],
+        [7],
+        ["freed", 7],
+        ["key", "k", "u", 1.0, b"", True],
+        ["hello", 99],
+        ["over", "u", "text"],
+    ],
 )
 def test_invalid_message_is_a_protocol_error(message: object) -> None:
     with pytest.raises(messages.PeerProtocolError):
