Emulate cores that runs share, a runtime that keeps to the protocol, and a node under faults

Cause: the rigs could not show the incident. Work beyond the cores waited in order, so a crowd slowed nobody; commands in flight survived a break; nothing came between a runtime and its node.

--- a/emulators/load_generator.py
+++ b/emulators/load_generator.py
@@ -114,16 +114,21 @@
         self.send(source)
 
     def schedule_arrivals(
-        self, generator: random.Random, per_s: float, seconds: float, class_shares: Mapping[str, float]
+        self,
+        generator: random.Random,
+        per_s: float,
+        seconds: float,
+        class_shares: Mapping[str, float],
+        keyed_classes: frozenset[str] = frozenset({KEYED_CLASS}),
     ) -> None:
-        """Schedule Poisson arrivals of these classes from now on; each ``dispense`` has a key of its own."""
+        """Schedule Poisson arrivals of these classes from now on; each request of a keyed one has its key."""
         sources = list(self._connections)
         names, shares = list(class_shares), list(class_shares.values())
         begin = at = self.loop.clock.now()
         while at < begin + seconds * 1000.0:
             at += generator.expovariate(per_s) * 1000.0
             name = generator.choices(names, shares)[0]
-            key = f"{generator.getrandbits(128):032x}" if name == KEYED_CLASS else ""
+            key = f"{generator.getrandbits(128):032x}" if name in keyed_classes else ""
             self.loop.call_at(at, partial(self._send_or_divert, generator.choice(sources), name, key))
 
     def _send_or_divert(self, source: str, class_name: str, key: str) -> None:
--- /dev/null
+++ b/emulators/node_under_faults.py
@@ -0,0 +1,171 @@
+"""One real node process with emulated peers, and a relay on each of its links.
+
+All emulators run on the loop of the caller's process; the node is a ``python -m snowthread`` of its own. The
+relays' faults are the caller's to set, at times of the loop's clock.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Mapping
+from contextlib import ExitStack
+from copy import deepcopy
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Self
+
+from emulators.load_generator import LoadGenerator
+from emulators.site import DatabaseEmulator, RegistryEmulator, SiteScript
+from emulators.strict_runtime import MachineModel, StrictRuntime
+from snowthread.address import Address
+from snowthread.lab.relay import Relay
+from snowthread.net.clock import Clock
+from snowthread.net.loop import EventLoop
+
+ROOT = Path(__file__).parents[1]
+EXAMPLE = ROOT / "examples" / "node.json"
+START_TIMEOUT_MS = 30_000.0
+LOOP_STEP_S = 0.02
+ANY_PORT = Address("127.0.0.1", 0)
+SOURCES = ("127.0.0.2", "127.0.0.3", "127.0.0.4")  # of the balancers
+
+
+@dataclass(slots=True)
+class NodeScenario:
+    """What is played: the node's settings, its machine, and the load in shares of its capacity."""
+
+    model: MachineModel
+    load: float
+    class_shares: Mapping[str, float]
+    keyed_classes: frozenset[str] = frozenset({"dispense"})
+    preemption: str = "drop"
+    domain: Mapping[str, Any] = field(default_factory=dict)  # changes to the settings' ``domain``
+    database_ms: float = 20.0
+    wait_ms: float = 3000.0  # for which balancers wait
+    stop_ms: int = 3700
+
+    def settings(self) -> dict[str, Any]:
+        """Return the example's settings with the changes of this scenario."""
+        settings: dict[str, Any] = deepcopy(json.loads(EXAMPLE.read_bytes())["settings"])
+        settings["domain"] |= {"cores": self.model.cores, "preemption": self.preemption} | dict(self.domain)
+        settings["rules"] |= {
+            "fall_multiple": self.model.fall_multiple,
+            "overload_for_s": self.model.overload_window_ms / 1000.0,
+            "cold_share": self.model.cold_share,
+            "ramp_time_s": self.model.warmup_ms / 1000.0,
+        }
+        for request_class in settings["classes"]:
+            is_keyed = request_class["name"] in self.keyed_classes
+            request_class["effect"] = "idempotency_key" if is_keyed else "read_like"
+            request_class["window_s"] = max(request_class["window_s"], 15.951 if is_keyed else 0.0)
+        return settings
+
+    def requests_per_s(self) -> float:
+        """Return the rate of arrivals."""
+        return self.load * self.model.cores / self.model.mean_run_ms * 1000.0
+
+
+class NodeUnderFaults:
+    """A node process, its peers and the relays between them; a context manager."""
+
+    def __init__(self, folder: Path, scenario: NodeScenario, seed: int) -> None:
+        """Start the peers; the node starts with :meth:`start_node`."""
+        self.loop = EventLoop(Clock())
+        self.scenario = scenario
+        self.generator = random.Random(seed)
+        self.process: subprocess.Popen[bytes] | None = None
+        self.log_path = folder / "node.log"
+        self._resources = ExitStack()
+        addresses = _free_addresses(4)
+        runtime, database, registry, self.listen_address = addresses
+        self.runtime = StrictRuntime(self.loop, runtime, scenario.model, self.generator)
+        self.database_script = SiteScript(database_ms=scenario.database_ms)
+        DatabaseEmulator(self.loop, database, self.database_script)
+        RegistryEmulator(self.loop, registry, self.database_script)
+        self.runtime_link = Relay(self.loop, ANY_PORT, runtime, self.generator, "runtime")
+        self.database_link = Relay(self.loop, ANY_PORT, database, self.generator, "database")
+        self._config_path = folder / "node.json"
+        self._config_path.write_text(json.dumps(self._fields(registry)))
+        self.load = LoadGenerator(
+            _format(self.listen_address), SOURCES, scenario.wait_ms, loop=self.loop, caller=1
+        )
+        self.load.keyed_bodies = True
+
+    def _fields(self, registry: Address) -> dict[str, Any]:
+        example: dict[str, Any] = json.loads(EXAMPLE.read_bytes())
+        return example | {
+            "listen": _format(self.listen_address),
+            "runtime": _format(self.runtime_link.address),
+            "index": _format(self.database_link.address),
+            "roster": _format(registry),
+            "stop_ms": self.scenario.stop_ms,
+            "settings": self.scenario.settings(),
+        }
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+        self.loop.end_all_tasks()
+        self._resources.close()
+
+    def start_node(self) -> None:
+        """Start the node and wait until it listens."""
+        self.runtime.forget_node()
+        environment = os.environ | {"NODE_CONFIG": str(self._config_path), "PYTHONPATH": str(ROOT)}
+        log = self._resources.enter_context(self.log_path.open("ab"))
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "snowthread"], cwd=ROOT, env=environment, stdout=log, stderr=log
+        )
+        deadline_ms = self.loop.clock.now() + START_TIMEOUT_MS
+        links = self.runtime.links
+        while self.runtime.links == links or not self._listens():
+            if self.process.poll() is not None or self.loop.clock.now() > deadline_ms:
+                raise RuntimeError(f"the node did not start: {self.log()}")
+            self.run_for(50.0)
+
+    def _listens(self) -> bool:
+        with socket.socket() as probe:
+            return probe.connect_ex(self.listen_address) == 0
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the node, if it is there."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def run_for(self, duration_ms: float) -> None:
+        """Let the emulators run for so long."""
+        self.load.run_until(self.loop.clock.now() + duration_ms)
+
+    def send_load(self, seconds: float) -> None:
+        """Schedule the scenario's arrivals from now on."""
+        scenario = self.scenario
+        self.load.schedule_arrivals(
+            self.generator, scenario.requests_per_s(), seconds, scenario.class_shares, scenario.keyed_classes
+        )
+
+    def log(self) -> str:
+        """Return what the node has logged so far."""
+        return self.log_path.read_text() if self.log_path.exists() else ""
+
+
+def _free_addresses(count: int) -> list[Address]:
+    """Return loopback addresses that nobody listens at; all are held at once, so that they differ."""
+    with ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in sockets:
+            sock.bind(ANY_PORT)
+        return [Address(*sock.getsockname()) for sock in sockets]
+
+
+def _format(address: Address) -> str:
+    return f"{address.host}:{address.port}"
--- a/emulators/servers.py
+++ b/emulators/servers.py
@@ -24,8 +24,11 @@
     loop: EventLoop, listener: socket.socket, serve: Callable[[socket.socket], TaskSteps]
 ) -> TaskSteps:
     """Accept connections for ever and serve each with a coroutine of its own."""
-    while True:
-        yield Wait(listener.fileno(), READABLE)
-        connection, _ = listener.accept()
-        connection.setblocking(False)
-        loop.spawn(serve(connection))
+    try:
+        while True:
+            yield Wait(listener.fileno(), READABLE)
+            connection, _ = listener.accept()
+            connection.setblocking(False)
+            loop.spawn(serve(connection))
+    finally:
+        loop.close(listener)
--- a/emulators/site.py
+++ b/emulators/site.py
@@ -216,6 +216,7 @@
 
     def __init__(self, loop: EventLoop, address: Address, script: SiteScript) -> None:
         """Receive at the address."""
+        self._loop = loop
         self._script = script
         self._sock = address.open(socket.SOCK_DGRAM)
         self._sock.bind(address)
@@ -223,12 +224,15 @@
 
     def _read_reports(self) -> TaskSteps:
         last = b""
-        while True:
-            yield Wait(self._sock.fileno(), READABLE)
-            report = self._sock.recv(DATAGRAM_BYTES_MAX)
-            if report != last:
-                self._script.log(f"roster: {report.decode(errors='replace')}")
-            last = report
+        try:
+            while True:
+                yield Wait(self._sock.fileno(), READABLE)
+                report = self._sock.recv(DATAGRAM_BYTES_MAX)
+                if report != last:
+                    self._script.log(f"roster: {report.decode(errors='replace')}")
+                last = report
+        finally:
+            self._loop.close(self._sock)
 
 
 class SiteEmulator:
--- /dev/null
+++ b/emulators/strict_runtime.py
@@ -0,0 +1,222 @@
+"""A runtime that follows the platform's protocol to the letter, on cores that its runs share.
+
+It differs from :class:`emulators.site.RuntimeEmulator` in what matters while links break: a new link replaces
+the earlier one, whose unread commands are lost; a run that is stopped leaves the cores at once, or goes on
+where the site can't stop runs; and it keeps the highest mean load of its cores.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+import random
+import socket
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any
+
+from emulators.servers import accept_connections, listen
+from emulators.shared_cores import SharedCores
+from snowthread.address import Address
+from snowthread.net.loop import READABLE, EventLoop, TaskSteps, Wait
+
+READ_BYTES = 65536
+KEPT_NOTICES = 4000
+LOAD_CHECK_MS = 20.0
+HEAP_SHARE, LINKS = 0.1, 2  # reported as constants with the measured part of the load
+
+
+@dataclass(slots=True)
+class MachineModel:
+    """The machine of a node and the work of its runs."""
+
+    cores: int = 4
+    mean_run_ms: float = 300.0  # of core time, exponentially distributed
+    call_share: Mapping[str, float] = field(default_factory=dict)  # of a class's runs, that call the database
+    can_stop_runs: bool = True
+    fall_multiple: float = 5.0  # runs a core that a warm machine survives
+    overload_window_ms: float = 2000.0
+    cold_share: float = 1.0  # of the warm speed, at the start
+    warmup_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class Peak:
+    """The highest mean load of the cores so far."""
+
+    runs_per_core: float = 0.0
+    share_of_survived: float = 0.0  # above 1: the machine fell
+    at_ms: float = 0.0  # since the machine's start
+
+
+@dataclass(slots=True)
+class _Run:
+    """A run that goes on."""
+
+    body: bytes
+    calls_left: int
+    call_notice: int = 0  # the notice of the call that it waits for; 0: none
+
+
+class StrictRuntime:
+    """The runtime of one node."""
+
+    def __init__(
+        self, loop: EventLoop, address: Address, model: MachineModel, generator: random.Random
+    ) -> None:
+        """Listen at the address."""
+        self.loop = loop
+        self.model = model
+        self.cores = SharedCores(loop, model.cores)
+        self.peak = Peak()
+        self.runs_begun: dict[str, int] = {}  # by attempt id
+        self.bodies_begun: dict[bytes, int] = {}
+        self.links = 0
+        self._generator = generator
+        self._runs: dict[str, _Run] = {}
+        self._notices: list[dict[str, Any]] = []
+        self._dropped_notices = 0
+        self._node: socket.socket | None = None
+        self._started_ms = loop.clock.now()
+        loop.spawn(accept_connections(loop, listen(address), self._serve))
+        self._check_load()
+
+    @property
+    def is_running(self) -> bool:
+        """Whether any run goes on, on the cores or at a call."""
+        return bool(self._runs)
+
+    def forget_node(self) -> None:
+        """Begin the numbering of notices again, as for a node that starts anew; runs end."""
+        self._notices.clear()
+        self._dropped_notices = 0
+        self._runs.clear()
+        self.cores.clear()
+
+    def survived_runs_per_core(self) -> float:
+        """Return the runs a core that the machine survives at its present speed."""
+        return 1.0 + (self.model.fall_multiple - 1.0) * self.cores.speed
+
+    def _check_load(self) -> None:
+        now, model = self.loop.clock.now(), self.model
+        self.loop.call_at(now + LOAD_CHECK_MS, self._check_load)
+        if model.warmup_ms:
+            warmth = min(1.0, (now - self._started_ms) / model.warmup_ms)
+            self.cores.speed = model.cold_share + (1.0 - model.cold_share) * warmth
+        per_core = self.cores.mean_runs(model.overload_window_ms) / model.cores
+        share = per_core / self.survived_runs_per_core()
+        if share > self.peak.share_of_survived:
+            self.peak = Peak(per_core, share, now - self._started_ms)
+
+    # The link.
+
+    def _serve(self, connection: socket.socket) -> TaskSteps:
+        partial_line = b""
+        try:
+            while True:
+                yield Wait(connection.fileno(), READABLE)
+                try:
+                    data = connection.recv(READ_BYTES)
+                except BlockingIOError:
+                    continue
+                if not data:
+                    return
+                *lines, partial_line = (partial_line + data).split(b"\n")
+                for line in lines:
+                    self._take(connection, json.loads(line))
+        except OSError:
+            pass  # reset: what was not read is lost
+        finally:
+            if self._node is connection:
+                self._node = None
+            self.loop.close(connection)
+
+    def _take(self, connection: socket.socket, command: dict[str, Any]) -> None:
+        """Carry out one command; those of a link that was replaced are ignored."""
+        if command["action"] == "sync":
+            self._synchronize(connection, command["pos"])
+        elif connection is self._node:
+            self._carry_out(command, command.get("uid", ""))
+
+    def _synchronize(self, connection: socket.socket, position: int) -> None:
+        self._node = connection
+        self.links += 1
+        code = "fresh" if self.model.warmup_ms else "seasoned"
+        self._send({"action": "ready", "code": code, "wall_ms": self.loop.clock.now() - self._started_ms})
+        for notice in self._notices[max(0, position - self._dropped_notices) :]:
+            self._send(notice)
+
+    def _carry_out(self, command: dict[str, Any], attempt_id: str) -> None:
+        match command["action"]:
+            case "gauges":
+                meters = [self.cores.utilization(), len(self.cores), HEAP_SHARE, LINKS]
+                self._send({"action": "load", "echo": command["echo"], "meters": meters})
+            case "start":
+                if attempt_id not in self._runs:
+                    self._start(attempt_id, command["lane"], base64.b64decode(command["content"]))
+            case "stop":
+                self._stop(attempt_id)
+            case "give":
+                self._leave_call(attempt_id)
+            case "omit":
+                if attempt_id in self._runs and self._runs[attempt_id].call_notice == command["pos"]:
+                    self._leave_call(attempt_id)
+
+    def _send(self, message: dict[str, Any]) -> None:
+        if self._node is not None and self._node.fileno() >= 0:
+            try:
+                self._node.send(json.dumps(message).encode() + b"\n")
+            except OSError:
+                self._node = None  # a notice is sent again on the next link
+
+    def _notify(self, **notice: Any) -> int:
+        """Give a notice its number, keep it and send it."""
+        number = self._dropped_notices + len(self._notices) + 1
+        self._notices.append(notice | {"pos": number})
+        if len(self._notices) > KEPT_NOTICES:
+            del self._notices[0]
+            self._dropped_notices += 1
+        self._send(notice | {"pos": number})
+        return number
+
+    # Runs.
+
+    def _start(self, attempt_id: str, class_name: str, body: bytes) -> None:
+        calls = self._generator.random() < self.model.call_share.get(class_name, 0.0)
+        self.runs_begun[attempt_id] = self.runs_begun.get(attempt_id, 0) + 1
+        self.bodies_begun[body] = self.bodies_begun.get(body, 0) + 1
+        self._runs[attempt_id] = _Run(body, calls_left=int(calls))
+        self._work(attempt_id)
+
+    def _work(self, attempt_id: str) -> None:
+        work_ms = self._generator.expovariate(1.0 / self.model.mean_run_ms)
+        self.cores.add(attempt_id, work_ms, partial(self._continue, attempt_id))
+
+    def _continue(self, attempt_id: str) -> None:
+        """Call the database, or end."""
+        run = self._runs[attempt_id]
+        if not run.calls_left:
+            self._end(attempt_id, "done", run.body.upper())
+            return
+        run.calls_left -= 1
+        content = base64.b64encode(run.body).decode()
+        run.call_notice = self._notify(action="wants", uid=attempt_id, content=content)
+
+    def _leave_call(self, attempt_id: str) -> None:
+        run = self._runs.get(attempt_id)
+        if run is not None and run.call_notice:
+            run.call_notice = 0
+            self._work(attempt_id)
+
+    def _stop(self, attempt_id: str) -> None:
+        if not self.model.can_stop_runs:
+            self._send({"action": "nack", "code": "stop", "uid": attempt_id})
+        elif attempt_id in self._runs:
+            self._end(attempt_id, "aborted", b"")
+
+    def _end(self, attempt_id: str, code: str, result: bytes) -> None:
+        self.cores.remove(attempt_id)
+        del self._runs[attempt_id]
+        content = base64.b64encode(result).decode()
+        self._notify(action="end", uid=attempt_id, code=code, wall_ms=1.0, content=content)
--- /dev/null
+++ b/tests/emulators/test_strict_runtime.py
@@ -0,0 +1,105 @@
+"""The strict runtime keeps to the platform's protocol where links break and runs are stopped."""
+
+from __future__ import annotations
+
+import json
+import random
+import socket
+import time
+from typing import Any
+
+import pytest
+
+from emulators.strict_runtime import MachineModel, StrictRuntime
+from snowthread.address import Address
+from snowthread.net.clock import Clock
+from snowthread.net.loop import EventLoop
+
+PATIENCE_S = 5.0
+FOREVER_MS = 1e9
+
+
+class Link:
+    """A node's end of a link to the runtime."""
+
+    def __init__(self, loop: EventLoop, address: Address, position: int = 0) -> None:
+        self._loop = loop
+        self._sock = socket.create_connection(address)
+        self._sock.setblocking(False)
+        self._unread = b""
+        self.send(action="sync", pos=position)
+        assert self.read()["action"] == "ready"
+
+    def send(self, **command: Any) -> None:
+        self._sock.sendall(json.dumps(command).encode() + b"\n")
+
+    def start(self, attempt_id: str) -> None:
+        self.send(action="start", uid=attempt_id, lane="match", content="eA==")
+
+    def read(self) -> dict[str, Any]:
+        end = time.monotonic() + PATIENCE_S
+        while b"\n" not in self._unread:
+            assert time.monotonic() < end, "nothing came"
+            self._loop.run_once(0.01)
+            try:
+                self._unread += self._sock.recv(65536)
+            except BlockingIOError:
+                continue
+        line, _, self._unread = self._unread.partition(b"\n")
+        return dict(json.loads(line))
+
+    def measured_runs(self) -> int:
+        """Return the runs on the cores, once all that was sent before was read."""
+        self.send(action="gauges", echo="t")
+        while (message := self.read())["action"] != "load":
+            pass
+        return int(message["meters"][1])
+
+
+@pytest.fixture
+def loop() -> EventLoop:
+    return EventLoop(Clock())
+
+
+def make_runtime(loop: EventLoop, can_stop_runs: bool = True) -> Address:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        address = Address(*probe.getsockname())
+    model = MachineModel(mean_run_ms=FOREVER_MS, can_stop_runs=can_stop_runs)
+    StrictRuntime(loop, address, model, random.Random(1))
+    return address
+
+
+def test_commands_of_a_link_that_was_replaced_are_ignored(loop: EventLoop) -> None:
+    address = make_runtime(loop)
+    old = Link(loop, address)
+    new = Link(loop, address)
+    old.start("a")
+    new.start("b")
+    assert new.measured_runs() == 1
+
+
+def test_run_goes_on_while_there_is_no_link_and_a_second_start_does_nothing(loop: EventLoop) -> None:
+    address = make_runtime(loop)
+    Link(loop, address).start("a")
+    loop.run_once(0.05)
+    link = Link(loop, address)
+    link.start("a")
+    assert link.measured_runs() == 1
+
+
+def test_stopped_run_leaves_the_cores_and_its_notice_is_repeated_on_the_next_link(loop: EventLoop) -> None:
+    address = make_runtime(loop)
+    link = Link(loop, address)
+    link.start("a")
+    link.send(action="stop", uid="a")
+    assert link.measured_runs() == 0
+    assert Link(loop, address).read()["code"] == "aborted"
+
+
+def test_run_that_cannot_be_stopped_goes_on(loop: EventLoop) -> None:
+    link = Link(loop, make_runtime(loop, can_stop_runs=False))
+    link.start("a")
+    link.send(action="stop", uid="a")
+    assert link.read() == {"action": "nack", "code": "stop", "uid": "a"}
+    assert link.measured_runs() == 1
