A run counts until the runtime says that it ended, whatever a broken link leaves open

Cause: what nothing was known of counted as not running. A start of unknown fate freed its core (_run_indeterminate). A run whose answer was given counted as ended at the break (abandon_run), also where the site can't stop runs. Its stop, where the link was down, was dropped with its request (runtime_connected). And a command counted as arrived if it was given 150 ms before the break, which a slow or silent link belies. Change: commands are numbered, and the echo of a load sample proves which were read (command_log.py). A run stays counted until a notice, a refusal, or its stop was read on a later link without a notice; at last until it has had four times its usual time, twice. For the limit, runs of unknown fate count as far as the cores were measured to have them; for the ceiling all of them count, and for 10 s after a break runs measured beyond the count do too. A stop is sent only where the site can stop runs.

--- a/snowthread/admission/actions.py
+++ b/snowthread/admission/actions.py
@@ -71,6 +71,13 @@
     request_id: int
 
 
+@dataclass(frozen=True, slots=True)
+class AbandonRun:
+    """Forget a run that is answered, and of which nothing was heard for longer than it can take."""
+
+    request_id: int
+
+
 @dataclass(frozen=True, slots=True)
 class AwaitOriginal:
     """Answer a retry with the result of the attempt that it repeats."""
@@ -124,6 +131,7 @@
     | StartCall
     | SkipCall
     | StopRun
+    | AbandonRun
     | AwaitOriginal
     | PublishLoad
     | SetIdleTimeout
--- a/snowthread/admission/controller.py
+++ b/snowthread/admission/controller.py
@@ -3,7 +3,6 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from snowthread.admission import actions, events
 from snowthread.admission.blocking import BlockingDraw, blocking_probability, target_utilization
@@ -17,6 +16,7 @@
 from snowthread.admission.quotas import TenantQuotas
 from snowthread.admission.reasons import RejectReason
 from snowthread.admission.request import RequestRecord, RequestState
+from snowthread.admission.run_load import RunLoad
 from snowthread.admission.settings import Idempotency, Outcome, Preemption, Settings, check_settings
 from snowthread.admission.timer_queue import TimerQueue
 from snowthread.admission.wait_queue import WaitQueue
@@ -28,26 +28,10 @@
 MAX_MEMORY_SHARE = 0.92  # of the memory that is used at most
 RETRY_FRESHNESS = 0.25  # chance that a retry, whose age is told nowhere, is still within its objective
 LOST_RUN_FACTOR = 4.0  # times its usual duration after which a run that nothing is heard of counts as lost
+COUNT_DOUBT_S = 10.0  # after the host lost its link: more runs than are counted are then believed
 LAST_ATTEMPT_SHARE = 0.25  # of a run: with less time left no other server, however fast, could serve it
 
 
-@dataclass(frozen=True, slots=True)
-class RunLoad:
-    """The runs that a controller counts, and its limits, for the log."""
-
-    running: int
-    indeterminate: int
-    at_calls: int
-    limit: float
-    ceiling: float
-
-    def __str__(self) -> str:
-        return (
-            f"{self.running} runs counted, {self.indeterminate} indeterminate, {self.at_calls} at calls, "
-            f"limit {self.limit:.1f}, ceiling {self.ceiling:.1f}"
-        )
-
-
 class Controller:
     """Decides for one node. ``handle`` takes each event in order and returns the actions to carry out."""
 
@@ -56,6 +40,7 @@
         self.blocking_probability = 0.0  # held between updates
         self.started_at = self._now = self._updated_at = 0.0
         self._notice_at = self._stop_at = math.inf  # of the shutdown
+        self._count_doubted_until = -math.inf
         self.estimates = Estimates(settings)
         self.concurrency = ConcurrencyLimit(settings)
         self._open = OpenRequests(settings)
@@ -80,6 +65,7 @@
             events.RequestAbandoned: lambda now, request, event: self._settle(request),
             events.RunFinished: self._run_finished,
             events.RunIndeterminate: self._run_indeterminate,
+            events.RunCountDoubted: self._run_count_doubted,
             events.CallNeeded: self._calls.add,
             events.CallFinished: self._call_finished,
         }
@@ -88,7 +74,8 @@
         """Return the controller's count of runs and the limits that it is held against."""
         return RunLoad(
             running=self._open.cores.running,
-            indeterminate=sum(r.state is RequestState.INDETERMINATE for r in self._open.by_id.values()),
+            indeterminate=self._open.cores.indeterminate,
+            uncounted=self._open.cores.uncounted,
             at_calls=len(self._calls.table),
             limit=self.concurrency.limit,
             ceiling=self.concurrency.ceiling(self._now - self.started_at),
@@ -185,7 +172,7 @@
         if self._open.memory.exceeds(MAX_MEMORY_SHARE, key_kb):
             return RejectReason.MEMORY
         cores, probability = self._open.cores, self.blocking_probability
-        has_to_wait = cores.running >= int(self.concurrency.limit) or len(self._open.queued) > 1
+        has_to_wait = cores.occupied >= int(self.concurrency.limit) or len(self._open.queued) > 1
         if has_to_wait and self._blocking_draw.is_blocked(request, probability, self.settings.cores):
             return RejectReason.BLOCKED
         if has_to_wait and self._wait_queue.wait_is_too_long(now, request):
@@ -198,7 +185,8 @@
         """Let a retry take the result of the attempt that it repeats: it never runs by itself."""
         original = self._open.by_id.get(original_id)
         request.has_started = original.has_started if original else True  # a rejection would deny that it ran
-        if self._must_answer(now) or self._open.memory.exceeds(MAX_MEMORY_SHARE):
+        is_given_up = original is not None and original.is_answered and original.is_indeterminate
+        if is_given_up or self._must_answer(now) or self._open.memory.exceeds(MAX_MEMORY_SHARE):
             self._reject(now, request, RejectReason.ORIGINAL_UNAVAILABLE)
             return
         self._open.await_original(request)
@@ -218,9 +206,10 @@
     def _start_queued(self, now: float) -> None:
         """Start the best of what is queued while the limit, the ceiling and the memory allow."""
         queued, cores, calls = self._open.queued, self._open.cores, self._calls.table
-        while queued and cores.running < int(self.concurrency.limit):
-            # Runs on the cores and at calls together: all of the latter may come back at once.
-            if cores.running + len(calls) >= self.concurrency.ceiling(now - self.started_at):
+        while queued and cores.occupied < int(self.concurrency.limit):
+            # All that may be on the cores at once: runs of which nothing is known, and those at calls.
+            may_run = cores.running + cores.uncounted + len(calls)
+            if may_run >= self.concurrency.ceiling(now - self.started_at):
                 return
             startable = [request for request in queued.values() if self._may_start(request)]
             if not startable:
@@ -253,10 +242,9 @@
     def _settle(self, request: RequestRecord) -> None:
         """End or stop a request to which no answer is owed any more."""
         request.is_answered = True
-        is_running = request.state in (RequestState.RUNNING, RequestState.INDETERMINATE)
         if request.state in (RequestState.QUEUED, RequestState.PAUSED, RequestState.AWAITING_ORIGINAL):
             self._remove(request, forget_key=not request.has_started)
-        elif is_running and self.settings.preemption is not Preemption.NONE:
+        elif request.state is RequestState.RUNNING and self.settings.preemption is not Preemption.NONE:
             self._actions.append(actions.StopRun(request.id))
 
     def _remove(self, request: RequestRecord, forget_key: bool = False) -> None:
@@ -283,17 +271,37 @@
                 self.estimates.run_wasted(request)
 
     def _run_indeterminate(self, now: float, request: RequestRecord, event: events.RunIndeterminate) -> None:
-        """Free the core of a run that may never have started, until something is heard of it."""
-        if request.state is not RequestState.RUNNING or request.is_answered:
+        """Go on counting a run that may never have started, until it is heard of or has had its time.
+
+        Most such runs do run: without them in the count, each broken link would let others start in their
+        place, until the cores had more than the machine survives.
+        """
+        if request.state is not RequestState.RUNNING or request.is_indeterminate:
             return
-        if event.at_call and request.can_skip_call:
+        if event.at_call and request.can_skip_call and not request.is_answered:
             self._actions.append(actions.SkipCall(request.id))
             return
-        self._open.cores.leave(request)
-        request.state = RequestState.INDETERMINATE
+        self._presume_lost_later(now, request)
+
+    def _presume_lost_later(self, now: float, request: RequestRecord) -> None:
         run_s = max(UPDATE_PERIOD_S, self.estimates.expected_run_s(request))
-        request.retry_at = now + LOST_RUN_FACTOR * run_s
-        self._deadlines.watch(request, request.retry_at + DEADLINE_MARGIN_S)
+        self._open.cores.doubt(request, now + LOST_RUN_FACTOR * run_s)
+        self._deadlines.watch(request, request.presumed_lost_at + DEADLINE_MARGIN_S)
+
+    def _check_lost_run(self, now: float, request: RequestRecord) -> None:
+        """Fail an indeterminate run that has had its time; once it is answered, stop counting it."""
+        if request.state is not RequestState.RUNNING or request.presumed_lost_at > now + TIME_TOLERANCE_S:
+            return
+        if request.is_answered:
+            self._actions.append(actions.AbandonRun(request.id))
+            self.estimates.run_wasted(request)
+            self._remove(request)
+        else:
+            self._fail(request)
+            self._presume_lost_later(now, request)
+
+    def _run_count_doubted(self, now: float, event: events.RunCountDoubted) -> None:
+        self._count_doubted_until = now + COUNT_DOUBT_S
 
     def _call_finished(self, now: float, request: RequestRecord, event: events.CallFinished) -> None:
         if request.state is not RequestState.CALLING:
@@ -314,6 +322,8 @@
             request = self._open.by_id.get(request_id)
             if request is not None and not request.is_answered:
                 self._check_deadline(now, request)
+            if request is not None:
+                self._check_lost_run(now, request)
         if self._must_answer(now):
             for request in [r for r in self._open.by_id.values() if not r.is_answered]:
                 self._reject(now, request, RejectReason.SHUTDOWN)
@@ -330,8 +340,6 @@
             is_due = is_due or (request.objective_at <= soon and not request.request_class.late_weight_factor)
         if is_due:
             self._reject(now, request, RejectReason.DUE)
-        elif state is RequestState.INDETERMINATE and request.retry_at <= now + TIME_TOLERANCE_S:
-            self._fail(request)
         elif state is RequestState.CALL_PENDING and request.retry_at > now + TIME_TOLERANCE_S:
             self._deadlines.watch(request, request.retry_at + DEADLINE_MARGIN_S)
         else:
@@ -347,6 +355,7 @@
             if self._stop_at == math.inf:
                 self._actions += self._outlier_detector.update(now)
             self._calls.update_limit()
+            cores.reconcile(event.core_demand if now < self._count_doubted_until else None)
             was_full, queued = cores.full_s >= 0.9 * elapsed_s, bool(self._open.queued)
             self.concurrency.update(used, was_full, event.core_demand, queued, now - self.started_at)
         cores.full_s = 0.0
--- a/snowthread/admission/events.py
+++ b/snowthread/admission/events.py
@@ -89,6 +89,11 @@
     at_call: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class RunCountDoubted:
+    """The host lost its link to the machine: more may run there for a while than it has told of."""
+
+
 @dataclass(frozen=True, slots=True)
 class ShutdownNotice:
     """The node will be stopped in ``time_left_s``; the notice itself came ``received_ago_s`` ago."""
@@ -129,6 +134,7 @@
     | RunFinished
     | TimerFired
     | RunIndeterminate
+    | RunCountDoubted
     | ShutdownNotice
     | TenantsChanged
     | SettingsChanged
--- a/snowthread/admission/request.py
+++ b/snowthread/admission/request.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -22,7 +23,6 @@
     CALLING = 3  # its run waits for a call in flight
     PAUSED = 4  # stopped with its progress kept, and queued to go on
     AWAITING_ORIGINAL = 5  # a retry that takes the result of the attempt it repeats
-    INDETERMINATE = 6  # running, if the order to start reached the host
 
 
 @dataclass(slots=True, eq=False)
@@ -49,7 +49,8 @@
     core_time_s: float = 0.0  # used up to then
     started_at: float = 0.0
     call_attempts: int = 0  # for the call that its run waits for
-    retry_at: float = 0.0  # not before: its next call; when an indeterminate run counts as lost
+    retry_at: float = 0.0  # not before: its next call
+    presumed_lost_at: float = math.inf  # of a run that is indeterminate: when it has had more than its time
     called_at: float = 0.0
     reserved_call_s: float = 0.0  # call-seconds set aside for its call in flight
     priority: float = 0.0  # in the wait queue: the highest goes first
@@ -81,6 +82,11 @@
             original_id=event.original_id,
         )
 
+    @property
+    def is_indeterminate(self) -> bool:
+        """True where the host lost sight of the run, and nothing was heard of it since."""
+        return self.presumed_lost_at < math.inf
+
     @property
     def can_skip_call(self) -> bool:
         """True where an answer without the downstream call has some weight."""
--- /dev/null
+++ b/snowthread/admission/run_load.py
@@ -0,0 +1,24 @@
+"""The count of runs and the limits that it is held against, for the log. Types only."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class RunLoad:
+    """The runs that a controller counts, and its limits, for the log."""
+
+    running: int
+    indeterminate: int  # of those counted as running
+    uncounted: float  # measured beyond the count
+    at_calls: int
+    limit: float
+    ceiling: float
+
+    def __str__(self) -> str:
+        return (
+            f"{self.running} runs counted, {self.indeterminate} of them indeterminate, "
+            f"{self.uncounted:.0f} more measured, {self.at_calls} at calls, "
+            f"limit {self.limit:.1f}, ceiling {self.ceiling:.1f}"
+        )
--- a/snowthread/admission/simulator_adapter.py
+++ b/snowthread/admission/simulator_adapter.py
@@ -120,6 +120,11 @@
     return {"preempt": {"i": instance, "op_id": action.request_id}}
 
 
+def _abandon_run(instance: str, action: actions.AbandonRun) -> Fields:
+    # The simulator never loses sight of a run. To fail what is answered already does nothing there.
+    return {"lose": {"i": instance, "op_id": action.request_id}}
+
+
 def _await_original(instance: str, action: actions.AwaitOriginal) -> Fields:
     return {"attach": {"i": instance, "op_id": action.request_id}}
 
@@ -153,6 +158,7 @@
     actions.StartCall: _start_call,
     actions.SkipCall: _skip_call,
     actions.StopRun: _stop_run,
+    actions.AbandonRun: _abandon_run,
     actions.AwaitOriginal: _await_original,
     actions.PublishLoad: _publish_load,
     actions.SetIdleTimeout: _set_idle_timeout,
--- a/snowthread/clients/runtime.py
+++ b/snowthread/clients/runtime.py
@@ -70,7 +70,6 @@
         self._unsent_lines: deque[tuple[RuntimeCommand | None, bytes]] = deque()  # unsent, in order
         self._first_line_sent_bytes = 0
         self._last_notice = 0
-        self._last_heard_ms = 0.0
         self._probe_sent_at_ms = 0.0  # 0: no echo is waited for
         self._move_count = 0
         self._move_marker = ""  # the tag whose echo is waited for before the link moves
@@ -146,7 +145,7 @@
                     logger.bind(event="runtime.link_lost", peer="runtime").warning(
                         "runtime: link lost: {}", failure.reason
                     )
-                self._lose_link(failure.timed_out)
+                self._lose_link()
             elif attempt.failure is not None:
                 logger.debug("runtime: no link: {}", attempt.failure.reason)
             delay_ms = backoff_ms if self._reconnect_delay_ms is None else self._reconnect_delay_ms()
@@ -161,12 +160,8 @@
         self._move_marker, self._is_between_links = "", True
         self._close()
 
-    def _lose_link(self, timed_out: bool) -> None:
-        """Close a failed link and post which commands were not begun: they may be sent on the next one.
-
-        Of the others nothing is known. Where the link was given up for its silence, this holds for all that
-        was sent since something was heard.
-        """
+    def _lose_link(self) -> None:
+        """Close a failed link and post which commands were not begun: they may be sent on the next one."""
         unsent = (
             list(self._unsent_lines)[1 if self._first_line_sent_bytes else 0 :] + self._queued_for_next_link
         )
@@ -175,8 +170,7 @@
         self._move_marker = ""
         if self._is_ready or self._is_between_links:
             self._is_ready = self._is_between_links = False
-            commands = tuple(command for command, _line in unsent)
-            self._post(events.RuntimeDisconnected(commands, self._last_heard_ms if timed_out else None))
+            self._post(events.RuntimeDisconnected(tuple(command for command, _line in unsent)))
 
     def _close(self) -> None:
         sock, self._sock = self._sock, None
@@ -218,7 +212,7 @@
                 return self._failure(str(error))
             if not data:
                 return self._failure("closed by the runtime")
-            self._last_heard_ms = link.quiet_since_ms = clock.now()
+            link.quiet_since_ms = clock.now()
             self._probe_sent_at_ms = 0.0
             *lines, link.partial_line = (link.partial_line + data).split(b"\n")
             if len(link.partial_line) > MAX_LINE_BYTES:
--- a/snowthread/core/action_handlers.py
+++ b/snowthread/core/action_handlers.py
@@ -6,8 +6,9 @@
 from snowthread.admission.settings import Idempotency, Outcome
 from snowthread.core import effects, events
 from snowthread.core.load_samples import schedule_timer
-from snowthread.core.request_lifecycle import answer, cancel_call, finish_follower
-from snowthread.core.runs import release_if_answered, run_completed, send_command
+from snowthread.core.request_lifecycle import answer, cancel_call, finish, finish_follower
+from snowthread.core.run_evidence import note_run
+from snowthread.core.runs import record_result, release_if_answered, run_completed, send_command
 from snowthread.core.state import HandoverRole, RequestPhase
 from snowthread.core.transition import HandlerTable, Transition
 
@@ -36,6 +37,16 @@
     run_completed(transition, events.RunCompleted(request.attempt_id, Outcome.CANCELLED, 0.0, b""))
 
 
+def abandon_run(transition: Transition, action: actions.AbandonRun) -> None:
+    """Finish a request whose run is presumed lost; its key stays taken, for it may have run."""
+    state = transition.state
+    request = state.requests.get(action.request_id)
+    if request is not None and request.phase is RequestPhase.RUNNING:
+        note_run(transition, request, "nothing was heard of it for longer than it can take: not counted")
+        record_result(transition, request.attempt_id, None)
+        finish(transition, request, None)
+
+
 def respond_finally(transition: Transition, action: actions.Reject | actions.Fail) -> None:
     """Send the final answer of a request that does not get a result."""
     state = transition.state
@@ -161,6 +172,7 @@
 ACTION_HANDLERS: HandlerTable = {
     actions.StartRun: start_run,
     actions.StopRun: stop_run,
+    actions.AbandonRun: abandon_run,
     actions.Reject: respond_finally,
     actions.Fail: respond_finally,
     actions.AwaitOriginal: await_original,
--- a/snowthread/core/downstream_calls.py
+++ b/snowthread/core/downstream_calls.py
@@ -18,6 +18,7 @@
         return
     if request.indeterminate:  # the notice shows that the run goes on
         request.indeterminate, request.link_number = False, state.link_number
+    request.start_confirmed = True
     request.pending_call_notice, request.call_body = event.notice_number, event.body
     transition.dispatch(admission_events.CallNeeded(request.number))
 
--- a/snowthread/core/events.py
+++ b/snowthread/core/events.py
@@ -86,7 +86,6 @@
     """The link to the runtime broke."""
 
     unsent_commands: tuple[object, ...] = ()  # not one byte was written; only those for runs are of interest
-    last_heard_at_ms: float | None = None  # where it was closed as silent: it may be broken since then
 
 
 @dataclass(frozen=True, slots=True)
--- a/snowthread/core/load_samples.py
+++ b/snowthread/core/load_samples.py
@@ -6,7 +6,7 @@
 from snowthread.admission.controller import UPDATE_TIMER
 from snowthread.core import effects, events
 from snowthread.core.peer_process import report_load
-from snowthread.core.runs import resume_runs, sync_tag
+from snowthread.core.runs import end_runs_stopped_unseen, request_load_sample, resume_runs, sync_tag
 from snowthread.core.state import HandoverRole, State
 from snowthread.core.transition import HandlerTable, Transition
 
@@ -35,26 +35,30 @@
 
 
 def timer_expired(transition: Transition, event: events.TimerExpired) -> None:
-    """Pass a due timer to the controller, with the load sample where that is recent."""
+    """Pass a due timer to the controller, with what is known of the load."""
     state = transition.state
-    gauges: dict[str, float] = {}
-    if transition.now_ms - state.load_sample_at_ms <= LOAD_SAMPLE_MAX_AGE_MS:
-        gauges = {
-            _TIMER_FIELDS[name]: value
-            for name, value in zip(state.gauge_names, state.load_sample, strict=False)
-            if name in _TIMER_FIELDS
-        }
-    transition.dispatch(admission_events.TimerFired(event.label, **gauges))
+    transition.dispatch(admission_events.TimerFired(event.label, **_measured_load(state, transition.now_ms)))
     if state.handover_role is not HandoverRole.STANDALONE and event.label == UPDATE_TIMER:
         report_load(transition)
 
 
+def _measured_load(state: State, now_ms: float) -> dict[str, float]:
+    """Return the figures of the last load sample that still hold, by field of ``TimerFired``."""
+    if now_ms - state.load_sample_at_ms > LOAD_SAMPLE_MAX_AGE_MS:
+        return {}
+    return {
+        _TIMER_FIELDS[name]: value
+        for name, value in zip(state.gauge_names, state.load_sample, strict=False)
+        if name in _TIMER_FIELDS
+    }
+
+
 def load_sample_due(transition: Transition, _: events.LoadSampleDue) -> None:
     """Request a load sample, while there is a link to the runtime."""
     state = transition.state
     if state.runtime_connected:
         state.last_sample_number += 1
-        transition.emit(effects.RequestLoadSample(str(state.last_sample_number)))
+        request_load_sample(transition, str(state.last_sample_number))
 
 
 def load_sample_received(transition: Transition, event: events.LoadSampleReceived) -> None:
@@ -62,6 +66,9 @@
     state = transition.state
     if not _is_stale(state, event.tag):
         state.load_sample, state.load_sample_at_ms = event.values, transition.now_ms
+    state.command_log.sample_received(event.tag)
+    if state.runtime_connected:
+        end_runs_stopped_unseen(transition)
     if state.runtime_connected and event.tag == sync_tag(state.link_number):
         resume_runs(transition)
 
--- a/snowthread/core/runs.py
+++ b/snowthread/core/runs.py
@@ -5,17 +5,14 @@
 from dataclasses import replace
 
 from snowthread.admission import events as admission_events
-from snowthread.admission.settings import Idempotency, Outcome
+from snowthread.admission.settings import Idempotency, Outcome, Preemption
 from snowthread.core import effects, events
+from snowthread.core.command_log import SentCommand
 from snowthread.core.request_lifecycle import answer, cancel_call, complete_followers, finish
 from snowthread.core.run_evidence import note_link_lost, note_link_ready, note_run
-from snowthread.core.state import HandoverRole, Request, RequestPhase
+from snowthread.core.state import HandoverRole, Request, RequestPhase, State
 from snowthread.core.transition import HandlerTable, Transition
 
-LOST_COMMAND_WINDOW_MS = (
-    150.0  # a command given so long before a link broke may be lost; earlier ones arrived
-)
-
 
 def sync_tag(link_number: int) -> str:
     """Return the tag of the load sample whose arrival shows that all notices missed were read."""
@@ -28,20 +25,34 @@
     if not state.runtime_connected:
         state.unsent_commands.append(command)
         return
+    sent = state.command_log.add(command)
     request = state.requests_by_attempt_id.get(command.attempt_id)
-    if request is not None and not isinstance(command, effects.StopRun):
-        request.last_command, request.last_command_at_ms = command, transition.now_ms
-        if isinstance(command, effects.StartRun):
-            request.link_number = state.link_number
+    if request is not None:
+        _note_command(request, sent)
     transition.emit(command)
 
 
+def _note_command(request: Request, sent: SentCommand) -> None:
+    if isinstance(sent.command, effects.StopRun):
+        request.stop_command = sent
+        return
+    request.last_command, request.last_command_lost = sent, False
+    if isinstance(sent.command, effects.StartRun):
+        request.link_number, request.start_confirmed = sent.link_number, False
+
+
+def request_load_sample(transition: Transition, tag: str) -> None:
+    """Request a load sample, whose echo also confirms the commands sent before it."""
+    transition.state.command_log.sample_requested(tag)
+    transition.emit(effects.RequestLoadSample(tag))
+
+
 def run_completed(transition: Transition, event: events.RunCompleted) -> None:
     """Finish the request whose run ended, or queue it again where its run was preempted."""
     state = transition.state
     result = event.result if event.outcome is Outcome.SUCCESS else None
     if event.outcome is not Outcome.NOT_STARTED:
-        _record_result(transition, event.attempt_id, result)
+        record_result(transition, event.attempt_id, result)
     request = state.requests_by_attempt_id.get(event.attempt_id)
     if request is None or request.phase is not RequestPhase.RUNNING:
         return
@@ -59,7 +70,7 @@
     transition.dispatch(admission_events.RunFinished(request.number, event.outcome, duration_s))
 
 
-def _record_result(transition: Transition, attempt_id: str, result: bytes | None) -> None:
+def record_result(transition: Transition, attempt_id: str, result: bytes | None) -> None:
     """Enter the end of a run into the idempotency table, and tell a peer process of it."""
     state = transition.state
     state.idempotency_table.complete(attempt_id, result)
@@ -85,17 +96,6 @@
     """Finish a request that was answered or cancelled; one that runs stays until its run ends."""
     if request.phase is not RequestPhase.RUNNING:
         finish(transition, request, None)
-    elif request.link_number and request.link_number < transition.state.link_number:
-        abandon_run(transition, request)
-
-
-def abandon_run(transition: Transition, request: Request) -> None:
-    """Stop a run that a broken link left indeterminate, and count it as ended.
-
-    Nobody waits for it and no notice of its end may ever come: it would count as running for good.
-    """
-    send_command(transition, effects.StopRun(request.attempt_id))
-    run_completed(transition, events.RunCompleted(request.attempt_id, Outcome.CANCELLED, 0.0, b""))
 
 
 def runtime_connected(transition: Transition, event: events.RuntimeConnected) -> None:
@@ -105,21 +105,24 @@
         if event.starts_cold and not state.settings.starts_cold:
             state.settings = replace(state.settings, starts_cold=True)
         transition.ensure_controller(event.runtime_age_ms)
-    state.link_number += 1
+    state.command_log.begin_link()
     state.runtime_connected = True
     waiting, state.unsent_commands = state.unsent_commands, []
     note_link_ready(transition, len(waiting))
     for command in waiting:
         if command.attempt_id in state.requests_by_attempt_id:
             send_command(transition, command)
-    transition.emit(effects.RequestLoadSample(sync_tag(state.link_number)))
+    request_load_sample(transition, sync_tag(state.link_number))
 
 
 def runtime_disconnected(transition: Transition, event: events.RuntimeDisconnected) -> None:
-    """Queue the commands of which nothing was written, ahead of those queued already."""
+    """Mark the commands that may be lost, and queue those of which nothing was written."""
     state = transition.state
     state.runtime_connected = False
-    state.disconnected_at_ms = transition.now_ms if event.last_heard_at_ms is None else event.last_heard_at_ms
+    state.disconnected_at_ms = transition.now_ms
+    for request in state.requests.values():
+        if request.phase is RequestPhase.RUNNING:
+            _mark_if_lost(state, request)
     unsent: list[effects.Command] = [
         command for command in event.unsent_commands if isinstance(command, effects.Command)
     ]
@@ -128,6 +131,16 @@
             state.requests_by_attempt_id[command.attempt_id].link_number = 0
     state.unsent_commands = unsent + state.unsent_commands
     note_link_lost(transition, len(unsent))
+    transition.dispatch(admission_events.RunCountDoubted())
+
+
+def _mark_if_lost(state: State, request: Request) -> None:
+    sent = request.last_command
+    if sent is None or sent.link_number != state.link_number:
+        return  # judged when that link broke
+    request.last_command_lost = not state.command_log.was_read(sent)
+    if not request.last_command_lost:
+        request.start_confirmed = True
 
 
 def resume_runs(transition: Transition) -> None:
@@ -141,38 +154,73 @@
 def _resume_run(transition: Transition, request: Request) -> None:
     """Carry a run over to the present link, repeat its last command, or report it as indeterminate.
 
-    Commands given well before the break arrived; of later ones nothing is known. A start that is safe to
-    repeat, or a skipped call, is sent again: nothing happens where it had arrived. A start with side effects
-    never is, for if its run ended just now it would run twice; nor is a reply, which the run might take for
-    that to its next call. What becomes of these is for the controller to decide.
+    A start that may be lost and is safe to repeat, or a skipped call, is sent again: nothing happens where it
+    had arrived. A start with side effects never is, for if its run ended just now it would run twice; nor is
+    a reply, which the run might take for that to its next call. What becomes of these is for the controller
+    to decide.
     """
-    state = transition.state
-    command = request.last_command
+    state, sent = transition.state, request.last_command
     if request.response_address is None or request.stopping:
-        note_run(transition, request, "answered already; stop sent, counted as ended")
-        abandon_run(transition, request)
+        _resume_unwanted_run(transition, request)
     elif request.indeterminate:
         return  # since an earlier break: only a notice can change that
-    elif (
-        request.pending_call_notice is not None
-        or command is None
-        or request.last_command_at_ms < state.disconnected_at_ms - LOST_COMMAND_WINDOW_MS
-    ):
-        note_run(transition, request, "taken to go on")
+    elif sent is None or request.pending_call_notice is not None or not request.last_command_lost:
+        note_run(transition, request, "goes on")
         request.link_number = state.link_number
-    elif _is_repeatable(command, request):
+    elif _is_repeatable(sent.command, request):
         note_run(transition, request, "last command sent again")
         request.link_number = state.link_number
-        send_command(transition, command)
+        send_command(transition, sent.command)
     else:
-        is_at_call = isinstance(command, effects.DeliverReply)
+        is_at_call = isinstance(sent.command, effects.DeliverReply)
         request.indeterminate = True
-        note_run(transition, request, "indeterminate, last command not sent again")
+        note_run(transition, request, "indeterminate: its last command may be lost")
         if is_at_call:
             request.pending_call_notice = request.answered_call_notice
         transition.dispatch(admission_events.RunIndeterminate(request.number, is_at_call))
 
 
+def _resume_unwanted_run(transition: Transition, request: Request) -> None:
+    """Stop a run that nobody waits for once more.
+
+    It is not over because nobody waits for it: until the runtime says so it is on the cores, and counted.
+    """
+    state = transition.state
+    request.link_number = state.link_number
+    if state.settings.preemption is not Preemption.NONE:
+        request.stopping = True
+        if request.stop_command is None or request.stop_command.link_number != state.link_number:
+            note_run(transition, request, "nobody waits for it: stop sent")
+            send_command(transition, effects.StopRun(request.attempt_id))
+    if not request.start_confirmed:
+        transition.dispatch(admission_events.RunIndeterminate(request.number))
+
+
+def end_runs_stopped_unseen(transition: Transition) -> None:
+    """End runs whose start may be lost and whose stop was read, on a later link, without a notice of an end.
+
+    Were such a run there, the stop would have ended it, and the notice would have come before the echo.
+    """
+    state = transition.state
+    for request in list(state.requests.values()):
+        if _was_stopped_unseen(state, request):
+            note_run(transition, request, "its stop was read and it never ran")
+            run_completed(transition, events.RunCompleted(request.attempt_id, Outcome.CANCELLED, 0.0, b""))
+
+
+def _was_stopped_unseen(state: State, request: Request) -> bool:
+    start, stop = request.last_command, request.stop_command
+    return (
+        request.phase is RequestPhase.RUNNING
+        and request.response_address is None
+        and not request.start_confirmed
+        and start is not None
+        and stop is not None
+        and start.link_number < stop.link_number
+        and state.command_log.was_read(stop)
+    )
+
+
 def _is_repeatable(command: effects.Command, request: Request) -> bool:
     """Return whether a command that may have arrived can be sent again without harm."""
     if isinstance(command, effects.StartRun):
--- a/snowthread/core/state.py
+++ b/snowthread/core/state.py
@@ -9,6 +9,7 @@
 from snowthread.admission import events as admission_events
 from snowthread.admission.controller import Controller
 from snowthread.admission.settings import RequestClass, Settings
+from snowthread.core.command_log import CommandLog, SentCommand
 from snowthread.core.effects import Command
 from snowthread.core.events import (
     CallPacingChanged,
@@ -55,12 +56,14 @@
     memory_kb: float  # booked while queued; times the running memory factor while it runs
     body_digest: bytes = b""  # of class and body, where the class is keyed
     phase: RequestPhase = RequestPhase.QUEUED
-    link_number: int = 0  # the link to the runtime on which its start was sent; 0: not sent yet
+    link_number: int = 0  # the link to the runtime on which its run was taken up last; 0: not sent yet
     pending_call_notice: int | None = None  # the notice of the call that its run waits for
     call_body: bytes = b""
     call_in_flight: bool = False
-    last_command: Command | None = None  # the last command that lets its run go on
-    last_command_at_ms: float = 0.0
+    last_command: SentCommand | None = None  # the last command that lets its run go on
+    last_command_lost: bool = False  # it may be: its link broke before it was known to be read
+    start_confirmed: bool = False  # the runtime is known to have read the start
+    stop_command: SentCommand | None = None
     answered_call_notice: int = 0  # the notice of the call replied to last
     indeterminate: bool = False  # its last command may be lost with a link; no notice came since
     stopping: bool = False
@@ -116,7 +119,7 @@
     requests_by_attempt_id: dict[str, Request] = field(default_factory=dict)
     requests_by_response_address: dict[ResponseAddress, Request] = field(default_factory=dict)
     last_request_number: int = 0
-    link_number: int = 0  # links to the runtime so far
+    command_log: CommandLog = field(default_factory=CommandLog)
     runtime_connected: bool = False
     disconnected_at_ms: float = float("-inf")  # when the last link broke
     unsent_commands: list[Command] = field(default_factory=list)  # they wait for a link
@@ -138,6 +141,11 @@
     superseded: bool = False  # the successor takes new connections
     pending_claims: dict[str, PendingClaim] = field(default_factory=dict)  # by idempotency key
 
+    @property
+    def link_number(self) -> int:
+        """The number of links to the runtime so far."""
+        return self.command_log.link_number
+
     @property
     def accepts_work(self) -> bool:
         """Whether the node should be registered.
--- a/tests/admission/test_deadlines.py
+++ b/tests/admission/test_deadlines.py
@@ -7,7 +7,16 @@
 
 from support.admission_controller import arrive, request_ids, started_controller
 
-from snowthread.admission.actions import Fail, Reject, SetTimer, SkipCall, StartCall, StartRun, StopRun
+from snowthread.admission.actions import (
+    AbandonRun,
+    Fail,
+    Reject,
+    SetTimer,
+    SkipCall,
+    StartCall,
+    StartRun,
+    StopRun,
+)
 from snowthread.admission.controller import DEADLINE_TIMER
 from snowthread.admission.events import (
     CallFinished,
@@ -42,15 +51,48 @@
     assert min(a.delay_s for a in actions if isinstance(a, SetTimer)) <= 0.5
 
 
-def test_an_indeterminate_run_frees_its_core_and_fails_before_its_deadline() -> None:
-    controller = started_controller()
+def test_an_indeterminate_run_keeps_its_core_and_fails_before_its_deadline() -> None:
+    controller = started_controller(cores=1)
     arrive(controller, 0.1, 1, "keyed")
-    arrive(controller, 0.1, 2)
-    assert not request_ids(arrive(controller, 0.2, 3), StartRun)
-    assert request_ids(controller.handle(0.3, RunIndeterminate(1)), StartRun) == [3]
-    assert not request_ids(controller.handle(0.9, TimerFired(DEADLINE_TIMER)), Fail)
+    controller.handle(0.3, RunIndeterminate(1))
+    assert controller.run_load().running == 1  # it may well run
+    assert not request_ids(controller.handle(1.25, TimerFired(DEADLINE_TIMER)), Fail)
     actions = controller.handle(1.4, TimerFired(DEADLINE_TIMER))
     assert request_ids(actions, Fail) == [1] and request_ids(actions, Reject) == []
+    assert not request_ids(arrive(controller, 1.5, 2), StartRun)  # answered, and yet it may run
+
+
+def test_an_indeterminate_run_leaves_its_core_once_nothing_was_heard_for_longer_than_it_takes() -> None:
+    controller = started_controller(cores=1)
+    arrive(controller, 0.1, 1, "keyed")
+    controller.handle(0.3, RunIndeterminate(1))
+    controller.handle(1.4, TimerFired(DEADLINE_TIMER))
+    assert not request_ids(arrive(controller, 2.2, 2), StartRun)
+    actions = controller.handle(2.5, TimerFired(DEADLINE_TIMER))
+    assert request_ids(actions, AbandonRun) == [1] and request_ids(actions, StartRun) == [2]
+
+
+def test_an_indeterminate_run_of_which_something_is_heard_is_not_failed() -> None:
+    controller = started_controller(cores=1)
+    arrive(controller, 0.1, 1, "once")
+    controller.handle(0.3, RunIndeterminate(1))
+    controller.handle(0.4, CallNeeded(1))
+    assert not request_ids(controller.handle(1.5, TimerFired(DEADLINE_TIMER)), Fail)
+    assert controller.run_load().indeterminate == 0
+
+
+def test_a_retry_of_a_run_that_was_given_up_fails_at_once() -> None:
+    controller = started_controller(cores=1)
+    arrive(controller, 0.1, 1, "keyed")
+    controller.handle(0.3, RunIndeterminate(1))
+    controller.handle(1.4, TimerFired(DEADLINE_TIMER))
+    assert request_ids(arrive(controller, 1.5, 2, "keyed", original_id=1), Fail) == [2]
+
+
+def test_a_call_of_an_indeterminate_run_that_may_be_skipped_is_skipped() -> None:
+    controller = started_controller()
+    arrive(controller, 1.0, 2)
+    arrive(controller, 1.1, 3)
     arrive(controller, 1.5, 4, "ask")
     assert request_ids(controller.handle(1.6, RunFinished(2, Outcome.SUCCESS)), StartRun) == [4]
     assert request_ids(controller.handle(1.7, RunIndeterminate(4, at_call=True)), SkipCall) == [4]
--- a/tests/admission/test_policy_bounds.py
+++ b/tests/admission/test_policy_bounds.py
@@ -17,6 +17,7 @@
         "events.py",
         "actions.py",
         "reasons.py",
+        "run_load.py",
         "request.py",
         "statistics.py",
         "class_times.py",
--- a/tests/core/conftest.py
+++ b/tests/core/conftest.py
@@ -7,7 +7,7 @@
 import pytest
 from support.exchange import START, ExchangePlayer
 
-from snowthread.admission.settings import Idempotency, RequestClass, Settings
+from snowthread.admission.settings import Idempotency, Preemption, RequestClass, Settings
 from snowthread.core.state import AdmissionClock, State
 
 
@@ -22,10 +22,23 @@
 @pytest.fixture
 def state() -> State:
     """Return the state of a node with one class of each kind of idempotency, before its first event."""
+    return make_state(Preemption.DROP)
+
+
+@pytest.fixture
+def unstoppable_state() -> State:
+    """Return the same at a site that can't stop runs."""
+    return make_state(Preemption.NONE)
+
+
+def make_state(preemption: Preemption) -> State:
+    """Return the state of a node at a site that does this to runs it stops."""
     classes = (
         RequestClass("idempotent", 1.0, 3.0),
         RequestClass("keyed", 1.0, 3.0, idempotency=Idempotency.KEYED, idempotency_window_s=9.0),
         RequestClass("non-idempotent", 1.0, 3.0, idempotency=Idempotency.NON_IDEMPOTENT),
     )
-    settings = Settings(classes=classes, cores=2, memory_kb=1000.0, running_memory_factor=4.0)
+    settings = Settings(
+        classes=classes, cores=2, memory_kb=1000.0, running_memory_factor=4.0, preemption=preemption
+    )
     return State(settings, seed=1, gauge_names=(), admission_clock=AdmissionClock(START))
--- a/tests/core/test_runs.py
+++ b/tests/core/test_runs.py
@@ -6,18 +6,20 @@
 from support.core_events import make_request
 from support.exchange import START
 
+from snowthread.admission.controller import DEADLINE_TIMER
+from snowthread.admission.settings import Outcome
 from snowthread.core import effects, events
 from snowthread.core.reducer import reduce
-from snowthread.core.runs import LOST_COMMAND_WINDOW_MS, sync_tag
+from snowthread.core.runs import sync_tag
 from snowthread.core.state import Request, State
 
 
 def resynchronise(state: State, now_ms: float) -> list[effects.Effect]:
-    """Break the link, connect again and return the effects, log apart, of the sample that ends it."""
+    """Break the link and connect again; return the effects, the log and load samples apart."""
     reduce(state, events.RuntimeDisconnected(), now_ms)
-    reduce(state, events.RuntimeConnected(False, 0.0), now_ms)
-    emitted = reduce(state, events.LoadSampleReceived(sync_tag(state.link_number), ()), now_ms)
-    return [effect for effect in emitted if not isinstance(effect, effects.LogNote)]
+    emitted = reduce(state, events.RuntimeConnected(False, 0.0), now_ms)
+    emitted += reduce(state, events.LoadSampleReceived(sync_tag(state.link_number), ()), now_ms)
+    return [e for e in emitted if not isinstance(e, effects.LogNote | effects.RequestLoadSample)]
 
 
 def start(state: State, request: events.RequestReceived) -> Request:
@@ -26,14 +28,56 @@
     return state.requests_by_attempt_id[request.attempt_id]
 
 
+def start_second(state: State, now_ms: float) -> Request:
+    """Start the run of another keyed request on the present link."""
+    reduce(state, make_request(2, "keyed", now_ms), now_ms)
+    return state.requests_by_attempt_id[f"{2:016x}"]
+
+
+def confirm_commands(state: State, now_ms: float) -> list[effects.Effect]:
+    """Have the runtime echo a load sample request, which shows that it read all that was sent before."""
+    reduce(state, events.LoadSampleDue(), now_ms)
+    tag = str(state.last_sample_number)
+    emitted = reduce(state, events.LoadSampleReceived(tag, ()), now_ms)
+    return [effect for effect in emitted if not isinstance(effect, effects.LogNote)]
+
+
+def counted_runs(state: State) -> int:
+    """Return how many runs the controller takes to be on the cores."""
+    assert state.controller is not None
+    return state.controller.run_load().running
+
+
 @pytest.mark.parametrize("class_name", ["idempotent", "keyed", "non-idempotent"])
-def test_a_run_started_well_before_the_break_goes_on(state: State, class_name: str) -> None:
+def test_a_run_whose_start_was_read_before_the_break_goes_on(state: State, class_name: str) -> None:
     request = start(state, make_request(1, class_name, START))
-    assert resynchronise(state, START + LOST_COMMAND_WINDOW_MS + 1.0) == []
+    confirm_commands(state, START + 1.0)
+    assert resynchronise(state, START + 1.0) == []
     assert request.link_number == state.link_number
     assert not request.indeterminate
 
 
+@pytest.mark.parametrize("class_name", ["idempotent", "keyed", "non-idempotent"])
+def test_a_start_that_nothing_shows_to_be_read_may_be_lost_however_old_it_is(
+    state: State, class_name: str
+) -> None:
+    """A link that is slow or silent holds back what was sent long before it breaks."""
+    request = start(state, make_request(1, class_name, START))
+    emitted = resynchronise(state, START + 900.0)
+    assert request.indeterminate is (class_name != "idempotent")
+    resent = [effect for effect in emitted if isinstance(effect, effects.StartRun)]
+    assert len(resent) == (class_name == "idempotent")
+
+
+def test_an_echo_of_an_earlier_link_confirms_nothing_of_a_later_one(state: State) -> None:
+    request = start(state, make_request(1, "keyed", START))
+    confirm_commands(state, START + 1.0)
+    resynchronise(state, START + 2.0)
+    late = start_second(state, START + 3.0)
+    assert resynchronise(state, START + 4.0) == []
+    assert late.indeterminate and not request.indeterminate
+
+
 def test_a_start_that_may_be_lost_is_sent_again_where_the_class_is_idempotent(state: State) -> None:
     request = start(state, make_request(1, "idempotent", START))
     assert resynchronise(state, START + 1.0) == [
@@ -51,8 +95,74 @@
     assert request.indeterminate
 
 
-def test_a_run_that_nobody_waits_for_is_stopped_and_counts_as_ended(state: State) -> None:
+def test_an_indeterminate_run_counts_until_its_end_is_told(state: State) -> None:
+    request = start(state, make_request(1, "keyed", START))
+    resynchronise(state, START + 1.0)
+    assert counted_runs(state) == 1
+    reduce(state, events.RunCompleted(request.attempt_id, Outcome.SUCCESS, 1.0, b"r"), START + 2.0)
+    assert counted_runs(state) == 0 and state.requests == {}
+
+
+def test_a_run_that_nobody_waits_for_is_stopped_and_counts_until_its_end_is_told(state: State) -> None:
     request = start(state, make_request(1, "non-idempotent", START))
+    confirm_commands(state, START)
+    reduce(state, events.RequestCancelled((1, 1)), START)
+    emitted = resynchronise(state, START + 1.0)
+    assert emitted.count(effects.StopRun(request.attempt_id)) == 1
+    confirm_commands(state, START + 2.0)
+    assert counted_runs(state) == 1
+    reduce(state, events.RunCompleted(request.attempt_id, Outcome.CANCELLED, 1.0, b""), START + 3.0)
+    assert counted_runs(state) == 0 and state.requests == {}
+
+
+def test_a_stop_that_has_to_wait_for_a_link_is_sent_on_the_next(state: State) -> None:
+    """It was dropped, as its request was taken for over: the run went on uncounted."""
+    request = start(state, make_request(1, "keyed", START))
+    resynchronise(state, START + 1.0)
+    reduce(state, events.RuntimeDisconnected(), START + 2.0)
+    reduce(state, events.RequestCancelled((1, 1)), START + 3.0)
+    assert counted_runs(state) == 1
+    emitted = reduce(state, events.RuntimeConnected(False, 0.0), START + 4.0)
+    assert effects.StopRun(request.attempt_id) in emitted
+
+
+def test_a_run_whose_stop_was_read_before_anything_was_heard_of_it_is_over(state: State) -> None:
+    start(state, make_request(1, "keyed", START))
+    resynchronise(state, START + 1.0)
+    reduce(state, events.RequestCancelled((1, 1)), START + 2.0)
+    assert counted_runs(state) == 1
+    confirm_commands(state, START + 3.0)
+    assert counted_runs(state) == 0 and state.requests == {}
+    record = state.idempotency_table.find_by_attempt(f"{1:016x}")
+    assert record is not None and record.completed  # it may have run all the same: never again
+
+
+def test_a_run_that_the_site_cannot_stop_counts_until_its_end_is_told(unstoppable_state: State) -> None:
+    state = unstoppable_state
+    request = start(state, make_request(1, "idempotent", START))
+    confirm_commands(state, START)
     reduce(state, events.RequestCancelled((1, 1)), START)
-    assert effects.StopRun(request.attempt_id) in resynchronise(state, START + 1.0)
-    assert state.requests == {}
+    assert not any(isinstance(e, effects.StopRun) for e in resynchronise(state, START + 1.0))
+    confirm_commands(state, START + 2.0)
+    assert counted_runs(state) == 1
+    reduce(state, events.RunCompleted(request.attempt_id, Outcome.SUCCESS, 1.0, b"r"), START + 3.0)
+    assert counted_runs(state) == 0
+
+
+def test_a_run_of_which_nothing_is_ever_heard_frees_its_place_in_the_end(unstoppable_state: State) -> None:
+    state = unstoppable_state
+    start(state, make_request(1, "keyed", START))
+    resynchronise(state, START + 1.0)
+    for step in range(1, 60):
+        reduce(state, events.TimerExpired(DEADLINE_TIMER), START + 100.0 * step)
+    assert counted_runs(state) == 0 and state.requests == {}
+
+
+def test_a_reply_sent_on_the_new_link_is_not_taken_for_lost_with_the_old_one(state: State) -> None:
+    request = start(state, make_request(1, "keyed", START))
+    reduce(state, events.CallRequested(request.attempt_id, 1, b"c"), START + 1.0)
+    reduce(state, events.RuntimeDisconnected(), START + 2.0)
+    reduce(state, events.RuntimeConnected(False, 0.0), START + 3.0)
+    reduce(state, events.CallCompleted(request.attempt_id, Outcome.SUCCESS, 1.0, b"r"), START + 4.0)
+    reduce(state, events.LoadSampleReceived(sync_tag(2), ()), START + 5.0)
+    assert not request.indeterminate
--- a/tests/support/admission_controller.py
+++ b/tests/support/admission_controller.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from snowthread.admission.actions import (
+    AbandonRun,
     Action,
     AwaitOriginal,
     Fail,
@@ -24,7 +25,16 @@
 from snowthread.admission.settings import Idempotency, RequestClass, Settings
 
 RequestAction = (
-    AwaitOriginal | Fail | ForgetKey | Reject | RememberKey | SkipCall | StartCall | StartRun | StopRun
+    AbandonRun
+    | AwaitOriginal
+    | Fail
+    | ForgetKey
+    | Reject
+    | RememberKey
+    | SkipCall
+    | StartCall
+    | StartRun
+    | StopRun
 )
 
 READ = RequestClass("read", latency_objective_s=1.0, deadline_s=3.0)
--- a/tests/support/admission_host.py
+++ b/tests/support/admission_host.py
@@ -14,7 +14,14 @@
 from snowthread.admission import actions, events
 from snowthread.admission.controller import Controller
 from snowthread.admission.settings import Idempotency, Outcome, RequestClass, Settings
-from support.admission_scenarios import END_S, LEAVE_S, SETTINGS_CHANGE_S, TENANTS_CHANGE_S, Scenario
+from support.admission_scenarios import (
+    END_S,
+    LEAVE_S,
+    LINK_LOST_S,
+    SETTINGS_CHANGE_S,
+    TENANTS_CHANGE_S,
+    Scenario,
+)
 
 START_S = 100.0  # clock at the start: a controller must not take it for zero
 MEAN_WORK_S = 0.22
@@ -80,6 +87,8 @@
         self._plan(SETTINGS_CHANGE_S, self._change_settings)
         self._plan(TENANTS_CHANGE_S, self._change_tenants)
         self._plan(LEAVE_S, self._leave)
+        for at_s in LINK_LOST_S:
+            self._plan(at_s, events.RunCountDoubted)
         while self._planned and self._planned[0][0] < START_S + END_S:
             self.now, _, planned = heapq.heappop(self._planned)
             event = planned()
@@ -237,6 +246,8 @@
             self._continue(action.request_id)
         elif isinstance(action, actions.StopRun):
             self._end_after(action.request_id, 0.01, Outcome.CANCELLED)
+        elif isinstance(action, actions.AbandonRun):
+            self._requests[action.request_id].version += 1  # nothing is ever heard of it
         elif isinstance(action, actions.AwaitOriginal):
             self._end_after(action.request_id, self._random.uniform(0.1, 1.0), Outcome.SUCCESS)
 
--- a/tests/support/admission_scenarios.py
+++ b/tests/support/admission_scenarios.py
@@ -31,6 +31,7 @@
 
 
 SETTINGS_CHANGE_S = 28.0
+LINK_LOST_S = (21.0, 38.0)
 TENANTS_CHANGE_S = 26.5
 LEAVE_S = 56.0
 END_S = 62.0
--- a/tests/support/decision_trace.py
+++ b/tests/support/decision_trace.py
@@ -28,6 +28,7 @@
         "run-ended",
         "timer",
         "run-doubted",
+        "count-doubted",
         "leave-notice",
         "tenants-changed",
         "settings-changed",
@@ -43,6 +44,7 @@
         "call",
         "skip-call",
         "preempt",
+        "abandon-run",
         "attach",
         "publish",
         "close-idle",
@@ -71,6 +73,8 @@
         return {"event": "timer", "timer": event.label}
     if isinstance(event, events.RunIndeterminate):
         return {"event": "run-doubted", "request": event.request_id}
+    if isinstance(event, events.RunCountDoubted):
+        return {"event": "count-doubted"}
     if isinstance(event, events.ShutdownNotice):
         return {"event": "leave-notice"}
     if isinstance(event, events.TenantsChanged):
@@ -103,6 +107,8 @@
         return {"action": "skip-call", "request": action.request_id}
     if isinstance(action, actions.StopRun):
         return {"action": "preempt", "request": action.request_id}
+    if isinstance(action, actions.AbandonRun):
+        return {"action": "abandon-run", "request": action.request_id}
     if isinstance(action, actions.AwaitOriginal):
         return {"action": "attach", "request": action.request_id}
     if isinstance(action, actions.PublishLoad):
