The limit of runs grows only on cores measured once, with an unbroken link

Cause: the measured utilization spans half a second. Right after a break it tells of cores that ran dry as no start could reach them, and one sample of up to a second's age served several updates; the limit grew by a quarter at each, towards the ceiling, and with the link back the machine got what it allowed. Change: a sample serves one update, and its utilization none where the link came up within its window; the controller then goes by its own count, which never lets the limit grow.

--- a/snowthread/core/load_samples.py
+++ b/snowthread/core/load_samples.py
@@ -13,6 +13,7 @@
 LOAD_SAMPLE_LEAD_MS = 20.0  # a sample is requested so long before the timer it is for
 LOAD_SAMPLE_SHARING_MS = 200.0  # timers nearer to each other than this share a sample
 LOAD_SAMPLE_MAX_AGE_MS = 1000.0  # an older sample is passed on as not measured
+UTILIZATION_WINDOW_MS = 500.0  # over which the runtime measures the utilization of its cores
 MAX_SAMPLE_NUMBER_DIGITS = 18  # a tag of more digits is not one of ours
 
 _TIMER_FIELDS = {  # gauge of the runtime -> field of TimerFired
@@ -38,7 +39,10 @@
     """Pass a due timer to the controller, with what is known of the load."""
     state = transition.state
     transition.dispatch(admission_events.TimerFired(event.label, **_measured_load(state, transition.now_ms)))
-    if state.handover_role is not HandoverRole.STANDALONE and event.label == UPDATE_TIMER:
+    if event.label != UPDATE_TIMER:
+        return
+    state.load_sample_used = True
+    if state.handover_role is not HandoverRole.STANDALONE:
         report_load(transition)
 
 
@@ -46,11 +50,17 @@
     """Return the figures of the last load sample that still hold, by field of ``TimerFired``."""
     if now_ms - state.load_sample_at_ms > LOAD_SAMPLE_MAX_AGE_MS:
         return {}
-    return {
+    figures = {
         _TIMER_FIELDS[name]: value
         for name, value in zip(state.gauge_names, state.load_sample, strict=False)
         if name in _TIMER_FIELDS
     }
+    if state.load_sample_used:  # one lull must not pass for idle cores update after update
+        figures.pop("core_demand", None)
+    if state.load_sample_used or state.load_sample_at_ms < state.reconnected_at_ms + UTILIZATION_WINDOW_MS:
+        # Cores that ran dry while there was no link say nothing of how many runs they take with one.
+        figures.pop("core_utilization", None)
+    return figures
 
 
 def load_sample_due(transition: Transition, _: events.LoadSampleDue) -> None:
@@ -66,6 +76,7 @@
     state = transition.state
     if not _is_stale(state, event.tag):
         state.load_sample, state.load_sample_at_ms = event.values, transition.now_ms
+        state.load_sample_used = False
     state.command_log.sample_received(event.tag)
     if state.runtime_connected:
         end_runs_stopped_unseen(transition)
--- a/snowthread/core/runs.py
+++ b/snowthread/core/runs.py
@@ -107,6 +107,8 @@
         transition.ensure_controller(event.runtime_age_ms)
     state.command_log.begin_link()
     state.runtime_connected = True
+    if state.link_number > 1:
+        state.reconnected_at_ms = transition.now_ms
     waiting, state.unsent_commands = state.unsent_commands, []
     note_link_ready(transition, len(waiting))
     for command in waiting:
--- a/snowthread/core/state.py
+++ b/snowthread/core/state.py
@@ -122,9 +122,11 @@
     command_log: CommandLog = field(default_factory=CommandLog)
     runtime_connected: bool = False
     disconnected_at_ms: float = float("-inf")  # when the last link broke
+    reconnected_at_ms: float = float("-inf")  # when there was a link again
     unsent_commands: list[Command] = field(default_factory=list)  # they wait for a link
     load_sample: tuple[float, ...] = ()
     load_sample_at_ms: float = float("-inf")
+    load_sample_used: bool = False  # for an update of the controller
     load_sample_serves_until_ms: float = float("-inf")  # the latest timer that a sample serves
     last_sample_number: int = 0
     last_stale_sample_number: int = 0  # up to this one the gauges had another order
--- /dev/null
+++ b/tests/core/test_load_samples.py
@@ -0,0 +1,86 @@
+"""What of a load sample is passed on to the controller, and for how long it holds."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+from support.exchange import START
+
+from snowthread.admission import events as admission_events
+from snowthread.admission.controller import UPDATE_TIMER, Controller
+from snowthread.core import events
+from snowthread.core.load_samples import LOAD_SAMPLE_MAX_AGE_MS, UTILIZATION_WINDOW_MS
+from snowthread.core.reducer import reduce
+from snowthread.core.runs import sync_tag
+from snowthread.core.state import State
+
+GAUGES = ("core_use", "on_cores", "heap_share", "links")
+
+
+class Controllers:
+    """Records the timer events that controllers are given."""
+
+    def __init__(self) -> None:
+        self.timers: list[admission_events.TimerFired] = []
+
+
+@pytest.fixture
+def seen(monkeypatch: pytest.MonkeyPatch) -> Iterator[Controllers]:
+    controllers, handle = Controllers(), Controller.handle
+
+    def record(self: Controller, now: float, event: admission_events.Event) -> Any:
+        if isinstance(event, admission_events.TimerFired):
+            controllers.timers.append(event)
+        return handle(self, now, event)
+
+    monkeypatch.setattr(Controller, "handle", record)
+    yield controllers
+
+
+@pytest.fixture
+def connected(state: State) -> State:
+    state.gauge_names = GAUGES
+    reduce(state, events.RuntimeConnected(False, 0.0), START)
+    return state
+
+
+def update(state: State, at_ms: float) -> None:
+    reduce(state, events.TimerExpired(UPDATE_TIMER), START + at_ms)
+
+
+def sample(state: State, at_ms: float, tag: str = "1") -> None:
+    reduce(state, events.LoadSampleReceived(tag, (0.5, 3.0, 0.1, 2.0)), START + at_ms)
+
+
+def test_sample_on_an_unbroken_link_is_passed_on_whole(connected: State, seen: Controllers) -> None:
+    sample(connected, 240.0)
+    update(connected, 250.0)
+    assert seen.timers == [admission_events.TimerFired(UPDATE_TIMER, 0.5, 3.0, 0.1, 2.0)]
+
+
+def test_sample_serves_one_update_only(connected: State, seen: Controllers) -> None:
+    """A lull that one sample shows would else let the limit of runs grow update after update."""
+    sample(connected, 240.0)
+    update(connected, 250.0)
+    update(connected, 500.0)
+    assert seen.timers[1] == admission_events.TimerFired(UPDATE_TIMER, None, None, 0.1, 2.0)
+
+
+def test_old_sample_is_not_passed_on(connected: State, seen: Controllers) -> None:
+    sample(connected, 0.0)
+    update(connected, LOAD_SAMPLE_MAX_AGE_MS + 1.0)
+    assert seen.timers == [admission_events.TimerFired(UPDATE_TIMER)]
+
+
+def test_utilization_of_a_time_without_a_link_is_not_passed_on(connected: State, seen: Controllers) -> None:
+    """Cores that ran dry as no start could reach them do not ask for a higher limit of runs."""
+    reduce(connected, events.RuntimeDisconnected(), START + 100.0)
+    reduce(connected, events.RuntimeConnected(False, 0.0), START + 400.0)
+    sample(connected, 401.0, sync_tag(2))
+    update(connected, 500.0)
+    assert seen.timers == [admission_events.TimerFired(UPDATE_TIMER, None, 3.0, 0.1, 2.0)]
+    sample(connected, 400.0 + UTILIZATION_WINDOW_MS)
+    update(connected, 1000.0)
+    assert seen.timers[1] == admission_events.TimerFired(UPDATE_TIMER, 0.5, 3.0, 0.1, 2.0)
