A machine of few cores gets no run more than it survives while it is cold

Cause: the ceiling is no whole number, and the run that crossed it was still started. On two cold cores the ceiling is 3.07 and the machine survives 3.84 runs: four were started. Found while the incident's class was checked; on six cores the rounding stays below. Change: a run is started only if with it the server still has less than it survives.

--- a/snowthread/admission/concurrency.py
+++ b/snowthread/admission/concurrency.py
@@ -22,9 +22,18 @@
 
     def ceiling(self, age_s: float) -> float:
         """Return the runs that the server survives at its present speed, less a margin."""
+        return max(float(self.settings.cores), CAPACITY_MARGIN * self._survived_runs(age_s))
+
+    def survives_another(self, runs: float, age_s: float) -> bool:
+        """Return whether the server survives one run more than these, with a margin."""
+        # The ceiling is no whole number: on few cores the run that crosses it may be one too many.
+        is_survived = runs < self.settings.cores or runs + 1.0 < self._survived_runs(age_s)
+        return is_survived and runs < self.ceiling(age_s)
+
+    def _survived_runs(self, age_s: float) -> float:
         settings = self.settings
-        survived = 1.0 + (settings.collapse_multiple - 1.0) * settings.speed_at_age(age_s)
-        return max(float(settings.cores), CAPACITY_MARGIN * settings.cores * survived)
+        per_core = 1.0 + (settings.collapse_multiple - 1.0) * settings.speed_at_age(age_s)
+        return settings.cores * per_core
 
     def update(self, used: float, was_full: bool, demand: float | None, queued: bool, age_s: float) -> None:
         """Adapt the limit; ``was_full``: since the last update, runs wanted each core."""
--- a/snowthread/admission/controller.py
+++ b/snowthread/admission/controller.py
@@ -209,7 +209,7 @@
         while queued and cores.occupied < int(self.concurrency.limit):
             # All that may be on the cores at once: runs of which nothing is known, and those at calls.
             may_run = cores.running + cores.uncounted + len(calls)
-            if may_run >= self.concurrency.ceiling(now - self.started_at):
+            if not self.concurrency.survives_another(may_run, now - self.started_at):
                 return
             startable = [request for request in queued.values() if self._may_start(request)]
             if not startable:
--- a/tests/admission/test_run_count.py
+++ b/tests/admission/test_run_count.py
@@ -64,3 +64,25 @@
     controller.handle(0.3, RunFinished(1, Outcome.SUCCESS))
     load = controller.run_load()
     assert (load.running, load.indeterminate) == (1, 1)
+
+
+def test_all_that_may_run_stays_below_what_the_machine_survives() -> None:
+    """Whatever was measured: runs that seem not to be there may have been waiting to begin."""
+    controller = doubtful_controller(6)
+    ceiling = controller.run_load().ceiling
+    measure(controller, 0.25, 0.0)
+    started = sum(bool(request_ids(arrive(controller, 0.3, n), StartRun)) for n in range(10, 20))
+    assert 6 + started < 8  # two cores, and four runs a core that it survives
+    assert 6 + started < ceiling + 1.0
+
+
+def test_cold_machine_of_few_cores_gets_no_more_runs_than_it_survives() -> None:
+    """The ceiling is no whole number: rounded up it was above what the machine survives."""
+    controller = started_controller(
+        cores=2, collapse_multiple=5.0, starts_cold=True, cold_speed=0.23, warmup_s=17.0
+    )
+    survived = 2 * (1.0 + 4.0 * 0.23)
+    controller.concurrency.limit = 10.0
+    for number in range(1, 10):
+        arrive(controller, 0.01, number, "keyed")
+    assert 2 <= controller.run_load().running < survived
