Each update of the limits has a load sample of its own

Cause: a timer set seconds ahead, for a due time, was noted as the latest that a sample serves; updates before it, four a second, then had none and went by one of up to a second's age, or by none. Timers for due times use no sample at all. Change: a sample is requested ahead of each update and of nothing else. The new test fails without it.

--- a/snowthread/core/load_samples.py
+++ b/snowthread/core/load_samples.py
@@ -11,7 +11,6 @@
 from snowthread.core.transition import HandlerTable, Transition
 
 LOAD_SAMPLE_LEAD_MS = 20.0  # a sample is requested so long before the timer it is for
-LOAD_SAMPLE_SHARING_MS = 200.0  # timers nearer to each other than this share a sample
 LOAD_SAMPLE_MAX_AGE_MS = 1000.0  # an older sample is passed on as not measured
 UTILIZATION_WINDOW_MS = 500.0  # over which the runtime measures the utilization of its cores
 MAX_SAMPLE_NUMBER_DIGITS = 18  # a tag of more digits is not one of ours
@@ -25,11 +24,9 @@
 
 
 def schedule_timer(transition: Transition, delay_ms: float, label: int) -> None:
-    """Schedule a timer of the controller, and a load sample ahead of it unless a recent one serves."""
-    state = transition.state
+    """Schedule a timer of the controller, and a load sample ahead of each update."""
     due_at_ms = transition.now_ms + delay_ms
-    if due_at_ms - state.load_sample_serves_until_ms >= LOAD_SAMPLE_SHARING_MS:
-        state.load_sample_serves_until_ms = due_at_ms
+    if label == UPDATE_TIMER:
         request_at_ms = max(transition.now_ms, due_at_ms - LOAD_SAMPLE_LEAD_MS)
         transition.emit(effects.ScheduleTimer(request_at_ms, events.LoadSampleDue()))
     transition.emit(effects.ScheduleTimer(due_at_ms, events.TimerExpired(label)))
--- a/snowthread/core/state.py
+++ b/snowthread/core/state.py
@@ -127,7 +127,6 @@
     load_sample: tuple[float, ...] = ()
     load_sample_at_ms: float = float("-inf")
     load_sample_used: bool = False  # for an update of the controller
-    load_sample_serves_until_ms: float = float("-inf")  # the latest timer that a sample serves
     last_sample_number: int = 0
     last_stale_sample_number: int = 0  # up to this one the gauges had another order
     load_report: float | None = None
--- a/tests/core/test_load_samples.py
+++ b/tests/core/test_load_samples.py
@@ -6,12 +6,17 @@
 from typing import Any
 
 import pytest
+from support.core_events import make_request
 from support.exchange import START
 
 from snowthread.admission import events as admission_events
 from snowthread.admission.controller import UPDATE_TIMER, Controller
-from snowthread.core import events
-from snowthread.core.load_samples import LOAD_SAMPLE_MAX_AGE_MS, UTILIZATION_WINDOW_MS
+from snowthread.core import effects, events
+from snowthread.core.load_samples import (
+    LOAD_SAMPLE_LEAD_MS,
+    LOAD_SAMPLE_MAX_AGE_MS,
+    UTILIZATION_WINDOW_MS,
+)
 from snowthread.core.reducer import reduce
 from snowthread.core.runs import sync_tag
 from snowthread.core.state import State
@@ -74,6 +79,21 @@
     assert seen.timers == [admission_events.TimerFired(UPDATE_TIMER)]
 
 
+def test_each_update_has_a_sample_of_its_own_however_long_other_timers_are_set(state: State) -> None:
+    """A timer seconds ahead was taken to have a sample that would serve all updates before it."""
+    emitted = reduce(state, events.RuntimeConnected(False, 0.0), START)
+    emitted += reduce(state, make_request(1, "idempotent", START), START)  # due in three seconds
+    emitted += reduce(state, events.TimerExpired(UPDATE_TIMER), START + 250.0)
+    updates, samples = [], []
+    for effect in emitted:
+        if isinstance(effect, effects.ScheduleTimer) and effect.event == events.TimerExpired(UPDATE_TIMER):
+            updates.append(effect.at_ms)
+        elif isinstance(effect, effects.ScheduleTimer) and effect.event == events.LoadSampleDue():
+            samples.append(effect.at_ms)
+    assert len(updates) == 2
+    assert samples == [at_ms - LOAD_SAMPLE_LEAD_MS for at_ms in updates]
+
+
 def test_utilization_of_a_time_without_a_link_is_not_passed_on(connected: State, seen: Controllers) -> None:
     """Cores that ran dry as no start could reach them do not ask for a higher limit of runs."""
     reduce(connected, events.RuntimeDisconnected(), START + 100.0)
