Answer what came while the process stood still at its exit; signals at the exit don't fail it

As the interpreter ends it gives signals their defaults back, and a SIGHUP in those milliseconds killed the process; they are ignored from the end of the loop on.

--- a/snowthread/node/node.py
+++ b/snowthread/node/node.py
@@ -153,6 +153,7 @@
         self.listen_for_signals()
         logger.info("{} pid {} listens on {}:{}", self.config.name, os.getpid(), *self.config.listen)
         self.loop.run()
+        self._signals.stop()
 
     def listen_for_signals(self) -> None:
         """Listen for signals from now on."""
--- a/snowthread/node/shutdown.py
+++ b/snowthread/node/shutdown.py
@@ -75,6 +75,7 @@
                     break
                 busy_at_ms = now
             yield Wait(until_ms=now + POLL_INTERVAL_MS)
+        node.balancers.read_pending()
         channel.close()
         node.stop()
 
@@ -90,6 +91,8 @@
             if node.balancers.busy:
                 busy_at_ms = now
             yield Wait(until_ms=now + POLL_INTERVAL_MS)
+        # Where the time ran out while the process stood still, requests lie unread: each is answered as read.
+        node.balancers.read_pending()
         node.stop()
 
     def _has_unread_work(self) -> bool:
--- a/snowthread/node/signals.py
+++ b/snowthread/node/signals.py
@@ -46,6 +46,18 @@
         signal.pthread_sigmask(signal.SIG_UNBLOCK, BLOCKED_SIGNALS)
         self._node.loop.spawn(self._steps(reader))
 
+    def stop(self) -> None:
+        """Ignore all signals of ours from now on; the process is about to end.
+
+        The interpreter gives them their defaults back as it ends: a signal then would end the process with a
+        failure, though all was answered.
+        """
+        if self._sockets is None:
+            return
+        signal.set_wakeup_fd(-1)
+        for number in BLOCKED_SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
+
     def _note_shutdown_signal(self, *_: object) -> None:
         """Note when a signal to shut down came.
 
--- a/tests/node/test_node_shutdown.py
+++ b/tests/node/test_node_shutdown.py
@@ -20,7 +20,11 @@
     serve_request,
 )
 
-from snowthread.node.shutdown import CLOSE_LISTENER_BEFORE_KILL_MS, QUIET_BEFORE_EXIT_MS
+from snowthread.node.shutdown import (
+    CLOSE_LISTENER_BEFORE_KILL_MS,
+    EXIT_BEFORE_KILL_MS,
+    QUIET_BEFORE_EXIT_MS,
+)
 
 
 def test_message_that_crossed_the_last_farewell_is_answered_by_a_late_loop(harness: NodeHarness) -> None:
@@ -38,6 +42,26 @@
     assert node._stopped
 
 
+def test_requests_unread_as_a_paused_process_goes_on_shortly_before_the_kill_are_answered(
+    harness: NodeHarness,
+) -> None:
+    """The time to exit had passed while it stood still: it exited with what had come meanwhile unread."""
+    harness.connect("1")
+    harness.send("1", HEALTH_CHECK)
+    assert read_answer(harness, "1")[:2] == [1, 1]
+    harness.begin_shutdown()
+    node = harness.node
+    node.loop.spawn(node.shutdown.serve_until_kill(START + GRACE_MS))
+    harness.settle()
+    harness.advance(GRACE_MS - CLOSE_LISTENER_BEFORE_KILL_MS)
+    assert read_answer(harness, "1") == FAREWELL_MESSAGE
+    harness.advance_late(CLOSE_LISTENER_BEFORE_KILL_MS - EXIT_BEFORE_KILL_MS + 1.0)
+    harness.send("1", request(2, "dispense", once="k1", wait="900", at=harness.clock.now_ms))
+    harness.settle()
+    assert read_answer(harness, "1")[:2] == [1, 2]
+    assert node._stopped
+
+
 def test_run_that_completes_after_the_listener_closed_is_answered(harness: NodeHarness) -> None:
     harness.connect("1")
     harness.send("1", request(1, "dispense", once="k1", wait="9000"))
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -9,6 +9,7 @@
 import socket
 import subprocess
 import sys
+import time
 import tomllib
 from contextlib import ExitStack
 from pathlib import Path
@@ -49,6 +50,19 @@
         assert process.returncode == 0 and "stopped" in log and "Traceback" not in log
 
 
+def test_signals_in_series_until_the_exit_do_not_fail_it(tmp_path: Path) -> None:
+    """As the interpreter ended it gave signals their defaults back, and a reload then killed the process."""
+    path = configuration(tmp_path, stop_ms=900)
+    with site(path), node(path) as process:
+        process.send_signal(signal.SIGTERM)
+        end = time.monotonic() + PATIENCE_S
+        while process.poll() is None and time.monotonic() < end:
+            process.send_signal(signal.SIGHUP)
+            process.send_signal(signal.SIGTERM)
+            time.sleep(0.001)
+        assert process.wait(PATIENCE_S) == 0
+
+
 def test_messages_unread_at_the_shutdown_signal_are_answered(tmp_path: Path) -> None:
     path = configuration(tmp_path, stop_ms=1500)
     with site(path), node(path) as process:
