Runs of a process that is gone are believed where they are measured

Cause: the same class as the incident, found on reading the paths beside it. When one process of a hot restart exits, or a node starts beside a runtime that is older, runs that nobody counts may go on.

--- a/snowthread/core/peer_process.py
+++ b/snowthread/core/peer_process.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+from snowthread.admission import events as admission_events
 from snowthread.core import effects, events
 from snowthread.core.arrivals import retry_pending_claims
 from snowthread.core.request_lifecycle import complete_followers
@@ -84,6 +85,7 @@
     state = transition.state
     state.handover_role, state.superseded, state.peer_load = HandoverRole.STANDALONE, False, None
     apply_settings(transition)
+    transition.dispatch(admission_events.RunCountDoubted())  # its runs may go on, and nobody counts them
     for record in state.idempotency_table.records():
         if record.remote and not record.completed:
             record.completed = True
--- a/snowthread/core/runs.py
+++ b/snowthread/core/runs.py
@@ -111,6 +111,8 @@
         state.reconnected_at_ms = transition.now_ms
     waiting, state.unsent_commands = state.unsent_commands, []
     note_link_ready(transition, len(waiting))
+    if state.link_number == 1:  # runs that an earlier process of this node began may go on
+        transition.dispatch(admission_events.RunCountDoubted())
     for command in waiting:
         if command.attempt_id in state.requests_by_attempt_id:
             send_command(transition, command)
--- a/tests/core/test_runs.py
+++ b/tests/core/test_runs.py
@@ -6,7 +6,7 @@
 from support.core_events import make_request
 from support.exchange import START
 
-from snowthread.admission.controller import DEADLINE_TIMER
+from snowthread.admission.controller import COUNT_DOUBT_S, DEADLINE_TIMER, UPDATE_TIMER
 from snowthread.admission.settings import Outcome
 from snowthread.core import effects, events
 from snowthread.core.reducer import reduce
@@ -166,3 +166,29 @@
     reduce(state, events.CallCompleted(request.attempt_id, Outcome.SUCCESS, 1.0, b"r"), START + 4.0)
     reduce(state, events.LoadSampleReceived(sync_tag(2), ()), START + 5.0)
     assert not request.indeterminate
+
+
+@pytest.mark.parametrize(
+    "event",
+    [
+        pytest.param(events.PeerProcessExited(), id="peer process exited"),
+        pytest.param(events.RuntimeDisconnected(), id="link broke"),
+    ],
+)
+def test_more_runs_than_are_counted_are_believed_after(state: State, event: events.Event) -> None:
+    """Runs of a process that is gone go on at the runtime, and so do those of which a break told nothing."""
+    state.gauge_names = ("on_cores",)
+    reduce(state, events.RuntimeConnected(False, 0.0), START)
+    later = START + 1000.0 * (COUNT_DOUBT_S + 1.0)
+    reduce(state, event, later)
+    reduce(state, events.LoadSampleReceived("x", (6.0,)), later)
+    reduce(state, events.TimerExpired(UPDATE_TIMER), later)
+    assert state.controller is not None and state.controller.run_load().uncounted == 6.0
+
+
+def test_runs_of_an_earlier_process_are_believed_after_the_start(state: State) -> None:
+    state.gauge_names = ("on_cores",)
+    reduce(state, events.RuntimeConnected(False, 60_000.0), START)
+    reduce(state, events.LoadSampleReceived("x", (6.0,)), START + 240.0)
+    reduce(state, events.TimerExpired(UPDATE_TIMER), START + 250.0)
+    assert state.controller is not None and state.controller.run_load().uncounted == 6.0
