Soak of a real node: seeded faults, clients that never let go, an early kill

Cause: no test kept a node under several faults until the kill at the earliest time that is allowed.

--- /dev/null
+++ b/emulators/metered_database.py
@@ -0,0 +1,75 @@
+"""A formula database that keeps how many calls it had in hand, in the mean over a window.
+
+A call whose client closes its connection stays in hand for :data:`LINGER_MS`, as on the platform.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections import deque
+from typing import NamedTuple
+
+from emulators.servers import accept_connections, listen
+from emulators.site import DATABASE_ANSWER, READ_BYTES
+from snowthread.address import Address
+from snowthread.net.loop import HANGUP, READABLE, EventLoop, TaskSteps, Wait
+
+LINGER_MS = 200.0
+METER_INTERVAL_MS = 50.0
+WINDOW_MS = 5000.0
+
+
+class _Sample(NamedTuple):
+    """How many calls were in hand at a time."""
+
+    at_ms: float
+    calls: int
+
+
+class MeteredDatabase:
+    """Answers each call after ``answer_ms``; may be changed at any time."""
+
+    def __init__(self, loop: EventLoop, address: Address, answer_ms: float) -> None:
+        """Listen at the address."""
+        self.answer_ms = answer_ms
+        self.calls = 0  # that came
+        self.peak_mean = 0.0  # of the calls in hand, over the window
+        self._in_hand = 0
+        self._loop = loop
+        self._samples: deque[_Sample] = deque()
+        loop.spawn(accept_connections(loop, listen(address), self._serve))
+        self._measure()
+
+    def _measure(self) -> None:
+        now = self._loop.clock.now()
+        self._loop.call_at(now + METER_INTERVAL_MS, self._measure)
+        self._samples.append(_Sample(now, self._in_hand))
+        while self._samples[0].at_ms < now - WINDOW_MS:
+            self._samples.popleft()
+        mean = sum(sample.calls for sample in self._samples) * METER_INTERVAL_MS / WINDOW_MS
+        self.peak_mean = max(self.peak_mean, mean)
+
+    def _serve(self, connection: socket.socket) -> TaskSteps:
+        try:
+            while True:
+                yield Wait(connection.fileno(), READABLE | HANGUP)
+                if not connection.recv(READ_BYTES):
+                    return
+                self.calls += 1
+                yield from self._answer(connection)
+        except OSError:
+            pass
+        finally:
+            self._loop.close(connection)
+
+    def _answer(self, connection: socket.socket) -> TaskSteps:
+        """Answer one call, or drop it a while after its client has gone."""
+        self._in_hand += 1
+        try:
+            due_ms = self._loop.clock.now() + self.answer_ms
+            ready = yield Wait(connection.fileno(), READABLE | HANGUP, due_ms)
+            if ready:
+                yield Wait(until_ms=min(due_ms, self._loop.clock.now() + LINGER_MS))
+        finally:
+            self._in_hand -= 1
+        connection.send(DATABASE_ANSWER)
--- a/emulators/node_under_faults.py
+++ b/emulators/node_under_faults.py
@@ -9,6 +9,7 @@
 import json
 import os
 import random
+import shlex
 import signal
 import socket
 import subprocess
@@ -21,7 +22,8 @@
 from typing import Any, Self
 
 from emulators.load_generator import LoadGenerator
-from emulators.site import DatabaseEmulator, RegistryEmulator, SiteScript
+from emulators.metered_database import MeteredDatabase
+from emulators.site import RegistryEmulator, SiteScript
 from emulators.strict_runtime import MachineModel, StrictRuntime
 from snowthread.address import Address
 from snowthread.lab.relay import Relay
@@ -48,6 +50,7 @@
     domain: Mapping[str, Any] = field(default_factory=dict)  # changes to the settings' ``domain``
     database_ms: float = 20.0
     wait_ms: float = 3000.0  # for which balancers wait
+    deadline_s: float = 0.0  # of all classes; 0: as in the example
     stop_ms: int = 3700
 
     def settings(self) -> dict[str, Any]:
@@ -63,6 +66,9 @@
         for request_class in settings["classes"]:
             is_keyed = request_class["name"] in self.keyed_classes
             request_class["effect"] = "idempotency_key" if is_keyed else "read_like"
+            if self.deadline_s:
+                request_class["deadline_s"] = self.deadline_s
+                request_class["goal_time_s"] = min(request_class["goal_time_s"], 0.7 * self.deadline_s)
             request_class["window_s"] = max(request_class["window_s"], 15.951 if is_keyed else 0.0)
         return settings
 
@@ -85,9 +91,8 @@
         addresses = _free_addresses(4)
         runtime, database, registry, self.listen_address = addresses
         self.runtime = StrictRuntime(self.loop, runtime, scenario.model, self.generator)
-        self.database_script = SiteScript(database_ms=scenario.database_ms)
-        DatabaseEmulator(self.loop, database, self.database_script)
-        RegistryEmulator(self.loop, registry, self.database_script)
+        self.database = MeteredDatabase(self.loop, database, scenario.database_ms)
+        RegistryEmulator(self.loop, registry, SiteScript())
         self.runtime_link = Relay(self.loop, ANY_PORT, runtime, self.generator, "runtime")
         self.database_link = Relay(self.loop, ANY_PORT, database, self.generator, "database")
         self._config_path = folder / "node.json"
@@ -123,8 +128,9 @@
         self.runtime.forget_node()
         environment = os.environ | {"NODE_CONFIG": str(self._config_path), "PYTHONPATH": str(ROOT)}
         log = self._resources.enter_context(self.log_path.open("ab"))
+        command = f"trap '' HUP; exec {shlex.quote(sys.executable)} -m snowthread"  # as in service
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "snowthread"], cwd=ROOT, env=environment, stdout=log, stderr=log
+            ["/bin/sh", "-c", command], cwd=ROOT, env=environment, stdout=log, stderr=log
         )
         deadline_ms = self.loop.clock.now() + START_TIMEOUT_MS
         links = self.runtime.links
--- /dev/null
+++ b/emulators/persistent_clients.py
@@ -0,0 +1,199 @@
+"""Clients of one node that go on using their open connections, whatever the node says, until it is killed.
+
+Each request is sent at its time whether or not earlier ones were answered, on a connection that is open
+already where there is one. Some connections are reset by their client and some requests are cancelled: their
+answers are not owed. A request that crosses the end of its connection, within :data:`CROSSING_MS` of it, is
+sent once more on a new one, as the platform's balancers do.
+"""
+
+from __future__ import annotations
+
+import random
+import socket
+import time
+from dataclasses import dataclass, field
+
+import msgpack
+
+from snowthread.address import Address
+from snowthread.net.loop import HANGUP, READABLE, EventLoop, TaskSteps, Wait
+
+CROSSING_MS = 50.0
+READ_BYTES = 65536
+REQUESTS_OPEN_MAX = 32  # on one connection
+REQUEST_MESSAGE, ANSWER_MESSAGE, NOTIFICATION_MESSAGE = 0, 1, 2
+SERVED, REJECTED = "served", "Throttled"
+KEYED_BODY_PREFIX = b"key:"
+
+
+@dataclass(slots=True, eq=False)
+class ClientRequest:
+    """One request of a client, and what became of it."""
+
+    class_name: str
+    idempotency_key: str  # empty: none
+    wait_ms: float
+    attempt_id: str = ""
+    sent_ms: float = 0.0
+    answers: list[str] = field(default_factory=list)
+    answered_ms: float = 0.0
+    attempts: int = 0
+    is_owed: bool = True  # False: cancelled, reset by its client, or never accepted
+    lost_reason: str = ""
+
+    @property
+    def lateness_ms(self) -> float:
+        """How long after its due time it was answered."""
+        return self.answered_ms - self.sent_ms - self.wait_ms
+
+
+class ClientConnection:
+    """One connection, used for as long as it is open."""
+
+    def __init__(self, clients: PersistentClients, sock: socket.socket) -> None:
+        self.sock = sock
+        self.open: dict[int, ClientRequest] = {}
+        self.is_closed = False
+        self._clients = clients
+        self._number = 0
+        self._unpacker = msgpack.Unpacker()
+
+    def send(self, request: ClientRequest) -> None:
+        """Send a request; OSError where the connection is broken."""
+        self._number += 1
+        fields = {
+            "id": request.attempt_id,
+            "at": str(int(time.time() * 1000.0)),
+            "from": "1",
+            "rank": "0.5",
+            "wait": str(int(request.wait_ms)),
+            "kb": "20",
+        }
+        body = b"plain"
+        if request.idempotency_key:
+            fields["once"] = request.idempotency_key
+            body = KEYED_BODY_PREFIX + request.idempotency_key.encode()
+        self.open[self._number] = request
+        self.sock.sendall(msgpack.packb([REQUEST_MESSAGE, self._number, request.class_name, [fields, body]]))
+
+    def cancel(self, request: ClientRequest) -> None:
+        """Tell the node that nobody waits for a request any more."""
+        for number, found in list(self.open.items()):
+            if found is request and not self.is_closed:
+                del self.open[number]
+                self.sock.sendall(msgpack.packb([NOTIFICATION_MESSAGE, "cancel", [number]]))
+
+    def steps(self) -> TaskSteps:
+        """Read answers until the connection ends."""
+        try:
+            while True:
+                yield Wait(self.sock.fileno(), READABLE | HANGUP)
+                data = self.sock.recv(READ_BYTES)
+                if not data:
+                    return
+                self._unpacker.feed(data)
+                for message in self._unpacker:
+                    if message[0] == ANSWER_MESSAGE:
+                        self._take_answer(message)
+        except OSError:
+            pass
+        finally:
+            self.is_closed = True
+            self._clients.loop.close(self.sock)
+            self._clients.connection_ended(self)
+
+    def _take_answer(self, message: list[object]) -> None:
+        request = self.open.get(int(str(message[1])))
+        if request is not None:
+            error = message[2]
+            request.answers.append(str(error[0]) if isinstance(error, list) else SERVED)
+            request.answered_ms = self._clients.loop.clock.now()
+
+
+class PersistentClients:
+    """All clients of one node."""
+
+    def __init__(self, loop: EventLoop, address: Address, generator: random.Random, connections: int) -> None:
+        """Connect to nothing yet; ``connections`` are used in turn."""
+        self.loop = loop
+        self.requests: list[ClientRequest] = []
+        self.node_is_gone = False  # killed: what was open then is not owed
+        self._address = address
+        self._generator = generator
+        self._connections: list[ClientConnection | None] = [None] * connections
+        self._idle: list[socket.socket] = []
+
+    def send(self, class_name: str, idempotency_key: str, wait_ms: float) -> ClientRequest:
+        """Send a request on a random connection."""
+        request = ClientRequest(class_name, idempotency_key, wait_ms)
+        self.requests.append(request)
+        self._send(request, self._generator.randrange(len(self._connections)))
+        return request
+
+    def _send(self, request: ClientRequest, index: int) -> None:
+        request.attempt_id = f"{self._generator.getrandbits(64):016x}"
+        request.attempts += 1
+        request.sent_ms = self.loop.clock.now()
+        try:
+            self._connection(index).send(request)
+        except OSError:
+            request.is_owed = False  # refused, or broken as it was sent: not a byte of it counts
+
+    def _connection(self, index: int) -> ClientConnection:
+        found = self._connections[index]
+        if found is None or found.is_closed or len(found.open) >= REQUESTS_OPEN_MAX:
+            sock = socket.create_connection(self._address, timeout=1.0)
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            found = self._connections[index] = ClientConnection(self, sock)
+            self.loop.spawn(found.steps())
+        return found
+
+    def cancel(self, request: ClientRequest) -> None:
+        """Cancel a request that has no answer yet."""
+        if not request.answers:
+            request.is_owed = False
+            for connection in self._connections:
+                if connection is not None:
+                    connection.cancel(request)
+
+    def reset_one(self) -> None:
+        """Reset a random connection; what is open there is not owed any more."""
+        connection = self._generator.choice(self._connections)
+        if connection is not None and not connection.is_closed:
+            for request in connection.open.values():
+                request.is_owed = request.is_owed and bool(request.answers)
+            connection.open.clear()
+            linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"  # on, for 0 s: close with a reset
+            connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            connection.sock.shutdown(socket.SHUT_RDWR)
+
+    def open_crowd(self, count: int) -> None:
+        """Open connections that send nothing."""
+        for _ in range(count):
+            try:
+                self._idle.append(socket.create_connection(self._address, timeout=1.0))
+            except OSError:
+                return
+
+    def close_crowd(self) -> None:
+        """Close the connections that sent nothing."""
+        for sock in self._idle:
+            sock.close()
+        self._idle.clear()
+
+    def connection_ended(self, connection: ClientConnection) -> None:
+        """Judge what was open on a connection that the node or the kernel closed."""
+        now = self.loop.clock.now()
+        for request in connection.open.values():
+            if request.answers or not request.is_owed:
+                continue
+            if self.node_is_gone:
+                request.is_owed = False
+            elif now - request.sent_ms <= CROSSING_MS and request.attempts == 1:
+                index = self._generator.randrange(len(self._connections))
+                self._connections[index] = None  # on a new connection; the earlier one is still read
+                self._send(request, index)
+            else:
+                request.lost_reason = f"connection ended {now - request.sent_ms:.0f} ms after it was sent"
+        connection.open.clear()
--- /dev/null
+++ b/emulators/soak_plan.py
@@ -0,0 +1,132 @@
+"""What a soak of one node plays, drawn from a seed. Pure: the same seed gives the same plan."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+from emulators.node_under_faults import NodeScenario
+from emulators.strict_runtime import MachineModel
+
+CLASS_NAMES = ("match", "recalc", "dispense")
+KILL_AFTER_DEADLINE_MS = 700  # the kill comes this long after the longest deadline, at the earliest
+FAULTS_BEGIN_MS = 1500.0
+
+
+class FaultKind(Enum):
+    """One kind of fault."""
+
+    RUNTIME_RESET = "runtime link reset"
+    RUNTIME_DOWN = "runtime link down"
+    RUNTIME_DELAY = "runtime link slow"
+    RUNTIME_SILENT = "runtime link silent"
+    DATABASE_RESET = "database connections reset"
+    DATABASE_DOWN = "database down"
+    DATABASE_SLOW = "database slow"
+    CLIENT_RESET = "client reset"
+    CROWD = "crowd of connections"
+    RELOAD = "SIGHUP"
+    PAUSE = "SIGSTOP"
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedFault:
+    """A fault at a time, for a duration where it has one; ``value`` is a time in ms or a number."""
+
+    at_ms: float
+    kind: FaultKind
+    duration_ms: float = 0.0
+    value: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class SoakPlan:
+    """The plan of one soak."""
+
+    seed: int
+    scenario: NodeScenario
+    traffic_ms: float  # until SIGTERM; clients go on after it, until the kill
+    connections: int
+    cancelled_share: float
+    repeated_share: float  # of keyed requests: sent again by the client
+    terminations: int  # how many times SIGTERM is sent
+    faults: tuple[PlannedFault, ...]
+
+
+def draw_plan(seed: int, traffic_ms: float = 7000.0) -> SoakPlan:
+    """Return the plan of a seed."""
+    generator = random.Random(seed)
+    scenario = _draw_scenario(generator)
+    return SoakPlan(
+        seed=seed,
+        scenario=scenario,
+        traffic_ms=traffic_ms,
+        connections=generator.choice((2, 5, 12)),
+        cancelled_share=generator.choice((0.0, 0.05, 0.2)),
+        repeated_share=generator.choice((0.0, 0.2, 0.5)),
+        terminations=generator.choice((1, 2, 4)),
+        faults=tuple(sorted(_draw_faults(generator, traffic_ms), key=lambda fault: fault.at_ms)),
+    )
+
+
+def _draw_scenario(generator: random.Random) -> NodeScenario:
+    deadline_s = generator.choice((0.8, 1.5, 3.0))
+    keyed = generator.choice((("dispense",), ("dispense", "recalc"), CLASS_NAMES))
+    preemption = generator.choice(("drop", "drop", "pause", "none"))
+    is_cold = generator.random() < 0.4
+    shares = [generator.uniform(0.1, 1.0) for _ in CLASS_NAMES]
+    call_share = generator.choice((0.0, 0.4, 1.0))
+    model = MachineModel(
+        cores=generator.choice((1, 2, 4, 6)),
+        mean_run_ms=generator.choice((80.0, 200.0, 500.0)),
+        call_share={"match": call_share, "dispense": call_share},
+        can_stop_runs=preemption != "none",
+        cold_share=0.23 if is_cold else 1.0,
+        warmup_ms=17_000.0 if is_cold else 0.0,
+    )
+    return NodeScenario(
+        model=model,
+        load=generator.choice((0.6, 1.2, 2.0, 3.5)),
+        class_shares=dict(zip(CLASS_NAMES, shares, strict=True)),
+        keyed_classes=frozenset(keyed),
+        preemption=preemption,
+        database_ms=generator.choice((5.0, 60.0)),
+        wait_ms=deadline_s * 1000.0,
+        deadline_s=deadline_s,
+        stop_ms=int(deadline_s * 1000.0) + KILL_AFTER_DEADLINE_MS,
+    )
+
+
+def _draw_faults(generator: random.Random, traffic_ms: float) -> list[PlannedFault]:
+    """Draw two to four rows of faults; each row repeats one kind at a pace of its own."""
+    faults: list[PlannedFault] = []
+    for kind in generator.sample(list(FaultKind), generator.randint(2, 4)):
+        at_ms = generator.uniform(FAULTS_BEGIN_MS, traffic_ms * 0.6)
+        until_ms = at_ms + generator.choice((500.0, 2500.0, traffic_ms))
+        period_ms = _period_ms(kind, generator)
+        while at_ms < until_ms:
+            faults.append(_draw_fault(kind, at_ms, generator))
+            at_ms += period_ms * generator.uniform(0.6, 1.4)
+    return faults
+
+
+def _period_ms(kind: FaultKind, generator: random.Random) -> float:
+    if kind in (FaultKind.RUNTIME_RESET, FaultKind.DATABASE_RESET, FaultKind.CLIENT_RESET):
+        return generator.choice((120.0, 350.0, 600.0))
+    return generator.choice((700.0, 1500.0))
+
+
+def _draw_fault(kind: FaultKind, at_ms: float, generator: random.Random) -> PlannedFault:
+    duration_ms = generator.uniform(50.0, 500.0)
+    match kind:
+        case FaultKind.RUNTIME_DELAY:
+            return PlannedFault(at_ms, kind, duration_ms, generator.uniform(20.0, 200.0))
+        case FaultKind.DATABASE_SLOW:
+            return PlannedFault(at_ms, kind, duration_ms * 2.0, generator.uniform(200.0, 1500.0))
+        case FaultKind.CROWD:
+            return PlannedFault(at_ms, kind, duration_ms, generator.choice((50, 300)))
+        case FaultKind.PAUSE:
+            return PlannedFault(at_ms, kind, generator.uniform(20.0, 150.0))
+        case _:
+            return PlannedFault(at_ms, kind, duration_ms)
