--- a/emulators/soak_plan.py
+++ b/emulators/soak_plan.py
@@ -12,6 +12,7 @@
 CLASS_NAMES = ("match", "recalc", "dispense")
 KILL_AFTER_DEADLINE_MS = 700  # the kill comes this long after the longest deadline, at the earliest
 FAULTS_BEGIN_MS = 1500.0
+FLAPPING_SHARE = 0.5  # of the plans: the link breaks until the kill
 
 
 class FaultKind(Enum):
@@ -108,6 +109,19 @@
         while at_ms < until_ms:
             faults.append(_draw_fault(kind, at_ms, generator))
             at_ms += period_ms * generator.uniform(0.6, 1.4)
+    return faults + _draw_flapping(random.Random(generator.getrandbits(32)), traffic_ms)
+
+
+def _draw_flapping(generator: random.Random, traffic_ms: float) -> list[PlannedFault]:
+    """Draw, for half of the plans, a runtime's link that breaks again and again until the kill."""
+    if generator.random() >= FLAPPING_SHARE:
+        return []
+    period_ms, down_ms = generator.choice((120.0, 200.0, 600.0)), generator.choice((0.0, 0.1, 0.4))
+    faults, at_ms = [], FAULTS_BEGIN_MS
+    while at_ms < traffic_ms * 2.0:
+        kind = FaultKind.RUNTIME_DOWN if down_ms else FaultKind.RUNTIME_RESET
+        faults.append(PlannedFault(at_ms, kind, down_ms * period_ms))
+        at_ms += period_ms * generator.uniform(0.8, 1.2)
     return faults
 
 
