--- a/emulators/servers.py
+++ b/emulators/servers.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import json
 import socket
 from collections.abc import Callable
+from typing import Any
 
 from snowthread.address import Address
 from snowthread.net.loop import READABLE, EventLoop, TaskSteps, Wait
 
 BACKLOG = 256
+READ_BYTES = 65536
 
 
 def listen(address: Address) -> socket.socket:
@@ -32,3 +35,19 @@
             loop.spawn(serve(connection))
     finally:
         loop.close(listener)
+
+
+def read_json_lines(connection: socket.socket, take: Callable[[dict[str, Any]], None]) -> TaskSteps:
+    """Hand each line that comes to ``take``, as the JSON object it is, until the connection ends."""
+    partial_line = b""
+    while True:
+        yield Wait(connection.fileno(), READABLE)
+        try:
+            data = connection.recv(READ_BYTES)
+        except BlockingIOError:
+            continue
+        if not data:
+            return
+        *lines, partial_line = (partial_line + data).split(b"\n")
+        for line in lines:
+            take(json.loads(line))
--- a/emulators/site.py
+++ b/emulators/site.py
@@ -20,7 +20,7 @@
 from typing import Any
 
 from emulators.core_queue import CoreQueue
-from emulators.servers import accept_connections, listen
+from emulators.servers import accept_connections, listen, read_json_lines
 from emulators.stdin_commands import handle_commands
 from snowthread.address import Address
 from snowthread.net.clock import Clock
@@ -79,19 +79,8 @@
         self._cores = CoreQueue(self.loop, self.script.cores)
 
     def _serve(self, connection: socket.socket) -> TaskSteps:
-        partial_line = b""
         try:
-            while True:
-                yield Wait(connection.fileno(), READABLE)
-                try:
-                    data = connection.recv(READ_BYTES)
-                except BlockingIOError:
-                    continue
-                if not data:
-                    return
-                *lines, partial_line = (partial_line + data).split(b"\n")
-                for line in lines:
-                    self._take(connection, json.loads(line))
+            yield from read_json_lines(connection, partial(self._take, connection))
         finally:
             self.loop.close(connection)
 
--- a/emulators/strict_runtime.py
+++ b/emulators/strict_runtime.py
@@ -16,12 +16,11 @@
 from functools import partial
 from typing import Any
 
-from emulators.servers import accept_connections, listen
+from emulators.servers import accept_connections, listen, read_json_lines
 from emulators.shared_cores import SharedCores
 from snowthread.address import Address
-from snowthread.net.loop import READABLE, EventLoop, TaskSteps, Wait
+from snowthread.net.loop import EventLoop, TaskSteps
 
-READ_BYTES = 65536
 KEPT_NOTICES = 4000
 LOAD_CHECK_MS = 20.0
 HEAP_SHARE, LINKS = 0.1, 2  # reported as constants with the measured part of the load
@@ -112,19 +111,8 @@
     # The link.
 
     def _serve(self, connection: socket.socket) -> TaskSteps:
-        partial_line = b""
         try:
-            while True:
-                yield Wait(connection.fileno(), READABLE)
-                try:
-                    data = connection.recv(READ_BYTES)
-                except BlockingIOError:
-                    continue
-                if not data:
-                    return
-                *lines, partial_line = (partial_line + data).split(b"\n")
-                for line in lines:
-                    self._take(connection, json.loads(line))
+            yield from read_json_lines(connection, partial(self._take, connection))
         except OSError:
             pass  # reset: what was not read is lost
         finally:
--- a/snowthread/admission/concurrency.py
+++ b/snowthread/admission/concurrency.py
@@ -7,7 +7,8 @@
 
 UPDATE_PERIOD_S = 0.25  # between updates of the blocking probability and the limits: about one run
 FULL_UTILIZATION = 0.9  # of the cores, from which they count as full
-LIMIT_GROWTH, LIMIT_CUT = 1.25, 0.7  # factors: an update while cores idle and work waits; after a slow run
+LIMIT_GROWTH = 1.25  # factor an update while cores idle and work waits
+LIMIT_CUT = 0.7  # factor after a slow run
 SLOW_RUN_FACTOR = 4.0  # times its core time from which a run is slow
 CAPACITY_MARGIN = 0.8  # of the runs that the server survives that are used at most
 
--- a/snowthread/admission/controller.py
+++ b/snowthread/admission/controller.py
@@ -21,7 +21,8 @@
 from snowthread.admission.timer_queue import TimerQueue
 from snowthread.admission.wait_queue import WaitQueue
 
-UPDATE_TIMER, DEADLINE_TIMER = 1, 2  # labels
+UPDATE_TIMER = 1  # label
+DEADLINE_TIMER = 2  # label
 DEADLINE_MARGIN_S = 0.03  # before the deadline at which an answer is forced
 STOP_MARGIN_S = 0.3  # before the stop by which all is answered
 KEY_MARGIN_S = 0.1  # for which a key is remembered beyond its window
@@ -29,6 +30,9 @@
 RETRY_FRESHNESS = 0.25  # chance that a retry, whose age is told nowhere, is still within its objective
 LOST_RUN_FACTOR = 4.0  # times its usual duration after which a run that nothing is heard of counts as lost
 COUNT_DOUBT_S = 10.0  # after the host lost its link: more runs than are counted are then believed
+QUEUE_CHECK_INTERVAL_S = 0.02  # at least, between two looks at what waits without hope
+FULL_PERIOD_SHARE = 0.9  # of the time between updates, with a run for each core, that counts as all of it
+MIN_UTILIZATION = 0.4  # below which cores tell no more of the room on them
 LAST_ATTEMPT_SHARE = 0.25  # of a run: with less time left no other server, however fast, could serve it
 
 
@@ -335,7 +339,7 @@
         if state is RequestState.QUEUED:
             hopeless_at = self._wait_queue.hopeless_at(request)
             is_due = is_due or hopeless_at <= soon
-            check_at = min(check_at, max(hopeless_at, soon + 0.02))
+            check_at = min(check_at, max(hopeless_at, soon + QUEUE_CHECK_INTERVAL_S))
         elif state is RequestState.RUNNING and self._open.queued:  # others wait for its core
             is_due = is_due or (request.objective_at <= soon and not request.request_class.late_weight_factor)
         if is_due:
@@ -356,7 +360,7 @@
                 self._actions += self._outlier_detector.update(now)
             self._calls.update_limit()
             cores.reconcile(event.core_demand if now < self._count_doubted_until else None)
-            was_full, queued = cores.full_s >= 0.9 * elapsed_s, bool(self._open.queued)
+            was_full, queued = cores.full_s >= FULL_PERIOD_SHARE * elapsed_s, bool(self._open.queued)
             self.concurrency.update(used, was_full, event.core_demand, queued, now - self.started_at)
         cores.full_s = 0.0
         self._actions.append(actions.SetTimer(UPDATE_PERIOD_S, UPDATE_TIMER))
@@ -368,7 +372,7 @@
         estimates.update(elapsed_s, is_full)
         beta = estimates.abandonment_ratio()
         # Cores that are not full prove that there is room, whatever was learned of the service rate.
-        room = 0.0 if is_full else target_utilization(math.inf, 1.0, beta) / max(utilization, 0.4)
+        room = 0.0 if is_full else target_utilization(math.inf, 1.0, beta) / max(utilization, MIN_UTILIZATION)
         probability = blocking_probability(estimates.arrival_rate, estimates.service_rate, beta)
         self.blocking_probability = probability if room < 1.0 else 0.0
         if self._stop_at == math.inf:
--- a/snowthread/admission/downstream_calls.py
+++ b/snowthread/admission/downstream_calls.py
@@ -11,15 +11,21 @@
 DISPATCH_INTERVAL_S = 0.02  # for which calls that wait stay as they are, unless something happens
 MAX_ATTEMPTS = 4  # of a call where each earlier one may be repeated
 BACKOFF_S = 0.05  # before the second attempt, doubled for each further one
-BUDGET_RATE_SHARE, BUDGET_CAPACITY_SHARE = 0.55, 0.35  # of the quota: mean use, saved up; under 1 together
+BUDGET_RATE_SHARE = 0.55  # of the quota: mean use; with what is saved up under 1
+BUDGET_CAPACITY_SHARE = 0.35  # of the quota: saved up
+REQUIRED_CALLS_SHARE = 0.25  # of what is saved up, which skippable calls leave to required ones
 BUDGET_PARTS = 4.0  # skippable calls fit this often into what is saved, required ones half as often
-SKIPPABLE_TIME_SHARE, SKIPPABLE_WAIT_SHARE = 0.6, 0.25  # of the time left: for the call, to wait for it
-SKIPPABLE_TIMEOUT_FACTOR, REQUIRED_TIMEOUT_FACTOR = 6.0, 20.0  # times its usual duration: given up
-SKIPPABLE_MIN_TIMEOUT_S, REQUIRED_MIN_TIMEOUT_S = 0.05, 0.25
+SKIPPABLE_TIME_SHARE = 0.6  # of the time left, for the call
+SKIPPABLE_WAIT_SHARE = 0.25  # of the time left, to wait for it
+SKIPPABLE_TIMEOUT_FACTOR = 6.0  # times its usual duration: a call is given up
+REQUIRED_TIMEOUT_FACTOR = 20.0
+SKIPPABLE_MIN_TIMEOUT_S = 0.05
+REQUIRED_MIN_TIMEOUT_S = 0.25
 HUNG_CALL_FACTOR = 6.0  # times its usual duration from which a call hangs: it uses nothing downstream
 QUOTA_PER_SLOT = 5.0  # the quota is what the dependency survives: so many times what it has slots for
 OVERLOAD_SHARE = 0.3  # of slow calls from which the dependency is overloaded
-LIMIT_GROWTH, LIMIT_CUT = 1.15, 0.8  # factors an update
+LIMIT_GROWTH = 1.15  # factor an update
+LIMIT_CUT = 0.8  # factor an update
 
 
 class DownstreamCalls:
@@ -92,8 +98,8 @@
         timeout_s, capacity_s = self._timeout_s(now, request), self._budget.capacity
         if self._is_shared:
             longest_s = min(timeout_s + self._settings.abandoned_call_s, capacity_s)
-            # Skippable calls leave a quarter to required ones.
-            if not self._budget.reserve(longest_s, leave=capacity_s / 4.0 if request.can_skip_call else 0.0):
+            reserved_s = REQUIRED_CALLS_SHARE * capacity_s
+            if not self._budget.reserve(longest_s, leave=reserved_s if request.can_skip_call else 0.0):
                 return False
             request.reserved_call_s = longest_s
         self.table.start(now, request)
--- a/snowthread/admission/estimators.py
+++ b/snowthread/admission/estimators.py
@@ -9,17 +9,22 @@
 
 TIME_TOLERANCE_S = 1e-6  # times nearer than this are the same, everywhere, or a timer re-arms for ever
 AVERAGED_REQUESTS = 16.0  # that an average of arrivals spans, whatever the size of the server
-SERVICE_RATE_WINDOW_S, SERVICE_RATE_KNOWN_S = 3.0, 1.0  # of full cores: averaged over, before it is known
+SERVICE_RATE_WINDOW_S = 3.0  # of full cores: averaged over
+SERVICE_RATE_KNOWN_S = 1.0  # of full cores, before the service rate is known
 BEST_SPEED_MEMORY_S = 60.0  # of full cores in which the best speed is forgotten
 GOOD_AT_OBJECTIVE = 0.7  # chance that an answer is still good at its objective (Berger's 0.7 after 5 s)
 INITIAL_ABANDONMENT_RATIO = 0.071  # Berger's benchmark, used until the service rate is known
 READ_COST = 0.25  # of a run: what reading a request is taken to cost
 UNREAD_BACKLOG_S = 1.0  # within which requests that lay unread are to be worked off
-HINT_EXPONENT, HINT_WEIGHT_RUNS, HINT_MEMORY_RUNS = 0.5, 4.0, 200.0  # first guess: hints are half true
+HINT_EXPONENT = 0.5  # first guess: hints are half true
+HINT_WEIGHT_RUNS = 4.0  # that the first guess weighs
+HINT_MEMORY_RUNS = 200.0  # over which hints are learned
 BASE_WINDOW_RUNS = 30.0  # over which base times follow upwards; core times follow down ten times as fast
-RUN_WINDOW_RUNS, RUN_FALL_WINDOW_RUNS = 15.0, 3.0  # over which run times are averaged: rising, falling
+RUN_WINDOW_RUNS = 15.0  # over which rising run times are averaged
+RUN_FALL_WINDOW_RUNS = 3.0  # over which falling run times are averaged
 CALL_WINDOW_CALLS = 8.0  # over which call times are averaged
-SLOW_CALL_FACTOR, SLOW_CALL_MEMORY_S = 2.0, 60.0  # times its base; for so long its base rises to it
+SLOW_CALL_FACTOR = 2.0  # times its base, from which a call is slow
+SLOW_CALL_MEMORY_S = 60.0  # of slow calls, in which their base rises to them
 
 
 class Estimates(ClassTimeTable):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,8 +11,8 @@
 from emulators.soak_plan import FAULTS_BEGIN_MS, KILL_AFTER_DEADLINE_MS, FaultKind, draw_plan
 
 SEEDS = (14, 30, 40, 44, 45)
-"""Seeds that broke a rule once: machines that fell while links broke until the kill (14, 40, 45), a reload in the
-moment of the exit (30), requests that came while the process stood still just before it (44)."""
+"""Seeds that broke a rule once: machines that fell while links broke until the kill (14, 40, 45), a reload in
+the moment of the exit (30), requests that came while the process stood still just before it (44)."""
 
 
 @pytest.mark.parametrize("seed", SEEDS)
