--- a/snowthread/admission/__init__.py
+++ b/snowthread/admission/__init__.py
@@ -9,10 +9,11 @@
 - ``quotas`` weighs tenants, ``estimators`` learns;
 - ``load_report``, ``idle_connections`` and ``health`` tell callers and health checks what follows.
 
-Beside them are types (``settings``, ``events``, ``actions``, ``request``) and accounting that decides nothing
-(``open_requests``, ``call_table``, ``tenant_table``, ``class_times``, ``cores``, ``memory``, ``timer_queue``,
-``statistics``); the recovery of a cold node (``recovery_pacer``, ``slow_start``, ``call_budget``,
-``backoff``, ``learned_state``); and translation (``settings_parser``, ``simulator_adapter``).
+Beside them are types (``settings``, ``events``, ``actions``, ``reasons``, ``request``, ``run_load``) and
+accounting that decides nothing (``open_requests``, ``call_table``, ``tenant_table``, ``class_times``,
+``cores``, ``memory``, ``timer_queue``, ``statistics``); the recovery of a cold node (``recovery_pacer``,
+``slow_start``, ``call_budget``, ``backoff``, ``learned_state``); and translation (``settings_parser``,
+``simulator_adapter``).
 """
 
 from snowthread.admission.controller import Controller
--- a/tests/core/test_runs.py
+++ b/tests/core/test_runs.py
@@ -192,3 +192,9 @@
     reduce(state, events.LoadSampleReceived("x", (6.0,)), START + 240.0)
     reduce(state, events.TimerExpired(UPDATE_TIMER), START + 250.0)
     assert state.controller is not None and state.controller.run_load().uncounted == 6.0
+
+
+def test_exit_of_a_peer_process_before_the_runtime_is_there_starts_no_controller(state: State) -> None:
+    """It would take a machine for warm whose age nobody has told yet."""
+    reduce(state, events.PeerProcessExited(), START)
+    assert state.controller is None
