Log ends of runs without a stop, and the release of idempotency keys

Change: three lines at DEBUG, events runtime.run and idempotency.key, in core/run_log.py, where log_run_status moves from resync_log.

--- a/snowthread/core/__init__.py
+++ b/snowthread/core/__init__.py
@@ -8,7 +8,8 @@
   ``action_handlers`` carries out the decisions of the admission controller, ``request_lifecycle`` documents
   the phases and sends the response.
 - Runs at the runtime: ``run`` documents the states of a run, ``run_commands`` sends commands,
-  ``downstream_calls`` makes calls for runs, ``run_completion`` ends a run.
+  ``downstream_calls`` makes calls for runs, ``run_completion`` ends a run, ``run_log``
+  logs unusual ends and the release of keys.
 - The link to the runtime: ``command_log`` tracks which commands were read, ``runtime_resync`` decides which
   runs continue after a broken link, ``resync_log`` logs that, ``load_samples`` passes on load measurements.
 - Idempotency keys: ``idempotency`` records which attempt owns a key, and the result of its run.
--- a/snowthread/core/action_handlers.py
+++ b/snowthread/core/action_handlers.py
@@ -14,10 +14,10 @@
     finish_request,
     finish_unless_running,
 )
-from snowthread.core.resync_log import log_run_status
 from snowthread.core.run import Run, RunState
 from snowthread.core.run_commands import send_command
 from snowthread.core.run_completion import record_result, run_completed
+from snowthread.core.run_log import log_key_released, log_run_status
 from snowthread.core.state import HandoverRole, RequestPhase
 from snowthread.core.transition import HandlerTable, Transition
 
@@ -119,6 +119,8 @@
     state = transition.state
     record = state.idempotency_table.find_by_request_id(action.request_id)
     state.idempotency_table.remove(action.request_id)
+    if record is not None:
+        log_key_released(transition, record)
     if record is not None and state.handover_role is not HandoverRole.STANDALONE:
         transition.send_to_peer_process(events.KeyReleased(record.attempt_id))
 
--- a/snowthread/core/key_replication.py
+++ b/snowthread/core/key_replication.py
@@ -5,6 +5,7 @@
 from snowthread.core import events
 from snowthread.core.idempotency import IdempotencyRecord
 from snowthread.core.request_lifecycle import complete_followers
+from snowthread.core.run_log import log_key_released
 from snowthread.core.transition import HandlerTable, Transition
 
 
@@ -43,6 +44,7 @@
     record = table.find_by_attempt(event.attempt_id)
     if record is not None and record.owned_by_peer:
         table.remove(record.request_id)
+        log_key_released(transition, record)
         complete_followers(transition, record, None)
 
 
--- a/snowthread/core/resync_log.py
+++ b/snowthread/core/resync_log.py
@@ -1,14 +1,13 @@
-"""Log messages on the link to the runtime: its state when it is lost, and the status of each run after it."""
+"""Log messages on the link to the runtime: the state of the node when it is lost and when it is back."""
 
 from __future__ import annotations
 
 import math
 
 from snowthread.core import effects
-from snowthread.core.state import NodeState, Request
+from snowthread.core.state import NodeState
 from snowthread.core.transition import Transition
 
-RUN_LOG_EVENT = "runtime.run"
 LINK_LOG_EVENT = "runtime.link"
 
 
@@ -40,13 +39,6 @@
     )
 
 
-def log_run_status(transition: Transition, request: Request, status: str) -> None:
-    """Log the status of one run after a broken link, at the level DEBUG."""
-    transition.emit(
-        effects.LogMessage(f"runtime: run {request.attempt_id}: {status}", RUN_LOG_EVENT, is_detail=True)
-    )
-
-
 def _describe_run_load(state: NodeState) -> str:
     return "no runs counted" if state.controller is None else str(state.controller.run_load())
 
--- a/snowthread/core/run_completion.py
+++ b/snowthread/core/run_completion.py
@@ -12,7 +12,8 @@
 from snowthread.admission.settings import Outcome
 from snowthread.core import effects, events
 from snowthread.core.request_lifecycle import answer_request, cancel_call, complete_followers, finish_request
-from snowthread.core.state import HandoverRole, RequestPhase
+from snowthread.core.run_log import log_run_status
+from snowthread.core.state import HandoverRole, Request, RequestPhase
 from snowthread.core.transition import HandlerTable, Transition
 
 
@@ -25,6 +26,7 @@
     request = state.requests_by_attempt_id.get(event.attempt_id)
     if request is None or request.run is None:
         return
+    _log_unusual_end(transition, request, event.outcome)
     cancel_call(transition, request)
     request.run = None
     if event.outcome is Outcome.CANCELLED and request.response_address is not None:
@@ -42,6 +44,14 @@
     transition.dispatch(admission_events.RunFinished(request.request_id, event.outcome, duration_s))
 
 
+def _log_unusual_end(transition: Transition, request: Request, outcome: Outcome) -> None:
+    """Log an end that the runtime reports for a request which is over at its side."""
+    if outcome is Outcome.NOT_STARTED:
+        log_run_status(transition, request, "nothing was started")
+    elif outcome is Outcome.CANCELLED and request.response_address is not None:
+        log_run_status(transition, request, "ended by the runtime without a stop command")
+
+
 def record_result(transition: Transition, attempt_id: str, result: bytes | None) -> None:
     """Record the end of a run in the idempotency table, and report it to the peer process if there is one."""
     state = transition.state
--- a/snowthread/core/runtime_resync.py
+++ b/snowthread/core/runtime_resync.py
@@ -36,10 +36,11 @@
 from snowthread.admission.settings import Idempotency, Outcome, Preemption, RequestClass
 from snowthread.core import effects, events
 from snowthread.core.command_log import FIRST_LINK, CommandLog
-from snowthread.core.resync_log import log_link_lost, log_link_ready, log_run_status
+from snowthread.core.resync_log import log_link_lost, log_link_ready
 from snowthread.core.run import Run
 from snowthread.core.run_commands import request_load_sample, send_command
 from snowthread.core.run_completion import run_completed
+from snowthread.core.run_log import log_run_status
 from snowthread.core.state import Request
 from snowthread.core.transition import HandlerTable, Transition
 
