Start a request with effects once only, and never release a key whose run has begun

Cause: the runtime ends a run at its call once the request is over there; the node may hear of the client's leaving late. The controller took such an end for a pause and started the run again (start_rule.may_start made an exception for PAUSED). The runtime answered stale, which proves that this start began nothing; the node took it as proof for the request and released its key.

Invariant: once anything shows that a run of an attempt has begun, its key stays taken until the window ends, whatever is reported later.

Change: all releases (ForgetKey, KeyReleased of the peer process) go through core/key_release.py, and IdempotencyTable.release keeps a key whose run has called or ended; it had no such check. may_start lets a request with effects start once.

Two tests of stored messages asserted that a peer's release frees a key that had been reported as ended. That is the fault; they now assert that the key stays taken. Release of a key that never ran is held by test_key_release.

--- a/snowthread/admission/run_results.py
+++ b/snowthread/admission/run_results.py
@@ -16,8 +16,8 @@
 ) -> list[Action]:
     """Process the end of a run and remove its request.
 
-    A run that the host cancelled without a ``StopRun`` is queued again, or its request is rejected or failed
-    if it may not run again.
+    A run that was cancelled without a ``StopRun`` has ended at the host. Its request is queued again if it is
+    idempotent, and fails otherwise.
     """
     never_ran = event.outcome is Outcome.NOT_STARTED
     if never_ran or request.state is RequestState.AWAITING_ORIGINAL:
--- a/snowthread/admission/start_rule.py
+++ b/snowthread/admission/start_rule.py
@@ -4,7 +4,7 @@
 
 from snowthread.admission.actions import Action, StartRun
 from snowthread.admission.memory_limit import exceeds_memory_limit
-from snowthread.admission.request import RequestRecord, RequestState
+from snowthread.admission.request import RequestRecord
 from snowthread.admission.state import ControllerState
 
 # Seconds between two computations of all priorities, which cost more than most events.
@@ -53,13 +53,13 @@
 
 
 def may_start(state: ControllerState, now: float, request: RequestRecord) -> bool:
-    """Return whether a request may start or resume.
+    """Return whether a request may start.
 
-    It may not once it is answered or the shutdown forbids it, nor may a request with effects run twice.
+    It may not once it is answered or the shutdown forbids it. A request with effects is started once only.
     """
     if request.is_settled or state.shutdown.forbids_start(now, request):
         return False
-    return not request.may_have_run or request.state is not RequestState.QUEUED or request.is_idempotent
+    return request.is_idempotent or not request.may_have_run
 
 
 def priority(state: ControllerState, now: float, request: RequestRecord) -> float:
--- a/snowthread/core/__init__.py
+++ b/snowthread/core/__init__.py
@@ -12,7 +12,8 @@
   logs unusual ends and the release of keys.
 - The link to the runtime: ``command_log`` tracks which commands were read, ``runtime_resync`` decides which
   runs continue after a broken link, ``resync_log`` logs that, ``load_samples`` passes on load measurements.
-- Idempotency keys: ``idempotency`` records which attempt owns a key, and the result of its run.
+- Idempotency keys: ``idempotency`` records which attempt owns a key, and the result of its run;
+  ``key_release`` frees the key of an attempt that never ran.
 - Hot restart: ``peer_process``, ``key_claims``, ``key_replication``.
 - Settings and operator calls: ``effective_settings``, ``settings_changes``, ``shutdown``.
 
--- a/snowthread/core/action_handlers.py
+++ b/snowthread/core/action_handlers.py
@@ -6,6 +6,7 @@
 from snowthread.admission.settings import Idempotency, Outcome
 from snowthread.core import effects, events
 from snowthread.core.idempotency import IdempotencyRecord
+from snowthread.core.key_release import release_key
 from snowthread.core.load_samples import schedule_timer
 from snowthread.core.request_lifecycle import (
     answer_request,
@@ -17,7 +18,7 @@
 from snowthread.core.run import Run, RunState
 from snowthread.core.run_commands import send_command
 from snowthread.core.run_completion import record_result, run_completed
-from snowthread.core.run_log import log_key_released, log_run_status
+from snowthread.core.run_log import log_run_status
 from snowthread.core.state import HandoverRole, RequestPhase
 from snowthread.core.transition import HandlerTable, Transition
 
@@ -115,13 +116,12 @@
 
 
 def forget_key(transition: Transition, action: actions.ForgetKey) -> None:
-    """Drop the key of a request that never ran, and report that to the peer process of a hot restart."""
+    """Release the key of a request that never ran, and report that to the peer process of a hot restart."""
     state = transition.state
     record = state.idempotency_table.find_by_request_id(action.request_id)
-    state.idempotency_table.remove(action.request_id)
-    if record is not None:
-        log_key_released(transition, record)
-    if record is not None and state.handover_role is not HandoverRole.STANDALONE:
+    if record is None or not release_key(transition, record):
+        return
+    if state.handover_role is not HandoverRole.STANDALONE:
         transition.send_to_peer_process(events.KeyReleased(record.attempt_id))
 
 
--- a/snowthread/core/downstream_calls.py
+++ b/snowthread/core/downstream_calls.py
@@ -16,6 +16,7 @@
     if request is None or request.run is None:
         return
     request.run.record_call_requested(event.notice_number, event.body, state.link_number)
+    state.idempotency_table.record_call(event.attempt_id)
     transition.dispatch(admission_events.CallNeeded(request.request_id))
 
 
--- a/snowthread/core/idempotency.py
+++ b/snowthread/core/idempotency.py
@@ -40,6 +40,12 @@
     class_name: str = ""  # class of the request; empty for a key that the peer process reported
     # Ids of the requests in this process that are retries and wait for a run of the peer process.
     followers: list[int] = field(default_factory=list)
+    has_called: bool = False  # whether its run has requested a downstream call, and so has begun
+
+    @property
+    def may_be_released(self) -> bool:
+        """Whether nothing yet shows that a run of the attempt has begun."""
+        return not self.has_called and not self.completed
 
 
 class IndeterminateKeys:
@@ -70,8 +76,9 @@
 class IdempotencyTable:
     """Idempotency records by key, by attempt and by request id.
 
-    A record is dropped only when it expires or is removed. It outlives the response to its request and the
-    cancellation of its request, because a retry has to find the result of the run in any case.
+    A record outlives the response to its request and the cancellation of its request, because a retry has to
+    find the result of the run in any case. Once anything shows that a run of its attempt has begun, it stays
+    until it expires, whatever is reported later: without it a retry would run the request again.
     """
 
     def __init__(self, max_result_bytes: int = MAX_RESULT_BYTES) -> None:
@@ -128,11 +135,20 @@
         record = self._by_key.get(idempotency_key)
         return record.request_id if record is not None and arrived_at_ms < record.expires_at_ms else None
 
-    def remove(self, request_id: int) -> None:
-        """Remove the record of a request that never ran, so that its key is free again."""
-        record = self._by_request_id.get(request_id)
-        if record is not None:
+    def release(self, record: IdempotencyRecord) -> bool:
+        """Free the key of an attempt that never ran, and return whether it was freed.
+
+        The key stays taken if a run of the attempt has begun.
+        """
+        if record.may_be_released:
             self._remove(record)
+        return record.may_be_released
+
+    def record_call(self, attempt_id: str) -> None:
+        """Record that the run of an attempt has requested a downstream call."""
+        record = self._by_attempt_id.get(attempt_id)
+        if record is not None:
+            record.has_called = True
 
     def complete(self, attempt_id: str, result: bytes | None) -> None:
         """Record the end of a run; ``result`` is None if it failed.
--- a/snowthread/core/key_replication.py
+++ b/snowthread/core/key_replication.py
@@ -4,8 +4,8 @@
 
 from snowthread.core import events
 from snowthread.core.idempotency import IdempotencyRecord
+from snowthread.core.key_release import release_key
 from snowthread.core.request_lifecycle import complete_followers
-from snowthread.core.run_log import log_key_released
 from snowthread.core.transition import HandlerTable, Transition
 
 
@@ -39,12 +39,10 @@
 
 
 def key_released(transition: Transition, event: events.KeyReleased) -> None:
-    """Drop a key of the peer process whose attempt never ran; the retries that wait for it fail."""
-    table = transition.state.idempotency_table
-    record = table.find_by_attempt(event.attempt_id)
+    """Release a key of the peer process whose attempt never ran; the retries that wait for it fail."""
+    record = transition.state.idempotency_table.find_by_attempt(event.attempt_id)
     if record is not None and record.owned_by_peer:
-        table.remove(record.request_id)
-        log_key_released(transition, record)
+        release_key(transition, record)
         complete_followers(transition, record, None)
 
 
--- a/snowthread/core/request_lifecycle.py
+++ b/snowthread/core/request_lifecycle.py
@@ -16,8 +16,8 @@
 RUNNING            action ``Reject``, ``Fail``;               RUNNING until its run ends; no further
                    ``RequestCancelled``                       response is owed
 RUNNING            action ``StopRun``                         RUNNING until the runtime confirms
-RUNNING            ``RunCompleted``: cancelled, and a         QUEUED
-                   response is owed
+RUNNING            ``RunCompleted``: cancelled, and a         QUEUED; the action ``Fail`` follows at
+                   response is owed                           once unless the class is idempotent
 RUNNING            ``RunCompleted``: any other outcome        finished
 RUNNING            action ``ForgetLostRun``: the run is       finished
                    presumed lost
--- a/snowthread/core/run_completion.py
+++ b/snowthread/core/run_completion.py
@@ -1,9 +1,7 @@
 """Ends of runs: the result is recorded, and the request is answered or queued again.
 
-Limitations: a run that the runtime cancels without being asked to is handed back to the admission
-controller. With ``Preemption.DROP`` only an idempotent request is started again. With ``NONE`` and ``PAUSE``
-the controller assumes that the run continues where it was interrupted, and starts requests of every kind
-again. The code does not check that the runtime does continue the run.
+A run that the runtime cancels without a stop command has ended for good: its client has given up, of which
+the node may hear later or never. The admission controller starts only an idempotent request again.
 """
 
 from __future__ import annotations
@@ -31,8 +29,7 @@
     request.run = None
     if event.outcome is Outcome.CANCELLED and request.response_address is not None:
         # The runtime cancelled the run without a stop: the controller stops only runs that are owed no
-        # response. With Preemption.DROP it now fails a keyed attempt; the followers of the attempt fail with
-        # every kind of preemption.
+        # response. It now fails a keyed attempt, whose followers fail with it.
         request.phase = RequestPhase.QUEUED
         if request.idempotency_key:
             complete_followers(transition, request, None)
--- a/snowthread/core/run_log.py
+++ b/snowthread/core/run_log.py
@@ -16,11 +16,11 @@
     _log(transition, f"runtime: run {request.attempt_id}: {status}", RUN_LOG_EVENT)
 
 
-def log_key_released(transition: Transition, record: IdempotencyRecord) -> None:
-    """Log that the key of an attempt is free again, because the attempt counts as never run."""
+def log_key_release(transition: Transition, record: IdempotencyRecord, released: bool) -> None:
+    """Log that the key of an attempt is free again, or that it stays taken although it should be freed."""
     owner = "the peer process" if record.owned_by_peer else "this process"
-    text = f"idempotency key of attempt {record.attempt_id} of {owner} released: it counts as never run"
-    _log(transition, text, KEY_LOG_EVENT)
+    outcome = "released: it counts as never run" if released else "stays taken: its run has begun"
+    _log(transition, f"idempotency key of attempt {record.attempt_id} of {owner} {outcome}", KEY_LOG_EVENT)
 
 
 def _log(transition: Transition, text: str, event: str) -> None:
--- a/tests/admission/test_idempotency.py
+++ b/tests/admission/test_idempotency.py
@@ -28,9 +28,14 @@
     assert sorted(request_ids(actions, Fail)) == [1, 2]
 
 
-def test_a_preempted_run_with_effects_does_not_run_again_and_fails_at_once() -> None:
-    controller = started_controller(preemption=Preemption.DROP)
-    arrive(controller, 0.1, 1, "non_idempotent")
+@pytest.mark.parametrize("preemption", Preemption)
+@pytest.mark.parametrize("class_name", ["keyed", "non_idempotent"])
+def test_a_preempted_run_with_effects_does_not_run_again_and_fails_at_once(
+    preemption: Preemption, class_name: str
+) -> None:
+    """Guards against a second start of a run that the host has ended, as if it had only been paused."""
+    controller = started_controller(preemption=preemption)
+    arrive(controller, 0.1, 1, class_name)
     actions = controller.handle(0.2, RunFinished(1, Outcome.CANCELLED, 0.1))
     assert request_ids(actions, StartRun) == [] and request_ids(actions, Fail) == [1]
 
--- /dev/null
+++ b/tests/core/test_key_release.py
@@ -0,0 +1,58 @@
+"""A key is released only while its attempt counts as never run."""
+
+from __future__ import annotations
+
+import pytest
+from support.core_events import connect, make_request
+from support.exchange import START
+
+from snowthread.admission.settings import Outcome
+from snowthread.core import effects, events
+from snowthread.core.reducer import reduce
+from snowthread.core.state import HandoverRole, NodeState
+
+ATTEMPT = f"{1:016x}"
+KEY = "key"
+NOTHING_STARTED = events.RunCompleted(ATTEMPT, Outcome.NOT_STARTED, 0.0, b"")
+START_REJECTED = events.CommandRejected(ATTEMPT, is_start=True)
+CALL_REQUESTED = events.CallRequested(ATTEMPT, 1, b"c")
+
+
+def start_run(state: NodeState) -> None:
+    connect(state, START)
+    assert started_attempts(reduce(state, make_request(1, "keyed", START, KEY), START)) == [ATTEMPT]
+
+
+def started_attempts(emitted: list[effects.Effect]) -> list[str]:
+    return [effect.attempt_id for effect in emitted if isinstance(effect, effects.StartRun)]
+
+
+def released_to_peer(emitted: list[effects.Effect]) -> bool:
+    return effects.SendToPeerProcess(events.KeyReleased(ATTEMPT)) in emitted
+
+
+@pytest.mark.parametrize("proof", [NOTHING_STARTED, START_REJECTED])
+@pytest.mark.parametrize("has_called", [False, True])
+def test_a_key_is_released_by_proof_that_nothing_ran_unless_the_run_has_called(
+    state: NodeState, proof: events.Event, has_called: bool
+) -> None:
+    """Guards against a second run after the runtime denies a run that has asked for a call."""
+    start_run(state)
+    state.handover_role = HandoverRole.PREDECESSOR
+    if has_called:
+        reduce(state, CALL_REQUESTED, START)
+    assert released_to_peer(reduce(state, proof, START)) is not has_called
+    emitted = reduce(state, make_request(2, "keyed", START, KEY), START)
+    assert bool(started_attempts(emitted)) is not has_called
+
+
+@pytest.mark.parametrize("has_run", [False, True])
+def test_the_peer_process_cannot_release_a_key_that_ran(state: NodeState, has_run: bool) -> None:
+    """Guards against a second run of a key that the other process of a hot restart first reports as run."""
+    connect(state, START)
+    reduce(state, events.PeerProcessConnected(is_predecessor=True), START)
+    reduce(state, events.KeyClaimRequested(KEY, ATTEMPT, START, b""), START)
+    if has_run:
+        reduce(state, events.KeyRunCompleted(ATTEMPT, None), START)
+    reduce(state, events.KeyReleased(ATTEMPT), START)
+    assert (state.idempotency_table.owner_at(KEY, START) is not None) is has_run
--- a/tests/stored/test_hot_restart_messages.py
+++ b/tests/stored/test_hot_restart_messages.py
@@ -296,9 +296,10 @@
     session.expect(expected_messages[2:3])  # the message asked
     assert "key-requested" in node.state.pending_claims
 
-    session.play(peer_messages[7:9])  # the result of one key, and the release of another
+    # The result of one key, and the release of another one, which stays taken because its run has ended.
+    session.play(peer_messages[7:9])
     assert running.completed and running.result == b"late result"
-    assert node.state.idempotency_table.find_by_attempt(FREED) is None
+    assert node.state.idempotency_table.owner_at("key-failed", START) is not None
     session.play(peer_messages[9:10])  # the message judged, which grants the claim
     assert node.state.pending_claims == {}
     session.play(peer_messages[11:14])
@@ -355,5 +356,6 @@
     assert other is not None and other.idempotency_key == "key-n\udce9w" and other.result == b"r"
 
     session.play(peer_messages[7:])
-    assert node.state.idempotency_table.find_by_attempt(NEW) is None
+    # The key whose release was read stays taken, because its run has ended.
+    assert node.state.idempotency_table.owner_at("key-n\udce9w", START) is not None
     assert node.state.peer_load == events.PeerLoadReported(1, 20_480.0, 1, 18) and node.state.drained
