Free the call of a run that ended at it, when its request is queued again

A client of an idempotent request gives up while its run calls the database and the node hears of it late. The calls' budget loses the reservation, too.

Cause: run_finished queued such a request again without taking its run out of the call table. A call in flight stayed there; a call waiting for its retry was made for the new run, which then no longer counted as on the cores.

Invariant: the call table holds exactly the runs that wait at a call.

Change: settlement.requeue stands beside settlement.remove, and both take the run out of the call table. The host of the property test ends runs at their calls unasked, checks the table after each event, that no key of what ran is forgotten, and no longer allows a second start of a request with effects that counts as paused.

The host also sends the end of a run at a call whose caller has cancelled, as the protocol says; it left it out.

--- a/snowthread/admission/run_results.py
+++ b/snowthread/admission/run_results.py
@@ -5,8 +5,8 @@
 from snowthread.admission.events import CallFinished, CallNeeded, RunFinished
 from snowthread.admission.reasons import RejectReason
 from snowthread.admission.request import RequestRecord, RequestState
-from snowthread.admission.settings import Outcome, Preemption
-from snowthread.admission.settlement import fail, reject_or_fail, remove
+from snowthread.admission.settings import Outcome
+from snowthread.admission.settlement import fail, reject_or_fail, remove, requeue
 from snowthread.admission.start_rule import may_start
 from snowthread.admission.state import ControllerState
 
@@ -23,8 +23,7 @@
     if never_ran or request.state is RequestState.AWAITING_ORIGINAL:
         return remove(state, now, request, forget_key=never_ran)
     if event.outcome is Outcome.CANCELLED and not request.is_settled:
-        keeps_progress = state.settings.preemption is not Preemption.DROP
-        state.open_requests.requeue(request, keeps_progress)
+        requeue(state, now, request)
         may_resume = may_start(state, now, request)
         return [] if may_resume else reject_or_fail(state, now, request, RejectReason.PREEMPTED)
     was_running = request.state is RequestState.RUNNING
--- a/snowthread/admission/settlement.py
+++ b/snowthread/admission/settlement.py
@@ -52,3 +52,10 @@
     state.calls.remove(now, request)
     state.open_requests.remove(request)
     return actions
+
+
+def requeue(state: ControllerState, now: float, request: RequestRecord) -> None:
+    """Queue a request again whose run has ended without a result; the run's call has ended with it."""
+    keeps_progress = state.settings.preemption is not Preemption.DROP
+    state.calls.remove(now, request)
+    state.open_requests.requeue(request, keeps_progress)
--- a/tests/admission/test_downstream_calls.py
+++ b/tests/admission/test_downstream_calls.py
@@ -5,9 +5,9 @@
 import pytest
 from support.admission_controller import arrive, arrive_and_call, request_ids, started_controller
 
-from snowthread.admission.actions import Action, Fail, SkipCall, StartCall
+from snowthread.admission.actions import Action, Fail, SkipCall, StartCall, StartRun
 from snowthread.admission.events import CallFinished, CallNeeded, RequestCancelled, RunFinished, TimerFired
-from snowthread.admission.settings import Dependency, Outcome
+from snowthread.admission.settings import Dependency, Outcome, Preemption
 from snowthread.admission.timer_queue import DEADLINE_TIMER, UPDATE_TIMER
 
 
@@ -145,3 +145,22 @@
         controller.handle(3.0 * n + 1.0, RequestCancelled(n))
         controller.handle(3.0 * n + 1.0, RunFinished(n, Outcome.CANCELLED, 1.0))
     assert started_calls <= max_calls
+
+
+@pytest.mark.parametrize("preemption", Preemption)
+@pytest.mark.parametrize("waits_for_retry", [False, True])
+def test_a_run_that_ended_at_its_call_takes_no_place_of_later_calls(
+    preemption: Preemption, waits_for_retry: bool
+) -> None:
+    """Guards against a node that starts nothing any more after clients gave up while their runs called."""
+    controller = started_controller(
+        preemption=preemption, dependency=Dependency.SHARED, call_quota=20.0, call_quota_window_s=5.0
+    )
+    for n in range(1, 40):
+        assert request_ids(arrive_and_call(controller, 2.0 * n, n), StartCall) == [n]
+        if waits_for_retry:
+            controller.handle(2.0 * n + 0.01, CallFinished(n, Outcome.DISCONNECTED))
+        restarted = controller.handle(2.0 * n + 0.02, RunFinished(n, Outcome.CANCELLED, 0.02))
+        assert request_ids(restarted, StartRun) == [n]
+        assert request_ids(controller.handle(2.0 * n + 0.1, TimerFired(DEADLINE_TIMER)), StartCall) == []
+        controller.handle(2.0 * n + 0.2, RunFinished(n, Outcome.NOT_STARTED))
--- a/tests/admission/test_properties.py
+++ b/tests/admission/test_properties.py
@@ -43,6 +43,7 @@
     FINISH_AWAITING = auto()
     NEED_CALL = auto()
     FINISH_CALL = auto()
+    END_RUN_AT_CALL = auto()
     CANCEL = auto()
     NOTICE_SHUTDOWN = auto()
 
@@ -78,7 +79,8 @@
 def finish_run(host: RuleCheckingHost, state: RequestState, choice: int) -> None:
     request = host.pick_request(state, choice)
     if request is not None:
-        host.end_run(request, RUN_OUTCOMES[choice % 2])
+        never_ran = request in host.given_up
+        host.end_run(request, Outcome.NOT_STARTED if never_ran else RUN_OUTCOMES[choice % 2])
 
 
 def need_call(host: RuleCheckingHost, choice: int) -> None:
@@ -93,6 +95,12 @@
         host.finish_call(request, CALL_OUTCOMES[choice % 4])
 
 
+def end_run_at_call(host: RuleCheckingHost, choice: int) -> None:
+    request = host.pick_request(RequestState.CALLING, choice)
+    if request is not None and request in host.unanswered:
+        host.end_run_at_call(request)
+
+
 def cancel(host: RuleCheckingHost, choice: int) -> None:
     if host.unanswered:
         host.cancel(sorted(host.unanswered)[choice % len(host.unanswered)])
@@ -109,6 +117,8 @@
         need_call(host, choice)
     elif operation is Operation.FINISH_CALL:
         finish_call(host, choice)
+    elif operation is Operation.END_RUN_AT_CALL:
+        end_run_at_call(host, choice)
     elif operation is Operation.CANCEL:
         cancel(host, choice)
     else:
@@ -121,6 +131,7 @@
     Operation.FINISH_AWAITING,
     *[Operation.NEED_CALL] * 3,
     Operation.FINISH_CALL,
+    Operation.END_RUN_AT_CALL,
     Operation.CANCEL,
 )
 SITE_SETTINGS = st.builds(
--- a/tests/support/admission_rules.py
+++ b/tests/support/admission_rules.py
@@ -54,6 +54,9 @@
         self.state: dict[int, RequestState] = {}  # states of the requests that are not over
         self.unanswered: set[int] = set()
         self.started: set[int] = set()
+        self.given_up: set[int] = (
+            set()
+        )  # requests whose callers have gone, of which the controller was not told
         self.key_expires_at: dict[int, float] = {}
         # Start and end of each call, as seen by the dependency.
         self.finished_calls: list[tuple[float, float]] = []
@@ -89,11 +92,17 @@
     def cancel(self, request_id: int) -> None:
         """Cancel an unanswered request on behalf of its caller."""
         self.unanswered.discard(request_id)
-        if self.state[request_id] in CALL_STATES:
-            self.end_call(request_id, given_up=True)
-        if self.state[request_id] is not RequestState.RUNNING:
+        is_calling = self.state[request_id] in CALL_STATES
+        if self.state[request_id] in QUEUED_STATES:
             del self.state[request_id]
         self.send(events.RequestCancelled(request_id))
+        if is_calling:
+            self.end_run(request_id, Outcome.CANCELLED)
+
+    def end_run_at_call(self, request_id: int) -> None:
+        """End a run at its call because its caller has gone; the controller is not told of the caller."""
+        self.given_up.add(request_id)
+        self.end_run(request_id, Outcome.CANCELLED)
 
     def end_run(self, request_id: int, outcome: Outcome) -> None:
         """End a run, or a retry that awaited its original."""
@@ -109,6 +118,8 @@
     def may_call(self, request_id: int) -> bool:
         """Return whether a run may need a downstream call."""
         request_class = self.requests[request_id].request_class
+        if request_id in self.given_up:
+            return False
         return request_class.may_call and self.settings.dependency is not Dependency.NONE
 
     def need_call(self, request_id: int) -> None:
@@ -162,6 +173,7 @@
         elif isinstance(action, actions.RememberKey):
             self.key_expires_at[action.request_id] = self.now + action.lifetime_s
         elif isinstance(action, actions.ForgetKey):
+            assert action.request_id not in self.started, "the key of a request that ran is forgotten"
             self.key_expires_at.pop(action.request_id, None)
         elif isinstance(action, actions.Reject | actions.Fail) and action.request_id in self.state:
             self._answer(action)
@@ -197,8 +209,7 @@
 
     def _start(self, request_id: int) -> None:
         hosted = self.requests[request_id]
-        is_resumed = self.state[request_id] is RequestState.PAUSED
-        assert is_resumed or request_id not in self.started or hosted.is_idempotent, "unsafe second run"
+        assert request_id not in self.started or hosted.is_idempotent, "unsafe second run"
         assert hosted.event.original_id is None, "a retry runs beside its original"
         assert hosted.arrived_at <= self._latest_arrival(), "a request from after the grace period starts"
         self.started.add(request_id)
@@ -210,6 +221,7 @@
     def check(self) -> None:
         """Check the rules that hold at any time."""
         self._check_unanswered()
+        self._check_call_table()
         assert self._memory_kb() <= self.settings.memory_kb, "memory overloaded"
         assert self._running() <= self.settings.cores * self.settings.collapse_multiple, "cores overloaded"
         if self.settings.dependency is Dependency.SHARED:
@@ -229,6 +241,13 @@
                 assert hosted.arrived_at <= self._latest_arrival(), "queued after the grace period"
         assert not (self.unanswered and self.now >= self.exit_at), "unanswered at the end of the process"
 
+    def _check_call_table(self) -> None:
+        table = self.controller.state.open_requests.call_table
+        calling = {request_id for request_id, state in self.state.items() if state in CALL_STATES}
+        assert table.pending.keys() | table.in_flight.keys() == calling, (
+            "the call table differs from the runs at calls"
+        )
+
     def _memory_kb(self) -> float:
         self.key_expires_at = {key: at for key, at in self.key_expires_at.items() if at > self.now}
         waiting = (RequestState.QUEUED, RequestState.AWAITING_ORIGINAL)
