Keep a key taken for late-read retries after a newer attempt was dropped unrun

Attempt A runs; its window ends; attempt B with the same key is queued and cancelled before it runs; a retry that arrived within the window of A and is read only now runs again.

Cause: the record of B replaced that of A, and the release of B's key, which never ran, left nothing of A.

Change: a record keeps the one that it replaced, without its result, until no retry of that window can be read any more (LATE_READ_ALLOWANCE_MS); IdempotencyTable.release puts it back. A release asked for by a peer process takes the same way.

--- a/snowthread/core/idempotency.py
+++ b/snowthread/core/idempotency.py
@@ -41,6 +41,8 @@
     # Ids of the requests in this process that are retries and wait for a run of the peer process.
     followers: list[int] = field(default_factory=list)
     has_called: bool = False  # whether its run has requested a downstream call, and so has begun
+    # The earlier record of the key, which is in effect again if this one is released.
+    replaced: IdempotencyRecord | None = None
 
     @property
     def may_be_released(self) -> bool:
@@ -97,21 +99,28 @@
         """Add a record and return the one that is in effect.
 
         If the request already has a record, that record is kept and only takes over the new expiry. The
-        record of another request with the same key is removed.
+        record of another request with the same key is replaced, without its result.
         """
         self._purge(now_ms)
         request_id = entry.request_id
-        old = self._by_key.get(entry.idempotency_key)
+        record = self._by_request_id.get(request_id) or entry
+        old = self._by_key.get(record.idempotency_key)
         if old is not None and old.request_id != request_id:
             self._remove(old)
-        record = self._by_request_id.get(request_id) or entry
+            old.result = None
+            if old.replaced is not None and _is_purgeable(old.replaced, now_ms):
+                old.replaced = None
+            record.replaced = old
         record.expires_at_ms = entry.expires_at_ms
-        self._by_key[entry.idempotency_key] = record
-        self._by_request_id[request_id] = record
-        self._by_attempt_id[entry.attempt_id] = record
-        self._schedule_purge(record)
+        self._insert(record)
         return record
 
+    def _insert(self, record: IdempotencyRecord) -> None:
+        self._by_key[record.idempotency_key] = record
+        self._by_request_id[record.request_id] = record
+        self._by_attempt_id[record.attempt_id] = record
+        self._schedule_purge(record)
+
     def extend_window(self, class_name: str, longer_ms: float) -> None:
         """Let the records of a class expire ``longer_ms`` later, after its idempotency window was extended.
 
@@ -138,11 +147,15 @@
     def release(self, record: IdempotencyRecord) -> bool:
         """Free the key of an attempt that never ran, and return whether it was freed.
 
-        The key stays taken if a run of the attempt has begun.
+        The key stays taken if a run of the attempt has begun. If an earlier attempt has run, the key stays
+        taken for retries that arrived within the window of that attempt and are read late.
         """
-        if record.may_be_released:
-            self._remove(record)
-        return record.may_be_released
+        if not record.may_be_released:
+            return False
+        self._remove(record)
+        if record.replaced is not None:
+            self._insert(record.replaced)
+        return True
 
     def record_call(self, attempt_id: str) -> None:
         """Record that the run of an attempt has requested a downstream call."""
@@ -188,7 +201,7 @@
     def _purge(self, now_ms: float) -> None:
         while self._purges and self._purges[0][0] <= now_ms:
             record = self._by_request_id.get(heapq.heappop(self._purges)[1])
-            if record is not None and record.expires_at_ms + LATE_READ_ALLOWANCE_MS <= now_ms:
+            if record is not None and _is_purgeable(record, now_ms):
                 self._remove(record)
 
     def _remove(self, record: IdempotencyRecord) -> None:
@@ -197,3 +210,8 @@
         self._by_attempt_id.pop(record.attempt_id, None)
         if self._by_key.get(record.idempotency_key) is record:
             del self._by_key[record.idempotency_key]
+
+
+def _is_purgeable(record: IdempotencyRecord, now_ms: float) -> bool:
+    """Return whether a retry from the window of the record can't be read any more."""
+    return record.expires_at_ms + LATE_READ_ALLOWANCE_MS <= now_ms
--- a/tests/core/test_key_release.py
+++ b/tests/core/test_key_release.py
@@ -56,3 +56,19 @@
         reduce(state, events.KeyRunCompleted(ATTEMPT, None), START)
     reduce(state, events.KeyReleased(ATTEMPT), START)
     assert (state.idempotency_table.owner_at(KEY, START) is not None) is has_run
+
+
+def test_a_released_key_stays_taken_for_retries_from_the_window_of_an_earlier_run(state: NodeState) -> None:
+    """Guards against a second run for a retry that is read late, after a newer attempt was dropped unrun."""
+    start_run(state)
+    reduce(state, events.RunCompleted(ATTEMPT, Outcome.SUCCESS, 1.0, b"r"), START)
+    for number in (2, 3):  # these occupy both cores
+        reduce(state, make_request(number, "idempotent", START + 9200.0), START + 9200.0)
+    newer = make_request(4, "keyed", START + 9200.0, KEY)
+    assert started_attempts(reduce(state, newer, START + 9200.0)) == []
+    reduce(state, events.RequestCancelled(newer.response_address), START + 9210.0)
+    reduce(state, events.RunCompleted(f"{2:016x}", Outcome.SUCCESS, 1.0, b"r"), START + 9220.0)
+    late = make_request(5, "keyed", START + 8900.0, KEY)
+    assert started_attempts(reduce(state, late, START + 9230.0)) == []
+    retry = make_request(6, "keyed", START + 9240.0, KEY)
+    assert started_attempts(reduce(state, retry, START + 9240.0)) == [retry.attempt_id]
