--- a/benchmarks/records.py
+++ b/benchmarks/records.py
@@ -134,10 +134,10 @@
         load_generator.close()
 
 
-def make_records(node: int, seconds: int, rng: random.Random) -> list[Record]:
+def make_records(node: int, seconds: int, generator: random.Random) -> list[Record]:
     """Return the records of one node for ``seconds`` seconds, one per second."""
-    begin_ms = BEGIN_MS + rng.uniform(0.0, 1000.0)
-    fields = second_fields(rng)
+    begin_ms = BEGIN_MS + generator.uniform(0.0, 1000.0)
+    fields = second_fields(generator)
     return [
         Record(
             f"n{node}",
@@ -151,12 +151,12 @@
     ]
 
 
-def second_fields(rng: random.Random) -> RecordFields:
+def second_fields(generator: random.Random) -> RecordFields:
     """Return the fields of a per-second record of a busy node."""
     return {
         "ms": 1000.0,
         "totals": [
-            [name, "", {"read": 40 + rng.randrange(9), "served": 38, "refused": 2, "runs": 38}]
+            [name, "", {"read": 40 + generator.randrange(9), "served": 38, "refused": 2, "runs": 38}]
             for name in CLASSES
         ],
         "runs": {"match": [40, 300, 500, 640]},
@@ -182,12 +182,12 @@
         path.write_bytes(b"".join(encode_record(record) for record in records[first : first + FILE_RECORDS]))
 
 
-def measure_reading(nodes: int, seconds: int, rng: random.Random) -> dict[str, float]:
+def measure_reading(nodes: int, seconds: int, generator: random.Random) -> dict[str, float]:
     """Measure the throughput and peak memory of merging the files of several nodes, and their record size."""
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
         for node in range(nodes):
-            write_files(folder, node, make_records(node, seconds, rng))
+            write_files(folder, node, make_records(node, seconds, generator))
         size = sum(path.stat().st_size for path in folder.iterdir())
         findings = Findings()
         count = 0
@@ -222,10 +222,10 @@
 
 def measure(seed: int, short: bool) -> dict[str, Any]:
     """Run all measurements and return their figures."""
-    rng = random.Random(seed)
+    generator = random.Random(seed)
     cost = measure_cost(rounds=1 if short else 6, seconds=4.0 if short else 10.0)
-    small = measure_reading(20, 120, rng)
-    large = measure_reading(20, 600 if short else 3600, rng)
+    small = measure_reading(20, 120, generator)
+    large = measure_reading(20, 600 if short else 3600, generator)
     return {
         "seed": seed,
         "short": short,
--- a/benchmarks/tenant_costs.py
+++ b/benchmarks/tenant_costs.py
@@ -98,7 +98,9 @@
     return memory / BYTES_PER_MIB
 
 
-def measure_lookups(rng: random.Random, tenant_count: int, networks: int, lookups: int) -> dict[str, float]:
+def measure_lookups(
+    generator: random.Random, tenant_count: int, networks: int, lookups: int
+) -> dict[str, float]:
     """Measure the time of lookups with and without the cache, of changes, and of filling a table."""
     tenants = make_tenants(tenant_count, networks)
     memory_mb = table_memory_mb(tenants)
@@ -107,7 +109,10 @@
     changed = tenants[5]
     changes = [Tenant(changed.id, f"name {n}", networks=changed.networks) for n in range(200)]
     change_s = duration_s(lambda: [table.apply([tenant]) for tenant in changes])
-    addresses = [f"10.{rng.randrange(96)}.{rng.randrange(256)}.{rng.randrange(256)}" for _ in range(lookups)]
+    addresses = [
+        f"10.{generator.randrange(96)}.{generator.randrange(256)}.{generator.randrange(256)}"
+        for _ in range(lookups)
+    ]
     uncached_s = duration_s(lambda: [table._identify_uncached(address, 5) for address in addresses])
     repeated = addresses[:500] * (lookups // 500)
     cached_s = duration_s(lambda: [table.identify(address, 5) for address in repeated])
@@ -156,14 +161,14 @@
         }
 
 
-def measure_identification(rng: random.Random, requests: int) -> dict[str, float]:
+def measure_identification(generator: random.Random, requests: int) -> dict[str, float]:
     """Measure the time that the identification of its tenant adds to a request, in microseconds."""
     with tempfile.TemporaryDirectory() as folder:
         settings = tenant_settings(Path(folder), "127.0.0.1:1")
     passed: list[events.Event] = []
     identification = TenantIdentification(EventLoop(Clock()), settings, 1, passed.append)
     identification.tenant_state.table.apply(make_tenants(1_000, 10_000))
-    addresses = [f"10.{rng.randrange(10)}.{rng.randrange(256)}.1" for _ in range(500)]
+    addresses = [f"10.{generator.randrange(10)}.{generator.randrange(256)}.1" for _ in range(500)]
     identification._peer_address = lambda connection: addresses[connection]
     messages = [
         events.RequestReceived((n % 500, n), "0" * 16, "match", b"grey", 1.0, 1.0, 3, 20.0, 0.5)
--- a/benchmarks/tenants.py
+++ b/benchmarks/tenants.py
@@ -263,12 +263,12 @@
     short: bool = options.short
     seconds = 6.0 if short else 45.0
     size = (2_000, 20_000) if short else (10_000, 100_000)
-    rng = random.Random(options.seed)
+    generator = random.Random(options.seed)
     parts: dict[str, Callable[[], Any]] = {
         "service": lambda: measure_service(options.seed, seconds),
         "change_to_decision": lambda: measure_change_to_decision(6 if short else 50),
-        "look_up": lambda: measure_lookups(rng, 10_000, 100_000, 5_000 if short else 100_000),
-        "gate": lambda: measure_identification(rng, 20_000),
+        "look_up": lambda: measure_lookups(generator, 10_000, 100_000, 5_000 if short else 100_000),
+        "gate": lambda: measure_identification(generator, 20_000),
         "full_sync": lambda: measure_full_refresh(*size),
         "codec": lambda: measure_decoding(2_000 if short else 20_000),
         "off": lambda: compare_with_baseline(1 if short else 6, 1_000 if short else 4_000),
--- a/emulators/load_generator.py
+++ b/emulators/load_generator.py
@@ -114,14 +114,14 @@
         self._connections[source].send(request, class_name, wait_ms or self.wait_ms)
         return request
 
-    def run(self, rng: random.Random, per_s: float, seconds: float) -> None:
+    def run(self, generator: random.Random, per_s: float, seconds: float) -> None:
         """Send requests as a Poisson process, evenly over the sources, until all deadlines have passed."""
         sources = list(self._connections)
         begin_ms = self.loop.clock.now()
         at_ms = begin_ms
         while at_ms < begin_ms + seconds * MS_PER_S:
-            at_ms += rng.expovariate(per_s) * MS_PER_S
-            self.loop.call_at(at_ms, partial(self._send_scheduled, rng.choice(sources)))
+            at_ms += generator.expovariate(per_s) * MS_PER_S
+            self.loop.call_at(at_ms, partial(self._send_scheduled, generator.choice(sources)))
         self.run_until(at_ms + self.wait_ms + LATE_ANSWERS_MS)
 
     def _send_scheduled(self, source: str) -> None:
--- a/emulators/recorded_incidents.py
+++ b/emulators/recorded_incidents.py
@@ -117,9 +117,9 @@
         self.down_until_s = -1.0
         self._last_number = 0
 
-    def start(self, second: float, rng: random.Random) -> None:
+    def start(self, second: float, generator: random.Random) -> None:
         """Start the node with a new boot id and write its start record."""
-        self.boot = f"{rng.getrandbits(48):012x}"
+        self.boot = f"{generator.getrandbits(48):012x}"
         self._last_number = 0
         fields = {"version": "x", "pid": 1, "format": 1, "cores": 4, "classes": []}
         self.record(second, RecordKind.START, fields)
@@ -165,8 +165,8 @@
         offset_ms: Maximum offset of a node's clock from true time at the beginning of the day.
         drift_ppm: Maximum drift of a node's clock.
     """
-    rng = random.Random(seed)
-    fleet = _Fleet(rng, nodes, faults, offset_ms, drift_ppm)
+    generator = random.Random(seed)
+    fleet = _Fleet(generator, nodes, faults, offset_ms, drift_ppm)
     for second in range(1, seconds + 1):
         fleet.write_second(second)
     return RecordedDay(
@@ -181,26 +181,28 @@
 
     def __init__(
         self,
-        rng: random.Random,
+        generator: random.Random,
         nodes: int,
         faults: Sequence[Fault],
         offset_ms: float,
         drift_ppm: float,
     ) -> None:
-        self._rng = rng
+        self._generator = generator
         self._faults = faults
         self.nodes = [
             _Node(
                 f"n{index}",
-                ClockError(rng.uniform(-offset_ms, offset_ms), rng.uniform(-drift_ppm, drift_ppm)),
+                ClockError(
+                    generator.uniform(-offset_ms, offset_ms), generator.uniform(-drift_ppm, drift_ppm)
+                ),
             )
             for index in range(nodes)
         ]
         self._balancer_offsets_ms = [
-            rng.uniform(-BALANCER_OFFSET_MAX_MS, BALANCER_OFFSET_MAX_MS) for _ in range(BALANCERS)
+            generator.uniform(-BALANCER_OFFSET_MAX_MS, BALANCER_OFFSET_MAX_MS) for _ in range(BALANCERS)
         ]
         for node in self.nodes:
-            node.start(0.2, rng)
+            node.start(0.2, generator)
         self._pending_stops = sorted(
             _NodeDown(fault.start_s + step * fault.magnitude, fault.kind, node, fault.duration_s)
             for fault in faults
@@ -216,7 +218,7 @@
             if node.boot:
                 serving.append(node)
             elif node.down_until_s <= second:
-                node.start(second + 0.1, self._rng)
+                node.start(second + 0.1, self._generator)
         for node in serving:
             node.record(second, RecordKind.SECOND, self._second_fields(node, second, len(serving)))
 
@@ -237,16 +239,16 @@
         return max(magnitudes, default=1.0)
 
     def _second_fields(self, node: _Node, second: int, serving: int) -> RecordFields:
-        rng = self._rng
+        generator = self._generator
         slowdown = self._magnitude(FaultKind.SLOW_DATABASE, second)
         mean = REQUESTS_PER_S * self._magnitude(FaultKind.TRAFFIC_JUMP, second) * len(self.nodes) / serving
-        read = max(0, round(rng.gauss(mean, math.sqrt(mean))))
+        read = max(0, round(generator.gauss(mean, math.sqrt(mean))))
         capacity = REQUESTS_PER_S * CAPACITY_FACTOR / (1.0 + SLOWDOWN_SHARE * (slowdown - 1.0))
-        random_rejections = sum(rng.random() < RANDOM_REJECTION_SHARE for _ in range(read))
+        random_rejections = sum(generator.random() < RANDOM_REJECTION_SHARE for _ in range(read))
         rejected = min(read, max(0, read - round(capacity)) + random_rejections)
         calls = read // 2
         deviation = CALL_DEVIATION_MS * slowdown / math.sqrt(max(1, calls))
-        call_ms = max(1.0, rng.gauss(CALL_MS * slowdown, deviation))
+        call_ms = max(1.0, generator.gauss(CALL_MS * slowdown, deviation))
         return {
             "ms": 1000.0,
             "totals": self._totals(second, read, rejected),
@@ -274,7 +276,7 @@
         node_offset_ms = node.clock.at(second)
         rate = 2.0 * REQUESTS_PER_S / BALANCERS
         return {
-            balancer: node_offset_ms - balancer_offset_ms + self._rng.expovariate(rate)
+            balancer: node_offset_ms - balancer_offset_ms + self._generator.expovariate(rate)
             for balancer, balancer_offset_ms in enumerate(self._balancer_offsets_ms)
         }
 
@@ -285,23 +287,23 @@
     They start at least ``MARGIN_BEFORE_S`` after the beginning of the day and ``MARGIN_AFTER_S`` before its
     end.
     """
-    rng = random.Random(seed * SEED_FACTOR + 1)
+    generator = random.Random(seed * SEED_FACTOR + 1)
     faults = []
-    for kind in rng.sample(tuple(FaultKind), rng.randint(1, max_faults)):
-        start_s = float(rng.randint(MARGIN_BEFORE_S, seconds - MARGIN_AFTER_S))
-        faults.append(_draw_fault(kind, start_s, nodes, rng))
+    for kind in generator.sample(tuple(FaultKind), generator.randint(1, max_faults)):
+        start_s = float(generator.randint(MARGIN_BEFORE_S, seconds - MARGIN_AFTER_S))
+        faults.append(_draw_fault(kind, start_s, nodes, generator))
     return sorted(faults, key=lambda fault: fault.start_s)
 
 
-def _draw_fault(kind: FaultKind, start_s: float, nodes: int, rng: random.Random) -> Fault:
+def _draw_fault(kind: FaultKind, start_s: float, nodes: int, generator: random.Random) -> Fault:
     match kind:
         case FaultKind.SLOW_DATABASE:
-            return Fault(kind, start_s, float(rng.randint(8, 25)), rng.uniform(3.0, 8.0))
+            return Fault(kind, start_s, float(generator.randint(8, 25)), generator.uniform(3.0, 8.0))
         case FaultKind.TRAFFIC_JUMP:
-            return Fault(kind, start_s, float(rng.randint(6, 20)), rng.uniform(1.7, 2.6))
+            return Fault(kind, start_s, float(generator.randint(6, 20)), generator.uniform(1.7, 2.6))
         case FaultKind.ROLLING_DEPLOY:
             return Fault(kind, start_s, 5.0 * nodes, 5.0, tuple(range(nodes)))
         case FaultKind.CRASH:
-            return Fault(kind, start_s, float(rng.randint(8, 20)), 1.0, (rng.randrange(nodes),))
+            return Fault(kind, start_s, float(generator.randint(8, 20)), 1.0, (generator.randrange(nodes),))
         case FaultKind.BAD_CLIENTS:
-            return Fault(kind, start_s, float(rng.randint(6, 20)), rng.uniform(20.0, 60.0))
+            return Fault(kind, start_s, float(generator.randint(6, 20)), generator.uniform(20.0, 60.0))
--- a/snowthread/admission/open_requests.py
+++ b/snowthread/admission/open_requests.py
@@ -50,9 +50,9 @@
         self.cores.enter(request)
 
     def requeue(self, request: RequestRecord, keeps_progress: bool) -> None:
-        """Queue a run that the host cancelled without a ``StopRun``.
+        """Queue a request again whose run the host has cancelled without a ``StopRun``.
 
-        ``keeps_progress`` says whether the run was paused; otherwise it starts from the beginning.
+        ``keeps_progress`` says whether the run still counts with its memory, as one that was paused.
         """
         self.cores.leave(request)
         if not keeps_progress:
--- a/snowthread/admission/request.py
+++ b/snowthread/admission/request.py
@@ -21,7 +21,9 @@
     RUNNING = 1  # the run is on the cores
     CALL_PENDING = 2  # the run waits for a call that has not been started
     CALLING = 3  # the run waits for a call in flight
-    PAUSED = 4  # the run was cancelled by the host, with its progress kept, and is queued to resume
+    PAUSED = (
+        4  # the run ended without a result at a host that can pause runs, and the request is queued again
+    )
     AWAITING_ORIGINAL = 5  # a retry that gets the result of its original attempt
 
 
--- a/snowthread/ldap/health.py
+++ b/snowthread/ldap/health.py
@@ -91,14 +91,14 @@
             return index
         return None
 
-    def backoff_ms(self, now: float, rng: random.Random) -> float:
+    def backoff_ms(self, now: float, generator: random.Random) -> float:
         """Return the milliseconds to wait before the next attempt after a failure.
 
         This takes a retry from the budget if one is available. The wait is the largest of the jittered
         backoff, the wait for the retry budget (at most the maximum backoff) and the time until the first
         circuit allows an attempt.
         """
-        wait_ms = backoff_ms(max(1, self._consecutive_failures), self.policy, rng)
+        wait_ms = backoff_ms(max(1, self._consecutive_failures), self.policy, generator)
         wait_ms = max(wait_ms, min(self.budget.take_retry(now), self.policy.max_backoff_ms))
         if not any(breaker.allows(now + wait_ms) for breaker in self.breakers):
             wait_ms = max(wait_ms, min(breaker.open_until_ms for breaker in self.breakers) - now)
--- a/snowthread/ldap/retry_budget.py
+++ b/snowthread/ldap/retry_budget.py
@@ -28,13 +28,13 @@
     max_open_ms: float = 120_000.0  # the longest time for which a circuit opens
 
 
-def backoff_ms(retry: int, policy: RetryPolicy, rng: random.Random) -> float:
+def backoff_ms(retry: int, policy: RetryPolicy, generator: random.Random) -> float:
     """Return the milliseconds to wait before a retry; ``retry`` is its number, counted from 1.
 
     The wait has full jitter: it is uniform from 0 to an upper bound that doubles with each retry.
     """
     cap_ms = min(policy.max_backoff_ms, policy.first_backoff_ms * 2.0 ** min(retry - 1, MAX_DOUBLINGS))
-    return rng.uniform(0.0, cap_ms)
+    return generator.uniform(0.0, cap_ms)
 
 
 class RetryBudget:
--- a/snowthread/tenants/directory_session.py
+++ b/snowthread/tenants/directory_session.py
@@ -219,5 +219,5 @@
         self._on_refresh()
         self._search_restarts = 0
         if self._sync.state is ReplicationState.IDLE:
-            jitter = context.rng.uniform(MIN_POLL_JITTER_RATIO, MAX_POLL_JITTER_RATIO)
+            jitter = context.generator.uniform(MIN_POLL_JITTER_RATIO, MAX_POLL_JITTER_RATIO)
             self._poll_at = now + context.settings.poll_interval_ms * jitter
--- a/snowthread/tenants/identification.py
+++ b/snowthread/tenants/identification.py
@@ -45,7 +45,7 @@
         self._peer_address: Callable[[int], str] = lambda _connection: ""
         # ``seed`` comes from the node's configuration and is the same at every start of a node. Nodes with
         # different seeds have different jitter, so that a fleet does not query the directory in step.
-        self._rng = random.Random(seed ^ SEED_SALT)
+        self._generator = random.Random(seed ^ SEED_SALT)
         self._snapshots = SnapshotSchedule(loop.clock, settings, self.tenant_state, self.publish)
 
     def start(self, peer_address: Callable[[int], str]) -> None:
@@ -60,7 +60,7 @@
             )
         )
         self.replicator = DirectoryReplicator(
-            self._loop, self.settings, self.tenant_state, self._rng, self.publish
+            self._loop, self.settings, self.tenant_state, self._generator, self.publish
         )
         self._snapshots.start(self.replicator.sync)
         self._loop.spawn(self._run_housekeeping())
--- a/snowthread/tenants/replication.py
+++ b/snowthread/tenants/replication.py
@@ -34,13 +34,13 @@
         loop: EventLoop,
         settings: TenantSettings,
         tenant_state: TenantState,
-        rng: random.Random,
+        generator: random.Random,
         publish: Callable[[TenantChanges], None],
     ) -> None:
         self.sync = DirectorySync(settings.query)
         self.connection_failures = 0
         self._loop = loop
-        self._context = ReplicationContext(loop, settings, tenant_state, rng, publish)
+        self._context = ReplicationContext(loop, settings, tenant_state, generator, publish)
         self._session: DirectorySession | None = None
         self.server_selector = self._new_server_selector()
         self._task = loop.spawn(self._run(settings.start_jitter_ms))
@@ -75,15 +75,15 @@
 
     def _run(self, start_jitter_ms: float) -> Coroutine:
         clock = self._loop.clock
-        rng = self._context.rng
+        generator = self._context.generator
         # Nodes that start together must not all connect to the directory at the same moment.
-        yield Wait(until_ms=clock.now() + rng.uniform(0.0, start_jitter_ms))
+        yield Wait(until_ms=clock.now() + generator.uniform(0.0, start_jitter_ms))
         while True:
             server_index = self.server_selector.choose(clock.now())
             if server_index is not None:
                 failure = yield from self._connect_and_follow(server_index)
                 self._record_failure(server_index, failure)
-            retry_at = clock.now() + self.server_selector.backoff_ms(clock.now(), rng)
+            retry_at = clock.now() + self.server_selector.backoff_ms(clock.now(), generator)
             while clock.now() < retry_at:  # a wake-up for a lookup must not cut the backoff short
                 yield Wait(until_ms=retry_at)
 
--- a/snowthread/tenants/replication_context.py
+++ b/snowthread/tenants/replication_context.py
@@ -19,5 +19,5 @@
     loop: EventLoop
     settings: TenantSettings
     tenant_state: TenantState
-    rng: random.Random
+    generator: random.Random
     publish: Callable[[TenantChanges], None]
--- a/tests/admission/test_deadlines.py
+++ b/tests/admission/test_deadlines.py
@@ -99,7 +99,7 @@
 
 
 def test_deadline_timers_do_not_multiply() -> None:
-    controller, rng = started_controller(propagates_deadline=True, cores=4), random.Random(1)
+    controller, generator = started_controller(propagates_deadline=True, cores=4), random.Random(1)
     due: list[tuple[float, int]] = []
     deadline_timers, now, next_arrival_at, arrived = 0, 0.0, 0.02, 0
 
@@ -115,7 +115,7 @@
             post(TimerFired(label))
         else:
             now, next_arrival_at, arrived = next_arrival_at, next_arrival_at + 0.02, arrived + 1
-            post(RequestArrived(arrived, "read", time_left_s=rng.uniform(0.2, 3.0)))
+            post(RequestArrived(arrived, "read", time_left_s=generator.uniform(0.2, 3.0)))
             post(RunFinished(arrived - 10, Outcome.SUCCESS))
     assert deadline_timers < 300 < arrived
 
--- a/tests/core/test_key_claims.py
+++ b/tests/core/test_key_claims.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from support.core_events import connect, make_request
+from support.core_events import connect, make_request, started_attempts
 from support.exchange import START
 from support.response_log import ResponseLog
 
@@ -26,10 +26,6 @@
     return [effect.message for effect in emitted if isinstance(effect, effects.SendToPeerProcess)]
 
 
-def started_attempts(emitted: list[effects.Effect]) -> list[str]:
-    return [effect.attempt_id for effect in emitted if isinstance(effect, effects.StartRun)]
-
-
 def responses(emitted: list[effects.Effect]) -> list[object]:
     return [effect.response for effect in emitted if isinstance(effect, effects.SendResponse)]
 
--- a/tests/core/test_key_release.py
+++ b/tests/core/test_key_release.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from support.core_events import connect, make_request
+from support.core_events import connect, make_request, started_attempts
 from support.exchange import START
 
 from snowthread.admission.settings import Outcome
@@ -23,10 +23,6 @@
     assert started_attempts(reduce(state, make_request(1, "keyed", START, KEY), START)) == [ATTEMPT]
 
 
-def started_attempts(emitted: list[effects.Effect]) -> list[str]:
-    return [effect.attempt_id for effect in emitted if isinstance(effect, effects.StartRun)]
-
-
 def released_to_peer(emitted: list[effects.Effect]) -> bool:
     return effects.SendToPeerProcess(events.KeyReleased(ATTEMPT)) in emitted
 
--- a/tests/ldap/test_retry_budget.py
+++ b/tests/ldap/test_retry_budget.py
@@ -38,6 +38,6 @@
 
 @pytest.mark.parametrize(("retry", "cap_ms"), [(1, 100.0), (4, 800.0), (30, 10_000.0), (10_000, 10_000.0)])
 def test_jitter_is_full_and_capped(retry: int, cap_ms: float) -> None:
-    rng = random.Random(3)
-    waits = [backoff_ms(retry, POLICY, rng) for _ in range(400)]
+    generator = random.Random(3)
+    waits = [backoff_ms(retry, POLICY, generator) for _ in range(400)]
     assert min(waits) < cap_ms * 0.05 and cap_ms * 0.95 < max(waits) <= cap_ms
--- a/tests/ldap/test_server_selector.py
+++ b/tests/ldap/test_server_selector.py
@@ -81,17 +81,17 @@
 
 def test_with_all_circuits_open_the_wait_ends_when_the_first_is_half_open() -> None:
     servers = ServerSelector(("a", "b"), POLICY, 0.0)
-    rng = random.Random(1)
+    generator = random.Random(1)
     for index in (0, 1):
         servers.record_failure(index, 0.0, Reaction.NEEDS_OPERATOR)
     assert servers.choose(10.0) is None
-    wait_ms = servers.backoff_ms(10.0, rng)
+    wait_ms = servers.backoff_ms(10.0, generator)
     assert 990.0 <= wait_ms <= POLICY.max_backoff_ms
     assert servers.choose(10.0 + wait_ms) is not None
 
 
 def test_the_rate_of_attempts_on_a_dead_server_is_bounded() -> None:
-    rng = random.Random(5)
+    generator = random.Random(5)
     servers = ServerSelector(("a",), POLICY, 0.0)
     now = 0.0
     attempts = 0
@@ -100,6 +100,6 @@
         if index is not None:
             attempts += 1
             servers.record_failure(index, now)
-        now += max(1.0, servers.backoff_ms(now, rng))
+        now += max(1.0, servers.backoff_ms(now, generator))
     # The circuit is open for at most 8 s, so there is about one attempt per 8 s in 600 s.
     assert 600 / 8 * 0.5 <= attempts <= 600 / 8 + 20
--- a/tests/records/test_record_observer.py
+++ b/tests/records/test_record_observer.py
@@ -123,23 +123,23 @@
 
 
 def test_each_request_ends_exactly_once_in_any_sequence_of_events() -> None:
-    rng = random.Random(4)
+    generator = random.Random(4)
     reducer = ObservedReducer()
     sums = RequestCounts()
     running: list[str] = []
     for number in range(1, 600):
-        reducer.now += rng.expovariate(1.0) * 20.0
-        step = rng.random()
+        reducer.now += generator.expovariate(1.0) * 20.0
+        step = generator.random()
         if step < 0.6:
-            class_name = rng.choice(["match", "recalc", "dispense", "odd"])
-            running.append(reducer.request(number, class_name, key=f"k{rng.randrange(80)}"))
+            class_name = generator.choice(["match", "recalc", "dispense", "odd"])
+            running.append(reducer.request(number, class_name, key=f"k{generator.randrange(80)}"))
         elif step < 0.9 and running:
-            attempt_id = running.pop(rng.randrange(len(running)))
-            reducer.complete(attempt_id, 5.0, rng.choice([Outcome.SUCCESS, Outcome.FAILURE]))
+            attempt_id = running.pop(generator.randrange(len(running)))
+            reducer.complete(attempt_id, 5.0, generator.choice([Outcome.SUCCESS, Outcome.FAILURE]))
         elif step < 0.95:
-            reducer.post(events.RequestCancelled((1, rng.randrange(1, number + 1))))
+            reducer.post(events.RequestCancelled((1, generator.randrange(1, number + 1))))
         else:
-            reducer.post(events.TimerExpired(rng.choice([1, 2])))
+            reducer.post(events.TimerExpired(generator.choice([1, 2])))
         for counts in reducer.take_counts().values():
             for name, value in counts.items():
                 setattr(sums, name, getattr(sums, name) + value)
--- a/tests/sites/test_site_membership.py
+++ b/tests/sites/test_site_membership.py
@@ -67,9 +67,9 @@
 
 def test_a_slow_or_uneven_link_loses_no_site() -> None:
     sites = all_up()
-    rng = random.Random(5)
+    generator = random.Random(5)
     for _ in range(200):
-        sites.run(rng.uniform(100.0, 700.0), {"b": rng.uniform(100.0, 690.0), "c": 250.0})
+        sites.run(generator.uniform(100.0, 700.0), {"b": generator.uniform(100.0, 690.0), "c": 250.0})
     assert all(change.current is not SiteStatus.LOST for change in sites.changes)
 
 
--- a/tests/support/core_events.py
+++ b/tests/support/core_events.py
@@ -54,6 +54,11 @@
     return [e for e in emitted if not isinstance(e, effects.LogMessage | effects.RequestLoadSample)]
 
 
+def started_attempts(emitted: list[effects.Effect]) -> list[str]:
+    """Return the ids of the attempts whose runs are started."""
+    return [effect.attempt_id for effect in emitted if isinstance(effect, effects.StartRun)]
+
+
 def run_of(request: Request) -> Run:
     """Return the run of a request that must have one."""
     assert request.run is not None
