--- a/snowthread/admission/request.py
+++ b/snowthread/admission/request.py
@@ -21,9 +21,7 @@
     RUNNING = 1  # the run is on the cores
     CALL_PENDING = 2  # the run waits for a call that has not been started
     CALLING = 3  # the run waits for a call in flight
-    PAUSED = (
-        4  # the run ended without a result at a host that can pause runs, and the request is queued again
-    )
+    PAUSED = 4  # the run has ended without a result, but keeps its memory, and the request is queued again
     AWAITING_ORIGINAL = 5  # a retry that gets the result of its original attempt
 
 
--- a/snowthread/admission/run_results.py
+++ b/snowthread/admission/run_results.py
@@ -24,8 +24,8 @@
         return remove(state, now, request, forget_key=never_ran)
     if event.outcome is Outcome.CANCELLED and not request.is_settled:
         requeue(state, now, request)
-        may_resume = may_start(state, now, request)
-        return [] if may_resume else reject_or_fail(state, now, request, RejectReason.PREEMPTED)
+        is_queued = may_start(state, now, request)
+        return [] if is_queued else reject_or_fail(state, now, request, RejectReason.PREEMPTED)
     was_running = request.state is RequestState.RUNNING
     actions = remove(state, now, request)
     if event.outcome is Outcome.SUCCESS and was_running:
--- a/snowthread/core/idempotency.py
+++ b/snowthread/core/idempotency.py
@@ -78,9 +78,9 @@
 class IdempotencyTable:
     """Idempotency records by key, by attempt and by request id.
 
-    A record outlives the response to its request and the cancellation of its request, because a retry has to
-    find the result of the run in any case. Once anything shows that a run of its attempt has begun, it stays
-    until it expires, whatever is reported later: without it a retry would run the request again.
+    A record outlives the response to its request and the cancellation of its request: a retry has to find the
+    result of the run in any case. Once anything shows that a run of its attempt has begun, it can't be
+    released, whatever is reported later: without it a retry would run the request again.
     """
 
     def __init__(self, max_result_bytes: int = MAX_RESULT_BYTES) -> None:
--- a/tests/admission/test_properties.py
+++ b/tests/admission/test_properties.py
@@ -96,7 +96,8 @@
 
 
 def end_run_at_call(host: RuleCheckingHost, choice: int) -> None:
-    request = host.pick_request(RequestState.CALLING, choice)
+    state = (RequestState.CALLING, RequestState.CALL_PENDING)[choice % 2]
+    request = host.pick_request(state, choice)
     if request is not None and request in host.unanswered:
         host.end_run_at_call(request)
 
