Bound the earlier records that a key keeps where its window is short

Cause: dropped an earlier record only directly behind the replaced one; with windows under 8 s, a key used again after each window kept all of them. Change: put drops the first record, and all behind it, from which no retry can be read any more (LATE_READ_ALLOWANCE_MS).

--- a/snowthread/core/idempotency.py
+++ b/snowthread/core/idempotency.py
@@ -108,9 +108,8 @@
         if old is not None and old.request_id != request_id:
             self._remove(old)
             old.result = None
-            if old.replaced is not None and _is_purgeable(old.replaced, now_ms):
-                old.replaced = None
             record.replaced = old
+            _drop_purgeable(old, now_ms)
         record.expires_at_ms = entry.expires_at_ms
         self._insert(record)
         return record
@@ -215,3 +214,12 @@
 def _is_purgeable(record: IdempotencyRecord, now_ms: float) -> bool:
     """Return whether a retry from the window of the record can't be read any more."""
     return record.expires_at_ms + LATE_READ_ALLOWANCE_MS <= now_ms
+
+
+def _drop_purgeable(record: IdempotencyRecord, now_ms: float) -> None:
+    """Drop the records before this one, the latest first, from which no retry can be read any more."""
+    while record.replaced is not None:
+        if _is_purgeable(record.replaced, now_ms):
+            record.replaced = None
+            return
+        record = record.replaced
--- a/tests/core/test_key_release.py
+++ b/tests/core/test_key_release.py
@@ -8,6 +8,7 @@
 
 from snowthread.admission.settings import Outcome
 from snowthread.core import effects, events
+from snowthread.core.idempotency import LATE_READ_ALLOWANCE_MS, IdempotencyRecord, IdempotencyTable
 from snowthread.core.reducer import reduce
 from snowthread.core.state import HandoverRole, NodeState
 
@@ -68,3 +69,17 @@
     assert started_attempts(reduce(state, late, START + 9230.0)) == []
     retry = make_request(6, "keyed", START + 9240.0, KEY)
     assert started_attempts(reduce(state, retry, START + 9240.0)) == [retry.attempt_id]
+
+
+def test_a_key_that_is_used_again_after_each_window_keeps_few_earlier_records() -> None:
+    """Guards against memory that grows with each use of a key whose window is short."""
+    table = IdempotencyTable()
+    window_ms = 1000.0
+    for number in range(100):
+        now_ms = START + number * window_ms
+        record = table.put(IdempotencyRecord(KEY, number, f"{number:016x}", now_ms + window_ms, b""), now_ms)
+    kept = 0
+    while record.replaced is not None:
+        record = record.replaced
+        kept += 1
+    assert kept <= 1 + LATE_READ_ALLOWANCE_MS / window_ms
