--- a/review/second/standins.py
+++ b/review/second/standins.py
@@ -379,6 +379,7 @@
         self.last_number = 0
         self.is_released = False
         self.is_over = False
+        self.ended_at_ms = 0.0
         self._task = asyncio.ensure_future(self._read(reader))
 
     @property
@@ -394,6 +395,7 @@
                 for message in unpacker:
                     self._handle(message)
         self.is_over = True
+        self.ended_at_ms = now_ms()
         self.balancer.link_ended(self)
         self.writer.close()
 
