--- a/review/second/standins.py
+++ b/review/second/standins.py
@@ -30,6 +30,7 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 LISTEN_DESCRIPTOR = 3
 NOTICES_KEPT = 4000
+PORTS = range(15_000, 32_000)
 
 
 def now_ms() -> float:
@@ -55,10 +56,17 @@
 
 
 def free_port(kind: int = socket.SOCK_STREAM) -> int:
-    """Return a port that was free a moment ago on the loopback address."""
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """Return a port that was free a moment ago, below those that the system gives to outgoing connections.
+
+    Raises:
+        CaseNotRunError: no port was free.
+    """
+    for _ in range(100):
+        port = secrets.choice(PORTS)
+        with socket.socket(socket.AF_INET, kind) as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            return port
+    raise CaseNotRunError("no port was free")
 
 
 # The platform's requests and its runtime.
