--- a/review/8/case.py
+++ b/review/8/case.py
@@ -92,7 +92,10 @@
     unanswered = [made for made in tries if is_unanswered(made)]
     for made in unanswered:
         platform.record.line(f"not answered in time: {made.uid} wait {made.wait_ms:.0f}")
-    platform.record.line(f"requests {len(tries)}, not answered in time {len(unanswered)}")
+    never = sum(not made.answers for made in unanswered)
+    platform.record.line(
+        f"requests {len(tries)}, not answered in time {len(unanswered)}, of these never {never}"
+    )
     if len(unanswered) >= UNANSWERED_SHARE * len(tries):
         platform.fault(f"{len(unanswered)} of {len(tries)} requests had no final answer in their time")
 
