--- a/review/8/case.py
+++ b/review/8/case.py
@@ -31,7 +31,7 @@
 SECONDS = 20.0
 REQUESTS_PER_S = 40.0
 WAITS_MS = (480.0, 1000.0, 2000.0, 3000.0)
-CROWD = 2000
+CROWD = 3000
 CROWD_BEGINS_S = 4.0
 CROWD_LASTS_S = 10.0  # over which the crowd connects, at an even rate
 REPLACED_AT_S = 8.0
