Review stand-ins: end all processes when a script's time is over

Cause: a script that is stopped at its time limit left the node's processes behind. Change: SIGTERM ends the case with status 2, after its processes.

--- a/review/second/standins.py
+++ b/review/second/standins.py
@@ -638,15 +638,25 @@
             node.log.close()
 
 
+def _give_up(*_: object) -> None:
+    """Exit as a case that could not be played, at the SIGTERM that ``run.sh`` sends when its time is over.
+
+    Raises:
+        SystemExit: always; on its way out the processes are ended.
+    """
+    raise SystemExit(NOT_RUN)
+
+
 def play(folder: Path, scene: Callable[[Case], Awaitable[None]]) -> None:
     """Play a case and exit: 1 if a rule was broken, 0 if all held, 2 if the case could not be played."""
+    signal.signal(signal.SIGTERM, _give_up)
     with tempfile.TemporaryDirectory() as temporary:
         case = Case(folder, Path(temporary))
         status = HELD
         try:
             asyncio.run(scene(case))
             status = BROKEN if case.platform.faults else HELD
-        except (CaseNotRunError, OSError) as error:
+        except (CaseNotRunError, OSError, SystemExit) as error:
             case.record.line(f"the case could not be played: {error!r}")
             status = NOT_RUN
         finally:
