Answer a request at most once when its connection closes beside a retry of it

Cause: a close wrote Failed for each open request, then posted the cancellations one after the other, and took the numbers out of the open ones only behind the last. The core ends the retries of a cancelled original at once, and their responses found their numbers open.

Change: invariant: an answer is written only for a number that stops being open in the same step. BalancerConnection.answer holds it; responses of the core, cancellations and the close pass there.

--- a/snowthread/core/effects.py
+++ b/snowthread/core/effects.py
@@ -56,12 +56,16 @@
     healthy: bool
 
 
+Response = Served | Rejected | Failed | HealthStatus
+"""What a request or a health check can be answered with."""
+
+
 @dataclass(frozen=True, slots=True)
 class SendResponse:
     """Send the only response to a request or a health check."""
 
     response_address: ResponseAddress
-    response: Served | Rejected | Failed | HealthStatus
+    response: Response
     load_report: float | None  # as ``LoadReportKind`` defines it; None if no load report was published
 
 
--- a/snowthread/core/transition.py
+++ b/snowthread/core/transition.py
@@ -44,7 +44,7 @@
     def respond(
         self,
         response_address: ResponseAddress,
-        response: effects.Served | effects.Rejected | effects.Failed | effects.HealthStatus,
+        response: effects.Response,
     ) -> None:
         """Emit the response to a request or a health check, with the current load report."""
         self.emit(effects.SendResponse(response_address, response, self.state.load_report))
--- a/snowthread/frontends/balancers/codec.py
+++ b/snowthread/frontends/balancers/codec.py
@@ -107,7 +107,7 @@
 
 def encode(
     number: int,
-    response: effects.Served | effects.Rejected | effects.Failed | effects.HealthStatus,
+    response: effects.Response,
     load_report: float | None,
 ) -> bytes:
     """Return the bytes of the answer to the request ``number``.
--- a/snowthread/frontends/balancers/connection.py
+++ b/snowthread/frontends/balancers/connection.py
@@ -9,7 +9,7 @@
 
 import math
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from loguru import logger
@@ -40,8 +40,8 @@
     def connection_closed(self, connection: BalancerConnection) -> None:
         """Close the socket, remove the connection and cancel its open requests."""
 
-    def cancel_open_requests(self, connection: BalancerConnection) -> None:
-        """Post a cancellation of each open request: its client no longer waits for the answer."""
+    def cancel_requests(self, connection: BalancerConnection, numbers: Iterable[int]) -> None:
+        """Post a cancellation of each of these requests: their client no longer waits for the answers."""
 
 
 class BalancerConnection:
@@ -99,6 +99,19 @@
 
     # Writing answers, and closing the connection.
 
+    def answer(self, number: int, response: effects.Response, load_report: float | None = None) -> bool:
+        """Send the answer to an open request; return False and send nothing if it is not open.
+
+        All answers are sent here. The request stops being open in the same step, so that it gets no second
+        answer from whatever the first one sets off: a cancellation, for example, ends the retries that wait
+        for the request, and they may be open on the same connection.
+        """
+        if number not in self.open_request_numbers:
+            return False
+        self.open_request_numbers.discard(number)
+        self.write(encode(number, response, load_report))
+        return True
+
     def write(self, data: bytes) -> None:
         """Send what the socket accepts and buffer the rest.
 
@@ -202,6 +215,7 @@
 
     def _fail_open_requests(self) -> None:
         """Answer the open requests as failed: every request must be answered before its connection closes."""
-        for number in sorted(self.open_request_numbers):
-            self.write(encode(number, effects.Failed(), None))
-        self._owner.cancel_open_requests(self)
+        numbers = sorted(self.open_request_numbers)
+        for number in numbers:
+            self.answer(number, effects.Failed())
+        self._owner.cancel_requests(self, numbers)
--- a/snowthread/frontends/balancers/message_handler.py
+++ b/snowthread/frontends/balancers/message_handler.py
@@ -40,6 +40,9 @@
     def write(self, data: bytes) -> None:
         """Send an encoded answer."""
 
+    def answer(self, number: int, response: effects.Response) -> bool:
+        """Send the answer to an open request; return False and send nothing if it is not open."""
+
     def post(self, event: events.Event) -> None:
         """Pass an event to the core."""
 
@@ -97,9 +100,7 @@
     The answer is sent because a client that cancels all its requests would otherwise never receive anything.
     Cancellations are charged to the abuse budget, so that a client that only cancels is disconnected.
     """
-    if number in connection.open_request_numbers:
-        connection.open_request_numbers.discard(number)
-        connection.write(encode(number, effects.Failed(), None))
+    if connection.answer(number, effects.Failed()):
         connection.post(events.RequestCancelled((connection.number, number)))
         connection.mark_active()
     _charge_abuse(connection)
--- a/snowthread/frontends/balancers/server.py
+++ b/snowthread/frontends/balancers/server.py
@@ -7,14 +7,13 @@
 
 import socket
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from loguru import logger
 
 from snowthread.address import Address
 from snowthread.core import effects, events
 from snowthread.frontends.balancers.acceptor import LISTEN_BACKLOG, ConnectionAcceptor
-from snowthread.frontends.balancers.codec import encode
 from snowthread.frontends.balancers.connection import BalancerConnection
 from snowthread.frontends.balancers.eviction import eviction_candidates
 from snowthread.frontends.balancers.sweeper import FAREWELL_TIMEOUT_MS, ConnectionSweeper
@@ -149,13 +148,14 @@
         self._connections.pop(connection.number, None)
         self._idle_since_ms.pop(connection.number, None)
         self.loop.close(connection.sock)
-        self.cancel_open_requests(connection)
+        numbers = sorted(connection.open_request_numbers)
+        connection.open_request_numbers.clear()
+        self.cancel_requests(connection, numbers)
 
-    def cancel_open_requests(self, connection: BalancerConnection) -> None:
-        """Post a cancellation of each open request: its client no longer waits for the answer."""
-        for number in sorted(connection.open_request_numbers):
+    def cancel_requests(self, connection: BalancerConnection, numbers: Iterable[int]) -> None:
+        """Post a cancellation of each of these requests: their client no longer waits for the answers."""
+        for number in numbers:
             self.post(events.RequestCancelled((connection.number, number)))
-        connection.open_request_numbers.clear()
 
     # Sending answers to balancers.
 
@@ -163,14 +163,12 @@
         """Send an answer, unless its connection is closed or the request is answered or cancelled already."""
         connection_number, number = effect.response_address
         connection = self._connections.get(connection_number)
-        if connection is None or number not in connection.open_request_numbers:
+        if connection is None or not connection.answer(number, effect.response, effect.load_report):
             return
-        connection.open_request_numbers.discard(number)
         if isinstance(effect.response, _RESPONSES_THAT_REFUND):
             connection.abuse_budget.refund()
         if isinstance(effect.response, _RESPONSES_WITHOUT_RESULT):
             _log_response_without_result(effect.response)
-        connection.write(encode(number, effect.response, effect.load_report))
         if self._releasing and not connection.open_request_numbers:
             connection.send_farewell()
         self.mark_active(connection)
--- a/tests/node/test_connection_close.py
+++ b/tests/node/test_connection_close.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import socket
+from typing import Any
 
 import msgpack
+import pytest
 from support.node_harness import NodeHarness
 from support.node_peers import (
     HEALTH_CHECK,
@@ -20,6 +22,12 @@
 from snowthread.net.limits import SWEEP_INTERVAL_MS
 
 MALFORMED = b"\xa5hello"
+ENDINGS = {
+    "malformed message": MALFORMED,
+    "partial message": request(3, "match")[:30],
+    "end of the stream": b"",
+}
+"""What a balancer sends before its connection closes; nothing means that it shuts its writing side."""
 SOCKET_BUFFER_BYTES = 4096  # small, so that the buffers between the node and its peer fill soon
 UNSENT_WANTED_BYTES = 16_000  # the node pauses reading only from 32 KiB of unsent answers
 CHECKS_MAX = 20_000  # most health checks that are sent to reach ``UNSENT_WANTED_BYTES``
@@ -56,6 +64,13 @@
     return received
 
 
+def read_messages(harness: NodeHarness, peer_name: str) -> list[list[Any]]:
+    """Return all messages that the node sends to a balancer before it closes the connection."""
+    unpacker = msgpack.Unpacker()
+    unpacker.feed(receive_until_closed(harness, harness.peers[peer_name]))
+    return list(unpacker)
+
+
 def test_open_requests_fail_when_a_malformed_message_ends_their_connection(harness: NodeHarness) -> None:
     harness.connect("1")
     harness.send("1", request(1, "match") + request(2, "recalc") + MALFORMED)
@@ -104,6 +119,25 @@
     assert [read_command(harness)["action"] for _ in range(2)] == ["start", "stop"]
 
 
+@pytest.mark.parametrize("ending", list(ENDINGS), ids=list(ENDINGS))
+def test_request_and_its_retry_get_one_answer_each_when_their_connection_closes(
+    harness: NodeHarness, ending: str
+) -> None:
+    """Guards against a second answer to a retry whose queued original is cancelled by the close."""
+    harness.connect("busy", "1")
+    for number in (11, 12):  # occupies both cores, so that the original stays queued
+        harness.send("busy", request(number, "match"))
+        assert read_command(harness)["action"] == "start"
+    harness.send("1", request(1, "dispense", once="k1") + request(2, "dispense", once="k1"))
+    harness.settle()
+    harness.send("1", ENDINGS[ending])
+    if not ENDINGS[ending]:
+        harness.peers["1"].shutdown(socket.SHUT_WR)
+    for _ in range(14):  # longer than the timeout of a partial message
+        harness.advance(SWEEP_INTERVAL_MS)
+    assert sorted(read_messages(harness, "1")) == [[1, 1, ["Failed", {}], None], [1, 2, ["Failed", {}], None]]
+
+
 def test_peer_that_cancels_the_slower_of_two_copies_stays_connected(harness: NodeHarness) -> None:
     harness.connect("1", "2")
     pos = 0
