Give no answer under the number of an open request to a later, invalid message

Callers saw (by the new test, no report): an invalid message that reuses the number of an open request was answered Failed under that number, and the open request was answered under it later, which is a second answer.

Valid messages with such a number were already treated otherwise: no answer, and the connection closes.

Change: an invalid message becomes an open request and is answered through the same gate, and one whose number is open closes the connection like a valid one.

--- a/snowthread/frontends/balancers/message_handler.py
+++ b/snowthread/frontends/balancers/message_handler.py
@@ -12,7 +12,6 @@
 from loguru import logger
 
 from snowthread.core import effects, events
-from snowthread.frontends.balancers.codec import encode
 from snowthread.frontends.balancers.messages import (
     CancelMessage,
     DecodedMessage,
@@ -37,9 +36,6 @@
     abuse_budget: AbuseBudget
     closing_gracefully: bool  # whether to read no more messages and close after the last answers
 
-    def write(self, data: bytes) -> None:
-        """Send an encoded answer."""
-
     def answer(self, number: int, response: effects.Response) -> bool:
         """Send the answer to an open request; return False and send nothing if it is not open."""
 
@@ -107,10 +103,10 @@
 
 
 def reject_invalid(connection: MessageConnection, message: InvalidMessage) -> None:
-    """Answer an invalid message as failed if its number is known, else close the connection.
+    """Answer an invalid message as failed if its number is known and free, else close the connection.
 
-    Without the number, answers on this connection can no longer be matched to requests. The close answers the
-    open requests as failed, too.
+    Without a number of its own, answers on this connection can no longer be matched to requests. The close
+    answers the open requests as failed, too.
     """
     logger.debug(
         "balancer connection {}: invalid message: {} {}",
@@ -120,8 +116,11 @@
     )
     if message.number is None:
         connection.closing_gracefully = True
+    elif message.number in connection.open_request_numbers:
+        _reject_reused_number(connection, message.number)
     else:
-        connection.write(encode(message.number, effects.Failed(), None))
+        connection.open_request_numbers.add(message.number)
+        connection.answer(message.number, effects.Failed())
         _charge_abuse(connection)
 
 
--- a/tests/node/test_connection_close.py
+++ b/tests/node/test_connection_close.py
@@ -138,6 +138,28 @@
     assert sorted(read_messages(harness, "1")) == [[1, 1, ["Failed", {}], None], [1, 2, ["Failed", {}], None]]
 
 
+@pytest.mark.parametrize(
+    "second",
+    [
+        msgpack.packb([0, 1, "match", [{}, "not bytes"]]),
+        msgpack.packb([0, 1, "match", [{"id": "invalid"}, b"x"]]),
+        msgpack.packb([0, 1, "health", [{}]]),
+        b"\x94\x00\x01\xa5match\x92\x80\xc6\x7f\xff\xff\xff",  # announces a body above the limit
+    ],
+    ids=["invalid body", "invalid fields", "health check", "oversized"],
+)
+def test_message_under_an_open_number_gets_no_answer_and_closes_the_connection(
+    harness: NodeHarness, second: bytes
+) -> None:
+    """Guards against a failure of the second message that would be taken for an answer to the first."""
+    harness.connect("1")
+    harness.send("1", request(1, "match") + request(2, "match"))
+    for _ in range(2):
+        assert read_command(harness)["action"] == "start"
+    harness.send("1", second)
+    assert read_messages(harness, "1") == [[1, 2, ["Failed", {}], None]]
+
+
 def test_peer_that_cancels_the_slower_of_two_copies_stays_connected(harness: NodeHarness) -> None:
     harness.connect("1", "2")
     pos = 0
