--- a/emulators/node_under_faults.py
+++ b/emulators/node_under_faults.py
@@ -68,6 +68,8 @@
     wait_ms: float = 3000.0  # Time in ms for which balancers wait for an answer.
     deadline_s: float = 0.0  # Deadline in s of all classes; 0 keeps those of the example's settings.
     stop_ms: int = 3700
+    # Changes to ``limits`` in the example's configuration.
+    limits: Mapping[str, Any] = field(default_factory=dict)
 
     def settings(self) -> dict[str, Any]:
         """Return the settings of ``examples/node.json`` with the changes of this scenario."""
@@ -137,6 +139,7 @@
             "index": format_address(self.database_relay.address),
             "roster": format_address(registry),
             "stop_ms": self.scenario.stop_ms,
+            "limits": example["limits"] | dict(self.scenario.limits),
             "settings": self.scenario.settings(),
         }
 
