Scan each value of a balancer's message once, and bound the values in a message

Memory did not show: at most 37 MB of 40.

Cause: each piece of a partial message was added to the ones before and all of it was unpacked and searched for announced lengths again: 3 to 7 ms of the loop a byte for lists in lists and for heads of very many short fields.

Change: invariant: what a message costs depends on its bytes and not on its pieces, and is bounded. MessageScanner keeps where it stopped and counts the values that are left, so it reads each format byte once; a message is unpacked when it is complete. A message may have 512 values (a valid request has under 150); lists in lists or maps in maps had no limit but the size. test_oversized_value_is_noticed_by_its_head asks the scanner the same questions that it asked the function it replaces.

--- a/snowthread/frontends/balancers/codec.py
+++ b/snowthread/frontends/balancers/codec.py
@@ -12,7 +12,7 @@
 import msgpack
 
 from snowthread.core import effects
-from snowthread.frontends.balancers.framing import is_message_number, unpacker_for_read
+from snowthread.frontends.balancers.framing import is_message_number
 from snowthread.frontends.balancers.messages import (
     CancelMessage,
     DecodedMessage,
@@ -94,7 +94,7 @@
 
     The rest of the request may be unreadable: with its number the request can still be answered.
     """
-    unpacker = unpacker_for_read()
+    unpacker = msgpack.Unpacker(max_buffer_size=NUMBER_PREFIX_BYTES)
     unpacker.feed(start[:NUMBER_PREFIX_BYTES])
     try:
         if unpacker.read_array_header() == REQUEST_ELEMENTS and unpacker.unpack() == REQUEST_KIND:
--- a/tests/frontends/test_balancer_codec.py
+++ b/tests/frontends/test_balancer_codec.py
@@ -21,7 +21,8 @@
 from snowthread.frontends.balancers.framing import (
     MAX_CONTAINER_ITEMS,
     MAX_MESSAGE_BYTES,
-    announces_oversized_value,
+    FramingError,
+    MessageScanner,
 )
 from snowthread.frontends.balancers.messages import (
     CancelMessage,
@@ -51,6 +52,14 @@
 }
 
 
+def is_rejected_by_scanner(start_of_message: bytes) -> bool:
+    try:
+        MessageScanner().scan(start_of_message, 0)
+    except FramingError:
+        return True
+    return False
+
+
 def parse(fields: dict[str, Any]) -> events.RequestReceived | InvalidMessage:
     return parse_request(RequestMessage(7, "match", b"x", fields), (1, 7), NOW_MS)
 
@@ -165,13 +174,13 @@
         msgpack.ExtType(1, b"eee"),
     ]
     message = msgpack.packb([*values_before, value])
-    assert announces_oversized_value(message[: -len(msgpack.packb(value)) + 5]) == is_oversized
+    assert is_rejected_by_scanner(message[: -len(msgpack.packb(value)) + 5]) == is_oversized
 
 
 @given(st.binary(max_size=60))
 @settings(max_examples=300, deadline=None)
 def test_no_bytes_raise_an_error(data: bytes) -> None:
-    announces_oversized_value(data)
+    is_rejected_by_scanner(data)
     number = request_number_from_prefix(data)
     assert number is None or 0 <= number < 2**32
 
--- /dev/null
+++ b/tests/soak/test_abuse.py
@@ -0,0 +1,28 @@
+"""Abusive clients against a real node: its ordinary clients get their answers in time, within the limits.
+
+``python -m emulators.abuse BEHAVIOUR ...`` plays other behaviours, longer and with more clients.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from emulators.abuse import AbusePlan, AbuseResult, run_abuse
+
+SECONDS = 4.0
+SLOW_CLIENTS = 100
+
+
+def play(behaviour: str, connections: int) -> AbuseResult:
+    """Play a behaviour and check that the abusive clients came, and that no rule was broken."""
+    result = run_abuse(AbusePlan(behaviour, SECONDS, connections))
+    assert result.abusive["connections"] >= connections
+    assert result.served > 0
+    assert result.broken == []
+    return result
+
+
+@pytest.mark.parametrize("behaviour", ["slow-nested-lists", "slow-large-requests"])
+def test_answers_are_in_time_while_a_hundred_clients_write_large_messages_slowly(behaviour: str) -> None:
+    """Guards against a cost of each piece that grows with the message that it belongs to."""
+    play(behaviour, SLOW_CLIENTS)
