Handle the messages of each connection in turns of 32

Cause: a turn of a connection was bounded by bytes, not by work; small messages make the most work of a read. Change: invariant: between two turns of one connection each other connection handles at most 32 messages. What is left stays in the buffer, the socket isn't read meanwhile, and the next round goes on.

--- a/snowthread/frontends/balancers/connection.py
+++ b/snowthread/frontends/balancers/connection.py
@@ -85,8 +85,8 @@
 
     @property
     def has_partial_message(self) -> bool:
-        """Whether a message has been read only in part."""
-        return bool(self.message_stream.partial_message)
+        """Whether bytes of a message have been read that is not handled yet."""
+        return bool(self.message_stream.buffered)
 
     @property
     def unsent_bytes(self) -> int:
@@ -152,54 +152,57 @@
         it since its last byte was written, and a close would lose it.
         """
         try:
-            if not self.closing_immediately and not self.closing_gracefully and not self._read():
+            if not self._is_closing and not self._read():
                 self.closing_gracefully = True
+            while self.message_stream.has_more and not self._is_closing:
+                self._handle_messages(b"")
         except OSError:
             self.closing_immediately = True
-        if self.closing_immediately or self.closing_gracefully:
+        if self._is_closing:
             self._owner.loop.wake(self.task)
 
+    @property
+    def _is_closing(self) -> bool:
+        return self.closing_immediately or self.closing_gracefully
+
     def _read(self) -> bool:
-        """Read once and handle the complete messages; return False at the end of the stream."""
+        """Read once and handle messages for one turn; return False at the end of the stream."""
         try:
             data = self.sock.recv(READ_BYTES)
         except BlockingIOError:
             return True
         if not data:
             return False
+        self._handle_messages(data)
+        return True
+
+    def _handle_messages(self, data: bytes) -> None:
+        """Handle messages for one turn: those that are buffered, and then those in ``data``."""
         invalid = self.message_stream.feed(data, self._handle)
         if invalid is not None:
             reject_invalid(self, invalid)
             self.closing_gracefully = True
-        elif self.message_stream.partial_message and not self.open_request_numbers:
+        elif self.message_stream.buffered and not self.open_request_numbers:
             # A request is arriving in parts: restart its idle time, so that silent ones are evicted first.
             self.mark_active()
-        return True
 
     def _handle(self, message: DecodedMessage) -> bool:
         """Handle a message; return whether the messages after it are to be handled too."""
         handle_message(self, message)
-        return not self.closing_immediately and not self.closing_gracefully
+        return not self._is_closing
 
     # The task that reads, writes and finally closes the connection.
 
     def _run(self) -> Coroutine:
         try:
-            while not self.closing_immediately and not self.closing_gracefully:
-                reads = len(self.writer.unsent) < UNSENT_PAUSE_BYTES
-                mask = (READABLE if reads else 0) | (WRITABLE if self.writer.unsent else 0)
-                ready = yield Wait(self.sock.fileno(), mask)
+            while not self._is_closing:
+                ready = yield self._next_wait()
                 if ready & (WRITABLE | HANGUP) and self.writer.unsent:
                     self.writer.flush()
                     if not self.writer.unsent:
                         self.mark_active()
-                if (
-                    ready & (READABLE | HANGUP)
-                    and not self.closing_immediately
-                    and not self.closing_gracefully
-                    and not self._read()
-                ):
-                    self.closing_gracefully = True
+                if not self._is_closing:
+                    self._take_turn(ready)
             logger.debug(
                 "balancer connection {}: closing with {} open requests",
                 self.number,
@@ -213,6 +216,27 @@
             self.closing_immediately = True
             self._owner.connection_closed(self)
 
+    def _next_wait(self) -> Wait:
+        """Return what the next turn waits for: only for the other connections if messages are left.
+
+        While too many answers are unsent, the next turn waits until the peer has read some of them.
+        """
+        mask = WRITABLE if self.writer.unsent else 0
+        if len(self.writer.unsent) < UNSENT_PAUSE_BYTES:
+            if self.message_stream.has_more:
+                self._owner.loop.wake(self.task)
+            else:
+                mask |= READABLE
+        return Wait(self.sock.fileno(), mask)
+
+    def _take_turn(self, ready: int) -> None:
+        """Handle messages for one turn; the socket is read only once all that was read before is handled."""
+        if self.message_stream.has_more:
+            if len(self.writer.unsent) < UNSENT_PAUSE_BYTES:
+                self._handle_messages(b"")
+        elif ready & (READABLE | HANGUP) and not self._read():
+            self.closing_gracefully = True
+
     def _fail_open_requests(self) -> None:
         """Answer the open requests as failed: every request must be answered before its connection closes."""
         numbers = sorted(self.open_request_numbers)
--- a/tests/frontends/test_connection_limits.py
+++ b/tests/frontends/test_connection_limits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack
@@ -10,6 +11,7 @@
 import pytest
 from support.exchange import START, ExchangePlayer
 
+from snowthread.frontends.balancers.message_stream import MAX_MESSAGES_PER_TURN
 from snowthread.net.limits import FIRST_BYTE_TIMEOUT_MS, PARTIAL_MESSAGE_TIMEOUT_MS
 
 FIELDS = {
@@ -23,6 +25,7 @@
 BODY = b"p" * 40
 REQUEST = msgpack.packb([0, 1, "match", [FIELDS, BODY]])
 HEALTH_CHECK = msgpack.packb([0, 1, "health", [{}]])
+CHECKS = 500  # health checks that a client sends at once; fewer than the bytes of one read
 WRITING_TIME_MS = 2000.0  # time in which the slow writer sends its request
 
 
@@ -84,3 +87,51 @@
         endless.send(REQUEST[20:21])  # further bytes do not extend the timeout of a partial message
         player.step("clock", str((PARTIAL_MESSAGE_TIMEOUT_MS - FIRST_BYTE_TIMEOUT_MS) / 5.0 + 60.0), "")
     assert player.node.balancers.count() == 0
+
+
+def count_answers(sock: socket.socket) -> int:
+    """Return how many answers have arrived since the last call."""
+    unpacker = msgpack.Unpacker()
+    try:
+        unpacker.feed(sock.recv(65536))
+    except BlockingIOError:
+        return 0
+    return len(list(unpacker))
+
+
+def test_flood_of_one_client_is_handled_in_turns(player: ExchangePlayer, connect: Connect) -> None:
+    """Guards against a client whose many small messages delay those of all others by a whole read."""
+    flood = connect(player)
+    flood.sendall(HEALTH_CHECK * CHECKS)
+    answers: list[int] = []
+    while sum(answers) < CHECKS:
+        player.node.loop.run_once(0.0)
+        answers.append(count_answers(flood))
+        assert len(answers) <= 2 * CHECKS, "the node has stopped to answer"
+    assert max(answers) <= MAX_MESSAGES_PER_TURN
+
+
+def test_messages_left_by_a_turn_are_handled_before_a_decision_to_close(
+    player: ExchangePlayer, connect: Connect
+) -> None:
+    """Guards against the loss of a request that was read but waits for a later turn."""
+    sock = connect(player)
+    sock.sendall(HEALTH_CHECK * CHECKS + REQUEST)
+    player.node.loop.run_once(0.0)
+    (connection,) = player.node.balancers._connections.values()
+    assert connection.message_stream.has_more and player.node.balancers.busy
+    connection.read_pending()
+    assert not connection.message_stream.has_more
+    assert [request.body for request in player.node.state.requests.values()] == [BODY]
+
+
+def test_messages_left_by_a_turn_are_not_awaited_from_the_peer(
+    player: ExchangePlayer, connect: Connect
+) -> None:
+    """Guards against a timeout of a peer that has sent everything."""
+    sock = connect(player)
+    sock.sendall(HEALTH_CHECK * CHECKS)
+    player.node.loop.run_once(0.0)
+    (connection,) = player.node.balancers._connections.values()
+    assert connection.message_stream.has_more
+    assert connection.message_stream.incomplete_since_ms() == math.inf
--- a/tests/soak/test_abuse.py
+++ b/tests/soak/test_abuse.py
@@ -11,6 +11,7 @@
 
 SECONDS = 4.0
 SLOW_CLIENTS = 100
+FLOODING_CLIENTS = 20
 
 
 def play(behaviour: str, connections: int) -> AbuseResult:
@@ -26,3 +27,9 @@
 def test_answers_are_in_time_while_a_hundred_clients_write_large_messages_slowly(behaviour: str) -> None:
     """Guards against a cost of each piece that grows with the message that it belongs to."""
     play(behaviour, SLOW_CLIENTS)
+
+
+@pytest.mark.parametrize("behaviour", ["flood-health-checks", "flood-new-names"])
+def test_answers_are_in_time_while_clients_send_small_messages_at_full_speed(behaviour: str) -> None:
+    """Guards against floods that delay other clients or fill the memory with new names."""
+    play(behaviour, FLOODING_CLIENTS)
