Run nothing that is unread when its client has closed the connection

Cause: the end of a stream was known only once all before it was read. The kernel tells it earlier (EPOLLRDHUP). Change: invariant: once a client's close is known, nothing of it is started. The connection fails and cancels what is open at once, then reads the rest and answers each request Failed without passing it to the core. read_pending, the path before an eviction, a timeout or the exit, asks the kernel too.

--- a/snowthread/frontends/balancers/connection.py
+++ b/snowthread/frontends/balancers/connection.py
@@ -23,7 +23,8 @@
 from snowthread.frontends.balancers.messages import DecodedMessage
 from snowthread.frontends.balancers.socket_writer import BufferedSocketWriter
 from snowthread.net.limits import AbuseBudget
-from snowthread.net.loop import HANGUP, READABLE, WRITABLE, Coroutine, EventLoop, Wait
+from snowthread.net.loop import HANGUP, PEER_CLOSED, READABLE, WRITABLE, Coroutine, EventLoop, Wait
+from snowthread.net.peer_close import has_peer_closed
 
 UNSENT_PAUSE_BYTES = 32 * 1024  # reading pauses while this many bytes of answers are unsent
 
@@ -57,6 +58,7 @@
         "message_stream",
         "number",
         "open_request_numbers",
+        "peer_has_closed",
         "post",
         "sock",
         "task",
@@ -73,6 +75,7 @@
         self.farewell_at_ms = math.inf  # when the farewell was sent; infinity until then
         self.closing_immediately = False  # whether it failed, was evicted or is closed: no more I/O
         self.closing_gracefully = False  # whether to read no more messages and close after the last answers
+        self.peer_has_closed = False  # whether the peer writes no more, and waits for no answer
         self.abuse_budget = AbuseBudget(self.clock.now())
         self.writer = BufferedSocketWriter(sock, self.clock)
         self.message_stream = MessageStream(self.clock)
@@ -151,6 +154,8 @@
         If the event loop was late, a complete request may be unread in the socket. The node owes an answer to
         it since its last byte was written, and a close would lose it.
         """
+        if not self.peer_has_closed and has_peer_closed(self.sock):
+            self._handle_peer_close()
         try:
             if not self._is_closing and not self._read():
                 self.closing_gracefully = True
@@ -201,6 +206,8 @@
                     self.writer.flush()
                     if not self.writer.unsent:
                         self.mark_active()
+                if ready & PEER_CLOSED:
+                    self._handle_peer_close()
                 if not self._is_closing:
                     self._take_turn(ready)
             logger.debug(
@@ -221,7 +228,9 @@
 
         While too many answers are unsent, the next turn waits until the peer has read some of them.
         """
-        mask = WRITABLE if self.writer.unsent else 0
+        mask = 0 if self.peer_has_closed else PEER_CLOSED
+        if self.writer.unsent:
+            mask |= WRITABLE
         if len(self.writer.unsent) < UNSENT_PAUSE_BYTES:
             if self.message_stream.has_more:
                 self._owner.loop.wake(self.task)
@@ -237,8 +246,16 @@
         elif ready & (READABLE | HANGUP) and not self._read():
             self.closing_gracefully = True
 
+    def _handle_peer_close(self) -> None:
+        """Stop working for the peer: it waits for no answer any more.
+
+        What it wrote before is still read, as every request gets an answer, but none of it is run.
+        """
+        self.peer_has_closed = True
+        self._fail_open_requests()
+
     def _fail_open_requests(self) -> None:
-        """Answer the open requests as failed: every request must be answered before its connection closes."""
+        """Answer the open requests as failed, as each must be answered before a close, and cancel them."""
         numbers = sorted(self.open_request_numbers)
         for number in numbers:
             self.answer(number, effects.Failed())
--- a/snowthread/frontends/balancers/message_handler.py
+++ b/snowthread/frontends/balancers/message_handler.py
@@ -33,6 +33,7 @@
     number: int
     clock: Clock
     open_request_numbers: set[int]  # numbers of the requests that are not answered yet
+    peer_has_closed: bool  # whether the peer writes no more, and waits for no answer
     abuse_budget: AbuseBudget
     closing_gracefully: bool  # whether to read no more messages and close after the last answers
 
@@ -76,6 +77,9 @@
         reject_invalid(connection, request)
         return
     open_request_numbers.add(message.number)
+    if connection.peer_has_closed:
+        connection.answer(message.number, effects.Failed(request.attempt_id))
+        return
     connection.mark_active()
     connection.post(request)
 
--- a/snowthread/net/loop.py
+++ b/snowthread/net/loop.py
@@ -29,6 +29,7 @@
 READABLE = select.EPOLLIN
 WRITABLE = select.EPOLLOUT
 HANGUP = select.EPOLLHUP | select.EPOLLERR
+PEER_CLOSED = select.EPOLLRDHUP  # the peer has closed its writing side, whether or not its data was read
 
 
 class Wait(NamedTuple):
