Run no attempt id a second time within its window

Cause: an attempt was known as a copy only while it was in progress. Keys tell later copies of keyed requests apart; nothing told those of other classes. Change: invariant: an attempt id whose run was started starts no other run until its class's deadline and window are over. A copy fails; one with the key of its run gets the run's result, as before.

--- a/snowthread/core/action_handlers.py
+++ b/snowthread/core/action_handlers.py
@@ -25,10 +25,15 @@
 
 def start_run(transition: Transition, action: actions.StartRun) -> None:
     """Start the run of a queued request."""
-    request = transition.state.requests.get(action.request_id)
+    state = transition.state
+    request = state.requests.get(action.request_id)
     if request is not None and request.phase is RequestPhase.QUEUED:
         request.phase = RequestPhase.RUNNING
         request.run = Run()
+        request_class = request.request_class
+        remembered_s = max(request_class.deadline_s, request_class.idempotency_window_s)
+        expires_at_ms = transition.now_ms + state.admission_clock.duration_ms(remembered_s)
+        state.started_attempts.add(request.attempt_id, expires_at_ms, transition.now_ms)
         send_command(transition, effects.StartRun(request.attempt_id, request.class_name, request.body))
 
 
--- a/snowthread/core/arrivals.py
+++ b/snowthread/core/arrivals.py
@@ -63,7 +63,11 @@
         if match is None:
             return
         key = match
-    _admit(transition, event, request_class, arrived_at_ms, key)
+    if key.original_id is None and state.started_attempts.contains(event.attempt_id, transition.now_ms):
+        # The id has come again: the attempt may have run, and there is no record of its result.
+        transition.respond(event.response_address, effects.Failed(event.attempt_id))
+    else:
+        _admit(transition, event, request_class, arrived_at_ms, key)
     if claim is ClaimDecision.GRANTED:
         _release_unused_claim(transition, event.attempt_id)
 
--- a/snowthread/core/state.py
+++ b/snowthread/core/state.py
@@ -24,6 +24,7 @@
 )
 from snowthread.core.idempotency import IdempotencyTable, IndeterminateKeys
 from snowthread.core.run import Run
+from snowthread.core.started_attempts import StartedAttempts
 
 MS_PER_S = 1000.0
 MIN_TIMESTAMP_S = 0.001  # smallest time passed to the admission controller, which reads 0 as "not set"
@@ -123,6 +124,7 @@
     requests: dict[int, Request] = field(default_factory=dict)
     requests_by_attempt_id: dict[str, Request] = field(default_factory=dict)
     requests_by_response_address: dict[ResponseAddress, Request] = field(default_factory=dict)
+    started_attempts: StartedAttempts = field(default_factory=StartedAttempts)
     last_request_id: int = 0
     command_log: CommandLog = field(default_factory=CommandLog)
     runtime_connected: bool = False
--- a/tests/node/test_peer_close.py
+++ b/tests/node/test_peer_close.py
@@ -8,7 +8,15 @@
 import msgpack
 import pytest
 from support.node_harness import NodeHarness
-from support.node_peers import HEALTH_CHECK, attempt_id, read_answer, read_work_command, request
+from support.node_peers import (
+    HEALTH_CHECK,
+    attempt_id,
+    read_answer,
+    read_work_command,
+    request,
+    send_notice,
+    serve_request,
+)
 
 from snowthread.frontends.balancers.framing import READ_BYTES
 
@@ -98,3 +106,26 @@
     harness.send("1", HEALTH_CHECK)
     harness.peers["1"].shutdown(socket.SHUT_WR)
     assert read_answer(harness, "1")[:3] == [1, 1, None]
+
+
+def test_attempt_that_comes_again_after_its_client_has_left_is_not_run_again(harness: NodeHarness) -> None:
+    """Guards against two runs of one attempt id of a class without idempotency keys."""
+    harness.connect("1", "2")
+    harness.send("1", request(1, "match"))
+    assert read_work_command(harness)["action"] == "start"
+    harness.close_peer("1")
+    assert read_work_command(harness)["action"] == "stop"
+    send_notice(harness, "end", pos=1, uid=attempt_id(1), code="aborted", wall_ms=1, content=b"")
+    harness.settle()
+    harness.send("2", request(1, "match"))
+    assert read_answer(harness, "2")[:3] == [1, 1, ["Failed", {}]]
+    harness.assert_silent("runtime")
+
+
+def test_attempt_that_comes_again_with_its_key_gets_the_result_of_its_run(harness: NodeHarness) -> None:
+    harness.connect("1", "2")
+    harness.send("1", request(1, "dispense", once="k1"))
+    serve_request(harness, "1", 1, pos=1)
+    harness.send("2", request(1, "dispense", once="k1"))
+    assert read_answer(harness, "2")[:3] == [1, 1, None]
+    harness.assert_silent("runtime")
