Hot restart benchmark: clients that leave and come again, at either process

Change: twice a second a client writes 30 requests, closes at once, and the same bytes come again up to 1.5 s later, on whichever process accepts. Counted are the attempts that ran, and those with and without a key that ran twice; a key is a missed target.

--- a/benchmarks/hot_restart.py
+++ b/benchmarks/hot_restart.py
@@ -3,7 +3,9 @@
 Balancers keep their connections until the node announces that it closes them. A third of the requests with an
 idempotency key is retried soon after, on whichever process accepts the retry. The benchmark counts requests
 that were served, lost, answered twice or late, keys that ran twice, and withdrawals of the registration. It
-measures the time until a new process is ready, and the memory of both processes together.
+measures the time until a new process is ready, and the memory of both processes together. Beside the
+balancers some clients leave at once and come again with the same requests
+(:mod:`benchmarks.leaving_clients`).
 
     python -m benchmarks.hot_restart [--seed N] [--short]
 """
@@ -29,6 +31,7 @@
 from typing import Any
 
 from benchmarks.command import run_benchmark
+from benchmarks.leaving_clients import LeavingClients
 from benchmarks.programs import LOOPBACK_HOST, ROOT, reserve_address
 from benchmarks.traffic_figures import count_broken_rules, was_served
 from emulators.load_generator import LoadGenerator
@@ -45,6 +48,7 @@
 CLASS_SHARES = {"match": 0.5, "recalc": 0.3, "dispense": 0.2}
 KEYED_CLASS = "dispense"
 RETRY_SHARE = 1 / 3  # Share of the requests with an idempotency key that are sent a second time.
+LEAVING_CLIENTS_PER_S = 2.0
 RETRY_AFTER_MS = (1.0, 600.0)  # Range of the time in ms until a retry, with a uniform distribution.
 REQUEST_TIMEOUT_MS = 3000.0
 SETTLE_MS = 300.0  # Time for which late answers are awaited after the timeout of the last request.
@@ -151,10 +155,18 @@
         load_generator = LoadGenerator(self.fields["listen"], SOURCES, REQUEST_TIMEOUT_MS, self.loop)
         begin_ms = self.loop.clock.now()
         self._schedule_requests(load_generator, begin_ms)
+        leaving_clients = self._schedule_leaving_clients(begin_ms)
         for at_s in self.restarts_at_s:
             self.loop.call_at(begin_ms + at_s * MS_PER_S, self._spawn_restart)
         load_generator.run_until(begin_ms + self.seconds * MS_PER_S + REQUEST_TIMEOUT_MS + SETTLE_MS)
-        return self._figures(load_generator)
+        return self._figures(load_generator) | leaving_clients.figures(self.started_runs)
+
+    def _schedule_leaving_clients(self, begin_ms: float) -> LeavingClients:
+        generator = random.Random(self.random.getrandbits(32))
+        clients = LeavingClients(self.loop, Address.parse(self.fields["listen"]), generator)
+        for number in range(int(self.seconds * LEAVING_CLIENTS_PER_S)):
+            self.loop.call_at(begin_ms + number / LEAVING_CLIENTS_PER_S * MS_PER_S, clients.write_twice)
+        return clients
 
     def _schedule_requests(self, load_generator: LoadGenerator, begin_ms: float) -> None:
         """Schedule requests as a Poisson process, and retries of some requests with an idempotency key."""
@@ -238,7 +250,14 @@
 def missed_objectives(figures: dict[str, Any]) -> list[str]:
     """Return the names of the figures that miss their objective."""
     with_restarts = figures["replaced"]
-    must_be_zero = ("lost", "doubled", "late", "keys_run_twice", "roster_off")
+    must_be_zero = (
+        "lost",
+        "doubled",
+        "late",
+        "keys_run_twice",
+        "left_behind_keys_run_twice",
+        "roster_off",
+    )
     missed = [name for name in must_be_zero if with_restarts[name]]
     if with_restarts["left"] != [0, 0]:
         missed.append("left")
--- a/tests/benchmarks/test_objectives.py
+++ b/tests/benchmarks/test_objectives.py
@@ -13,6 +13,7 @@
     "doubled": 0,
     "late": 0,
     "keys_run_twice": 0,
+    "left_behind_keys_run_twice": 0,
     "roster_off": 0,
     "left": [0, 0],
     "ready_ms": [500, 600],
@@ -29,6 +30,7 @@
     [
         ({}, hot_restart.MIN_RATIO, []),
         ({"lost": 1, "late": 2}, 1.0, ["lost", "late"]),
+        ({"left_behind_keys_run_twice": 1}, 1.0, ["left_behind_keys_run_twice"]),
         ({"left": [0, 1]}, 1.0, ["left"]),
         ({}, hot_restart.MIN_RATIO - 0.01, ["ratio"]),
         ({"ready_ms": [100, hot_restart.MAX_READY_MS + 1.0]}, 1.0, ["ready_ms"]),
