One state for a balancer's connection, as an enum with its table

Cause: a connection had three flags (closing immediately, closing gracefully, closed by its peer), set in five modules; which combinations there were, and what each still allowed, stood nowhere. Change: ConnectionState with a table; a connection only moves on in it, by abort, close_gracefully and the peer's close. has_partial_message is has_unhandled_input, as it may be whole messages. No other behaviour is meant to change: a close asked for by a message wakes the task once more than before.

--- a/snowthread/frontends/balancers/connection.py
+++ b/snowthread/frontends/balancers/connection.py
@@ -1,8 +1,8 @@
 """One balancer's connection: its socket, its task and the state that the server reads.
 
-It delegates to :mod:`.message_stream` (bytes to messages), :mod:`.message_handler` (messages to events),
-:mod:`.socket_writer` (answers to the socket) and :mod:`.lingering_close`. It knows its owner only through
-:class:`ConnectionOwner`, which the server implements.
+It has a :class:`~.connection_state.ConnectionState` and delegates to :mod:`.message_stream` (bytes to
+messages), :mod:`.message_handler` (messages to events), :mod:`.socket_writer` (answers to the socket) and
+:mod:`.lingering_close`. It knows its owner only through :class:`ConnectionOwner`, which the server implements.
 """
 
 from __future__ import annotations
@@ -16,6 +16,7 @@
 
 from snowthread.core import effects, events
 from snowthread.frontends.balancers.codec import FAREWELL, encode
+from snowthread.frontends.balancers.connection_state import ConnectionState
 from snowthread.frontends.balancers.framing import READ_BYTES
 from snowthread.frontends.balancers.lingering_close import lingering_close
 from snowthread.frontends.balancers.message_handler import handle_message, reject_invalid
@@ -52,15 +53,13 @@
         "_owner",
         "abuse_budget",
         "clock",
-        "closing_gracefully",
-        "closing_immediately",
         "farewell_at_ms",
         "message_stream",
         "number",
         "open_request_numbers",
-        "peer_has_closed",
         "post",
         "sock",
+        "state",
         "task",
         "writer",
     )
@@ -73,9 +72,7 @@
         self.post = owner.post
         self.open_request_numbers: set[int] = set()  # numbers of the requests that are not answered yet
         self.farewell_at_ms = math.inf  # when the farewell was sent; infinity until then
-        self.closing_immediately = False  # whether it failed, was evicted or is closed: no more I/O
-        self.closing_gracefully = False  # whether to read no more messages and close after the last answers
-        self.peer_has_closed = False  # whether the peer writes no more, and waits for no answer
+        self.state = ConnectionState.OPEN
         self.abuse_budget = AbuseBudget(self.clock.now())
         self.writer = BufferedSocketWriter(sock, self.clock)
         self.message_stream = MessageStream(self.clock)
@@ -87,8 +84,23 @@
         return not self.open_request_numbers and not self.writer.unsent
 
     @property
-    def has_partial_message(self) -> bool:
-        """Whether bytes of a message have been read that is not handled yet."""
+    def peer_has_closed(self) -> bool:
+        """Whether the peer writes no more, and waits for no answer."""
+        return self.state >= ConnectionState.PEER_CLOSED
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether no more messages are read."""
+        return self.state >= ConnectionState.CLOSING
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether nothing is read or written any more."""
+        return self.state is ConnectionState.CLOSED
+
+    @property
+    def has_unhandled_input(self) -> bool:
+        """Whether bytes have been read that are not handled yet, such as the first part of a message."""
         return bool(self.message_stream.buffered)
 
     @property
@@ -120,7 +132,7 @@
 
         The connection is aborted if more than the limit is buffered or the socket fails.
         """
-        if self.closing_immediately:
+        if self.is_closed:
             return
         try:
             self.writer.write(data)
@@ -132,18 +144,20 @@
 
     def send_farewell(self) -> None:
         """Ask the peer, at most once, to send no new request on this connection and to close it."""
-        if self.farewell_at_ms == math.inf and not self.closing_gracefully:
+        if self.farewell_at_ms == math.inf and not self.is_closing:
             self.farewell_at_ms = self.clock.now()
             self.write(FAREWELL)
 
     def abort(self) -> None:
         """Close without sending what is unsent, in the next round of the event loop."""
-        self.closing_immediately = True
-        self._owner.loop.wake(self.task)
+        self._advance_to(ConnectionState.CLOSED)
 
     def close_gracefully(self) -> None:
         """Stop reading, answer the open requests as failed, send what is unsent, and close."""
-        self.closing_gracefully = True
+        self._advance_to(ConnectionState.CLOSING)
+
+    def _advance_to(self, state: ConnectionState) -> None:
+        self.state = max(self.state, state)
         self._owner.loop.wake(self.task)
 
     # Reading and handling messages.
@@ -154,21 +168,15 @@
         If the event loop was late, a complete request may be unread in the socket. The node owes an answer to
         it since its last byte was written, and a close would lose it.
         """
-        if not self.peer_has_closed and has_peer_closed(self.sock):
-            self._handle_peer_close()
         try:
-            if not self._is_closing and not self._read():
-                self.closing_gracefully = True
-            while self.message_stream.has_more and not self._is_closing:
+            if not self.peer_has_closed and has_peer_closed(self.sock):
+                self._handle_peer_close()
+            if not self.is_closing and not self._read():
+                self.close_gracefully()
+            while self.message_stream.has_more and not self.is_closing:
                 self._handle_messages(b"")
         except OSError:
-            self.closing_immediately = True
-        if self._is_closing:
-            self._owner.loop.wake(self.task)
-
-    @property
-    def _is_closing(self) -> bool:
-        return self.closing_immediately or self.closing_gracefully
+            self.abort()
 
     def _read(self) -> bool:
         """Read once and handle messages for one turn; return False at the end of the stream."""
@@ -186,7 +194,7 @@
         invalid = self.message_stream.feed(data, self._handle)
         if invalid is not None:
             reject_invalid(self, invalid)
-            self.closing_gracefully = True
+            self.close_gracefully()
         elif self.message_stream.buffered and not self.open_request_numbers:
             # A request is arriving in parts: restart its idle time, so that silent ones are evicted first.
             self.mark_active()
@@ -194,13 +202,13 @@
     def _handle(self, message: DecodedMessage) -> bool:
         """Handle a message; return whether the messages after it are to be handled too."""
         handle_message(self, message)
-        return not self._is_closing
+        return not self.is_closing
 
     # The task that reads, writes and finally closes the connection.
 
     def _run(self) -> Coroutine:
         try:
-            while not self._is_closing:
+            while not self.is_closing:
                 ready = yield self._next_wait()
                 if ready & (WRITABLE | HANGUP) and self.writer.unsent:
                     self.writer.flush()
@@ -208,7 +216,7 @@
                         self.mark_active()
                 if ready & PEER_CLOSED:
                     self._handle_peer_close()
-                if not self._is_closing:
+                if not self.is_closing:
                     self._take_turn(ready)
             logger.debug(
                 "balancer connection {}: closing with {} open requests",
@@ -220,7 +228,7 @@
         except OSError as error:
             logger.debug("balancer connection {}: socket error, closing: {}", self.number, error)
         finally:
-            self.closing_immediately = True
+            self.state = ConnectionState.CLOSED
             self._owner.connection_closed(self)
 
     def _next_wait(self) -> Wait:
@@ -244,14 +252,14 @@
             if len(self.writer.unsent) < UNSENT_PAUSE_BYTES:
                 self._handle_messages(b"")
         elif ready & (READABLE | HANGUP) and not self._read():
-            self.closing_gracefully = True
+            self.close_gracefully()
 
     def _handle_peer_close(self) -> None:
         """Stop working for the peer: it waits for no answer any more.
 
         What it wrote before is still read, as every request gets an answer, but none of it is run.
         """
-        self.peer_has_closed = True
+        self._advance_to(ConnectionState.PEER_CLOSED)
         self._fail_open_requests()
 
     def _fail_open_requests(self) -> None:
--- a/snowthread/frontends/balancers/eviction.py
+++ b/snowthread/frontends/balancers/eviction.py
@@ -32,14 +32,14 @@
         connection = connections.get(number)
         if connection is None:
             continue
-        if connection.has_partial_message:
+        if connection.has_unhandled_input:
             with_partial_message.append(connection)
         else:
             yield connection
     after_farewell = [
         connection
         for connection in connections.values()
-        if connection.idle and not connection.has_partial_message and connection.farewell_at_ms < math.inf
+        if connection.idle and not connection.has_unhandled_input and connection.farewell_at_ms < math.inf
     ]
     for connection in after_farewell:
         if connection.farewell_at_ms + MIN_IDLE_BEFORE_EVICTION_MS <= now_ms:
--- a/snowthread/frontends/balancers/lingering_close.py
+++ b/snowthread/frontends/balancers/lingering_close.py
@@ -22,7 +22,10 @@
 
     sock: socket.socket
     writer: BufferedSocketWriter
-    closing_immediately: bool  # whether the connection has failed, been evicted or closed
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the connection has failed, been evicted or closed."""
 
 
 def lingering_close(connection: ClosingConnection, clock: Clock) -> Coroutine:
@@ -35,7 +38,7 @@
     deadline_ms = clock.now() + LINGERING_CLOSE_TIMEOUT_MS
     discard_bytes_left = DISCARD_MAX_BYTES
     is_shut_down = False
-    while not connection.closing_immediately and (writer.unsent or discard_bytes_left > 0):
+    while not connection.is_closed and (writer.unsent or discard_bytes_left > 0):
         if not writer.unsent and not is_shut_down:
             is_shut_down = True
             connection.sock.shutdown(socket.SHUT_WR)
--- a/snowthread/frontends/balancers/message_handler.py
+++ b/snowthread/frontends/balancers/message_handler.py
@@ -33,9 +33,11 @@
     number: int
     clock: Clock
     open_request_numbers: set[int]  # numbers of the requests that are not answered yet
-    peer_has_closed: bool  # whether the peer writes no more, and waits for no answer
     abuse_budget: AbuseBudget
-    closing_gracefully: bool  # whether to read no more messages and close after the last answers
+
+    @property
+    def peer_has_closed(self) -> bool:
+        """Whether the peer writes no more, and waits for no answer."""
 
     def answer(self, number: int, response: effects.Response) -> bool:
         """Send the answer to an open request; return False and send nothing if it is not open."""
@@ -43,6 +45,9 @@
     def post(self, event: events.Event) -> None:
         """Pass an event to the core."""
 
+    def close_gracefully(self) -> None:
+        """Stop reading, answer the open requests as failed, send what is unsent, and close."""
+
     def mark_active(self) -> None:
         """Restart the connection's idle time if it is idle, else record that it is busy."""
 
@@ -70,7 +75,7 @@
         return
     if len(open_request_numbers) >= MAX_OPEN_REQUESTS:
         reject_invalid(connection, InvalidMessage(message.number, Violation.TOO_MANY_OPEN_REQUESTS))
-        connection.closing_gracefully = True
+        connection.close_gracefully()
         return
     request = parse_request(message, (connection.number, message.number), connection.clock.now())
     if isinstance(request, InvalidMessage):
@@ -119,7 +124,7 @@
         message.detail,
     )
     if message.number is None:
-        connection.closing_gracefully = True
+        connection.close_gracefully()
     elif message.number in connection.open_request_numbers:
         _reject_reused_number(connection, message.number)
     else:
@@ -130,4 +135,4 @@
 
 def _charge_abuse(connection: MessageConnection) -> None:
     if not connection.abuse_budget.spend(connection.clock.now()):
-        connection.closing_gracefully = True
+        connection.close_gracefully()
--- a/snowthread/frontends/balancers/server.py
+++ b/snowthread/frontends/balancers/server.py
@@ -76,7 +76,7 @@
     def busy(self) -> bool:
         """Whether any connection has an open request, an unsent answer or a partial message."""
         return any(
-            not connection.idle or connection.has_partial_message for connection in self._connections.values()
+            not connection.idle or connection.has_unhandled_input for connection in self._connections.values()
         )
 
     def count(self) -> int:
@@ -119,9 +119,9 @@
         """Close the first eviction candidate that has no unread request; return False if there is none."""
         now_ms = self.loop.clock.now()
         for connection in eviction_candidates(self._connections, self._idle_since_ms, now_ms):
-            had_partial_message = connection.has_partial_message
+            had_unhandled_input = connection.has_unhandled_input
             connection.read_pending()
-            if connection.idle and connection.has_partial_message == had_partial_message:
+            if connection.idle and connection.has_unhandled_input == had_unhandled_input:
                 connection.send_farewell()
                 self._close_now(connection)
                 return True
@@ -129,7 +129,7 @@
 
     def _close_now(self, connection: BalancerConnection) -> None:
         """Close a connection before this method returns, because its descriptor is needed."""
-        connection.closing_immediately = True
+        connection.abort()
         self.loop.end_task(connection.task)
         # A task that was ended before its first step has not called connection_closed.
         if connection.number in self._connections:
@@ -140,7 +140,7 @@
     def mark_active(self, connection: BalancerConnection) -> None:
         """Restart the connection's idle time if it is idle, else record that it is busy."""
         self._idle_since_ms.pop(connection.number, None)
-        if connection.idle and not connection.closing_immediately:
+        if connection.idle and not connection.is_closed:
             self._idle_since_ms[connection.number] = self.loop.clock.now()
 
     def connection_closed(self, connection: BalancerConnection) -> None:
@@ -220,7 +220,7 @@
         now_ms = self.loop.clock.now()
         return any(
             not connection.idle
-            or connection.has_partial_message
+            or connection.has_unhandled_input
             or now_ms - connection.farewell_at_ms < FAREWELL_TIMEOUT_MS
             for connection in self._connections.values()
         )
--- a/snowthread/frontends/balancers/sweeper.py
+++ b/snowthread/frontends/balancers/sweeper.py
@@ -55,14 +55,14 @@
             now_ms,
             connection.message_stream.incomplete_since_ms(),
             connection.writer.stalled_since_ms,
-            connection.has_partial_message,
+            connection.has_unhandled_input,
         ):
             return True
         return (
             closes_after_farewell
             and connection.farewell_at_ms + FAREWELL_TIMEOUT_MS <= now_ms
             and connection.idle
-            and not connection.has_partial_message
+            and not connection.has_unhandled_input
         )
 
     def _abort_largest_unsent(self) -> None:
@@ -86,7 +86,7 @@
         for number, since_ms in list(self._idle_since_ms.items()):
             connection = self._connections[number]
             idle_ms = now_ms - since_ms
-            if connection.has_partial_message:
+            if connection.has_unhandled_input:
                 continue  # a request is arriving in parts
             if (
                 idle_ms >= self.idle_timeout_ms
