--- a/snowthread/frontends/balancers/connection.py
+++ b/snowthread/frontends/balancers/connection.py
@@ -2,7 +2,8 @@
 
 It has a :class:`~.connection_state.ConnectionState` and delegates to :mod:`.message_stream` (bytes to
 messages), :mod:`.message_handler` (messages to events), :mod:`.socket_writer` (answers to the socket) and
-:mod:`.lingering_close`. It knows its owner only through :class:`ConnectionOwner`, which the server implements.
+:mod:`.lingering_close`. It knows its owner only through :class:`ConnectionOwner`, which the server
+implements.
 """
 
 from __future__ import annotations
