Unpack short messages without a scan, and wake no connection from its own task

Change: a message that arrives alone and has at most as many bytes as a message may have values is within the limits, but for its lists and maps, which msgpack checks; it is unpacked at once. A state that a connection's own task sets wakes nobody.

--- a/snowthread/frontends/balancers/connection.py
+++ b/snowthread/frontends/balancers/connection.py
@@ -152,14 +152,16 @@
     def abort(self) -> None:
         """Close without sending what is unsent, in the next round of the event loop."""
         self._advance_to(ConnectionState.CLOSED)
+        self._owner.loop.wake(self.task)
 
     def close_gracefully(self) -> None:
         """Stop reading, answer the open requests as failed, send what is unsent, and close."""
         self._advance_to(ConnectionState.CLOSING)
+        self._owner.loop.wake(self.task)
 
     def _advance_to(self, state: ConnectionState) -> None:
+        """Enter a state unless the connection is further already; its task notices in its next step."""
         self.state = max(self.state, state)
-        self._owner.loop.wake(self.task)
 
     # Reading and handling messages.
 
@@ -253,7 +255,7 @@
             if len(self.writer.unsent) < UNSENT_PAUSE_BYTES:
                 self._handle_messages(b"")
         elif ready & (READABLE | HANGUP) and not self._read():
-            self.close_gracefully()
+            self._advance_to(ConnectionState.CLOSING)
 
     def _handle_peer_close(self) -> None:
         """Stop working for the peer: it waits for no answer any more.
--- a/snowthread/frontends/balancers/framing.py
+++ b/snowthread/frontends/balancers/framing.py
@@ -191,6 +191,27 @@
     return value
 
 
+def unpack_if_short(data: bytes) -> object | None:
+    """Return the value of ``data`` if it is one complete message of at most ``MAX_MESSAGE_VALUES`` bytes.
+
+    So short a message is within all limits but that of its lists and maps, and need not be scanned. Most
+    messages are short and arrive alone. For all else, also for an invalid message, the result is None.
+    """
+    if len(data) > MAX_MESSAGE_VALUES:
+        return None
+    try:
+        value: object = msgpack.unpackb(
+            data,
+            strict_map_key=False,
+            unicode_errors="surrogateescape",
+            max_array_len=MAX_CONTAINER_ITEMS,
+            max_map_len=MAX_CONTAINER_ITEMS,
+        )
+    except (ValueError, TypeError, RecursionError, msgpack.UnpackException):
+        return None
+    return value
+
+
 def is_message_number(value: object) -> bool:
     """Return whether a value is a valid message number, which is an unsigned 32-bit integer."""
     return isinstance(value, int) and not isinstance(value, bool) and 0 <= value <= MAX_MESSAGE_NUMBER
--- a/snowthread/frontends/balancers/message_stream.py
+++ b/snowthread/frontends/balancers/message_stream.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from snowthread.frontends.balancers.codec import decode, request_number_from_prefix
-from snowthread.frontends.balancers.framing import FramingError, MessageScanner, unpack
+from snowthread.frontends.balancers.framing import FramingError, MessageScanner, unpack, unpack_if_short
 from snowthread.frontends.balancers.messages import DecodedMessage, InvalidMessage, Violation
 from snowthread.net.clock import Clock
 
@@ -52,6 +52,15 @@
             None, or why the stream cannot be decoded any further. The start of the next message is then
             unknown, and no balancer sends such bytes.
         """
+        if not self.buffered:
+            value = unpack_if_short(data)
+            if value is not None:
+                self.messages_read += 1
+                handle(decode(value))
+                return None
+        return self._feed_in_turn(data, handle)
+
+    def _feed_in_turn(self, data: bytes, handle: MessageHandler) -> InvalidMessage | None:
         had_partial_message = bool(self.buffered)
         data = self.buffered + data
         start = 0
--- a/tests/frontends/test_framing.py
+++ b/tests/frontends/test_framing.py
@@ -16,6 +16,7 @@
     FramingError,
     MessageScanner,
     unpack,
+    unpack_if_short,
 )
 
 SCALARS = (
@@ -62,6 +63,19 @@
     assert unpack(message) == msgpack.unpackb(message, strict_map_key=False)
 
 
+@given(VALUES | st.lists(st.none(), min_size=60, max_size=70), st.binary(max_size=2))
+def test_short_message_is_unpacked_at_once_only_if_the_scanner_takes_it_as_one(
+    value: object, more: bytes
+) -> None:
+    """Guards against a verdict on a message that depends on the pieces in which it arrives."""
+    data = msgpack.packb(value) + more
+    short = unpack_if_short(data)
+    if short is None:
+        return
+    assert MessageScanner().scan(data, 0) == len(data)
+    assert unpack(data) == short
+
+
 @given(st.binary(max_size=60))
 def test_scanner_finds_the_end_where_msgpack_finds_it(data: bytes) -> None:
     try:
