End the scan of a message at its limit of values

Cause: checked the limit once a read, so a message that is rejected at value 513 was scanned for 8 KB first. Change: the scan stops at the limit. The new test reads 8,320 times with the check taken out (at most 1,024 allowed), and passes.

--- a/snowthread/frontends/balancers/framing.py
+++ b/snowthread/frontends/balancers/framing.py
@@ -124,7 +124,7 @@
         values = self._values
         values_left = self._values_left
         available = len(data)
-        while values_left and position < available:
+        while values_left and position < available and values <= MAX_MESSAGE_VALUES:
             byte = data[position]
             size = _VALUE_SIZES[byte]
             items = _ITEMS[byte]
--- a/tests/frontends/test_framing.py
+++ b/tests/frontends/test_framing.py
@@ -13,6 +13,7 @@
 from snowthread.frontends.balancers.framing import (
     MAX_MESSAGE_BYTES,
     MAX_MESSAGE_VALUES,
+    READ_BYTES,
     FramingError,
     MessageScanner,
     unpack,
@@ -109,6 +110,14 @@
         MessageScanner().scan(message[: MAX_MESSAGE_BYTES // 2], 0)
 
 
+def test_scan_ends_at_the_limit_of_values() -> None:
+    """Guards against a scan of a whole read of values that are too many already."""
+    CountingBytes.reads = 0
+    with pytest.raises(FramingError):
+        MessageScanner().scan(CountingBytes(nested_lists()[:READ_BYTES]), 0)
+    assert CountingBytes.reads <= 2 * MAX_MESSAGE_VALUES
+
+
 def test_limit_of_values_counts_all_lists_of_a_message() -> None:
     rows = MAX_MESSAGE_VALUES // 32
     within_limit = msgpack.packb([[0] * 31] * (rows - 1))
