--- a/tests/soak/test_abuse.py
+++ b/tests/soak/test_abuse.py
@@ -12,6 +12,7 @@
 SECONDS = 4.0
 SLOW_CLIENTS = 100
 FLOODING_CLIENTS = 20
+FLOODING_CROWD = 400
 
 
 def play(behaviour: str, connections: int) -> AbuseResult:
@@ -33,3 +34,8 @@
 def test_answers_are_in_time_while_clients_send_small_messages_at_full_speed(behaviour: str) -> None:
     """Guards against floods that delay other clients or fill the memory with new names."""
     play(behaviour, FLOODING_CLIENTS)
+
+
+def test_answers_are_in_time_while_a_crowd_sends_small_messages_at_full_speed() -> None:
+    """Guards against turns that are short for each client and long in all."""
+    play("flood-unknown-classes", FLOODING_CROWD)
