Order operators' calls by the monotonic clock, and answer once both processes hold them

Cause: each process took every word on the drain, however old, and sent back what differed from its own flag; 200 was said when one process had set its flag. The predecessor's word comes behind all its keys, so it undid a call made at the successor meanwhile.

Fix: calls carry the time of the monotonic clock, core/drain.py takes only a later one, in one place; what was heard is acknowledged and never sent back; 200 waits for the acknowledgement (at most 0.8 s, then 503), and a process takes no call before it knows the node's state. Bytes to a process of an earlier release are unchanged: a successor shows by the name of its socket that it understands the new messages.

Tests changed: test_node_shutdown and set_drained carry the calls out on the event loop, as the server does; same assertions.

--- a/snowthread/core/action_handlers.py
+++ b/snowthread/core/action_handlers.py
@@ -173,7 +173,7 @@
     # registration under which the successor of a hot restart serves (``NodeState.accepts_work``).
     if not state.shutting_down:
         state.healthy = action.healthy
-    transition.emit(effects.SetRegistration(state.accepts_work))
+    transition.report_registration()
 
 
 def publish_load(transition: Transition, action: actions.PublishLoad) -> None:
--- a/snowthread/core/effects.py
+++ b/snowthread/core/effects.py
@@ -10,6 +10,8 @@
 
 from snowthread.core.events import (
     DrainRequested,
+    DrainStateAcknowledged,
+    DrainStateReported,
     KeyClaimDecided,
     KeyClaimRequested,
     KeyClaimTimedOut,
@@ -153,6 +155,8 @@
     | KeyReleased
     | KeyClaimRequested
     | KeyClaimDecided
+    | DrainStateReported
+    | DrainStateAcknowledged
     | DrainRequested
     | PeerLoadReported
 )
--- a/snowthread/core/events.py
+++ b/snowthread/core/events.py
@@ -169,10 +169,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class DrainRequested:
-    """An operator drained the node or resumed it. Requests are served in either case."""
+class OperatorCalled:
+    """An operator drained the node or resumed it, at this process. Requests are served in either case."""
 
     drain: bool  # whether to take the node out of the registry; False registers it again
+    called_at_ns: int  # when, on the monotonic clock that all processes of the host share
 
 
 @dataclass(frozen=True, slots=True)
@@ -217,11 +218,39 @@
 # The peer process of a hot restart.
 
 
+@dataclass(frozen=True, slots=True)
+class NoPeerProcessFound:
+    """This process looked for a predecessor, and there is none."""
+
+
 @dataclass(frozen=True, slots=True)
 class PeerProcessConnected:
     """The peer process of a hot restart connected."""
 
     is_predecessor: bool  # whether this process, not the peer, is the older one and decides claims of keys
+    stamps_calls: bool = False  # whether the successor understands ``DrainStateReported``; the older one asks
+
+
+@dataclass(frozen=True, slots=True)
+class DrainStateReported:
+    """The peer process reported the operator's call that holds there."""
+
+    called_at_ns: int  # when the call was made, on the monotonic clock; 0 if there was none yet
+    drained: bool
+
+
+@dataclass(frozen=True, slots=True)
+class DrainStateAcknowledged:
+    """The peer process holds the call of this time, or a later one."""
+
+    called_at_ns: int
+
+
+@dataclass(frozen=True, slots=True)
+class DrainRequested:
+    """The peer process, of an earlier release, reported whether the node is drained."""
+
+    drain: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -311,12 +340,16 @@
     | TimerExpired
     | LoadSampleDue
     | ShutdownRequested
-    | DrainRequested
+    | OperatorCalled
     | SettingsReloaded
     | TenantsChanged
     | CallPacingChanged
     | LearnedStateRestored
+    | NoPeerProcessFound
     | PeerProcessConnected
+    | DrainStateReported
+    | DrainStateAcknowledged
+    | DrainRequested
     | PeerLoadReported
     | SuccessorReady
     | PeerProcessExited
--- a/snowthread/core/peer_process.py
+++ b/snowthread/core/peer_process.py
@@ -7,6 +7,7 @@
 ===========  ===========================================  ============================================
 role         event                                        next
 ===========  ===========================================  ============================================
+JOINING      ``NoPeerProcessFound``                       STANDALONE
 any          ``PeerProcessConnected`` in the old process  PREDECESSOR
 any          ``PeerProcessConnected`` in the new process  SUCCESSOR
 PREDECESSOR  ``SuccessorReady``                           PREDECESSOR; superseded, accepts no connections
@@ -17,37 +18,49 @@
 from __future__ import annotations
 
 from snowthread.admission import events as admission_events
-from snowthread.core import effects, events
+from snowthread.core import drain, effects, events
 from snowthread.core.arrivals import reprocess_waiting_requests
 from snowthread.core.request_lifecycle import complete_followers
 from snowthread.core.settings_changes import apply_settings
-from snowthread.core.state import HandoverRole, RequestPhase
+from snowthread.core.state import HandoverRole, PeerCallOrder, RequestPhase
 from snowthread.core.transition import HandlerTable, Transition
 
 
 def peer_process_connected(transition: Transition, event: events.PeerProcessConnected) -> None:
     """Take the role of predecessor or successor, and send the idempotency records to the peer process.
 
-    The predecessor sends all records, whether the node is drained and its load, and then marks the end of
-    the records. The successor sends the records that it owns, because it may be reconnecting after a broken
+    The predecessor sends whether the node is drained, all records and its load, and then marks the end of the
+    records. To a process of an earlier release it sends the drain behind the records, as that release does.
+    The successor sends the records that it owns, because it may be reconnecting after a broken
     connection on which messages of either side were lost.
     """
     state = transition.state
     if event.is_predecessor:
         state.handover_role = HandoverRole.PREDECESSOR
+        drain.begin_link(state, PeerCallOrder.STAMPED if event.stamps_calls else PeerCallOrder.UNSTAMPED)
+        if event.stamps_calls:
+            drain.report_drain_state(transition)
         for record in state.idempotency_table.records():
             transition.send_to_peer_process(record)
-        transition.send_to_peer_process(events.DrainRequested(state.drained))
+        if not event.stamps_calls:
+            drain.report_drain_state(transition)
         report_load(transition)
         transition.emit(effects.SendHandoverComplete())
     else:
         state.handover_role = HandoverRole.SUCCESSOR
+        drain.begin_link(state, PeerCallOrder.UNKNOWN)
         for record in state.idempotency_table.records():
             if not record.owned_by_peer:
                 transition.send_to_peer_process(record)
         reprocess_waiting_requests(transition)
 
 
+def no_peer_process_found(transition: Transition, _: events.NoPeerProcessFound) -> None:
+    """Serve as the only process of the node."""
+    transition.state.handover_role = HandoverRole.STANDALONE
+    transition.report_registration()
+
+
 def report_load(transition: Transition) -> None:
     """Report to the peer process what this process uses of the limits that both share."""
     state = transition.state
@@ -78,7 +91,7 @@
     state = transition.state
     state.superseded = True
     state.load_report = None
-    transition.emit(effects.SetRegistration(state.accepts_work))
+    transition.report_registration()
     transition.emit(effects.SetAccepting(False))
 
 
@@ -101,12 +114,13 @@
             record.completed = True
             complete_followers(transition, record, None)
     reprocess_waiting_requests(transition)
-    transition.emit(effects.SetRegistration(state.accepts_work))
+    transition.report_registration()
     transition.emit(effects.SetAccepting(True))
     transition.emit(effects.ReserveDescriptors(0))
 
 
 HANDLERS: HandlerTable = {
+    events.NoPeerProcessFound: no_peer_process_found,
     events.PeerProcessConnected: peer_process_connected,
     events.PeerLoadReported: peer_load_reported,
     events.SuccessorReady: successor_ready,
--- a/snowthread/core/reducer.py
+++ b/snowthread/core/reducer.py
@@ -2,7 +2,7 @@
 
 :func:`reduce` takes one event and returns the effects that it causes. Each concern has its own module, which
 registers handlers by event type: arrivals, ends of runs, the link to the runtime, downstream calls, load
-samples, shutdown, settings, and for a hot restart the peer process, key claims and key replication.
+samples, shutdown, drain, settings, and for a hot restart the peer process, key claims and key replication.
 ``action_handlers`` carries out the actions of the admission controller.
 """
 
@@ -11,6 +11,7 @@
 from snowthread.core import (
     arrivals,
     downstream_calls,
+    drain,
     effects,
     events,
     key_claims,
@@ -33,6 +34,7 @@
     **downstream_calls.HANDLERS,
     **load_samples.HANDLERS,
     **shutdown.HANDLERS,
+    **drain.HANDLERS,
     **settings_changes.HANDLERS,
     **peer_process.HANDLERS,
     **key_claims.HANDLERS,
--- a/snowthread/core/state.py
+++ b/snowthread/core/state.py
@@ -41,11 +41,20 @@
 class HandoverRole(Enum):
     """The role of this process in a hot restart."""
 
+    JOINING = 3  # looks for a predecessor; it is not known yet whether there is one
     STANDALONE = 0
     PREDECESSOR = 1  # the older of the two processes, which grants or denies claims of idempotency keys
     SUCCESSOR = 2  # the newer of the two processes, which claims a key before it runs a request with it
 
 
+class PeerCallOrder(Enum):
+    """How the peer process reports operators' calls; :mod:`snowthread.core.drain` has the protocol."""
+
+    UNKNOWN = 0  # there is no peer process, or it has not reported the node's state on this link yet
+    STAMPED = 1  # with the time of the call, by which calls are ordered
+    UNSTAMPED = 2  # it is of an earlier release and reports them without
+
+
 @dataclass(slots=True, eq=False)
 class Request:
     """One attempt received from a balancer; ``response_address`` is None once no response is owed."""
@@ -142,6 +151,10 @@
     shutting_down: bool = False
     retired_until_ms: dict[str, float] = field(default_factory=dict)  # end of service of each removed class
     drained: bool = False  # set by an operator's drain call and cleared by a resume call
+    drain_called_at_ns: int = 0  # when that call was made, on the monotonic clock; 0 before the first call
+    drain_reported_at_ns: int = 0  # time of the latest call that was reported on the present link
+    peer_call_order: PeerCallOrder = PeerCallOrder.UNKNOWN
+    peer_drain_called_at_ns: int = 0  # time of the latest call that the peer process is known to hold
     handover_role: HandoverRole = HandoverRole.STANDALONE
     peer_load: PeerLoadReported | None = None  # what the peer process uses of the shared limits
     # Keys of requests that an earlier incarnation of this node may have run, with an unknown outcome.
--- a/snowthread/core/transition.py
+++ b/snowthread/core/transition.py
@@ -49,6 +49,10 @@
         """Emit the response to a request or a health check, with the current load report."""
         self.emit(effects.SendResponse(response_address, response, self.state.load_report))
 
+    def report_registration(self) -> None:
+        """Emit whether the registry should list the node as accepting work."""
+        self.emit(effects.SetRegistration(self.state.accepts_work))
+
     def send_to_peer_process(self, message: effects.PeerProcessMessage) -> None:
         """Emit a message to the peer process of a hot restart."""
         self.emit(effects.SendToPeerProcess(message))
--- a/snowthread/frontends/admin/routes.py
+++ b/snowthread/frontends/admin/routes.py
@@ -1,11 +1,13 @@
-"""Route table of the administration interface, and the responses that its handlers return."""
+"""Route table of the administration interface, and the responses that its handlers give."""
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Generator, Mapping
 from http import HTTPStatus
 from typing import NamedTuple
 
+from snowthread.net.loop import Wait
+
 
 class AdminResponse(NamedTuple):
     """The response to a request: an HTTP status and one line of text."""
@@ -14,8 +16,11 @@
     text: str
 
 
-Handler = Callable[[], AdminResponse]
-"""A function that carries out a request and returns its response."""
+PendingResponse = Generator[Wait, int, AdminResponse]
+"""A coroutine that carries out a request and returns its response."""
+
+Handler = Callable[[], AdminResponse] | Callable[[], PendingResponse]
+"""A function that carries out a request and returns its response, or returns a coroutine that does."""
 
 
 class Route(NamedTuple):
--- a/snowthread/frontends/admin/server.py
+++ b/snowthread/frontends/admin/server.py
@@ -83,7 +83,8 @@
         try:
             request = yield from self._read_request(client.sock)
             if request is not None:
-                yield from self._send_response(client.sock, self._respond(request))
+                response = yield from self._respond(request)
+                yield from self._send_response(client.sock, response)
         except OSError as error:
             logger.debug("admin: connection closed: {}", error)
         finally:
@@ -126,7 +127,7 @@
         while (yield Wait(sock.fileno(), READABLE, deadline_ms)) and sock.recv(READ_BYTES):
             pass
 
-    def _respond(self, request: AdminRequest | RequestError) -> bytes:
+    def _respond(self, request: AdminRequest | RequestError) -> Generator[Wait, int, bytes]:
         """Call the handler of a request and return the encoded response, an error if there is no handler."""
         if isinstance(request, RequestError):
             return encode(AdminResponse(request.status, request.reason))
@@ -137,4 +138,7 @@
         if request.method != route.method:
             rejection = AdminResponse(HTTPStatus.METHOD_NOT_ALLOWED, f"{route.method} is wanted")
             return encode(rejection, {"Allow": route.method})
-        return encode(route.handler())
+        response = route.handler()
+        if not isinstance(response, AdminResponse):
+            response = yield from response
+        return encode(response)
--- a/snowthread/hot_restart/channel.py
+++ b/snowthread/hot_restart/channel.py
@@ -6,8 +6,8 @@
 
 | state       | event                                          | next state and action                       |
 | ----------- | ---------------------------------------------- | ------------------------------------------- |
-| searching   | no socket file, or connection refused for      | standalone: accept clients, listen          |
-|             | ``JOIN_TIMEOUT_MS``                            |                                             |
+| searching   | no socket file, or connection refused for      | standalone: ``NoPeerProcessFound``, accept  |
+|             | ``JOIN_TIMEOUT_MS``                            | clients, listen                             |
 | searching   | connected                                      | successor: send HELLO                       |
 | successor   | HANDOVER_COMPLETE received                     | the same: accept clients, send              |
 |             |                                                | TAKING_CLIENTS                              |
@@ -64,6 +64,7 @@
         self._accept_clients = accept_clients
         self._link: PeerLink | None = None
         self._latest_accepted_link: PeerLink | None = None
+        self._successor_stamps_calls = False
         self._successor_pid: int | None = None  # None if there is no successor or its pid is unknown
         self._listener: socket.socket | None = None
         self._closed = False
@@ -124,6 +125,8 @@
             yield Wait(until_ms=self._loop.clock.now() + CONNECT_RETRY_INTERVAL_MS)
         if joined:
             self._report_exit()
+        else:
+            self._post(events.NoPeerProcessFound())
         self._takeover_complete = True
         self._listen()
         self._accept_clients()
@@ -159,7 +162,7 @@
         while True:
             yield Wait(listener.fileno(), READABLE)
             try:
-                sock, _ = listener.accept()
+                sock, client_name = listener.accept()
             except OSError:
                 continue
             process = socket_file.peer_process(sock)
@@ -171,6 +174,7 @@
                 continue
             sock.setblocking(False)
             self._successor_pid = None if process is None else process.pid
+            self._successor_stamps_calls = socket_file.stamps_calls(client_name)
             link = PeerLink(self._loop, sock, self._receive)
             link.task = self._loop.spawn(self._serve_successor(link, process))
             self._latest_accepted_link = link
@@ -216,7 +220,7 @@
         if not isinstance(message, HandoverSignal):
             self._post(message)
         elif message is HandoverSignal.HELLO:
-            self._post(events.PeerProcessConnected(is_predecessor=True))
+            self._post(events.PeerProcessConnected(True, self._successor_stamps_calls))
         elif message is HandoverSignal.HANDOVER_COMPLETE:
             self._accept_clients()
             self._send(HandoverSignal.TAKING_CLIENTS)
--- a/snowthread/hot_restart/messages.py
+++ b/snowthread/hot_restart/messages.py
@@ -3,7 +3,8 @@
 Sans-I/O. A message is a MessagePack array whose first element is its name. Each kind of message has one
 :class:`MessageFormat` in :data:`MESSAGE_FORMATS`; the only field of a :class:`HandoverSignal` is the protocol
 version. Names and fields must not change: a process has to understand the process of an earlier release that
-it replaces.
+it replaces. ``drain_state`` and ``drain_known`` are sent only to a process that understands them
+(:func:`snowthread.hot_restart.socket_file.connect`); others get and send ``drain``.
 """
 
 from __future__ import annotations
@@ -39,6 +40,8 @@
     | events.KeyReleased
     | events.KeyClaimRequested
     | events.KeyClaimDecided
+    | events.DrainStateReported
+    | events.DrainStateAcknowledged
     | events.DrainRequested
     | events.PeerLoadReported
 )
@@ -147,6 +150,18 @@
         events.KeyClaimDecided,
         {"idempotency_key": str, "attempt_id": str, "granted": bool},
     ),
+    MessageFormat(
+        "drain_state",
+        events.DrainStateReported,
+        events.DrainStateReported,
+        {"called_at_ns": int, "drained": bool},
+    ),
+    MessageFormat(
+        "drain_known",
+        events.DrainStateAcknowledged,
+        events.DrainStateAcknowledged,
+        {"called_at_ns": int},
+    ),
     MessageFormat("drain", events.DrainRequested, events.DrainRequested, {"drain": bool}),
     MessageFormat(
         "load",
--- a/snowthread/hot_restart/socket_file.py
+++ b/snowthread/hot_restart/socket_file.py
@@ -4,6 +4,7 @@
 
 import errno
 import os
+import secrets
 import socket
 import struct
 from collections.abc import Iterator
@@ -12,6 +13,10 @@
 from pathlib import Path
 
 SOCKET_NAME = "beside"  # must not change: processes of earlier releases look for this name
+# The successor binds its socket to an abstract name with this prefix to say that it understands stamped calls
+# (``drain_state``). Earlier releases don't look at the name, and the bytes that they read stay as they are.
+STAMPED_CALLS_NAME = b"\0snowthread-stamped-calls-"
+NAME_RANDOM_BYTES = 16  # makes the names of all processes different
 LISTEN_BACKLOG = 4  # connections that the kernel queues until they are accepted
 _PEER_CREDENTIALS = struct.Struct("3i")  # ``struct ucred`` of Linux: pid, uid, gid
 
@@ -69,7 +74,10 @@
 
 
 def connect(directory: str) -> socket.socket | ConnectFailure:
-    """Connect to the process that listens in ``directory``; return a non-blocking socket or the failure."""
+    """Connect to the process that listens in ``directory``; return a non-blocking socket or the failure.
+
+    The name of the socket says that this process understands stamped calls.
+    """
     try:
         with _short_path(directory) as path:
             return _connect_to(path)
@@ -80,6 +88,7 @@
 def _connect_to(path: Path) -> socket.socket | ConnectFailure:
     sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
     sock.setblocking(False)
+    sock.bind(STAMPED_CALLS_NAME + secrets.token_hex(NAME_RANDOM_BYTES).encode())
     error_number = sock.connect_ex(str(path))
     if error_number:
         sock.close()
@@ -87,6 +96,11 @@
     return sock
 
 
+def stamps_calls(client_name: object) -> bool:
+    """Return whether the name of a connected socket says that its process understands stamped calls."""
+    return isinstance(client_name, bytes) and client_name.startswith(STAMPED_CALLS_NAME)
+
+
 def listen(directory: str) -> socket.socket:
     """Listen on the socket file in ``directory`` and return the non-blocking listening socket.
 
--- a/snowthread/net/clock.py
+++ b/snowthread/net/clock.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import itertools
 import time
 
 MS_PER_S = 1000.0
+NS_PER_MS = 1_000_000
+_monotonic_steps_ns = itertools.count()  # shared by all manual clocks, as the monotonic clock is
 
 
 class Clock:
@@ -14,6 +17,10 @@
         """Return the current time in milliseconds since the Unix epoch."""
         return time.time() * MS_PER_S
 
+    def monotonic_ns(self) -> int:
+        """Return the time of the host's monotonic clock, which all its processes share, in nanoseconds."""
+        return time.monotonic_ns()
+
 
 class ManualClock(Clock):
     """A clock for tests, whose time changes only when ``now_ms`` is set."""
@@ -24,3 +31,7 @@
     def now(self) -> float:
         """Return ``now_ms``, in milliseconds since the Unix epoch."""
         return self.now_ms
+
+    def monotonic_ns(self) -> int:
+        """Return ``now_ms`` in nanoseconds, and later than at each call before, at all clocks."""
+        return int(self.now_ms * NS_PER_MS) + next(_monotonic_steps_ns)
--- a/snowthread/node/node.py
+++ b/snowthread/node/node.py
@@ -14,7 +14,7 @@
 from snowthread.config import Config
 from snowthread.core import effects, events
 from snowthread.core.idempotency import IdempotencyTable
-from snowthread.core.state import AdmissionClock, NodeState
+from snowthread.core.state import AdmissionClock, HandoverRole, NodeState
 from snowthread.frontends.admin.server import AdminServer
 from snowthread.frontends.balancers.server import BalancerServer
 from snowthread.hot_restart.channel import HotRestartChannel
@@ -67,7 +67,7 @@
         )
         self.registry = RegistryClient(self.loop, config.registry, config.name)
         self._join_fleet()
-        self.operator_calls = OperatorCalls(self.state, self.balancers, self.hot_restart, self.post)
+        self.operator_calls = OperatorCalls(clock, self.state, self.balancers, self.hot_restart, self.post)
         self.admin = self._open_admin_server()
         self._effect_handlers = self._build_effect_handlers()
         self.shutdown = GracefulShutdown(self)
@@ -189,10 +189,14 @@
 
 def _initial_state(config: Config, clock: Clock) -> NodeState:
     """Return the state of a node that has processed no event yet."""
+    takes_part_in_hot_restarts = (
+        config.listen_descriptor is not None and config.handover_directory is not None
+    )
     return NodeState(
         config.settings,
         config.seed,
         config.gauge_names,
         AdmissionClock(clock.now()),
         idempotency_table=IdempotencyTable(max_result_bytes(config.memory_mb)),
+        handover_role=HandoverRole.JOINING if takes_part_in_hot_restarts else HandoverRole.STANDALONE,
     )
--- a/tests/core/test_reducer.py
+++ b/tests/core/test_reducer.py
@@ -8,6 +8,7 @@
 from snowthread.core import (
     arrivals,
     downstream_calls,
+    drain,
     events,
     key_claims,
     key_replication,
@@ -24,6 +25,7 @@
 MODULES = (
     arrivals,
     downstream_calls,
+    drain,
     key_claims,
     key_replication,
     load_samples,
--- a/tests/hot_restart/test_hot_restart_clients.py
+++ b/tests/hot_restart/test_hot_restart_clients.py
@@ -10,8 +10,8 @@
     ProcessPair,
     ready_status,
     responses,
-    set_drained,
 )
+from support.operator_calls import set_drained
 
 from snowthread.core import events
 from snowthread.core.state import HandoverRole
@@ -61,7 +61,7 @@
     set_drained(pair.predecessor, True)
     pair.start_successor()
     assert pair.successor.node.state.drained
-    set_drained(pair.successor, False)
+    assert pair.call(pair.successor, False) == 200
     pair.settle()
     assert not pair.predecessor.node.state.drained
     registry = pair.predecessor.peers["roster"]
--- a/tests/hot_restart/test_hot_restart_program.py
+++ b/tests/hot_restart/test_hot_restart_program.py
@@ -5,44 +5,19 @@
 import os
 import signal
 import socket
-import subprocess
-import sys
 import threading
 import time
-from collections.abc import Callable
 from contextlib import ExitStack
-from dataclasses import dataclass
-from http.client import HTTPConnection
 from pathlib import Path
 from typing import Any
 
 import msgpack
-from support.exchange import address, loopback
+from support.exchange import loopback
 from support.hot_restart import packed_request
-from support.program import ROOT, TIMEOUT_S, configuration, environment, reserve_address, site
+from support.program import TIMEOUT_S, reserve_address
+from support.restarted_program import Program, admin_status, wait_until
 
 BALANCERS = 6  # number of balancers that send requests during the restart
-POLL_S = 0.02  # interval between checks of a condition
-
-
-def admin_status(port: int, method: str, path: str) -> int:
-    """Return the HTTP status of a request to the administration server, 0 if it does not answer."""
-    connection = HTTPConnection("127.0.0.1", port, timeout=5.0)
-    try:
-        connection.request(method, path)
-        return connection.getresponse().status
-    except OSError:
-        return 0
-    finally:
-        connection.close()
-
-
-def wait_until(condition: Callable[[], bool], failure: str) -> None:
-    """Wait until a condition is true; fail with the text ``failure`` after ``TIMEOUT_S``."""
-    end = time.monotonic() + TIMEOUT_S
-    while not condition():
-        assert time.monotonic() < end, failure
-        time.sleep(POLL_S)
 
 
 class Balancer(threading.Thread):
@@ -104,41 +79,6 @@
     return response[3][0]
 
 
-@dataclass
-class Program:
-    """Starts processes of the node on one listening socket and one shared directory."""
-
-    stack: ExitStack
-    listening: socket.socket
-    shared_directory: Path
-
-    def start(self, directory: Path, admin_port: int) -> subprocess.Popen[str]:
-        """Start a process with its own toy site; return it once it is ready."""
-        directory.mkdir()
-        path = configuration(directory, listen=address(self.listening), stop_ms=5000)
-        self.stack.enter_context(site(path))
-        descriptor = self.listening.fileno()
-        variables = {
-            "NODE_FD": str(descriptor),
-            "TMPDIR": str(self.shared_directory),
-            "NODE_ADMIN_ADDR": f"127.0.0.1:{admin_port}",
-        }
-        process = subprocess.Popen(
-            [sys.executable, "-m", "snowthread"],
-            cwd=ROOT,
-            text=True,
-            env=environment(path) | variables,
-            stderr=subprocess.PIPE,
-            pass_fds=(descriptor,),
-        )
-        self.stack.callback(process.communicate)
-        self.stack.callback(process.kill)
-        wait_until(
-            lambda: admin_status(admin_port, "GET", "/-/ready") == 200, "the process did not become ready"
-        )
-        return process
-
-
 def test_program_is_replaced_under_load_without_a_failed_request(tmp_path: Path) -> None:
     shared_directory = tmp_path / "shared"
     shared_directory.mkdir()
--- a/tests/node/test_node_shutdown.py
+++ b/tests/node/test_node_shutdown.py
@@ -19,6 +19,7 @@
     send_notice,
     serve_request,
 )
+from support.operator_calls import set_drained
 
 from snowthread.node.shutdown import (
     CLOSE_LISTENER_BEFORE_KILL_MS,
@@ -120,8 +121,8 @@
         harness.advance(400.0)
         assert registry.recv(100) == b"HERE n1 off"
         if n == 3:
-            harness.node.operator_calls.drain()
-            assert harness.node.operator_calls.resume()[0] == 409
+            assert set_drained(harness, True) == 200
+            assert set_drained(harness, False) == 409
     registry.close()
 
 
--- a/tests/support/hot_restart.py
+++ b/tests/support/hot_restart.py
@@ -16,7 +16,9 @@
 from snowthread.hot_restart import channel, socket_file
 from snowthread.hot_restart.channel import HotRestartChannel
 from snowthread.hot_restart.socket_file import PeerProcess
+from snowthread.node.operator_calls import POLL_INTERVAL_MS
 from support.exchange import ExchangePlayer, loopback
+from support.operator_calls import OperatorCall
 
 # Attempt ids of the requests in a test.
 FIRST_ATTEMPT = "00000000000000a1"
@@ -71,12 +73,6 @@
     return player.node.operator_calls.ready()[0]
 
 
-def set_drained(player: ExchangePlayer, drained: bool) -> int:
-    """Drain a node or end its drain, as operators do; return the HTTP status."""
-    calls = player.node.operator_calls
-    return (calls.drain() if drained else calls.resume())[0]
-
-
 def concurrency_ceiling(player: ExchangePlayer) -> float:
     """Return the maximum number of runs that the admission controller of a process would start."""
     controller = player.node.state.controller
@@ -175,6 +171,14 @@
             player.clock.now_ms += elapsed_ms
         self.settle()
 
+    def call(self, player: ExchangePlayer, drained: bool) -> int:
+        """Make an operator's call at one process, and return its HTTP status once it is answered."""
+        call = OperatorCall(player, drained)
+        self.settle()
+        while not call.status:
+            self.advance(POLL_INTERVAL_MS)
+        return call.status
+
     def connect_runtime(self, player: ExchangePlayer) -> None:
         """Connect the runtime of a process and let it report that it is ready."""
         player.step("runtime", "accept", "")
