Report a process to the registry only once it knows whether the node is drained

What callers saw: a process that replaces a drained one reported the node as accepting work from its first step on, until it had heard of the drain (as long as the predecessor is stopped; a third process for as long as it waits). Cause: reports began before the state was known. Now the reducer says nothing of the registration before (NodeState.knows_drain_state), and reports begin with the first word.

--- a/snowthread/clients/registry.py
+++ b/snowthread/clients/registry.py
@@ -29,13 +29,15 @@
 class RegistryClient:
     """Sends reports to the registry at regular intervals, and at once after a change."""
 
-    def __init__(self, loop: EventLoop, address: Address, name: str) -> None:
+    def __init__(self, loop: EventLoop, address: Address, name: str, *, reports_at_once: bool = True) -> None:
+        """Start to send reports; unless ``reports_at_once``, only when the registration was first set."""
         self._loop = loop
         self._address = address
         self._name = name
         self._report_suffix: Callable[[], str] = lambda: ""  # empty unless the node is in a fleet
         self._on_answer: Callable[[bytes], None] | None = None
         self._accepts_work = True
+        self._is_held = not reports_at_once
         self._change_reports_left = CHANGE_REPORT_COUNT
         self._sock = address.open(socket.SOCK_DGRAM)
         self._report_task = loop.spawn(self._send_reports())
@@ -49,6 +51,9 @@
 
     def set_registration(self, accepts_work: bool) -> None:
         """Set whether the node is reported as accepting work, and report a change at once."""
+        if self._is_held:
+            self._is_held = False
+            self.report_now()
         if accepts_work != self._accepts_work:
             self._accepts_work = accepts_work
             logger.bind(event="registry.registration_changed", peer="registry").info(
@@ -75,6 +80,8 @@
         self._loop.wake(self._report_task)
 
     def _send_reports(self) -> Coroutine:
+        while self._is_held:
+            yield Wait()
         while True:
             report = encode_report(self._name, self._accepts_work, self._report_suffix())
             try:
--- a/snowthread/core/drain.py
+++ b/snowthread/core/drain.py
@@ -41,18 +41,6 @@
     return max(monotonic_ns, state.drain_called_at_ns + 1)
 
 
-def can_take_call(state: NodeState) -> bool:
-    """Return whether this process knows which earlier calls hold, so that an operator's call can follow them.
-
-    It does not while it looks for a predecessor, and until the predecessor has reported the node's state.
-    """
-    if state.handover_role is HandoverRole.JOINING:
-        return False
-    return (
-        state.handover_role is HandoverRole.STANDALONE or state.peer_call_order is not PeerCallOrder.UNKNOWN
-    )
-
-
 def is_confirmed(state: NodeState, called_at_ns: int) -> bool:
     """Return whether all processes of the node hold the call of this time or a later one.
 
@@ -92,6 +80,7 @@
     """
     if not _take_if_later(transition, event.called_at_ns, event.drain):
         return
+    transition.report_registration()
     if transition.state.handover_role is not HandoverRole.STANDALONE:
         report_drain_state(transition)
 
@@ -102,6 +91,7 @@
     state.peer_call_order = PeerCallOrder.STAMPED
     state.peer_drain_called_at_ns = max(state.peer_drain_called_at_ns, event.called_at_ns)
     _take_if_later(transition, event.called_at_ns, event.drained)
+    transition.report_registration()
     if (
         event.called_at_ns < state.drain_called_at_ns
         and state.drain_reported_at_ns < state.drain_called_at_ns
@@ -124,6 +114,7 @@
         state.peer_call_order = PeerCallOrder.UNSTAMPED
     if event.drain != state.drained:
         _take_if_later(transition, next_call_time_ns(state, 0), event.drain)
+    transition.report_registration()
 
 
 def _take_if_later(transition: Transition, called_at_ns: int, drained: bool) -> bool:
@@ -136,7 +127,6 @@
         return False
     state.drain_called_at_ns = called_at_ns
     state.drained = drained
-    transition.report_registration()
     return True
 
 
--- a/snowthread/core/state.py
+++ b/snowthread/core/state.py
@@ -169,6 +169,18 @@
         """The number of links to the runtime that were established so far."""
         return self.command_log.link_number
 
+    @property
+    def knows_drain_state(self) -> bool:
+        """Whether this process knows if the node is drained.
+
+        It does not while it looks for a predecessor, and until the predecessor has reported that.
+        """
+        if self.handover_role is HandoverRole.JOINING:
+            return False
+        return (
+            self.handover_role is HandoverRole.STANDALONE or self.peer_call_order is not PeerCallOrder.UNKNOWN
+        )
+
     @property
     def accepts_work(self) -> bool:
         """Whether the registry should list the node as accepting work.
--- a/snowthread/core/transition.py
+++ b/snowthread/core/transition.py
@@ -50,8 +50,12 @@
         self.emit(effects.SendResponse(response_address, response, self.state.load_report))
 
     def report_registration(self) -> None:
-        """Emit whether the registry should list the node as accepting work."""
-        self.emit(effects.SetRegistration(self.state.accepts_work))
+        """Emit whether the registry should list the node as accepting work, once this process knows that.
+
+        A successor that reported the node before it has heard of a drain would put it back on the list.
+        """
+        if self.state.knows_drain_state:
+            self.emit(effects.SetRegistration(self.state.accepts_work))
 
     def send_to_peer_process(self, message: effects.PeerProcessMessage) -> None:
         """Emit a message to the peer process of a hot restart."""
--- a/snowthread/node/node.py
+++ b/snowthread/node/node.py
@@ -65,7 +65,9 @@
         self.database = DatabaseClient(
             self.loop, config.database, self._descriptors.database_calls, self.post
         )
-        self.registry = RegistryClient(self.loop, config.registry, config.name)
+        self.registry = RegistryClient(
+            self.loop, config.registry, config.name, reports_at_once=self.state.knows_drain_state
+        )
         self._join_fleet()
         self.operator_calls = OperatorCalls(clock, self.state, self.balancers, self.hot_restart, self.post)
         self.admin = self._open_admin_server()
--- a/snowthread/node/operator_calls.py
+++ b/snowthread/node/operator_calls.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from snowthread.core import events
-from snowthread.core.drain import can_take_call, is_confirmed, next_call_time_ns
+from snowthread.core.drain import is_confirmed, next_call_time_ns
 from snowthread.core.state import NodeState
 from snowthread.frontends.admin.routes import AdminResponse, PendingResponse, Route, RouteTable
 from snowthread.frontends.balancers.server import BalancerServer
@@ -81,7 +81,7 @@
         the operator has to call again.
         """
         answer_by_ms = self._clock.now() + ANSWER_WITHIN_MS
-        while not can_take_call(self._state):
+        while not self._state.knows_drain_state:
             if self._clock.now() >= answer_by_ms:
                 return NOT_TAKEN
             yield self._next_poll()
--- a/tests/hot_restart/test_operator_calls.py
+++ b/tests/hot_restart/test_operator_calls.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
+
 import pytest
 from support.exchange import ExchangePlayer
 from support.hot_restart import ProcessPair, ready_status
@@ -154,3 +156,28 @@
     for drained in (True, False, True):
         assert pair.call(pair.running[process], drained) == 200
         assert drained_at_both(pair) == [drained, drained]
+
+
+def reports(player: ExchangePlayer) -> set[bytes]:
+    """Return the distinct reports that the registry has received from a process since the last call."""
+    registry = player.peers["roster"]
+    registry.setblocking(False)
+    received = set()
+    with suppress(BlockingIOError):
+        while True:
+            received.add(registry.recv(100))
+    return received
+
+
+def test_successor_of_a_drained_node_never_reports_it_as_accepting_work(pair: ProcessPair) -> None:
+    # Guards against a process that registers the node before it has heard that the node is drained.
+    assert pair.call(pair.predecessor, True) == 200
+    with pair.frozen_predecessor():
+        pair.launch_successor()
+        pair.advance(1000.0)
+    assert reports(pair.successor) == set()
+    pair.settle()
+    pair.advance(1000.0)
+    assert reports(pair.successor) == {b"HERE n1 off"}
+    assert pair.call(pair.successor, False) == 200
+    assert reports(pair.successor) == {b"HERE n1 on"}
