A process whose name is taken withdraws itself alone, and is no operator's call

Cause: where the registry knew a later process by the node's name, the program drained itself by the event of an operator's call. During an upgrade that later process is the successor itself, and the drain was sent to it. It would also have counted as a call of an earlier release. Now NameTaken concerns one process, is reported to no other and undoes no call; a predecessor ignores it, as its successor has the name. resume ends it, as before.

--- a/snowthread/core/drain.py
+++ b/snowthread/core/drain.py
@@ -25,6 +25,9 @@
 ``DrainRequested``               differs from the own one   it is taken as a call later than all known ones
 ===============================  =========================  ================================================
 
+``NameTaken`` concerns one process and is no operator's call: it is neither reported to the peer process nor
+does it end a call. A later ``resume`` ends it.
+
 A process of an earlier release sends ``DrainRequested``, which has no stamp: of calls at both processes of
 such an upgrade, the one that is heard last holds.
 """
@@ -117,6 +120,14 @@
     transition.report_registration()
 
 
+def name_taken(transition: Transition, _: events.NameTaken) -> None:
+    """Withdraw the registration of this process, unless it is its successor that uses the name."""
+    state = transition.state
+    if state.handover_role is not HandoverRole.PREDECESSOR:
+        state.name_taken = True
+        transition.report_registration()
+
+
 def _take_if_later(transition: Transition, called_at_ns: int, drained: bool) -> bool:
     """Make a call the one that holds if it is later than the one so far; return whether it was.
 
@@ -127,11 +138,13 @@
         return False
     state.drain_called_at_ns = called_at_ns
     state.drained = drained
+    state.name_taken = state.name_taken and drained
     return True
 
 
 HANDLERS: HandlerTable = {
     events.OperatorCalled: operator_called,
+    events.NameTaken: name_taken,
     events.DrainStateReported: drain_state_reported,
     events.DrainStateAcknowledged: drain_state_acknowledged,
     events.DrainRequested: drain_requested,
--- a/snowthread/core/events.py
+++ b/snowthread/core/events.py
@@ -176,6 +176,11 @@
     called_at_ns: int  # when, on the monotonic clock that all processes of the host share
 
 
+@dataclass(frozen=True, slots=True)
+class NameTaken:
+    """The registry knows a later process by this node's name."""
+
+
 @dataclass(frozen=True, slots=True)
 class SettingsReloaded:
     """The configuration was reloaded."""
@@ -341,6 +346,7 @@
     | LoadSampleDue
     | ShutdownRequested
     | OperatorCalled
+    | NameTaken
     | SettingsReloaded
     | TenantsChanged
     | CallPacingChanged
--- a/snowthread/core/state.py
+++ b/snowthread/core/state.py
@@ -150,6 +150,7 @@
     healthy: bool = True
     shutting_down: bool = False
     retired_until_ms: dict[str, float] = field(default_factory=dict)  # end of service of each removed class
+    name_taken: bool = False  # whether another node uses this node's name; cleared by a resume call
     drained: bool = False  # set by an operator's drain call and cleared by a resume call
     drain_called_at_ns: int = 0  # when that call was made, on the monotonic clock; 0 before the first call
     drain_reported_at_ns: int = 0  # time of the latest call that was reported on the present link
@@ -187,4 +188,6 @@
 
         A process that shuts down while its successor serves leaves the registration in place.
         """
-        return self.healthy and not self.drained and (self.superseded or not self.shutting_down)
+        if self.name_taken or self.drained:
+            return False
+        return self.healthy and (self.superseded or not self.shutting_down)
--- a/snowthread/recovery/registry_member.py
+++ b/snowthread/recovery/registry_member.py
@@ -84,7 +84,7 @@
             logger.bind(event="recovery.replaced").error(
                 "another process has registered under this node's name; withdrawing this node's registration"
             )
-            self._post(events.DrainRequested(True))
+            self._post(events.NameTaken())
         return True
 
     def _store_incarnation(self, earlier: int) -> None:
--- a/tests/core/test_drain.py
+++ b/tests/core/test_drain.py
@@ -64,14 +64,46 @@
         explore(Limits())
 
 
-@pytest.mark.parametrize("drained", [True, False])
-def test_of_two_calls_in_one_nanosecond_the_drain_holds_at_both_processes(drained: bool) -> None:
+def linked_world() -> World:
+    """Return a predecessor and a successor that have read all messages."""
     world = World([Process(new_state(HandoverRole.STANDALONE)), Process(new_state(HandoverRole.JOINING))])
     world.link()
+    read_all(world)
+    return world
+
+
+def read_all(world: World) -> None:
+    """Let both processes read all messages."""
     while not world.is_quiet():
         world.deliver(0 if world.processes[0].inbox else 1)
+
+
+@pytest.mark.parametrize("drained", [True, False])
+def test_of_two_calls_in_one_nanosecond_the_drain_holds_at_both_processes(drained: bool) -> None:
+    world = linked_world()
     for number, value in enumerate((drained, not drained)):
         world.handle(number, events.OperatorCalled(value, called_at_ns=7))
     world.deliver(0)
     world.deliver(1)
     assert [process.state.drained for process in world.processes] == [True, True]
+
+
+@pytest.mark.parametrize("number", [0, 1])
+def test_process_whose_name_was_taken_drains_no_other_process_and_undoes_no_call(number: int) -> None:
+    # Guards against a drain that the program sets itself, spreads to the successor and stays there.
+    world = linked_world()
+    world.call(1, False)
+    read_all(world)
+    world.handle(number, events.NameTaken())
+    assert world.is_quiet()
+    assert [process.state.drained for process in world.processes] == [False, False]
+    # The successor that registers under the same name takes nothing from the predecessor.
+    assert [process.state.accepts_work for process in world.processes] == [True, number == 0]
+
+
+def test_resume_ends_the_withdrawal_of_a_process_whose_name_was_taken() -> None:
+    world = World([Process(new_state(HandoverRole.STANDALONE))])
+    world.handle(0, events.NameTaken())
+    assert not world.processes[0].state.accepts_work
+    world.call(0, False)
+    assert world.processes[0].state.accepts_work
