A process that was never admitted gives up on a refusal only after the join timeout

What callers saw: with a third process waiting while the old one left, the third could take itself for the only one of the node, and answered good health checks though the node was drained by a call answered with 200. Trace of test_drain_at_the_new_process...: the third process logs 'the peer process has exited' within 25 ms of the old one's exit, while the second lives and has not yet listened.

Cause: after any link, a refused connection counted as proof that nobody serves. For a process that the predecessor closed out without a word it proves nothing: the successor listens a moment later. Now it retries for JOIN_TIMEOUT_MS, and reports an exit only of a process that had admitted it.

--- a/snowthread/hot_restart/channel.py
+++ b/snowthread/hot_restart/channel.py
@@ -14,6 +14,7 @@
 | successor   | CLIENTS_RELEASED received                      | the same, takeover complete                 |
 | successor   | link broken, the predecessor still listens     | the same: reconnect, send HELLO             |
 | successor   | link broken, no process listens                | standalone: ``PeerProcessExited``, listen   |
+| third       | link closed without a message                  | searching                                   |
 | standalone  | a process connects                             | predecessor                                 |
 | predecessor | HELLO received                                 | the same: the reducer sends all keys, then  |
 |             |                                                | HANDOVER_COMPLETE                           |
@@ -69,6 +70,9 @@
         self._listener: socket.socket | None = None
         self._closed = False
         self._takeover_complete = False
+        self._is_admitted = (
+            False  # whether the predecessor has sent anything; it closes the link of a third process
+        )
         self._joining: Task = loop.spawn(self._join())
 
     @property
@@ -106,24 +110,25 @@
         of keys. This process is standalone only once no process listens on the socket.
         """
         give_up_at_ms = self._loop.clock.now() + JOIN_TIMEOUT_MS
-        joined = False
+        has_connected = False
         while True:
             found = socket_file.connect(self._directory)
             if isinstance(found, socket.socket):
-                if not joined:
+                if not has_connected:
                     logger.bind(event="hot_restart.joined", peer="hot_restart").info(
                         "connected to the predecessor process of this node: taking over from it"
                     )
-                joined = True
+                has_connected = True
                 yield from self._follow_predecessor(found)
                 if self._closed:
                     return
-                # The predecessor listened until now, so a refusal means that it has exited.
-                give_up_at_ms = self._loop.clock.now()
+                # The predecessor listened until now, so a refusal means that it has exited. To a process that
+                # it has not admitted this proves nothing: its successor lives, and listens soon.
+                give_up_at_ms = self._loop.clock.now() + (0.0 if self._is_admitted else JOIN_TIMEOUT_MS)
             elif self._is_predecessor_absent(found, give_up_at_ms):
                 break
             yield Wait(until_ms=self._loop.clock.now() + CONNECT_RETRY_INTERVAL_MS)
-        if joined:
+        if self._is_admitted:
             self._report_exit()
         else:
             self._post(events.NoPeerProcessFound())
@@ -217,6 +222,7 @@
         self._post(events.PeerProcessExited())
 
     def _receive(self, message: IncomingMessage) -> None:
+        self._is_admitted = True
         if not isinstance(message, HandoverSignal):
             self._post(message)
         elif message is HandoverSignal.HELLO:
--- a/tests/hot_restart/test_operator_calls_program.py
+++ b/tests/hot_restart/test_operator_calls_program.py
@@ -58,18 +58,21 @@
     wait_until(lambda: admin_status(ports[1], "GET", "/-/ready") == 200, "the new process is not ready")
     assert health_checks(program.listening) == {False}
 
-    third = program.launch(tmp_path / "c", ports[2])  # it is not admitted while there are two
+    program.launch(tmp_path / "c", ports[2])  # a third process is not admitted while there are two
     wait_until(lambda: admin_status(ports[2], "GET", "/-/ready") != 0, "the third process did not start")
     called_at_s = time.monotonic()
     assert admin_status(ports[2], "POST", "/-/resume") == 503
     assert time.monotonic() - called_at_s < CALL_LIMIT_S
-    third.kill()
 
     assert health_checks(program.listening) == {False}
     old.send_signal(signal.SIGTERM)
     _, log = old.communicate(timeout=TIMEOUT_S)
     assert log.count("accepting no work") == 1 and "now reporting this node as accepting work" not in log
     assert health_checks(program.listening) == {False}
+    wait_until(lambda: admin_status(ports[2], "GET", "/-/ready") == 200, "the third process is not ready")
+    assert health_checks(program.listening) == {False}
     assert admin_status(ports[1], "POST", "/-/resume") == 200
     assert health_checks(program.listening) == {True}
-    assert new.poll() is None
+    new.send_signal(signal.SIGTERM)
+    new.communicate(timeout=TIMEOUT_S)
+    assert health_checks(program.listening) == {True}
