--- a/snowthread/frontends/balancers/connection.py
+++ b/snowthread/frontends/balancers/connection.py
@@ -51,6 +51,7 @@
     """One balancer's connection: its open requests and the answers that are not sent yet."""
 
     __slots__ = (
+        "_has_ended_turn",
         "_owner",
         "abuse_budget",
         "clock",
@@ -67,6 +68,7 @@
 
     def __init__(self, owner: ConnectionOwner, sock: socket.socket, number: int) -> None:
         self._owner = owner
+        self._has_ended_turn = False  # whether this round has had a turn; a read would be a second one
         self.sock = sock
         self.number = number
         self.clock = owner.loop.clock
@@ -243,7 +245,8 @@
         if self.writer.unsent:
             mask |= WRITABLE
         if len(self.writer.unsent) < UNSENT_PAUSE_BYTES:
-            if self.message_stream.has_more:
+            if self.message_stream.has_more or self._has_ended_turn:
+                self._has_ended_turn = False
                 self._owner.loop.wake(self.task)
             else:
                 mask |= READABLE
@@ -254,6 +257,7 @@
         if self.message_stream.has_more:
             if len(self.writer.unsent) < UNSENT_PAUSE_BYTES:
                 self._handle_messages(b"")
+                self._has_ended_turn = True
         elif ready & (READABLE | HANGUP) and not self._read():
             self._advance_to(ConnectionState.CLOSING)
 
